--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""The load tool, the experiments and the demo."""
--- /dev/null
+++ b/landingspool/boxes/__init__.py
@@ -0,0 +1,1 @@
+"""Links between our own boxes."""
--- /dev/null
+++ b/landingspool/boxes/link.py
@@ -0,0 +1,247 @@
+"""Links between our own boxes: websockets that carry CBOR.
+
+A link is opened when there is something to send and closed when it is
+idle, so a box holds links to those it works with and not to all.  Each
+direction has its own link and its own bounded queue.  When a queue is full
+the messages that are repeated anyway (probes, summaries, loans) are
+dropped first; a vital one (asks, grants, places) closes the link in place
+of being lost unseen, since its sender then asks again.
+"""
+
+import asyncio
+import collections
+import secrets
+import typing
+
+import cbor2
+import websockets
+from websockets.asyncio import client as ws_client
+from websockets.asyncio import server as ws_server
+
+from landingspool.boxes import handshake
+from landingspool.decisions import messages
+
+MAX_FRAME_BYTES = 4 * 1024 * 1024
+HANDSHAKE_S = 2.0
+IDLE_S = 60.0
+REST_S = 0.25
+BATCH = 64
+
+
+class Identity(typing.NamedTuple):
+    """Who this box is towards its peers."""
+
+    box: str
+    domain: str
+    incarnation: str
+    secret: str
+
+
+class Links:
+    """All links of one box.
+
+    Parameters
+    ----------
+    identity : Identity
+    find : callable
+        ``find(box)`` gives the Address of a box's links, or None.
+    deliver : callable
+        ``deliver(sender, message)`` takes each message that came in.
+    recorder : events.Recorder
+    metrics : metrics.Metrics
+    limit : int
+        Messages that wait for one peer at the most.
+    """
+
+    def __init__(self, identity, find, deliver, recorder, metrics, limit):
+        self._identity = identity
+        self._find = find
+        self._deliver = deliver
+        self._recorder = recorder
+        self._metrics = metrics
+        self._limit = limit
+        self._out = {}
+        self._server = None
+        self.cut = set()
+
+    async def start(self, host, port):
+        """Listen; returns the port in use."""
+        self._server = await ws_server.serve(
+            self._accept,
+            host,
+            port,
+            compression=None,
+            max_size=MAX_FRAME_BYTES,
+            ping_interval=None,
+        )
+        return self._server.sockets[0].getsockname()[1]
+
+    async def close(self):
+        """Close all links."""
+        for outbound in self._out.values():
+            outbound.stop()
+        if self._server is not None:
+            self._server.close()
+
+    def send(self, box, message):
+        """Queue a message for a box; never waits."""
+        outbound = self._out.get(box)
+        if outbound is None or outbound.ended:
+            outbound = Outbound(box, self._limit)
+            self._out[box] = outbound
+            outbound.task = asyncio.ensure_future(self._run(outbound))
+        dropped = outbound.put(message)
+        if dropped is not None:
+            name = type(dropped).__name__
+            self._metrics.link_dropped.labels(name).inc()
+            self._recorder.record('dropped', peer=box, message=name)
+
+    async def _run(self, outbound):
+        try:
+            await self._connect(outbound)
+        except (OSError, TimeoutError, websockets.WebSocketException):
+            pass
+        except handshake.Refused as error:
+            self._recorder.record(
+                'link_refused', peer=outbound.box, reason=str(error)
+            )
+        finally:
+            # What was queued is lost with the link: those who wait for an
+            # answer ask again, and a short rest keeps a dead peer cheap.
+            await asyncio.sleep(REST_S)
+            outbound.ended = True
+
+    async def _connect(self, outbound):
+        address = self._find(outbound.box)
+        if address is None or outbound.box in self.cut:
+            return
+        uri = f'ws://{address.host}:{address.port}'
+        async with ws_client.connect(
+            uri,
+            compression=None,
+            max_size=MAX_FRAME_BYTES,
+            open_timeout=HANDSHAKE_S,
+            ping_interval=None,
+            close_timeout=HANDSHAKE_S,
+            proxy=None,
+        ) as socket:
+            async with asyncio.timeout(HANDSHAKE_S):
+                await self._greet(socket)
+            while not outbound.stopped:
+                batch = await outbound.take()
+                if not batch or outbound.box in self.cut:
+                    return
+                await socket.send(self._encode(batch))
+
+    async def _greet(self, socket):
+        theirs = cbor2.loads(await socket.recv())
+        nonce = secrets.token_bytes(16)
+        await socket.send(cbor2.dumps(self._hello(theirs, nonce)))
+        reply = cbor2.loads(await socket.recv())
+        handshake.read_hello(reply, self._identity.secret, nonce)
+
+    async def _accept(self, socket):
+        peer = None
+        try:
+            async with asyncio.timeout(HANDSHAKE_S):
+                peer = await self._welcome(socket)
+            async for frame in socket:
+                self._receive(peer, frame)
+        except (TimeoutError, websockets.WebSocketException):
+            pass
+        except (handshake.Refused, ValueError, EOFError) as error:
+            name = peer.box if peer else '-'
+            reason = str(error)
+            self._recorder.record('link_refused', peer=name, reason=reason)
+            await socket.close(1008, 'refused')
+
+    async def _welcome(self, socket):
+        nonce = secrets.token_bytes(16)
+        await socket.send(cbor2.dumps(nonce))
+        value = cbor2.loads(await socket.recv())
+        hello = handshake.read_hello(value, self._identity.secret, nonce)
+        reply = self._hello(hello.nonce, b'')
+        await socket.send(cbor2.dumps(reply))
+        return hello
+
+    def _hello(self, theirs, nonce):
+        if not isinstance(theirs, bytes):
+            raise handshake.Refused('bad nonce')
+        own = self._identity
+        proof = handshake.prove(own.secret, theirs, own.box)
+        version = handshake.VERSION
+        hello = (version, own.box, own.domain, own.incarnation, nonce, proof)
+        return list(hello)
+
+    def _encode(self, batch):
+        rows = []
+        for message in batch:
+            row = cbor2.dumps(messages.pack(message))
+            name = type(message).__name__
+            self._metrics.link_bytes.labels(name, 'out').inc(len(row))
+            rows.append(row)
+        return cbor2.dumps([list(self._recorder.stamp), rows])
+
+    def _receive(self, peer, frame):
+        if peer.box in self.cut:
+            return
+        stamp, rows = cbor2.loads(frame)
+        self._recorder.observe(stamp)
+        for row in rows:
+            message, problem = messages.unpack(cbor2.loads(row))
+            if problem is not None:
+                self._recorder.record(
+                    'bad_message', peer=peer.box, reason=problem.text
+                )
+                continue
+            name = type(message).__name__
+            self._metrics.link_bytes.labels(name, 'in').inc(len(row))
+            self._deliver(peer.box, message)
+
+
+class Outbound:
+    """The queue towards one peer."""
+
+    def __init__(self, box, limit):
+        self.box = box
+        self.ended = False
+        self.stopped = False
+        self.task = None
+        self._limit = limit
+        self._rows = collections.deque()
+        self._ready = asyncio.Event()
+
+    def put(self, message):
+        """Queue a message; returns what had to be dropped, or None."""
+        self._rows.append(message)
+        self._ready.set()
+        if len(self._rows) <= self._limit:
+            return None
+        for index, row in enumerate(self._rows):
+            if not row.VITAL:
+                del self._rows[index]
+                return row
+        # Only vital messages wait: the peer is too slow to be worked
+        # with.  The link ends, and those who wait ask another box.
+        self.stop()
+        return message
+
+    async def take(self):
+        """Wait for messages; an empty list means that the link is idle."""
+        try:
+            async with asyncio.timeout(IDLE_S):
+                await self._ready.wait()
+        except TimeoutError:
+            return []
+        if self.stopped:
+            return []
+        count = min(BATCH, len(self._rows))
+        batch = [self._rows.popleft() for _ in range(count)]
+        if not self._rows:
+            self._ready.clear()
+        return batch
+
+    def stop(self):
+        """End the link."""
+        self.stopped = True
+        self._ready.set()
--- /dev/null
+++ b/landingspool/callers/__init__.py
@@ -0,0 +1,1 @@
+"""HTTP towards callers."""
--- /dev/null
+++ b/landingspool/command/__init__.py
@@ -0,0 +1,1 @@
+"""The command-line tool."""
--- /dev/null
+++ b/landingspool/decisions/fairness.py
@@ -0,0 +1,224 @@
+"""Who is served next: a weighted fair queue with bounded priorities.
+
+Each workspace has a counter of the service it got, in tokens divided by
+its weight, and the waiting workspace with the lowest counter goes next.  A
+workspace that returns from idle is lifted to the lowest counter in use, so
+that nobody saves up credit.  A higher class goes first, but every
+LOW_CLASS_EVERY-th place goes to the lowest class that waits, so that none
+starves.
+
+Source: Sheng et al., "Fairness in Serving Large Language Models", 2024
+(token counters that are lifted on return).
+"""
+
+import collections
+import heapq
+import itertools
+import typing
+
+LOW_CLASS_EVERY = 10
+OUTPUT_COST = 2.0
+FIRST_OUTPUT_GUESS = 64.0
+OUTPUT_SMOOTHING = 0.2
+
+CHARGES = {}
+
+
+def charge(name):
+    """Register a way of charging for output of unknown length."""
+
+    def add(function):
+        CHARGES[name] = function
+        return function
+
+    return add
+
+
+@charge('end')
+def charge_at_end(prompt_tokens, expected_output):
+    """Charge nothing for the output before its length is known."""
+    return float(prompt_tokens)
+
+
+@charge('reserve')
+def charge_reservation(prompt_tokens, expected_output):
+    """Charge the expected output now and settle it at the end.
+
+    Source: the reservation ledger of Prakash and Sahoo, "Budgets as code
+    with Flyte, OpenLineage, and Marquez", 2026.
+    """
+    return prompt_tokens + OUTPUT_COST * expected_output
+
+
+def measure_cost(prompt_tokens, output_tokens):
+    """Give the service that a finished request used, in tokens.
+
+    >>> measure_cost(100, 10)
+    120.0
+    """
+    return prompt_tokens + OUTPUT_COST * output_tokens
+
+
+class Share(typing.NamedTuple):
+    """What the queue has to know of a workspace's row."""
+
+    weight: float
+    priority: int
+
+
+class FairQueue:
+    """The waiting requests of one pool.
+
+    Parameters
+    ----------
+    charge : str
+        Name of a registered way of charging.
+    """
+
+    def __init__(self, charge='reserve'):
+        self._charge = CHARGES[charge]
+        self._waiting = collections.defaultdict(dict)
+        self._shares = {}
+        self._served = collections.defaultdict(float)
+        self._output = {}
+        self._heaps = collections.defaultdict(list)
+        self._counts = collections.Counter()
+        self._weights = collections.defaultdict(float)
+        self._turn = itertools.count(1)
+        self._pending = collections.Counter()
+        self._floor = 0.0
+        self.length = 0
+
+    def push(self, work, share):
+        """Put a request behind those of its workspace."""
+        name = work.workspace
+        self._set_share(name, share)
+        if not self._waiting[name]:
+            if not self._pending[name]:
+                self._served[name] = max(self._served[name], self._floor)
+            self._enter(name)
+        self._waiting[name][work.request] = work
+        self.length += 1
+
+    def pop(self):
+        """Take the request that goes next, or None."""
+        name = self._find_next()
+        if name is None:
+            return None
+        request = next(iter(self._waiting[name]))
+        self._floor = max(self._floor, self._served[name])
+        return self.remove(name, request)
+
+    def remove(self, workspace, request):
+        """Take out one request; returns it, or None if it is not there."""
+        rows = self._waiting.get(workspace)
+        work = rows.pop(request, None) if rows else None
+        if work is None:
+            return None
+        self.length -= 1
+        if not rows:
+            self._leave(workspace)
+            del self._waiting[workspace]
+        return work
+
+    def find(self, workspace, request):
+        """Give a waiting request, or None."""
+        return self._waiting.get(workspace, {}).get(request)
+
+    def list_waiting(self):
+        """List all waiting requests, each workspace's in its order."""
+        rows = self._waiting.values()
+        return [work for row in rows for work in row.values()]
+
+    def reserve(self, workspace, prompt_tokens):
+        """Charge for a request that starts; returns what was charged."""
+        expected = self.expect_output(workspace)
+        amount = self._charge(prompt_tokens, expected)
+        self._pending[workspace] += 1
+        self._add(workspace, amount)
+        return amount
+
+    def settle(self, workspace, charged, prompt_tokens, output_tokens):
+        """Replace what was charged by what was used."""
+        used = measure_cost(prompt_tokens, output_tokens)
+        self._pending[workspace] -= 1
+        if self._pending[workspace] <= 0:
+            del self._pending[workspace]
+        if output_tokens:
+            guess = self.expect_output(workspace)
+            learnt = guess + OUTPUT_SMOOTHING * (output_tokens - guess)
+            self._output[workspace] = learnt
+        self._add(workspace, used - charged)
+
+    def expect_output(self, workspace):
+        """Give the expected length of an answer, in tokens."""
+        return self._output.get(workspace, FIRST_OUTPUT_GUESS)
+
+    def count_ahead(self, workspace, share):
+        """Estimate how many requests are served before a new one.
+
+        A workspace's own queue is served at its share of the pool, so a
+        flood of one makes itself wait and not the others.
+        """
+        own = len(self._waiting.get(workspace, ()))
+        weights = sum(self._weights.values())
+        if workspace not in self._waiting:
+            weights += share.weight
+        return min(own * weights / share.weight, self.length)
+
+    def get_served(self, workspace):
+        """Give the counter of a workspace, in tokens over weight."""
+        return self._served[workspace]
+
+    def _set_share(self, name, share):
+        old = self._shares.get(name)
+        if old == share:
+            return
+        waits = bool(self._waiting.get(name))
+        if waits:
+            self._leave(name)
+        self._shares[name] = share
+        if waits:
+            self._enter(name)
+
+    def _add(self, name, amount):
+        share = self._shares.get(name)
+        if share is None:
+            return
+        self._served[name] += amount / share.weight
+        if self._waiting.get(name):
+            self._offer(name)
+
+    def _enter(self, name):
+        share = self._shares[name]
+        self._counts[share.priority] += 1
+        self._weights[share.priority] += share.weight
+        self._offer(name)
+
+    def _leave(self, name):
+        share = self._shares[name]
+        self._counts[share.priority] -= 1
+        self._weights[share.priority] -= share.weight
+        if not self._counts[share.priority]:
+            del self._counts[share.priority]
+            del self._weights[share.priority]
+            self._heaps.pop(share.priority, None)
+
+    def _offer(self, name):
+        # An entry is pushed at each change and the outdated ones are
+        # thrown away when they come up, which is cheaper than a search.
+        entry = (self._served[name], name)
+        heapq.heappush(self._heaps[self._shares[name].priority], entry)
+
+    def _find_next(self):
+        if not self._counts:
+            return None
+        low_turn = next(self._turn) % LOW_CLASS_EVERY == 0
+        pick = min if low_turn else max
+        heap = self._heaps[pick(self._counts)]
+        while heap:
+            served, name = heap[0]
+            if self._waiting.get(name) and served == self._served[name]:
+                return name
+            heapq.heappop(heap)
+        return None
--- /dev/null
+++ b/landingspool/decisions/identity.py
@@ -0,0 +1,86 @@
+"""Identity of prompt context: chain hashes over pieces of a prompt.
+
+The workspace is inside the chain, so that a key made for one workspace can
+never name the context of another.  The weight version is hashed in last: a
+scheduler learns only from the chosen target which version that is.
+"""
+
+import functools
+import hashlib
+import typing
+
+PIECE_TOKENS = 2000
+BYTES_PER_TOKEN = 4
+PIECE_BYTES = PIECE_TOKENS * BYTES_PER_TOKEN
+DIGEST_BYTES = 12
+
+
+class Origin(typing.NamedTuple):
+    """Under what a piece of context was made."""
+
+    workspace: str
+    model: str
+    adapter: str
+
+
+def count_tokens(text):
+    """Estimate the tokens of a prompt from its size in bytes.
+
+    The engines count exactly; here only the order of size is needed.
+
+    >>> count_tokens('x' * 8)
+    2
+    """
+    return max(1, len(text.encode()) // BYTES_PER_TOKEN)
+
+
+def hash_pieces(origin, prompt):
+    """List the keys of the whole pieces of a prompt.
+
+    Parameters
+    ----------
+    origin : Origin
+    prompt : str
+
+    Returns
+    -------
+    tuple of str
+        One key for each whole piece; each depends on all before it.
+
+    >>> one = Origin('a', 'm', '')
+    >>> keys = hash_pieces(one, 'x' * PIECE_BYTES * 2)
+    >>> len(keys), keys[0] == keys[1]
+    (2, False)
+    >>> keys == hash_pieces(one._replace(workspace='b'), 'x' * PIECE_BYTES * 2)
+    False
+    """
+    seed = '\0'.join(origin).encode()
+    link = hashlib.blake2b(seed, digest_size=DIGEST_BYTES).digest()
+    data = prompt.encode()
+    keys = []
+    for start in range(0, len(data) - PIECE_BYTES + 1, PIECE_BYTES):
+        piece = data[start : start + PIECE_BYTES]
+        link = hashlib.blake2b(link + piece, digest_size=DIGEST_BYTES).digest()
+        keys.append(link.hex())
+    return tuple(keys)
+
+
+@functools.lru_cache(maxsize=65536)
+def add_version(piece, version):
+    """Give the key of a piece's context under a weight version.
+
+    >>> add_version('aa', 'v1') == add_version('aa', 'v2')
+    False
+    """
+    data = f'{piece}\0{version}'.encode()
+    return hashlib.blake2b(data, digest_size=DIGEST_BYTES).hexdigest()
+
+
+def hash_key(key):
+    """Give the hash under which a bearer key stands in the table."""
+    return hashlib.sha256(key.encode()).hexdigest()
+
+
+def checksum(data):
+    """Give the checksum of a block's bytes."""
+    return hashlib.blake2b(data, digest_size=16).hexdigest()
--- /dev/null
+++ b/landingspool/decisions/pool.py
@@ -0,0 +1,157 @@
+"""The targets of one pool as its scheduler sees them.
+
+Load reports lag, so the load of a target is its last report plus what was
+granted since it was made.  A target that is leaving gets nothing new: the
+mark comes from the live list, from its own report or from a peer, and it
+sticks for that incarnation of the target.
+"""
+
+import typing
+
+from landingspool.decisions import messages
+from landingspool.decisions import records
+from landingspool.decisions import retries
+
+SLOWNESS_SMOOTHING = 0.2
+SLOWNESS_LEAST = 0.5
+SLOWNESS_MOST = 20.0
+REPORT_OLD_S = 5.0
+HOLD_SMOOTHING = 0.1
+FIRST_HOLD_S = 1.0
+LEAST_EXPECTED_S = 0.02
+
+
+class Flight(typing.NamedTuple):
+    """A grant that was not given back yet."""
+
+    grant: str
+    work: records.Work
+    target: str
+    since: float
+    until: float
+    charged: float
+    compute: int
+    expected: float
+    message: messages.Grant | None = None
+
+
+class Target:
+    """What is known of one target.
+
+    `heard` is the monotonic time of its last report, `made` the time at
+    which that report was made.
+    """
+
+    def __init__(self, member):
+        self.member = member
+        self.report = None
+        self.heard = float('-inf')
+        self.made = float('-inf')
+        self.flights = {}
+        self.breaker = retries.Breaker()
+        self.slowness = 1.0
+        self.left = set()
+        self.hold = FIRST_HOLD_S
+        self.ended = []
+
+    @property
+    def incarnation(self):
+        """The incarnation that the newest source names."""
+        return self.report.incarnation if self.report else ''
+
+    def mark_leaving(self, incarnation):
+        """Keep new work from an incarnation, for good.
+
+        Returns
+        -------
+        bool
+            Whether this was news.
+        """
+        news = incarnation not in self.left
+        self.left.add(incarnation)
+        return news
+
+    def is_leaving(self):
+        """Tell whether the present incarnation is leaving."""
+        return self.incarnation in self.left
+
+    def take_report(self, report, now):
+        """Take in a load report; returns whether it says anything new."""
+        made = now - report.age
+        if made <= self.made and report.incarnation == self.incarnation:
+            return False
+        if self.report and report.incarnation != self.incarnation:
+            self.slowness = 1.0
+            self.breaker = retries.Breaker()
+        self.report = report
+        self.made = made
+        self.heard = now
+        self.ended = [row for row in self.ended if row[1] >= made]
+        if report.leaving:
+            self.mark_leaving(report.incarnation)
+        return True
+
+    def is_usable(self, now):
+        """Tell whether it may get new work."""
+        if self.report is None or now - self.heard > REPORT_OLD_S:
+            return False
+        return self.report.ready and not self.is_leaving()
+
+    def count_free(self, now):
+        """Give the number of places left, after all that was granted."""
+        others = self._count_others()
+        free = self.report.slots - others - len(self.flights)
+        allowed, self.breaker = retries.allow(
+            self.breaker, now, len(self.flights)
+        )
+        if allowed is not None:
+            free = min(free, allowed - len(self.flights))
+        return max(free, 0)
+
+    def measure_backlog(self):
+        """Give the prompt tokens before the next request.
+
+        What was granted after the report was made is not in it yet.
+        """
+        since = sum(
+            flight.compute
+            for flight in self.flights.values()
+            if flight.since >= self.made
+        )
+        return self.report.queued_tokens + since
+
+    def learn(self, expected, first_token, held):
+        """Learn from a finished request how slow the target is."""
+        self.hold += HOLD_SMOOTHING * (held - self.hold)
+        if first_token < 0:
+            return
+        ratio = first_token / max(expected, LEAST_EXPECTED_S)
+        ratio = min(max(ratio, SLOWNESS_LEAST), SLOWNESS_MOST)
+        self.slowness += SLOWNESS_SMOOTHING * (ratio - self.slowness)
+
+    def end_flight(self, grant, now):
+        """Take a grant off the target."""
+        flight = self.flights.pop(grant, None)
+        if flight is not None:
+            self.ended.append((flight.since, now))
+
+    def _count_others(self):
+        # Requests that another scheduler placed there, seen only in the
+        # report: what ran then beyond our own flights of that time.  A
+        # flight counts from its grant to its end here, both of which are
+        # a little wider than at the target, so the error is on the side
+        # of using the target.
+        now_ours = sum(1 for f in self.flights.values() if f.since < self.made)
+        then_ours = sum(
+            1 for since, end in self.ended if since < self.made <= end
+        )
+        return max(self.report.running - now_ours - then_ours, 0)
+
+
+def measure_rate(targets, now):
+    """Give the requests a second that the usable targets can take."""
+    return sum(
+        target.report.slots / max(target.hold, LEAST_EXPECTED_S)
+        for target in targets
+        if target.is_usable(now)
+    )
--- /dev/null
+++ b/landingspool/decisions/scheduler.py
@@ -0,0 +1,490 @@
+"""The scheduler of one shard of a pool: who runs next, and where.
+
+It takes the messages of entry boxes and the reports of targets, and gives
+grants and refusals.  It holds nothing that must last: a scheduler that
+starts is told by the entry boxes what they hold and wait for, and learns
+the rest from the targets.
+"""
+
+import functools
+import random
+import typing
+
+from landingspool.decisions import directory
+from landingspool.decisions import fairness
+from landingspool.decisions import identity
+from landingspool.decisions import messages
+from landingspool.decisions import pool
+from landingspool.decisions import retries
+from landingspool.decisions import routing
+
+SETTLE_S = 1.0
+SPILL_MARGIN_S = 0.1
+MOST_HOPS = 1
+FETCH_S_PER_BLOCK = 0.03
+FIRST_TOKEN_GRACE = 0.05
+SUMMARY_OLD_S = 5.0
+
+
+class Policy(typing.NamedTuple):
+    """What a deployment has chosen for its schedulers."""
+
+    routing: str = 'earliest'
+    charge: str = 'reserve'
+    link_price_s: float = 0.0
+    grant_lease_s: float = 15.0
+    decision_age_s: float = 1.0
+    seed: int = 1
+
+
+class Send(typing.NamedTuple):
+    """A message and the box that it goes to."""
+
+    to: str
+    message: typing.Any
+
+
+class Note(typing.NamedTuple):
+    """Something for the time line: an event name and its fields."""
+
+    event: str
+    fields: dict
+
+
+class Waiting(typing.NamedTuple):
+    """When a waiting request came and when it must be answered."""
+
+    work: typing.Any
+    arrived: float
+    deadline: float
+
+
+class Scheduler:
+    """Decides for one shard.
+
+    Parameters
+    ----------
+    model, domain, box : str
+        The pool, and the box that this runs on.
+    policy : Policy
+    started : float
+        Monotonic seconds; it settles for SETTLE_S before it refuses for
+        want of targets, since it has just begun to hear them.
+    """
+
+    def __init__(self, model, domain, box, policy, started):
+        self.model = model
+        self.domain = domain
+        self.box = box
+        self.policy = policy
+        self.started = started
+        self.targets = {}
+        self.queue = fairness.FairQueue(policy.charge)
+        self.directory = directory.Directory()
+        self.flights = {}
+        self.rooms = {}
+        self.rng = random.Random(f'{policy.seed}/{box}/{model}')
+        self.turn = routing.Turn(self.rng.random())
+        self._waiting = {}
+        self._given = 0
+        self._epoch = f'{box}.{self.rng.getrandbits(40):x}'
+        self._by_request = {}
+
+    def set_members(self, members):
+        """Take in the members of the live list that are in this pool.
+
+        Returns
+        -------
+        list of Note
+        """
+        notes = []
+        for member in members:
+            target = self.targets.get(member.name)
+            if target is None:
+                target = self.targets[member.name] = pool.Target(member)
+            target.member = member
+            if member.leaving and target.mark_leaving(member.incarnation):
+                fields = {'target': member.name, 'source': 'live_list'}
+                notes.append(Note('leaving', fields))
+        known = {member.name for member in members}
+        for name in [n for n in self.targets if n not in known]:
+            del self.targets[name]
+            self.directory.forget_target(name)
+        return notes
+
+    def ask(self, work, share, now):
+        """Decide on a request: queue it, send it on, or refuse it.
+
+        Parameters
+        ----------
+        work : records.Work
+        share : fairness.Share
+        now : float
+            Monotonic seconds.
+
+        Returns
+        -------
+        list of Send
+        """
+        if work.request in self._waiting:
+            return [Send(work.entry, messages.Queued(work.request))]
+        if work.request in self._by_request:
+            return self._repeat(work)
+        reason, wait = self._judge(work, share, now)
+        spill = self._find_spill(work, wait, reason, now)
+        if spill:
+            return [Send(work.entry, messages.Spill(work.request, spill))]
+        if reason:
+            return [self._refuse(work, reason, wait)]
+        self.queue.push(work, share)
+        arrived = now - work.waited
+        row = Waiting(work, arrived, now + work.left)
+        self._waiting[work.request] = row
+        sends = self.place(now)
+        if work.request in self._waiting:
+            sends.append(Send(work.entry, messages.Queued(work.request)))
+        return sends
+
+    def place(self, now):
+        """Grant places while there are any and somebody waits."""
+        sends = []
+        while self.queue.length:
+            work = self._take_next(now)
+            if work is None:
+                break
+            sends.append(self._grant(*work, now))
+        return sends
+
+    def finish(self, done, now):
+        """Take a place back and learn from what it cost."""
+        flight = self.flights.pop(done.grant, None)
+        if flight is None:
+            return []
+        self._by_request.pop(done.request, None)
+        target = self.targets.get(flight.target)
+        computed = max(done.prompt_tokens - done.cached_tokens, 0)
+        self.queue.settle(
+            flight.work.workspace, flight.charged, computed, done.output_tokens
+        )
+        if target is not None:
+            target.end_flight(done.grant, now)
+            OUTCOMES[done.outcome](self, target, flight, done, now)
+        return self.place(now)
+
+    def withdraw(self, request):
+        """Forget a request that its entry box has given up."""
+        row = self._waiting.pop(request, None)
+        if row is not None:
+            self.queue.remove(row.work.workspace, request)
+
+    def adopt(self, announce, share_of, now):
+        """Take in what an entry box holds and waits for.
+
+        This is how a scheduler that has just begun gets its state, and how
+        the leases of the grants of a living box are renewed.  Returns the
+        number of renewed grants that are not known here.
+        """
+        lease = self.policy.grant_lease_s
+        unknown = 0
+        for grant in announce.renewed:
+            flight = self.flights.get(grant)
+            if flight is None:
+                unknown += 1
+            else:
+                self._set_flight(flight._replace(until=now + lease))
+        for held in announce.held:
+            if held.grant not in self.flights:
+                self._adopt_grant(held, now)
+        for work in announce.waiting:
+            if not self._knows(work.request):
+                self.queue.push(work, share_of(work.workspace))
+                row = Waiting(work, now - work.waited, now + work.left)
+                self._waiting[work.request] = row
+        return unknown
+
+    def report(self, report, now):
+        """Take in a load report; returns a list of Note."""
+        target = self.targets.get(report.target)
+        if target is None:
+            return []
+        leaving = target.is_leaving()
+        before = describe_cache(target)
+        target.take_report(report, now)
+        if describe_cache(target) != before:
+            self.directory.forget_target(report.target)
+        if target.is_leaving() and not leaving:
+            fields = {'target': report.target, 'source': 'report'}
+            return [Note('leaving', fields)]
+        return []
+
+    def take_events(self, name, events, gap):
+        """Take in cache events of a target; a gap makes all doubtful."""
+        if gap:
+            self.directory.note_gap(name)
+        for event in events:
+            if event.kind == 'removed':
+                self.directory.note_evicted(name, [event.piece])
+            else:
+                self.directory.note_cached(name, [event.piece])
+
+    def tick(self, now):
+        """Take back lapsed grants, refuse what can't be served any more.
+
+        Returns
+        -------
+        tuple of (list of Send, list of Note)
+        """
+        notes = self._lapse(now)
+        sends = self._refuse_late(now)
+        sends += self.place(now)
+        return sends, notes
+
+    def summarize(self, now):
+        """Give the summary of this pool for the other domains."""
+        usable = self._list_usable(now)
+        free = sum(target.count_free(now) for target in usable)
+        prefill = sum(t.report.prefill / t.slowness for t in usable)
+        delay = self._estimate_wait(self.queue.length, now)
+        return messages.Room(
+            self.model, free, round(delay, 3), prefill, len(usable)
+        )
+
+    def note_room(self, domain, room, now):
+        """Take in another domain's summary of its pool."""
+        self.rooms[domain] = (room, now)
+
+    def holds(self, grant):
+        """Tell whether a grant is known here."""
+        return grant in self.flights
+
+    def count_waiting(self):
+        """Give the number of requests in the queue."""
+        return self.queue.length
+
+    def _repeat(self, work):
+        # The answer to an Ask was lost with its link: the same grant is
+        # sent again, never a second one.
+        flight = self.flights[self._by_request[work.request]]
+        if flight.message is None:
+            return []
+        return [Send(work.entry, flight.message)]
+
+    def _knows(self, request):
+        return request in self._waiting or request in self._by_request
+
+    def _judge(self, work, share, now):
+        # Returns why a request can't be queued, or an empty reason, and
+        # the seconds that it would wait.
+        usable = self._list_usable(now)
+        if not usable:
+            settling = now - self.started < SETTLE_S
+            return ('' if settling else 'no_target'), SETTLE_S
+        free = any(target.count_free(now) for target in usable)
+        if free and not self.queue.length:
+            return '', 0.0
+        ahead = self.queue.count_ahead(work.workspace, share) + 1
+        wait = self._estimate_wait(ahead, now)
+        if wait > work.left * (1 - FIRST_TOKEN_GRACE):
+            return 'overloaded', wait
+        return '', wait
+
+    def _estimate_wait(self, ahead, now):
+        if not ahead:
+            return 0.0
+        rate = pool.measure_rate(self.targets.values(), now)
+        return ahead / rate if rate else SETTLE_S
+
+    def _find_spill(self, work, wait, reason, now):
+        # Work goes to another domain when its first token comes earlier
+        # there, counting the context that has to be computed again.
+        if work.hops >= MOST_HOPS:
+            return ''
+        cached = max(
+            (
+                self.directory.count_cached(name, work.pieces)
+                for name in self.targets
+            ),
+            default=0,
+        )
+        best, best_wait = '', float('inf') if reason else wait
+        for domain, (room, heard) in sorted(self.rooms.items()):
+            if now - heard > SUMMARY_OLD_S or not room.targets:
+                continue
+            again = cached * identity.PIECE_TOKENS * room.targets
+            there = room.delay + again / room.prefill + SPILL_MARGIN_S
+            if not room.free and not room.delay:
+                there += SETTLE_S
+            if there < best_wait:
+                best, best_wait = domain, there
+        return best
+
+    def _list_usable(self, now):
+        return [t for t in self.targets.values() if t.is_usable(now)]
+
+    def _take_next(self, now):
+        usable = self._list_usable(now)
+        free = {t.member.name: t.count_free(now) for t in usable}
+        if not any(free.values()):
+            return None
+        work = self.queue.pop()
+        del self._waiting[work.request]
+        views = [self._view(work, t, free[t.member.name]) for t in usable]
+        view = routing.choose(self.policy.routing, work, views, self.turn)
+        return work, view
+
+    def _view(self, work, target, free):
+        name = target.member.name
+        pieces = self.directory.count_cached(name, work.pieces)
+        stored = self._list_stored(work, target, pieces)
+        price = FETCH_S_PER_BLOCK + self.policy.link_price_s
+        return routing.View(
+            target=name,
+            free=free,
+            reported=target.report.running,
+            in_flight=len(target.flights),
+            backlog=target.measure_backlog(),
+            prefill=target.report.prefill,
+            cached=pieces * identity.PIECE_TOKENS,
+            fetchable=len(stored) * identity.PIECE_TOKENS,
+            fetch_s=len(stored) * price,
+            slowness=target.slowness,
+        )
+
+    def _list_stored(self, work, target, start):
+        # A stored block is named with the weight version that it was made
+        # under, so another version's block is never even found.
+        version = target.report.version
+        rest = work.pieces[start:]
+        keys = [identity.add_version(key, version) for key in rest]
+        return self.directory.list_stored(keys, 0)
+
+    def _grant(self, work, view, now):
+        target = self.targets[view.target]
+        self._given += 1
+        grant = f'{self._epoch}.{self._given}'
+        fetch = ()
+        if routing.wants_fetch(work, view):
+            start = view.cached // identity.PIECE_TOKENS
+            stored = self._list_stored(work, target, start)
+            fetch = tuple(item.block for item in stored)
+        ready = view.cached + len(fetch) * identity.PIECE_TOKENS
+        compute = max(work.prompt_tokens - ready, 0)
+        expected = routing.estimate_first_token(
+            work, view._replace(slowness=1.0)
+        )
+        charged = self.queue.reserve(work.workspace, compute)
+        message = messages.Grant(
+            work.request,
+            grant,
+            view.target,
+            target.incarnation,
+            target.report.version,
+            self.policy.decision_age_s,
+            self.policy.grant_lease_s,
+            fetch,
+            view.cached,
+            work.offset,
+        )
+        flight = pool.Flight(
+            grant,
+            work,
+            view.target,
+            now,
+            now + self.policy.grant_lease_s,
+            charged,
+            compute,
+            expected,
+            message,
+        )
+        self._set_flight(flight)
+        self.directory.note_cached(view.target, work.pieces)
+        return Send(work.entry, message)
+
+    def _set_flight(self, flight):
+        self.flights[flight.grant] = flight
+        self._by_request[flight.work.request] = flight.grant
+        if flight.target in self.targets:
+            self.targets[flight.target].flights[flight.grant] = flight
+
+    def _adopt_grant(self, held, now):
+        charged = self.queue.reserve(held.work.workspace, 0)
+        flight = pool.Flight(
+            held.grant,
+            held.work,
+            held.target,
+            now - held.work.waited,
+            now + self.policy.grant_lease_s,
+            charged,
+            0,
+            pool.FIRST_HOLD_S,
+        )
+        self._set_flight(flight)
+
+    def _refuse(self, work, reason, wait):
+        after = retries.spread_retry_after(wait, self.rng)
+        refuse = messages.Refuse(work.request, reason, after)
+        return Send(work.entry, refuse)
+
+    def _refuse_late(self, now):
+        # A request that can't make its deadline any more is answered now
+        # and not when the deadline comes.
+        sends = []
+        for row in list(self._waiting.values()):
+            if now <= row.deadline - FIRST_TOKEN_GRACE:
+                continue
+            self.withdraw(row.work.request)
+            wait = self._estimate_wait(self.queue.length, now)
+            sends.append(self._refuse(row.work, 'deadline', wait))
+        return sends
+
+    def _lapse(self, now):
+        notes = []
+        for flight in list(self.flights.values()):
+            if now < flight.until:
+                continue
+            self.flights.pop(flight.grant)
+            self._by_request.pop(flight.work.request, None)
+            self.queue.settle(flight.work.workspace, flight.charged, 0, 0)
+            target = self.targets.get(flight.target)
+            if target is not None:
+                target.end_flight(flight.grant, now)
+            fields = {'request': flight.work.request, 'target': flight.target}
+            notes.append(Note('lapsed', fields))
+        return notes
+
+    def _end_well(self, target, flight, done, now):
+        target.breaker = retries.note_success(target.breaker, now)
+        target.learn(flight.expected, done.first_token, done.held)
+        self.directory.note_cached(flight.target, done.pieces)
+
+    def _end_failed(self, target, flight, done, now):
+        target.breaker = retries.note_failure(target.breaker, now)
+        self.directory.note_evicted(flight.target, done.pieces)
+
+    def _end_unused(self, target, flight, done, now):
+        if target.breaker.state == retries.PROBING:
+            target.breaker = target.breaker._replace(state=retries.OPEN)
+
+    def _end_leaving(self, target, flight, done, now):
+        target.mark_leaving(target.incarnation)
+
+
+def describe_cache(target):
+    """Give what a target's cache belongs to: incarnation and version."""
+    if target.report is None:
+        return None
+    return target.report.incarnation, target.report.version
+
+
+OUTCOMES = {
+    'ok': Scheduler._end_well,
+    'failed': Scheduler._end_failed,
+    'unused': Scheduler._end_unused,
+    'leaving': Scheduler._end_leaving,
+}
+
+
+@functools.lru_cache(maxsize=4096)
+def make_share(weight, priority):
+    """Give the Share of a row; kept, since rows seldom change."""
+    return fairness.Share(weight, priority)
--- /dev/null
+++ b/landingspool/events.py
@@ -0,0 +1,316 @@
+"""Numbered events: what this process did, for logs and the time line.
+
+Each event has a number in the catalogue below, which docs/events.md
+prints.  Events go to the log and into a bounded ring that operators read
+over HTTP; the hybrid logical clock orders them over all processes.
+"""
+
+import collections
+import itertools
+import sys
+import time
+import typing
+
+from loguru import logger
+
+from landingspool.decisions import clock
+
+RING_EVENTS = 4096
+
+
+class Kind(typing.NamedTuple):
+    """One entry of the catalogue."""
+
+    number: int
+    name: str
+    level: str
+    text: str
+
+
+class Event(typing.NamedTuple):
+    """One thing that happened, in the order of the hybrid clock."""
+
+    stamp: tuple
+    box: str
+    number: int
+    name: str
+    fields: dict
+
+
+CATALOGUE = {
+    kind.name: kind
+    for kind in (
+        Kind(100, 'started', 'INFO', 'The daemon serves.'),
+        Kind(101, 'draining', 'INFO', 'A planned stop has begun.'),
+        Kind(102, 'stopped', 'INFO', 'The daemon has ended.'),
+        Kind(
+            103,
+            'frozen',
+            'WARNING',
+            'This process did not run; what it had decided before is void.',
+        ),
+        Kind(
+            200, 'accepted', 'DEBUG', 'A request was accepted from a caller.'
+        ),
+        Kind(201, 'rejected', 'INFO', 'A request got a final rejection.'),
+        Kind(
+            202,
+            'claimed',
+            'DEBUG',
+            'The claim of a request that must not be repeated was settled.',
+        ),
+        Kind(203, 'granted', 'DEBUG', 'A scheduler gave a request its place.'),
+        Kind(
+            204,
+            'dispatched',
+            'DEBUG',
+            'The first byte of a request goes to a target.',
+        ),
+        Kind(205, 'first_token', 'DEBUG', 'The first token came back.'),
+        Kind(
+            206,
+            'finished',
+            'DEBUG',
+            'The whole answer was handed to the caller.',
+        ),
+        Kind(207, 'retried', 'INFO', 'A request is tried again.'),
+        Kind(
+            208,
+            'resumed',
+            'INFO',
+            'A broken stream is resumed at the same target.',
+        ),
+        Kind(
+            209,
+            'stale',
+            'INFO',
+            'A grant was too old to be used and is asked for again.',
+        ),
+        Kind(
+            210,
+            'caller_gone',
+            'INFO',
+            'The caller left before its answer was whole.',
+        ),
+        Kind(
+            211,
+            'broken',
+            'WARNING',
+            'An answer that had begun could not be completed.',
+        ),
+        Kind(
+            300, 'queued', 'DEBUG', 'A request waits in the queue of its pool.'
+        ),
+        Kind(301, 'refused', 'INFO', 'A scheduler refused a request.'),
+        Kind(
+            302,
+            'spilled',
+            'DEBUG',
+            'A request was sent on to another failure domain.',
+        ),
+        Kind(
+            303,
+            'lapsed',
+            'WARNING',
+            'A grant was not heard of again and was taken back.',
+        ),
+        Kind(304, 'moved', 'INFO', 'A pool has a new scheduler.'),
+        Kind(
+            305,
+            'local',
+            'WARNING',
+            'No scheduler answered; this box decided alone.',
+        ),
+        Kind(
+            400,
+            'published',
+            'INFO',
+            'A publish was accepted and is in force here.',
+        ),
+        Kind(
+            401,
+            'conflicted',
+            'INFO',
+            'A publish lost against another operator.',
+        ),
+        Kind(402, 'log_down', 'WARNING', 'The log can not be reached.'),
+        Kind(403, 'log_up', 'INFO', 'The log can be reached again.'),
+        Kind(
+            404,
+            'log_gap',
+            'ERROR',
+            'The log no longer holds the records after our offset.',
+        ),
+        Kind(
+            405,
+            'snapshot',
+            'INFO',
+            'A snapshot of the configuration was appended.',
+        ),
+        Kind(
+            406,
+            'settled',
+            'INFO',
+            'An append whose answer was lost was found in the log.',
+        ),
+        Kind(
+            500, 'leaving', 'INFO', 'A target is leaving and gets no new work.'
+        ),
+        Kind(501, 'target_down', 'WARNING', 'A target does not answer.'),
+        Kind(502, 'target_up', 'INFO', 'A target answers.'),
+        Kind(503, 'ordered', 'INFO', 'A fenced order was sent to a target.'),
+        Kind(504, 'order_refused', 'WARNING', 'A target refused an order.'),
+        Kind(
+            600, 'kept', 'DEBUG', 'A block of context was sealed in a store.'
+        ),
+        Kind(
+            601,
+            'imported',
+            'DEBUG',
+            'A block of context was checked and imported.',
+        ),
+        Kind(
+            602,
+            'mismatch',
+            'WARNING',
+            'A block failed its check and is computed again.',
+        ),
+        Kind(603, 'freed', 'DEBUG', 'A block of context was freed.'),
+        Kind(
+            604, 'store_down', 'WARNING', 'A store does not answer or is full.'
+        ),
+        Kind(700, 'joined', 'INFO', 'A box was seen alive.'),
+        Kind(701, 'suspected', 'WARNING', 'A box did not answer its probes.'),
+        Kind(702, 'removed', 'WARNING', 'A box was removed from the view.'),
+        Kind(
+            703,
+            'link_refused',
+            'WARNING',
+            'A link to or from a peer was refused.',
+        ),
+        Kind(
+            704,
+            'dropped',
+            'WARNING',
+            'A queue of a link was full and a message was dropped.',
+        ),
+        Kind(
+            705,
+            'bad_message',
+            'ERROR',
+            'A peer sent a message that failed its check.',
+        ),
+        Kind(
+            800,
+            'fault',
+            'ERROR',
+            'A task ended by an error that nothing handled.',
+        ),
+    )
+}
+
+FORMATS = {
+    'text': '{time:HH:mm:ss.SSS} {level.name:<7} {extra[box]} {message}',
+    'json': '{message}',
+}
+
+
+class Recorder:
+    """Writes events into the ring and to the log.
+
+    Parameters
+    ----------
+    box : str
+        Name of this process in the time line.
+    wall : callable, optional
+        Gives the seconds of the wall clock.
+    """
+
+    def __init__(self, box, wall=time.time, ring=RING_EVENTS):
+        self.box = box
+        self._wall = wall
+        self._stamp = clock.Stamp(0, 0)
+        self._ring = collections.deque(maxlen=ring)
+        self._log = logger.bind(box=box)
+        self.counts = collections.Counter()
+
+    def record(self, name, **fields):
+        """Record the event `name` of the catalogue; returns it."""
+        kind = CATALOGUE[name]
+        self._stamp = clock.advance(self._stamp, self._wall())
+        event = Event(self._stamp, self.box, kind.number, name, fields)
+        self._ring.append(event)
+        self.counts[name] += 1
+        if kind.level != 'DEBUG' or fields.get('loud'):
+            self._log.log(kind.level, format_event(event))
+        else:
+            self._log.opt(lazy=True).debug('{}', lambda: format_event(event))
+        return event
+
+    def observe(self, stamp):
+        """Take in the stamp of a message from another process."""
+        heard = clock.Stamp(*stamp)
+        self._stamp = clock.merge(self._stamp, heard, self._wall())
+
+    @property
+    def stamp(self):
+        """The stamp to put on a message that leaves now."""
+        return self._stamp
+
+    def select(self, since=0.0, **wanted):
+        """List the recorded events that match all the fields wanted.
+
+        Parameters
+        ----------
+        since : float
+            Wall-clock seconds; earlier events are left out.
+        **wanted
+            Field names and their values, as text.
+        """
+        rows = (e for e in self._ring if e.stamp[0] >= since * 1000)
+        return [e for e in rows if match_fields(e, wanted)]
+
+
+def match_fields(event, wanted):
+    """Tell whether an event holds all the wanted field values.
+
+    >>> e = Event((0, 0), 'a', 200, 'accepted', {'request': 'r1', 'n': 2})
+    >>> match_fields(e, {'request': 'r1', 'n': '2'})
+    True
+    >>> match_fields(e, {'request': 'r2'})
+    False
+    """
+    return all(
+        str(event.fields.get(key)) == str(value)
+        for key, value in wanted.items()
+    )
+
+
+def format_event(event):
+    """Give one line of text for an event.
+
+    >>> format_event(Event((0, 0), 'a', 200, 'accepted', {'request': 'r1'}))
+    'LS200 accepted request=r1'
+    """
+    pairs = (f'{key}={value}' for key, value in event.fields.items())
+    return ' '.join(itertools.chain((f'LS{event.number}', event.name), pairs))
+
+
+def merge_events(rings):
+    """Merge the events of several processes into one ordered list."""
+    rows = itertools.chain.from_iterable(rings)
+    return sorted(rows, key=lambda event: (tuple(event.stamp), event.box))
+
+
+def configure_logs(kind, level):
+    """Send the log to standard error as `text` or `json` lines."""
+    logger.remove()
+    logger.configure(extra={'box': '-'})
+    logger.add(
+        sys.stderr,
+        format=FORMATS[kind],
+        level=level,
+        serialize=kind == 'json',
+        backtrace=False,
+        diagnose=False,
+    )
--- /dev/null
+++ b/landingspool/operators/server.py
@@ -0,0 +1,260 @@
+"""HTTP towards operators: the table, the state, the time line, metrics."""
+
+import asyncio
+import hmac
+import uuid
+
+import msgspec
+
+from landingspool.decisions import configuration
+from landingspool.decisions import messages
+from landingspool import http
+from landingspool.platform import outcomes
+
+PUBLISH_S = 10.0
+APPEND_REST_S = 0.3
+
+
+class Draft(msgspec.Struct, forbid_unknown_fields=True):
+    """What the tool sends to publish."""
+
+    author: str
+    rows: list[dict]
+    removed: list[str]
+    bases: list[int]
+    versions: dict[str, str] = {}
+    edit: str = ''
+
+
+class Row(msgspec.Struct, forbid_unknown_fields=True):
+    """One row of a draft."""
+
+    workspace: str
+    weight: float
+    share: float
+    limit: int
+    priority: int
+    key_hash: str
+    revision: int = 0
+
+
+class Operating:
+    """Serves operators.
+
+    Parameters
+    ----------
+    core : core.Core
+    follower : follower.Follower
+    log : log.Log
+    settings : settings.Operators
+    drain : callable
+        Begins a planned stop of this box.
+    """
+
+    def __init__(self, core, follower, log, settings, drain):
+        self.core = core
+        self.follower = follower
+        self._log = log
+        self._key = settings.key
+        self._drain = drain
+        core.relays[messages.Fetch] = follower.answer
+        core.relays[messages.Records] = self._take_records
+
+    async def handle(self, request, exchange):
+        """Answer one request of an operator or of a scraper."""
+        if (request.method, request.path) == ('GET', '/metrics'):
+            body = self.core.metrics.render()
+            await exchange.send_body(200, body, 'text/plain; version=0.0.4')
+            return
+        key = request.headers.get('authorization', '')
+        if not hmac.compare_digest(
+            key.encode(), f'Bearer {self._key}'.encode()
+        ):
+            await exchange.send_json(401, {'error': 'wrong operator key'})
+            return
+        call = ROUTES.get((request.method, request.path))
+        if call is None:
+            raise http.BadRequest(404, 'no such route')
+        await call(self, request, exchange)
+
+    async def show_table(self, request, exchange):
+        """Give the table in force at this box."""
+        table = self.follower.table
+        rows = [row._asdict() for row in table.rows.values()]
+        reply = {
+            'offset': table.offset,
+            'rows': rows,
+            'versions': table.versions,
+        }
+        await exchange.send_json(200, reply)
+
+    async def publish(self, request, exchange):
+        """Publish a draft and answer with what became of it."""
+        try:
+            draft = msgspec.json.decode(request.body, type=Draft)
+            rows = [msgspec.convert(row, Row) for row in draft.rows]
+        except (msgspec.DecodeError, msgspec.ValidationError) as error:
+            raise http.BadRequest(400, f'draft: {error}') from error
+        edit = draft.edit or uuid.uuid4().hex
+        values = [msgspec.structs.astuple(row) for row in rows]
+        publish = configuration.Publish(
+            edit=edit,
+            author=draft.author,
+            rows=tuple(configuration.records.Row(*v) for v in values),
+            removed=tuple(draft.removed),
+            bases=tuple(draft.bases),
+            versions=tuple(sorted(draft.versions.items())),
+        )
+        result = await self._append(publish)
+        await exchange.send_json(200, result)
+
+    async def _append(self, publish):
+        # An append whose answer was lost is looked for by its edit id
+        # before it is tried again; a second record of it is ignored.
+        edit = publish.edit
+        problems = configuration.check_publish(self.follower.table, publish)
+        if problems and not any(p.reason == 'conflict' for p in problems):
+            return describe_problems(edit, problems)
+        deadline = self.core.timer.now() + PUBLISH_S
+        data = configuration.encode_publish(publish)
+        doubtful = False
+        while self.core.timer.now() < deadline:
+            reply = await self._log.append(configuration.STREAM, data)
+            if isinstance(reply, outcomes.Refused):
+                await asyncio.sleep(APPEND_REST_S)
+                continue
+            doubtful = True
+            wait = min(2.0, deadline - self.core.timer.now())
+            result = await self.follower.wait_result(edit, wait)
+            if result is None:
+                continue
+            if isinstance(reply, outcomes.Lost):
+                self.core.recorder.record('settled', edit=edit)
+            return describe_result(result)
+        outcome = 'unknown' if doubtful else 'not_published'
+        return {'edit': edit, 'outcome': outcome}
+
+    async def find_edit(self, request, exchange):
+        """Tell what became of an edit, as far as this box has read."""
+        edit = request.query.get('edit', '')
+        result = self.follower.results.get(edit)
+        if result is None:
+            outcome = configuration.find_edit(self.follower.table, edit)
+            reply = {'edit': edit, 'outcome': outcome or 'not_heard'}
+        else:
+            reply = describe_result(result)
+        reply['offset_in_force'] = self.follower.table.offset
+        await exchange.send_json(200, reply)
+
+    async def show_status(self, request, exchange):
+        """Give the state of this box as it sees it."""
+        node = self.core.node
+        await exchange.send_json(200, describe_node(node, self.core))
+
+    async def list_events(self, request, exchange):
+        """Give recorded events; the query holds the fields wanted."""
+        query = dict(request.query)
+        since = float(query.pop('since', 0))
+        rows = self.core.recorder.select(since, **query)
+        reply = [event._asdict() for event in rows]
+        await exchange.send_json(200, {'events': reply})
+
+    async def drain(self, request, exchange):
+        """Begin a planned stop."""
+        await exchange.send_json(200, {'draining': self.core.node.box})
+        self._drain()
+
+    def _take_records(self, sender, message):
+        self.follower.take(message)
+
+
+def describe_result(result):
+    """Give the JSON form of a Result."""
+    conflicts = [
+        {
+            'workspace': name,
+            'base': base,
+            'current': current._asdict() if current else None,
+        }
+        for name, base, current in result.conflicts
+    ]
+    return {
+        'edit': result.edit,
+        'outcome': result.outcome,
+        'offset': result.offset,
+        'conflicts': conflicts,
+        'problems': [problem._asdict() for problem in result.problems],
+    }
+
+
+def describe_problems(edit, problems):
+    """Give the JSON form of a draft that no reader could accept."""
+    rows = [problem._asdict() for problem in problems]
+    return {'edit': edit, 'outcome': 'invalid', 'problems': rows}
+
+
+def describe_node(node, core):
+    """Give the state of a box: view, targets, pools, open requests."""
+    targets = []
+    for name, owned in sorted(node.schedulers.items()):
+        for target in owned.targets.values():
+            targets.append(describe_target(name, target))
+    pools = {
+        name: {'waiting': owned.count_waiting(), 'granted': len(owned.flights)}
+        for name, owned in sorted(node.schedulers.items())
+    }
+    return {
+        'box': node.box,
+        'domain': node.domain,
+        'incarnation': node.incarnation,
+        'state': node.membership.get_state(node.box),
+        'offset': node.table.offset,
+        'versions': node.table.versions,
+        'open': core.count_open(),
+        'alive': list(node.view(node.domain)),
+        'domains': list(node.list_domains()),
+        'boxes': list_boxes(node),
+        'pools': pools,
+        'targets': targets,
+        'seconds': core.timer.now(),
+    }
+
+
+def list_boxes(node):
+    """List the boxes that the live list names, with their addresses."""
+    return [
+        {
+            'name': member.name,
+            'domain': member.domain,
+            'host': member.host,
+            'operators_port': member.operators_port,
+        }
+        for member in sorted(node.members.values())
+        if member.kind == 'entry'
+    ]
+
+
+def describe_target(pool, target):
+    """Give the state of one target as its scheduler sees it."""
+    report = target.report
+    return {
+        'pool': pool,
+        'target': target.member.name,
+        'version': report.version if report else '',
+        'ready': bool(report and report.ready),
+        'leaving': target.is_leaving(),
+        'granted': len(target.flights),
+        'slowness': round(target.slowness, 2),
+        'breaker': target.breaker.state,
+        'checks_fences': target.member.checks_fences,
+    }
+
+
+ROUTES = {
+    ('GET', '/admin/table'): Operating.show_table,
+    ('POST', '/admin/publish'): Operating.publish,
+    ('GET', '/admin/edit'): Operating.find_edit,
+    ('GET', '/admin/status'): Operating.show_status,
+    ('GET', '/admin/events'): Operating.list_events,
+    ('POST', '/admin/drain'): Operating.drain,
+}
--- /dev/null
+++ b/landingspool/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Clients of the platform: log, weight store, live list."""
--- /dev/null
+++ b/landingspool/platform/live.py
@@ -0,0 +1,62 @@
+"""Client of the platform's lagging list of live and leaving boxes."""
+
+import msgspec
+
+from landingspool.decisions import records
+from landingspool import http
+from landingspool.platform import outcomes
+
+TIMEOUT_S = 2.0
+
+
+class Row(msgspec.Struct):
+    """One member as the platform gives it; what it adds is ignored."""
+
+    name: str
+    kind: str
+    domain: str
+    host: str
+    port: int
+    model: str = ''
+    incarnation: str = ''
+    leaving: bool = False
+    checks_fences: bool = True
+    operators_port: int = 0
+
+
+class Listing(msgspec.Struct):
+    """The answer to a read of the list."""
+
+    members: list[Row]
+
+
+class Live:
+    """Reads the live list."""
+
+    def __init__(self, client, address):
+        self._client = client
+        self._address = address
+
+    async def read(self):
+        """Read the list.
+
+        Returns
+        -------
+        list of records.Member, or outcomes.Unavailable
+        """
+        try:
+            reply = await self._client.fetch(
+                self._address, 'GET', '/live', timeout=TIMEOUT_S
+            )
+            listing = msgspec.json.decode(reply.body, type=Listing)
+        except http.Unreachable as error:
+            return outcomes.Unavailable(str(error))
+        except (msgspec.DecodeError, msgspec.ValidationError) as error:
+            return outcomes.Unavailable(f'bad answer: {error}')
+        return [make_member(row) for row in listing.members]
+
+
+def make_member(row):
+    """Give the record of a row of the list."""
+    values = msgspec.structs.asdict(row)
+    return records.Member(**values)
--- /dev/null
+++ b/landingspool/stores/__init__.py
@@ -0,0 +1,1 @@
+"""Client of store boxes."""
--- /dev/null
+++ b/landingspool/targets/__init__.py
@@ -0,0 +1,1 @@
+"""Clients of model engines and plain services."""
--- /dev/null
+++ b/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests: unit tests in virtual time, and a few on real processes."""
