Put a box together apart from its sockets

Cause: the tests of failures need the real tasks of a box in virtual time, and the daemon built its parts together with its sockets and clocks.

The stand-ins use the time of their loop, so that they can run in the same virtual time.

--- a/bench/caller.py
+++ b/bench/caller.py
@@ -1,7 +1,7 @@
 """A caller: sends prompts over HTTP and measures what comes back."""
 
+import asyncio
 import json
-import time
 import typing
 
 from landingspool import http
@@ -50,8 +50,8 @@
     Answer
         With status 0 where the box could not be reached or broke off.
     """
-    call = http.Call(client, address)
-    began = time.monotonic()
+    call = client.open(address)
+    began = asyncio.get_running_loop().time()
     seen = Reading(began)
     headers = make_headers(key, **options)
     try:
@@ -93,7 +93,7 @@
         self.usage = value.get('usage', self.usage)
         part = value['choices'][0]['text']
         if part and self.first < 0:
-            self.first = time.monotonic() - self.began
+            self.first = asyncio.get_running_loop().time() - self.began
         self.parts.append(part)
 
     def take_whole(self, status, data):
@@ -102,14 +102,14 @@
         if status == 200 and 'choices' in value:
             self.parts.append(value['choices'][0]['text'])
             self.usage = value['usage']
-            self.first = time.monotonic() - self.began
+            self.first = asyncio.get_running_loop().time() - self.began
             self.whole = True
         else:
             self.error = value.get('error', value)
 
     def finish(self, status, headers):
         """Give the Answer."""
-        total = time.monotonic() - self.began
+        total = asyncio.get_running_loop().time() - self.began
         return Answer(
             status,
             ''.join(self.parts),
--- a/landingspool/boxes/link.py
+++ b/landingspool/boxes/link.py
@@ -62,7 +62,6 @@
         self._limit = limit
         self._out = {}
         self._server = None
-        self.cut = set()
 
     async def start(self, host, port):
         """Listen; returns the port in use."""
@@ -113,7 +112,7 @@
 
     async def _connect(self, outbound):
         address = self._find(outbound.box)
-        if address is None or outbound.box in self.cut:
+        if address is None:
             return
         uri = f'ws://{address.host}:{address.port}'
         async with ws_client.connect(
@@ -129,7 +128,7 @@
                 await self._greet(socket)
             while not outbound.stopped:
                 batch = await outbound.take()
-                if not batch or outbound.box in self.cut:
+                if not batch:
                     return
                 await socket.send(self._encode(batch))
 
@@ -183,8 +182,6 @@
         return cbor2.dumps([list(self._recorder.stamp), rows])
 
     def _receive(self, peer, frame):
-        if peer.box in self.cut:
-            return
         stamp, rows = cbor2.loads(frame)
         self._recorder.observe(stamp)
         for row in rows:
--- a/landingspool/callers/server.py
+++ b/landingspool/callers/server.py
@@ -7,7 +7,6 @@
 import asyncio
 import itertools
 import json
-import time
 
 import h11
 
@@ -109,10 +108,13 @@
     core : core.Core
     claims : claimer.Claimer
     settings : settings.Callers
+    wall : callable
+        Gives the seconds of the wall clock.
     """
 
-    def __init__(self, core, claims, settings):
+    def __init__(self, core, claims, settings, wall):
         self.core = core
+        self.wall = wall
         self.claims = claims
         self.settings = settings
         self.budget = retries.Budget()
@@ -209,7 +211,7 @@
         if demand.key is None:
             return None
         window = self.claims.ledger.window
-        fault = parsing.check_key(demand.key, time.time(), window)
+        fault = parsing.check_key(demand.key, self.wall(), window)
         if fault is None:
             return None
         return answers.Rejection('key_age', NOT_RUN, 0.0, fault.text)
--- a/landingspool/http.py
+++ b/landingspool/http.py
@@ -317,7 +317,7 @@
         Unreachable
             When no whole answer came within `timeout` seconds.
         """
-        call = Call(self, address)
+        call = self.open(address)
         try:
             async with asyncio.timeout(timeout):
                 await call.send(method, path, value, headers)
@@ -334,6 +334,10 @@
             raise
         return Response(call.status, call.headers, bytes(body))
 
+    def open(self, address):
+        """Give a Call to `address` whose answer is read as it comes."""
+        return Call(self, address)
+
     def take(self, address):
         """Take an idle connection to `address`, or None."""
         while self._idle[address]:
--- a/landingspool/targets/client.py
+++ b/landingspool/targets/client.py
@@ -115,7 +115,7 @@
     """
 
     def __init__(self, client, address):
-        self._call = http.Call(client, address)
+        self._call = client.open(address)
 
     async def connect(self):
         """Open a new connection; nothing is sent.
--- a/standins/engine.py
+++ b/standins/engine.py
@@ -15,7 +15,6 @@
 import itertools
 import json
 import random
-import time
 
 from landingspool import http
 from standins import service
@@ -135,7 +134,7 @@
         compute = max(prompt - cached, 0)
         entry = {'request': value['request'], 'cached': cached}
         entry['workspace'], entry['version'] = value['salt'], self.version
-        entry['at'] = time.time()
+        entry['at'] = service.now()
         self.log.append(entry)
         self.queued += compute
         version = self.version
@@ -254,14 +253,14 @@
         if self.rng.random() < EVENT_LOSS:
             return
         row = {'number': self.event_number, 'kind': kind, 'piece': piece}
-        self.events.append((time.monotonic() + EVENT_LAG_S, row))
+        self.events.append((service.now() + EVENT_LAG_S, row))
         del self.events[:-1000]
 
     @service.route('Engine', 'GET', '/events')
     async def list_events(self, request, exchange):
         """Give the cache events after a number, late."""
         after = int(request.query.get('after', 0))
-        now = time.monotonic()
+        now = service.now()
         rows = [
             row
             for due, row in self.events
@@ -328,7 +327,7 @@
     @service.route('Engine', 'GET', '/load')
     async def load(self, request, exchange):
         """Give the load report as it was `lag` seconds ago."""
-        now = time.monotonic()
+        now = service.now()
         self.reports.append((now, self.measure()))
         while len(self.reports) > 1:
             if now - self.reports[1][0] < self.options.lag:
--- a/standins/live.py
+++ b/standins/live.py
@@ -1,7 +1,6 @@
 """Stand-in for the platform's list of live and leaving boxes; it lags."""
 
 import asyncio
-import time
 
 from standins import service
 
@@ -25,7 +24,7 @@
     async def set_members(self, request, exchange):
         """Set or remove members; `now` skips the lag."""
         value = request.json()
-        due = time.monotonic()
+        due = service.now()
         due += 0 if value.get('now') else self.options.lag
         for member in value.get('members', ()):
             self.changes.append((due, member['name'], member))
@@ -35,7 +34,7 @@
 
     def apply(self):
         """Let the changes show whose lag is over."""
-        now = time.monotonic()
+        now = service.now()
         for due, name, member in self.changes:
             if due > now:
                 continue
--- a/standins/log.py
+++ b/standins/log.py
@@ -7,7 +7,6 @@
 import asyncio
 import base64
 import collections
-import time
 
 from standins import service
 
@@ -25,7 +24,7 @@
         self.streams = collections.defaultdict(list)
         self.firsts = collections.Counter()
         self.tokens = float(options.rate)
-        self.filled = time.monotonic()
+        self.filled = None
         self.appends = 0
 
     async def check_mode(self, exchange):
@@ -39,9 +38,10 @@
 
     def take_token(self):
         """Apply the rate limit for appends."""
-        now = time.monotonic()
+        now = service.now()
         rate = self.options.rate
-        self.tokens += (now - self.filled) * rate
+        since = now if self.filled is None else self.filled
+        self.tokens += (now - since) * rate
         self.tokens = min(self.tokens, float(rate))
         self.filled = now
         if self.tokens < 1:
--- a/standins/service.py
+++ b/standins/service.py
@@ -38,6 +38,11 @@
         """Do background work; the base has none."""
 
 
+def now():
+    """Give the time of the running loop, in seconds."""
+    return asyncio.get_running_loop().time()
+
+
 def route(owner, method, path):
     """Register a method as the handler of a path of the class `owner`."""
 
--- a/standins/store.py
+++ b/standins/store.py
@@ -7,7 +7,6 @@
 import asyncio
 import base64
 import hashlib
-import time
 
 from standins import service
 
@@ -21,7 +20,7 @@
         self.meta = meta
         self.data = bytearray()
         self.sealed = False
-        self.begun = time.monotonic()
+        self.begun = service.now()
         self.tier = 'memory'
 
 
@@ -39,7 +38,7 @@
 
     async def use_link(self, size, tier='memory'):
         """Wait for the link, which carries one transfer after another."""
-        now = time.monotonic()
+        now = service.now()
         took = size / self.options.bandwidth
         took *= DISK_SLOWER if tier == 'disk' else 1
         self.link_free = max(self.link_free, now) + took
@@ -131,7 +130,7 @@
         if self.mode != 'up':
             exchange.abort()
             return
-        now = time.monotonic()
+        now = service.now()
         rows = [
             {**describe(w), 'write': n, 'age': now - w.begun}
             for n, w in self.writes.items()
