--- a/Makefile
+++ b/Makefile
@@ -2,6 +2,7 @@
 PYTHON ?= python3
 VENV ?= .venv
 BIN = $(VENV)/bin
+WORKERS ?= 6
 
 .PHONY: demo test lint format load
 
@@ -18,7 +19,9 @@
 	$(BIN)/flake8 landingspool standins bench tests
 
 test: lint
-	$(BIN)/python -m pytest
+	$(BIN)/python -m pytest -n $(WORKERS) --dist worksteal --maxfail=50 \
+	    --ignore tests/real
+	$(BIN)/python -m pytest tests/real
 
 format: $(VENV)/installed
 	$(BIN)/ruff format .
--- a/landingspool/callers/session.py
+++ b/landingspool/callers/session.py
@@ -131,7 +131,8 @@
             # A transfer takes time of its own; the place was ours for all
             # of it, so the age of the decision starts again after it.
             came += self.core.timer.now() - began
-        stream = targets.Stream(self.core.client, self._address)
+        stall_s = None if self._is_plain() else targets.STALL_S
+        stream = targets.Stream(self.core.client, self._address, stall_s)
         try:
             await stream.connect()
         except http.Unreachable as error:
@@ -182,10 +183,12 @@
             self._step(Signal.NOT_STARTED)
             return Part('not_started', None, refused.reason)
         part = await self._relay(stream, refused)
-        resumes = 0
+        resumes, tokens = 0, self.life.tokens
         while part.outcome == 'cut' and resumes < MOST_RESUMES:
             resumes += 1
             part = await self._resume(grant, part)
+            if self.life.tokens > tokens:
+                resumes, tokens = 0, self.life.tokens
         return part
 
     async def _relay(self, stream, cut):
@@ -219,7 +222,7 @@
 
     async def _resume(self, grant, part):
         """Take up a broken stream where it ended; this runs nothing."""
-        if self.demand.model in self.box.plain_models():
+        if self._is_plain():
             return part
         await asyncio.sleep(RESUME_WAIT_S)
         stream = targets.Stream(self.core.client, self._address)
@@ -333,6 +336,9 @@
         )
         self.core.perform(self.core.node.give_back(done, now))
 
+    def _is_plain(self):
+        return self.demand.model in self.box.plain_models()
+
     def _pool(self):
         case = self.core.node.entry.get_case(self.request)
         return case.work.pool if case else ''
--- a/landingspool/core.py
+++ b/landingspool/core.py
@@ -141,11 +141,18 @@
             call(action.sender, action.message)
 
     def _command(self, action):
+        order = action.order
+        self.recorder.record('planned', target=order.target, epoch=order.epoch)
         self.spawn(self._order(action))
 
     async def _order(self, action):
         order = action.order
-        status = await targets.send_order(self.client, action.member, order)
+        status = await targets.send_order(
+            self.client,
+            action.member,
+            order,
+            lambda: self.node.may_order(action, self.timer.now()),
+        )
         name = 'ordered' if status == 200 else 'order_refused'
         self.recorder.record(
             name,
--- a/landingspool/decisions/keeper.py
+++ b/landingspool/decisions/keeper.py
@@ -186,13 +186,12 @@
         return self._evict(gone, directory)
 
     def _keep(self, wish, directory, shares, now):
-        store = self._pick_store(wish.key, now)
-        if store is None or wish.target.report is None:
+        if not self._list_rested(now) or wish.target.report is None:
             return []
         kept = retention.Kept(
             key=wish.key,
             workspace=wish.done.workspace,
-            store=store,
+            store='',
             bytes=self._block_bytes,
             cost_s=identity.PIECE_TOKENS / wish.target.report.prefill,
             used=now,
@@ -203,6 +202,8 @@
         if not room:
             return []
         actions = self._evict(gone, directory)
+        store = self._pick_store(now)
+        self.shelf.place(wish.key, store)
         write = f'{self.box}.{next(self._writes)}.{wish.key[:8]}'
         self._exporting[wish.key] = store
         self._states[wish.key] = blocks.State.WRITING
@@ -218,11 +219,16 @@
         )
         return [*actions, export]
 
-    def _pick_store(self, key, now):
-        rested = [s.name for s in self.stores.values() if s.until <= now]
-        if not rested:
-            return None
-        return sorted(rested)[int(key[:8], 16) % len(rested)]
+    def _list_rested(self, now):
+        return [s for s in self.stores.values() if s.until <= now]
+
+    def _pick_store(self, now):
+        # The one with the most room left: the plan is over all stores,
+        # and a write to a full one would fail.
+        def rank(store):
+            return self.shelf.count_stored(store.name) - store.room, store.name
+
+        return min(self._list_rested(now), key=rank).name
 
     def _evict(self, gone, directory):
         actions = []
--- a/landingspool/decisions/node.py
+++ b/landingspool/decisions/node.py
@@ -32,6 +32,7 @@
 
     order: rollout.Order
     member: typing.Any
+    pool: str
 
 
 class Relay(typing.NamedTuple):
@@ -191,6 +192,20 @@
             return 'leaving'
         return ''
 
+    def may_order(self, command, now):
+        """Tell whether a planned order may still be sent.
+
+        Looked at right before its first byte: the order has to follow the
+        table in force, and for a target that does not check fences this
+        box has to be surely the only one to give orders.
+        """
+        holder = self.holders.get(command.pool)
+        if holder is None or command.order.epoch != self.table.offset:
+            return False
+        checks = command.member.checks_fences
+        fresh = self.entry.is_fresh(now)
+        return fresh and rollout.may_order(holder, checks, now)
+
     def view(self, domain):
         """Give the boxes of a domain that are reckoned with."""
         if domain == self.domain:
@@ -374,7 +389,7 @@
             )
             for order in orders:
                 member = owned.targets[order.target].member
-                actions.append(Command(order, member))
+                actions.append(Command(order, member, name))
         elif not owned.flights and not owned.count_waiting():
             if now - owned.started > IDLE_SCHEDULER_S:
                 del self.schedulers[name]
--- a/landingspool/decisions/retention.py
+++ b/landingspool/decisions/retention.py
@@ -126,6 +126,7 @@
         self._used = collections.Counter()
         self._gaps = collections.defaultdict(Gaps)
         self._total = 0
+        self._by_store = collections.Counter()
         self._by_workspace = collections.defaultdict(collections.OrderedDict)
 
     def note_use(self, key, now):
@@ -173,14 +174,27 @@
         self.kept[kept.key] = kept
         self._by_workspace[kept.workspace][kept.key] = True
         self._used[kept.workspace] += kept.bytes
+        self._by_store[kept.store] += kept.bytes
         self._total += kept.bytes
         return True, gone
 
+    def place(self, key, store):
+        """Say in which store a block is, once that is chosen."""
+        kept = self.kept[key]
+        self._by_store[kept.store] -= kept.bytes
+        self._by_store[store] += kept.bytes
+        self.kept[key] = kept._replace(store=store)
+
+    def count_stored(self, store):
+        """Give the bytes that the plan has in a store."""
+        return self._by_store[store]
+
     def drop(self, key):
         """Take a block out of the plan; returns it or None."""
         kept = self.kept.pop(key, None)
         if kept is not None:
             self._used[kept.workspace] -= kept.bytes
+            self._by_store[kept.store] -= kept.bytes
             self._total -= kept.bytes
             del self._by_workspace[kept.workspace][key]
         return kept
--- a/landingspool/decisions/rollout.py
+++ b/landingspool/decisions/rollout.py
@@ -13,9 +13,10 @@
 
 MOST_LOADING = 2
 LEASE_S = 5.0
-FLIGHT_S = 2.0
+FLIGHT_S = 3.0
 LOAD_TIMEOUT_S = 30.0
-REORDER_S = 2.0
+# An order that was not answered may still be on its way for as long.
+REORDER_S = FLIGHT_S
 
 
 class Order(typing.NamedTuple):
@@ -58,7 +59,7 @@
     >>> may_order(holder, True, 100.0), may_order(holder, False, 100.0)
     (True, False)
     >>> holder = renew(holder, 104.0)
-    >>> may_order(holder, False, 107.5)
+    >>> may_order(holder, False, 108.5)
     True
     """
     if checks_fences:
--- a/landingspool/events.py
+++ b/landingspool/events.py
@@ -160,6 +160,7 @@
         Kind(502, 'target_up', 'INFO', 'A target answers.'),
         Kind(503, 'ordered', 'INFO', 'A fenced order was sent to a target.'),
         Kind(504, 'order_refused', 'WARNING', 'A target refused an order.'),
+        Kind(505, 'planned', 'DEBUG', 'An order to a target was planned.'),
         Kind(
             600, 'kept', 'DEBUG', 'A block of context was sealed in a store.'
         ),
--- a/landingspool/http.py
+++ b/landingspool/http.py
@@ -20,6 +20,7 @@
 BODY_TIMEOUT_S = 20.0
 IDLE_TIMEOUT_S = 60.0
 IDLE_CONNECTIONS = 16
+CONNECT_TIMEOUT_S = 1.0
 
 
 class Address(typing.NamedTuple):
@@ -387,9 +388,10 @@
         if self._stream is not None:
             return
         try:
-            reader, writer = await asyncio.open_connection(*self._address)
-        except OSError as error:
-            raise Unreachable(str(error), False) from error
+            async with asyncio.timeout(CONNECT_TIMEOUT_S):
+                reader, writer = await asyncio.open_connection(*self._address)
+        except (OSError, TimeoutError) as error:
+            raise Unreachable(f'connect: {error}', False) from error
         conn = h11.Connection(h11.CLIENT, MAX_HEADER_BYTES)
         self._stream = reader, writer, conn
 
--- a/landingspool/targets/client.py
+++ b/landingspool/targets/client.py
@@ -4,6 +4,7 @@
 stream that broke, a refusal before the start, a receipt for a read.
 """
 
+import asyncio
 import dataclasses
 import json
 import typing
@@ -15,8 +16,9 @@
 from landingspool import http
 
 LOAD_TIMEOUT_S = 1.0
-ORDER_TIMEOUT_S = 2.0
+ORDER_TIMEOUT_S = 1.0
 MOVE_TIMEOUT_S = 20.0
+STALL_S = 4.0
 
 
 @dataclasses.dataclass(frozen=True)
@@ -112,9 +114,13 @@
     ----------
     client : http.Client
     address : http.Address
+    stall_s : float or None
+        Seconds of silence after which the stream counts as cut; None for
+        a service whose answers may take any time and can't be resumed.
     """
 
-    def __init__(self, client, address):
+    def __init__(self, client, address, stall_s=STALL_S):
+        self._stall_s = stall_s
         self._call = client.open(address)
 
     async def connect(self):
@@ -140,16 +146,20 @@
 
     async def read(self):
         """Yield Token, then one End or Cut."""
-        try:
-            async for text in self._call.read_events():
-                event = decode_event(text)
-                yield event
-                if not isinstance(event, Token):
-                    return
-        except http.Unreachable as error:
-            yield Cut(str(error))
-            return
-        yield Cut('no end mark')
+        texts = self._call.read_events()
+        while True:
+            try:
+                async with asyncio.timeout(self._stall_s):
+                    event = decode_event(await anext(texts))
+            except StopAsyncIteration:
+                event = Cut('no end mark')
+            except TimeoutError:
+                event = Cut('stalled')
+            except http.Unreachable as error:
+                event = Cut(str(error))
+            yield event
+            if not isinstance(event, Token):
+                return
 
     def close(self):
         """Drop the connection."""
@@ -157,10 +167,13 @@
 
     async def _open(self, path, value):
         try:
-            await self._call.send('POST', path, value)
-            if self._call.status == 200:
-                return None
-            body = b''.join([data async for data in self._call.read()])
+            async with asyncio.timeout(self._stall_s):
+                await self._call.send('POST', path, value)
+                if self._call.status == 200:
+                    return None
+                body = b''.join([data async for data in self._call.read()])
+        except TimeoutError:
+            return Cut('stalled')
         except http.Unreachable as error:
             return Cut(str(error))
         return decode_refusal(self._call.status, body)
@@ -237,17 +250,36 @@
         return None
 
 
-async def send_order(client, member, order):
-    """Send a fenced order.  Returns the status, 0 for no answer."""
-    address = http.Address(member.host, member.port)
+async def send_order(client, member, order, may_send):
+    """Send a fenced order.
+
+    Parameters
+    ----------
+    client : http.Client
+    member : records.Member
+    order : rollout.Order
+    may_send : callable
+        Looked at right before the first byte: this process may have been
+        frozen since the order was planned.
+
+    Returns
+    -------
+    int
+        The status; 0 for no answer, or where it was not sent.
+    """
+    call = client.open(http.Address(member.host, member.port))
     value = {'epoch': order.epoch, 'version': order.version}
     try:
-        reply = await client.fetch(
-            address, 'POST', '/orders', value, timeout=ORDER_TIMEOUT_S
-        )
-    except http.Unreachable:
+        async with asyncio.timeout(ORDER_TIMEOUT_S):
+            await call.connect(fresh=True)
+            if not may_send():
+                return 0
+            await call.send('POST', '/orders', value)
+    except (http.Unreachable, TimeoutError):
         return 0
-    return reply.status
+    finally:
+        call.close()
+    return call.status
 
 
 async def cancel(client, address, request):
--- a/standins/engine.py
+++ b/standins/engine.py
@@ -286,9 +286,12 @@
             (f'/seal?write={value["write"]}', None),
         )
         for path, body in steps:
-            reply = await self.client.fetch(
-                store, 'POST', path, body, timeout=20.0
-            )
+            try:
+                reply = await self.client.fetch(
+                    store, 'POST', path, body, timeout=20.0
+                )
+            except http.Unreachable:
+                reply = http.Response(502, {}, b'')
             if reply.status != 200:
                 await exchange.send_json(502, {'error': path})
                 return
@@ -370,10 +373,19 @@
             host, port = self.options.weights.split(':')
             path = f'/load?version={version}'
             address = http.Address(host, int(port))
-            await self.client.fetch(address, 'GET', path, timeout=60.0)
+            while not await self.load_weights(address, path):
+                await asyncio.sleep(0.5)
         self.version = version
         self.ready = True
 
+    async def load_weights(self, address, path):
+        """Read weights; returns whether they came."""
+        try:
+            await self.client.fetch(address, 'GET', path, timeout=60.0)
+        except http.Unreachable:
+            return False
+        return True
+
     @service.route('Engine', 'GET', '/audit')
     async def audit(self, request, exchange):
         """Give what was really run and used."""
