--- /dev/null
+++ b/bench/experiments.py
@@ -0,0 +1,122 @@
+"""The measured decisions: one named experiment each, printing its table.
+
+``python -m bench.experiments routing`` and so on; the tables in
+docs/design.md are the output of these commands.
+"""
+
+import argparse
+import asyncio
+import json
+import pathlib
+import sys
+
+from bench import load
+from bench import report
+from bench import workload
+
+EXPERIMENTS = {}
+SECONDS = 14.0
+USUAL = 1.2
+PEAK = 3.0
+POLICIES = (
+    'round_robin',
+    'least_loaded',
+    'two_choices',
+    'affinity',
+    'earliest',
+)
+
+
+def experiment(name):
+    """Register an experiment: an async function of the options."""
+
+    def add(function):
+        EXPERIMENTS[name] = function
+        return function
+
+    return add
+
+
+async def run_all(plans, together):
+    """Run named plans, `together` at a time; gives figures by name."""
+    gate = asyncio.Semaphore(together)
+
+    async def run_one(plan):
+        async with gate:
+            return await load.run(plan)
+
+    results = await asyncio.gather(*(run_one(p) for p in plans.values()))
+    return dict(zip(plans, results))
+
+
+async def slow_runner(running):
+    """Let one runner get five times slower without dying."""
+    await asyncio.sleep(3.0)
+    first = running.shape.engines[0][0]
+    await running.switch(f'{first}-1', slowness=5.0)
+
+
+async def lose_domain(running):
+    """Kill all boxes and runners of one domain."""
+    await asyncio.sleep(5.0)
+    domain = running.shape.domains[-1]
+    for name, member in running.members.items():
+        if member['domain'] == domain and member['kind'] != 'store':
+            running.kill(name)
+
+
+def enlarge(tenants):
+    """Give half of all load to the first workspace."""
+    total = sum(tenant.rate for tenant in tenants)
+    rest = total - tenants[0].rate
+    scaled = [t._replace(rate=t.rate * total / 2 / rest) for t in tenants[1:]]
+    return (tenants[0]._replace(rate=total / 2), *scaled)
+
+
+def list_conditions(deployment):
+    """Give the conditions under which routing is measured."""
+    usual = load.make_plan(deployment, SECONDS, factor=USUAL)
+    return {
+        'steady': usual,
+        'large': usual._replace(tenants=enlarge(usual.tenants)),
+        'slow': usual._replace(disturb=slow_runner),
+        'lag': usual._replace(options={'engine': {'lag': 2.0}}),
+        'domain': usual._replace(disturb=lose_domain),
+        'peak': usual._replace(peaks=(workload.Peak(4.0, 9.0, PEAK),)),
+    }
+
+
+@experiment('routing')
+async def measure_routing(options):
+    """All routing policies under all conditions, on the same load."""
+    plans = {
+        f'{condition}/{policy}': plan._replace(
+            policy={**plan.policy, 'routing': policy}
+        )
+        for condition, plan in list_conditions(options.deployment).items()
+        for policy in POLICIES
+        if not options.only or options.only in f'{condition}/{policy}'
+    }
+    return await run_all(plans, options.together)
+
+
+def main():
+    """Run one experiment, print its table, write its figures."""
+    parser = argparse.ArgumentParser(prog='bench.experiments')
+    parser.add_argument('name', choices=EXPERIMENTS)
+    parser.add_argument(
+        '--deployment', choices=load.DEPLOYMENTS, default='herbarium'
+    )
+    parser.add_argument('--together', type=int, default=1)
+    parser.add_argument('--only', default='')
+    options = parser.parse_args()
+    figures = asyncio.run(EXPERIMENTS[options.name](options))
+    path = pathlib.Path(f'build/{options.name}-{options.deployment}.json')
+    path.parent.mkdir(parents=True, exist_ok=True)
+    path.write_text(json.dumps(figures, indent=2))
+    report.print_side_by_side(figures)
+    return 0
+
+
+if __name__ == '__main__':
+    sys.exit(main())
--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -9,7 +9,6 @@
 import os
 import pathlib
 import signal
-import socket
 import sys
 import tempfile
 import typing
@@ -127,11 +126,14 @@
 
     async def start_box(self, name, domain):
         """Start one daemon."""
-        ports = BoxPorts(domain, *(find_address() for _ in range(3)))
         path = self.folder / f'{name}.toml'
-        path.write_text(self._write_settings(name, ports))
+        path.write_text(self._write_settings(name, domain))
         arguments = ['-m', 'landingspool.daemon', str(path)]
-        self.processes[name] = await self._spawn(name, arguments)
+        process = await self._spawn(name, arguments)
+        self.processes[name] = process
+        ready = json.loads(await process.handle.stdout.readline())
+        found = {k: http.Address(*value) for k, value in ready.items()}
+        ports = BoxPorts(domain, **found)
         self.boxes[name] = ports
         self.members[name] = {
             'name': name,
@@ -301,27 +303,18 @@
                 return False
         return True
 
-    def _write_settings(self, name, ports):
+    def _write_settings(self, name, domain):
+        lines = ['[box]', f'name = "{name}"', f'domain = "{domain}"']
+        for section, extra in (
+            ('callers', ''),
+            ('operators', f'key = "{OPERATOR_KEY}"'),
+            ('links', f'secret = "{LINK_SECRET}"'),
+        ):
+            lines += [f'[{section}]', f'host = "{HOST}"', 'port = 0', extra]
         platform = {
             key: self.processes[key].address
             for key in ('log', 'live', 'weights')
         }
-        lines = [
-            '[box]',
-            f'name = "{name}"',
-            f'domain = "{ports.domain}"',
-        ]
-        for section, address, extra in (
-            ('callers', ports.callers, ''),
-            ('operators', ports.operators, f'key = "{OPERATOR_KEY}"'),
-            ('links', ports.links, f'secret = "{LINK_SECRET}"'),
-        ):
-            lines += [
-                f'[{section}]',
-                f'host = "{address.host}"',
-                f'port = {address.port}',
-                extra,
-            ]
         lines.append('[platform]')
         for key, address in platform.items():
             host, port = address
@@ -331,10 +324,3 @@
             lines.append(f'{key} = {json.dumps(value)}')
         lines += ['[logs]', f'level = "{self.shape.log_level}"']
         return '\n'.join(lines)
-
-
-def find_address():
-    """Give a free address, from the operating system."""
-    with socket.socket() as probe:
-        probe.bind((HOST, 0))
-        return http.Address(*probe.getsockname())
--- a/landingspool/boxes/link.py
+++ b/landingspool/boxes/link.py
@@ -64,7 +64,7 @@
         self._server = None
 
     async def start(self, host, port):
-        """Listen; returns the port in use."""
+        """Listen; returns the host and the port in use."""
         self._server = await ws_server.serve(
             self._accept,
             host,
@@ -73,7 +73,7 @@
             max_size=MAX_FRAME_BYTES,
             ping_interval=None,
         )
-        return self._server.sockets[0].getsockname()[1]
+        return self._server.sockets[0].getsockname()[:2]
 
     async def close(self):
         """Close all links."""
--- a/landingspool/daemon.py
+++ b/landingspool/daemon.py
@@ -3,6 +3,7 @@
 import argparse
 import asyncio
 import gc
+import json
 import signal
 import sys
 import time
@@ -42,12 +43,14 @@
     async def run(self):
         """Serve until told to stop, then stop without cutting off."""
         settings = self.settings
-        await self.links.start(settings.links.host, settings.links.port)
+        at = settings.links
+        links = await self.links.start(at.host, at.port)
         self.box.start(self.links)
         at = settings.operators
-        await self.operator_server.start(at.host, at.port)
+        operators = await self.operator_server.start(at.host, at.port)
         at = settings.callers
-        await self.caller_server.start(at.host, at.port)
+        callers = await self.caller_server.start(at.host, at.port)
+        print_ready(callers=callers, operators=operators, links=links)
         await self.box.wait_drained()
         await self.caller_server.close(CLOSE_GRACE_S)
         await self.operator_server.close()
@@ -74,6 +77,14 @@
         )
 
 
+def print_ready(**addresses):
+    """Print one JSON line with the addresses in use.
+
+    Whoever starts the daemon with port 0 learns from it what is served.
+    """
+    print(json.dumps({k: list(v) for k, v in addresses.items()}), flush=True)
+
+
 async def serve(settings):
     """Run a daemon until SIGTERM or SIGINT."""
     daemon = Daemon(settings)
