Name cached context by version, and look it up once a decision

Cause: the targets' cache events name pieces under a weight version while the directory held bare pieces, so evictions never took effect and routing counted on context that was gone. The profile of a decision showed the rest: the pieces were named and looked up in the stores once for each target, and the flights of each target were counted again at each decision.

Change: the directory holds versioned names for caches and stores alike (`placement` surveys a request once for each version); what a load report says of other schedulers' work is worked out once a report; `Done` no longer repeats what the scheduler knows, and pieces go as bytes.

--- a/landingspool/callers/session.py
+++ b/landingspool/callers/session.py
@@ -323,13 +323,10 @@
         done = messages.Done(
             request=self.request,
             grant=grant.grant,
-            workspace=self.row.workspace,
-            target=grant.target,
             outcome=outcome,
             prompt_tokens=end.prompt_tokens if end else 0,
             cached_tokens=end.cached_tokens if end else 0,
             output_tokens=end.output_tokens if end else 0,
-            pieces=self.pieces,
             pool=self._pool(),
             first_token=first - self.sent if first >= 0 else -1.0,
             held=now - self.sent,
--- a/landingspool/decisions/directory.py
+++ b/landingspool/decisions/directory.py
@@ -1,6 +1,7 @@
 """Where context is: in the targets' caches and in the stores.
 
-The engines' cache events come late and with gaps, so what is said of a
+Keys are names of pieces under a weight version, for caches and stores
+alike.  The engines' cache events come late and with gaps, so what is said of a
 cache here is a hint that routing weighs and nothing else: a wrong hint
 costs time, never an answer.  What is said of a store names the write, so
 that a read of it can be checked.
@@ -81,15 +82,9 @@
         for key in keys:
             self._stored.pop(key, None)
 
-    def list_stored(self, keys, start):
-        """List the blocks that continue a prompt after `start` pieces."""
-        found = []
-        for key in keys[start:]:
-            stored = self._stored.get(key)
-            if stored is None:
-                break
-            found.append(stored)
-        return found
+    def find_stored(self, keys):
+        """Give what is on offer for each key, or None."""
+        return [self._stored.get(key) for key in keys]
 
     def is_stored(self, key):
         """Tell whether a block of this key is on offer."""
--- a/landingspool/decisions/entry.py
+++ b/landingspool/decisions/entry.py
@@ -379,21 +379,9 @@
 
 def make_unused(grant, case):
     """Give the Done that returns a grant which nobody wants."""
-    workspace = case.work.workspace if case else ''
     pool = case.work.pool if case else ''
     return messages.Done(
-        grant.request,
-        grant.grant,
-        workspace,
-        grant.target,
-        'unused',
-        0,
-        0,
-        0,
-        (),
-        pool,
-        -1.0,
-        0.0,
+        grant.request, grant.grant, 'unused', 0, 0, 0, pool, -1.0, 0.0
     )
 
 
--- a/landingspool/decisions/identity.py
+++ b/landingspool/decisions/identity.py
@@ -44,7 +44,7 @@
 
     Returns
     -------
-    tuple of str
+    tuple of bytes
         One key for each whole piece; each depends on all before it.
 
     >>> one = Origin('a', 'm', '')
@@ -61,7 +61,7 @@
     for start in range(0, len(data) - PIECE_BYTES + 1, PIECE_BYTES):
         piece = data[start : start + PIECE_BYTES]
         link = hashlib.blake2b(link + piece, digest_size=DIGEST_BYTES).digest()
-        keys.append(link.hex())
+        keys.append(link)
     return tuple(keys)
 
 
@@ -69,10 +69,20 @@
 def add_version(piece, version):
     """Give the key of a piece's context under a weight version.
 
-    >>> add_version('aa', 'v1') == add_version('aa', 'v2')
+    Parameters
+    ----------
+    piece : bytes
+    version : str
+
+    Returns
+    -------
+    str
+        Hexadecimal digits, as targets and stores are told.
+
+    >>> add_version(b'aa', 'v1') == add_version(b'aa', 'v2')
     False
     """
-    data = f'{piece}\0{version}'.encode()
+    data = piece + version.encode()
     return hashlib.blake2b(data, digest_size=DIGEST_BYTES).hexdigest()
 
 
--- a/landingspool/decisions/keeper.py
+++ b/landingspool/decisions/keeper.py
@@ -37,7 +37,7 @@
 class Wish(typing.NamedTuple):
     """A piece that may be worth keeping, at a target that has it now."""
 
-    done: typing.Any
+    work: typing.Any
     key: str
     depth: int
     target: typing.Any
@@ -89,14 +89,13 @@
             self.stores[name] = Store(name, room, until)
         self.shelf.room = sum(store.room for store in self.stores.values())
 
-    def plan(self, done, keys, target, directory, shares, now):
+    def plan(self, flight, target, directory, shares, now):
         """Plan what to keep of a finished request.
 
         Parameters
         ----------
-        done : messages.Done
-        keys : sequence of str
-            Keys of its pieces under the weight version that it ran under.
+        flight : pool.Flight
+            Its grant, with the names of its pieces.
         target : pool.Target or None
         directory : directory.Directory
         shares : dict of str to float
@@ -106,13 +105,13 @@
         -------
         list of Export or Free
         """
-        for key in keys:
+        for key in flight.keys:
             self.shelf.note_use(key, now)
         if target is None or target.report is None:
             return []
-        for depth, key in enumerate(keys):
+        for depth, key in enumerate(flight.keys):
             if not directory.is_stored(key) and key not in self._exporting:
-                self._wishes[key] = Wish(done, key, depth, target)
+                self._wishes[key] = Wish(flight.work, key, depth, target)
         while len(self._wishes) > MOST_WISHES:
             self._wishes.popitem(last=False)
         return self.work(directory, shares, now)
@@ -190,7 +189,7 @@
             return []
         kept = retention.Kept(
             key=wish.key,
-            workspace=wish.done.workspace,
+            workspace=wish.work.workspace,
             store='',
             bytes=self._block_bytes,
             cost_s=identity.PIECE_TOKENS / wish.target.report.prefill,
@@ -208,8 +207,8 @@
         self._exporting[wish.key] = store
         self._states[wish.key] = blocks.State.WRITING
         export = Export(
-            pool=wish.done.pool,
-            workspace=wish.done.workspace,
+            pool=wish.work.pool,
+            workspace=wish.work.workspace,
             target=wish.target.member.name,
             incarnation=wish.target.incarnation,
             key=wish.key,
--- a/landingspool/decisions/messages.py
+++ b/landingspool/decisions/messages.py
@@ -84,19 +84,17 @@
 class Done(typing.NamedTuple):
     """An entry box gives a place back, with what it cost.
 
-    `first_token` and `held` are seconds from the dispatch to the first
-    token and to the end; `first_token` is below 0 where none came.
+    What the scheduler knows of the grant is not said again.  `first_token`
+    and `held` are seconds from the dispatch to the first token and to the
+    end; `first_token` is below 0 where none came.
     """
 
     request: str
     grant: str
-    workspace: str
-    target: str
     outcome: str
     prompt_tokens: int
     cached_tokens: int
     output_tokens: int
-    pieces: tuple[str, ...]
     pool: str
     first_token: float
     held: float
--- a/landingspool/decisions/node.py
+++ b/landingspool/decisions/node.py
@@ -10,7 +10,6 @@
 
 from landingspool.decisions import configuration
 from landingspool.decisions import entry
-from landingspool.decisions import identity
 from landingspool.decisions import keeper
 from landingspool.decisions import limiter
 from landingspool.decisions import membership
@@ -232,7 +231,7 @@
     def pick_shard(self, work, domain):
         """Give the shard of a domain's pool for a request."""
         targets = self._list_pool(work.model, domain)
-        subject = work.pieces[0] if work.pieces else work.request
+        subject = work.pieces[0].hex() if work.pieces else work.request
         return ownership.pick_shard(work.model, domain, subject, len(targets))
 
     def list_targets(self, pool):
@@ -449,9 +448,10 @@
         owned = self.schedulers.get(message.pool)
         if owned is None:
             return []
+        flight = owned.flights.get(message.grant)
         actions = owned.finish(message, now)
-        if message.outcome == 'ok':
-            actions += self._keep(message, owned, now)
+        if message.outcome == 'ok' and flight is not None:
+            actions += self._keep(flight, owned, now)
         return actions
 
     @handles(messages.Withdraw)
@@ -555,12 +555,8 @@
         owned.directory.note_freed(message.keys)
         return self.keepers[message.pool].drop(message.keys)
 
-    def _keep(self, done, owned, now):
-        version = ''
-        target = owned.targets.get(done.target)
-        if target is not None and target.report is not None:
-            version = target.report.version
-        keys = [identity.add_version(key, version) for key in done.pieces]
-        kept = self.keepers[done.pool]
+    def _keep(self, flight, owned, now):
+        target = owned.targets.get(flight.target)
+        kept = self.keepers[flight.work.pool]
         shares = self.list_shares()
-        return kept.plan(done, keys, target, owned.directory, shares, now)
+        return kept.plan(flight, target, owned.directory, shares, now)
--- a/landingspool/decisions/pool.py
+++ b/landingspool/decisions/pool.py
@@ -22,7 +22,10 @@
 
 
 class Flight(typing.NamedTuple):
-    """A grant that was not given back yet."""
+    """A grant that was not given back yet.
+
+    `keys` names the pieces of its prompt under the target's version.
+    """
 
     grant: str
     work: records.Work
@@ -32,6 +35,7 @@
     charged: float
     compute: int
     expected: float
+    keys: tuple
     message: messages.Grant | None = None
 
 
@@ -52,7 +56,9 @@
         self.slowness = 1.0
         self.left = set()
         self.hold = FIRST_HOLD_S
-        self.ended = []
+        self._ended = []
+        self._others = 0
+        self._since = 0
 
     @property
     def incarnation(self):
@@ -86,7 +92,7 @@
         self.report = report
         self.made = made
         self.heard = now
-        self.ended = [row for row in self.ended if row[1] >= made]
+        self._compare_flights()
         if report.leaving:
             self.mark_leaving(report.incarnation)
         return True
@@ -99,26 +105,36 @@
 
     def count_free(self, now):
         """Give the number of places left, after all that was granted."""
-        others = self._count_others()
-        free = self.report.slots - others - len(self.flights)
-        allowed, self.breaker = retries.allow(
-            self.breaker, now, len(self.flights)
-        )
-        if allowed is not None:
+        free = self.report.slots - self._others - len(self.flights)
+        if self.breaker.state != retries.CLOSED:
+            allowed, self.breaker = retries.allow(
+                self.breaker, now, len(self.flights)
+            )
             free = min(free, allowed - len(self.flights))
-        return max(free, 0)
+        return free
 
     def measure_backlog(self):
         """Give the prompt tokens before the next request.
 
         What was granted after the report was made is not in it yet.
         """
-        since = sum(
-            flight.compute
-            for flight in self.flights.values()
-            if flight.since >= self.made
-        )
-        return self.report.queued_tokens + since
+        return self.report.queued_tokens + self._since
+
+    def add_flight(self, flight):
+        """Note a grant for this target."""
+        known = flight.grant in self.flights
+        self.flights[flight.grant] = flight
+        if not known and flight.since >= self.made:
+            self._since += flight.compute
+
+    def end_flight(self, grant, now):
+        """Take a grant off the target."""
+        flight = self.flights.pop(grant, None)
+        if flight is None:
+            return
+        self._ended.append((flight.since, now))
+        if flight.since >= self.made:
+            self._since -= flight.compute
 
     def learn(self, expected, first_token, held):
         """Learn from a finished request how slow the target is."""
@@ -129,23 +145,19 @@
         ratio = min(max(ratio, SLOWNESS_LEAST), SLOWNESS_MOST)
         self.slowness += SLOWNESS_SMOOTHING * (ratio - self.slowness)
 
-    def end_flight(self, grant, now):
-        """Take a grant off the target."""
-        flight = self.flights.pop(grant, None)
-        if flight is not None:
-            self.ended.append((flight.since, now))
-
-    def _count_others(self):
-        # Requests that another scheduler placed there, seen only in the
-        # report: what ran then beyond our own flights of that time.  A
-        # flight counts from its grant to its end here, both of which are
-        # a little wider than at the target, so the error is on the side
-        # of using the target.
-        now_ours = sum(1 for f in self.flights.values() if f.since < self.made)
-        then_ours = sum(
-            1 for since, end in self.ended if since < self.made <= end
-        )
-        return max(self.report.running - now_ours - then_ours, 0)
+    def _compare_flights(self):
+        # Worked out once for each report and not for each decision.  What
+        # ran beyond our own flights of that time was placed by another
+        # scheduler.  A flight counts from its grant to its end here, both
+        # of which are a little wider than at the target, so the error is
+        # on the side of using the target.
+        made = self.made
+        self._ended = [row for row in self._ended if row[1] >= made]
+        flights = self.flights.values()
+        ours = sum(1 for flight in flights if flight.since < made)
+        ours += sum(1 for since, _ in self._ended if since < made)
+        self._others = max(self.report.running - ours, 0)
+        self._since = sum(f.compute for f in flights if f.since >= made)
 
 
 def measure_rate(targets, now):
--- a/landingspool/decisions/records.py
+++ b/landingspool/decisions/records.py
@@ -109,7 +109,7 @@
     request, workspace, model : str
     entry : str
         Name of the entry box that owns the request.
-    pieces : tuple of str
+    pieces : tuple of bytes
         Keys of the pieces of its prompt, each a chain hash.
     prompt_tokens, output_tokens : int
         Size of the prompt and the largest size of the answer.
@@ -130,7 +130,7 @@
     entry: str
     workspace: str
     model: str
-    pieces: tuple[str, ...]
+    pieces: tuple[bytes, ...]
     prompt_tokens: int
     output_tokens: int
     waited: float
--- a/landingspool/decisions/scheduler.py
+++ b/landingspool/decisions/scheduler.py
@@ -14,14 +14,15 @@
 from landingspool.decisions import fairness
 from landingspool.decisions import identity
 from landingspool.decisions import messages
+from landingspool.decisions import placement
 from landingspool.decisions import pool
+from landingspool.decisions import records
 from landingspool.decisions import retries
 from landingspool.decisions import routing
 
 SETTLE_S = 1.0
 SPILL_MARGIN_S = 0.1
 MOST_HOPS = 1
-FETCH_S_PER_BLOCK = 0.03
 FIRST_TOKEN_GRACE = 0.05
 SUMMARY_OLD_S = 5.0
 
@@ -51,6 +52,14 @@
     fields: dict
 
 
+class Choice(typing.NamedTuple):
+    """A request, the target chosen for it, and where its context is."""
+
+    work: records.Work
+    view: routing.View
+    found: placement.Survey
+
+
 class Waiting(typing.NamedTuple):
     """When a waiting request came and when it must be answered."""
 
@@ -130,7 +139,8 @@
             return [Send(work.entry, messages.Queued(work.request))]
         if work.request in self._by_request:
             return self._repeat(work)
-        reason, wait = self._judge(work, share, now)
+        usable = self._list_usable(now)
+        reason, wait = self._judge(work, share, usable, now)
         spill = self._find_spill(work, wait, reason, now)
         if spill:
             return [Send(work.entry, messages.Spill(work.request, spill))]
@@ -140,19 +150,21 @@
         arrived = now - work.waited
         row = Waiting(work, arrived, now + work.left)
         self._waiting[work.request] = row
-        sends = self.place(now)
+        sends = self.place(now, usable)
         if work.request in self._waiting:
             sends.append(Send(work.entry, messages.Queued(work.request)))
         return sends
 
-    def place(self, now):
+    def place(self, now, usable=None):
         """Grant places while there are any and somebody waits."""
         sends = []
+        if self.queue.length and usable is None:
+            usable = self._list_usable(now)
         while self.queue.length:
-            work = self._take_next(now)
-            if work is None:
+            choice = self._take_next(usable, now)
+            if choice is None:
                 break
-            sends.append(self._grant(*work, now))
+            sends.append(self._grant(choice, now))
         return sends
 
     def finish(self, done, now):
@@ -242,7 +254,7 @@
     def summarize(self, now):
         """Give the summary of this pool for the other domains."""
         usable = self._list_usable(now)
-        free = sum(target.count_free(now) for target in usable)
+        free = sum(max(target.count_free(now), 0) for target in usable)
         prefill = sum(t.report.prefill / t.slowness for t in usable)
         delay = self._estimate_wait(self.queue.length, now)
         return messages.Room(
@@ -272,16 +284,15 @@
     def _knows(self, request):
         return request in self._waiting or request in self._by_request
 
-    def _judge(self, work, share, now):
+    def _judge(self, work, share, usable, now):
         # Returns why a request can't be queued, or an empty reason, and
         # the seconds that it would wait.
-        usable = self._list_usable(now)
         if not usable:
             settling = now - self.started < SETTLE_S
             return ('' if settling else 'no_target'), SETTLE_S
-        free = any(target.count_free(now) for target in usable)
-        if free and not self.queue.length:
-            return '', 0.0
+        if not self.queue.length:
+            if any(target.count_free(now) > 0 for target in usable):
+                return '', 0.0
         ahead = self.queue.count_ahead(work.workspace, share) + 1
         wait = self._estimate_wait(ahead, now)
         if wait > work.left * (1 - FIRST_TOKEN_GRACE):
@@ -299,13 +310,9 @@
         # there, counting the context that has to be computed again.
         if work.hops >= MOST_HOPS:
             return ''
-        cached = max(
-            (
-                self.directory.count_cached(name, work.pieces)
-                for name in self.targets
-            ),
-            default=0,
-        )
+        if not wait and not reason:
+            return ''
+        cached = self._count_cached(work)
         best, best_wait = '', float('inf') if reason else wait
         for domain, (room, heard) in sorted(self.rooms.items()):
             if now - heard > SUMMARY_OLD_S or not room.targets:
@@ -318,61 +325,63 @@
                 best, best_wait = domain, there
         return best
 
+    def _count_cached(self, work):
+        """Give the pieces that the best of our caches has."""
+        best = 0
+        for name, target in self.targets.items():
+            if target.report is not None:
+                version = target.report.version
+                keys = placement.name_pieces(work.pieces, version)
+                best = max(best, self.directory.count_cached(name, keys))
+        return best
+
     def _list_usable(self, now):
         return [t for t in self.targets.values() if t.is_usable(now)]
 
-    def _take_next(self, now):
-        usable = self._list_usable(now)
-        free = {t.member.name: t.count_free(now) for t in usable}
-        if not any(free.values()):
+    def _take_next(self, usable, now):
+        """Take the request that goes next; returns a Choice or None."""
+        free = {}
+        for target in usable:
+            count = target.count_free(now)
+            if count > 0:
+                free[target] = count
+        if not free:
             return None
         work = self.queue.pop()
         del self._waiting[work.request]
-        views = [self._view(work, t, free[t.member.name]) for t in usable]
+        return self._choose(work, free)
+
+    def _choose(self, work, free):
+        surveys = {}
+        views = []
+        for target, count in free.items():
+            version = target.report.version
+            if version not in surveys:
+                found = placement.survey(self.directory, work, version)
+                surveys[version] = found
+            view = placement.make_view(
+                target,
+                self.directory,
+                surveys[version],
+                count,
+                placement.FETCH_S_PER_BLOCK + self.policy.link_price_s,
+            )
+            views.append(view)
         view = routing.choose(self.policy.routing, work, views, self.turn)
-        return work, view
-
-    def _view(self, work, target, free):
-        name = target.member.name
-        pieces = self.directory.count_cached(name, work.pieces)
-        stored = self._list_stored(work, target, pieces)
-        price = FETCH_S_PER_BLOCK + self.policy.link_price_s
-        return routing.View(
-            target=name,
-            free=free,
-            reported=target.report.running,
-            in_flight=len(target.flights),
-            backlog=target.measure_backlog(),
-            prefill=target.report.prefill,
-            cached=pieces * identity.PIECE_TOKENS,
-            fetchable=len(stored) * identity.PIECE_TOKENS,
-            fetch_s=len(stored) * price,
-            slowness=target.slowness,
-        )
-
-    def _list_stored(self, work, target, start):
-        # A stored block is named with the weight version that it was made
-        # under, so another version's block is never even found.
-        version = target.report.version
-        rest = work.pieces[start:]
-        keys = [identity.add_version(key, version) for key in rest]
-        return self.directory.list_stored(keys, 0)
+        version = self.targets[view.target].report.version
+        return Choice(work, view, surveys[version])
 
-    def _grant(self, work, view, now):
+    def _grant(self, choice, now):
+        work, view, found = choice
         target = self.targets[view.target]
         self._given += 1
         grant = f'{self._epoch}.{self._given}'
-        fetch = ()
-        if routing.wants_fetch(work, view):
-            start = view.cached // identity.PIECE_TOKENS
-            stored = self._list_stored(work, target, start)
-            fetch = tuple(item.block for item in stored)
+        fetch = placement.list_fetch(work, view, found)
         ready = view.cached + len(fetch) * identity.PIECE_TOKENS
         compute = max(work.prompt_tokens - ready, 0)
         expected = routing.estimate_first_token(
             work, view._replace(slowness=1.0)
         )
-        charged = self.queue.reserve(work.workspace, compute)
         message = messages.Grant(
             work.request,
             grant,
@@ -391,20 +400,21 @@
             view.target,
             now,
             now + self.policy.grant_lease_s,
-            charged,
+            self.queue.reserve(work.workspace, compute),
             compute,
             expected,
+            found.keys,
             message,
         )
         self._set_flight(flight)
-        self.directory.note_cached(view.target, work.pieces)
+        self.directory.note_cached(view.target, found.keys)
         return Send(work.entry, message)
 
     def _set_flight(self, flight):
         self.flights[flight.grant] = flight
         self._by_request[flight.work.request] = flight.grant
         if flight.target in self.targets:
-            self.targets[flight.target].flights[flight.grant] = flight
+            self.targets[flight.target].add_flight(flight)
 
     def _adopt_grant(self, held, now):
         charged = self.queue.reserve(held.work.workspace, 0)
@@ -417,6 +427,7 @@
             charged,
             0,
             pool.FIRST_HOLD_S,
+            (),
         )
         self._set_flight(flight)
 
@@ -455,11 +466,11 @@
     def _end_well(self, target, flight, done, now):
         target.breaker = retries.note_success(target.breaker, now)
         target.learn(flight.expected, done.first_token, done.held)
-        self.directory.note_cached(flight.target, done.pieces)
+        self.directory.note_cached(flight.target, flight.keys)
 
     def _end_failed(self, target, flight, done, now):
         target.breaker = retries.note_failure(target.breaker, now)
-        self.directory.note_evicted(flight.target, done.pieces)
+        self.directory.note_evicted(flight.target, flight.keys)
 
     def _end_unused(self, target, flight, done, now):
         if target.breaker.state == retries.PROBING:
