Index the live list once, and start a holder's lease with its turn

Cause: every tick listed the models, pools and owners of the whole live list again, 626 us at 78 boxes and 265 runners, twenty times a second. Moving that into a module of its own showed that the right to give orders was counted from the opening of a scheduler, also at a box that was not responsible, so a successor could order a target without fences at once.

Change: `roster` joins the live list and the membership view and indexes them when they change; a holder's lease begins when the box becomes responsible and ends when it no longer is.

Ruled out: a slower tick (it bounds how fast a lost answer is noticed).

--- a/landingspool/decisions/membership.py
+++ b/landingspool/decisions/membership.py
@@ -88,6 +88,7 @@
         self._numbers = itertools.count(1)
         self._hot = {}
         self._due = 0.0
+        self._alive = None
         self.changes = []
 
     def set_listed(self, members, now):
@@ -100,6 +101,7 @@
             self._set(mark, now)
         for name in [n for n in self._peers if n not in self._listed]:
             del self._peers[name]
+            self._alive = None
             self.changes.append(('removed', name))
 
     def list_alive(self):
@@ -107,14 +109,16 @@
 
         A box that is planned to stop takes on no new responsibility.
         """
-        alive = [
-            name
-            for name, peer in self._peers.items()
-            if peer.mark.state in (ALIVE, SUSPECT)
-        ]
-        if self._own.state == ALIVE:
-            alive.append(self.box)
-        return tuple(sorted(alive))
+        if self._alive is None:
+            alive = [
+                name
+                for name, peer in self._peers.items()
+                if peer.mark.state in (ALIVE, SUSPECT)
+            ]
+            if self._own.state == ALIVE:
+                alive.append(self.box)
+            self._alive = tuple(sorted(alive))
+        return self._alive
 
     def get_state(self, name):
         """Give the state of a box, or None if it is not known."""
@@ -128,6 +132,7 @@
         self._own = self._own._replace(
             state=LEAVING, count=self._own.count + 1
         )
+        self._alive = None
         self._heat(self._own)
 
     def reset(self, now):
@@ -250,6 +255,7 @@
     def _set(self, mark, now):
         old = self._peers.get(mark.name)
         self._peers[mark.name] = Peer(mark, now)
+        self._alive = None
         self._heat(mark)
         if old is None or old.mark.state != mark.state:
             self.changes.append((CHANGES[mark.state], mark.name))
--- a/landingspool/decisions/node.py
+++ b/landingspool/decisions/node.py
@@ -16,6 +16,7 @@
 from landingspool.decisions import messages
 from landingspool.decisions import ownership
 from landingspool.decisions import rollout
+from landingspool.decisions import roster
 from landingspool.decisions import scheduler
 
 SUMMARY_S = 0.5
@@ -81,7 +82,6 @@
         self.policy = policy
         self.retention = retention
         self.table = configuration.Table()
-        self.members = {}
         self.schedulers = {}
         self.keepers = {}
         self.rollouts = {}
@@ -89,12 +89,20 @@
         self.leaving = set()
         rng = random.Random(f'{policy.seed}/{box}/{incarnation}')
         self.membership = membership.Membership(box, incarnation, rng)
+        self.roster = roster.Roster(box, domain, self.membership)
         self.limiter = limiter.Limiter(domain, box, rng)
-        self.entry = entry.Entry(box, domain, self.view, self.pick_shard)
+        self.entry = entry.Entry(
+            box, domain, self.roster.view, self.roster.pick_shard
+        )
         self._rooms = {}
         self._summed = 0.0
         self._lent_rooms = {}
 
+    @property
+    def members(self):
+        """The members of the live list by name."""
+        return self.roster.members
+
     def handle(self, sender, message, now):
         """Handle one message; returns a list of actions."""
         handler = HANDLERS.get(type(message))
@@ -124,17 +132,17 @@
 
     def set_live(self, members, now):
         """Take in the live list; returns a list of actions."""
-        self.members = {member.name: member for member in members}
-        mine = [m for m in members if m.domain == self.domain]
-        boxes = [m for m in mine if m.kind == 'entry']
+        if not self.roster.set_live(members):
+            return []
+        boxes = self.roster.list_boxes(self.domain)
         self.membership.set_listed(boxes, now)
         actions = []
         for member in members:
-            if member.leaving and member.kind in ('target', 'plain'):
+            if member.leaving and member.kind in roster.TARGET_KINDS:
                 mark = (member.name, member.incarnation)
                 actions += self._mark_leaving(mark, 'live_list')
         for name, owned in self.schedulers.items():
-            owned.set_members(self.list_targets(name))
+            owned.set_members(self.roster.list_targets(name))
         return actions
 
     def set_stores(self, contents, now):
@@ -145,7 +153,7 @@
         contents : dict of str to stores.client.Contents
             By store; one that does not answer is left out.
         """
-        pools = max(self._count_pools(), 1)
+        pools = max(self.roster.count_pools(), 1)
         rooms = {n: found.room // pools for n, found in contents.items()}
         actions = []
         for name, kept in self.keepers.items():
@@ -205,42 +213,6 @@
         fresh = self.entry.is_fresh(now)
         return fresh and rollout.may_order(holder, checks, now)
 
-    def view(self, domain):
-        """Give the boxes of a domain that are reckoned with."""
-        if domain == self.domain:
-            return self.membership.list_alive()
-        return tuple(
-            sorted(
-                member.name
-                for member in self.members.values()
-                if member.domain == domain
-                and member.kind == 'entry'
-                and not member.leaving
-            )
-        )
-
-    def list_domains(self):
-        """List the failure domains that the live list names."""
-        domains = {
-            member.domain
-            for member in self.members.values()
-            if member.kind == 'entry'
-        }
-        return tuple(sorted(domains | {self.domain}))
-
-    def pick_shard(self, work, domain):
-        """Give the shard of a domain's pool for a request."""
-        targets = self._list_pool(work.model, domain)
-        subject = work.pieces[0].hex() if work.pieces else work.request
-        return ownership.pick_shard(work.model, domain, subject, len(targets))
-
-    def list_targets(self, pool):
-        """List the members of one shard."""
-        model, domain, index = ownership.split_pool(pool)
-        members = {m.name: m for m in self._list_pool(model, domain)}
-        names = ownership.list_shard(list(members), index)
-        return [members[name] for name in names]
-
     def list_polled(self):
         """List the targets whose load reports this box wants."""
         names = {}
@@ -287,23 +259,6 @@
         more = kept.work(owned.directory, self.list_shares(), now)
         return [*actions, *more]
 
-    def _list_pool(self, model, domain):
-        return [
-            member
-            for member in self.members.values()
-            if member.domain == domain
-            and member.model == model
-            and member.kind in ('target', 'plain')
-        ]
-
-    def _count_pools(self):
-        pools = {
-            (m.model, m.domain)
-            for m in self.members.values()
-            if m.kind == 'target'
-        }
-        return sum(len(self._list_shards(*pool)) for pool in pools)
-
     def _open_scheduler(self, pool, now):
         owned = self.schedulers.get(pool)
         if owned is None:
@@ -311,10 +266,9 @@
             owned = scheduler.Scheduler(
                 model, domain, self.box, self.policy, now
             )
-            owned.set_members(self.list_targets(pool))
+            owned.set_members(self.roster.list_targets(pool))
             owned.rooms = self._rooms.setdefault(model, {})
             self.schedulers[pool] = owned
-            self.holders[pool] = rollout.take_over(now)
             self.rollouts[pool] = rollout.Rollout()
             writer = f'{self.box}.{self.incarnation}'
             self.keepers[pool] = keeper.Keeper(writer, self.retention)
@@ -323,20 +277,8 @@
     def _open_owned(self, now):
         # A pool is opened by its owner before the first request, so that
         # other domains hear of its room.
-        models = {
-            m.model
-            for m in self.members.values()
-            if m.domain == self.domain and m.kind in ('target', 'plain')
-        }
-        alive = self.view(self.domain)
-        for model in models:
-            for pool in self._list_shards(model, self.domain):
-                if ownership.find_owner(pool, alive) == self.box:
-                    self._open_scheduler(pool, now)
-
-    def _list_shards(self, model, domain):
-        count = ownership.count_shards(len(self._list_pool(model, domain)))
-        return [ownership.name_pool(model, domain, i) for i in range(count)]
+        for pool in self.roster.list_owned():
+            self._open_scheduler(pool, now)
 
     def _expand(self, actions, now):
         """Handle at once what the box sends to itself."""
@@ -376,9 +318,9 @@
         return actions
 
     def _tick_pool(self, name, owned, now):
-        self.holders[name] = rollout.renew(self.holders[name], now)
         actions = []
-        if ownership.find_owner(name, self.view(owned.domain)) == self.box:
+        if self.roster.find_owner(name, owned.domain) == self.box:
+            self._renew_holder(name, now)
             orders = self.rollouts[name].plan(
                 self.table.versions.get(owned.model, ''),
                 self.table.offset,
@@ -389,21 +331,31 @@
             for order in orders:
                 member = owned.targets[order.target].member
                 actions.append(Command(order, member, name))
-        elif not owned.flights and not owned.count_waiting():
-            if now - owned.started > IDLE_SCHEDULER_S:
-                del self.schedulers[name]
-                del self.holders[name]
-                del self.rollouts[name]
-                del self.keepers[name]
+            return actions
+        # Another box gives the orders now; if the turn comes back, this
+        # one waits like any successor.
+        self.holders.pop(name, None)
+        idle = not owned.flights and not owned.count_waiting()
+        if idle and now - owned.started > IDLE_SCHEDULER_S:
+            del self.schedulers[name]
+            del self.rollouts[name]
+            del self.keepers[name]
         return actions
 
+    def _renew_holder(self, name, now):
+        holder = self.holders.get(name)
+        if holder is None:
+            self.holders[name] = rollout.take_over(now)
+        else:
+            self.holders[name] = rollout.renew(holder, now)
+
     def _tick_limiter(self, now):
-        domains = self.list_domains()
+        domains = self.roster.list_domains()
         asks = self.limiter.tick(self.limit_of, domains, now)
         actions = []
         for domain, message in asks:
             subject = entry.name_account(message.workspace)
-            box = ownership.find_owner(subject, self.view(domain))
+            box = ownership.find_owner(subject, self.roster.view(domain))
             if box:
                 actions.append(Send(box, message))
         return actions
@@ -416,17 +368,17 @@
             if not room.targets:
                 continue
             summary = messages.Summary(self.domain, (room,))
-            for domain in self.list_domains():
+            for domain in self.roster.list_domains():
                 if domain == self.domain:
                     continue
                 actions += self._send_summary(summary, owned.model, domain)
         return actions
 
     def _send_summary(self, summary, model, domain):
-        view = self.view(domain)
+        view = self.roster.view(domain)
         boxes = {
             ownership.find_owner(pool, view)
-            for pool in self._list_shards(model, domain)
+            for pool in self.roster.list_shards(model, domain)
         }
         return [Send(box, summary) for box in sorted(boxes - {None})]
 
@@ -434,7 +386,7 @@
     def _on_ask(self, sender, message, now):
         work = message.work
         _, domain, _ = ownership.split_pool(work.pool)
-        owner = ownership.find_owner(work.pool, self.view(self.domain))
+        owner = ownership.find_owner(work.pool, self.roster.view(self.domain))
         # A box of another domain sees ours late: what it sent to the wrong
         # box goes on to the owner, once.
         if domain == self.domain and sender == work.entry:
@@ -478,7 +430,7 @@
             message.entry,
             message.workspace,
             limit,
-            self.list_domains(),
+            self.roster.list_domains(),
             now,
         )
         return [Send(sender, reply)]
@@ -499,7 +451,9 @@
         limit = self.limit_of(message.workspace)
         if not limit:
             return []
-        lend = self.limiter.lend(message, limit, self.list_domains(), now)
+        lend = self.limiter.lend(
+            message, limit, self.roster.list_domains(), now
+        )
         return [Send(sender, lend)] if lend else []
 
     @handles(messages.Lend)
--- a/landingspool/platform/follower.py
+++ b/landingspool/platform/follower.py
@@ -108,14 +108,18 @@
 
     def _is_reader(self):
         node = self._core.node
-        ranked = ownership.rank('log', node.view(node.domain))
+        ranked = ownership.rank('log', node.roster.view(node.domain))
         return node.box in ranked[:READERS] or node.box not in ranked
 
     def _ask_peers(self):
         node = self._core.node
-        ranked = ownership.rank('log', node.view(node.domain))
+        ranked = ownership.rank('log', node.roster.view(node.domain))
         own = [box for box in ranked[:READERS] if box != node.box]
-        far = [box for d in node.list_domains() for box in node.view(d)[:2]]
+        far = [
+            box
+            for d in node.roster.list_domains()
+            for box in node.roster.view(d)[:2]
+        ]
         peers = [box for box in own or far if box != node.box]
         if not peers:
             return
