--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -28,7 +28,8 @@
     """What to start.
 
     `engines` holds for each model the number of its runners, which are
-    spread over the domains in turn.
+    spread over the domains in turn.  The boxes of a domain in `wires`
+    reach the log through a wire that can be cut.
     """
 
     domains: tuple = DOMAINS
@@ -38,6 +39,7 @@
     plain: str = 'annotations'
     options: dict = {}
     policy: dict = {}
+    wires: tuple = ()
     log_level: str = 'WARNING'
 
 
@@ -76,6 +78,7 @@
         self.processes = {}
         self.boxes = {}
         self.members = {}
+        self.wires = {}
         self._folder = tempfile.TemporaryDirectory(prefix='landingspool-')
         self.folder = pathlib.Path(self._folder.name)
 
@@ -87,6 +90,8 @@
             self.start_standin('weights', 'weights'),
         )
         await self._start_back_ends()
+        for domain in self.shape.wires:
+            await self._start_wire(domain)
         for domain in self.shape.domains:
             for index in range(self.shape.boxes):
                 await self.start_box(f'{domain}-{index + 1}', domain)
@@ -125,7 +130,7 @@
         return process
 
     async def start_box(self, name, domain):
-        """Start one daemon."""
+        """Start one daemon; it is on the live list after `announce`."""
         path = self.folder / f'{name}.toml'
         path.write_text(self._write_settings(name, domain))
         arguments = ['-m', 'landingspool.daemon', str(path)]
@@ -265,6 +270,14 @@
             )
         await asyncio.gather(*jobs)
 
+    async def _start_wire(self, domain):
+        log = self.processes['log'].address
+        name = f'wire-{domain}'
+        await self.start_standin('wire', name, to=f'{log.host}:{log.port}')
+        address = self.processes[name].address
+        reply = await self.client.fetch(address, 'GET', '/address')
+        self.wires[domain] = http.Address(*reply.json()['address'])
+
     async def _add(self, standin, name, kind, domain, model, options):
         process = await self.start_standin(standin, name, **options)
         self.members[name] = {
@@ -315,6 +328,7 @@
             key: self.processes[key].address
             for key in ('log', 'live', 'weights')
         }
+        platform['log'] = self.wires.get(domain, platform['log'])
         lines.append('[platform]')
         for key, address in platform.items():
             host, port = address
--- a/landingspool/events.py
+++ b/landingspool/events.py
@@ -303,6 +303,18 @@
     return sorted(rows, key=lambda event: (tuple(event.stamp), event.box))
 
 
+def describe_catalogue():
+    """Give the catalogue as the table that docs/events.md holds."""
+    lines = [
+        '| number | event | level | meaning |',
+        '| --- | --- | --- | --- |',
+    ]
+    for kind in sorted(CATALOGUE.values()):
+        cells = f'LS{kind.number}', kind.name, kind.level, kind.text
+        lines.append(f'| {" | ".join(cells)} |')
+    return '\n'.join(lines)
+
+
 def configure_logs(kind, level):
     """Send the log to standard error as `text` or `json` lines."""
     logger.remove()
--- a/landingspool/settings.py
+++ b/landingspool/settings.py
@@ -12,11 +12,17 @@
 
 import msgspec
 
+from landingspool.decisions import fairness
+from landingspool.decisions import retention
+from landingspool.decisions import routing
 from landingspool import http
 
 Port = Annotated[int, msgspec.Meta(ge=0, le=65535)]
 Name = Annotated[str, msgspec.Meta(pattern='^[a-z0-9][a-z0-9.-]{0,62}$')]
 Positive = Annotated[float, msgspec.Meta(gt=0)]
+Routing = typing.Literal[tuple(routing.POLICIES)]
+Charge = typing.Literal[tuple(fairness.CHARGES)]
+Retention = typing.Literal[tuple(retention.POLICIES)]
 Secret = Annotated[str, msgspec.Meta(min_length=16)]
 
 
@@ -81,9 +87,9 @@
 class Policy(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """What the deployment weighs."""
 
-    routing: str = 'earliest'
-    charge: str = 'reserve'
-    retention: str = 'value'
+    routing: Routing = 'earliest'
+    charge: Charge = 'reserve'
+    retention: Retention = 'value'
     link_price_s: Annotated[float, msgspec.Meta(ge=0)] = 0.0
     claim_window_s: Positive = 300.0
     decision_age_s: Positive = 1.0
--- a/standins/live.py
+++ b/standins/live.py
@@ -13,10 +13,20 @@
         self.members = {}
         self.shown = {}
         self.changes = []
+        self.mode = 'up'
+
+    @service.route('Live', 'POST', '/switch')
+    async def switch(self, request, exchange):
+        """Set the mode: ``up`` or ``down``."""
+        self.mode = request.json()['mode']
+        await exchange.send_json(200, {})
 
     @service.route('Live', 'GET', '/live')
     async def list_members(self, request, exchange):
         """Give the list as it was `lag` seconds ago."""
+        if self.mode == 'down':
+            exchange.abort()
+            return
         self.apply()
         await exchange.send_json(200, {'members': list(self.shown.values())})
 
--- /dev/null
+++ b/tests/test_layout.py
@@ -0,0 +1,75 @@
+"""What holds of the code as a whole: imports point one way, the catalogue
+is complete, and the documents say what the code says."""
+
+import ast
+import pathlib
+
+import pytest
+
+from landingspool import events
+
+CORE = sorted(pathlib.Path('landingspool/decisions').glob('*.py'))
+FORBIDDEN = {
+    'asyncio',
+    'socket',
+    'ssl',
+    'threading',
+    'subprocess',
+    'os',
+    'time',
+    'datetime',
+    'secrets',
+    'uuid',
+    'h11',
+    'websockets',
+    'loguru',
+    'prometheus_client',
+}
+ALLOWED_OWN = ('landingspool.decisions', 'landingspool.verdict')
+
+
+def list_imports(path):
+    """List the full names of what a module imports."""
+    names = []
+    for node in ast.walk(ast.parse(path.read_text())):
+        if isinstance(node, ast.Import):
+            names += [alias.name for alias in node.names]
+        elif isinstance(node, ast.ImportFrom):
+            names += [f'{node.module}.{alias.name}' for alias in node.names]
+    return names
+
+
+@pytest.mark.parametrize('path', CORE, ids=lambda path: path.stem)
+def test_core_imports_no_peer_and_nothing_impure(path):
+    for name in list_imports(path):
+        assert name.split('.')[0] not in FORBIDDEN, name
+        if name.startswith('landingspool.'):
+            assert name.startswith(ALLOWED_OWN), name
+
+
+def list_recorded(path):
+    """List the event names that a module records."""
+    for node in ast.walk(ast.parse(path.read_text())):
+        if not isinstance(node, ast.Call) or not node.args:
+            continue
+        called = getattr(node.func, 'attr', getattr(node.func, 'id', ''))
+        first = node.args[0]
+        if called in ('record', '_note', 'Note'):
+            if isinstance(first, ast.Constant):
+                yield first.value
+
+
+def test_every_recorded_event_is_in_the_catalogue():
+    for path in pathlib.Path('landingspool').rglob('*.py'):
+        for name in list_recorded(path):
+            assert name in events.CATALOGUE, f'{path}: {name}'
+
+
+def test_numbers_of_the_catalogue_are_unique():
+    numbers = [kind.number for kind in events.CATALOGUE.values()]
+    assert len(set(numbers)) == len(numbers)
+
+
+def test_event_document_is_what_the_catalogue_says():
+    text = pathlib.Path('docs/events.md').read_text()
+    assert events.describe_catalogue() in text
