Count revisions from one, so that no row looks unpublished

Cause: a row published by the very first record had revision 0, which also stands for a row that is not there, so a second edit from base 0 was accepted over it.

Change: a revision is one more than the offset.

Ruled out: -1 for no row (spreadsheets show an empty cell as 0).

--- a/bench/experiments.py
+++ b/bench/experiments.py
@@ -11,6 +11,7 @@
 import sys
 
 from bench import load
+from bench import recovery
 from bench import report
 from bench import workload
 
@@ -18,6 +19,9 @@
 SECONDS = 14.0
 USUAL = 1.2
 PEAK = 3.0
+OVER = 2.6
+FLOOD_BASE = 0.9
+FLOOD = 30.0
 POLICIES = (
     'round_robin',
     'least_loaded',
@@ -100,6 +104,112 @@
     return await run_all(plans, options.together)
 
 
+@experiment('overload')
+async def measure_overload(options):
+    """Twice the capacity for a while and back, by admission policy."""
+    usual = load.make_plan(options.deployment, 26.0, factor=USUAL)
+    peak = usual._replace(peaks=(workload.Peak(5.0, 15.0, OVER),))
+    plans = {
+        'no peak': usual,
+        'peak/all': peak._replace(policy={'admission': 'all'}),
+        'peak/estimate': peak._replace(policy={'admission': 'estimate'}),
+    }
+    figures = await run_all(plans, options.together)
+    for name, row in figures.items():
+        print(f'{name}: whole answers a second {row["goodput"]}')
+    return figures
+
+
+@experiment('brownout')
+async def measure_brownout(options):
+    """One runner breaks every stream for a while: retries stay few."""
+    usual = load.make_plan(options.deployment, SECONDS, factor=USUAL)
+    return await run_all(
+        {'healthy': usual, 'brownout': usual._replace(disturb=break_runner)},
+        options.together,
+    )
+
+
+async def break_runner(running):
+    """Let one runner break its streams, then be well again."""
+    await asyncio.sleep(3.0)
+    first = running.shape.engines[0][0]
+    await running.switch(f'{first}-1', mode='broken')
+    await asyncio.sleep(6.0)
+    await running.switch(f'{first}-1', mode='up')
+
+
+@experiment('fairness')
+async def measure_fairness(options):
+    """A flood by one small workspace, by the way of charging."""
+    usual = load.make_plan(options.deployment, 20.0, factor=FLOOD_BASE)
+    flooded = (
+        *usual.tenants[:-1],
+        usual.tenants[-1]._replace(rate=usual.tenants[-1].rate * FLOOD),
+    )
+    plans = {}
+    for charge in ('end', 'reserve'):
+        calm = usual._replace(policy={'charge': charge})
+        plans[f'{charge}/calm'] = calm
+        plans[f'{charge}/flood'] = calm._replace(tenants=flooded)
+    figures = await run_all(plans, options.together)
+    for name, row in figures.items():
+        rest = {n: t['p95_s'] for n, t in row['tenants'].items()}
+        print(f'{name}: p95 by workspace {rest}')
+    return figures
+
+
+@experiment('retention')
+async def measure_retention(options):
+    """LRU against value for space, with small stores and caches."""
+    usual = load.make_plan(options.deployment, 30.0, factor=1.0)
+    tight = {
+        'engine': {'cache': 12},
+        'store': {'memory': 3 * 2**20, 'disk': 0},
+    }
+    plans = {
+        policy: usual._replace(policy={'retention': policy}, options=tight)
+        for policy in ('lru', 'value')
+    }
+    conditions = {'dead store': kill_store, 'slow link': slow_links}
+    for name, disturb in conditions.items():
+        plans[f'value/{name}'] = plans['value']._replace(disturb=disturb)
+    no_store = {**tight, 'store': {'memory': 0, 'disk': 0}}
+    plans['value/full stores'] = plans['value']._replace(options=no_store)
+    return await run_all(plans, options.together)
+
+
+async def kill_store(running):
+    """Kill one store."""
+    await asyncio.sleep(8.0)
+    running.kill('store-1')
+
+
+async def slow_links(running):
+    """Let the links of the stores carry a twentieth."""
+    await asyncio.sleep(8.0)
+    for index in range(running.shape.stores):
+        bandwidth = load.STORE['bandwidth'] // 20
+        await running.switch(f'store-{index + 1}', bandwidth=bandwidth)
+
+
+@experiment('recovery')
+async def measure_recovery(options):
+    """A scheduler's box killed, frozen; a domain's boxes replaced."""
+    usual = load.make_plan(options.deployment, 20.0, factor=USUAL)
+    plans = {'nothing': usual}
+    for name, disturb in (
+        ('killed', recovery.kill_owner),
+        ('frozen', recovery.freeze_owner),
+        ('replaced', recovery.replace_domain),
+    ):
+        plans[name] = usual._replace(disturb=disturb)
+    figures = await run_all(plans, options.together)
+    for line in recovery.NOTES:
+        print(line)
+    return figures
+
+
 def main():
     """Run one experiment, print its table, write its figures."""
     parser = argparse.ArgumentParser(prog='bench.experiments')
--- a/bench/load.py
+++ b/bench/load.py
@@ -190,6 +190,7 @@
         'retries': round(retries / max(len(results), 1), 4),
         'tenants': report.measure_tenants(results),
         'goodput': report.measure_goodput(results),
+        'most_running': await report.read_most_running(running),
     }
 
 
--- a/bench/report.py
+++ b/bench/report.py
@@ -77,6 +77,17 @@
     return total
 
 
+async def read_most_running(running):
+    """Give the most requests that a living runner had at once."""
+    most = 0
+    for name, member in running.members.items():
+        alive = running.processes[name].handle.returncode is None
+        if member['kind'] == 'target' and alive:
+            audit = await running.audit(name)
+            most = max(most, audit['most_running'])
+    return most
+
+
 def measure_fairness(tenants, results):
     """Give Jain's index of the service a workspace got over its claim.
 
--- a/landingspool/box.py
+++ b/landingspool/box.py
@@ -150,4 +150,5 @@
         grant_lease_s=policy.grant_lease_s,
         decision_age_s=policy.decision_age_s,
         seed=policy.seed,
+        admission=policy.admission,
     )
--- a/landingspool/decisions/configuration.py
+++ b/landingspool/decisions/configuration.py
@@ -160,10 +160,13 @@
 
 
 def apply_rows(rows, publish, offset):
-    """Give the rows after a publish at `offset`."""
+    """Give the rows after a publish at `offset`.
+
+    A revision is one more than the offset, since 0 stands for no row.
+    """
     after = dict(rows)
     for row in publish.rows:
-        after[row.workspace] = row._replace(revision=offset)
+        after[row.workspace] = row._replace(revision=offset + 1)
     for name in publish.removed:
         after.pop(name, None)
     return after
--- a/landingspool/decisions/records.py
+++ b/landingspool/decisions/records.py
@@ -24,7 +24,8 @@
     key_hash : str
         SHA-256 of its bearer key in hexadecimal digits.
     revision : int
-        Log offset of the publish that last changed the row.
+        One more than the log offset of the publish that last changed the
+        row; 0 for a row that is not published yet.
     """
 
     workspace: str
--- a/landingspool/decisions/scheduler.py
+++ b/landingspool/decisions/scheduler.py
@@ -10,6 +10,7 @@
 import random
 import typing
 
+from landingspool.decisions import admission
 from landingspool.decisions import directory
 from landingspool.decisions import fairness
 from landingspool.decisions import identity
@@ -36,6 +37,7 @@
     grant_lease_s: float = 15.0
     decision_age_s: float = 1.0
     seed: int = 1
+    admission: str = 'estimate'
 
 
 class Send(typing.NamedTuple):
@@ -295,9 +297,8 @@
                 return '', 0.0
         ahead = self.queue.count_ahead(work.workspace, share) + 1
         wait = self._estimate_wait(ahead, now)
-        if wait > work.left * (1 - FIRST_TOKEN_GRACE):
-            return 'overloaded', wait
-        return '', wait
+        admit = admission.POLICIES[self.policy.admission]
+        return ('' if admit(wait, work) else 'overloaded'), wait
 
     def _estimate_wait(self, ahead, now):
         if not ahead:
--- a/landingspool/settings.py
+++ b/landingspool/settings.py
@@ -12,6 +12,7 @@
 
 import msgspec
 
+from landingspool.decisions import admission
 from landingspool.decisions import fairness
 from landingspool.decisions import retention
 from landingspool.decisions import routing
@@ -23,6 +24,7 @@
 Routing = typing.Literal[tuple(routing.POLICIES)]
 Charge = typing.Literal[tuple(fairness.CHARGES)]
 Retention = typing.Literal[tuple(retention.POLICIES)]
+Admission = typing.Literal[tuple(admission.POLICIES)]
 Secret = Annotated[str, msgspec.Meta(min_length=16)]
 
 
@@ -90,6 +92,7 @@
     routing: Routing = 'earliest'
     charge: Charge = 'reserve'
     retention: Retention = 'value'
+    admission: Admission = 'estimate'
     link_price_s: Annotated[float, msgspec.Meta(ge=0)] = 0.0
     claim_window_s: Positive = 300.0
     decision_age_s: Positive = 1.0
--- a/standins/engine.py
+++ b/standins/engine.py
@@ -88,6 +88,7 @@
         self.slots = Gate(options.slots)
         self.prefills = Gate(1)
         self.running = 0
+        self.most_running = 0
         self.queued = 0
         self.runs = {}
         self.cache = collections.OrderedDict()
@@ -106,6 +107,9 @@
         """Run a request and stream its tokens."""
         value = request.json()
         reason = self.refuse(value)
+        if self.mode == 'broken':
+            exchange.abort()
+            return
         if reason:
             reply = {'started': False, 'reason': reason}
             await exchange.send_json(503, reply)
@@ -129,6 +133,7 @@
         """Prefill, then decode token by token."""
         value = run.request
         self.running += 1
+        self.most_running = max(self.most_running, self.running)
         cached = self.use_context(value)
         prompt = max(1, len(value['prompt']) // 4)
         compute = max(prompt - cached, 0)
@@ -394,6 +399,7 @@
             'bad': self.bad,
             'orders': self.orders,
             'version': self.version,
+            'most_running': self.most_running,
         }
         await exchange.send_json(200, reply)
 
--- a/tests/real/test_failures.py
+++ b/tests/real/test_failures.py
@@ -146,7 +146,7 @@
     async def run():
         await bench.fleet.switch('log', loses=1)
         row = conftest.make_rows(limit=9)[0]
-        result = await bench.fleet.publish([row], bases=[0])
+        result = await bench.fleet.publish([row], bases=[1])
         await bench.fleet.switch('log', loses=1)
         answer = await call(bench, 'north-1', bench.make_key('a'))
         return result, answer, await count_calls(bench)
@@ -166,7 +166,7 @@
         boxes = ('north-1', 'south-1')
         return await asyncio.gather(
             *(
-                bench.fleet.publish([row], box=box, bases=[0])
+                bench.fleet.publish([row], box=box, bases=[1])
                 for row, box in zip(rows, boxes)
             )
         )
