Poll idle targets less often, and tick ten times a second

Cause: an idle box used 2.6% of a core, over the 1.6% that control may take; most of it was the polling of load reports and cache events of targets that had nothing of ours, and the tick.

Change: a target without our work is asked once a second for its load and every three seconds for its cache events; the tick is 0.1 s, which is still far under the shortest limit that it watches (0.4 s).

Ruled out: one poller for a domain (a relay of reports adds a lag to each); longer periods under load (routing lives on fresh reports).

--- a/landingspool/core.py
+++ b/landingspool/core.py
@@ -15,10 +15,14 @@
 from landingspool.stores import client as stores
 from landingspool.targets import client as targets
 
-TICK_S = 0.05
+TICK_S = 0.1
 FAULT_REST_S = 1.0
 STORES_S = 2.0
 EVENTS_S = 0.5
+# A target that has nothing of ours is asked less often: nothing that we
+# decide depends on it from one moment to the next.
+IDLE_REPORT_S = 1.0
+IDLE_EVENTS_S = 3.0
 
 
 class Core:
@@ -202,9 +206,17 @@
             self.recorder.record('freed', write=action.write)
 
     async def _poll_loads(self, period):
+        due = {}
         while True:
+            now = self.timer.now()
             members = self.node.list_polled()
-            calls = [self._poll_load(member) for member in members]
+            calls = []
+            for member in members:
+                if due.get(member.name, 0.0) <= now:
+                    busy = self.node.is_busy(member.name)
+                    wait = period if busy else IDLE_REPORT_S
+                    due[member.name] = now + wait
+                    calls.append(self._poll_load(member))
             await asyncio.gather(*calls)
             await asyncio.sleep(period)
 
@@ -214,9 +226,16 @@
             self.perform(self.node.report(report, self.timer.now()))
 
     async def _poll_events(self):
+        due = {}
         while True:
+            now = self.timer.now()
             for member in self.node.list_polled():
-                if member.kind == 'target':
+                busy = self.node.is_busy(member.name)
+                if busy:
+                    due[member.name] = now
+                late = due.get(member.name, 0.0) <= now
+                if member.kind == 'target' and late:
+                    due[member.name] = now + IDLE_EVENTS_S
                     await self._poll_cache(member)
             await asyncio.sleep(EVENTS_S)
 
--- a/landingspool/decisions/node.py
+++ b/landingspool/decisions/node.py
@@ -221,6 +221,14 @@
                 names[name] = target.member
         return list(names.values())
 
+    def is_busy(self, target):
+        """Tell whether a target has work of this box's schedulers."""
+        for owned in self.schedulers.values():
+            known = owned.targets.get(target)
+            if known is not None and (known.flights or known.report is None):
+                return True
+        return False
+
     def share_of(self, workspace):
         """Give the fair share of a workspace; the least if it has none."""
         row = self.table.rows.get(workspace)
