Send work on by the expected first token, here and there

Its cause was not the choice within a pool: the domain with one of five runners gets a third of the load, and work was sent on only when the scheduler's own queue waited, while it waits inside the targets' batches.

Change: `spill` compares the first token expected at the best target here, its backlog included, with that in each other domain's summary, the whole prompt computed anew; what was sent since a summary is added to it.

Ruled out: another policy within the pool (five measured, all within the noise of each other before this change).

--- a/landingspool/decisions/node.py
+++ b/landingspool/decisions/node.py
@@ -18,6 +18,7 @@
 from landingspool.decisions import rollout
 from landingspool.decisions import roster
 from landingspool.decisions import scheduler
+from landingspool.decisions import spill
 
 SUMMARY_S = 0.5
 IDLE_SCHEDULER_S = 30.0
@@ -478,7 +479,7 @@
     def _on_summary(self, sender, message, now):
         for room in message.rooms:
             rooms = self._rooms.setdefault(room.model, {})
-            rooms[message.domain] = (room, now)
+            rooms[message.domain] = spill.Heard(room, now)
         return []
 
     @handles(messages.Leaving)
--- a/landingspool/decisions/scheduler.py
+++ b/landingspool/decisions/scheduler.py
@@ -20,12 +20,11 @@
 from landingspool.decisions import records
 from landingspool.decisions import retries
 from landingspool.decisions import routing
+from landingspool.decisions import spill
 
 SETTLE_S = 1.0
-SPILL_MARGIN_S = 0.1
 MOST_HOPS = 1
 FIRST_TOKEN_GRACE = 0.05
-SUMMARY_OLD_S = 5.0
 
 
 class Policy(typing.NamedTuple):
@@ -143,7 +142,7 @@
             return self._repeat(work)
         usable = self._list_usable(now)
         reason, wait = self._judge(work, share, usable, now)
-        spill = self._find_spill(work, wait, reason, now)
+        spill = self._find_spill(work, wait, reason, usable, now)
         if spill:
             return [Send(work.entry, messages.Spill(work.request, spill))]
         if reason:
@@ -256,16 +255,17 @@
     def summarize(self, now):
         """Give the summary of this pool for the other domains."""
         usable = self._list_usable(now)
-        free = sum(max(target.count_free(now), 0) for target in usable)
+        free = sum(self._list_free(usable, now).values())
         prefill = sum(t.report.prefill / t.slowness for t in usable)
         delay = self._estimate_wait(self.queue.length, now)
+        delay += self._measure_backlog(usable, now)
         return messages.Room(
             self.model, free, round(delay, 3), prefill, len(usable)
         )
 
     def note_room(self, domain, room, now):
         """Take in another domain's summary of its pool."""
-        self.rooms[domain] = (room, now)
+        self.rooms[domain] = spill.Heard(room, now)
 
     def holds(self, grant):
         """Tell whether a grant is known here."""
@@ -306,53 +306,62 @@
         rate = pool.measure_rate(self.targets.values(), now)
         return ahead / rate if rate else SETTLE_S
 
-    def _find_spill(self, work, wait, reason, now):
-        # Work goes to another domain when its first token comes earlier
-        # there, counting the context that has to be computed again.
-        if work.hops >= MOST_HOPS:
+    def _find_spill(self, work, wait, reason, usable, now):
+        if work.hops >= MOST_HOPS or not self.rooms:
             return ''
-        if not wait and not reason:
-            return ''
-        cached = self._count_cached(work)
-        best, best_wait = '', float('inf') if reason else wait
-        for domain, (room, heard) in sorted(self.rooms.items()):
-            if now - heard > SUMMARY_OLD_S or not room.targets:
-                continue
-            again = cached * identity.PIECE_TOKENS * room.targets
-            there = room.delay + again / room.prefill + SPILL_MARGIN_S
-            if not room.free and not room.delay:
-                there += SETTLE_S
-            if there < best_wait:
-                best, best_wait = domain, there
-        return best
-
-    def _count_cached(self, work):
-        """Give the pieces that the best of our caches has."""
-        best = 0
-        for name, target in self.targets.items():
-            if target.report is not None:
-                version = target.report.version
-                keys = placement.name_pieces(work.pieces, version)
-                best = max(best, self.directory.count_cached(name, keys))
-        return best
+        here = float('inf')
+        if not reason:
+            backlog = self._measure_backlog(usable, now)
+            if wait + backlog < spill.MARGIN_S:
+                return ''
+            here = wait + self._estimate_first(work, usable, now)
+        return spill.find_better(self.rooms, work, here, now)
+
+    def _measure_backlog(self, usable, now):
+        """Give the least seconds of work before a new request."""
+        seconds = [
+            target.measure_backlog() * target.slowness / target.report.prefill
+            for target in usable
+            if target.count_free(now) > 0
+        ]
+        return min(seconds, default=0.0)
+
+    def _estimate_first(self, work, usable, now):
+        """Estimate the seconds to the first token at the best target."""
+        free = self._list_free(usable, now) or {t: 1 for t in usable}
+        views = self._view_all(work, free)[0]
+        return min(
+            (routing.estimate_first_token(work, view) for view in views),
+            default=SETTLE_S,
+        )
 
     def _list_usable(self, now):
         return [t for t in self.targets.values() if t.is_usable(now)]
 
-    def _take_next(self, usable, now):
-        """Take the request that goes next; returns a Choice or None."""
+    def _list_free(self, usable, now):
+        """Give the free places of each target that has any."""
         free = {}
         for target in usable:
             count = target.count_free(now)
             if count > 0:
                 free[target] = count
+        return free
+
+    def _take_next(self, usable, now):
+        """Take the request that goes next; returns a Choice or None."""
+        free = self._list_free(usable, now)
         if not free:
             return None
         work = self.queue.pop()
         del self._waiting[work.request]
-        return self._choose(work, free)
+        views, surveys = self._view_all(work, free)
+        view = routing.choose(self.policy.routing, work, views, self.turn)
+        version = self.targets[view.target].report.version
+        return Choice(work, view, surveys[version])
 
-    def _choose(self, work, free):
+    def _view_all(self, work, free):
+        """Give the views of some targets, and the surveys by version."""
+        price_s = placement.FETCH_S_PER_BLOCK + self.policy.link_price_s
         surveys = {}
         views = []
         for target, count in free.items():
@@ -361,16 +370,10 @@
                 found = placement.survey(self.directory, work, version)
                 surveys[version] = found
             view = placement.make_view(
-                target,
-                self.directory,
-                surveys[version],
-                count,
-                placement.FETCH_S_PER_BLOCK + self.policy.link_price_s,
+                target, self.directory, surveys[version], count, price_s
             )
             views.append(view)
-        view = routing.choose(self.policy.routing, work, views, self.turn)
-        version = self.targets[view.target].report.version
-        return Choice(work, view, surveys[version])
+        return views, surveys
 
     def _grant(self, choice, now):
         work, view, found = choice
