Learn a target's speed from its reports, not from single answers

Slowness was the time to first token over the expected one; for a request whose context is cached the expected time is tiny, so the very targets that held context were called slow and avoided.

Change: between two load reports with work waiting at both ends a target was busy all the time, and the tokens it worked off say how fast it is; that fades over a few seconds. Single answers teach only how long a place is held. `Done` no longer carries the time to first token.

Ruled out: a floor under the expected time (it moves the bias, and does not tell of a slow target before its requests end).

--- a/bench/micro.py
+++ b/bench/micro.py
@@ -177,7 +177,6 @@
         cached_tokens=work.prompt_tokens // 2,
         output_tokens=100,
         pool=work.pool,
-        first_token=0.2,
         held=2.0,
     )
 
--- a/landingspool/callers/session.py
+++ b/landingspool/callers/session.py
@@ -319,7 +319,6 @@
         outcome = DONE_OUTCOMES[part.outcome]
         if part.reason == 'leaving':
             outcome = 'leaving'
-        first = self.first_token
         done = messages.Done(
             request=self.request,
             grant=grant.grant,
@@ -328,7 +327,6 @@
             cached_tokens=end.cached_tokens if end else 0,
             output_tokens=end.output_tokens if end else 0,
             pool=self._pool(),
-            first_token=first - self.sent if first >= 0 else -1.0,
             held=now - self.sent,
         )
         self.core.perform(self.core.node.give_back(done, now))
--- a/landingspool/decisions/entry.py
+++ b/landingspool/decisions/entry.py
@@ -381,7 +381,7 @@
     """Give the Done that returns a grant which nobody wants."""
     pool = case.work.pool if case else ''
     return messages.Done(
-        grant.request, grant.grant, 'unused', 0, 0, 0, pool, -1.0, 0.0
+        grant.request, grant.grant, 'unused', 0, 0, 0, pool, 0.0
     )
 
 
--- a/landingspool/decisions/messages.py
+++ b/landingspool/decisions/messages.py
@@ -84,9 +84,8 @@
 class Done(typing.NamedTuple):
     """An entry box gives a place back, with what it cost.
 
-    What the scheduler knows of the grant is not said again.  `first_token`
-    and `held` are seconds from the dispatch to the first token and to the
-    end; `first_token` is below 0 where none came.
+    What the scheduler knows of the grant is not said again.  `held` is the
+    number of seconds from the dispatch to the end.
     """
 
     request: str
@@ -96,7 +95,6 @@
     cached_tokens: int
     output_tokens: int
     pool: str
-    first_token: float
     held: float
 
 
--- a/landingspool/decisions/pool.py
+++ b/landingspool/decisions/pool.py
@@ -16,9 +16,11 @@
 SLOWNESS_LEAST = 0.5
 SLOWNESS_MOST = 20.0
 REPORT_OLD_S = 5.0
+BUSY_HALF_S = 2.0
+BUSY_LEAST_S = 0.8
 HOLD_SMOOTHING = 0.1
 FIRST_HOLD_S = 1.0
-LEAST_EXPECTED_S = 0.02
+LEAST_HOLD_S = 0.02
 
 
 class Flight(typing.NamedTuple):
@@ -34,11 +36,26 @@
     until: float
     charged: float
     compute: int
-    expected: float
     keys: tuple
     message: messages.Grant | None = None
 
 
+class Busy(typing.NamedTuple):
+    """Time in which a target was busy, and the tokens it worked off.
+
+    Both fade, so that they tell of the last few seconds.
+    """
+
+    seconds: float = 0.0
+    tokens: float = 0.0
+
+
+def add_busy(busy, seconds, tokens):
+    """Add a busy time to what fades."""
+    left = 0.5 ** (seconds / BUSY_HALF_S)
+    return Busy(busy.seconds * left + seconds, busy.tokens * left + tokens)
+
+
 class Target:
     """What is known of one target.
 
@@ -57,6 +74,7 @@
         self.left = set()
         self.hold = FIRST_HOLD_S
         self._ended = []
+        self._busy = Busy()
         self._others = 0
         self._since = 0
 
@@ -89,6 +107,9 @@
         if self.report and report.incarnation != self.incarnation:
             self.slowness = 1.0
             self.breaker = retries.Breaker()
+            self._busy = Busy()
+        elif self.report:
+            self._note_progress(report, made)
         self.report = report
         self.made = made
         self.heard = now
@@ -132,17 +153,31 @@
         flight = self.flights.pop(grant, None)
         if flight is None:
             return
-        self._ended.append((flight.since, now))
+        self._ended.append((flight.since, now, flight.compute))
         if flight.since >= self.made:
             self._since -= flight.compute
 
-    def learn(self, expected, first_token, held):
-        """Learn from a finished request how slow the target is."""
+    def learn(self, held):
+        """Learn from a finished request how long it held its place."""
         self.hold += HOLD_SMOOTHING * (held - self.hold)
-        if first_token < 0:
+
+    def _note_progress(self, report, made):
+        # Between two reports with work waiting at both ends the target was
+        # busy all the time, and what it worked off says how fast it is,
+        # long before a slow request has ended.
+        if not self.report.queued_tokens or not report.queued_tokens:
+            return
+        seconds = made - self.made
+        rows = [(f.since, f.compute) for f in self.flights.values()]
+        rows += [(since, compute) for since, _, compute in self._ended]
+        came = sum(c for since, c in rows if self.made <= since < made)
+        worked = self.report.queued_tokens + came - report.queued_tokens
+        self._busy = add_busy(self._busy, seconds, max(worked, 0))
+        if self._busy.seconds < BUSY_LEAST_S:
             return
-        ratio = first_token / max(expected, LEAST_EXPECTED_S)
-        ratio = min(max(ratio, SLOWNESS_LEAST), SLOWNESS_MOST)
+        usual = report.prefill * self._busy.seconds
+        ratio = usual / max(self._busy.tokens, usual / SLOWNESS_MOST)
+        ratio = max(ratio, SLOWNESS_LEAST)
         self.slowness += SLOWNESS_SMOOTHING * (ratio - self.slowness)
 
     def _compare_flights(self):
@@ -155,7 +190,7 @@
         self._ended = [row for row in self._ended if row[1] >= made]
         flights = self.flights.values()
         ours = sum(1 for flight in flights if flight.since < made)
-        ours += sum(1 for since, _ in self._ended if since < made)
+        ours += sum(1 for since, _, _ in self._ended if since < made)
         self._others = max(self.report.running - ours, 0)
         self._since = sum(f.compute for f in flights if f.since >= made)
 
@@ -163,7 +198,7 @@
 def measure_rate(targets, now):
     """Give the requests a second that the usable targets can take."""
     return sum(
-        target.report.slots / max(target.hold, LEAST_EXPECTED_S)
+        target.report.slots / max(target.hold, LEAST_HOLD_S)
         for target in targets
         if target.is_usable(now)
     )
--- a/landingspool/decisions/scheduler.py
+++ b/landingspool/decisions/scheduler.py
@@ -383,9 +383,6 @@
         fetch = placement.list_fetch(work, view, found)
         ready = view.cached + len(fetch) * identity.PIECE_TOKENS
         compute = max(work.prompt_tokens - ready, 0)
-        expected = routing.estimate_first_token(
-            work, view._replace(slowness=1.0)
-        )
         message = messages.Grant(
             work.request,
             grant,
@@ -406,7 +403,6 @@
             now + self.policy.grant_lease_s,
             self.queue.reserve(work.workspace, compute),
             compute,
-            expected,
             found.keys,
             message,
         )
@@ -430,7 +426,6 @@
             now + self.policy.grant_lease_s,
             charged,
             0,
-            pool.FIRST_HOLD_S,
             (),
         )
         self._set_flight(flight)
@@ -469,7 +464,7 @@
 
     def _end_well(self, target, flight, done, now):
         target.breaker = retries.note_success(target.breaker, now)
-        target.learn(flight.expected, done.first_token, done.held)
+        target.learn(done.held)
         self.directory.note_cached(flight.target, flight.keys)
 
     def _end_failed(self, target, flight, done, now):
--- a/tests/test_scheduler.py
+++ b/tests/test_scheduler.py
@@ -30,7 +30,6 @@
         cached_tokens=0,
         output_tokens=8,
         pool=work.pool,
-        first_token=0.2,
         held=0.4,
     )
     return owned.finish(done._replace(**changes), now)
@@ -142,3 +141,26 @@
     owned.report(examples.make_report('t1'), 2.2)
     sends, _ = owned.tick(2.2)
     assert len(sends) == 1
+
+
+def test_slow_target_is_noticed_before_its_requests_end():
+    owned = examples.make_scheduler(targets=('t1',))
+    target = owned.targets['t1']
+    for step in range(1, 12):
+        # It should work off 10,000 tokens a second and does a tenth.
+        report = examples.make_report(
+            't1', queued_tokens=20_000 - 250 * step, running=3
+        )
+        owned.report(report, step * 0.25)
+    assert target.slowness > 3.0
+
+
+def test_target_at_its_usual_speed_is_not_called_slow():
+    owned = examples.make_scheduler(targets=('t1',))
+    target = owned.targets['t1']
+    for step in range(1, 7):
+        report = examples.make_report(
+            't1', queued_tokens=20_000 - 2500 * step, running=3
+        )
+        owned.report(report, step * 0.25)
+    assert 0.9 < target.slowness < 1.1
