Bound what waits inside a target, and estimate waits by the scarcer resource

Cause: what waits in a target's own batch can't go to whoever is free first nor follow the weights; and the wait was estimated from places alone, while prefill is what runs out.

Change: `policy.backlog_s` holds a request here while a target has more seconds of prefill before it (0: no bound); the rate of a pool is the lower of its places' and its prefill's.

Reports lag by half a second, so a bound near that leaves the runners idle.

--- a/bench/experiments.py
+++ b/bench/experiments.py
@@ -22,6 +22,7 @@
 OVER = 2.6
 FLOOD_BASE = 0.9
 FLOOD = 30.0
+BACKLOGS = (0.0, 1.0, 0.4)
 POLICIES = (
     'round_robin',
     'least_loaded',
@@ -104,6 +105,19 @@
     return await run_all(plans, options.together)
 
 
+@experiment('backlog')
+async def measure_backlog(options):
+    """How much may wait inside a target before it waits in our queue."""
+    plans = {}
+    for condition in ('steady', 'peak', 'slow'):
+        plan = list_conditions(options.deployment)[condition]
+        for seconds in BACKLOGS:
+            name = f'{condition}/{seconds or "any"}'
+            if not options.only or options.only in name:
+                plans[name] = plan._replace(policy={'backlog_s': seconds})
+    return await run_all(plans, options.together)
+
+
 @experiment('overload')
 async def measure_overload(options):
     """Twice the capacity for a while and back, by admission policy."""
@@ -152,6 +166,9 @@
         calm = usual._replace(policy={'charge': charge})
         plans[f'{charge}/calm'] = calm
         plans[f'{charge}/flood'] = calm._replace(tenants=flooded)
+    late = {'charge': 'reserve', 'backlog_s': 1.0}
+    plans['late binding/calm'] = usual._replace(policy=late)
+    plans['late binding/flood'] = usual._replace(policy=late, tenants=flooded)
     figures = await run_all(plans, options.together)
     for name, row in figures.items():
         rest = {n: t['p95_s'] for n, t in row['tenants'].items()}
--- a/landingspool/box.py
+++ b/landingspool/box.py
@@ -151,4 +151,5 @@
         decision_age_s=policy.decision_age_s,
         seed=policy.seed,
         admission=policy.admission,
+        backlog_s=policy.backlog_s,
     )
--- a/landingspool/decisions/pool.py
+++ b/landingspool/decisions/pool.py
@@ -141,6 +141,10 @@
         """
         return self.report.queued_tokens + self._since
 
+    def measure_seconds(self):
+        """Give the seconds of prefill before the next request."""
+        return self.measure_backlog() * self.slowness / self.report.prefill
+
     def add_flight(self, flight):
         """Note a grant for this target."""
         known = flight.grant in self.flights
@@ -195,10 +199,18 @@
         self._since = sum(f.compute for f in flights if f.since >= made)
 
 
-def measure_rate(targets, now):
-    """Give the requests a second that the usable targets can take."""
-    return sum(
-        target.report.slots / max(target.hold, LEAST_HOLD_S)
-        for target in targets
-        if target.is_usable(now)
-    )
+def measure_rate(targets, compute):
+    """Give the requests a second that some targets can take.
+
+    Either their places are scarce or their prefill is, whichever of the
+    two lets fewer through.
+
+    Parameters
+    ----------
+    targets : sequence of Target
+    compute : float
+        Prompt tokens that a request has computed, in the mean.
+    """
+    slots = sum(t.report.slots / max(t.hold, LEAST_HOLD_S) for t in targets)
+    prefill = sum(t.report.prefill / t.slowness for t in targets)
+    return min(slots, prefill / max(compute, 1.0))
--- a/landingspool/decisions/scheduler.py
+++ b/landingspool/decisions/scheduler.py
@@ -25,6 +25,7 @@
 SETTLE_S = 1.0
 MOST_HOPS = 1
 FIRST_TOKEN_GRACE = 0.05
+COMPUTE_SMOOTHING = 0.05
 
 
 class Policy(typing.NamedTuple):
@@ -37,6 +38,7 @@
     decision_age_s: float = 1.0
     seed: int = 1
     admission: str = 'estimate'
+    backlog_s: float = 0.0
 
 
 class Send(typing.NamedTuple):
@@ -97,6 +99,7 @@
         self.turn = routing.Turn(self.rng.random())
         self._waiting = {}
         self._given = 0
+        self._compute = float(identity.PIECE_TOKENS)
         self._epoch = f'{box}.{self.rng.getrandbits(40):x}'
         self._by_request = {}
 
@@ -179,6 +182,8 @@
         self.queue.settle(
             flight.work.workspace, flight.charged, computed, done.output_tokens
         )
+        if done.outcome == 'ok':
+            self._compute += COMPUTE_SMOOTHING * (computed - self._compute)
         if target is not None:
             target.end_flight(done.grant, now)
             OUTCOMES[done.outcome](self, target, flight, done, now)
@@ -293,7 +298,7 @@
             settling = now - self.started < SETTLE_S
             return ('' if settling else 'no_target'), SETTLE_S
         if not self.queue.length:
-            if any(target.count_free(now) > 0 for target in usable):
+            if self._list_free(usable, now):
                 return '', 0.0
         ahead = self.queue.count_ahead(work.workspace, share) + 1
         wait = self._estimate_wait(ahead, now)
@@ -303,7 +308,8 @@
     def _estimate_wait(self, ahead, now):
         if not ahead:
             return 0.0
-        rate = pool.measure_rate(self.targets.values(), now)
+        usable = self._list_usable(now)
+        rate = pool.measure_rate(usable, self._compute)
         return ahead / rate if rate else SETTLE_S
 
     def _find_spill(self, work, wait, reason, usable, now):
@@ -319,12 +325,8 @@
 
     def _measure_backlog(self, usable, now):
         """Give the least seconds of work before a new request."""
-        seconds = [
-            target.measure_backlog() * target.slowness / target.report.prefill
-            for target in usable
-            if target.count_free(now) > 0
-        ]
-        return min(seconds, default=0.0)
+        free = self._list_free(usable, now)
+        return min((t.measure_seconds() for t in free), default=0.0)
 
     def _estimate_first(self, work, usable, now):
         """Estimate the seconds to the first token at the best target."""
@@ -341,7 +343,12 @@
     def _list_free(self, usable, now):
         """Give the free places of each target that has any."""
         free = {}
+        most = self.policy.backlog_s
         for target in usable:
+            # What waits here can still go to whoever is free first, in
+            # the order of the weights; what waits in a target can't.
+            if most and target.measure_seconds() > most:
+                continue
             count = target.count_free(now)
             if count > 0:
                 free[target] = count
