--- a/bench/micro.py
+++ b/bench/micro.py
@@ -332,7 +332,7 @@
         'tick_us': median,
         'tick_p95_us': p95,
         'live_us': live,
-        'pools': len(node.schedulers),
+        'pools': len(node.pools.schedulers),
     }
 
 
--- a/landingspool/core.py
+++ b/landingspool/core.py
@@ -9,8 +9,7 @@
 import traceback
 
 from landingspool.decisions import keeper
-from landingspool.decisions import node as node_module
-from landingspool.decisions import scheduler
+from landingspool.decisions import outputs
 from landingspool import http
 from landingspool.stores import client as stores
 from landingspool.targets import client as targets
@@ -173,7 +172,7 @@
         node = self.node
         member = node.members.get(export.target)
         store = node.members.get(export.store)
-        owned = node.schedulers.get(export.pool)
+        owned = node.pools.schedulers.get(export.pool)
         block = None
         if member and store and owned and export.target in owned.targets:
             report = owned.targets[export.target].report
@@ -209,11 +208,11 @@
         due = {}
         while True:
             now = self.timer.now()
-            members = self.node.list_polled()
+            members = self.node.pools.list_polled()
             calls = []
             for member in members:
                 if due.get(member.name, 0.0) <= now:
-                    busy = self.node.is_busy(member.name)
+                    busy = self.node.pools.is_busy(member.name)
                     wait = period if busy else IDLE_REPORT_S
                     due[member.name] = now + wait
                     calls.append(self._poll_load(member))
@@ -229,8 +228,8 @@
         due = {}
         while True:
             now = self.timer.now()
-            for member in self.node.list_polled():
-                busy = self.node.is_busy(member.name)
+            for member in self.node.pools.list_polled():
+                busy = self.node.pools.is_busy(member.name)
                 if busy:
                     due[member.name] = now
                 late = due.get(member.name, 0.0) <= now
@@ -247,7 +246,7 @@
             return
         self._event_numbers[key] = events[-1].number
         gap = events[0].number != after + 1
-        for owned in self.node.schedulers.values():
+        for owned in self.node.pools.schedulers.values():
             if member.name in owned.targets:
                 owned.take_events(member.name, events, gap)
 
@@ -271,11 +270,11 @@
 
 
 PERFORMERS = {
-    scheduler.Send: Core._send,
-    scheduler.Note: Core._note,
-    node_module.Decide: Core._decide,
-    node_module.Relay: Core._relay,
-    node_module.Command: Core._command,
+    outputs.Send: Core._send,
+    outputs.Note: Core._note,
+    outputs.Decide: Core._decide,
+    outputs.Relay: Core._relay,
+    outputs.Command: Core._command,
     keeper.Export: Core._export,
     keeper.Free: Core._free,
 }
--- a/landingspool/decisions/entry.py
+++ b/landingspool/decisions/entry.py
@@ -10,9 +10,9 @@
 import typing
 
 from landingspool.decisions import messages
+from landingspool.decisions import outputs
 from landingspool.decisions import ownership
 from landingspool.decisions import records
-from landingspool.decisions import scheduler
 from landingspool.decisions import timing
 
 ANSWER_S = 0.4
@@ -22,13 +22,6 @@
 SILENT_RETRY_AFTER_S = 2.0
 
 
-class Decide(typing.NamedTuple):
-    """An answer for the task of a request: a Grant or a Refuse."""
-
-    request: str
-    message: typing.Any
-
-
 class Case(typing.NamedTuple):
     """One request that this box owns.
 
@@ -138,7 +131,7 @@
         if case is None:
             return []
         self._cases[done.request] = case._replace(grant=None, returned=True)
-        return [scheduler.Send(case.scheduler, done)]
+        return [outputs.Send(case.scheduler, done)]
 
     def close(self, request, now):
         """End a request: its place at the limiter is free again."""
@@ -146,13 +139,13 @@
         if case is None:
             return []
         release = messages.Release(request, case.work.workspace)
-        sends = [scheduler.Send(case.limiter, release)]
+        sends = [outputs.Send(case.limiter, release)]
         if case.grant is not None:
             unused = make_unused(case.grant, case)
-            sends.append(scheduler.Send(case.scheduler, unused))
+            sends.append(outputs.Send(case.scheduler, unused))
         elif not case.returned:
             withdraw = messages.Withdraw(request, case.work.pool)
-            sends.append(scheduler.Send(case.scheduler, withdraw))
+            sends.append(outputs.Send(case.scheduler, withdraw))
         return sends
 
     def handle(self, sender, message, now):
@@ -184,20 +177,20 @@
     def _on_grant(self, sender, grant, now):
         case = self._cases.get(grant.request)
         if case is None or (case.grant and case.grant.grant != grant.grant):
-            return [scheduler.Send(sender, make_unused(grant, case))]
+            return [outputs.Send(sender, make_unused(grant, case))]
         if case.grant is not None:
             return []
         case = case._replace(grant=grant, scheduler=sender, heard=True)
         self._cases[grant.request] = case
         if not case.reserved:
             return []
-        return [Decide(grant.request, grant)]
+        return [outputs.Decide(grant.request, grant)]
 
     def _on_refuse(self, sender, refuse, now):
         case = self._cases.get(refuse.request)
         if case is None or case.grant or sender != case.scheduler:
             return []
-        return [Decide(refuse.request, refuse)]
+        return [outputs.Decide(refuse.request, refuse)]
 
     def _on_spill(self, sender, spill, now):
         case = self._cases.get(spill.request)
@@ -223,13 +216,13 @@
             refuse = messages.Refuse(
                 reserved.request, 'limit', reserved.retry_after
             )
-            return [Decide(reserved.request, refuse)]
+            return [outputs.Decide(reserved.request, refuse)]
         self._cases[reserved.request] = case._replace(
             reserved=True, limiter=sender
         )
         if case.grant is None:
             return []
-        return [Decide(reserved.request, case.grant)]
+        return [outputs.Decide(reserved.request, case.grant)]
 
     def _on_unknown(self, sender, unknown, now):
         return self._announce_to(unknown.pool, sender, now, whole=True)
@@ -247,10 +240,10 @@
             heard=False,
         )
         self._cases[request] = asked
-        sends = [scheduler.Send(box, messages.Ask(refresh_work(asked, now)))]
+        sends = [outputs.Send(box, messages.Ask(refresh_work(asked, now)))]
         if case.scheduler and case.scheduler != box:
             withdraw = messages.Withdraw(request, case.work.pool)
-            sends.append(scheduler.Send(case.scheduler, withdraw))
+            sends.append(outputs.Send(case.scheduler, withdraw))
         return sends
 
     def _lose_domain(self, request, case, now):
@@ -259,7 +252,7 @@
             refuse = messages.Refuse(
                 request, 'no_scheduler', SILENT_RETRY_AFTER_S
             )
-            return [Decide(request, refuse)]
+            return [outputs.Decide(request, refuse)]
         self._cases[request] = case._replace(domain=self.domain, asks=0)
         return self._ask(request, now)
 
@@ -273,7 +266,7 @@
             limiter=box, limit_asked=now
         )
         reserve = messages.Reserve(work.request, self.box, work.workspace)
-        return [scheduler.Send(box, reserve)]
+        return [outputs.Send(box, reserve)]
 
     def _pick(self, subject, domain, asks):
         ranked = ownership.rank(subject, self._view(domain))
@@ -304,7 +297,7 @@
             refuse = messages.Refuse(
                 request, 'no_scheduler', SILENT_RETRY_AFTER_S
             )
-            return [Decide(request, refuse)]
+            return [outputs.Decide(request, refuse)]
         domain, asks = case.domain, case.asks + 1
         if domain != self.domain and asks >= 2:
             domain, asks = self.domain, 0
@@ -345,7 +338,7 @@
             )
         renewed = tuple(case.grant.grant for case in granted)
         announce = messages.Announce(self.box, pool, held, waiting, renewed)
-        return [scheduler.Send(box, announce)]
+        return [outputs.Send(box, announce)]
 
     def _renew(self):
         boxes = {}
@@ -354,7 +347,7 @@
                 rows = boxes.setdefault(case.limiter, {})
                 rows.setdefault(case.work.workspace, []).append(request)
         return [
-            scheduler.Send(
+            outputs.Send(
                 box,
                 messages.Renew(
                     self.box,
--- a/landingspool/decisions/messages.py
+++ b/landingspool/decisions/messages.py
@@ -304,16 +304,6 @@
     answer: bytes
 
 
-@register(50)
-class Kept(typing.NamedTuple):
-    """A block was sealed; the scheduler may offer it from now on."""
-
-    pool: str
-    workspace: str
-    block: records.Block
-    tokens: int
-
-
 @register(51)
 class Freed(typing.NamedTuple):
     """Blocks that are no longer to be offered."""
--- a/landingspool/decisions/scheduler.py
+++ b/landingspool/decisions/scheduler.py
@@ -15,6 +15,7 @@
 from landingspool.decisions import fairness
 from landingspool.decisions import identity
 from landingspool.decisions import messages
+from landingspool.decisions import outputs
 from landingspool.decisions import placement
 from landingspool.decisions import pool
 from landingspool.decisions import records
@@ -41,20 +42,6 @@
     backlog_s: float = 0.0
 
 
-class Send(typing.NamedTuple):
-    """A message and the box that it goes to."""
-
-    to: str
-    message: typing.Any
-
-
-class Note(typing.NamedTuple):
-    """Something for the time line: an event name and its fields."""
-
-    event: str
-    fields: dict
-
-
 class Choice(typing.NamedTuple):
     """A request, the target chosen for it, and where its context is."""
 
@@ -118,7 +105,7 @@
             target.member = member
             if member.leaving and target.mark_leaving(member.incarnation):
                 fields = {'target': member.name, 'source': 'live_list'}
-                notes.append(Note('leaving', fields))
+                notes.append(outputs.Note('leaving', fields))
         known = {member.name for member in members}
         for name in [n for n in self.targets if n not in known]:
             del self.targets[name]
@@ -140,14 +127,16 @@
         list of Send
         """
         if work.request in self._waiting:
-            return [Send(work.entry, messages.Queued(work.request))]
+            return [outputs.Send(work.entry, messages.Queued(work.request))]
         if work.request in self._by_request:
             return self._repeat(work)
         usable = self._list_usable(now)
         reason, wait = self._judge(work, share, usable, now)
         spill = self._find_spill(work, wait, reason, usable, now)
         if spill:
-            return [Send(work.entry, messages.Spill(work.request, spill))]
+            return [
+                outputs.Send(work.entry, messages.Spill(work.request, spill))
+            ]
         if reason:
             return [self._refuse(work, reason, wait)]
         self.queue.push(work, share)
@@ -156,7 +145,9 @@
         self._waiting[work.request] = row
         sends = self.place(now, usable)
         if work.request in self._waiting:
-            sends.append(Send(work.entry, messages.Queued(work.request)))
+            sends.append(
+                outputs.Send(work.entry, messages.Queued(work.request))
+            )
         return sends
 
     def place(self, now, usable=None):
@@ -232,7 +223,7 @@
             self.directory.forget_target(report.target)
         if target.is_leaving() and not leaving:
             fields = {'target': report.target, 'source': 'report'}
-            return [Note('leaving', fields)]
+            return [outputs.Note('leaving', fields)]
         return []
 
     def take_events(self, name, events, gap):
@@ -286,7 +277,7 @@
         flight = self.flights[self._by_request[work.request]]
         if flight.message is None:
             return []
-        return [Send(work.entry, flight.message)]
+        return [outputs.Send(work.entry, flight.message)]
 
     def _knows(self, request):
         return request in self._waiting or request in self._by_request
@@ -415,7 +406,7 @@
         )
         self._set_flight(flight)
         self.directory.note_cached(view.target, found.keys)
-        return Send(work.entry, message)
+        return outputs.Send(work.entry, message)
 
     def _set_flight(self, flight):
         self.flights[flight.grant] = flight
@@ -440,7 +431,7 @@
     def _refuse(self, work, reason, wait):
         after = retries.spread_retry_after(wait, self.rng)
         refuse = messages.Refuse(work.request, reason, after)
-        return Send(work.entry, refuse)
+        return outputs.Send(work.entry, refuse)
 
     def _refuse_late(self, now):
         # A request that can't make its deadline any more is answered now
@@ -466,7 +457,7 @@
             if target is not None:
                 target.end_flight(flight.grant, now)
             fields = {'request': flight.work.request, 'target': flight.target}
-            notes.append(Note('lapsed', fields))
+            notes.append(outputs.Note('lapsed', fields))
         return notes
 
     def _end_well(self, target, flight, done, now):
--- a/landingspool/operators/server.py
+++ b/landingspool/operators/server.py
@@ -196,12 +196,12 @@
 def describe_node(node, core):
     """Give the state of a box: view, targets, pools, open requests."""
     targets = []
-    for name, owned in sorted(node.schedulers.items()):
+    for name, owned in sorted(node.pools.schedulers.items()):
         for target in owned.targets.values():
             targets.append(describe_target(name, target))
     pools = {
         name: {'waiting': owned.count_waiting(), 'granted': len(owned.flights)}
-        for name, owned in sorted(node.schedulers.items())
+        for name, owned in sorted(node.pools.schedulers.items())
     }
     return {
         'box': node.box,
--- a/tests/matrix/faults.py
+++ b/tests/matrix/faults.py
@@ -6,7 +6,6 @@
 
 from landingspool import box as box_module
 from tests.virtual import stories
-from tests.virtual import world as world_module
 
 FAULTS = {}
 FROZEN_S = 8.0
@@ -317,6 +316,3 @@
     plan.applied = applied
     plan.pending = pending
     return plan
-
-
-MESSAGE_STEPS = set(world_module.MESSAGES.values())
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -3,6 +3,7 @@
 from landingspool.decisions import configuration
 from landingspool.decisions import messages
 from landingspool.decisions import node as node_module
+from landingspool.decisions import outputs
 from landingspool.decisions import ownership
 from landingspool.decisions import records
 from landingspool.decisions import rollout
@@ -27,7 +28,7 @@
 
 def list_commands(actions):
     """List the orders among some actions."""
-    return [a for a in actions if isinstance(a, node_module.Command)]
+    return [a for a in actions if isinstance(a, outputs.Command)]
 
 
 def test_successor_waits_before_it_orders_a_target_without_fences():
@@ -70,7 +71,7 @@
     leaving = target._replace(leaving=True)
     actions = node.set_live([*boxes, leaving], 1.0)
     message = messages.Leaving('t1', 't1-1')
-    assert node_module.Send('box-2', message) in actions
+    assert outputs.Send('box-2', message) in actions
     # Told once, it is not news any more.
     assert node.handle('box-2', message, 2.0) == []
 
--- a/tests/virtual/stories.py
+++ b/tests/virtual/stories.py
@@ -5,6 +5,7 @@
 
 from bench import caller
 from landingspool import http
+from tests.virtual import steps
 from tests.virtual import world as world_module
 
 SETTLE_S = 3.0
@@ -244,7 +245,7 @@
         world.members['north-0']['leaving'] = True
         world.announce()
     world.run(world.now + 1.0)
-    step = world_module.Step('replace', 'south-1')
+    step = steps.Step('replace', 'south-1')
     if world.plan is not None:
         world.plan(world, step)
     world.kill('south-1')
@@ -270,7 +271,7 @@
         return any(c.grant and c.grant.target == 'e00' for c in cases)
 
     assert world.run_until(has_grant, world.now + 5.0)
-    step = world_module.Step('leave soon', 'north-0')
+    step = steps.Step('leave soon', 'north-0')
     if world.plan is not None:
         world.plan(world, step)
     leave(world, 'e00')
--- a/tests/virtual/world.py
+++ b/tests/virtual/world.py
@@ -11,7 +11,6 @@
 
 from landingspool import box as box_module
 from landingspool.decisions import identity
-from landingspool.decisions import messages
 from landingspool import http
 from landingspool import settings as settings_module
 from standins import engine
@@ -22,6 +21,7 @@
 from standins import weights
 from tests.virtual import loop as loop_module
 from tests.virtual import network
+from tests.virtual import steps
 
 LATENCY_S = 0.001
 LATE_REQUEST_S = 2.0
@@ -68,19 +68,6 @@
     ports: tuple
 
 
-class Step(typing.NamedTuple):
-    """A step of the matrix as it is reached.
-
-    `actor` is the process that acts, `peer` the one it acts on, `subject`
-    the exchange or the message.
-    """
-
-    name: str
-    actor: str
-    peer: str = ''
-    subject: typing.Any = None
-
-
 class World:
     """Processes, their network and the plan of faults.
 
@@ -288,11 +275,11 @@
 
     def note_request(self, exchange):
         """Carry a request to its server."""
-        step = name_request(exchange.request)
+        step = steps.name_request(exchange.request)
         if step == 'dispatch':
             step += self._name_kind(exchange.server)
         what = self._reach(
-            Step(step, exchange.client, exchange.server, exchange)
+            steps.Step(step, exchange.client, exchange.server, exchange)
         )
         delay = self.measure_delay(exchange.client, exchange.server)
         if what == 'drop':
@@ -321,7 +308,7 @@
         else:
             name = 'stream'
         name += self._name_kind(exchange.server)
-        step = Step(name, exchange.client, exchange.server, exchange)
+        step = steps.Step(name, exchange.client, exchange.server, exchange)
         if self._reach(step) == 'drop':
             exchange.reset('cut')
 
@@ -338,14 +325,14 @@
         if exchange.request.path == '/v1/completions':
             keyed = 'idempotency-key' in exchange.request.headers
             name = 'answer once' if keyed else 'answer'
-            step = Step(name, exchange.server, 'callers', exchange)
+            step = steps.Step(name, exchange.server, 'callers', exchange)
             if self._reach(step) == 'drop':
                 exchange.reset('cut')
 
     def note_message(self, sender, box, message):
         """Carry a message between boxes."""
-        step = MESSAGES.get(type(message), '')
-        what = self._reach(Step(step, sender, box, message))
+        step = steps.MESSAGES.get(type(message), '')
+        what = self._reach(steps.Step(step, sender, box, message))
         delay = self.measure_delay(sender, box)
         process = self.processes.get(box)
         if what == 'drop' or process is None or delay > 2 * LATENCY_S:
@@ -387,8 +374,10 @@
 
         def hooked(event, **fields):
             result = record(event, **fields)
-            if event in EVENTS:
-                self._reach(Step(EVENTS[event], name, subject=fields))
+            if event in steps.EVENTS:
+                self._reach(
+                    steps.Step(steps.EVENTS[event], name, subject=fields)
+                )
             return result
 
         recorder.record = hooked
@@ -459,47 +448,12 @@
         return settings
 
 
-REQUESTS = {
-    '/admin/publish': 'publish',
-    '/kv/export': 'export',
-    '/seal': 'seal',
-    '/kv/import': 'import',
-    '/free': 'free',
-    '/orders': 'order',
-}
-
-MESSAGES = {messages.Grant: 'grant', messages.Records: 'relay'}
-
-EVENTS = {
-    'published': 'fold',
-    'accepted': 'accept',
-    'joined': 'join',
-    'leaving': 'leave',
-    'draining': 'drain',
-    'planned': 'plan order',
-}
-
-
 def settle(future):
     """End a wait, unless whoever waited has given up."""
     if not future.done():
         future.set_result(None)
 
 
-def name_request(request):
-    """Give the step that a request is, or ``''``."""
-    if request.path == '/append':
-        stream = request.json()['stream']
-        return 'claim' if stream == 'claims' else 'append'
-    if request.path == '/load' and 'version' in request.query:
-        return 'load'
-    if request.path == '/v1/completions' and 'authorization' not in (
-        request.headers
-    ):
-        return 'dispatch'
-    return REQUESTS.get(request.path, '')
-
-
 def make_row(name, limit=20):
     """Give a row of the table."""
     return {
