Name each read of a block, and never offer again what failed its check

Reads of one block by two requests had one name at the runner, so what the second got could stand in for what was checked for the first. And a block that failed its check was taken off the offer, then adopted again from the store's next listing, which described the very bytes that were wrong.

With it: a backlog is taken to be worked off since its report was made; the seconds of a fetch are learnt and forgotten slowly; an import has 2 s; held places are renewed every 5 s and not 2; a fault of ours gets the caller a final answer (a NameError on the way had left callers waiting for their deadline); a cancelled run no longer prefills in the stand-in.

--- a/landingspool/callers/answers.py
+++ b/landingspool/callers/answers.py
@@ -38,6 +38,7 @@
     'key_held': Reason(409, 'the key was used by another request'),
     'key_running': Reason(409, 'the request with this key is running'),
     'broken': Reason(502, 'the target broke off'),
+    'fault': Reason(500, 'a fault of landingspool itself'),
     'box_gone': Reason(409, 'the box that holds this key can not be asked'),
 }
 
--- a/landingspool/callers/server.py
+++ b/landingspool/callers/server.py
@@ -242,7 +242,12 @@
     async def _serve(self, demand, row, outlet):
         """Run the session and send its final answer; returns a Kept."""
         served = session.Session(self, demand, row, outlet)
-        result = await served.run()
+        try:
+            result = await served.run()
+        except Exception as error:
+            # A fault of ours is no reason to leave a caller waiting.
+            self.core.recorder.record('fault', error=repr(error))
+            result = answers.Rejection('fault', served.life.verdict)
         try:
             if isinstance(result, targets.End):
                 self._count(row.workspace, 'ok', verdict.Verdict.RAN, None)
--- a/landingspool/callers/session.py
+++ b/landingspool/callers/session.py
@@ -61,6 +61,7 @@
         self.avoid = []
         self.pieces = ()
         self._address = None
+        self.fetched = 0, 0.0
 
     async def run(self):
         """Serve the request; returns an answers.Kept or a Rejection."""
@@ -127,6 +128,9 @@
         if self._find_stale(grant, came):
             return self._drop_stale(grant, came)
         use = await self._import(grant)
+        # A block that did not come in time counts as one that was slow.
+        tried = min(len(use) + 1, len(grant.fetch))
+        self.fetched = tried, self.core.timer.now() - began
         if use:
             # A transfer takes time of its own; the place was ours for all
             # of it, so the age of the decision starts again after it.
@@ -247,17 +251,18 @@
         for index, block in enumerate(grant.fetch):
             piece = self.pieces[first + index]
             wanted = identity.add_version(piece, grant.version)
-            if not await self._import_block(grant, block, wanted):
+            name = f'{grant.grant}.{index}'
+            if not await self._import_block(block, wanted, name):
                 break
-            use.append(block.write)
+            use.append(name)
         return tuple(use)
 
-    async def _import_block(self, grant, block, wanted):
+    async def _import_block(self, block, wanted, name):
         store = self.core.node.members.get(block.store)
         receipt = None
         if store is not None and block.key == wanted:
             receipt = await targets.import_block(
-                self.core.client, self._address, store, block, wanted
+                self.core.client, self._address, store, block, name
             )
         failed = 'unreadable'
         if receipt is not None:
@@ -328,6 +333,8 @@
             output_tokens=end.output_tokens if end else 0,
             pool=self._pool(),
             held=now - self.sent,
+            fetched=self.fetched[0],
+            fetch_s=self.fetched[1],
         )
         self.core.perform(self.core.node.give_back(done, now))
 
--- a/landingspool/decisions/entry.py
+++ b/landingspool/decisions/entry.py
@@ -16,6 +16,8 @@
 from landingspool.decisions import timing
 
 ANSWER_S = 0.4
+# What waits is told often, since a new scheduler must not lose it for
+# long; what is held only has to outlive its lease.
 ANNOUNCE_S = 2.0
 RENEW_S = 5.0
 MOST_ASKS = 8
@@ -158,10 +160,11 @@
         actions = []
         for request, case in list(self._cases.items()):
             actions += self._follow(request, case, now)
-        if now - self._announced >= ANNOUNCE_S:
+        renew = now - self._renewed >= RENEW_S
+        if renew or now - self._announced >= ANNOUNCE_S:
             self._announced = now
-            actions += self._announce(now)
-        if now - self._renewed >= RENEW_S:
+            actions += self._announce(now, renew)
+        if renew:
             self._renewed = now
             actions += self._renew()
         return actions
@@ -307,16 +310,18 @@
     def _has_moved(self, case):
         return case.scheduler not in self._view(case.domain)
 
-    def _announce(self, now):
+    def _announce(self, now, renew):
         boxes = {
-            (case.work.pool, case.scheduler) for case in self._cases.values()
+            (case.work.pool, case.scheduler)
+            for case in self._cases.values()
+            if renew or case.grant is None
         }
         actions = []
         for pool, box in sorted(boxes):
-            actions += self._announce_to(pool, box, now)
+            actions += self._announce_to(pool, box, now, renew=renew)
         return actions
 
-    def _announce_to(self, pool, box, now, whole=False):
+    def _announce_to(self, pool, box, now, whole=False, renew=True):
         cases = [
             case
             for case in self._cases.values()
@@ -325,7 +330,7 @@
         waiting = tuple(
             refresh_work(c, now) for c in cases if c.grant is None and c.heard
         )
-        granted = [case for case in cases if case.grant is not None]
+        granted = [case for case in cases if renew and case.grant]
         held = ()
         if whole:
             held = tuple(
--- a/landingspool/decisions/keeper.py
+++ b/landingspool/decisions/keeper.py
@@ -16,6 +16,7 @@
 
 MOST_EXPORTS = 2
 MOST_WISHES = 256
+MOST_REJECTED = 4096
 STORE_REST_S = 5.0
 DEFAULT_BLOCK_BYTES = 65536
 ORPHAN_S = 60.0
@@ -76,6 +77,7 @@
         self._exporting = {}
         self._wishes = collections.OrderedDict()
         self._states = {}
+        self._rejected = collections.OrderedDict()
         self._block_bytes = DEFAULT_BLOCK_BYTES
 
     def set_stores(self, stores):
@@ -145,12 +147,15 @@
             self.stores[store] = known._replace(until=now + STORE_REST_S)
         return []
 
-    def drop(self, keys):
-        """Forget blocks that failed a check."""
-        for key in keys:
-            self.shelf.drop(key)
-            self._states.pop(key, None)
-        return []
+    def reject(self, failed):
+        """Free blocks that failed a check; they are not adopted again."""
+        for block in failed:
+            self.shelf.drop(block.key)
+            self._states.pop(block.key, None)
+            self._rejected[block.write] = True
+        while len(self._rejected) > MOST_REJECTED:
+            self._rejected.popitem(last=False)
+        return [Free(block.store, block.write) for block in failed]
 
     def adopt(self, listing, directory, now):
         """Take in a store's listing, as a keeper that has just begun.
@@ -160,6 +165,8 @@
         """
         actions = []
         for row in listing:
+            if row.block.write in self._rejected:
+                continue
             if row.sealed and not directory.is_stored(row.block.key):
                 actions += self._adopt_block(row, directory, now)
             elif not row.sealed and row.age > ORPHAN_S:
--- a/landingspool/decisions/messages.py
+++ b/landingspool/decisions/messages.py
@@ -85,7 +85,8 @@
     """An entry box gives a place back, with what it cost.
 
     What the scheduler knows of the grant is not said again.  `held` is the
-    number of seconds from the dispatch to the end.
+    number of seconds from the dispatch to the end; `fetched` the number of
+    blocks that were imported before it, which took `fetch_s` seconds.
     """
 
     request: str
@@ -96,6 +97,8 @@
     output_tokens: int
     pool: str
     held: float
+    fetched: int = 0
+    fetch_s: float = 0.0
 
 
 @register(6, vital=True)
--- a/landingspool/decisions/node.py
+++ b/landingspool/decisions/node.py
@@ -344,5 +344,4 @@
 
     @handles(messages.Freed)
     def _on_freed(self, sender, message, now):
-        self.pools.drop_blocks(message.pool, message.keys)
-        return []
+        return self.pools.drop_blocks(message.pool, message.keys)
--- a/landingspool/decisions/pool.py
+++ b/landingspool/decisions/pool.py
@@ -134,16 +134,20 @@
             free = min(free, allowed - len(self.flights))
         return free
 
-    def measure_backlog(self):
+    def measure_backlog(self, now):
         """Give the prompt tokens before the next request.
 
-        What was granted after the report was made is not in it yet.
+        What was granted after the report was made is not in it yet, and
+        what the target has worked off since then is still in it.
         """
-        return self.report.queued_tokens + self._since
+        rate = self.report.prefill / self.slowness
+        worked = max(now - self.made, 0.0) * rate
+        return max(self.report.queued_tokens + self._since - worked, 0.0)
 
-    def measure_seconds(self):
+    def measure_seconds(self, now):
         """Give the seconds of prefill before the next request."""
-        return self.measure_backlog() * self.slowness / self.report.prefill
+        rate = self.report.prefill / self.slowness
+        return self.measure_backlog(now) / rate
 
     def add_flight(self, flight):
         """Note a grant for this target."""
--- a/landingspool/decisions/pools.py
+++ b/landingspool/decisions/pools.py
@@ -167,11 +167,18 @@
         return [*actions, *kept.work(owned.directory, shares, now)]
 
     def drop_blocks(self, pool, keys):
-        """Take blocks off the offer that failed their check."""
+        """Take blocks off the offer that failed their check, for good.
+
+        Their writes are freed and never offered again: what the store says
+        of them now may be made up from the very bytes that are wrong.
+        """
         owned = self.schedulers.get(pool)
-        if owned is not None:
-            owned.directory.note_freed(keys)
-            self.keepers[pool].drop(keys)
+        if owned is None:
+            return []
+        found = [owned.directory.get_stored(key) for key in keys]
+        owned.directory.note_freed(keys)
+        failed = [stored.block for stored in found if stored is not None]
+        return self.keepers[pool].reject(failed)
 
     def note_summary(self, summary, now):
         """Take in another domain's summary."""
--- a/landingspool/decisions/scheduler.py
+++ b/landingspool/decisions/scheduler.py
@@ -27,6 +27,8 @@
 MOST_HOPS = 1
 FIRST_TOKEN_GRACE = 0.05
 COMPUTE_SMOOTHING = 0.05
+FETCH_SMOOTHING = 0.3
+FETCH_FORGETTING = 0.003
 
 
 class Policy(typing.NamedTuple):
@@ -87,6 +89,7 @@
         self._waiting = {}
         self._given = 0
         self._compute = float(identity.PIECE_TOKENS)
+        self._fetch_s = placement.FETCH_S_PER_BLOCK
         self._epoch = f'{box}.{self.rng.getrandbits(40):x}'
         self._by_request = {}
 
@@ -173,6 +176,9 @@
         self.queue.settle(
             flight.work.workspace, flight.charged, computed, done.output_tokens
         )
+        if done.fetched:
+            seconds = done.fetch_s / done.fetched
+            self._fetch_s += FETCH_SMOOTHING * (seconds - self._fetch_s)
         if done.outcome == 'ok':
             self._compute += COMPUTE_SMOOTHING * (computed - self._compute)
         if target is not None:
@@ -243,6 +249,10 @@
         -------
         tuple of (list of Send, list of Note)
         """
+        # A slow link is tried again bit by bit: nobody would fetch over it,
+        # and so nobody would learn that it has become fast.
+        healed = placement.FETCH_S_PER_BLOCK - self._fetch_s
+        self._fetch_s += FETCH_FORGETTING * healed
         notes = self._lapse(now)
         sends = self._refuse_late(now)
         sends += self.place(now)
@@ -317,12 +327,12 @@
     def _measure_backlog(self, usable, now):
         """Give the least seconds of work before a new request."""
         free = self._list_free(usable, now)
-        return min((t.measure_seconds() for t in free), default=0.0)
+        return min((t.measure_seconds(now) for t in free), default=0.0)
 
     def _estimate_first(self, work, usable, now):
         """Estimate the seconds to the first token at the best target."""
         free = self._list_free(usable, now) or {t: 1 for t in usable}
-        views = self._view_all(work, free)[0]
+        views = self._view_all(work, free, now)[0]
         return min(
             (routing.estimate_first_token(work, view) for view in views),
             default=SETTLE_S,
@@ -338,7 +348,7 @@
         for target in usable:
             # What waits here can still go to whoever is free first, in
             # the order of the weights; what waits in a target can't.
-            if most and target.measure_seconds() > most:
+            if most and target.measure_seconds(now) > most:
                 continue
             count = target.count_free(now)
             if count > 0:
@@ -352,14 +362,14 @@
             return None
         work = self.queue.pop()
         del self._waiting[work.request]
-        views, surveys = self._view_all(work, free)
+        views, surveys = self._view_all(work, free, now)
         view = routing.choose(self.policy.routing, work, views, self.turn)
         version = self.targets[view.target].report.version
         return Choice(work, view, surveys[version])
 
-    def _view_all(self, work, free):
+    def _view_all(self, work, free, now):
         """Give the views of some targets, and the surveys by version."""
-        price_s = placement.FETCH_S_PER_BLOCK + self.policy.link_price_s
+        price_s = self._fetch_s + self.policy.link_price_s
         surveys = {}
         views = []
         for target, count in free.items():
@@ -368,7 +378,7 @@
                 found = placement.survey(self.directory, work, version)
                 surveys[version] = found
             view = placement.make_view(
-                target, self.directory, surveys[version], count, price_s
+                target, self.directory, surveys[version], count, price_s, now
             )
             views.append(view)
         return views, surveys
--- a/landingspool/targets/client.py
+++ b/landingspool/targets/client.py
@@ -18,6 +18,8 @@
 LOAD_TIMEOUT_S = 1.0
 ORDER_TIMEOUT_S = 1.0
 MOVE_TIMEOUT_S = 20.0
+# A read that takes longer would have been computed meanwhile.
+IMPORT_TIMEOUT_S = 2.0
 STALL_S = 4.0
 
 
@@ -292,17 +294,34 @@
         pass
 
 
-async def import_block(client, address, store, block, piece):
-    """Let a target read a block.  Returns a Receipt, or None."""
+async def import_block(client, address, store, block, name):
+    """Let a target read a block.
+
+    Parameters
+    ----------
+    client : http.Client
+    address : http.Address
+    store : records.Member
+    block : records.Block
+    name : str
+        Names this very read, for its use by a request: two reads of one
+        block must not be taken for each other, since what the second got
+        may be another thing than what was checked for the first.
+
+    Returns
+    -------
+    blocks.Receipt or None
+    """
     value = {
+        'import': name,
         'host': store.host,
         'port': store.port,
         'write': block.write,
-        'piece': piece,
+        'piece': block.key,
     }
     try:
         reply = await client.fetch(
-            address, 'POST', '/kv/import', value, timeout=MOVE_TIMEOUT_S
+            address, 'POST', '/kv/import', value, timeout=IMPORT_TIMEOUT_S
         )
         if reply.status != 200:
             return None
--- a/standins/engine.py
+++ b/standins/engine.py
@@ -146,11 +146,12 @@
         priority = value.get('priority', 0)
         await self.slots.enter(priority)
         await self.prefills.enter(priority)
-        rate = self.options.prefill / self.slowness
-        await asyncio.sleep(compute / rate)
+        if not run.cancelled:
+            rate = self.options.prefill / self.slowness
+            await asyncio.sleep(compute / rate)
+            self.fill_cache(value, version)
         self.prefills.leave()
         self.queued -= compute
-        self.fill_cache(value, version)
         digest = hashlib.blake2b(value['prompt'].encode(), digest_size=4)
         for index in range(value['max_tokens']):
             if run.cancelled:
@@ -318,7 +319,7 @@
             return
         got = reply.json()
         data = base64.b64decode(got['data'])
-        self.imports[value['write']] = {
+        self.imports[value['import']] = {
             'data': data,
             'sealed': got['sealed'],
             'piece': value['piece'],
--- a/tests/test_scheduler.py
+++ b/tests/test_scheduler.py
@@ -164,3 +164,22 @@
         )
         owned.report(report, step * 0.25)
     assert 0.9 < target.slowness < 1.1
+
+
+def test_slow_link_is_learnt_and_context_is_computed_instead():
+    owned = examples.make_scheduler(targets=('t1',))
+    work = examples.make_work('r1.1')
+    for piece in work.pieces:
+        key = identity.add_version(piece, 'v1')
+        block = records.Block(key, 's', 'w', 10, 'x')
+        owned.directory.note_stored('a', block, identity.PIECE_TOKENS)
+    fetches = []
+    for number in range(8):
+        again = work._replace(request=f'r{number}')
+        owned.directory.forget_target('t1')
+        grant = get_grant(owned.ask(again, examples.SHARE, 0.0))
+        fetches.append(len(grant.fetch))
+        taken = dict(fetched=2, fetch_s=3.0)
+        finish(owned, again, grant, 0.1, **taken)
+    assert fetches[0] == 2
+    assert fetches[-1] == 0
