Revert: taking off what a target has worked since its report

Change: the backlog of a target is again its report plus what was granted since. Taking off what it had worked since, at its usual speed, made the own domain look emptier than it was, so less was sent on.

Conclusion: a failed try, reverted.

--- a/landingspool/decisions/placement.py
+++ b/landingspool/decisions/placement.py
@@ -43,7 +43,7 @@
     return tuple(identity.add_version(piece, version) for piece in pieces)
 
 
-def make_view(target, directory, found, free, price_s, now):
+def make_view(target, directory, found, free, price_s):
     """Give the view of a target for the routing policies.
 
     Parameters
@@ -55,7 +55,6 @@
         Places left.
     price_s : float
         Seconds that the fetch of a block is taken for.
-    now : float
     """
     name = target.member.name
     cached = directory.count_cached(name, found.keys)
@@ -68,7 +67,7 @@
         free,
         report.running,
         len(target.flights),
-        target.measure_backlog(now),
+        target.measure_backlog(),
         report.prefill,
         cached * identity.PIECE_TOKENS,
         fetchable * identity.PIECE_TOKENS,
--- a/landingspool/decisions/pool.py
+++ b/landingspool/decisions/pool.py
@@ -134,20 +134,19 @@
             free = min(free, allowed - len(self.flights))
         return free
 
-    def measure_backlog(self, now):
+    def measure_backlog(self):
         """Give the prompt tokens before the next request.
 
-        What was granted after the report was made is not in it yet, and
-        what the target has worked off since then is still in it.
+        What was granted after the report was made is not in it yet.  What
+        the target has worked off since is left in: taking it out at the
+        target's usual speed was tried, and sent too little work on.
         """
-        rate = self.report.prefill / self.slowness
-        worked = max(now - self.made, 0.0) * rate
-        return max(self.report.queued_tokens + self._since - worked, 0.0)
+        return self.report.queued_tokens + self._since
 
-    def measure_seconds(self, now):
+    def measure_seconds(self):
         """Give the seconds of prefill before the next request."""
         rate = self.report.prefill / self.slowness
-        return self.measure_backlog(now) / rate
+        return self.measure_backlog() / rate
 
     def add_flight(self, flight):
         """Note a grant for this target."""
--- a/landingspool/decisions/scheduler.py
+++ b/landingspool/decisions/scheduler.py
@@ -327,12 +327,12 @@
     def _measure_backlog(self, usable, now):
         """Give the least seconds of work before a new request."""
         free = self._list_free(usable, now)
-        return min((t.measure_seconds(now) for t in free), default=0.0)
+        return min((t.measure_seconds() for t in free), default=0.0)
 
     def _estimate_first(self, work, usable, now):
         """Estimate the seconds to the first token at the best target."""
         free = self._list_free(usable, now) or {t: 1 for t in usable}
-        views = self._view_all(work, free, now)[0]
+        views = self._view_all(work, free)[0]
         return min(
             (routing.estimate_first_token(work, view) for view in views),
             default=SETTLE_S,
@@ -348,7 +348,7 @@
         for target in usable:
             # What waits here can still go to whoever is free first, in
             # the order of the weights; what waits in a target can't.
-            if most and target.measure_seconds(now) > most:
+            if most and target.measure_seconds() > most:
                 continue
             count = target.count_free(now)
             if count > 0:
@@ -362,12 +362,12 @@
             return None
         work = self.queue.pop()
         del self._waiting[work.request]
-        views, surveys = self._view_all(work, free, now)
+        views, surveys = self._view_all(work, free)
         view = routing.choose(self.policy.routing, work, views, self.turn)
         version = self.targets[view.target].report.version
         return Choice(work, view, surveys[version])
 
-    def _view_all(self, work, free, now):
+    def _view_all(self, work, free):
         """Give the views of some targets, and the surveys by version."""
         price_s = self._fetch_s + self.policy.link_price_s
         surveys = {}
@@ -378,7 +378,7 @@
                 found = placement.survey(self.directory, work, version)
                 surveys[version] = found
             view = placement.make_view(
-                target, self.directory, surveys[version], count, price_s, now
+                target, self.directory, surveys[version], count, price_s
             )
             views.append(view)
         return views, surveys
