--- a/bench/micro.py
+++ b/bench/micro.py
@@ -18,6 +18,7 @@
 
 from landingspool.decisions import claims
 from landingspool.decisions import configuration
+from landingspool.decisions import fairness
 from landingspool.decisions import identity
 from landingspool.decisions import limiter
 from landingspool.decisions import membership
@@ -143,7 +144,7 @@
         for key in keys:
             block = records.Block(key, 's', 'w', 1, '')
             owned.directory.note_stored('w', block, 2000)
-    share = scheduler.make_share(1.0, 1)
+    share = fairness.make_share(1.0, 1)
     for index in range(workspaces):
         row = make_row(index)
         owned.queue.push(make_work(-1, row.workspace, 0), share)
@@ -188,7 +189,7 @@
     owned.set_members([member])
     full = make_report(member)._replace(slots=1)
     owned.report(full._replace(running=0), 10.0)
-    share = scheduler.make_share(1.0, 1)
+    share = fairness.make_share(1.0, 1)
     held = []
     for index in range(workspaces):
         work = make_work(index, make_row(index).workspace, index)
--- a/landingspool/decisions/fairness.py
+++ b/landingspool/decisions/fairness.py
@@ -12,6 +12,7 @@
 """
 
 import collections
+import functools
 import heapq
 import itertools
 import typing
@@ -66,6 +67,12 @@
     priority: int
 
 
+@functools.lru_cache(maxsize=4096)
+def make_share(weight, priority):
+    """Give the Share of a row; kept, since rows seldom change."""
+    return Share(weight, priority)
+
+
 class FairQueue:
     """The waiting requests of one pool.
 
--- a/landingspool/decisions/node.py
+++ b/landingspool/decisions/node.py
@@ -9,6 +9,7 @@
 
 from landingspool.decisions import configuration
 from landingspool.decisions import entry
+from landingspool.decisions import fairness
 from landingspool.decisions import limiter
 from landingspool.decisions import membership
 from landingspool.decisions import messages
@@ -169,8 +170,8 @@
         """Give the fair share of a workspace; the least if it has none."""
         row = self.table.rows.get(workspace)
         if row is None:
-            return scheduler.make_share(1.0, 0)
-        return scheduler.make_share(row.weight, row.priority)
+            return fairness.make_share(1.0, 0)
+        return fairness.make_share(row.weight, row.priority)
 
     def limit_of(self, workspace):
         """Give the request limit of a workspace; 0 if it has none."""
--- a/landingspool/decisions/pool.py
+++ b/landingspool/decisions/pool.py
@@ -83,6 +83,12 @@
         """The incarnation that the newest source names."""
         return self.report.incarnation if self.report else ''
 
+    def describe_cache(self):
+        """Give what its cache belongs to: incarnation and version."""
+        if self.report is None:
+            return None
+        return self.report.incarnation, self.report.version
+
     def mark_leaving(self, incarnation):
         """Keep new work from an incarnation, for good.
 
--- a/landingspool/decisions/scheduler.py
+++ b/landingspool/decisions/scheduler.py
@@ -6,7 +6,6 @@
 the rest from the targets.
 """
 
-import functools
 import random
 import typing
 
@@ -223,9 +222,9 @@
         if target is None:
             return []
         leaving = target.is_leaving()
-        before = describe_cache(target)
+        before = target.describe_cache()
         target.take_report(report, now)
-        if describe_cache(target) != before:
+        if target.describe_cache() != before:
             self.directory.forget_target(report.target)
         if target.is_leaving() and not leaving:
             fields = {'target': report.target, 'source': 'report'}
@@ -487,22 +486,9 @@
         target.mark_leaving(target.incarnation)
 
 
-def describe_cache(target):
-    """Give what a target's cache belongs to: incarnation and version."""
-    if target.report is None:
-        return None
-    return target.report.incarnation, target.report.version
-
-
 OUTCOMES = {
     'ok': Scheduler._end_well,
     'failed': Scheduler._end_failed,
     'unused': Scheduler._end_unused,
     'leaving': Scheduler._end_leaving,
 }
-
-
-@functools.lru_cache(maxsize=4096)
-def make_share(weight, priority):
-    """Give the Share of a row; kept, since rows seldom change."""
-    return fairness.Share(weight, priority)
--- a/tests/examples.py
+++ b/tests/examples.py
@@ -1,10 +1,11 @@
 """Small records that several tests begin with."""
 
+from landingspool.decisions import fairness
 from landingspool.decisions import identity
 from landingspool.decisions import records
 from landingspool.decisions import scheduler
 
-SHARE = scheduler.make_share(1.0, 1)
+SHARE = fairness.make_share(1.0, 1)
 
 
 def make_member(name, **changes):
