--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -238,10 +238,6 @@
         line = next(r for r in text.splitlines() if r.startswith('VmRSS'))
         return int(line.split()[1]) / 1024
 
-    def read_log(self, name):
-        """Give what a process wrote to its log."""
-        return self.processes[name].log.read_text()
-
     async def _start_back_ends(self):
         weights = self.processes['weights'].address
         jobs = []
--- a/bench/micro.py
+++ b/bench/micro.py
@@ -372,12 +372,6 @@
     return {name: round(size) for name, size in sizes.items()}
 
 
-def fit_slope(points):
-    """Give intercept and slope of a line through (x, y) points."""
-    slope, intercept = statistics.linear_regression(*zip(*points))
-    return round(intercept, 3), round(slope, 5)
-
-
 def main():
     """Measure all, print all, write all."""
     figures = {
--- a/landingspool/decisions/blocks.py
+++ b/landingspool/decisions/blocks.py
@@ -94,8 +94,3 @@
     <State.SEALED: 'sealed'>
     """
     return TABLE.get((state, signal))
-
-
-def may_offer(state):
-    """Tell whether readers may be sent to a write in this state."""
-    return state is State.OFFERED
--- a/landingspool/decisions/fairness.py
+++ b/landingspool/decisions/fairness.py
@@ -132,11 +132,6 @@
         """Give a waiting request, or None."""
         return self._waiting.get(workspace, {}).get(request)
 
-    def list_waiting(self):
-        """List all waiting requests, each workspace's in its order."""
-        rows = self._waiting.values()
-        return [work for row in rows for work in row.values()]
-
     def reserve(self, workspace, prompt_tokens):
         """Charge for a request that starts; returns what was charged."""
         expected = self.expect_output(workspace)
--- a/landingspool/decisions/request.py
+++ b/landingspool/decisions/request.py
@@ -166,11 +166,3 @@
     if life.verdict is NOT_RUN:
         return True
     return life.repeatable and life.tokens == 0
-
-
-def may_resume(life):
-    """Tell whether a broken stream may be taken up at the same target.
-
-    Resuming runs nothing again, so it is open to all work.
-    """
-    return life.state is State.BROKEN
--- a/landingspool/decisions/scheduler.py
+++ b/landingspool/decisions/scheduler.py
@@ -272,10 +272,6 @@
         """Take in another domain's summary of its pool."""
         self.rooms[domain] = spill.Heard(room, now)
 
-    def holds(self, grant):
-        """Tell whether a grant is known here."""
-        return grant in self.flights
-
     def count_waiting(self):
         """Give the number of requests in the queue."""
         return self.queue.length
--- a/landingspool/platform/follower.py
+++ b/landingspool/platform/follower.py
@@ -34,7 +34,6 @@
         self._core = core
         self.table = configuration.Table()
         self.results = {}
-        self.heard = float('-inf')
         self.up = False
         self._changed = asyncio.Event()
         self._asked = 0
@@ -60,7 +59,6 @@
             self._note_state(False, page.reason)
             return page
         self._note_state(True, '')
-        self.heard = self._core.timer.now()
         if page.first > self.table.offset + 1:
             await self._restore(page)
         else:
