--- a/landingspool/box.py
+++ b/landingspool/box.py
@@ -13,13 +13,13 @@
 from landingspool.decisions import node as node_module
 from landingspool.decisions import scheduler
 from landingspool import events
+from landingspool.ledger import claimer
+from landingspool.ledger import follower
+from landingspool.ledger import live
+from landingspool.ledger import log as log_module
+from landingspool.ledger import outcomes
 from landingspool import metrics as metrics_module
 from landingspool.operators import server as operators
-from landingspool.platform import claimer
-from landingspool.platform import follower
-from landingspool.platform import live
-from landingspool.platform import log as log_module
-from landingspool.platform import outcomes
 from landingspool import settings as settings_module
 from landingspool import timer as timer_module
 
--- a/landingspool/callers/server.py
+++ b/landingspool/callers/server.py
@@ -17,7 +17,7 @@
 from landingspool.decisions import messages
 from landingspool.decisions import retries
 from landingspool import http
-from landingspool.platform import claimer
+from landingspool.ledger import claimer
 from landingspool.targets import client as targets
 from landingspool import verdict
 
--- /dev/null
+++ b/landingspool/decisions/gateway/__init__.py
@@ -0,0 +1,1 @@
+"""What decides about relayed requests: pure, records and the time in."""
--- /dev/null
+++ b/landingspool/decisions/gateway/choice.py
@@ -0,0 +1,189 @@
+"""Chooses the target of a request.
+
+Each box decides alone, on what it has heard and on what it sent itself.
+For engines the choice is the earliest expected first token: what the
+target still has to read of the prompt, behind what already waits there.
+Where nobody keeps a prompt all boxes agree on a first home for it by
+rendezvous hashing, so its followers find it without a word between boxes.
+"""
+
+import typing
+
+from landingspool.decisions.gateway import health as health_module
+from landingspool.decisions.gateway import prompts
+from landingspool.decisions import ownership
+
+# Seconds by which a target is put behind for each place that it is further
+# down in the hash order of a prompt's shared parts: enough to order equal
+# targets, too little to pile up a queue (a third of a short prompt's read).
+HOME_STEP_S = 0.012
+# Seconds a request counts that waits for its first byte at a plain target,
+# before any was measured.
+PLAIN_WORK_S = 0.045
+# What waits at an engine from this box alone stands for more from others.
+OTHERS_SHARE = 2.0
+# Seconds one running request adds to the first token of the next: a step
+# takes 3.2 ms, and each running request lengthens it by 0.05 ms.
+RUNNING_S = 0.0006
+# A failing target is put behind by so much at a failure share of one.
+FAILING_S = 1.5
+# A request sent to a target for other reasons than its rank, to learn
+# whether it has recovered: one in so many.
+TRIAL_SHARE = 0.03
+# Seconds that another failure domain costs: two ways of 0.9 ms and the
+# bytes between domains, which are dear; small against reading a prompt.
+FAR_S = 0.003
+
+
+class Load(typing.NamedTuple):
+    """What this box has at one target.
+
+    Attributes
+    ----------
+    waiting : int
+        Requests without a first byte.
+    running : int
+        Requests whose answer has begun.
+    waiting_tokens : int
+        Prompt tokens to be read for those waiting.
+    oldest : float or None
+        When the one that waits longest was sent.
+    heard : float
+        When the target last sent any byte on any request.
+    """
+
+    waiting: int = 0
+    running: int = 0
+    waiting_tokens: int = 0
+    oldest: float | None = None
+    heard: float = 0.0
+
+
+class Candidate(typing.NamedTuple):
+    """One target as the choice sees it.
+
+    `kept` are the tokens of the prompt that it need not read, `fetched_s`
+    the seconds that the rest of what is kept elsewhere takes to come.
+    """
+
+    entry: typing.Any
+    load: Load
+    health: health_module.Health
+    kept: int = 0
+    saved: int = 0
+    fetched_s: float = 0.0
+
+
+class Chosen(typing.NamedTuple):
+    """The target chosen, with what decided it, for the log."""
+
+    entry: typing.Any
+    expected_s: float
+    kept: int
+    candidates: int
+
+
+def choose(candidates, prompt, domain, now, rng, patience_s):
+    """Choose a target, or None where none may be used.
+
+    Parameters
+    ----------
+    candidates : sequence of Candidate
+    prompt : prompts.Prompt or None
+        None for plain services.
+    domain : str
+        Failure domain of this box.
+    rng : random.Random
+    patience_s : float
+        A target is silent that had a request for longer without a byte.
+
+    Returns
+    -------
+    Chosen or None
+    """
+    usable = list_usable(candidates, now, patience_s)
+    if not usable:
+        return None
+    peers = [c.health for c in usable]
+    homes = rank_homes(prompt, usable)
+    scored = []
+    for candidate in usable:
+        seconds = expect_first(candidate, prompt, domain, peers)
+        seconds += homes.get(candidate.entry.name, 0) * HOME_STEP_S
+        scored.append((seconds, rng.random(), candidate))
+    if rng.random() < TRIAL_SHARE:
+        best = pick_trial(scored) or min(scored)
+    else:
+        best = min(scored)
+    seconds, _, candidate = best
+    return Chosen(candidate.entry, seconds, candidate.kept, len(usable))
+
+
+def list_usable(candidates, now, patience_s):
+    """List those that are not avoided; all but the silent if none is left.
+
+    A service with no sound target at all is still tried: the worst that
+    can happen is what refusing would do for certain.
+    """
+    sound = [
+        c
+        for c in candidates
+        if not health_module.is_avoided(c.health, now)
+        and not is_silent(c.load, now, patience_s)
+        and not (health_module.is_on_trial(c.health, now) and c.load.waiting)
+    ]
+    if sound:
+        return sound
+    return [c for c in candidates if not is_silent(c.load, now, patience_s)]
+
+
+def is_silent(load, now, patience_s):
+    """Tell whether a target has sent nothing while a request waited long.
+
+    >>> is_silent(Load(waiting=1, oldest=1.0, heard=0.5), 3.0, 1.0)
+    True
+    >>> is_silent(Load(waiting=1, oldest=1.0, heard=2.9), 3.0, 1.0)
+    False
+    """
+    if load.oldest is None:
+        return False
+    return now - max(load.oldest, load.heard) > patience_s
+
+
+def expect_first(candidate, prompt, domain, peers):
+    """Give the expected seconds to the first byte, as a rank."""
+    load, health = candidate.load, candidate.health
+    slow = health_module.weigh_slowness(health, peers)
+    if prompt is None:
+        slots = max(candidate.entry.slots, 1)
+        busy = (load.waiting + load.running) / slots
+        seconds = PLAIN_WORK_S * (1.0 + busy)
+    else:
+        kept = max(candidate.kept, candidate.saved)
+        read = prompts.count_read(prompt, kept)
+        waiting = load.waiting_tokens * OTHERS_SHARE
+        seconds = (read + waiting) / prompts.READ_TOKENS_S
+        seconds += load.running * RUNNING_S + candidate.fetched_s
+    seconds = seconds * slow + health.failing * FAILING_S
+    seconds += candidate.entry.cold_s * 0.1
+    return seconds + (0 if candidate.entry.domain == domain else FAR_S)
+
+
+def rank_homes(prompt, candidates):
+    """Give the place of each target in the hash order of the prompt."""
+    if prompt is None or len(prompt.parts) < 2:
+        return {}
+    subject = prompt.parts[-2].name
+    names = tuple(sorted(c.entry.name for c in candidates))
+    ranked = ownership.rank(subject, names)
+    return {name: place for place, name in enumerate(ranked)}
+
+
+def pick_trial(scored):
+    """Pick a target that has been failing or slow, to learn of recovery."""
+    doubtful = [
+        row
+        for row in scored
+        if row[2].health.failing > 0.2 or row[2].health.avoid_s > 0
+    ]
+    return min(doubtful) if doubtful else None
--- /dev/null
+++ b/landingspool/decisions/gateway/freshness.py
@@ -0,0 +1,46 @@
+"""How old the newest proof is that no later configuration was published.
+
+A read of the platform's store proves, for the moment at which it was sent,
+that all published before is known here.  A peer's proof counts with its
+age.  Requests with a key are only sent on while the proof is young enough:
+a key that was taken away is then refused everywhere within the bound.
+"""
+
+# Time between the check and the first byte that reaches a target, seconds:
+# the loop's turn and one trip between failure domains, many times over.
+MARGIN_S = 0.25
+
+
+class Proof:
+    """The moment up to which the configuration is known.
+
+    Parameters
+    ----------
+    bound_s : float
+        Greatest age with which keyed requests are served.
+    """
+
+    def __init__(self, bound_s):
+        self._bound_s = bound_s
+        self._at = None
+
+    def note(self, sent):
+        """Note that a read that was sent at `sent` has been answered."""
+        if self._at is None or sent > self._at:
+            self._at = sent
+
+    def age(self, now):
+        """Give the seconds since the proof; infinite where none is known."""
+        return float('inf') if self._at is None else now - self._at
+
+    def is_fresh(self, now):
+        """Tell whether keyed requests may be sent on.
+
+        >>> proof = Proof(5.0)
+        >>> proof.is_fresh(1.0)
+        False
+        >>> proof.note(1.0)
+        >>> proof.is_fresh(5.5), proof.is_fresh(5.9)
+        (True, False)
+        """
+        return self.age(now) < self._bound_s - MARGIN_S
--- /dev/null
+++ b/landingspool/decisions/gateway/routes.py
@@ -0,0 +1,227 @@
+"""Routes, services and keys: what operators publish for relayed requests.
+
+A `Table` is one published version, whole and immutable.  A box holds the
+newest that it has seen and never goes back to an older one.
+"""
+
+import typing
+
+SAFE = 'safe'
+UNSAFE = 'unsafe'
+STREAM = 'stream'
+
+
+class Share(typing.NamedTuple):
+    """The part of a route's requests that one service gets."""
+
+    service: str
+    weight: float
+
+
+class Route(typing.NamedTuple):
+    """Where requests for a host and path prefix go, and how.
+
+    Attributes
+    ----------
+    kind : str
+        SAFE may run twice, UNSAFE may not, STREAM answers with events.
+    timeout_s : float
+        Longest time for which a request is held.
+    target_latency_s : float
+        Time to the answer (streams: the first event) that is aimed at.
+    priority : int
+        0 is the most urgent.
+    max_attempts : int
+        Targets to which one request may be sent.
+    sticky : bool
+        Whether requests name shared parts of their prompt.
+    """
+
+    name: str
+    host: str
+    prefix: str
+    kind: str
+    timeout_s: float
+    target_latency_s: float
+    priority: int
+    shares: tuple
+    max_attempts: int = 1
+    anonymous: bool = False
+    sticky: bool = False
+    resumable: bool = False
+
+
+class Engine(typing.NamedTuple):
+    """What the targets of a service of model engines can do.
+
+    Attributes
+    ----------
+    slots : int
+        Requests that one target works on at once.
+    capacity_tokens : int
+        Memory of one target, in tokens.
+    token_bytes : int
+        Bytes of kept context for one token.
+    link_mbps : float
+    event_calls : int
+        Calls for cache events that one target holds at once.
+    managed : bool
+        Whether `Kept` services of the kind that we free exist beside it.
+    """
+
+    slots: int
+    capacity_tokens: int
+    token_bytes: int
+    link_mbps: float
+    event_calls: int
+    managed: bool
+
+
+class Keeper(typing.NamedTuple):
+    """A store of kept context.
+
+    `first_s` is the wait before each transfer.
+    """
+
+    address: str
+    domain: str
+    capacity_tokens: int
+    link_mbps: float
+    event_calls: int
+    managed: bool
+    first_s: float
+
+
+class Service(typing.NamedTuple):
+    """Targets that are alike; `engine` or `keeper` is set for those kinds."""
+
+    name: str
+    health_path: str = ''
+    max_connections: int = 64
+    engine: Engine | None = None
+    keeper: Keeper | None = None
+
+
+class Tenancy(typing.NamedTuple):
+    """A workspace as the routes know it; `priority` None: the route's."""
+
+    name: str
+    priority: int | None = None
+    isolated: bool = False
+
+
+class Limits(typing.NamedTuple):
+    """What a caller may send, in bytes and seconds."""
+
+    header_bytes: int = 16 * 1024
+    body_bytes: int = 4 * 1024 * 1024
+    header_s: float = 5.0
+    idle_s: float = 15.0
+
+
+class Table(typing.NamedTuple):
+    """One published version.
+
+    Attributes
+    ----------
+    hosts : dict of str to tuple of Route
+        The routes of a host, those with the longest prefix first.
+    services : dict of str to Service
+    keys : dict of str to Tenancy
+        By API key; empty where no key is asked for.
+    """
+
+    version: int
+    hosts: dict
+    services: dict
+    keys: dict
+    limits: Limits = Limits()
+    keyed: bool = False
+
+
+def make_table(version, routes, services, keys, limits, keyed):
+    """Give the Table of one published version.
+
+    Parameters
+    ----------
+    routes : iterable of Route
+    services : iterable of Service
+    keys : dict of str to Tenancy
+    limits : Limits
+    keyed : bool
+        Whether requests need a key.
+    """
+    hosts = {}
+    for route in sorted(routes, key=lambda r: -len(r.prefix)):
+        hosts[route.host] = (*hosts.get(route.host, ()), route)
+    named = {service.name: service for service in services}
+    return Table(version, hosts, named, keys, limits, keyed)
+
+
+def find_route(table, host, path):
+    """Give the Route with the longest matching prefix, or None.
+
+    >>> route = Route('r', 'h', '/a/', SAFE, 1, 1, 0, (Share('s', 1),))
+    >>> table = make_table(1, [route], [], {}, Limits(), False)
+    >>> find_route(table, 'H:80', '/a/b?c').name
+    'r'
+    >>> find_route(table, 'h', '/ab') is None
+    True
+    """
+    name = host.rsplit(':', 1)[0].lower()
+    bare = path.split('?', 1)[0]
+    for route in table.hosts.get(name, ()):
+        if bare.startswith(route.prefix):
+            return route
+    return None
+
+
+def find_tenancy(table, route, key):
+    """Give the workspace of a key.
+
+    Returns
+    -------
+    tuple of (Tenancy or None, bool)
+        The workspace, and whether the request may pass.
+
+    >>> table = make_table(1, [], [], {'k': Tenancy('w')}, Limits(), True)
+    >>> route = Route('r', 'h', '/a/', SAFE, 1, 1, 0, ())
+    >>> find_tenancy(table, route, 'k')
+    (Tenancy(name='w', priority=None, isolated=False), True)
+    >>> find_tenancy(table, route, 'x')
+    (None, False)
+    """
+    tenancy = table.keys.get(key) if key else None
+    if tenancy is not None:
+        return tenancy, True
+    return None, route.anonymous or not table.keyed
+
+
+def pick_service(route, rng):
+    """Pick the service of one request by the weights of the route.
+
+    Parameters
+    ----------
+    rng : random.Random
+    """
+    if len(route.shares) == 1:
+        return route.shares[0].service
+    names = [share.service for share in route.shares]
+    weights = [share.weight for share in route.shares]
+    if sum(weights) <= 0:
+        return names[0]
+    return rng.choices(names, weights)[0]
+
+
+def may_repeat(route):
+    """Tell whether a request of the route may run more than once."""
+    return route.kind == SAFE or (route.kind == STREAM and route.resumable)
+
+
+def list_addresses(table):
+    """List the stores of kept context by the address that targets use."""
+    return {
+        service.keeper.address: service.keeper
+        for service in table.services.values()
+        if service.keeper is not None
+    }
--- /dev/null
+++ b/landingspool/decisions/gateway/view.py
@@ -0,0 +1,311 @@
+"""What one box believes, and what it decides from it about each request.
+
+Everything in here is soft: a box starts with nothing, learns from the
+platform's store, from targets and from its own requests, and decides alone.
+"""
+
+import random
+import typing
+
+from landingspool.decisions.gateway import allowance
+from landingspool.decisions.gateway import choice
+from landingspool.decisions.gateway import fleet as fleet_module
+from landingspool.decisions.gateway import freshness
+from landingspool.decisions.gateway import health as health_module
+from landingspool.decisions.gateway import prompts
+from landingspool.decisions.gateway import routes
+from landingspool.decisions.gateway import transfers
+from landingspool.decisions.gateway import warmth as warmth_module
+
+# Boxes that the retry budget is divided by before others are known of:
+# today's deployments have six and seven.
+USUAL_BOXES = 8
+# Seconds without a byte after which a target with a waiting request is
+# taken for silent: engines answer within some hundred ms, plain services
+# within 220 at most.
+ENGINE_PATIENCE_S = 1.0
+PLAIN_PATIENCE_S = 0.45
+# Seconds after a version was named from which targets that lack it are
+# used only if no other is there: within, too few have it to carry the load.
+OLD_WEIGHTS_S = 1.5
+# Seconds after which they are not used at all; the bound is twelve.
+OLD_WEIGHTS_MOST_S = 10.0
+
+
+class Work(typing.NamedTuple):
+    """One request as the decisions see it."""
+
+    name: str
+    route: routes.Route
+    service: str
+    tenancy: routes.Tenancy | None
+    prompt: prompts.Prompt | None
+
+
+class Plan(typing.NamedTuple):
+    """Where a request goes, with what decided it.
+
+    Attributes
+    ----------
+    entry : fleet.Entry
+    expected_s : float
+        Rank of the target: the expected seconds to its first byte.
+    kept : int
+        Tokens of the prompt believed to be kept there.
+    transfer : transfers.Transfer
+    """
+
+    entry: fleet_module.Entry
+    expected_s: float
+    kept: int
+    candidates: int
+    version: int | None
+    space: str
+    transfer: transfers.Transfer
+
+
+class Sent(typing.NamedTuple):
+    """A request of this box at a target; `begun` once bytes came back."""
+
+    at: float
+    tokens: int
+    begun: bool
+
+
+class Named(typing.NamedTuple):
+    """A version of weights, and when this box heard of it."""
+
+    version: int
+    heard: float
+
+
+class View:
+    """The beliefs of one box.
+
+    Parameters
+    ----------
+    domain : str
+    bounds
+        The deployment's Bounds.
+    seed : int
+        Of the choices that are left to chance.
+    """
+
+    def __init__(self, domain, bounds, seed):
+        self.domain = domain
+        self.bounds = bounds
+        self.rng = random.Random(seed)
+        self.table = None
+        self.named = {}
+        self.fleet = fleet_module.Fleet()
+        self.warmth = warmth_module.Warmth()
+        self.proof = freshness.Proof(bounds.key_s)
+        self.boxes = USUAL_BOXES
+        self._sent = {}
+        self._heard = {}
+        self._health = {}
+        self._allowances = {}
+
+    def put_table(self, table):
+        """Take in a published table; True if it is newer than ours."""
+        if self.table is not None and table.version <= self.table.version:
+            return False
+        self.table = table
+        return True
+
+    def put_version(self, model, version, now):
+        """Take in a named version of weights; True if it is newer."""
+        known = self.named.get(model)
+        if known is not None and version <= known.version:
+            return False
+        # The first one read after a start may have been named long ago.
+        heard = now if known is not None else now - OLD_WEIGHTS_S
+        self.named[model] = Named(version, heard)
+        return True
+
+    def plan(self, work, avoid, now):
+        """Choose a target for a request; a Plan, or None where none is.
+
+        Parameters
+        ----------
+        avoid : sequence of str
+            Targets that had this request before.
+        """
+        entries = [
+            entry
+            for entry in self.fleet.list_service(work.service)
+            if entry.name not in avoid
+        ]
+        if work.prompt is not None:
+            entries = self._prefer_version(entries, work.prompt.model, now)
+        candidates = [self._weigh(entry, work, now) for entry in entries]
+        chosen = choice.choose(
+            candidates,
+            work.prompt,
+            self.domain,
+            now,
+            self.rng,
+            PLAIN_PATIENCE_S if work.prompt is None else ENGINE_PATIENCE_S,
+        )
+        if chosen is None:
+            return None
+        return self._make_plan(chosen, work, now)
+
+    def note_sent(self, plan, work, now):
+        """Note that a request goes to a target."""
+        tokens = 0
+        if work.prompt is not None:
+            kept = max(plan.kept, plan.transfer.tokens)
+            tokens = prompts.count_read(work.prompt, kept)
+        at_target = self._sent.setdefault(plan.entry.name, {})
+        at_target[work.name] = Sent(now, tokens, False)
+
+    def note_first(self, plan, work, now):
+        """Note that the answer to a request has begun."""
+        name = plan.entry.name
+        self._heard[name] = now
+        sent = self._sent.get(name, {}).get(work.name)
+        if sent is None or sent.begun:
+            return
+        self._sent[name][work.name] = sent._replace(begun=True)
+        if work.prompt is not None and plan.space:
+            parts = prompts.list_shared(work.prompt)
+            self.warmth.add_read(name, plan.space, parts, now)
+
+    def note_heard(self, name, now):
+        """Note that a target sent something."""
+        self._heard[name] = now
+
+    def note_end(self, plan, work):
+        """Note that a request is no longer at a target."""
+        at_target = self._sent.get(plan.entry.name)
+        if at_target is None:
+            return
+        at_target.pop(work.name, None)
+        if not at_target:
+            del self._sent[plan.entry.name]
+
+    def note_answer(self, plan, wait_s, failed):
+        """Learn from an answer of a target.
+
+        Parameters
+        ----------
+        wait_s : float
+            Seconds to the first byte.
+        """
+        known = self.get_health(plan.entry.name)
+        beyond = max(wait_s - plan.expected_s, 0.0)
+        self._health[plan.entry.name] = health_module.note_answer(
+            known, beyond, failed
+        )
+
+    def note_loss(self, name, now, certain=False):
+        """Learn from a request that a target did not answer."""
+        known = self.get_health(name)
+        self._health[name] = health_module.note_loss(known, now, certain)
+
+    def get_health(self, name):
+        """Give the Health of a target."""
+        return self._health.get(name, health_module.Health())
+
+    def count_first(self, service, now):
+        """Count a request of a service for its retry budget."""
+        self._get_allowance(service).note_first(now)
+
+    def may_repeat(self, service, now):
+        """Take one repeat from the retry budget of a service."""
+        return self._get_allowance(service).take(now, self.boxes)
+
+    def forget(self, name):
+        """Forget what was learnt of a target that has gone."""
+        self._health.pop(name, None)
+        self._heard.pop(name, None)
+        self.warmth.forget(name)
+
+    def measure_load(self, name):
+        """Give the choice.Load of this box at a target."""
+        rows = self._sent.get(name, {}).values()
+        waiting = [row for row in rows if not row.begun]
+        return choice.Load(
+            waiting=len(waiting),
+            running=len(rows) - len(waiting),
+            waiting_tokens=sum(row.tokens for row in waiting),
+            oldest=min((row.at for row in waiting), default=None),
+            heard=self._heard.get(name, 0.0),
+        )
+
+    def _get_allowance(self, service):
+        known = self._allowances.get(service)
+        if known is None:
+            bounds = self.bounds
+            known = allowance.Allowance(
+                bounds.retry_ratio, bounds.retry_slack, bounds.retry_window_s
+            )
+            self._allowances[service] = known
+        return known
+
+    def _prefer_version(self, entries, model, now):
+        named = self.named.get(model)
+        if named is None:
+            return entries
+        behind = now - named.heard
+        newest = [
+            e
+            for e in entries
+            if (self.fleet.get_version(e.name, model) or 0) >= named.version
+        ]
+        if behind >= OLD_WEIGHTS_MOST_S:
+            return newest
+        if behind >= OLD_WEIGHTS_S and newest:
+            return newest
+        return entries
+
+    def _weigh(self, entry, work, now):
+        load = self.measure_load(entry.name)
+        health = self.get_health(entry.name)
+        if work.prompt is None:
+            return choice.Candidate(entry, load, health)
+        version = self.fleet.get_version(entry.name, work.prompt.model)
+        space = prompts.name_space(work.prompt.model, version, work.tenancy)
+        kept = prompts.count_kept(
+            work.prompt, space, self.warmth.kept(entry.name)
+        )
+        transfer = self._plan_transfer(work, space, now)
+        return choice.Candidate(
+            entry, load, health, kept, transfer.tokens, transfer.seconds
+        )
+
+    def _make_plan(self, chosen, work, now):
+        version, space, transfer = None, '', transfers.Transfer()
+        if work.prompt is not None:
+            version = self.fleet.get_version(
+                chosen.entry.name, work.prompt.model
+            )
+            space = prompts.name_space(
+                work.prompt.model, version, work.tenancy
+            )
+            transfer = self._plan_transfer(work, space, now)
+        return Plan(
+            chosen.entry,
+            chosen.expected_s,
+            chosen.kept,
+            chosen.candidates,
+            version,
+            space,
+            transfer,
+        )
+
+    def _plan_transfer(self, work, space, now):
+        service = self.table.services.get(work.service)
+        if service is None or service.engine is None:
+            return transfers.Transfer()
+        if not service.engine.managed or len(work.prompt.parts) < 2:
+            return transfers.Transfer()
+        return transfers.plan_transfer(
+            work.prompt,
+            space,
+            routes.list_addresses(self.table),
+            self.warmth,
+            service.engine.token_bytes,
+            now,
+        )
--- /dev/null
+++ b/landingspool/decisions/gateway/warmth.py
@@ -0,0 +1,157 @@
+"""Where context is kept: a directory from cache events, lists and sends.
+
+What targets tell comes late and with gaps, so the directory is a hint for
+routing only.  For stores it must be more than that: a transfer from a part
+that was not whole would corrupt a request.  A part of a store is offered
+only when the store itself told that it is whole, in the life (epoch) that
+was confirmed shortly before, and no longer than a lease after that; who
+writes into a new life of a store waits out such leases first.
+"""
+
+import typing
+
+# Seconds for which a confirmation of a store's life may be used.
+LEASE_S = 1.8
+# Seconds after a store's life is first seen before anything is written
+# into it: leases from its former life, and transfers begun under them,
+# have ended by then on every box whose clock runs.
+SETTLE_S = 4.0
+# Names that an index keeps at most: bounds memory where targets keep many
+# small parts (10 MB a box at the sizes of the grown deployments).
+MOST_NAMES = 60_000
+
+
+class Change(typing.NamedTuple):
+    """One cache event: `tokens` of a part are kept from now on; 0: none."""
+
+    space: str
+    part: str
+    tokens: int
+
+
+class Index(typing.NamedTuple):
+    """What one target or store keeps.
+
+    Attributes
+    ----------
+    epoch : int or None
+        Its life; None before it was heard.
+    next : int
+        Where the next call for events begins.
+    kept : dict of tuple to int
+        Tokens by (namespace, part name).
+    confirmed : float
+        When the newest answer was asked for, on this box's clock.
+    first_seen : float
+        When this epoch was first heard of.
+    clock_ms : float or None
+        The targets' clock in that answer.
+    used : int
+        Tokens kept, as of the newest answer.
+    """
+
+    epoch: int | None
+    next: int
+    kept: dict
+    confirmed: float
+    first_seen: float
+    clock_ms: float | None = None
+    used: int = 0
+
+
+class News(typing.NamedTuple):
+    """An answer to a call for events, or a whole list (`whole`)."""
+
+    epoch: int
+    next: int
+    lost: bool
+    changes: tuple
+    whole: bool = False
+    clock_ms: float | None = None
+
+
+class Warmth:
+    """The directory of one box."""
+
+    def __init__(self):
+        self._indexes = {}
+
+    def get(self, name):
+        """Give the Index of a target or store, or None."""
+        return self._indexes.get(name)
+
+    def kept(self, name):
+        """Give what a target is believed to keep, by (space, part)."""
+        index = self._indexes.get(name)
+        return index.kept if index is not None else {}
+
+    def forget(self, name):
+        """Forget a target or store that has gone."""
+        self._indexes.pop(name, None)
+
+    def take(self, name, news, sent, now):
+        """Take in news; returns whether a whole list is needed.
+
+        Parameters
+        ----------
+        sent : float
+            When the call that brought the news was sent.
+        """
+        index = self._indexes.get(name)
+        fresh = index is None or index.epoch != news.epoch
+        if news.whole or fresh:
+            kept = {}
+        else:
+            kept = index.kept
+        first_seen = now if fresh else index.first_seen
+        for change in news.changes:
+            apply_change(kept, change)
+        trim(kept)
+        self._indexes[name] = Index(
+            epoch=news.epoch,
+            next=news.next,
+            kept=kept,
+            confirmed=sent,
+            first_seen=first_seen,
+            clock_ms=news.clock_ms,
+            used=sum(kept.values()),
+        )
+        return not news.whole and (news.lost or fresh)
+
+    def add_read(self, name, space, parts, now):
+        """Note that a target has read parts for a request of ours."""
+        index = self._indexes.get(name)
+        if index is None:
+            index = Index(None, 0, {}, now, now)
+            self._indexes[name] = index
+        for part in parts:
+            index.kept[(space, part.name)] = part.tokens
+
+    def may_fetch(self, name, now):
+        """Tell whether parts of a store may be offered at `now`."""
+        index = self._indexes.get(name)
+        if index is None or index.clock_ms is None:
+            return False
+        return now - index.confirmed < LEASE_S
+
+    def may_save(self, name, now):
+        """Tell whether parts may be written into a store at `now`."""
+        index = self._indexes.get(name)
+        if index is None or not self.may_fetch(name, now):
+            return False
+        return now - index.first_seen >= SETTLE_S
+
+
+def apply_change(kept, change):
+    """Apply one event to the map of what is kept, in place."""
+    key = change.space, change.part
+    if change.tokens > 0:
+        kept[key] = change.tokens
+    else:
+        kept.pop(key, None)
+
+
+def trim(kept):
+    """Drop the names that were noted first where there are too many."""
+    while len(kept) > MOST_NAMES:
+        kept.pop(next(iter(kept)))
--- a/landingspool/events.py
+++ b/landingspool/events.py
@@ -7,6 +7,7 @@
 
 import collections
 import itertools
+import json
 import sys
 import time
 import typing
@@ -49,6 +50,13 @@
             'WARNING',
             'This process did not run; what it had decided before is void.',
         ),
+        Kind(104, 'reloaded', 'INFO', 'The settings were read anew.'),
+        Kind(
+            105,
+            'bad_settings',
+            'ERROR',
+            'The settings can not be read; those of the start stay.',
+        ),
         Kind(
             200, 'accepted', 'DEBUG', 'A request was accepted from a caller.'
         ),
@@ -98,6 +106,13 @@
             'WARNING',
             'An answer that had begun could not be completed.',
         ),
+        Kind(212, 'answered', 'DEBUG', 'A relayed request was answered.'),
+        Kind(
+            213,
+            'not_served',
+            'INFO',
+            'A relayed request got an answer that is no success.',
+        ),
         Kind(
             300, 'queued', 'DEBUG', 'A request waits in the queue of its pool.'
         ),
@@ -153,6 +168,13 @@
             'INFO',
             'An append whose answer was lost was found in the log.',
         ),
+        Kind(
+            407,
+            'malformed',
+            'ERROR',
+            'A published record can not be read and is left out.',
+        ),
+        Kind(408, 'version_named', 'INFO', 'New weights were named.'),
         Kind(
             500, 'leaving', 'INFO', 'A target is leaving and gets no new work.'
         ),
@@ -207,6 +229,13 @@
             'ERROR',
             'A task ended by an error that nothing handled.',
         ),
+        Kind(801, 'no_metrics', 'WARNING', 'The metrics can not be served.'),
+        Kind(
+            802,
+            'left_out',
+            'WARNING',
+            'Lines were left out of the log in the last second.',
+        ),
     )
 }
 
@@ -225,10 +254,13 @@
         Name of this process in the time line.
     wall : callable, optional
         Gives the seconds of the wall clock.
+    form : callable, optional
+        Gives the line of text for an event.
     """
 
-    def __init__(self, box, wall=time.time, ring=RING_EVENTS):
+    def __init__(self, box, wall=time.time, ring=RING_EVENTS, form=None):
         self.box = box
+        self._form = form or format_event
         self._wall = wall
         self._stamp = clock.Stamp(0, 0)
         self._ring = collections.deque(maxlen=ring)
@@ -243,9 +275,9 @@
         self._ring.append(event)
         self.counts[name] += 1
         if kind.level != 'DEBUG' or fields.get('loud'):
-            self._log.log(kind.level, format_event(event))
+            self._log.log(kind.level, self._form(event))
         else:
-            self._log.opt(lazy=True).debug('{}', lambda: format_event(event))
+            self._log.opt(lazy=True).debug('{}', lambda: self._form(event))
         return event
 
     def observe(self, stamp):
@@ -297,6 +329,23 @@
     return ' '.join(itertools.chain((f'LS{event.number}', event.name), pairs))
 
 
+def format_json(event):
+    """Give one JSON line for an event.
+
+    >>> format_json(Event((5, 0), 'a', 200, 'accepted', {'request': 'r1'}))
+    '{"t":0.005,"box":"a","n":200,"event":"accepted","request":"r1"}'
+    """
+    head = {
+        't': event.stamp[0] / 1000,
+        'box': event.box,
+        'n': event.number,
+        'event': event.name,
+    }
+    return json.dumps(
+        {**head, **event.fields}, separators=(',', ':'), default=str
+    )
+
+
 def merge_events(rings):
     """Merge the events of several processes into one ordered list."""
     rows = itertools.chain.from_iterable(rings)
--- /dev/null
+++ b/landingspool/gateway/__init__.py
@@ -0,0 +1,1 @@
+"""Relays requests to targets by the routes that operators publish."""
--- /dev/null
+++ b/landingspool/gateway/deployment.py
@@ -0,0 +1,54 @@
+"""Where a box runs: its addresses, its peers, the bounds it has to keep."""
+
+import typing
+
+from landingspool import http
+
+
+class Bounds(typing.NamedTuple):
+    """Times in seconds and shares that the deployment sets.
+
+    Attributes
+    ----------
+    drain_s : float
+        From a target's leaving until nothing new may reach it.
+    grace_s : float
+        From a planned stop until the process is killed.
+    key_s : float
+        From taking a key away until no request with it may run.
+    retry_ratio, retry_slack, retry_window_s : float
+        Repeats that all boxes together may send in a window.
+    """
+
+    drain_s: float = 2.0
+    grace_s: float = 8.0
+    key_s: float = 5.0
+    retry_ratio: float = 0.2
+    retry_slack: float = 50.0
+    retry_window_s: float = 10.0
+
+
+class Deployment(typing.NamedTuple):
+    """One box's place.
+
+    Attributes
+    ----------
+    callers, readiness, links : http.Address
+        Where callers, the balancer and the other boxes reach this box.
+    seeds : tuple of http.Address
+        Some boxes' `links`, perhaps stale.
+    store : http.Address
+        The platform's store.
+    memory_bytes, descriptors : int
+    """
+
+    box: str
+    domain: str
+    callers: http.Address
+    readiness: http.Address
+    links: http.Address | None
+    seeds: tuple
+    store: http.Address
+    bounds: Bounds = Bounds()
+    memory_bytes: int = 256 * 1024 * 1024
+    descriptors: int = 1024
--- /dev/null
+++ b/landingspool/gateway/figures.py
@@ -0,0 +1,57 @@
+"""Counters and latency histograms of the gateway."""
+
+import prometheus_client as prometheus
+
+SECONDS = (0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.6, 1.0, 2.0, 5.0, 15.0)
+
+
+class Figures:
+    """All figures of one gateway process, in a registry of their own."""
+
+    def __init__(self):
+        self.registry = prometheus.CollectorRegistry()
+        self.answers = self._count(
+            'answers', 'Final answers', ('status', 'reason')
+        )
+        self.connections = self._count(
+            'connections', 'New connections to targets'
+        )
+        self.repeats = self._count('repeats', 'Requests sent again')
+        self.budget_refusals = self._count(
+            'budget_refusals', 'Repeats that the budget did not allow'
+        )
+        self.orders = self._count(
+            'orders', 'Orders to targets by outcome', ('outcome',)
+        )
+        self.lines_lost = self._count(
+            'lines_lost', 'Log lines left out since the reader was slow'
+        )
+        self.seconds = self._observe('answer', 'Time to the whole answer')
+        self.first = self._observe('first_byte', 'Time to the first byte')
+
+    def note_answer(self, answer, seconds, first_s):
+        """Count a final answer."""
+        self.answers.labels(str(answer.status), answer.reason[:40]).inc()
+        self.seconds.observe(seconds)
+        if first_s is not None:
+            self.first.observe(first_s)
+
+    def render(self):
+        """Give the text of the metrics address."""
+        return prometheus.generate_latest(self.registry)
+
+    def _count(self, name, text, labels=()):
+        return prometheus.Counter(
+            f'landingspool_gateway_{name}',
+            text,
+            labels,
+            registry=self.registry,
+        )
+
+    def _observe(self, name, text):
+        return prometheus.Histogram(
+            f'landingspool_gateway_{name}_seconds',
+            text,
+            buckets=SECONDS,
+            registry=self.registry,
+        )
--- /dev/null
+++ b/landingspool/gateway/following.py
@@ -0,0 +1,178 @@
+"""Follows what operators publish and which targets exist.
+
+Two held reads of the platform's store, each answered as soon as anything
+is new.  Every answer proves that the table was current when it was asked
+for.  Where records are gone from the log, the newest of each key are read
+again; a table never goes back in version.
+"""
+
+import asyncio
+
+from landingspool.decisions.gateway import fleet as fleet_module
+from landingspool.platform import catalogue
+from landingspool.platform import names
+from landingspool.platform import store as store_module
+
+# Seconds for which a read is held; the proof of a current table is as old
+# as the read, and has to stay well under the bound for keys (5 s).
+HOLD_S = 1.2
+# Pause after a read that failed, seconds, doubled up to the greatest.
+PAUSE_S = 0.1
+MOST_PAUSE_S = 0.8
+# Seconds after a failed read for which a vanished entry may have lapsed
+# only because the store was away.
+UNSURE_S = 5.0
+
+
+class Follower:
+    """Follows one topic.
+
+    Parameters
+    ----------
+    hub
+        The box's parts: `store`, `view`, `recorder`, `clock`.
+    topic : str
+    """
+
+    topic = ''
+
+    def __init__(self, hub):
+        self._hub = hub
+        self._up = None
+        self._failed_at = None
+
+    async def run(self):
+        """Follow until cancelled."""
+        pause = PAUSE_S
+        while True:
+            newest = await self._hub.store.read_newest(self.topic)
+            if isinstance(newest, store_module.Unavailable):
+                self._note_state(False, newest.reason)
+                await asyncio.sleep(pause)
+                pause = min(pause * 2, MOST_PAUSE_S)
+                continue
+            pause = PAUSE_S
+            self._note_state(True, 'newest')
+            self._take_newest(newest)
+            await self._follow(newest.end)
+
+    async def _follow(self, offset):
+        pause = PAUSE_S
+        while True:
+            page = await self._hub.store.read(self.topic, offset, HOLD_S)
+            if isinstance(page, store_module.Unavailable):
+                self._note_state(False, page.reason)
+                await asyncio.sleep(pause)
+                pause = min(pause * 2, MOST_PAUSE_S)
+                continue
+            pause = PAUSE_S
+            self._note_state(True, 'read')
+            if isinstance(page, store_module.Forgotten):
+                self._hub.recorder.record('log_gap', first=offset)
+                return
+            offset = page.end
+            self._take_page(page)
+
+    def is_unsure(self):
+        """Tell whether the store was away shortly before now."""
+        if self._failed_at is None:
+            return False
+        return self._hub.clock() - self._failed_at < UNSURE_S
+
+    def _take_newest(self, newest):
+        for key, value, _ in newest.records:
+            self._take(key, value)
+        self._note_read(newest.sent)
+
+    def _take_page(self, page):
+        for key, value in page.records:
+            self._take(key, value)
+        self._note_read(page.sent)
+
+    def _take(self, key, value):
+        raise NotImplementedError
+
+    def _note_read(self, sent):
+        """Note that a read which was sent at `sent` is answered."""
+
+    def _note_state(self, up, reason):
+        if not up:
+            self._failed_at = self._hub.clock()
+        if up != self._up:
+            name = 'log_up' if up else 'log_down'
+            self._hub.recorder.record(name, topic=self.topic, reason=reason)
+        self._up = up
+
+
+class Published(Follower):
+    """Follows tables and named versions of weights."""
+
+    topic = names.PUBLISHED_TOPIC
+
+    def _take(self, key, value):
+        try:
+            if key == names.TABLE_KEY:
+                self._take_table(value)
+            elif key.startswith(names.VERSION_KEY):
+                self._take_version(value)
+        except catalogue.Malformed as error:
+            # The newest good table stays in force.
+            self._hub.recorder.record('malformed', key=key, reason=str(error))
+
+    def _take_table(self, value):
+        if value:
+            self._hub.take_table(catalogue.read_table(value), value)
+
+    def _take_version(self, value):
+        if not value:
+            return
+        model, version = catalogue.read_version(value)
+        if self._hub.view.put_version(model, version, self._hub.clock()):
+            self._hub.recorder.record(
+                'version_named', model=model, version=version
+            )
+
+    def _note_read(self, sent):
+        self._hub.view.proof.note(sent)
+
+
+class Targets(Follower):
+    """Follows the targets' entries."""
+
+    topic = names.TARGETS_TOPIC
+
+    def _take_newest(self, newest):
+        super()._take_newest(newest)
+        listed = {key for key, _, _ in newest.records}
+        for name in list(self._hub.view.fleet.entries):
+            if name not in listed:
+                self._drop(name)
+
+    def _take(self, key, value):
+        if not value:
+            self._drop(key)
+            return
+        try:
+            entry = catalogue.read_entry(key, value)
+        except catalogue.Malformed as error:
+            self._hub.recorder.record('malformed', key=key, reason=str(error))
+            return
+        known = key in self._hub.view.fleet.entries
+        state = self._hub.view.fleet.put(entry)
+        if state != fleet_module.READY and known:
+            self._hub.recorder.record('leaving', target=key, state=state)
+            self._hub.view.forget(key)
+        elif state == fleet_module.READY and not known:
+            self._hub.recorder.record(
+                'target_up', target=key, versions=entry.versions
+            )
+
+    def _drop(self, name):
+        unsure = self.is_unsure()
+        if name in self._hub.view.fleet.entries:
+            self._hub.recorder.record(
+                'target_down', target=name, sure=not unsure
+            )
+        self._hub.view.fleet.drop(name, self._hub.clock(), unsure)
+        if not unsure:
+            self._hub.view.forget(name)
--- /dev/null
+++ b/landingspool/gateway/hub.py
@@ -0,0 +1,170 @@
+"""All parts of one gateway box, put together."""
+
+import asyncio
+import contextlib
+import time
+
+from landingspool.decisions.gateway import view as view_module
+from landingspool.decisions import timing
+from landingspool import events
+from landingspool.gateway import figures
+from landingspool.gateway import following
+from landingspool.gateway import listener
+from landingspool.gateway import relay
+from landingspool.gateway import upstream
+from landingspool import http
+from landingspool.platform import ingress
+from landingspool.platform import names
+from landingspool.platform import runners
+from landingspool.platform import store
+from landingspool import timer as timer_module
+
+# Period of the beat by which a freeze is noticed, seconds.
+BEAT_S = 0.1
+SWEEP_S = 1.0
+# Events kept in memory: some seconds of one box, two megabytes.
+RING_EVENTS = 1024
+# Address of the metrics: the deploy file names the same port.
+METRICS_PORT = 9464
+METRICS_PATH = '/metrics'
+# Seconds for which a stopping box takes new connections: the balancer asks
+# each second and takes a box out after two misses.
+LEAVE_S = 2.6
+# Seconds before the platform kills the process at which it ends by itself.
+END_MARGIN_S = 0.8
+# Descriptors kept for the connections to targets, store and boxes.
+OWN_DESCRIPTORS = 1200
+LEAST_CONNECTIONS = 256
+
+
+class Hub:
+    """One box of the gateway.
+
+    Parameters
+    ----------
+    place : deployment.Deployment
+    seed : int
+        Of the choices that are left to chance.
+    """
+
+    def __init__(self, place, seed, clock=time.monotonic, wall=time.time):
+        self.place = place
+        self.clock = clock
+        self.timer = timer_module.Timer(clock)
+        self.recorder = events.Recorder(
+            place.box, wall, RING_EVENTS, events.format_json
+        )
+        self.metrics = figures.Figures()
+        self.view = view_module.View(place.domain, place.bounds, seed)
+        self.beat = timing.Beat()
+        self.client = http.Client()
+        self.store = store.Store(self.client, place.store, clock)
+        self.runners = runners.Runners(self.client, clock)
+        self.upstream = upstream.Upstream(self.metrics, clock)
+        most = max(place.descriptors - OWN_DESCRIPTORS, LEAST_CONNECTIONS)
+        self.listener = listener.Listener(self._handle, self._limits, most)
+        self._side = http.Server(self._answer_side)
+        self._tasks = []
+        self._stop = asyncio.Event()
+
+    async def run(self):
+        """Serve until told to stop, then stop without cutting off."""
+        await self._side.start(*self.place.readiness)
+        await self._start_metrics()
+        await self.listener.start(self.place.callers)
+        self.timer.subscribe(BEAT_S, self._on_beat)
+        self.timer.subscribe(SWEEP_S, lambda tick: self.upstream.sweep())
+        self._keep(following.Published(self).run())
+        self._keep(following.Targets(self).run())
+        self.recorder.record('started', domain=self.place.domain)
+        await self._stop.wait()
+        await self._leave()
+
+    def stop(self):
+        """Begin a planned stop."""
+        self._stop.set()
+
+    def take_table(self, table, value):
+        """Put a published table in force if it is newer."""
+        if self.view.put_table(table):
+            self.recorder.record(
+                'published',
+                version=table.version,
+                proof_s=round(min(self.view.proof.age(self.clock()), 9999), 2),
+            )
+
+    def _keep(self, work):
+        task = asyncio.ensure_future(work)
+        task.add_done_callback(self._note_end)
+        self._tasks.append(task)
+
+    def _note_end(self, task):
+        if task.cancelled() or task.exception() is None:
+            return
+        self.recorder.record('fault', reason=repr(task.exception()))
+        # A box that no longer follows is worse than one that starts anew.
+        self.stop()
+
+    async def _handle(self, request, body, reply):
+        call = ingress.read_call(
+            request.method.decode('latin-1'),
+            request.target.decode('latin-1'),
+            list(request.headers),
+        )
+        await relay.Relay(self, call, body, reply).run()
+
+    def _limits(self):
+        table = self.view.table
+        return DEFAULT_LIMITS if table is None else table.limits
+
+    def _on_beat(self, tick):
+        self.beat.note(tick.now)
+        if tick.gap:
+            self.recorder.record('frozen', seconds=round(tick.gap, 2))
+        for name in self.view.fleet.tick(tick.now):
+            self.recorder.record('target_down', target=name, sure=True)
+            self.view.forget(name)
+
+    async def _answer_side(self, request, exchange):
+        if request.path == METRICS_PATH:
+            await exchange.send_body(
+                200, self.metrics.render(), 'text/plain; version=0.0.4'
+            )
+            return
+        ready = request.path == names.READY_PATH and self._is_ready()
+        await exchange.send_json(200 if ready else 503, {'ready': ready})
+
+    def _is_ready(self):
+        return self.view.table is not None and not self._stop.is_set()
+
+    async def _start_metrics(self):
+        try:
+            await self._side_metrics().start(
+                self.place.callers.host, METRICS_PORT
+            )
+        except OSError as error:
+            # The figures are for engineers; requests go on without them.
+            self.recorder.record('no_metrics', reason=str(error))
+
+    def _side_metrics(self):
+        self._metrics_server = http.Server(self._answer_side)
+        return self._metrics_server
+
+    async def _leave(self):
+        self.recorder.record('draining', open=self.listener.count_busy())
+        began = self.clock()
+        ends = began + self.place.bounds.grace_s - END_MARGIN_S
+        self.listener.stop()
+        await asyncio.sleep(min(LEAVE_S, self.place.bounds.grace_s / 2))
+        await self.listener.close(max(ends - self.clock(), 0.1))
+        for task in self._tasks:
+            task.cancel()
+        with contextlib.suppress(asyncio.CancelledError):
+            await asyncio.gather(*self._tasks, return_exceptions=True)
+        self.timer.close()
+        self.upstream.close()
+        self.client.close()
+        self.recorder.record('stopped')
+
+
+DEFAULT_LIMITS = view_module.routes.Limits()
--- /dev/null
+++ b/landingspool/gateway/upstream.py
@@ -0,0 +1,199 @@
+"""Connections to targets, one request at a time on each.
+
+A connection is kept only when its answer was framed, whole, and followed
+by nothing; it is used again only while the target surely still holds it.
+"""
+
+import asyncio
+import collections
+import time
+
+import h11
+
+from landingspool.gateway import wire as wire_module
+from landingspool.platform import ingress
+
+# Seconds to come up: trips of some ms; a target that is gone says nothing.
+CONNECT_S = 0.35
+# A target that names no time may drop an idle connection within a second.
+UNNAMED_IDLE_S = 0.4
+# Seconds before a named time at which a connection is no longer used: the
+# request has to arrive before the target's clock ends it.
+IDLE_MARGIN_S = 0.5
+# Kept per target and box; a box has some ten requests at a target at once.
+MOST_KEPT = 24
+MOST_HEAD = 32 * 1024
+
+
+class Broken(Exception):
+    """The exchange can't go on; `sent` tells if a byte may have gone out."""
+
+    def __init__(self, text, sent):
+        super().__init__(text)
+        self.sent = sent
+
+
+class Upstream:
+    """Opens exchanges and keeps idle connections.
+
+    Parameters
+    ----------
+    metrics
+        Counts new connections; anything with ``connections.inc()``.
+    """
+
+    def __init__(self, metrics, clock=time.monotonic):
+        self._metrics = metrics
+        self._clock = clock
+        self._idle = collections.defaultdict(collections.deque)
+
+    async def open(self, address):
+        """Give an Exchange on a kept or new connection.
+
+        Raises
+        ------
+        Broken
+            With `sent` false.
+        """
+        wire = self._take(address)
+        if wire is not None:
+            return Exchange(self, address, wire, True)
+        loop = asyncio.get_running_loop()
+        try:
+            async with asyncio.timeout(CONNECT_S):
+                _, wire = await loop.create_connection(
+                    wire_module.Wire, *address
+                )
+        except (OSError, TimeoutError) as error:
+            raise Broken(f'connect: {error!r}', False) from error
+        self._metrics.connections.inc()
+        return Exchange(self, address, wire, False)
+
+    def keep(self, address, wire, idle_s):
+        """Keep a connection that may be used for `idle_s` seconds."""
+        idle = self._idle[address]
+        if idle_s <= 0 or len(idle) >= MOST_KEPT:
+            wire.close()
+            return
+        idle.append((wire, self._clock() + idle_s))
+
+    def drop(self, address):
+        """Close what is kept to an address."""
+        for wire, _ in self._idle.pop(address, ()):
+            wire.close()
+
+    def sweep(self):
+        """Close the kept connections whose time is over."""
+        now = self._clock()
+        for address, idle in list(self._idle.items()):
+            live = [row for row in idle if row[1] > now and row[0].is_quiet]
+            for row in idle:
+                if row not in live:
+                    row[0].close()
+            if live:
+                self._idle[address] = collections.deque(live)
+            else:
+                del self._idle[address]
+
+    def close(self):
+        """Close all kept connections."""
+        for address in list(self._idle):
+            self.drop(address)
+
+    def _take(self, address):
+        idle = self._idle.get(address)
+        while idle:
+            # The newest first: the others can run out and be closed.
+            wire, until = idle.pop()
+            if self._clock() < until and wire.is_quiet:
+                return wire
+            wire.close()
+        return None
+
+
+class Exchange:
+    """One request to a target and its answer.
+
+    Attributes
+    ----------
+    reused : bool
+        Whether the connection had served before.
+    """
+
+    def __init__(self, upstream, address, wire, reused):
+        self._upstream = upstream
+        self._address = address
+        self._wire = wire
+        self._conn = h11.Connection(h11.CLIENT, MOST_HEAD)
+        self._head = None
+        self._early = False
+        self.reused = reused
+
+    def send(self, method, target, headers, body):
+        """Send a whole request; nothing can be proved from here on."""
+        conn = self._conn
+        head = h11.Request(method=method, target=target, headers=headers)
+        data = conn.send(head) + conn.send(h11.Data(data=body))
+        self._wire.write(data + conn.send(h11.EndOfMessage()))
+
+    async def read_head(self):
+        """Read the head of the answer.
+
+        Returns
+        -------
+        ingress.Head
+
+        Raises
+        ------
+        Broken
+        """
+        event = await self._next()
+        while isinstance(event, h11.InformationalResponse):
+            event = await self._next()
+        if not isinstance(event, h11.Response):
+            raise Broken('closed before an answer', True)
+        # An answer before the request has left: the rest of the body is
+        # still due on this connection, so nothing else may follow on it.
+        self._early = not self._wire.is_flushed
+        self._head = ingress.read_head(event.status_code, list(event.headers))
+        return self._head
+
+    async def read_data(self):
+        """Read on in the body; b'' at its whole end.
+
+        Raises
+        ------
+        Broken
+        """
+        event = await self._next()
+        if isinstance(event, h11.Data):
+            return bytes(event.data)
+        if isinstance(event, h11.EndOfMessage):
+            return b''
+        raise Broken('the answer was cut off', True)
+
+    def release(self):
+        """Keep the connection if it is fit for another request."""
+        conn, head = self._conn, self._head
+        framed = conn.our_state is h11.DONE and conn.their_state is h11.DONE
+        clean = framed and not conn.trailing_data[0] and self._wire.is_quiet
+        if not clean or self._early or head.closing:
+            self._wire.close()
+            return
+        named = head.kept_s
+        idle_s = UNNAMED_IDLE_S if named is None else named - IDLE_MARGIN_S
+        self._upstream.keep(self._address, self._wire, idle_s)
+
+    def abort(self):
+        """Drop the connection; the target stops working on the request."""
+        self._wire.abort()
+
+    async def _next(self):
+        try:
+            while True:
+                event = self._conn.next_event()
+                if event is not h11.NEED_DATA:
+                    return event
+                self._conn.receive_data(await self._wire.read())
+        except (OSError, h11.ProtocolError) as error:
+            raise Broken(repr(error), True) from error
--- a/landingspool/platform/claimer.py
+++ b/landingspool/ledger/claimer.py
@@ -11,7 +11,7 @@
 import typing
 
 from landingspool.decisions import claims
-from landingspool.platform import outcomes
+from landingspool.ledger import outcomes
 
 SETTLE_S = 2.5
 POLL_S = 0.05
--- a/landingspool/platform/follower.py
+++ b/landingspool/ledger/follower.py
@@ -10,7 +10,7 @@
 from landingspool.decisions import configuration
 from landingspool.decisions import messages
 from landingspool.decisions import ownership
-from landingspool.platform import outcomes
+from landingspool.ledger import outcomes
 
 READERS = 2
 POLL_S = 0.3
--- a/landingspool/platform/live.py
+++ b/landingspool/ledger/live.py
@@ -4,7 +4,7 @@
 
 from landingspool.decisions import records
 from landingspool import http
-from landingspool.platform import outcomes
+from landingspool.ledger import outcomes
 
 TIMEOUT_S = 2.0
 
--- a/landingspool/platform/log.py
+++ b/landingspool/ledger/log.py
@@ -3,7 +3,7 @@
 import base64
 
 from landingspool import http
-from landingspool.platform import outcomes
+from landingspool.ledger import outcomes
 
 APPEND_TIMEOUT_S = 1.0
 READ_TIMEOUT_S = 2.0
--- a/landingspool/operators/server.py
+++ b/landingspool/operators/server.py
@@ -9,7 +9,7 @@
 from landingspool.decisions import configuration
 from landingspool.decisions import messages
 from landingspool import http
-from landingspool.platform import outcomes
+from landingspool.ledger import outcomes
 
 PUBLISH_S = 10.0
 APPEND_REST_S = 0.3
--- a/landingspool/platform/__init__.py
+++ b/landingspool/platform/__init__.py
@@ -1,1 +1,1 @@
-"""Clients of the platform: log, weight store, live list."""
+"""The adapter to the users' platform: names, formats and calls only."""
--- /dev/null
+++ b/landingspool/platform/__main__.py
@@ -0,0 +1,62 @@
+"""Starts one box on the platform: `python3 -m landingspool.platform`."""
+
+import asyncio
+import gc
+import os
+import signal
+import sys
+
+from landingspool.gateway import hub as hub_module
+from landingspool import lines
+from landingspool.platform import boot
+from landingspool import settings
+
+BAD_SETTINGS = 2
+
+
+async def serve(place):
+    """Run one box until SIGTERM."""
+    hub = hub_module.Hub(place, int.from_bytes(os.urandom(8)))
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, hub.stop)
+    loop.add_signal_handler(signal.SIGHUP, reload, hub)
+    await hub.run()
+
+
+def reload(hub):
+    """Read the settings anew and log what a restart would change."""
+    place, errors = boot.load(boot.find_path())
+    for error in errors:
+        hub.recorder.record(
+            'bad_settings', reason=settings.format_error(error)
+        )
+    changed = [] if place is None else list_changes(hub.place, place)
+    hub.recorder.record('reloaded', changed=changed)
+
+
+def list_changes(old, new):
+    """List the fields in which two deployments differ."""
+    return [
+        name
+        for name in old._fields
+        if getattr(old, name) != getattr(new, name)
+    ]
+
+
+def main():
+    """Run the box; returns the exit status."""
+    place, errors = boot.load(boot.find_path())
+    for error in errors:
+        print(settings.format_error(error), file=sys.stderr)
+    if errors:
+        return BAD_SETTINGS
+    lines.configure()
+    # What was imported stays for good and need not be looked at again.
+    gc.freeze()
+    asyncio.run(serve(place))
+    return 0
+
+
+if __name__ == '__main__':
+    sys.exit(main())
--- /dev/null
+++ b/landingspool/platform/boot.py
@@ -0,0 +1,129 @@
+"""Reads the platform's settings file into the product's own Deployment."""
+
+import os
+import tomllib
+
+from landingspool.gateway import deployment
+from landingspool import http
+from landingspool.platform import names
+from landingspool import settings
+
+MEGABYTE = 1024 * 1024
+# Descriptors that the platform sets apart for files.
+FILE_DESCRIPTORS = 200
+
+
+def find_path(environ=os.environ):
+    """Give the path of the settings file; empty where none is named."""
+    return environ.get(names.SETTINGS_VARIABLE, '')
+
+
+def load(path):
+    """Read a settings file.
+
+    Returns
+    -------
+    tuple of (deployment.Deployment or None, list of settings.Error)
+    """
+    try:
+        with open(path, 'rb') as file:
+            table = tomllib.load(file)
+    except (OSError, ValueError) as error:
+        return None, [settings.Error(path, '', '', str(error))]
+    return read(table, path)
+
+
+def read(table, path):
+    """Check the decoded settings; all errors at once."""
+    reader = Reader(table, path)
+    bounds = deployment.Bounds(
+        drain_s=reader.number('bounds.drain_ms', 2000) / 1000,
+        grace_s=reader.number('bounds.grace_s', 8),
+        key_s=reader.number('bounds.revoke_ms', 5000) / 1000,
+        retry_ratio=reader.number('bounds.retry_budget_ratio', 0.2),
+        retry_slack=reader.number('bounds.budget_slack', 50),
+        retry_window_s=reader.number('bounds.budget_window_s', 10),
+    )
+    links = None
+    if reader.find('listen.control') is not None:
+        links = reader.address('listen.control')
+    seeds = reader.find('seeds') or ()
+    place = deployment.Deployment(
+        box=reader.text('node'),
+        domain=reader.text('zone'),
+        callers=reader.address('listen.front'),
+        readiness=reader.address('listen.ready'),
+        links=links,
+        seeds=tuple(reader.parse('seeds', seed) for seed in seeds),
+        store=reader.address('platform.address'),
+        bounds=bounds,
+        memory_bytes=int(reader.number('limits.memory_mb', 256) * MEGABYTE),
+        descriptors=int(reader.number('limits.max_fds', 1224))
+        - FILE_DESCRIPTORS,
+    )
+    return (None if reader.errors else place), reader.errors
+
+
+class Reader:
+    """Takes checked values out of nested tables and collects errors."""
+
+    def __init__(self, table, path):
+        self._table = table
+        self._path = path
+        self.errors = []
+
+    def find(self, key):
+        """Give the value under a dotted key, or None."""
+        value = self._table
+        for name in key.split('.'):
+            if not isinstance(value, dict) or name not in value:
+                return None
+            value = value[name]
+        return value
+
+    def text(self, key):
+        """Give a text that must be there."""
+        value = self.find(key)
+        if isinstance(value, str) and value:
+            return value
+        return self._complain(key, value, 'expected a text', '')
+
+    def number(self, key, default):
+        """Give a number, `default` where there is none."""
+        value = self.find(key)
+        if value is None:
+            return default
+        if isinstance(value, int | float) and not isinstance(value, bool):
+            return value
+        return self._complain(key, value, 'expected a number', default)
+
+    def address(self, key):
+        """Give an address that must be there."""
+        return self.parse(key, self.find(key))
+
+    def parse(self, key, value):
+        """Give the address in a text IP:PORT."""
+        address = parse_address(value)
+        if address is None:
+            self._complain(key, value, 'expected IP:PORT', None)
+        return address
+
+    def _complain(self, key, value, text, default):
+        self.errors.append(settings.Error(self._path, key, value, text))
+        return default
+
+
+def parse_address(text):
+    """Give the Address in a text IP:PORT, or None.
+
+    >>> parse_address('10.0.0.1:80')
+    Address(host='10.0.0.1', port=80)
+    >>> parse_address('10.0.0.1') is None
+    True
+    """
+    if not isinstance(text, str):
+        return None
+    host, _, port = text.rpartition(':')
+    if not host or not port.isdigit():
+        return None
+    return http.Address(host, int(port))
--- /dev/null
+++ b/landingspool/platform/store.py
@@ -0,0 +1,247 @@
+"""Client of the platform's store: a log of records in topics.
+
+Every call ends in one of the outcomes below; none raises for what the
+store or the network does.
+"""
+
+import base64
+import dataclasses
+import json
+import struct
+import time
+from urllib import parse
+
+from landingspool import http
+from landingspool.platform import names
+
+# Seconds for an answer beyond the time for which a read is held; the store
+# answers in some ms, in a second when it is slow.
+ANSWER_S = 1.5
+LENGTH = struct.Struct('>I')
+ENDS = struct.Struct('>QQ')
+PART = '0'
+MAX_KB = '1024'
+
+
+@dataclasses.dataclass(frozen=True)
+class Page:
+    """Records read: the answer to a read that began at `sent`.
+
+    `records` are (key, value) pairs, the value empty where the record
+    drops its key; `end` is the offset after the last one.
+    """
+
+    records: tuple
+    end: int
+    sent: float
+
+
+@dataclasses.dataclass(frozen=True)
+class Newest:
+    """The newest record of each key, (key, value, offset) each."""
+
+    records: tuple
+    end: int
+    sent: float
+
+
+@dataclasses.dataclass(frozen=True)
+class Appended:
+    """An append was done: the offset of its record."""
+
+    offset: int
+    sent: float
+
+
+@dataclasses.dataclass(frozen=True)
+class Conflict:
+    """An append was not done since the topic ends elsewhere."""
+
+    end: int
+
+
+@dataclasses.dataclass(frozen=True)
+class Forgotten:
+    """The records asked for are gone from the log."""
+
+
+@dataclasses.dataclass(frozen=True)
+class Unavailable:
+    """No usable answer; `done` tells if an append may have been done."""
+
+    reason: str
+    done: bool
+
+
+class Store:
+    """Speaks to the store at one address.
+
+    Parameters
+    ----------
+    client : http.Client
+    address : http.Address
+    clock : callable, optional
+        Gives monotonic seconds.
+    """
+
+    def __init__(self, client, address, clock=time.monotonic):
+        self._client = client
+        self._address = address
+        self._clock = clock
+
+    async def read(self, topic, start, hold_s):
+        """Read the records of a keyed topic from an offset on.
+
+        The call is held for `hold_s` seconds where there is none.
+
+        Returns
+        -------
+        Page, Forgotten or Unavailable
+        """
+        query = {
+            'topic': topic,
+            'part': PART,
+            'from': str(start),
+            'max_kb': MAX_KB,
+            'wait_ms': str(int(hold_s * 1000)),
+        }
+        sent = self._clock()
+        reply = await self._call(
+            'GET', names.READ_PATH, query, b'', hold_s + ANSWER_S
+        )
+        if isinstance(reply, Unavailable):
+            return reply
+        if reply.status == 410:
+            return Forgotten()
+        if reply.status != 200:
+            return Unavailable(f'status {reply.status}', False)
+        try:
+            end, _ = ENDS.unpack_from(reply.body)
+            records = split_records(reply.body[ENDS.size :])
+        except (struct.error, ValueError) as error:
+            return Unavailable(f'read: {error}', False)
+        if end < start:
+            # The log ends before what was read of it: it is another one.
+            return Forgotten()
+        return Page(records, start + len(records), sent)
+
+    async def read_newest(self, topic):
+        """Read the newest record of every key.
+
+        Returns
+        -------
+        Newest or Unavailable
+        """
+        rows, after, end, first_sent = [], None, None, self._clock()
+        while True:
+            query = {'topic': topic, 'part': PART}
+            if after is not None:
+                query['after'] = after
+            reply = await self._call(
+                'GET', names.NEWEST_PATH, query, b'', ANSWER_S
+            )
+            if isinstance(reply, Unavailable):
+                return reply
+            if reply.status != 200:
+                return Unavailable(f'status {reply.status}', False)
+            try:
+                page = reply.json()
+                rows += [read_newest_row(row) for row in page['items']]
+                # The pages are no snapshot: what changed after the first
+                # one was made is read again from its end on.
+                end = page['end'] if end is None else end
+            except (ValueError, KeyError, TypeError) as error:
+                return Unavailable(f'newest: {error}', False)
+            if not page.get('more') or not page['items']:
+                return Newest(tuple(rows), end, first_sent)
+            after = page['items'][-1]['key']
+
+    async def append(self, topic, key, value, at=None):
+        """Append one record to a keyed topic.
+
+        Parameters
+        ----------
+        at : int, optional
+            Append only if the topic ends at this offset.
+
+        Returns
+        -------
+        Appended, Conflict or Unavailable
+        """
+        query = {'topic': topic, 'part': PART}
+        if at is not None:
+            query['at'] = str(at)
+        sent = self._clock()
+        body = pack_record(key, value)
+        reply = await self._call(
+            'POST', names.APPEND_PATH, query, body, ANSWER_S
+        )
+        if isinstance(reply, Unavailable):
+            return reply
+        if reply.status == 412:
+            return Conflict(read_field(reply, 'end'))
+        if reply.status != 200:
+            return Unavailable(f'status {reply.status}', False)
+        return Appended(read_field(reply, 'offset'), sent)
+
+    async def _call(self, method, path, query, body, timeout):
+        target = f'{path}?{parse.urlencode(query)}'
+        try:
+            return await self._client.fetch(
+                self._address, method, target, body, timeout=timeout
+            )
+        except http.Unreachable as error:
+            return Unavailable(str(error), error.sent)
+
+
+def read_field(reply, name):
+    """Give a whole number out of a JSON answer; -1 where there is none."""
+    try:
+        return int(reply.json()[name])
+    except (ValueError, KeyError, TypeError):
+        return -1
+
+
+def read_newest_row(row):
+    """Give (key, value, offset) of one row of the newest records."""
+    return row['key'], base64.b64decode(row['value']), row['offset']
+
+
+def pack_record(key, value):
+    """Frame one keyed record.
+
+    >>> pack_record('k', b'v')
+    b'\\x00\\x00\\x00\\x03\\x01kv'
+    """
+    name = key.encode()
+    data = bytes((len(name),)) + name + value
+    return LENGTH.pack(len(data)) + data
+
+
+def split_records(data):
+    """Split framed keyed records into (key, value) pairs.
+
+    >>> split_records(pack_record('a', b'1') + pack_record('b', b''))
+    (('a', b'1'), ('b', b''))
+
+    Raises
+    ------
+    ValueError
+        Where the data ends within a record.
+    """
+    rows = []
+    start = 0
+    while start < len(data):
+        (length,) = LENGTH.unpack_from(data, start)
+        record = data[start + LENGTH.size : start + LENGTH.size + length]
+        if len(record) < length or not record:
+            raise ValueError('a record is cut off')
+        size = record[0]
+        rows.append((record[1 : 1 + size].decode(), record[1 + size :]))
+        start += LENGTH.size + length
+    return tuple(rows)
+
+
+def decode(value):
+    """Decode a JSON record; raises ValueError where it is none."""
+    return json.loads(value)
--- a/tests/contracts/test_platform.py
+++ b/tests/contracts/test_platform.py
@@ -4,9 +4,9 @@
 
 import pytest
 
-from landingspool.platform import live
-from landingspool.platform import log
-from landingspool.platform import outcomes
+from landingspool.ledger import live
+from landingspool.ledger import log
+from landingspool.ledger import outcomes
 from tests.contracts import peer
 
 APPENDS = (
--- a/tests/matrix/guards.py
+++ b/tests/matrix/guards.py
@@ -16,8 +16,8 @@
 from landingspool.decisions import pool
 from landingspool.decisions import request
 from landingspool.decisions import rollout
-from landingspool.platform import claimer
-from landingspool.platform import follower
+from landingspool.ledger import claimer
+from landingspool.ledger import follower
 
 Signal = request.Signal
 
