Order new weights, learn what is kept, and use the stores

Change: one holder, found by conditional appends, orders one target after another and tells all boxes which one loads; cache events make a directory; shared parts are saved to and fetched from stores under leases.

--- a/landingspool/decisions/gateway/choice.py
+++ b/landingspool/decisions/gateway/choice.py
@@ -30,6 +30,9 @@
 # A request sent to a target for other reasons than its rank, to learn
 # whether it has recovered: one in so many.
 TRIAL_SHARE = 0.03
+# A target that is slow from its start is put behind by this share of the
+# time that it stays slow.
+COLD_SHARE = 0.1
 # Seconds that another failure domain costs: two ways of 0.9 ms and the
 # bytes between domains, which are dear; small against reading a prompt.
 FAR_S = 0.003
@@ -62,8 +65,9 @@
 class Candidate(typing.NamedTuple):
     """One target as the choice sees it.
 
-    `kept` are the tokens of the prompt that it need not read, `fetched_s`
-    the seconds that the rest of what is kept elsewhere takes to come.
+    `kept` are the tokens of the prompt that it need not read, `saved` those
+    that stores hold, `fetched_s` the seconds that these take to come.
+    `handicap_s` puts it behind the others.
     """
 
     entry: typing.Any
@@ -72,6 +76,7 @@
     kept: int = 0
     saved: int = 0
     fetched_s: float = 0.0
+    handicap_s: float = 0.0
 
 
 class Chosen(typing.NamedTuple):
@@ -165,7 +170,7 @@
         seconds = (read + waiting) / prompts.READ_TOKENS_S
         seconds += load.running * RUNNING_S + candidate.fetched_s
     seconds = seconds * slow + health.failing * FAILING_S
-    seconds += candidate.entry.cold_s * 0.1
+    seconds += candidate.entry.cold_s * COLD_SHARE + candidate.handicap_s
     return seconds + (0 if candidate.entry.domain == domain else FAR_S)
 
 
--- a/landingspool/decisions/gateway/fleet.py
+++ b/landingspool/decisions/gateway/fleet.py
@@ -28,8 +28,6 @@
         The version of the weights that it runs, by model.
     cold_s : float
         How much longer it is slow from its start.
-    orders : int
-        Orders that it has taken.
     """
 
     name: str
@@ -40,7 +38,6 @@
     slots: int
     versions: dict
     cold_s: float = 0.0
-    orders: int = 0
 
 
 class Fleet:
--- a/landingspool/decisions/gateway/rollouts.py
+++ b/landingspool/decisions/gateway/rollouts.py
@@ -12,9 +12,10 @@
 
 # Seconds for which a claim is good after the append was sent.
 LEASE_S = 3.0
-# Seconds by which a foreign claim has to be old before it is taken over:
-# the lease, and the time for which the old holder's calls may be under way.
-TAKEOVER_S = 4.5
+# Seconds by which a foreign claim has to be old before it is taken over: a
+# little over the lease.  An order of the old holder may be under way longer,
+# but the target refuses it for its lower fence.
+TAKEOVER_S = 3.4
 # A holder appends again when its claim is so old, seconds.
 RENEW_S = 1.2
 # An order that got no answer may be carried out late; only the target's
@@ -27,10 +28,15 @@
 
 
 class Claim(typing.NamedTuple):
-    """A holder's claim as it stands in the store."""
+    """A holder's claim as it stands in the store.
+
+    `loading` are the targets that it is about to order, or has ordered:
+    every box reads the claim and keeps its requests away from them.
+    """
 
     holder: str
     fence: int
+    loading: tuple = ()
 
 
 class Lease(typing.NamedTuple):
@@ -52,15 +58,22 @@
 
 
 class Watch:
-    """Follows the claims of others on this box's clock."""
+    """Follows the claims on this box's clock.
+
+    Attributes
+    ----------
+    end : int or None
+        Where the claims end in the store, as far as was read.
+    """
 
     def __init__(self):
+        self.end = None
         self._claim = None
         self._since = 0.0
 
     def note(self, claim, now):
         """Note the newest claim that was read."""
-        if claim != self._claim:
+        if self._claim is None or claim.fence > self._claim.fence:
             self._claim = claim
             self._since = now
 
@@ -80,12 +93,11 @@
 
 
 class Order(typing.NamedTuple):
-    """An order to load a version, valid only while `taken` orders ran."""
+    """An order to load a version of a model's weights."""
 
     target: str
     model: str
     version: int
-    taken: int
 
 
 class Pending(typing.NamedTuple):
@@ -96,17 +108,20 @@
     state: str
 
 
-SENT = 'sent'
+PREPARING = 'preparing'
 ACCEPTED = 'accepted'
 UNANSWERED = 'unanswered'
 REFUSED = 'refused'
 
+# How long a state keeps a target from being ordered again, seconds.
 WAITS = {
-    SENT: LOAD_S,
+    PREPARING: LOAD_S,
     ACCEPTED: LOAD_S,
     UNANSWERED: UNANSWERED_S,
     REFUSED: REFUSED_S,
 }
+# States in which a target is about to refuse requests, or does already.
+LOADING = (PREPARING, ACCEPTED, UNANSWERED)
 
 
 class Rollout:
@@ -119,6 +134,10 @@
         """Note what became of an order."""
         self._pending[order.target] = Pending(order, now, state)
 
+    def finish(self, target):
+        """Note that nothing is under way at a target any more."""
+        self._pending.pop(target, None)
+
     def plan(self, model, version, targets, most, now):
         """List the orders to give now.
 
@@ -126,37 +145,37 @@
         ----------
         version : int
             The newest one named.
-        targets : dict of str to tuple of (int, int)
-            For each target of the model the version that it has and the
-            orders that it has taken.
+        targets : dict of str to int
+            The version that each target of the model has.
         most : int
             Targets that may load at once without slowing each other.
+
+        >>> rollout = Rollout()
+        >>> orders = rollout.plan('m', 2, {'a': 1, 'b': 1, 'c': 2}, 1, 0.0)
+        >>> orders
+        [Order(target='a', model='m', version=2)]
+        >>> rollout.note(orders[0], 0.0, ACCEPTED)
+        >>> rollout.plan('m', 2, {'a': 1, 'b': 1, 'c': 2}, 1, 1.0)
+        []
         """
-        self._forget(version, targets, now)
-        room = most - len(self._pending)
+        self._forget(targets, now)
+        # One that was refused does not load: it takes up no room.
+        loading = [p for p in self._pending.values() if p.state in LOADING]
+        room = max(most - len(loading), 0)
         behind = sorted(
             name
-            for name, (has, _) in targets.items()
+            for name, has in targets.items()
             if has < version and name not in self._pending
         )
-        return [
-            Order(name, model, version, targets[name][1])
-            for name in behind[: max(room, 0)]
-        ]
+        return [Order(name, model, version) for name in behind[:room]]
 
-    def list_pending(self):
-        """List the targets with an order that is not known to be done."""
-        return list(self._pending)
+    def list_loading(self):
+        """List the targets that load or are about to."""
+        return [n for n, p in self._pending.items() if p.state in LOADING]
 
-    def is_loading(self, target):
-        """Tell whether a target is believed to load now."""
-        pending = self._pending.get(target)
-        return pending is not None and pending.state in (SENT, ACCEPTED)
-
-    def _forget(self, version, targets, now):
+    def _forget(self, targets, now):
         for name, pending in list(self._pending.items()):
-            has = targets.get(name, (version, 0))[0]
-            done = has >= pending.order.version
+            done = targets.get(name, 0) >= pending.order.version
             over = now - pending.sent >= WAITS[pending.state]
             if name not in targets or done or over:
                 del self._pending[name]
@@ -165,7 +184,16 @@
 def is_needed(version, targets):
     """Tell whether any target is behind the named version.
 
-    >>> is_needed(2, {'a': (1, 0), 'b': (2, 0)})
+    >>> is_needed(2, {'a': 1, 'b': 2})
     True
     """
-    return any(has < version for has, _ in targets.values())
+    return any(has < version for has in targets.values())
+
+
+def find_room(targets, at_once):
+    """Give how many targets may load at once: some must go on serving.
+
+    >>> find_room(5, 2), find_room(1, 2), find_room(56, 22)
+    (2, 1, 22)
+    """
+    return max(min(at_once, targets - 1), 1)
--- a/landingspool/decisions/gateway/view.py
+++ b/landingspool/decisions/gateway/view.py
@@ -25,11 +25,15 @@
 # within 220 at most.
 ENGINE_PATIENCE_S = 1.0
 PLAIN_PATIENCE_S = 0.45
-# Seconds after a version was named from which targets that lack it are
-# used only if no other is there: within, too few have it to carry the load.
+# Seconds after a version was named from which targets that lack it are put
+# behind, by so many seconds at first: answers on old weights are worth a
+# fifth less, but all requests at the few new ones would only wait there.
 OLD_WEIGHTS_S = 1.5
+OLD_WEIGHTS_HANDICAP_S = 0.12
 # Seconds after which they are not used at all; the bound is twelve.
-OLD_WEIGHTS_MOST_S = 10.0
+OLD_WEIGHTS_MOST_S = 10.5
+# Seconds for which a target is believed to load without further word.
+LOADING_S = 6.0
 
 
 class Work(typing.NamedTuple):
@@ -101,6 +105,7 @@
         self.warmth = warmth_module.Warmth()
         self.proof = freshness.Proof(bounds.key_s)
         self.boxes = USUAL_BOXES
+        self._loading = {}
         self._sent = {}
         self._heard = {}
         self._health = {}
@@ -123,6 +128,18 @@
         self.named[model] = Named(version, heard)
         return True
 
+    def put_loading(self, names, now):
+        """Take in which targets load, or are about to."""
+        self._loading = {name: now + LOADING_S for name in names}
+
+    def end_loading(self, name):
+        """Note that a target has its new weights."""
+        self._loading.pop(name, None)
+
+    def is_loading(self, name, now):
+        """Tell whether a target refuses requests since it loads."""
+        return now < self._loading.get(name, 0.0)
+
     def plan(self, work, avoid, now):
         """Choose a target for a request; a Plan, or None where none is.
 
@@ -137,7 +154,7 @@
             if entry.name not in avoid
         ]
         if work.prompt is not None:
-            entries = self._prefer_version(entries, work.prompt.model, now)
+            entries = self._list_loaded(entries, work.prompt.model, now)
         candidates = [self._weigh(entry, work, now) for entry in entries]
         chosen = choice.choose(
             candidates,
@@ -244,21 +261,26 @@
             self._allowances[service] = known
         return known
 
-    def _prefer_version(self, entries, model, now):
+    def _list_loaded(self, entries, model, now):
+        """Leave out what loads or has weights that are too old to use."""
+        idle = [e for e in entries if not self.is_loading(e.name, now)]
+        entries = idle or entries
         named = self.named.get(model)
-        if named is None:
+        if named is None or now - named.heard < OLD_WEIGHTS_MOST_S:
             return entries
-        behind = now - named.heard
-        newest = [
-            e
-            for e in entries
-            if (self.fleet.get_version(e.name, model) or 0) >= named.version
-        ]
-        if behind >= OLD_WEIGHTS_MOST_S:
-            return newest
-        if behind >= OLD_WEIGHTS_S and newest:
-            return newest
-        return entries
+        return [e for e in entries if not self._is_behind(e.name, model)]
+
+    def _is_behind(self, name, model):
+        named = self.named.get(model)
+        version = self.fleet.get_version(name, model) or 0
+        return named is not None and version < named.version
+
+    def _find_handicap(self, name, model, now):
+        if not self._is_behind(name, model):
+            return 0.0
+        if now - self.named[model].heard < OLD_WEIGHTS_S:
+            return 0.0
+        return OLD_WEIGHTS_HANDICAP_S
 
     def _weigh(self, entry, work, now):
         load = self.measure_load(entry.name)
@@ -272,19 +294,30 @@
         )
         transfer = self._plan_transfer(work, space, now)
         return choice.Candidate(
-            entry, load, health, kept, transfer.tokens, transfer.seconds
+            entry,
+            load,
+            health,
+            kept,
+            transfer.tokens,
+            transfer.seconds,
+            self._find_handicap(entry.name, work.prompt.model, now),
         )
 
     def _make_plan(self, chosen, work, now):
         version, space, transfer = None, '', transfers.Transfer()
         if work.prompt is not None:
-            version = self.fleet.get_version(
-                chosen.entry.name, work.prompt.model
-            )
-            space = prompts.name_space(
-                work.prompt.model, version, work.tenancy
-            )
-            transfer = self._plan_transfer(work, space, now)
+            model = work.prompt.model
+            version = self.fleet.get_version(chosen.entry.name, model)
+            space = prompts.name_space(model, version, work.tenancy)
+            if version is not None and not self.is_loading(
+                chosen.entry.name, now
+            ):
+                transfer = self._plan_transfer(work, space, now)
+            else:
+                # The target may take the new weights before the request
+                # arrives.  Without transfers nothing of either version can
+                # mix, so the request may run on whatever is there.
+                version = None
         return Plan(
             chosen.entry,
             chosen.expected_s,
--- a/landingspool/events.py
+++ b/landingspool/events.py
@@ -183,6 +183,18 @@
         Kind(503, 'ordered', 'INFO', 'A fenced order was sent to a target.'),
         Kind(504, 'order_refused', 'WARNING', 'A target refused an order.'),
         Kind(505, 'planned', 'DEBUG', 'An order to a target was planned.'),
+        Kind(
+            506,
+            'holding',
+            'INFO',
+            'This box may give orders, under the fence told.',
+        ),
+        Kind(
+            507,
+            'lease_lost',
+            'WARNING',
+            'This box may no longer give orders.',
+        ),
         Kind(
             600, 'kept', 'DEBUG', 'A block of context was sealed in a store.'
         ),
@@ -202,6 +214,12 @@
         Kind(
             604, 'store_down', 'WARNING', 'A store does not answer or is full.'
         ),
+        Kind(
+            605,
+            'cache_epoch',
+            'INFO',
+            'A target or store has begun to keep context anew.',
+        ),
         Kind(700, 'joined', 'INFO', 'A box was seen alive.'),
         Kind(701, 'suspected', 'WARNING', 'A box did not answer its probes.'),
         Kind(702, 'removed', 'WARNING', 'A box was removed from the view.'),
--- /dev/null
+++ b/landingspool/gateway/cachewatch.py
@@ -0,0 +1,100 @@
+"""Learns what targets and stores keep, from their cache events.
+
+One call a second to each: a call that waits less than a fifth of a second
+has the price of a probe, and under load there is always something new.
+"""
+
+import asyncio
+
+from landingspool.decisions.gateway import routes
+from landingspool.platform import boot
+from landingspool.platform import runners
+
+# Pause between two calls to one target, seconds.
+PERIOD_S = 1.0
+# Stores are asked more often: what they hold is offered to requests only
+# shortly after their word.
+STORE_PERIOD_S = 0.6
+# Seconds for which a call is held where there is nothing new.
+HOLD_S = 0.6
+# Pause after a call that failed, seconds.
+FAILED_S = 0.5
+# How often the list of those to be followed is looked through, seconds.
+LOOK_S = 0.5
+
+
+class Cachewatch:
+    """Follows every engine and every store of kept context.
+
+    Parameters
+    ----------
+    hub
+        The box's parts.
+    """
+
+    def __init__(self, hub):
+        self._hub = hub
+        self._tasks = {}
+
+    async def run(self):
+        """Follow until cancelled."""
+        try:
+            while True:
+                self._adapt(self._list_wanted())
+                await asyncio.sleep(LOOK_S)
+        finally:
+            self._adapt({})
+
+    def _list_wanted(self):
+        """Give the address and period of each one to be followed."""
+        table = self._hub.view.table
+        if table is None:
+            return {}
+        wanted = {}
+        for address in routes.list_addresses(table):
+            wanted[address] = boot.parse_address(address), STORE_PERIOD_S
+        for entry in self._hub.view.fleet.entries.values():
+            service = table.services.get(entry.service)
+            if service is not None and service.engine is not None:
+                wanted[entry.name] = entry.address, PERIOD_S
+        return wanted
+
+    def _adapt(self, wanted):
+        for name in [name for name in self._tasks if name not in wanted]:
+            self._tasks.pop(name).cancel()
+        for name, (address, period_s) in wanted.items():
+            task = self._tasks.get(name)
+            if task is None or task.done():
+                work = self._follow(name, address, period_s)
+                self._tasks[name] = asyncio.ensure_future(work)
+
+    async def _follow(self, name, address, period_s):
+        whole = True
+        while True:
+            sent = self._hub.clock()
+            news = await self._ask(name, address, whole)
+            now = self._hub.clock()
+            if isinstance(news, runners.Unanswered):
+                await asyncio.sleep(FAILED_S)
+                continue
+            whole = self._take(name, news, sent, now)
+            if not whole:
+                await asyncio.sleep(max(period_s - (now - sent), 0.05))
+
+    def _take(self, name, news, sent, now):
+        """Take in news; tells whether the whole list is needed."""
+        warmth = self._hub.view.warmth
+        index = warmth.get(name)
+        again = warmth.take(name, news, sent, now)
+        if index is None or index.epoch != news.epoch:
+            self._hub.recorder.record(
+                'cache_epoch', target=name, epoch=news.epoch
+            )
+        return again
+
+    async def _ask(self, name, address, whole):
+        if whole:
+            return await self._hub.runners.read_list(address)
+        index = self._hub.view.warmth.get(name)
+        since = index.next if index is not None else 0
+        return await self._hub.runners.read_events(address, since, HOLD_S)
--- a/landingspool/gateway/following.py
+++ b/landingspool/gateway/following.py
@@ -35,6 +35,7 @@
     """
 
     topic = ''
+    hold_s = HOLD_S
 
     def __init__(self, hub):
         self._hub = hub
@@ -59,7 +60,7 @@
     async def _follow(self, offset):
         pause = PAUSE_S
         while True:
-            page = await self._hub.store.read(self.topic, offset, HOLD_S)
+            page = await self._hub.store.read(self.topic, offset, self.hold_s)
             if isinstance(page, store_module.Unavailable):
                 self._note_state(False, page.reason)
                 await asyncio.sleep(pause)
@@ -80,16 +81,17 @@
         return self._hub.clock() - self._failed_at < UNSURE_S
 
     def _take_newest(self, newest):
-        for key, value, _ in newest.records:
-            self._take(key, value)
+        for key, value, offset in newest.records:
+            self._take(key, value, offset)
         self._note_read(newest.sent)
 
     def _take_page(self, page):
-        for key, value in page.records:
-            self._take(key, value)
+        first = page.end - len(page.records)
+        for place, (key, value) in enumerate(page.records):
+            self._take(key, value, first + place)
         self._note_read(page.sent)
 
-    def _take(self, key, value):
+    def _take(self, key, value, offset):
         raise NotImplementedError
 
     def _note_read(self, sent):
@@ -109,7 +111,7 @@
 
     topic = names.PUBLISHED_TOPIC
 
-    def _take(self, key, value):
+    def _take(self, key, value, offset):
         try:
             if key == names.TABLE_KEY:
                 self._take_table(value)
@@ -143,12 +145,12 @@
 
     def _take_newest(self, newest):
         super()._take_newest(newest)
-        listed = {key for key, _, _ in newest.records}
+        listed = {key for key, value, _ in newest.records if value}
         for name in list(self._hub.view.fleet.entries):
             if name not in listed:
                 self._drop(name)
 
-    def _take(self, key, value):
+    def _take(self, key, value, offset):
         if not value:
             self._drop(key)
             return
@@ -176,3 +178,33 @@
         self._hub.view.fleet.drop(name, self._hub.clock(), unsure)
         if not unsure:
             self._hub.view.forget(name)
+
+
+class Claims(Follower):
+    """Follows who gives orders, and to which targets."""
+
+    topic = names.CLAIMS_TOPIC
+    # Nothing depends on hearing of silence here.
+    hold_s = 8.0
+
+    def __init__(self, hub, watch):
+        super().__init__(hub)
+        self._watch = watch
+
+    def _take_newest(self, newest):
+        super()._take_newest(newest)
+        self._watch.end = newest.end
+
+    def _take_page(self, page):
+        super()._take_page(page)
+        self._watch.end = page.end
+
+    def _take(self, key, value, offset):
+        try:
+            claim = catalogue.read_claim(value, offset)
+        except catalogue.Malformed as error:
+            self._hub.recorder.record('malformed', key=key, reason=str(error))
+            return
+        now = self._hub.clock()
+        self._watch.note(claim, now)
+        self._hub.view.put_loading(claim.loading, now)
--- a/landingspool/gateway/hub.py
+++ b/landingspool/gateway/hub.py
@@ -7,9 +7,11 @@
 from landingspool.decisions.gateway import view as view_module
 from landingspool.decisions import timing
 from landingspool import events
+from landingspool.gateway import cachewatch
 from landingspool.gateway import figures
 from landingspool.gateway import following
 from landingspool.gateway import listener
+from landingspool.gateway import ordering
 from landingspool.gateway import relay
 from landingspool.gateway import upstream
 from landingspool import http
@@ -76,6 +78,10 @@
         self.timer.subscribe(SWEEP_S, lambda tick: self.upstream.sweep())
         self._keep(following.Published(self).run())
         self._keep(following.Targets(self).run())
+        orderer = ordering.Orderer(self)
+        self._keep(following.Claims(self, orderer.watch).run())
+        self._keep(orderer.run())
+        self._keep(cachewatch.Cachewatch(self).run())
         self.recorder.record('started', domain=self.place.domain)
         await self._stop.wait()
         await self._leave()
--- /dev/null
+++ b/landingspool/gateway/ordering.py
@@ -0,0 +1,244 @@
+"""Gives the orders that bring targets to newly named weights.
+
+Any box may do it, one at a time does: the one whose claim stands in the
+platform's store.  All boxes look at the claim only while some target is
+behind, so an ordinary second costs no call.
+"""
+
+import asyncio
+
+from landingspool.decisions.gateway import rollouts
+from landingspool.platform import catalogue
+from landingspool.platform import names
+from landingspool.platform import runners
+from landingspool.platform import store as store_module
+
+# Period of the looks while targets are behind, seconds.
+LOOK_S = 0.25
+# Targets that load at once where there are few: with two of five away the
+# others can't carry the load, and one after another keeps the bound.
+LEAST_AT_ONCE = 1
+# Loads at once beyond which the platform's weights come slower (from the
+# users' pages: two on the small deployments), as a share of the targets.
+LOADS_SHARE = 0.2
+# Seconds for which an order is put off while requests wait at the target.
+DRAIN_S = 1.5
+# Period of the reports that are asked for while a target loads, seconds.
+REPORT_S = 0.35
+
+
+class Orderer:
+    """Gives orders while this box holds the claim.
+
+    Parameters
+    ----------
+    hub
+        The box's parts.
+
+    Attributes
+    ----------
+    watch : rollouts.Watch
+        Told of every claim that is read.
+    """
+
+    def __init__(self, hub):
+        self._hub = hub
+        self.watch = rollouts.Watch()
+        self._lease = None
+        self._told = ()
+        self._rollouts = {}
+        self._tasks = set()
+
+    async def run(self):
+        """Order until cancelled."""
+        while True:
+            await asyncio.sleep(LOOK_S)
+            behind = self._list_behind()
+            if not behind and not self._told:
+                continue
+            if not self._may_hold():
+                continue
+            orders = self._plan(behind)
+            if await self._hold(self._list_loading()):
+                self._give(orders)
+            else:
+                self._withdraw(orders)
+
+    def _list_behind(self):
+        view = self._hub.view
+        rows = []
+        for model, named in view.named.items():
+            targets = {
+                entry.name: view.fleet.get_version(entry.name, model) or 0
+                for entry in view.fleet.list_model(model)
+            }
+            if rollouts.is_needed(named.version, targets):
+                rows.append((model, named.version, targets))
+        return rows
+
+    def _may_hold(self):
+        now = self._hub.clock()
+        if rollouts.is_held(self._lease, now):
+            return True
+        if self.watch.end is None:
+            return False
+        return self.watch.may_claim(self._hub.place.box, now)
+
+    async def _hold(self, loading):
+        """Make the claim good; tells whether orders may be given.
+
+        It is written again when it grows old, and whenever the targets
+        change that load, so that all boxes hear of these first.
+        """
+        now = self._hub.clock()
+        held = rollouts.is_held(self._lease, now)
+        young = held and now - self._lease.since < rollouts.RENEW_S
+        if young and loading == self._told:
+            return True
+        if not await self._claim(loading):
+            return False
+        return rollouts.is_held(self._lease, self._hub.clock())
+
+    async def _claim(self, loading):
+        box = self._hub.place.box
+        value = catalogue.write_claim(box, loading)
+        reply = await self._hub.store.append(
+            names.CLAIMS_TOPIC, CLAIM_KEY, value, self.watch.end
+        )
+        if isinstance(reply, store_module.Appended):
+            self.watch.end = reply.offset + 1
+            if self._lease is None:
+                self._hub.recorder.record('holding', fence=reply.offset)
+            # The newest append is the fence: they only rise.
+            self._lease = rollouts.Lease(reply.offset, reply.sent)
+            self._told = loading
+            self._hub.view.put_loading(loading, self._hub.clock())
+            return True
+        if isinstance(reply, store_module.Conflict):
+            # Somebody else appended: what this box held is over.
+            self._give_up('another holder')
+        return False
+
+    def _give_up(self, reason):
+        if self._lease is not None:
+            self._hub.recorder.record('lease_lost', reason=reason)
+        self._lease = None
+        self._told = ()
+
+    def _plan(self, behind):
+        now = self._hub.clock()
+        orders = []
+        for model, version, targets in behind:
+            rollout = self._rollouts.setdefault(model, rollouts.Rollout())
+            most = rollouts.find_room(len(targets), find_at_once(targets))
+            for order in rollout.plan(model, version, targets, most, now):
+                rollout.note(order, now, rollouts.PREPARING)
+                orders.append(order)
+        return orders
+
+    def _list_loading(self):
+        rows = self._rollouts.values()
+        return tuple(sorted(n for r in rows for n in r.list_loading()))
+
+    def _withdraw(self, orders):
+        for order in orders:
+            self._rollouts[order.model].finish(order.target)
+
+    def _give(self, orders):
+        for order in orders:
+            rollout = self._rollouts[order.model]
+            task = asyncio.ensure_future(self._bring(rollout, order))
+            self._tasks.add(task)
+            task.add_done_callback(self._tasks.discard)
+
+    async def _bring(self, rollout, order):
+        """Bring one target to the version, as far as it answers."""
+        entry = self._hub.view.fleet.entries.get(order.target)
+        if entry is None:
+            rollout.finish(order.target)
+            return
+        report = await self._drain(entry, order)
+        if isinstance(report, runners.Unanswered) or self._has(report, order):
+            rollout.note(order, self._hub.clock(), rollouts.REFUSED)
+            return
+        if not report.busy:
+            state = await self._send(entry, order, report)
+            rollout.note(order, self._hub.clock(), state)
+            if state == rollouts.REFUSED:
+                return
+        await self._wait(rollout, entry, order)
+
+    async def _drain(self, entry, order):
+        """Wait until what waits at a target has begun; the last report.
+
+        An order makes the target refuse what has not begun.  All boxes
+        keep away from it since the claim, so its queue empties soon.
+        """
+        ends = self._hub.clock() + DRAIN_S
+        while True:
+            await asyncio.sleep(REPORT_S)
+            report = await self._read_report(entry, order)
+            if isinstance(report, runners.Unanswered) or not report.waiting:
+                return report
+            if self._hub.clock() >= ends:
+                return report
+
+    async def _send(self, entry, order, report):
+        if not rollouts.is_held(self._lease, self._hub.clock()):
+            return rollouts.REFUSED
+        if not self._hub.beat.is_fresh(self._hub.clock()):
+            return rollouts.REFUSED
+        fence = self._lease.fence
+        reply = await self._hub.runners.order(
+            entry.address, order, report.orders, self._hub.place.box, fence
+        )
+        self._hub.metrics.orders.labels(type(reply).__name__).inc()
+        self._hub.recorder.record(
+            'ordered',
+            target=order.target,
+            version=order.version,
+            taken=report.orders,
+            fence=fence,
+            outcome=str(reply),
+        )
+        if isinstance(reply, runners.Refused) and reply.fenced:
+            # A higher fence was seen there: this one is never used again.
+            self._give_up('fenced')
+        return STATES[type(reply)]
+
+    async def _wait(self, rollout, entry, order):
+        while order.target in rollout.list_loading():
+            await asyncio.sleep(REPORT_S)
+            report = await self._read_report(entry, order)
+            if isinstance(report, runners.Unanswered):
+                continue
+            if self._has(report, order):
+                rollout.finish(order.target)
+                self._hub.view.end_loading(order.target)
+                return
+
+    async def _read_report(self, entry, order):
+        report = await self._hub.runners.report(entry.address)
+        if isinstance(report, runners.Report):
+            version = report.versions.get(order.model)
+            if version is not None:
+                self._hub.view.fleet.note_version(
+                    entry.name, order.model, version
+                )
+        return report
+
+    def _has(self, report, order):
+        return report.versions.get(order.model, 0) >= order.version
+
+
+def find_at_once(targets):
+    """Give how many of these targets may load at once."""
+    return max(LEAST_AT_ONCE, int(len(targets) * LOADS_SHARE))
+
+
+CLAIM_KEY = 'orders'
+STATES = {
+    runners.Taken: rollouts.ACCEPTED,
+    runners.Refused: rollouts.REFUSED,
+    runners.Unanswered: rollouts.UNANSWERED,
+}
--- a/landingspool/platform/catalogue.py
+++ b/landingspool/platform/catalogue.py
@@ -3,6 +3,7 @@
 import json
 
 from landingspool.decisions.gateway import fleet
+from landingspool.decisions.gateway import rollouts
 from landingspool.decisions.gateway import routes
 from landingspool.platform import boot
 from landingspool.platform import names
@@ -161,8 +162,6 @@
             slots=int(row.get('slots', 1)),
             versions=read_versions(row),
             cold_s=row.get('cold_remaining_ms', 0) / 1000,
-            # Counts the orders taken, in entries as in reports.
-            orders=int(row.get('sequence', 0)),
         )
     except (ValueError, KeyError, TypeError) as error:
         raise Malformed(f'target {name}: {error!r}') from error
@@ -174,3 +173,17 @@
         model['name']: int(model.get('version', 0))
         for model in row.get('models') or ()
     }
+
+
+def write_claim(holder, loading):
+    """Encode a claim to give orders."""
+    return json.dumps({'holder': holder, 'loading': list(loading)}).encode()
+
+
+def read_claim(value, offset):
+    """Decode a claim; its offset is the fence of its orders."""
+    try:
+        row = json.loads(value)
+        return rollouts.Claim(row['holder'], offset, tuple(row['loading']))
+    except (ValueError, KeyError, TypeError) as error:
+        raise Malformed(f'claim: {error!r}') from error
--- a/landingspool/platform/runners.py
+++ b/landingspool/platform/runners.py
@@ -76,12 +76,14 @@
         except (ValueError, KeyError, TypeError) as error:
             return Unanswered(f'report: {error!r}', True)
 
-    async def order(self, address, order, holder, fence):
+    async def order(self, address, order, taken, holder, fence):
         """Order a target to load a version, once its own runs have ended.
 
         Parameters
         ----------
         order : rollouts.Order
+        taken : int
+            Orders that the target has taken; it refuses after another.
 
         Returns
         -------
@@ -94,7 +96,7 @@
             'manner': 'wait',
             'holder': holder,
             'fence': fence,
-            'expected': order.taken,
+            'expected': taken,
         }
         headers = [
             ('content-type', 'application/json'),
