Tell other boxes what is under way, and live on them without the store

Cause: each box guessed what others had at a target, and a box that the store turned away had no proof of its table after five seconds. Change: digests by datagram five times a second; a question to neighbours when the own proof is over 2.9 s old, and their state fetched whole.

--- a/landingspool/decisions/gateway/choice.py
+++ b/landingspool/decisions/gateway/choice.py
@@ -20,8 +20,6 @@
 # Seconds a request counts that waits for its first byte at a plain target,
 # before any was measured.
 PLAIN_WORK_S = 0.045
-# What waits at an engine from this box alone stands for more from others.
-OTHERS_SHARE = 2.0
 # Seconds one running request adds to the first token of the next: a step
 # takes 3.2 ms, and each running request lengthens it by 0.05 ms.
 RUNNING_S = 0.0006
@@ -53,6 +51,8 @@
         When the one that waits longest was sent.
     heard : float
         When the target last sent any byte on any request.
+    others_tokens, others_running : float
+        The same of other boxes.
     """
 
     waiting: int = 0
@@ -60,6 +60,8 @@
     waiting_tokens: int = 0
     oldest: float | None = None
     heard: float = 0.0
+    others_tokens: float = 0.0
+    others_running: float = 0.0
 
 
 class Candidate(typing.NamedTuple):
@@ -161,14 +163,16 @@
     slow = health_module.weigh_slowness(health, peers)
     if prompt is None:
         slots = max(candidate.entry.slots, 1)
-        busy = (load.waiting + load.running) / slots
+        busy = load.waiting + load.running + load.others_running
+        busy /= slots
         seconds = PLAIN_WORK_S * (1.0 + busy)
     else:
         kept = max(candidate.kept, candidate.saved)
         read = prompts.count_read(prompt, kept)
-        waiting = load.waiting_tokens * OTHERS_SHARE
+        waiting = load.waiting_tokens + load.others_tokens
         seconds = (read + waiting) / prompts.READ_TOKENS_S
-        seconds += load.running * RUNNING_S + candidate.fetched_s
+        running = load.running + load.others_running
+        seconds += running * RUNNING_S + candidate.fetched_s
     seconds = seconds * slow + health.failing * FAILING_S
     seconds += candidate.entry.cold_s * COLD_SHARE + candidate.handicap_s
     return seconds + (0 if candidate.entry.domain == domain else FAR_S)
--- /dev/null
+++ b/landingspool/decisions/gateway/neighbours.py
@@ -0,0 +1,125 @@
+"""What the other boxes have at the targets, from their digests.
+
+Each box tells some others, a few times a second, what it has sent where.
+A digest that is lost is replaced by the next one, so datagrams do.  Where
+there are many boxes each tells only some of them; what was heard then
+stands for the rest.
+"""
+
+import typing
+
+# Seconds for which a digest counts: several periods, so that one lost
+# datagram does not make a busy target look idle.
+FRESH_S = 1.0
+# Boxes that one digest is sent to.
+FAN_OUT = 8
+
+
+class Digest(typing.NamedTuple):
+    """What one box has under way.
+
+    Attributes
+    ----------
+    number : int
+        Rises with each digest of a box.
+    table : int
+        Version of the table in force there; 0: none.
+    proof_s : float
+        Age of its proof of that table.
+    loads : dict of str to list
+        For each target the prompt tokens waiting there and the requests
+        that have begun.
+    """
+
+    box: str
+    number: int
+    table: int
+    proof_s: float
+    loads: dict
+
+
+class Ask(typing.NamedTuple):
+    """Asks a box how fresh its table is."""
+
+    box: str
+    number: int
+
+
+class Tell(typing.NamedTuple):
+    """Answers an Ask, with its number."""
+
+    box: str
+    number: int
+    table: int
+    proof_s: float
+
+
+class Neighbours:
+    """The other boxes as this one has heard of them."""
+
+    def __init__(self):
+        self._heard = {}
+        self._sums = {}
+        self._sums_heard = 0
+        self._summed = None
+
+    def take(self, digest, now):
+        """Take in a digest."""
+        known = self._heard.get(digest.box)
+        if known is not None and known[0].number >= digest.number:
+            if now - known[1] < FRESH_S:
+                # An older one that was overtaken on its way.
+                return
+        self._heard[digest.box] = digest, now
+        self._summed = None
+
+    def count(self, now):
+        """Count the boxes heard of shortly before `now`."""
+        return sum(1 for _, at in self._heard.values() if now - at < FRESH_S)
+
+    def list_heard(self, now):
+        """List the names of the boxes heard of shortly before `now`."""
+        return [b for b, (_, at) in self._heard.items() if now - at < FRESH_S]
+
+    def get_load(self, target, boxes, now):
+        """Give what others have at a target.
+
+        Parameters
+        ----------
+        boxes : int
+            Other boxes that there are; those not heard count like those
+            that were.
+
+        Returns
+        -------
+        tuple of (float, float)
+            Prompt tokens waiting, requests running.
+
+        >>> neighbours = Neighbours()
+        >>> neighbours.take(Digest('b', 1, 0, 0.0, {'t': [100, 2]}), 1.0)
+        >>> neighbours.get_load('t', 1, 1.5)
+        (100.0, 2.0)
+        >>> neighbours.get_load('t', 1, 3.0)
+        (0.0, 0.0)
+        """
+        self._sum(now)
+        tokens, running = self._sums.get(target, (0, 0))
+        if not self._sums_heard:
+            return 0.0, 0.0
+        scale = max(boxes / self._sums_heard, 1.0)
+        return tokens * scale, running * scale
+
+    def _sum(self, now):
+        # Once in a while: digests change some times a second, and every
+        # choice asks for every target.
+        if self._summed is not None and now - self._summed < FRESH_S / 10:
+            return
+        sums = {}
+        rows = [d for d, at in self._heard.values() if now - at < FRESH_S]
+        for digest in rows:
+            for target, (tokens, running) in digest.loads.items():
+                known = sums.get(target, (0, 0))
+                sums[target] = known[0] + tokens, known[1] + running
+        self._sums = sums
+        self._sums_heard = len(rows)
+        self._summed = now
--- a/landingspool/decisions/gateway/view.py
+++ b/landingspool/decisions/gateway/view.py
@@ -12,13 +12,14 @@
 from landingspool.decisions.gateway import fleet as fleet_module
 from landingspool.decisions.gateway import freshness
 from landingspool.decisions.gateway import health as health_module
+from landingspool.decisions.gateway import neighbours
 from landingspool.decisions.gateway import prompts
 from landingspool.decisions.gateway import routes
 from landingspool.decisions.gateway import transfers
 from landingspool.decisions.gateway import warmth as warmth_module
 
-# Boxes that the retry budget is divided by before others are known of:
-# today's deployments have six and seven.
+# Boxes that the retry budget is divided by at least: today's deployments
+# have six and seven, and may replace one.
 USUAL_BOXES = 8
 # Seconds without a byte after which a target with a waiting request is
 # taken for silent: engines answer within some hundred ms, plain services
@@ -104,6 +105,7 @@
         self.fleet = fleet_module.Fleet()
         self.warmth = warmth_module.Warmth()
         self.proof = freshness.Proof(bounds.key_s)
+        self.neighbours = neighbours.Neighbours()
         self.boxes = USUAL_BOXES
         self._loading = {}
         self._sent = {}
@@ -239,18 +241,29 @@
         self._heard.pop(name, None)
         self.warmth.forget(name)
 
-    def measure_load(self, name):
-        """Give the choice.Load of this box at a target."""
+    def measure_load(self, name, now):
+        """Give the choice.Load at a target, of this and other boxes."""
         rows = self._sent.get(name, {}).values()
         waiting = [row for row in rows if not row.begun]
+        tokens, running = self.neighbours.get_load(name, self.boxes - 1, now)
         return choice.Load(
             waiting=len(waiting),
             running=len(rows) - len(waiting),
             waiting_tokens=sum(row.tokens for row in waiting),
             oldest=min((row.at for row in waiting), default=None),
             heard=self._heard.get(name, 0.0),
+            others_tokens=tokens,
+            others_running=running,
         )
 
+    def list_loads(self):
+        """Give what this box has at each target, for the other boxes."""
+        loads = {}
+        for name, rows in self._sent.items():
+            waiting = [row.tokens for row in rows.values() if not row.begun]
+            loads[name] = [sum(waiting), len(rows) - len(waiting)]
+        return loads
+
     def _get_allowance(self, service):
         known = self._allowances.get(service)
         if known is None:
@@ -283,7 +296,7 @@
         return OLD_WEIGHTS_HANDICAP_S
 
     def _weigh(self, entry, work, now):
-        load = self.measure_load(entry.name)
+        load = self.measure_load(entry.name, now)
         health = self.get_health(entry.name)
         if work.prompt is None:
             return choice.Candidate(entry, load, health)
--- a/landingspool/events.py
+++ b/landingspool/events.py
@@ -241,6 +241,18 @@
             'ERROR',
             'A peer sent a message that failed its check.',
         ),
+        Kind(
+            706,
+            'state_taken',
+            'INFO',
+            'The state of another box was taken, the store being away.',
+        ),
+        Kind(
+            707,
+            'no_state',
+            'WARNING',
+            'The state of another box could not be fetched.',
+        ),
         Kind(
             800,
             'fault',
--- a/landingspool/gateway/following.py
+++ b/landingspool/gateway/following.py
@@ -160,6 +160,7 @@
             self._hub.recorder.record('malformed', key=key, reason=str(error))
             return
         known = key in self._hub.view.fleet.entries
+        self._hub.target_values[key] = value
         state = self._hub.view.fleet.put(entry)
         if state != fleet_module.READY and known:
             self._hub.recorder.record('leaving', target=key, state=state)
@@ -170,6 +171,7 @@
             )
 
     def _drop(self, name):
+        self._hub.target_values.pop(name, None)
         unsure = self.is_unsure()
         if name in self._hub.view.fleet.entries:
             self._hub.recorder.record(
--- a/landingspool/gateway/hub.py
+++ b/landingspool/gateway/hub.py
@@ -12,9 +12,11 @@
 from landingspool.gateway import following
 from landingspool.gateway import listener
 from landingspool.gateway import ordering
+from landingspool.gateway import peering
 from landingspool.gateway import relay
 from landingspool.gateway import upstream
 from landingspool import http
+from landingspool.platform import catalogue
 from landingspool.platform import ingress
 from landingspool.platform import names
 from landingspool.platform import runners
@@ -66,6 +68,9 @@
         most = max(place.descriptors - OWN_DESCRIPTORS, LEAST_CONNECTIONS)
         self.listener = listener.Listener(self._handle, self._limits, most)
         self._side = http.Server(self._answer_side)
+        self.peering = peering.Peering(self)
+        self.target_values = {}
+        self._table_value = None
         self._tasks = []
         self._stop = asyncio.Event()
 
@@ -82,6 +87,10 @@
         self._keep(following.Claims(self, orderer.watch).run())
         self._keep(orderer.run())
         self._keep(cachewatch.Cachewatch(self).run())
+        if self.place.links is not None:
+            await self.peering.start()
+            self._keep(self.peering.register())
+            self._keep(peering.Boxes(self, self.peering.addresses).run())
         self.recorder.record('started', domain=self.place.domain)
         await self._stop.wait()
         await self._leave()
@@ -93,12 +102,42 @@
     def take_table(self, table, value):
         """Put a published table in force if it is newer."""
         if self.view.put_table(table):
+            self._table_value = value
             self.recorder.record(
                 'published',
                 version=table.version,
                 proof_s=round(min(self.view.proof.age(self.clock()), 9999), 2),
             )
 
+    def give_state(self):
+        """Give what another box needs that can't reach the store."""
+        return {
+            'proof_s': min(self.view.proof.age(self.clock()), 9e3),
+            'table': self._table_value,
+            'versions': {m: n.version for m, n in self.view.named.items()},
+            'targets': self.target_values,
+        }
+
+    def take_state(self, state, sent):
+        """Take in another box's state, asked for at `sent`."""
+        now = self.clock()
+        if state['table'] is None:
+            return
+        self.take_table(catalogue.read_table(state['table']), state['table'])
+        for model, version in state['versions'].items():
+            self.view.put_version(model, version, now)
+        for name, value in state['targets'].items():
+            self.view.fleet.put(catalogue.read_entry(name, value))
+        for name in list(self.view.fleet.entries):
+            if name not in state['targets']:
+                self.view.fleet.drop(name, now, True)
+        self.view.proof.note(sent - state['proof_s'])
+        self.recorder.record(
+            'state_taken',
+            table=self.view.table.version,
+            proof_s=round(self.view.proof.age(now), 2),
+        )
+
     def _keep(self, work):
         task = asyncio.ensure_future(work)
         task.add_done_callback(self._note_end)
@@ -161,6 +200,7 @@
         began = self.clock()
         ends = began + self.place.bounds.grace_s - END_MARGIN_S
         self.listener.stop()
+        self._keep(self.peering.leave())
         await asyncio.sleep(min(LEAVE_S, self.place.bounds.grace_s / 2))
         await self.listener.close(max(ends - self.clock(), 0.1))
         for task in self._tasks:
@@ -168,6 +208,7 @@
         with contextlib.suppress(asyncio.CancelledError):
             await asyncio.gather(*self._tasks, return_exceptions=True)
         self.timer.close()
+        await self.peering.close()
         self.upstream.close()
         self.client.close()
         self.recorder.record('stopped')
--- /dev/null
+++ b/landingspool/gateway/peering.py
@@ -0,0 +1,214 @@
+"""Tells the other boxes what this one has under way, and lives on them.
+
+A box that the platform's store turns away asks its neighbours how fresh
+their table is: an answer proves as much as its own read would, less its
+age.  What they have newer it fetches from them whole.
+"""
+
+import asyncio
+import json
+import random
+
+import cbor2
+
+from landingspool.boxes import datagrams
+from landingspool.decisions.gateway import neighbours
+from landingspool.gateway import following
+from landingspool import http
+from landingspool.platform import boot
+from landingspool.platform import names
+from landingspool.platform import store as store_module
+
+# Period of the digests, seconds: short against the reading of a long
+# prompt (0.1 s), so that two boxes seldom choose the same idle target.
+DIGEST_S = 0.2
+# Period of the questions, and the age of the own proof from which on the
+# neighbours are asked: an ordinary one grows to twice the hold of a read.
+ASK_S = 0.4
+ASK_AGE_S = 2.9
+# Boxes that are asked at a time.
+ASKED = 3
+STATE_PATH = '/state'
+FETCH_S = 1.0
+# Pause between two tries to tell the store of this box, seconds.
+REGISTER_S = 0.7
+
+
+class Boxes(following.Follower):
+    """Follows which boxes there are."""
+
+    topic = names.BOXES_TOPIC
+    # Boxes come and go in minutes; a silent one is noticed by its digests.
+    hold_s = 8.0
+
+    def __init__(self, hub, addresses):
+        super().__init__(hub)
+        self._addresses = addresses
+
+    def _take(self, key, value, offset):
+        if not value:
+            self._addresses.pop(key, None)
+            return
+        address = boot.parse_address(read_address(value))
+        if address is None:
+            self._hub.recorder.record('malformed', key=key, reason='address')
+        elif key != self._hub.place.box:
+            self._addresses[key] = address
+
+
+class Peering:
+    """This box among the others.
+
+    Parameters
+    ----------
+    hub
+        The box's parts.
+    """
+
+    def __init__(self, hub):
+        self._hub = hub
+        self._number = 0
+        self._asks = {}
+        self._fetching = False
+        self.addresses = {}
+        self._socket = datagrams.Datagrams(self._take, self._note_bad)
+        self._server = http.Server(self._answer)
+
+    async def start(self):
+        """Open the sockets and begin to tell."""
+        address = self._hub.place.links
+        await self._socket.start(address)
+        await self._server.start(*address)
+        self._hub.timer.subscribe(DIGEST_S, self._tell)
+        self._hub.timer.subscribe(ASK_S, self._ask)
+
+    async def register(self):
+        """Make this box known through the store; ends when it is."""
+        place = self._hub.place
+        value = json.dumps({'address': f'{place.links[0]}:{place.links[1]}'})
+        while True:
+            reply = await self._hub.store.append(
+                names.BOXES_TOPIC, place.box, value.encode()
+            )
+            if isinstance(reply, store_module.Appended):
+                return
+            await asyncio.sleep(REGISTER_S)
+
+    async def leave(self):
+        """Make it known that this box stops."""
+        await self._hub.store.append(
+            names.BOXES_TOPIC, self._hub.place.box, b''
+        )
+
+    async def close(self):
+        """Close the sockets."""
+        self._socket.close()
+        await self._server.close()
+
+    def _tell(self, tick):
+        view = self._hub.view
+        # The count that divides the retry budget never falls: a box that
+        # is only not heard spends its part all the same.
+        view.boxes = max(view.boxes, len(self.addresses) + 1)
+        self._number += 1
+        digest = neighbours.Digest(
+            box=self._hub.place.box,
+            number=self._number,
+            table=view.table.version if view.table else 0,
+            proof_s=self._get_age(),
+            loads=view.list_loads(),
+        )
+        for address in self._pick(neighbours.FAN_OUT):
+            self._socket.send(digest, address)
+
+    def _ask(self, tick):
+        if tick.gap or self._get_age() < ASK_AGE_S:
+            return
+        self._number += 1
+        self._asks = {self._number: tick.now}
+        ask = neighbours.Ask(self._hub.place.box, self._number)
+        for address in self._pick(ASKED):
+            self._socket.send(ask, address)
+
+    def _pick(self, most):
+        # The seeds are a start where the store tells of no box.
+        known = list(self.addresses.values()) or list(self._hub.place.seeds)
+        return random.sample(known, min(most, len(known)))
+
+    def _get_age(self):
+        return round(min(self._hub.view.proof.age(self._hub.clock()), 9e3), 3)
+
+    def _take(self, message, address):
+        HANDLERS[type(message)](self, message, http.Address(*address))
+
+    def _take_digest(self, digest, address):
+        if digest.box == self._hub.place.box:
+            return
+        self.addresses.setdefault(digest.box, address)
+        self._hub.view.neighbours.take(digest, self._hub.clock())
+
+    def _take_ask(self, ask, address):
+        view = self._hub.view
+        if view.table is None:
+            return
+        tell = neighbours.Tell(
+            self._hub.place.box,
+            ask.number,
+            view.table.version,
+            self._get_age(),
+        )
+        self._socket.send(tell, address)
+
+    def _take_tell(self, tell, address):
+        asked = self._asks.get(tell.number)
+        if asked is None:
+            return
+        if tell.proof_s > self._hub.view.proof.age(self._hub.clock()):
+            return
+        if not self._fetching:
+            self._fetching = True
+            work = asyncio.ensure_future(self._fetch(address))
+            work.add_done_callback(self._end_fetch)
+
+    def _end_fetch(self, work):
+        self._fetching = False
+        if not work.cancelled() and work.exception() is not None:
+            self._hub.recorder.record('fault', reason=repr(work.exception()))
+
+    async def _fetch(self, address):
+        """Fetch a neighbour's state; it proves what it says of its age."""
+        sent = self._hub.clock()
+        try:
+            reply = await self._hub.client.fetch(
+                address, 'GET', STATE_PATH, timeout=FETCH_S
+            )
+            state = cbor2.loads(reply.body)
+        except (http.Unreachable, cbor2.CBORError, ValueError) as error:
+            self._hub.recorder.record('no_state', reason=str(error))
+            return
+        self._hub.take_state(state, sent)
+
+    async def _answer(self, request, exchange):
+        if request.path != STATE_PATH:
+            await exchange.send_json(404, {'error': 'no such path'})
+            return
+        body = cbor2.dumps(self._hub.give_state())
+        await exchange.send_body(200, body, 'application/cbor')
+
+    def _note_bad(self, reason):
+        self._hub.recorder.record('bad_message', reason=reason)
+
+
+HANDLERS = {
+    neighbours.Digest: Peering._take_digest,
+    neighbours.Ask: Peering._take_ask,
+    neighbours.Tell: Peering._take_tell,
+}
+
+
+def read_address(value):
+    """Give the address in a box's record; None where there is none."""
+    try:
+        return json.loads(value)['address']
+    except (ValueError, KeyError, TypeError):
+        return None
