Turn requests away before an engine is past its capacity

Change: digests tell memory held; a request whose expected wait is past a share of its aim is told at once to come back, big reads first. Targets close gradually before a load, two under way at once.

--- a/landingspool/decisions/gateway/choice.py
+++ b/landingspool/decisions/gateway/choice.py
@@ -23,6 +23,11 @@
 # Seconds one running request adds to the first token of the next: a step
 # takes 3.2 ms, and each running request lengthens it by 0.05 ms.
 RUNNING_S = 0.0006
+# Share of an engine's memory that running requests may take; the rest keeps
+# context for the next ones.  Over it, waits grow with the time of a run:
+# two seconds for the longest kind on both deployments (measured).
+MEMORY_SHARE = 0.75
+RUN_S = 2.0
 # A failing target is put behind by so much at a failure share of one.
 FAILING_S = 1.5
 # A request sent to a target for other reasons than its rank, to learn
@@ -51,7 +56,9 @@
         When the one that waits longest was sent.
     heard : float
         When the target last sent any byte on any request.
-    others_tokens, others_running : float
+    held_tokens : int
+        Tokens of all these requests, made ones included.
+    others_tokens, others_running, others_held : float
         The same of other boxes.
     """
 
@@ -62,6 +69,8 @@
     heard: float = 0.0
     others_tokens: float = 0.0
     others_running: float = 0.0
+    held_tokens: int = 0
+    others_held: float = 0.0
 
 
 class Candidate(typing.NamedTuple):
@@ -69,7 +78,8 @@
 
     `kept` are the tokens of the prompt that it need not read, `saved` those
     that stores hold, `fetched_s` the seconds that these take to come.
-    `handicap_s` puts it behind the others.
+    `handicap_s` puts it behind the others; `capacity` is its memory in
+    tokens, 0 where it is not known.
     """
 
     entry: typing.Any
@@ -79,15 +89,20 @@
     saved: int = 0
     fetched_s: float = 0.0
     handicap_s: float = 0.0
+    capacity: int = 0
 
 
 class Chosen(typing.NamedTuple):
-    """The target chosen, with what decided it, for the log."""
+    """The target chosen, with what decided it, for the log.
+
+    `wait_s` is the expected wait behind other requests.
+    """
 
     entry: typing.Any
     expected_s: float
     kept: int
     candidates: int
+    wait_s: float = 0.0
 
 
 def choose(candidates, prompt, domain, now, rng, patience_s):
@@ -123,7 +138,8 @@
     else:
         best = min(scored)
     seconds, _, candidate = best
-    return Chosen(candidate.entry, seconds, candidate.kept, len(usable))
+    wait = expect_wait(candidate.load, candidate.capacity)
+    return Chosen(candidate.entry, seconds, candidate.kept, len(usable), wait)
 
 
 def list_usable(candidates, now, patience_s):
@@ -169,15 +185,27 @@
     else:
         kept = max(candidate.kept, candidate.saved)
         read = prompts.count_read(prompt, kept)
-        waiting = load.waiting_tokens + load.others_tokens
-        seconds = (read + waiting) / prompts.READ_TOKENS_S
-        running = load.running + load.others_running
-        seconds += running * RUNNING_S + candidate.fetched_s
-    seconds = seconds * slow + health.failing * FAILING_S
+        seconds = read / prompts.READ_TOKENS_S + candidate.fetched_s
+        seconds += expect_wait(load, candidate.capacity)
+    # Some routes fail by themselves; only what a target does worse counts.
+    failing = health.failing - min(p.failing for p in peers)
+    seconds = seconds * slow + failing * FAILING_S
     seconds += candidate.entry.cold_s * COLD_SHARE + candidate.handicap_s
     return seconds + (0 if candidate.entry.domain == domain else FAR_S)
 
 
+def expect_wait(load, capacity):
+    """Give the seconds that a request waits behind others at an engine."""
+    waiting = load.waiting_tokens + load.others_tokens
+    seconds = waiting / prompts.READ_TOKENS_S
+    seconds += (load.running + load.others_running) * RUNNING_S
+    over = load.held_tokens + load.others_held - capacity * MEMORY_SHARE
+    if capacity and over > 0:
+        # Whoever comes now waits until runs end and give their memory back.
+        seconds += over / capacity * RUN_S
+    return seconds
+
+
 def rank_homes(prompt, candidates):
     """Give the place of each target in the hash order of the prompt."""
     if prompt is None or len(prompt.parts) < 2:
--- a/landingspool/decisions/gateway/neighbours.py
+++ b/landingspool/decisions/gateway/neighbours.py
@@ -13,6 +13,7 @@
 FRESH_S = 1.0
 # Boxes that one digest is sent to.
 FAN_OUT = 8
+NOTHING = 0, 0, 0
 
 
 class Digest(typing.NamedTuple):
@@ -27,8 +28,8 @@
     proof_s : float
         Age of its proof of that table.
     loads : dict of str to list
-        For each target the prompt tokens waiting there and the requests
-        that have begun.
+        For each target the prompt tokens waiting there, the requests that
+        have begun and the tokens that all of them hold.
     """
 
     box: str
@@ -92,22 +93,21 @@
 
         Returns
         -------
-        tuple of (float, float)
-            Prompt tokens waiting, requests running.
+        tuple of (float, float, float)
+            Prompt tokens waiting, requests running, tokens held.
 
         >>> neighbours = Neighbours()
-        >>> neighbours.take(Digest('b', 1, 0, 0.0, {'t': [100, 2]}), 1.0)
+        >>> neighbours.take(Digest('b', 1, 0, 0.0, {'t': [100, 2, 9]}), 1.0)
         >>> neighbours.get_load('t', 1, 1.5)
-        (100.0, 2.0)
+        (100.0, 2.0, 9.0)
         >>> neighbours.get_load('t', 1, 3.0)
-        (0.0, 0.0)
+        (0.0, 0.0, 0.0)
         """
         self._sum(now)
-        tokens, running = self._sums.get(target, (0, 0))
         if not self._sums_heard:
-            return 0.0, 0.0
+            return 0.0, 0.0, 0.0
         scale = max(boxes / self._sums_heard, 1.0)
-        return tokens * scale, running * scale
+        return tuple(n * scale for n in self._sums.get(target, NOTHING))
 
     def _sum(self, now):
         # Once in a while: digests change some times a second, and every
@@ -117,9 +117,9 @@
         sums = {}
         rows = [d for d, at in self._heard.values() if now - at < FRESH_S]
         for digest in rows:
-            for target, (tokens, running) in digest.loads.items():
-                known = sums.get(target, (0, 0))
-                sums[target] = known[0] + tokens, known[1] + running
+            for target, load in digest.loads.items():
+                known = sums.get(target, NOTHING)
+                sums[target] = tuple(map(sum, zip(known, load, strict=True)))
         self._sums = sums
         self._sums_heard = len(rows)
         self._summed = now
--- a/landingspool/decisions/gateway/rollouts.py
+++ b/landingspool/decisions/gateway/rollouts.py
@@ -23,6 +23,9 @@
 UNANSWERED_S = 2.5
 # An order under way is believed for so long without the target's word.
 LOAD_S = 8.0
+# Seconds between telling all boxes and the order: most of what runs at the
+# target ends in that time, so the load itself need not wait for it.
+CLOSING_S = 1.6
 # Pause after an order that was refused, seconds.
 REFUSED_S = 0.6
 
@@ -30,13 +33,14 @@
 class Claim(typing.NamedTuple):
     """A holder's claim as it stands in the store.
 
-    `loading` are the targets that it is about to order, or has ordered:
-    every box reads the claim and keeps its requests away from them.
+    `loading` are the targets that it has ordered or will order, and after
+    how many seconds: every box reads the claim and sends them only what
+    ends before.
     """
 
     holder: str
     fence: int
-    loading: tuple = ()
+    loading: dict = {}
 
 
 class Lease(typing.NamedTuple):
@@ -169,9 +173,13 @@
         )
         return [Order(name, model, version) for name in behind[:room]]
 
-    def list_loading(self):
-        """List the targets that load or are about to."""
-        return [n for n, p in self._pending.items() if p.state in LOADING]
+    def list_loading(self, now):
+        """Give the targets that load or will, and after how many seconds."""
+        return {
+            name: find_delay(pending, now)
+            for name, pending in self._pending.items()
+            if pending.state in LOADING
+        }
 
     def _forget(self, targets, now):
         for name, pending in list(self._pending.items()):
@@ -181,6 +189,19 @@
                 del self._pending[name]
 
 
+def find_delay(pending, now):
+    """Give after how many seconds a target loads.
+
+    >>> find_delay(Pending(None, 10.0, PREPARING), 10.5)
+    1.1
+    >>> find_delay(Pending(None, 10.0, ACCEPTED), 10.5)
+    0.0
+    """
+    if pending.state != PREPARING:
+        return 0.0
+    return round(max(pending.sent + CLOSING_S - now, 0.0), 2)
+
+
 def is_needed(version, targets):
     """Tell whether any target is behind the named version.
 
--- a/landingspool/decisions/gateway/view.py
+++ b/landingspool/decisions/gateway/view.py
@@ -7,6 +7,7 @@
 import random
 import typing
 
+from landingspool.decisions.gateway import admission
 from landingspool.decisions.gateway import allowance
 from landingspool.decisions.gateway import choice
 from landingspool.decisions.gateway import fleet as fleet_module
@@ -35,6 +36,11 @@
 OLD_WEIGHTS_MOST_S = 10.5
 # Seconds for which a target is believed to load without further word.
 LOADING_S = 6.0
+# Seconds that one token takes to make, and that any request takes at least,
+# in the middle of the load of the two deployments (measured: 5 to 7 ms a
+# token, 0.15 s to the first).
+TOKEN_S = 0.006
+SHORTEST_RUN_S = 0.2
 
 
 class Work(typing.NamedTuple):
@@ -57,12 +63,18 @@
         Rank of the target: the expected seconds to its first byte.
     kept : int
         Tokens of the prompt believed to be kept there.
+    wait_s : float
+        The part of it that is spent behind other requests.
+    read_tokens : int
+        Prompt tokens that the target has to read.
     transfer : transfers.Transfer
     """
 
     entry: fleet_module.Entry
     expected_s: float
+    wait_s: float
     kept: int
+    read_tokens: int
     candidates: int
     version: int | None
     space: str
@@ -70,11 +82,15 @@
 
 
 class Sent(typing.NamedTuple):
-    """A request of this box at a target; `begun` once bytes came back."""
+    """A request of this box at a target; `begun` once bytes came back.
+
+    `tokens` are to be read, `held` is the memory that it takes in the end.
+    """
 
     at: float
     tokens: int
     begun: bool
+    held: int = 0
 
 
 class Named(typing.NamedTuple):
@@ -130,17 +146,32 @@
         self.named[model] = Named(version, heard)
         return True
 
-    def put_loading(self, names, now):
-        """Take in which targets load, or are about to."""
-        self._loading = {name: now + LOADING_S for name in names}
+    def put_loading(self, delays, now):
+        """Take in which targets load, or will after so many seconds.
+
+        Parameters
+        ----------
+        delays : dict of str to float
+        """
+        self._loading = {
+            name: self._loading.get(name, now + delay)
+            for name, delay in delays.items()
+        }
 
     def end_loading(self, name):
         """Note that a target has its new weights."""
         self._loading.pop(name, None)
 
-    def is_loading(self, name, now):
-        """Tell whether a target refuses requests since it loads."""
-        return now < self._loading.get(name, 0.0)
+    def is_loading(self, name, prompt, now):
+        """Tell whether a request should not be sent to a target any more.
+
+        One that is about to load still gets what ends before that.
+        """
+        begins = self._loading.get(name)
+        if begins is None or now > begins + LOADING_S:
+            return False
+        run_s = prompt.tokens_out * TOKEN_S + SHORTEST_RUN_S
+        return now + run_s > begins
 
     def plan(self, work, avoid, now):
         """Choose a target for a request; a Plan, or None where none is.
@@ -156,7 +187,7 @@
             if entry.name not in avoid
         ]
         if work.prompt is not None:
-            entries = self._list_loaded(entries, work.prompt.model, now)
+            entries = self._list_loaded(entries, work.prompt, now)
         candidates = [self._weigh(entry, work, now) for entry in entries]
         chosen = choice.choose(
             candidates,
@@ -172,12 +203,12 @@
 
     def note_sent(self, plan, work, now):
         """Note that a request goes to a target."""
-        tokens = 0
+        tokens = held = 0
         if work.prompt is not None:
-            kept = max(plan.kept, plan.transfer.tokens)
-            tokens = prompts.count_read(work.prompt, kept)
+            tokens = plan.read_tokens
+            held = work.prompt.tokens_in + work.prompt.tokens_out
         at_target = self._sent.setdefault(plan.entry.name, {})
-        at_target[work.name] = Sent(now, tokens, False)
+        at_target[work.name] = Sent(now, tokens, False, held)
 
     def note_first(self, plan, work, now):
         """Note that the answer to a request has begun."""
@@ -245,7 +276,8 @@
         """Give the choice.Load at a target, of this and other boxes."""
         rows = self._sent.get(name, {}).values()
         waiting = [row for row in rows if not row.begun]
-        tokens, running = self.neighbours.get_load(name, self.boxes - 1, now)
+        others = max(len(self.neighbours.list_heard(now)), 1)
+        tokens, running, held = self.neighbours.get_load(name, others, now)
         return choice.Load(
             waiting=len(waiting),
             running=len(rows) - len(waiting),
@@ -254,6 +286,8 @@
             heard=self._heard.get(name, 0.0),
             others_tokens=tokens,
             others_running=running,
+            held_tokens=sum(row.held for row in rows),
+            others_held=held,
         )
 
     def list_loads(self):
@@ -261,7 +295,8 @@
         loads = {}
         for name, rows in self._sent.items():
             waiting = [row.tokens for row in rows.values() if not row.begun]
-            loads[name] = [sum(waiting), len(rows) - len(waiting)]
+            held = sum(row.held for row in rows.values())
+            loads[name] = [sum(waiting), len(rows) - len(waiting), held]
         return loads
 
     def _get_allowance(self, service):
@@ -274,9 +309,10 @@
             self._allowances[service] = known
         return known
 
-    def _list_loaded(self, entries, model, now):
+    def _list_loaded(self, entries, prompt, now):
         """Leave out what loads or has weights that are too old to use."""
-        idle = [e for e in entries if not self.is_loading(e.name, now)]
+        model = prompt.model
+        idle = [e for e in entries if not self.is_loading(e.name, prompt, now)]
         entries = idle or entries
         named = self.named.get(model)
         if named is None or now - named.heard < OLD_WEIGHTS_MOST_S:
@@ -314,6 +350,21 @@
             transfer.tokens,
             transfer.seconds,
             self._find_handicap(entry.name, work.prompt.model, now),
+            self._find_capacity(work.service),
+        )
+
+    def _find_capacity(self, service):
+        known = self.table.services.get(service)
+        if known is None or known.engine is None:
+            return 0
+        return known.engine.capacity_tokens
+
+    def is_admitted(self, plan, work):
+        """Tell whether a request should be sent on as planned."""
+        if work.prompt is None:
+            return True
+        return admission.is_admitted(
+            plan.wait_s, work.route.target_latency_s, plan.read_tokens
         )
 
     def _make_plan(self, chosen, work, now):
@@ -323,7 +374,7 @@
             version = self.fleet.get_version(chosen.entry.name, model)
             space = prompts.name_space(model, version, work.tenancy)
             if version is not None and not self.is_loading(
-                chosen.entry.name, now
+                chosen.entry.name, work.prompt, now
             ):
                 transfer = self._plan_transfer(work, space, now)
             else:
@@ -331,10 +382,16 @@
                 # arrives.  Without transfers nothing of either version can
                 # mix, so the request may run on whatever is there.
                 version = None
+        read = 0
+        if work.prompt is not None:
+            kept = max(chosen.kept, transfer.tokens)
+            read = prompts.count_read(work.prompt, kept)
         return Plan(
             chosen.entry,
             chosen.expected_s,
+            chosen.wait_s,
             chosen.kept,
+            read,
             chosen.candidates,
             version,
             space,
--- a/landingspool/events.py
+++ b/landingspool/events.py
@@ -113,6 +113,12 @@
             'INFO',
             'A relayed request got an answer that is no success.',
         ),
+        Kind(
+            214,
+            'turned_away',
+            'INFO',
+            'A relayed request would wait too long and may come back.',
+        ),
         Kind(
             300, 'queued', 'DEBUG', 'A request waits in the queue of its pool.'
         ),
--- a/landingspool/gateway/ordering.py
+++ b/landingspool/gateway/ordering.py
@@ -15,14 +15,12 @@
 
 # Period of the looks while targets are behind, seconds.
 LOOK_S = 0.25
-# Targets that load at once where there are few: with two of five away the
-# others can't carry the load, and one after another keeps the bound.
-LEAST_AT_ONCE = 1
+# Targets under way at once where there are few: one closes while another
+# loads; one after another would take longer than the bound of 12 s.
+LEAST_AT_ONCE = 2
 # Loads at once beyond which the platform's weights come slower (from the
 # users' pages: two on the small deployments), as a share of the targets.
 LOADS_SHARE = 0.2
-# Seconds for which an order is put off while requests wait at the target.
-DRAIN_S = 1.5
 # Period of the reports that are asked for while a target loads, seconds.
 REPORT_S = 0.35
 
@@ -93,7 +91,7 @@
         now = self._hub.clock()
         held = rollouts.is_held(self._lease, now)
         young = held and now - self._lease.since < rollouts.RENEW_S
-        if young and loading == self._told:
+        if young and tuple(loading) == self._told:
             return True
         if not await self._claim(loading):
             return False
@@ -111,7 +109,7 @@
                 self._hub.recorder.record('holding', fence=reply.offset)
             # The newest append is the fence: they only rise.
             self._lease = rollouts.Lease(reply.offset, reply.sent)
-            self._told = loading
+            self._told = tuple(loading)
             self._hub.view.put_loading(loading, self._hub.clock())
             return True
         if isinstance(reply, store_module.Conflict):
@@ -137,8 +135,11 @@
         return orders
 
     def _list_loading(self):
-        rows = self._rollouts.values()
-        return tuple(sorted(n for r in rows for n in r.list_loading()))
+        now = self._hub.clock()
+        loading = {}
+        for rollout in self._rollouts.values():
+            loading.update(rollout.list_loading(now))
+        return loading
 
     def _withdraw(self, orders):
         for order in orders:
@@ -169,18 +170,19 @@
         await self._wait(rollout, entry, order)
 
     async def _drain(self, entry, order):
-        """Wait until what waits at a target has begun; the last report.
+        """Wait until a target has little left to do; the last report.
 
         An order makes the target refuse what has not begun.  All boxes
-        keep away from it since the claim, so its queue empties soon.
+        send it less since the claim, so it soon has nothing.
         """
-        ends = self._hub.clock() + DRAIN_S
+        ends = self._hub.clock() + rollouts.CLOSING_S
         while True:
             await asyncio.sleep(REPORT_S)
             report = await self._read_report(entry, order)
-            if isinstance(report, runners.Unanswered) or not report.waiting:
+            if isinstance(report, runners.Unanswered):
                 return report
-            if self._hub.clock() >= ends:
+            idle = not report.waiting and not report.running
+            if idle or self._hub.clock() >= ends:
                 return report
 
     async def _send(self, entry, order, report):
@@ -207,7 +209,7 @@
         return STATES[type(reply)]
 
     async def _wait(self, rollout, entry, order):
-        while order.target in rollout.list_loading():
+        while order.target in rollout.list_loading(self._hub.clock()):
             await asyncio.sleep(REPORT_S)
             report = await self._read_report(entry, order)
             if isinstance(report, runners.Unanswered):
--- a/landingspool/gateway/relay.py
+++ b/landingspool/gateway/relay.py
@@ -10,6 +10,7 @@
 import random
 import typing
 
+from landingspool.decisions.gateway import admission
 from landingspool.decisions.gateway import routes
 from landingspool.decisions.gateway import view as view_module
 from landingspool.gateway import stream as stream_module
@@ -145,6 +146,10 @@
             self.plan = self._view.plan(self._work, self.avoid, now)
             if self.plan is None:
                 return await self._give_up('no_target')
+            if not self.sends and not self._view.is_admitted(
+                self.plan, self._work
+            ):
+                return await self._turn_away()
             outcome = await self._attempt(self.plan)
             self.avoid.append(self.plan.entry.name)
             answer = await JUDGES[type(outcome)](self, outcome)
@@ -253,7 +258,9 @@
         if not self._may_try_again():
             return left
         aim = self._work.route.target_latency_s
-        return min(left, max(aim * PATIENCE_RATIO, LEAST_PATIENCE_S))
+        usual = max(aim * PATIENCE_RATIO, LEAST_PATIENCE_S)
+        # Where all targets are busy another one would not be quicker.
+        return min(left, usual + self.plan.expected_s * PATIENCE_RATIO)
 
     def _is_ours(self, head):
         if head.name != self._call.name:
@@ -411,6 +418,13 @@
         await self._reply.send_error(503, reason, after)
         return Answer(503, reason, False)
 
+    async def _turn_away(self):
+        wait_s = self.plan.wait_s
+        after = admission.find_retry_after(wait_s, self._view.rng)
+        await self._reply.send_error(503, 'busy', after)
+        self._note('turned_away', wait_s=round(wait_s, 3), **self._inputs())
+        return Answer(503, 'busy', False)
+
     async def _deny(self, status, reason):
         await self._reply.send_error(status, reason)
         return Answer(status, reason, False)
--- a/landingspool/platform/catalogue.py
+++ b/landingspool/platform/catalogue.py
@@ -177,13 +177,13 @@
 
 def write_claim(holder, loading):
     """Encode a claim to give orders."""
-    return json.dumps({'holder': holder, 'loading': list(loading)}).encode()
+    return json.dumps({'holder': holder, 'loading': loading}).encode()
 
 
 def read_claim(value, offset):
     """Decode a claim; its offset is the fence of its orders."""
     try:
         row = json.loads(value)
-        return rollouts.Claim(row['holder'], offset, tuple(row['loading']))
+        return rollouts.Claim(row['holder'], offset, dict(row['loading']))
     except (ValueError, KeyError, TypeError) as error:
         raise Malformed(f'claim: {error!r}') from error
