--- a/landingspool/decisions/gateway/view.py
+++ b/landingspool/decisions/gateway/view.py
@@ -32,8 +32,9 @@
 # fifth less, but all requests at the few new ones would only wait there.
 OLD_WEIGHTS_S = 1.5
 OLD_WEIGHTS_HANDICAP_S = 0.12
-# Seconds after which they are not used at all; the bound is twelve.
-OLD_WEIGHTS_MOST_S = 10.5
+# Seconds after which they are not used at all: a request may wait two or
+# three seconds more at the target, and the bound is twelve.
+OLD_WEIGHTS_MOST_S = 9.0
 # Seconds for which a target is believed to load without further word.
 LOADING_S = 6.0
 # Seconds that one token takes to make, and that any request takes at least,
