Test the gateway against stand-ins of the published protocol

Cause: the gateway had only doctests. Change: stand-ins for the platform's store and for a target, each with its faults, and tests of heads, relaying, following, orders, kept context and choice. Found by them: a repeated equal Content-Length passed (h11 folds it into one), now refused on the bytes; with a short bound for keys the held read was longer than its proof may be old.

--- a/landingspool/gateway/following.py
+++ b/landingspool/gateway/following.py
@@ -111,6 +111,11 @@
 
     topic = names.PUBLISHED_TOPIC
 
+    def __init__(self, hub):
+        super().__init__(hub)
+        # The proof is renewed once a hold: four times within its bound.
+        self.hold_s = min(HOLD_S, hub.place.bounds.key_s / 4)
+
     def _take(self, key, value, offset):
         try:
             if key == names.TABLE_KEY:
--- a/landingspool/gateway/heads.py
+++ b/landingspool/gateway/heads.py
@@ -18,6 +18,8 @@
 BARE = re.compile(rb'(?<!\r)\n|\r(?!\n)')
 FOLDED = re.compile(rb'\r\n[ \t]')
 DIGITS = re.compile(rb'[0-9]{1,18}')
+LENGTHS = re.compile(rb'\r\ncontent-length[ \t]*:([^\r\n]*)', re.I)
+CODINGS = re.compile(rb'\r\ntransfer-encoding[ \t]*:([^\r\n]*)', re.I)
 
 
 async def read_head(wire, most):
@@ -84,22 +86,24 @@
         raise http.BadRequest(400, str(error)) from error
     if not isinstance(request, h11.Request):
         raise http.BadRequest(400, 'no request')
-    check_framing(request)
+    check_framing(data, request.http_version)
     return conn, request
 
 
-def check_framing(request):
-    """Refuse a head that doesn't say in exactly one way how it ends."""
-    raw = request.headers.raw_items()
-    lengths = [v for k, v in raw if k.lower() == b'content-length']
-    codings = [v for k, v in raw if k.lower() == b'transfer-encoding']
+def check_framing(data, version):
+    """Refuse a head that doesn't say in exactly one way how it ends.
+
+    It looks at the bytes, since h11 folds repeated lengths into one.
+    """
+    lengths = [value.strip() for value in LENGTHS.findall(data)]
+    codings = [value.strip().lower() for value in CODINGS.findall(data)]
     if len(lengths) > 1 or len(codings) > 1 or (lengths and codings):
         raise http.BadRequest(400, 'more than one framing')
     if lengths and not DIGITS.fullmatch(lengths[0]):
         raise http.BadRequest(400, 'a length that is no number')
-    if codings and codings[0].strip().lower() != b'chunked':
+    if codings and codings[0] != b'chunked':
         raise http.BadRequest(400, 'an unknown transfer coding')
-    if codings and request.http_version != b'1.1':
+    if codings and version != b'1.1':
         raise http.BadRequest(400, 'chunks before HTTP/1.1')
 
 
--- /dev/null
+++ b/standins/platformstore.py
@@ -0,0 +1,160 @@
+"""Stand-in for the platform's store, by its published protocol.
+
+Keyed topics with one partition: append (with `at`), held reads, the newest
+of each key, 410 for what was dropped.  Tests switch its faults.
+"""
+
+import asyncio
+import base64
+import json
+import struct
+
+from landingspool import http
+from landingspool.platform import store as protocol
+
+
+class Topic:
+    """One keyed topic."""
+
+    def __init__(self):
+        self.first = 0
+        self.records = []
+        self.newest = {}
+        self.changed = asyncio.Event()
+
+    @property
+    def end(self):
+        """The offset after the last record."""
+        return self.first + len(self.records)
+
+    def append(self, key, value):
+        """Append one record; returns its offset."""
+        offset = self.end
+        self.records.append((key, value))
+        self.newest[key] = value, offset
+        self.changed.set()
+        self.changed = asyncio.Event()
+        return offset
+
+    def forget(self):
+        """Drop all records; the newest of each key stay."""
+        self.first = self.end
+        self.records = []
+        self.changed.set()
+        self.changed = asyncio.Event()
+
+
+class PlatformStore:
+    """The store.
+
+    Attributes
+    ----------
+    mode : str
+        '' works; 'busy' answers 503; 'silent' says nothing; 'lost' does
+        what is asked and says nothing.
+    turned_away : set of str
+        Paths that are answered with 503 whatever the mode.
+    calls : list of tuple
+        (method, path) of each call.
+    """
+
+    def __init__(self):
+        self.topics = {}
+        self.mode = ''
+        self.calls = []
+        self.address = None
+        self._server = http.Server(self._handle)
+
+    async def start(self):
+        """Serve on a free port."""
+        self.address = await self._server.start('127.0.0.1', 0)
+
+    async def close(self):
+        """Stop."""
+        await self._server.close()
+
+    def topic(self, name):
+        """Give a topic, made at first use."""
+        return self.topics.setdefault(name, Topic())
+
+    def put(self, topic, key, value):
+        """Write what an operator or a target writes."""
+        data = (
+            value if isinstance(value, bytes) else json.dumps(value).encode()
+        )
+        return self.topic(topic).append(key, data)
+
+    async def _handle(self, request, exchange):
+        self.calls.append((request.method, request.path))
+        if self.mode == 'busy':
+            await exchange.send_json(503, {})
+            return
+        if self.mode == 'silent':
+            await asyncio.sleep(60)
+        if self.mode == 'lost' and request.method == 'POST':
+            await self._answer(request, Dropped())
+            await asyncio.sleep(60)
+        await self._answer(request, exchange)
+
+    async def _answer(self, request, exchange):
+        topic = self.topic(request.query['topic'])
+        await CALLS[request.path](self, topic, request, exchange)
+
+    async def _append(self, topic, request, exchange):
+        at = request.query.get('at')
+        if at is not None and int(at) != topic.end:
+            await exchange.send_json(412, {'end': topic.end})
+            return
+        offset = topic.end
+        for key, value in protocol.split_records(request.body):
+            topic.append(key, value)
+        await exchange.send_json(200, {'offset': offset, 'end': topic.end})
+
+    async def _read(self, topic, request, exchange):
+        start = int(request.query['from'])
+        if start < topic.first:
+            await exchange.send_json(410, {'first': topic.first})
+            return
+        if start >= topic.end:
+            hold = int(request.query.get('wait_ms', 0)) / 1000
+            changed = topic.changed
+            try:
+                await asyncio.wait_for(changed.wait(), hold)
+            except TimeoutError:
+                pass
+        if start < topic.first:
+            await exchange.send_json(410, {'first': topic.first})
+            return
+        rows = topic.records[start - topic.first :]
+        body = struct.pack('>QQ', topic.end, topic.first)
+        body += b''.join(protocol.pack_record(k, v) for k, v in rows)
+        await exchange.send_body(200, body, 'application/octet-stream')
+
+    async def _newest(self, topic, request, exchange):
+        items = [
+            {
+                'key': key,
+                'value': base64.b64encode(value).decode(),
+                'offset': offset,
+            }
+            for key, (value, offset) in topic.newest.items()
+        ]
+        page = {'items': items, 'more': False, 'end': topic.end}
+        await exchange.send_json(200, page)
+
+
+class Dropped:
+    """Takes an answer that nobody gets."""
+
+    async def send_json(self, status, value):
+        """Drop a JSON answer."""
+
+    async def send_body(self, status, body, kind):
+        """Drop an answer."""
+
+
+CALLS = {
+    '/api/log-append': PlatformStore._append,
+    '/api/log-read': PlatformStore._read,
+    '/api/log-newest': PlatformStore._newest,
+}
--- /dev/null
+++ b/tests/gateway/site.py
@@ -0,0 +1,198 @@
+"""A small deployment in one process: store, targets, boxes, one caller."""
+
+import asyncio
+import contextlib
+import itertools
+import socket
+
+from landingspool.gateway import deployment
+from landingspool.gateway import hub as hub_module
+from landingspool import http
+from standins import platformstore
+from standins import runner as runner_module
+
+HOST = 'h.example'
+KEY = 'key-of-w1'
+NUMBERS = itertools.count(1)
+
+ROUTES = {
+    'safe': {'kind': 'safe', 'max_attempts': 2, 'service': 'plain'},
+    'unsafe': {'kind': 'unsafe', 'max_attempts': 1, 'service': 'plain'},
+    'stream': {'kind': 'streaming', 'max_attempts': 1, 'service': 'engine'},
+    'resumed': {
+        'kind': 'streaming',
+        'max_attempts': 2,
+        'resumable': True,
+        'service': 'engine',
+    },
+}
+
+
+def make_table(version=1, keys=(KEY,), routes=ROUTES, **extra):
+    """Give a configuration as operators write it."""
+    rows = [
+        {
+            'name': name,
+            'host': HOST,
+            'path_prefix': f'/{name}/',
+            'timeout_ms': 3000,
+            'target_latency_ms': 400,
+            'priority': 1,
+            **row,
+        }
+        for name, row in routes.items()
+    ]
+    engine = {
+        'slots': 4,
+        'kv_capacity': 100000,
+        'token_kv_bytes': 100,
+        'link_mbps': 1000.0,
+        'managed': True,
+        'max_in_flight': 4,
+        'models': [{'name': 'm'}],
+    }
+    services = [
+        {'name': 'plain', 'health_path': '/healthz', 'max_connections': 9},
+        {'name': 'engine', 'max_connections': 9, 'engine': engine},
+    ]
+    tenants = [{'name': 'w1', 'api_keys': list(keys), 'priority': 2}]
+    return {
+        'version': version,
+        'routes': rows,
+        'services': services,
+        'tenants': tenants,
+        **extra,
+    }
+
+
+def find_port():
+    """Give a port that is free now."""
+    with socket.socket() as probe:
+        probe.bind(('127.0.0.1', 0))
+        return probe.getsockname()[1]
+
+
+class Site:
+    """The parts; use it in `async with`."""
+
+    def __init__(self, plain=2, engines=2):
+        self.store = platformstore.PlatformStore()
+        self.plain = [runner_module.Runner(f'p{i}') for i in range(plain)]
+        self.engines = [runner_module.Runner(f'e{i}') for i in range(engines)]
+        self.hubs = []
+        self._works = []
+
+    async def __aenter__(self):
+        await self.store.start()
+        for runner in self.plain + self.engines:
+            await runner.start()
+        self.publish(make_table())
+        for runner in self.plain:
+            self.announce(runner, 'plain')
+        for runner in self.engines:
+            self.announce(runner, 'engine', model='m')
+        self.store.put('keyed.op', 'version/m', {'model': 'm', 'version': 1})
+        return self
+
+    async def __aexit__(self, *error):
+        for work in self._works:
+            work.cancel()
+        await asyncio.gather(*self._works, return_exceptions=True)
+        for hub in self.hubs:
+            hub.timer.close()
+            await hub.listener.close(0)
+            await hub.peering.close()
+        for runner in self.plain + self.engines:
+            await runner.close()
+        await self.store.close()
+
+    def publish(self, table):
+        """Publish a configuration."""
+        self.store.put('keyed.op', 'config', table)
+
+    def announce(self, runner, service, **fields):
+        """Let a target write of itself."""
+        entry = runner.entry(service, **fields)
+        self.store.put('keyed.servers', runner.name, entry)
+
+    async def start_box(self, name='box1', seeds=(), **bounds):
+        """Start a box and wait until it is ready."""
+        ports = [http.Address('127.0.0.1', find_port()) for _ in range(3)]
+        place = deployment.Deployment(
+            box=name,
+            domain='d1',
+            callers=ports[0],
+            readiness=ports[1],
+            links=ports[2],
+            seeds=tuple(seeds),
+            store=self.store.address,
+            bounds=deployment.Bounds(**bounds),
+        )
+        hub = hub_module.Hub(place, 1)
+        self.hubs.append(hub)
+        self._works.append(asyncio.ensure_future(hub.run()))
+        await wait_until(lambda: hub.view.table is not None)
+        wanted = len(self.plain) + len(self.engines)
+        await wait_until(lambda: len(hub.view.fleet.entries) >= wanted)
+        return hub
+
+
+async def wait_until(holds, seconds=4.0):
+    """Wait until something holds; fails when it does not in time."""
+    async with asyncio.timeout(seconds):
+        while not holds():
+            await asyncio.sleep(0.01)
+
+
+class Got:
+    """What a caller got for one request.
+
+    `whole` tells whether the answer had a proper end.
+    """
+
+    def __init__(self, status, headers, body, whole):
+        self.status = status
+        self.headers = headers
+        self.body = body
+        self.whole = whole
+
+
+async def ask(hub, path, body=b'x', headers=(), key=KEY, method='POST'):
+    """Send one request as a caller does; gives what came back."""
+    call = http.Client().open(hub.place.callers)
+    rows = [
+        ('x-landingspool-request-id', f'id{next(NUMBERS)}'),
+        ('x-landingspool-deadline-ms', '2500'),
+        *headers,
+    ]
+    if key:
+        rows.append(('authorization', f'Bearer {key}'))
+    call._host = HOST
+    await call.connect()
+    data = bytearray()
+    whole = True
+    try:
+        await send_with_host(call, method, path, body, rows)
+        async for part in call.read():
+            data += part
+    except http.Unreachable:
+        whole = False
+    finally:
+        call.close()
+    return Got(call.status, call.headers, bytes(data), whole)
+
+
+async def send_with_host(call, method, path, body, rows):
+    """Send a request whose host is the routes' and not the address."""
+    call._address = http.Address(HOST, 80)
+    await call.send(method, path, body, rows)
+
+
+@contextlib.asynccontextmanager
+async def connect(hub):
+    """Open a bare connection to the callers' side of a box."""
+    reader, writer = await asyncio.open_connection(*hub.place.callers)
+    try:
+        yield reader, writer
+    finally:
+        writer.close()
--- /dev/null
+++ b/tests/gateway/test_context.py
@@ -0,0 +1,112 @@
+"""Kept context: what is offered, what is saved, and when neither may be."""
+
+from landingspool.decisions.gateway import prompts
+from landingspool.decisions.gateway import routes
+from landingspool.decisions.gateway import transfers
+from landingspool.decisions.gateway import warmth
+
+PROMPT = prompts.Prompt(
+    'm',
+    1600,
+    20,
+    (
+        prompts.Part('a', 500),
+        prompts.Part('b', 1000),
+        prompts.Part('own', 100),
+    ),
+)
+
+
+def make_keeper(address, mbps=1000.0, managed=True):
+    """Give a store of kept context."""
+    return routes.Keeper(address, 'd', 10_000, mbps, 4, managed, 0.0)
+
+
+KEEPERS = {'k1': make_keeper('k1'), 'k2': make_keeper('k2', 9000.0)}
+
+
+def make_news(epoch, *parts, whole=True):
+    """Give a store's whole list."""
+    changes = tuple(warmth.Change('m.1', *part) for part in parts)
+    return warmth.News(epoch, 0, False, changes, whole, 5000.0)
+
+
+def plan(known, now):
+    """Plan the transfers of PROMPT."""
+    return transfers.plan_transfer(PROMPT, 'm.1', KEEPERS, known, 100, now)
+
+
+def test_whole_parts_are_offered_under_a_lease():
+    known = warmth.Warmth()
+    known.take('k1', make_news(1, ('a', 500), ('b', 1000)), 9.9, 10.0)
+    found = plan(known, 10.5)
+    assert found.fetch == ('k1', 'k1', '')
+    assert found.tokens == 1500
+    assert found.until_ms == 5000.0 + warmth.LEASE_S * 1000
+
+
+def test_a_store_that_was_not_heard_lately_offers_nothing():
+    known = warmth.Warmth()
+    known.take('k1', make_news(1, ('a', 500)), 9.9, 10.0)
+    assert plan(known, 9.9 + warmth.LEASE_S) == transfers.Transfer()
+
+
+def test_a_part_that_is_not_whole_is_not_offered():
+    known = warmth.Warmth()
+    known.take('k1', make_news(1, ('a', 499), ('b', 1000)), 9.9, 10.0)
+    found = plan(known, 10.1)
+    assert found.fetch == ('', 'k1', '')
+    assert found.tokens == 0
+
+
+def test_nothing_is_written_into_a_new_life_before_leases_ended():
+    known = warmth.Warmth()
+    known.take('k1', make_news(1), 9.9, 10.0)
+    assert not any(plan(known, 10.1).save)
+    later = 10.0 + warmth.SETTLE_S
+    known.take('k1', make_news(1), later, later)
+    assert plan(known, later).save == ('k1', 'k1', '')
+    known.take('k1', make_news(2), later + 1, later + 1)
+    assert not any(plan(known, later + 1).save)
+
+
+def test_settling_outlasts_every_lease():
+    assert warmth.SETTLE_S > 2 * warmth.LEASE_S
+
+
+def test_a_new_life_forgets_what_the_former_one_kept():
+    known = warmth.Warmth()
+    known.take('k1', make_news(1, ('a', 500)), 9.9, 10.0)
+    news = make_news(2, whole=False)
+    assert known.take('k1', news, 10.0, 10.1)
+    assert not known.kept('k1')
+
+
+def test_a_full_store_is_not_written_to():
+    known = warmth.Warmth()
+    later = 10.0 + warmth.SETTLE_S
+    for now in (10.0, later):
+        known.take('k1', make_news(1, ('z', 9_500)), now, now)
+    assert not any(plan(known, later).save)
+
+
+def test_namespaces_keep_versions_and_isolated_workspaces_apart():
+    walled = routes.Tenancy('w', isolated=True)
+    names = {
+        prompts.name_space('m', 1, None),
+        prompts.name_space('m', 2, None),
+        prompts.name_space('m', 1, walled),
+        prompts.name_space('m', 1, routes.Tenancy('v', isolated=True)),
+    }
+    assert len(names) == 4
+    shared = routes.Tenancy('w')
+    assert prompts.name_space('m', 1, shared) in names
+
+
+def test_a_gap_in_the_events_asks_for_the_list():
+    known = warmth.Warmth()
+    known.take('t', make_news(1), 1.0, 1.0)
+    gap = warmth.News(1, 9, True, ())
+    assert known.take('t', gap, 2.0, 2.0)
+    quiet = warmth.News(1, 9, False, ())
+    assert not known.take('t', quiet, 3.0, 3.0)
--- /dev/null
+++ b/tests/gateway/test_following.py
@@ -0,0 +1,137 @@
+"""What a box believes of tables, keys and targets, and for how long."""
+
+import asyncio
+
+from landingspool.decisions.gateway import fleet
+from tests.gateway import site
+
+
+def run(test, **kinds):
+    """Run an async test against a site."""
+
+    async def main():
+        async with site.Site(**kinds) as deployment:
+            await test(deployment)
+
+    asyncio.run(main())
+
+
+def test_a_newer_table_holds_at_once_and_an_older_one_never():
+    async def check(deployment):
+        hub = await deployment.start_box()
+        deployment.publish(site.make_table(5, keys=('other',)))
+        await site.wait_until(lambda: hub.view.table.version == 5, 0.5)
+        assert (await site.ask(hub, '/safe/a')).status == 401
+        assert (await site.ask(hub, '/safe/a', key='other')).status == 200
+        deployment.publish(site.make_table(3))
+        deployment.publish(b'not json')
+        await asyncio.sleep(0.1)
+        assert (await site.ask(hub, '/safe/a')).status == 401
+
+    run(check)
+
+
+def test_a_log_that_was_cut_is_read_anew():
+    async def check(deployment):
+        hub = await deployment.start_box()
+        topic = deployment.store.topic('keyed.op')
+        deployment.store.put('keyed.op', 'config', site.make_table(7))
+        topic.forget()
+        await site.wait_until(lambda: hub.view.table.version == 7, 3.0)
+
+    run(check)
+
+
+def test_keys_are_not_served_on_an_old_proof():
+    async def check(deployment):
+        hub = await deployment.start_box(key_s=1.0)
+        deployment.store.mode = 'busy'
+        await asyncio.sleep(1.1)
+        got = await site.ask(hub, '/safe/a')
+        assert got.status == 503
+        assert not any(r.ran for r in deployment.plain)
+        deployment.store.mode = ''
+        await site.wait_until(lambda: hub.view.proof.is_fresh(hub.clock()))
+        assert (await site.ask(hub, '/safe/a')).status == 200
+
+    run(check)
+
+
+def test_a_box_without_the_store_lives_on_its_neighbour():
+    async def check(deployment):
+        first = await deployment.start_box('box1')
+        second = await deployment.start_box('box2')
+        await site.wait_until(lambda: 'box2' in first.peering.addresses)
+        away = second.store
+        second.store = Away()
+        deployment.publish(site.make_table(9))
+        await site.wait_until(lambda: second.view.table.version == 9, 5.0)
+        assert second.view.proof.age(second.clock()) < 3.0
+        second.store = away
+
+    run(check)
+
+
+class Away:
+    """A store that can't be reached."""
+
+    async def read(self, topic, start, hold_s):
+        """Fail."""
+        await asyncio.sleep(0.05)
+        return site.hub_module.store.Unavailable('away', False)
+
+    async def read_newest(self, topic):
+        """Fail."""
+        return await self.read(topic, 0, 0)
+
+    async def append(self, topic, key, value, at=None):
+        """Fail."""
+        return await self.read(topic, 0, 0)
+
+
+def test_a_target_that_leaves_gets_nothing_new():
+    async def check(deployment):
+        hub = await deployment.start_box()
+        deployment.announce(deployment.plain[0], 'plain', state='draining')
+        await site.wait_until(lambda: 'p0' not in hub.view.fleet.entries)
+        deployment.announce(deployment.plain[0], 'plain')
+        await asyncio.sleep(0.05)
+        for _ in range(6):
+            assert (await site.ask(hub, '/safe/a')).status == 200
+        assert not deployment.plain[0].ran
+
+    run(check)
+
+
+def make_entry(name='t', state=fleet.READY, **versions):
+    """Give an entry of a target."""
+    return fleet.Entry(name, 's', ('a', 1), 'd', state, 1, versions)
+
+
+def test_a_leaving_mark_is_for_ever_and_a_lapse_is_not():
+    targets = fleet.Fleet()
+    targets.put(make_entry())
+    targets.drop('t', 10.0, unsure=True)
+    assert targets.list_service('s')
+    assert targets.tick(10.0 + fleet.GRACE_S) == ['t']
+    assert not targets.list_service('s')
+    assert targets.put(make_entry()) == fleet.READY
+    assert targets.put(make_entry(state='draining')) == fleet.DRAINING
+    assert targets.put(make_entry()) == fleet.DRAINING
+    assert not targets.list_service('s')
+
+
+def test_lapsed_targets_are_the_last_choice():
+    targets = fleet.Fleet()
+    targets.put(make_entry('t'))
+    targets.put(make_entry('u'))
+    targets.drop('t', 10.0, unsure=True)
+    assert [e.name for e in targets.list_service('s')] == ['u']
+
+
+def test_versions_of_a_target_only_rise():
+    targets = fleet.Fleet()
+    targets.put(make_entry(m=3))
+    targets.note_version('t', 'm', 2)
+    targets.put(make_entry(m=1))
+    assert targets.get_version('t', 'm') == 3
--- /dev/null
+++ b/tests/gateway/test_view.py
@@ -0,0 +1,145 @@
+"""Which target gets a request."""
+
+from landingspool.decisions.gateway import choice
+from landingspool.decisions.gateway import fleet
+from landingspool.decisions.gateway import prompts
+from landingspool.decisions.gateway import routes
+from landingspool.decisions.gateway import view as view_module
+from landingspool.gateway import deployment
+
+ROUTE = routes.Route('r', 'h', '/', routes.STREAM, 9.0, 0.4, 1, ())
+ENGINE = routes.Engine(4, 100_000, 100, 1000.0, 4, True)
+PROMPT = prompts.Prompt(
+    'm', 3000, 50, (prompts.Part('a', 2500), prompts.Part('own', 500))
+)
+
+
+def make_view(count=4, engine=ENGINE):
+    """Give a View with some targets of one service."""
+    view = view_module.View('d', deployment.Bounds(), 1)
+    service = routes.Service('s', engine=engine)
+    view.put_table(
+        routes.make_table(1, [ROUTE], [service], {}, routes.Limits(), False)
+    )
+    for number in range(count):
+        put(view, f't{number}', 1)
+    return view
+
+
+def put(view, name, version):
+    """Announce a target."""
+    entry = fleet.Entry(
+        name, 's', ('a', 1), 'd', fleet.READY, 4, {'m': version}
+    )
+    view.fleet.put(entry)
+
+
+def make_work(name='q', prompt=PROMPT):
+    """Give one request."""
+    return view_module.Work(name, ROUTE, 's', None, prompt)
+
+
+def pick(view, now=10.0, **fields):
+    """Give the name of the target chosen, or None."""
+    plan = view.plan(make_work(**fields), (), now)
+    return plan and plan.entry.name
+
+
+def test_all_boxes_choose_one_home_for_a_prompt():
+    homes = {pick(make_view()) for _ in range(9)}
+    assert len(homes) == 1
+
+
+def test_a_busy_home_is_left():
+    view = make_view()
+    home = pick(view)
+    for number in range(4):
+        plan = view.plan(make_work(f'q{number}'), (), 10.0)
+        view.note_sent(plan, make_work(f'q{number}'), 10.0)
+    sent = {name for name in ('t0', 't1', 't2', 't3') if view._sent.get(name)}
+    assert home in sent
+    assert len(sent) > 1
+
+
+def test_a_silent_target_gets_no_more():
+    view = make_view()
+    home = pick(view)
+    plan = view.plan(make_work('first'), (), 10.0)
+    view.note_sent(plan, make_work('first'), 10.0)
+    late = 10.0 + view_module.ENGINE_PATIENCE_S + 0.1
+    assert all(pick(view, late, name=f'n{i}') != home for i in range(20))
+
+
+def test_a_target_that_can_not_be_reached_is_avoided_for_a_time():
+    view = make_view()
+    home = pick(view)
+    view.note_loss(home, 10.0, certain=True)
+    assert pick(view, 10.1) != home
+    assert pick(view, 30.0) == home
+
+
+def test_the_only_target_is_tried_though_it_failed():
+    view = make_view(1)
+    view.note_loss('t0', 10.0, certain=True)
+    assert pick(view, 10.1) == 't0'
+
+
+def test_old_weights_are_left_in_the_end():
+    view = make_view(2)
+    view.put_version('m', 1, 1.0)
+    view.put_version('m', 2, 10.0)
+    put(view, 't1', 2)
+    late = 10.0 + view_module.OLD_WEIGHTS_MOST_S
+    assert {pick(view, late, name=f'n{i}') for i in range(9)} == {'t1'}
+
+
+def test_all_on_old_weights_is_no_service_in_the_end():
+    view = make_view(2)
+    view.put_version('m', 1, 1.0)
+    view.put_version('m', 2, 10.0)
+    assert pick(view, 11.0) is not None
+    assert pick(view, 10.0 + view_module.OLD_WEIGHTS_MOST_S) is None
+
+
+def test_a_closing_target_still_gets_what_ends_in_time():
+    view = make_view(2)
+    view.put_loading({'t0': 1.6}, 10.0)
+    short = prompts.Prompt('m', 100, 4, PROMPT.parts)
+    long = prompts.Prompt('m', 100, 400, PROMPT.parts)
+    assert not view.is_loading('t0', short, 10.0)
+    assert view.is_loading('t0', long, 10.0)
+    assert view.is_loading('t0', short, 11.6)
+    assert not view.is_loading('t1', long, 11.6)
+
+
+def test_requests_to_a_loading_target_carry_no_transfer():
+    view = make_view(1)
+    view.put_loading({'t0': 0.0}, 10.0)
+    plan = view.plan(make_work(), (), 10.0)
+    assert plan.version is None
+    assert not plan.transfer.fetch
+
+
+def test_a_full_memory_turns_requests_away():
+    view = make_view(1)
+    for number in range(40):
+        work = make_work(f'q{number}')
+        plan = view.plan(work, (), 10.0)
+        view.note_sent(plan, work, 10.0)
+        view.note_first(plan, work, 10.1)
+    work = make_work('next')
+    plan = view.plan(work, (), 10.2)
+    assert plan.wait_s > 0.4
+    assert not view.is_admitted(plan, work)
+
+
+def test_failures_count_only_against_peers():
+    view = make_view(2, engine=None)
+    entries = view.fleet.list_service('s')
+    work = make_work(prompt=None)
+    for entry in entries:
+        for _ in range(20):
+            plan = view._make_plan(choice.Chosen(entry, 0.0, 0, 2), work, 1.0)
+            view.note_answer(plan, 0.01, True)
+    plan = view.plan(work, (), 99.0)
+    assert plan.expected_s < 0.1
