--- a/landingspool/command/state.py
+++ b/landingspool/command/state.py
@@ -7,11 +7,19 @@
 from cleo.helpers import option
 
 from landingspool.command import base
+from landingspool.command import logs
 from landingspool import events
 from landingspool import http
 from landingspool import settings
 
 STATUS_HEADERS = ('domain', 'box', 'state', 'offset', 'open', 'alive', 'pools')
+LOGS_OPTION = option(
+    'logs',
+    'l',
+    'Read collected log lines, FILE,... or - for standard input, '
+    'and ask no box.',
+    flag=False,
+)
 TARGET_HEADERS = (
     'pool',
     'target',
@@ -56,14 +64,32 @@
     description = 'Show the events of all boxes in one order.'
     options = [
         *base.REMOTE_OPTIONS,
+        LOGS_OPTION,
         option('request', None, 'Only this request.', flag=False),
         option('workspace', None, 'Only this workspace.', flag=False),
         option('target', None, 'Only this target.', flag=False),
         option('since', None, 'Only the last SECONDS.', flag=False),
     ]
 
+    def handle(self):
+        """Read logs where they are given, else ask the boxes."""
+        if not self.option('logs'):
+            return super().handle()
+        try:
+            rows = logs.read_events(
+                self.option('logs').split(','), self.list_wanted()
+            )
+        except OSError as error:
+            self.line_error(f'{error.filename}: {error.strerror}')
+            return base.BAD_INPUT
+        return self.show_found(rows)
+
     async def act(self, boxes):
         """Gather, merge, print."""
+        return self.show_found(await gather_events(boxes, self.list_wanted()))
+
+    def list_wanted(self):
+        """Give the fields that the events have to hold."""
         wanted = {
             name: self.option(name)
             for name in ('request', 'workspace', 'target')
@@ -71,7 +97,10 @@
         }
         if self.option('since'):
             wanted['since'] = time.time() - float(self.option('since'))
-        rows = await gather_events(boxes, wanted)
+        return wanted
+
+    def show_found(self, rows):
+        """Print the events; returns the status."""
         self.show_events(rows)
         return base.OK if rows else base.FAILED
 
@@ -87,17 +116,21 @@
 
     name = 'explain'
     description = 'Show what was decided about one request, and why.'
-    arguments = [argument('request', 'WORKSPACE/REQUEST-ID.')]
-    options = base.REMOTE_OPTIONS
+    arguments = [
+        argument('request', 'WORKSPACE/REQUEST-ID, or a relayed request ID.')
+    ]
+    options = [*base.REMOTE_OPTIONS, LOGS_OPTION]
 
-    async def act(self, boxes):
+    def list_wanted(self):
+        """Give the fields that the events have to hold."""
+        return {'request': self.argument('request')}
+
+    def show_found(self, rows):
         """Print the events of the request and a summary."""
-        wanted = {'request': self.argument('request')}
-        rows = await gather_events(boxes, wanted)
-        self.show_events(rows)
+        status = super().show_found(rows)
         if rows and not self.option('json'):
             self.line(summarize(rows))
-        return base.OK if rows else base.FAILED
+        return status
 
 
 class Drain(base.Base):
@@ -155,6 +188,16 @@
     return events.merge_events(rings)
 
 
+FINAL_EVENTS = (
+    'finished',
+    'rejected',
+    'broken',
+    'answered',
+    'not_served',
+    'caller_gone',
+)
+
+
 def list_box(reached):
     """Give the row of one box."""
     status = reached.status
@@ -191,7 +234,7 @@
         event.fields['target'] for event in rows if event.name == 'dispatched'
     ]
     where = f'dispatched to {", ".join(targets)}' if targets else 'not sent'
-    ends = [e for e in rows if e.name in ('finished', 'rejected', 'broken')]
+    ends = [event for event in rows if event.name in FINAL_EVENTS]
     if not ends:
         return f'{where}; no final event was found'
     last = ends[-1]
--- /dev/null
+++ b/landingspool/gateway/outcomes.py
@@ -0,0 +1,55 @@
+"""How one try of a relayed request ended, as tagged outcomes."""
+
+import dataclasses
+
+from landingspool.platform import ingress
+
+
+@dataclasses.dataclass(frozen=True)
+class Unreached:
+    """No connection: nothing was sent."""
+
+    reason: str
+
+
+@dataclasses.dataclass(frozen=True)
+class Stale:
+    """The choice was void before it could be carried out."""
+
+    reason: str = 'stale'
+
+
+@dataclasses.dataclass(frozen=True)
+class Rejected:
+    """The target says that it has not run the request and won't."""
+
+    head: ingress.Head
+
+
+@dataclasses.dataclass(frozen=True)
+class Failed:
+    """The target ran the request and answered with a failure."""
+
+    head: ingress.Head
+    body: bytes
+
+
+@dataclasses.dataclass(frozen=True)
+class Lost:
+    """The request was sent and no answer came back whole."""
+
+    reason: str
+
+
+@dataclasses.dataclass(frozen=True)
+class Done:
+    """The answer was passed on whole."""
+
+    status: int
+
+
+def describe(outcome):
+    """Give one word or line for an outcome, for the log."""
+    if isinstance(outcome, Rejected | Failed):
+        return f'{type(outcome).__name__.lower()} {outcome.head.status}'
+    return outcome.reason
--- a/landingspool/gateway/relay.py
+++ b/landingspool/gateway/relay.py
@@ -6,13 +6,13 @@
 """
 
 import asyncio
-import dataclasses
 import random
 import typing
 
 from landingspool.decisions.gateway import admission
 from landingspool.decisions.gateway import routes
 from landingspool.decisions.gateway import view as view_module
+from landingspool.gateway import outcomes
 from landingspool.gateway import stream as stream_module
 from landingspool.gateway import upstream as upstream_module
 from landingspool.platform import ingress
@@ -36,42 +36,6 @@
 MOST_HELD = 256 * 1024
 
 
-@dataclasses.dataclass(frozen=True)
-class Unreached:
-    """No connection: nothing was sent."""
-
-    reason: str
-
-
-@dataclasses.dataclass(frozen=True)
-class Rejected:
-    """The target says that it has not run the request and won't."""
-
-    head: ingress.Head
-
-
-@dataclasses.dataclass(frozen=True)
-class Failed:
-    """The target ran the request and answered with a failure."""
-
-    head: ingress.Head
-    body: bytes
-
-
-@dataclasses.dataclass(frozen=True)
-class Lost:
-    """The request was sent and no answer came back whole."""
-
-    reason: str
-
-
-@dataclasses.dataclass(frozen=True)
-class Done:
-    """The answer was passed on whole."""
-
-    status: int
-
-
 class Answer(typing.NamedTuple):
     """How a request ended, for the log."""
 
@@ -151,21 +115,24 @@
             ):
                 return await self._turn_away()
             outcome = await self._attempt(self.plan)
-            self.avoid.append(self.plan.entry.name)
+            if not isinstance(outcome, outcomes.Stale):
+                self.avoid.append(self.plan.entry.name)
             answer = await JUDGES[type(outcome)](self, outcome)
             if answer is not None:
                 return answer
-            self._note('retried', reason=describe(outcome), **self._inputs())
+            self._note(
+                'retried', reason=outcomes.describe(outcome), **self._inputs()
+            )
 
     async def _attempt(self, plan):
         try:
             exchange = await self._hub.upstream.open(plan.entry.address)
         except upstream_module.Broken as error:
             self._view.note_loss(plan.entry.name, self._hub.clock(), True)
-            return Unreached(str(error))
+            return outcomes.Unreached(str(error))
         if not self._may_send():
             exchange.abort()
-            return Unreached('stale')
+            return outcomes.Stale()
         return await self._exchange(plan, exchange)
 
     def _may_send(self):
@@ -192,15 +159,15 @@
             self._write_head(plan, now),
             self._body,
         )
-        outcome = Lost('stopped')
+        outcome = outcomes.Lost('stopped')
         try:
             outcome = await self._receive(plan, exchange, now)
         finally:
             view.note_end(plan, self._work)
-            if isinstance(outcome, Lost):
+            if isinstance(outcome, outcomes.Lost):
                 self.may_have_run = True
                 exchange.abort()
-            elif not isinstance(outcome, Rejected):
+            elif not isinstance(outcome, outcomes.Rejected):
                 self.may_have_run = True
         return outcome
 
@@ -231,26 +198,26 @@
                 head = await exchange.read_head()
         except TimeoutError:
             self._view.note_loss(plan.entry.name, self._hub.clock())
-            return Lost('silent')
+            return outcomes.Lost('silent')
         except upstream_module.Broken as error:
             self._view.note_loss(plan.entry.name, self._hub.clock())
-            return Lost(str(error))
+            return outcomes.Lost(str(error))
         self._note_version(plan, head.version)
         if head.not_run:
             return await self._take_rejection(plan, exchange, head)
         if not self._is_ours(head):
             self._view.note_loss(plan.entry.name, self._hub.clock())
-            return Lost('not the answer to this request')
+            return outcomes.Lost('not the answer to this request')
         try:
             async with asyncio.timeout_at(self._loop_time(self._ends)):
                 if 200 <= head.status < 300:
                     return await self._pass_on(plan, exchange, head, sent)
                 return await self._take_failure(plan, exchange, head, sent)
         except TimeoutError:
-            return Lost('time_over')
+            return outcomes.Lost('time_over')
         except upstream_module.Broken as error:
             self._view.note_loss(plan.entry.name, self._hub.clock())
-            return Lost(str(error))
+            return outcomes.Lost(str(error))
 
     def _find_patience(self):
         now = self._hub.clock()
@@ -283,7 +250,7 @@
                 exchange.release()
         except (TimeoutError, upstream_module.Broken):
             exchange.abort()
-        return Rejected(head)
+        return outcomes.Rejected(head)
 
     async def _take_failure(self, plan, exchange, head, sent):
         body = bytearray()
@@ -292,7 +259,7 @@
         exchange.release()
         wait = self._hub.clock() - sent
         self._view.note_answer(plan, wait, head.status >= 500)
-        return Failed(head, bytes(body))
+        return outcomes.Failed(head, bytes(body))
 
     async def _pass_on(self, plan, exchange, head, sent):
         if self._work.route.kind == routes.STREAM:
@@ -305,7 +272,7 @@
                 exchange.release()
                 rows = ingress.relay_headers(head)
                 await self._reply.send_whole(head.status, rows, bytes(body))
-                return Done(head.status)
+                return outcomes.Done(head.status)
             body += data
         return await self._pass_long(plan, exchange, head, sent, body)
 
@@ -317,7 +284,7 @@
             await self._reply.send_data(data)
         exchange.release()
         await self._reply.finish()
-        return Done(head.status)
+        return outcomes.Done(head.status)
 
     async def _pass_stream(self, plan, exchange, head, sent):
         stream = self._stream
@@ -333,7 +300,7 @@
                     data = await exchange.read_data()
             except TimeoutError:
                 self._view.note_loss(plan.entry.name, self._hub.clock())
-                return Lost('paused')
+                return outcomes.Lost('paused')
             if not data:
                 break
             self._view.note_heard(plan.entry.name, self._hub.clock())
@@ -342,10 +309,10 @@
                 stream.noted = True
                 self._note_first(plan, sent)
         if not stream.is_whole():
-            return Lost('ended within an event')
+            return outcomes.Lost('ended within an event')
         exchange.release()
         await stream.finish()
-        return Done(head.status)
+        return outcomes.Done(head.status)
 
     def _note_first(self, plan, sent):
         now = self._hub.clock()
@@ -370,8 +337,18 @@
     async def _judge_done(self, outcome):
         return Answer(outcome.status, 'answered', True)
 
+    async def _judge_stale(self, outcome):
+        self.connects += 1
+        table = self._view.table
+        if table.keyed and not self._view.proof.is_fresh(self._hub.clock()):
+            return await self._give_up('unproved_table')
+        return await self._go_on()
+
     async def _judge_unreached(self, outcome):
         self.connects += 1
+        return await self._go_on()
+
+    async def _go_on(self):
         if self.connects < MOST_CONNECTS:
             return None
         return await self._give_up('unreached')
@@ -471,16 +448,10 @@
 
 
 JUDGES = {
-    Done: Relay._judge_done,
-    Unreached: Relay._judge_unreached,
-    Rejected: Relay._judge_rejected,
-    Failed: Relay._judge_failed,
-    Lost: Relay._judge_lost,
+    outcomes.Done: Relay._judge_done,
+    outcomes.Stale: Relay._judge_stale,
+    outcomes.Unreached: Relay._judge_unreached,
+    outcomes.Rejected: Relay._judge_rejected,
+    outcomes.Failed: Relay._judge_failed,
+    outcomes.Lost: Relay._judge_lost,
 }
-
-
-def describe(outcome):
-    """Give one word or line for an outcome, for the log."""
-    if isinstance(outcome, Rejected | Failed):
-        return f'{type(outcome).__name__.lower()} {outcome.head.status}'
-    return outcome.reason
--- a/standins/runner.py
+++ b/standins/runner.py
@@ -361,3 +361,11 @@
     write_chunk(writer, make_event(1))
     write_chunk(writer, make_event(2)[:9])
     writer.write(b'0\r\n\r\n')
+
+
+@behaviour('slow')
+async def answer_slow(runner, head, body, reader, writer):
+    """Run, and answer whole after a while."""
+    runner.run(head, body)
+    await asyncio.sleep(0.6)
+    write_answer(runner, head, writer, 200, b'done')
--- /dev/null
+++ b/tests/test_logs.py
@@ -0,0 +1,48 @@
+"""The tool tells the story of a request from collected log lines."""
+
+from cleo.testers import command_tester
+
+from landingspool.command import tool
+
+LINES = (
+    '{"t":2.5,"box":"b","n":213,"event":"not_served","request":"r"}',
+    'noise',
+    '  1.0 b {"t":2.0,"box":"b","n":204,"event":"dispatched",'
+    '"request":"r","target":"t"}',
+    '{"t":1.0,"box":"a","n":204,"event":"dispatched",'
+    '"request":"q","target":"u"}',
+    '{"t":"x"}',
+)
+
+
+def ask(name, *words):
+    """Run a command of the tool; gives its status and what it printed."""
+    tester = command_tester.CommandTester(tool.make_application().find(name))
+    status = tester.execute(' '.join(words))
+    return status, tester.io.fetch_output()
+
+
+def write(folder):
+    """Write the lines to a file."""
+    path = folder / 'a.log'
+    path.write_text('\n'.join(LINES))
+    return str(path)
+
+
+def test_explain_reads_logs_in_order(tmp_path):
+    status, text = ask('explain', 'r', '--logs', write(tmp_path))
+    assert status == 0
+    assert text.index('dispatched') < text.index('not_served')
+    assert 'dispatched to t; not_served' in text
+
+
+def test_timeline_selects_by_target(tmp_path):
+    status, text = ask('timeline', '--target', 'u', '--logs', write(tmp_path))
+    assert status == 0
+    assert 'request=q' in text
+    assert 'request=r' not in text
+
+
+def test_an_unknown_request_and_a_missing_file_have_a_status(tmp_path):
+    assert ask('explain', 'z', '--logs', write(tmp_path))[0] == 1
+    assert ask('explain', 'z', '--logs', str(tmp_path / 'none'))[0] == 2
