--- a/landingspool/gateway/relay.py
+++ b/landingspool/gateway/relay.py
@@ -126,7 +126,9 @@
 
     async def _attempt(self, plan):
         try:
-            exchange = await self._hub.upstream.open(plan.entry.address)
+            exchange = await self._hub.upstream.open(
+                plan.entry.address, routes.may_repeat(self._work.route)
+            )
         except upstream_module.Broken as error:
             self._view.note_loss(plan.entry.name, self._hub.clock(), True)
             return outcomes.Unreached(str(error))
--- a/landingspool/gateway/upstream.py
+++ b/landingspool/gateway/upstream.py
@@ -7,6 +7,7 @@
 import asyncio
 import collections
 import time
+import typing
 
 import h11
 
@@ -20,6 +21,10 @@
 # Seconds before a named time at which a connection is no longer used: the
 # request has to arrive before the target's clock ends it.
 IDLE_MARGIN_S = 0.5
+# Seconds at rest after which a connection is not used for what must not be
+# repeated: a target may forget one without a word, and what is sent on it
+# then is lost with no way to tell whether it ran.
+UNREPEATABLE_IDLE_S = 0.3
 # Kept per target and box; a box has some ten requests at a target at once.
 MOST_KEPT = 24
 MOST_HEAD = 32 * 1024
@@ -33,6 +38,14 @@
         self.sent = sent
 
 
+class Idle(typing.NamedTuple):
+    """A connection at rest since `since`, to be used until `until`."""
+
+    wire: wire_module.Wire
+    since: float
+    until: float
+
+
 class Upstream:
     """Opens exchanges and keeps idle connections.
 
@@ -47,15 +60,20 @@
         self._clock = clock
         self._idle = collections.defaultdict(collections.deque)
 
-    async def open(self, address):
+    async def open(self, address, repeatable):
         """Give an Exchange on a kept or new connection.
 
+        Parameters
+        ----------
+        repeatable : bool
+            Whether the request may be sent again where it is lost.
+
         Raises
         ------
         Broken
             With `sent` false.
         """
-        wire = self._take(address)
+        wire = self._take(address, repeatable)
         if wire is not None:
             return Exchange(self, address, wire, True)
         loop = asyncio.get_running_loop()
@@ -75,21 +93,24 @@
         if idle_s <= 0 or len(idle) >= MOST_KEPT:
             wire.close()
             return
-        idle.append((wire, self._clock() + idle_s))
+        now = self._clock()
+        idle.append(Idle(wire, now, now + idle_s))
 
     def drop(self, address):
         """Close what is kept to an address."""
-        for wire, _ in self._idle.pop(address, ()):
-            wire.close()
+        for idle in self._idle.pop(address, ()):
+            idle.wire.close()
 
     def sweep(self):
         """Close the kept connections whose time is over."""
         now = self._clock()
         for address, idle in list(self._idle.items()):
-            live = [row for row in idle if row[1] > now and row[0].is_quiet]
+            live = [
+                row for row in idle if row.until > now and row.wire.is_quiet
+            ]
             for row in idle:
                 if row not in live:
-                    row[0].close()
+                    row.wire.close()
             if live:
                 self._idle[address] = collections.deque(live)
             else:
@@ -100,14 +121,19 @@
         for address in list(self._idle):
             self.drop(address)
 
-    def _take(self, address):
+    def _take(self, address, repeatable):
         idle = self._idle.get(address)
         while idle:
             # The newest first: the others can run out and be closed.
-            wire, until = idle.pop()
-            if self._clock() < until and wire.is_quiet:
-                return wire
-            wire.close()
+            row = idle[-1]
+            now = self._clock()
+            if now < row.until and row.wire.is_quiet:
+                if not repeatable and now - row.since > UNREPEATABLE_IDLE_S:
+                    return None
+                idle.pop()
+                return row.wire
+            idle.pop()
+            row.wire.close()
         return None
 
 
--- a/standins/runner.py
+++ b/standins/runner.py
@@ -34,6 +34,8 @@
         The heads of all requests that arrived.
     orders : list of dict
         The orders that it took.
+    forgets : bool
+        Whether it resets what comes on a connection that was at rest.
     cancelled : int
         Requests whose connection closed while they ran.
     """
@@ -51,6 +53,8 @@
         self.address = None
         self.epoch = 7
         self.events = []
+        self.forgets = False
+        self._seen = set()
         self._server = None
 
     async def start(self):
@@ -81,6 +85,10 @@
         try:
             while True:
                 head, body = await read_request(reader)
+                known = not self._is_new(writer)
+                if self.forgets and known:
+                    writer.transport.abort()
+                    return
                 if head['path'].startswith('/api/'):
                     self._answer_call(writer, head, body)
                     continue
@@ -95,6 +103,11 @@
         finally:
             writer.close()
 
+    def _is_new(self, writer):
+        new = id(writer) not in self._seen
+        self._seen.add(id(writer))
+        return new
+
     def _is_mine(self, head):
         wanted = head.get('x-landingspool-expect-instance', self.name)
         version = head.get('expect-version', str(self.version))
--- a/tests/gateway/test_relay.py
+++ b/tests/gateway/test_relay.py
@@ -9,6 +9,7 @@
 
 import pytest
 
+from landingspool.gateway import upstream
 from tests.gateway import site
 
 # behaviour of the first target asked, route -> status, times run in all
@@ -231,3 +232,16 @@
         assert ran == 20 + 1
 
     run(check)
+
+
+def test_what_may_not_be_repeated_uses_no_connection_long_at_rest():
+    async def check(deployment):
+        hub = await deployment.start_box()
+        (runner,) = deployment.plain
+        await site.ask(hub, '/unsafe/a')
+        runner.forgets = True
+        await asyncio.sleep(upstream.UNREPEATABLE_IDLE_S + 0.05)
+        assert (await site.ask(hub, '/unsafe/a')).status == 200
+        assert runner.connections == 2
+
+    run(check, plain=1)
