Ask one box for all stores at once, and count places and waiting requests

Change: boxes are looked up now and then, holds are halved in large domains, one call for all stores, places and waiting requests in digests.

--- a/landingspool/decisions/gateway/choice.py
+++ b/landingspool/decisions/gateway/choice.py
@@ -24,8 +24,8 @@
 # takes 3.2 ms, and each running request lengthens it by 0.05 ms.
 RUNNING_S = 0.0006
 # Share of an engine's memory that running requests may take; the rest keeps
-# context for the next ones.  Over it, waits grow with the time of a run:
-# two seconds for the longest kind on both deployments (measured).
+# context for the next ones.  Over it, and over the places, waits grow with
+# the time of a run: two seconds for the longest kind (measured).
 MEMORY_SHARE = 0.75
 RUN_S = 2.0
 # A failing target is put behind by so much at a failure share of one.
@@ -58,7 +58,7 @@
         When the target last sent any byte on any request.
     held_tokens : int
         Tokens of all these requests, made ones included.
-    others_tokens, others_running, others_held : float
+    others_tokens, others_running, others_held, others_waiting : float
         The same of other boxes.
     """
 
@@ -71,6 +71,7 @@
     others_running: float = 0.0
     held_tokens: int = 0
     others_held: float = 0.0
+    others_waiting: float = 0.0
 
 
 class Candidate(typing.NamedTuple):
@@ -138,7 +139,7 @@
     else:
         best = min(scored)
     seconds, _, candidate = best
-    wait = expect_wait(candidate.load, candidate.capacity)
+    wait = expect_wait(candidate)
     return Chosen(candidate.entry, seconds, candidate.kept, len(usable), wait)
 
 
@@ -186,7 +187,7 @@
         kept = max(candidate.kept, candidate.saved)
         read = prompts.count_read(prompt, kept)
         seconds = read / prompts.READ_TOKENS_S + candidate.fetched_s
-        seconds += expect_wait(load, candidate.capacity)
+        seconds += expect_wait(candidate)
     # Some routes fail by themselves; only what a target does worse counts.
     failing = health.failing - min(p.failing for p in peers)
     seconds = seconds * slow + failing * FAILING_S
@@ -194,14 +195,21 @@
     return seconds + (0 if candidate.entry.domain == domain else FAR_S)
 
 
-def expect_wait(load, capacity):
+def expect_wait(candidate):
     """Give the seconds that a request waits behind others at an engine."""
+    load, capacity = candidate.load, candidate.capacity
+    slots = max(candidate.entry.slots, 1)
     waiting = load.waiting_tokens + load.others_tokens
     seconds = waiting / prompts.READ_TOKENS_S
-    seconds += (load.running + load.others_running) * RUNNING_S
+    running = load.running + load.others_running
+    seconds += running * RUNNING_S
+    queued = load.waiting + load.others_waiting
+    # Whoever comes now waits until runs end and give back their places, or
+    # their memory.
+    if running + queued >= slots:
+        seconds += (running + queued - slots + 1) / slots * RUN_S
     over = load.held_tokens + load.others_held - capacity * MEMORY_SHARE
     if capacity and over > 0:
-        # Whoever comes now waits until runs end and give their memory back.
         seconds += over / capacity * RUN_S
     return seconds
 
--- a/landingspool/decisions/gateway/neighbours.py
+++ b/landingspool/decisions/gateway/neighbours.py
@@ -11,9 +11,10 @@
 # Seconds for which a digest counts: several periods, so that one lost
 # datagram does not make a busy target look idle.
 FRESH_S = 1.0
-# Boxes that one digest is sent to.
-FAN_OUT = 8
-NOTHING = 0, 0, 0
+# Boxes that one digest is sent to: of 85 boxes each then hears three in
+# four within the time for which a digest counts, at 18 KB/s.
+FAN_OUT = 24
+NOTHING = 0, 0, 0, 0
 
 
 class Digest(typing.NamedTuple):
@@ -29,7 +30,7 @@
         Age of its proof of that table.
     loads : dict of str to list
         For each target the prompt tokens waiting there, the requests that
-        have begun and the tokens that all of them hold.
+        have begun, the tokens that all of them hold, the requests waiting.
     """
 
     box: str
@@ -94,19 +95,21 @@
 
         Returns
         -------
-        tuple of (float, float, float)
-            Prompt tokens waiting, requests running, tokens held.
+        tuple of float
+            As in the digests: tokens waiting, requests running, tokens
+            held, requests waiting.
 
         >>> neighbours = Neighbours()
-        >>> neighbours.take(Digest('b', 'd', 1, 0, 0.0, {'t': [1, 2, 9]}), 1.0)
+        >>> loads = {'t': [1, 2, 9, 3]}
+        >>> neighbours.take(Digest('b', 'd', 1, 0, 0.0, loads), 1.0)
         >>> neighbours.get_load('t', 1, 1.5)
-        (1.0, 2.0, 9.0)
+        (1.0, 2.0, 9.0, 3.0)
         >>> neighbours.get_load('t', 1, 3.0)
-        (0.0, 0.0, 0.0)
+        (0.0, 0.0, 0.0, 0.0)
         """
         self._sum(now)
         if not self._sums_heard:
-            return 0.0, 0.0, 0.0
+            return tuple(map(float, NOTHING))
         scale = max(boxes / self._sums_heard, 1.0)
         return tuple(n * scale for n in self._sums.get(target, NOTHING))
 
@@ -120,7 +123,8 @@
         for digest in rows:
             for target, load in digest.loads.items():
                 known = sums.get(target, NOTHING)
-                sums[target] = tuple(map(sum, zip(known, load, strict=True)))
+                pairs = zip(known, load, strict=True)
+                sums[target] = tuple(a + b for a, b in pairs)
         self._sums = sums
         self._sums_heard = len(rows)
         self._summed = now
--- a/landingspool/decisions/gateway/view.py
+++ b/landingspool/decisions/gateway/view.py
@@ -124,6 +124,7 @@
         self.proof = freshness.Proof(bounds.key_s)
         self.neighbours = neighbours.Neighbours()
         self.boxes = USUAL_BOXES
+        self.others = 0
         self._loading = {}
         self._sent = {}
         self._heard = {}
@@ -282,8 +283,9 @@
         """Give the choice.Load at a target, of this and other boxes."""
         rows = self._sent.get(name, {}).values()
         waiting = [row for row in rows if not row.begun]
-        others = max(len(self.neighbours.list_heard(now)), 1)
-        tokens, running, held = self.neighbours.get_load(name, others, now)
+        tokens, running, held, queued = self.neighbours.get_load(
+            name, self.others, now
+        )
         return choice.Load(
             waiting=len(waiting),
             running=len(rows) - len(waiting),
@@ -294,6 +296,7 @@
             others_running=running,
             held_tokens=sum(row.held for row in rows),
             others_held=held,
+            others_waiting=queued,
         )
 
     def list_loads(self):
@@ -302,7 +305,8 @@
         for name, rows in self._sent.items():
             waiting = [row.tokens for row in rows.values() if not row.begun]
             held = sum(row.held for row in rows.values())
-            loads[name] = [sum(waiting), len(rows) - len(waiting), held]
+            count = len(waiting)
+            loads[name] = [sum(waiting), len(rows) - count, held, count]
         return loads
 
     def _get_allowance(self, service):
--- a/landingspool/decisions/gateway/warmth.py
+++ b/landingspool/decisions/gateway/warmth.py
@@ -23,6 +23,7 @@
 
 # Batches of changes kept for the boxes that follow this one: a minute.
 MOST_BATCHES = 100
+UNKNOWN = -1, -1
 
 
 class Change(typing.NamedTuple):
@@ -72,7 +73,7 @@
     epoch: int
     next: int
     lost: bool
-    changes: tuple
+    changes: tuple[Change, ...]
     whole: bool = False
     clock_ms: float | None = None
 
@@ -126,13 +127,15 @@
         )
         return not news.whole and (news.lost or fresh)
 
-    def tell(self, name, since, epoch):
-        """Give what another box needs that knows all up to `since`.
+    def get_place(self, name):
+        """Give the life and the place up to which all is known here."""
+        index = self._indexes.get(name)
+        if index is None or index.epoch is None:
+            return UNKNOWN
+        return index.epoch, index.next
 
-        Parameters
-        ----------
-        epoch : str or None
-            The life that it knows.
+    def tell(self, name, epoch, since):
+        """Give what another box needs that knows a life up to `since`.
 
         Returns
         -------
@@ -143,7 +146,7 @@
         if index is None or index.epoch is None:
             return None
         changes = find_changes(index, since)
-        if changes is not None and str(index.epoch) == epoch:
+        if changes is not None and index.epoch == epoch:
             return News(
                 index.epoch,
                 index.next,
--- a/landingspool/gateway/cachewatch.py
+++ b/landingspool/gateway/cachewatch.py
@@ -8,7 +8,6 @@
 """
 
 import asyncio
-from urllib import parse
 
 import cbor2
 import msgspec
@@ -54,8 +53,14 @@
         """Follow until cancelled."""
         try:
             while True:
-                self._adapt(self._list_wanted())
-                await asyncio.sleep(LOOK_S)
+                peer = self._hub.peering.pick_reader()
+                if peer is None:
+                    self._adapt(self._list_wanted())
+                    await asyncio.sleep(LOOK_S)
+                else:
+                    self._adapt({})
+                    await self._ask_peer(peer)
+                    await asyncio.sleep(STORE_PERIOD_S)
         finally:
             self._adapt({})
 
@@ -109,41 +114,53 @@
         return again
 
     async def _ask(self, name, address, whole):
-        index = self._hub.view.warmth.get(name)
-        since = index.next if index is not None and not whole else -1
-        peer = self._hub.peering.pick_reader()
-        if peer is not None:
-            return await self._ask_peer(peer, name, index, since)
-        if since < 0:
+        if whole:
             return await self._hub.runners.read_list(address)
+        index = self._hub.view.warmth.get(name)
+        since = index.next if index is not None else 0
         return await self._hub.runners.read_events(address, since, HOLD_S)
 
-    async def _ask_peer(self, peer, name, index, since):
-        query = {'name': name, 'since': since}
-        if index is not None:
-            query['epoch'] = index.epoch
-        target = f'{CHANGES_PATH}?{parse.urlencode(query)}'
+    async def _ask_peer(self, peer):
+        """Ask a box that follows the stores what is new at all of them."""
+        known = self._hub.view.warmth
+        table = self._hub.view.table
+        stores = routes.list_addresses(table) if table is not None else ()
+        wanted = {name: known.get_place(name) for name in stores}
+        sent = self._hub.clock()
         try:
             reply = await self._hub.client.fetch(
-                peer.address, 'GET', target, timeout=ANSWER_S
+                peer.address,
+                'POST',
+                CHANGES_PATH,
+                cbor2.dumps(wanted),
+                timeout=ANSWER_S,
+            )
+            found = msgspec.convert(
+                cbor2.loads(reply.body), dict[str, warmth.News]
             )
-            return msgspec.convert(cbor2.loads(reply.body), warmth.News)
         except (
             http.Unreachable,
             cbor2.CBORError,
             msgspec.ValidationError,
         ) as error:
             self._hub.peering.shun(peer.name)
-            return runners.Unanswered(f'{peer.name}: {error}', False)
+            self._hub.recorder.record('no_state', reason=str(error)[:200])
+            return
+        for name, news in found.items():
+            self._take(name, news, sent, self._hub.clock())
 
     async def answer_changes(self, request, exchange):
-        """Answer another box: what changed at a store, or all of it."""
-        name = request.query.get('name', '')
-        news = self._hub.view.warmth.tell(
-            name, int(request.query['since']), request.query.get('epoch')
-        )
-        if news is None:
-            await exchange.send_json(404, {'error': 'not followed'})
+        """Answer another box: what is new at each store."""
+        try:
+            wanted = msgspec.convert(
+                cbor2.loads(request.body), dict[str, tuple[int, int]]
+            )
+        except (cbor2.CBORError, msgspec.ValidationError) as error:
+            self._hub.recorder.record('bad_message', reason=str(error))
+            await exchange.send_json(400, {'error': 'not understood'})
             return
-        body = cbor2.dumps(msgspec.to_builtins(news))
+        known = self._hub.view.warmth
+        found = {n: known.tell(n, *place) for n, place in wanted.items()}
+        told = {n: news for n, news in found.items() if news is not None}
+        body = cbor2.dumps(msgspec.to_builtins(told))
         await exchange.send_body(200, body, 'application/cbor')
--- a/landingspool/gateway/following.py
+++ b/landingspool/gateway/following.py
@@ -36,7 +36,6 @@
     """
 
     topic = ''
-    hold_s = HOLD_S
 
     def __init__(self, hub):
         self._hub = hub
@@ -120,8 +119,14 @@
 
     def __init__(self, hub):
         super().__init__(hub)
-        # The proof is renewed once a hold: four times within its bound.
-        self.hold_s = min(HOLD_S, hub.place.bounds.key_s / 4)
+        self._most_hold_s = min(HOLD_S, hub.place.bounds.key_s / 4)
+
+    @property
+    def hold_s(self):
+        """The proof is renewed once a hold, in a chain once in two holds."""
+        if self._hub.peering.is_large():
+            return self._most_hold_s / 2
+        return self._most_hold_s
 
     def _take(self, key, value, offset):
         try:
--- a/landingspool/gateway/hub.py
+++ b/landingspool/gateway/hub.py
@@ -93,8 +93,7 @@
         self._keep(self.cachewatch.run())
         if self.place.links is not None:
             await self.peering.start()
-            self._keep(self.peering.register())
-            self._keep(peering.Boxes(self, self.peering.peers).run())
+            self._keep(self.peering.run())
         self.recorder.record('started', domain=self.place.domain)
         await self._stop.wait()
         await self._leave()
--- a/landingspool/gateway/peering.py
+++ b/landingspool/gateway/peering.py
@@ -16,15 +16,14 @@
 from landingspool.decisions.gateway import neighbours
 from landingspool.decisions.gateway import readers
 from landingspool.gateway import cachewatch
-from landingspool.gateway import following
 from landingspool.gateway import sources
 from landingspool import http
 from landingspool.platform import boot
 from landingspool.platform import names
 from landingspool.platform import store as store_module
 
-# Period of the digests, seconds: short against the reading of a long
-# prompt (0.1 s), so that two boxes seldom choose the same idle target.
+# Period of the digests, seconds: about the reading of two long prompts
+# (0.1 s each), so that boxes seldom choose the same idle target.
 DIGEST_S = 0.2
 # Period of the questions, and the age of the own proof from which on the
 # neighbours are asked: an ordinary one grows to twice the hold of a read.
@@ -34,32 +33,13 @@
 ASKED = 3
 STATE_PATH = '/state'
 FETCH_S = 1.0
+# Period of the looks at which boxes there are, seconds; digests tell of new
+# ones much sooner.
+BOXES_S = 12.0
 # Pause between two tries to tell the store of this box, seconds.
 REGISTER_S = 0.7
 
 
-class Boxes(following.Follower):
-    """Follows which boxes there are."""
-
-    topic = names.BOXES_TOPIC
-    # Boxes come and go in minutes; a silent one is noticed by its digests.
-    hold_s = 8.0
-
-    def __init__(self, hub, peers):
-        super().__init__(hub)
-        self._peers = peers
-
-    def _take(self, key, value, offset):
-        if not value:
-            self._peers.pop(key, None)
-            return
-        peer = read_peer(key, value)
-        if peer is None:
-            self._hub.recorder.record('malformed', key=key, reason='address')
-        elif key != self._hub.place.box:
-            self._peers[key] = peer
-
-
 class Peer(typing.NamedTuple):
     """Another box."""
 
@@ -95,7 +75,29 @@
         self._hub.timer.subscribe(DIGEST_S, self._tell)
         self._hub.timer.subscribe(ASK_S, self._ask)
 
-    async def register(self):
+    async def run(self):
+        """Make this box known, and learn now and then which others are."""
+        await self._register()
+        while True:
+            newest = await self._hub.store.read_newest(names.BOXES_TOPIC)
+            if isinstance(newest, store_module.Newest):
+                self._take_boxes(newest)
+            # Spread, since all boxes start at once.
+            await asyncio.sleep(BOXES_S * random.uniform(0.5, 1.5))
+
+    def _take_boxes(self, newest):
+        listed = {}
+        for key, value, _ in newest.records:
+            peer = read_peer(key, value)
+            if peer is not None and key != self._hub.place.box:
+                listed[key] = peer
+        heard = self._hub.view.neighbours.list_heard(self._hub.clock())
+        for name in list(self.peers):
+            if name not in listed and name not in heard:
+                del self.peers[name]
+        self.peers.update(listed)
+
+    async def _register(self):
         """Make this box known through the store; ends when it is."""
         place = self._hub.place
         row = {
@@ -123,12 +125,18 @@
 
     def pick_reader(self):
         """Pick the Peer to read from; None: the store itself."""
-        domain = self._hub.place.domain
-        near = [n for n, p in self.peers.items() if p.domain == domain]
         age_s = self._hub.view.proof.age(self._hub.clock())
-        name = self._readers.pick(near, age_s, self._hub.clock())
+        name = self._readers.pick(self._list_near(), age_s, self._hub.clock())
         return self.peers.get(name)
 
+    def is_large(self):
+        """Tell whether this domain has boxes that read for others."""
+        return len(self._list_near()) >= readers.MOST_ALONE
+
+    def _list_near(self):
+        domain = self._hub.place.domain
+        return [n for n, p in self.peers.items() if p.domain == domain]
+
     def shun(self, name):
         """Note that a box did not answer."""
         self._readers.shun(name, self._hub.clock())
@@ -138,6 +146,7 @@
         # The count that divides the retry budget never falls: a box that
         # is only not heard spends its part all the same.
         view.boxes = max(view.boxes, len(self.peers) + 1)
+        view.others = len(self.peers)
         self._number += 1
         digest = neighbours.Digest(
             box=self._hub.place.box,
--- /dev/null
+++ b/tests/gateway/test_readers.py
@@ -0,0 +1,90 @@
+"""In a large domain two boxes read for the others."""
+
+import asyncio
+
+from landingspool.decisions.gateway import readers
+from tests.gateway import site
+
+BOXES = [f'box{i}' for i in range(6)]
+
+
+def test_the_others_follow_tables_targets_and_stores():
+    async def main():
+        async with site.Site(plain=1) as deployment:
+            keeper = site.runner_module.Runner('keeper')
+            await keeper.start()
+            keeper.events = [['m.1', 'aa', 500, 'm']]
+            address = f'{keeper.address[0]}:{keeper.address[1]}'
+            deployment.publish(make_table(2, address))
+            hubs = [await deployment.start_box(name) for name in BOXES]
+            await site.wait_until(
+                lambda: all(len(h.peering.peers) == 5 for h in hubs)
+            )
+            members = [h for h in hubs if h.peering.pick_reader() is not None]
+            assert len(members) == len(BOXES) - readers.READERS
+            await asyncio.sleep(1.5)
+            for hub in members:
+                hub.store = site.hub_module.store.Store(
+                    hub.client, site.http.Address('127.0.0.1', 9)
+                )
+            deployment.publish(make_table(3, address))
+            await site.wait_until(
+                lambda: all(h.view.table.version == 3 for h in hubs)
+            )
+            deployment.announce(deployment.plain[0], 'plain', state='draining')
+            await site.wait_until(
+                lambda: all('p0' not in h.view.fleet.entries for h in hubs)
+            )
+            await site.wait_until(
+                lambda: all(
+                    h.view.warmth.kept(address).get(('m.1', 'aa')) == 500
+                    for h in hubs
+                )
+            )
+            await asyncio.sleep(1.5)
+            now = hubs[0].clock()
+            assert all(
+                h.view.proof.age(now) < readers.ALONE_AGE_S for h in hubs
+            )
+            await keeper.close()
+
+    asyncio.run(main())
+
+
+def make_table(version, address):
+    """Give a configuration with one store of kept context."""
+    table = site.make_table(version)
+    table['services'].append(
+        {
+            'name': 'keeper',
+            'kv_store_addr': address,
+            'kv_capacity': 9000,
+            'managed': True,
+        }
+    )
+    return table
+
+
+def test_a_reader_that_does_not_answer_is_left_for_a_time():
+    known = readers.Readers('box0')
+    others = BOXES[1:]
+    picked = set()
+    for name in BOXES:
+        seen = readers.Readers(name)
+        picked.add(seen.pick([b for b in BOXES if b != name], 0.0, 1.0))
+    assert len(picked - {None}) == 1
+    first = known.pick(others, 0.0, 1.0)
+    if first is not None:
+        known.shun(first, 1.0)
+        second = known.pick(others, 0.0, 1.0)
+        assert second not in (first, None)
+        known.shun(second, 1.0)
+        assert known.pick(others, 0.0, 1.0) is None
+        assert known.pick(others, 0.0, 1.0 + readers.SHUN_S) == first
+
+
+def test_a_box_whose_proof_grows_old_reads_for_itself():
+    for name in BOXES:
+        seen = readers.Readers(name)
+        others = [b for b in BOXES if b != name]
+        assert seen.pick(others, readers.ALONE_AGE_S + 0.1, 1.0) is None
