Read records from the domain's readers, as was meant

The test had not noticed, since a neighbour's state filled in. Change: the held read goes through the source; the test now fails where a member calls the store at all (it failed before, passes after).

--- a/landingspool/gateway/following.py
+++ b/landingspool/gateway/following.py
@@ -63,7 +63,9 @@
     async def _follow(self, offset):
         pause = PAUSE_S
         while True:
-            page = await self._hub.store.read(self.topic, offset, self.hold_s)
+            page = await self._hub.sources.read(
+                self.topic, offset, self.hold_s
+            )
             if isinstance(page, store_module.Unavailable):
                 self._note_state(False, page.reason)
                 await asyncio.sleep(pause)
--- a/tests/gateway/test_readers.py
+++ b/tests/gateway/test_readers.py
@@ -46,6 +46,12 @@
             assert all(
                 h.view.proof.age(now) < readers.ALONE_AGE_S for h in hubs
             )
+            # None of them has even tried to read for itself.
+            assert not any(
+                name.startswith('read')
+                for hub in members
+                for name in hub.store.calls
+            )
             await keeper.close()
 
     asyncio.run(main())
