--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 BIN = $(VENV)/bin
 WORKERS ?= 6
 
-.PHONY: demo test lint format load
+.PHONY: demo test lint format load soak
 
 $(VENV)/installed: requirements.txt
 	$(PYTHON) -m venv $(VENV)
@@ -16,15 +16,20 @@
 
 lint: $(VENV)/installed
 	$(BIN)/ruff format --check .
-	$(BIN)/flake8 landingspool standins bench tests
+	$(BIN)/flake8 landingspool standins bench tests soak
 
 test: lint
 	$(BIN)/python -m pytest -n $(WORKERS) --dist worksteal --maxfail=50 \
 	    --ignore tests/real
 	$(BIN)/python -m pytest tests/real
+	$(BIN)/python -m soak --first 1 --seeds 3 --jobs 3
 
 format: $(VENV)/installed
 	$(BIN)/ruff format .
 
+# Fifty fresh seeds, by hand; a failing one keeps its logs.
+soak: $(VENV)/installed
+	$(BIN)/python -m soak --seeds 50
+
 load: $(VENV)/installed
 	$(BIN)/python -m bench.load
--- a/landingspool/http.py
+++ b/landingspool/http.py
@@ -395,13 +395,16 @@
         conn = h11.Connection(h11.CLIENT, MAX_HEADER_BYTES)
         self._stream = reader, writer, conn
 
-    async def send(self, method, path, value=None, headers=()):
-        """Send the request and read the head of the answer."""
+    async def send(self, method, path, value=None, headers=(), host=''):
+        """Send the request and read the head of the answer.
+
+        `host` goes into the head in place of the address.
+        """
         if self._stream is None:
             await self.connect()
         body = encode_body(value)
         fixed = [
-            ('host', f'{self._address.host}:{self._address.port}'),
+            ('host', host or f'{self._address.host}:{self._address.port}'),
             ('content-length', str(len(body))),
         ]
         _, writer, conn = self._stream
--- /dev/null
+++ b/soak/__init__.py
@@ -0,0 +1,1 @@
+"""A randomized fault soak of real processes on one machine."""
--- /dev/null
+++ b/soak/__main__.py
@@ -0,0 +1,102 @@
+"""Runs the soak: `python -m soak [--seeds N] [--first SEED] [--jobs N]`.
+
+Each seed is a run of its own: real boxes, a few callers, and a series of
+faults that overlap.  Its logs stay in a folder that is named at a failure.
+"""
+
+import argparse
+import asyncio
+import random
+import shutil
+import signal
+import sys
+import tempfile
+import time
+
+from soak import auditor
+from soak import callers
+from soak import faults
+from soak import fleet as fleet_module
+
+RUN_S = 9.0
+SETTLE_S = 1.5
+CALLERS = 6
+# Seeds that ever failed, kept as regression cases: seed, cause.
+REGRESSIONS = {}
+
+
+async def run_seed(seed, subnet, folder):
+    """Run one seed; gives the problems and the number of requests."""
+    rng = random.Random(seed)
+    fleet = fleet_module.Fleet(folder, subnet)
+    people = [callers.Caller(i, fleet, rng) for i in range(CALLERS)]
+    try:
+        await fleet.open()
+        await fleet_module.wait_ready(fleet)
+        await asyncio.sleep(0.5)
+        works = [asyncio.ensure_future(one.run()) for one in people]
+        await faults.play(fleet, rng, RUN_S)
+        await asyncio.sleep(SETTLE_S)
+        for work in works:
+            work.cancel()
+        await asyncio.gather(*works, return_exceptions=True)
+        sent = [row for one in people for row in one.sent]
+        problems = auditor.audit(fleet, sent)
+        served = sum(1 for row in sent if row.status == 200 and row.whole)
+        if not served:
+            problems.append('nothing was served')
+        return problems, len(sent), served
+    finally:
+        await fleet.close()
+
+
+async def run_all(seeds, jobs):
+    """Run seeds, some at a time; gives how many failed."""
+    free = asyncio.Queue()
+    for subnet in range(jobs):
+        free.put_nowait(subnet + 10)
+    failed = 0
+
+    async def run_one(seed):
+        nonlocal failed
+        subnet = await free.get()
+        folder = tempfile.mkdtemp(prefix=f'soak-{seed}-')
+        try:
+            found = await run_seed(seed, subnet, folder)
+        except (OSError, TimeoutError) as error:
+            found = [f'could not run: {error!r}'], 0, 0
+        problems, count, served = found
+        free.put_nowait(subnet)
+        print(f'seed {seed}: {count} requests, {served} served, ', end='')
+        if not problems:
+            print('kept')
+            shutil.rmtree(folder)
+            return
+        failed += 1
+        print(f'{len(problems)} broken; logs in {folder}')
+        for line in problems[:10]:
+            print(f'  {line}')
+
+    await asyncio.gather(*(run_one(seed) for seed in seeds))
+    return failed
+
+
+def main():
+    """Run the soak; the status is 1 where a promise was broken."""
+    parser = argparse.ArgumentParser(prog='soak')
+    parser.add_argument('--seeds', type=int, default=8)
+    parser.add_argument('--first', type=int, default=None)
+    parser.add_argument('--jobs', type=int, default=4)
+    options = parser.parse_args()
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(1))
+    first = options.first
+    if first is None:
+        first = int(time.time())
+    seeds = [*REGRESSIONS, *range(first, first + options.seeds)]
+    failed = asyncio.run(run_all(seeds, options.jobs))
+    print(f'{len(seeds) - failed} passed, {failed} failed')
+    return 1 if failed else 0
+
+
+if __name__ == '__main__':
+    sys.exit(main())
--- /dev/null
+++ b/soak/callers.py
@@ -0,0 +1,88 @@
+"""Callers who note what they sent and what came back."""
+
+import asyncio
+import time
+import typing
+
+from landingspool import http
+from soak import fleet as fleet_module
+
+LEFT_S = 2.5
+PAUSE_S = 0.02
+# Statuses that promise that a request has not run and will not.
+PROMISES = (503, 429, 408, 421)
+
+
+class Sent(typing.NamedTuple):
+    """One request: what was sent, and what a caller got.
+
+    `status` is 0 where no answer came; `whole` tells whether the answer had
+    its proper end.
+    """
+
+    name: str
+    route: str
+    key: str
+    at: float
+    status: int
+    whole: bool
+    body: bytes
+    stamped: bool
+
+
+class Caller:
+    """Sends one request after another, on kept connections."""
+
+    def __init__(self, number, fleet, rng):
+        self._number = number
+        self._fleet = fleet
+        self._rng = rng
+        self._client = http.Client()
+        self._count = 0
+        self.sent = []
+
+    async def run(self):
+        """Send until cancelled."""
+        while True:
+            await self._send_one()
+            await asyncio.sleep(self._rng.uniform(0, 2 * PAUSE_S))
+
+    async def _send_one(self):
+        self._count += 1
+        name = f'c{self._number}-{self._count}'
+        route = self._rng.choice(list(fleet_module.ROUTES))
+        # Keys are used for a while after they were taken away.
+        key = self._rng.choice(list(self._fleet.keys))
+        box = self._rng.choice(self._fleet.boxes)
+        at = time.monotonic()
+        status, whole, body, stamped = await self._ask(box, route, name, key)
+        self.sent.append(
+            Sent(name, route, key, at, status, whole, body, stamped)
+        )
+
+    async def _ask(self, box, route, name, key):
+        call = self._client.open(box.address)
+        rows = [
+            ('x-landingspool-request-id', name),
+            ('x-landingspool-deadline-ms', str(int(LEFT_S * 1000))),
+            ('authorization', f'Bearer {key}'),
+            ('x-landingspool-model-name', 'm'),
+            ('x-landingspool-token-usage', '300,10'),
+            ('x-landingspool-prefix-hash', 'aa:200,bb:100'),
+        ]
+        body = bytearray()
+        try:
+            async with asyncio.timeout(LEFT_S):
+                await call.connect()
+                await call.send(
+                    'POST', f'/{route}/a', b'x', rows, fleet_module.HOST
+                )
+                async for data in call.read():
+                    body += data
+            whole = True
+        except (http.Unreachable, TimeoutError):
+            whole = False
+        finally:
+            call.close()
+        stamped = 'x-landingspool-response-stamp' in call.headers
+        return call.status, whole, bytes(body), stamped
--- /dev/null
+++ b/soak/faults.py
@@ -0,0 +1,159 @@
+"""The faults of a run: a registry, and a seeded series that overlaps."""
+
+import asyncio
+import signal
+
+from landingspool.platform import names
+
+FAULTS = []
+# Pause between two faults, seconds; most last longer, so they overlap.
+PAUSE_S = 0.5
+LOOK_S = 0.05
+# Looks at a process that was told to stop before it is killed: the grace
+# time of four seconds, and one more.
+STOP_LOOKS = 100
+SCRIPTS = (
+    'failure',
+    'shed',
+    'foreign',
+    'surplus',
+    'nonsense',
+    'unframed echo',
+    'reset',
+    'closed',
+    'silent',
+    'slow echo',
+)
+STREAM_SCRIPTS = ('broken stream', 'half event', 'shed', 'closed', 'silent')
+
+
+def fault(function):
+    """Register a fault: ``async fault(fleet, rng)``."""
+    FAULTS.append(function)
+    return function
+
+
+async def play(fleet, rng, seconds):
+    """Bring about faults for some seconds, then undo what lasts."""
+    loop = asyncio.get_running_loop()
+    ends = loop.time() + seconds
+    works = []
+    while loop.time() < ends:
+        chosen = rng.choice(FAULTS)
+        works.append(asyncio.ensure_future(chosen(fleet, rng)))
+        await asyncio.sleep(rng.uniform(0, 2 * PAUSE_S))
+    await asyncio.gather(*works)
+    for box in fleet.boxes:
+        box.send(signal.SIGCONT)
+        box.start()
+
+
+@fault
+async def kill(fleet, rng):
+    """Kill a box; it starts again."""
+    box = rng.choice(fleet.boxes)
+    process = box.process
+    box.send(signal.SIGKILL)
+    await asyncio.sleep(rng.uniform(0.1, 1.0))
+    await wait_end(process)
+    box.start()
+
+
+@fault
+async def stop(fleet, rng):
+    """Stop a box as planned; it starts again."""
+    box = rng.choice(fleet.boxes)
+    process = box.process
+    box.send(signal.SIGCONT)
+    box.send(signal.SIGTERM)
+    await wait_end(process)
+    box.start()
+
+
+async def wait_end(process):
+    """Wait until a process has ended; one that does not is killed."""
+    for _ in range(STOP_LOOKS):
+        if process.poll() is not None:
+            return
+        await asyncio.sleep(LOOK_S)
+    process.kill()
+    process.wait()
+
+
+@fault
+async def pause(fleet, rng):
+    """Let a box stand still."""
+    box = rng.choice(fleet.boxes)
+    box.send(signal.SIGSTOP)
+    await asyncio.sleep(rng.uniform(0.3, 4.0))
+    box.send(signal.SIGCONT)
+
+
+@fault
+async def reload(fleet, rng):
+    """Tell a box that its settings changed."""
+    rng.choice(fleet.boxes).send(signal.SIGHUP)
+
+
+@fault
+async def harm_store(fleet, rng):
+    """Let the store misbehave for all."""
+    fleet.store.mode = rng.choice(('busy', 'silent', 'lost'))
+    await asyncio.sleep(rng.uniform(0.3, 3.0))
+    fleet.store.mode = ''
+
+
+@fault
+async def forget(fleet, rng):
+    """Drop the records of a topic; the newest of each key stay."""
+    topics = names.PUBLISHED_TOPIC, names.TARGETS_TOPIC
+    fleet.store.topic(rng.choice(topics)).forget()
+
+
+@fault
+async def harm_path(fleet, rng):
+    """Cut, delay or silence a path to the store or to a target."""
+    wires = [box.wire for box in fleet.boxes]
+    wires += list(fleet.wires.values())
+    wire = rng.choice(wires)
+    wire.mode = rng.choice(('', 'silent', 'up', 'down', 'refuse'))
+    wire.delay_s = rng.choice((0.0, 0.05, 0.3))
+    if rng.random() < 0.5:
+        wire.reset()
+    await asyncio.sleep(rng.uniform(0.3, 4.0))
+    wire.mode, wire.delay_s = '', 0.0
+
+
+@fault
+async def harm_target(fleet, rng):
+    """Let a target misbehave for its next requests."""
+    runner = rng.choice(fleet.runners)
+    engine = runner.service == 'engine'
+    scripts = STREAM_SCRIPTS if engine else SCRIPTS
+    runner.script += rng.choices(scripts, k=rng.randint(1, 4))
+
+
+@fault
+async def change(fleet, rng):
+    """Publish another table, or take a key away."""
+    if rng.random() < 0.4:
+        fleet.revoke()
+    else:
+        fleet.publish()
+
+
+@fault
+async def replace(fleet, rng):
+    """Let a target leave, after another one has come."""
+    staying = [r for r in fleet.runners if r.name not in fleet.left]
+    runner = rng.choice(staying)
+    await fleet.add_runner(runner.service)
+    fleet.drain(runner)
+
+
+@fault
+async def rename_weights(fleet, rng):
+    """Name new weights."""
+    newest = max(r.version for r in fleet.runners) + 1
+    row = {'model': 'm', 'version': newest}
+    fleet.store.put(names.PUBLISHED_TOPIC, 'version/m', row)
--- /dev/null
+++ b/soak/fleet.py
@@ -0,0 +1,210 @@
+"""The real programs as separate processes, and what stands around them."""
+
+import asyncio
+import json
+import os
+import pathlib
+import signal
+import subprocess
+import sys
+import time
+
+from landingspool.platform import names
+from soak import proxy
+from standins import platformstore
+from standins import runner as runner_module
+
+HOST = 'h.example'
+ROUTES = {
+    'safe': ('safe', 2, 'plain', False),
+    'unsafe': ('unsafe', 1, 'plain', False),
+    'stream': ('streaming', 1, 'engine', False),
+    'resumed': ('streaming', 2, 'engine', True),
+}
+KEY_S = 5
+GRACE_S = 4
+PORTS = {'front': 8000, 'ready': 8001, 'control': 8002}
+SETTINGS = """
+node = "{name}"
+zone = "d{number}"
+seeds = {seeds}
+[listen]
+front = "{ip}:8000"
+ready = "{ip}:8001"
+control = "{ip}:8002"
+[bounds]
+revoke_ms = 5000
+grace_s = 4
+[platform]
+address = "{store}"
+"""
+
+
+class Box:
+    """One process and its own way to the store."""
+
+    def __init__(self, number, ip, store, folder):
+        self.name = f'box{number}'
+        self.number = number
+        self.ip = ip
+        self.process = None
+        self.wire = proxy.Proxy(store)
+        self._folder = pathlib.Path(folder)
+
+    @property
+    def address(self):
+        """Where callers connect."""
+        return self.ip, PORTS['front']
+
+    async def open(self, seeds):
+        """Write the settings and start the process."""
+        await self.wire.start()
+        host, port = self.wire.address
+        text = SETTINGS.format(
+            name=self.name,
+            number=self.number,
+            seeds=json.dumps(seeds),
+            ip=self.ip,
+            store=f'{host}:{port}',
+        )
+        self._path = self._folder / f'{self.name}.toml'
+        self._path.write_text(text)
+        self.start()
+
+    def start(self):
+        """Start the process, if none runs."""
+        if self.process is not None and self.process.poll() is None:
+            return
+        with open(self._folder / f'{self.name}.log', 'ab') as log:
+            self.process = subprocess.Popen(
+                [sys.executable, '-m', 'landingspool.platform'],
+                stdout=log,
+                stderr=log,
+                env={**os.environ, names.SETTINGS_VARIABLE: str(self._path)},
+            )
+
+    def send(self, number):
+        """Send a signal to the process, if it runs."""
+        if self.process is not None and self.process.poll() is None:
+            os.kill(self.process.pid, number)
+
+    def close(self):
+        """End what this box started."""
+        self.send(signal.SIGCONT)
+        self.send(signal.SIGKILL)
+        if self.process is not None:
+            self.process.wait()
+        self.wire.close()
+
+
+class Fleet:
+    """Boxes, targets and the store of one run."""
+
+    def __init__(self, folder, subnet):
+        self.folder = folder
+        self.subnet = subnet
+        self.store = platformstore.PlatformStore()
+        self.boxes = []
+        self.runners = []
+        self.wires = {}
+        self.keys = {'k0': None, 'k1': None, 'k2': None}
+        self.version = 0
+        self.left = {}
+
+    async def open(self, boxes=3):
+        """Start everything."""
+        await self.store.start()
+        self.publish()
+        for service in ('plain', 'plain', 'plain', 'engine', 'engine'):
+            await self.add_runner(service)
+        weights = {'model': 'm', 'version': 1}
+        self.store.put(names.PUBLISHED_TOPIC, 'version/m', weights)
+        ips = [f'127.{self.subnet}.0.{i + 1}' for i in range(boxes)]
+        seeds = [f'{ip}:{PORTS["control"]}' for ip in ips]
+        for number, ip in enumerate(ips):
+            box = Box(number, ip, self.store.address, self.folder)
+            self.boxes.append(box)
+            await box.open(seeds)
+
+    async def close(self):
+        """End everything that was started."""
+        for box in self.boxes:
+            box.close()
+        for wire in self.wires.values():
+            wire.close()
+        for runner in self.runners:
+            await runner.close()
+        await self.store.close()
+
+    async def add_runner(self, service):
+        """Start a target and let it announce itself."""
+        runner = runner_module.Runner(f'{service}{len(self.runners)}')
+        runner.usual = 'stream' if service == 'engine' else 'echo'
+        runner.service = service
+        await runner.start()
+        wire = proxy.Proxy(runner.address)
+        await wire.start()
+        self.runners.append(runner)
+        self.wires[runner.name] = wire
+        self.announce(runner)
+        return runner
+
+    def announce(self, runner, state='ready'):
+        """Write what a target says of itself."""
+        model = 'm' if runner.service == 'engine' else ''
+        entry = runner.entry(runner.service, state, model=model)
+        host, port = self.wires[runner.name].address
+        entry['address'] = f'{host}:{port}'
+        self.store.put(names.TARGETS_TOPIC, runner.name, entry)
+
+    def drain(self, runner):
+        """Let a target say that it leaves."""
+        self.left[runner.name] = time.monotonic()
+        self.announce(runner, 'draining')
+
+    def publish(self):
+        """Publish the routes and the keys that are in force."""
+        self.version += 1
+        held = [key for key, gone in self.keys.items() if gone is None]
+        rows = [
+            {
+                'name': name,
+                'host': HOST,
+                'path_prefix': f'/{name}/',
+                'kind': kind,
+                'max_attempts': attempts,
+                'service': service,
+                'resumable': resumable,
+                'timeout_ms': 2500,
+                'target_latency_ms': 400,
+                'priority': 1,
+            }
+            for name, (kind, attempts, service, resumable) in ROUTES.items()
+        ]
+        table = {
+            'version': self.version,
+            'routes': rows,
+            'services': [{'name': 'plain'}, {'name': 'engine'}],
+            'tenants': [{'name': 'w1', 'api_keys': held}],
+        }
+        self.store.put(names.PUBLISHED_TOPIC, names.TABLE_KEY, table)
+
+    def revoke(self):
+        """Take a key away; one always stays."""
+        held = [key for key, gone in self.keys.items() if gone is None]
+        if len(held) > 1:
+            self.keys[held[0]] = time.monotonic()
+            self.publish()
+
+
+async def wait_ready(fleet, seconds=10.0):
+    """Wait until callers can connect to every box."""
+    async with asyncio.timeout(seconds):
+        for box in fleet.boxes:
+            while True:
+                try:
+                    _, writer = await asyncio.open_connection(*box.address)
+                    writer.close()
+                    break
+                except OSError:
+                    await asyncio.sleep(0.05)
--- a/standins/runner.py
+++ b/standins/runner.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import json
+import time
 
 BEHAVIOURS = {}
 
@@ -27,7 +28,7 @@
     Attributes
     ----------
     script : list of str
-        Behaviours of the next requests; 'whole' when it is empty.
+        Behaviours of the next requests; `usual` when it is empty.
     ran : list of dict
         The heads of the requests that it ran, with 'body'.
     heads : list of dict
@@ -53,6 +54,8 @@
         self.address = None
         self.epoch = 7
         self.events = []
+        self.usual = 'whole'
+        self.service = ''
         self.forgets = False
         self._seen = set()
         self._server = None
@@ -93,12 +96,17 @@
                     self._answer_call(writer, head, body)
                     continue
                 self.heads.append(head)
-                name = self.script.pop(0) if self.script else 'whole'
+                name = self.script.pop(0) if self.script else self.usual
                 if name != 'shed' and not self._is_mine(head):
                     name = 'misdirected'
                 if await BEHAVIOURS[name](self, head, body, reader, writer):
                     break
-        except (asyncio.IncompleteReadError, ConnectionError):
+        except (
+            asyncio.IncompleteReadError,
+            asyncio.CancelledError,
+            ConnectionError,
+        ):
+            # The other side broke off, or the stand-in is closing.
             pass
         finally:
             writer.close()
@@ -115,7 +123,8 @@
 
     def run(self, head, body):
         """Note that a request runs."""
-        self.ran.append({**head, 'body': body})
+        at = time.monotonic()
+        self.ran.append({**head, 'body': body, 'at': at})
 
     def _answer_call(self, writer, head, body):
         path = head['path'].split('?')[0]
@@ -382,3 +391,32 @@
     runner.run(head, body)
     await asyncio.sleep(0.6)
     write_answer(runner, head, writer, 200, b'done')
+
+
+@behaviour('echo')
+async def answer_echo(runner, head, body, reader, writer):
+    """Run, and answer with the caller's id."""
+    runner.run(head, body)
+    write_answer(runner, head, writer, 200, get_id(head).encode())
+
+
+@behaviour('slow echo')
+async def answer_slow_echo(runner, head, body, reader, writer):
+    """Run, and answer with the caller's id after a while."""
+    runner.run(head, body)
+    await asyncio.sleep(0.4)
+    write_answer(runner, head, writer, 200, get_id(head).encode())
+
+
+@behaviour('unframed echo')
+async def answer_unframed_echo(runner, head, body, reader, writer):
+    """Answer with the caller's id, ended by an orderly close."""
+    runner.run(head, body)
+    writer.write(
+        b'HTTP/1.1 200 OK\r\nx-landingspool-response-stamp: s\r\n'
+        + f'x-landingspool-request-id: {get_id(head)}'.encode()
+        + b'\r\n\r\n'
+        + get_id(head).encode()
+    )
+    await writer.drain()
+    return True
--- a/tests/gateway/site.py
+++ b/tests/gateway/site.py
@@ -167,12 +167,11 @@
     ]
     if key:
         rows.append(('authorization', f'Bearer {key}'))
-    call._host = HOST
     await call.connect()
     data = bytearray()
     whole = True
     try:
-        await send_with_host(call, method, path, body, rows)
+        await call.send(method, path, body, rows, HOST)
         async for part in call.read():
             data += part
     except http.Unreachable:
@@ -182,12 +181,6 @@
     return Got(call.status, call.headers, bytes(data), whole)
 
 
-async def send_with_host(call, method, path, body, rows):
-    """Send a request whose host is the routes' and not the address."""
-    call._address = http.Address(HOST, 80)
-    await call.send(method, path, body, rows)
-
-
 @contextlib.asynccontextmanager
 async def connect(hub):
     """Open a bare connection to the callers' side of a box."""
--- a/tests/gateway/test_relay.py
+++ b/tests/gateway/test_relay.py
@@ -136,7 +136,7 @@
         assert head['priority'] == '2'
         assert head['path'] == '/stream/a?b=c'
         assert head['body'] == b'body'
-        assert head['host'] == f'{site.HOST}:80'
+        assert head['host'] == site.HOST
         assert head['x-own'] == 'kept'
         assert 0 < int(head['x-landingspool-deadline-ms']) <= 2500
         for name in ('authorization', 'pin-ms', 'x-hop', 'connection'):
