Let the soak bind boxes only while they are in touch, and prove it bites

Change: the stand-in echoes; the audit counts from three seconds after a box was last kept from the store; a new fault takes a key away unheard for seven seconds.

--- a/soak/auditor.py
+++ b/soak/auditor.py
@@ -8,6 +8,9 @@
 # Seconds after which a leaving target may get nothing new (the bound is 2;
 # the rest is the scheduling of a machine that many processes share).
 DRAIN_S = 2.5
+# Seconds after a box was kept from the store, or stood still, from which on
+# it is bound again by what it should have read there (the users' bound).
+CONTACT_S = 3.0
 UNREPEATABLE = ('unsafe', 'stream')
 WHOLE_STREAM = [1, 2, 3, 4]
 
@@ -65,6 +68,24 @@
             yield f'{name}: ran {row.at - gone:.2f} s after its key went'
         if head.get('authorization'):
             yield f'{name}: its key reached {runner.name}'
-        left = fleet.left.get(runner.name)
+        left = find_bound(fleet, runner, head['at'])
         if left is not None and head['at'] > left + DRAIN_S:
             yield f'{name}: at {runner.name} {head["at"] - left:.2f} s late'
+
+
+def find_bound(fleet, runner, at):
+    """Give from when a target's leaving binds all boxes; None: it doesn't.
+
+    A box that was kept from the store could not know of it.
+    """
+    left = fleet.left.get(runner.name)
+    if left is None:
+        return None
+    for start, end in fleet.harms:
+        if start > at:
+            continue
+        if end is None:
+            return None
+        if end + CONTACT_S >= left:
+            left = max(left, end + CONTACT_S)
+    return left
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -9,6 +9,8 @@
 # Pause between two faults, seconds; most last longer, so they overlap.
 PAUSE_S = 0.5
 LOOK_S = 0.05
+# Longer than the bound after which no request with a lost key may run.
+UNHEARD_S = 7.0
 # Looks at a process that was told to stop before it is killed: the grace
 # time of four seconds, and one more.
 STOP_LOOKS = 100
@@ -16,7 +18,7 @@
     'failure',
     'shed',
     'foreign',
-    'surplus',
+    'surplus echo',
     'nonsense',
     'unframed echo',
     'reset',
@@ -84,9 +86,10 @@
 async def pause(fleet, rng):
     """Let a box stand still."""
     box = rng.choice(fleet.boxes)
-    box.send(signal.SIGSTOP)
-    await asyncio.sleep(rng.uniform(0.3, 4.0))
-    box.send(signal.SIGCONT)
+    with fleet.harm():
+        box.send(signal.SIGSTOP)
+        await asyncio.sleep(rng.uniform(0.3, 4.0))
+        box.send(signal.SIGCONT)
 
 
 @fault
@@ -98,9 +101,24 @@
 @fault
 async def harm_store(fleet, rng):
     """Let the store misbehave for all."""
-    fleet.store.mode = rng.choice(('busy', 'silent', 'lost'))
-    await asyncio.sleep(rng.uniform(0.3, 3.0))
-    fleet.store.mode = ''
+    with fleet.harm():
+        fleet.store.mode = rng.choice(('busy', 'silent', 'lost'))
+        await asyncio.sleep(rng.uniform(0.3, 3.0))
+        fleet.store.mode = ''
+
+
+@fault
+async def revoke_unheard(fleet, rng):
+    """Take a key away while no box can read the store, for long."""
+    with fleet.harm():
+        mode = rng.choice(('busy', 'silent'))
+        fleet.store.mode = mode
+        fleet.revoke()
+        for _ in range(int(UNHEARD_S / LOOK_S)):
+            # Another fault may have ended the silence.
+            fleet.store.mode = mode
+            await asyncio.sleep(LOOK_S)
+        fleet.store.mode = ''
 
 
 @fault
@@ -120,8 +138,9 @@
     wire.delay_s = rng.choice((0.0, 0.05, 0.3))
     if rng.random() < 0.5:
         wire.reset()
-    await asyncio.sleep(rng.uniform(0.3, 4.0))
-    wire.mode, wire.delay_s = '', 0.0
+    with fleet.harm():
+        await asyncio.sleep(rng.uniform(0.3, 4.0))
+        wire.mode, wire.delay_s = '', 0.0
 
 
 @fault
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -1,6 +1,7 @@
 """The real programs as separate processes, and what stands around them."""
 
 import asyncio
+import contextlib
 import json
 import os
 import pathlib
@@ -110,6 +111,17 @@
         self.keys = {'k0': None, 'k1': None, 'k2': None}
         self.version = 0
         self.left = {}
+        self.harms = []
+
+    @contextlib.contextmanager
+    def harm(self):
+        """Note for how long boxes were kept from the store, or still."""
+        row = [time.monotonic(), None]
+        self.harms.append(row)
+        try:
+            yield
+        finally:
+            row[1] = time.monotonic()
 
     async def open(self, boxes=3):
         """Start everything."""
--- a/standins/platformstore.py
+++ b/standins/platformstore.py
@@ -122,6 +122,12 @@
                 await asyncio.wait_for(changed.wait(), hold)
             except TimeoutError:
                 pass
+        if self.mode == 'silent':
+            # What is held when the store falls silent stays unanswered.
+            await asyncio.sleep(60)
+        if self.mode == 'busy':
+            await exchange.send_json(503, {})
+            return
         if start < topic.first:
             await exchange.send_json(410, {'first': topic.first})
             return
--- a/standins/runner.py
+++ b/standins/runner.py
@@ -420,3 +420,11 @@
     )
     await writer.drain()
     return True
+
+
+@behaviour('surplus echo')
+async def answer_surplus_echo(runner, head, body, reader, writer):
+    """Answer twice with the caller's id."""
+    runner.run(head, body)
+    write_answer(runner, head, writer, 200, get_id(head).encode())
+    write_answer(runner, head, writer, 200, get_id(head).encode())
