Remove what nothing uses in the gateway

Cause: constants, a clock, two counters, a health probe and a count of boxes were left over from earlier drafts, and nothing reads them. Change: they are gone, with their parameters and docstrings. Found by listing all names and attributes that are written and never read.

--- a/landingspool/boxes/datagrams.py
+++ b/landingspool/boxes/datagrams.py
@@ -37,7 +37,6 @@
         self._on_message = on_message
         self._on_bad = on_bad
         self._transport = None
-        self.sent_bytes = 0
 
     async def start(self, address):
         """Open the socket."""
@@ -66,7 +65,6 @@
         data = encode(message)
         if self._transport is None or len(data) > MOST_BYTES:
             return
-        self.sent_bytes += len(data)
         self._transport.sendto(data, tuple(address))
 
     def close(self):
--- a/landingspool/decisions/gateway/neighbours.py
+++ b/landingspool/decisions/gateway/neighbours.py
@@ -76,10 +76,6 @@
         self._heard[digest.box] = digest, now
         self._summed = None
 
-    def count(self, now):
-        """Count the boxes heard of shortly before `now`."""
-        return sum(1 for _, at in self._heard.values() if now - at < FRESH_S)
-
     def list_heard(self, now):
         """List the names of the boxes heard of shortly before `now`."""
         return [b for b, (_, at) in self._heard.items() if now - at < FRESH_S]
--- a/landingspool/gateway/hub.py
+++ b/landingspool/gateway/hub.py
@@ -66,7 +66,7 @@
         self.beat = timing.Beat()
         self.client = http.Client()
         self.store = store.Store(self.client, place.store, clock)
-        self.runners = runners.Runners(self.client, clock)
+        self.runners = runners.Runners(self.client)
         self.upstream = upstream.Upstream(self.metrics, clock)
         most = max(place.descriptors - OWN_DESCRIPTORS, LEAST_CONNECTIONS)
         self.listener = listener.Listener(self._handle, self._limits, most)
--- a/landingspool/gateway/stream.py
+++ b/landingspool/gateway/stream.py
@@ -9,8 +9,6 @@
 from landingspool.platform import ingress
 
 BOUNDARY = re.compile(rb'\r?\n\r?\n')
-# An event that never ends is no event; callers' events have some 60 bytes.
-MOST_EVENT = 1024 * 1024
 
 
 class Stream:
--- a/landingspool/gateway/upstream.py
+++ b/landingspool/gateway/upstream.py
@@ -75,7 +75,7 @@
         """
         wire = self._take(address, repeatable)
         if wire is not None:
-            return Exchange(self, address, wire, True)
+            return Exchange(self, address, wire)
         loop = asyncio.get_running_loop()
         try:
             async with asyncio.timeout(CONNECT_S):
@@ -85,7 +85,7 @@
         except (OSError, TimeoutError) as error:
             raise Broken(f'connect: {error!r}', False) from error
         self._metrics.connections.inc()
-        return Exchange(self, address, wire, False)
+        return Exchange(self, address, wire)
 
     def keep(self, address, wire, idle_s):
         """Keep a connection that may be used for `idle_s` seconds."""
@@ -138,22 +138,15 @@
 
 
 class Exchange:
-    """One request to a target and its answer.
+    """One request to a target and its answer."""
 
-    Attributes
-    ----------
-    reused : bool
-        Whether the connection had served before.
-    """
-
-    def __init__(self, upstream, address, wire, reused):
+    def __init__(self, upstream, address, wire):
         self._upstream = upstream
         self._address = address
         self._wire = wire
         self._conn = h11.Connection(h11.CLIENT, MOST_HEAD)
         self._head = None
         self._early = False
-        self.reused = reused
 
     def send(self, method, target, headers, body):
         """Send a whole request; nothing can be proved from here on."""
--- a/landingspool/platform/names.py
+++ b/landingspool/platform/names.py
@@ -22,7 +22,6 @@
 URGENCY = 'priority'
 LAST_EVENT = 'last-event-id'
 AUTHORIZATION = 'authorization'
-RETRY_AFTER = 'retry-after'
 # Namespace of kept context; parts are found only under the same one.
 SPACE = 'cache-salt'
 FETCH_FROM = 'kv-fetch'
--- a/landingspool/platform/runners.py
+++ b/landingspool/platform/runners.py
@@ -2,7 +2,6 @@
 
 import dataclasses
 import json
-import time
 
 from landingspool.decisions.gateway import warmth
 from landingspool import http
@@ -55,9 +54,8 @@
     client : http.Client
     """
 
-    def __init__(self, client, clock=time.monotonic):
+    def __init__(self, client):
         self._client = client
-        self._clock = clock
 
     async def report(self, address):
         """Ask a target for its figures; a Report or Unanswered."""
@@ -146,11 +144,6 @@
         )
         return not isinstance(reply, Unanswered) and reply.status == 200
 
-    async def probe(self, address, path):
-        """Ask for a target's health; True when it answers well."""
-        reply = await self._call(address, 'GET', path)
-        return not isinstance(reply, Unanswered) and reply.status == 200
-
     async def _call(
         self, address, method, path, body=b'', headers=(), timeout=ANSWER_S
     ):
