Name the two side servers of a box for what they are

Cause: _side and _side_metrics told neither which of both addresses they serve nor why there are two, and the limits in force before any table came at the end of the file by way of another module's import. Change: both servers are made beside each other, the limits stand with the constants. Run: flake8 clean; 219 tests of gateway, lines, logs, layout and doctests pass.

--- a/landingspool/gateway/hub.py
+++ b/landingspool/gateway/hub.py
@@ -4,6 +4,7 @@
 import contextlib
 import time
 
+from landingspool.decisions.gateway import routes
 from landingspool.decisions.gateway import view as view_module
 from landingspool.decisions import timing
 from landingspool import events
@@ -42,6 +43,8 @@
 # Descriptors kept for the connections to targets, store and boxes.
 OWN_DESCRIPTORS = 1200
 LEAST_CONNECTIONS = 256
+# What callers may send before a table is known.
+DEFAULT_LIMITS = routes.Limits()
 
 
 class Hub:
@@ -70,7 +73,9 @@
         self.upstream = upstream.Upstream(self.metrics, clock)
         most = max(place.descriptors - OWN_DESCRIPTORS, LEAST_CONNECTIONS)
         self.listener = listener.Listener(self._handle, self._limits, most)
-        self._side = http.Server(self._answer_side)
+        # One for the balancer and one for engineers, at two addresses.
+        self._readiness_server = http.Server(self._answer_side)
+        self._metrics_server = http.Server(self._answer_side)
         self.sources = sources.Sources(self)
         self.offer = sources.Offer(clock)
         self.cachewatch = cachewatch.Cachewatch(self)
@@ -82,7 +87,7 @@
 
     async def run(self):
         """Serve until told to stop, then stop without cutting off."""
-        await self._side.start(*self.place.readiness)
+        await self._readiness_server.start(*self.place.readiness)
         await self._start_metrics()
         await self.listener.start(self.place.callers)
         self.timer.subscribe(BEAT_S, self._on_beat)
@@ -200,17 +205,13 @@
 
     async def _start_metrics(self):
         try:
-            await self._side_metrics().start(
+            await self._metrics_server.start(
                 self.place.callers.host, METRICS_PORT
             )
         except OSError as error:
             # The figures are for engineers; requests go on without them.
             self.recorder.record('no_metrics', reason=str(error))
 
-    def _side_metrics(self):
-        self._metrics_server = http.Server(self._answer_side)
-        return self._metrics_server
-
     async def _leave(self):
         self.recorder.record('draining', open=self.listener.count_busy())
         began = self.clock()
@@ -228,6 +229,3 @@
         self.upstream.close()
         self.client.close()
         self.recorder.record('stopped')
-
-
-DEFAULT_LIMITS = view_module.routes.Limits()
