Give the age of a proof for logs and messages in one place

Cause: five places bounded the age of the proof by hand, three with one number and two with another, and no word on why. Change: the proof gives the age to log and the age to tell, with the numbers named; they stay as they were, and the log writes 9999.0 where it sometimes wrote 9999.

--- a/landingspool/decisions/gateway/freshness.py
+++ b/landingspool/decisions/gateway/freshness.py
@@ -9,6 +9,10 @@
 # Time between the check and the first byte that reaches a target, seconds:
 # the loop's turn and one trip between failure domains, many times over.
 MARGIN_S = 0.25
+# What stands in logs and in messages for the age where no proof is known,
+# seconds: both carry plain numbers, and any such age is far over the bound.
+UNKNOWN_LOGGED_S = 9999.0
+UNKNOWN_TOLD_S = 9000.0
 
 
 class Proof:
@@ -33,6 +37,22 @@
         """Give the seconds since the proof; infinite where none is known."""
         return float('inf') if self._at is None else now - self._at
 
+    def age_to_log(self, now):
+        """Give the age as log lines carry it.
+
+        >>> Proof(5.0).age_to_log(1.0)
+        9999.0
+        """
+        return round(min(self.age(now), UNKNOWN_LOGGED_S), 2)
+
+    def age_to_tell(self, now):
+        """Give the age as messages to other boxes carry it.
+
+        >>> Proof(5.0).age_to_tell(1.0)
+        9000.0
+        """
+        return min(self.age(now), UNKNOWN_TOLD_S)
+
     def is_fresh(self, now):
         """Tell whether keyed requests may be sent on.
 
--- a/landingspool/gateway/hub.py
+++ b/landingspool/gateway/hub.py
@@ -117,13 +117,13 @@
             self.recorder.record(
                 'published',
                 version=table.version,
-                proof_s=round(min(self.view.proof.age(self.clock()), 9999), 2),
+                proof_s=self.view.proof.age_to_log(self.clock()),
             )
 
     def give_state(self):
         """Give what another box needs that can't reach the store."""
         return {
-            'proof_s': min(self.view.proof.age(self.clock()), 9e3),
+            'proof_s': self.view.proof.age_to_tell(self.clock()),
             'table': self._table_value,
             'versions': {m: n.version for m, n in self.view.named.items()},
             'targets': self.target_values,
@@ -146,7 +146,7 @@
         self.recorder.record(
             'state_taken',
             table=self.view.table.version,
-            proof_s=round(self.view.proof.age(now), 2),
+            proof_s=self.view.proof.age_to_log(now),
         )
 
     def _keep(self, work):
@@ -188,7 +188,7 @@
             boxes=len(self.peering.peers) + 1,
             targets=len(self.view.fleet.entries),
             open=self.listener.count_busy(),
-            proof_s=round(min(self.view.proof.age(tick.now), 9999), 2),
+            proof_s=self.view.proof.age_to_log(tick.now),
         )
 
     async def _answer_side(self, request, exchange):
--- a/landingspool/gateway/peering.py
+++ b/landingspool/gateway/peering.py
@@ -153,14 +153,14 @@
             domain=self._hub.place.domain,
             number=self._number,
             table=view.table.version if view.table else 0,
-            proof_s=self._get_age(),
+            proof_s=self._get_proof_age(),
             loads=view.list_loads(),
         )
         for address in self._pick(neighbours.FAN_OUT):
             self._socket.send(digest, address)
 
     def _ask(self, tick):
-        if tick.gap or self._get_age() < ASK_AGE_S:
+        if tick.gap or self._get_proof_age() < ASK_AGE_S:
             return
         self._number += 1
         self._asks = {self._number: tick.now}
@@ -174,8 +174,9 @@
         known = known or list(self._hub.place.seeds)
         return random.sample(known, min(most, len(known)))
 
-    def _get_age(self):
-        return round(min(self._hub.view.proof.age(self._hub.clock()), 9e3), 3)
+    def _get_proof_age(self):
+        proof, now = self._hub.view.proof, self._hub.clock()
+        return round(proof.age_to_tell(now), 3)
 
     def _take(self, message, address):
         HANDLERS[type(message)](self, message, http.Address(*address))
@@ -195,7 +196,7 @@
             self._hub.place.box,
             ask.number,
             view.table.version,
-            self._get_age(),
+            self._get_proof_age(),
         )
         self._socket.send(tell, address)
 
--- a/landingspool/gateway/relay.py
+++ b/landingspool/gateway/relay.py
@@ -434,7 +434,6 @@
         seconds = self._hub.clock() - self._started
         route = self._work.route.name if self._work else ''
         self._hub.metrics.note_answer(answer, seconds, self.first_byte_s)
-        proof_s = self._view.proof.age(self._hub.clock())
         self._note(
             'answered' if 200 <= answer.status < 300 else 'not_served',
             status=answer.status,
@@ -445,7 +444,7 @@
             first_s=round(self.first_byte_s or 0.0, 4),
             sends=self.sends,
             tried=self.avoid,
-            proof_s=round(min(proof_s, 9999.0), 2),
+            proof_s=self._view.proof.age_to_log(self._hub.clock()),
         )
 
 
