Part one try of a request from what judges it

The check of the proof of the table, in three places before, is one function. docs/platform.md still names the patience as Relay._find_patience; it is Attempt._find_patience now.

--- /dev/null
+++ b/landingspool/gateway/attempts.py
@@ -0,0 +1,311 @@
+"""One try of a request at one target: send it, read the answer, pass it on.
+
+A try ends in one of the outcomes and says nothing of what follows; the
+relay judges that.  An answer is passed on as soon as it can't be anything
+else than the one to this request.
+"""
+
+import asyncio
+
+from landingspool.decisions.gateway import routes
+from landingspool.gateway import outcomes
+from landingspool.gateway import stream as stream_module
+from landingspool.gateway import upstream as upstream_module
+from landingspool.platform import ingress
+
+# Repeatable requests are tried elsewhere when no byte came for so many
+# times the latency that the route aims at, and at least for so long.
+PATIENCE_RATIO = 2.0
+LEAST_PATIENCE_S = 0.4
+# A stream is continued elsewhere after a pause of so long; callers give up
+# after two seconds or more.
+STREAM_PAUSE_S = 1.0
+# Seconds for the rest of a rejection: its connection is kept if it is read
+# to its end, and is not worth more of the request's time.
+REJECTION_S = 0.05
+# Bytes of an answer that are read before its first byte is passed on, so
+# that one that breaks early can still be tried again or told as failed.
+MOST_HELD = 256 * 1024
+
+
+class Attempt:
+    """One try.
+
+    Parameters
+    ----------
+    hub
+        The box's parts: `view`, `upstream`, `beat`, `recorder`, `metrics`,
+        `clock`.
+    progress : progress.Progress
+        The request; the try writes down what it did to it.
+    plan : view.Plan
+    """
+
+    def __init__(self, hub, progress, plan):
+        self._hub = hub
+        self._view = hub.view
+        self._progress = progress
+        self._plan = plan
+        self._exchange = None
+        self._sent = None
+
+    async def run(self):
+        """Make the try; gives one of the outcomes."""
+        try:
+            self._exchange = await self._hub.upstream.open(
+                self._plan.entry.address,
+                routes.may_repeat(self._progress.work.route),
+            )
+        except upstream_module.Broken as error:
+            self._note_loss(certain=True)
+            return outcomes.Unreached(str(error))
+        if not self._may_send():
+            self._exchange.abort()
+            return outcomes.Stale()
+        return await self._send_and_receive()
+
+    def _may_send(self):
+        # Between the choice and here the process may have stood still, or
+        # the table may have changed: only a fresh decision is sent.
+        now = self._hub.clock()
+        known = self._plan.entry.name in self._view.fleet.entries
+        return (
+            self._hub.beat.is_fresh(now)
+            and is_proved(self._view, now)
+            and known
+        )
+
+    async def _send_and_receive(self):
+        progress, plan = self._progress, self._plan
+        self._sent = self._hub.clock()
+        progress.sends += 1
+        if progress.sends > 1:
+            self._hub.metrics.repeats.inc()
+        self._view.note_sent(plan, progress.work, self._sent)
+        self._hub.recorder.record(
+            'dispatched',
+            request=progress.call.name,
+            **describe_plan(plan, self._view.table),
+        )
+        self._exchange.send(
+            progress.call.method,
+            progress.call.target,
+            self._write_head(),
+            progress.body,
+        )
+        outcome = outcomes.Lost('stopped')
+        try:
+            outcome = await self._receive()
+        finally:
+            self._view.note_end(plan, progress.work)
+            if isinstance(outcome, outcomes.Lost):
+                self._exchange.abort()
+            if not isinstance(outcome, outcomes.Rejected):
+                progress.may_have_run = True
+        return outcome
+
+    def _write_head(self):
+        progress, plan = self._progress, self._plan
+        tenancy, route = progress.work.tenancy, progress.work.route
+        priority = route.priority
+        if tenancy is not None and tenancy.priority is not None:
+            priority = tenancy.priority
+        stream = progress.stream
+        told = ingress.Instructions(
+            entry=plan.entry.name,
+            left_s=progress.ends - self._sent,
+            workspace=tenancy.name if tenancy else '',
+            priority=priority,
+            version=plan.version,
+            space=plan.space,
+            fetch=plan.transfer.fetch,
+            save=plan.transfer.save,
+            until_ms=plan.transfer.until_ms,
+            after_event=stream.last_event if stream else '',
+        )
+        return ingress.write_head(progress.call, told, len(progress.body))
+
+    async def _receive(self):
+        """Read the answer under the request's time; gives the outcome."""
+        try:
+            async with asyncio.timeout(self._find_patience()):
+                head = await self._exchange.read_head()
+        except TimeoutError:
+            return self._lose('silent')
+        except upstream_module.Broken as error:
+            return self._lose(str(error))
+        self._note_version(head.version)
+        if head.not_run:
+            return await self._take_rejection(head)
+        if not is_answer_to(head, self._progress.call.name):
+            return self._lose('not the answer to this request')
+        try:
+            async with asyncio.timeout_at(self._find_loop_end()):
+                if is_success(head):
+                    return await self._pass_on(head)
+                return await self._take_failure(head)
+        except TimeoutError:
+            # The caller's time is over; that tells nothing of the target.
+            return outcomes.Lost('time_over')
+        except upstream_module.Broken as error:
+            return self._lose(str(error))
+
+    def _find_patience(self):
+        left = self._progress.find_left(self._hub.clock())
+        if not self._progress.may_send_again():
+            return left
+        aim = self._progress.work.route.target_latency_s
+        usual = max(aim * PATIENCE_RATIO, LEAST_PATIENCE_S)
+        # Where all targets are busy another one would not be quicker.
+        return min(left, usual + self._plan.expected_s * PATIENCE_RATIO)
+
+    def _find_loop_end(self):
+        """Give the end of the request's time on the loop's clock."""
+        loop = asyncio.get_running_loop()
+        return loop.time() + (self._progress.ends - self._hub.clock())
+
+    async def _take_rejection(self, head):
+        name = self._plan.entry.name
+        if head.status == 421 and head.target and head.target != name:
+            # Another target has the address now: this one is gone.
+            self._view.fleet.drop(name, self._hub.clock(), False)
+        else:
+            self._note_loss(certain=True)
+        try:
+            async with asyncio.timeout(REJECTION_S):
+                while await self._exchange.read_data():
+                    pass
+                self._exchange.release()
+        except (TimeoutError, upstream_module.Broken):
+            self._exchange.abort()
+        return outcomes.Rejected(head)
+
+    async def _take_failure(self, head):
+        body = bytearray()
+        while data := await self._exchange.read_data():
+            body += data
+        self._exchange.release()
+        wait = self._hub.clock() - self._sent
+        self._view.note_answer(self._plan, wait, head.status >= 500)
+        return outcomes.Failed(head, bytes(body))
+
+    async def _pass_on(self, head):
+        if self._progress.work.route.kind == routes.STREAM:
+            return await self._pass_stream(head)
+        body = bytearray()
+        while len(body) <= MOST_HELD:
+            data = await self._exchange.read_data()
+            if not data:
+                return await self._pass_whole(head, bytes(body))
+            body += data
+        return await self._pass_long(head, bytes(body))
+
+    async def _pass_whole(self, head, body):
+        self._note_first()
+        self._exchange.release()
+        rows = ingress.relay_headers(head)
+        await self._progress.reply.send_whole(head.status, rows, body)
+        return outcomes.Done(head.status)
+
+    async def _pass_long(self, head, body):
+        """Pass on an answer of which `body` is the beginning."""
+        self._note_first()
+        reply = self._progress.reply
+        await reply.start(head.status, ingress.relay_headers(head), body)
+        while data := await self._exchange.read_data():
+            await reply.send_data(data)
+        self._exchange.release()
+        await reply.finish()
+        return outcomes.Done(head.status)
+
+    async def _pass_stream(self, head):
+        stream = self._open_stream(head)
+        pause = STREAM_PAUSE_S if self._progress.may_send_again() else None
+        while True:
+            try:
+                async with asyncio.timeout(pause):
+                    data = await self._exchange.read_data()
+            except TimeoutError:
+                return self._lose('paused')
+            if not data:
+                break
+            self._view.note_heard(self._plan.entry.name, self._hub.clock())
+            self._note_version(await stream.take(data))
+            if stream.events and not stream.noted:
+                stream.noted = True
+                self._note_first()
+        if not stream.is_whole():
+            return outcomes.Lost('ended within an event')
+        self._exchange.release()
+        await stream.finish()
+        return outcomes.Done(head.status)
+
+    def _open_stream(self, head):
+        """Begin the caller's stream, or go on with the one it has."""
+        progress = self._progress
+        if progress.stream is None:
+            rows = ingress.relay_headers(head)
+            progress.stream = stream_module.Stream(
+                progress.reply, head.status, rows
+            )
+        progress.stream.restart()
+        return progress.stream
+
+    def _lose(self, reason):
+        """Give the outcome of an answer that the target did not finish."""
+        self._note_loss(certain=False)
+        return outcomes.Lost(reason)
+
+    def _note_loss(self, certain):
+        name = self._plan.entry.name
+        self._view.note_loss(name, self._hub.clock(), certain)
+
+    def _note_first(self):
+        now = self._hub.clock()
+        self._view.note_first(self._plan, self._progress.work, now)
+        self._view.note_answer(self._plan, now - self._sent, False)
+        self._progress.note_first(now)
+
+    def _note_version(self, version):
+        prompt = self._progress.work.prompt
+        if version is None or prompt is None:
+            return
+        name = self._plan.entry.name
+        self._view.fleet.note_version(name, prompt.model, version)
+
+
+def is_proved(view, now):
+    """Tell whether the table in force may be used for requests at `now`.
+
+    One without keys has nothing in it that could have been taken away.
+    """
+    return not view.table.keyed or view.proof.is_fresh(now)
+
+
+def is_success(head):
+    """Tell whether an answer says that the request was served."""
+    return 200 <= head.status < 300
+
+
+def is_answer_to(head, name):
+    """Tell whether an answer belongs to the request of this name.
+
+    One that looks like a success has to be signed, and as it was made.
+    """
+    if head.name != name:
+        return False
+    if is_success(head):
+        return head.stamped and not head.coded
+    return True
+
+
+def describe_plan(plan, table):
+    """Give what decided a choice, for the log."""
+    return {
+        'target': plan.entry.name,
+        'expected_s': round(plan.expected_s, 4),
+        'kept': plan.kept,
+        'candidates': plan.candidates,
+        'weights': plan.version,
+        'table': table.version,
+    }
