--- a/tests/gateway/site.py
+++ b/tests/gateway/site.py
@@ -137,6 +137,16 @@
         return hub
 
 
+def run(test, **kinds):
+    """Run an async test against a site."""
+
+    async def main():
+        async with Site(**kinds) as deployment:
+            await test(deployment)
+
+    asyncio.run(main())
+
+
 async def wait_until(holds, seconds=4.0):
     """Wait until something holds; fails when it does not in time."""
     async with asyncio.timeout(seconds):
--- a/tests/gateway/test_following.py
+++ b/tests/gateway/test_following.py
@@ -6,16 +6,6 @@
 from tests.gateway import site
 
 
-def run(test, **kinds):
-    """Run an async test against a site."""
-
-    async def main():
-        async with site.Site(**kinds) as deployment:
-            await test(deployment)
-
-    asyncio.run(main())
-
-
 def test_a_newer_table_holds_at_once_and_an_older_one_never():
     async def check(deployment):
         hub = await deployment.start_box()
@@ -28,7 +18,7 @@
         await asyncio.sleep(0.1)
         assert (await site.ask(hub, '/safe/a')).status == 401
 
-    run(check)
+    site.run(check)
 
 
 def test_a_log_that_was_cut_is_read_anew():
@@ -39,7 +29,7 @@
         topic.forget()
         await site.wait_until(lambda: hub.view.table.version == 7, 3.0)
 
-    run(check)
+    site.run(check)
 
 
 def test_keys_are_not_served_on_an_old_proof():
@@ -54,7 +44,7 @@
         await site.wait_until(lambda: hub.view.proof.is_fresh(hub.clock()))
         assert (await site.ask(hub, '/safe/a')).status == 200
 
-    run(check)
+    site.run(check)
 
 
 def test_a_box_without_the_store_lives_on_its_neighbour():
@@ -69,7 +59,7 @@
         assert second.view.proof.age(second.clock()) < 3.0
         second.store = away
 
-    run(check)
+    site.run(check)
 
 
 class Away:
@@ -100,7 +90,7 @@
             assert (await site.ask(hub, '/safe/a')).status == 200
         assert not deployment.plain[0].ran
 
-    run(check)
+    site.run(check)
 
 
 def make_entry(name='t', state=fleet.READY, **versions):
--- a/tests/gateway/test_relay.py
+++ b/tests/gateway/test_relay.py
@@ -45,16 +45,6 @@
         runner.script = shared
 
 
-def run(test, **kinds):
-    """Run an async test against a site."""
-
-    async def main():
-        async with site.Site(**kinds) as deployment:
-            await test(deployment)
-
-    asyncio.run(main())
-
-
 @pytest.mark.parametrize(('behaviour', 'route', 'status', 'runs'), CASES)
 def test_answers_of_plain_targets(behaviour, route, status, runs):
     async def check(deployment):
@@ -70,7 +60,7 @@
         if status == 503:
             assert float(got.headers['retry-after']) > 0
 
-    run(check)
+    site.run(check)
 
 
 STREAMS = (
@@ -104,7 +94,7 @@
         assert numbers == list(range(1, events + 1))
         assert sum(len(r.ran) for r in deployment.engines) == runs
 
-    run(check)
+    site.run(check)
 
 
 PROMPT = (
@@ -142,7 +132,7 @@
         for name in ('authorization', 'pin-ms', 'x-hop', 'connection'):
             assert name not in head
 
-    run(check)
+    site.run(check)
 
 
 DENIALS = (
@@ -160,7 +150,7 @@
         assert (await site.ask(hub, '/safe/a')).status == 200
         assert sum(len(r.ran) for r in deployment.plain) == 1
 
-    run(check)
+    site.run(check)
 
 
 def test_a_target_that_is_another_now_is_left():
@@ -173,7 +163,7 @@
         assert not runner.ran
         assert 'p0' not in hub.view.fleet.entries
 
-    run(check, plain=1)
+    site.run(check, plain=1)
 
 
 def test_a_caller_who_leaves_ends_the_work():
@@ -186,7 +176,7 @@
         work.cancel()
         await site.wait_until(lambda: runner.cancelled == 1, 0.5)
 
-    run(check, plain=1)
+    site.run(check, plain=1)
 
 
 def test_kept_connections_serve_again_and_foul_ones_do_not():
@@ -202,7 +192,7 @@
         assert got.status == 200
         assert runner.connections == 2
 
-    run(check, plain=1)
+    site.run(check, plain=1)
 
 
 def test_the_time_of_a_route_ends_with_an_answer():
@@ -217,7 +207,7 @@
         assert got.status == 504
         assert hub.clock() - began < 0.5
 
-    run(check)
+    site.run(check)
 
 
 def test_the_retry_budget_is_a_bound():
@@ -231,7 +221,7 @@
         # 16 over eight boxes, used to four fifths, rounded down.
         assert ran == 20 + 1
 
-    run(check)
+    site.run(check)
 
 
 def test_what_may_not_be_repeated_uses_no_connection_long_at_rest():
@@ -244,4 +234,4 @@
         assert (await site.ask(hub, '/unsafe/a')).status == 200
         assert runner.connections == 2
 
-    run(check, plain=1)
+    site.run(check, plain=1)
