Part what is read of callers, sent to targets and read of answers

Change: egress.py writes the second, answers.py reads the third, ingress.py keeps the first; each header says what the module is for, and the status 421 has a name. The functions are moved as they were.

--- a/landingspool/gateway/attempts.py
+++ b/landingspool/gateway/attempts.py
@@ -11,7 +11,8 @@
 from landingspool.gateway import outcomes
 from landingspool.gateway import stream as stream_module
 from landingspool.gateway import upstream as upstream_module
-from landingspool.platform import ingress
+from landingspool.platform import answers
+from landingspool.platform import egress
 
 # Repeatable requests are tried elsewhere when no byte came for so many
 # times the latency that the route aims at, and at least for so long.
@@ -111,7 +112,7 @@
         if tenancy is not None and tenancy.priority is not None:
             priority = tenancy.priority
         stream = progress.stream
-        told = ingress.Instructions(
+        told = egress.Instructions(
             entry=plan.entry.name,
             left_s=progress.ends - self._sent,
             workspace=tenancy.name if tenancy else '',
@@ -123,7 +124,7 @@
             until_ms=plan.transfer.until_ms,
             after_event=stream.last_event if stream else '',
         )
-        return ingress.write_head(progress.call, told, len(progress.body))
+        return egress.write_head(progress.call, told, len(progress.body))
 
     async def _receive(self):
         """Read the answer under the request's time; gives the outcome."""
@@ -166,7 +167,11 @@
 
     async def _take_rejection(self, head):
         name = self._plan.entry.name
-        if head.status == 421 and head.target and head.target != name:
+        if (
+            head.status == answers.MISDIRECTED
+            and head.target
+            and head.target != name
+        ):
             # Another target has the address now: this one is gone.
             self._view.fleet.drop(name, self._hub.clock(), False)
         else:
@@ -203,7 +208,7 @@
     async def _pass_whole(self, head, body):
         self._note_first()
         self._exchange.release()
-        rows = ingress.relay_headers(head)
+        rows = answers.relay_headers(head)
         await self._progress.reply.send_whole(head.status, rows, body)
         return outcomes.Done(head.status)
 
@@ -211,7 +216,7 @@
         """Pass on an answer of which `body` is the beginning."""
         self._note_first()
         reply = self._progress.reply
-        await reply.start(head.status, ingress.relay_headers(head), body)
+        await reply.start(head.status, answers.relay_headers(head), body)
         while data := await self._exchange.read_data():
             await reply.send_data(data)
         self._exchange.release()
@@ -244,7 +249,7 @@
         """Begin the caller's stream, or go on with the one it has."""
         progress = self._progress
         if progress.stream is None:
-            rows = ingress.relay_headers(head)
+            rows = answers.relay_headers(head)
             progress.stream = stream_module.Stream(
                 progress.reply, head.status, rows
             )
--- a/landingspool/gateway/outcomes.py
+++ b/landingspool/gateway/outcomes.py
@@ -2,7 +2,7 @@
 
 import dataclasses
 
-from landingspool.platform import ingress
+from landingspool.platform import answers
 
 
 @dataclasses.dataclass(frozen=True)
@@ -23,14 +23,14 @@
 class Rejected:
     """The target says that it has not run the request and won't."""
 
-    head: ingress.Head
+    head: answers.Head
 
 
 @dataclasses.dataclass(frozen=True)
 class Failed:
     """The target ran the request and answered with a failure."""
 
-    head: ingress.Head
+    head: answers.Head
     body: bytes
 
 
--- a/landingspool/gateway/relay.py
+++ b/landingspool/gateway/relay.py
@@ -15,7 +15,7 @@
 from landingspool.gateway import attempts
 from landingspool.gateway import outcomes
 from landingspool.gateway import progress as progress_module
-from landingspool.platform import ingress
+from landingspool.platform import answers
 
 # Tries that may fail before anything is sent, over those that are sent.
 MOST_CONNECTS = 4
@@ -139,7 +139,7 @@
                 return None
         if self._reply.started:
             return self._break_off('failed')
-        rows = ingress.relay_headers(head)
+        rows = answers.relay_headers(head)
         await self._reply.send_whole(head.status, rows, outcome.body)
         return Answer(head.status, 'failed', True)
 
--- a/landingspool/gateway/stream.py
+++ b/landingspool/gateway/stream.py
@@ -6,7 +6,7 @@
 
 import re
 
-from landingspool.platform import ingress
+from landingspool.platform import answers
 
 BOUNDARY = re.compile(rb'\r?\n\r?\n')
 
@@ -60,7 +60,7 @@
         else:
             await self._reply.start(self._status, self._headers, whole)
         self.events = True
-        return ingress.find_event_version(whole)
+        return answers.find_event_version(whole)
 
     def is_whole(self):
         """Tell whether the target ended between two events."""
--- a/landingspool/gateway/upstream.py
+++ b/landingspool/gateway/upstream.py
@@ -12,7 +12,7 @@
 import h11
 
 from landingspool.gateway import wire as wire_module
-from landingspool.platform import ingress
+from landingspool.platform import answers
 
 # Seconds to come up: trips of some ms; a target that is gone says nothing.
 CONNECT_S = 0.35
@@ -160,7 +160,7 @@
 
         Returns
         -------
-        ingress.Head
+        answers.Head
 
         Raises
         ------
@@ -174,7 +174,7 @@
         # An answer before the request has left: the rest of the body is
         # still due on this connection, so nothing else may follow on it.
         self._early = not self._wire.is_flushed
-        self._head = ingress.read_head(event.status_code, list(event.headers))
+        self._head = answers.read_head(event.status_code, list(event.headers))
         return self._head
 
     async def read_data(self):
