Part the list of boxes in the store from the talk between boxes

Cause: peering.py had 277 lines on two subjects: the records by which boxes find each other through the store, and the digests, questions and answers between them. Change: registry.py writes and reads the records; the form of a record, written in one place and read in another, stands side by side with a doctest that reads what is written.

--- a/landingspool/gateway/peering.py
+++ b/landingspool/gateway/peering.py
@@ -6,9 +6,7 @@
 """
 
 import asyncio
-import json
 import random
-import typing
 
 import cbor2
 
@@ -16,11 +14,9 @@
 from landingspool.decisions.gateway import neighbours
 from landingspool.decisions.gateway import readers
 from landingspool.gateway import cachewatch
+from landingspool.gateway import registry
 from landingspool.gateway import sources
 from landingspool import http
-from landingspool.platform import boot
-from landingspool.platform import names
-from landingspool.platform import store as store_module
 
 # Period of the digests, seconds: about the reading of two long prompts
 # (0.1 s each), so that boxes seldom choose the same idle target.
@@ -32,20 +28,8 @@
 # Boxes that are asked at a time.
 ASKED = 3
 STATE_PATH = '/state'
+# Seconds for a neighbour's whole state.
 FETCH_S = 1.0
-# Period of the looks at which boxes there are, seconds; digests tell of new
-# ones much sooner.
-BOXES_S = 12.0
-# Pause between two tries to tell the store of this box, seconds.
-REGISTER_S = 0.7
-
-
-class Peer(typing.NamedTuple):
-    """Another box."""
-
-    name: str
-    address: http.Address
-    domain: str
 
 
 class Peering:
@@ -55,6 +39,11 @@
     ----------
     hub
         The box's parts.
+
+    Attributes
+    ----------
+    peers : dict of str to registry.Peer
+        The other boxes by name.
     """
 
     def __init__(self, hub):
@@ -63,6 +52,7 @@
         self._asks = {}
         self._fetching = False
         self.peers = {}
+        self._registry = registry.Registry(hub, self.peers)
         self._readers = readers.Readers(hub.place.box)
         self._socket = datagrams.Datagrams(self._take, self._note_bad)
         self._server = http.Server(self._answer)
@@ -76,47 +66,12 @@
         self._hub.timer.subscribe(ASK_S, self._ask)
 
     async def run(self):
-        """Make this box known, and learn now and then which others are."""
-        await self._register()
-        while True:
-            newest = await self._hub.store.read_newest(names.BOXES_TOPIC)
-            if isinstance(newest, store_module.Newest):
-                self._take_boxes(newest)
-            # Spread, since all boxes start at once.
-            await asyncio.sleep(BOXES_S * random.uniform(0.5, 1.5))
-
-    def _take_boxes(self, newest):
-        listed = {}
-        for key, value, _ in newest.records:
-            peer = read_peer(key, value)
-            if peer is not None and key != self._hub.place.box:
-                listed[key] = peer
-        heard = self._hub.view.neighbours.list_heard(self._hub.clock())
-        for name in list(self.peers):
-            if name not in listed and name not in heard:
-                del self.peers[name]
-        self.peers.update(listed)
-
-    async def _register(self):
-        """Make this box known through the store; ends when it is."""
-        place = self._hub.place
-        row = {
-            'address': f'{place.links[0]}:{place.links[1]}',
-            'domain': place.domain,
-        }
-        while True:
-            reply = await self._hub.store.append(
-                names.BOXES_TOPIC, place.box, json.dumps(row).encode()
-            )
-            if isinstance(reply, store_module.Appended):
-                return
-            await asyncio.sleep(REGISTER_S)
+        """Keep to what the store lists, until cancelled."""
+        await self._registry.run()
 
     async def leave(self):
         """Make it known that this box stops."""
-        await self._hub.store.append(
-            names.BOXES_TOPIC, self._hub.place.box, b''
-        )
+        await self._registry.leave()
 
     async def close(self):
         """Close the sockets."""
@@ -124,7 +79,7 @@
         await self._server.close()
 
     def pick_reader(self):
-        """Pick the Peer to read from; None: the store itself."""
+        """Pick the registry.Peer to read from; None: the store itself."""
         age_s = self._hub.view.proof.age(self._hub.clock())
         name = self._readers.pick(self._list_near(), age_s, self._hub.clock())
         return self.peers.get(name)
@@ -185,7 +140,9 @@
         if digest.box == self._hub.place.box:
             return
         if digest.box not in self.peers:
-            self.peers[digest.box] = Peer(digest.box, address, digest.domain)
+            self.peers[digest.box] = registry.Peer(
+                digest.box, address, digest.domain
+            )
         self._hub.view.neighbours.take(digest, self._hub.clock())
 
     def _take_ask(self, ask, address):
@@ -266,13 +223,3 @@
     sources.NEWEST_PATH: Peering._answer_newest,
     cachewatch.CHANGES_PATH: Peering._answer_changes,
 }
-
-
-def read_peer(name, value):
-    """Give the Peer in a box's record; None where there is none."""
-    try:
-        row = json.loads(value)
-        address = boot.parse_address(row['address'])
-        return address and Peer(name, address, row['domain'])
-    except (ValueError, KeyError, TypeError):
-        return None
--- /dev/null
+++ b/landingspool/gateway/registry.py
@@ -0,0 +1,111 @@
+"""Makes this box known through the platform's store, and reads of others.
+
+The list is a start and a check: digests between boxes tell of new ones
+much sooner.  So it is read seldom, and an entry that is not renewed stays
+until its box says that it stops.
+"""
+
+import asyncio
+import json
+import random
+import typing
+
+from landingspool import http
+from landingspool.platform import boot
+from landingspool.platform import names
+from landingspool.platform import store as store_module
+
+# Period of the reads of the list, seconds.
+BOXES_S = 12.0
+# Pause between two tries to tell the store of this box, seconds.
+REGISTER_S = 0.7
+
+
+class Peer(typing.NamedTuple):
+    """Another box."""
+
+    name: str
+    address: http.Address
+    domain: str
+
+
+class Registry:
+    """The boxes that the store lists.
+
+    Parameters
+    ----------
+    hub
+        The box's parts: `place`, `store`, `view`, `clock`.
+    peers : dict of str to Peer
+        The other boxes by name, kept up to date in place.
+    """
+
+    def __init__(self, hub, peers):
+        self._hub = hub
+        self._peers = peers
+
+    async def run(self):
+        """Make this box known, and learn now and then which others are."""
+        await self._register()
+        while True:
+            newest = await self._hub.store.read_newest(names.BOXES_TOPIC)
+            if isinstance(newest, store_module.Newest):
+                self._take(newest)
+            # Spread, since all boxes start at once.
+            await asyncio.sleep(BOXES_S * random.uniform(0.5, 1.5))
+
+    async def leave(self):
+        """Make it known that this box stops."""
+        await self._hub.store.append(
+            names.BOXES_TOPIC, self._hub.place.box, b''
+        )
+
+    async def _register(self):
+        """Make this box known through the store; ends when it is."""
+        place = self._hub.place
+        row = write_peer(place.links, place.domain)
+        while True:
+            reply = await self._hub.store.append(
+                names.BOXES_TOPIC, place.box, row
+            )
+            if isinstance(reply, store_module.Appended):
+                return
+            await asyncio.sleep(REGISTER_S)
+
+    def _take(self, newest):
+        listed = {}
+        for key, value, _ in newest.records:
+            peer = read_peer(key, value)
+            if peer is not None and key != self._hub.place.box:
+                listed[key] = peer
+        heard = self._hub.view.neighbours.list_heard(self._hub.clock())
+        for name in list(self._peers):
+            if name not in listed and name not in heard:
+                del self._peers[name]
+        self._peers.update(listed)
+
+
+def write_peer(address, domain):
+    """Give the record of a box.
+
+    >>> write_peer(http.Address('10.0.0.1', 8002), 'd1')
+    b'{"address": "10.0.0.1:8002", "domain": "d1"}'
+    """
+    row = {'address': f'{address[0]}:{address[1]}', 'domain': domain}
+    return json.dumps(row).encode()
+
+
+def read_peer(name, value):
+    """Give the Peer in a box's record; None where there is none.
+
+    >>> read_peer('b', write_peer(http.Address('10.0.0.1', 8002), 'd1'))
+    Peer(name='b', address=Address(host='10.0.0.1', port=8002), domain='d1')
+    >>> read_peer('b', b'') is None
+    True
+    """
+    try:
+        row = json.loads(value)
+        address = boot.parse_address(row['address'])
+        return address and Peer(name, address, row['domain'])
+    except (ValueError, KeyError, TypeError):
+        return None
