Read with growing pauses in one place while following

Cause: the two loops of a follower each had the same lines for a read that fails: note it, wait, double the pause. Change: one function reads until there is an answer; the docstring of the class names the parts of the box that it really uses, and the fields that its subclasses set. Run: flake8 clean; 223 tests of gateway, lines, logs, layout and doctests pass.

--- a/landingspool/gateway/following.py
+++ b/landingspool/gateway/following.py
@@ -26,13 +26,18 @@
 
 
 class Follower:
-    """Follows one topic.
+    """Follows one topic; each subclass takes in the records of its own.
 
     Parameters
     ----------
     hub
-        The box's parts: `store`, `view`, `recorder`, `clock`.
+        The box's parts: `sources`, `offer`, `view`, `recorder`, `clock`.
+
+    Attributes
+    ----------
     topic : str
+    hold_s : float
+        Seconds for which a read is held where there is nothing new.
     """
 
     topic = ''
@@ -46,33 +51,17 @@
 
     async def run(self):
         """Follow until cancelled."""
-        pause = PAUSE_S
         while True:
-            newest = await self._hub.sources.read_newest(self.topic)
-            if isinstance(newest, store_module.Unavailable):
-                self._note_state(False, newest.reason)
-                await asyncio.sleep(pause)
-                pause = min(pause * 2, MOST_PAUSE_S)
-                continue
-            pause = PAUSE_S
-            self._note_state(True, 'newest')
+            newest = await self._read(
+                'newest', lambda: self._hub.sources.read_newest(self.topic)
+            )
             self._tail.reset(newest.records, newest.end, newest.sent)
             self._take_newest(newest)
             await self._follow(newest.end)
 
     async def _follow(self, offset):
-        pause = PAUSE_S
         while True:
-            page = await self._hub.sources.read(
-                self.topic, offset, self.hold_s
-            )
-            if isinstance(page, store_module.Unavailable):
-                self._note_state(False, page.reason)
-                await asyncio.sleep(pause)
-                pause = min(pause * 2, MOST_PAUSE_S)
-                continue
-            pause = PAUSE_S
-            self._note_state(True, 'read')
+            page = await self._read('read', lambda: self._read_page(offset))
             if isinstance(page, store_module.Forgotten):
                 self._hub.recorder.record('log_gap', first=offset)
                 return
@@ -82,6 +71,21 @@
                 self._hub.offer.wake(self.topic)
             self._take_page(page)
 
+    async def _read_page(self, offset):
+        return await self._hub.sources.read(self.topic, offset, self.hold_s)
+
+    async def _read(self, kind, read):
+        """Read until there is an answer, with growing pauses."""
+        pause = PAUSE_S
+        while True:
+            reply = await read()
+            if not isinstance(reply, store_module.Unavailable):
+                self._note_state(True, kind)
+                return reply
+            self._note_state(False, reply.reason)
+            await asyncio.sleep(pause)
+            pause = min(pause * 2, MOST_PAUSE_S)
+
     def is_unsure(self):
         """Tell whether the store was away shortly before now."""
         if self._failed_at is None:
