Say the bounds and ports of a soak once

Cause: the soak wrote its ports and bounds in the settings of a box and once more as constants, one of them unused, and the time of a stop a third time; the stand-in target framed an answer without a length twice. Change: the settings and the time of a stop are made from the constants, and one function writes such an answer.

--- a/soak/faults.py
+++ b/soak/faults.py
@@ -4,14 +4,15 @@
 import signal
 
 from landingspool.platform import names
+from soak import fleet as fleet_module
 
 FAULTS = []
 # Pause between two faults, seconds; most last longer, so they overlap.
 PAUSE_S = 0.5
 LOOK_S = 0.05
-# Looks at a process that was told to stop before it is killed: the grace
-# time of four seconds, and one more.
-STOP_LOOKS = 100
+# Looks at a process that was told to stop before it is killed: the time that
+# it has, and one second more.
+STOP_LOOKS = round((fleet_module.GRACE_S + 1) / LOOK_S)
 SCRIPTS = (
     'failure',
     'shed',
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -21,6 +21,8 @@
     'stream': ('streaming', 1, 'engine', False),
     'resumed': ('streaming', 2, 'engine', True),
 }
+# Seconds from taking a key away until nothing with it may run, and from a
+# planned stop until the process would be killed.
 KEY_S = 5
 GRACE_S = 4
 PORTS = {'front': 8000, 'ready': 8001, 'control': 8002}
@@ -29,12 +31,12 @@
 zone = "d{number}"
 seeds = {seeds}
 [listen]
-front = "{ip}:8000"
-ready = "{ip}:8001"
-control = "{ip}:8002"
+front = "{ip}:{ports[front]}"
+ready = "{ip}:{ports[ready]}"
+control = "{ip}:{ports[control]}"
 [bounds]
-revoke_ms = 5000
-grace_s = 4
+revoke_ms = {revoke_ms}
+grace_s = {grace_s}
 [platform]
 address = "{store}"
 """
@@ -50,6 +52,7 @@
         self.process = None
         self.wire = proxy.Proxy(store)
         self._folder = pathlib.Path(folder)
+        self._path = self._folder / f'{self.name}.toml'
 
     @property
     def address(self):
@@ -65,9 +68,11 @@
             number=self.number,
             seeds=json.dumps(seeds),
             ip=self.ip,
+            ports=PORTS,
+            revoke_ms=KEY_S * 1000,
+            grace_s=GRACE_S,
             store=f'{host}:{port}',
         )
-        self._path = self._folder / f'{self.name}.toml'
         self._path.write_text(text)
         self.start()
 
--- a/standins/runner.py
+++ b/standins/runner.py
@@ -208,14 +208,22 @@
 def write_answer(runner, head, writer, status, body, *rows, stamp=True):
     """Write a whole framed answer."""
     lines = [f'HTTP/1.1 {status} X', f'content-length: {len(body)}', *rows]
-    lines.append(
-        f'x-landingspool-request-id: {head["x-landingspool-request-id"]}'
-    )
+    lines.append(f'x-landingspool-request-id: {get_id(head)}')
     if stamp:
         lines.append(f'x-landingspool-response-stamp: stamp-{runner.name}')
     writer.write('\r\n'.join(lines).encode() + b'\r\n\r\n' + body)
 
 
+def write_unframed(head, writer, body):
+    """Write an answer that only the end of the connection ends."""
+    writer.write(
+        b'HTTP/1.1 200 OK\r\nx-landingspool-response-stamp: s\r\n'
+        + f'x-landingspool-request-id: {get_id(head)}'.encode()
+        + b'\r\n\r\n'
+        + body
+    )
+
+
 def write_chunk(writer, data):
     """Write one chunk."""
     writer.write(f'{len(data):x}\r\n'.encode() + data + b'\r\n')
@@ -310,11 +318,7 @@
 async def answer_unframed(runner, head, body, reader, writer):
     """Answer without a length, ended by an orderly close."""
     runner.run(head, body)
-    writer.write(
-        b'HTTP/1.1 200 OK\r\nx-landingspool-response-stamp: s\r\n'
-        + f'x-landingspool-request-id: {get_id(head)}'.encode()
-        + b'\r\n\r\ndone'
-    )
+    write_unframed(head, writer, b'done')
     await writer.drain()
     return True
 
@@ -412,11 +416,6 @@
 async def answer_unframed_echo(runner, head, body, reader, writer):
     """Answer with the caller's id, ended by an orderly close."""
     runner.run(head, body)
-    writer.write(
-        b'HTTP/1.1 200 OK\r\nx-landingspool-response-stamp: s\r\n'
-        + f'x-landingspool-request-id: {get_id(head)}'.encode()
-        + b'\r\n\r\n'
-        + get_id(head).encode()
-    )
+    write_unframed(head, writer, get_id(head).encode())
     await writer.drain()
     return True
