Name the digests heard, and put right two comments on kept context

Cause: the digests of other boxes were pairs told apart by place, the period of their sums stood in the code, and the comments on MEGABIT and UNKNOWN said something wrong or nothing. Change: a record that tells if it still counts, a named period, comments with reasons, a doctest for the time of a transfer; the unused decode of the store's client is gone.

--- a/landingspool/decisions/gateway/neighbours.py
+++ b/landingspool/decisions/gateway/neighbours.py
@@ -11,9 +11,12 @@
 # Seconds for which a digest counts: several periods, so that one lost
 # datagram does not make a busy target look idle.
 FRESH_S = 1.0
+# Seconds for which the sums over all digests are used again.
+SUM_S = FRESH_S / 10
 # Boxes that one digest is sent to: of 85 boxes each then hears three in
 # four within the time for which a digest counts, at 18 KB/s.
 FAN_OUT = 24
+# Loads of a target of which no digest tells.
 NOTHING = 0, 0, 0, 0
 
 
@@ -57,6 +60,17 @@
     proof_s: float
 
 
+class Heard(typing.NamedTuple):
+    """The newest digest of a box, and when it came."""
+
+    digest: Digest
+    at: float
+
+    def is_fresh(self, now):
+        """Tell whether it still counts."""
+        return now - self.at < FRESH_S
+
+
 class Neighbours:
     """The other boxes as this one has heard of them."""
 
@@ -69,16 +83,16 @@
     def take(self, digest, now):
         """Take in a digest."""
         known = self._heard.get(digest.box)
-        if known is not None and known[0].number >= digest.number:
-            if now - known[1] < FRESH_S:
+        if known is not None and known.digest.number >= digest.number:
+            if known.is_fresh(now):
                 # An older one that was overtaken on its way.
                 return
-        self._heard[digest.box] = digest, now
+        self._heard[digest.box] = Heard(digest, now)
         self._summed = None
 
     def list_heard(self, now):
         """List the names of the boxes heard of shortly before `now`."""
-        return [b for b, (_, at) in self._heard.items() if now - at < FRESH_S]
+        return [box for box, row in self._heard.items() if row.is_fresh(now)]
 
     def get_load(self, target, boxes, now):
         """Give what others have at a target.
@@ -112,12 +126,12 @@
     def _sum(self, now):
         # Once in a while: digests change some times a second, and every
         # choice asks for every target.
-        if self._summed is not None and now - self._summed < FRESH_S / 10:
+        if self._summed is not None and now - self._summed < SUM_S:
             return
         sums = {}
-        rows = [d for d, at in self._heard.values() if now - at < FRESH_S]
-        for digest in rows:
-            for target, load in digest.loads.items():
+        rows = [row for row in self._heard.values() if row.is_fresh(now)]
+        for row in rows:
+            for target, load in row.digest.loads.items():
                 known = sums.get(target, NOTHING)
                 pairs = zip(known, load, strict=True)
                 sums[target] = tuple(a + b for a, b in pairs)
--- a/landingspool/decisions/gateway/transfers.py
+++ b/landingspool/decisions/gateway/transfers.py
@@ -16,7 +16,7 @@
 # Share of a store that is filled: what others write at the same moment has
 # to fit in beside ours.
 FILL_SHARE = 0.96
-# Bits that one token's byte of context makes, by megabits a second.
+# Bits; links are published in megabits a second.
 MEGABIT = 1e6
 
 
@@ -72,7 +72,7 @@
         used.add(source)
         if leading:
             tokens += part.tokens
-        seconds += estimate(part.tokens, managed[source], token_bytes)
+        seconds += find_seconds(part.tokens, managed[source], token_bytes)
     # The last part is the request's own: nobody reads it again.
     fetch.append('')
     save.append('')
@@ -124,7 +124,13 @@
     return min(clocks) + warmth_module.LEASE_S * 1000
 
 
-def estimate(tokens, keeper, token_bytes):
-    """Give the seconds that a transfer takes on an idle link."""
+def find_seconds(tokens, keeper, token_bytes):
+    """Give the seconds that a transfer takes on an idle link.
+
+    >>> from landingspool.decisions.gateway import routes
+    >>> keeper = routes.Keeper('a:1', 'd', 9000, 800.0, 1, True, 0.001)
+    >>> find_seconds(1000, keeper, 100)
+    0.002
+    """
     bits = tokens * token_bytes * 8
     return keeper.first_s + bits / (keeper.link_mbps * MEGABIT)
--- a/landingspool/decisions/gateway/warmth.py
+++ b/landingspool/decisions/gateway/warmth.py
@@ -19,10 +19,10 @@
 # Names that an index keeps at most: bounds memory where targets keep many
 # small parts (10 MB a box at the sizes of the grown deployments).
 MOST_NAMES = 60_000
-
-
 # Batches of changes kept for the boxes that follow this one: a minute.
 MOST_BATCHES = 100
+# Life and place told by a box that knows nothing of a store; no life has
+# this number, so it is sent the whole list.
 UNKNOWN = -1, -1
 
 
--- a/landingspool/platform/store.py
+++ b/landingspool/platform/store.py
@@ -7,7 +7,6 @@
 import base64
 import collections
 import dataclasses
-import json
 import struct
 import time
 from urllib import parse
@@ -248,8 +247,3 @@
         rows.append((record[1 : 1 + size].decode(), record[1 + size :]))
         start += LENGTH.size + length
     return tuple(rows)
-
-
-def decode(value):
-    """Decode a JSON record; raises ValueError where it is none."""
-    return json.loads(value)
