--- a/soak/faults.py
+++ b/soak/faults.py
@@ -10,8 +10,8 @@
 # Pause between two faults, seconds; most last longer, so they overlap.
 PAUSE_S = 0.5
 LOOK_S = 0.05
-# Looks at a process that was told to stop before it is killed: the time that
-# it has, and one second more.
+# Looks at a process that was told to stop before it is killed: the grace
+# time, and one second more.
 STOP_LOOKS = round((fleet_module.GRACE_S + 1) / LOOK_S)
 SCRIPTS = (
     'failure',
