Part the records that a box passes on from the box that is put together

Cause: hub.py puts a box together, and also kept the table and the targets as they were written, to give them to boxes that can't reach the store. Change: state.py does that, with taking in what another box gives; the decoding of a table, done by both callers before, is done in one place.

--- a/landingspool/gateway/following.py
+++ b/landingspool/gateway/following.py
@@ -146,7 +146,7 @@
 
     def _take_table(self, value):
         if value:
-            self._hub.take_table(catalogue.read_table(value), value)
+            self._hub.state.take_table(value)
 
     def _take_version(self, value):
         if not value:
@@ -187,7 +187,7 @@
             self._hub.recorder.record('malformed', key=key, reason=str(error))
             return
         known = key in self._hub.view.fleet.entries
-        self._hub.target_values[key] = value
+        self._hub.state.target_values[key] = value
         state = self._hub.view.fleet.put(entry)
         if state != fleet_module.READY and known:
             self._hub.recorder.record('leaving', target=key, state=state)
@@ -198,7 +198,7 @@
             )
 
     def _drop(self, name):
-        self._hub.target_values.pop(name, None)
+        self._hub.state.target_values.pop(name, None)
         unsure = self.is_unsure()
         if name in self._hub.view.fleet.entries:
             self._hub.recorder.record(
--- a/landingspool/gateway/hub.py
+++ b/landingspool/gateway/hub.py
@@ -16,9 +16,9 @@
 from landingspool.gateway import peering
 from landingspool.gateway import relay
 from landingspool.gateway import sources
+from landingspool.gateway import state
 from landingspool.gateway import upstream
 from landingspool import http
-from landingspool.platform import catalogue
 from landingspool.platform import ingress
 from landingspool.platform import names
 from landingspool.platform import runners
@@ -76,12 +76,11 @@
         # One for the balancer and one for engineers, at two addresses.
         self._readiness_server = http.Server(self._answer_side)
         self._metrics_server = http.Server(self._answer_side)
+        self.state = state.State(self)
         self.sources = sources.Sources(self)
         self.offer = sources.Offer(clock)
         self.cachewatch = cachewatch.Cachewatch(self)
         self.peering = peering.Peering(self)
-        self.target_values = {}
-        self._table_value = None
         self._tasks = []
         self._stop = asyncio.Event()
 
@@ -110,45 +109,6 @@
         """Begin a planned stop."""
         self._stop.set()
 
-    def take_table(self, table, value):
-        """Put a published table in force if it is newer."""
-        if self.view.put_table(table):
-            self._table_value = value
-            self.recorder.record(
-                'published',
-                version=table.version,
-                proof_s=self.view.proof.age_to_log(self.clock()),
-            )
-
-    def give_state(self):
-        """Give what another box needs that can't reach the store."""
-        return {
-            'proof_s': self.view.proof.age_to_tell(self.clock()),
-            'table': self._table_value,
-            'versions': {m: n.version for m, n in self.view.named.items()},
-            'targets': self.target_values,
-        }
-
-    def take_state(self, state, sent):
-        """Take in another box's state, asked for at `sent`."""
-        now = self.clock()
-        if state['table'] is None:
-            return
-        self.take_table(catalogue.read_table(state['table']), state['table'])
-        for model, version in state['versions'].items():
-            self.view.put_version(model, version, now)
-        for name, value in state['targets'].items():
-            self.view.fleet.put(catalogue.read_entry(name, value))
-        for name in list(self.view.fleet.entries):
-            if name not in state['targets']:
-                self.view.fleet.drop(name, now, True)
-        self.view.proof.note(sent - state['proof_s'])
-        self.recorder.record(
-            'state_taken',
-            table=self.view.table.version,
-            proof_s=self.view.proof.age_to_log(now),
-        )
-
     def _keep(self, work):
         task = asyncio.ensure_future(work)
         task.add_done_callback(self._note_end)
--- a/landingspool/gateway/peering.py
+++ b/landingspool/gateway/peering.py
@@ -184,7 +184,7 @@
         except (http.Unreachable, cbor2.CBORError, ValueError) as error:
             self._hub.recorder.record('no_state', reason=str(error))
             return
-        self._hub.take_state(state, sent)
+        self._hub.state.take(state, sent)
 
     async def _answer(self, request, exchange):
         answer = ANSWERS.get(request.path)
@@ -194,7 +194,7 @@
         await answer(self, request, exchange)
 
     async def _answer_state(self, request, exchange):
-        body = cbor2.dumps(self._hub.give_state())
+        body = cbor2.dumps(self._hub.state.give())
         await exchange.send_body(200, body, 'application/cbor')
 
     async def _answer_records(self, request, exchange):
