Ask another box in one way

Cause: reads of records and of cache changes from another box had the same call, decoding, three errors and shunning, and three answers were encoded alike. Change: boxcalls.py asks a box and answers one; a box without a usable answer is shunned there, and both askers get one exception.

--- /dev/null
+++ b/landingspool/gateway/boxcalls.py
@@ -0,0 +1,52 @@
+"""Calls from one box to another, answered in CBOR.
+
+A box that gives no usable answer is left alone for a time: whoever asks
+has the platform's store to fall back on.
+"""
+
+import cbor2
+import msgspec
+
+from landingspool import http
+
+KIND = 'application/cbor'
+
+
+class NoAnswer(Exception):
+    """The box gave no usable answer."""
+
+
+async def ask(hub, peer, kind, call, body=None, *, timeout):
+    """Ask another box; gives its answer as `kind`.
+
+    Parameters
+    ----------
+    hub
+        The box's parts: `client`, `peering`.
+    peer : registry.Peer
+    kind : type
+        For msgspec.
+    call : tuple of str
+        Method and path.
+
+    Raises
+    ------
+    NoAnswer
+    """
+    try:
+        reply = await hub.client.fetch(
+            peer.address, *call, body, timeout=timeout
+        )
+        return msgspec.convert(cbor2.loads(reply.body), kind)
+    except (
+        http.Unreachable,
+        cbor2.CBORError,
+        msgspec.ValidationError,
+    ) as error:
+        hub.peering.shun(peer.name)
+        raise NoAnswer(str(error)) from error
+
+
+async def answer(exchange, value):
+    """Answer another box with plain values."""
+    await exchange.send_body(200, cbor2.dumps(value), KIND)
--- a/landingspool/gateway/cachewatch.py
+++ b/landingspool/gateway/cachewatch.py
@@ -14,7 +14,7 @@
 
 from landingspool.decisions.gateway import routes
 from landingspool.decisions.gateway import warmth
-from landingspool import http
+from landingspool.gateway import boxcalls
 from landingspool.platform import boot
 from landingspool.platform import runners
 
@@ -128,22 +128,15 @@
         wanted = {name: known.get_place(name) for name in stores}
         sent = self._hub.clock()
         try:
-            reply = await self._hub.client.fetch(
-                peer.address,
-                'POST',
-                CHANGES_PATH,
+            found = await boxcalls.ask(
+                self._hub,
+                peer,
+                dict[str, warmth.News],
+                ('POST', CHANGES_PATH),
                 cbor2.dumps(wanted),
                 timeout=ANSWER_S,
             )
-            found = msgspec.convert(
-                cbor2.loads(reply.body), dict[str, warmth.News]
-            )
-        except (
-            http.Unreachable,
-            cbor2.CBORError,
-            msgspec.ValidationError,
-        ) as error:
-            self._hub.peering.shun(peer.name)
+        except boxcalls.NoAnswer as error:
             self._hub.recorder.record('no_state', reason=str(error)[:200])
             return
         for name, news in found.items():
@@ -162,5 +155,4 @@
         known = self._hub.view.warmth
         found = {n: known.tell(n, *place) for n, place in wanted.items()}
         told = {n: news for n, news in found.items() if news is not None}
-        body = cbor2.dumps(msgspec.to_builtins(told))
-        await exchange.send_body(200, body, 'application/cbor')
+        await boxcalls.answer(exchange, msgspec.to_builtins(told))
--- a/landingspool/gateway/peering.py
+++ b/landingspool/gateway/peering.py
@@ -13,6 +13,7 @@
 from landingspool.boxes import datagrams
 from landingspool.decisions.gateway import neighbours
 from landingspool.decisions.gateway import readers
+from landingspool.gateway import boxcalls
 from landingspool.gateway import cachewatch
 from landingspool.gateway import registry
 from landingspool.gateway import sources
@@ -194,8 +195,7 @@
         await answer(self, request, exchange)
 
     async def _answer_state(self, request, exchange):
-        body = cbor2.dumps(self._hub.state.give())
-        await exchange.send_body(200, body, 'application/cbor')
+        await boxcalls.answer(exchange, self._hub.state.give())
 
     async def _answer_records(self, request, exchange):
         await self._hub.offer.answer_records(request, exchange)
--- a/landingspool/gateway/sources.py
+++ b/landingspool/gateway/sources.py
@@ -4,10 +4,9 @@
 import time
 from urllib import parse
 
-import cbor2
 import msgspec
 
-from landingspool import http
+from landingspool.gateway import boxcalls
 from landingspool.platform import store as store_module
 
 RECORDS_PATH = '/records'
@@ -74,17 +73,15 @@
         sent = self._hub.clock()
         target = f'{path}?{parse.urlencode(query)}'
         try:
-            reply = await self._hub.client.fetch(
-                peer.address, 'GET', target, timeout=hold_s + ANSWER_S
+            answer = await boxcalls.ask(
+                self._hub,
+                peer,
+                Relayed,
+                ('GET', target),
+                timeout=hold_s + ANSWER_S,
             )
-            value = cbor2.loads(reply.body)
-            return msgspec.convert(value, Relayed), sent
-        except (
-            http.Unreachable,
-            cbor2.CBORError,
-            msgspec.ValidationError,
-        ) as error:
-            self._hub.peering.shun(peer.name)
+            return answer, sent
+        except boxcalls.NoAnswer as error:
             return store_module.Unavailable(f'{peer.name}: {error}', False)
 
 
@@ -146,5 +143,5 @@
         else:
             age = self._clock() - tail.proved
             answer = Relayed(list(found.records), found.end, age)
-        body = cbor2.dumps(msgspec.to_builtins(answer, builtin_types=[bytes]))
-        await exchange.send_body(200, body, 'application/cbor')
+        value = msgspec.to_builtins(answer, builtin_types=[bytes])
+        await boxcalls.answer(exchange, value)
