Name the least median, and take the number of an event from its list

Cause: the least median of the waits stood in the code without a word, and the line on what was left out wrote its number and name by hand beside the catalogue of events. Change: a constant with its reason; the line takes both from the catalogue, and the step that begins a second is named so. Run: flake8 clean; 224 tests of gateway, lines, logs, layout and doctests pass.

--- a/landingspool/decisions/gateway/health.py
+++ b/landingspool/decisions/gateway/health.py
@@ -19,7 +19,11 @@
 SAMPLE_WEIGHT = 0.15
 # A target is slow that takes so many times the median of its peers.
 SLOW_RATIO = 2.5
+# Samples that a target needs before its average is compared with others.
 SLOW_LEAST_SAMPLES = 4
+# Seconds that the median counts at least: what was expected is taken off the
+# waits, so the median may be nothing, or less.
+LEAST_MEDIAN_S = 0.005
 
 
 class Health(typing.NamedTuple):
@@ -128,6 +132,6 @@
     known = sorted(p.wait_s for p in peers if p.samples >= SLOW_LEAST_SAMPLES)
     if not known:
         return 1.0
-    median = max(known[(len(known) - 1) // 2], 0.005)
+    median = max(known[(len(known) - 1) // 2], LEAST_MEDIAN_S)
     ratio = health.wait_s / median
     return round(ratio, 3) if ratio >= SLOW_RATIO else 1.0
--- a/landingspool/lines.py
+++ b/landingspool/lines.py
@@ -13,10 +13,13 @@
 
 from loguru import logger
 
+from landingspool import events
+
 # Lines a second on requests that went well; a box of today's deployments
 # serves some 35 requests a second with two such lines each.
 USUAL_LINES_S = 150
 LEVEL_OF_USUAL = 'DEBUG'
+LEFT_OUT = events.CATALOGUE['left_out']
 
 
 class Lines:
@@ -45,7 +48,7 @@
 
     def write(self, message):
         """Write one line, or count that it was left out."""
-        self._turn()
+        self._begin_second()
         if message.record['level'].name == LEVEL_OF_USUAL:
             self._written += 1
             if self._written > self._usual:
@@ -53,14 +56,19 @@
                 return
         self._put(str(message).encode())
 
-    def _turn(self):
+    def _begin_second(self):
+        """Count anew in each second, and tell what the last one left out."""
         now = self._clock()
         if now - self._second < 1.0:
             return
         self._second, self._written = now, 0
         if self._skipped or self.lost:
-            row = {'n': 802, 'event': 'left_out'}
-            row.update(usual=self._skipped, full=self.lost)
+            row = {
+                'n': LEFT_OUT.number,
+                'event': LEFT_OUT.name,
+                'usual': self._skipped,
+                'full': self.lost,
+            }
             self._skipped = self.lost = 0
             self._put(json.dumps(row).encode() + b'\n')
 
