--- a/landingspool/gateway/hub.py
+++ b/landingspool/gateway/hub.py
@@ -4,6 +4,7 @@
 import contextlib
 import time
 
+from landingspool.decisions.gateway import routes
 from landingspool.decisions.gateway import view as view_module
 from landingspool.decisions import timing
 from landingspool import events
@@ -15,9 +16,9 @@
 from landingspool.gateway import peering
 from landingspool.gateway import relay
 from landingspool.gateway import sources
+from landingspool.gateway import state
 from landingspool.gateway import upstream
 from landingspool import http
-from landingspool.platform import catalogue
 from landingspool.platform import ingress
 from landingspool.platform import names
 from landingspool.platform import runners
@@ -42,6 +43,8 @@
 # Descriptors kept for the connections to targets, store and boxes.
 OWN_DESCRIPTORS = 1200
 LEAST_CONNECTIONS = 256
+# What callers may send before a table is known.
+DEFAULT_LIMITS = routes.Limits()
 
 
 class Hub:
@@ -66,23 +69,24 @@
         self.beat = timing.Beat()
         self.client = http.Client()
         self.store = store.Store(self.client, place.store, clock)
-        self.runners = runners.Runners(self.client, clock)
+        self.runners = runners.Runners(self.client)
         self.upstream = upstream.Upstream(self.metrics, clock)
         most = max(place.descriptors - OWN_DESCRIPTORS, LEAST_CONNECTIONS)
         self.listener = listener.Listener(self._handle, self._limits, most)
-        self._side = http.Server(self._answer_side)
+        # One for the balancer and one for engineers, at two addresses.
+        self._readiness_server = http.Server(self._answer_side)
+        self._metrics_server = http.Server(self._answer_side)
+        self.state = state.State(self)
         self.sources = sources.Sources(self)
         self.offer = sources.Offer(clock)
         self.cachewatch = cachewatch.Cachewatch(self)
         self.peering = peering.Peering(self)
-        self.target_values = {}
-        self._table_value = None
         self._tasks = []
         self._stop = asyncio.Event()
 
     async def run(self):
         """Serve until told to stop, then stop without cutting off."""
-        await self._side.start(*self.place.readiness)
+        await self._readiness_server.start(*self.place.readiness)
         await self._start_metrics()
         await self.listener.start(self.place.callers)
         self.timer.subscribe(BEAT_S, self._on_beat)
@@ -105,45 +109,6 @@
         """Begin a planned stop."""
         self._stop.set()
 
-    def take_table(self, table, value):
-        """Put a published table in force if it is newer."""
-        if self.view.put_table(table):
-            self._table_value = value
-            self.recorder.record(
-                'published',
-                version=table.version,
-                proof_s=round(min(self.view.proof.age(self.clock()), 9999), 2),
-            )
-
-    def give_state(self):
-        """Give what another box needs that can't reach the store."""
-        return {
-            'proof_s': min(self.view.proof.age(self.clock()), 9e3),
-            'table': self._table_value,
-            'versions': {m: n.version for m, n in self.view.named.items()},
-            'targets': self.target_values,
-        }
-
-    def take_state(self, state, sent):
-        """Take in another box's state, asked for at `sent`."""
-        now = self.clock()
-        if state['table'] is None:
-            return
-        self.take_table(catalogue.read_table(state['table']), state['table'])
-        for model, version in state['versions'].items():
-            self.view.put_version(model, version, now)
-        for name, value in state['targets'].items():
-            self.view.fleet.put(catalogue.read_entry(name, value))
-        for name in list(self.view.fleet.entries):
-            if name not in state['targets']:
-                self.view.fleet.drop(name, now, True)
-        self.view.proof.note(sent - state['proof_s'])
-        self.recorder.record(
-            'state_taken',
-            table=self.view.table.version,
-            proof_s=round(self.view.proof.age(now), 2),
-        )
-
     def _keep(self, work):
         task = asyncio.ensure_future(work)
         task.add_done_callback(self._note_end)
@@ -183,7 +148,7 @@
             boxes=len(self.peering.peers) + 1,
             targets=len(self.view.fleet.entries),
             open=self.listener.count_busy(),
-            proof_s=round(min(self.view.proof.age(tick.now), 9999), 2),
+            proof_s=self.view.proof.age_to_log(tick.now),
         )
 
     async def _answer_side(self, request, exchange):
@@ -200,17 +165,13 @@
 
     async def _start_metrics(self):
         try:
-            await self._side_metrics().start(
+            await self._metrics_server.start(
                 self.place.callers.host, METRICS_PORT
             )
         except OSError as error:
             # The figures are for engineers; requests go on without them.
             self.recorder.record('no_metrics', reason=str(error))
 
-    def _side_metrics(self):
-        self._metrics_server = http.Server(self._answer_side)
-        return self._metrics_server
-
     async def _leave(self):
         self.recorder.record('draining', open=self.listener.count_busy())
         began = self.clock()
@@ -228,6 +189,3 @@
         self.upstream.close()
         self.client.close()
         self.recorder.record('stopped')
-
-
-DEFAULT_LIMITS = view_module.routes.Limits()
--- a/landingspool/gateway/stream.py
+++ b/landingspool/gateway/stream.py
@@ -6,11 +6,9 @@
 
 import re
 
-from landingspool.platform import ingress
+from landingspool.platform import answers
 
 BOUNDARY = re.compile(rb'\r?\n\r?\n')
-# An event that never ends is no event; callers' events have some 60 bytes.
-MOST_EVENT = 1024 * 1024
 
 
 class Stream:
@@ -62,7 +60,7 @@
         else:
             await self._reply.start(self._status, self._headers, whole)
         self.events = True
-        return ingress.find_event_version(whole)
+        return answers.find_event_version(whole)
 
     def is_whole(self):
         """Tell whether the target ended between two events."""
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -4,6 +4,7 @@
 import signal
 
 from landingspool.platform import names
+from soak import fleet as fleet_module
 
 FAULTS = []
 # Pause between two faults, seconds; most last longer, so they overlap.
@@ -12,8 +13,8 @@
 # Longer than the bound after which no request with a lost key may run.
 UNHEARD_S = 7.0
 # Looks at a process that was told to stop before it is killed: the grace
-# time of four seconds, and one more.
-STOP_LOOKS = 100
+# time, and one second more.
+STOP_LOOKS = round((fleet_module.GRACE_S + 1) / LOOK_S)
 SCRIPTS = (
     'failure',
     'shed',
