--- a/landingspool/decisions/gateway/rollouts.py
+++ b/landingspool/decisions/gateway/rollouts.py
@@ -166,10 +166,14 @@
         # One that was refused does not load: it takes up no room.
         loading = [p for p in self._pending.values() if p.state in LOADING]
         room = max(most - len(loading), 0)
+        # The furthest behind first: each version has a bound of its own.
         behind = sorted(
-            name
-            for name, has in targets.items()
-            if has < version and name not in self._pending
+            (
+                name
+                for name, has in targets.items()
+                if has < version and name not in self._pending
+            ),
+            key=lambda name: (targets[name], name),
         )
         return [Order(name, model, version) for name in behind[:room]]
 
--- a/landingspool/decisions/gateway/view.py
+++ b/landingspool/decisions/gateway/view.py
@@ -95,10 +95,14 @@
 
 
 class Named(typing.NamedTuple):
-    """A version of weights, and when this box heard of it."""
+    """The newest version of weights of a model.
+
+    `history` has (version, when this box heard of it) of all, oldest first:
+    each version has a bound of its own from its naming on.
+    """
 
     version: int
-    heard: float
+    history: tuple
 
 
 class View:
@@ -145,7 +149,8 @@
             return False
         # The first one read after a start may have been named long ago.
         heard = now if known is not None else now - OLD_WEIGHTS_S
-        self.named[model] = Named(version, heard)
+        history = known.history if known is not None else ()
+        self.named[model] = Named(version, (*history, (version, heard)))
         return True
 
     def put_loading(self, delays, now):
@@ -335,20 +340,23 @@
         model = prompt.model
         idle = [e for e in entries if not self.is_loading(e.name, prompt, now)]
         entries = idle or entries
-        named = self.named.get(model)
-        if named is None or now - named.heard < OLD_WEIGHTS_MOST_S:
-            return entries
-        return [e for e in entries if not self._is_behind(e.name, model)]
+        return [
+            entry
+            for entry in entries
+            if self._find_lag(entry.name, model, now) < OLD_WEIGHTS_MOST_S
+        ]
 
-    def _is_behind(self, name, model):
+    def _find_lag(self, name, model, now):
+        """Give the seconds since the first version that a target missed."""
         named = self.named.get(model)
-        version = self.fleet.get_version(name, model) or 0
-        return named is not None and version < named.version
+        if named is None:
+            return 0.0
+        has = self.fleet.get_version(name, model) or 0
+        missed = [heard for version, heard in named.history if version > has]
+        return now - min(missed) if missed else 0.0
 
     def _find_handicap(self, name, model, now):
-        if not self._is_behind(name, model):
-            return 0.0
-        if now - self.named[model].heard < OLD_WEIGHTS_S:
+        if self._find_lag(name, model, now) < OLD_WEIGHTS_S:
             return 0.0
         return OLD_WEIGHTS_HANDICAP_S
 
--- a/tests/gateway/test_ordering.py
+++ b/tests/gateway/test_ordering.py
@@ -67,3 +67,9 @@
     rollout.note(order, 0.0, rollouts.UNANSWERED)
     assert not rollout.plan('m', 2, {'a': 1}, 1, 1.0)
     assert rollout.plan('m', 2, {'a': 1}, 1, rollouts.UNANSWERED_S)
+
+
+def test_targets_that_are_furthest_behind_are_ordered_first():
+    rollout = rollouts.Rollout()
+    (order,) = rollout.plan('m', 3, {'a': 2, 'b': 1, 'c': 2}, 1, 0.0)
+    assert order.target == 'b'
