Let the test of missed versions show just that

Change: two targets, both behind the newest version. Measured: it fails with the view of before (the target on version 1 is chosen) and passes now.

--- a/tests/gateway/test_view.py
+++ b/tests/gateway/test_view.py
@@ -158,12 +158,11 @@
 
 
 def test_a_target_is_left_for_the_first_version_that_it_missed():
-    view = make_view(3)
+    view = make_view(2)
     view.put_version('m', 1, 1.0)
     view.put_version('m', 2, 10.0)
     put(view, 't1', 2)
     view.put_version('m', 3, 14.0)
-    put(view, 't2', 3)
     late = 10.0 + view_module.OLD_WEIGHTS_MOST_S
     # t0 missed version 2 long ago, though version 3 is young.
     chosen = {
@@ -176,4 +175,4 @@
         )
         for i in range(20)
     }
-    assert chosen == {'t1', 't2'}
+    assert chosen == {'t1'}
