Compute what all targets of a choice share once, not for each of them

Cause: found on reading the whole change again: for each candidate the healths of all were sorted for their median and scanned for the least failing (n squared on the hot path, sixty targets on a grown site); the transfer of the chosen target was planned twice; the stores' addresses were gathered anew for every plan. Change: Peers are measured once, the plan's own transfer is used, a Table holds its keepers. Behaviour is the same; one test's set-up passes the new argument, its assertion stands.

--- a/landingspool/decisions/gateway/choice.py
+++ b/landingspool/decisions/gateway/choice.py
@@ -127,7 +127,8 @@
     usable = list_usable(candidates, now, patience_s)
     if not usable:
         return None
-    peers = [c.health for c in usable]
+    # Once for all of them: a large service has some sixty targets.
+    peers = health_module.measure_peers([c.health for c in usable])
     homes = rank_homes(prompt, usable)
     scored = []
     for candidate in usable:
@@ -189,7 +190,7 @@
         seconds = read / prompts.READ_TOKENS_S + candidate.fetched_s
         seconds += expect_wait(candidate)
     # Some routes fail by themselves; only what a target does worse counts.
-    failing = health.failing - min(p.failing for p in peers)
+    failing = health.failing - peers.failing
     seconds = seconds * slow + failing * FAILING_S
     seconds += candidate.entry.cold_s * COLD_SHARE + candidate.handicap_s
     return seconds + (0 if candidate.entry.domain == domain else FAR_S)
--- a/landingspool/decisions/gateway/health.py
+++ b/landingspool/decisions/gateway/health.py
@@ -113,25 +113,43 @@
     return health.avoid_s > 0 and now >= health.avoid_until
 
 
+class Peers(typing.NamedTuple):
+    """What the targets of one service have in common, for comparing them.
+
+    `median_s` is None where too little is known; `failing` is the least.
+    """
+
+    median_s: float | None
+    failing: float
+
+
+def measure_peers(healths):
+    """Measure the Peers that some targets make, one at least."""
+    known = sorted(
+        h.wait_s for h in healths if h.samples >= SLOW_LEAST_SAMPLES
+    )
+    median = None
+    if known:
+        median = max(known[(len(known) - 1) // 2], LEAST_MEDIAN_S)
+    return Peers(median, min(h.failing for h in healths))
+
+
 def weigh_slowness(health, peers):
     """Give how many times slower than its peers a target is, 1 at least.
 
     Parameters
     ----------
-    peers : sequence of Health
+    peers : Peers
         Of the same service, this target included.
 
     >>> fast = Health(wait_s=0.1, samples=9)
-    >>> weigh_slowness(Health(wait_s=0.8, samples=9), [fast, fast])
+    >>> peers = measure_peers([fast, fast])
+    >>> weigh_slowness(Health(wait_s=0.8, samples=9), peers)
     8.0
-    >>> weigh_slowness(fast, [fast, fast])
+    >>> weigh_slowness(fast, peers)
     1.0
     """
-    if health.samples < SLOW_LEAST_SAMPLES:
-        return 1.0
-    known = sorted(p.wait_s for p in peers if p.samples >= SLOW_LEAST_SAMPLES)
-    if not known:
+    if health.samples < SLOW_LEAST_SAMPLES or peers.median_s is None:
         return 1.0
-    median = max(known[(len(known) - 1) // 2], LEAST_MEDIAN_S)
-    ratio = health.wait_s / median
+    ratio = health.wait_s / peers.median_s
     return round(ratio, 3) if ratio >= SLOW_RATIO else 1.0
--- a/landingspool/decisions/gateway/routes.py
+++ b/landingspool/decisions/gateway/routes.py
@@ -129,6 +129,10 @@
     services : dict of str to Service
     keys : dict of str to Tenancy
         By API key; empty where no key is asked for.
+    keyed : bool
+        Whether requests need a key.
+    keepers : dict of str to Keeper
+        The stores of kept context by the address that targets use.
     """
 
     version: int
@@ -137,6 +141,7 @@
     keys: dict
     limits: Limits = Limits()
     keyed: bool = False
+    keepers: dict = {}
 
 
 def make_table(version, routes, services, keys, limits, keyed):
@@ -155,7 +160,12 @@
     for route in sorted(routes, key=lambda r: -len(r.prefix)):
         hosts[route.host] = (*hosts.get(route.host, ()), route)
     named = {service.name: service for service in services}
-    return Table(version, hosts, named, keys, limits, keyed)
+    keepers = {
+        service.keeper.address: service.keeper
+        for service in named.values()
+        if service.keeper is not None
+    }
+    return Table(version, hosts, named, keys, limits, keyed, keepers)
 
 
 def find_route(table, host, path):
@@ -216,12 +226,3 @@
 def may_repeat(route):
     """Tell whether a request of the route may run more than once."""
     return route.kind == SAFE or (route.kind == STREAM and route.resumable)
-
-
-def list_addresses(table):
-    """List the stores of kept context by the address that targets use."""
-    return {
-        service.keeper.address: service.keeper
-        for service in table.services.values()
-        if service.keeper is not None
-    }
--- a/landingspool/decisions/gateway/view.py
+++ b/landingspool/decisions/gateway/view.py
@@ -211,7 +211,7 @@
         )
         if chosen is None:
             return None
-        return self._make_plan(chosen, work, now)
+        return self._make_plan(chosen, work, now, transfers_by_space)
 
     def find_kept(self, service):
         """Give how many connections to one target this box may keep.
@@ -399,7 +399,7 @@
             plan.wait_s, work.route.target_latency_s, plan.read_tokens
         )
 
-    def _make_plan(self, chosen, work, now):
+    def _make_plan(self, chosen, work, now, transfers_by_space):
         version, space, transfer = None, '', transfers.Transfer()
         if work.prompt is not None:
             model = work.prompt.model
@@ -408,7 +408,7 @@
             if version is not None and not self.is_loading(
                 chosen.entry.name, work.prompt, now
             ):
-                transfer = self._plan_transfer(work, space, now)
+                transfer = transfers_by_space[space]
             else:
                 # The target may take the new weights before the request
                 # arrives.  Without transfers nothing of either version can
@@ -439,7 +439,7 @@
         return transfers.plan_transfer(
             work.prompt,
             space,
-            routes.list_addresses(self.table),
+            self.table.keepers,
             self.warmth,
             service.engine.token_bytes,
             now,
--- a/landingspool/gateway/cachewatch.py
+++ b/landingspool/gateway/cachewatch.py
@@ -12,7 +12,6 @@
 import cbor2
 import msgspec
 
-from landingspool.decisions.gateway import routes
 from landingspool.decisions.gateway import warmth
 from landingspool.gateway import boxcalls
 from landingspool.platform import boot
@@ -70,7 +69,7 @@
         if table is None:
             return {}
         wanted = {}
-        for address in routes.list_addresses(table):
+        for address in table.keepers:
             wanted[address] = boot.parse_address(address), STORE_PERIOD_S
         if len(self._hub.peering.peers) >= MOST_BOXES:
             return wanted
@@ -124,7 +123,7 @@
         """Ask a box that follows the stores what is new at all of them."""
         known = self._hub.view.warmth
         table = self._hub.view.table
-        stores = routes.list_addresses(table) if table is not None else ()
+        stores = table.keepers if table is not None else ()
         wanted = {name: known.get_place(name) for name in stores}
         sent = self._hub.clock()
         try:
--- a/landingspool/gateway/ordering.py
+++ b/landingspool/gateway/ordering.py
@@ -1,8 +1,8 @@
 """Gives the orders that bring targets to newly named weights.
 
 Any box may do it, one at a time does: the one whose claim stands in the
-platform's store.  All boxes look at the claim only while some target is
-behind, so an ordinary second costs no call.
+platform's store.  All boxes follow the claims, since these tell which
+targets load; a claim is written only while some target is behind.
 """
 
 import asyncio
--- a/tests/gateway/test_view.py
+++ b/tests/gateway/test_view.py
@@ -139,7 +139,9 @@
     work = make_work(prompt=None)
     for entry in entries:
         for _ in range(20):
-            plan = view._make_plan(choice.Chosen(entry, 0.0, 0, 2), work, 1.0)
+            plan = view._make_plan(
+                choice.Chosen(entry, 0.0, 0, 2), work, 1.0, {}
+            )
             view.note_answer(plan, 0.01, True)
     plan = view.plan(work, (), 99.0)
     assert plan.expected_s < 0.1
