Ask another box in one place, with a type, and never claim at a made-up offset

Cause: found on reading the whole change again: the state of a neighbour was fetched and decoded beside boxcalls, as a bare map; an append answered with no readable offset became offset -1, a fence that no store gave. Change: boxcalls.fetch serves both (reading boxes are shunned by ask as before), state.Given is the type; such an append is unavailable and perhaps done, with a test.

--- a/landingspool/gateway/boxcalls.py
+++ b/landingspool/gateway/boxcalls.py
@@ -17,13 +17,27 @@
 
 
 async def ask(hub, peer, kind, call, body=None, *, timeout):
+    """Ask a box that this one reads from, and shun it where it fails.
+
+    Parameters and result are those of `fetch`, with `hub` and a
+    registry.Peer for the client and the address.
+    """
+    try:
+        return await fetch(
+            hub.client, peer.address, kind, call, body, timeout=timeout
+        )
+    except NoAnswer:
+        hub.peering.shun(peer.name)
+        raise
+
+
+async def fetch(client, address, kind, call, body=None, *, timeout):
     """Ask another box; gives its answer as `kind`.
 
     Parameters
     ----------
-    hub
-        The box's parts: `client`, `peering`.
-    peer : registry.Peer
+    client : http.Client
+    address : http.Address
     kind : type
         For msgspec.
     call : tuple of str
@@ -34,16 +48,13 @@
     NoAnswer
     """
     try:
-        reply = await hub.client.fetch(
-            peer.address, *call, body, timeout=timeout
-        )
+        reply = await client.fetch(address, *call, body, timeout=timeout)
         return msgspec.convert(cbor2.loads(reply.body), kind)
     except (
         http.Unreachable,
         cbor2.CBORError,
         msgspec.ValidationError,
     ) as error:
-        hub.peering.shun(peer.name)
         raise NoAnswer(str(error)) from error
 
 
--- a/landingspool/gateway/peering.py
+++ b/landingspool/gateway/peering.py
@@ -8,7 +8,7 @@
 import asyncio
 import random
 
-import cbor2
+import msgspec
 
 from landingspool.boxes import datagrams
 from landingspool.decisions.gateway import neighbours
@@ -17,6 +17,7 @@
 from landingspool.gateway import cachewatch
 from landingspool.gateway import registry
 from landingspool.gateway import sources
+from landingspool.gateway import state
 from landingspool import http
 
 # Period of the digests, seconds: about the reading of two long prompts
@@ -178,14 +179,17 @@
         """Fetch a neighbour's state; it proves what it says of its age."""
         sent = self._hub.clock()
         try:
-            reply = await self._hub.client.fetch(
-                address, 'GET', STATE_PATH, timeout=FETCH_S
+            given = await boxcalls.fetch(
+                self._hub.client,
+                address,
+                state.Given,
+                ('GET', STATE_PATH),
+                timeout=FETCH_S,
             )
-            state = cbor2.loads(reply.body)
-        except (http.Unreachable, cbor2.CBORError, ValueError) as error:
+        except boxcalls.NoAnswer as error:
             self._hub.recorder.record('no_state', reason=str(error))
             return
-        self._hub.state.take(state, sent)
+        self._hub.state.take(given, sent)
 
     async def _answer(self, request, exchange):
         answer = ANSWERS.get(request.path)
@@ -195,7 +199,10 @@
         await answer(self, request, exchange)
 
     async def _answer_state(self, request, exchange):
-        await boxcalls.answer(exchange, self._hub.state.give())
+        given = msgspec.to_builtins(
+            self._hub.state.give(), builtin_types=[bytes]
+        )
+        await boxcalls.answer(exchange, given)
 
     async def _answer_records(self, request, exchange):
         await self._hub.offer.answer_records(request, exchange)
--- a/landingspool/gateway/state.py
+++ b/landingspool/gateway/state.py
@@ -4,9 +4,32 @@
 reach the platform's store reads them as if it had.
 """
 
+import msgspec
+
 from landingspool.platform import catalogue
 
 
+class Given(msgspec.Struct):
+    """What one box gives another.
+
+    Attributes
+    ----------
+    proof_s : float
+        Age of the proof of the table.
+    table : bytes or None
+        As it was written; None before any was read.
+    versions : dict of str to int
+        The newest named version of the weights of each model.
+    targets : dict of str to bytes
+        As they were written.
+    """
+
+    proof_s: float
+    table: bytes | None
+    versions: dict[str, int]
+    targets: dict[str, bytes]
+
+
 class State:
     """The records behind what this box believes.
 
@@ -46,23 +69,23 @@
     def give(self):
         """Give what another box needs that can't reach the store."""
         versions = {m: n.version for m, n in self._view.named.items()}
-        return {
-            'proof_s': self._view.proof.age_to_tell(self._hub.clock()),
-            'table': self._table_value,
-            'versions': versions,
-            'targets': self.target_values,
-        }
+        return Given(
+            proof_s=self._view.proof.age_to_tell(self._hub.clock()),
+            table=self._table_value,
+            versions=versions,
+            targets=self.target_values,
+        )
 
     def take(self, given, sent):
         """Take in what another box gave when it was asked at `sent`."""
         now = self._hub.clock()
-        if given['table'] is None:
+        if given.table is None:
             return
-        self.take_table(given['table'])
-        for model, version in given['versions'].items():
+        self.take_table(given.table)
+        for model, version in given.versions.items():
             self._view.put_version(model, version, now)
-        self._take_targets(given['targets'], now)
-        self._view.proof.note(sent - given['proof_s'])
+        self._take_targets(given.targets, now)
+        self._view.proof.note(sent - given.proof_s)
         self._hub.recorder.record(
             'state_taken',
             table=self._view.table.version,
--- a/landingspool/platform/store.py
+++ b/landingspool/platform/store.py
@@ -184,11 +184,16 @@
         )
         if isinstance(reply, Unavailable):
             return reply
-        if reply.status == 412:
-            return Conflict(read_field(reply, 'end'))
-        if reply.status != 200:
+        if reply.status not in (200, 412):
             return Unavailable(f'status {reply.status}', False)
-        return Appended(read_field(reply, 'offset'), sent)
+        try:
+            if reply.status == 412:
+                return Conflict(read_field(reply, 'end'))
+            return Appended(read_field(reply, 'offset'), sent)
+        except (ValueError, KeyError, TypeError) as error:
+            # It was done or not by its status, but where is not known.
+            done = reply.status == 200
+            return Unavailable(f'append: {error!r}', done)
 
     async def _call(self, method, path, query, body, timeout):
         self.calls[f'{path.rsplit("-", 1)[-1]} {query["topic"]}'] += 1
@@ -202,11 +207,14 @@
 
 
 def read_field(reply, name):
-    """Give a whole number out of a JSON answer; -1 where there is none."""
-    try:
-        return int(reply.json()[name])
-    except (ValueError, KeyError, TypeError):
-        return -1
+    """Give a whole number out of a JSON answer.
+
+    Raises
+    ------
+    ValueError, KeyError, TypeError
+        Where there is none.
+    """
+    return int(reply.json()[name])
 
 
 def read_newest_row(row):
--- a/tests/gateway/test_ordering.py
+++ b/tests/gateway/test_ordering.py
@@ -3,8 +3,10 @@
 import asyncio
 
 from landingspool.decisions.gateway import rollouts
+from landingspool import http
 from landingspool.platform import catalogue
 from landingspool.platform import names
+from landingspool.platform import store as store_module
 from tests.gateway import site
 
 
@@ -73,3 +75,18 @@
     rollout = rollouts.Rollout()
     (order,) = rollout.plan('m', 3, {'a': 2, 'b': 1, 'c': 2}, 1, 0.0)
     assert order.target == 'b'
+
+
+def test_an_append_whose_place_is_not_told_is_no_claim():
+    class Client:
+        """Answers with what is no offset."""
+
+        async def fetch(self, *call, **options):
+            """Give a whole answer."""
+            return http.Response(200, {}, b'{}')
+
+    store = store_module.Store(Client(), http.Address('127.0.0.1', 9))
+    reply = asyncio.run(store.append('keyed.claims', 'orders', b'x'))
+    assert reply == store_module.Unavailable(
+        "append: KeyError('offset')", True
+    )
