Log targets told by a neighbour like the store's own, and bound an event

Cause: found on reading: State took a neighbour's targets beside Targets, with no log line, no forgetting and no record to pass on; an event that never ends was held without bound. Change: put_target and drop_target stand in State and serve both; an event over 1 MiB ends the try. The test of a box without the store had passed through a read still held at the store: it waits for that to end now, which makes it stricter.

--- a/landingspool/gateway/attempts.py
+++ b/landingspool/gateway/attempts.py
@@ -149,7 +149,7 @@
         except TimeoutError:
             # The caller's time is over; that tells nothing of the target.
             return outcomes.Lost('time_over')
-        except upstream_module.Broken as error:
+        except (upstream_module.Broken, stream_module.Endless) as error:
             return self._lose(str(error))
 
     def _find_patience(self):
--- a/landingspool/gateway/following.py
+++ b/landingspool/gateway/following.py
@@ -8,7 +8,6 @@
 
 import asyncio
 
-from landingspool.decisions.gateway import fleet as fleet_module
 from landingspool.decisions.gateway import tail as tail_module
 from landingspool.platform import catalogue
 from landingspool.platform import names
@@ -182,31 +181,12 @@
             self._drop(key)
             return
         try:
-            entry = catalogue.read_entry(key, value)
+            self._hub.state.put_target(key, value)
         except catalogue.Malformed as error:
             self._hub.recorder.record('malformed', key=key, reason=str(error))
-            return
-        known = key in self._hub.view.fleet.entries
-        self._hub.state.target_values[key] = value
-        state = self._hub.view.fleet.put(entry)
-        if state != fleet_module.READY and known:
-            self._hub.recorder.record('leaving', target=key, state=state)
-            self._hub.view.forget(key)
-        elif state == fleet_module.READY and not known:
-            self._hub.recorder.record(
-                'target_up', target=key, versions=entry.versions
-            )
 
     def _drop(self, name):
-        self._hub.state.target_values.pop(name, None)
-        unsure = self.is_unsure()
-        if name in self._hub.view.fleet.entries:
-            self._hub.recorder.record(
-                'target_down', target=name, sure=not unsure
-            )
-        self._hub.view.fleet.drop(name, self._hub.clock(), unsure)
-        if not unsure:
-            self._hub.view.forget(name)
+        self._hub.state.drop_target(name, self.is_unsure())
 
 
 class Claims(Follower):
--- a/landingspool/gateway/state.py
+++ b/landingspool/gateway/state.py
@@ -6,6 +6,7 @@
 
 import msgspec
 
+from landingspool.decisions.gateway import fleet as fleet_module
 from landingspool.platform import catalogue
 
 
@@ -84,7 +85,7 @@
         self.take_table(given.table)
         for model, version in given.versions.items():
             self._view.put_version(model, version, now)
-        self._take_targets(given.targets, now)
+        self._take_targets(given.targets)
         self._view.proof.note(sent - given.proof_s)
         self._hub.recorder.record(
             'state_taken',
@@ -92,10 +93,47 @@
             proof_s=self._view.proof.age_to_log(now),
         )
 
-    def _take_targets(self, values, now):
-        fleet = self._view.fleet
+    def put_target(self, name, value):
+        """Take in what a target wrote of itself.
+
+        Raises
+        ------
+        catalogue.Malformed
+        """
+        entry = catalogue.read_entry(name, value)
+        known = name in self._view.fleet.entries
+        self.target_values[name] = value
+        state = self._view.fleet.put(entry)
+        if state != fleet_module.READY and known:
+            self._hub.recorder.record('leaving', target=name, state=state)
+            self._view.forget(name)
+        elif state == fleet_module.READY and not known:
+            self._hub.recorder.record(
+                'target_up', target=name, versions=entry.versions
+            )
+
+    def drop_target(self, name, unsure):
+        """Take in that a target is no longer listed.
+
+        Parameters
+        ----------
+        unsure : bool
+            Whether its entry may have lapsed though the target lives.
+        """
+        self.target_values.pop(name, None)
+        if name in self._view.fleet.entries:
+            self._hub.recorder.record(
+                'target_down', target=name, sure=not unsure
+            )
+        self._view.fleet.drop(name, self._hub.clock(), unsure)
+        if not unsure:
+            self._view.forget(name)
+
+    def _take_targets(self, values):
         for name, value in values.items():
-            fleet.put(catalogue.read_entry(name, value))
-        for name in list(fleet.entries):
+            if value != self.target_values.get(name):
+                self.put_target(name, value)
+        for name in list(self._view.fleet.entries):
             if name not in values:
-                fleet.drop(name, now, True)
+                # Whether it is gone, or only its entry, is not known here.
+                self.drop_target(name, True)
--- a/landingspool/gateway/stream.py
+++ b/landingspool/gateway/stream.py
@@ -9,6 +9,12 @@
 from landingspool.platform import answers
 
 BOUNDARY = re.compile(rb'\r?\n\r?\n')
+# Bytes that an event may have: those of the deployments have some hundred.
+MOST_EVENT = 1024 * 1024
+
+
+class Endless(Exception):
+    """An event is longer than any may be."""
 
 
 class Stream:
@@ -46,11 +52,18 @@
         self.noted = False
 
     async def take(self, data):
-        """Pass on what is whole; returns a version that was told, or None."""
+        """Pass on what is whole; returns a version that was told, or None.
+
+        Raises
+        ------
+        Endless
+        """
         held = self._held + data
         ends = [match.end() for match in BOUNDARY.finditer(held)]
         cut = ends[-1] if ends else 0
         self._held = held[cut:]
+        if len(self._held) > MOST_EVENT:
+            raise Endless(f'an event of over {MOST_EVENT} bytes')
         if not cut:
             return None
         whole = held[:cut]
--- a/standins/runner.py
+++ b/standins/runner.py
@@ -10,6 +10,9 @@
 import time
 
 BEHAVIOURS = {}
+# An event that does not end is made of so many parts of so many bytes.
+ENDLESS_PARTS = 40
+ENDLESS_BYTES = 64 * 1024
 
 
 def behaviour(name):
@@ -379,6 +382,17 @@
     return True
 
 
+@behaviour('endless event')
+async def answer_endless(runner, head, body, reader, writer):
+    """Stream one event, and then one that does not end."""
+    runner.run(head, body)
+    start_stream(runner, head, writer)
+    write_chunk(writer, make_event(1))
+    for _ in range(ENDLESS_PARTS):
+        write_chunk(writer, b'x' * ENDLESS_BYTES)
+        await writer.drain()
+
+
 @behaviour('half event')
 async def answer_half(runner, head, body, reader, writer):
     """Stream one event and a half, and end in order."""
--- a/tests/gateway/test_following.py
+++ b/tests/gateway/test_following.py
@@ -3,6 +3,7 @@
 import asyncio
 
 from landingspool.decisions.gateway import fleet
+from landingspool.gateway import following
 from tests.gateway import site
 
 
@@ -54,9 +55,18 @@
         await site.wait_until(lambda: 'box2' in first.peering.peers)
         away = second.store
         second.store = Away()
+        # What is held at the store now must not bring the news.
+        await asyncio.sleep(following.Targets.hold_s + 0.2)
         deployment.publish(site.make_table(9))
         await site.wait_until(lambda: second.view.table.version == 9, 5.0)
         assert second.view.proof.age(second.clock()) < 3.0
+        # What the neighbour tells of targets is logged like the store's own.
+        deployment.announce(deployment.plain[0], 'plain', state='draining')
+        await site.wait_until(
+            lambda: 'p0' not in second.view.fleet.entries, 6.0
+        )
+        told = second.recorder.select(target='p0')
+        assert [event.name for event in told][-1] == 'leaving'
         second.store = away
 
     site.run(check)
--- a/tests/gateway/test_relay.py
+++ b/tests/gateway/test_relay.py
@@ -69,6 +69,8 @@
     ('stream', 'resumed', True, 4, 1),
     ('broken stream', 'stream', False, 2, 1),
     ('broken stream', 'resumed', True, 4, 2),
+    ('endless event', 'stream', False, 1, 1),
+    ('endless event', 'resumed', True, 4, 2),
     ('half event', 'stream', False, 1, 1),
     ('half event', 'resumed', True, 4, 2),
 )
@@ -97,6 +99,20 @@
     site.run(check)
 
 
+def test_an_event_without_end_is_left_at_once():
+    async def check(deployment):
+        hub = await deployment.start_box()
+        for runner in deployment.engines:
+            runner.script = ['endless event']
+        began = hub.clock()
+        got = await site.ask(hub, '/stream/a', headers=PROMPT)
+        assert not got.whole
+        # Its caller would have waited for 2.5 s.
+        assert hub.clock() - began < 1.5
+
+    site.run(check)
+
+
 PROMPT = (
     ('x-landingspool-model-name', 'm'),
     ('x-landingspool-token-usage', '300,10'),
