Age what a box tells of a store by its own question, and lengthen the lease

Cause: a box that hears of stores from another box took the moment of its own question for the store's, so an offer could outlive its lease by the age of the other's word. And a lease of 1.8 s left boxes that ask through another one without offers for part of each period. Change: news carry their age; a lease is 2.6 s, of which 0.6 s must be left for an offer, and the wait for a new life grows to 5.4 s with it.

--- a/landingspool/decisions/gateway/warmth.py
+++ b/landingspool/decisions/gateway/warmth.py
@@ -11,11 +11,14 @@
 import typing
 
 # Seconds for which a confirmation of a store's life may be used.
-LEASE_S = 1.8
+LEASE_S = 2.6
+# Seconds of the lease that have to be left for an offer: the request has to
+# reach its target, wait there and fetch, or the transfer is thrown away.
+LEAST_LEFT_S = 0.6
 # Seconds after a store's life is first seen before anything is written
 # into it: leases from its former life, and transfers begun under them,
 # have ended by then on every box whose clock runs.
-SETTLE_S = 4.0
+SETTLE_S = 5.4
 # Names that an index keeps at most: bounds memory where targets keep many
 # small parts (10 MB a box at the sizes of the grown deployments).
 MOST_NAMES = 60_000
@@ -68,7 +71,11 @@
 
 
 class News(typing.NamedTuple):
-    """An answer to a call for events, or a whole list (`whole`)."""
+    """An answer to a call for events, or a whole list (`whole`).
+
+    `age_s` is how long ago the target or store was asked, where another box
+    passes the news on.
+    """
 
     epoch: int
     next: int
@@ -76,6 +83,7 @@
     changes: tuple[Change, ...]
     whole: bool = False
     clock_ms: float | None = None
+    age_s: float = 0.0
 
 
 class Warmth:
@@ -103,7 +111,8 @@
         Parameters
         ----------
         sent : float
-            When the call that brought the news was sent.
+            When the call that brought the news was sent; what another box
+            told is older by the age it gave.
         """
         index = self._indexes.get(name)
         fresh = index is None or index.epoch != news.epoch
@@ -119,7 +128,7 @@
             epoch=news.epoch,
             next=news.next,
             kept=kept,
-            confirmed=sent,
+            confirmed=sent - news.age_s,
             first_seen=first_seen,
             clock_ms=news.clock_ms,
             used=sum(kept.values()),
@@ -134,7 +143,7 @@
             return UNKNOWN
         return index.epoch, index.next
 
-    def tell(self, name, epoch, since):
+    def tell(self, name, epoch, since, now):
         """Give what another box needs that knows a life up to `since`.
 
         Returns
@@ -146,16 +155,19 @@
         if index is None or index.epoch is None:
             return None
         changes = find_changes(index, since)
-        if changes is not None and index.epoch == epoch:
-            return News(
-                index.epoch,
-                index.next,
-                False,
-                changes,
-                clock_ms=index.clock_ms,
-            )
-        rows = tuple(Change(*key, n) for key, n in index.kept.items())
-        return News(index.epoch, index.next, False, rows, True, index.clock_ms)
+        whole = changes is None or index.epoch != epoch
+        if whole:
+            rows = index.kept.items()
+            changes = tuple(Change(*key, n) for key, n in rows)
+        return News(
+            epoch=index.epoch,
+            next=index.next,
+            lost=False,
+            changes=changes,
+            whole=whole,
+            clock_ms=index.clock_ms,
+            age_s=now - index.confirmed,
+        )
 
     def add_read(self, name, space, parts, now):
         """Note that a target has read parts for a request of ours."""
@@ -171,7 +183,7 @@
         index = self._indexes.get(name)
         if index is None or index.clock_ms is None:
             return False
-        return now - index.confirmed < LEASE_S
+        return now - index.confirmed < LEASE_S - LEAST_LEFT_S
 
     def may_save(self, name, now):
         """Tell whether parts may be written into a store at `now`."""
--- a/landingspool/gateway/cachewatch.py
+++ b/landingspool/gateway/cachewatch.py
@@ -151,7 +151,7 @@
             self._hub.recorder.record('bad_message', reason=str(error))
             await exchange.send_json(400, {'error': 'not understood'})
             return
-        known = self._hub.view.warmth
-        found = {n: known.tell(n, *place) for n, place in wanted.items()}
+        known, now = self._hub.view.warmth, self._hub.clock()
+        found = {n: known.tell(n, *place, now) for n, place in wanted.items()}
         told = {n: news for n, news in found.items() if news is not None}
         await boxcalls.answer(exchange, msgspec.to_builtins(told))
--- a/tests/gateway/test_context.py
+++ b/tests/gateway/test_context.py
@@ -103,6 +103,16 @@
     assert prompts.name_space('m', 1, shared) in names
 
 
+def test_what_another_box_tells_is_as_old_as_its_own_word():
+    reader, member = warmth.Warmth(), warmth.Warmth()
+    reader.take('k1', make_news(1, ('a', 500)), 10.0, 10.1)
+    told = reader.tell('k1', *member.get_place('k1'), 11.5)
+    member.take('k1', told, 11.4, 11.6)
+    end = 10.0 + warmth.LEASE_S - warmth.LEAST_LEFT_S
+    assert member.may_fetch('k1', end - 0.2)
+    assert not member.may_fetch('k1', end + 0.01)
+
+
 def test_a_gap_in_the_events_asks_for_the_list():
     known = warmth.Warmth()
     known.take('t', make_news(1), 1.0, 1.0)
