Leave a reader whose own word is old, and what is asked of it, at once

Change: an answer that is older than 1.7 s makes the box leave that reader, and leaving one ends all that is asked of it; a box answers within 0.4 s. Also: one failed connection takes a target out until a probe comes up, and boxes tell each other; connections come up within 0.2 s or not at all.

--- a/landingspool/decisions/gateway/neighbours.py
+++ b/landingspool/decisions/gateway/neighbours.py
@@ -34,6 +34,8 @@
     loads : dict of str to list
         For each target the prompt tokens waiting there, the requests that
         have begun, the tokens that all of them hold, the requests waiting.
+    unreached : tuple of str
+        Targets to which it can't connect.
     """
 
     box: str
@@ -42,6 +44,7 @@
     table: int
     proof_s: float
     loads: dict
+    unreached: tuple[str, ...] = ()
 
 
 class Ask(typing.NamedTuple):
--- /dev/null
+++ b/landingspool/decisions/gateway/reach.py
@@ -0,0 +1,94 @@
+"""Which targets no connection can be made to, and when to try again.
+
+A target that went dark costs every request sent to it the whole wait for a
+connection, and each box would learn of it by requests of its own.  So one
+failed connection takes a target out until a connection made for that
+purpose comes up, and boxes tell each other which targets are out.  A word
+of another box only makes this one look for itself: the path that failed may
+be the other box's own.
+"""
+
+import typing
+
+# Seconds from a failed connection to the next try, doubled up to the most:
+# a target is back after a second or more, and a try costs one small packet.
+RETRY_S = 0.3
+MOST_RETRY_S = 2.0
+# Seconds for which a word of another box is not followed after this box saw
+# for itself: each look is a new connection, which has a price.
+SURE_S = 2.0
+
+
+class Out(typing.NamedTuple):
+    """A target that gets no requests.
+
+    Attributes
+    ----------
+    failed : int
+        Connections that failed in a row; 0: only another box said so.
+    due : float
+        When the next one is tried.
+    """
+
+    failed: int
+    due: float
+
+
+class Reach:
+    """The targets that are out, as one box sees them."""
+
+    def __init__(self):
+        self._out = {}
+        self._reached = {}
+
+    def note_failed(self, name, now):
+        """Note that no connection to a target came up.
+
+        >>> reach = Reach()
+        >>> reach.note_failed('a', 10.0)
+        >>> reach.is_out('a'), reach.list_due(10.1), reach.list_due(10.4)
+        (True, [], ['a'])
+        """
+        known = self._out.get(name)
+        failed = known.failed + 1 if known is not None else 1
+        pause = min(RETRY_S * 2 ** (failed - 1), MOST_RETRY_S)
+        self._out[name] = Out(failed, now + pause)
+
+    def note_reached(self, name, now):
+        """Note that a connection to a target came up, or that it answered."""
+        self._out.pop(name, None)
+        self._reached[name] = now
+
+    def suspect(self, name, now):
+        """Take in that another box can't connect to a target.
+
+        >>> reach = Reach()
+        >>> reach.note_reached('a', 9.0)
+        >>> reach.suspect('a', 10.0)
+        >>> reach.is_out('a')
+        False
+        >>> reach.suspect('a', 12.0)
+        >>> reach.is_out('a'), reach.list_due(12.0), reach.list_failed()
+        (True, ['a'], [])
+        """
+        if name in self._out:
+            return
+        if now - self._reached.get(name, -SURE_S) >= SURE_S:
+            self._out[name] = Out(0, now)
+
+    def is_out(self, name):
+        """Tell whether a target gets no requests."""
+        return name in self._out
+
+    def list_due(self, now):
+        """List the targets to which a connection is to be tried."""
+        return [name for name, out in self._out.items() if now >= out.due]
+
+    def list_failed(self):
+        """List the targets that this box itself could not connect to."""
+        return [name for name, out in self._out.items() if out.failed]
+
+    def forget(self, name):
+        """Forget a target that has gone."""
+        self._out.pop(name, None)
+        self._reached.pop(name, None)
--- a/landingspool/decisions/gateway/readers.py
+++ b/landingspool/decisions/gateway/readers.py
@@ -12,6 +12,10 @@
 MOST_ALONE = 4
 # Seconds for which a reader that failed is not asked again.
 SHUN_S = 4.0
+# Age of a reader's own proof from which on it is left alone: a sound one
+# renews its proof in two holds (1.2 s) and the trips of a slow store, and a
+# change has to be known everywhere within the least bound of two seconds.
+STALE_AGE_S = 1.7
 # Age of the proof at which a box reads for itself whatever its place: over
 # that of a chain of two held reads (2.4 s), under the bound for keys (5 s).
 ALONE_AGE_S = 3.4
--- a/landingspool/decisions/gateway/view.py
+++ b/landingspool/decisions/gateway/view.py
@@ -15,6 +15,7 @@
 from landingspool.decisions.gateway import health as health_module
 from landingspool.decisions.gateway import neighbours
 from landingspool.decisions.gateway import prompts
+from landingspool.decisions.gateway import reach as reach_module
 from landingspool.decisions.gateway import routes
 from landingspool.decisions.gateway import transfers
 from landingspool.decisions.gateway import warmth as warmth_module
@@ -124,6 +125,7 @@
         self.table = None
         self.named = {}
         self.fleet = fleet_module.Fleet()
+        self.reach = reach_module.Reach()
         self.warmth = warmth_module.Warmth()
         self.proof = freshness.Proof(bounds.key_s)
         self.neighbours = neighbours.Neighbours()
@@ -193,6 +195,9 @@
             for entry in self.fleet.list_service(work.service)
             if entry.name not in avoid
         ]
+        # Where none can be reached, trying costs no more than refusing.
+        reached = [e for e in entries if not self.reach.is_out(e.name)]
+        entries = reached or entries
         if work.prompt is not None:
             entries = self._list_loaded(entries, work.prompt, now)
         # Most targets run the same weights: one plan of transfers each.
@@ -237,6 +242,7 @@
         """Note that the answer to a request has begun."""
         name = plan.entry.name
         self._heard[name] = now
+        self.reach.note_reached(name, now)
         sent = self._sent.get(name, {}).get(work.name)
         if sent is None or sent.begun:
             return
@@ -277,6 +283,12 @@
         known = self.get_health(name)
         self._health[name] = health_module.note_loss(known, now, certain)
 
+    def suspect(self, digest, now):
+        """Take in which targets another box can't connect to."""
+        for name in digest.unreached:
+            if name in self.fleet.entries:
+                self.reach.suspect(name, now)
+
     def get_health(self, name):
         """Give the Health of a target."""
         return self._health.get(name, health_module.Health())
@@ -293,6 +305,7 @@
         """Forget what was learnt of a target that has gone."""
         self._health.pop(name, None)
         self._heard.pop(name, None)
+        self.reach.forget(name)
         self.warmth.forget(name)
 
     def measure_load(self, name, now):
--- a/landingspool/events.py
+++ b/landingspool/events.py
@@ -202,6 +202,10 @@
             'WARNING',
             'This box may no longer give orders.',
         ),
+        Kind(
+            508, 'unreached', 'WARNING', 'No connection to a target comes up.'
+        ),
+        Kind(509, 'reached', 'INFO', 'A target can be connected to again.'),
         Kind(
             600, 'kept', 'DEBUG', 'A block of context was sealed in a store.'
         ),
--- a/landingspool/gateway/attempts.py
+++ b/landingspool/gateway/attempts.py
@@ -59,7 +59,7 @@
                 self._view.find_kept(self._progress.work.service),
             )
         except upstream_module.Broken as error:
-            self._note_loss(certain=True)
+            self._note_unreached(str(error))
             return outcomes.Unreached(str(error))
         if not self._may_send():
             self._exchange.abort()
@@ -266,6 +266,10 @@
         name = self._plan.entry.name
         self._view.note_loss(name, self._hub.clock(), certain)
 
+    def _note_unreached(self, reason):
+        name = self._plan.entry.name
+        self._hub.prober.note_failed(name, reason)
+
     def _note_first(self):
         now = self._hub.clock()
         self._view.note_first(self._plan, self._progress.work, now)
@@ -311,6 +315,9 @@
         'target': plan.entry.name,
         'expected_s': round(plan.expected_s, 4),
         'kept': plan.kept,
+        'fetched': plan.transfer.tokens,
+        'read': plan.read_tokens,
+        'saved': sum(1 for address in plan.transfer.save if address),
         'candidates': plan.candidates,
         'weights': plan.version,
         'table': table.version,
--- a/landingspool/gateway/hub.py
+++ b/landingspool/gateway/hub.py
@@ -14,6 +14,7 @@
 from landingspool.gateway import listener
 from landingspool.gateway import ordering
 from landingspool.gateway import peering
+from landingspool.gateway import prober
 from landingspool.gateway import relay
 from landingspool.gateway import sources
 from landingspool.gateway import state
@@ -81,6 +82,7 @@
         self.offer = sources.Offer(clock)
         self.cachewatch = cachewatch.Cachewatch(self)
         self.peering = peering.Peering(self)
+        self.prober = prober.Prober(self)
         self._tasks = []
         self._stop = asyncio.Event()
 
@@ -90,6 +92,7 @@
         await self._start_metrics()
         await self.listener.start(self.place.callers)
         self.timer.subscribe(BEAT_S, self._on_beat)
+        self.timer.subscribe(prober.LOOK_S, self.prober.look)
         self.timer.subscribe(SWEEP_S, lambda tick: self.upstream.sweep())
         self.timer.subscribe(FIGURES_S, self._note_figures)
         self._keep(following.Published(self).run())
@@ -149,8 +152,20 @@
             targets=len(self.view.fleet.entries),
             open=self.listener.count_busy(),
             proof_s=self.view.proof.age_to_log(tick.now),
+            stores=self._describe_stores(tick.now),
         )
 
+    def _describe_stores(self, now):
+        """Give the tokens and the age of what is known of each store."""
+        table = self.view.table
+        found = {}
+        for address in table.keepers if table is not None else ():
+            index = self.view.warmth.get(address)
+            if index is not None:
+                age_s = round(now - index.confirmed, 2)
+                found[address] = [index.used, age_s]
+        return found
+
     async def _answer_side(self, request, exchange):
         if request.path == METRICS_PATH:
             await exchange.send_body(
--- a/landingspool/gateway/peering.py
+++ b/landingspool/gateway/peering.py
@@ -95,8 +95,9 @@
         return [n for n, p in self.peers.items() if p.domain == domain]
 
     def shun(self, name):
-        """Note that a box did not answer."""
+        """Note that a box did not answer, or knows nothing new itself."""
         self._readers.shun(name, self._hub.clock())
+        self._hub.sources.leave(name)
 
     def _tell(self, tick):
         view = self._hub.view
@@ -112,6 +113,7 @@
             table=view.table.version if view.table else 0,
             proof_s=self._get_proof_age(),
             loads=view.list_loads(),
+            unreached=tuple(view.reach.list_failed()),
         )
         for address in self._pick(neighbours.FAN_OUT):
             self._socket.send(digest, address)
@@ -145,7 +147,9 @@
             self.peers[digest.box] = registry.Peer(
                 digest.box, address, digest.domain
             )
-        self._hub.view.neighbours.take(digest, self._hub.clock())
+        now = self._hub.clock()
+        self._hub.view.neighbours.take(digest, now)
+        self._hub.view.suspect(digest, now)
 
     def _take_ask(self, ask, address):
         view = self._hub.view
--- /dev/null
+++ b/landingspool/gateway/prober.py
@@ -0,0 +1,60 @@
+"""Tries to connect to targets that are out, so that no request has to.
+
+A connection that comes up is kept for the next request to that target.
+"""
+
+import asyncio
+
+from landingspool.gateway import upstream
+
+# Period of the looks for targets that are due, seconds.
+LOOK_S = 0.1
+
+
+class Prober:
+    """Probes the targets that `reach` lists as due.
+
+    Parameters
+    ----------
+    hub
+        The box's parts: `view`, `upstream`, `recorder`, `clock`.
+    """
+
+    def __init__(self, hub):
+        self._hub = hub
+        self._probing = {}
+
+    def note_failed(self, name, reason):
+        """Note that a connection to a target did not come up."""
+        reach = self._hub.view.reach
+        if name not in reach.list_failed():
+            self._hub.recorder.record('unreached', target=name, reason=reason)
+        reach.note_failed(name, self._hub.clock())
+
+    def look(self, tick):
+        """Begin a probe of each target that is due."""
+        for name in self._hub.view.reach.list_due(tick.now):
+            if name not in self._probing:
+                work = asyncio.ensure_future(self._probe(name))
+                self._probing[name] = work
+                work.add_done_callback(
+                    lambda _, name=name: self._probing.pop(name)
+                )
+
+    async def _probe(self, name):
+        view = self._hub.view
+        entry = view.fleet.entries.get(name)
+        if entry is None:
+            view.reach.forget(name)
+            return
+        known = name in view.reach.list_failed()
+        try:
+            await self._hub.upstream.probe(
+                entry.address, view.find_kept(entry.service)
+            )
+        except upstream.Broken as error:
+            self.note_failed(name, str(error))
+            return
+        view.reach.note_reached(name, self._hub.clock())
+        if known:
+            self._hub.recorder.record('reached', target=name)
--- a/landingspool/gateway/sources.py
+++ b/landingspool/gateway/sources.py
@@ -6,13 +6,14 @@
 
 import msgspec
 
+from landingspool.decisions.gateway import readers
 from landingspool.gateway import boxcalls
 from landingspool.platform import store as store_module
 
 RECORDS_PATH = '/records'
 NEWEST_PATH = '/newest'
 # Seconds for an answer beyond the hold; boxes of one domain are near.
-ANSWER_S = 0.6
+ANSWER_S = 0.4
 
 
 class Relayed(msgspec.Struct):
@@ -39,6 +40,16 @@
 
     def __init__(self, hub):
         self._hub = hub
+        self._asking = {}
+
+    def leave(self, name):
+        """End what this box still asks of another one that has failed.
+
+        A long hold would otherwise keep the news back that the other
+        reader has.
+        """
+        for call in self._asking.get(name, ()):
+            call.cancel()
 
     async def read(self, topic, start, hold_s):
         """Read records; the outcomes are those of store.Store.read."""
@@ -52,6 +63,9 @@
         answer, sent = reply
         if answer.gone:
             return store_module.Forgotten()
+        if answer.age > readers.STALE_AGE_S:
+            # It can't read itself; what it gave is good as far as it goes.
+            self._hub.peering.shun(peer.name)
         rows = tuple((key, value) for key, value in answer.records)
         return store_module.Page(rows, answer.end, sent - answer.age)
 
@@ -72,17 +86,29 @@
     async def _fetch(self, peer, path, query, hold_s):
         sent = self._hub.clock()
         target = f'{path}?{parse.urlencode(query)}'
-        try:
-            answer = await boxcalls.ask(
+        call = asyncio.ensure_future(
+            boxcalls.ask(
                 self._hub,
                 peer,
                 Relayed,
                 ('GET', target),
                 timeout=hold_s + ANSWER_S,
             )
-            return answer, sent
+        )
+        calls = self._asking.setdefault(peer.name, set())
+        calls.add(call)
+        try:
+            await asyncio.wait([call])
+            return call.result(), sent
+        except asyncio.CancelledError:
+            if not call.cancelled():
+                call.cancel()
+                raise
+            return store_module.Unavailable(f'{peer.name}: left', False)
         except boxcalls.NoAnswer as error:
             return store_module.Unavailable(f'{peer.name}: {error}', False)
+        finally:
+            calls.discard(call)
 
 
 class Offer:
--- a/landingspool/gateway/upstream.py
+++ b/landingspool/gateway/upstream.py
@@ -14,8 +14,9 @@
 from landingspool.gateway import wire as wire_module
 from landingspool.platform import answers
 
-# Seconds to come up: trips of some ms; a target that is gone says nothing.
-CONNECT_S = 0.35
+# Seconds to come up: trips of some ms; a target that is gone says nothing,
+# and a request has to be tried elsewhere within its aim (0.3 s and more).
+CONNECT_S = 0.2
 # A target that names no time may drop an idle connection within a second.
 UNNAMED_IDLE_S = 0.4
 # Seconds before a named time at which a connection is no longer used: the
@@ -78,17 +79,20 @@
         wire = self._take(address, repeatable)
         if wire is not None:
             return Exchange(self, address, wire, most_kept)
-        loop = asyncio.get_running_loop()
-        try:
-            async with asyncio.timeout(CONNECT_S):
-                _, wire = await loop.create_connection(
-                    wire_module.Wire, *address
-                )
-        except (OSError, TimeoutError) as error:
-            raise Broken(f'connect: {error!r}', False) from error
-        self._metrics.connections.inc()
+        wire = await self._connect(address)
         return Exchange(self, address, wire, most_kept)
 
+    async def probe(self, address, most_kept):
+        """Open a connection to see whether it comes up, and keep it.
+
+        Raises
+        ------
+        Broken
+            Where it does not.
+        """
+        wire = await self._connect(address)
+        self.keep(address, wire, UNNAMED_IDLE_S, most_kept)
+
     def keep(self, address, wire, idle_s, most_kept):
         """Keep a connection that may be used for `idle_s` seconds."""
         idle = self._idle[address]
@@ -123,6 +127,18 @@
         for address in list(self._idle):
             self.drop(address)
 
+    async def _connect(self, address):
+        loop = asyncio.get_running_loop()
+        try:
+            async with asyncio.timeout(CONNECT_S):
+                _, wire = await loop.create_connection(
+                    wire_module.Wire, *address
+                )
+        except (OSError, TimeoutError) as error:
+            raise Broken(f'connect: {error!r}', False) from error
+        self._metrics.connections.inc()
+        return wire
+
     def _take(self, address, repeatable):
         idle = self._idle.get(address)
         while idle:
--- /dev/null
+++ b/tests/gateway/test_reach.py
@@ -0,0 +1,84 @@
+"""Targets that went dark cost no request a wait for a connection."""
+
+import asyncio
+
+from landingspool.decisions.gateway import reach
+from tests.gateway import site
+
+
+def test_one_failed_connection_takes_a_target_out_until_one_comes_up():
+    async def check(deployment):
+        hub = await deployment.start_box()
+        gone = deployment.plain[0]
+        host, port = gone.address[:2]
+        await gone.close()
+        for _ in range(20):
+            assert (await site.ask(hub, '/safe/a')).status == 200
+        assert hub.view.reach.is_out('p0')
+        tries = await count_tries(hub, 20)
+        assert tries == {'p1': 20}
+        back = site.runner_module.Runner('p0')
+        back._server = await asyncio.start_server(back._serve, host, port)
+        await site.wait_until(lambda: not hub.view.reach.is_out('p0'), 3.0)
+        assert not back.heads
+
+    site.run(check)
+
+
+async def count_tries(hub, asks):
+    """Give how many tries went to each target over some requests."""
+    tried = {}
+    plan = hub.view.plan
+
+    def note(*args):
+        made = plan(*args)
+        name = made.entry.name
+        tried[name] = tried.get(name, 0) + 1
+        return made
+
+    hub.view.plan = note
+    for _ in range(asks):
+        assert (await site.ask(hub, '/safe/a')).status == 200
+    hub.view.plan = plan
+    return tried
+
+
+def test_a_box_looks_for_itself_when_another_one_finds_a_target_dark():
+    async def check(deployment):
+        first = await deployment.start_box('box1')
+        second = await deployment.start_box('box2')
+        await site.wait_until(lambda: 'box2' in first.peering.peers)
+        await site.wait_until(lambda: 'box1' in second.peering.peers)
+        await deployment.plain[0].close()
+        first.prober.note_failed('p0', 'told by the test')
+        first.prober.note_failed('p1', 'told by the test')
+        # It finds one of them dark, and the other one well.
+        await site.wait_until(
+            lambda: second.view.reach.list_failed() == ['p0'], 2.0
+        )
+        await site.wait_until(lambda: not second.view.reach.is_out('p1'), 2.0)
+
+    site.run(check)
+
+
+def test_tries_grow_rarer_and_never_end():
+    known = reach.Reach()
+    now, pauses = 10.0, []
+    for _ in range(6):
+        known.note_failed('t', now)
+        before = now
+        while not known.list_due(now):
+            now += 0.1
+        pauses.append(now - before)
+    assert pauses[0] < pauses[1] < pauses[2]
+    assert max(pauses) < reach.MOST_RETRY_S + 0.2
+
+
+def test_where_all_targets_are_out_they_are_tried_all_the_same():
+    async def check(deployment):
+        hub = await deployment.start_box()
+        for name in ('p0', 'p1'):
+            hub.prober.note_failed(name, 'told by the test')
+        assert (await site.ask(hub, '/safe/a')).status == 200
+
+    site.run(check)
--- a/tests/gateway/test_readers.py
+++ b/tests/gateway/test_readers.py
@@ -3,6 +3,7 @@
 import asyncio
 
 from landingspool.decisions.gateway import readers
+from landingspool.gateway import following
 from tests.gateway import site
 
 BOXES = [f'box{i}' for i in range(6)]
@@ -94,3 +95,50 @@
         seen = readers.Readers(name)
         others = [b for b in BOXES if b != name]
         assert seen.pick(others, readers.ALONE_AGE_S + 0.1, 1.0) is None
+
+
+def test_a_reader_that_is_cut_off_is_left_before_its_word_grows_old():
+    async def main():
+        async with site.Site(plain=1) as deployment:
+            hubs = [await deployment.start_box(name) for name in BOXES]
+            await site.wait_until(
+                lambda: all(len(h.peering.peers) == 5 for h in hubs)
+            )
+            members = [h for h in hubs if h.peering.pick_reader() is not None]
+            first = members[0].peering.pick_reader().name
+            cut = next(h for h in hubs if h.place.box == first)
+            others = [h for h in hubs if h is not cut]
+            await asyncio.sleep(1.0)
+            cut.store = site.hub_module.store.Store(
+                cut.client, site.http.Address('127.0.0.1', 9)
+            )
+            # What it holds at the store still ends with an answer.
+            await asyncio.sleep(following.HOLD_S / 2 + 0.1)
+            deployment.publish(site.make_table(5))
+            await site.wait_until(
+                lambda: all(h.view.table.version == 5 for h in others),
+                readers.STALE_AGE_S + 0.4,
+            )
+
+    asyncio.run(main())
+
+
+def test_what_is_asked_of_a_box_ends_when_it_is_left():
+    async def main():
+        async with site.Site(plain=1) as deployment:
+            hubs = [await deployment.start_box(name) for name in BOXES]
+            await site.wait_until(
+                lambda: all(len(h.peering.peers) == 5 for h in hubs)
+            )
+            member = next(h for h in hubs if h.peering.pick_reader())
+            peer = member.peering.pick_reader()
+            end = member.offer._tails['keyed.servers'].end
+            reading = asyncio.ensure_future(
+                member.sources.read('keyed.servers', end, 2.4)
+            )
+            await asyncio.sleep(0.1)
+            member.peering.shun(peer.name)
+            reply = await asyncio.wait_for(reading, 0.2)
+            assert 'left' in reply.reason
+
+    asyncio.run(main())
