--- a/landingspool/decisions/gateway/admission.py
+++ b/landingspool/decisions/gateway/admission.py
@@ -8,8 +8,11 @@
 
 import math
 
-# Share of the latency a route aims at that may go by in waiting.
-WAIT_SHARE = 1.2
+# Share of the latency a route aims at that may go by in waiting, by the
+# priority of the route: targets begin the more urgent first, so the same
+# queue is a shorter wait for them; and what is least urgent, and takes the
+# most time at a target, is the first to be told to come back.
+WAIT_SHARES = 1.2, 0.6, 0.4
 # Tokens to be read from which on a request is refused earlier, by the root
 # of how many times more it is.
 USUAL_READ = 3000
@@ -19,23 +22,31 @@
 MOST_RETRY_S = 0.6
 
 
-def find_limit(target_latency_s, read_tokens):
+def find_limit(target_latency_s, read_tokens, priority):
     """Give the longest expected wait with which a request is admitted.
 
-    >>> find_limit(0.5, 1000), round(find_limit(0.5, 12000), 3)
+    >>> find_limit(0.5, 1000, 0), round(find_limit(0.5, 12000, 0), 3)
     (0.6, 0.3)
+    >>> find_limit(0.5, 1000, 1), find_limit(0.5, 1000, 7)
+    (0.3, 0.2)
     """
     size = max(read_tokens / USUAL_READ, 1.0)
-    return target_latency_s * WAIT_SHARE / math.sqrt(size)
+    share = WAIT_SHARES[min(priority, len(WAIT_SHARES) - 1)]
+    return target_latency_s * share / math.sqrt(size)
 
 
-def is_admitted(wait_s, target_latency_s, read_tokens):
+def is_admitted(wait_s, target_latency_s, read_tokens, priority):
     """Tell whether a request may be sent on.
 
-    >>> is_admitted(0.4, 0.4, 1000), is_admitted(0.4, 0.4, 12000)
+    Parameters
+    ----------
+    priority : int
+        Of its route; 0 is the most urgent.
+
+    >>> is_admitted(0.4, 0.4, 1000, 0), is_admitted(0.4, 0.4, 12000, 0)
     (True, False)
     """
-    return wait_s <= find_limit(target_latency_s, read_tokens)
+    return wait_s <= find_limit(target_latency_s, read_tokens, priority)
 
 
 def find_retry_after(wait_s, rng):
--- a/landingspool/decisions/gateway/view.py
+++ b/landingspool/decisions/gateway/view.py
@@ -409,7 +409,10 @@
         if work.prompt is None:
             return True
         return admission.is_admitted(
-            plan.wait_s, work.route.target_latency_s, plan.read_tokens
+            plan.wait_s,
+            work.route.target_latency_s,
+            plan.read_tokens,
+            work.route.priority,
         )
 
     def _make_plan(self, chosen, work, now, transfers_by_space):
--- a/landingspool/gateway/attempts.py
+++ b/landingspool/gateway/attempts.py
@@ -87,6 +87,7 @@
         self._hub.recorder.record(
             'dispatched',
             request=progress.call.name,
+            priority=self._find_priority(),
             **describe_plan(plan, self._view.table),
         )
         self._exchange.send(
@@ -108,16 +109,12 @@
 
     def _write_head(self):
         progress, plan = self._progress, self._plan
-        tenancy, route = progress.work.tenancy, progress.work.route
-        priority = route.priority
-        if tenancy is not None and tenancy.priority is not None:
-            priority = tenancy.priority
-        stream = progress.stream
+        tenancy, stream = progress.work.tenancy, progress.stream
         told = egress.Instructions(
             entry=plan.entry.name,
             left_s=progress.ends - self._sent,
             workspace=tenancy.name if tenancy else '',
-            priority=priority,
+            priority=self._find_priority(),
             version=plan.version,
             space=plan.space,
             fetch=plan.transfer.fetch,
@@ -127,6 +124,12 @@
         )
         return egress.write_head(progress.call, told, len(progress.body))
 
+    def _find_priority(self):
+        tenancy, route = self._progress.work.tenancy, self._progress.work.route
+        if tenancy is not None and tenancy.priority is not None:
+            return tenancy.priority
+        return route.priority
+
     async def _receive(self):
         """Read the answer under the request's time; gives the outcome."""
         try:
