Let two others read where a domain's readers fail, and never swallow a cancel

And a cancelled read that was also left answered instead of ending: a box could not stop (a test hung). Change: the next two in the order read for the others.

--- a/landingspool/decisions/gateway/readers.py
+++ b/landingspool/decisions/gateway/readers.py
@@ -54,8 +54,10 @@
         names = sorted({*boxes, self._box})
         if len(names) <= MOST_ALONE or age_s > ALONE_AGE_S:
             return None
-        ranked = ownership.rank('reader', tuple(names))[:READERS]
-        if self._box in ranked:
-            return None
+        # Where the first ones fail the next ones read for the others: if
+        # all did, a store in trouble would be asked by every box.
+        ranked = ownership.rank('reader', tuple(names))
         sound = [n for n in ranked if now >= self._shunned.get(n, 0.0)]
-        return sound[0] if sound else None
+        if self._box in sound[:READERS]:
+            return None
+        return sound[0]
--- a/landingspool/decisions/gateway/warmth.py
+++ b/landingspool/decisions/gateway/warmth.py
@@ -17,7 +17,8 @@
 LEAST_LEFT_S = 0.6
 # Seconds after a store's life is first seen before anything is written
 # into it: leases from its former life, and transfers begun under them,
-# have ended by then on every box whose clock runs.
+# have ended by then on every box whose clock runs.  A life in which parts
+# are kept has been written into by a box that had waited.
 SETTLE_S = 5.4
 # Names that an index keeps at most: bounds memory where targets keep many
 # small parts (10 MB a box at the sizes of the grown deployments).
@@ -190,7 +191,7 @@
         index = self._indexes.get(name)
         if index is None or not self.may_fetch(name, now):
             return False
-        return now - index.first_seen >= SETTLE_S
+        return index.used > 0 or now - index.first_seen >= SETTLE_S
 
 
 def add_batch(batches, news):
--- a/landingspool/gateway/cachewatch.py
+++ b/landingspool/gateway/cachewatch.py
@@ -98,7 +98,7 @@
                 await asyncio.sleep(FAILED_S)
                 continue
             whole = self._take(name, news, sent, now)
-            if not whole:
+            if not whole and not news.whole:
                 await asyncio.sleep(max(period_s - (now - sent), 0.05))
 
     def _take(self, name, news, sent, now):
@@ -117,7 +117,10 @@
             return await self._hub.runners.read_list(address)
         index = self._hub.view.warmth.get(name)
         since = index.next if index is not None else 0
-        return await self._hub.runners.read_events(address, since, HOLD_S)
+        # A list tells no clock, and without one nothing may be offered.
+        known = index is not None and index.clock_ms is not None
+        hold_s = HOLD_S if known else 0.0
+        return await self._hub.runners.read_events(address, since, hold_s)
 
     async def _ask_peer(self, peer):
         """Ask a box that follows the stores what is new at all of them."""
--- a/landingspool/gateway/sources.py
+++ b/landingspool/gateway/sources.py
@@ -40,7 +40,7 @@
 
     def __init__(self, hub):
         self._hub = hub
-        self._asking = {}
+        self._leaving = {}
 
     def leave(self, name):
         """End what this box still asks of another one that has failed.
@@ -48,8 +48,9 @@
         A long hold would otherwise keep the news back that the other
         reader has.
         """
-        for call in self._asking.get(name, ()):
-            call.cancel()
+        leaving = self._leaving.pop(name, None)
+        if leaving is not None:
+            leaving.set_result(None)
 
     async def read(self, topic, start, hold_s):
         """Read records; the outcomes are those of store.Store.read."""
@@ -95,20 +96,26 @@
                 timeout=hold_s + ANSWER_S,
             )
         )
-        calls = self._asking.setdefault(peer.name, set())
-        calls.add(call)
         try:
-            await asyncio.wait([call])
+            await asyncio.wait(
+                {call, self._get_leaving(peer.name)},
+                return_when=asyncio.FIRST_COMPLETED,
+            )
+            if not call.done():
+                return store_module.Unavailable(f'{peer.name}: left', False)
             return call.result(), sent
-        except asyncio.CancelledError:
-            if not call.cancelled():
-                call.cancel()
-                raise
-            return store_module.Unavailable(f'{peer.name}: left', False)
         except boxcalls.NoAnswer as error:
             return store_module.Unavailable(f'{peer.name}: {error}', False)
         finally:
-            calls.discard(call)
+            call.cancel()
+
+    def _get_leaving(self, name):
+        """Give what is done when the box of this name is left."""
+        leaving = self._leaving.get(name)
+        if leaving is None:
+            leaving = asyncio.get_running_loop().create_future()
+            self._leaving[name] = leaving
+        return leaving
 
 
 class Offer:
--- a/tests/gateway/test_context.py
+++ b/tests/gateway/test_context.py
@@ -120,3 +120,15 @@
     assert known.take('t', gap, 2.0, 2.0)
     quiet = warmth.News(1, 9, False, ())
     assert not known.take('t', quiet, 3.0, 3.0)
+
+
+def test_a_life_in_which_parts_are_kept_is_written_into_at_once():
+    known = warmth.Warmth()
+    whole = make_news(1, ('a', 500))._replace(whole=True, clock_ms=None)
+    known.take('k1', whole, 10.0, 10.1)
+    # The list tells no clock.
+    assert not known.may_save('k1', 10.2)
+    known.take('k1', make_news(1, whole=False), 10.2, 10.3)
+    assert known.may_save('k1', 10.4)
+    known.take('k2', make_news(2), 10.2, 10.3)
+    assert not known.may_save('k2', 10.4)
