--- a/landingspool/boxes/datagrams.py
+++ b/landingspool/boxes/datagrams.py
@@ -16,7 +16,6 @@
     'digest': neighbours.Digest,
     'ask': neighbours.Ask,
     'tell': neighbours.Tell,
-    'total': neighbours.Total,
 }
 NAMES = {kind: name for name, kind in KINDS.items()}
 # A datagram that needs more than this is split on the way and easily lost.
--- a/landingspool/decisions/gateway/view.py
+++ b/landingspool/decisions/gateway/view.py
@@ -283,9 +283,9 @@
         known = self.get_health(name)
         self._health[name] = health_module.note_loss(known, now, certain)
 
-    def suspect(self, names, now):
-        """Take in which targets other boxes can't connect to."""
-        for name in names:
+    def suspect(self, digest, now):
+        """Take in which targets another box can't connect to."""
+        for name in digest.unreached:
             if name in self.fleet.entries:
                 self.reach.suspect(name, now)
 
--- a/landingspool/gateway/peering.py
+++ b/landingspool/gateway/peering.py
@@ -18,9 +18,11 @@
 from landingspool.gateway import registry
 from landingspool.gateway import sources
 from landingspool.gateway import state
-from landingspool.gateway import telling
 from landingspool import http
 
+# Period of the digests, seconds: about the reading of two long prompts
+# (0.1 s each), so that boxes seldom choose the same idle target.
+DIGEST_S = 0.2
 # Period of the questions, and the age of the own proof from which on the
 # neighbours are asked: the box has tried to read for itself by then.
 ASK_S = 0.4
@@ -55,7 +57,6 @@
         self._registry = registry.Registry(hub, self.peers)
         self._readers = readers.Readers(hub.place.box)
         self._socket = datagrams.Datagrams(self._take, self._note_bad)
-        self._telling = telling.Telling(hub, self._socket.send)
         self._server = http.Server(self._answer)
 
     async def start(self):
@@ -63,8 +64,7 @@
         address = self._hub.place.links
         await self._socket.start(address)
         await self._server.start(*address)
-        self._hub.timer.subscribe(telling.PERIOD_S, self._telling.tell)
-        self._hub.timer.subscribe(telling.PERIOD_S, self._count)
+        self._hub.timer.subscribe(DIGEST_S, self._tell)
         self._hub.timer.subscribe(ASK_S, self._ask)
 
     async def run(self):
@@ -99,12 +99,24 @@
         self._readers.shun(name, self._hub.clock())
         self._hub.sources.leave(name)
 
-    def _count(self, tick):
+    def _tell(self, tick):
+        view = self._hub.view
         # The count that divides the retry budget never falls: a box that
         # is only not heard spends its part all the same.
-        view = self._hub.view
         view.boxes = max(view.boxes, len(self.peers) + 1)
         view.others = len(self.peers)
+        self._number += 1
+        digest = neighbours.Digest(
+            box=self._hub.place.box,
+            domain=self._hub.place.domain,
+            number=self._number,
+            table=view.table.version if view.table else 0,
+            proof_s=self._get_proof_age(),
+            loads=view.list_loads(),
+            unreached=tuple(view.reach.list_failed()),
+        )
+        for address in self._pick(neighbours.FAN_OUT):
+            self._socket.send(digest, address)
 
     def _ask(self, tick):
         if tick.gap or self._get_proof_age() < ASK_AGE_S:
@@ -112,11 +124,10 @@
         self._number += 1
         self._asks = {self._number: tick.now}
         ask = neighbours.Ask(self._hub.place.box, self._number)
-        for address in self.pick_some(ASKED):
+        for address in self._pick(ASKED):
             self._socket.send(ask, address)
 
-    def pick_some(self, most):
-        """Pick the addresses of some other boxes, at most so many."""
+    def _pick(self, most):
         # The seeds are a start where the store tells of no box.
         known = [peer.address for peer in self.peers.values()]
         known = known or list(self._hub.place.seeds)
@@ -136,10 +147,9 @@
             self.peers[digest.box] = registry.Peer(
                 digest.box, address, digest.domain
             )
-        self._telling.take_digest(digest, address, self._hub.clock())
-
-    def _take_total(self, total, address):
-        self._telling.take_total(total, address, self._hub.clock())
+        now = self._hub.clock()
+        self._hub.view.neighbours.take(digest, now)
+        self._hub.view.suspect(digest, now)
 
     def _take_ask(self, ask, address):
         view = self._hub.view
@@ -215,7 +225,6 @@
     neighbours.Digest: Peering._take_digest,
     neighbours.Ask: Peering._take_ask,
     neighbours.Tell: Peering._take_tell,
-    neighbours.Total: Peering._take_total,
 }
 
 
