Turn the least urgent away as the places of all targets fill up

Change: from 0.85, 0.95 and 1.1 of all places on, by the priority of the route, a growing share is turned away.

--- a/landingspool/decisions/gateway/admission.py
+++ b/landingspool/decisions/gateway/admission.py
@@ -13,6 +13,11 @@
 # queue is a shorter wait for them; and what is least urgent, and takes the
 # most time at a target, is the first to be told to come back.
 WAIT_SHARES = 1.2, 0.6, 0.4
+# Share of the places of all targets of a service that are taken from which on
+# requests are turned away, and from which on all of them are, by the priority
+# of the route.  A little under all places, since they are never taken evenly:
+# at 12 places a target, waits grow from nine tenths on.
+PRESSURES = (1.1, 1.4), (0.95, 1.1), (0.85, 1.0)
 # Tokens to be read from which on a request is refused earlier, by the root
 # of how many times more it is.
 USUAL_READ = 3000
@@ -49,6 +54,25 @@
     return wait_s <= find_limit(target_latency_s, read_tokens, priority)
 
 
+def is_spared(pressure, priority, chance):
+    """Tell whether a request is spared as the places of targets fill up.
+
+    Parameters
+    ----------
+    pressure : float
+        Requests at all targets of the service, by their places.
+    priority : int
+        Of its route; 0 is the most urgent.
+    chance : float
+        Evenly between 0 and 1: a share is turned away, not all at once.
+
+    >>> is_spared(0.9, 2, 0.5), is_spared(0.95, 2, 0.5), is_spared(1.0, 0, 0.5)
+    (True, False, True)
+    """
+    first, last = PRESSURES[min(priority, len(PRESSURES) - 1)]
+    return chance >= (pressure - first) / (last - first)
+
+
 def find_retry_after(wait_s, rng):
     """Give the seconds after which a refused caller should come back."""
     seconds = min(max(wait_s, LEAST_RETRY_S), MOST_RETRY_S)
--- a/landingspool/decisions/gateway/choice.py
+++ b/landingspool/decisions/gateway/choice.py
@@ -215,6 +215,24 @@
     return seconds
 
 
+def measure_pressure(candidates):
+    """Give the requests at all candidates, by the places that they have.
+
+    >>> import collections
+    >>> entry = collections.namedtuple('Entry', 'slots')(4)
+    >>> load = Load(running=2, others_waiting=1.0)
+    >>> measure_pressure([Candidate(entry, load, None)] * 2)
+    0.75
+    """
+    taken = places = 0
+    for candidate in candidates:
+        load = candidate.load
+        taken += load.waiting + load.running
+        taken += load.others_waiting + load.others_running
+        places += max(candidate.entry.slots, 1)
+    return taken / places if places else 0.0
+
+
 def rank_homes(prompt, candidates):
     """Give the place of each target in the hash order of the prompt."""
     if prompt is None or len(prompt.parts) < 2:
--- a/landingspool/decisions/gateway/view.py
+++ b/landingspool/decisions/gateway/view.py
@@ -69,6 +69,8 @@
         The part of it that is spent behind other requests.
     read_tokens : int
         Prompt tokens that the target has to read.
+    pressure : float
+        Requests at all targets that might have been chosen, by their places.
     transfer : transfers.Transfer
     """
 
@@ -81,6 +83,7 @@
     version: int | None
     space: str
     transfer: transfers.Transfer
+    pressure: float = 0.0
 
 
 class Sent(typing.NamedTuple):
@@ -216,7 +219,8 @@
         )
         if chosen is None:
             return None
-        return self._make_plan(chosen, work, now, transfers_by_space)
+        plan = self._make_plan(chosen, work, now, transfers_by_space)
+        return plan._replace(pressure=choice.measure_pressure(candidates))
 
     def find_kept(self, service):
         """Give how many connections to one target this box may keep.
@@ -408,6 +412,10 @@
         """Tell whether a request should be sent on as planned."""
         if work.prompt is None:
             return True
+        if not admission.is_spared(
+            plan.pressure, work.route.priority, self.rng.random()
+        ):
+            return False
         return admission.is_admitted(
             plan.wait_s,
             work.route.target_latency_s,
--- a/landingspool/gateway/relay.py
+++ b/landingspool/gateway/relay.py
@@ -178,6 +178,7 @@
         self._note(
             'turned_away',
             wait_s=round(wait_s, 3),
+            pressure=round(self._plan.pressure, 3),
             **self._describe_choice(),
         )
         return Answer(503, 'busy', False)
--- a/tests/gateway/test_view.py
+++ b/tests/gateway/test_view.py
@@ -181,3 +181,19 @@
         for i in range(20)
     }
     assert chosen == {'t1'}
+
+
+def test_the_least_urgent_make_room_as_the_places_fill_up():
+    view = make_view(2)
+    for number in range(8):
+        work = make_work(f'q{number}')
+        plan = view.plan(work, (), 10.0)
+        view.note_sent(plan, work, 10.0)
+        view.note_first(plan, work, 10.1)
+    work = make_work('next')
+    plan = view.plan(work, (), 11.0)._replace(wait_s=0.0)
+    assert plan.pressure == 1.0
+    urgent = work._replace(route=work.route._replace(priority=0))
+    least = work._replace(route=work.route._replace(priority=2))
+    assert all(view.is_admitted(plan, urgent) for _ in range(50))
+    assert not any(view.is_admitted(plan, least) for _ in range(50))
