--- a/landingspool/decisions/gateway/neighbours.py
+++ b/landingspool/decisions/gateway/neighbours.py
@@ -16,6 +16,9 @@
 # Boxes that one digest is sent to: of 85 boxes each then hears three in
 # four within the time for which a digest counts, at 18 KB/s.
 FAN_OUT = 24
+# Of these, boxes of the same domain: bytes between domains are dear, and what
+# near boxes have under way is like what any others have.
+FAN_OUT_NEAR = 18
 # Loads of a target of which no digest tells.
 NOTHING = 0, 0, 0, 0
 
@@ -74,6 +77,30 @@
         return now - self.at < FRESH_S
 
 
+def pick_told(near, far, rng):
+    """Pick the boxes that a digest is sent to.
+
+    Parameters
+    ----------
+    near, far : sequence
+        The other boxes of this domain, and of all others.
+    rng : random.Random
+
+    >>> import random
+    >>> rng = random.Random(1)
+    >>> sorted(pick_told('ab', 'cd', rng))
+    ['a', 'b', 'c', 'd']
+    >>> told = pick_told(['n'] * 30, ['f'] * 60, rng)
+    >>> told.count('n'), told.count('f')
+    (18, 6)
+    """
+    if len(near) + len(far) <= FAN_OUT:
+        return [*near, *far]
+    some_near = rng.sample(near, min(len(near), FAN_OUT_NEAR))
+    left = FAN_OUT - len(some_near)
+    return some_near + rng.sample(far, min(len(far), left))
+
+
 class Neighbours:
     """The other boxes as this one has heard of them."""
 
--- a/landingspool/gateway/peering.py
+++ b/landingspool/gateway/peering.py
@@ -115,7 +115,7 @@
             loads=view.list_loads(),
             unreached=tuple(view.reach.list_failed()),
         )
-        for address in self._pick(neighbours.FAN_OUT):
+        for address in self._pick_told():
             self._socket.send(digest, address)
 
     def _ask(self, tick):
@@ -127,6 +127,14 @@
         for address in self._pick(ASKED):
             self._socket.send(ask, address)
 
+    def _pick_told(self):
+        if not self.peers:
+            return self._pick(neighbours.FAN_OUT)
+        domain, near, far = self._hub.place.domain, [], []
+        for peer in self.peers.values():
+            (near if peer.domain == domain else far).append(peer.address)
+        return neighbours.pick_told(near, far, self._hub.view.rng)
+
     def _pick(self, most):
         # The seeds are a start where the store tells of no box.
         known = [peer.address for peer in self.peers.values()]
--- a/landingspool/gateway/registry.py
+++ b/landingspool/gateway/registry.py
@@ -15,8 +15,9 @@
 from landingspool.platform import names
 from landingspool.platform import store as store_module
 
-# Period of the reads of the list, seconds.
-BOXES_S = 12.0
+# Period of the reads of the list, seconds: a call of each box, and digests
+# tell of new boxes within a second.
+BOXES_S = 30.0
 # Pause between two tries to tell the store of this box, seconds.
 REGISTER_S = 0.7
 
