Ask stores for whole lists, go on with any reader, and look only at proven words

Each box that changed its reader stood at a place that the other did not know and was sent all lists of all stores, some megabytes, over a link of 5 to 100 Mbit/s; so the reader failed the next ones too. Change: a box goes on wherever it stands, since changes tell what holds after them; whole lists come from the stores. Others are told of a target after two failures, and look once in ten seconds.

--- a/landingspool/decisions/gateway/reach.py
+++ b/landingspool/decisions/gateway/reach.py
@@ -16,7 +16,10 @@
 MOST_RETRY_S = 2.0
 # Seconds for which a word of another box is not followed after this box saw
 # for itself: each look is a new connection, which has a price.
-SURE_S = 2.0
+SURE_S = 10.0
+# Connections in a row that failed before other boxes are told: a single one
+# may only have met a full queue, and each word makes all boxes look.
+TOLD_AFTER = 2
 
 
 class Out(typing.NamedTuple):
@@ -67,8 +70,8 @@
         >>> reach.suspect('a', 10.0)
         >>> reach.is_out('a')
         False
-        >>> reach.suspect('a', 12.0)
-        >>> reach.is_out('a'), reach.list_due(12.0), reach.list_failed()
+        >>> reach.suspect('a', 19.0)
+        >>> reach.is_out('a'), reach.list_due(19.0), reach.list_failed()
         (True, ['a'], [])
         """
         if name in self._out:
@@ -88,6 +91,20 @@
         """List the targets that this box itself could not connect to."""
         return [name for name, out in self._out.items() if out.failed]
 
+    def list_told(self):
+        """List the targets that other boxes are told of.
+
+        >>> reach = Reach()
+        >>> reach.note_failed('a', 10.0)
+        >>> reach.list_told()
+        ()
+        >>> reach.note_failed('a', 10.5)
+        >>> reach.list_told()
+        ('a',)
+        """
+        rows = self._out.items()
+        return tuple(name for name, out in rows if out.failed >= TOLD_AFTER)
+
     def forget(self, name):
         """Forget a target that has gone."""
         self._out.pop(name, None)
--- a/landingspool/decisions/gateway/warmth.py
+++ b/landingspool/decisions/gateway/warmth.py
@@ -150,22 +150,20 @@
         Returns
         -------
         News or None
-            The whole list where the changes do not reach back so far.
+            `lost` where the changes do not reach back so far: the list is
+            then to be had from the store, whose link is wider than ours.
         """
         index = self._indexes.get(name)
         if index is None or index.epoch is None:
             return None
-        changes = find_changes(index, since)
-        whole = changes is None or index.epoch != epoch
-        if whole:
-            rows = index.kept.items()
-            changes = tuple(Change(*key, n) for key, n in rows)
+        changes = None
+        if index.epoch == epoch:
+            changes = find_changes(index, since)
         return News(
             epoch=index.epoch,
             next=index.next,
-            lost=False,
-            changes=changes,
-            whole=whole,
+            lost=changes is None,
+            changes=changes or (),
             clock_ms=index.clock_ms,
             age_s=now - index.confirmed,
         )
@@ -213,12 +211,18 @@
     (('x',), ())
     >>> find_changes(index, 4) is None
     True
+
+    Who followed another box may stand within a batch, or ahead of this box.
+    What it is told twice does no harm: each change tells what holds after
+    it, and they come in order.
+
+    >>> find_changes(index, 7), find_changes(index, 12)
+    (('x',), ())
     """
-    ends = [end for end, _ in index.batches]
-    if since not in ends:
+    if not index.batches or since < index.batches[0][0]:
         return None
-    after = index.batches[ends.index(since) + 1 :]
-    return tuple(change for _, changes in after for change in changes)
+    after = [changes for end, changes in index.batches if end > since]
+    return tuple(change for changes in after for change in changes)
 
 
 def apply_change(kept, change):
--- a/landingspool/gateway/cachewatch.py
+++ b/landingspool/gateway/cachewatch.py
@@ -2,8 +2,10 @@
 
 One call a second to each: a call that waits less than a fifth of a second
 has the price of a probe, and under load there is always something new.
-In a large fleet two boxes of a domain ask the stores, the others ask these;
-targets are not asked at all there, since all boxes agree on the home of a
+In a large fleet two boxes of a domain ask the stores, and the others ask
+these for what is new.  Whole lists they ask of the stores themselves: lists
+are megabytes, and would fill the link of the one box that all others ask.
+Targets are not asked at all there, since all boxes agree on the home of a
 prompt and each target would be asked by every box.
 """
 
@@ -142,7 +144,20 @@
             self._hub.recorder.record('no_state', reason=str(error)[:200])
             return
         for name, news in found.items():
-            self._take(name, news, sent, self._hub.clock())
+            if not news.lost:
+                self._take(name, news, sent, self._hub.clock())
+        for name in stores:
+            if name not in found or found[name].lost:
+                await self._read_list(name)
+
+    async def _read_list(self, name):
+        """Read the whole list of a store that another box can't give."""
+        sent = self._hub.clock()
+        news = await self._ask(name, boot.parse_address(name), True)
+        if isinstance(news, runners.Unanswered):
+            self._hub.recorder.record('store_down', store=name)
+            return
+        self._take(name, news, sent, self._hub.clock())
 
     async def answer_changes(self, request, exchange):
         """Answer another box: what is new at each store."""
--- a/landingspool/gateway/peering.py
+++ b/landingspool/gateway/peering.py
@@ -113,7 +113,7 @@
             table=view.table.version if view.table else 0,
             proof_s=self._get_proof_age(),
             loads=view.list_loads(),
-            unreached=tuple(view.reach.list_failed()),
+            unreached=view.reach.list_told(),
         )
         for address in self._pick_told():
             self._socket.send(digest, address)
--- a/tests/gateway/test_context.py
+++ b/tests/gateway/test_context.py
@@ -106,6 +106,7 @@
 def test_what_another_box_tells_is_as_old_as_its_own_word():
     reader, member = warmth.Warmth(), warmth.Warmth()
     reader.take('k1', make_news(1, ('a', 500)), 10.0, 10.1)
+    member.take('k1', make_news(1, ('a', 500)), 10.0, 10.1)
     told = reader.tell('k1', *member.get_place('k1'), 11.5)
     member.take('k1', told, 11.4, 11.6)
     end = 10.0 + warmth.LEASE_S - warmth.LEAST_LEFT_S
@@ -132,3 +133,37 @@
     assert known.may_save('k1', 10.4)
     known.take('k2', make_news(2), 10.2, 10.3)
     assert not known.may_save('k2', 10.4)
+
+
+def make_reader(*ends):
+    """Give a directory that heard one part with each of its calls."""
+    known = warmth.Warmth()
+    known.take('k1', make_news(1), 1.0, 1.0)
+    for end in ends:
+        changes = tuple(
+            warmth.Change('m.1', f'p{n}', 100)
+            for n in range(known.get('k1').next, end)
+        )
+        news = warmth.News(1, end, False, changes, False, 5000.0)
+        known.take('k1', news, 1.0, 1.0)
+    return known
+
+
+def test_a_box_goes_on_with_another_reader_where_it_stands():
+    first, second = make_reader(4, 9), make_reader(3, 6, 12)
+    member = warmth.Warmth()
+    member.take('k1', make_news(1), 1.0, 1.0)
+    for reader in (first, second):
+        news = reader.tell('k1', *member.get_place('k1'), 2.0)
+        assert not news.lost and not news.whole
+        member.take('k1', news, 2.0, 2.0)
+    assert member.kept('k1') == second.kept('k1')
+
+
+def test_the_whole_list_is_not_sent_between_boxes():
+    reader = make_reader(4)
+    news = reader.tell('k1', *warmth.UNKNOWN, 2.0)
+    assert news.lost and not news.changes
+    # Nor does a box that was behind go on as if it had missed nothing.
+    late = make_reader(*range(1, warmth.MOST_BATCHES + 5))
+    assert late.tell('k1', 1, 2, 2.0).lost
