Ask stores for lists spread in time, and tell why one could not be had

Cause: after all boxes start together 660 to 685 lists could not be had in the first seconds, asked by all boxes in the same order at the same moment.

--- a/landingspool/gateway/cachewatch.py
+++ b/landingspool/gateway/cachewatch.py
@@ -28,6 +28,9 @@
 HOLD_S = 0.6
 # Pause after a call that failed, seconds.
 FAILED_S = 0.5
+# Pause before lists that could not be had are asked for again, seconds: a
+# store answers few calls at once, and all boxes may have started together.
+AGAIN_S = 0.1, 0.4
 # Boxes up to which every box asks every target.
 MOST_BOXES = 12
 CHANGES_PATH = '/changes'
@@ -60,8 +63,8 @@
                     await asyncio.sleep(LOOK_S)
                 else:
                     self._adapt({})
-                    await self._ask_peer(peer)
-                    await asyncio.sleep(STORE_PERIOD_S)
+                    complete = await self._ask_peer(peer)
+                    await asyncio.sleep(self._find_pause(complete))
         finally:
             self._adapt({})
 
@@ -124,8 +127,20 @@
         hold_s = HOLD_S if known else 0.0
         return await self._hub.runners.read_events(address, since, hold_s)
 
+    def _find_pause(self, complete):
+        if complete:
+            return STORE_PERIOD_S
+        # All boxes may have started at once: they ask spread in time.
+        return self._hub.view.rng.uniform(*AGAIN_S)
+
     async def _ask_peer(self, peer):
-        """Ask a box that follows the stores what is new at all of them."""
+        """Ask a box that follows the stores what is new at all of them.
+
+        Returns
+        -------
+        bool
+            Whether all that was missing could be had.
+        """
         known = self._hub.view.warmth
         table = self._hub.view.table
         stores = table.keepers if table is not None else ()
@@ -142,22 +157,32 @@
             )
         except boxcalls.NoAnswer as error:
             self._hub.recorder.record('no_state', reason=str(error)[:200])
-            return
+            return True
         for name, news in found.items():
             if not news.lost:
                 self._take(name, news, sent, self._hub.clock())
-        for name in stores:
-            if name not in found or found[name].lost:
-                await self._read_list(name)
+        missing = [n for n in stores if n not in found or found[n].lost]
+        self._hub.view.rng.shuffle(missing)
+        read = [await self._read_list(name) for name in missing]
+        return all(read)
 
     async def _read_list(self, name):
-        """Read the whole list of a store that another box can't give."""
+        """Read the whole list of a store that another box can't give.
+
+        Returns
+        -------
+        bool
+            Whether it could be had.
+        """
         sent = self._hub.clock()
         news = await self._ask(name, boot.parse_address(name), True)
         if isinstance(news, runners.Unanswered):
-            self._hub.recorder.record('store_down', store=name)
-            return
+            self._hub.recorder.record(
+                'store_down', store=name, reason=news.reason
+            )
+            return False
         self._take(name, news, sent, self._hub.clock())
+        return True
 
     async def answer_changes(self, request, exchange):
         """Answer another box: what is new at each store."""
