--- a/landingspool/decisions/gateway/admission.py
+++ b/landingspool/decisions/gateway/admission.py
@@ -25,6 +25,11 @@
 # what waits is mostly read by then.
 LEAST_RETRY_S = 0.15
 MOST_RETRY_S = 0.6
+# Where places are short everywhere that takes longer: runs take one to two
+# seconds.  So many seconds for each place that is short, and at most; callers
+# wait for a third of the time that they have left.
+SHORT_RETRY_S = 5.0
+MOST_SHORT_RETRY_S = 2.0
 
 
 def find_limit(target_latency_s, read_tokens, priority):
@@ -73,7 +78,25 @@
     return chance >= (pressure - first) / (last - first)
 
 
-def find_retry_after(wait_s, rng):
-    """Give the seconds after which a refused caller should come back."""
+def find_retry_after(wait_s, pressure, rng):
+    """Give the seconds after which a refused caller should come back.
+
+    Parameters
+    ----------
+    wait_s : float
+        Expected at the target.
+    pressure : float
+        Requests at all targets of the service, by their places.
+    rng : random.Random
+        Spreads the callers.
+
+    >>> import random
+    >>> 0.48 <= find_retry_after(0.9, 0.5, random.Random(1)) <= 0.84
+    True
+    >>> 0.6 <= find_retry_after(0.1, 1.0, random.Random(1)) <= 1.05
+    True
+    """
     seconds = min(max(wait_s, LEAST_RETRY_S), MOST_RETRY_S)
+    short = max(pressure - PRESSURES[-1][0], 0.0) * SHORT_RETRY_S
+    seconds = max(seconds, min(short, MOST_SHORT_RETRY_S))
     return seconds * rng.uniform(0.8, 1.4)
--- a/landingspool/gateway/relay.py
+++ b/landingspool/gateway/relay.py
@@ -173,7 +173,9 @@
 
     async def _turn_away(self):
         wait_s = self._plan.wait_s
-        after = admission.find_retry_after(wait_s, self._view.rng)
+        after = admission.find_retry_after(
+            wait_s, self._plan.pressure, self._view.rng
+        )
         await self._reply.send_error(503, 'busy', after)
         self._note(
             'turned_away',
