--- a/landingspool/decisions/gateway/neighbours.py
+++ b/landingspool/decisions/gateway/neighbours.py
@@ -108,6 +108,7 @@
         self._heard = {}
         self._sums = {}
         self._sums_heard = 0
+        self._domains_heard = ()
         self._summed = None
 
     def take(self, digest, now):
@@ -124,14 +125,15 @@
         """List the names of the boxes heard of shortly before `now`."""
         return [box for box, row in self._heard.items() if row.is_fresh(now)]
 
-    def get_load(self, target, boxes, now):
+    def get_load(self, target, counts, now):
         """Give what others have at a target.
 
         Parameters
         ----------
-        boxes : int
-            Other boxes that there are; those not heard count like those
-            that were.
+        counts : dict of str to int
+            Other boxes that there are, by domain; those not heard count like
+            those that were.  A domain of which none is heard is cut off, and
+            reaches other targets than this box.
 
         Returns
         -------
@@ -142,14 +144,17 @@
         >>> neighbours = Neighbours()
         >>> loads = {'t': [1, 2, 9, 3]}
         >>> neighbours.take(Digest('b', 'd', 1, 0, 0.0, loads), 1.0)
-        >>> neighbours.get_load('t', 1, 1.5)
+        >>> neighbours.get_load('t', {'d': 1}, 1.5)
         (1.0, 2.0, 9.0, 3.0)
-        >>> neighbours.get_load('t', 1, 3.0)
+        >>> neighbours.get_load('t', {'d': 2, 'away': 9}, 1.5)
+        (2.0, 4.0, 18.0, 6.0)
+        >>> neighbours.get_load('t', {'d': 1}, 3.0)
         (0.0, 0.0, 0.0, 0.0)
         """
         self._sum(now)
         if not self._sums_heard:
             return tuple(map(float, NOTHING))
+        boxes = sum(counts.get(domain, 0) for domain in self._domains_heard)
         scale = max(boxes / self._sums_heard, 1.0)
         return tuple(n * scale for n in self._sums.get(target, NOTHING))
 
@@ -167,4 +172,5 @@
                 sums[target] = tuple(a + b for a, b in pairs)
         self._sums = sums
         self._sums_heard = len(rows)
+        self._domains_heard = {row.digest.domain for row in rows}
         self._summed = now
--- a/landingspool/decisions/gateway/view.py
+++ b/landingspool/decisions/gateway/view.py
@@ -133,7 +133,8 @@
         self.proof = freshness.Proof(bounds.key_s)
         self.neighbours = neighbours.Neighbours()
         self.boxes = USUAL_BOXES
-        self.others = 0
+        # Other boxes, by domain.
+        self.others = {}
         self._loading = {}
         self._sent = {}
         self._heard = {}
--- a/landingspool/gateway/peering.py
+++ b/landingspool/gateway/peering.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import collections
 import random
 
 import msgspec
@@ -104,7 +105,8 @@
         # The count that divides the retry budget never falls: a box that
         # is only not heard spends its part all the same.
         view.boxes = max(view.boxes, len(self.peers) + 1)
-        view.others = len(self.peers)
+        domains = [peer.domain for peer in self.peers.values()]
+        view.others = dict(collections.Counter(domains))
         self._number += 1
         digest = neighbours.Digest(
             box=self._hub.place.box,
