Free the parts of replaced weights, and write none for weights on their way out

Change: once all targets have newer weights for a lease and two seconds, a box that follows the stores frees what is older; what is being replaced is not written any more.

--- /dev/null
+++ b/landingspool/decisions/gateway/leftovers.py
@@ -0,0 +1,81 @@
+"""Parts of old weights in the stores of kept context, and when to free them.
+
+A store frees nothing by itself, so the parts of replaced weights would fill it
+for ever.  Once every target has newer weights no request can begin on the old
+ones, and what had begun has fetched within the lease of its offer; so parts
+are freed a lease and some seconds after the last target was seen on them.
+"""
+
+from landingspool.decisions.gateway import warmth as warmth_module
+
+# Seconds after all targets were first seen on newer weights: the lease of the
+# last offers, and the time for which a box may not have heard yet.
+FREE_AFTER_S = warmth_module.LEASE_S + 2.0
+# Parts freed by one call: some ten kilobytes, over links of 5 Mbit/s.
+MOST_PARTS = 1000
+# Seconds within which a call for it has to arrive.
+ARRIVE_S = 1.0
+
+
+def find_least(model, fleet):
+    """Give the oldest version that any target of a model has, or None."""
+    versions = [
+        fleet.get_version(entry.name, model) or 0
+        for entry in fleet.list_model(model)
+    ]
+    return min(versions, default=None)
+
+
+def is_old(space, model, least):
+    """Tell whether a namespace is that of weights before a version.
+
+    >>> is_old('m.1', 'm', 2), is_old('m.1.wall', 'm', 2)
+    (True, True)
+    >>> is_old('m.2', 'm', 2), is_old('m.10', 'm', 2), is_old('mm.1', 'm', 2)
+    (False, False, False)
+    """
+    head, _, rest = space.partition(f'{model}.')
+    version = rest.split('.')[0]
+    return not head and version.isdecimal() and int(version) < least
+
+
+class Leftovers:
+    """Knows since when which weights are the oldest in use."""
+
+    def __init__(self):
+        self._least = {}
+
+    def note(self, model, least, now):
+        """Note the oldest version in use of a model.
+
+        Returns
+        -------
+        int or None
+            The version before which all may be freed now.
+
+        >>> leftovers = Leftovers()
+        >>> leftovers.note('m', 2, 10.0)
+        >>> leftovers.note('m', 2, 20.0)
+        2
+        >>> leftovers.note('m', 1, 20.1)
+        """
+        known = self._least.get(model)
+        if known is None or known[0] != least:
+            self._least[model] = least, now
+            return None
+        return least if now - known[1] >= FREE_AFTER_S else None
+
+
+def list_old(kept, model, least):
+    """List the (namespace, part name) that are kept of old weights.
+
+    Parameters
+    ----------
+    kept : dict of tuple to int
+        As in warmth.Index.
+
+    >>> list_old({('m.1', 'a'): 5, ('m.2', 'a'): 5}, 'm', 2)
+    [('m.1', 'a')]
+    """
+    old = [key for key in kept if is_old(key[0], model, least)]
+    return old[:MOST_PARTS]
--- a/landingspool/decisions/gateway/view.py
+++ b/landingspool/decisions/gateway/view.py
@@ -390,7 +390,7 @@
         )
         transfer = transfers_by_space.get(space)
         if transfer is None:
-            transfer = self._plan_transfer(work, space, now)
+            transfer = self._plan_transfer(work, version, space, now)
             transfers_by_space[space] = transfer
         return choice.Candidate(
             entry,
@@ -457,13 +457,13 @@
             transfer,
         )
 
-    def _plan_transfer(self, work, space, now):
+    def _plan_transfer(self, work, version, space, now):
         service = self.table.services.get(work.service)
         if service is None or service.engine is None:
             return transfers.Transfer()
         if not service.engine.managed or len(work.prompt.parts) < 2:
             return transfers.Transfer()
-        return transfers.plan_transfer(
+        planned = transfers.plan_transfer(
             work.prompt,
             space,
             self.table.keepers,
@@ -471,3 +471,9 @@
             service.engine.token_bytes,
             now,
         )
+        named = self.named.get(work.prompt.model)
+        if named is not None and (version or 0) < named.version:
+            # Nobody reads these any more in a few seconds, and the room that
+            # they take is only free again after that.
+            return planned._replace(save=())
+        return planned
--- a/landingspool/events.py
+++ b/landingspool/events.py
@@ -231,6 +231,12 @@
             'INFO',
             'A target or store has begun to keep context anew.',
         ),
+        Kind(
+            606,
+            'swept',
+            'INFO',
+            'Parts of replaced weights were freed in a store.',
+        ),
         Kind(700, 'joined', 'INFO', 'A box was seen alive.'),
         Kind(701, 'suspected', 'WARNING', 'A box did not answer its probes.'),
         Kind(702, 'removed', 'WARNING', 'A box was removed from the view.'),
--- a/standins/runner.py
+++ b/standins/runner.py
@@ -40,6 +40,8 @@
         The orders that it took.
     forgets : bool
         Whether it resets what comes on a connection that was at rest.
+    freed : list of tuple
+        The (namespace, part) that it was told to free.
     cancelled : int
         Requests whose connection closed while they ran.
     """
@@ -57,6 +59,7 @@
         self.address = None
         self.epoch = 7
         self.events = []
+        self.freed = []
         self.usual = 'whole'
         self.service = ''
         self.forgets = False
@@ -177,12 +180,23 @@
             'held': self.events,
         }
 
+    def _free(self, body):
+        call = json.loads(body)
+        if call['epoch'] != self.epoch:
+            return 409, {}
+        self.freed += [tuple(part) for part in call['parts']]
+        self.events = [
+            e for e in self.events if (e[0], e[1]) not in self.freed
+        ]
+        return 200, {}
+
 
 CALLS = {
     '/api/report': Runner._report,
     '/api/order': Runner._order,
     '/api/kv-events': Runner._events,
     '/api/kv-list': Runner._list,
+    '/api/kv-free': Runner._free,
 }
 
 
--- /dev/null
+++ b/tests/gateway/test_sweeping.py
@@ -0,0 +1,77 @@
+"""Parts of replaced weights leave the stores, and nothing else does."""
+
+import asyncio
+
+from landingspool.decisions.gateway import leftovers
+from landingspool.gateway import sweeping
+from tests.gateway import site
+from tests.gateway import test_readers
+
+KEPT = [['m.1', 'aa', 500, 'm'], ['m.2', 'aa', 500, 'm'], ['x.1', 'b', 9, 'x']]
+
+
+async def start(deployment):
+    """Start a box and a store of kept context that it follows."""
+    keeper = site.runner_module.Runner('keeper')
+    await keeper.start()
+    keeper.events = list(KEPT)
+    address = f'{keeper.address[0]}:{keeper.address[1]}'
+    deployment.publish(test_readers.make_table(2, address))
+    hub = await deployment.start_box()
+    await site.wait_until(lambda: hub.view.warmth.kept(address))
+    return hub, keeper
+
+
+def load(deployment, *engines):
+    """Let targets say that they have new weights."""
+    for engine in engines:
+        engine.version = 2
+        deployment.announce(engine, 'engine', model='m')
+
+
+def test_parts_go_a_time_after_the_last_target_left_their_weights(monkeypatch):
+    monkeypatch.setattr(leftovers, 'FREE_AFTER_S', 1.0)
+    monkeypatch.setattr(sweeping, 'LOOK_S', (0.05, 0.1))
+
+    async def check(deployment):
+        hub, keeper = await start(deployment)
+        first, second = deployment.engines
+        load(deployment, first)
+        await asyncio.sleep(1.5)
+        assert not keeper.freed
+        load(deployment, second)
+        await asyncio.sleep(0.6)
+        assert not keeper.freed
+        await site.wait_until(lambda: keeper.freed == [('m.1', 'aa')], 2.0)
+        await keeper.close()
+
+    site.run(check)
+
+
+def test_a_target_that_comes_back_on_old_weights_begins_the_wait_anew():
+    known = leftovers.Leftovers()
+    assert known.note('m', 2, 10.0) is None
+    assert known.note('m', 1, 12.0) is None
+    assert known.note('m', 2, 13.0) is None
+    assert known.note('m', 2, 13.0 + leftovers.FREE_AFTER_S - 0.1) is None
+    assert known.note('m', 2, 13.0 + leftovers.FREE_AFTER_S) == 2
+
+
+def test_a_store_in_another_life_frees_nothing(monkeypatch):
+    monkeypatch.setattr(leftovers, 'FREE_AFTER_S', 0.2)
+    monkeypatch.setattr(sweeping, 'LOOK_S', (0.05, 0.1))
+
+    async def check(deployment):
+        _, keeper = await start(deployment)
+        monkeypatch.setitem(
+            site.runner_module.CALLS,
+            '/api/kv-events',
+            lambda runner, body: (503, {}),
+        )
+        keeper.epoch += 1
+        load(deployment, *deployment.engines)
+        await asyncio.sleep(1.0)
+        assert not keeper.freed
+        await keeper.close()
+
+    site.run(check)
--- a/tests/gateway/test_view.py
+++ b/tests/gateway/test_view.py
@@ -5,6 +5,7 @@
 from landingspool.decisions.gateway import prompts
 from landingspool.decisions.gateway import routes
 from landingspool.decisions.gateway import view as view_module
+from landingspool.decisions.gateway import warmth
 from landingspool.gateway import deployment
 
 ROUTE = routes.Route('r', 'h', '/', routes.STREAM, 9.0, 0.4, 1, ())
@@ -197,3 +198,21 @@
     least = work._replace(route=work.route._replace(priority=2))
     assert all(view.is_admitted(plan, urgent) for _ in range(50))
     assert not any(view.is_admitted(plan, least) for _ in range(50))
+
+
+def test_nothing_is_saved_for_weights_that_are_being_replaced():
+    view = make_view(2)
+    keeper = routes.Keeper('k:1', 'd', 90_000, 1000.0, 4, True, 0.0)
+    service = routes.Service('s', engine=ENGINE)
+    store = routes.Service('k', keeper=keeper)
+    view.put_table(
+        routes.make_table(
+            2, [ROUTE], [service, store], {}, routes.Limits(), False
+        )
+    )
+    news = warmth.News(1, 0, False, (warmth.Change('m.1', 'z', 500),), True)
+    view.warmth.take('k:1', news._replace(clock_ms=5000.0), 9.9, 10.0)
+    view.put_version('m', 1, 9.0)
+    assert view.plan(make_work(), (), 10.0).transfer.save == ('k:1', '')
+    view.put_version('m', 2, 10.1)
+    assert not any(view.plan(make_work(), (), 10.2).transfer.save)
