--- a/landingspool/decisions/gateway/admission.py
+++ b/landingspool/decisions/gateway/admission.py
@@ -8,8 +8,16 @@
 
 import math
 
-# Share of the latency a route aims at that may go by in waiting.
-WAIT_SHARE = 1.2
+# Share of the latency a route aims at that may go by in waiting, by the
+# priority of the route: targets begin the more urgent first, so the same
+# queue is a shorter wait for them; and what is least urgent, and takes the
+# most time at a target, is the first to be told to come back.
+WAIT_SHARES = 1.2, 0.6, 0.4
+# Share of the places of all targets of a service that are taken from which on
+# requests are turned away, and from which on all of them are, by the priority
+# of the route.  A little under all places, since they are never taken evenly:
+# at 12 places a target, waits grow from nine tenths on.
+PRESSURES = (1.1, 1.4), (0.95, 1.1), (0.85, 1.0)
 # Tokens to be read from which on a request is refused earlier, by the root
 # of how many times more it is.
 USUAL_READ = 3000
@@ -17,28 +25,78 @@
 # what waits is mostly read by then.
 LEAST_RETRY_S = 0.15
 MOST_RETRY_S = 0.6
+# Where places are short everywhere that takes longer: runs take one to two
+# seconds.  So many seconds for each place that is short, and at most; callers
+# wait for a third of the time that they have left.
+SHORT_RETRY_S = 5.0
+MOST_SHORT_RETRY_S = 2.0
 
 
-def find_limit(target_latency_s, read_tokens):
+def find_limit(target_latency_s, read_tokens, priority):
     """Give the longest expected wait with which a request is admitted.
 
-    >>> find_limit(0.5, 1000), round(find_limit(0.5, 12000), 3)
+    >>> find_limit(0.5, 1000, 0), round(find_limit(0.5, 12000, 0), 3)
     (0.6, 0.3)
+    >>> find_limit(0.5, 1000, 1), find_limit(0.5, 1000, 7)
+    (0.3, 0.2)
     """
     size = max(read_tokens / USUAL_READ, 1.0)
-    return target_latency_s * WAIT_SHARE / math.sqrt(size)
+    share = WAIT_SHARES[min(priority, len(WAIT_SHARES) - 1)]
+    return target_latency_s * share / math.sqrt(size)
 
 
-def is_admitted(wait_s, target_latency_s, read_tokens):
+def is_admitted(wait_s, target_latency_s, read_tokens, priority):
     """Tell whether a request may be sent on.
 
-    >>> is_admitted(0.4, 0.4, 1000), is_admitted(0.4, 0.4, 12000)
+    Parameters
+    ----------
+    priority : int
+        Of its route; 0 is the most urgent.
+
+    >>> is_admitted(0.4, 0.4, 1000, 0), is_admitted(0.4, 0.4, 12000, 0)
     (True, False)
     """
-    return wait_s <= find_limit(target_latency_s, read_tokens)
+    return wait_s <= find_limit(target_latency_s, read_tokens, priority)
+
+
+def is_spared(pressure, priority, chance):
+    """Tell whether a request is spared as the places of targets fill up.
 
+    Parameters
+    ----------
+    pressure : float
+        Requests at all targets of the service, by their places.
+    priority : int
+        Of its route; 0 is the most urgent.
+    chance : float
+        Evenly between 0 and 1: a share is turned away, not all at once.
+
+    >>> is_spared(0.9, 2, 0.5), is_spared(0.95, 2, 0.5), is_spared(1.0, 0, 0.5)
+    (True, False, True)
+    """
+    first, last = PRESSURES[min(priority, len(PRESSURES) - 1)]
+    return chance >= (pressure - first) / (last - first)
 
-def find_retry_after(wait_s, rng):
-    """Give the seconds after which a refused caller should come back."""
+
+def find_retry_after(wait_s, pressure, rng):
+    """Give the seconds after which a refused caller should come back.
+
+    Parameters
+    ----------
+    wait_s : float
+        Expected at the target.
+    pressure : float
+        Requests at all targets of the service, by their places.
+    rng : random.Random
+        Spreads the callers.
+
+    >>> import random
+    >>> 0.48 <= find_retry_after(0.9, 0.5, random.Random(1)) <= 0.84
+    True
+    >>> 0.6 <= find_retry_after(0.1, 1.0, random.Random(1)) <= 1.05
+    True
+    """
     seconds = min(max(wait_s, LEAST_RETRY_S), MOST_RETRY_S)
+    short = max(pressure - PRESSURES[-1][0], 0.0) * SHORT_RETRY_S
+    seconds = max(seconds, min(short, MOST_SHORT_RETRY_S))
     return seconds * rng.uniform(0.8, 1.4)
--- a/landingspool/decisions/gateway/neighbours.py
+++ b/landingspool/decisions/gateway/neighbours.py
@@ -16,6 +16,9 @@
 # Boxes that one digest is sent to: of 85 boxes each then hears three in
 # four within the time for which a digest counts, at 18 KB/s.
 FAN_OUT = 24
+# Of these, boxes of the same domain: bytes between domains are dear, and what
+# near boxes have under way is like what any others have.
+FAN_OUT_NEAR = 18
 # Loads of a target of which no digest tells.
 NOTHING = 0, 0, 0, 0
 
@@ -34,6 +37,8 @@
     loads : dict of str to list
         For each target the prompt tokens waiting there, the requests that
         have begun, the tokens that all of them hold, the requests waiting.
+    unreached : tuple of str
+        Targets to which it can't connect.
     """
 
     box: str
@@ -42,6 +47,7 @@
     table: int
     proof_s: float
     loads: dict
+    unreached: tuple[str, ...] = ()
 
 
 class Ask(typing.NamedTuple):
@@ -71,6 +77,30 @@
         return now - self.at < FRESH_S
 
 
+def pick_told(near, far, rng):
+    """Pick the boxes that a digest is sent to.
+
+    Parameters
+    ----------
+    near, far : sequence
+        The other boxes of this domain, and of all others.
+    rng : random.Random
+
+    >>> import random
+    >>> rng = random.Random(1)
+    >>> sorted(pick_told('ab', 'cd', rng))
+    ['a', 'b', 'c', 'd']
+    >>> told = pick_told(['n'] * 30, ['f'] * 60, rng)
+    >>> told.count('n'), told.count('f')
+    (18, 6)
+    """
+    if len(near) + len(far) <= FAN_OUT:
+        return [*near, *far]
+    some_near = rng.sample(near, min(len(near), FAN_OUT_NEAR))
+    left = FAN_OUT - len(some_near)
+    return some_near + rng.sample(far, min(len(far), left))
+
+
 class Neighbours:
     """The other boxes as this one has heard of them."""
 
@@ -78,6 +108,7 @@
         self._heard = {}
         self._sums = {}
         self._sums_heard = 0
+        self._domains_heard = ()
         self._summed = None
 
     def take(self, digest, now):
@@ -94,14 +125,15 @@
         """List the names of the boxes heard of shortly before `now`."""
         return [box for box, row in self._heard.items() if row.is_fresh(now)]
 
-    def get_load(self, target, boxes, now):
+    def get_load(self, target, counts, now):
         """Give what others have at a target.
 
         Parameters
         ----------
-        boxes : int
-            Other boxes that there are; those not heard count like those
-            that were.
+        counts : dict of str to int
+            Other boxes that there are, by domain; those not heard count like
+            those that were.  A domain of which none is heard is cut off, and
+            reaches other targets than this box.
 
         Returns
         -------
@@ -112,14 +144,17 @@
         >>> neighbours = Neighbours()
         >>> loads = {'t': [1, 2, 9, 3]}
         >>> neighbours.take(Digest('b', 'd', 1, 0, 0.0, loads), 1.0)
-        >>> neighbours.get_load('t', 1, 1.5)
+        >>> neighbours.get_load('t', {'d': 1}, 1.5)
         (1.0, 2.0, 9.0, 3.0)
-        >>> neighbours.get_load('t', 1, 3.0)
+        >>> neighbours.get_load('t', {'d': 2, 'away': 9}, 1.5)
+        (2.0, 4.0, 18.0, 6.0)
+        >>> neighbours.get_load('t', {'d': 1}, 3.0)
         (0.0, 0.0, 0.0, 0.0)
         """
         self._sum(now)
         if not self._sums_heard:
             return tuple(map(float, NOTHING))
+        boxes = sum(counts.get(domain, 0) for domain in self._domains_heard)
         scale = max(boxes / self._sums_heard, 1.0)
         return tuple(n * scale for n in self._sums.get(target, NOTHING))
 
@@ -137,4 +172,5 @@
                 sums[target] = tuple(a + b for a, b in pairs)
         self._sums = sums
         self._sums_heard = len(rows)
+        self._domains_heard = {row.digest.domain for row in rows}
         self._summed = now
--- a/landingspool/decisions/gateway/view.py
+++ b/landingspool/decisions/gateway/view.py
@@ -15,6 +15,7 @@
 from landingspool.decisions.gateway import health as health_module
 from landingspool.decisions.gateway import neighbours
 from landingspool.decisions.gateway import prompts
+from landingspool.decisions.gateway import reach as reach_module
 from landingspool.decisions.gateway import routes
 from landingspool.decisions.gateway import transfers
 from landingspool.decisions.gateway import warmth as warmth_module
@@ -68,6 +69,8 @@
         The part of it that is spent behind other requests.
     read_tokens : int
         Prompt tokens that the target has to read.
+    pressure : float
+        Requests at all targets that might have been chosen, by their places.
     transfer : transfers.Transfer
     """
 
@@ -80,6 +83,7 @@
     version: int | None
     space: str
     transfer: transfers.Transfer
+    pressure: float = 0.0
 
 
 class Sent(typing.NamedTuple):
@@ -124,11 +128,13 @@
         self.table = None
         self.named = {}
         self.fleet = fleet_module.Fleet()
+        self.reach = reach_module.Reach()
         self.warmth = warmth_module.Warmth()
         self.proof = freshness.Proof(bounds.key_s)
         self.neighbours = neighbours.Neighbours()
         self.boxes = USUAL_BOXES
-        self.others = 0
+        # Other boxes, by domain.
+        self.others = {}
         self._loading = {}
         self._sent = {}
         self._heard = {}
@@ -193,6 +199,9 @@
             for entry in self.fleet.list_service(work.service)
             if entry.name not in avoid
         ]
+        # Where none can be reached, trying costs no more than refusing.
+        reached = [e for e in entries if not self.reach.is_out(e.name)]
+        entries = reached or entries
         if work.prompt is not None:
             entries = self._list_loaded(entries, work.prompt, now)
         # Most targets run the same weights: one plan of transfers each.
@@ -211,7 +220,8 @@
         )
         if chosen is None:
             return None
-        return self._make_plan(chosen, work, now, transfers_by_space)
+        plan = self._make_plan(chosen, work, now, transfers_by_space)
+        return plan._replace(pressure=choice.measure_pressure(candidates))
 
     def find_kept(self, service):
         """Give how many connections to one target this box may keep.
@@ -237,6 +247,7 @@
         """Note that the answer to a request has begun."""
         name = plan.entry.name
         self._heard[name] = now
+        self.reach.note_reached(name, now)
         sent = self._sent.get(name, {}).get(work.name)
         if sent is None or sent.begun:
             return
@@ -277,6 +288,12 @@
         known = self.get_health(name)
         self._health[name] = health_module.note_loss(known, now, certain)
 
+    def suspect(self, digest, now):
+        """Take in which targets another box can't connect to."""
+        for name in digest.unreached:
+            if name in self.fleet.entries:
+                self.reach.suspect(name, now)
+
     def get_health(self, name):
         """Give the Health of a target."""
         return self._health.get(name, health_module.Health())
@@ -293,6 +310,7 @@
         """Forget what was learnt of a target that has gone."""
         self._health.pop(name, None)
         self._heard.pop(name, None)
+        self.reach.forget(name)
         self.warmth.forget(name)
 
     def measure_load(self, name, now):
@@ -372,7 +390,7 @@
         )
         transfer = transfers_by_space.get(space)
         if transfer is None:
-            transfer = self._plan_transfer(work, space, now)
+            transfer = self._plan_transfer(work, version, space, now)
             transfers_by_space[space] = transfer
         return choice.Candidate(
             entry,
@@ -395,8 +413,15 @@
         """Tell whether a request should be sent on as planned."""
         if work.prompt is None:
             return True
+        if not admission.is_spared(
+            plan.pressure, work.route.priority, self.rng.random()
+        ):
+            return False
         return admission.is_admitted(
-            plan.wait_s, work.route.target_latency_s, plan.read_tokens
+            plan.wait_s,
+            work.route.target_latency_s,
+            plan.read_tokens,
+            work.route.priority,
         )
 
     def _make_plan(self, chosen, work, now, transfers_by_space):
@@ -432,13 +457,13 @@
             transfer,
         )
 
-    def _plan_transfer(self, work, space, now):
+    def _plan_transfer(self, work, version, space, now):
         service = self.table.services.get(work.service)
         if service is None or service.engine is None:
             return transfers.Transfer()
         if not service.engine.managed or len(work.prompt.parts) < 2:
             return transfers.Transfer()
-        return transfers.plan_transfer(
+        planned = transfers.plan_transfer(
             work.prompt,
             space,
             self.table.keepers,
@@ -446,3 +471,9 @@
             service.engine.token_bytes,
             now,
         )
+        named = self.named.get(work.prompt.model)
+        if named is not None and (version or 0) < named.version:
+            # Nobody reads these any more in a few seconds, and the room that
+            # they take is only free again after that.
+            return planned._replace(save=())
+        return planned
--- a/landingspool/events.py
+++ b/landingspool/events.py
@@ -202,6 +202,10 @@
             'WARNING',
             'This box may no longer give orders.',
         ),
+        Kind(
+            508, 'unreached', 'WARNING', 'No connection to a target comes up.'
+        ),
+        Kind(509, 'reached', 'INFO', 'A target can be connected to again.'),
         Kind(
             600, 'kept', 'DEBUG', 'A block of context was sealed in a store.'
         ),
@@ -227,6 +231,12 @@
             'INFO',
             'A target or store has begun to keep context anew.',
         ),
+        Kind(
+            606,
+            'swept',
+            'INFO',
+            'Parts of replaced weights were freed in a store.',
+        ),
         Kind(700, 'joined', 'INFO', 'A box was seen alive.'),
         Kind(701, 'suspected', 'WARNING', 'A box did not answer its probes.'),
         Kind(702, 'removed', 'WARNING', 'A box was removed from the view.'),
--- a/landingspool/gateway/attempts.py
+++ b/landingspool/gateway/attempts.py
@@ -59,7 +59,7 @@
                 self._view.find_kept(self._progress.work.service),
             )
         except upstream_module.Broken as error:
-            self._note_loss(certain=True)
+            self._note_unreached(str(error))
             return outcomes.Unreached(str(error))
         if not self._may_send():
             self._exchange.abort()
@@ -87,6 +87,7 @@
         self._hub.recorder.record(
             'dispatched',
             request=progress.call.name,
+            priority=self._find_priority(),
             **describe_plan(plan, self._view.table),
         )
         self._exchange.send(
@@ -108,16 +109,12 @@
 
     def _write_head(self):
         progress, plan = self._progress, self._plan
-        tenancy, route = progress.work.tenancy, progress.work.route
-        priority = route.priority
-        if tenancy is not None and tenancy.priority is not None:
-            priority = tenancy.priority
-        stream = progress.stream
+        tenancy, stream = progress.work.tenancy, progress.stream
         told = egress.Instructions(
             entry=plan.entry.name,
             left_s=progress.ends - self._sent,
             workspace=tenancy.name if tenancy else '',
-            priority=priority,
+            priority=self._find_priority(),
             version=plan.version,
             space=plan.space,
             fetch=plan.transfer.fetch,
@@ -127,6 +124,12 @@
         )
         return egress.write_head(progress.call, told, len(progress.body))
 
+    def _find_priority(self):
+        tenancy, route = self._progress.work.tenancy, self._progress.work.route
+        if tenancy is not None and tenancy.priority is not None:
+            return tenancy.priority
+        return route.priority
+
     async def _receive(self):
         """Read the answer under the request's time; gives the outcome."""
         try:
@@ -266,6 +269,10 @@
         name = self._plan.entry.name
         self._view.note_loss(name, self._hub.clock(), certain)
 
+    def _note_unreached(self, reason):
+        name = self._plan.entry.name
+        self._hub.prober.note_failed(name, reason)
+
     def _note_first(self):
         now = self._hub.clock()
         self._view.note_first(self._plan, self._progress.work, now)
@@ -311,6 +318,9 @@
         'target': plan.entry.name,
         'expected_s': round(plan.expected_s, 4),
         'kept': plan.kept,
+        'fetched': plan.transfer.tokens,
+        'read': plan.read_tokens,
+        'saved': sum(1 for address in plan.transfer.save if address),
         'candidates': plan.candidates,
         'weights': plan.version,
         'table': table.version,
--- a/landingspool/gateway/peering.py
+++ b/landingspool/gateway/peering.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import collections
 import random
 
 import msgspec
@@ -95,15 +96,17 @@
         return [n for n, p in self.peers.items() if p.domain == domain]
 
     def shun(self, name):
-        """Note that a box did not answer."""
+        """Note that a box did not answer, or knows nothing new itself."""
         self._readers.shun(name, self._hub.clock())
+        self._hub.sources.leave(name)
 
     def _tell(self, tick):
         view = self._hub.view
         # The count that divides the retry budget never falls: a box that
         # is only not heard spends its part all the same.
         view.boxes = max(view.boxes, len(self.peers) + 1)
-        view.others = len(self.peers)
+        domains = [peer.domain for peer in self.peers.values()]
+        view.others = dict(collections.Counter(domains))
         self._number += 1
         digest = neighbours.Digest(
             box=self._hub.place.box,
@@ -112,8 +115,9 @@
             table=view.table.version if view.table else 0,
             proof_s=self._get_proof_age(),
             loads=view.list_loads(),
+            unreached=view.reach.list_told(),
         )
-        for address in self._pick(neighbours.FAN_OUT):
+        for address in self._pick_told():
             self._socket.send(digest, address)
 
     def _ask(self, tick):
@@ -125,6 +129,14 @@
         for address in self._pick(ASKED):
             self._socket.send(ask, address)
 
+    def _pick_told(self):
+        if not self.peers:
+            return self._pick(neighbours.FAN_OUT)
+        domain, near, far = self._hub.place.domain, [], []
+        for peer in self.peers.values():
+            (near if peer.domain == domain else far).append(peer.address)
+        return neighbours.pick_told(near, far, self._hub.view.rng)
+
     def _pick(self, most):
         # The seeds are a start where the store tells of no box.
         known = [peer.address for peer in self.peers.values()]
@@ -145,7 +157,9 @@
             self.peers[digest.box] = registry.Peer(
                 digest.box, address, digest.domain
             )
-        self._hub.view.neighbours.take(digest, self._hub.clock())
+        now = self._hub.clock()
+        self._hub.view.neighbours.take(digest, now)
+        self._hub.view.suspect(digest, now)
 
     def _take_ask(self, ask, address):
         view = self._hub.view
