--- a/landingspool/gateway/hub.py
+++ b/landingspool/gateway/hub.py
@@ -18,7 +18,7 @@
 from landingspool.gateway import relay
 from landingspool.gateway import sources
 from landingspool.gateway import state
-from landingspool.gateway import sweeping
+from landingspool.gateway import sweeper
 from landingspool.gateway import upstream
 from landingspool import http
 from landingspool.platform import ingress
@@ -102,7 +102,7 @@
         self._keep(following.Claims(self, orderer.watch).run())
         self._keep(orderer.run())
         self._keep(self.cachewatch.run())
-        self._keep(sweeping.Sweeper(self).run())
+        self._keep(sweeper.Sweeper(self).run())
         if self.place.links is not None:
             await self.peering.start()
             self._keep(self.peering.run())
--- a/tests/gateway/test_sweeping.py
+++ b/tests/gateway/test_sweeper.py
@@ -3,7 +3,7 @@
 import asyncio
 
 from landingspool.decisions.gateway import leftovers
-from landingspool.gateway import sweeping
+from landingspool.gateway import sweeper
 from tests.gateway import site
 from tests.gateway import test_readers
 
@@ -31,7 +31,7 @@
 
 def test_parts_go_a_time_after_the_last_target_left_their_weights(monkeypatch):
     monkeypatch.setattr(leftovers, 'FREE_AFTER_S', 1.0)
-    monkeypatch.setattr(sweeping, 'LOOK_S', (0.05, 0.1))
+    monkeypatch.setattr(sweeper, 'LOOK_S', (0.05, 0.1))
 
     async def check(deployment):
         hub, keeper = await start(deployment)
@@ -59,7 +59,7 @@
 
 def test_a_store_in_another_life_frees_nothing(monkeypatch):
     monkeypatch.setattr(leftovers, 'FREE_AFTER_S', 0.2)
-    monkeypatch.setattr(sweeping, 'LOOK_S', (0.05, 0.1))
+    monkeypatch.setattr(sweeper, 'LOOK_S', (0.05, 0.1))
 
     async def check(deployment):
         _, keeper = await start(deployment)
