--- a/landingspool/decisions/gateway/view.py
+++ b/landingspool/decisions/gateway/view.py
@@ -19,6 +19,7 @@
 from landingspool.decisions.gateway import routes
 from landingspool.decisions.gateway import transfers
 from landingspool.decisions.gateway import warmth as warmth_module
+from landingspool.decisions.gateway import weights as weights_module
 
 # Boxes that the retry budget is divided by at least: today's deployments
 # have six and seven, and may replace one.
@@ -28,21 +29,6 @@
 # within 220 at most.
 ENGINE_PATIENCE_S = 1.0
 PLAIN_PATIENCE_S = 0.45
-# Seconds after a version was named from which targets that lack it are put
-# behind, by so many seconds at first: answers on old weights are worth a
-# fifth less, but all requests at the few new ones would only wait there.
-OLD_WEIGHTS_S = 1.5
-OLD_WEIGHTS_HANDICAP_S = 0.12
-# Seconds after which they are not used at all: a request may wait two or
-# three seconds more at the target, and the bound is twelve.
-OLD_WEIGHTS_MOST_S = 9.0
-# Seconds for which a target is believed to load without further word.
-LOADING_S = 6.0
-# Seconds that one token takes to make, and that any request takes at least,
-# in the middle of the load of the two deployments (measured: 1.8 ms for each
-# token that the request may make at most, 0.15 s to the first).
-TOKEN_S = 0.002
-SHORTEST_RUN_S = 0.2
 
 
 class Work(typing.NamedTuple):
@@ -98,17 +84,6 @@
     held: int = 0
 
 
-class Named(typing.NamedTuple):
-    """The newest version of weights of a model.
-
-    `history` has (version, when this box heard of it) of all, oldest first:
-    each version has a bound of its own from its naming on.
-    """
-
-    version: int
-    history: tuple
-
-
 class View:
     """The beliefs of one box.
 
@@ -126,8 +101,8 @@
         self.bounds = bounds
         self.rng = random.Random(seed)
         self.table = None
-        self.named = {}
         self.fleet = fleet_module.Fleet()
+        self.weights = weights_module.Weights()
         self.reach = reach_module.Reach()
         self.warmth = warmth_module.Warmth()
         self.proof = freshness.Proof(bounds.key_s)
@@ -135,7 +110,6 @@
         self.boxes = USUAL_BOXES
         # Other boxes, by domain.
         self.others = {}
-        self._loading = {}
         self._sent = {}
         self._heard = {}
         self._health = {}
@@ -148,44 +122,6 @@
         self.table = table
         return True
 
-    def put_version(self, model, version, now):
-        """Take in a named version of weights; True if it is newer."""
-        known = self.named.get(model)
-        if known is not None and version <= known.version:
-            return False
-        # The first one read after a start may have been named long ago.
-        heard = now if known is not None else now - OLD_WEIGHTS_S
-        history = known.history if known is not None else ()
-        self.named[model] = Named(version, (*history, (version, heard)))
-        return True
-
-    def put_loading(self, delays, now):
-        """Take in which targets load, or will after so many seconds.
-
-        Parameters
-        ----------
-        delays : dict of str to float
-        """
-        self._loading = {
-            name: self._loading.get(name, now + delay)
-            for name, delay in delays.items()
-        }
-
-    def end_loading(self, name):
-        """Note that a target has its new weights."""
-        self._loading.pop(name, None)
-
-    def is_loading(self, name, prompt, now):
-        """Tell whether a request should not be sent to a target any more.
-
-        One that is about to load still gets what ends before that.
-        """
-        begins = self._loading.get(name)
-        if begins is None or now > begins + LOADING_S:
-            return False
-        run_s = prompt.tokens_out * TOKEN_S + SHORTEST_RUN_S
-        return now + run_s > begins
-
     def plan(self, work, avoid, now):
         """Choose a target for a request; a Plan, or None where none is.
 
@@ -355,28 +291,22 @@
 
     def _list_loaded(self, entries, prompt, now):
         """Leave out what loads or has weights that are too old to use."""
-        model = prompt.model
-        idle = [e for e in entries if not self.is_loading(e.name, prompt, now)]
-        entries = idle or entries
-        return [
+        idle = [
             entry
             for entry in entries
-            if self.find_lag(entry.name, model, now) < OLD_WEIGHTS_MOST_S
+            if not self.weights.is_loading(entry.name, prompt, now)
+        ]
+        return [
+            entry
+            for entry in idle or entries
+            if self.find_lag(entry.name, prompt.model, now)
+            < weights_module.OLD_WEIGHTS_MOST_S
         ]
 
     def find_lag(self, name, model, now):
         """Give the seconds since the first version that a target missed."""
-        named = self.named.get(model)
-        if named is None:
-            return 0.0
-        has = self.fleet.get_version(name, model) or 0
-        missed = [heard for version, heard in named.history if version > has]
-        return now - min(missed) if missed else 0.0
-
-    def _find_handicap(self, name, model, now):
-        if self.find_lag(name, model, now) < OLD_WEIGHTS_S:
-            return 0.0
-        return OLD_WEIGHTS_HANDICAP_S
+        has = self.fleet.get_version(name, model)
+        return self.weights.find_lag(model, has, now)
 
     def _weigh(self, entry, work, now, transfers_by_space):
         load = self.measure_load(entry.name, now)
@@ -399,7 +329,9 @@
             kept,
             transfer.tokens,
             transfer.seconds,
-            self._find_handicap(entry.name, work.prompt.model, now),
+            weights_module.find_handicap(
+                self.find_lag(entry.name, work.prompt.model, now)
+            ),
             self._find_capacity(work.service),
         )
 
@@ -430,7 +362,7 @@
             model = work.prompt.model
             version = self.fleet.get_version(chosen.entry.name, model)
             space = prompts.name_space(model, version, work.tenancy)
-            if version is not None and not self.is_loading(
+            if version is not None and not self.weights.is_loading(
                 chosen.entry.name, work.prompt, now
             ):
                 transfer = transfers_by_space[space]
@@ -471,8 +403,7 @@
             service.engine.token_bytes,
             now,
         )
-        named = self.named.get(work.prompt.model)
-        if named is not None and (version or 0) < named.version:
+        if self.weights.is_replaced(work.prompt.model, version):
             # Nobody reads these any more in a few seconds, and the room that
             # they take is only free again after that.
             return planned._replace(save=())
--- a/landingspool/gateway/following.py
+++ b/landingspool/gateway/following.py
@@ -151,7 +151,9 @@
         if not value:
             return
         model, version = catalogue.read_version(value)
-        if self._hub.view.put_version(model, version, self._hub.clock()):
+        if self._hub.view.weights.put_version(
+            model, version, self._hub.clock()
+        ):
             self._hub.recorder.record(
                 'version_named', model=model, version=version
             )
@@ -216,4 +218,4 @@
             return
         now = self._hub.clock()
         self._watch.note(claim, now)
-        self._hub.view.put_loading(claim.loading, now)
+        self._hub.view.weights.put_loading(claim.loading, now)
--- a/landingspool/gateway/ordering.py
+++ b/landingspool/gateway/ordering.py
@@ -59,7 +59,7 @@
     def _list_behind(self):
         view = self._hub.view
         rows = []
-        for model, named in view.named.items():
+        for model, named in view.weights.named.items():
             targets = {
                 entry.name: view.fleet.get_version(entry.name, model) or 0
                 for entry in view.fleet.list_model(model)
@@ -104,7 +104,7 @@
             # The newest append is the fence: they only rise.
             self._lease = rollouts.Lease(reply.offset, reply.sent)
             self._told = tuple(loading)
-            self._hub.view.put_loading(loading, self._hub.clock())
+            self._hub.view.weights.put_loading(loading, self._hub.clock())
             return True
         if isinstance(reply, store_module.Conflict):
             # Somebody else appended: what this box held is over.
@@ -213,7 +213,7 @@
                 continue
             if self._has(report, order):
                 rollout.finish(order.target)
-                self._hub.view.end_loading(order.target)
+                self._hub.view.weights.end_loading(order.target)
                 return
 
     async def _read_report(self, entry, order):
--- a/landingspool/gateway/state.py
+++ b/landingspool/gateway/state.py
@@ -69,7 +69,7 @@
 
     def give(self):
         """Give what another box needs that can't reach the store."""
-        versions = {m: n.version for m, n in self._view.named.items()}
+        versions = {m: n.version for m, n in self._view.weights.named.items()}
         return Given(
             proof_s=self._view.proof.age_to_tell(self._hub.clock()),
             table=self._table_value,
@@ -84,7 +84,7 @@
             return
         self.take_table(given.table)
         for model, version in given.versions.items():
-            self._view.put_version(model, version, now)
+            self._view.weights.put_version(model, version, now)
         self._take_targets(given.targets)
         self._view.proof.note(sent - given.proof_s)
         self._hub.recorder.record(
--- a/landingspool/gateway/sweeper.py
+++ b/landingspool/gateway/sweeper.py
@@ -37,7 +37,7 @@
         """List each model and the version before which all may be freed."""
         view, now = self._hub.view, self._hub.clock()
         found = []
-        for model in view.named:
+        for model in view.weights.named:
             least = leftovers.find_least(model, view.fleet)
             before = self._leftovers.note(model, least, now)
             if before is not None:
--- a/tests/gateway/test_view.py
+++ b/tests/gateway/test_view.py
@@ -6,6 +6,7 @@
 from landingspool.decisions.gateway import routes
 from landingspool.decisions.gateway import view as view_module
 from landingspool.decisions.gateway import warmth
+from landingspool.decisions.gateway import weights
 from landingspool.gateway import deployment
 
 ROUTE = routes.Route('r', 'h', '/', routes.STREAM, 9.0, 0.4, 1, ())
@@ -87,35 +88,35 @@
 
 def test_old_weights_are_left_in_the_end():
     view = make_view(2)
-    view.put_version('m', 1, 1.0)
-    view.put_version('m', 2, 10.0)
+    view.weights.put_version('m', 1, 1.0)
+    view.weights.put_version('m', 2, 10.0)
     put(view, 't1', 2)
-    late = 10.0 + view_module.OLD_WEIGHTS_MOST_S
+    late = 10.0 + weights.OLD_WEIGHTS_MOST_S
     assert {pick(view, late, name=f'n{i}') for i in range(9)} == {'t1'}
 
 
 def test_all_on_old_weights_is_no_service_in_the_end():
     view = make_view(2)
-    view.put_version('m', 1, 1.0)
-    view.put_version('m', 2, 10.0)
+    view.weights.put_version('m', 1, 1.0)
+    view.weights.put_version('m', 2, 10.0)
     assert pick(view, 11.0) is not None
-    assert pick(view, 10.0 + view_module.OLD_WEIGHTS_MOST_S) is None
+    assert pick(view, 10.0 + weights.OLD_WEIGHTS_MOST_S) is None
 
 
 def test_a_closing_target_still_gets_what_ends_in_time():
     view = make_view(2)
-    view.put_loading({'t0': 1.6}, 10.0)
+    view.weights.put_loading({'t0': 1.6}, 10.0)
     short = prompts.Prompt('m', 100, 4, PROMPT.parts)
     long = prompts.Prompt('m', 100, 900, PROMPT.parts)
-    assert not view.is_loading('t0', short, 10.0)
-    assert view.is_loading('t0', long, 10.0)
-    assert view.is_loading('t0', short, 11.6)
-    assert not view.is_loading('t1', long, 11.6)
+    assert not view.weights.is_loading('t0', short, 10.0)
+    assert view.weights.is_loading('t0', long, 10.0)
+    assert view.weights.is_loading('t0', short, 11.6)
+    assert not view.weights.is_loading('t1', long, 11.6)
 
 
 def test_requests_to_a_loading_target_carry_no_transfer():
     view = make_view(1)
-    view.put_loading({'t0': 0.0}, 10.0)
+    view.weights.put_loading({'t0': 0.0}, 10.0)
     plan = view.plan(make_work(), (), 10.0)
     assert plan.version is None
     assert not plan.transfer.fetch
@@ -165,11 +166,11 @@
 
 def test_a_target_is_left_for_the_first_version_that_it_missed():
     view = make_view(2)
-    view.put_version('m', 1, 1.0)
-    view.put_version('m', 2, 10.0)
+    view.weights.put_version('m', 1, 1.0)
+    view.weights.put_version('m', 2, 10.0)
     put(view, 't1', 2)
-    view.put_version('m', 3, 14.0)
-    late = 10.0 + view_module.OLD_WEIGHTS_MOST_S
+    view.weights.put_version('m', 3, 14.0)
+    late = 10.0 + weights.OLD_WEIGHTS_MOST_S
     # t0 missed version 2 long ago, though version 3 is young.
     chosen = {
         pick(
@@ -212,7 +213,7 @@
     )
     news = warmth.News(1, 0, False, (warmth.Change('m.1', 'z', 500),), True)
     view.warmth.take('k:1', news._replace(clock_ms=5000.0), 9.9, 10.0)
-    view.put_version('m', 1, 9.0)
+    view.weights.put_version('m', 1, 9.0)
     assert view.plan(make_work(), (), 10.0).transfer.save == ('k:1', '')
-    view.put_version('m', 2, 10.1)
+    view.weights.put_version('m', 2, 10.1)
     assert not any(view.plan(make_work(), (), 10.2).transfer.save)
