--- a/landingspool/decisions/gateway/view.py
+++ b/landingspool/decisions/gateway/view.py
@@ -13,6 +13,7 @@
 from landingspool.decisions.gateway import fleet as fleet_module
 from landingspool.decisions.gateway import freshness
 from landingspool.decisions.gateway import health as health_module
+from landingspool.decisions.gateway import loads as loads_module
 from landingspool.decisions.gateway import neighbours
 from landingspool.decisions.gateway import prompts
 from landingspool.decisions.gateway import reach as reach_module
@@ -72,18 +73,6 @@
     pressure: float = 0.0
 
 
-class Sent(typing.NamedTuple):
-    """A request of this box at a target; `begun` once bytes came back.
-
-    `tokens` are to be read, `held` is the memory that it takes in the end.
-    """
-
-    at: float
-    tokens: int
-    begun: bool
-    held: int = 0
-
-
 class View:
     """The beliefs of one box.
 
@@ -102,6 +91,7 @@
         self.rng = random.Random(seed)
         self.table = None
         self.fleet = fleet_module.Fleet()
+        self.loads = loads_module.Loads()
         self.weights = weights_module.Weights()
         self.reach = reach_module.Reach()
         self.warmth = warmth_module.Warmth()
@@ -110,8 +100,6 @@
         self.boxes = USUAL_BOXES
         # Other boxes, by domain.
         self.others = {}
-        self._sent = {}
-        self._heard = {}
         self._health = {}
         self._allowances = {}
 
@@ -176,35 +164,19 @@
         if work.prompt is not None:
             tokens = plan.read_tokens
             held = work.prompt.tokens_in + work.prompt.tokens_out
-        at_target = self._sent.setdefault(plan.entry.name, {})
-        at_target[work.name] = Sent(now, tokens, False, held)
+        sent = loads_module.Sent(now, tokens, False, held)
+        self.loads.note_sent(plan.entry.name, work.name, sent)
 
     def note_first(self, plan, work, now):
         """Note that the answer to a request has begun."""
         name = plan.entry.name
-        self._heard[name] = now
+        self.loads.note_heard(name, now)
         self.reach.note_reached(name, now)
-        sent = self._sent.get(name, {}).get(work.name)
-        if sent is None or sent.begun:
-            return
-        self._sent[name][work.name] = sent._replace(begun=True)
-        if work.prompt is not None and plan.space:
+        first = self.loads.note_first(name, work.name)
+        if first and work.prompt is not None and plan.space:
             parts = prompts.list_shared(work.prompt)
             self.warmth.add_read(name, plan.space, parts, now)
 
-    def note_heard(self, name, now):
-        """Note that a target sent something."""
-        self._heard[name] = now
-
-    def note_end(self, plan, work):
-        """Note that a request is no longer at a target."""
-        at_target = self._sent.get(plan.entry.name)
-        if at_target is None:
-            return
-        at_target.pop(work.name, None)
-        if not at_target:
-            del self._sent[plan.entry.name]
-
     def note_answer(self, plan, wait_s, failed):
         """Learn from an answer of a target.
 
@@ -245,40 +217,10 @@
     def forget(self, name):
         """Forget what was learnt of a target that has gone."""
         self._health.pop(name, None)
-        self._heard.pop(name, None)
+        self.loads.forget(name)
         self.reach.forget(name)
         self.warmth.forget(name)
 
-    def measure_load(self, name, now):
-        """Give the choice.Load at a target, of this and other boxes."""
-        rows = self._sent.get(name, {}).values()
-        waiting = [row for row in rows if not row.begun]
-        tokens, running, held, queued = self.neighbours.get_load(
-            name, self.others, now
-        )
-        return choice.Load(
-            waiting=len(waiting),
-            running=len(rows) - len(waiting),
-            waiting_tokens=sum(row.tokens for row in waiting),
-            oldest=min((row.at for row in waiting), default=None),
-            heard=self._heard.get(name, 0.0),
-            others_tokens=tokens,
-            others_running=running,
-            held_tokens=sum(row.held for row in rows),
-            others_held=held,
-            others_waiting=queued,
-        )
-
-    def list_loads(self):
-        """Give what this box has at each target, for the other boxes."""
-        loads = {}
-        for name, rows in self._sent.items():
-            waiting = [row.tokens for row in rows.values() if not row.begun]
-            held = sum(row.held for row in rows.values())
-            count = len(waiting)
-            loads[name] = [sum(waiting), len(rows) - count, held, count]
-        return loads
-
     def _get_allowance(self, service):
         known = self._allowances.get(service)
         if known is None:
@@ -309,7 +251,8 @@
         return self.weights.find_lag(model, has, now)
 
     def _weigh(self, entry, work, now, transfers_by_space):
-        load = self.measure_load(entry.name, now)
+        others = self.neighbours.get_load(entry.name, self.others, now)
+        load = self.loads.measure(entry.name, others)
         health = self.get_health(entry.name)
         if work.prompt is None:
             return choice.Candidate(entry, load, health)
--- a/landingspool/gateway/attempts.py
+++ b/landingspool/gateway/attempts.py
@@ -100,7 +100,7 @@
         try:
             outcome = await self._receive()
         finally:
-            self._view.note_end(plan, progress.work)
+            self._view.loads.note_end(plan.entry.name, progress.work.name)
             if isinstance(outcome, outcomes.Lost):
                 self._exchange.abort()
             if not isinstance(outcome, outcomes.Rejected):
@@ -228,7 +228,7 @@
         return outcomes.Done(head.status)
 
     async def _pass_stream(self, head):
-        stream = self._open_stream(head)
+        stream, name = self._open_stream(head), self._plan.entry.name
         pause = STREAM_PAUSE_S if self._progress.may_send_again() else None
         while True:
             try:
@@ -238,7 +238,7 @@
                 return self._lose('paused')
             if not data:
                 break
-            self._view.note_heard(self._plan.entry.name, self._hub.clock())
+            self._view.loads.note_heard(name, self._hub.clock())
             self._note_version(await stream.take(data))
             if stream.events and not stream.noted:
                 stream.noted = True
--- a/landingspool/gateway/peering.py
+++ b/landingspool/gateway/peering.py
@@ -114,7 +114,7 @@
             number=self._number,
             table=view.table.version if view.table else 0,
             proof_s=self._get_proof_age(),
-            loads=view.list_loads(),
+            loads=view.loads.list_told(),
             unreached=view.reach.list_told(),
         )
         for address in self._pick_told():
--- a/tests/gateway/test_view.py
+++ b/tests/gateway/test_view.py
@@ -58,7 +58,7 @@
     for number in range(4):
         plan = view.plan(make_work(f'q{number}'), (), 10.0)
         view.note_sent(plan, make_work(f'q{number}'), 10.0)
-    sent = {name for name in ('t0', 't1', 't2', 't3') if view._sent.get(name)}
+    sent = set(view.loads.list_told())
     assert home in sent
     assert len(sent) > 1
 
