--- a/landingspool/decisions/gateway/view.py
+++ b/landingspool/decisions/gateway/view.py
@@ -50,15 +50,21 @@
     entry : fleet.Entry
     expected_s : float
         Rank of the target: the expected seconds to its first byte.
-    kept : int
-        Tokens of the prompt believed to be kept there.
     wait_s : float
         The part of it that is spent behind other requests.
+    kept : int
+        Tokens of the prompt believed to be kept there.
     read_tokens : int
         Prompt tokens that the target has to read.
-    pressure : float
-        Requests at all targets that might have been chosen, by their places.
+    candidates : int
+        Targets that might have been chosen.
+    version : int or None
+        Of the weights that the request needs; None: whichever is there.
+    space : str
+        Namespace of its kept context; empty where it has no prompt.
     transfer : transfers.Transfer
+    pressure : float
+        Requests at all candidates, by the places that these have.
     """
 
     entry: fleet_module.Entry
@@ -118,35 +124,44 @@
         avoid : sequence of str
             Targets that had this request before.
         """
-        entries = [
-            entry
-            for entry in self.fleet.list_service(work.service)
-            if entry.name not in avoid
-        ]
-        # Where none can be reached, trying costs no more than refusing.
-        reached = [e for e in entries if not self.reach.is_out(e.name)]
-        entries = reached or entries
-        if work.prompt is not None:
-            entries = self._list_loaded(entries, work.prompt, now)
+        entries = self._list_usable(work, avoid, now)
         # Most targets run the same weights: one plan of transfers each.
         transfers_by_space = {}
         candidates = [
             self._weigh(entry, work, now, transfers_by_space)
             for entry in entries
         ]
+        patience_s = (
+            PLAIN_PATIENCE_S if work.prompt is None else ENGINE_PATIENCE_S
+        )
         chosen = choice.choose(
-            candidates,
-            work.prompt,
-            self.domain,
-            now,
-            self.rng,
-            PLAIN_PATIENCE_S if work.prompt is None else ENGINE_PATIENCE_S,
+            candidates, work.prompt, self.domain, now, self.rng, patience_s
         )
         if chosen is None:
             return None
         plan = self._make_plan(chosen, work, now, transfers_by_space)
         return plan._replace(pressure=choice.measure_pressure(candidates))
 
+    def is_admitted(self, plan, work):
+        """Tell whether a request should be sent on as planned."""
+        if work.prompt is None:
+            return True
+        if not admission.is_spared(
+            plan.pressure, work.route.priority, self.rng.random()
+        ):
+            return False
+        return admission.is_admitted(
+            plan.wait_s,
+            work.route.target_latency_s,
+            plan.read_tokens,
+            work.route.priority,
+        )
+
+    def find_lag(self, name, model, now):
+        """Give the seconds since the first version that a target missed."""
+        has = self.fleet.get_version(name, model)
+        return self.weights.find_lag(model, has, now)
+
     def find_kept(self, service):
         """Give how many connections to one target this box may keep.
 
@@ -231,6 +246,20 @@
             self._allowances[service] = known
         return known
 
+    def _list_usable(self, work, avoid, now):
+        """List the entries of the targets that a request may be sent to."""
+        entries = [
+            entry
+            for entry in self.fleet.list_service(work.service)
+            if entry.name not in avoid
+        ]
+        # Where none can be reached, trying costs no more than refusing.
+        reached = [e for e in entries if not self.reach.is_out(e.name)]
+        entries = reached or entries
+        if work.prompt is None:
+            return entries
+        return self._list_loaded(entries, work.prompt, now)
+
     def _list_loaded(self, entries, prompt, now):
         """Leave out what loads or has weights that are too old to use."""
         idle = [
@@ -245,11 +274,6 @@
             < weights_module.OLD_WEIGHTS_MOST_S
         ]
 
-    def find_lag(self, name, model, now):
-        """Give the seconds since the first version that a target missed."""
-        has = self.fleet.get_version(name, model)
-        return self.weights.find_lag(model, has, now)
-
     def _weigh(self, entry, work, now, transfers_by_space):
         others = self.neighbours.get_load(entry.name, self.others, now)
         load = self.loads.measure(entry.name, others)
@@ -284,40 +308,13 @@
             return 0
         return known.engine.capacity_tokens
 
-    def is_admitted(self, plan, work):
-        """Tell whether a request should be sent on as planned."""
-        if work.prompt is None:
-            return True
-        if not admission.is_spared(
-            plan.pressure, work.route.priority, self.rng.random()
-        ):
-            return False
-        return admission.is_admitted(
-            plan.wait_s,
-            work.route.target_latency_s,
-            plan.read_tokens,
-            work.route.priority,
-        )
-
     def _make_plan(self, chosen, work, now, transfers_by_space):
-        version, space, transfer = None, '', transfers.Transfer()
+        version, space, read = None, '', 0
+        transfer = transfers.Transfer()
         if work.prompt is not None:
-            model = work.prompt.model
-            version = self.fleet.get_version(chosen.entry.name, model)
-            space = prompts.name_space(model, version, work.tenancy)
-            if version is not None and not self.weights.is_loading(
-                chosen.entry.name, work.prompt, now
-            ):
+            version, space = self._find_space(chosen.entry.name, work, now)
+            if version is not None:
                 transfer = transfers_by_space[space]
-            else:
-                # The target may take the new weights before the request
-                # arrives, or while it runs.  So it may run on whatever is
-                # there, but shares nothing: a namespace of its own, and no
-                # transfers.
-                version = None
-                space = f'{space}.{work.name}'
-        read = 0
-        if work.prompt is not None:
             kept = max(chosen.kept, transfer.tokens)
             read = prompts.count_read(work.prompt, kept)
         return Plan(
@@ -332,6 +329,22 @@
             transfer,
         )
 
+    def _find_space(self, name, work, now):
+        """Give the version that a request needs, and its namespace.
+
+        A target that is about to load may have the new weights before the
+        request arrives, or while it runs.  So the request may run on
+        whichever is there (None), but shares nothing: it has a namespace of
+        its own, and no transfers.
+        """
+        model = work.prompt.model
+        version = self.fleet.get_version(name, model)
+        space = prompts.name_space(model, version, work.tenancy)
+        loading = self.weights.is_loading(name, work.prompt, now)
+        if version is None or loading:
+            return None, f'{space}.{work.name}'
+        return version, space
+
     def _plan_transfer(self, work, version, space, now):
         service = self.table.services.get(work.service)
         if service is None or service.engine is None:
