--- a/landingspool/decisions/gateway/admission.py
+++ b/landingspool/decisions/gateway/admission.py
@@ -3,7 +3,9 @@
 Past its capacity an engine serves everybody late: runs last longer, so
 more of them hold memory, prompts are dropped and read again.  A request
 that would wait too long is refused before it begins; what needs the most
-reading is refused first, since it costs the others the most.
+reading is refused first, since it costs the others the most.  And as the
+places of all targets of a service fill up, the least urgent are refused first:
+the wait at one target is known late, what all have together is known well.
 """
 
 import math
@@ -30,28 +32,45 @@
 # wait for a third of the time that they have left.
 SHORT_RETRY_S = 5.0
 MOST_SHORT_RETRY_S = 2.0
+# Times as long that a caller is told to wait, spread evenly between both:
+# callers refused together come back apart.
+RETRY_SPREAD = 0.8, 1.4
 
 
 def find_limit(target_latency_s, read_tokens, priority):
     """Give the longest expected wait with which a request is admitted.
 
+    Parameters
+    ----------
+    target_latency_s : float
+        Seconds to the first byte that its route aims at.
+    read_tokens : int
+        Prompt tokens that the target has to read.
+    priority : int
+        Of its route; 0 is the most urgent.
+
+    Returns
+    -------
+    float
+        Seconds.
+
     >>> find_limit(0.5, 1000, 0), round(find_limit(0.5, 12000, 0), 3)
     (0.6, 0.3)
     >>> find_limit(0.5, 1000, 1), find_limit(0.5, 1000, 7)
     (0.3, 0.2)
     """
     size = max(read_tokens / USUAL_READ, 1.0)
-    share = WAIT_SHARES[min(priority, len(WAIT_SHARES) - 1)]
+    share = pick_row(WAIT_SHARES, priority)
     return target_latency_s * share / math.sqrt(size)
 
 
 def is_admitted(wait_s, target_latency_s, read_tokens, priority):
-    """Tell whether a request may be sent on.
+    """Tell whether a request may be sent on, by its expected wait.
 
     Parameters
     ----------
-    priority : int
-        Of its route; 0 is the most urgent.
+    wait_s : float
+        Expected at the target; the others are those of find_limit.
 
     >>> is_admitted(0.4, 0.4, 1000, 0), is_admitted(0.4, 0.4, 12000, 0)
     (True, False)
@@ -74,7 +93,7 @@
     >>> is_spared(0.9, 2, 0.5), is_spared(0.95, 2, 0.5), is_spared(1.0, 0, 0.5)
     (True, False, True)
     """
-    first, last = PRESSURES[min(priority, len(PRESSURES) - 1)]
+    first, last = pick_row(PRESSURES, priority)
     return chance >= (pressure - first) / (last - first)
 
 
@@ -97,6 +116,16 @@
     True
     """
     seconds = min(max(wait_s, LEAST_RETRY_S), MOST_RETRY_S)
-    short = max(pressure - PRESSURES[-1][0], 0.0) * SHORT_RETRY_S
+    first, _ = PRESSURES[-1]
+    short = max(pressure - first, 0.0) * SHORT_RETRY_S
     seconds = max(seconds, min(short, MOST_SHORT_RETRY_S))
-    return seconds * rng.uniform(0.8, 1.4)
+    return seconds * rng.uniform(*RETRY_SPREAD)
+
+
+def pick_row(rows, priority):
+    """Give the row of a priority; the last one is for all less urgent.
+
+    >>> pick_row('abc', 0), pick_row('abc', 2), pick_row('abc', 7)
+    ('a', 'c', 'c')
+    """
+    return rows[min(priority, len(rows) - 1)]
