--- a/landingspool/gateway/cachewatch.py
+++ b/landingspool/gateway/cachewatch.py
@@ -26,8 +26,10 @@
 STORE_PERIOD_S = 0.6
 # Seconds for which a call is held where there is nothing new.
 HOLD_S = 0.6
-# Pause after a call that failed, seconds.
+# Pause after a call that failed, and the least after one that did not,
+# seconds.
 FAILED_S = 0.5
+LEAST_PAUSE_S = 0.05
 # Pause before lists that could not be had are asked for again, seconds: a
 # store answers few calls at once, and all boxes may have started together.
 AGAIN_S = 0.1, 0.4
@@ -36,6 +38,8 @@
 CHANGES_PATH = '/changes'
 # Seconds for the answer of another box.
 ANSWER_S = 0.8
+# Characters of a reason that are logged.
+MOST_REASON = 200
 # How often the list of those to be followed is looked through, seconds.
 LOOK_S = 0.5
 
@@ -97,14 +101,19 @@
         whole = True
         while True:
             sent = self._hub.clock()
-            news = await self._ask(name, address, whole)
+            if whole:
+                news = await self._hub.runners.read_list(address)
+            else:
+                news = await self._read_events(name, address)
             now = self._hub.clock()
             if isinstance(news, runners.Unanswered):
                 await asyncio.sleep(FAILED_S)
                 continue
             whole = self._take(name, news, sent, now)
+            # After a list its clock is still missing: no pause.
             if not whole and not news.whole:
-                await asyncio.sleep(max(period_s - (now - sent), 0.05))
+                pause = max(period_s - (now - sent), LEAST_PAUSE_S)
+                await asyncio.sleep(pause)
 
     def _take(self, name, news, sent, now):
         """Take in news; tells whether the whole list is needed."""
@@ -117,9 +126,7 @@
             )
         return again
 
-    async def _ask(self, name, address, whole):
-        if whole:
-            return await self._hub.runners.read_list(address)
+    async def _read_events(self, name, address):
         index = self._hub.view.warmth.get(name)
         since = index.next if index is not None else 0
         # A list tells no clock, and without one nothing may be offered.
@@ -130,7 +137,6 @@
     def _find_pause(self, complete):
         if complete:
             return STORE_PERIOD_S
-        # All boxes may have started at once: they ask spread in time.
         return self._hub.view.rng.uniform(*AGAIN_S)
 
     async def _ask_peer(self, peer):
@@ -139,15 +145,28 @@
         Returns
         -------
         bool
-            Whether all that was missing could be had.
+            False where a list that was missing could not be had.
         """
-        known = self._hub.view.warmth
         table = self._hub.view.table
         stores = table.keepers if table is not None else ()
-        wanted = {name: known.get_place(name) for name in stores}
         sent = self._hub.clock()
+        found = await self._fetch_changes(peer, stores)
+        if found is None:
+            return True
+        for name, news in found.items():
+            if not news.lost:
+                self._take(name, news, sent, self._hub.clock())
+        missing = [n for n in stores if n not in found or found[n].lost]
+        self._hub.view.rng.shuffle(missing)
+        read = [await self._read_list(name) for name in missing]
+        return all(read)
+
+    async def _fetch_changes(self, peer, stores):
+        """Fetch the News of another box by store; None: it gave no answer."""
+        known = self._hub.view.warmth
+        wanted = {name: known.get_place(name) for name in stores}
         try:
-            found = await boxcalls.ask(
+            return await boxcalls.ask(
                 self._hub,
                 peer,
                 dict[str, warmth.News],
@@ -156,26 +175,14 @@
                 timeout=ANSWER_S,
             )
         except boxcalls.NoAnswer as error:
-            self._hub.recorder.record('no_state', reason=str(error)[:200])
-            return True
-        for name, news in found.items():
-            if not news.lost:
-                self._take(name, news, sent, self._hub.clock())
-        missing = [n for n in stores if n not in found or found[n].lost]
-        self._hub.view.rng.shuffle(missing)
-        read = [await self._read_list(name) for name in missing]
-        return all(read)
+            reason = str(error)[:MOST_REASON]
+            self._hub.recorder.record('no_state', reason=reason)
+            return None
 
     async def _read_list(self, name):
-        """Read the whole list of a store that another box can't give.
-
-        Returns
-        -------
-        bool
-            Whether it could be had.
-        """
+        """Read the whole list of a store; tells whether it could be had."""
         sent = self._hub.clock()
-        news = await self._ask(name, boot.parse_address(name), True)
+        news = await self._hub.runners.read_list(boot.parse_address(name))
         if isinstance(news, runners.Unanswered):
             self._hub.recorder.record(
                 'store_down', store=name, reason=news.reason
