--- a/landingspool/decisions/gateway/neighbours.py
+++ b/landingspool/decisions/gateway/neighbours.py
@@ -108,7 +108,7 @@
         self._heard = {}
         self._sums = {}
         self._sums_heard = 0
-        self._domains_heard = ()
+        self._domains_heard = set()
         self._summed = None
 
     def take(self, digest, now):
--- a/landingspool/decisions/gateway/readers.py
+++ b/landingspool/decisions/gateway/readers.py
@@ -2,11 +2,13 @@
 
 Few boxes read all for themselves: that is the simplest, and the calls cost
 little.  Where a domain has many, two of them read and the others follow
-those two; a box whose readers fail reads for itself.
+those two; where these fail, the next two in the same order.  A box whose
+proof has grown old all the same reads for itself.
 """
 
 from landingspool.decisions import ownership
 
+# Boxes of a large domain that read: one may fail and the other goes on.
 READERS = 2
 # Boxes of a domain up to which each reads for itself.
 MOST_ALONE = 4
--- a/landingspool/gateway/sources.py
+++ b/landingspool/gateway/sources.py
@@ -1,4 +1,9 @@
-"""Where a box reads the platform's topics: the store, or another box."""
+"""Where a box reads the platform's topics: the store, or another box.
+
+In a large domain few boxes read the store, and the others ask these for the
+same records by the same offsets.  A read ends as soon as its box is left, so
+that one that has failed holds nothing up.
+"""
 
 import asyncio
 import time
@@ -85,17 +90,15 @@
         return store_module.Newest(rows, answer.end, sent - answer.age)
 
     async def _fetch(self, peer, path, query, hold_s):
+        """Ask a box until it answers or is left.
+
+        Returns
+        -------
+        tuple of (Relayed, float) or store.Unavailable
+            The answer, and when it was asked for.
+        """
         sent = self._hub.clock()
-        target = f'{path}?{parse.urlencode(query)}'
-        call = asyncio.ensure_future(
-            boxcalls.ask(
-                self._hub,
-                peer,
-                Relayed,
-                ('GET', target),
-                timeout=hold_s + ANSWER_S,
-            )
-        )
+        call = asyncio.ensure_future(self._ask(peer, path, query, hold_s))
         try:
             await asyncio.wait(
                 {call, self._get_leaving(peer.name)},
@@ -109,8 +112,17 @@
         finally:
             call.cancel()
 
+    async def _ask(self, peer, path, query, hold_s):
+        return await boxcalls.ask(
+            self._hub,
+            peer,
+            Relayed,
+            ('GET', f'{path}?{parse.urlencode(query)}'),
+            timeout=hold_s + ANSWER_S,
+        )
+
     def _get_leaving(self, name):
-        """Give what is done when the box of this name is left."""
+        """Give the future that ends when the box of this name is left."""
         leaving = self._leaving.get(name)
         if leaving is None:
             leaving = asyncio.get_running_loop().create_future()
