--- a/landingspool/gateway/attempts.py
+++ b/landingspool/gateway/attempts.py
@@ -35,8 +35,8 @@
     Parameters
     ----------
     hub
-        The box's parts: `view`, `upstream`, `beat`, `recorder`, `metrics`,
-        `clock`.
+        The box's parts: `view`, `upstream`, `prober`, `beat`, `recorder`,
+        `metrics`, `clock`.
     progress : progress.Progress
         The request; the try writes down what it did to it.
     plan : view.Plan
@@ -59,8 +59,9 @@
                 self._view.find_kept(self._progress.work.service),
             )
         except upstream_module.Broken as error:
-            self._note_unreached(str(error))
-            return outcomes.Unreached(str(error))
+            reason = str(error)
+            self._hub.prober.note_failed(self._plan.entry.name, reason)
+            return outcomes.Unreached(reason)
         if not self._may_send():
             self._exchange.abort()
             return outcomes.Stale()
@@ -78,6 +79,15 @@
         )
 
     async def _send_and_receive(self):
+        self._send()
+        outcome = outcomes.Lost('stopped')
+        try:
+            outcome = await self._receive()
+        finally:
+            self._note_end(outcome)
+        return outcome
+
+    def _send(self):
         progress, plan = self._progress, self._plan
         self._sent = self._hub.clock()
         progress.sends += 1
@@ -96,16 +106,14 @@
             self._write_head(),
             progress.body,
         )
-        outcome = outcomes.Lost('stopped')
-        try:
-            outcome = await self._receive()
-        finally:
-            self._view.loads.note_end(plan.entry.name, progress.work.name)
-            if isinstance(outcome, outcomes.Lost):
-                self._exchange.abort()
-            if not isinstance(outcome, outcomes.Rejected):
-                progress.may_have_run = True
-        return outcome
+
+    def _note_end(self, outcome):
+        name = self._plan.entry.name
+        self._view.loads.note_end(name, self._progress.work.name)
+        if isinstance(outcome, outcomes.Lost):
+            self._exchange.abort()
+        if not isinstance(outcome, outcomes.Rejected):
+            self._progress.may_have_run = True
 
     def _write_head(self):
         progress, plan = self._progress, self._plan
@@ -125,6 +133,7 @@
         return egress.write_head(progress.call, told, len(progress.body))
 
     def _find_priority(self):
+        """Give the priority of the workspace, or else of the route."""
         tenancy, route = self._progress.work.tenancy, self._progress.work.route
         if tenancy is not None and tenancy.priority is not None:
             return tenancy.priority
@@ -269,10 +278,6 @@
         name = self._plan.entry.name
         self._view.note_loss(name, self._hub.clock(), certain)
 
-    def _note_unreached(self, reason):
-        name = self._plan.entry.name
-        self._hub.prober.note_failed(name, reason)
-
     def _note_first(self):
         now = self._hub.clock()
         self._view.note_first(self._plan, self._progress.work, now)
