--- a/tests/gateway/site.py
+++ b/tests/gateway/site.py
@@ -65,6 +65,46 @@
     }
 
 
+def make_store_table(version, address):
+    """Give a configuration with one store of kept context.
+
+    Parameters
+    ----------
+    address : str
+        Of the store, host and port.
+    """
+    table = make_table(version)
+    table['services'].append(
+        {
+            'name': 'keeper',
+            'kv_store_addr': address,
+            'kv_capacity': 9000,
+            'managed': True,
+        }
+    )
+    return table
+
+
+async def start_keeper(events):
+    """Start a store of kept context.
+
+    Parameters
+    ----------
+    events : list of list
+        What it keeps, as rows of its list.
+
+    Returns
+    -------
+    tuple of (runner.Runner, str)
+        The store and its address, host and port.
+    """
+    keeper = runner_module.Runner('keeper')
+    await keeper.start()
+    keeper.events = events
+    host, port = keeper.address[:2]
+    return keeper, f'{host}:{port}'
+
+
 def find_port():
     """Give a port that is free now."""
     with socket.socket() as probe:
--- a/tests/gateway/test_readers.py
+++ b/tests/gateway/test_readers.py
@@ -7,41 +7,52 @@
 from tests.gateway import site
 
 BOXES = [f'box{i}' for i in range(6)]
+KEPT = [['m.1', 'aa', 500, 'm']]
+
+
+async def start_boxes(deployment):
+    """Start all boxes, and wait until each knows the others."""
+    hubs = [await deployment.start_box(name) for name in BOXES]
+    await site.wait_until(
+        lambda: all(len(h.peering.peers) == len(BOXES) - 1 for h in hubs)
+    )
+    return hubs
+
+
+def cut_off(hub):
+    """Let a box find no store at the address where it looks for it."""
+    hub.store = site.hub_module.store.Store(
+        hub.client, site.http.Address('127.0.0.1', 9)
+    )
+
+
+async def change_all(deployment, hubs, address):
+    """Change table and targets; wait until all boxes have these and parts."""
+    deployment.publish(site.make_store_table(3, address))
+    await site.wait_until(lambda: all(h.view.table.version == 3 for h in hubs))
+    deployment.announce(deployment.plain[0], 'plain', state='draining')
+    await site.wait_until(
+        lambda: all('p0' not in h.view.fleet.entries for h in hubs)
+    )
+    await site.wait_until(
+        lambda: all(
+            h.view.warmth.kept(address).get(('m.1', 'aa')) == 500 for h in hubs
+        )
+    )
 
 
 def test_the_others_follow_tables_targets_and_stores():
     async def main():
         async with site.Site(plain=1) as deployment:
-            keeper = site.runner_module.Runner('keeper')
-            await keeper.start()
-            keeper.events = [['m.1', 'aa', 500, 'm']]
-            address = f'{keeper.address[0]}:{keeper.address[1]}'
-            deployment.publish(make_table(2, address))
-            hubs = [await deployment.start_box(name) for name in BOXES]
-            await site.wait_until(
-                lambda: all(len(h.peering.peers) == 5 for h in hubs)
-            )
+            keeper, address = await site.start_keeper(list(KEPT))
+            deployment.publish(site.make_store_table(2, address))
+            hubs = await start_boxes(deployment)
             members = [h for h in hubs if h.peering.pick_reader() is not None]
             assert len(members) == len(BOXES) - readers.READERS
             await asyncio.sleep(1.5)
             for hub in members:
-                hub.store = site.hub_module.store.Store(
-                    hub.client, site.http.Address('127.0.0.1', 9)
-                )
-            deployment.publish(make_table(3, address))
-            await site.wait_until(
-                lambda: all(h.view.table.version == 3 for h in hubs)
-            )
-            deployment.announce(deployment.plain[0], 'plain', state='draining')
-            await site.wait_until(
-                lambda: all('p0' not in h.view.fleet.entries for h in hubs)
-            )
-            await site.wait_until(
-                lambda: all(
-                    h.view.warmth.kept(address).get(('m.1', 'aa')) == 500
-                    for h in hubs
-                )
-            )
+                cut_off(hub)
+            await change_all(deployment, hubs, address)
             await asyncio.sleep(1.5)
             now = hubs[0].clock()
             assert all(
@@ -58,20 +69,6 @@
     asyncio.run(main())
 
 
-def make_table(version, address):
-    """Give a configuration with one store of kept context."""
-    table = site.make_table(version)
-    table['services'].append(
-        {
-            'name': 'keeper',
-            'kv_store_addr': address,
-            'kv_capacity': 9000,
-            'managed': True,
-        }
-    )
-    return table
-
-
 def test_a_reader_that_does_not_answer_is_left_for_a_time():
     known = readers.Readers('box0')
     others = BOXES[1:]
@@ -119,18 +116,13 @@
 def test_a_reader_that_is_cut_off_is_left_before_its_word_grows_old():
     async def main():
         async with site.Site(plain=1) as deployment:
-            hubs = [await deployment.start_box(name) for name in BOXES]
-            await site.wait_until(
-                lambda: all(len(h.peering.peers) == 5 for h in hubs)
-            )
+            hubs = await start_boxes(deployment)
             members = [h for h in hubs if h.peering.pick_reader() is not None]
             first = members[0].peering.pick_reader().name
             cut = next(h for h in hubs if h.place.box == first)
             others = [h for h in hubs if h is not cut]
             await asyncio.sleep(1.0)
-            cut.store = site.hub_module.store.Store(
-                cut.client, site.http.Address('127.0.0.1', 9)
-            )
+            cut_off(cut)
             # What it holds at the store still ends with an answer.
             await asyncio.sleep(following.HOLD_S / 2 + 0.1)
             deployment.publish(site.make_table(5))
@@ -145,10 +137,7 @@
 def test_a_sound_reader_is_not_left():
     async def main():
         async with site.Site(plain=1) as deployment:
-            hubs = [await deployment.start_box(name) for name in BOXES]
-            await site.wait_until(
-                lambda: all(len(h.peering.peers) == 5 for h in hubs)
-            )
+            hubs = await start_boxes(deployment)
             left = []
             # The first holds were those of a domain of one box.
             await asyncio.sleep(2 * following.HOLD_S)
@@ -164,10 +153,7 @@
 def test_what_is_asked_of_a_box_ends_when_it_is_left():
     async def main():
         async with site.Site(plain=1) as deployment:
-            hubs = [await deployment.start_box(name) for name in BOXES]
-            await site.wait_until(
-                lambda: all(len(h.peering.peers) == 5 for h in hubs)
-            )
+            hubs = await start_boxes(deployment)
             member = next(h for h in hubs if h.peering.pick_reader())
             peer = member.peering.pick_reader()
             end = member.offer._tails['keyed.servers'].end
--- a/tests/gateway/test_sweeper.py
+++ b/tests/gateway/test_sweeper.py
@@ -5,18 +5,14 @@
 from landingspool.decisions.gateway import leftovers
 from landingspool.gateway import sweeper
 from tests.gateway import site
-from tests.gateway import test_readers
 
 KEPT = [['m.1', 'aa', 500, 'm'], ['m.2', 'aa', 500, 'm'], ['x.1', 'b', 9, 'x']]
 
 
 async def start(deployment):
     """Start a box and a store of kept context that it follows."""
-    keeper = site.runner_module.Runner('keeper')
-    await keeper.start()
-    keeper.events = list(KEPT)
-    address = f'{keeper.address[0]}:{keeper.address[1]}'
-    deployment.publish(test_readers.make_table(2, address))
+    keeper, address = await site.start_keeper(list(KEPT))
+    deployment.publish(site.make_store_table(2, address))
     hub = await deployment.start_box()
     await site.wait_until(lambda: hub.view.warmth.kept(address))
     return hub, keeper
