--- a/landingspool/gateway/prober.py
+++ b/landingspool/gateway/prober.py
@@ -35,11 +35,12 @@
         """Begin a probe of each target that is due."""
         for name in self._hub.view.reach.list_due(tick.now):
             if name not in self._probing:
-                work = asyncio.ensure_future(self._probe(name))
-                self._probing[name] = work
-                work.add_done_callback(
-                    lambda _, name=name: self._probing.pop(name)
-                )
+                self._begin(name)
+
+    def _begin(self, name):
+        work = asyncio.ensure_future(self._probe(name))
+        self._probing[name] = work
+        work.add_done_callback(lambda _: self._probing.pop(name))
 
     async def _probe(self, name):
         view = self._hub.view
--- a/landingspool/gateway/sweeper.py
+++ b/landingspool/gateway/sweeper.py
@@ -19,7 +19,8 @@
     Parameters
     ----------
     hub
-        The box's parts: `view`, `peering`, `runners`, `recorder`, `clock`.
+        The box's parts: `view`, `peering`, `runners`, `beat`, `recorder`,
+        `clock`.
     """
 
     def __init__(self, hub):
@@ -45,6 +46,7 @@
         return found
 
     async def _free_all(self, model, least):
+        """Free the parts of a model's versions before one in all stores."""
         view = self._hub.view
         table = view.table
         if table is None or self._hub.peering.pick_reader() is not None:
@@ -54,6 +56,7 @@
                 await self._free(address, model, least)
 
     async def _free(self, address, model, least):
+        """Free these parts in one store, as far as one call does."""
         view, now = self._hub.view, self._hub.clock()
         index = view.warmth.get(address)
         if index is None or not view.warmth.may_fetch(address, now):
--- a/landingspool/gateway/upstream.py
+++ b/landingspool/gateway/upstream.py
@@ -77,9 +77,8 @@
             With `sent` false.
         """
         wire = self._take(address, repeatable)
-        if wire is not None:
-            return Exchange(self, address, wire, most_kept)
-        wire = await self._connect(address)
+        if wire is None:
+            wire = await self._connect(address)
         return Exchange(self, address, wire, most_kept)
 
     async def probe(self, address, most_kept):
@@ -128,6 +127,13 @@
             self.drop(address)
 
     async def _connect(self, address):
+        """Give a new connection.
+
+        Raises
+        ------
+        Broken
+            With `sent` false, where none comes up in time.
+        """
         loop = asyncio.get_running_loop()
         try:
             async with asyncio.timeout(CONNECT_S):
