Log what a probe did not expect, and check every reader's place

A probe that ended by anything else than a failed connection said nothing, and one of a target that had gone put it back among those that are out. The test of readers had its checks under a condition that the order of names decides; it demands it now. Found on reading the additions as a newcomer.

--- a/landingspool/gateway/prober.py
+++ b/landingspool/gateway/prober.py
@@ -40,7 +40,12 @@
     def _begin(self, name):
         work = asyncio.ensure_future(self._probe(name))
         self._probing[name] = work
-        work.add_done_callback(lambda _: self._probing.pop(name))
+        work.add_done_callback(lambda done: self._end(name, done))
+
+    def _end(self, name, work):
+        del self._probing[name]
+        if not work.cancelled() and work.exception() is not None:
+            self._hub.recorder.record('fault', reason=repr(work.exception()))
 
     async def _probe(self, name):
         view = self._hub.view
@@ -54,7 +59,8 @@
                 entry.address, view.find_kept(entry.service)
             )
         except upstream.Broken as error:
-            self.note_failed(name, str(error))
+            if name in view.fleet.entries:
+                self.note_failed(name, str(error))
             return
         view.reach.note_reached(name, self._hub.clock())
         if known:
--- a/tests/gateway/test_readers.py
+++ b/tests/gateway/test_readers.py
@@ -78,14 +78,14 @@
         picked.add(seen.pick([b for b in BOXES if b != name], 0.0, 1.0))
     assert len(picked - {None}) == 1
     first = known.pick(others, 0.0, 1.0)
-    if first is not None:
-        known.shun(first, 1.0)
-        second = known.pick(others, 0.0, 1.0)
-        assert second not in (first, None)
-        known.shun(second, 1.0)
-        third = known.pick(others, 0.0, 1.0)
-        assert third not in (first, second)
-        assert known.pick(others, 0.0, 1.0 + readers.SHUN_S) == first
+    assert first is not None
+    known.shun(first, 1.0)
+    second = known.pick(others, 0.0, 1.0)
+    assert second not in (first, None)
+    known.shun(second, 1.0)
+    third = known.pick(others, 0.0, 1.0)
+    assert third not in (first, second)
+    assert known.pick(others, 0.0, 1.0 + readers.SHUN_S) == first
 
 
 def test_where_the_readers_fail_two_others_read_for_all():
