Count the room of stores as they do, and free what broke off

Change: room is counted in blocks with what is not whole; each store's owner among the boxes reads its whole list every six seconds, frees parts that did not grow for five, repairs lost events and tells the others how much is taken; lists go to followers as the changes that they bring; news that were overtaken by a list are dropped. Tests: each of these, without the users' programs.

--- a/landingspool/decisions/gateway/leftovers.py
+++ b/landingspool/decisions/gateway/leftovers.py
@@ -1,9 +1,12 @@
-"""Parts of old weights in the stores of kept context, and when to free them.
+"""What is of no use any more in stores of kept context, and when to free it.
 
 A store frees nothing by itself, so the parts of replaced weights would fill it
 for ever.  Once every target has newer weights no request can begin on the old
 ones, and what had begun has fetched within the lease of its offer; so parts
 are freed a lease and some seconds after the last target was seen on them.
+
+A part whose writer crashed or was cut off keeps its room as well.  Nobody
+can tell it from one that is being written but by its not growing.
 """
 
 from landingspool.decisions.gateway import warmth as warmth_module
@@ -11,6 +14,9 @@
 # Seconds after all targets were first seen on newer weights: the lease of the
 # last offers, and the time for which a box may not have heard yet.
 FREE_AFTER_S = warmth_module.LEASE_S + 2.0
+# Seconds for which a part that is not whole has to stay as it is before it
+# is freed: a write takes tenths of a second, and seconds over slow links.
+BROKEN_S = 5.0
 # Parts freed by one call: some ten kilobytes, over links of 5 Mbit/s.
 MOST_PARTS = 1000
 # Seconds within which a call for it has to arrive.
@@ -79,3 +85,46 @@
     """
     old = [key for key in kept if is_old(key[0], model, least)]
     return old[:MOST_PARTS]
+
+
+class Broken:
+    """Knows since when the unwhole parts of each store have not grown."""
+
+    def __init__(self):
+        self._since = {}
+
+    def note(self, store, index, now):
+        """Note the unwhole parts of a list that has just been read.
+
+        Parameters
+        ----------
+        index : warmth.Index
+            With that list in it.
+
+        Returns
+        -------
+        list of tuple of str
+            The (namespace, part name) that may be freed now.
+
+        >>> row = warmth_module.Unwhole('s', 'a', 100, 800)
+        >>> index = warmth_module.Index(1, 0, {}, 0, 0, unwhole=(row,))
+        >>> broken = Broken()
+        >>> broken.note('k', index, 10.0)
+        []
+        >>> broken.note('k', index, 10.0 + BROKEN_S)
+        [('s', 'a')]
+        >>> grown = index._replace(unwhole=(row._replace(tokens=300),))
+        >>> broken.note('k', grown, 30.0)
+        []
+        """
+        known = self._since.get(store, {})
+        rows = {
+            (index.epoch, row): known.get((index.epoch, row), now)
+            for row in index.unwhole
+        }
+        self._since[store] = rows
+        return [
+            (row.space, row.part)
+            for (_, row), since in rows.items()
+            if now - since >= BROKEN_S
+        ]
--- a/landingspool/decisions/gateway/neighbours.py
+++ b/landingspool/decisions/gateway/neighbours.py
@@ -39,6 +39,8 @@
         have begun, the tokens that all of them hold, the requests waiting.
     unreached : tuple of str
         Targets to which it can't connect.
+    rooms : dict of str to tuple of int
+        For each store that it counted the life and the tokens taken.
     """
 
     box: str
@@ -48,6 +50,7 @@
     proof_s: float
     loads: dict
     unreached: tuple[str, ...] = ()
+    rooms: dict[str, tuple[int, int]] = {}
 
 
 class Ask(typing.NamedTuple):
--- a/landingspool/decisions/gateway/transfers.py
+++ b/landingspool/decisions/gateway/transfers.py
@@ -108,7 +108,7 @@
     roomy = [
         address
         for address in writable
-        if warmth.get(address).used + part.tokens
+        if warmth.get(address).taken + warmth_module.count_room(part.tokens)
         < keepers[address].capacity_tokens * FILL_SHARE
     ]
     if not roomy:
--- a/landingspool/decisions/gateway/view.py
+++ b/landingspool/decisions/gateway/view.py
@@ -106,6 +106,8 @@
         self.boxes = USUAL_BOXES
         # Other boxes, by domain.
         self.others = {}
+        # Life and tokens taken of each store that this box counted.
+        self.rooms = {}
         self._health = {}
         self._allowances = {}
 
@@ -215,11 +217,14 @@
         known = self.get_health(name)
         self._health[name] = health_module.note_loss(known, now, certain)
 
-    def suspect(self, digest, now):
-        """Take in which targets another box can't connect to."""
+    def take_digest(self, digest, now):
+        """Take in what another box has under way, and what it found out."""
+        self.neighbours.take(digest, now)
         for name in digest.unreached:
             if name in self.fleet.entries:
                 self.reach.suspect(name, now)
+        for store, counted in digest.rooms.items():
+            self.warmth.note_taken(store, *counted)
 
     def get_health(self, name):
         """Give the Health of a target."""
--- a/landingspool/decisions/gateway/warmth.py
+++ b/landingspool/decisions/gateway/warmth.py
@@ -6,6 +6,11 @@
 only when the store itself told that it is whole, in the life (epoch) that
 was confirmed shortly before, and no longer than a lease after that; who
 writes into a new life of a store waits out such leases first.
+
+A store takes a write only while it has room, and loses it otherwise without
+a word.  So its room is counted as it counts it: in whole blocks, with what
+broke off while it was written (one that was believed to have a twentieth
+left, and was full, lost a quarter of a day's writes).
 """
 
 import typing
@@ -25,6 +30,9 @@
 MOST_NAMES = 60_000
 # Batches of changes kept for the boxes that follow this one: a minute.
 MOST_BATCHES = 100
+# Tokens that a store gives room for at a time (the users' page of the
+# system: memory goes by blocks of 16 tokens).
+BLOCK_TOKENS = 16
 # Life and place told by a box that knows nothing of a store; no life has
 # this number, so it is sent the whole list.
 UNKNOWN = -1, -1
@@ -38,6 +46,15 @@
     tokens: int
 
 
+class Unwhole(typing.NamedTuple):
+    """A part that is being written, or that broke off: `room` is taken."""
+
+    space: str
+    part: str
+    tokens: int
+    room: int
+
+
 class Index(typing.NamedTuple):
     """What one target or store keeps.
 
@@ -56,9 +73,13 @@
     clock_ms : float or None
         The targets' clock in that answer.
     used : int
-        Tokens kept, as of the newest answer.
+        Tokens of room that the kept parts take, as of the newest answer.
     batches : tuple of tuple
         The newest changes, each with the `next` that they led to.
+    unwhole : tuple of Unwhole
+        Of the newest whole list.
+    beyond : int
+        Tokens of room that were taken beside `used` at the last count.
     """
 
     epoch: int | None
@@ -69,6 +90,13 @@
     clock_ms: float | None = None
     used: int = 0
     batches: tuple = ()
+    unwhole: tuple = ()
+    beyond: int = 0
+
+    @property
+    def taken(self):
+        """Tokens of room that are taken, as far as is known."""
+        return self.used + self.beyond
 
 
 class News(typing.NamedTuple):
@@ -85,6 +113,7 @@
     whole: bool = False
     clock_ms: float | None = None
     age_s: float = 0.0
+    unwhole: tuple[Unwhole, ...] = ()
 
 
 class Warmth:
@@ -117,26 +146,59 @@
         """
         index = self._indexes.get(name)
         fresh = index is None or index.epoch != news.epoch
-        if news.whole or fresh:
-            kept = {}
-        else:
-            kept = index.kept
-        first_seen = now if fresh else index.first_seen
-        for change in news.changes:
+        if not fresh and not news.lost and news.next < index.next:
+            # Overtaken on its way: parts that it tells of may be gone.
+            return False
+        if fresh:
+            index = Index(news.epoch, news.next, {}, now, now)
+        changes = find_missed(index, news) if news.whole else news.changes
+        kept = index.kept
+        for change in changes:
             apply_change(kept, change)
         trim(kept)
-        self._indexes[name] = Index(
-            epoch=news.epoch,
+        self._indexes[name] = index._replace(
             next=news.next,
-            kept=kept,
             confirmed=sent - news.age_s,
-            first_seen=first_seen,
+            # A list tells no clock, and what is offered needs one.
             clock_ms=news.clock_ms,
-            used=sum(kept.values()),
-            batches=add_batch(() if fresh else index.batches, news),
+            used=sum(map(count_room, kept.values())),
+            batches=add_batch(() if fresh else index.batches, news, changes),
+            unwhole=news.unwhole if news.whole else index.unwhole,
+            beyond=count_unwhole(news) if news.whole else index.beyond,
         )
         return not news.whole and (news.lost or fresh)
 
+    def note_taken(self, name, epoch, taken):
+        """Take in how much of a store's room was taken, as another box saw.
+
+        Parameters
+        ----------
+        epoch : int
+            The store's life then.
+        taken : int
+            Tokens, as Index.taken.
+        """
+        index = self._indexes.get(name)
+        if index is None or index.epoch != epoch:
+            return
+        beyond = max(taken - index.used, 0)
+        self._indexes[name] = index._replace(beyond=beyond)
+
+    def forget_unwhole(self, name, parts):
+        """Note that unwhole parts of a store were freed.
+
+        Parameters
+        ----------
+        parts : collection of tuple of str
+            (namespace, part name) each.
+        """
+        index = self._indexes[name]
+        left = tuple(
+            row for row in index.unwhole if (row.space, row.part) not in parts
+        )
+        beyond = sum(row.room for row in left)
+        self._indexes[name] = index._replace(unwhole=left, beyond=beyond)
+
     def get_place(self, name):
         """Give the life and the place up to which all is known here."""
         index = self._indexes.get(name)
@@ -192,15 +254,49 @@
         return index.used > 0 or now - index.first_seen >= SETTLE_S
 
 
-def add_batch(batches, news):
-    """Add the changes in news to those kept for other boxes."""
-    if news.whole:
-        # What came before is in the list, in no order: nobody can go on
-        # from an earlier place.
+def count_room(tokens):
+    """Give the tokens of room that a part takes in a store.
+
+    >>> count_room(16), count_room(17)
+    (16, 32)
+    """
+    return -(-tokens // BLOCK_TOKENS) * BLOCK_TOKENS
+
+
+def count_unwhole(news):
+    """Give the tokens of room that unwhole parts of a list take."""
+    return sum(row.room for row in news.unwhole)
+
+
+def find_missed(index, news):
+    """Give the changes that lead from what is known to a whole list.
+
+    >>> index = Index(1, 9, {('s', 'a'): 5, ('s', 'b'): 5}, 0, 0)
+    >>> listed = Change('s', 'b', 5), Change('s', 'c', 7)
+    >>> for change in find_missed(index, News(1, 9, False, listed, True)):
+    ...     print(change)
+    Change(space='s', part='a', tokens=0)
+    Change(space='s', part='c', tokens=7)
+    """
+    listed = {(row.space, row.part): row.tokens for row in news.changes}
+    gone = [Change(*key, 0) for key in index.kept if key not in listed]
+    new = [
+        row
+        for row in news.changes
+        if index.kept.get((row.space, row.part)) != row.tokens
+    ]
+    return (*gone, *new)
+
+
+def add_batch(batches, news, changes):
+    """Add the changes that news brought to those kept for other boxes."""
+    if news.whole and not batches:
+        # Nobody can go on from an earlier place: what came before is in
+        # the list, in no order.
         return ((news.next, ()),)
-    if not news.changes and batches:
+    if not changes and batches:
         return batches
-    return (*batches, (news.next, news.changes))[-MOST_BATCHES:]
+    return (*batches, (news.next, changes))[-MOST_BATCHES:]
 
 
 def find_changes(index, since):
--- a/landingspool/events.py
+++ b/landingspool/events.py
@@ -237,6 +237,12 @@
             'INFO',
             'Parts of replaced weights were freed in a store.',
         ),
+        Kind(
+            607,
+            'swept_broken',
+            'INFO',
+            'Parts that broke off while written were freed in a store.',
+        ),
         Kind(700, 'joined', 'INFO', 'A box was seen alive.'),
         Kind(701, 'suspected', 'WARNING', 'A box did not answer its probes.'),
         Kind(702, 'removed', 'WARNING', 'A box was removed from the view.'),
--- a/landingspool/gateway/peering.py
+++ b/landingspool/gateway/peering.py
@@ -116,6 +116,7 @@
             proof_s=self._get_proof_age(),
             loads=view.loads.list_told(),
             unreached=view.reach.list_told(),
+            rooms=view.rooms,
         )
         for address in self._pick_told():
             self._socket.send(digest, address)
@@ -158,8 +159,7 @@
                 digest.box, address, digest.domain
             )
         now = self._hub.clock()
-        self._hub.view.neighbours.take(digest, now)
-        self._hub.view.suspect(digest, now)
+        self._hub.view.take_digest(digest, now)
 
     def _take_ask(self, ask, address):
         view = self._hub.view
--- a/landingspool/gateway/sweeper.py
+++ b/landingspool/gateway/sweeper.py
@@ -1,16 +1,28 @@
-"""Frees the parts of replaced weights in the stores of kept context.
+"""Frees what is of no use any more in the stores of kept context.
 
-Any box that follows the stores itself may do it, and it does no harm if
-several do: they look at different moments, so mostly the first one does all.
+Parts of replaced weights any box that follows the stores itself may free, and
+it does no harm if several do: they look at different moments, so mostly the
+first one does all.  Parts that broke off one box frees, the store's owner
+among the boxes that are heard, right after it has read the store's whole
+list; it tells the others how much of the store's room is taken.
 """
 
 import asyncio
 
 from landingspool.decisions.gateway import leftovers
+from landingspool.decisions import ownership
 from landingspool.platform import boot
+from landingspool.platform import runners
 
 # Seconds between two looks, spread evenly between both.
 LOOK_S = 0.8, 2.4
+# Seconds between two whole lists of a store by its owner.  One in a hundred
+# events is lost, and parts that broke off are told of in lists alone; each
+# list is some ten kilobytes.
+LIST_S = 6.0
+# Seconds within which a part found broken off has to be freed: it must not
+# be one that somebody writes anew.
+FREE_S = 0.2
 
 
 class Sweeper:
@@ -26,11 +38,15 @@
     def __init__(self, hub):
         self._hub = hub
         self._leftovers = leftovers.Leftovers()
+        self._broken = leftovers.Broken()
+        self._listed = {}
 
     async def run(self):
         """Look and free until cancelled."""
         while True:
             await asyncio.sleep(self._hub.view.rng.uniform(*LOOK_S))
+            for address in self._list_due():
+                await self._check(address)
             for model, least in self._list_free():
                 await self._free_all(model, least)
 
@@ -72,3 +88,50 @@
         self._hub.recorder.record(
             'swept', store=address, parts=len(parts), before=least, done=done
         )
+
+    def _list_due(self):
+        """List the stores of this box whose whole list is due."""
+        table = self._hub.view.table
+        if table is None:
+            return []
+        now = self._hub.clock()
+        boxes = [self._hub.place.box, *self._hub.peering.peers]
+        return [
+            address
+            for address, keeper in table.keepers.items()
+            if keeper.managed
+            and ownership.find_owner(address, boxes) == self._hub.place.box
+            and now - self._listed.get(address, -LIST_S) >= LIST_S
+        ]
+
+    async def _check(self, address):
+        """Read the whole list of a store, and free what broke off."""
+        hub, warmth = self._hub, self._hub.view.warmth
+        index = warmth.get(address)
+        if index is None or index.clock_ms is None:
+            return
+        clock_ms, asked = index.clock_ms, index.confirmed
+        sent = hub.clock()
+        news = await hub.runners.read_list(boot.parse_address(address))
+        now = hub.clock()
+        if isinstance(news, runners.Unanswered) or not hub.beat.is_fresh(now):
+            return
+        self._listed[address] = now
+        if news.epoch != index.epoch:
+            # A new life: who follows the store begins it.
+            return
+        warmth.take(address, news._replace(clock_ms=clock_ms), sent, now)
+        index = warmth.get(address)
+        hub.view.rooms[address] = index.epoch, index.taken
+        parts = self._broken.note(address, index, now)
+        if not parts:
+            return
+        until_ms = clock_ms + (now - asked + FREE_S) * 1000
+        done = await hub.runners.free(
+            boot.parse_address(address), index.epoch, parts, until_ms
+        )
+        if done:
+            warmth.forget_unwhole(address, parts)
+        hub.recorder.record(
+            'swept_broken', store=address, parts=len(parts), done=done
+        )
--- a/landingspool/platform/runners.py
+++ b/landingspool/platform/runners.py
@@ -173,6 +173,7 @@
             changes=tuple(read_row(change) for change in row[field]),
             whole=field == 'held',
             clock_ms=row.get('clock_ms'),
+            unwhole=tuple(map(read_unwhole, row.get('partial') or ())),
         )
     except (ValueError, KeyError, TypeError, IndexError) as error:
         return Unanswered(f'{field}: {error!r}', True)
@@ -190,3 +191,12 @@
 def read_held(row):
     """Decode one row of a list."""
     return warmth.Change(row[0], row[1], int(row[2]))
+
+
+def read_unwhole(row):
+    """Decode one row of the parts in a list that are not whole.
+
+    >>> read_unwhole(['s1', '5c', 100, 800])
+    Unwhole(space='s1', part='5c', tokens=100, room=800)
+    """
+    return warmth.Unwhole(row[0], row[1], int(row[2]), int(row[3]))
--- a/tests/gateway/test_context.py
+++ b/tests/gateway/test_context.py
@@ -167,3 +167,44 @@
     # Nor does a box that was behind go on as if it had missed nothing.
     late = make_reader(*range(1, warmth.MOST_BATCHES + 5))
     assert late.tell('k1', 1, 2, 2.0).lost
+
+
+def test_room_is_counted_in_blocks_with_what_broke_off():
+    known = warmth.Warmth()
+    half = warmth.Unwhole('m.1', 'z', 100, 6_000)
+    news = make_news(1, *((f'p{n}', 17) for n in range(100)))
+    known.take('k1', news._replace(unwhole=(half,)), 10.0, 10.0)
+    assert known.get('k1').taken == 100 * 32 + 6_000
+    # 1,700 tokens are kept, but 9,200 of 10,000 are taken.
+    assert plan(known, 10.1).save == ('', '', '')
+    known.forget_unwhole('k1', {('m.1', 'z')})
+    assert plan(known, 10.1).save == ('k1', 'k1', '')
+
+
+def test_another_box_tells_how_full_a_store_is():
+    known = warmth.Warmth()
+    known.take('k1', make_news(1, ('z', 320)), 10.0, 10.0)
+    known.note_taken('k1', 2, 9_600)
+    assert known.get('k1').taken == 320
+    known.note_taken('k1', 1, 9_600)
+    assert known.get('k1').taken == 9_600
+    assert not any(plan(known, 10.1).save)
+
+
+def test_a_list_repairs_what_lost_events_hid_also_for_followers():
+    reader, member = make_reader(4), make_reader(4)
+    listed = make_news(1, ('p0', 100), ('a', 500))._replace(next=9)
+    assert not reader.take('k1', listed, 2.0, 2.0)
+    news = reader.tell('k1', *member.get_place('k1'), 2.0)
+    assert not news.lost
+    member.take('k1', news, 2.0, 2.0)
+    assert member.kept('k1') == {('m.1', 'p0'): 100, ('m.1', 'a'): 500}
+
+
+def test_news_that_were_overtaken_bring_no_freed_part_back():
+    known = make_reader(4)
+    freed = warmth.News(1, 6, False, (warmth.Change('m.1', 'p1', 0),))
+    known.take('k1', freed, 2.0, 2.0)
+    late = make_news(1, ('p1', 100))._replace(next=5)
+    known.take('k1', late, 1.9, 2.1)
+    assert ('m.1', 'p1') not in known.kept('k1')
--- a/tests/gateway/test_sweeper.py
+++ b/tests/gateway/test_sweeper.py
@@ -71,3 +71,30 @@
         await keeper.close()
 
     site.run(check)
+
+
+def test_parts_that_broke_off_are_freed_by_one_box(monkeypatch):
+    monkeypatch.setattr(leftovers, 'BROKEN_S', 0.5)
+    monkeypatch.setattr(sweeper, 'LIST_S', 0.3)
+    monkeypatch.setattr(sweeper, 'LOOK_S', (0.05, 0.1))
+
+    async def check(deployment):
+        hub, keeper = await start(deployment)
+        second = await deployment.start_box('box2')
+        await site.wait_until(lambda: 'box2' in hub.peering.peers)
+        await site.wait_until(lambda: 'box1' in second.peering.peers)
+        keeper.partial = [['m.1', 'half', 100, 800], ['m.1', 'go', 1, 800]]
+        for written in range(2, 20):
+            await asyncio.sleep(0.1)
+            keeper.partial[-1][2] = written
+        assert keeper.freed == [('m.1', 'half')]
+        (address,) = hub.view.table.keepers
+        # Both know of the room that the part under way takes.
+        await site.wait_until(
+            lambda: all(
+                h.view.warmth.get(address).beyond == 800 for h in (hub, second)
+            )
+        )
+        await keeper.close()
+
+    site.run(check)
