Answer a request at once whose handling raises an error

Change: such a request gets a 500, or its stream breaks off; its connection is closed, LS803 has id and trace, a counter counts. A send that fails leaves no load behind.

--- a/landingspool/events.py
+++ b/landingspool/events.py
@@ -289,6 +289,12 @@
             'WARNING',
             'Lines were left out of the log in the last second.',
         ),
+        Kind(
+            803,
+            'request_fault',
+            'ERROR',
+            'The handling of a request raised an error; its caller got a 500.',
+        ),
     )
 }
 
--- a/landingspool/gateway/attempts.py
+++ b/landingspool/gateway/attempts.py
@@ -79,9 +79,9 @@
         )
 
     async def _send_and_receive(self):
-        self._send()
         outcome = outcomes.Lost('stopped')
         try:
+            self._send()
             outcome = await self._receive()
         finally:
             self._note_end(outcome)
--- a/landingspool/gateway/figures.py
+++ b/landingspool/gateway/figures.py
@@ -20,6 +20,9 @@
         self.budget_refusals = self._count(
             'budget_refusals', 'Repeats that the budget did not allow'
         )
+        self.faults = self._count(
+            'faults', 'Requests whose handling raised an error'
+        )
         self.orders = self._count(
             'orders', 'Orders to targets by outcome', ('outcome',)
         )
--- a/landingspool/gateway/hub.py
+++ b/landingspool/gateway/hub.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import time
+import traceback
 
 from landingspool.decisions.gateway import routes
 from landingspool.decisions.gateway import view as view_module
@@ -45,6 +46,8 @@
 # Descriptors kept for the connections to targets, store and boxes.
 OWN_DESCRIPTORS = 1200
 LEAST_CONNECTIONS = 256
+# Innermost frames that a fault's log line holds.
+TRACE_FRAMES = 6
 # What callers may send before a table is known.
 DEFAULT_LIMITS = routes.Limits()
 
@@ -132,7 +135,18 @@
             request.target.decode('latin-1'),
             list(request.headers),
         )
-        await relay.Relay(self, call, body, reply).run()
+        try:
+            await relay.Relay(self, call, body, reply).run()
+        except Exception:
+            # Whatever it is, its caller must not wait for nothing, and the
+            # box serves the others.
+            self.metrics.faults.inc()
+            self.recorder.record(
+                'request_fault',
+                request=call.name,
+                trace=traceback.format_exc(limit=-TRACE_FRAMES),
+            )
+            await reply.fail()
 
     def _limits(self):
         table = self.view.table
--- a/landingspool/gateway/listener.py
+++ b/landingspool/gateway/listener.py
@@ -19,6 +19,7 @@
     408: b'Request Timeout',
     413: b'Content Too Large',
     431: b'Request Header Fields Too Large',
+    500: b'Internal Server Error',
     502: b'Bad Gateway',
     503: b'Service Unavailable',
     504: b'Gateway Timeout',
@@ -82,6 +83,14 @@
         self.broken = True
         self._wire.abort()
 
+    async def fail(self):
+        """Answer that this side failed, or break off what has begun."""
+        if self.started:
+            self.abort()
+            return
+        self._is_closing = lambda: True
+        await self.send_error(500, 'fault')
+
     @property
     def may_go_on(self):
         """Whether the connection can take a next request."""
