Leave out of digests what nobody reads

Cause: each digest, five a second to each other box, carried the version of the table and the age of its proof; freshness is asked for and told by messages of its own, so nobody read these. Change: both fields are gone, some twenty bytes of each digest.

--- a/landingspool/decisions/gateway/neighbours.py
+++ b/landingspool/decisions/gateway/neighbours.py
@@ -30,10 +30,6 @@
     ----------
     number : int
         Rises with each digest of a box.
-    table : int
-        Version of the table in force there; 0: none.
-    proof_s : float
-        Age of its proof of that table.
     loads : dict of str to list
         For each target the prompt tokens waiting there, the requests that
         have begun, the tokens that all of them hold, the requests waiting.
@@ -46,8 +42,6 @@
     box: str
     domain: str
     number: int
-    table: int
-    proof_s: float
     loads: dict
     unreached: tuple[str, ...] = ()
     rooms: dict[str, tuple[int, int]] = {}
@@ -146,7 +140,7 @@
 
         >>> neighbours = Neighbours()
         >>> loads = {'t': [1, 2, 9, 3]}
-        >>> neighbours.take(Digest('b', 'd', 1, 0, 0.0, loads), 1.0)
+        >>> neighbours.take(Digest('b', 'd', 1, loads), 1.0)
         >>> neighbours.get_load('t', {'d': 1}, 1.5)
         (1.0, 2.0, 9.0, 3.0)
         >>> neighbours.get_load('t', {'d': 2, 'away': 9}, 1.5)
--- a/landingspool/gateway/peering.py
+++ b/landingspool/gateway/peering.py
@@ -112,8 +112,6 @@
             box=self._hub.place.box,
             domain=self._hub.place.domain,
             number=self._number,
-            table=view.table.version if view.table else 0,
-            proof_s=self._get_proof_age(),
             loads=view.loads.list_told(),
             unreached=view.reach.list_told(),
             rooms=view.rooms,
