Turn requests away by how late answers come, too

Cause: on the grown site, with 8 of 38 targets dark for 16 s, each box hears 24 of 82 others and expected first tokens after 0.03 to 0.09 s that took 0.6 to 1.5 s, so nearly nothing was turned away and everybody was served late. Change: each box keeps a moving average of its newest times to the first byte by their routes' aims; from 0.65 on, targets count as full, and the least urgent are told to come back, by the table that places go by.

--- a/landingspool/decisions/gateway/loads.py
+++ b/landingspool/decisions/gateway/loads.py
@@ -39,20 +39,25 @@
         self._sent.setdefault(target, {})[request] = sent
 
     def note_first(self, target, request):
-        """Note that bytes of an answer came; True if they are the first.
+        """Note that bytes of an answer came.
+
+        Returns
+        -------
+        Sent or None
+            The request, if they are the first.
 
         >>> loads = Loads()
         >>> loads.note_sent('t', 'q', Sent(1.0, 500, False, 600))
-        >>> loads.note_first('t', 'q'), loads.note_first('t', 'q')
-        (True, False)
+        >>> loads.note_first('t', 'q')
+        Sent(at=1.0, tokens=500, begun=False, held=600)
+        >>> loads.note_first('t', 'q')
         >>> loads.note_first('t', 'unknown')
-        False
         """
         sent = self._sent.get(target, {}).get(request)
         if sent is None or sent.begun:
-            return False
+            return None
         self._sent[target][request] = sent._replace(begun=True)
-        return True
+        return sent
 
     def note_end(self, target, request):
         """Note that a request is no longer at a target."""
--- a/landingspool/decisions/gateway/view.py
+++ b/landingspool/decisions/gateway/view.py
@@ -13,6 +13,7 @@
 from landingspool.decisions.gateway import fleet as fleet_module
 from landingspool.decisions.gateway import freshness
 from landingspool.decisions.gateway import health as health_module
+from landingspool.decisions.gateway import lateness
 from landingspool.decisions.gateway import loads as loads_module
 from landingspool.decisions.gateway import neighbours
 from landingspool.decisions.gateway import prompts
@@ -64,7 +65,8 @@
         Namespace of its kept context; empty where it has no prompt.
     transfer : transfers.Transfer
     pressure : float
-        Requests at all candidates, by the places that these have.
+        How short targets are: the requests at all candidates by the places
+        that these have, or how late they answer, by what is aimed at.
     """
 
     entry: fleet_module.Entry
@@ -98,6 +100,7 @@
         self.table = None
         self.fleet = fleet_module.Fleet()
         self.loads = loads_module.Loads()
+        self.lateness = lateness.Lateness()
         self.weights = weights_module.Weights(bounds.version_s)
         self.reach = reach_module.Reach()
         self.warmth = warmth_module.Warmth()
@@ -146,7 +149,11 @@
         if chosen is None:
             return None
         plan = self._make_plan(chosen, work, now, transfers_by_space)
-        return plan._replace(pressure=choice.measure_pressure(candidates))
+        pressure = max(
+            choice.measure_pressure(candidates),
+            self.lateness.measure(work.service, now),
+        )
+        return plan._replace(pressure=pressure)
 
     def is_admitted(self, plan, work):
         """Tell whether a request should be sent on as planned."""
@@ -193,8 +200,12 @@
         name = plan.entry.name
         self.loads.note_heard(name, now)
         self.reach.note_reached(name, now)
-        first = self.loads.note_first(name, work.name)
-        if first and work.prompt is not None and plan.space:
+        sent = self.loads.note_first(name, work.name)
+        if sent is None or work.prompt is None:
+            return
+        aim_s = work.route.target_latency_s
+        self.lateness.note_first(work.service, now - sent.at, aim_s, now)
+        if plan.space:
             parts = prompts.list_shared(work.prompt)
             self.warmth.add_read(name, plan.space, parts, now)
 
--- a/tests/gateway/test_view.py
+++ b/tests/gateway/test_view.py
@@ -217,3 +217,28 @@
     assert view.plan(make_work(), (), 10.0).transfer.save == ('k:1', '')
     view.weights.put_version('m', 2, 10.1)
     assert not any(view.plan(make_work(), (), 10.2).transfer.save)
+
+
+def answer_late(view, count, seconds):
+    """Let some requests be answered, each after so long."""
+    for number in range(count):
+        work = make_work(f'late{number}')
+        plan = view.plan(work, (), 10.0)
+        view.note_sent(plan, work, 10.0)
+        view.note_first(plan, work, 10.0 + seconds)
+        view.loads.note_end(plan.entry.name, work.name)
+
+
+def test_where_answers_come_late_requests_are_turned_away():
+    view = make_view()
+    answer_late(view, 30, 0.1)
+    assert view.plan(make_work(), (), 10.2).pressure < 0.5
+    answer_late(view, 60, 0.6)
+    work = make_work()
+    plan = view.plan(work, (), 10.6)
+    # Nothing is known to wait anywhere.
+    assert plan.wait_s < 0.05
+    assert plan.pressure > 1.2
+    assert not view.is_admitted(plan, work)
+    # It is not for ever: some seconds later the next ones are tried.
+    assert view.plan(work, (), 14.0).pressure < 0.5
