Log when and why a box leaves the one that it reads from

Change: LS708 with the reason and the age of the own proof, LS106 with the reader and the kilobytes relayed to others. The stand-in of the store can have a second entrance with faults of its own.

--- a/landingspool/events.py
+++ b/landingspool/events.py
@@ -276,6 +276,12 @@
             'WARNING',
             'The state of another box could not be fetched.',
         ),
+        Kind(
+            708,
+            'reader_left',
+            'INFO',
+            'A box that this one reads from is left for a time.',
+        ),
         Kind(
             800,
             'fault',
--- a/landingspool/gateway/boxcalls.py
+++ b/landingspool/gateway/boxcalls.py
@@ -26,8 +26,8 @@
         return await fetch(
             hub.client, peer.address, kind, call, body, timeout=timeout
         )
-    except NoAnswer:
-        hub.peering.shun(peer.name)
+    except NoAnswer as error:
+        hub.peering.shun(peer.name, str(error))
         raise
 
 
--- a/landingspool/gateway/hub.py
+++ b/landingspool/gateway/hub.py
@@ -165,6 +165,8 @@
             'figures',
             calls=dict(self.store.calls),
             boxes=len(self.peering.peers) + 1,
+            reader=self.peering.name_reader(),
+            relayed_kb=self.offer.relayed_bytes // 1024,
             targets=len(self.view.fleet.entries),
             open=self.listener.count_busy(),
             proof_s=self.view.proof.age_to_log(tick.now),
--- a/landingspool/gateway/peering.py
+++ b/landingspool/gateway/peering.py
@@ -87,6 +87,11 @@
         name = self._readers.pick(self._list_near(), age_s, self._hub.clock())
         return self.peers.get(name)
 
+    def name_reader(self):
+        """Give the name of the box to read from; empty for the store."""
+        reader = self.pick_reader()
+        return reader.name if reader is not None else ''
+
     def is_large(self):
         """Tell whether this domain has boxes that read for others."""
         return len(self._list_near()) >= readers.MOST_ALONE
@@ -95,9 +100,16 @@
         domain = self._hub.place.domain
         return [n for n, p in self.peers.items() if p.domain == domain]
 
-    def shun(self, name):
+    def shun(self, name, reason):
         """Note that a box did not answer, or knows nothing new itself."""
-        self._readers.shun(name, self._hub.clock())
+        now = self._hub.clock()
+        self._readers.shun(name, now)
+        self._hub.recorder.record(
+            'reader_left',
+            reader=name,
+            reason=reason,
+            proof_s=self._hub.view.proof.age_to_log(now),
+        )
         self._hub.sources.leave(name)
 
     def _tell(self, tick):
--- a/landingspool/gateway/sources.py
+++ b/landingspool/gateway/sources.py
@@ -71,7 +71,8 @@
             return store_module.Forgotten()
         if readers.is_stale(answer.age, hold_s):
             # It can't read itself; what it gave is good as far as it goes.
-            self._hub.peering.shun(peer.name)
+            reason = f'its word is {answer.age:.2f} s old'
+            self._hub.peering.shun(peer.name, reason)
         rows = tuple((key, value) for key, value in answer.records)
         return store_module.Page(rows, answer.end, sent - answer.age)
 
@@ -137,9 +138,15 @@
     ----------
     clock : callable, optional
         Gives monotonic seconds.
+
+    Attributes
+    ----------
+    relayed_bytes : int
+        Bytes of keys and values that other boxes were answered.
     """
 
     def __init__(self, clock=time.monotonic):
+        self.relayed_bytes = 0
         self._clock = clock
         self._tails = {}
         self._changed = {}
@@ -188,5 +195,8 @@
         else:
             age = self._clock() - tail.proved
             answer = Relayed(list(found.records), found.end, age)
+            self.relayed_bytes += sum(
+                len(row[0]) + len(row[1]) for row in found.records
+            )
         value = msgspec.to_builtins(answer, builtin_types=[bytes])
         await boxcalls.answer(exchange, value)
--- a/standins/platformstore.py
+++ b/standins/platformstore.py
@@ -47,6 +47,12 @@
 class PlatformStore:
     """The store.
 
+    Parameters
+    ----------
+    topics : dict of str to Topic, optional
+        Those of another one: both are then entrances to one store, and a
+        fault of this one concerns only who comes in here.
+
     Attributes
     ----------
     mode : str
@@ -58,8 +64,8 @@
         (method, path) of each call.
     """
 
-    def __init__(self):
-        self.topics = {}
+    def __init__(self, topics=None):
+        self.topics = {} if topics is None else topics
         self.mode = ''
         self.calls = []
         self.address = None
--- a/tests/gateway/test_readers.py
+++ b/tests/gateway/test_readers.py
@@ -142,7 +142,7 @@
             # The first holds were those of a domain of one box.
             await asyncio.sleep(2 * following.HOLD_S)
             for hub in hubs:
-                hub.peering.shun = left.append
+                hub.peering.shun = lambda name, reason: left.append(name)
             # Longer than targets that don't change are held.
             await asyncio.sleep(following.Targets.hold_s + 0.8)
             assert not left
@@ -161,7 +161,7 @@
                 member.sources.read('keyed.servers', end, 2.4)
             )
             await asyncio.sleep(0.1)
-            member.peering.shun(peer.name)
+            member.peering.shun(peer.name, 'for a test')
             reply = await asyncio.wait_for(reading, 0.2)
             assert 'left' in reply.reason
 
