Count waiting for an answer only while the process runs

Where the process stood still across the end of a wait, the loop called the time-out before it read the answer that had come, and a word of a reader aged with the process; both readers were left and the third in the order read for itself.

Change: a wait whose end comes late goes on for 0.1 s, in the one place where whole answers are fetched. Tests for what else is believed of others: a box that is behind, a list of targets that is older than the own one, an answer cut by its size; the stand-in of the store heeds the size asked for.

--- a/landingspool/http.py
+++ b/landingspool/http.py
@@ -21,6 +21,10 @@
 IDLE_TIMEOUT_S = 60.0
 IDLE_CONNECTIONS = 16
 CONNECT_TIMEOUT_S = 1.0
+# Seconds by which the end of a wait may come late before it is taken for a
+# process that stood still, and for which it then waits on.
+STALL_S = 0.05
+AFTER_STALL_S = 0.1
 
 
 class Address(typing.NamedTuple):
@@ -319,21 +323,19 @@
             When no whole answer came within `timeout` seconds.
         """
         call = self.open(address)
+        work = asyncio.ensure_future(
+            call.fetch_whole(method, path, value, headers)
+        )
         try:
-            async with asyncio.timeout(timeout):
-                await call.send(method, path, value, headers)
-                body = bytearray()
-                async for data in call.read():
-                    body += data
-        except TimeoutError:
-            call.close()
-            raise Unreachable(
-                f'{path}: no answer in time', call.sent
-            ) from None
+            await wait_running(work, timeout)
+            if not work.done():
+                raise Unreachable(f'{path}: no answer in time', call.sent)
+            return work.result()
         except BaseException:
             call.close()
             raise
-        return Response(call.status, call.headers, bytes(body))
+        finally:
+            work.cancel()
 
     def open(self, address):
         """Give a Call to `address` whose answer is read as it comes."""
@@ -424,6 +426,14 @@
         self.status = event.status_code
         self.headers = {k.decode(): v.decode() for k, v in event.headers}
 
+    async def fetch_whole(self, method, path, value, headers):
+        """Send the request and read the whole answer; gives a Response."""
+        await self.send(method, path, value, headers)
+        body = bytearray()
+        async for data in self.read():
+            body += data
+        return Response(self.status, self.headers, bytes(body))
+
     async def read(self):
         """Yield the body in parts; raises Unreachable if it is cut off."""
         while True:
@@ -472,6 +482,22 @@
             conn.receive_data(await reader.read(READ_BYTES))
 
 
+async def wait_running(work, seconds):
+    """Wait for a task for so many seconds in which this process ran.
+
+    Where the end of the wait comes late, the process stood still, and an
+    answer that has arrived meanwhile was not read yet: the loop calls what is
+    due before it goes on with what it has received.
+    """
+    loop = asyncio.get_running_loop()
+    while True:
+        ends = loop.time() + seconds
+        await asyncio.wait({work}, timeout=seconds)
+        if work.done() or loop.time() - ends < STALL_S:
+            return
+        seconds = AFTER_STALL_S
+
+
 def encode_body(value):
     """Encode a request body: bytes as they are, the rest as JSON.
 
--- a/standins/platformstore.py
+++ b/standins/platformstore.py
@@ -13,6 +13,10 @@
 from landingspool.platform import store as protocol
 
 
+# Of an answer where the reader names no size, in KB.
+MAX_KB = 1024
+
+
 class Topic:
     """One keyed topic."""
 
@@ -137,9 +141,15 @@
         if start < topic.first:
             await exchange.send_json(410, {'first': topic.first})
             return
-        rows = topic.records[start - topic.first :]
+        most_bytes = int(request.query.get('max_kb', MAX_KB)) * 1024
         body = struct.pack('>QQ', topic.end, topic.first)
-        body += b''.join(protocol.pack_record(k, v) for k, v in rows)
+        for key, value in topic.records[start - topic.first :]:
+            record = protocol.pack_record(key, value)
+            if len(body) > protocol.ENDS.size and (
+                len(body) + len(record) > most_bytes
+            ):
+                break
+            body += record
         await exchange.send_body(200, body, 'application/octet-stream')
 
     async def _newest(self, topic, request, exchange):
--- a/tests/gateway/test_following.py
+++ b/tests/gateway/test_following.py
@@ -1,9 +1,14 @@
 """What a box believes of tables, keys and targets, and for how long."""
 
 import asyncio
+import json
+
+import msgspec
 
 from landingspool.decisions.gateway import fleet
+from landingspool.decisions.gateway import tail
 from landingspool.gateway import following
+from landingspool.platform import store
 from tests.gateway import site
 
 
@@ -146,3 +151,54 @@
     targets.note_version('t', 'm', 2)
     targets.put(make_entry(m=1))
     assert targets.get_version('t', 'm') == 3
+
+
+def test_a_list_of_targets_older_than_the_own_one_is_not_taken():
+    async def check(deployment):
+        hub = await deployment.start_box()
+        await site.wait_until(lambda: 'p0' in hub.view.fleet.entries)
+        older = hub.state.give()
+        older = msgspec.structs.replace(older, targets=dict(older.targets))
+        deployment.store.put('keyed.servers', 'p0', b'')
+        await site.wait_until(lambda: 'p0' not in hub.view.fleet.entries)
+        hub.state.take(older, hub.clock())
+        assert 'p0' not in hub.view.fleet.entries
+
+    site.run(check)
+
+
+def test_records_older_than_the_list_of_another_box_are_passed_over():
+    async def check(deployment):
+        hub = await deployment.start_box()
+        follower = following.Targets(hub)
+        hub.state.targets_end = 9
+        row = json.dumps(deployment.plain[0].entry('plain')).encode()
+        old = tail.Record('late', row, 7)
+        new = tail.Record('next', row, 9)
+        follower._take_page(store.Page((old, new), 10, hub.clock()))
+        assert 'late' not in hub.view.fleet.entries
+        assert 'next' in hub.view.fleet.entries
+        assert hub.state.targets_end == 10
+
+    site.run(check)
+
+
+def test_an_answer_that_was_cut_by_its_size_proves_nothing():
+    async def check(deployment):
+        large = 'x' * 400 * 1024
+        for number in range(4):
+            deployment.store.put('keyed.op', f'other/{number}', large)
+        hub = await deployment.start_box()
+        page = await hub.store.read('keyed.op', 0, 0.0)
+        assert not page.whole
+        assert len(page.records) < deployment.store.topic('keyed.op').end
+        follower = tail.Tail()
+        follower.reset((), 0, 1.0)
+        follower.extend(page)
+        assert (follower.proved, follower.end) == (1.0, len(page.records))
+        while not page.whole:
+            page = await hub.store.read('keyed.op', page.end, 0.0)
+        follower.extend(page)
+        assert follower.proved == page.sent
+
+    site.run(check)
--- a/tests/gateway/test_readers.py
+++ b/tests/gateway/test_readers.py
@@ -4,6 +4,7 @@
 
 from landingspool.decisions.gateway import readers
 from landingspool.gateway import following
+from landingspool.platform import store
 from tests.gateway import site
 
 BOXES = [f'box{i}' for i in range(6)]
@@ -11,9 +12,9 @@
 KEPT = [['m.1', 'aa', 500, 'm']]
 
 
-async def start_boxes(deployment):
+async def start_boxes(deployment, **bounds):
     """Start all boxes, and wait until each knows the others."""
-    hubs = [await deployment.start_box(name) for name in BOXES]
+    hubs = [await deployment.start_box(name, **bounds) for name in BOXES]
     await site.wait_until(
         lambda: all(len(h.peering.peers) == len(BOXES) - 1 for h in hubs)
     )
@@ -43,11 +44,16 @@
 
 
 def test_the_others_follow_tables_targets_and_stores():
+    # Wide enough that proofs stay young though this process, with six boxes,
+    # a store and targets in it, stands still for a second now and then.
+    wide = {'table_s': 5.6, 'key_s': 5.6}
+    old_s = readers.plan_ages(5.6).old_s
+
     async def main():
         async with site.Site(plain=1) as deployment:
             keeper, address = await site.start_keeper(list(KEPT))
             deployment.publish(site.make_store_table(2, address))
-            hubs = await start_boxes(deployment)
+            hubs = await start_boxes(deployment, **wide)
             members = [h for h in hubs if h.peering.pick_reader() is not None]
             assert len(members) == len(BOXES) - readers.READERS
             await asyncio.sleep(1.5)
@@ -56,7 +62,7 @@
             await change_all(deployment, hubs, address)
             await asyncio.sleep(1.5)
             now = hubs[0].clock()
-            assert all(h.view.proof.age(now) < AGES.old_s for h in hubs)
+            assert all(h.view.proof.age(now) < old_s for h in hubs)
             # None of them has even tried to read for itself.
             assert not any(
                 name.startswith('read')
@@ -179,6 +185,28 @@
     asyncio.run(main())
 
 
+def test_a_box_that_is_behind_is_not_believed():
+    async def main():
+        async with site.Site(plain=1) as deployment:
+            hubs = await start_boxes(deployment)
+            member = next(h for h in hubs if h.peering.pick_reader())
+            behind = {member.peering.pick_reader().name}
+            end = deployment.store.topic('keyed.servers').end
+            # Whom it asks lacks the record that it already has.
+            for hub in hubs:
+                hub.offer._tails['keyed.servers'].end = end - 1
+            reading = member.sources.read('keyed.servers', end, 0.1)
+            reply = await asyncio.wait_for(reading, 3.0)
+            assert not isinstance(reply, store.Forgotten)
+            assert reply.end == end
+            newest = await member.sources.read_newest('keyed.servers', end)
+            assert newest.end == end
+            left = member.recorder.select(reader=behind.pop())
+            assert left and 'ends at' in left[0].fields['reason']
+
+    asyncio.run(main())
+
+
 def test_what_is_asked_of_a_box_ends_when_it_is_left():
     async def main():
         async with site.Site(plain=1) as deployment:
--- /dev/null
+++ b/tests/test_client.py
@@ -0,0 +1,74 @@
+"""What the HTTP client takes for silence."""
+
+import asyncio
+import socket
+import threading
+import time
+
+import pytest
+
+from landingspool import http
+
+ANSWER = b'HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok'
+ANSWERED_AFTER_S = 0.2
+TIMEOUT_S = 0.4
+
+
+class Peer:
+    """Answers one request from a thread of its own, or never does."""
+
+    def __init__(self, answers):
+        self._listener = socket.create_server(('127.0.0.1', 0))
+        self._answers = answers
+        self.address = http.Address(*self._listener.getsockname())
+        self._thread = threading.Thread(target=self._serve)
+        self._thread.start()
+
+    def _serve(self):
+        connection, _ = self._listener.accept()
+        with connection:
+            connection.recv(4096)
+            time.sleep(ANSWERED_AFTER_S)
+            if self._answers:
+                connection.sendall(ANSWER)
+            # The peer's end: nothing, or the close of the connection.
+            connection.recv(4096)
+
+    def close(self):
+        """Wait until the thread has ended."""
+        self._thread.join()
+        self._listener.close()
+
+
+async def fetch_beside_stall(address):
+    """Fetch while the loop stands still across the answer and the end."""
+    client = http.Client()
+    work = asyncio.ensure_future(
+        client.fetch(address, 'GET', '/', timeout=TIMEOUT_S)
+    )
+    await asyncio.sleep(0.05)
+    time.sleep(TIMEOUT_S + 0.3)
+    try:
+        return await work
+    finally:
+        client.close()
+
+
+def test_an_answer_that_came_while_the_process_stood_still_is_taken():
+    peer = Peer(answers=True)
+    try:
+        reply = asyncio.run(fetch_beside_stall(peer.address))
+    finally:
+        peer.close()
+    assert (reply.status, reply.body) == (200, b'ok')
+
+
+def test_silence_ends_soon_after_the_process_stood_still():
+    peer = Peer(answers=False)
+    start = time.monotonic()
+    try:
+        with pytest.raises(http.Unreachable, match='no answer in time'):
+            asyncio.run(fetch_beside_stall(peer.address))
+    finally:
+        peer.close()
+    assert time.monotonic() - start < 2 * TIMEOUT_S + 0.5
