Tell others of a store's room only while this box owns the store

Cause: found in the search for words of other boxes that are believed without their age: a store's former owner went on telling its old count of the room for the rest of its life, and the others took in the old and the new count by turns, so that they offered room that was taken. The new test fails without the change (the count stays) and passes with it; what it is worth on a deployment was not measured.

--- a/landingspool/gateway/sweeper.py
+++ b/landingspool/gateway/sweeper.py
@@ -45,7 +45,9 @@
         """Look and free until cancelled."""
         while True:
             await asyncio.sleep(self._hub.view.rng.uniform(*LOOK_S))
-            for address in self._list_due():
+            owned = self._list_owned()
+            self._forget_rooms(owned)
+            for address in self._list_due(owned):
                 await self._check(address)
             for model, least in self._list_free():
                 await self._free_all(model, least)
@@ -89,19 +91,35 @@
             'swept', store=address, parts=len(parts), before=least, done=done
         )
 
-    def _list_due(self):
-        """List the stores of this box whose whole list is due."""
+    def _list_owned(self):
+        """List the stores that this box owns among the boxes it knows."""
         table = self._hub.view.table
         if table is None:
             return []
-        now = self._hub.clock()
         boxes = [self._hub.place.box, *self._hub.peering.peers]
         return [
             address
             for address, keeper in table.keepers.items()
             if keeper.managed
             and ownership.find_owner(address, boxes) == self._hub.place.box
-            and now - self._listed.get(address, -LIST_S) >= LIST_S
+        ]
+
+    def _forget_rooms(self, owned):
+        """Tell the others no more of stores that another box owns now.
+
+        Its count is newer, and both would be taken in by turns.
+        """
+        rooms = self._hub.view.rooms
+        for address in [name for name in rooms if name not in owned]:
+            del rooms[address]
+
+    def _list_due(self, owned):
+        """List the stores of this box whose whole list is due."""
+        now = self._hub.clock()
+        return [
+            address
+            for address in owned
+            if now - self._listed.get(address, -LIST_S) >= LIST_S
         ]
 
     async def _check(self, address):
--- a/tests/gateway/test_sweeper.py
+++ b/tests/gateway/test_sweeper.py
@@ -1,8 +1,11 @@
 """Parts of replaced weights leave the stores, and nothing else does."""
 
 import asyncio
+import itertools
 
 from landingspool.decisions.gateway import leftovers
+from landingspool.decisions import ownership
+from landingspool.gateway import registry
 from landingspool.gateway import sweeper
 from tests.gateway import site
 
@@ -98,3 +101,22 @@
         await keeper.close()
 
     site.run(check)
+
+
+def test_a_store_that_another_box_owns_now_is_told_of_no_more(monkeypatch):
+    monkeypatch.setattr(sweeper, 'LOOK_S', (0.05, 0.1))
+
+    async def check(deployment):
+        hub, keeper = await start(deployment)
+        (address,) = hub.view.table.keepers
+        await site.wait_until(lambda: address in hub.view.rooms)
+        name = next(
+            name
+            for name in map('box{}'.format, itertools.count(2))
+            if ownership.find_owner(address, ['box1', name]) == name
+        )
+        hub.peering.peers[name] = registry.Peer(name, keeper.address, 'd1')
+        await site.wait_until(lambda: not hub.view.rooms)
+        await keeper.close()
+
+    site.run(check)
