Soak a domain of seven boxes, and boxes that the store turns away

Change: half of the runs have seven boxes in one domain, with links of drawn widths; a fault keeps some boxes from the store, the readers among them half of the time, and takes a key away; the audit knows which boxes were harmed, and that a box in touch goes by a table within the bound (two seconds, half a second for the turn of the process).

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -31,7 +31,7 @@
     fleet = fleet_module.Fleet(folder, subnet)
     people = [callers.Caller(i, fleet, rng) for i in range(CALLERS)]
     try:
-        await fleet.open()
+        await fleet.open(rng)
         await fleet_module.wait_ready(fleet)
         await asyncio.sleep(0.5)
         works = [asyncio.ensure_future(one.run()) for one in people]
--- a/soak/auditor.py
+++ b/soak/auditor.py
@@ -11,6 +11,9 @@
 # Seconds after a box was kept from the store, or stood still, from which on
 # it is bound again by what it should have read there (the users' bound).
 CONTACT_S = 3.0
+# Seconds over the bound for tables within which the machine, shared by many
+# processes, gives each its turn.
+TURN_S = 0.5
 UNREPEATABLE = ('unsafe', 'stream')
 WHOLE_STREAM = [1, 2, 3, 4]
 
@@ -63,29 +66,48 @@
         if row is None:
             # Its caller was cancelled at the end of the run.
             continue
-        gone = fleet.keys[row.key]
-        if gone is not None and row.at > gone + fleet_module.KEY_S:
-            yield f'{name}: ran {row.at - gone:.2f} s after its key went'
+        yield from check_key(fleet, row)
         if head.get('authorization'):
             yield f'{name}: its key reached {runner.name}'
-        left = find_bound(fleet, runner, head['at'])
+        left = fleet.left.get(runner.name)
+        if left is not None:
+            left = find_bound(fleet, left, head['at'])
         if left is not None and head['at'] > left + DRAIN_S:
             yield f'{name}: at {runner.name} {head["at"] - left:.2f} s late'
 
 
-def find_bound(fleet, runner, at):
-    """Give from when a target's leaving binds all boxes; None: it doesn't.
+def check_key(fleet, row):
+    """Yield what is wrong with a request that ran, by its key."""
+    gone = fleet.keys[row.key]
+    if gone is None:
+        return
+    late_s = row.at - gone
+    if late_s > fleet_module.KEY_S:
+        yield f'{row.name}: ran {late_s:.2f} s after its key went'
+    bound = find_bound(fleet, gone, row.at, row.box)
+    if bound is not None and row.at > bound + fleet_module.TABLE_S + TURN_S:
+        yield f'{row.name}: at {row.box} {late_s:.2f} s by an old table'
+
+
+def find_bound(fleet, changed, at, box=None):
+    """Give from when a change binds a box, or all; None: it doesn't.
 
     A box that was kept from the store could not know of it.
+
+    Parameters
+    ----------
+    changed : float
+        When the change was published.
+    at : float
+        When a request was handled.
+    box : str, optional
+        The box that handled it; any may have where none is given.
     """
-    left = fleet.left.get(runner.name)
-    if left is None:
-        return None
-    for start, end in fleet.harms:
-        if start > at:
+    for start, end, boxes in fleet.harms:
+        if start > at or (box is not None and boxes and box not in boxes):
             continue
         if end is None:
             return None
-        if end + CONTACT_S >= left:
-            left = max(left, end + CONTACT_S)
-    return left
+        if end + CONTACT_S >= changed:
+            changed = max(changed, end + CONTACT_S)
+    return changed
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -21,6 +21,7 @@
     """
 
     name: str
+    box: str
     route: str
     key: str
     at: float
@@ -57,7 +58,7 @@
         at = time.monotonic()
         status, whole, body, stamped = await self._ask(box, route, name, key)
         self.sent.append(
-            Sent(name, route, key, at, status, whole, body, stamped)
+            Sent(name, box.name, route, key, at, status, whole, body, stamped)
         )
 
     async def _ask(self, box, route, name, key):
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -3,6 +3,7 @@
 import asyncio
 import signal
 
+from landingspool.decisions.gateway import readers
 from landingspool.platform import names
 from soak import fleet as fleet_module
 
@@ -122,6 +123,31 @@
         fleet.store.mode = ''
 
 
+@fault
+async def turn_away(fleet, rng):
+    """Keep some boxes from the store while a key is taken away.
+
+    Half of the time the first ones in the order in which boxes read for
+    others are among them.
+    """
+    links = {box.name: box.link_mbps for box in fleet.boxes}
+    names = readers.rank_readers(links)
+    if rng.random() < 0.5:
+        rng.shuffle(names)
+    chosen = names[: rng.randint(1, len(names) // 2)]
+    wires = [box.wire for box in fleet.boxes if box.name in chosen]
+    mode = rng.choice(('refuse', 'silent'))
+    with fleet.harm(chosen):
+        for wire in wires:
+            wire.mode = mode
+            if mode == 'refuse':
+                wire.reset()
+        fleet.revoke()
+        await asyncio.sleep(rng.uniform(2.0, 5.0))
+        for wire in wires:
+            wire.mode = ''
+
+
 @fault
 async def forget(fleet, rng):
     """Drop the records of a topic; the newest of each key stay."""
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -22,14 +22,23 @@
     'stream': ('streaming', 1, 'engine', False),
     'resumed': ('streaming', 2, 'engine', True),
 }
-# Seconds from taking a key away until nothing with it may run, and from a
-# planned stop until the process would be killed.
+# Seconds from taking a key away until nothing with it may run, from a new
+# table until boxes in touch go by it, and from a planned stop until the
+# process would be killed.
 KEY_S = 5
+TABLE_S = 2
 GRACE_S = 4
+# Boxes of a run: each in a domain of its own, or all in one that is large
+# enough for some to read the store for the others.
+SMALL = 3
+LARGE = 7
+# Widths of links that are drawn, Mbit/s: the narrowest and the widest that
+# deployments have.
+LINKS_MBPS = (5, 5, 10, 100)
 PORTS = {'front': 8000, 'ready': 8001, 'control': 8002}
 SETTINGS = """
 node = "{name}"
-zone = "d{number}"
+zone = "{domain}"
 seeds = {seeds}
 [listen]
 front = "{ip}:{ports[front]}"
@@ -37,7 +46,10 @@
 control = "{ip}:{ports[control]}"
 [bounds]
 revoke_ms = {revoke_ms}
+config_ms = {config_ms}
 grace_s = {grace_s}
+[limits]
+link_mbps = {link_mbps}
 [platform]
 address = "{store}"
 """
@@ -46,10 +58,11 @@
 class Box:
     """One process and its own way to the store."""
 
-    def __init__(self, number, ip, store, folder):
-        self.name = f'box{number}'
-        self.number = number
+    def __init__(self, name, ip, store, folder):
+        self.name = name
         self.ip = ip
+        self.domain = f'd-{name}'
+        self.link_mbps = LINKS_MBPS[0]
         self.process = None
         self.wire = proxy.Proxy(store)
         self._folder = pathlib.Path(folder)
@@ -66,11 +79,13 @@
         host, port = self.wire.address
         text = SETTINGS.format(
             name=self.name,
-            number=self.number,
+            domain=self.domain,
+            link_mbps=self.link_mbps,
             seeds=json.dumps(seeds),
             ip=self.ip,
             ports=PORTS,
             revoke_ms=KEY_S * 1000,
+            config_ms=TABLE_S * 1000,
             grace_s=GRACE_S,
             store=f'{host}:{port}',
         )
@@ -119,27 +134,38 @@
         self.harms = []
 
     @contextlib.contextmanager
-    def harm(self):
-        """Note for how long boxes were kept from the store, or still."""
-        row = [time.monotonic(), None]
+    def harm(self, boxes=()):
+        """Note for how long boxes were kept from the store, or still.
+
+        Parameters
+        ----------
+        boxes : collection of str
+            Their names; all where none is given.
+        """
+        row = [time.monotonic(), None, frozenset(boxes)]
         self.harms.append(row)
         try:
             yield
         finally:
             row[1] = time.monotonic()
 
-    async def open(self, boxes=3):
-        """Start everything."""
+    async def open(self, rng):
+        """Start everything, in a shape that is drawn."""
+        large = rng.random() < 0.5
         await self.store.start()
         self.publish()
         for service in ('plain', 'plain', 'plain', 'engine', 'engine'):
             await self.add_runner(service)
         weights = {'model': 'm', 'version': 1}
         self.store.put(names.PUBLISHED_TOPIC, 'version/m', weights)
-        ips = [f'127.{self.subnet}.0.{i + 1}' for i in range(boxes)]
-        seeds = [f'{ip}:{PORTS["control"]}' for ip in ips]
+        count = LARGE if large else SMALL
+        ips = [f'127.{self.subnet}.0.{i + 1}' for i in range(count)]
+        seeds = [f'{ip}:{PORTS["control"]}' for ip in ips[:SMALL]]
         for number, ip in enumerate(ips):
-            box = Box(number, ip, self.store.address, self.folder)
+            box = Box(f'box{number}', ip, self.store.address, self.folder)
+            box.link_mbps = rng.choice(LINKS_MBPS)
+            if large:
+                box.domain = 'd-all'
             self.boxes.append(box)
             await box.open(seeds)
 
