Give waiting in running time a module of its own

Change: that wait is the module patience, with its two figures; a name in the soak no longer hides a module.

--- a/landingspool/http.py
+++ b/landingspool/http.py
@@ -13,6 +13,8 @@
 
 import h11
 
+from landingspool import patience
+
 MAX_HEADER_BYTES = 16 * 1024
 MAX_BODY_BYTES = 8 * 1024 * 1024
 READ_BYTES = 64 * 1024
@@ -21,10 +23,6 @@
 IDLE_TIMEOUT_S = 60.0
 IDLE_CONNECTIONS = 16
 CONNECT_TIMEOUT_S = 1.0
-# Seconds by which the end of a wait may come late before it is taken for a
-# process that stood still, and for which it then waits on.
-STALL_S = 0.05
-AFTER_STALL_S = 0.1
 
 
 class Address(typing.NamedTuple):
@@ -327,7 +325,7 @@
             call.fetch_whole(method, path, value, headers)
         )
         try:
-            await wait_running(work, timeout)
+            await patience.wait_running(work, timeout)
             if not work.done():
                 raise Unreachable(f'{path}: no answer in time', call.sent)
             return work.result()
@@ -482,22 +480,6 @@
             conn.receive_data(await reader.read(READ_BYTES))
 
 
-async def wait_running(work, seconds):
-    """Wait for a task for so many seconds in which this process ran.
-
-    Where the end of the wait comes late, the process stood still, and an
-    answer that has arrived meanwhile was not read yet: the loop calls what is
-    due before it goes on with what it has received.
-    """
-    loop = asyncio.get_running_loop()
-    while True:
-        ends = loop.time() + seconds
-        await asyncio.wait({work}, timeout=seconds)
-        if work.done() or loop.time() - ends < STALL_S:
-            return
-        seconds = AFTER_STALL_S
-
-
 def encode_body(value):
     """Encode a request body: bytes as they are, the rest as JSON.
 
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -131,10 +131,10 @@
     others are among them.
     """
     links = {box.name: box.link_mbps for box in fleet.boxes}
-    names = readers.rank_readers(links)
+    ranked = readers.rank_readers(links)
     if rng.random() < 0.5:
-        rng.shuffle(names)
-    chosen = names[: rng.randint(1, len(names) // 2)]
+        rng.shuffle(ranked)
+    chosen = ranked[: rng.randint(1, len(ranked) // 2)]
     wires = [box.wire for box in fleet.boxes if box.name in chosen]
     mode = rng.choice(('refuse', 'silent'))
     with fleet.harm(chosen):
