Test what a tail of records hands on

Cause: that only the newest record of a key of tables goes to the boxes that follow was tested by the doctest of one record alone, and a full tail by nothing. Change: three tests of the tail and of the topic of tables; no product code changed.

--- a/tests/gateway/test_following.py
+++ b/tests/gateway/test_following.py
@@ -202,3 +202,45 @@
         assert follower.proved == page.sent
 
     site.run(check)
+
+
+def make_page(*records):
+    """Give a page of records that follow one another."""
+    return store.Page(records, records[-1].offset + 1, 2.0)
+
+
+def test_of_a_key_of_tables_only_the_newest_record_is_handed_on():
+    rows = [tail.Record('config', bytes([n]), n) for n in range(5, 9)]
+    other = tail.Record('version/m', b'1', 9)
+    for newest_only, handed_on in ((True, rows[-1:]), (False, rows)):
+        kept = tail.Tail(newest_only)
+        kept.reset((), 5, 1.0)
+        for record in (*rows, other):
+            kept.extend(make_page(record))
+        assert kept.read(5).records == (*handed_on, other)
+        assert kept.read(9).records == (other,)
+        assert kept.read(10).records == ()
+
+
+def test_a_tail_that_is_full_says_where_it_begins():
+    kept = tail.Tail(most=2)
+    kept.reset((), 0, 1.0)
+    rows = [tail.Record(f'k{n}', b'x', n) for n in range(4)]
+    kept.extend(make_page(*rows))
+    assert kept.read(1) is None
+    assert kept.read(2).records == tuple(rows[2:])
+    assert [row.key for row in kept.read_newest()] == ['k0', 'k1', 'k2', 'k3']
+
+
+def test_the_published_tables_are_handed_on_newest_only():
+    async def check(deployment):
+        hub = await deployment.start_box()
+        start = deployment.store.topic('keyed.op').end
+        for version in (5, 6, 7):
+            deployment.publish(site.make_table(version))
+        await site.wait_until(lambda: hub.view.table.version == 7)
+        span = hub.offer._tails['keyed.op'].read(start)
+        (record,) = span.records
+        assert json.loads(record.value)['version'] == 7
+
+    site.run(check)
