Let the soak fail where a box does not end within its grace time

The soak killed such a box and said nothing. Change: it tells of it now, unless the box was made to stand still meanwhile.

--- a/soak/auditor.py
+++ b/soak/auditor.py
@@ -3,6 +3,7 @@
 import collections
 
 from soak import callers
+from soak import faults
 from soak import fleet as fleet_module
 
 # Seconds after which a leaving target may get nothing new (the bound is 2;
@@ -28,9 +29,20 @@
     problems = [p for row in sent for p in check_answer(row, runs[row.name])]
     for runner in fleet.runners:
         problems += check_target(fleet, runner, known)
+    problems += check_stops(fleet)
     return problems
 
 
+def check_stops(fleet):
+    """Yield the boxes that had to be killed at the end of their grace time.
+
+    One that was made to stand still meanwhile could not end.
+    """
+    for name, told in fleet.overdue.items():
+        if fleet.paused.get(name, 0.0) < told - faults.MOST_PAUSE_S:
+            yield f'{name}: did not end within its grace time'
+
+
 def check_answer(row, runs):
     """Yield what is wrong with one answer."""
     if row.route in UNREPEATABLE and runs > 1:
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import signal
+import time
 
 from landingspool.decisions.gateway import readers
 from landingspool.platform import names
@@ -11,6 +12,8 @@
 # Pause between two faults, seconds; most last longer, so they overlap.
 PAUSE_S = 0.5
 LOOK_S = 0.05
+# Seconds for which a box is made to stand still at most.
+MOST_PAUSE_S = 4.0
 # Longer than the bound after which no request with a lost key may run.
 UNHEARD_S = 7.0
 # Looks at a process that was told to stop before it is killed: the grace
@@ -69,28 +72,32 @@
     box = rng.choice(fleet.boxes)
     process = box.process
     box.send(signal.SIGCONT)
+    told = time.monotonic()
     box.send(signal.SIGTERM)
-    await wait_end(process)
+    if not await wait_end(process):
+        fleet.overdue[box.name] = told
     box.start()
 
 
 async def wait_end(process):
-    """Wait until a process has ended; one that does not is killed."""
+    """Wait until a process has ended; tells whether it did by itself."""
     for _ in range(STOP_LOOKS):
         if process.poll() is not None:
-            return
+            return True
         await asyncio.sleep(LOOK_S)
     process.kill()
     process.wait()
+    return False
 
 
 @fault
 async def pause(fleet, rng):
     """Let a box stand still."""
     box = rng.choice(fleet.boxes)
+    fleet.paused[box.name] = time.monotonic()
     with fleet.harm():
         box.send(signal.SIGSTOP)
-        await asyncio.sleep(rng.uniform(0.3, 4.0))
+        await asyncio.sleep(rng.uniform(0.3, MOST_PAUSE_S))
         box.send(signal.SIGCONT)
 
 
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -132,6 +132,10 @@
         self.version = 0
         self.left = {}
         self.harms = []
+        # When each box was last made to stand still, and when each that did
+        # not end in its grace time was told to stop, by name.
+        self.paused = {}
+        self.overdue = {}
 
     @contextlib.contextmanager
     def harm(self, boxes=()):
