Give boxes under test ports that no connection is given, and test mute readers

Traced: its port was looked up in the range that the system gives to connections, and in a process with 19 boxes one of their connections can take it first; with a port taken on purpose the same two errors come, for the callers' port and the readiness port alike. Change: the ports of boxes come from a block a process below that range. The other new test lets the first readers answer nobody, as over a link that is full.

--- a/tests/gateway/site.py
+++ b/tests/gateway/site.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import itertools
+import os
 import socket
 
 from landingspool.gateway import deployment
@@ -14,6 +15,13 @@
 HOST = 'h.example'
 KEY = 'key-of-w1'
 NUMBERS = itertools.count(1)
+# Ports of the boxes: a block for each test process, by its id, below those
+# that the system gives to connections (from 32768 on).
+FIRST_PORT = 10_000
+BLOCK_PORTS = 100
+BLOCKS = 200
+BLOCK = FIRST_PORT + os.getpid() % BLOCKS * BLOCK_PORTS
+PORTS = itertools.cycle(range(BLOCK, BLOCK + BLOCK_PORTS))
 
 ROUTES = {
     'safe': {'kind': 'safe', 'max_attempts': 2, 'service': 'plain'},
@@ -106,10 +114,20 @@
 
 
 def find_port():
-    """Give a port that is free now."""
-    with socket.socket() as probe:
-        probe.bind(('127.0.0.1', 0))
-        return probe.getsockname()[1]
+    """Give a port that is free now, and that no connection is given.
+
+    One from the system's own range may go to a connection of another box
+    before the one it is meant for listens on it.
+    """
+    for port in PORTS:
+        with socket.socket() as probe:
+            probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            try:
+                probe.bind(('127.0.0.1', port))
+            except OSError:
+                # Somebody else's, or still held by an earlier box.
+                continue
+            return port
 
 
 class Site:
--- a/tests/gateway/test_turned_away.py
+++ b/tests/gateway/test_turned_away.py
@@ -26,6 +26,7 @@
 
 import asyncio
 
+from landingspool.decisions.gateway import readers
 from landingspool.decisions import ownership
 from standins import platformstore
 from tests.gateway import site
@@ -108,3 +109,28 @@
     late = asyncio.run(measure_turned_away('silent', 4))
     served = {name: late[name] for name in RANKED[4:]}
     assert max(served.values()) < BOUND_S, late
+
+
+async def measure_mute(mute):
+    """Give the lateness where the first readers answer no other box."""
+    async with site.Site(plain=1, engines=0) as deployment:
+        hubs = await start_boxes(deployment, BOXES)
+        await asyncio.sleep(SETTLED_S)
+        for name in RANKED[:mute]:
+            hubs[name].offer.answer_records = answer_late
+        # What was asked before is still answered.
+        await asyncio.sleep(readers.plan_ages(BOUND_S).chained_s + 0.1)
+        late = await measure_lateness(
+            deployment, list(hubs.values()), 2 * BOUND_S
+        )
+    return late
+
+
+async def answer_late(request, exchange):
+    """Answer when nobody waits any more, as over a link that is full."""
+    await asyncio.sleep(2 * BOUND_S)
+
+
+def test_a_table_holds_in_time_though_readers_answer_nobody():
+    late = asyncio.run(measure_mute(3))
+    assert max(late.values()) < BOUND_S, late
