Let two boxes of a domain look after each dark target for the others

Cause: each box went on probing each dark target by itself, so probes grew with the product of both; with a domain of 195 boxes cut off for six seconds 32,003 were counted, and each is a new connection on the wire.

Change: in a domain of more than four boxes two watchers for each target, found by rendezvous hashing, go on as before; the others wait for their word that it is back, for eight seconds at most, and for nobody whose digests have not been heard for a second. A watcher looks at once when it is told of a target that it reached a second ago.

Measured, decisions alone (195 boxes, 13 of 50 engines dark): 18,300 probes in 15 s before, 9,500 since, as many requests in time. Over the stand-ins, six boxes: two go on, and all use the target again within four seconds of its return (test_reach.py). On 195 boxes over the network: not run yet.

--- a/bench/many.py
+++ b/bench/many.py
@@ -180,6 +180,10 @@
         others = [f'd{n % size.domains}' for n in range(size.boxes)]
         view.others = collections.Counter(others)
         view.others[domain] -= 1
+        near = range(number % size.domains, size.boxes, size.domains)
+        view.watching.set_members(
+            str(number), [str(n) for n in near if n != number]
+        )
         for engine in range(size.engines):
             place = f'd{engine % size.domains}'
             view.fleet.put(
@@ -255,7 +259,7 @@
         self._at(now + TIMEOUT_S + 0.01, self._look, number + 1)
 
     def _fail(self, now, view, name):
-        view.reach.note_failed(name, now)
+        view.note_unreached(name, now)
 
     def _name_version(self, now, version):
         """Name new weights, which engines load a few at a time."""
@@ -364,7 +368,7 @@
     def _lose(self, now, box, plan, work):
         view = self._views[box]
         view.loads.note_end(plan.entry.name, work.name)
-        view.reach.note_failed(plan.entry.name, now)
+        view.note_unreached(plan.entry.name, now)
 
     def _note_read(self, part, plan, first):
         if (part.name) in self._read_once:
--- a/landingspool/decisions/gateway/reach.py
+++ b/landingspool/decisions/gateway/reach.py
@@ -17,6 +17,13 @@
 # Seconds for which a word of another box is not followed after this box saw
 # for itself: each look is a new connection, which has a price.
 SURE_S = 10.0
+# The same for a box that looks after the target for others.
+WATCHER_SURE_S = 1.0
+# Seconds to the next try where other boxes look after a target: they tell
+# when it is back, and this is for the case that nobody does.  In 15 s with 13
+# dark targets 195 boxes made 18,300 probes, and 9,500 since (played without a
+# network).
+WATCHED_RETRY_S = 8.0
 # Connections in a row that failed before other boxes are told: a single one
 # may only have met a full queue, and each word makes all boxes look.
 TOLD_AFTER = 2
@@ -44,9 +51,14 @@
         self._out = {}
         self._reached = {}
 
-    def note_failed(self, name, now):
+    def note_failed(self, name, now, watched=False):
         """Note that no connection to a target came up.
 
+        Parameters
+        ----------
+        watched : bool
+            Whether other boxes look after it.
+
         >>> reach = Reach()
         >>> reach.note_failed('a', 10.0)
         >>> reach.is_out('a'), reach.list_due(10.1), reach.list_due(10.4)
@@ -55,6 +67,8 @@
         known = self._out.get(name)
         failed = known.failed + 1 if known is not None else 1
         pause = min(RETRY_S * 2 ** (failed - 1), MOST_RETRY_S)
+        if watched:
+            pause = WATCHED_RETRY_S
         self._out[name] = Out(failed, now + pause)
 
     def note_reached(self, name, now):
@@ -62,9 +76,14 @@
         self._out.pop(name, None)
         self._reached[name] = now
 
-    def suspect(self, name, now):
+    def suspect(self, name, now, sure_s=SURE_S):
         """Take in that another box can't connect to a target.
 
+        Parameters
+        ----------
+        sure_s : float
+            Seconds for which what this box saw for itself counts more.
+
         >>> reach = Reach()
         >>> reach.note_reached('a', 9.0)
         >>> reach.suspect('a', 10.0)
@@ -76,9 +95,24 @@
         """
         if name in self._out:
             return
-        if now - self._reached.get(name, -SURE_S) >= SURE_S:
+        if now - self._reached.get(name, -sure_s) >= sure_s:
             self._out[name] = Out(0, now)
 
+    def hasten(self, name, now):
+        """Take in that a target is back for another box.
+
+        >>> reach = Reach()
+        >>> reach.note_failed('a', 10.0, watched=True)
+        >>> reach.list_due(11.0)
+        []
+        >>> reach.hasten('a', 11.0)
+        >>> reach.list_due(11.0)
+        ['a']
+        """
+        out = self._out.get(name)
+        if out is not None:
+            self._out[name] = out._replace(due=min(out.due, now))
+
     def is_out(self, name):
         """Tell whether a target gets no requests."""
         return name in self._out
--- a/landingspool/decisions/gateway/view.py
+++ b/landingspool/decisions/gateway/view.py
@@ -21,6 +21,7 @@
 from landingspool.decisions.gateway import routes
 from landingspool.decisions.gateway import transfers
 from landingspool.decisions.gateway import warmth as warmth_module
+from landingspool.decisions.gateway import watching as watching_module
 from landingspool.decisions.gateway import weights as weights_module
 
 # Boxes that the retry budget is divided by at least: today's deployments
@@ -103,6 +104,7 @@
         self.lateness = lateness.Lateness()
         self.weights = weights_module.Weights(bounds.version_s)
         self.reach = reach_module.Reach()
+        self.watching = watching_module.Watching()
         self.warmth = warmth_module.Warmth()
         self.proof = freshness.Proof(bounds.key_s, bounds.keys_fail_closed)
         self.neighbours = neighbours.Neighbours()
@@ -231,12 +233,24 @@
     def take_digest(self, digest, now):
         """Take in what another box has under way, and what it found out."""
         self.neighbours.take(digest, now)
+        for name in self.watching.hear(digest.box, digest.unreached, now):
+            self.reach.hasten(name, now)
         for name in digest.unreached:
             if name in self.fleet.entries:
-                self.reach.suspect(name, now)
+                self._suspect(name, now)
         for store, counted in digest.rooms.items():
             self.warmth.note_taken(store, *counted)
 
+    def _suspect(self, name, now):
+        duty = self.watching.is_duty(name)
+        sure_s = reach_module.WATCHER_SURE_S if duty else reach_module.SURE_S
+        self.reach.suspect(name, now, sure_s)
+
+    def note_unreached(self, name, now):
+        """Note that no connection of this box to a target came up."""
+        watched = self.watching.is_watched(name, now)
+        self.reach.note_failed(name, now, watched)
+
     def get_health(self, name):
         """Give the Health of a target."""
         return self._health.get(name, health_module.Health())
--- a/landingspool/gateway/peering.py
+++ b/landingspool/gateway/peering.py
@@ -190,6 +190,7 @@
         view.boxes = max(view.boxes, len(self.peers) + 1)
         domains = [peer.domain for peer in self.peers.values()]
         view.others = dict(collections.Counter(domains))
+        view.watching.set_members(self._hub.place.box, self._list_near())
         self._number += 1
         digest = neighbours.Digest(
             box=self._hub.place.box,
--- a/landingspool/gateway/prober.py
+++ b/landingspool/gateway/prober.py
@@ -26,10 +26,10 @@
 
     def note_failed(self, name, reason):
         """Note that a connection did not come up, or that its path died."""
-        reach = self._hub.view.reach
-        if name not in reach.list_failed():
+        view = self._hub.view
+        if name not in view.reach.list_failed():
             self._hub.recorder.record('unreached', target=name, reason=reason)
-        reach.note_failed(name, self._hub.clock())
+        view.note_unreached(name, self._hub.clock())
 
     def look(self, tick):
         """Begin a probe of each target that is due."""
--- a/tests/gateway/test_many.py
+++ b/tests/gateway/test_many.py
@@ -29,8 +29,12 @@
 
 
 def test_a_quarter_of_the_targets_dark():
-    """0.905 of the least lasting kind in time before, 0.919 since."""
+    """0.963 of the requests in time before, 0.97 since.
+
+    Boxes made 8,857 probes in five seconds before, 6,622 since.
+    """
     got = many.Play(many.Size(seconds=8.0, dark=13), 1).run()
     assert got.in_aim > 0.95
     assert min(got.by_kind.values()) > 0.9
+    assert got.probes < 7500
     assert got.refused < 0.005
--- a/tests/gateway/test_reach.py
+++ b/tests/gateway/test_reach.py
@@ -85,3 +85,43 @@
         assert (await site.ask(hub, '/safe/a')).status == 200
 
     site.run(check)
+
+
+def test_in_a_large_domain_most_boxes_wait_for_the_word_of_two():
+    """Six of six boxes went on to probe a dark target before, two do since."""
+
+    async def check(deployment):
+        hubs = [await deployment.start_box(f'box{i}') for i in range(6)]
+        await site.wait_until(
+            lambda: all(len(hub.peering.peers) == 5 for hub in hubs)
+        )
+        gone = deployment.plain[0]
+        host, port = gone.address[:2]
+        await gone.close()
+        for _ in range(reach.TOLD_AFTER):
+            for hub in hubs:
+                hub.prober.note_failed('p0', 'told by the test')
+        await asyncio.sleep(1.5)
+        counts = [count_probes(hub) for hub in hubs]
+        await asyncio.sleep(3.0)
+        probing = [
+            hub.place.box
+            for hub, before in zip(hubs, counts, strict=True)
+            if count_probes(hub) > before
+        ]
+        watchers = hubs[0].view.watching.list_watchers('p0')
+        assert sorted(probing) == sorted(watchers)
+        back = site.runner_module.Runner('p0')
+        back._server = await asyncio.start_server(back._serve, host, port)
+        # Sooner than they would look for themselves.
+        await site.wait_until(
+            lambda: not any(hub.view.reach.is_out('p0') for hub in hubs), 4.0
+        )
+
+    site.run(check)
+
+
+def count_probes(hub):
+    """Give how many probes of a target failed in a row at a box."""
+    out = hub.view.reach._out.get('p0')
+    return out.failed if out is not None else 0
