Split the play of many boxes, and name its requests

Cause: one module held the engine's timing, the boxes and the sums, and passed six loose values from step to step. Change: bench/engine.py has the engine; a request is a record; an unused variant without a store is gone; cases have names and `python -m bench.many` prints them.

--- a/bench/many.py
+++ b/bench/many.py
@@ -14,6 +14,7 @@
 import random
 import typing
 
+from bench import engine
 from landingspool.decisions.gateway import fleet
 from landingspool.decisions.gateway import neighbours
 from landingspool.decisions.gateway import prompts
@@ -44,10 +45,6 @@
 NAMING_S = 0.3
 CLOSING_S = 0.5
 LOAD_S = 1.4
-# Engine figures of the users' pages: seconds a token with few others, and
-# seconds before the first one.
-STEP_S = 0.0038
-FIRST_S = 0.05
 
 
 class Kind(typing.NamedTuple):
@@ -87,13 +84,32 @@
     capacity: int = 99_974
     per_s: float = 490.0
     seconds: float = 15.0
+    # When new weights are named, and how many engines go dark, when.
     named_at: tuple = ()
     dark: int = 0
     dark_at: float = 3.0
 
 
 class Got(typing.NamedTuple):
-    """What callers got, as shares of the requests of a run."""
+    """What callers got in a run.
+
+    Attributes
+    ----------
+    in_aim, refused, lost : float
+        Shares of the requests: first token within its aim, told to come
+        back, sent on a connection to a dark engine.
+    connections, read_again : float
+        New connections, and tokens of shared parts that some engine had
+        read before, for each request.
+    slowest_s : float
+        Within which 99 of 100 have their first token.
+    probes : int
+        Connections made only to see whether an engine is back.
+    by_kind : dict of str to float
+        Share in aim of each kind.
+    by_second : tuple of float
+        The same of the requests that came in each second.
+    """
 
     in_aim: float
     refused: float
@@ -106,6 +122,16 @@
     by_second: tuple
 
 
+class Asked(typing.NamedTuple):
+    """One request: when and where it came, and which engines it avoids."""
+
+    kind: Kind
+    box: int
+    work: view_module.Work
+    since: float
+    avoid: tuple = ()
+
+
 class SharedStore(warmth.Warmth):
     """What a box knows is kept; the store's part is the same for all."""
 
@@ -126,63 +152,18 @@
         return name == STORE
 
 
-class Engine:
-    """Reads prompts one after the other, runs some at once.
-
-    Who comes waits until there are a place and memory for it.
-    """
-
-    def __init__(self, slots, capacity):
-        self._slots = slots
-        self._capacity = capacity
-        self._read_until = 0.0
-        self._runs = []
-
-    def take(self, now, read, prompt):
-        """Give when the first token comes and when the run ends."""
-        begin = max(now, self._find_begin(now, count_held(prompt)))
-        begin = max(begin, self._read_until)
-        self._read_until = begin + read / prompts.READ_TOKENS_S
-        first = self._read_until + FIRST_S
-        end = first + prompt.tokens_out * STEP_S
-        heapq.heappush(self._runs, (end, count_held(prompt)))
-        return first, end
-
-    def _find_begin(self, now, held):
-        while self._runs and self._runs[0][0] <= now:
-            heapq.heappop(self._runs)
-        left = sorted(self._runs)
-        taken = sum(tokens for _, tokens in left)
-        begin = now
-        while left and (
-            len(left) >= self._slots or taken + held > self._capacity
-        ):
-            begin, tokens = left.pop(0)
-            taken -= tokens
-        return begin
-
-    def load(self, now, seconds):
-        """Read nothing for a time from `now` on."""
-        self._read_until = max(self._read_until, now) + seconds
-
-
-def count_held(prompt):
-    """Give the memory that a request takes in the end, in tokens."""
-    return prompt.tokens_in + prompt.tokens_out
-
-
 class Play:
     """One run; `run` gives a Got."""
 
-    def __init__(self, size, seed, store=True):
+    def __init__(self, size, seed):
         self._size = size
         self._rng = random.Random(seed)
         self._events = []
         self._order = itertools.count()
         self._held = {}
-        self._store = store
         self._engines = [
-            Engine(size.slots, size.capacity) for _ in range(size.engines)
+            engine.Engine(size.slots, size.capacity)
+            for _ in range(size.engines)
         ]
         self._idle = [collections.defaultdict(list) for _ in range(size.boxes)]
         self._views = [self._make_view(n) for n in range(size.boxes)]
@@ -196,9 +177,8 @@
         view = view_module.View(
             domain, deployment.Bounds(version_s=15.0), number
         )
-        view.put_table(make_table(size, self._store))
-        if self._store:
-            view.warmth = SharedStore(self._held)
+        view.put_table(make_table(size))
+        view.warmth = SharedStore(self._held)
         view.boxes = size.boxes
         others = [f'd{n % size.domains}' for n in range(size.boxes)]
         view.others = collections.Counter(others)
@@ -207,19 +187,8 @@
         view.watching.set_members(
             str(number), [str(n) for n in near if n != number]
         )
-        for engine in range(size.engines):
-            place = f'd{engine % size.domains}'
-            view.fleet.put(
-                fleet.Entry(
-                    f'e{engine}',
-                    'engine',
-                    ('e', engine),
-                    place,
-                    fleet.READY,
-                    size.slots,
-                    {'m': 1},
-                )
-            )
+        for place in range(size.engines):
+            view.fleet.put(make_entry(place, size))
         return view
 
     def run(self):
@@ -321,7 +290,10 @@
         self._at(now + self._rng.expovariate(self._size.per_s), self._arrive)
         weights = [kind.share for kind in KINDS]
         kind = self._rng.choices(KINDS, weights)[0]
-        self._send(now, kind, self._rng.randrange(self._size.boxes))
+        box = self._rng.randrange(self._size.boxes)
+        self._counts['asked', kind.name] += 1
+        self._counts['all', int(now)] += 1
+        self._try(now, Asked(kind, box, self._make_work(kind), now))
 
     def _make_work(self, kind):
         thing = f'{kind.name}{self._rng.randrange(kind.things)}'
@@ -339,84 +311,86 @@
             name, ROUTES[kind.name], 'engine', None, prompt
         )
 
-    def _send(self, now, kind, box):
-        self._counts['asked', kind.name] += 1
-        self._counts['all', int(now)] += 1
-        self._try(now, kind, box, self._make_work(kind), now, ())
-
-    def _try(self, now, kind, box, work, since, avoid):
-        view = self._views[box]
-        ready = self._list_ready(box, kind, now)
-        plan = view.plan(work, avoid, now, ready)
-        if plan is None or not view.is_admitted(plan, work):
-            self._counts['refused', kind.name] += 1
+    def _try(self, now, asked):
+        """Choose an engine, and send there or refuse."""
+        view = self._views[asked.box]
+        ready = self._list_ready(asked, now)
+        plan = view.plan(asked.work, asked.avoid, now, ready)
+        if plan is None or not view.is_admitted(plan, asked.work):
+            self._counts['refused', asked.kind.name] += 1
             return
         address = plan.entry.address
-        is_ready = address in ready
-        if is_ready:
-            self._idle[box][address].pop()
+        is_kept = address in ready
+        if is_kept:
+            self._idle[asked.box][address].pop()
         else:
             self._counts['connections'] += 1
-        if self._is_dark(address, now):
-            self._meet_dark(now, kind, box, work, since, avoid, plan, is_ready)
-            return
-        view.note_sent(plan, work, now)
-        first, end = self._engines[address[1]].take(
-            now if is_ready else now + CONNECT_S,
-            plan.read_tokens,
-            work.prompt,
+        if not self._is_dark(address, now):
+            self._send(now, now if is_kept else now + CONNECT_S, asked, plan)
+        elif is_kept:
+            self._lose_later(now, asked, plan)
+        else:
+            self._try_elsewhere(now, asked, plan)
+
+    def _send(self, now, arrives, asked, plan):
+        work = asked.work
+        self._views[asked.box].note_sent(plan, work, now)
+        first, end = self._engines[plan.entry.address[1]].take(
+            arrives, plan.read_tokens, work.prompt
         )
-        part = work.prompt.parts[0]
-        if plan.read_tokens > work.prompt.parts[1].tokens:
+        part, own = work.prompt.parts
+        if plan.read_tokens > own.tokens:
             self._note_read(part, plan, first)
-        wait_s = first - since
+        wait_s = first - asked.since
         self._waits.append(wait_s)
-        self._counts['in_aim', kind.name] += wait_s <= kind.aim_s
-        self._counts['good', int(since)] += wait_s <= kind.aim_s
-        self._at(first, self._begin, box, plan, work)
-        self._at(end, self._end, box, plan, work)
-
-    def _meet_dark(self, now, kind, box, work, since, avoid, plan, is_ready):
-        """A connection that was at rest loses what is sent on it."""
-        name = plan.entry.name
-        if is_ready:
-            self._counts['lost'] += 1
-            view = self._views[box]
-            view.note_sent(plan, work, now)
-            self._idle[box].pop(plan.entry.address, None)
-            self._at(now + SILENT_S, self._lose, box, plan, work)
-            return
-        later = now + TIMEOUT_S
-        self._at(later, self._fail, self._views[box], name)
-        again = (kind, box, work, since, (*avoid, name))
-        self._at(later, self._try, *again)
-
-    def _lose(self, now, box, plan, work):
-        view = self._views[box]
-        view.loads.note_end(plan.entry.name, work.name)
+        in_aim = wait_s <= asked.kind.aim_s
+        self._counts['in_aim', asked.kind.name] += in_aim
+        self._counts['good', int(asked.since)] += in_aim
+        self._at(first, self._begin, asked, plan)
+        self._at(end, self._end, asked, plan)
+
+    def _lose_later(self, now, asked, plan):
+        """Lose what was sent on a kept connection to a dark engine."""
+        self._counts['lost'] += 1
+        self._views[asked.box].note_sent(plan, asked.work, now)
+        self._idle[asked.box].pop(plan.entry.address, None)
+        self._at(now + SILENT_S, self._lose, asked, plan)
+
+    def _lose(self, now, asked, plan):
+        view = self._views[asked.box]
+        view.loads.note_end(plan.entry.name, asked.work.name)
         view.note_unreached(plan.entry.name, now)
 
+    def _try_elsewhere(self, now, asked, plan):
+        """Try again once a new connection has not come up."""
+        name, later = plan.entry.name, now + TIMEOUT_S
+        self._at(later, self._fail, self._views[asked.box], name)
+        avoid = (*asked.avoid, name)
+        self._at(later, self._try, asked._replace(avoid=avoid))
+
     def _note_read(self, part, plan, first):
-        if (part.name) in self._read_once:
+        """Note that a shared part is read, and when all know of it."""
+        if part.name in self._read_once:
             self._counts['again'] += plan.read_tokens
         self._read_once.add(part.name)
-        if self._store:
-            key = plan.space, part.name
-            self._at(first + KNOWN_S, self._keep, key, part.tokens)
+        key = plan.space, part.name
+        self._at(first + KNOWN_S, self._keep, key, part.tokens)
 
     def _keep(self, now, key, tokens):
         self._held[key] = tokens
 
-    def _begin(self, now, box, plan, work):
-        self._views[box].note_first(plan, work, now)
+    def _begin(self, now, asked, plan):
+        self._views[asked.box].note_first(plan, asked.work, now)
 
-    def _end(self, now, box, plan, work):
-        self._views[box].loads.note_end(plan.entry.name, work.name)
-        self._idle[box][plan.entry.address].append(now)
+    def _end(self, now, asked, plan):
+        view = self._views[asked.box]
+        view.loads.note_end(plan.entry.name, asked.work.name)
+        self._idle[asked.box][plan.entry.address].append(now)
 
-    def _list_ready(self, box, kind, now):
-        most = IDLE_S if kind.repeatable else UNREPEATABLE_S
-        idle = self._idle[box]
+    def _list_ready(self, asked, now):
+        """List the engines to which a connection at rest may be used."""
+        most = IDLE_S if asked.kind.repeatable else UNREPEATABLE_S
+        idle = self._idle[asked.box]
         for address in list(idle):
             idle[address] = [at for at in idle[address] if now - at < IDLE_S]
         return frozenset(
@@ -455,13 +429,27 @@
     return max(int(mean * rng.lognormvariate(-SPREAD * SPREAD / 2, SPREAD)), 1)
 
 
-def make_table(size, store):
-    """Give the table of a service of engines, with a store or without."""
-    engine = routes.Engine(size.slots, size.capacity, 35_136, 1.1e6, 4, True)
-    services = [routes.Service('engine', max_connections=1300, engine=engine)]
-    if store:
-        keeper = routes.Keeper(STORE, 'd0', 10**9, 310_000.0, 4, True, 0.0005)
-        services.append(routes.Service('store', keeper=keeper))
+def make_entry(place, size):
+    """Give what one engine says of itself."""
+    return fleet.Entry(
+        f'e{place}',
+        'engine',
+        ('e', place),
+        f'd{place % size.domains}',
+        fleet.READY,
+        size.slots,
+        {'m': 1},
+    )
+
+
+def make_table(size):
+    """Give the table of a service of engines with a store."""
+    kind = routes.Engine(size.slots, size.capacity, 35_136, 1.1e6, 4, True)
+    keeper = routes.Keeper(STORE, 'd0', 10**9, 310_000.0, 4, True, 0.0005)
+    services = [
+        routes.Service('engine', max_connections=1300, engine=kind),
+        routes.Service('store', keeper=keeper),
+    ]
     return routes.make_table(
         1, list(ROUTES.values()), services, {}, routes.Limits(), False
     )
@@ -483,6 +471,23 @@
 }
 
 
+CASES = {
+    'calm': Size(seconds=9.0),
+    'a quarter dark': Size(seconds=12.0, dark=13),
+    'new weights': Size(seconds=18.0, named_at=(4.0, 8.0)),
+}
+
+
+def main():
+    """Play each case, and print what callers get."""
+    for name, size in CASES.items():
+        got = Play(size, 1).run()
+        print(
+            f'{name}: in aim {got.in_aim:.3f}, refused {got.refused:.4f}, '
+            f'connections {got.connections:.2f}, p99 {got.slowest_s:.2f} s, '
+            f'probes {got.probes}, by second {got.by_second}'
+        )
+
+
 if __name__ == '__main__':
-    for at_once in (490.0, 800.0):
-        print(at_once, Play(Size(per_s=at_once), 1).run())
+    main()
