Ask a store that is away for tables alone

Change: from the second failure in a row on, reads of targets and claims wait until any read is answered, three seconds at most; that of tables asks as before.

Measured: in four seconds without a store a box made four calls for each of three topics before, and one or two for two of these since; a target that leaves is known within 1.2 s of the store's return (test_following.py, failed before).

--- a/landingspool/gateway/following.py
+++ b/landingspool/gateway/following.py
@@ -17,6 +17,10 @@
 # Pause after a read that failed, seconds, doubled up to the greatest.
 PAUSE_S = 0.1
 MOST_PAUSE_S = 0.8
+# Seconds for which a read that is not of tables waits at most for the answer
+# to another one; that of tables is asked for again after 0.8 s at most, so
+# this is for the case that it is itself without an answer.
+AWAY_S = 3.0
 # Seconds after a failed read for which a vanished entry may have lapsed
 # only because the store was away.
 UNSURE_S = 5.0
@@ -94,9 +98,23 @@
                 self._note_state(True, kind)
                 return reply
             self._note_state(False, reply.reason)
-            await asyncio.sleep(pause)
+            await self._rest(pause)
             pause = min(pause * 2, MOST_PAUSE_S)
 
+    async def _rest(self, seconds):
+        """Pause after a failed read; the first pause is PAUSE_S long.
+
+        From the second failure on the source is away.  That it is back the
+        read of the tables finds out, which asks all the time: where each
+        topic did, a box made four calls for each of three topics in four
+        seconds without a store, and makes one or two for two of them since
+        (test_following.py); each call has a price.
+        """
+        if seconds <= PAUSE_S:
+            await asyncio.sleep(seconds)
+        else:
+            await self._hub.sources.wait_answered(AWAY_S)
+
     @property
     def least_end(self):
         """An older word of another box is not taken."""
@@ -158,6 +176,10 @@
         left_s = max(peering.ages.old_s - age_s, 0.0)
         return min(peering.ages.chained_s, left_s)
 
+    async def _rest(self, seconds):
+        """Pause after a failed read: it is for this one to ask again."""
+        await asyncio.sleep(seconds)
+
     def _take(self, record):
         if not record.value:
             return
--- a/landingspool/gateway/sources.py
+++ b/landingspool/gateway/sources.py
@@ -8,6 +8,7 @@
 """
 
 import asyncio
+import contextlib
 import time
 from urllib import parse
 
@@ -64,6 +65,7 @@
     def __init__(self, hub):
         self._hub = hub
         self._leaving = {}
+        self._answered = asyncio.Event()
         self.failed_at = None
 
     def leave(self, name):
@@ -110,11 +112,22 @@
             else:
                 reply = await self._read_store(read_store())
             if not isinstance(reply, store_module.Unavailable):
+                self._note_answered()
                 return reply
             self.failed_at = self._hub.clock()
             if peer is None and peering.pick_reader() is None:
                 return reply
 
+    async def wait_answered(self, most_s):
+        """Wait until any read is answered, but no longer than `most_s`."""
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(most_s):
+                await self._answered.wait()
+
+    def _note_answered(self):
+        self._answered.set()
+        self._answered = asyncio.Event()
+
     async def _read_store(self, reading):
         """Read the store, unless another read finds that it is away."""
         reply = await self._wait(self._hub.place.box, reading)
--- a/tests/gateway/test_following.py
+++ b/tests/gateway/test_following.py
@@ -8,6 +8,7 @@
 from landingspool.decisions.gateway import fleet
 from landingspool.decisions.gateway import tail
 from landingspool.gateway import following
+from landingspool.platform import names
 from landingspool.platform import store
 from tests.gateway import site
 
@@ -244,3 +245,27 @@
         assert json.loads(record.value)['version'] == 7
 
     site.run(check)
+
+
+def test_only_tables_are_asked_for_while_the_store_is_away():
+    """Four calls for each of three topics in four seconds before."""
+
+    async def check(deployment):
+        hub = await deployment.start_box()
+        deployment.store.mode = 'busy'
+        await asyncio.sleep(0.5)
+        before = dict(hub.store.calls)
+        await asyncio.sleep(4.0)
+        made = {
+            kind: count - before.get(kind, 0)
+            for kind, count in hub.store.calls.items()
+        }
+        assert made[f'read {names.PUBLISHED_TOPIC}'] >= 4
+        assert made.get(f'read {names.TARGETS_TOPIC}', 0) <= 2
+        assert made.get(f'read {names.CLAIMS_TOPIC}', 0) <= 2
+        deployment.store.mode = ''
+        deployment.announce(deployment.plain[0], 'plain', state='draining')
+        # As soon as the read of tables is answered.
+        await site.wait_until(lambda: 'p0' not in hub.view.fleet.entries, 1.2)
+
+    site.run(check)
