--- a/landingspool/decisions/gateway/choice.py
+++ b/landingspool/decisions/gateway/choice.py
@@ -27,7 +27,7 @@
 # requests where all are weighed, 0.925 with six; with a quarter of the
 # engines dark 0.890 and 0.896, without trouble 0.970 and 0.977.  With three
 # 0.923, 0.883 and 0.971.
-FEW = 6
+HOMES = 6
 # Seconds a request counts that waits for its first byte at a plain target,
 # before any was measured.
 PLAIN_WORK_S = 0.045
@@ -271,7 +271,7 @@
         As rank_homes; empty where all are to be weighed.
     """
     return [
-        c for c in candidates if c.ready or homes.get(c.entry.name, 0) < FEW
+        c for c in candidates if c.ready or homes.get(c.entry.name, 0) < HOMES
     ]
 
 
--- a/landingspool/decisions/gateway/watching.py
+++ b/landingspool/decisions/gateway/watching.py
@@ -3,8 +3,8 @@
 Where each box looks after each dark target by itself, probes grow with the
 product of both: 195 boxes and 13 targets made some 1,200 a second.  So in a
 large domain two boxes go on trying each dark target, found by rendezvous
-hashing, and the others wait for the word of these.  Whose word is missing is
-not waited for.
+hashing, and the others wait for their word that it is back.  A watcher that
+has not been heard for a second is not waited for.
 """
 
 import typing
