Read whole lists of the store at a start, not of one box

Cause: since boxes that start asked the one that reads for their domain, the whole list of targets went to each of them over that box's link.

Change: a box without any proof reads the store as before; what it saves is the held reads of its own that followed.

--- a/landingspool/gateway/following.py
+++ b/landingspool/gateway/following.py
@@ -57,9 +57,9 @@
     async def run(self):
         """Follow until cancelled.
 
-        Who knows the other boxes asks one that reads for its domain: 195
-        boxes that start would each ask the store six times, a quarter of
-        all calls of a calm day.
+        Who knows the other boxes follows one that reads for its domain as
+        soon as it has read the store once; 195 boxes that start would each
+        begin with held reads of their own for three topics.
         """
         await self._hub.peering.wait_listed()
         while True:
@@ -70,7 +70,6 @@
                 ),
             )
             self._tail.reset(newest.records, newest.end, newest.sent)
-            self._hub.offer.wake(self.topic)
             self._take_newest(newest)
             await self._follow(newest.end)
 
--- a/landingspool/gateway/peering.py
+++ b/landingspool/gateway/peering.py
@@ -114,15 +114,12 @@
     def pick_reader(self):
         """Pick the registry.Peer to read from; None: the store itself.
 
-        A box that starts has no proof: what counts is for how long it has
-        known the others, which it asks at first.
+        A box that starts has no proof and reads whole lists of the store:
+        of a reader all boxes of its domain would ask these at once.  That
+        took 4 s with 100 boxes and 1,000 targets, and 30 s with 300 and
+        3,000, over the reader's one link.
         """
-        now = self._hub.clock()
-        age_s = self._hub.view.proof.age(now)
-        listed_at = self._registry.listed_at
-        if listed_at is not None:
-            age_s = min(age_s, now - listed_at)
-        return self._pick_peer(age_s)
+        return self._pick_peer(self._hub.view.proof.age(self._hub.clock()))
 
     def _pick_peer(self, age_s):
         links = {
--- a/landingspool/gateway/registry.py
+++ b/landingspool/gateway/registry.py
@@ -4,8 +4,8 @@
 much sooner.  So it is read seldom, and an entry that is not renewed stays
 until its box says that it stops.
 
-It is read before anything else, since a box that knows the others can ask
-these for the rest.
+It is read before anything else: a box that knows the others follows one of
+these as soon as it has read the store once.
 """
 
 import asyncio
@@ -54,15 +54,12 @@
     ----------
     listed : asyncio.Event
         Set once the other boxes are known, as far as the store tells.
-    listed_at : float or None
-        When that was; None before.
     """
 
     def __init__(self, hub, peers):
         self._hub = hub
         self._peers = peers
         self.listed = asyncio.Event()
-        self.listed_at = None
 
     async def run(self):
         """Make this box known, and learn now and then which others are."""
@@ -80,7 +77,6 @@
     async def _begin(self):
         """Read the list for the first time, and let the others go on."""
         await self._read_list()
-        self.listed_at = self._hub.clock()
         self.listed.set()
 
     async def _read_list(self):
--- a/landingspool/gateway/sources.py
+++ b/landingspool/gateway/sources.py
@@ -23,9 +23,6 @@
 NEWEST_PATH = '/newest'
 # Seconds for an answer beyond the hold; boxes of one domain are near.
 ANSWER_S = 0.4
-# Seconds for which a question waits that reaches a box before it has read
-# anything itself: where all boxes start at once its reader does, too.
-BEGINNING_S = 0.25
 
 
 class Relayed(msgspec.Struct):
@@ -283,11 +280,8 @@
 
     async def answer_newest(self, request, exchange):
         """Answer a read of the newest of each key."""
-        topic = request.query.get('topic', '')
-        tail = self._tails.get(topic)
+        tail = self._tails.get(request.query.get('topic', ''))
         found = None
-        if tail is not None and tail.end is None and not self._is_cut():
-            await self._hold(topic, BEGINNING_S)
         if tail is not None and tail.end is not None:
             found = tail_module.Span(tail.read_newest(), tail.end)
         await self._send(exchange, tail, found)
