--- a/landingspool/decisions/gateway/choice.py
+++ b/landingspool/decisions/gateway/choice.py
@@ -23,10 +23,11 @@
 # each other's requests is some tenths of a second old, so that all of them
 # see the same engine idle and send to it.  Among few that differ from prompt
 # to prompt that does no harm.  195 boxes and 50 engines, played without a
-# network: begun in time while all engines load new weights 0.866 of the
-# requests where all are weighed, 0.925 with six; with a quarter of the
-# engines dark 0.890 and 0.896, without trouble 0.970 and 0.977.  With three
-# 0.923, 0.883 and 0.971.
+# network, with the other constants as they are: begun in time while all
+# engines load new weights 0.925 of the requests with six, 0.923 with three;
+# with a quarter of the engines dark 0.896 and 0.883, without trouble 0.977 and
+# 0.971.  All engines weighed, at one home, 0.01 s for a connection and 0.12 s
+# for old weights: 0.866, 0.890 and 0.970; the share of each is not measured.
 HOMES = 6
 # Seconds a request counts that waits for its first byte at a plain target,
 # before any was measured.
@@ -50,7 +51,8 @@
 # time that it stays slow.
 COLD_SHARE = 0.1
 # Seconds that another failure domain costs: two ways of 0.9 ms and the
-# bytes between domains, which are dear; small against reading a prompt.
+# bytes between domains, which are dear; small against reading a prompt.  What
+# it gains by itself is not measured.
 FAR_S = 0.015
 # Seconds by which an engine without a connection at rest is put behind.  A
 # new one takes 10 ms and a place among those that the engine accepts, and is
@@ -60,7 +62,7 @@
 # a network).
 CONNECT_S = 0.04
 # The same at a plain target, which answers sooner: less than it takes to run
-# what fills its places.
+# what fills its places.  Not measured apart.
 PLAIN_CONNECT_S = 0.02
 
 
