Hold beliefs by a target's life, and keep to evacuations, homes and cold bounds

Cause: a target may start again under its id; what was believed of it (leaving, weights, kept context, connections at rest) went on for the next life. Entries of other writers raised errors that nothing caught, or gave targets with negative places; one undecodable key lost a whole page. No code knew of evacuations, of homes, or of what a cold target bears.

Not yet played on a deployment.

--- a/landingspool/decisions/gateway/choice.py
+++ b/landingspool/decisions/gateway/choice.py
@@ -105,7 +105,7 @@
     `kept` are the tokens of the prompt that it need not read, `saved` those
     that stores hold, `fetched_s` the seconds that these take to come.
     `handicap_s` puts it behind the others; `capacity` is its memory in
-    tokens, 0 where it is not known.
+    tokens, 0 where it is not known; `cold_s` is how much longer it is slow.
     """
 
     entry: typing.Any
@@ -117,6 +117,7 @@
     handicap_s: float = 0.0
     capacity: int = 0
     ready: bool = False
+    cold_s: float = 0.0
 
 
 class Chosen(typing.NamedTuple):
@@ -220,7 +221,7 @@
     # Some routes fail by themselves; only what a target does worse counts.
     failing = health.failing - peers.failing
     seconds = seconds * slow + failing * FAILING_S
-    seconds += candidate.entry.cold_s * COLD_SHARE + candidate.handicap_s
+    seconds += candidate.cold_s * COLD_SHARE + candidate.handicap_s
     if not candidate.ready:
         seconds += PLAIN_CONNECT_S if prompt is None else CONNECT_S
     return seconds + (0 if candidate.entry.domain == domain else FAR_S)
--- a/landingspool/decisions/gateway/fleet.py
+++ b/landingspool/decisions/gateway/fleet.py
@@ -1,20 +1,66 @@
 """Which targets exist, which of them may get new work, and on what weights.
 
-Targets say of themselves that they are there.  One that was ever leaving
-gets no new work again under its id, whatever is read later.  While the
-place where they are listed was away, entries may lapse though the target
-lives: those get a time of grace before they are taken as gone.
+Targets say of themselves that they are there.  One may start again under
+the id that it had, and then holds and knows nothing of before.  So what is
+believed of a target belongs to one life of it, its id and when that start
+was: all beliefs are kept under the life's name, a new life begins with none,
+and an older word that comes late names a life that is over.
+
+A life that was ever leaving gets no new work again, whatever is read later.
+While the place where targets are listed was away, entries may lapse though
+the target lives: those get a time of grace before they are taken as gone.
 """
 
 import typing
 
 READY = 'ready'
 DRAINING = 'draining'
+# An entry of a life that is over: a later one of the same id is known.
+OVER = 'over'
 
 # Seconds after the list's return within which a living target is back on
 # it (the users' letter: about two), and less than the two seconds after
 # which nothing new may reach a target that is gone.
 GRACE_S = 1.8
+# Between the id and the start in the name of a life; no id holds it.
+LIFE_SIGN = '@'
+
+
+class Life(typing.NamedTuple):
+    """One start of a target.
+
+    Attributes
+    ----------
+    target : str
+        Its id, which a later start may have too.
+    born : int
+        When it started, Unix milliseconds; 0 where it does not tell, and
+        then each start has an id of its own.
+    """
+
+    target: str
+    born: int = 0
+
+    @property
+    def name(self):
+        """The name under which all beliefs about this life are kept.
+
+        >>> Life('t', 1700).name, Life('t').name
+        ('t@1700', 't')
+        """
+        if not self.born:
+            return self.target
+        return f'{self.target}{LIFE_SIGN}{self.born}'
+
+
+def read_life(name):
+    """Give the Life of a name.
+
+    >>> read_life('t@1700'), read_life('t')
+    (Life(target='t', born=1700), Life(target='t', born=0))
+    """
+    target, _, born = name.partition(LIFE_SIGN)
+    return Life(target, int(born or 0))
 
 
 class Entry(typing.NamedTuple):
@@ -23,7 +69,7 @@
     Attributes
     ----------
     name : str
-        Its id, new with each start.
+        Of its life (Life.name).
     versions : dict of str to int
         The version of the weights that it runs, by model.
     cold_s : float
@@ -39,6 +85,11 @@
     versions: dict
     cold_s: float = 0.0
 
+    @property
+    def target(self):
+        """The target's id, by which it knows itself."""
+        return read_life(self.name).target
+
 
 class Fleet:
     """The targets that a box knows.
@@ -46,7 +97,7 @@
     Attributes
     ----------
     entries : dict of str to Entry
-        Those that may get new work.
+        Those that may get new work, by the name of their life.
     lapsed : dict of str to float
         Those of `entries` whose time of grace ends then.
     """
@@ -54,15 +105,28 @@
     def __init__(self):
         self.entries = {}
         self.lapsed = {}
+        self._lives = {}
         self._drained = set()
         self._versions = {}
 
+    def find_life(self, target):
+        """Give the name of the newest life of a target; None: unknown."""
+        life = self._lives.get(target)
+        return life.name if life is not None else None
+
+    def list_targets(self):
+        """List the ids of the targets that may get new work."""
+        return [read_life(name).target for name in self.entries]
+
     def put(self, entry):
         """Take in an entry; returns the state that holds from now on.
 
-        An id that was ever leaving stays so.  One that only vanished (it
+        A life that was ever leaving stays so.  One that only vanished (it
         may have been cut off) counts again when it says that it is ready.
+        The entry of an earlier life than is known changes nothing.
         """
+        if not self._begin_life(read_life(entry.name)):
+            return OVER
         self.lapsed.pop(entry.name, None)
         if entry.name in self._drained:
             return DRAINING
@@ -74,6 +138,16 @@
         self.entries[entry.name] = entry
         return READY
 
+    def _begin_life(self, life):
+        """Note a life; tells whether it is the newest of its target."""
+        known = self._lives.get(life.target)
+        if known is not None and life.born < known.born:
+            return False
+        if known is not None and life.born > known.born:
+            self._remove(known.name)
+        self._lives[life.target] = life
+        return True
+
     def drop(self, name, now, unsure):
         """Take in that an entry has gone.
 
@@ -91,7 +165,7 @@
             self._remove(name)
 
     def drain(self, name):
-        """Mark a target as leaving, for ever."""
+        """Mark a life as leaving, for ever."""
         self._drained.add(name)
         self._remove(name)
 
@@ -111,9 +185,19 @@
         sure = [e for e in known if e.name not in self.lapsed]
         return sure or known
 
-    def list_model(self, model):
-        """List the entries of the targets that have a model."""
-        return [e for e in self.entries.values() if model in e.versions]
+    def list_model(self, model, services):
+        """List the entries of the targets that have a model.
+
+        Parameters
+        ----------
+        services : collection of str
+            Those that are known: who names another one is no target.
+        """
+        return [
+            entry
+            for entry in self.entries.values()
+            if model in entry.versions and entry.service in services
+        ]
 
     def get_version(self, name, model):
         """Give the version of `model` that a target is believed to run."""
--- a/landingspool/decisions/gateway/leftovers.py
+++ b/landingspool/decisions/gateway/leftovers.py
@@ -23,11 +23,17 @@
 ARRIVE_S = 1.0
 
 
-def find_least(model, fleet):
-    """Give the oldest version that any target of a model has, or None."""
+def find_least(model, fleet, services):
+    """Give the oldest version that any target of a model has, or None.
+
+    Parameters
+    ----------
+    services : collection of str
+        Those that are known.
+    """
     versions = [
         fleet.get_version(entry.name, model) or 0
-        for entry in fleet.list_model(model)
+        for entry in fleet.list_model(model, services)
     ]
     return min(versions, default=None)
 
--- a/landingspool/decisions/gateway/routes.py
+++ b/landingspool/decisions/gateway/routes.py
@@ -6,6 +6,8 @@
 
 import typing
 
+from landingspool.decisions.gateway import coldness
+
 SAFE = 'safe'
 UNSAFE = 'unsafe'
 STREAM = 'stream'
@@ -35,6 +37,8 @@
         Targets to which one request may be sent.
     sticky : bool
         Whether requests name shared parts of their prompt.
+    regions : frozenset of str
+        Its homes; empty where it may run anywhere.
     """
 
     name: str
@@ -49,6 +53,7 @@
     anonymous: bool = False
     sticky: bool = False
     resumable: bool = False
+    regions: frozenset = frozenset()
 
 
 class Engine(typing.NamedTuple):
@@ -93,21 +98,29 @@
 
 
 class Service(typing.NamedTuple):
-    """Targets that are alike; `engine` or `keeper` is set for those kinds."""
+    """Targets that are alike; `engine` or `keeper` is set for those kinds.
+
+    `cold` is what they bear after a start.
+    """
 
     name: str
     health_path: str = ''
     max_connections: int = 64
     engine: Engine | None = None
     keeper: Keeper | None = None
+    cold: coldness.Bound = coldness.Bound()
 
 
 class Tenancy(typing.NamedTuple):
-    """A workspace as the routes know it; `priority` None: the route's."""
+    """A workspace as the routes know it; `priority` None: the route's.
+
+    `regions` are its homes; empty where its requests may run anywhere.
+    """
 
     name: str
     priority: int | None = None
     isolated: bool = False
+    regions: frozenset = frozenset()
 
 
 class Limits(typing.NamedTuple):
@@ -196,8 +209,8 @@
 
     >>> table = make_table(1, [], [], {'k': Tenancy('w')}, Limits(), True)
     >>> route = Route('r', 'h', '/a/', SAFE, 1, 1, 0, ())
-    >>> find_tenancy(table, route, 'k')
-    (Tenancy(name='w', priority=None, isolated=False), True)
+    >>> find_tenancy(table, route, 'k') == (Tenancy('w'), True)
+    True
     >>> find_tenancy(table, route, 'x')
     (None, False)
     """
--- a/landingspool/decisions/gateway/view.py
+++ b/landingspool/decisions/gateway/view.py
@@ -10,9 +10,12 @@
 from landingspool.decisions.gateway import admission
 from landingspool.decisions.gateway import allowance
 from landingspool.decisions.gateway import choice
+from landingspool.decisions.gateway import coldness as coldness_module
+from landingspool.decisions.gateway import evacuation
 from landingspool.decisions.gateway import fleet as fleet_module
 from landingspool.decisions.gateway import freshness
 from landingspool.decisions.gateway import health as health_module
+from landingspool.decisions.gateway import homes
 from landingspool.decisions.gateway import lateness
 from landingspool.decisions.gateway import loads as loads_module
 from landingspool.decisions.gateway import neighbours
@@ -44,6 +47,16 @@
     prompt: prompts.Prompt | None
 
 
+class Limits(typing.NamedTuple):
+    """What keeps a request from targets: its homes, and what cold ones bear.
+
+    `regions` is None where it may run anywhere.
+    """
+
+    regions: frozenset | None
+    cold: coldness_module.Bound
+
+
 class Plan(typing.NamedTuple):
     """Where a request goes, with what decided it.
 
@@ -92,10 +105,13 @@
         The deployment's Bounds.
     seed : int
         Of the choices that are left to chance.
+    regions : dict of str to str, optional
+        The region of each failure domain.
     """
 
-    def __init__(self, domain, bounds, seed):
+    def __init__(self, domain, bounds, seed, regions=None):
         self.domain = domain
+        self.regions = regions or {}
         self.bounds = bounds
         self.rng = random.Random(seed)
         self.table = None
@@ -105,6 +121,10 @@
         self.weights = weights_module.Weights(bounds.version_s)
         self.reach = reach_module.Reach()
         self.watching = watching_module.Watching()
+        self.evacuation = evacuation.Evacuation()
+        self.coldness = coldness_module.Coldness(
+            bounds.cold_over, bounds.cold_slack
+        )
         self.warmth = warmth_module.Warmth()
         self.proof = freshness.Proof(bounds.key_s, bounds.keys_fail_closed)
         self.neighbours = neighbours.Neighbours()
@@ -123,6 +143,83 @@
         self.table = table
         return True
 
+    def put_entry(self, entry, now):
+        """Take in what a target says; gives the state that holds."""
+        before = self.fleet.find_life(entry.target)
+        state = self.fleet.put(entry)
+        if state == fleet_module.OVER:
+            return state
+        if before not in (None, entry.name):
+            self.forget(before)
+        self.coldness.note_told(entry.name, entry.cold_s, now)
+        return state
+
+    def withdraw_evacuation(self, domain, now):
+        """Take in that an evacuation is over; True if it stood."""
+        if not self.evacuation.withdraw(domain):
+            return False
+        for entry in self.fleet.entries.values():
+            if entry.domain == domain:
+                self._note_back(entry, now)
+        return True
+
+    def note_back(self, name, now):
+        """Note that this box can connect to a target again."""
+        entry = self.fleet.entries.get(name)
+        self.reach.note_reached(name, now)
+        if entry is not None:
+            self._note_back(entry, now)
+
+    def _note_back(self, entry, now):
+        bound = self._find_cold_bound(entry.service)
+        self.coldness.note_back(entry.name, bound, now)
+
+    def _find_cold_bound(self, service):
+        known = self.table.services.get(service) if self.table else None
+        return known.cold if known else coldness_module.Bound()
+
+    def list_services(self):
+        """List the names of the published services."""
+        return tuple(self.table.services) if self.table is not None else ()
+
+    def list_ordered(self, model):
+        """List the entries of a model's targets that may get orders."""
+        return [
+            entry
+            for entry in self.fleet.list_model(model, self.list_services())
+            if not self.evacuation.holds(entry.domain)
+        ]
+
+    def may_send(self, entry, work, now):
+        """Tell whether a request may be sent to a target at this moment."""
+        if entry.name not in self.fleet.entries:
+            return False
+        return self._find_bar(entry, self._find_limits(work), now) is None
+
+    def _find_limits(self, work):
+        return Limits(
+            homes.find_regions(work.route, work.tenancy),
+            self._find_cold_bound(work.service),
+        )
+
+    def _find_bar(self, entry, limits, now):
+        """Give what forbids that a target gets a request; None: nothing."""
+        if not homes.is_home(entry.domain, limits.regions, self.regions):
+            return 'no_home'
+        if self.evacuation.holds(entry.domain):
+            return 'evacuated'
+        if not self.coldness.may_send(entry.name, limits.cold, now):
+            return 'cold'
+        return None
+
+    def find_lack(self, work, now):
+        """Give why no target may get a request, for the log."""
+        entries = self.fleet.list_service(work.service)
+        limits = self._find_limits(work)
+        bars = {self._find_bar(entry, limits, now) for entry in entries}
+        bars.discard(None)
+        return bars.pop() if len(bars) == 1 else 'no_target'
+
     def plan(self, work, avoid, now, ready=frozenset()):
         """Choose a target for a request; a Plan, or None where none is.
 
@@ -200,10 +297,14 @@
             held = work.prompt.tokens_in + work.prompt.tokens_out
         sent = loads_module.Sent(now, tokens, False, held)
         self.loads.note_sent(plan.entry.name, work.name, sent)
+        self.coldness.note_sent(plan.entry.name, now)
 
     def note_first(self, plan, work, now):
         """Note that the answer to a request has begun."""
         name = plan.entry.name
+        if name not in self.fleet.entries:
+            # What a life that is over sends says nothing of the next one.
+            return
         self.loads.note_heard(name, now)
         self.reach.note_reached(name, now)
         sent = self.loads.note_first(name, work.name)
@@ -223,6 +324,8 @@
         wait_s : float
             Seconds to the first byte.
         """
+        if plan.entry.name not in self.fleet.entries:
+            return
         known = self.get_health(plan.entry.name)
         beyond = max(wait_s - plan.expected_s, 0.0)
         self._health[plan.entry.name] = health_module.note_answer(
@@ -273,6 +376,7 @@
         self.loads.forget(name)
         self.reach.forget(name)
         self.warmth.forget(name)
+        self.coldness.forget(name)
 
     def _get_allowance(self, service):
         known = self._allowances.get(service)
@@ -286,10 +390,12 @@
 
     def _list_usable(self, work, avoid, now):
         """List the entries of the targets that a request may be sent to."""
+        limits = self._find_limits(work)
         entries = [
             entry
             for entry in self.fleet.list_service(work.service)
             if entry.name not in avoid
+            and self._find_bar(entry, limits, now) is None
         ]
         # Where none can be reached, trying costs no more than refusing.
         reached = [e for e in entries if not self.reach.is_out(e.name)]
@@ -316,8 +422,9 @@
         others = self.neighbours.get_load(entry.name, self.others, now)
         load = self.loads.measure(entry.name, others)
         health = self.get_health(entry.name)
+        cold_s = self.coldness.find_left(entry.name, now)
         if work.prompt is None:
-            return choice.Candidate(entry, load, health)
+            return choice.Candidate(entry, load, health, cold_s=cold_s)
         version = self.fleet.get_version(entry.name, work.prompt.model)
         space = prompts.name_space(work.prompt.model, version, work.tenancy)
         kept = prompts.count_kept(
@@ -338,6 +445,7 @@
                 self.find_lag(entry.name, work.prompt.model, now)
             ),
             self._find_capacity(work.service),
+            cold_s=cold_s,
         )
 
     def _find_capacity(self, service):
@@ -389,10 +497,16 @@
             return transfers.Transfer()
         if not service.engine.managed or len(work.prompt.parts) < 2:
             return transfers.Transfer()
+        regions = homes.find_regions(work.route, work.tenancy)
+        keepers = {
+            address: keeper
+            for address, keeper in self.table.keepers.items()
+            if homes.is_home(keeper.domain, regions, self.regions)
+        }
         planned = transfers.plan_transfer(
             work.prompt,
             space,
-            self.table.keepers,
+            keepers,
             self.warmth,
             service.engine.token_bytes,
             now,
--- a/landingspool/events.py
+++ b/landingspool/events.py
@@ -206,6 +206,24 @@
             508, 'unreached', 'WARNING', 'No connection to a target comes up.'
         ),
         Kind(509, 'reached', 'INFO', 'A target can be connected to again.'),
+        Kind(
+            510,
+            'target_reborn',
+            'INFO',
+            'A target has started again under its id; older beliefs ended.',
+        ),
+        Kind(
+            511,
+            'evacuated',
+            'WARNING',
+            'Nothing more goes to the targets of a failure domain.',
+        ),
+        Kind(
+            512,
+            'evacuation_over',
+            'INFO',
+            'The targets of a domain may be used again; they count as cold.',
+        ),
         Kind(
             600, 'kept', 'DEBUG', 'A block of context was sealed in a store.'
         ),
--- a/landingspool/gateway/attempts.py
+++ b/landingspool/gateway/attempts.py
@@ -71,11 +71,10 @@
         # Between the choice and here the process may have stood still, or
         # the table may have changed: only a fresh decision is sent.
         now = self._hub.clock()
-        known = self._plan.entry.name in self._view.fleet.entries
         return (
             self._hub.beat.is_fresh(now)
             and is_proved(self._view, now)
-            and known
+            and self._view.may_send(self._plan.entry, self._progress.work, now)
         )
 
     async def _send_and_receive(self):
@@ -119,7 +118,7 @@
         progress, plan = self._progress, self._plan
         tenancy, stream = progress.work.tenancy, progress.stream
         told = egress.Instructions(
-            entry=plan.entry.name,
+            target=plan.entry.target,
             left_s=progress.ends - self._sent,
             workspace=tenancy.name if tenancy else '',
             priority=self._find_priority(),
@@ -185,7 +184,7 @@
         if (
             head.status == answers.MISDIRECTED
             and head.target
-            and head.target != name
+            and head.target != self._plan.entry.target
         ):
             # Another target has the address now: this one is gone.
             self._view.fleet.drop(name, self._hub.clock(), False)
--- a/landingspool/gateway/deployment.py
+++ b/landingspool/gateway/deployment.py
@@ -26,6 +26,9 @@
         From naming new weights until no request may begin on older ones.
     retry_ratio, retry_slack, retry_window_s : float
         Repeats that all boxes together may send in a window.
+    cold_over, cold_slack : float
+        All boxes together may send a cold target so many times the requests
+        a second that it bears, and so many more.
     """
 
     drain_s: float = 2.0
@@ -38,6 +41,8 @@
     retry_ratio: float = 0.2
     retry_slack: float = 50.0
     retry_window_s: float = 10.0
+    cold_over: float = 1.5
+    cold_slack: float = 5.0
 
 
 class Deployment(typing.NamedTuple):
@@ -54,6 +59,8 @@
     memory_bytes, descriptors : int
     link_mbps : float
         Width of the box's link; 0 where nothing is said.
+    regions : dict of str to str
+        The region of each failure domain.
     first_start : bool
         Whether the whole system starts for the first time, so that no box
         can be known yet.
@@ -71,3 +78,4 @@
     descriptors: int = 1024
     link_mbps: float = 0.0
     first_start: bool = False
+    regions: dict = {}
--- a/landingspool/gateway/following.py
+++ b/landingspool/gateway/following.py
@@ -179,8 +179,21 @@
         """Pause after a failed read: it is for this one to ask again."""
         await asyncio.sleep(seconds)
 
+    def _take_newest(self, newest):
+        super()._take_newest(newest)
+        self._hub.state.set_evacuated(
+            {
+                read_evacuated(record)
+                for record in newest.records
+                if record.value and read_evacuated(record)
+            }
+        )
+
     def _take(self, record):
-        if not record.value:
+        domain = read_evacuated(record)
+        if domain:
+            self._hub.state.put_evacuation(domain, bool(record.value))
+        if not record.value or domain:
             return
         try:
             if record.key == names.TABLE_KEY:
@@ -204,6 +217,13 @@
         self._hub.view.proof.note(sent)
 
 
+def read_evacuated(record):
+    """Give the domain whose evacuation a record tells of; empty: none."""
+    if not record.key.startswith(names.EVACUATION_KEY):
+        return ''
+    return record.key.removeprefix(names.EVACUATION_KEY)
+
+
 class Targets(Follower):
     """Follows the targets' entries."""
 
@@ -222,9 +242,9 @@
         super()._take_newest(newest)
         self._hub.state.targets_end = newest.end
         listed = {record.key for record in newest.records if record.value}
-        for name in list(self._hub.view.fleet.entries):
-            if name not in listed:
-                self._drop(name)
+        for target in self._hub.view.fleet.list_targets():
+            if target not in listed:
+                self._drop(target)
 
     def _take_page(self, page):
         # What is older than what another box gave would bring back targets
@@ -238,13 +258,10 @@
         if not record.value:
             self._drop(record.key)
             return
-        try:
-            self._hub.state.put_target(record.key, record.value)
-        except catalogue.Malformed as error:
-            self._note_malformed(record, error)
+        self._hub.state.put_target(record.key, record.value)
 
-    def _drop(self, name):
-        self._hub.state.drop_target(name, self.is_unsure())
+    def _drop(self, target):
+        self._hub.state.drop_target(target, self.is_unsure())
 
 
 class Claims(Follower):
--- a/landingspool/gateway/hub.py
+++ b/landingspool/gateway/hub.py
@@ -70,7 +70,9 @@
             place.box, wall, RING_EVENTS, events.format_json
         )
         self.metrics = figures.Figures()
-        self.view = view_module.View(place.domain, place.bounds, seed)
+        self.view = view_module.View(
+            place.domain, place.bounds, seed, place.regions
+        )
         self.beat = timing.Beat()
         self.client = http.Client()
         self.store = store.Store(self.client, place.store, clock)
@@ -171,6 +173,8 @@
             open=self.listener.count_busy(),
             proof_s=self.view.proof.age_to_log(tick.now),
             stores=self._describe_stores(tick.now),
+            cold=len(self.view.coldness.list_cold(tick.now)),
+            evacuated=self.view.evacuation.describe(tick.now),
         )
 
     def _describe_stores(self, now):
--- a/landingspool/gateway/ordering.py
+++ b/landingspool/gateway/ordering.py
@@ -7,6 +7,7 @@
 
 import asyncio
 
+from landingspool.decisions.gateway import fleet
 from landingspool.decisions.gateway import rollouts
 from landingspool.platform import catalogue
 from landingspool.platform import names
@@ -65,7 +66,7 @@
         for model, named in view.weights.named.items():
             targets = {
                 entry.name: view.fleet.get_version(entry.name, model) or 0
-                for entry in view.fleet.list_model(model)
+                for entry in view.list_ordered(model)
             }
             if rollouts.is_needed(named.version, targets):
                 rows.append((model, named.version, targets))
@@ -237,6 +238,8 @@
     async def _read_report(self, entry, order):
         report = await self._hub.runners.report(entry.address)
         if isinstance(report, runners.Report):
+            if report.is_other_life(fleet.read_life(entry.name)):
+                return runners.Unanswered('it has started again', True)
             version = report.versions.get(order.model)
             if version is not None:
                 self._hub.view.fleet.note_version(
--- a/landingspool/gateway/peering.py
+++ b/landingspool/gateway/peering.py
@@ -187,6 +187,13 @@
         view.boxes = max(view.boxes, len(self.peers) + 1)
         domains = [peer.domain for peer in self.peers.values()]
         view.others = dict(collections.Counter(domains))
+        if self._registry.was_read:
+            # Without the list a box may believe that it is one of few.
+            view.coldness.set_members(
+                self._hub.place.box,
+                (*self.peers, self._hub.place.box),
+                tick.now,
+            )
         view.watching.set_members(self._hub.place.box, self._list_near())
         self._number += 1
         digest = neighbours.Digest(
--- a/landingspool/gateway/prober.py
+++ b/landingspool/gateway/prober.py
@@ -34,9 +34,14 @@
     def look(self, tick):
         """Begin a probe of each target that is due."""
         for name in self._hub.view.reach.list_due(tick.now):
-            if name not in self._probing:
+            if name not in self._probing and not self._is_evacuated(name):
                 self._begin(name)
 
+    def _is_evacuated(self, name):
+        view = self._hub.view
+        entry = view.fleet.entries.get(name)
+        return entry is not None and view.evacuation.holds(entry.domain)
+
     def _begin(self, name):
         work = asyncio.ensure_future(self._probe(name))
         self._probing[name] = work
@@ -62,6 +67,8 @@
             if name in view.fleet.entries:
                 self.note_failed(name, str(error))
             return
-        view.reach.note_reached(name, self._hub.clock())
         if known:
+            view.note_back(name, self._hub.clock())
             self._hub.recorder.record('reached', target=name)
+        else:
+            view.reach.note_reached(name, self._hub.clock())
--- a/landingspool/gateway/registry.py
+++ b/landingspool/gateway/registry.py
@@ -54,12 +54,15 @@
     ----------
     listed : asyncio.Event
         Set once the other boxes are known, as far as the store tells.
+    was_read : bool
+        Whether the store has ever told which boxes there are.
     """
 
     def __init__(self, hub, peers):
         self._hub = hub
         self._peers = peers
         self.listed = asyncio.Event()
+        self.was_read = False
 
     async def run(self):
         """Make this box known, and learn now and then which others are."""
@@ -83,6 +86,7 @@
         newest = await self._hub.store.read_newest(names.BOXES_TOPIC)
         if isinstance(newest, store_module.Newest):
             self._take(newest)
+            self.was_read = True
 
     def _find_period(self):
         boxes = len(self._peers) + 1
--- a/landingspool/gateway/relay.py
+++ b/landingspool/gateway/relay.py
@@ -97,7 +97,8 @@
             plan = self._view.plan(progress.work, progress.avoid, now, ready)
             self._plan = plan
             if plan is None:
-                return await self._give_up('no_target')
+                lack = self._view.find_lack(progress.work, now)
+                return await self._give_up(lack)
             if not progress.sends and not self._view.is_admitted(
                 plan, progress.work
             ):
--- a/landingspool/gateway/state.py
+++ b/landingspool/gateway/state.py
@@ -25,6 +25,8 @@
         As they were written.
     targets_end : int
         Where their topic ended for the box that gives.
+    evacuated : list of str
+        The evacuated failure domains.
     """
 
     proof_s: float
@@ -32,6 +34,7 @@
     versions: dict[str, int]
     targets: dict[str, bytes]
     targets_end: int
+    evacuated: list[str] = []
 
 
 class State:
@@ -45,7 +48,7 @@
     Attributes
     ----------
     target_values : dict of str to bytes
-        The newest record of each target, by its id.
+        The newest record of each target that can be read, by its id.
     targets_end : int
         Where their topic ended when they were read or given.
     """
@@ -82,6 +85,7 @@
             versions=versions,
             targets=self.target_values,
             targets_end=self.targets_end,
+            evacuated=self._view.evacuation.list_domains(),
         )
 
     def take(self, given, sent):
@@ -90,6 +94,9 @@
         if given.table is None:
             return
         self.take_table(given.table)
+        if sent - given.proof_s > now - self._view.proof.age(now):
+            # Its word of what stands is newer than this box's own.
+            self.set_evacuated(given.evacuated)
         for model, version in given.versions.items():
             self._view.weights.put_version(model, version, now)
         if given.targets_end >= self.targets_end:
@@ -103,26 +110,66 @@
             proof_s=self._view.proof.age_to_log(now),
         )
 
-    def put_target(self, name, value):
-        """Take in what a target wrote of itself.
-
-        Raises
-        ------
-        catalogue.Malformed
+    def put_evacuation(self, domain, stands):
+        """Take in that a domain's evacuation was put or withdrawn."""
+        now = self._hub.clock()
+        if stands and self._view.evacuation.put(domain, now):
+            self._hub.recorder.record('evacuated', domain=domain)
+        elif not stands and self._view.withdraw_evacuation(domain, now):
+            self._hub.recorder.record('evacuation_over', domain=domain)
+
+    def set_evacuated(self, domains):
+        """Take in all evacuations that stand."""
+        for domain in self._view.evacuation.find_ended(domains):
+            self.put_evacuation(domain, False)
+        for domain in domains:
+            self.put_evacuation(domain, True)
+
+    def put_target(self, target, value):
+        """Take in what was written of a target.
+
+        What can't be read names no target to use; it may be read again later,
+        so that what was learnt of the target stays.
         """
-        entry = catalogue.read_entry(name, value)
-        known = name in self._view.fleet.entries
-        self.target_values[name] = value
-        state = self._view.fleet.put(entry)
+        try:
+            entry = catalogue.read_entry(target, value)
+        except catalogue.Malformed as error:
+            self._hub.recorder.record(
+                'malformed', key=target, reason=str(error)
+            )
+            self._lose_target(target, False)
+            return
+        self._put_entry(entry, value)
+
+    def _put_entry(self, entry, value):
+        fleet = self._view.fleet
+        known = entry.name in fleet.entries
+        before = fleet.find_life(entry.target)
+        state = self._view.put_entry(entry, self._hub.clock())
+        if state == fleet_module.OVER:
+            return
+        self.target_values[entry.target] = value
+        if before != entry.name:
+            # What is at rest there is of a life that is over.
+            self._hub.upstream.drop(entry.address)
+        if before not in (None, entry.name):
+            self._hub.recorder.record(
+                'target_reborn', target=entry.name, ended=before
+            )
         if state != fleet_module.READY and known:
-            self._hub.recorder.record('leaving', target=name, state=state)
-            self._view.forget(name)
+            self._hub.recorder.record(
+                'leaving', target=entry.name, state=state
+            )
+            self._view.forget(entry.name)
         elif state == fleet_module.READY and not known:
             self._hub.recorder.record(
-                'target_up', target=name, versions=entry.versions
+                'target_up',
+                target=entry.name,
+                versions=entry.versions,
+                cold_s=entry.cold_s,
             )
 
-    def drop_target(self, name, unsure):
+    def drop_target(self, target, unsure):
         """Take in that a target is no longer listed.
 
         Parameters
@@ -130,20 +177,27 @@
         unsure : bool
             Whether its entry may have lapsed though the target lives.
         """
-        self.target_values.pop(name, None)
-        if name in self._view.fleet.entries:
+        name = self._lose_target(target, unsure)
+        if name is not None and not unsure:
+            self._view.forget(name)
+
+    def _lose_target(self, target, unsure):
+        """Take a target off the list; gives the name of its life."""
+        fleet = self._view.fleet
+        self.target_values.pop(target, None)
+        name = fleet.find_life(target)
+        if name in fleet.entries:
             self._hub.recorder.record(
                 'target_down', target=name, sure=not unsure
             )
-        self._view.fleet.drop(name, self._hub.clock(), unsure)
-        if not unsure:
-            self._view.forget(name)
+        fleet.drop(name, self._hub.clock(), unsure)
+        return name
 
     def _take_targets(self, values):
         for name, value in values.items():
             if value != self.target_values.get(name):
                 self.put_target(name, value)
-        for name in list(self._view.fleet.entries):
-            if name not in values:
+        for target in self._view.fleet.list_targets():
+            if target not in values:
                 # Whether it is gone, or only its entry, is not known here.
-                self.drop_target(name, True)
+                self.drop_target(target, True)
--- a/landingspool/gateway/sweeper.py
+++ b/landingspool/gateway/sweeper.py
@@ -57,7 +57,9 @@
         view, now = self._hub.view, self._hub.clock()
         found = []
         for model in view.weights.named:
-            least = leftovers.find_least(model, view.fleet)
+            least = leftovers.find_least(
+                model, view.fleet, view.list_services()
+            )
             before = self._leftovers.note(model, least, now)
             if before is not None:
                 found.append((model, before))
--- a/landingspool/platform/boot.py
+++ b/landingspool/platform/boot.py
@@ -47,6 +47,8 @@
         retry_ratio=reader.number('bounds.retry_budget_ratio', 0.2),
         retry_slack=reader.number('bounds.budget_slack', 50),
         retry_window_s=reader.number('bounds.budget_window_s', 10),
+        cold_over=reader.number('bounds.cold_over', 1.5),
+        cold_slack=reader.number('bounds.cold_slack', 5),
     )
     links = None
     if reader.find('listen.control') is not None:
@@ -66,6 +68,7 @@
         - FILE_DESCRIPTORS,
         link_mbps=reader.number('limits.link_mbps', 0.0),
         first_start=reader.flag('bootstrap', False),
+        regions=reader.texts('zones'),
     )
     return (None if reader.errors else place), reader.errors
 
@@ -94,6 +97,17 @@
             return value
         return self._complain(key, value, 'expected a text', '')
 
+    def texts(self, key):
+        """Give a table of texts, empty where there is none."""
+        value = self.find(key)
+        if value is None:
+            return {}
+        if isinstance(value, dict) and all(
+            isinstance(text, str) for text in value.values()
+        ):
+            return value
+        return self._complain(key, value, 'expected a table of texts', {})
+
     def number(self, key, default):
         """Give a number, `default` where there is none."""
         value = self.find(key)
--- a/landingspool/platform/catalogue.py
+++ b/landingspool/platform/catalogue.py
@@ -1,7 +1,12 @@
 """Decodes what operators and targets keep in the platform's store."""
 
+import ipaddress
 import json
+import typing
 
+import msgspec
+
+from landingspool.decisions.gateway import coldness
 from landingspool.decisions.gateway import fleet
 from landingspool.decisions.gateway import rollouts
 from landingspool.decisions.gateway import routes
@@ -11,6 +16,25 @@
 # The wire's word for a stream of events; the others are the product's own.
 KINDS = {'streaming': routes.STREAM}
 DEFAULT_TIMEOUT_MS = 30_000
+# Bounds of what a target may say of itself; what is beyond was written by
+# somebody else.  Places at once and version numbers of this size are far over
+# what any deployment has; times end with the year 2100.
+MOST_NUMBER = 1_000_000
+MOST_COLD_MS = 3_600_000
+MOST_BORN_MS = 4_102_444_800_000
+MOST_TEXT = 256
+# What reading a record that is nothing of the kind may raise.
+UNREADABLE = (
+    ValueError,
+    KeyError,
+    TypeError,
+    AttributeError,
+    OverflowError,
+    RecursionError,
+)
+
+Number = typing.Annotated[int, msgspec.Meta(ge=0, le=MOST_NUMBER)]
+Text = typing.Annotated[str, msgspec.Meta(min_length=1, max_length=MOST_TEXT)]
 
 
 class Malformed(Exception):
@@ -45,7 +69,7 @@
             limits=read_limits(table.get('limits') or {}),
             keyed='tenants' in table,
         )
-    except (ValueError, KeyError, TypeError, AttributeError) as error:
+    except UNREADABLE as error:
         raise Malformed(f'{names.TABLE_KEY}: {error!r}') from error
 
 
@@ -71,6 +95,7 @@
         anonymous=bool(row.get('allow_anonymous')),
         sticky=bool(row.get('session_affinity')),
         resumable=bool(row.get('resumable')),
+        regions=frozenset(row.get('allowed_regions') or ()),
     )
 
 
@@ -82,6 +107,10 @@
         max_connections=int(row.get('max_connections', 64)),
         engine=read_engine(row.get('engine')),
         keeper=read_keeper(row),
+        cold=coldness.Bound(
+            float(row.get('cold_start_s') or 0),
+            float(row.get('cold_per_s') or 0),
+        ),
     )
 
 
@@ -121,6 +150,7 @@
         name=row['name'],
         priority=None if priority is None else int(priority),
         isolated=bool(row.get('isolated')),
+        regions=frozenset(row.get('allowed_regions') or ()),
     )
 
 
@@ -140,35 +170,104 @@
     try:
         row = json.loads(value)
         return row['model'], int(row['version'])
-    except (ValueError, KeyError, TypeError) as error:
+    except UNREADABLE as error:
         raise Malformed(f'{names.VERSION_KEY}: {error!r}') from error
 
 
-def read_entry(name, value):
+class ModelRecord(msgspec.Struct):
+    """What a target says of one model."""
+
+    name: Text
+    version: Number = 0
+
+
+class TargetRecord(msgspec.Struct):
+    """What a target writes of itself; another writer's may be anything.
+
+    `born` stands for the start of the life that writes: Unix milliseconds.
+    """
+
+    service: Text
+    address: Text
+    zone: Text
+    state: typing.Literal['ready', 'draining']
+    slots: typing.Annotated[int, msgspec.Meta(ge=1, le=MOST_NUMBER)]
+    cold_remaining_ms: typing.Annotated[
+        float, msgspec.Meta(ge=0, le=MOST_COLD_MS)
+    ] = 0.0
+    sequence: typing.Annotated[int, msgspec.Meta(ge=0)] = 0
+    born: typing.Annotated[int, msgspec.Meta(ge=0, le=MOST_BORN_MS)] = 0
+    models: list[ModelRecord] = []
+
+
+TARGET_DECODER = msgspec.json.Decoder(TargetRecord)
+
+
+def read_entry(target, value):
     """Decode what a target says of itself.
 
+    Parameters
+    ----------
+    target : str
+        Its id, under which the record lies.
+    value : bytes
+
     Returns
     -------
     fleet.Entry
+
+    Raises
+    ------
+    Malformed
+        For whatever else the bytes are.
     """
     try:
-        row = json.loads(value)
+        row = TARGET_DECODER.decode(value)
         return fleet.Entry(
-            name=name,
-            service=row['service'],
-            address=tuple(boot.parse_address(row['address'])),
-            domain=row.get('zone', ''),
-            state=row['state'],
-            slots=int(row.get('slots', 1)),
-            versions=read_versions(row),
-            cold_s=row.get('cold_remaining_ms', 0) / 1000,
+            name=fleet.Life(check_id(target), row.born).name,
+            service=row.service,
+            address=read_address(row.address),
+            domain=row.zone,
+            state=row.state,
+            slots=row.slots,
+            versions={model.name: model.version for model in row.models},
+            cold_s=row.cold_remaining_ms / 1000,
         )
-    except (ValueError, KeyError, TypeError) as error:
-        raise Malformed(f'target {name}: {error!r}') from error
+    except UNREADABLE as error:
+        raise Malformed(f'target {target[:MOST_TEXT]}: {error!r}') from error
+
+
+def check_id(target):
+    """Give an id back that may stand in the name of a life.
+
+    Raises
+    ------
+    ValueError
+    """
+    if not target or fleet.LIFE_SIGN in target or not target.isascii():
+        raise ValueError('no id of a target')
+    return target
+
+
+def read_address(text):
+    """Decode the address of a target: a number, never a name to look up.
+
+    >>> read_address('10.0.0.1:80')
+    Address(host='10.0.0.1', port=80)
+
+    Raises
+    ------
+    ValueError
+    """
+    address = boot.parse_address(text)
+    if address is None or not 0 < address.port < 65536:
+        raise ValueError(f'no address: {text!r}')
+    ipaddress.IPv4Address(address.host)
+    return address
 
 
 def read_versions(row):
-    """Decode the versions of the weights that a target has, by model."""
+    """Decode the versions of the weights in a report, by model."""
     return {
         model['name']: int(model.get('version', 0))
         for model in row.get('models') or ()
@@ -185,5 +284,5 @@
     try:
         row = json.loads(value)
         return rollouts.Claim(row['holder'], offset, dict(row['loading']))
-    except (ValueError, KeyError, TypeError) as error:
+    except UNREADABLE as error:
         raise Malformed(f'claim: {error!r}') from error
--- a/landingspool/platform/egress.py
+++ b/landingspool/platform/egress.py
@@ -19,7 +19,7 @@
 
     Attributes
     ----------
-    entry : str
+    target : str
         Id of the target that may run it.
     version : int or None
         Version of the weights that it must have.
@@ -32,7 +32,7 @@
     after_event : str
     """
 
-    entry: str
+    target: str
     left_s: float
     workspace: str = ''
     priority: int | None = None
@@ -90,7 +90,7 @@
 def write_instructions(call, told):
     """Give the headers that the system sets itself."""
     left_ms = max(int(told.left_s * 1000) - TRAVEL_MS, 1)
-    rows = [(names.TIME_LEFT, str(left_ms)), (names.ONLY_TARGET, told.entry)]
+    rows = [(names.TIME_LEFT, str(left_ms)), (names.ONLY_TARGET, told.target)]
     if told.workspace:
         rows.append((names.WORKSPACE, told.workspace))
     if told.after_event:
--- a/landingspool/platform/names.py
+++ b/landingspool/platform/names.py
@@ -88,5 +88,6 @@
 # Record keys in PUBLISHED_TOPIC.
 TABLE_KEY = 'config'
 VERSION_KEY = 'version/'
+EVACUATION_KEY = 'evacuate/'
 
 SETTINGS_VARIABLE = 'LANDINGSPOOL_BOOT'
--- a/landingspool/platform/runners.py
+++ b/landingspool/platform/runners.py
@@ -3,6 +3,7 @@
 import dataclasses
 import json
 
+from landingspool.decisions.gateway import fleet
 from landingspool.decisions.gateway import warmth
 from landingspool import http
 from landingspool.platform import catalogue
@@ -21,6 +22,11 @@
     orders: int
     waiting: int
     running: int
+    born: int = 0
+
+    def is_other_life(self, life):
+        """Tell whether it is not of this fleet.Life."""
+        return bool(self.born and life.born and self.born != life.born)
 
 
 @dataclasses.dataclass(frozen=True)
@@ -70,6 +76,7 @@
                 orders=int(row['sequence']),
                 waiting=int(row.get('queue_depth', 0)),
                 running=int(row.get('active_requests', 0)),
+                born=int(row.get('born') or 0),
             )
         except (ValueError, KeyError, TypeError) as error:
             return Unanswered(f'report: {error!r}', True)
@@ -99,7 +106,7 @@
         }
         headers = [
             ('content-type', 'application/json'),
-            (names.ONLY_TARGET, order.target),
+            (names.ONLY_TARGET, fleet.read_life(order.target).target),
         ]
         data = json.dumps(body).encode()
         reply = await self._call(
--- a/landingspool/platform/store.py
+++ b/landingspool/platform/store.py
@@ -242,6 +242,21 @@
     return LENGTH.pack(len(data)) + data
 
 
+def split_record(record):
+    """Split one keyed record into its key and value.
+
+    Who wrote it may have put in anything; the records beside it hold.
+
+    >>> split_record(b'\\x02\\xff\\xfex'), split_record(b'')
+    (('\\\\xff\\\\xfe', b'x'), ('', b''))
+    """
+    if not record:
+        return '', b''
+    size = record[0]
+    key = record[1 : 1 + size].decode(errors='backslashreplace')
+    return key, record[1 + size :]
+
+
 def split_records(data):
     """Split framed keyed records into (key, value) pairs.
 
@@ -258,9 +273,8 @@
     while start < len(data):
         (length,) = LENGTH.unpack_from(data, start)
         record = data[start + LENGTH.size : start + LENGTH.size + length]
-        if len(record) < length or not record:
+        if len(record) < length:
             raise ValueError('a record is cut off')
-        size = record[0]
-        rows.append((record[1 : 1 + size].decode(), record[1 + size :]))
+        rows.append(split_record(record))
         start += LENGTH.size + length
     return tuple(rows)
--- a/standins/runner.py
+++ b/standins/runner.py
@@ -76,8 +76,8 @@
         """Stop."""
         self._server.close()
 
-    def entry(self, service, state='ready', domain='d1', model=''):
-        """Give what the target writes of itself."""
+    def entry(self, service, state='ready', domain='d1', model='', **fields):
+        """Give what the target writes of itself, with further fields."""
         models = [{'name': model, 'version': self.version}] if model else []
         return {
             'service': service,
@@ -88,6 +88,7 @@
             'cold_remaining_ms': 0,
             'sequence': 1,
             'models': models,
+            **fields,
         }
 
     async def _serve(self, reader, writer):
