Read the lists of stores at once, and ask for their clock right after

Change: no pause before a table is known, four lists at a time, the clock right after them, and lists without the neighbour where that has just started, too.

Measured: from its table on a box of six may fetch after 0.11 s (0.65 s before; test_context.py).

--- a/landingspool/gateway/cachewatch.py
+++ b/landingspool/gateway/cachewatch.py
@@ -33,6 +33,13 @@
 # Pause before lists that could not be had are asked for again, seconds: a
 # store answers few calls at once, and all boxes may have started together.
 AGAIN_S = 0.1, 0.4
+# Lists that a box that starts reads at once.  One after the other it took 15
+# of them 2 s, while every prompt was read anew (71 boxes that start together).
+LISTS_AT_ONCE = 4
+# What came of asking another box.
+FOLLOWED = 'followed'
+LISTED = 'listed'
+MISSING = 'missing'
 # Boxes up to which every box asks every target.
 MOST_BOXES = 12
 CHANGES_PATH = '/changes'
@@ -69,10 +76,12 @@
                     wanted = self._list_wanted()
                     self._adapt(wanted)
                     await asyncio.sleep(LOOK_S if wanted else FIRST_LOOK_S)
+                elif self._hub.view.table is None:
+                    await asyncio.sleep(FIRST_LOOK_S)
                 else:
                     self._adapt({})
-                    complete = await self._ask_peer(peer)
-                    await asyncio.sleep(self._find_pause(complete))
+                    outcome = await self._ask_peer(peer)
+                    await asyncio.sleep(self._find_pause(outcome))
         finally:
             self._adapt({})
 
@@ -141,31 +150,46 @@
         hold_s = HOLD_S if known else 0.0
         return await self._hub.runners.read_events(address, since, hold_s)
 
-    def _find_pause(self, complete):
-        if complete:
-            return STORE_PERIOD_S
-        return self._hub.view.rng.uniform(*AGAIN_S)
+    def _find_pause(self, outcome):
+        if outcome == MISSING:
+            return self._hub.view.rng.uniform(*AGAIN_S)
+        return STORE_PERIOD_S if outcome == FOLLOWED else LEAST_PAUSE_S
 
     async def _ask_peer(self, peer):
         """Ask a box that follows the stores what is new at all of them.
 
         Returns
         -------
-        bool
-            False where a list that was missing could not be had.
+        str
+            FOLLOWED where nothing was missing, LISTED where whole lists were
+            read, whose clock the next answer brings, MISSING where one could
+            not be had.
         """
-        table = self._hub.view.table
-        stores = table.keepers if table is not None else ()
+        stores = self._hub.view.table.keepers
         sent = self._hub.clock()
         found = await self._fetch_changes(peer, stores)
         if found is None:
-            return True
+            # It may have started with this box: the lists need no other box.
+            found = {}
+            stores = [n for n in stores if not self._is_known(n)]
         for name, news in found.items():
             if not news.lost:
                 self._take(name, news, sent, self._hub.clock())
         missing = [n for n in stores if n not in found or found[n].lost]
+        if not missing:
+            return FOLLOWED
         self._hub.view.rng.shuffle(missing)
-        read = [await self._read_list(name) for name in missing]
+        return LISTED if await self._read_lists(missing) else MISSING
+
+    def _is_known(self, name):
+        return self._hub.view.warmth.get(name) is not None
+
+    async def _read_lists(self, names):
+        """Read whole lists, some at a time; tells whether all were had."""
+        read = []
+        for start in range(0, len(names), LISTS_AT_ONCE):
+            some = names[start : start + LISTS_AT_ONCE]
+            read += await asyncio.gather(*map(self._read_list, some))
         return all(read)
 
     async def _fetch_changes(self, peer, stores):
--- a/tests/gateway/test_context.py
+++ b/tests/gateway/test_context.py
@@ -4,6 +4,7 @@
 from landingspool.decisions.gateway import routes
 from landingspool.decisions.gateway import transfers
 from landingspool.decisions.gateway import warmth
+from tests.gateway import site
 
 PROMPT = prompts.Prompt(
     'm',
@@ -208,3 +209,24 @@
     late = make_news(1, ('p1', 100))._replace(next=5)
     known.take('k1', late, 1.9, 2.1)
     assert ('m.1', 'p1') not in known.kept('k1')
+
+
+def test_a_box_that_starts_soon_knows_what_a_store_keeps():
+    """As one of six boxes: 0.65 s from its table on before, 0.11 s since."""
+
+    async def check(deployment):
+        events = [['m.1', f'p{n}', 100, 'm'] for n in range(50)]
+        keeper, address = await site.start_keeper(events)
+        deployment.publish(site.make_store_table(2, address))
+        for number in range(5):
+            await deployment.start_box(f'box{number}')
+        hub = await deployment.start_box('last')
+        began = hub.clock()
+        await site.wait_until(
+            lambda: hub.view.warmth.may_fetch(address, hub.clock())
+        )
+        assert hub.clock() - began < 0.5, hub.clock() - began
+        assert len(hub.view.warmth.kept(address)) == 50
+        await keeper.close()
+
+    site.run(check)
