--- a/landingspool/decisions/gateway/partition.py
+++ b/landingspool/decisions/gateway/partition.py
@@ -55,13 +55,19 @@
 
 
 class Partition:
-    """The tokens that come in long and in short readings, as a box sees."""
+    """The tokens that come in long and in short readings, as a box sees.
+
+    Attributes
+    ----------
+    is_on : bool
+        Whether engines have the room to be parted.
+    """
 
     def __init__(self):
         self._long = 0.0
         self._short = 0.0
         self._at = 0.0
-        self._is_on = True
+        self.is_on = True
 
     def note(self, read_tokens, now):
         """Note a request by the tokens that stores do not hold."""
@@ -84,8 +90,8 @@
         held : float
             Share of their memory that requests hold.
         """
-        least, most = BOUNDS[self._is_on]
-        self._is_on = room >= least and held < most
+        least, most = BOUNDS[self.is_on]
+        self.is_on = room >= least and held < most
 
     def find_share(self):
         """Give the share of tokens in long readings; None: too few known.
@@ -107,7 +113,7 @@
         entries : sequence of fleet.Entry
         """
         share = self.find_share()
-        if share is None or not self._is_on or len(entries) < LEAST_ENGINES:
+        if share is None or not self.is_on or len(entries) < LEAST_ENGINES:
             return None
         order = order_engines(tuple((e.domain, e.name) for e in entries))
         short = (1.0 - share) / SHORT_BUSY
--- a/landingspool/gateway/figures.py
+++ b/landingspool/gateway/figures.py
@@ -26,6 +26,15 @@
         self.orders = self._count(
             'orders', 'Orders to targets by outcome', ('outcome',)
         )
+        self.cold = self._gauge('cold_targets', 'Targets that count as cold')
+        self.evacuated = self._gauge(
+            'evacuated_seconds',
+            'Since when a failure domain is evacuated',
+            ('domain',),
+        )
+        self.parted = self._gauge(
+            'engines_parted', '1 while engines are parted by reading size'
+        )
         self.seconds = self._observe('answer', 'Time to the whole answer')
         self.first = self._observe('first_byte', 'Time to the first byte')
 
@@ -36,6 +45,24 @@
         if first_s is not None:
             self.first.observe(first_s)
 
+    def note_targets(self, cold, evacuated, parted):
+        """Note what keeps requests from targets.
+
+        Parameters
+        ----------
+        cold : int
+            Targets that count as cold.
+        evacuated : dict of str to float
+            Seconds since each evacuation was heard of, by domain.
+        parted : bool
+            Whether engines are parted by the size of what they read.
+        """
+        self.cold.set(cold)
+        self.evacuated.clear()
+        for domain, seconds in evacuated.items():
+            self.evacuated.labels(domain).set(seconds)
+        self.parted.set(parted)
+
     def render(self):
         """Give the text of the metrics address."""
         return prometheus.generate_latest(self.registry)
@@ -48,6 +75,14 @@
             registry=self.registry,
         )
 
+    def _gauge(self, name, text, labels=()):
+        return prometheus.Gauge(
+            f'landingspool_gateway_{name}',
+            text,
+            labels,
+            registry=self.registry,
+        )
+
     def _observe(self, name, text):
         return prometheus.Histogram(
             f'landingspool_gateway_{name}_seconds',
--- a/landingspool/gateway/hub.py
+++ b/landingspool/gateway/hub.py
@@ -99,7 +99,7 @@
         await self.listener.start(self.place.callers)
         self.timer.subscribe(BEAT_S, self._on_beat)
         self.timer.subscribe(prober.LOOK_S, self.prober.look)
-        self.timer.subscribe(SWEEP_S, lambda tick: self.upstream.sweep())
+        self.timer.subscribe(SWEEP_S, self._sweep)
         self.timer.subscribe(FIGURES_S, self._note_figures)
         self._keep(following.Published(self).run())
         self._keep(following.Targets(self).run())
@@ -162,6 +162,15 @@
             self.recorder.record('target_down', target=name, sure=True)
             self.view.forget(name)
 
+    def _sweep(self, tick):
+        self.upstream.sweep()
+        bars = self.view.bars
+        self.metrics.note_targets(
+            len(bars.coldness.list_cold(tick.now)),
+            bars.evacuation.describe(tick.now),
+            self.view.partition.is_on,
+        )
+
     def _note_figures(self, tick):
         self.recorder.record(
             'figures',
--- a/tests/gateway/test_upstream.py
+++ b/tests/gateway/test_upstream.py
@@ -31,10 +31,12 @@
     async def check(deployment):
         hub, target = await start_one(deployment)
         await asyncio.sleep(upstream.UNREPEATABLE_IDLE_S + 0.2)
-        assert (await site.ask(hub, '/safe/a')).status == 200
+        got = await site.ask(hub, '/safe/a')
+        assert got.status == 200, got.body
         assert target.connections == 1
         await asyncio.sleep(upstream.UNREPEATABLE_IDLE_S + 0.2)
-        assert (await site.ask(hub, '/unsafe/a')).status == 200
+        got = await site.ask(hub, '/unsafe/a')
+        assert got.status == 200, got.body
         assert target.connections == 2
 
     site.run(check, plain=1)
