Spare requests by one rule for places and for memory

Cause: the rule by which a share of the requests is turned away as places fill up stood a second time for memory. Change: one function with the bounds of either.

--- a/landingspool/decisions/gateway/admission.py
+++ b/landingspool/decisions/gateway/admission.py
@@ -84,43 +84,31 @@
     return wait_s <= find_limit(target_latency_s, read_tokens, priority)
 
 
-def is_spared(pressure, priority, chance):
-    """Tell whether a request is spared as the places of targets fill up.
-
-    Parameters
-    ----------
-    pressure : float
-        Requests at all targets of the service, by their places.
-    priority : int
-        Of its route; 0 is the most urgent.
-    chance : float
-        Evenly between 0 and 1: a share is turned away, not all at once.
-
-    >>> is_spared(0.9, 2, 0.5), is_spared(0.95, 2, 0.5), is_spared(1.0, 0, 0.5)
-    (True, False, True)
-    """
-    first, last = pick_row(PRESSURES, priority)
-    return chance >= (pressure - first) / (last - first)
-
-
-def has_memory(share, priority, chance):
-    """Tell whether a request is admitted as the memory of targets fills up.
+def is_spared(share, bounds, priority, chance):
+    """Tell whether a request is spared as places or memory fill up.
 
     Parameters
     ----------
     share : float
-        Of the memory of all targets that requests hold, times the part of a
-        wait for memory that this one bears.
+        That is taken of all places, or of all memory by this one's need.
+    bounds : tuple of tuple of float
+        PRESSURES or MEMORY_SHARES.
     priority : int
         Of its route; 0 is the most urgent.
     chance : float
         Evenly between 0 and 1: a share is turned away, not all at once.
 
-    >>> has_memory(0.7, 2, 0.1), has_memory(0.95, 2, 0.1), has_memory(1, 0, 0)
-    (True, False, False)
+    >>> is_spared(0.9, PRESSURES, 2, 0.5), is_spared(0.95, PRESSURES, 2, 0.5)
+    (True, False)
+    >>> is_spared(1.0, PRESSURES, 0, 0.5)
+    True
+    >>> is_spared(0.7, MEMORY_SHARES, 2, 0.1)
+    True
+    >>> is_spared(0.95, MEMORY_SHARES, 2, 0.1)
+    False
     """
-    first, last = pick_row(MEMORY_SHARES, priority)
-    return share < first or chance >= (share - first) / (last - first)
+    first, last = pick_row(bounds, priority)
+    return chance >= (share - first) / (last - first)
 
 
 def find_retry_after(wait_s, pressure, rng):
--- a/landingspool/decisions/gateway/view.py
+++ b/landingspool/decisions/gateway/view.py
@@ -201,15 +201,16 @@
         """Tell whether a request should be sent on as planned."""
         if work.prompt is None:
             return True
-        if not admission.is_spared(
-            plan.pressure, work.route.priority, self.rng.random()
-        ):
-            return False
         weight = choice.weigh_memory(plans.count_held(work), plan.held)
-        if not admission.has_memory(
-            plan.held.share * weight, work.route.priority, self.rng.random()
-        ):
-            return False
+        filled = (
+            (plan.pressure, admission.PRESSURES),
+            (plan.held.share * weight, admission.MEMORY_SHARES),
+        )
+        for share, bounds in filled:
+            if not admission.is_spared(
+                share, bounds, work.route.priority, self.rng.random()
+            ):
+                return False
         return admission.is_admitted(
             plan.wait_s,
             work.route.target_latency_s,
