Part only the sound engines, so that sick ones hold no requests

Cause: engines were parted before the sick and silent ones were left out, so where those for short readings were sick all short requests went on to these: 50 of 50 in the new test, with four sound engines beside. Where there are five engines one or two are for short readings.

Change: the sound ones are found first, and parted.

--- a/landingspool/decisions/gateway/view.py
+++ b/landingspool/decisions/gateway/view.py
@@ -157,8 +157,9 @@
         patience_s = (
             PLAIN_PATIENCE_S if work.prompt is None else ENGINE_PATIENCE_S
         )
+        usable = choice.list_usable(candidates, now, patience_s)
         chosen = choice.choose(
-            self._narrow(candidates, work, held),
+            self._narrow(usable, work, held),
             work.prompt,
             self.domain,
             now,
@@ -175,7 +176,7 @@
         return plan._replace(pressure=pressure, held=held)
 
     def _narrow(self, candidates, work, held):
-        """Keep the engines for readings of a request's size.
+        """Keep the engines for readings of a request's size, among sound ones.
 
         All are kept where each of these would let it wait too long.
         """
--- a/tests/gateway/test_view.py
+++ b/tests/gateway/test_view.py
@@ -244,3 +244,28 @@
     assert not view.is_admitted(plan, work)
     # It is not for ever: some seconds later the next ones are tried.
     assert view.plan(work, (), 14.0).pressure < 0.5
+
+
+def test_engines_of_a_size_that_are_sick_do_not_hold_their_requests():
+    """Before, all 50 requests went on to the sick one."""
+    view = make_view(5)
+    for entry in list(view.fleet.entries.values()):
+        view.fleet.put(entry._replace(slots=64))
+    for read in (30_000, 9_000):
+        view.partition.note(read, 10.0)
+    view.partition.note(9_000 // 4, 10.0)
+    entries = view.fleet.list_service('s')
+    names = view.partition.pick(600, entries)
+    assert 0 < len(names) < 5
+    short = prompts.Prompt('m', 600, 5, (prompts.Part('own', 600),))
+    for name in names:
+        view.note_loss(name, 10.0, certain=True)
+    chosen = [pick(view, 10.1, prompt=short) for _ in range(50)]
+    assert None not in chosen
+    assert sum(name in names for name in chosen) < 10
+    for name in names:
+        plan = view.plan(make_work('first'), (), 10.0)
+        entry = view.fleet.entries[name]
+        view.note_sent(plan._replace(entry=entry), make_work(name), 10.0)
+    late = 10.0 + view_module.ENGINE_PATIENCE_S + 0.1
+    assert pick(view, late, prompt=short) not in {None, *names}
