Say that engines are parted by memory, too

Cause: the module's opening told of places alone, though memory decides as well since refusals for memory go by need. Change: its docstring; no code. Measured: formatter, linter, its doctests and the tests of the layout pass; nothing else was run for it.

--- a/landingspool/decisions/gateway/partition.py
+++ b/landingspool/decisions/gateway/partition.py
@@ -8,9 +8,10 @@
 tokens of long and of short readings come: then both kinds find engines that
 are as busy as before, but short readings wait behind short ones alone.
 
-That holds where reading is what engines lack.  Where they lack places, runs
-count and not readings, and a part of the engines is soon full: so engines
-are parted only while few of their places are taken.
+That holds where reading is what engines lack.  Where they lack places or
+memory, runs count and not readings, and a part of the engines is soon full:
+so engines are parted only while few of their places, and not too much of
+their memory, are taken.
 
 Source: Harchol-Balter, Crovella and Murta, "On choosing a task assignment
 policy for a distributed server system", 1999 (SITA-E).
