Tell in the log what a lost request asked for, and what ended it

Cause: the logs named a request by the name of one arrival, so that nobody could see whether the same request was at several targets as they ended. Change: the path, workspace and body of a request have a fingerprint that all its arrivals share; LS204 has it, and LS215 tells for each try that broke off what ended it, after how long, and what this box had at the target; a counter by cause. No logic changes.

--- a/landingspool/decisions/gateway/loads.py
+++ b/landingspool/decisions/gateway/loads.py
@@ -106,6 +106,18 @@
             others_waiting=queued,
         )
 
+    def count(self, target):
+        """Count this box's requests at a target: waiting, and begun.
+
+        >>> loads = Loads()
+        >>> loads.note_sent('t', 'q', Sent(1.0, 500, False, 600))
+        >>> loads.count('t'), loads.count('u')
+        ((1, 0), (0, 0))
+        """
+        rows = self._sent.get(target, {}).values()
+        waiting = sum(1 for row in rows if not row.begun)
+        return waiting, len(rows) - waiting
+
     def list_told(self):
         """Give what this box has at each target, as in neighbours.Digest.
 
--- a/landingspool/events.py
+++ b/landingspool/events.py
@@ -120,6 +120,12 @@
             'INFO',
             'A relayed request would wait too long and may come back.',
         ),
+        Kind(
+            215,
+            'lost',
+            'INFO',
+            'A request was sent to a target and its answer broke off.',
+        ),
         Kind(
             300, 'queued', 'DEBUG', 'A request waits in the queue of its pool.'
         ),
--- a/landingspool/gateway/attempts.py
+++ b/landingspool/gateway/attempts.py
@@ -78,7 +78,7 @@
         )
 
     async def _send_and_receive(self):
-        outcome = outcomes.Lost('stopped')
+        outcome = outcomes.Lost('stopped', outcomes.Cause.STOPPED)
         try:
             self._send()
             outcome = await self._receive()
@@ -96,6 +96,7 @@
         self._hub.recorder.record(
             'dispatched',
             request=progress.call.name,
+            content=progress.fingerprint.hex(),
             priority=self._find_priority(),
             **describe_plan(plan, self._view.table),
         )
@@ -108,12 +109,27 @@
 
     def _note_end(self, outcome):
         name = self._plan.entry.name
-        self._view.loads.note_end(name, self._progress.work.name)
         if isinstance(outcome, outcomes.Lost):
             self._exchange.abort()
+            self._record_loss(outcome)
+        self._view.loads.note_end(name, self._progress.work.name)
         if not isinstance(outcome, outcomes.Rejected):
             self._progress.may_have_run = True
 
+    def _record_loss(self, outcome):
+        self._hub.metrics.losses.labels(outcome.cause).inc()
+        waiting, running = self._view.loads.count(self._plan.entry.name)
+        self._hub.recorder.record(
+            'lost',
+            request=self._progress.call.name,
+            content=self._progress.fingerprint.hex(),
+            target=self._plan.entry.name,
+            cause=outcome.cause,
+            after_s=round(self._hub.clock() - self._sent, 4),
+            waiting=waiting,
+            running=running,
+        )
+
     def _write_head(self):
         progress, plan = self._progress, self._plan
         tenancy, stream = progress.work.tenancy, progress.stream
@@ -144,14 +160,16 @@
             async with asyncio.timeout(self._find_patience()):
                 head = await self._exchange.read_head()
         except TimeoutError:
-            return self._lose('silent')
+            return self._lose('silent', outcomes.Cause.SILENT)
         except upstream_module.Broken as error:
             return self._lose_broken(error)
         self._note_version(head.version)
         if head.not_run:
             return await self._take_rejection(head)
         if not is_answer_to(head, self._progress.call.name):
-            return self._lose('not the answer to this request')
+            return self._lose(
+                'not the answer to this request', outcomes.Cause.MALFORMED
+            )
         try:
             async with asyncio.timeout_at(self._find_loop_end()):
                 if is_success(head):
@@ -159,11 +177,11 @@
                 return await self._take_failure(head)
         except TimeoutError:
             # The caller's time is over; that tells nothing of the target.
-            return outcomes.Lost('time_over')
+            return outcomes.Lost('time_over', outcomes.Cause.TIME_OVER)
         except upstream_module.Broken as error:
             return self._lose_broken(error)
         except stream_module.Endless as error:
-            return self._lose(str(error))
+            return self._lose(str(error), outcomes.Cause.MALFORMED)
 
     def _find_patience(self):
         left = self._progress.find_left(self._hub.clock())
@@ -245,7 +263,7 @@
                 async with asyncio.timeout(pause):
                     data = await self._exchange.read_data()
             except TimeoutError:
-                return self._lose('paused')
+                return self._lose('paused', outcomes.Cause.PAUSED)
             if not data:
                 break
             self._view.loads.note_heard(name, self._hub.clock())
@@ -254,7 +272,9 @@
                 stream.noted = True
                 self._note_first()
         if not stream.is_whole():
-            return outcomes.Lost('ended within an event')
+            return outcomes.Lost(
+                'ended within an event', outcomes.Cause.MALFORMED
+            )
         self._exchange.release()
         await stream.finish()
         return outcomes.Done(head.status)
@@ -270,10 +290,10 @@
         progress.stream.restart()
         return progress.stream
 
-    def _lose(self, reason):
+    def _lose(self, reason, cause):
         """Give the outcome of an answer that the target did not finish."""
         self._note_loss(certain=False)
-        return outcomes.Lost(reason)
+        return outcomes.Lost(reason, cause)
 
     def _lose_broken(self, error):
         """Give the outcome of a broken exchange; no other uses a dead path."""
@@ -281,7 +301,10 @@
             entry = self._plan.entry
             self._hub.upstream.drop(entry.address)
             self._hub.prober.note_failed(entry.name, str(error))
-        return self._lose(str(error))
+            return self._lose(str(error), outcomes.Cause.DEAD_PATH)
+        if self._exchange.is_ended:
+            return self._lose(str(error), outcomes.Cause.CLOSED)
+        return self._lose(str(error), outcomes.Cause.MALFORMED)
 
     def _note_loss(self, certain):
         name = self._plan.entry.name
--- a/landingspool/gateway/figures.py
+++ b/landingspool/gateway/figures.py
@@ -20,6 +20,9 @@
         self.budget_refusals = self._count(
             'budget_refusals', 'Repeats that the budget did not allow'
         )
+        self.losses = self._count(
+            'losses', 'Tries whose answer did not come whole', ('cause',)
+        )
         self.faults = self._count(
             'faults', 'Requests whose handling raised an error'
         )
--- a/landingspool/gateway/outcomes.py
+++ b/landingspool/gateway/outcomes.py
@@ -1,10 +1,23 @@
 """How one try of a relayed request ended, as tagged outcomes."""
 
 import dataclasses
+import enum
 
 from landingspool.platform import answers
 
 
+class Cause(enum.StrEnum):
+    """What ended a try whose answer did not come whole."""
+
+    CLOSED = 'closed'
+    DEAD_PATH = 'dead_path'
+    SILENT = 'silent'
+    PAUSED = 'paused'
+    TIME_OVER = 'time_over'
+    MALFORMED = 'malformed'
+    STOPPED = 'stopped'
+
+
 @dataclasses.dataclass(frozen=True)
 class Unreached:
     """No connection: nothing was sent."""
@@ -39,6 +52,7 @@
     """The request was sent and no answer came back whole."""
 
     reason: str
+    cause: Cause
 
 
 @dataclasses.dataclass(frozen=True)
--- a/landingspool/gateway/progress.py
+++ b/landingspool/gateway/progress.py
@@ -5,6 +5,7 @@
 run, and what of a stream the caller already has.
 """
 
+from landingspool.decisions.gateway import fingerprints
 from landingspool.decisions.gateway import routes
 
 # Seconds before the end of a request's time at which its answer is given.
@@ -41,6 +42,9 @@
         Whether a byte of it reached a target that may have worked on it.
     first_byte_s : float or None
         From its start to the first byte for the caller.
+    fingerprint : bytes
+        The same for all arrivals that ask for the same; empty until its
+        route is known.
     """
 
     def __init__(self, call, body, reply, now):
@@ -56,11 +60,17 @@
         self.connects = 0
         self.may_have_run = False
         self.first_byte_s = None
+        self.fingerprint = b''
 
     def begin(self, work):
         """Take in what is asked for; the route bounds its time."""
         self.work = work
         self.ends = self.started + min(self.call.left_s, work.route.timeout_s)
+        self.fingerprint = fingerprints.take_fingerprint(
+            work.tenancy.name if work.tenancy else '',
+            self.call.target,
+            self.body,
+        )
 
     def is_over(self, now):
         """Tell whether its time is over, less the margin for an answer."""
--- a/landingspool/gateway/upstream.py
+++ b/landingspool/gateway/upstream.py
@@ -281,6 +281,11 @@
             return b''
         raise Broken('the answer was cut off', True)
 
+    @property
+    def is_ended(self):
+        """Whether the target has closed or reset the connection."""
+        return self._wire.ended
+
     def release(self):
         """Keep the connection if it is fit for another request."""
         conn, head = self._conn, self._head
--- a/standins/runner.py
+++ b/standins/runner.py
@@ -13,6 +13,8 @@
 # An event that does not end is made of so many parts of so many bytes.
 ENDLESS_PARTS = 40
 ENDLESS_BYTES = 64 * 1024
+# Seconds for which a request that ends its target is run.
+FATAL_S = 0.05
 
 
 def behaviour(name):
@@ -42,6 +44,10 @@
         Whether it resets what comes on a connection that was at rest.
     freed : list of tuple
         The (namespace, part) that it was told to free.
+    fatal : bytes or None
+        Body of a request that ends the target when it runs it.
+    ended : bool
+        Whether it has ended by one.
     cancelled : int
         Requests whose connection closed while they ran.
     """
@@ -64,6 +70,9 @@
         self.usual = 'whole'
         self.service = ''
         self.forgets = False
+        self.fatal = None
+        self.ended = False
+        self._writers = set()
         self._seen = set()
         self._server = None
 
@@ -76,6 +85,13 @@
         """Stop."""
         self._server.close()
 
+    def end(self):
+        """End as by a crash: all connections break, and no new one comes."""
+        self.ended = True
+        self._server.close()
+        for writer in self._writers:
+            writer.transport.abort()
+
     def entry(self, service, state='ready', domain='d1', model='', **fields):
         """Give what the target writes of itself, with further fields."""
         models = [{'name': model, 'version': self.version}] if model else []
@@ -93,6 +109,7 @@
 
     async def _serve(self, reader, writer):
         self.connections += 1
+        self._writers.add(writer)
         try:
             while True:
                 head, body = await read_request(reader)
@@ -105,6 +122,8 @@
                     continue
                 self.heads.append(head)
                 name = self.script.pop(0) if self.script else self.usual
+                if self.fatal is not None and body == self.fatal:
+                    name = 'fatal'
                 if name != 'shed' and not self._is_mine(head):
                     name = 'misdirected'
                 if await BEHAVIOURS[name](self, head, body, reader, writer):
@@ -117,6 +136,7 @@
             # The other side broke off, or the stand-in is closing.
             pass
         finally:
+            self._writers.discard(writer)
             writer.close()
 
     def _is_new(self, writer):
@@ -419,6 +439,15 @@
         await writer.drain()
 
 
+@behaviour('fatal')
+async def answer_fatal(runner, head, body, reader, writer):
+    """Begin to run, and end the whole target by it."""
+    runner.run(head, body)
+    await asyncio.sleep(FATAL_S)
+    runner.end()
+    return True
+
+
 @behaviour('half event')
 async def answer_half(runner, head, body, reader, writer):
     """Stream one event and a half, and end in order."""
