Measure all time by a clock that counts suspensions

Cause: the usual steady clock stands still while a machine is suspended, so that proofs of the table, leases, deadlines and the ages told to other boxes were younger on waking than they are. Change: one module reads the clock that counts such time; the gateway, the daemon, the timer service and the event loop run on it. On waking, the first thing that any send meets is a beat that is too old, and what was due meanwhile is due within a tenth of a second.

--- a/landingspool/box.py
+++ b/landingspool/box.py
@@ -22,6 +22,7 @@
 from landingspool.operators import server as operators
 from landingspool import settings as settings_module
 from landingspool import timer as timer_module
+from landingspool import uptime
 
 LIVE_POLL_S = 0.5
 DRAIN_NOTICE_S = 1.5
@@ -35,7 +36,7 @@
     """
 
     client: typing.Any
-    clock: typing.Callable = time.monotonic
+    clock: typing.Callable = uptime.read
     wall: typing.Callable = time.time
 
 
--- a/landingspool/command/tables.py
+++ b/landingspool/command/tables.py
@@ -5,7 +5,6 @@
 import json
 import pathlib
 import secrets
-import time
 import uuid
 
 from cleo.helpers import argument
@@ -16,6 +15,7 @@
 from landingspool.command import remote
 from landingspool.decisions import identity
 from landingspool.decisions import records
+from landingspool import uptime
 
 FORCE_WAIT_S = 18.0
 FORCE_POLL_S = 0.25
@@ -220,11 +220,11 @@
     async def _show_accepted(self, boxes, result):
         offset = result['offset']
         self.line(f'accepted at offset {offset}')
-        deadline = time.monotonic() + FORCE_WAIT_S
+        deadline = uptime.read() + FORCE_WAIT_S
         while True:
             reached = await boxes.ask_all('/admin/table')
             late = [r for r in reached if not is_in_force(r, offset)]
-            if not late or time.monotonic() > deadline:
+            if not late or uptime.read() > deadline:
                 break
             await asyncio.sleep(FORCE_POLL_S)
         rows = [list_force(box, offset) for box in reached]
--- a/landingspool/daemon.py
+++ b/landingspool/daemon.py
@@ -13,6 +13,7 @@
 from landingspool import events
 from landingspool import http
 from landingspool import settings as settings_module
+from landingspool import uptime
 
 BAD_SETTINGS = 2
 CLOSE_GRACE_S = 1.0
@@ -107,7 +108,7 @@
     events.configure_logs(settings.logs.format, settings.logs.level)
     # What was imported stays for good and need not be looked at again.
     gc.freeze()
-    asyncio.run(serve(settings))
+    uptime.run(serve(settings))
     return 0
 
 
--- a/landingspool/gateway/hub.py
+++ b/landingspool/gateway/hub.py
@@ -27,6 +27,7 @@
 from landingspool.platform import runners
 from landingspool.platform import store
 from landingspool import timer as timer_module
+from landingspool import uptime
 
 # Period of the beat by which a freeze is noticed, seconds.
 BEAT_S = 0.1
@@ -62,7 +63,7 @@
         Of the choices that are left to chance.
     """
 
-    def __init__(self, place, seed, clock=time.monotonic, wall=time.time):
+    def __init__(self, place, seed, clock=uptime.read, wall=time.time):
         self.place = place
         self.clock = clock
         self.timer = timer_module.Timer(clock)
--- a/landingspool/gateway/sources.py
+++ b/landingspool/gateway/sources.py
@@ -9,7 +9,6 @@
 
 import asyncio
 import contextlib
-import time
 from urllib import parse
 
 import msgspec
@@ -18,6 +17,7 @@
 from landingspool.decisions.gateway import tail as tail_module
 from landingspool.gateway import boxcalls
 from landingspool.platform import store as store_module
+from landingspool import uptime
 
 RECORDS_PATH = '/records'
 NEWEST_PATH = '/newest'
@@ -244,7 +244,7 @@
         Bytes of keys and values that other boxes were answered.
     """
 
-    def __init__(self, is_cut, clock=time.monotonic):
+    def __init__(self, is_cut, clock=uptime.read):
         self.relayed_bytes = 0
         self._is_cut = is_cut
         self._clock = clock
--- a/landingspool/gateway/upstream.py
+++ b/landingspool/gateway/upstream.py
@@ -7,13 +7,13 @@
 import asyncio
 import collections
 import socket
-import time
 import typing
 
 import h11
 
 from landingspool.gateway import wire as wire_module
 from landingspool.platform import answers
+from landingspool import uptime
 
 # Seconds to come up: trips of some ms; a target that is gone says nothing,
 # and a request has to be tried elsewhere within its aim (0.3 s and more).
@@ -74,7 +74,7 @@
         Counts new connections; anything with ``connections.inc()``.
     """
 
-    def __init__(self, metrics, clock=time.monotonic):
+    def __init__(self, metrics, clock=uptime.read):
         self._metrics = metrics
         self._clock = clock
         self._idle = collections.defaultdict(collections.deque)
--- a/landingspool/lines.py
+++ b/landingspool/lines.py
@@ -14,6 +14,7 @@
 from loguru import logger
 
 from landingspool import events
+from landingspool import uptime
 
 # Lines a second on requests that went well; a box of today's deployments
 # serves some 35 requests a second with two such lines each.
@@ -43,7 +44,7 @@
         self,
         descriptor,
         box,
-        clock=time.monotonic,
+        clock=uptime.read,
         usual=USUAL_LINES_S,
         wall=time.time,
     ):
--- a/landingspool/platform/__main__.py
+++ b/landingspool/platform/__main__.py
@@ -10,6 +10,7 @@
 from landingspool import lines
 from landingspool.platform import boot
 from landingspool import settings
+from landingspool import uptime
 
 BAD_SETTINGS = 2
 
@@ -54,7 +55,7 @@
     lines.configure(place.box)
     # What was imported stays for good and need not be looked at again.
     gc.freeze()
-    asyncio.run(serve(place))
+    uptime.run(serve(place))
     return 0
 
 
--- a/landingspool/timer.py
+++ b/landingspool/timer.py
@@ -6,9 +6,10 @@
 """
 
 import asyncio
-import time
 import typing
 
+from landingspool import uptime
+
 FREEZE_S = 0.75
 
 
@@ -30,7 +31,7 @@
         Waits for some seconds; tests hand in virtual time.
     """
 
-    def __init__(self, clock=time.monotonic, sleep=asyncio.sleep):
+    def __init__(self, clock=uptime.read, sleep=asyncio.sleep):
         self.now = clock
         self._sleep = sleep
         self._tasks = []
