Tell barred requests again to boxes back from a cut, and play them in the soak

Cause: an end is told three times and then no more, so that a box that was cut off heard of it only by a held read of up to 8 s. Change: each fifth digest has one barred request again, in turn. The soak has a request that ends each engine that runs it, sent through boxes that are killed, stopped, cut off and restarted meanwhile, and checks how often it reaches targets from three seconds after the third end on.

--- a/landingspool/decisions/gateway/endings.py
+++ b/landingspool/decisions/gateway/endings.py
@@ -39,6 +39,10 @@
 # Digests in which a word is told, so that a lost datagram does not matter:
 # where each reaches 24 of 195 boxes, and who hears tells on, all hear it.
 TELLS = 3
+# Every so many digests one barred request is told again, each in its turn: a
+# box that comes back from a cut has missed what was told meanwhile, and hears
+# of it within two seconds from the first of the others.
+AGAIN_EVERY = 5
 
 
 class Bar(enum.StrEnum):
@@ -66,9 +70,11 @@
         self._recent = collections.OrderedDict()
         self._served = collections.OrderedDict()
         self._alive = collections.OrderedDict()
+        self._void = collections.OrderedDict()
         self._under_way = collections.Counter()
         self._pending = []
         self._untold = {}
+        self._digests = 0
 
     def note_sent(self, fingerprint):
         """Note that a request goes to a target."""
@@ -144,7 +150,9 @@
             ends = self._marks.get(fingerprint, {})
             if life in ends and self._is_alive(life, ends[life]):
                 del ends[life]
+                self._void[fingerprint, life] = sent
                 self._note_fewer(fingerprint, len(ends) + 1)
+        limit(self._void, MOST_MARKS)
 
     def note_served(self, fingerprint, now):
         """Note that a request was answered whole, here."""
@@ -247,6 +255,11 @@
             row[1] += 1
             if row[1] >= TELLS:
                 del self._untold[key]
+        self._digests += 1
+        barred = self.list_barred()
+        if barred and self._digests % AGAIN_EVERY == 0:
+            turn = self._digests // AGAIN_EVERY % len(barred)
+            words += self.list_words(barred[turn], now)
         return tuple(words)
 
     def _rank(self, key):
@@ -262,6 +275,8 @@
             return
         if at <= self._served.get(fingerprint, -REMEMBERED_S):
             return
+        if (fingerprint, life) in self._void:
+            return
         ends = self._marks.setdefault(fingerprint, {})
         if life in ends or len(ends) > MOST_ENDS:
             return
--- a/soak/auditor.py
+++ b/soak/auditor.py
@@ -15,6 +15,10 @@
 # Seconds over the bound for tables within which the machine, shared by many
 # processes, gives each its turn.
 TURN_S = 0.5
+# Targets that may end under a request, and those that may get it when all
+# boxes could hear of the third (the users' bounds).
+MOST_ENDS = 3
+MOST_AFTER = 3
 UNREPEATABLE = ('unsafe', 'stream')
 WHOLE_STREAM = [1, 2, 3, 4]
 
@@ -30,9 +34,45 @@
     for runner in fleet.runners:
         problems += check_target(fleet, runner, known)
     problems += check_stops(fleet)
+    for path in fleet.ending:
+        problems += check_ending(fleet, path)
     return problems
 
 
+def check_ending(fleet, path):
+    """Yield that a request went on ending targets, if it did.
+
+    Once the third has ended and all boxes could hear of it, it may reach
+    few more.
+    """
+    rows = [r for runner in fleet.runners for r in runner.ran]
+    rows = sorted((r for r in rows if r['path'] == path), key=get_time)
+    later = rows[MOST_ENDS:]
+    if not later:
+        return
+    third = rows[MOST_ENDS - 1]['at']
+    bounds = [
+        find_bound(fleet, third, row['at'], get_box(row)) for row in later
+    ]
+    late = [
+        row
+        for row, bound in zip(later, bounds, strict=True)
+        if bound is not None and row['at'] > bound + CONTACT_S
+    ]
+    if len(late) > MOST_AFTER:
+        yield f'{path}: reached {len(late)} targets after the third had ended'
+
+
+def get_time(row):
+    """Give when a request ran."""
+    return row['at']
+
+
+def get_box(row):
+    """Give the box that sent a request that ends its targets."""
+    return row['x-landingspool-request-id'].rpartition(' ')[2]
+
+
 def check_stops(fleet):
     """Yield the boxes that had to be killed at the end of their grace time.
 
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -56,12 +56,15 @@
         key = self._rng.choice(list(self._fleet.keys))
         box = self._rng.choice(self._fleet.boxes)
         at = time.monotonic()
-        status, whole, body, stamped = await self._ask(box, route, name, key)
+        status, whole, body, stamped = await self.ask(
+            box, f'/{route}/a', name, key, b'x'
+        )
         self.sent.append(
             Sent(name, box.name, route, key, at, status, whole, body, stamped)
         )
 
-    async def _ask(self, box, route, name, key):
+    async def ask(self, box, path, name, key, sent):
+        """Send one request; gives what came back."""
         call = self._client.open(box.address)
         rows = [
             ('x-landingspool-request-id', name),
@@ -75,9 +78,7 @@
         try:
             async with asyncio.timeout(LEFT_S):
                 await call.connect()
-                await call.send(
-                    'POST', f'/{route}/a', b'x', rows, fleet_module.HOST
-                )
+                await call.send('POST', path, sent, rows, fleet_module.HOST)
                 async for data in call.read():
                     body += data
             whole = True
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -6,6 +6,7 @@
 
 from landingspool.decisions.gateway import readers
 from landingspool.platform import names
+from soak import callers
 from soak import fleet as fleet_module
 
 FAULTS = []
@@ -19,6 +20,8 @@
 # Looks at a process that was told to stop before it is killed: the grace
 # time, and one second more.
 STOP_LOOKS = round((fleet_module.GRACE_S + 1) / LOOK_S)
+# How often a request comes that ends its targets: least and most.
+ARRIVALS = 16, 30
 SCRIPTS = (
     'failure',
     'shed',
@@ -186,6 +189,21 @@
     runner.script += rng.choices(scripts, k=rng.randint(1, 4))
 
 
+@fault
+async def end_targets(fleet, rng):
+    """Let a request come again that ends each target that runs it."""
+    path = f'/resumed/{len(fleet.ending)}'
+    fleet.ending.append(path)
+    for number in range(rng.randint(*ARRIVALS)):
+        box = rng.choice(fleet.boxes)
+        # The box stands in the name of the request: the auditor asks for it.
+        name = f'ending{path}-{number} {box.name}'
+        asker = callers.Caller(name, fleet, rng)
+        await asker.ask(box, path, name, fleet.find_key(), fleet_module.FATAL)
+        await fleet.replace_ended()
+        await asyncio.sleep(rng.uniform(0, 2 * PAUSE_S))
+
+
 @fault
 async def change(fleet, rng):
     """Publish another table, or take a key away."""
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -30,6 +30,8 @@
 GRACE_S = 4
 # Boxes of a run: each in a domain of its own, or all in one that is large
 # enough for some to read the store for the others.
+# Body of a request that ends the engine that runs it.
+FATAL = b'ends whoever runs it'
 SMALL = 3
 LARGE = 7
 # Widths of links that are drawn, Mbit/s: the narrowest and the widest that
@@ -136,6 +138,8 @@
         # not end in its grace time was told to stop, by name.
         self.paused = {}
         self.overdue = {}
+        # The paths of requests that end their targets.
+        self.ending = []
 
     @contextlib.contextmanager
     def harm(self, boxes=()):
@@ -188,6 +192,7 @@
         runner = runner_module.Runner(f'{service}{len(self.runners)}')
         runner.usual = 'stream' if service == 'engine' else 'echo'
         runner.service = service
+        runner.fatal = FATAL if service == 'engine' else None
         await runner.start()
         wire = proxy.Proxy(runner.address)
         await wire.start()
@@ -196,6 +201,18 @@
         self.announce(runner)
         return runner
 
+    async def replace_ended(self):
+        """Let others come for the targets that have ended by a request."""
+        for runner in self.runners:
+            if runner.ended and runner.name not in self.left:
+                self.left[runner.name] = time.monotonic()
+                await self.add_runner(runner.service)
+                self.store.put(names.TARGETS_TOPIC, runner.name, b'')
+
+    def find_key(self):
+        """Give a key that is in force."""
+        return next(key for key, gone in self.keys.items() if gone is None)
+
     def announce(self, runner, state='ready'):
         """Write what a target says of itself."""
         model = 'm' if runner.service == 'engine' else ''
--- a/tests/gateway/test_endings.py
+++ b/tests/gateway/test_endings.py
@@ -190,6 +190,18 @@
     assert barred == MANY
 
 
+def test_a_box_back_from_a_cut_hears_what_it_missed():
+    first, cut = endings_module.Endings(), endings_module.Endings()
+    for name in ('a', 'b', 'c'):
+        first.note_lost(b'fatal', name, 0.0)
+    for number in range(50):
+        first.tell(0.2 * number)
+    for number in range(5):
+        for word in first.tell(10.0 + 0.2 * number):
+            cut.take(word, 10.0 + 0.2 * number)
+    assert cut.list_barred() == [b'fatal']
+
+
 def gossip(boxes, now, rng):
     """Let each box tell some others, as its digests do."""
     told = [box.tell(now) for box in boxes]
