--- a/landingspool/decisions/gateway/endings.py
+++ b/landingspool/decisions/gateway/endings.py
@@ -17,6 +17,7 @@
 import enum
 
 from landingspool.decisions.gateway import neighbours
+from landingspool.decisions.gateway import rumors
 
 # Targets that may end under a request: the users' rule names the third, and
 # an innocent request is seldom at three that end (each had 13 to 48 requests
@@ -34,11 +35,6 @@
 # Seconds before a target's end is known for sure in which an answer that
 # stayed away counts as lost by it: entries go after three heartbeats.
 PENDING_S = 3.0
-# Words in one digest: 24 bytes each, so that it stays in one packet.
-MOST_TOLD = 40
-# Digests in which a word is told, so that a lost datagram does not matter:
-# where each reaches 24 of 195 boxes, and who hears tells on, all hear it.
-TELLS = 3
 # Every so many digests one barred request is told again, each in its turn: a
 # box that comes back from a cut has missed what was told meanwhile, and hears
 # of it within two seconds from the first of the others.
@@ -73,7 +69,7 @@
         self._void = collections.OrderedDict()
         self._under_way = collections.Counter()
         self._pending = []
-        self._untold = {}
+        self._rumors = rumors.Rumors()
         self._digests = 0
 
     def note_sent(self, fingerprint):
@@ -158,7 +154,7 @@
         """Note that a request was answered whole, here."""
         if fingerprint in self._marks:
             self._clear(fingerprint, now)
-            self._untold[fingerprint, neighbours.NO_LIFE] = [now, 0]
+            self._rumors.put(fingerprint, neighbours.NO_LIFE, now)
 
     def take(self, word, now):
         """Take in a word of another box; what is new is told on.
@@ -176,7 +172,7 @@
         if word.life == neighbours.NO_LIFE:
             if at > self._served.get(word.fingerprint, -REMEMBERED_S):
                 self._clear(word.fingerprint, at)
-                self._untold[word.fingerprint, neighbours.NO_LIFE] = [at, 0]
+                self._rumors.put(word.fingerprint, neighbours.NO_LIFE, at)
             return
         self._add(word.fingerprint, word.life, at, now)
 
@@ -219,7 +215,7 @@
         """List what is known of a request, as words."""
         ends = self._marks.get(fingerprint, {})
         return [
-            neighbours.Word(fingerprint, life, to_ms(now - at))
+            rumors.make_word(fingerprint, life, at, now)
             for life, at in ends.items()
         ]
 
@@ -236,35 +232,30 @@
             for word in self.list_words(fingerprint, now)
         ]
 
-    def list_barred(self):
+    def list_barred(self, now):
         """List the fingerprints of which no more is sent."""
-        rows = self._marks.items()
-        return [mark for mark, ends in rows if len(ends) >= MOST_ENDS]
+        return [f for f in self._marks if self.count(f, now) >= MOST_ENDS]
 
     def tell(self, now):
         """Give the words for the next digest.
 
-        First those of requests under which most targets ended, then those
-        told least often.
+        First those of requests under which most targets ended.
         """
-        order = sorted(self._untold, key=self._rank)[:MOST_TOLD]
-        words = []
-        for key in order:
-            row = self._untold[key]
-            words.append(neighbours.Word(*key, to_ms(now - row[0])))
-            row[1] += 1
-            if row[1] >= TELLS:
-                del self._untold[key]
+        words = self._rumors.tell(now, self._weigh)
         self._digests += 1
-        barred = self.list_barred()
-        if barred and self._digests % AGAIN_EVERY == 0:
-            turn = self._digests // AGAIN_EVERY % len(barred)
-            words += self.list_words(barred[turn], now)
+        if self._digests % AGAIN_EVERY == 0:
+            words += self._tell_again(now)
         return tuple(words)
 
-    def _rank(self, key):
-        ends = len(self._marks.get(key[0], ()))
-        return -min(ends, MOST_ENDS), self._untold[key][1]
+    def _tell_again(self, now):
+        barred = self.list_barred(now)
+        if not barred:
+            return []
+        turn = self._digests // AGAIN_EVERY % len(barred)
+        return self.list_words(barred[turn], now)
+
+    def _weigh(self, fingerprint):
+        return min(len(self._marks.get(fingerprint, ())), MOST_ENDS)
 
     def _is_alive(self, life, at):
         return at < self._alive.get(life, at) <= at + ALIVE_S
@@ -285,7 +276,7 @@
         limit(self._marks, MOST_MARKS)
         self._recent.setdefault(life, set()).add(fingerprint)
         limit(self._recent, MOST_MARKS)
-        self._untold[fingerprint, life] = [at, 0]
+        self._rumors.put(fingerprint, life, at)
         if len(ends) == MOST_ENDS:
             self.fresh.append(fingerprint)
 
@@ -312,12 +303,3 @@
     """Forget the oldest rows of an ordered dict over so many."""
     while len(rows) > most:
         rows.popitem(last=False)
-
-
-def to_ms(seconds):
-    """Give whole milliseconds, never fewer than none.
-
-    >>> to_ms(0.0154), to_ms(-1.0)
-    (15, 0)
-    """
-    return max(int(seconds * 1000), 0)
--- a/landingspool/gateway/hub.py
+++ b/landingspool/gateway/hub.py
@@ -179,7 +179,7 @@
             bars.evacuation.describe(tick.now),
             self.view.partition.is_on,
         )
-        self.metrics.barred.set(len(self.view.endings.list_barred()))
+        self.metrics.barred.set(len(self.view.endings.list_barred(tick.now)))
 
     def _note_figures(self, tick):
         self.recorder.record(
--- a/tests/gateway/test_endings.py
+++ b/tests/gateway/test_endings.py
@@ -143,7 +143,9 @@
         await hub.peering.close()
         await site.wait_until(lambda: len(deployment.engines) == ENGINES)
         later = await deployment.start_box('later')
-        await site.wait_until(lambda: later.view.endings.list_barred())
+        await site.wait_until(
+            lambda: later.view.endings.list_barred(later.clock())
+        )
         ends = engines.count_ends()
         got = await site.ask(later, '/resumed/a', FATAL)
         assert got.status == 503
@@ -186,7 +188,7 @@
         box.note_lost(b'fatal', name, 0.0)
     for number in range(ROUNDS):
         gossip(boxes, 0.2 * number, rng)
-    barred = sum(b'fatal' in box.list_barred() for box in boxes)
+    barred = sum(b'fatal' in box.list_barred(3.0) for box in boxes)
     assert barred == MANY
 
 
@@ -199,7 +201,7 @@
     for number in range(5):
         for word in first.tell(10.0 + 0.2 * number):
             cut.take(word, 10.0 + 0.2 * number)
-    assert cut.list_barred() == [b'fatal']
+    assert cut.list_barred(12.0) == [b'fatal']
 
 
 def gossip(boxes, now, rng):
@@ -219,16 +221,16 @@
     for name in ('a', 'b', 'c'):
         endings.note_lost(b'whole', name, 1.0)
         endings.note_lost(b'cut', name, 1.0)
-    assert set(endings.list_barred()) == {b'whole', b'cut'}
+    assert set(endings.list_barred(1.6)) == {b'whole', b'cut'}
     endings.note_served(b'whole', 1.2)
     endings.note_alive('b', 1.3)
-    assert endings.list_barred() == []
+    assert endings.list_barred(1.6) == []
     # An older word that comes late brings nothing back.
     for name in ('a', 'b', 'c'):
         life = neighbours.code_target(name)
         endings.take(neighbours.Word(b'whole', life, 600), 1.5)
         endings.take(neighbours.Word(b'cut', life, 500), 1.5)
-    assert endings.list_barred() == []
+    assert endings.list_barred(1.6) == []
 
 
 def test_a_target_that_is_back_under_its_id_has_ended_all_the_same():
