--- a/landingspool/decisions/gateway/endings.py
+++ b/landingspool/decisions/gateway/endings.py
@@ -20,14 +20,14 @@
 from landingspool.decisions.gateway import rumors
 
 # Targets that may end under a request: the users' rule names the third, and
-# an innocent request is seldom at three that end (each had 13 to 48 requests
-# when it ended, of which one or two were at the next one, too).
+# an innocent request is seldom at three that end (of 230 arrivals lost at 13
+# engines that ended within 12 s, 64 were lost at two and 1 at three).
 MOST_ENDS = 3
 # Seconds for which an end is remembered: what ends targets does so whenever
 # it comes, and each time it is forgotten costs one more.
 REMEMBERED_S = 3600.0
 # Fingerprints that are remembered: 64 targets that end with 64 requests each.
-# A megabyte and a half at most (4,096 rows of three ends, sys.getsizeof).
+# 3.5 MB where all of them have three ends (tracemalloc).
 MOST_MARKS = 4096
 # Seconds after a loss within which an answer of the target shows that it
 # lives.  One that ends is back after some seconds, at times under its id.
@@ -37,7 +37,7 @@
 PENDING_S = 3.0
 # Every so many digests one barred request is told again, each in its turn: a
 # box that comes back from a cut has missed what was told meanwhile, and hears
-# of it within two seconds from the first of the others.
+# of one within a second (test_endings.py).
 AGAIN_EVERY = 5
 
 
