Tell only once that a request which lost targets was answered

Cause: the age in a word lacks the time for which it was on its way, so that the word seemed newer at each box, was taken for a new one and told on, for ever. Change: two words of one request within a second are of one answer. Measured: three boxes and 5 ms on the way still told it after 57 rounds, and now none do (test_endings.py, which failed before).

--- a/landingspool/decisions/gateway/endings.py
+++ b/landingspool/decisions/gateway/endings.py
@@ -15,6 +15,7 @@
 
 import collections
 import enum
+import math
 
 from landingspool.decisions.gateway import neighbours
 from landingspool.decisions.gateway import rumors
@@ -35,6 +36,10 @@
 # Seconds before a target's end is known for sure in which an answer that
 # stayed away counts as lost by it: entries go after three heartbeats.
 PENDING_S = 3.0
+# Seconds within which two words that a request was answered whole are of the
+# same answer: a word's age lacks the time for which it was on its way, and
+# one that seems newer with each hop would be told for ever.
+SAME_S = 1.0
 # Every so many digests one barred request is told again, each in its turn: a
 # box that comes back from a cut has missed what was told meanwhile, and hears
 # of one within a second (test_endings.py).
@@ -170,7 +175,7 @@
         """
         at = now - word.age_ms / 1000
         if word.life == neighbours.NO_LIFE:
-            if at > self._served.get(word.fingerprint, -REMEMBERED_S):
+            if at > self._served.get(word.fingerprint, -math.inf) + SAME_S:
                 self._clear(word.fingerprint, at)
                 self._rumors.put(word.fingerprint, neighbours.NO_LIFE, at)
             return
@@ -264,7 +269,7 @@
         """Count an end, unless it is known or was taken back."""
         if now - at >= REMEMBERED_S or self._is_alive(life, at):
             return
-        if at <= self._served.get(fingerprint, -REMEMBERED_S):
+        if at <= self._served.get(fingerprint, -math.inf):
             return
         if (fingerprint, life) in self._void:
             return
--- a/tests/gateway/test_endings.py
+++ b/tests/gateway/test_endings.py
@@ -233,6 +233,20 @@
     assert endings.list_barred(1.6) == []
 
 
+def test_a_word_that_takes_back_is_not_told_for_ever():
+    boxes = [endings_module.Endings() for _ in range(BOXES)]
+    boxes[0].note_lost(b'whole', 'a', 0.0)
+    boxes[0].note_served(b'whole', 0.5)
+    for number in range(3, 60):
+        now = 0.2 * number
+        told = [box.tell(now) for box in boxes]
+        for words, box in itertools.product(told, boxes):
+            for word in words:
+                # On its way for 5 ms: its age is that much less than it is.
+                box.take(word, now + 0.005)
+    assert not any(told)
+
+
 def test_a_target_that_is_back_under_its_id_has_ended_all_the_same():
     endings = endings_module.Endings()
     endings.note_lost(b'f', 'a', 1.0)
