Read any byte in the head of an answer to a side call

What operators saw: nothing so far; a target or a store that answers a call for events, a report or a read with a byte over 0x7f in any field would end the task that follows it, and some of these tasks take the box with them. Cause: the client of side calls decoded heads as UTF-8, and kept only the last of several lines of a field. Change: heads are read as latin-1, and lines of one field are joined as a list, as RFC 9110 has it.

--- a/landingspool/http.py
+++ b/landingspool/http.py
@@ -363,6 +363,22 @@
         self._idle.clear()
 
 
+def fold_headers(rows):
+    """Give the fields of a head by name, those of several lines as a list.
+
+    Any byte over 0x7f may stand in a value (RFC 9110, 5.5): read as UTF-8 it
+    ended whatever was following the peer.
+
+    >>> fold_headers([(b'a', b'1'), (b'b', b'x'), (b'a', b'2')])
+    {'a': '1, 2', 'b': 'x'}
+    """
+    folded = {}
+    for name, value in rows:
+        name, value = name.decode('latin-1'), value.decode('latin-1')
+        folded[name] = f'{folded[name]}, {value}' if name in folded else value
+    return folded
+
+
 class Call:
     """One request to a peer, whose answer is read as it comes.
 
@@ -422,7 +438,7 @@
         if not isinstance(event, h11.Response):
             raise Unreachable('the connection was closed', True)
         self.status = event.status_code
-        self.headers = {k.decode(): v.decode() for k, v in event.headers}
+        self.headers = fold_headers(event.headers)
 
     async def fetch_whole(self, method, path, value, headers):
         """Send the request and read the whole answer; gives a Response."""
