Tell in log and metrics which targets name a limit, and who heard it

Cause: targets in need name how many requests a second they take, and no log or metric told so: what was sent before a box knew, what it sent although it knew, and what came of second tries could not be told apart. Change: the field is read in the adapter, from answers to requests and to calls beside them; a box keeps the word that holds for each life of a target and logs when it begins, changes and ends (LS513, LS514), or can't be read (LS515); gauges have each limit and its age, a counter what was sent to such targets. Nothing is decided by it yet.

--- a/landingspool/decisions/gateway/bars.py
+++ b/landingspool/decisions/gateway/bars.py
@@ -10,6 +10,7 @@
 from landingspool.decisions.gateway import coldness as coldness_module
 from landingspool.decisions.gateway import evacuation
 from landingspool.decisions.gateway import homes
+from landingspool.decisions.gateway import limits as limits_module
 
 
 class Limits(typing.NamedTuple):
@@ -40,6 +41,7 @@
         self.coldness = coldness_module.Coldness(
             bounds.cold_over, bounds.cold_slack
         )
+        self.limits = limits_module.Limits()
 
     def find_limits(self, work, table):
         """Give the Limits of a request."""
--- a/landingspool/decisions/gateway/view.py
+++ b/landingspool/decisions/gateway/view.py
@@ -336,6 +336,7 @@
         self.reach.forget(name)
         self.warmth.forget(name)
         self.bars.coldness.forget(name)
+        self.bars.limits.forget(name)
 
     def _get_allowance(self, service):
         known = self._allowances.get(service)
--- a/landingspool/events.py
+++ b/landingspool/events.py
@@ -242,6 +242,24 @@
             'INFO',
             'The targets of a domain may be used again; they count as cold.',
         ),
+        Kind(
+            513,
+            'limit_named',
+            'WARNING',
+            'A target names how many requests it takes from all boxes.',
+        ),
+        Kind(
+            514,
+            'limit_over',
+            'INFO',
+            'A target does not name a limit any more.',
+        ),
+        Kind(
+            515,
+            'bad_limit',
+            'ERROR',
+            'A target names a limit that can not be read; nothing changes.',
+        ),
         Kind(
             600, 'kept', 'DEBUG', 'A block of context was sealed in a store.'
         ),
--- a/landingspool/gateway/attempts.py
+++ b/landingspool/gateway/attempts.py
@@ -98,6 +98,8 @@
         if progress.sends > 1:
             self._hub.metrics.repeats.inc()
         self._view.note_sent(plan, progress.work, self._sent)
+        if self._view.bars.limits.find(plan.entry.name):
+            self._hub.metrics.limited_sends.labels(plan.entry.name).inc()
         self._view.endings.note_sent(progress.fingerprint)
         self._hub.recorder.record(
             'dispatched',
@@ -189,6 +191,7 @@
         except upstream_module.Broken as error:
             return self._lose_broken(error)
         self._note_version(head.version)
+        self._note_limit(head)
         if head.not_run:
             return await self._take_rejection(head)
         if not is_answer_to(head, self._progress.call.name):
@@ -341,6 +344,17 @@
         self._view.note_answer(self._plan, now - self._sent, False)
         self._progress.note_first(now)
 
+    def _note_limit(self, head):
+        if head.status == answers.MISDIRECTED:
+            # Another target has the address now.
+            return
+        certain = is_answer_to(head, self._progress.call.name)
+        if not certain and not head.not_run:
+            return
+        self._hub.limiting.take(
+            self._plan.entry.name, head.limit, self._sent, certain
+        )
+
     def _note_version(self, version):
         prompt = self._progress.work.prompt
         if version is None or prompt is None:
--- a/landingspool/gateway/figures.py
+++ b/landingspool/gateway/figures.py
@@ -38,6 +38,21 @@
         self.barred = self._gauge(
             'barred_requests', 'Requests not sent, since targets end by them'
         )
+        self.limited = self._gauge(
+            'target_limit_per_second',
+            'Requests that a target takes from all boxes',
+            ('target',),
+        )
+        self.limit_ages = self._gauge(
+            'target_limit_age_seconds',
+            'Since when the target was last heard to name it',
+            ('target',),
+        )
+        self.limited_sends = self._count(
+            'limited_sends',
+            'Requests sent to a target with a limit',
+            ('target',),
+        )
         self.parted = self._gauge(
             'engines_parted', '1 while engines are parted by reading size'
         )
@@ -69,6 +84,20 @@
             self.evacuated.labels(domain).set(seconds)
         self.parted.set(parted)
 
+    def note_limits(self, named, now):
+        """Note which targets name a limit.
+
+        Parameters
+        ----------
+        named : dict of str to limits.Known
+            By the name of the target's life.
+        """
+        self.limited.clear()
+        self.limit_ages.clear()
+        for name, known in named.items():
+            self.limited.labels(name).set(known.per_s)
+            self.limit_ages.labels(name).set(now - known.heard)
+
     def render(self):
         """Give the text of the metrics address."""
         return prometheus.generate_latest(self.registry)
--- a/landingspool/gateway/hub.py
+++ b/landingspool/gateway/hub.py
@@ -12,6 +12,7 @@
 from landingspool.gateway import cachewatch
 from landingspool.gateway import figures
 from landingspool.gateway import following
+from landingspool.gateway import limiting
 from landingspool.gateway import listener
 from landingspool.gateway import marks
 from landingspool.gateway import ordering
@@ -79,7 +80,8 @@
         self.beat = timing.Beat()
         self.client = http.Client()
         self.store = store.Store(self.client, place.store, clock)
-        self.runners = runners.Runners(self.client)
+        self.limiting = limiting.Limiting(self)
+        self.runners = runners.Runners(self.client, self.limiting.take_beside)
         self.upstream = upstream.Upstream(self.metrics, clock)
         most = max(place.descriptors - OWN_DESCRIPTORS, LEAST_CONNECTIONS)
         self.listener = listener.Listener(self._handle, self._limits, most)
@@ -170,9 +172,11 @@
             self.view.endings.note_over(name, tick.now)
             self.view.forget(name)
         self.marks.look()
+        self.limiting.look()
 
     def _sweep(self, tick):
         self.upstream.sweep()
+        self.limiting.sweep()
         bars = self.view.bars
         self.metrics.note_targets(
             len(bars.coldness.list_cold(tick.now)),
--- a/landingspool/platform/names.py
+++ b/landingspool/platform/names.py
@@ -19,6 +19,9 @@
 ONLY_VERSION = 'expect-version'
 # Carried by answers: the version of the weights that made them.
 VERSION = 'versions'
+# Carried by answers of a target in need: the requests a second that it takes
+# from all boxes together.
+LIMIT = 'server-limit'
 URGENCY = 'priority'
 LAST_EVENT = 'last-event-id'
 AUTHORIZATION = 'authorization'
--- a/landingspool/platform/runners.py
+++ b/landingspool/platform/runners.py
@@ -7,6 +7,7 @@
 from landingspool.decisions.gateway import warmth
 from landingspool import http
 from landingspool.platform import catalogue
+from landingspool.platform import limits
 from landingspool.platform import names
 
 # Seconds for an answer; a report takes some ms, a held call its hold more.
@@ -58,10 +59,15 @@
     Parameters
     ----------
     client : http.Client
+    note_limit : callable, optional
+        ``note_limit(address, limit, seconds)`` is called with each limit that
+        an answer names (limits.read_limit), and for how long the call may
+        have lasted.
     """
 
-    def __init__(self, client):
+    def __init__(self, client, note_limit=None):
         self._client = client
+        self._note_limit = note_limit
 
     async def report(self, address):
         """Ask a target for its figures; a Report or Unanswered."""
@@ -156,11 +162,15 @@
         self, address, method, path, body=b'', headers=(), timeout=ANSWER_S
     ):
         try:
-            return await self._client.fetch(
+            reply = await self._client.fetch(
                 address, method, path, body, headers, timeout
             )
         except http.Unreachable as error:
             return Unanswered(str(error), error.sent)
+        if self._note_limit is not None and names.LIMIT in reply.headers:
+            text = reply.headers[names.LIMIT]
+            self._note_limit(address, limits.read_limit([text]), timeout)
+        return reply
 
 
 def read_news(reply, read_row, field):
--- a/standins/runner.py
+++ b/standins/runner.py
@@ -48,6 +48,8 @@
         Body of a request that ends the target when it runs it.
     ended : bool
         Whether it has ended by one.
+    limit : str or None
+        What it names in its answers as the requests a second that it takes.
     cancelled : int
         Requests whose connection closed while they ran.
     """
@@ -72,6 +74,7 @@
         self.forgets = False
         self.fatal = None
         self.ended = False
+        self.limit = None
         self._writers = set()
         self._seen = set()
         self._server = None
@@ -120,7 +123,7 @@
                 if head['path'].startswith('/api/'):
                     self._answer_call(writer, head, body)
                     continue
-                self.heads.append(head)
+                self.heads.append({**head, 'at': time.monotonic()})
                 name = self.script.pop(0) if self.script else self.usual
                 if self.fatal is not None and body == self.fatal:
                     name = 'fatal'
@@ -149,6 +152,12 @@
         version = head.get('expect-version', str(self.version))
         return wanted == self.name and version == str(self.version)
 
+    def name_limit(self):
+        """Give the line of a head that names the limit, if one holds."""
+        if self.limit is None:
+            return b''
+        return b'server-limit: ' + self.limit.encode('latin-1') + b'\r\n'
+
     def run(self, head, body):
         """Note that a request runs."""
         at = time.monotonic()
@@ -159,8 +168,8 @@
         status, value = CALLS[path](self, body)
         data = json.dumps(value).encode()
         writer.write(
-            b'HTTP/1.1 %d X\r\ncontent-length: %d\r\n\r\n'
-            % (status, len(data))
+            b'HTTP/1.1 %d X\r\ncontent-length: %d\r\n%s\r\n'
+            % (status, len(data), self.name_limit())
             + data
         )
 
@@ -253,7 +262,8 @@
     lines.append(f'x-landingspool-request-id: {get_id(head)}')
     if stamp:
         lines.append(f'x-landingspool-response-stamp: stamp-{runner.name}')
-    writer.write('\r\n'.join(lines).encode() + b'\r\n\r\n' + body)
+    rows = '\r\n'.join(lines).encode() + b'\r\n' + runner.name_limit()
+    writer.write(rows + b'\r\n' + body)
 
 
 def write_unframed(head, writer, body):
@@ -277,7 +287,9 @@
         b'HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n'
         b'content-type: text/event-stream\r\n'
         + f'x-landingspool-request-id: {get_id(head)}\r\n'
-        f'x-landingspool-response-stamp: stamp-{runner.name}\r\n\r\n'.encode()
+        f'x-landingspool-response-stamp: stamp-{runner.name}\r\n'.encode()
+        + runner.name_limit()
+        + b'\r\n'
     )
 
 
@@ -312,7 +324,7 @@
     """Refuse without running."""
     writer.write(
         b'HTTP/1.1 503 X\r\nx-landingspool-not-executed: 1\r\n'
-        b'content-length: 0\r\n\r\n'
+        b'content-length: 0\r\n' + runner.name_limit() + b'\r\n'
     )
 
 
