Deal out what all boxes may send to a target by one mechanism

Cause: what cold targets bear was divided over the boxes within the module on cold targets, and a further bound over all boxes would have had a copy of it. Change: quotas, their places and the sends of a box are a module of their own, on which the cold bound rests; a place that changes hands with the list of the boxes is now used by neither side for a window, and a box that stood still begins with none. Measured: 17 new tests (3 to 195 boxes, lists that differ, lists that change each half second) keep to one and a half times the quota; the tests on cold targets, on which the same bounds stand, pass as before.

--- a/landingspool/decisions/gateway/bars.py
+++ b/landingspool/decisions/gateway/bars.py
@@ -11,6 +11,7 @@
 from landingspool.decisions.gateway import evacuation
 from landingspool.decisions.gateway import homes
 from landingspool.decisions.gateway import limits as limits_module
+from landingspool.decisions.gateway import shares as shares_module
 
 
 class Limits(typing.NamedTuple):
@@ -38,8 +39,9 @@
     def __init__(self, bounds, regions):
         self.regions = regions
         self.evacuation = evacuation.Evacuation()
+        self.shares = shares_module.Shares()
         self.coldness = coldness_module.Coldness(
-            bounds.cold_over, bounds.cold_slack
+            self.shares, bounds.cold_over, bounds.cold_slack
         )
         self.limits = limits_module.Limits()
 
@@ -94,6 +96,12 @@
                 self.note_back(entry, table, now)
         return True
 
+    def forget(self, name):
+        """Forget a life that is over."""
+        self.shares.forget(name)
+        self.coldness.forget(name)
+        self.limits.forget(name)
+
     def note_back(self, entry, table, now):
         """Note that a target's path or domain came back."""
         bound = find_bound(table, entry.service)
--- a/landingspool/decisions/gateway/view.py
+++ b/landingspool/decisions/gateway/view.py
@@ -252,7 +252,7 @@
             held = plans.count_held(work)
         sent = loads_module.Sent(now, tokens, False, held)
         self.loads.note_sent(plan.entry.name, work.name, sent)
-        self.bars.coldness.note_sent(plan.entry.name, now)
+        self.bars.shares.note_sent(plan.entry.name, now)
 
     def note_first(self, plan, work, now):
         """Note that the answer to a request has begun."""
@@ -335,8 +335,7 @@
         self.loads.forget(name)
         self.reach.forget(name)
         self.warmth.forget(name)
-        self.bars.coldness.forget(name)
-        self.bars.limits.forget(name)
+        self.bars.forget(name)
 
     def _get_allowance(self, service):
         known = self._allowances.get(service)
--- a/landingspool/gateway/peering.py
+++ b/landingspool/gateway/peering.py
@@ -189,11 +189,13 @@
         view.others = dict(collections.Counter(domains))
         if self._registry.was_read:
             # Without the list a box may believe that it is one of few.
-            view.bars.coldness.set_members(
+            view.bars.shares.set_members(
                 self._hub.place.box,
                 (*self.peers, self._hub.place.box),
                 tick.now,
             )
+        if tick.gap:
+            view.bars.shares.restart(tick.now)
         view.watching.set_members(self._hub.place.box, self._list_near())
         self._number += 1
         digest = neighbours.Digest(
--- a/tests/gateway/test_coldness.py
+++ b/tests/gateway/test_coldness.py
@@ -42,7 +42,7 @@
             1, [test_view.ROUTE], [service], {}, routes.Limits(), False
         )
     )
-    view.bars.coldness.set_members(name, members, 0.0)
+    view.bars.shares.set_members(name, members, 0.0)
     for number in range(TARGETS):
         entry = fleet.Entry(
             f't{number}', 's', ('a', number), 'd', fleet.READY, 64, {'m': 1}
@@ -94,8 +94,8 @@
 
     Equal shares of 71 boxes under the bound of 32 would be none at all.
     """
-    share = coldness.plan_share(MOST)
-    assert share.boxes * share.requests >= 16
+    quota = coldness.plan_quota(MOST)
+    assert quota.places * quota.requests >= 16
     assert int(MOST // (coldness.LISTS * 71)) == 0
     sent = play(make_boxes(71), 2.9, 400.0)
     assert sum(map(len, sent.values())) / 2.9 > 190
@@ -117,6 +117,6 @@
     view.bars.coldness.note_told('t0', 2.0, 10.0)
     assert view.bars.coldness.may_send('t0', coldness.Bound(), 10.0)
     assert not view.bars.coldness.may_send('t0', BOUND, 10.0)
-    view.bars.coldness.set_members('box', ('box',), 10.0)
+    view.bars.shares.set_members('box', ('box',), 10.0)
     assert not view.bars.coldness.may_send('t0', BOUND, 10.9)
     assert view.bars.coldness.may_send('t0', BOUND, 11.1)
--- /dev/null
+++ b/tests/gateway/test_shares.py
@@ -0,0 +1,94 @@
+"""What all boxes send under a quota while their lists of boxes change."""
+
+import random
+
+import pytest
+
+from landingspool.decisions.gateway import shares as shares_module
+
+WINDOW_S = 4.0
+# How often each box tries to send, seconds: far more than it may.
+STEP_S = 0.05
+
+
+class Boxes:
+    """Boxes that send to one target whenever they may."""
+
+    def __init__(self, count, quota):
+        self.quota = quota
+        self.names = [f'box{number}' for number in range(count)]
+        self.shares = {name: shares_module.Shares() for name in self.names}
+        self.sent = []
+
+    def tell(self, names, members, now):
+        """Let some boxes go by a list from now on."""
+        for name in names:
+            known = self.shares.setdefault(name, shares_module.Shares())
+            known.set_members(name, members, now)
+
+    def play(self, start, end):
+        """Let all send for some seconds."""
+        now = start
+        while now < end:
+            for name, known in self.shares.items():
+                if known.may_send('t', self.quota, now):
+                    known.note_sent('t', now)
+                    self.sent.append(now)
+            now += STEP_S
+
+    def count_most(self):
+        """Count the most sends in any window."""
+        return max(
+            sum(1 for at in self.sent if end - WINDOW_S < at <= end)
+            for end in self.sent
+        )
+
+
+@pytest.mark.parametrize('count', [3, 7, 71, 195])
+@pytest.mark.parametrize('places', [1, 8, 40])
+def test_under_one_list_all_is_used_and_nothing_beyond(count, places):
+    boxes = Boxes(count, shares_module.Quota(places, 1, WINDOW_S))
+    boxes.tell(boxes.names, boxes.names, 0.0)
+    boxes.play(0.0, 20.0)
+    assert boxes.count_most() == places
+    # Nothing in the first window, then each place once in each.
+    assert len(boxes.sent) >= places * 3
+
+
+@pytest.mark.parametrize('places', [1, 8, 40])
+def test_twice_as_many_boxes_whom_half_never_hears_of(places):
+    """Half of the boxes go by the old list, for however long."""
+    old = [f'box{number}' for number in range(20)]
+    boxes = Boxes(20, shares_module.Quota(places, 1, WINDOW_S))
+    boxes.tell(old, old, 0.0)
+    boxes.play(0.0, 10.0)
+    new = [*old, *(f'new{number}' for number in range(20))]
+    boxes.tell([*old[:10], *new[20:]], new, 10.0)
+    boxes.play(10.0, 30.0)
+    # Half of the places move, but for the chance of the hash order.
+    assert boxes.count_most() <= places * 1.5 + 5
+
+
+def test_places_that_change_hands_rest_for_a_window():
+    """Lists that change each half second, at once everywhere."""
+    rng = random.Random(5)
+    names = [f'box{number}' for number in range(20)]
+    boxes = Boxes(20, shares_module.Quota(12, 1, WINDOW_S))
+    boxes.tell(names, names, 0.0)
+    boxes.play(0.0, 8.0)
+    for number in range(60):
+        members = rng.sample(names, rng.randint(8, 20))
+        start = 8.0 + number * 0.5
+        boxes.tell(members, members, start)
+        boxes.play(start, start + 0.5)
+    assert boxes.count_most() <= 12 * 1.5 + 5
+
+
+def test_a_box_that_stood_still_begins_with_nothing():
+    boxes = Boxes(1, shares_module.Quota(4, 1, WINDOW_S))
+    boxes.tell(boxes.names, boxes.names, 0.0)
+    (known,) = boxes.shares.values()
+    assert known.may_send('t', boxes.quota, 5.0)
+    known.restart(9.0)
+    assert not known.may_send('t', boxes.quota, 12.9)
+    assert known.may_send('t', boxes.quota, 13.1)
