--- a/tests/gateway/test_limits.py
+++ b/tests/gateway/test_limits.py
@@ -95,3 +95,20 @@
         assert {answer.status for answer in got} == {200}
 
     site.run(check, engines=1)
+
+
+def test_a_refusal_for_a_limit_is_no_failure_of_the_target():
+    """A target that was asked for too much was avoided like a sick one."""
+
+    async def check(deployment):
+        hub = await deployment.start_box()
+        for runner in deployment.plain:
+            runner.limit, runner.usual = str(PER_S), 'shed'
+        for _ in range(3):
+            await site.ask(hub, '/safe/a')
+        for runner in deployment.plain:
+            health = hub.view.get_health(runner.name)
+            assert not health.failures
+            assert not health.failing
+
+    site.run(check, engines=1)
