Tell callers whom limits leave no place when there is room

What callers saw: where all targets of a service name limits, 25 requests a second came before room for 4; whom it left no place was asked back within half a second, a hundred callers for 16 places in four seconds, to be refused once more. Cause: the time in a refusal was drawn by chance, from what a reload takes. Change: refusals for limits have a reason of their own and give one time after the other, as many as this box has room for; who can't wait for so long is told so and takes no room from the next. Targets with limits don't count among the places of a service while others are there. Why it holds: the room of a box follows from its places alone.

--- a/landingspool/decisions/gateway/bars.py
+++ b/landingspool/decisions/gateway/bars.py
@@ -58,10 +58,9 @@
 
     def find_bar(self, entry, limits, now):
         """Give what forbids that a target gets a request; None: nothing."""
-        if not homes.is_home(entry.domain, limits.regions, self.regions):
-            return 'no_home'
-        if self.evacuation.holds(entry.domain):
-            return 'evacuated'
+        bar = self._find_lasting(entry, limits)
+        if bar is not None:
+            return bar
         if not self.coldness.may_send(entry.name, limits.cold, now):
             return 'cold'
         # What a target takes is bounded over all boxes: a box that went by
@@ -70,6 +69,47 @@
             return LIMITED
         return None
 
+    def _find_lasting(self, entry, limits):
+        """Give what forbids it whatever was sent there before."""
+        if not homes.is_home(entry.domain, limits.regions, self.regions):
+            return 'no_home'
+        if self.evacuation.holds(entry.domain):
+            return 'evacuated'
+        return None
+
+    def list_limited(self, entries, limits):
+        """List the entries with limits that nothing else forbids for long."""
+        return [
+            entry
+            for entry in entries
+            if self.limits.find(entry.name) is not None
+            and self._find_lasting(entry, limits) is None
+        ]
+
+    def find_room(self, entries, now):
+        """Give the requests a second that this box may send to targets.
+
+        Parameters
+        ----------
+        entries : iterable of fleet.Entry
+            Targets that name limits.
+        """
+        return sum(self.limits.find_room(e.name, now) for e in entries)
+
+    def find_even_room(self, entries):
+        """Give an even part for each box of what such targets take."""
+        named = self.limits.list_named([entry.name for entry in entries])
+        taken = sum(known.per_s for known in named.values())
+        return taken / max(self.shares.count_boxes(), 1)
+
+    def find_wait(self, entries, now):
+        """Give the seconds until one of them may get a request; None: never.
+
+        Not before places change hands.
+        """
+        waits = [self.limits.find_wait(e.name, now) for e in entries]
+        return min((w for w in waits if w is not None), default=None)
+
     def list_open(self, entries, limits, now):
         """List the entries that nothing forbids."""
         return [e for e in entries if self.find_bar(e, limits, now) is None]
--- a/landingspool/decisions/gateway/choice.py
+++ b/landingspool/decisions/gateway/choice.py
@@ -106,7 +106,8 @@
     that stores hold, `fetched_s` the seconds that these take to come.
     `handicap_s` puts it behind the others; `capacity` is its memory in
     tokens, 0 where it is not known; `cold_s` is how much longer it is slow.
-    `weight` is the share of a wait for memory that the request bears.
+    `weight` is the share of a wait for memory that the request bears;
+    `limited` tells whether it names a limit.
     """
 
     entry: typing.Any
@@ -120,6 +121,7 @@
     ready: bool = False
     cold_s: float = 0.0
     weight: float = 1.0
+    limited: bool = False
 
 
 class Held(typing.NamedTuple):
@@ -313,9 +315,14 @@
 
 
 def count_taken(candidates):
-    """Count the requests at all candidates, and the places that they have."""
+    """Count the requests at all candidates, and the places that they have.
+
+    Those that name limits are left out while there are others: their places
+    can't be filled, and would let these others look half empty.
+    """
     taken = places = 0
-    for candidate in candidates:
+    unlimited = [c for c in candidates if not c.limited]
+    for candidate in unlimited or candidates:
         load = candidate.load
         taken += load.waiting + load.running
         taken += load.others_waiting + load.others_running
--- a/landingspool/decisions/gateway/view.py
+++ b/landingspool/decisions/gateway/view.py
@@ -21,6 +21,7 @@
 from landingspool.decisions.gateway import plans
 from landingspool.decisions.gateway import prompts
 from landingspool.decisions.gateway import reach as reach_module
+from landingspool.decisions.gateway import scarcity
 from landingspool.decisions.gateway import transfers
 from landingspool.decisions.gateway import warmth as warmth_module
 from landingspool.decisions.gateway import watching as watching_module
@@ -77,6 +78,7 @@
         self.others = {}
         # Life and tokens taken of each store that this box counted.
         self.rooms = {}
+        self.scarcity = scarcity.Scarcity()
         self._health = {}
         self._allowances = {}
 
@@ -222,6 +224,33 @@
             work.route.priority,
         )
 
+    def find_return(self, work, left_s, now):
+        """Give the seconds after which a caller refused for limits finds room.
+
+        A box without places of its own tells what is usual: an even part of
+        what all its targets take.
+
+        Parameters
+        ----------
+        left_s : float
+            Seconds for which the caller waits.
+        """
+        entries = self._list_limited(work)
+        room_per_s = self.bars.find_room(entries, now)
+        wait_s = self.bars.find_wait(entries, now)
+        if wait_s is None:
+            room_per_s = self.bars.find_even_room(entries)
+            wait_s = 1 / room_per_s
+        return self.scarcity.promise(
+            work.service, work.route.priority, room_per_s, wait_s, left_s, now
+        )
+
+    def _list_limited(self, work):
+        """List the targets for a request that nothing but limits forbids."""
+        limits = self.bars.find_limits(work, self.table)
+        entries = self.fleet.list_service(work.service)
+        return self.bars.list_limited(entries, limits)
+
     def find_lag(self, name, model, now):
         """Give the seconds since the first version that a target missed."""
         has = self.fleet.get_version(name, model)
@@ -323,9 +352,10 @@
         """Give the Health of a target."""
         return self._health.get(name, health_module.Health())
 
-    def count_first(self, service, now):
-        """Count a request of a service for its retry budget."""
-        self._get_allowance(service).note_first(now)
+    def count_first(self, work, now):
+        """Count a request for the retry budget of its service."""
+        self._get_allowance(work.service).note_first(now)
+        self.scarcity.note(work.service, work.route.priority, now)
 
     def may_repeat(self, service, now):
         """Take one repeat from the retry budget of a service."""
@@ -381,8 +411,11 @@
         load = self.loads.measure(entry.name, others)
         health = self.get_health(entry.name)
         cold_s = self.bars.coldness.find_left(entry.name, now)
+        limited = self.bars.limits.find(entry.name) is not None
         if work.prompt is None:
-            return choice.Candidate(entry, load, health, cold_s=cold_s)
+            return choice.Candidate(
+                entry, load, health, cold_s=cold_s, limited=limited
+            )
         version = self.fleet.get_version(entry.name, work.prompt.model)
         space = prompts.name_space(work.prompt.model, version, work.tenancy)
         kept = prompts.count_kept(
@@ -404,6 +437,7 @@
             ),
             self._find_capacity(work.service),
             cold_s=cold_s,
+            limited=limited,
         )
 
     def _find_capacity(self, service):
--- a/landingspool/gateway/relay.py
+++ b/landingspool/gateway/relay.py
@@ -10,6 +10,7 @@
 import typing
 
 from landingspool.decisions.gateway import admission
+from landingspool.decisions.gateway import bars
 from landingspool.decisions.gateway import plans
 from landingspool.decisions.gateway import routes
 from landingspool.gateway import attempts
@@ -82,7 +83,7 @@
                 self._call.name, route, service, tenancy, self._call.prompt
             )
         )
-        self._view.count_first(service, self._progress.started)
+        self._view.count_first(self._progress.work, self._progress.started)
         return await self._try_all()
 
     async def _try_all(self):
@@ -101,6 +102,8 @@
             self._plan = plan
             if plan is None:
                 lack = self._view.find_lack(progress.work, now)
+                if lack == bars.LIMITED:
+                    return await self._defer(now)
                 return await self._give_up(lack)
             if not progress.sends and not self._view.is_admitted(
                 plan, progress.work
@@ -186,6 +189,14 @@
         left_s = endings.find_left(self._progress.fingerprint, now)
         return await self._refuse(bar, left_s or None)
 
+    async def _defer(self, now):
+        """Answer a request for which the limits of targets leave no room."""
+        if self._reply.started or self._progress.may_have_run:
+            return await self._give_up(bars.LIMITED)
+        left_s = self._progress.find_left(now)
+        after = self._view.find_return(self._progress.work, left_s, now)
+        return await self._refuse(bars.LIMITED, after)
+
     async def _turn_away(self):
         wait_s = self._plan.wait_s
         after = admission.find_retry_after(
--- a/tests/gateway/test_limits.py
+++ b/tests/gateway/test_limits.py
@@ -33,6 +33,8 @@
 CONTACT_S = 3.0
 WINDOW_S = 4.0
 OVER = 1.5
+# Seconds for which callers of the site wait.
+WAITING_S = 2.5
 SLACK = 5
 
 
@@ -97,6 +99,56 @@
     site.run(check, engines=1)
 
 
+def run_all_limited(check):
+    """Run a check with callers while all targets of a service are limited."""
+
+    async def start(deployment):
+        hubs = await start_boxes(deployment)
+        for runner in deployment.plain:
+            runner.limit = str(PER_S)
+            runner.usual = 'slow echo'
+        routes = {
+            'urgent': {**site.ROUTES['safe'], 'priority': 0},
+            'patient': {**site.ROUTES['safe'], 'priority': 2},
+        }
+        deployment.publish(site.make_table(2, routes=routes))
+        await site.wait_until(
+            lambda: all(hub.view.table.version == 2 for hub in hubs)
+        )
+        # Once for all boxes to hear the limits, and to use their places.
+        await ask_steadily(hubs, '/patient/a', WINDOW_S)
+        await check(hubs)
+
+    site.run(start, engines=1)
+
+
+def test_callers_without_room_are_told_when_there_is_some():
+    """Refused callers came back within half a second, all of them.
+
+    25 requests a second came before targets that took 4, and each refusal
+    said 0.15 to 0.5 s, whatever had been said to others: a hundred callers
+    were asked back for the time in which there was room for 16.
+    """
+
+    async def check(hubs):
+        began = asyncio.get_running_loop().time()
+        got = await ask_steadily(hubs, '/patient/a', WINDOW_S)
+        returns = [
+            began + number / ASKED_PER_S + float(answer.headers['retry-after'])
+            for number, answer in enumerate(got)
+            if answer.status == 503
+            and float(answer.headers['retry-after']) < WAITING_S
+        ]
+        refused = sum(1 for answer in got if answer.status == 503)
+        assert refused > ASKED_PER_S * WINDOW_S / 2
+        assert returns
+        room = 2 * PER_S * WINDOW_S
+        # Each box tells its own callers; the parts of three are not even.
+        assert count_most(returns, 0.0) <= room * 1.5 + SLACK
+
+    run_all_limited(check)
+
+
 def test_a_refusal_for_a_limit_is_no_failure_of_the_target():
     """A target that was asked for too much was avoided like a sick one."""
 
