Give the little room that limits leave to the urgent first

What callers saw: where all targets of a service name limits, who came first got the place, however urgent the others: 22 urgent and 14 patient requests were served in eight seconds at three boxes, of equally many. Cause: the limits of targets say nothing of who may use them, and what turns away the least urgent goes by places that are taken, of which there are plenty. Change: of the less urgent as many are let through as the others of late leave room for, in an even pace. Why it holds: room and rates are a box's own; whoever finds nobody more urgent waits for nobody.

--- a/landingspool/decisions/gateway/plans.py
+++ b/landingspool/decisions/gateway/plans.py
@@ -43,6 +43,8 @@
     pressure : float
         How short targets are: the requests at all candidates by the places
         that these have, or how late they answer, by what is aimed at.
+    is_scarce : bool
+        Whether all targets that it might go to name limits.
     held : choice.Held
         Memory that requests hold at all candidates.
     """
@@ -58,6 +60,7 @@
     transfer: transfers.Transfer
     pressure: float = 0.0
     held: choice.Held = choice.Held(0.0, 0.0)
+    is_scarce: bool = False
 
 
 def count_held(work):
--- a/landingspool/decisions/gateway/scarcity.py
+++ b/landingspool/decisions/gateway/scarcity.py
@@ -13,6 +13,10 @@
 # Seconds over which the rate of requests is taken: as long as the window in
 # which limits count.
 RATE_S = 4.0
+# Share of the room that the more urgent leave from which on nobody waits for
+# them, and the longest pause between two that are served meanwhile, seconds.
+NEARLY_ALL = 0.9
+MOST_PACE_S = 2 * RATE_S
 # Share of the room that is reckoned with at least for those who come last, so
 # that they are told a time, too.
 LEAST_SHARE = 0.1
@@ -37,6 +41,7 @@
     def __init__(self):
         self._rates = {}
         self._promised = {}
+        self._due = {}
 
     def note(self, service, priority, now):
         """Note that a request has come.
@@ -67,6 +72,37 @@
         )
         return max(room_per_s - urgent, 0.0)
 
+    def take(self, service, priority, room_per_s, now):
+        """Tell whether a request may take one of the few places.
+
+        The less urgent are paced to what the others leave.  By chance, place
+        or no place, too few would come when one is free.
+
+        Parameters
+        ----------
+        room_per_s : float
+            Requests a second that this box may send to targets of the
+            service.
+
+        >>> scarcity = Scarcity()
+        >>> for _ in range(8):
+        ...     scarcity.note('s', 0, 1.0)
+        >>> scarcity.take('s', 0, 2.0, 1.0), scarcity.take('s', 2, 2.0, 1.0)
+        (True, False)
+        >>> [scarcity.take('s', 2, 4.0, at) for at in (1.0, 1.1, 1.2)]
+        [True, True, False]
+        """
+        left = self.find_left(service, priority, room_per_s, now)
+        if left >= room_per_s * NEARLY_ALL:
+            return True
+        due = self._due.get((service, priority), -math.inf)
+        if not left or now < due:
+            return False
+        pace_s = min(1 / left, MOST_PACE_S)
+        # One that was not used when it was due may be used a little later.
+        self._due[service, priority] = max(due, now - pace_s) + pace_s
+        return True
+
     def promise(self, service, priority, room_per_s, first_s, left_s, now):
         """Give the seconds after which a refused caller finds room.
 
@@ -75,8 +111,7 @@
         Parameters
         ----------
         room_per_s : float
-            Requests a second that this box may send to targets of the
-            service.
+            As in take.
         first_s : float
             Seconds until there is room for a request.
         left_s : float
--- a/landingspool/decisions/gateway/view.py
+++ b/landingspool/decisions/gateway/view.py
@@ -178,7 +178,8 @@
             choice.measure_pressure(candidates),
             self.lateness.measure(work.service, now),
         )
-        return plan._replace(pressure=pressure, held=held)
+        is_scarce = all(c.limited for c in candidates)
+        return plan._replace(pressure=pressure, held=held, is_scarce=is_scarce)
 
     def _narrow(self, candidates, work, held):
         """Keep the engines for readings of a request's size, among sound ones.
@@ -224,6 +225,14 @@
             work.route.priority,
         )
 
+    def take_room(self, work, now):
+        """Tell whether a request may have some of the room that is scarce."""
+        entries = self._list_limited(work)
+        room_per_s = self.bars.find_room(entries, now)
+        return self.scarcity.take(
+            work.service, work.route.priority, room_per_s, now
+        )
+
     def find_return(self, work, left_s, now):
         """Give the seconds after which a caller refused for limits finds room.
 
--- a/landingspool/gateway/relay.py
+++ b/landingspool/gateway/relay.py
@@ -105,6 +105,9 @@
                 if lack == bars.LIMITED:
                     return await self._defer(now)
                 return await self._give_up(lack)
+            if plan.is_scarce and not progress.sends:
+                if not self._view.take_room(progress.work, now):
+                    return await self._defer(now)
             if not progress.sends and not self._view.is_admitted(
                 plan, progress.work
             ):
--- a/tests/gateway/test_limits.py
+++ b/tests/gateway/test_limits.py
@@ -149,6 +149,24 @@
     run_all_limited(check)
 
 
+def test_where_all_targets_are_limited_the_urgent_are_served_first():
+    """What little room there was went to whoever came first."""
+
+    async def check(hubs):
+        urgent, patient = await asyncio.gather(
+            ask_steadily(hubs, '/urgent/a', 2 * WINDOW_S),
+            ask_steadily(hubs, '/patient/a', 2 * WINDOW_S),
+        )
+        served = [
+            sum(1 for answer in got if answer.status == 200)
+            for got in (urgent, patient)
+        ]
+        assert sum(served) >= 2 * PER_S * WINDOW_S
+        assert served[0] >= 4 * served[1]
+
+    run_all_limited(check)
+
+
 def test_a_refusal_for_a_limit_is_no_failure_of_the_target():
     """A target that was asked for too much was avoided like a sick one."""
 
