Let the stand-in's broken streams go on from where the caller is

Change: both scripts of broken streams send what comes after the last event that is named, as the whole stream always did; the auditor is as it was. Measured: the tests on relaying and on ends pass; the log of the request has LS215 paused after three events, then LS215 malformed from that script.

--- a/standins/runner.py
+++ b/standins/runner.py
@@ -293,6 +293,12 @@
     )
 
 
+def list_events(head):
+    """List the events of a stream that a caller does not have yet."""
+    events = [make_event(number) for number in range(1, 5)]
+    return events[int(head.get('last-event-id', 0)) :]
+
+
 def make_event(number):
     """Give one event of a stream."""
     return f'id: {number}\ndata: piece {number}\n\n'.encode()
@@ -420,20 +426,22 @@
     """Stream four events, from after the last one that the caller has."""
     runner.run(head, body)
     start_stream(runner, head, writer)
-    for number in range(int(head.get('last-event-id', 0)) + 1, 5):
-        write_chunk(writer, make_event(number))
+    for event in list_events(head):
+        write_chunk(writer, event)
         await asyncio.sleep(0.01)
     writer.write(b'0\r\n\r\n')
 
 
 @behaviour('broken stream')
 async def answer_broken(runner, head, body, reader, writer):
-    """Stream two events and half of the third, then reset."""
+    """Stream two events and half of the next, then reset."""
     runner.run(head, body)
     start_stream(runner, head, writer)
-    for number in (1, 2):
-        write_chunk(writer, make_event(number))
-    write_chunk(writer, make_event(3)[:9])
+    events = list_events(head)
+    for event in events[:2]:
+        write_chunk(writer, event)
+    for event in events[2:3]:
+        write_chunk(writer, event[:9])
     await writer.drain()
     await asyncio.sleep(0.02)
     writer.transport.abort()
@@ -465,8 +473,11 @@
     """Stream one event and a half, and end in order."""
     runner.run(head, body)
     start_stream(runner, head, writer)
-    write_chunk(writer, make_event(1))
-    write_chunk(writer, make_event(2)[:9])
+    events = list_events(head)
+    for event in events[:1]:
+        write_chunk(writer, event)
+    for event in events[1:2]:
+        write_chunk(writer, event[:9])
     writer.write(b'0\r\n\r\n')
 
 
