Let targets name limits in the soak, and count what reaches them

Cause: no run of many faults at once had targets in need, so nothing there showed whether limits hold beside kills, stops, freezes and bad paths. Change: a fault that lets some targets name limits, whose figures change, and a check by the users' rule of what comes from boxes that were told; boxes that started or stood still within three seconds and targets behind a bad path are left out, the store's troubles excuse nothing.

--- a/soak/auditor.py
+++ b/soak/auditor.py
@@ -19,6 +19,13 @@
 # boxes could hear of the third (the users' bounds).
 MOST_ENDS = 3
 MOST_AFTER = 3
+# Users' bound on what reaches a target that names a limit: seconds of the
+# window, times the limit, and requests beyond; from CONTACT_S after it began.
+LIMIT_WINDOW_S = 4.0
+LIMIT_OVER = 1.5
+LIMIT_SLACK = 5
+# Seconds from a box's being told until what it sends counts.
+TOLD_S = 0.5
 UNREPEATABLE = ('unsafe', 'stream')
 WHOLE_STREAM = [1, 2, 3, 4]
 
@@ -28,17 +35,69 @@
     runs = collections.Counter()
     for runner in fleet.runners:
         for head in runner.ran:
-            runs[head['x-landingspool-request-id']] += 1
+            runs[get_id(head)] += 1
     known = {row.name: row for row in sent}
     problems = [p for row in sent for p in check_answer(row, runs[row.name])]
     for runner in fleet.runners:
         problems += check_target(fleet, runner, known)
     problems += check_stops(fleet)
+    for limited in fleet.limits:
+        problems += check_limit(fleet, limited, known)
     for path in fleet.ending:
         problems += check_ending(fleet, path)
     return problems
 
 
+def check_limit(fleet, limited, known):
+    """Yield that a target got more than it named, if it did."""
+    counted = list_bound(fleet, limited, known)
+    for end, _ in counted:
+        window = [
+            row for row in counted if end - LIMIT_WINDOW_S <= row[0] <= end
+        ]
+        most = max(limit for _, limit in window)
+        allowed = most * LIMIT_WINDOW_S * LIMIT_OVER + LIMIT_SLACK
+        if end > limited.since + CONTACT_S and len(window) > allowed:
+            name = limited.runner.name
+            yield f'{name}: {len(window)} requests, {allowed:.1f} allowed'
+            return
+
+
+def list_bound(fleet, limited, known):
+    """List the arrivals that a named limit binds: when, and the limit.
+
+    Those of boxes that the target had told half a second before, and that
+    neither started nor stood still of late, on a path that was sound.
+    """
+    runner, told, counted = limited.runner, {}, []
+    for at, name in runner.told:
+        if at >= limited.since:
+            told.setdefault(find_box(name, known), at)
+    for head in runner.heads:
+        at, name = head['at'], get_id(head)
+        box = find_box(name, known)
+        if at > (limited.ended or at) or box not in told or not head['limit']:
+            continue
+        since = at - CONTACT_S
+        excused = fleet.has_started(box, since, at) or any(
+            fleet.was_held(held, since, at) for held in (box, runner.name)
+        )
+        if at > told[box] + TOLD_S and not excused:
+            counted.append((at, float(head['limit'])))
+    return counted
+
+
+def get_id(head):
+    """Give the caller's id of a request."""
+    return head['x-landingspool-request-id']
+
+
+def find_box(name, known):
+    """Give the name of the box that a request went to."""
+    row = known.get(name)
+    return row.box if row is not None else name.rpartition(' ')[2]
+
+
 def check_ending(fleet, path):
     """Yield that a request went on ending targets, if it did.
 
@@ -70,7 +129,7 @@
 
 def get_box(row):
     """Give the box that sent a request that ends its targets."""
-    return row['x-landingspool-request-id'].rpartition(' ')[2]
+    return find_box(get_id(row), {})
 
 
 def check_stops(fleet):
@@ -113,7 +172,7 @@
 def check_target(fleet, runner, known):
     """Yield what should not have reached a target."""
     for head in runner.ran:
-        name = head['x-landingspool-request-id']
+        name = get_id(head)
         row = known.get(name)
         if row is None:
             # Its caller was cancelled at the end of the run.
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -22,6 +22,11 @@
 STOP_LOOKS = round((fleet_module.GRACE_S + 1) / LOOK_S)
 # How often a request comes that ends its targets: least and most.
 ARRIVALS = 16, 30
+# Requests a second that targets name: least and most; how often the figures
+# change, and for how many seconds each holds.
+LIMITS = 0.3, 4.0
+LIMIT_CHANGES = 1, 3
+LIMIT_S = 3.0
 SCRIPTS = (
     'failure',
     'shed',
@@ -98,7 +103,7 @@
     """Let a box stand still."""
     box = rng.choice(fleet.boxes)
     fleet.paused[box.name] = time.monotonic()
-    with fleet.harm():
+    with fleet.harm(), fleet.hold(box.name):
         box.send(signal.SIGSTOP)
         await asyncio.sleep(rng.uniform(0.3, MOST_PAUSE_S))
         box.send(signal.SIGCONT)
@@ -168,14 +173,16 @@
 @fault
 async def harm_path(fleet, rng):
     """Cut, delay or silence a path to the store or to a target."""
-    wires = [box.wire for box in fleet.boxes]
-    wires += list(fleet.wires.values())
-    wire = rng.choice(wires)
+    wires = {box.wire: box.name for box in fleet.boxes}
+    wires |= {wire: name for name, wire in fleet.wires.items()}
+    wire = rng.choice(list(wires))
     wire.mode = rng.choice(('', 'silent', 'up', 'down', 'refuse'))
     wire.delay_s = rng.choice((0.0, 0.05, 0.3))
     if rng.random() < 0.5:
         wire.reset()
-    with fleet.harm():
+    # What a box may send to targets does not hang from its way to the store.
+    behind = '' if wires[wire] in fleet.list_boxes() else wires[wire]
+    with fleet.harm(), fleet.hold(behind):
         await asyncio.sleep(rng.uniform(0.3, 4.0))
         wire.mode, wire.delay_s = '', 0.0
 
@@ -204,6 +211,27 @@
         await asyncio.sleep(rng.uniform(0, 2 * PAUSE_S))
 
 
+@fault
+async def name_limits(fleet, rng):
+    """Let targets name how many requests a second they take; it changes."""
+    staying = [
+        r
+        for r in fleet.runners
+        if r.name not in fleet.left and r.limit is None
+    ]
+    for runner in rng.sample(staying, rng.randint(0, len(staying))):
+        runner.limit = f'{rng.uniform(*LIMITS):.2f}'
+        fleet.limits.append(fleet_module.Limited(runner, time.monotonic()))
+    named = [row for row in fleet.limits if row.ended is None]
+    for _ in range(rng.randint(*LIMIT_CHANGES)):
+        await asyncio.sleep(LIMIT_S)
+        for row in named:
+            row.runner.limit = f'{rng.uniform(*LIMITS):.2f}'
+    for row in named:
+        row.runner.limit = None
+        row.ended = time.monotonic()
+
+
 @fault
 async def change(fleet, rng):
     """Publish another table, or take a key away."""
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -2,7 +2,9 @@
 
 import asyncio
 import contextlib
+import dataclasses
 import json
+import math
 import os
 import pathlib
 import signal
@@ -57,6 +59,24 @@
 """
 
 
+@dataclasses.dataclass
+class Hold:
+    """A box that stood still, or a target behind a bad path, by its name."""
+
+    name: str
+    start: float
+    end: float = math.inf
+
+
+@dataclasses.dataclass
+class Limited:
+    """A target that named limits, from `since` until `ended`."""
+
+    runner: runner_module.Runner
+    since: float
+    ended: float | None = None
+
+
 class Box:
     """One process and its own way to the store."""
 
@@ -66,6 +86,8 @@
         self.domain = f'd-{name}'
         self.link_mbps = LINKS_MBPS[0]
         self.process = None
+        # When it was started, each time.
+        self.starts = []
         self.wire = proxy.Proxy(store)
         self._folder = pathlib.Path(folder)
         self._path = self._folder / f'{self.name}.toml'
@@ -98,6 +120,7 @@
         """Start the process, if none runs."""
         if self.process is not None and self.process.poll() is None:
             return
+        self.starts.append(time.monotonic())
         with open(self._folder / f'{self.name}.log', 'ab') as log:
             self.process = subprocess.Popen(
                 [sys.executable, '-m', 'landingspool.platform'],
@@ -138,6 +161,9 @@
         # not end in its grace time was told to stop, by name.
         self.paused = {}
         self.overdue = {}
+        # The targets that named limits, each time anew.
+        self.limits = []
+        self.holds = []
         # The paths of requests that end their targets.
         self.ending = []
 
@@ -157,6 +183,30 @@
         finally:
             row[1] = time.monotonic()
 
+    def list_boxes(self):
+        """List the names of the boxes."""
+        return [box.name for box in self.boxes]
+
+    def has_started(self, name, start, end):
+        """Tell whether a box was started in between."""
+        times = [at for b in self.boxes if b.name == name for at in b.starts]
+        return any(start <= at <= end for at in times)
+
+    @contextlib.contextmanager
+    def hold(self, name):
+        """Note for how long a box stood still, or a target's path was bad."""
+        row = Hold(name, time.monotonic())
+        self.holds.append(row)
+        try:
+            yield
+        finally:
+            row.end = time.monotonic()
+
+    def was_held(self, name, start, end):
+        """Tell whether a box or a target was held in between."""
+        rows = [row for row in self.holds if row.name == name]
+        return any(row.start <= end and start <= row.end for row in rows)
+
     async def open(self, rng):
         """Start everything, in a shape that is drawn."""
         large = rng.random() < 0.5
--- a/standins/runner.py
+++ b/standins/runner.py
@@ -50,6 +50,8 @@
         Whether it has ended by one.
     limit : str or None
         What it names in its answers as the requests a second that it takes.
+    told : list of tuple
+        When an answer to a request named it, with that request's id.
     cancelled : int
         Requests whose connection closed while they ran.
     """
@@ -75,6 +77,7 @@
         self.fatal = None
         self.ended = False
         self.limit = None
+        self.told = []
         self._writers = set()
         self._seen = set()
         self._server = None
@@ -123,7 +126,8 @@
                 if head['path'].startswith('/api/'):
                     self._answer_call(writer, head, body)
                     continue
-                self.heads.append({**head, 'at': time.monotonic()})
+                at = time.monotonic()
+                self.heads.append({**head, 'at': at, 'limit': self.limit})
                 name = self.script.pop(0) if self.script else self.usual
                 if self.fatal is not None and body == self.fatal:
                     name = 'fatal'
@@ -152,10 +156,18 @@
         version = head.get('expect-version', str(self.version))
         return wanted == self.name and version == str(self.version)
 
-    def name_limit(self):
-        """Give the line of a head that names the limit, if one holds."""
+    def name_limit(self, head=None):
+        """Give the line of a head that names the limit, if one holds.
+
+        Parameters
+        ----------
+        head : dict, optional
+            Of the request that is answered.
+        """
         if self.limit is None:
             return b''
+        if head is not None:
+            self.told.append((time.monotonic(), get_id(head)))
         return b'server-limit: ' + self.limit.encode('latin-1') + b'\r\n'
 
     def run(self, head, body):
@@ -262,7 +274,7 @@
     lines.append(f'x-landingspool-request-id: {get_id(head)}')
     if stamp:
         lines.append(f'x-landingspool-response-stamp: stamp-{runner.name}')
-    rows = '\r\n'.join(lines).encode() + b'\r\n' + runner.name_limit()
+    rows = '\r\n'.join(lines).encode() + b'\r\n' + runner.name_limit(head)
     writer.write(rows + b'\r\n' + body)
 
 
@@ -288,7 +300,7 @@
         b'content-type: text/event-stream\r\n'
         + f'x-landingspool-request-id: {get_id(head)}\r\n'
         f'x-landingspool-response-stamp: stamp-{runner.name}\r\n'.encode()
-        + runner.name_limit()
+        + runner.name_limit(head)
         + b'\r\n'
     )
 
@@ -330,7 +342,7 @@
     """Refuse without running."""
     writer.write(
         b'HTTP/1.1 503 X\r\nx-landingspool-not-executed: 1\r\n'
-        b'content-length: 0\r\n' + runner.name_limit() + b'\r\n'
+        b'content-length: 0\r\n' + runner.name_limit(head) + b'\r\n'
     )
 
 
