Test how words of limits begin, travel and end

Cause: lives that end, boxes that start, calls beside the requests and words long on their way had been thought of and not tried. Change: four tests. Measured: all pass on the code as it is, none of them showed a fault.

--- a/tests/gateway/test_limit_words.py
+++ b/tests/gateway/test_limit_words.py
@@ -2,6 +2,10 @@
 
 import asyncio
 
+from landingspool.decisions.gateway import limits as limits_module
+from landingspool.decisions.gateway import neighbours
+from landingspool.decisions.gateway import shares
+from landingspool import http
 from landingspool.platform import limits as field
 from tests.gateway import site
 
@@ -46,3 +50,61 @@
 def test_several_lines_of_the_field_are_one_limit():
     rows = [(b'server-limit', b'3'), (b'x', b'1'), (b'server-limit', b'2.5')]
     assert field.read_head_limit(rows) == field.Named(2.5)
+
+
+def test_a_new_life_of_a_target_has_no_limit():
+    async def check(deployment):
+        hub = await deployment.start_box()
+        (runner,) = deployment.plain
+        runner.limit = '0.5'
+        await site.ask(hub, '/safe/a')
+        assert hub.view.bars.limits.find('p0')
+        runner.limit = None
+        deployment.announce(runner, 'plain', born=1_700_000_000_000)
+        await site.wait_until(lambda: 'p0' not in hub.view.fleet.entries)
+        assert not hub.view.bars.limits.find('p0')
+        assert (await site.ask(hub, '/safe/a')).status == 200
+
+    site.run(check, plain=1, engines=1)
+
+
+def test_a_box_that_starts_hears_of_limits_from_the_others():
+    async def check(deployment):
+        first = await deployment.start_box('box0')
+        (runner,) = deployment.plain
+        runner.limit = '0.5'
+        await site.ask(first, '/safe/a')
+        second = await deployment.start_box('box1', [first.place.links])
+        await site.wait_until(lambda: second.view.bars.limits.find('p0'), 1.5)
+        given = first.state.give()
+        assert [word.per_s for word in given.limits] == [0.5]
+        got = await site.ask(second, '/safe/a')
+        assert got.status == 503
+        assert 'limited' in got.body.decode()
+
+    site.run(check, plain=1, engines=1)
+
+
+def test_answers_beside_the_requests_name_limits_and_end_none():
+    async def check(deployment):
+        hub = await deployment.start_box()
+        (runner,) = deployment.engines
+        runner.limit = '0.5'
+        await site.wait_until(lambda: hub.view.bars.limits.find('e0'))
+        runner.limit = None
+        await hub.runners.report(http.Address(*runner.address))
+        assert hub.view.bars.limits.find('e0')
+
+    site.run(check, plain=1, engines=1)
+
+
+def test_a_word_on_its_way_for_long_ends_no_limit():
+    """The ages in a digest lack the time for which it was on its way."""
+    limits = limits_module.Limits(shares.Shares())
+    limits.note_named('t', 2.0, 9.9, 10.0)
+    life = neighbours.code_target('t')
+    # Asked at 9.5, told at 9.7, and half a second on its way.
+    limits.take(neighbours.LimitWord(life, 0.0, 200, 100), 'box', 10.2)
+    assert limits.find('t').per_s == 2.0
+    limits.take(neighbours.LimitWord(life, 0.0, 200, 100), 'box', 11.3)
+    assert limits.find('t') is None
