--- a/landingspool/decisions/gateway/bars.py
+++ b/landingspool/decisions/gateway/bars.py
@@ -86,30 +86,6 @@
             and self._find_lasting(entry, limits) is None
         ]
 
-    def find_room(self, entries, now):
-        """Give the requests a second that this box may send to targets.
-
-        Parameters
-        ----------
-        entries : iterable of fleet.Entry
-            Targets that name limits.
-        """
-        return sum(self.limits.find_room(e.name, now) for e in entries)
-
-    def find_even_room(self, entries):
-        """Give an even part for each box of what such targets take."""
-        named = self.limits.list_named([entry.name for entry in entries])
-        taken = sum(known.per_s for known in named.values())
-        return taken / max(self.shares.count_boxes(), 1)
-
-    def find_wait(self, entries, now):
-        """Give the seconds until one of them may get a request; None: never.
-
-        Not before places change hands.
-        """
-        waits = [self.limits.find_wait(e.name, now) for e in entries]
-        return min((w for w in waits if w is not None), default=None)
-
     def list_open(self, entries, limits, now):
         """List the entries that nothing forbids."""
         return [e for e in entries if self.find_bar(e, limits, now) is None]
--- a/landingspool/decisions/gateway/scarcity.py
+++ b/landingspool/decisions/gateway/scarcity.py
@@ -124,7 +124,7 @@
         0.25
         """
         left = self.find_left(service, priority, room_per_s, now)
-        pace_s = 1 / max(left, room_per_s * LEAST_SHARE)
+        pace_s = 1 / max(left, room_per_s * LEAST_SHARE, 1 / MOST_RETURN_S)
         last = self._promised.get((service, priority), -math.inf)
         at = max(now + first_s, last + pace_s)
         if at <= now + left_s:
--- a/landingspool/decisions/gateway/view.py
+++ b/landingspool/decisions/gateway/view.py
@@ -21,7 +21,7 @@
 from landingspool.decisions.gateway import plans
 from landingspool.decisions.gateway import prompts
 from landingspool.decisions.gateway import reach as reach_module
-from landingspool.decisions.gateway import scarcity
+from landingspool.decisions.gateway import room as room_module
 from landingspool.decisions.gateway import transfers
 from landingspool.decisions.gateway import warmth as warmth_module
 from landingspool.decisions.gateway import watching as watching_module
@@ -69,6 +69,7 @@
         self.watching = watching_module.Watching()
         self.partition = partition_module.Partition()
         self.bars = bars.Bars(bounds, regions or {})
+        self.room = room_module.Room(self.fleet, self.bars)
         self.warmth = warmth_module.Warmth()
         self.proof = freshness.Proof(bounds.key_s, bounds.keys_fail_closed)
         self.neighbours = neighbours.Neighbours()
@@ -78,7 +79,6 @@
         self.others = {}
         # Life and tokens taken of each store that this box counted.
         self.rooms = {}
-        self.scarcity = scarcity.Scarcity()
         self._health = {}
         self._allowances = {}
 
@@ -225,41 +225,6 @@
             work.route.priority,
         )
 
-    def take_room(self, work, now):
-        """Tell whether a request may have some of the room that is scarce."""
-        entries = self._list_limited(work)
-        room_per_s = self.bars.find_room(entries, now)
-        return self.scarcity.take(
-            work.service, work.route.priority, room_per_s, now
-        )
-
-    def find_return(self, work, left_s, now):
-        """Give the seconds after which a caller refused for limits finds room.
-
-        A box without places of its own tells what is usual: an even part of
-        what all its targets take.
-
-        Parameters
-        ----------
-        left_s : float
-            Seconds for which the caller waits.
-        """
-        entries = self._list_limited(work)
-        room_per_s = self.bars.find_room(entries, now)
-        wait_s = self.bars.find_wait(entries, now)
-        if wait_s is None:
-            room_per_s = self.bars.find_even_room(entries)
-            wait_s = 1 / room_per_s
-        return self.scarcity.promise(
-            work.service, work.route.priority, room_per_s, wait_s, left_s, now
-        )
-
-    def _list_limited(self, work):
-        """List the targets for a request that nothing but limits forbids."""
-        limits = self.bars.find_limits(work, self.table)
-        entries = self.fleet.list_service(work.service)
-        return self.bars.list_limited(entries, limits)
-
     def find_lag(self, name, model, now):
         """Give the seconds since the first version that a target missed."""
         has = self.fleet.get_version(name, model)
@@ -364,7 +329,7 @@
     def count_first(self, work, now):
         """Count a request for the retry budget of its service."""
         self._get_allowance(work.service).note_first(now)
-        self.scarcity.note(work.service, work.route.priority, now)
+        self.room.note(work, now)
 
     def may_repeat(self, service, now):
         """Take one repeat from the retry budget of a service."""
--- a/landingspool/gateway/hub.py
+++ b/landingspool/gateway/hub.py
@@ -167,6 +167,7 @@
         self.beat.note(tick.now)
         if tick.gap:
             self.recorder.record('frozen', seconds=round(tick.gap, 2))
+            self.view.bars.shares.restart(tick.now)
         for name in self.view.fleet.tick(tick.now):
             self.recorder.record('target_down', target=name, sure=True)
             self.view.endings.note_over(name, tick.now)
--- a/landingspool/gateway/peering.py
+++ b/landingspool/gateway/peering.py
@@ -8,6 +8,7 @@
 import asyncio
 import collections
 import contextlib
+import math
 import random
 
 import msgspec
@@ -26,6 +27,9 @@
 # Period of the digests, seconds: about the reading of two long prompts
 # (0.1 s each), so that boxes seldom choose the same idle target.
 DIGEST_S = 0.2
+# Seconds after a digest before which none is sent for a limit that begins: a
+# target that names one with every other answer must not make a storm.
+HURRY_S = 0.05
 # Period of the questions to neighbours.
 ASK_S = 0.4
 # Seconds over the age at which a box reads for itself from which on it asks
@@ -63,6 +67,7 @@
     def __init__(self, hub):
         self._hub = hub
         self._number = 0
+        self._sent = -math.inf
         self._asks = {}
         self._fetching = False
         self.peers = {}
@@ -194,8 +199,6 @@
                 (*self.peers, self._hub.place.box),
                 tick.now,
             )
-        if tick.gap:
-            view.bars.shares.restart(tick.now)
         view.watching.set_members(self._hub.place.box, self._list_near())
         self._send_digest(tick.now)
 
@@ -207,12 +210,15 @@
         period alone, 7 with these (195 boxes, 60 requests a second in all,
         played on the decisions of tests/gateway/test_limit_load.py).
         """
-        if self._hub.view.bars.limits.is_urgent:
-            self._send_digest(self._hub.clock())
+        now = self._hub.clock()
+        is_urgent = self._hub.view.bars.limits.is_urgent
+        if is_urgent and now - self._sent >= HURRY_S:
+            self._send_digest(now)
 
     def _send_digest(self, now):
         view = self._hub.view
         self._number += 1
+        self._sent = now
         digest = neighbours.Digest(
             box=self._hub.place.box,
             domain=self._hub.place.domain,
--- a/landingspool/gateway/relay.py
+++ b/landingspool/gateway/relay.py
@@ -106,7 +106,9 @@
                     return await self._defer(now)
                 return await self._give_up(lack)
             if plan.is_scarce and not progress.sends:
-                if not self._view.take_room(progress.work, now):
+                if not self._view.room.take(
+                    progress.work, self._view.table, now
+                ):
                     return await self._defer(now)
             if not progress.sends and not self._view.is_admitted(
                 plan, progress.work
@@ -197,7 +199,9 @@
         if self._reply.started or self._progress.may_have_run:
             return await self._give_up(bars.LIMITED)
         left_s = self._progress.find_left(now)
-        after = self._view.find_return(self._progress.work, left_s, now)
+        after = self._view.room.find_return(
+            self._progress.work, self._view.table, left_s, now
+        )
         return await self._refuse(bars.LIMITED, after)
 
     async def _turn_away(self):
