Part the asking side of HTTP from the serving side

Cause: one module of 511 lines had both, which share types alone. Change: the client and its calls stand in httpclient.py; nothing else is changed. Measured: 1,615 tests pass (tests/real not among them); the virtual network of the tests names the moved constant and function by their new module.

--- a/bench/caller.py
+++ b/bench/caller.py
@@ -37,7 +37,7 @@
 
     Parameters
     ----------
-    client : http.Client
+    client : httpclient.Client
     address : http.Address
     key : str
         Bearer key of the workspace.
--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -14,6 +14,7 @@
 import typing
 
 from landingspool import http
+from landingspool import httpclient
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 HOST = '127.0.0.1'
@@ -74,7 +75,7 @@
 
     def __init__(self, shape=HERBARIUM):
         self.shape = shape
-        self.client = http.Client()
+        self.client = httpclient.Client()
         self.processes = {}
         self.boxes = {}
         self.members = {}
--- a/landingspool/command/remote.py
+++ b/landingspool/command/remote.py
@@ -4,6 +4,7 @@
 import typing
 
 from landingspool import http
+from landingspool import httpclient
 
 TIMEOUT_S = 15.0
 STATUS_TIMEOUT_S = 2.0
@@ -50,7 +51,7 @@
     def __init__(self, addresses, key):
         self._addresses = addresses
         self._headers = [('authorization', f'Bearer {key}')]
-        self._client = http.Client()
+        self._client = httpclient.Client()
 
     async def ask(self, method, path, value=None):
         """Ask the first box that answers; returns the decoded answer."""
--- a/landingspool/core.py
+++ b/landingspool/core.py
@@ -33,7 +33,7 @@
     timer : timer.Timer
     recorder : events.Recorder
     metrics : metrics.Metrics
-    client : http.Client
+    client : httpclient.Client
     """
 
     def __init__(self, node, timer, recorder, metrics, client):
--- a/landingspool/daemon.py
+++ b/landingspool/daemon.py
@@ -12,6 +12,7 @@
 from landingspool.boxes import link
 from landingspool import events
 from landingspool import http
+from landingspool import httpclient
 from landingspool import settings as settings_module
 from landingspool import uptime
 
@@ -29,7 +30,7 @@
 
     def __init__(self, settings):
         self.settings = settings
-        self.client = http.Client()
+        self.client = httpclient.Client()
         # Milliseconds of the start, in hexadecimal: a later start of the
         # same box sorts after an earlier one.
         incarnation = f'{time.time_ns() // 1_000_000:x}'
--- a/landingspool/gateway/boxcalls.py
+++ b/landingspool/gateway/boxcalls.py
@@ -36,7 +36,7 @@
 
     Parameters
     ----------
-    client : http.Client
+    client : httpclient.Client
     address : http.Address
     kind : type
         For msgspec.
--- a/landingspool/gateway/hub.py
+++ b/landingspool/gateway/hub.py
@@ -24,6 +24,7 @@
 from landingspool.gateway import sweeper
 from landingspool.gateway import upstream
 from landingspool import http
+from landingspool import httpclient
 from landingspool.platform import ingress
 from landingspool.platform import names
 from landingspool.platform import runners
@@ -78,7 +79,7 @@
             place.domain, place.bounds, seed, place.regions
         )
         self.beat = timing.Beat()
-        self.client = http.Client()
+        self.client = httpclient.Client()
         self.store = store.Store(self.client, place.store, clock)
         self.limiting = limiting.Limiting(self)
         self.runners = runners.Runners(self.client, self.limiting.take_beside)
--- a/landingspool/ledger/log.py
+++ b/landingspool/ledger/log.py
@@ -16,7 +16,7 @@
 
     Parameters
     ----------
-    client : http.Client
+    client : httpclient.Client
     address : http.Address
     """
 
--- a/landingspool/platform/runners.py
+++ b/landingspool/platform/runners.py
@@ -58,7 +58,7 @@
 
     Parameters
     ----------
-    client : http.Client
+    client : httpclient.Client
     note_limit : callable, optional
         ``note_limit(address, limit, seconds)`` is called with each limit that
         an answer names (limits.read_limit), and for how long the call may
--- a/landingspool/platform/store.py
+++ b/landingspool/platform/store.py
@@ -81,7 +81,7 @@
 
     Parameters
     ----------
-    client : http.Client
+    client : httpclient.Client
     address : http.Address
     clock : callable, optional
         Gives monotonic seconds.
--- a/landingspool/targets/client.py
+++ b/landingspool/targets/client.py
@@ -114,7 +114,7 @@
 
     Parameters
     ----------
-    client : http.Client
+    client : httpclient.Client
     address : http.Address
     stall_s : float or None
         Seconds of silence after which the stream counts as cut; None for
@@ -257,7 +257,7 @@
 
     Parameters
     ----------
-    client : http.Client
+    client : httpclient.Client
     member : records.Member
     order : rollout.Order
     may_send : callable
@@ -299,7 +299,7 @@
 
     Parameters
     ----------
-    client : http.Client
+    client : httpclient.Client
     address : http.Address
     store : records.Member
     block : records.Block
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -5,6 +5,7 @@
 import typing
 
 from landingspool import http
+from landingspool import httpclient
 from soak import fleet as fleet_module
 
 LEFT_S = 2.5
@@ -38,7 +39,7 @@
         self._number = number
         self._fleet = fleet
         self._rng = rng
-        self._client = http.Client()
+        self._client = httpclient.Client()
         self._count = 0
         self.sent = []
 
--- a/standins/engine.py
+++ b/standins/engine.py
@@ -17,6 +17,7 @@
 import random
 
 from landingspool import http
+from landingspool import httpclient
 from standins import service
 
 PIECE_BYTES = 8000
@@ -96,7 +97,7 @@
         self.events = []
         self.event_number = 0
         self.reports = collections.deque()
-        self.client = http.Client()
+        self.client = httpclient.Client()
         self.rng = random.Random(options.seed)
         self.log = []
         self.orders = []
--- a/tests/contracts/peer.py
+++ b/tests/contracts/peer.py
@@ -3,6 +3,7 @@
 import asyncio
 
 from landingspool import http
+from landingspool import httpclient
 
 HEAD = 'HTTP/1.1 {} X\r\ncontent-type: {}\r\ncontent-length: {}\r\n\r\n'
 
@@ -44,7 +45,7 @@
         writer.close()
 
     server = await asyncio.start_server(serve, '127.0.0.1', 0)
-    client = http.Client()
+    client = httpclient.Client()
     address = http.Address(*server.sockets[0].getsockname())
     try:
         return await call(client, address)
@@ -60,4 +61,4 @@
     address = http.Address(*server.sockets[0].getsockname())
     server.close()
     await server.wait_closed()
-    return await call(http.Client(), address)
+    return await call(httpclient.Client(), address)
--- a/tests/gateway/site.py
+++ b/tests/gateway/site.py
@@ -9,6 +9,7 @@
 from landingspool.gateway import deployment
 from landingspool.gateway import hub as hub_module
 from landingspool import http
+from landingspool import httpclient
 from standins import platformstore
 from standins import runner as runner_module
 
@@ -227,7 +228,7 @@
 
 async def ask(hub, path, body=b'x', headers=(), key=KEY, method='POST'):
     """Send one request as a caller does; gives what came back."""
-    call = http.Client().open(hub.place.callers)
+    call = httpclient.Client().open(hub.place.callers)
     rows = [
         ('x-landingspool-request-id', f'id{next(NUMBERS)}'),
         ('x-landingspool-deadline-ms', '2500'),
--- a/tests/gateway/test_side_calls.py
+++ b/tests/gateway/test_side_calls.py
@@ -3,6 +3,7 @@
 import asyncio
 
 from landingspool import http
+from landingspool import httpclient
 
 HEAD = b'HTTP/1.1 200 OK\r\ncontent-length: 2\r\n%s\r\n{}'
 
@@ -19,7 +20,7 @@
     async def run():
         server = await asyncio.start_server(serve, '127.0.0.1', 0)
         address = http.Address(*server.sockets[0].getsockname()[:2])
-        client = http.Client()
+        client = httpclient.Client()
         try:
             return await client.fetch(address, 'GET', '/')
         finally:
--- a/tests/real/test_path.py
+++ b/tests/real/test_path.py
@@ -3,7 +3,7 @@
 import asyncio
 import hashlib
 
-from landingspool import http
+from landingspool import httpclient
 from tests.real import conftest
 
 
@@ -70,7 +70,7 @@
     headers = [('authorization', 'Bearer key-reading-room')]
 
     async def send(data):
-        client = http.Client()
+        client = httpclient.Client()
         reply = await client.fetch(
             address, 'POST', '/v1/completions', data, headers
         )
--- a/tests/test_client.py
+++ b/tests/test_client.py
@@ -8,6 +8,7 @@
 import pytest
 
 from landingspool import http
+from landingspool import httpclient
 
 ANSWER = b'HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok'
 ANSWERED_AFTER_S = 0.2
@@ -42,7 +43,7 @@
 
 async def fetch_beside_stall(address):
     """Fetch while the loop stands still across the answer and the end."""
-    client = http.Client()
+    client = httpclient.Client()
     work = asyncio.ensure_future(
         client.fetch(address, 'GET', '/', timeout=TIMEOUT_S)
     )
--- a/tests/virtual/network.py
+++ b/tests/virtual/network.py
@@ -1,6 +1,6 @@
 """What the processes of a world reach each other through.
 
-It speaks the interfaces of `http.Client`, `http.Exchange` and
+It speaks the interfaces of `httpclient.Client`, `http.Exchange` and
 `link.Links`, with latency and faults and without bytes.  A connection that
 is cut waits for its healing, as TCP does; a message of a link is lost.
 """
@@ -10,10 +10,11 @@
 
 from landingspool.decisions import messages
 from landingspool import http
+from landingspool import httpclient
 
 
 class Client:
-    """Stands in for http.Client in one process."""
+    """Stands in for httpclient.Client in one process."""
 
     def __init__(self, world, owner):
         self.world = world
@@ -43,7 +44,7 @@
 
 
 class Call:
-    """Stands in for http.Call."""
+    """Stands in for httpclient.Call."""
 
     def __init__(self, world, owner, address):
         self.world = world
@@ -61,7 +62,7 @@
     async def connect(self, fresh=False):
         """Connect, which needs both ways."""
         try:
-            async with asyncio.timeout(http.CONNECT_TIMEOUT_S):
+            async with asyncio.timeout(httpclient.CONNECT_TIMEOUT_S):
                 await self.world.travel(self.owner, self.address)
         except TimeoutError:
             raise http.Unreachable('connect: timeout', False) from None
@@ -76,7 +77,7 @@
         self.sent = True
         bare, _, query = path.partition('?')
         pairs = [p.split('=', 1) for p in query.split('&') if '=' in p]
-        body = http.encode_body(value)
+        body = httpclient.encode_body(value)
         named = {name.lower(): text for name, text in headers}
         request = http.Request(method, bare, dict(pairs), named, body)
         self.exchange = Exchange(self, request)
