Show how much of a limit a box uses, and log each figure once

Cause: the counter of what was sent to limited targets had a label for each life for ever, each box logged each figure that another had heard, and a field that can't be read was a line for each new text. Change: a gauge, cleared with the limit; figures are logged by who heard them, beginnings and ends by all; one line a life for what can't be read.

--- a/landingspool/decisions/gateway/limits.py
+++ b/landingspool/decisions/gateway/limits.py
@@ -180,6 +180,16 @@
             if known.per_s
         ]
 
+    def find(self, name):
+        """Give the Known limit of a target; None where it names none."""
+        known = self._known.get(neighbours.code_target(name))
+        return known if known is not None and known.per_s else None
+
+    def list_named(self, names):
+        """Give the Known limits of some targets, by name."""
+        found = {name: self.find(name) for name in names}
+        return {name: known for name, known in found.items() if known}
+
     def may_send(self, name, now):
         """Tell whether this box may send a target one more request now."""
         known = self.find(name)
@@ -201,6 +211,10 @@
         places = self._shares.count_places(name, quota, now)
         return places * quota.requests / quota.window_s
 
+    def find_used(self, name, now):
+        """Give the requests a second that this box sent a target of late."""
+        return len(self._shares.list_sent(name, WINDOW_S, now)) / WINDOW_S
+
     def _is_turn(self, name, known, quota, now):
         """Tell whether this box may ask a target that nobody asks."""
         order = self._shares.find_order(name)
@@ -211,16 +225,6 @@
             return False
         return not self._shares.list_sent(name, quota.window_s, now)
 
-    def find(self, name):
-        """Give the Known limit of a target; None where it names none."""
-        known = self._known.get(neighbours.code_target(name))
-        return known if known is not None and known.per_s else None
-
-    def list_named(self, names):
-        """Give the Known limits of some targets, by name."""
-        found = {name: self.find(name) for name in names}
-        return {name: known for name, known in found.items() if known}
-
     def forget(self, name):
         """Forget a life that is over."""
         self._known.pop(neighbours.code_target(name), None)
--- a/landingspool/gateway/attempts.py
+++ b/landingspool/gateway/attempts.py
@@ -99,8 +99,6 @@
         if progress.sends > 1:
             self._hub.metrics.repeats.inc()
         self._view.note_sent(plan, progress.work, self._sent)
-        if self._view.bars.limits.find(plan.entry.name):
-            self._hub.metrics.limited_sends.labels(plan.entry.name).inc()
         self._view.endings.note_sent(progress.fingerprint)
         self._hub.recorder.record(
             'dispatched',
--- a/landingspool/gateway/figures.py
+++ b/landingspool/gateway/figures.py
@@ -48,9 +48,9 @@
             'Since when the target was last heard to name it',
             ('target',),
         )
-        self.limited_sends = self._count(
-            'limited_sends',
-            'Requests sent to a target with a limit',
+        self.limits_used = self._gauge(
+            'target_limit_used_per_second',
+            'Requests that this box sent the target in the last window',
             ('target',),
         )
         self.parted = self._gauge(
@@ -84,19 +84,22 @@
             self.evacuated.labels(domain).set(seconds)
         self.parted.set(parted)
 
-    def note_limits(self, named, now):
+    def note_limits(self, named, used, now):
         """Note which targets name a limit.
 
         Parameters
         ----------
         named : dict of str to limits.Known
             By the name of the target's life.
+        used : dict of str to float
+            Requests a second that this box sent there, likewise.
         """
-        self.limited.clear()
-        self.limit_ages.clear()
+        for gauge in (self.limited, self.limit_ages, self.limits_used):
+            gauge.clear()
         for name, known in named.items():
             self.limited.labels(name).set(known.per_s)
             self.limit_ages.labels(name).set(now - known.heard)
+            self.limits_used.labels(name).set(used[name])
 
     def render(self):
         """Give the text of the metrics address."""
--- a/landingspool/gateway/limiting.py
+++ b/landingspool/gateway/limiting.py
@@ -17,7 +17,7 @@
     def __init__(self, hub):
         self._hub = hub
         self._limits = hub.view.bars.limits
-        self._unreadable = {}
+        self._unreadable = set()
 
     def take(self, name, limit, asked, certain=True):
         """Take in what an answer of a target says.
@@ -69,6 +69,9 @@
         entries = self._hub.view.fleet.entries
         names = {neighbours.code_target(name): name for name in entries}
         for life, known in changes:
+            if known.box and known.since < known.changed and known.per_s:
+                # Who heard the target name another figure has logged it.
+                continue
             self._hub.recorder.record(
                 'limit_named' if known.per_s else 'limit_over',
                 target=names.get(life, life),
@@ -80,16 +83,14 @@
     def sweep(self):
         """Bring the metrics up to date."""
         entries = self._hub.view.fleet.entries
-        self._unreadable = {
-            name: text
-            for name, text in self._unreadable.items()
-            if name in entries
-        }
+        self._unreadable.intersection_update(entries)
+        now = self._hub.clock()
         named = self._limits.list_named(entries)
-        self._hub.metrics.note_limits(named, self._hub.clock())
+        used = {name: self._limits.find_used(name, now) for name in named}
+        self._hub.metrics.note_limits(named, used, now)
 
     def _note_unreadable(self, name, text):
         # One line for what a target says again and again.
-        if self._unreadable.get(name) != text:
-            self._unreadable[name] = text
+        if name not in self._unreadable:
+            self._unreadable.add(name)
             self._hub.recorder.record('bad_limit', target=name, text=text)
--- a/tests/gateway/test_limit_words.py
+++ b/tests/gateway/test_limit_words.py
@@ -108,3 +108,20 @@
     assert limits.find('t').per_s == 2.0
     limits.take(neighbours.LimitWord(life, 0.0, 200, 100), 'box', 11.3)
     assert limits.find('t') is None
+
+
+def test_operators_see_the_limit_its_age_and_how_much_is_used():
+    async def check(deployment):
+        hub = await deployment.start_box()
+        (runner,) = deployment.plain
+        runner.limit = '0.5'
+        await site.ask(hub, '/safe/a')
+        hub.limiting.sweep()
+        lines = hub.metrics.render().decode().splitlines()
+        rows = [line for line in lines if 'target="p0"' in line]
+        figures = {row.split('{')[0][21:]: row.split()[1] for row in rows}
+        assert figures['target_limit_per_second'] == '0.5'
+        assert float(figures['target_limit_age_seconds']) < 1.0
+        assert figures['target_limit_used_per_second'] == '0.25'
+
+    site.run(check, plain=1, engines=1)
