Name the parts of a quota permits, as places are what targets have

Cause: the glossary has place for one of the requests that a target works on at once, and the new modules called the parts of a quota by the same word. Measured: the tests on limits, quotas and cold targets pass.

--- a/landingspool/decisions/gateway/coldness.py
+++ b/landingspool/decisions/gateway/coldness.py
@@ -5,7 +5,7 @@
 from each other, so it is divided by their hash order (shares.py): a few boxes
 may send a fixed number in any second, the others nothing while it is cold.
 Two lists of boxes may be in use for as long as a cut lasts, so the numbers
-keep under half of the bound: as many boxes as have a place may be missing
+keep under half of the bound: as many boxes as have a permit may be missing
 from a list.
 
 A target counts as cold for as long as it told, and, since it tells late, for
--- a/landingspool/decisions/gateway/limits.py
+++ b/landingspool/decisions/gateway/limits.py
@@ -3,7 +3,7 @@
 A target in need names the requests a second that it takes from all boxes
 together, in each answer for as long as that holds.  Boxes tell each other of
 it, and the figure is a quota that is dealt out (shares.py): what a box may
-send follows from its places, never from what the others seem to send.
+send follows from its permits, never from what the others seem to send.
 
 Answers overtake one another, and a stream's head is read long before its end,
 so which of two answers says what holds now follows from when they were asked
@@ -11,7 +11,7 @@
 the stricter word holds, since what is sent too much can't be taken back.
 
 A limit does not lapse with time, since a target that nobody asks says
-nothing.  It ends by what its places are for: requests still go to the target,
+nothing.  It ends by what its permits are for: requests still go to the target,
 and the first answer without a limit is told to all.
 """
 
@@ -26,8 +26,8 @@
 # Seconds of the window in which the users count what arrives: one and a half
 # times the limit, and five more.
 WINDOW_S = 4.0
-# Places of one quota at most; over it each stands for more requests.
-MOST_PLACES = 64
+# Permits of one quota at most; over it each stands for more requests.
+MOST_PERMITS = 64
 # A target that takes less gets so many requests a second all the same: by
 # nothing else could be learnt that it takes more again.  Far under what the
 # users allow on top of any limit, five in a window.
@@ -47,7 +47,7 @@
 ENDED_S = 10.0
 # Words in one digest at most, 22 bytes each.
 MOST_TOLD = 40
-# Seconds without news of a limit after which boxes without a place may ask
+# Seconds without news of a limit after which boxes without a permit may ask
 # the target in turn: one that missed the end would believe in it for ever.
 UNRENEWED_S = 30.0
 
@@ -201,15 +201,15 @@
         return self._is_turn(name, known, quota, now)
 
     def find_wait(self, name, now):
-        """Give the seconds until it may; None where it has no place."""
+        """Give the seconds until it may; None where it has no permit."""
         quota = find_open(self.find(name), now)
         return self._shares.find_wait(name, quota, now)
 
     def find_room(self, name, now):
         """Give the requests a second that this box may send to a target."""
         quota = plan_quota(self.find(name).per_s)
-        places = self._shares.count_places(name, quota, now)
-        return places * quota.requests / quota.window_s
+        permits = self._shares.count_permits(name, quota, now)
+        return permits * quota.requests / quota.window_s
 
     def find_used(self, name, now):
         """Give the requests a second that this box sent a target of late."""
@@ -218,7 +218,7 @@
     def _is_turn(self, name, known, quota, now):
         """Tell whether this box may ask a target that nobody asks."""
         order = self._shares.find_order(name)
-        if order is None or order < quota.places:
+        if order is None or order < quota.permits:
             return False
         begins = known.heard + UNRENEWED_S + order * quota.window_s
         if not begins <= now < begins + quota.window_s:
@@ -312,7 +312,7 @@
 
 
 def find_open(known, now):
-    """Give the Quota of a limit with those places that are open by now.
+    """Give the Quota of a limit with those permits that are open by now.
 
     They open one after the other over the first window.  Used all at once
     they would be free again all at once, so that the target got 8 requests in
@@ -322,15 +322,15 @@
     share = (now - known.since) / quota.window_s
     if share >= 1.0:
         return quota
-    return quota._replace(places=int(max(share, 0.0) * quota.places) + 1)
+    return quota._replace(permits=int(max(share, 0.0) * quota.permits) + 1)
 
 
 @functools.lru_cache(maxsize=MOST_KNOWN)
 def plan_quota(per_s):
     """Give the Quota of a limit, which is the limit itself.
 
-    With as many places as a window has requests no window holds more than
-    these, also over two lists of boxes of which half of the places differ:
+    With as many permits as a window has requests no window holds more than
+    these, also over two lists of boxes of which half of the permits differ:
     the users allow one and a half times as many, and five.  An equal share of
     a limit of 2 a second for 195 boxes would be one request in 98 s each.
 
@@ -342,14 +342,14 @@
     -------
     shares.Quota
 
-    >>> plan_quota(2.0), plan_quota(0.3).places, plan_quota(0.001).window_s
-    (Quota(places=8, requests=1, window_s=4.0), 2, 10.0)
+    >>> plan_quota(2.0), plan_quota(0.3).permits, plan_quota(0.001).window_s
+    (Quota(permits=8, requests=1, window_s=4.0), 2, 10.0)
     >>> plan_quota(100.0)
-    Quota(places=58, requests=7, window_s=4.06)
+    Quota(permits=58, requests=7, window_s=4.06)
     >>> plan_quota(1e300).requests > 0
     True
     """
     per_s = max(per_s, LEAST_PER_S)
-    requests = max(math.ceil(WINDOW_S * per_s / MOST_PLACES), 1)
-    places = max(math.ceil(WINDOW_S * per_s / requests), 1)
-    return shares_module.Quota(places, requests, places * requests / per_s)
+    requests = max(math.ceil(WINDOW_S * per_s / MOST_PERMITS), 1)
+    permits = max(math.ceil(WINDOW_S * per_s / requests), 1)
+    return shares_module.Quota(permits, requests, permits * requests / per_s)
--- a/landingspool/decisions/gateway/room.py
+++ b/landingspool/decisions/gateway/room.py
@@ -36,8 +36,8 @@
     def find_return(self, work, table, left_s, now):
         """Give the seconds after which a caller refused for limits finds room.
 
-        A box without places of its own can't know when other boxes have room:
-        half of all places are free again by half a window.
+        A box without permits of its own can't know when other boxes have room:
+        half of all permits are free again by half a window.
 
         Parameters
         ----------
@@ -73,7 +73,7 @@
         return sum(known.per_s for known in named) / boxes
 
     def _find_wait(self, entries, now):
-        """Give the seconds until one may get a request; None: no place."""
+        """Give the seconds until one may get a request; None: no permit."""
         limits = self._bars.limits
         waits = [limits.find_wait(entry.name, now) for entry in entries]
         return min((wait for wait in waits if wait is not None), default=None)
--- a/landingspool/decisions/gateway/scarcity.py
+++ b/landingspool/decisions/gateway/scarcity.py
@@ -1,9 +1,9 @@
 """Who is served while all targets of a service take few requests a second.
 
 Then a box has room for a few requests a second, and far more may come.  What
-finds no place is refused at once, and told when there is room: callers are
+finds no room is refused at once, and told when there is some: callers are
 given one time after the other, as many as there is room for, so that they
-don't all come back for the same place.  The more urgent go first: of the less
+don't all come back at once.  The more urgent go first: of the less
 urgent as many are served as the others leave room for.
 """
 
@@ -73,10 +73,10 @@
         return max(room_per_s - urgent, 0.0)
 
     def take(self, service, priority, room_per_s, now):
-        """Tell whether a request may take one of the few places.
+        """Tell whether a request may have some of the room.
 
-        The less urgent are paced to what the others leave.  By chance, place
-        or no place, too few would come when one is free.
+        The less urgent are paced to what the others leave.  Were they let
+        through by chance, too few would come when there is room.
 
         Parameters
         ----------
--- a/landingspool/decisions/gateway/shares.py
+++ b/landingspool/decisions/gateway/shares.py
@@ -1,15 +1,15 @@
 """Divides what all boxes may send to a target, by a rule that each applies.
 
 A bound over all boxes can't rest on what boxes hear of each other's sending:
-some are cut off, all hear late.  So a quota has places, and the hash order of
+some are cut off, all hear late.  So a quota has permits, and the hash order of
 all boxes for a target deals them out: a box may send so many requests in any
-window for each place that it has, and nothing where it has none.
+window for each permit that it has, and nothing where it has none.
 
-Boxes come and go, and two lists of them may be in use at once.  A place that
-changes hands is used by neither for a window: a box counts only the places
+Boxes come and go, and two lists of them may be in use at once.  A permit that
+changes hands is used by neither for a window: a box counts only the permits
 that it has by each list that it went by of late.  So a box that starts, or
 stood still, begins with none, and while lists differ no more is sent than by
-one list and the places that moved: with half of them moved, one and a half
+one list and the permits that moved: with half of them moved, one and a half
 times the quota, for however long (tests/gateway/test_shares.py).
 """
 
@@ -27,15 +27,15 @@
 
     Attributes
     ----------
-    places : int
+    permits : int
         To be dealt out to the boxes.
     requests : int
-        That may be sent in any window for each place.
+        That may be sent in any window for each permit.
     window_s : float
         Up to MOST_WINDOW_S.
     """
 
-    places: int
+    permits: int
     requests: int
     window_s: float
 
@@ -48,9 +48,9 @@
 
 
 class Shares:
-    """The places of one box, and what it sent of late.
+    """The permits of one box, and what it sent of late.
 
-    One without the list of the boxes has no place.
+    One without the list of the boxes has no permit.
     """
 
     def __init__(self):
@@ -74,7 +74,7 @@
         self._members = members
 
     def restart(self, now):
-        """Begin without places: this box stood still, others did not."""
+        """Begin without permits: this box stood still, others did not."""
         if self._since is not None:
             self._since = now
 
@@ -91,8 +91,8 @@
             return None
         return find_rank(name, self._box, self._members)
 
-    def count_places(self, name, quota, now):
-        """Count the places of a quota that this box may use now.
+    def count_permits(self, name, quota, now):
+        """Count the permits of a quota that this box may use now.
 
         Parameters
         ----------
@@ -101,14 +101,14 @@
 
         >>> shares, quota = Shares(), Quota(4, 1, 2.0)
         >>> shares.set_members('a', 'ab', 10.0)
-        >>> shares.count_places('t', quota, 11.0)
+        >>> shares.count_permits('t', quota, 11.0)
         0
-        >>> shares.count_places('t', quota, 12.1)
+        >>> shares.count_permits('t', quota, 12.1)
         2
         >>> shares.set_members('a', 'a', 13.0)
-        >>> shares.count_places('t', quota, 14.0)
+        >>> shares.count_permits('t', quota, 14.0)
         2
-        >>> shares.count_places('t', quota, 15.1)
+        >>> shares.count_permits('t', quota, 15.1)
         4
         """
         if self._since is None or now - self._since <= quota.window_s:
@@ -118,17 +118,17 @@
             if now - former.until <= quota.window_s:
                 lists.append(former.members)
         return min(
-            deal(name, self._box, members, quota.places) for members in lists
+            deal(name, self._box, members, quota.permits) for members in lists
         )
 
     def may_send(self, name, quota, now):
         """Tell whether this box may send a target one more request now."""
-        places = self.count_places(name, quota, now)
+        permits = self.count_permits(name, quota, now)
         sent = self.list_sent(name, quota.window_s, now)
-        return len(sent) < places * quota.requests
+        return len(sent) < permits * quota.requests
 
     def find_wait(self, name, quota, now):
-        """Give the seconds until it may; None where it has no place.
+        """Give the seconds until it may; None where it has no permit.
 
         >>> shares, quota = Shares(), Quota(1, 1, 2.0)
         >>> shares.set_members('a', 'a', 0.0)
@@ -136,7 +136,7 @@
         >>> shares.find_wait('t', quota, 10.0), shares.find_wait('t', quota, 1)
         (1.5, None)
         """
-        most = self.count_places(name, quota, now) * quota.requests
+        most = self.count_permits(name, quota, now) * quota.requests
         if not most:
             return None
         sent = self.list_sent(name, quota.window_s, now)
@@ -165,8 +165,8 @@
     return ownership.rank(f'share/{name}', members).index(box)
 
 
-def deal(name, box, members, places):
-    """Give how many of a target's places a box has by a list of the boxes.
+def deal(name, box, members, permits):
+    """Give how many of a target's permits a box has by a list of the boxes.
 
     >>> members = 'a', 'b', 'c'
     >>> sorted(deal('t', box, members, 5) for box in members)
@@ -177,4 +177,4 @@
     if box not in members:
         return 0
     rank = find_rank(name, box, members)
-    return places // len(members) + (rank < places % len(members))
+    return permits // len(members) + (rank < permits % len(members))
--- a/tests/gateway/test_coldness.py
+++ b/tests/gateway/test_coldness.py
@@ -95,7 +95,7 @@
     Equal shares of 71 boxes under the bound of 32 would be none at all.
     """
     quota = coldness.plan_quota(MOST)
-    assert quota.places * quota.requests >= 16
+    assert quota.permits * quota.requests >= 16
     assert int(MOST // (coldness.LISTS * 71)) == 0
     sent = play(make_boxes(71), 2.9, 400.0)
     assert sum(map(len, sent.values())) / 2.9 > 190
--- a/tests/gateway/test_limit_load.py
+++ b/tests/gateway/test_limit_load.py
@@ -219,7 +219,7 @@
 
 
 def test_a_word_that_nobody_renews_binds_one_box_after_the_other():
-    """A box without a place that missed the end asks in its turn."""
+    """A box without a permit that missed the end asks in its turn."""
     names = [f'box{number}' for number in range(30)]
     views = {name: make_view(1, names, name) for name in names}
     for view in views.values():
--- a/tests/gateway/test_limit_words.py
+++ b/tests/gateway/test_limit_words.py
@@ -9,7 +9,7 @@
 from landingspool.platform import limits as field
 from tests.gateway import site
 
-# Seconds from a box's start until it may use its places, with a margin.
+# Seconds from a box's start until it may use its permits, with a margin.
 STARTED_S = 6.0
 
 
--- a/tests/gateway/test_limits.py
+++ b/tests/gateway/test_limits.py
@@ -115,7 +115,7 @@
         await site.wait_until(
             lambda: all(hub.view.table.version == 2 for hub in hubs)
         )
-        # Once for all boxes to hear the limits, and to use their places.
+        # Once for all boxes to hear the limits, and to use their permits.
         await ask_steadily(hubs, '/patient/a', WINDOW_S)
         await check(hubs)
 
--- a/tests/gateway/test_shares.py
+++ b/tests/gateway/test_shares.py
@@ -45,28 +45,28 @@
 
 
 @pytest.mark.parametrize('count', [3, 7, 71, 195])
-@pytest.mark.parametrize('places', [1, 8, 40])
-def test_under_one_list_all_is_used_and_nothing_beyond(count, places):
-    boxes = Boxes(count, shares_module.Quota(places, 1, WINDOW_S))
+@pytest.mark.parametrize('permits', [1, 8, 40])
+def test_under_one_list_all_is_used_and_nothing_beyond(count, permits):
+    boxes = Boxes(count, shares_module.Quota(permits, 1, WINDOW_S))
     boxes.tell(boxes.names, boxes.names, 0.0)
     boxes.play(0.0, 20.0)
-    assert boxes.count_most() == places
-    # Nothing in the first window, then each place once in each.
-    assert len(boxes.sent) >= places * 3
+    assert boxes.count_most() == permits
+    # Nothing in the first window, then each permit once in each.
+    assert len(boxes.sent) >= permits * 3
 
 
-@pytest.mark.parametrize('places', [1, 8, 40])
-def test_twice_as_many_boxes_whom_half_never_hears_of(places):
+@pytest.mark.parametrize('permits', [1, 8, 40])
+def test_twice_as_many_boxes_whom_half_never_hears_of(permits):
     """Half of the boxes go by the old list, for however long."""
     old = [f'box{number}' for number in range(20)]
-    boxes = Boxes(20, shares_module.Quota(places, 1, WINDOW_S))
+    boxes = Boxes(20, shares_module.Quota(permits, 1, WINDOW_S))
     boxes.tell(old, old, 0.0)
     boxes.play(0.0, 10.0)
     new = [*old, *(f'new{number}' for number in range(20))]
     boxes.tell([*old[:10], *new[20:]], new, 10.0)
     boxes.play(10.0, 30.0)
-    # Half of the places move, but for the chance of the hash order.
-    assert boxes.count_most() <= places * 1.5 + 5
+    # Half of the permits move, but for the chance of the hash order.
+    assert boxes.count_most() <= permits * 1.5 + 5
 
 
 def test_places_that_change_hands_rest_for_a_window():
