Part the behaviours of the stand-in from the stand-in itself

Cause: the module had grown to over 500 lines, half of them one function for each way to answer. Change: these and their registry are a module of their own; nothing else is changed.

--- /dev/null
+++ b/standins/behaviours.py
@@ -0,0 +1,294 @@
+"""How a stand-in for a target answers: one function for each behaviour.
+
+Each gets the target, the request's head and body and the two ends of its
+connection, and tells whether the connection has ended by it.
+"""
+
+import asyncio
+
+BEHAVIOURS = {}
+# An event that does not end is made of so many parts of so many bytes.
+ENDLESS_PARTS = 40
+ENDLESS_BYTES = 64 * 1024
+# Seconds for which a request that ends its target is run.
+FATAL_S = 0.05
+
+
+def behaviour(name):
+    """Register how a request is answered."""
+
+    def add(function):
+        BEHAVIOURS[name] = function
+        return function
+
+    return add
+
+
+def get_id(head):
+    """Give the caller's id of a request."""
+    return head['x-landingspool-request-id']
+
+
+def write_answer(runner, head, writer, status, body, *rows, stamp=True):
+    """Write a whole framed answer."""
+    lines = [f'HTTP/1.1 {status} X', f'content-length: {len(body)}', *rows]
+    lines.append(f'x-landingspool-request-id: {get_id(head)}')
+    if stamp:
+        lines.append(f'x-landingspool-response-stamp: stamp-{runner.name}')
+    rows = '\r\n'.join(lines).encode() + b'\r\n' + runner.name_limit(head)
+    writer.write(rows + b'\r\n' + body)
+
+
+def write_unframed(head, writer, body):
+    """Write an answer that only the end of the connection ends."""
+    writer.write(
+        b'HTTP/1.1 200 OK\r\nx-landingspool-response-stamp: s\r\n'
+        + f'x-landingspool-request-id: {get_id(head)}'.encode()
+        + b'\r\n\r\n'
+        + body
+    )
+
+
+def write_chunk(writer, data):
+    """Write one chunk."""
+    writer.write(f'{len(data):x}\r\n'.encode() + data + b'\r\n')
+
+
+def start_stream(runner, head, writer):
+    """Write the head of a stream of events."""
+    writer.write(
+        b'HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n'
+        b'content-type: text/event-stream\r\n'
+        + f'x-landingspool-request-id: {get_id(head)}\r\n'
+        f'x-landingspool-response-stamp: stamp-{runner.name}\r\n'.encode()
+        + runner.name_limit(head)
+        + b'\r\n'
+    )
+
+
+def list_events(head):
+    """List the events of a stream that a caller does not have yet."""
+    events = [make_event(number) for number in range(1, 5)]
+    return events[int(head.get('last-event-id', 0)) :]
+
+
+def make_event(number):
+    """Give one event of a stream."""
+    return f'id: {number}\ndata: piece {number}\n\n'.encode()
+
+
+@behaviour('whole')
+async def answer_whole(runner, head, body, reader, writer):
+    """Run, and answer whole."""
+    runner.run(head, body)
+    write_answer(runner, head, writer, 200, b'done')
+
+
+@behaviour('kept')
+async def answer_kept(runner, head, body, reader, writer):
+    """Run, answer whole, and keep the connection for long."""
+    runner.run(head, body)
+    write_answer(runner, head, writer, 200, b'done', 'keep-alive: timeout=9')
+
+
+@behaviour('failure')
+async def answer_failure(runner, head, body, reader, writer):
+    """Run, and answer with a failure."""
+    runner.run(head, body)
+    write_answer(runner, head, writer, 500, b'oops')
+
+
+@behaviour('shed')
+async def answer_shed(runner, head, body, reader, writer):
+    """Refuse without running."""
+    writer.write(
+        b'HTTP/1.1 503 X\r\nx-landingspool-not-executed: 1\r\n'
+        b'content-length: 0\r\n' + runner.name_limit(head) + b'\r\n'
+    )
+
+
+@behaviour('misdirected')
+async def answer_misdirected(runner, head, body, reader, writer):
+    """Refuse what is meant for another target."""
+    writer.write(
+        b'HTTP/1.1 421 X\r\ncontent-length: 0\r\n'
+        + f'x-landingspool-instance-id: {runner.name}\r\n\r\n'.encode()
+    )
+
+
+@behaviour('unstamped')
+async def answer_unstamped(runner, head, body, reader, writer):
+    """Answer without the proof that the target made it."""
+    runner.run(head, body)
+    write_answer(runner, head, writer, 200, b'done', stamp=False)
+
+
+@behaviour('coded')
+async def answer_coded(runner, head, body, reader, writer):
+    """Answer with another body than the target's own."""
+    runner.run(head, body)
+    write_answer(runner, head, writer, 200, b'zz', 'content-encoding: gzip')
+
+
+@behaviour('foreign')
+async def answer_foreign(runner, head, body, reader, writer):
+    """Answer with what belongs to another request."""
+    runner.run(head, body)
+    other = {**head, 'x-landingspool-request-id': 'another'}
+    write_answer(runner, other, writer, 200, b'not yours')
+
+
+@behaviour('surplus')
+async def answer_surplus(runner, head, body, reader, writer):
+    """Answer twice."""
+    runner.run(head, body)
+    write_answer(runner, head, writer, 200, b'done')
+    write_answer(runner, head, writer, 200, b'done')
+
+
+@behaviour('nonsense')
+async def answer_nonsense(runner, head, body, reader, writer):
+    """Send what is no answer."""
+    runner.run(head, body)
+    writer.write(b'what is this\r\n\r\n')
+    return True
+
+
+@behaviour('unframed')
+async def answer_unframed(runner, head, body, reader, writer):
+    """Answer without a length, ended by an orderly close."""
+    runner.run(head, body)
+    write_unframed(head, writer, b'done')
+    await writer.drain()
+    return True
+
+
+@behaviour('reset')
+async def answer_reset(runner, head, body, reader, writer):
+    """Run, and reset the connection within the answer."""
+    runner.run(head, body)
+    writer.write(b'HTTP/1.1 200 OK\r\ncontent-length: 99\r\n')
+    writer.write(
+        f'x-landingspool-request-id: {get_id(head)}\r\n'
+        'x-landingspool-response-stamp: s\r\n\r\npart'.encode()
+    )
+    await writer.drain()
+    await asyncio.sleep(0.02)
+    writer.transport.abort()
+    return True
+
+
+@behaviour('closed')
+async def answer_closed(runner, head, body, reader, writer):
+    """Run, and close without an answer."""
+    runner.run(head, body)
+    return True
+
+
+@behaviour('silent')
+async def answer_silent(runner, head, body, reader, writer):
+    """Run, and say nothing until the caller leaves."""
+    runner.run(head, body)
+    if not await reader.read(1):
+        runner.cancelled += 1
+    return True
+
+
+@behaviour('stream')
+async def answer_stream(runner, head, body, reader, writer):
+    """Stream four events, from after the last one that the caller has."""
+    runner.run(head, body)
+    start_stream(runner, head, writer)
+    for event in list_events(head):
+        write_chunk(writer, event)
+        await asyncio.sleep(0.01)
+    writer.write(b'0\r\n\r\n')
+
+
+@behaviour('broken stream')
+async def answer_broken(runner, head, body, reader, writer):
+    """Stream two events and half of the next, then reset."""
+    runner.run(head, body)
+    start_stream(runner, head, writer)
+    events = list_events(head)
+    for event in events[:2]:
+        write_chunk(writer, event)
+    for event in events[2:3]:
+        write_chunk(writer, event[:9])
+    await writer.drain()
+    await asyncio.sleep(0.02)
+    writer.transport.abort()
+    return True
+
+
+@behaviour('endless event')
+async def answer_endless(runner, head, body, reader, writer):
+    """Stream one event, and then one that does not end."""
+    runner.run(head, body)
+    start_stream(runner, head, writer)
+    write_chunk(writer, make_event(1))
+    for _ in range(ENDLESS_PARTS):
+        write_chunk(writer, b'x' * ENDLESS_BYTES)
+        await writer.drain()
+
+
+@behaviour('fatal')
+async def answer_fatal(runner, head, body, reader, writer):
+    """Begin to run, and end the whole target by it."""
+    runner.run(head, body)
+    await asyncio.sleep(FATAL_S)
+    runner.end()
+    return True
+
+
+@behaviour('half event')
+async def answer_half(runner, head, body, reader, writer):
+    """Stream one event and a half, and end in order."""
+    runner.run(head, body)
+    start_stream(runner, head, writer)
+    events = list_events(head)
+    for event in events[:1]:
+        write_chunk(writer, event)
+    for event in events[1:2]:
+        write_chunk(writer, event[:9])
+    writer.write(b'0\r\n\r\n')
+
+
+@behaviour('slow')
+async def answer_slow(runner, head, body, reader, writer):
+    """Run, and answer whole after a while."""
+    runner.run(head, body)
+    await asyncio.sleep(0.6)
+    write_answer(runner, head, writer, 200, b'done')
+
+
+@behaviour('echo')
+async def answer_echo(runner, head, body, reader, writer):
+    """Run, and answer with the caller's id."""
+    runner.run(head, body)
+    write_answer(runner, head, writer, 200, get_id(head).encode())
+
+
+@behaviour('slow echo')
+async def answer_slow_echo(runner, head, body, reader, writer):
+    """Run, and answer with the caller's id after a while."""
+    runner.run(head, body)
+    await asyncio.sleep(0.4)
+    write_answer(runner, head, writer, 200, get_id(head).encode())
+
+
+@behaviour('unframed echo')
+async def answer_unframed_echo(runner, head, body, reader, writer):
+    """Answer with the caller's id, ended by an orderly close."""
+    runner.run(head, body)
+    write_unframed(head, writer, get_id(head).encode())
+    await writer.drain()
+    return True
+
+
+@behaviour('surplus echo')
+async def answer_surplus_echo(runner, head, body, reader, writer):
+    """Answer twice with the caller's id."""
+    runner.run(head, body)
+    write_answer(runner, head, writer, 200, get_id(head).encode())
+    write_answer(runner, head, writer, 200, get_id(head).encode())
