Find a quota for any figure, and give each box a permit where there are many

What callers saw: nothing yet; a target that names a number of 308 digits would have had each request for its service end in a 500. Cause: four times such a number is no number any more, and rounding it up raises an error. Permits were bounded at 64, too, each for more requests, so that of 195 boxes two in three could send nothing to a target that takes 20. Change: figures over 10,000 a second count as that many; each request of a window is a permit of its own.

--- a/landingspool/decisions/gateway/limits.py
+++ b/landingspool/decisions/gateway/limits.py
@@ -26,8 +26,9 @@
 # Seconds of the window in which the users count what arrives: one and a half
 # times the limit, and five more.
 WINDOW_S = 4.0
-# Permits of one quota at most; over it each stands for more requests.
-MOST_PERMITS = 64
+# A figure beyond what any target takes counts as this many: it binds nobody,
+# and a number of 308 digits must not end in an error.
+MOST_PER_S = 10_000.0
 # A target that takes less gets so many requests a second all the same: by
 # nothing else could be learnt that it takes more again.  Far under what the
 # users allow on top of any limit, five in a window.
@@ -344,12 +345,9 @@
 
     >>> plan_quota(2.0), plan_quota(0.3).permits, plan_quota(0.001).window_s
     (Quota(permits=8, requests=1, window_s=4.0), 2, 10.0)
-    >>> plan_quota(100.0)
-    Quota(permits=58, requests=7, window_s=4.06)
-    >>> plan_quota(1e300).requests > 0
-    True
+    >>> plan_quota(1.7e308)
+    Quota(permits=40000, requests=1, window_s=4.0)
     """
-    per_s = max(per_s, LEAST_PER_S)
-    requests = max(math.ceil(WINDOW_S * per_s / MOST_PERMITS), 1)
-    permits = max(math.ceil(WINDOW_S * per_s / requests), 1)
-    return shares_module.Quota(permits, requests, permits * requests / per_s)
+    per_s = min(max(per_s, LEAST_PER_S), MOST_PER_S)
+    permits = math.ceil(WINDOW_S * per_s)
+    return shares_module.Quota(permits, 1, permits / per_s)
--- a/tests/gateway/test_limit_words.py
+++ b/tests/gateway/test_limit_words.py
@@ -125,3 +125,18 @@
         assert figures['target_limit_used_per_second'] == '0.25'
 
     site.run(check, plain=1, engines=1)
+
+
+def test_a_figure_of_three_hundred_digits_is_a_limit_like_any_other():
+    """Each request for the service got a 500: the quota could not be found."""
+
+    async def check(deployment):
+        hub = await deployment.start_box()
+        for runner in deployment.plain:
+            runner.limit = '9' * 308
+        await site.ask(hub, '/safe/a')
+        await asyncio.sleep(STARTED_S)
+        for _ in range(4):
+            assert (await site.ask(hub, '/safe/a')).status == 200
+
+    site.run(check, engines=1)
