Start boxes that know each other in one place of the tests

Cause: the tests on ends and on limits each had the same function for it. Change: it stands beside the deployment that both use; no assertion changes. Measured: both modules pass.

--- a/tests/gateway/site.py
+++ b/tests/gateway/site.py
@@ -206,6 +206,17 @@
     asyncio.run(main())
 
 
+async def start_boxes(deployment, count):
+    """Start some boxes that know each other."""
+    hubs = []
+    for number in range(count):
+        seeds = [hub.place.links for hub in hubs]
+        hubs.append(await deployment.start_box(f'box{number}', seeds))
+    for hub in hubs:
+        await wait_until(lambda hub=hub: len(hub.peering.peers) == count - 1)
+    return hubs
+
+
 async def wait_until(holds, seconds=4.0):
     """Wait until something holds; fails when it does not in time."""
     async with asyncio.timeout(seconds):
--- a/tests/gateway/test_endings.py
+++ b/tests/gateway/test_endings.py
@@ -95,22 +95,9 @@
     site.run(start, engines=ENGINES)
 
 
-async def start_boxes(deployment, count=BOXES):
-    """Start some boxes that know each other."""
-    hubs = []
-    for number in range(count):
-        seeds = [hub.place.links for hub in hubs]
-        hubs.append(await deployment.start_box(f'box{number}', seeds))
-    for hub in hubs:
-        await site.wait_until(
-            lambda hub=hub: len(hub.peering.peers) == count - 1
-        )
-    return hubs
-
-
 def test_a_request_that_ends_targets_reaches_no_more_of_them():
     async def check(deployment, engines):
-        hubs = await start_boxes(deployment)
+        hubs = await site.start_boxes(deployment, BOXES)
         for number in range(ARRIVALS):
             hub = hubs[number % BOXES]
             await site.ask(hub, '/resumed/a', FATAL)
@@ -122,7 +109,7 @@
 
 def test_ordinary_requests_alone_end_nothing():
     async def check(deployment, engines):
-        hubs = await start_boxes(deployment)
+        hubs = await site.start_boxes(deployment, BOXES)
         for number in range(ARRIVALS):
             hub = hubs[number % BOXES]
             got = await site.ask(hub, '/resumed/a', b'ordinary')
@@ -135,7 +122,7 @@
 
 def test_a_box_that_starts_alone_has_read_under_what_targets_ended():
     async def check(deployment, engines):
-        (hub,) = await start_boxes(deployment, 1)
+        (hub,) = await site.start_boxes(deployment, 1)
         while engines.count_ends() < MOST_ENDS:
             await site.ask(hub, '/resumed/a', FATAL)
         await site.wait_until(lambda: not hub.marks.list_due())
@@ -157,7 +144,7 @@
 
 def test_the_same_body_of_another_path_counts_by_itself():
     async def check(deployment, engines):
-        (hub,) = await start_boxes(deployment, 1)
+        (hub,) = await site.start_boxes(deployment, 1)
         while engines.count_ends() < MOST_ENDS:
             await site.ask(hub, '/resumed/a', FATAL)
         ends = engines.count_ends()
--- a/tests/gateway/test_limits.py
+++ b/tests/gateway/test_limits.py
@@ -54,19 +54,6 @@
     return per_s * WINDOW_S * OVER + SLACK
 
 
-async def start_boxes(deployment):
-    """Start some boxes that know each other."""
-    hubs = []
-    for number in range(BOXES):
-        seeds = [hub.place.links for hub in hubs]
-        hubs.append(await deployment.start_box(f'box{number}', seeds))
-    for hub in hubs:
-        await site.wait_until(
-            lambda hub=hub: len(hub.peering.peers) == BOXES - 1
-        )
-    return hubs
-
-
 async def ask_steadily(hubs, path, seconds):
     """Ask box after box in an even pace; gives what came back."""
     works = []
@@ -84,7 +71,7 @@
 
 def test_all_boxes_together_keep_to_what_a_target_names():
     async def check(deployment):
-        hubs = await start_boxes(deployment)
+        hubs = await site.start_boxes(deployment, BOXES)
         limited, free = deployment.plain
         limited.limit = str(PER_S)
         # Slow enough that the boxes need both.
@@ -103,7 +90,7 @@
     """Run a check with callers while all targets of a service are limited."""
 
     async def start(deployment):
-        hubs = await start_boxes(deployment)
+        hubs = await site.start_boxes(deployment, BOXES)
         for runner in deployment.plain:
             runner.limit = str(PER_S)
             runner.usual = 'slow echo'
