Let only a success without a limit end one

What callers saw: nothing so far; a target in need that fails a request without naming its limit in the failure would have been sent as much as ever, by all boxes, until its next answer. Cause: each answer to the right request counted as a word that no limit holds. Change: only a signed success does. Why it holds: a success is made by the target that names the limit, by the same rule; where it answers none, its permits go on being used. Measured: the new test found the limit gone after a 500, now it stays until the next success. Where no target names a limit nothing is different: such a word is only taken in for a target that has named one.

--- a/landingspool/decisions/gateway/limits.py
+++ b/landingspool/decisions/gateway/limits.py
@@ -12,7 +12,7 @@
 
 A limit does not lapse with time, since a target that nobody asks says
 nothing.  It ends by what its permits are for: requests still go to the target,
-and the first answer without a limit is told to all.
+and the first success without a limit is told to all.
 """
 
 import collections
--- a/landingspool/gateway/attempts.py
+++ b/landingspool/gateway/attempts.py
@@ -348,9 +348,11 @@
         if head.status == answers.MISDIRECTED:
             # Another target has the address now.
             return
-        certain = is_answer_to(head, self._progress.call.name)
-        if not certain and not head.not_run:
+        answered = is_answer_to(head, self._progress.call.name)
+        if not answered and not head.not_run:
             return
+        # Only a signed success without a limit tells that there is none.
+        certain = answered and is_success(head)
         self._hub.limiting.take(
             self._plan.entry.name, head.limit, self._sent, certain
         )
--- a/tests/gateway/test_limit_words.py
+++ b/tests/gateway/test_limit_words.py
@@ -140,3 +140,26 @@
             assert (await site.ask(hub, '/safe/a')).status == 200
 
     site.run(check, engines=1)
+
+
+def test_a_failure_that_names_no_limit_ends_none():
+    """A limit was over with the first failure, and named anew a moment later.
+
+    What a target in need puts into the answers to requests that it failed is
+    not said anywhere; sent too much in between can't be taken back.
+    """
+
+    async def check(deployment):
+        hub = await deployment.start_box()
+        (runner,) = deployment.plain
+        runner.limit = '4.5'
+        await site.ask(hub, '/safe/a')
+        await asyncio.sleep(STARTED_S)
+        runner.limit, runner.usual = None, 'failure'
+        assert (await site.ask(hub, '/unsafe/a')).status == 500
+        assert hub.view.bars.limits.find('p0')
+        runner.usual = 'whole'
+        assert (await site.ask(hub, '/safe/a')).status == 200
+        assert not hub.view.bars.limits.find('p0')
+
+    site.run(check, plain=1, engines=1)
