Trim what is known of limits by the function that trims marks

Cause: read again, the module on limits dropped its oldest rows by a loop that the module on ends has as a function. Change: that function is called; nothing else is different. Measured: formatter and linter are clean; the doctests of the decisions and the tests on limits, ends and layout pass.

--- a/landingspool/decisions/gateway/limits.py
+++ b/landingspool/decisions/gateway/limits.py
@@ -20,6 +20,7 @@
 import math
 import typing
 
+from landingspool.decisions.gateway import endings
 from landingspool.decisions.gateway import neighbours
 from landingspool.decisions.gateway import shares as shares_module
 
@@ -247,8 +248,7 @@
             self.fresh.append(Change(life, word))
         self._known[life] = word
         self._known.move_to_end(life)
-        while len(self._known) > MOST_KNOWN:
-            self._known.popitem(last=False)
+        endings.limit(self._known, MOST_KNOWN)
 
 
 def is_looser(word, known):
