Log what targets say of themselves in their answers

Cause: no line told whether an answer had said that its target leaves, or what rest it had asked for, so a word that nobody reads could not be told from one that is read and lost. Change: one place reads what an answer says of its target (limit, rest, that it leaves), the log has a line for each, and a call beside the requests remembers to which life it went. Nothing decides by the new words yet. The line for an unreadable limit is one for any unreadable word now, with the word's name; its test holds as it was, under the new name.

--- a/landingspool/events.py
+++ b/landingspool/events.py
@@ -256,9 +256,21 @@
         ),
         Kind(
             515,
-            'bad_limit',
+            'bad_word',
             'ERROR',
-            'A target names a limit that can not be read; nothing changes.',
+            'What a target says of itself can not be read; nothing changes.',
+        ),
+        Kind(
+            516,
+            'leaving_told',
+            'WARNING',
+            'A target says in an answer that it leaves.',
+        ),
+        Kind(
+            517,
+            'rest_asked',
+            'WARNING',
+            'A target wants no request of this box for a time.',
         ),
         Kind(
             600, 'kept', 'DEBUG', 'A block of context was sealed in a store.'
--- a/landingspool/gateway/attempts.py
+++ b/landingspool/gateway/attempts.py
@@ -190,7 +190,7 @@
         except upstream_module.Broken as error:
             return self._lose_broken(error)
         self._note_version(head.version)
-        self._note_limit(head)
+        self._note_words(head)
         if head.not_run:
             return await self._take_rejection(head)
         if not is_answer_to(head, self._progress.call.name):
@@ -233,7 +233,7 @@
         ):
             # Another target has the address now: this one is gone.
             self._view.fleet.drop(name, self._hub.clock(), False)
-        elif not isinstance(head.limit, limits.Named):
+        elif not isinstance(head.words.limit, limits.Named):
             # Who names a limit and turns away what is over it is not sick.
             self._note_loss(certain=True)
         try:
@@ -344,7 +344,7 @@
         self._view.note_answer(self._plan, now - self._sent, False)
         self._progress.note_first(now)
 
-    def _note_limit(self, head):
+    def _note_words(self, head):
         if head.status == answers.MISDIRECTED:
             # Another target has the address now.
             return
@@ -353,8 +353,8 @@
             return
         # Only a signed success without a limit tells that there is none.
         certain = answered and is_success(head)
-        self._hub.limiting.take(
-            self._plan.entry.name, head.limit, self._sent, certain
+        self._hub.hearing.take(
+            self._plan.entry.name, head.words, self._sent, certain
         )
 
     def _note_version(self, version):
--- /dev/null
+++ b/landingspool/gateway/hearing.py
@@ -0,0 +1,139 @@
+"""Takes in what targets say in their answers, and tells operators of it."""
+
+import typing
+
+from landingspool.decisions.gateway import neighbours
+from landingspool.gateway import marks
+from landingspool.platform import limits as field
+from landingspool.platform import words as words_module
+
+
+class Called(typing.NamedTuple):
+    """A call beside the requests, as it goes out.
+
+    `lives` are the names of the lives at its address then: an answer says
+    nothing of a life that has begun since.
+    """
+
+    lives: tuple
+    asked: float
+
+
+class Hearing:
+    """What answers say of their targets, for the decisions and for the log.
+
+    Parameters
+    ----------
+    hub
+        The box's parts: `view`, `recorder`, `metrics`, `clock`.
+    """
+
+    def __init__(self, hub):
+        self._hub = hub
+        self._limits = hub.view.bars.limits
+        self._unreadable = set()
+        self._leaving = set()
+
+    def take(self, name, words, asked, certain=True):
+        """Take in what an answer of a target says.
+
+        Parameters
+        ----------
+        name : str
+            Of the target's life.
+        words : words.Words
+        asked : float
+            When the request went out.
+        certain : bool
+            Whether an answer of this kind names a limit wherever one holds:
+            only then one without tells that there is none.
+        """
+        self._take_limit(name, words.limit, asked, certain)
+        self._take_rest(name, words.rest)
+        self._take_leaving(name, words.leaving)
+        for title, word in words._asdict().items():
+            if isinstance(word, field.Unreadable):
+                self._note_unreadable(name, title, word.text)
+
+    def begin_call(self, address):
+        """Give the Called of a call to an address that goes out now."""
+        entries = self._hub.view.fleet.entries.values()
+        lives = tuple(
+            entry.name
+            for entry in entries
+            if tuple(entry.address) == tuple(address)
+        )
+        return Called(lives, self._hub.clock())
+
+    def take_beside(self, called, words):
+        """Take in what the answer to a call beside the requests says.
+
+        Whether such answers name each limit isn't said anywhere, so one
+        without tells nothing.
+
+        Parameters
+        ----------
+        called : Called
+        words : words.Words
+        """
+        for name in called.lives:
+            self.take(name, words, called.asked, certain=False)
+
+    def look(self):
+        """Log what is new, by the names of the targets."""
+        changes = marks.take_all(self._limits.fresh)
+        if not changes:
+            return
+        entries = self._hub.view.fleet.entries
+        names = {neighbours.code_target(name): name for name in entries}
+        for life, known in changes:
+            if known.box and known.since < known.changed and known.per_s:
+                # Who heard the target name another figure has logged it.
+                continue
+            self._hub.recorder.record(
+                'limit_named' if known.per_s else 'limit_over',
+                target=names.get(life, life),
+                per_s=known.per_s,
+                told_by=known.box or self._hub.place.box,
+                age_s=round(self._hub.clock() - known.heard, 3),
+            )
+
+    def sweep(self):
+        """Bring the metrics up to date."""
+        entries = self._hub.view.fleet.entries
+        self._unreadable = {
+            row for row in self._unreadable if row[0] in entries
+        }
+        now = self._hub.clock()
+        named = self._limits.list_named(entries)
+        used = {name: self._limits.find_used(name, now) for name in named}
+        self._hub.metrics.note_limits(named, used, now)
+
+    def _take_limit(self, name, limit, asked, certain):
+        now = self._hub.clock()
+        if isinstance(limit, field.Named):
+            self._limits.note_named(name, limit.per_s, asked, now)
+            self._hub.peering.hurry()
+        elif isinstance(limit, field.Unnamed) and certain:
+            self._limits.note_unnamed(name, asked, now)
+
+    def _take_rest(self, name, rest):
+        if isinstance(rest, words_module.Rest):
+            self._hub.recorder.record(
+                'rest_asked', target=name, seconds=rest.seconds
+            )
+
+    def _take_leaving(self, name, leaving):
+        if not isinstance(leaving, words_module.Leaving):
+            return
+        if name not in self._leaving:
+            self._leaving.add(name)
+            self._hub.recorder.record('leaving_told', target=name)
+
+    def _note_unreadable(self, name, title, text):
+        # One line for what a target says again and again.
+        if (name, title) not in self._unreadable:
+            self._unreadable.add((name, title))
+            self._hub.recorder.record(
+                'bad_word', target=name, word=title, text=text
+            )
--- a/landingspool/gateway/hub.py
+++ b/landingspool/gateway/hub.py
@@ -12,7 +12,7 @@
 from landingspool.gateway import cachewatch
 from landingspool.gateway import figures
 from landingspool.gateway import following
-from landingspool.gateway import limiting
+from landingspool.gateway import hearing
 from landingspool.gateway import listener
 from landingspool.gateway import marks
 from landingspool.gateway import ordering
@@ -81,8 +81,8 @@
         self.beat = timing.Beat()
         self.client = httpclient.Client()
         self.store = store.Store(self.client, place.store, clock)
-        self.limiting = limiting.Limiting(self)
-        self.runners = runners.Runners(self.client, self.limiting.take_beside)
+        self.hearing = hearing.Hearing(self)
+        self.runners = runners.Runners(self.client, self.hearing)
         self.upstream = upstream.Upstream(self.metrics, clock)
         most = max(place.descriptors - OWN_DESCRIPTORS, LEAST_CONNECTIONS)
         self.listener = listener.Listener(self._handle, self._limits, most)
@@ -174,11 +174,11 @@
             self.view.endings.note_over(name, tick.now)
             self.view.forget(name)
         self.marks.look()
-        self.limiting.look()
+        self.hearing.look()
 
     def _sweep(self, tick):
         self.upstream.sweep()
-        self.limiting.sweep()
+        self.hearing.sweep()
         bars = self.view.bars
         self.metrics.note_targets(
             len(bars.coldness.list_cold(tick.now)),
--- a/landingspool/platform/answers.py
+++ b/landingspool/platform/answers.py
@@ -6,8 +6,8 @@
 
 import typing
 
-from landingspool.platform import limits
 from landingspool.platform import names
+from landingspool.platform import words as words_module
 
 # The status of a target that now has another one's address (RFC 9110,
 # 15.5.20): it ran nothing.
@@ -25,8 +25,8 @@
         Whether it says that the request has not run and won't.
     kept_s : float or None
         Whole seconds for which the target keeps the connection.
-    limit : limits.Named, limits.Unnamed or limits.Unreadable
-        The requests a second that the target takes from all boxes.
+    words : words.Words
+        What the answer says of the target.
     """
 
     status: int
@@ -39,7 +39,7 @@
     kept_s: float | None
     version: int | None
     target: str
-    limit: typing.Any = limits.Unnamed()
+    words: words_module.Words = words_module.Words()
 
 
 def read_head(status, headers):
@@ -61,7 +61,7 @@
         kept_s=read_kept(found.get('keep-alive', '')),
         version=read_whole(found.get(names.VERSION)),
         target=found.get(names.TARGET_ID, ''),
-        limit=limits.read_head_limit(headers),
+        words=words_module.read_head_words(status, headers),
     )
 
 
--- a/landingspool/platform/limits.py
+++ b/landingspool/platform/limits.py
@@ -54,9 +54,9 @@
     """
     if not texts:
         return Unnamed()
-    figures = [read_figure(part) for text in texts for part in text.split(',')]
+    figures = [read_figure(part) for part in split_parts(texts)]
     if None in figures:
-        return Unreadable(repr(', '.join(texts)[:MOST_LOGGED]))
+        return Unreadable(quote(texts))
     return Named(min(figures))
 
 
@@ -73,13 +73,36 @@
     return figure if 0 < figure < float('inf') else None
 
 
-def read_head_limit(headers):
-    """Read the field in a head.
+def split_parts(texts):
+    """Split the lines of a field at its commas.
+
+    >>> split_parts(['1, 2', ' 3'])
+    ['1', '2', '3']
+    """
+    return [part.strip(' \t') for text in texts for part in text.split(',')]
+
+
+def quote(texts):
+    """Give the lines of a field for the log.
+
+    >>> quote(['a', 'b'])
+    "'a, b'"
+    """
+    return repr(', '.join(texts)[:MOST_LOGGED])
+
+
+def list_lines(headers, name):
+    """List the lines of a field in a head.
 
     Parameters
     ----------
     headers : list of tuple of bytes
         Names in lower case.
     """
-    name = names.LIMIT.encode()
-    return read_limit([v.decode('latin-1') for k, v in headers if k == name])
+    key = name.encode()
+    return [v.decode('latin-1') for k, v in headers if k == key]
+
+
+def read_head_limit(headers):
+    """Read the field in a head, as list_lines takes it."""
+    return read_limit(list_lines(headers, names.LIMIT))
--- a/landingspool/platform/names.py
+++ b/landingspool/platform/names.py
@@ -22,6 +22,11 @@
 # Carried by answers of a target in need: the requests a second that it takes
 # from all boxes together.
 LIMIT = 'server-limit'
+# Carried by answers of a target that leaves.
+LEAVING = 'server-leaving'
+# Carried by a target's refusal: the seconds for which it wants no request of
+# the box that it refused.
+REST = 'retry-after'
 URGENCY = 'priority'
 LAST_EVENT = 'last-event-id'
 AUTHORIZATION = 'authorization'
--- a/landingspool/platform/runners.py
+++ b/landingspool/platform/runners.py
@@ -7,8 +7,8 @@
 from landingspool.decisions.gateway import warmth
 from landingspool import http
 from landingspool.platform import catalogue
-from landingspool.platform import limits
 from landingspool.platform import names
+from landingspool.platform import words
 
 # Seconds for an answer; a report takes some ms, a held call its hold more.
 ANSWER_S = 1.0
@@ -59,15 +59,15 @@
     Parameters
     ----------
     client : httpclient.Client
-    note_limit : callable, optional
-        ``note_limit(address, limit, seconds)`` is called with each limit that
-        an answer names (limits.read_limit), and for how long the call may
-        have lasted.
+    observer
+        Told of what answers say of their targets: anything with
+        ``begin_call(address)``, and ``take_beside(called, words)`` for what
+        that gave.
     """
 
-    def __init__(self, client, note_limit=None):
+    def __init__(self, client, observer):
         self._client = client
-        self._note_limit = note_limit
+        self._observer = observer
 
     async def report(self, address):
         """Ask a target for its figures; a Report or Unanswered."""
@@ -161,15 +161,15 @@
     async def _call(
         self, address, method, path, body=b'', headers=(), timeout=ANSWER_S
     ):
+        called = self._observer.begin_call(address)
         try:
             reply = await self._client.fetch(
                 address, method, path, body, headers, timeout
             )
         except http.Unreachable as error:
             return Unanswered(str(error), error.sent)
-        if self._note_limit is not None and names.LIMIT in reply.headers:
-            text = reply.headers[names.LIMIT]
-            self._note_limit(address, limits.read_limit([text]), timeout)
+        said = words.read_folded_words(reply.status, reply.headers)
+        self._observer.take_beside(called, said)
         return reply
 
 
--- a/standins/behaviours.py
+++ b/standins/behaviours.py
@@ -35,7 +35,7 @@
     lines.append(f'x-landingspool-request-id: {get_id(head)}')
     if stamp:
         lines.append(f'x-landingspool-response-stamp: stamp-{runner.name}')
-    rows = '\r\n'.join(lines).encode() + b'\r\n' + runner.name_limit(head)
+    rows = '\r\n'.join(lines).encode() + b'\r\n' + runner.say(head)
     writer.write(rows + b'\r\n' + body)
 
 
@@ -61,7 +61,7 @@
         b'content-type: text/event-stream\r\n'
         + f'x-landingspool-request-id: {get_id(head)}\r\n'
         f'x-landingspool-response-stamp: stamp-{runner.name}\r\n'.encode()
-        + runner.name_limit(head)
+        + runner.say(head)
         + b'\r\n'
     )
 
@@ -103,7 +103,10 @@
     """Refuse without running."""
     writer.write(
         b'HTTP/1.1 503 X\r\nx-landingspool-not-executed: 1\r\n'
-        b'content-length: 0\r\n' + runner.name_limit(head) + b'\r\n'
+        b'content-length: 0\r\n'
+        + runner.say(head)
+        + runner.ask_rest()
+        + b'\r\n'
     )
 
 
--- a/standins/runner.py
+++ b/standins/runner.py
@@ -37,6 +37,10 @@
         What it names in its answers as the requests a second that it takes.
     told : list of tuple
         When an answer to a request named it, with that request's id.
+    leaving : bool
+        Whether it says in its answers that it leaves.
+    rest : str or None
+        What it names as the seconds of rest that it wants, where it sheds.
     cancelled : int
         Requests whose connection closed while they ran.
     """
@@ -63,6 +67,8 @@
         self.ended = False
         self.limit = None
         self.told = []
+        self.leaving = False
+        self.rest = None
         self._writers = set()
         self._seen = set()
         self._server = None
@@ -143,19 +149,27 @@
         version = head.get('expect-version', str(self.version))
         return wanted == self.name and version == str(self.version)
 
-    def name_limit(self, head=None):
-        """Give the line of a head that names the limit, if one holds.
+    def say(self, head=None):
+        """Give the lines of a head that say something of this target.
 
         Parameters
         ----------
         head : dict, optional
             Of the request that is answered.
         """
+        lines = b'server-leaving: 1\r\n' if self.leaving else b''
         if self.limit is None:
-            return b''
+            return lines
         if head is not None:
             self.told.append((time.monotonic(), behaviours.get_id(head)))
-        return b'server-limit: ' + self.limit.encode('latin-1') + b'\r\n'
+        limit = self.limit.encode('latin-1')
+        return lines + b'server-limit: ' + limit + b'\r\n'
+
+    def ask_rest(self):
+        """Give the line of a refusal that asks for rest, if it wants some."""
+        if self.rest is None:
+            return b''
+        return b'retry-after: ' + self.rest.encode('latin-1') + b'\r\n'
 
     def run(self, head, body):
         """Note that a request runs."""
@@ -168,7 +182,7 @@
         data = json.dumps(value).encode()
         writer.write(
             b'HTTP/1.1 %d X\r\ncontent-length: %d\r\n%s\r\n'
-            % (status, len(data), self.name_limit())
+            % (status, len(data), self.say())
             + data
         )
 
--- a/tests/gateway/test_limit_words.py
+++ b/tests/gateway/test_limit_words.py
@@ -21,8 +21,8 @@
         for _ in range(6):
             assert (await site.ask(hub, '/safe/a')).status == 200
         assert not hub.view.bars.limits.list_named(hub.view.fleet.entries)
-        assert hub.recorder.counts['bad_limit'] <= len(deployment.plain)
-        assert hub.recorder.counts['bad_limit'] >= 1
+        assert hub.recorder.counts['bad_word'] <= len(deployment.plain)
+        assert hub.recorder.counts['bad_word'] >= 1
 
     site.run(check, engines=1)
 
@@ -116,7 +116,7 @@
         (runner,) = deployment.plain
         runner.limit = '0.5'
         await site.ask(hub, '/safe/a')
-        hub.limiting.sweep()
+        hub.hearing.sweep()
         lines = hub.metrics.render().decode().splitlines()
         rows = [line for line in lines if 'target="p0"' in line]
         figures = {row.split('{')[0][21:]: row.split()[1] for row in rows}
