--- a/standins/runner.py
+++ b/standins/runner.py
@@ -118,8 +118,15 @@
                     self._answer_call(writer, head, body)
                     continue
                 at = time.monotonic()
-                self.heads.append({**head, 'at': at, 'limit': self.limit})
                 name = self.script.pop(0) if self.script else self.usual
+                self.heads.append(
+                    {
+                        **head,
+                        'at': at,
+                        'limit': self.limit,
+                        'shed': name == 'shed',
+                    }
+                )
                 if self.fatal is not None and body == self.fatal:
                     name = 'fatal'
                 if name != 'shed' and not self._is_mine(head):
