Send nothing more to a target that says in an answer that it leaves

What callers saw: requests, and streams, sent to a target twelve seconds after it had said that it leaves; had it gone by then, they would have been lost. Cause: no box read the word. Whether a target leaves was known from the store's list alone, which was away. Change: the word is kept by the life that said it and never forgotten while that may last; it bars the target for requests at the choice and once more as they go out, for orders, probes and calls for cache events; other boxes are told by digests and with the whole state. Where all targets of a service leave callers are refused at once and told to come back in 1 to 2 s. Log lines for the word and its end, the age by target in the gauges and the line of figures. The end of a life is one call of the view now, where three places had two. Why it holds: the bar does not rest on the list, so nothing read later takes it back, and a new life begins without it.

--- a/landingspool/decisions/gateway/bars.py
+++ b/landingspool/decisions/gateway/bars.py
@@ -1,8 +1,9 @@
 """What keeps a request from a target, however well that would serve it.
 
-The homes of the request, an evacuation of the target's domain, and what a
-cold target bears.  Asked when a target is chosen and once more at the moment
-of sending, since a connection may have to come up in between.
+The homes of the request, an evacuation of the target's domain, what a cold
+target bears, and what targets say of themselves.  Asked when a target is
+chosen and once more at the moment of sending, since a connection may have to
+come up in between.
 """
 
 import typing
@@ -10,12 +11,15 @@
 from landingspool.decisions.gateway import coldness as coldness_module
 from landingspool.decisions.gateway import evacuation
 from landingspool.decisions.gateway import homes
+from landingspool.decisions.gateway import leaving as leaving_module
 from landingspool.decisions.gateway import limits as limits_module
 from landingspool.decisions.gateway import shares as shares_module
 
 
 # What forbids a target that has got as many requests as it takes.
 LIMITED = 'limited'
+# What forbids a target that has said that it leaves.
+LEAVING = 'leaving'
 
 
 class Limits(typing.NamedTuple):
@@ -48,6 +52,7 @@
             self.shares, bounds.cold_over, bounds.cold_slack
         )
         self.limits = limits_module.Limits(self.shares)
+        self.leaving = leaving_module.Leaving()
 
     def find_limits(self, work, table):
         """Give the Limits of a request."""
@@ -75,8 +80,17 @@
             return 'no_home'
         if self.evacuation.holds(entry.domain):
             return 'evacuated'
+        # By its own word, since the list may be away: twelve seconds long
+        # requests went to a target that had said it was about to go.
+        if self.leaving.holds(entry.name):
+            return LEAVING
         return None
 
+    def may_call(self, entry):
+        """Tell whether calls beside the requests may go to a target."""
+        held = self.evacuation.holds(entry.domain)
+        return not held and not self.leaving.holds(entry.name)
+
     def list_limited(self, entries, limits):
         """List the entries with limits that nothing else forbids for long."""
         return [
@@ -123,7 +137,7 @@
         return True
 
     def forget(self, name):
-        """Forget a life that is over."""
+        """Forget a life that is over, but not its word that it leaves."""
         self.shares.forget(name)
         self.coldness.forget(name)
         self.limits.forget(name)
--- a/landingspool/decisions/gateway/neighbours.py
+++ b/landingspool/decisions/gateway/neighbours.py
@@ -66,6 +66,21 @@
     heard_ms: int
 
 
+class LeavingWord(typing.NamedTuple):
+    """A target that has said that it leaves.
+
+    Attributes
+    ----------
+    life : int
+        Code of the target's life (code_target).
+    age_ms : int
+        Milliseconds since it said so.
+    """
+
+    life: int
+    age_ms: int
+
+
 class Digest(typing.NamedTuple):
     """What one box has under way.
 
@@ -87,6 +102,8 @@
         Targets that ended under requests, as it has seen or heard.
     limits : tuple of LimitWord
         What targets say of the requests that they take, likewise.
+    leaving : tuple of LeavingWord
+        Targets that have said that they leave, likewise.
     """
 
     box: str
@@ -98,6 +115,7 @@
     link_mbps: float = 0.0
     endings: tuple[Word, ...] = ()
     limits: tuple[LimitWord, ...] = ()
+    leaving: tuple[LeavingWord, ...] = ()
 
 
 class Ask(typing.NamedTuple):
--- a/landingspool/decisions/gateway/view.py
+++ b/landingspool/decisions/gateway/view.py
@@ -96,8 +96,7 @@
         if state == fleet_module.OVER:
             return state
         if before not in (None, entry.name):
-            self.endings.note_over(before, now)
-            self.forget(before)
+            self.note_over(before, now)
         self.bars.coldness.note_told(entry.name, entry.cold_s, now)
         return state
 
@@ -122,7 +121,7 @@
         return [
             entry
             for entry in self.fleet.list_model(model, self.list_services())
-            if not self.bars.evacuation.holds(entry.domain)
+            if self.bars.may_call(entry)
         ]
 
     def may_send(self, entry, work, now):
@@ -309,6 +308,8 @@
             self.endings.take(word, now)
         for word in digest.limits:
             self.bars.limits.take(word, digest.box, now)
+        for word in digest.leaving:
+            self.bars.leaving.take(word, digest.box, now)
         for store, counted in digest.rooms.items():
             self.warmth.note_taken(store, *counted)
 
@@ -335,6 +336,17 @@
         """Take one repeat from the retry budget of a service."""
         return self._get_allowance(service).take(now, self.boxes)
 
+    def may_call(self, name):
+        """Tell whether calls beside the requests may go to a target."""
+        entry = self.fleet.entries.get(name)
+        return entry is not None and self.bars.may_call(entry)
+
+    def note_over(self, name, now):
+        """Take in that the life of a target is over."""
+        self.endings.note_over(name, now)
+        self.bars.leaving.note_over(name)
+        self.forget(name)
+
     def forget(self, name):
         """Forget what was learnt of a target that has gone."""
         self._health.pop(name, None)
--- a/landingspool/events.py
+++ b/landingspool/events.py
@@ -268,6 +268,12 @@
         ),
         Kind(
             517,
+            'leaving_over',
+            'INFO',
+            'A target that had said that it leaves is gone.',
+        ),
+        Kind(
+            518,
             'rest_asked',
             'WARNING',
             'A target wants no request of this box for a time.',
--- a/landingspool/gateway/figures.py
+++ b/landingspool/gateway/figures.py
@@ -53,6 +53,11 @@
             'Requests that this box sent the target in the last window',
             ('target',),
         )
+        self.leaving_ages = self._gauge(
+            'target_leaving_age_seconds',
+            'Since when a target is known to have said that it leaves',
+            ('target',),
+        )
         self.parted = self._gauge(
             'engines_parted', '1 while engines are parted by reading size'
         )
@@ -101,6 +106,18 @@
             self.limit_ages.labels(name).set(now - known.heard)
             self.limits_used.labels(name).set(used[name])
 
+    def note_leaving(self, ages_s):
+        """Note which targets have said that they leave.
+
+        Parameters
+        ----------
+        ages_s : dict of str to float
+            Seconds since then, by the name of the target's life.
+        """
+        self.leaving_ages.clear()
+        for name, age_s in ages_s.items():
+            self.leaving_ages.labels(name).set(age_s)
+
     def render(self):
         """Give the text of the metrics address."""
         return prometheus.generate_latest(self.registry)
--- a/landingspool/gateway/hearing.py
+++ b/landingspool/gateway/hearing.py
@@ -32,7 +32,7 @@
         self._hub = hub
         self._limits = hub.view.bars.limits
         self._unreadable = set()
-        self._leaving = set()
+        self._leaving = hub.view.bars.leaving
 
     def take(self, name, words, asked, certain=True):
         """Take in what an answer of a target says.
@@ -80,12 +80,31 @@
             self.take(name, words, called.asked, certain=False)
 
     def look(self):
-        """Log what is new, by the names of the targets."""
-        changes = marks.take_all(self._limits.fresh)
-        if not changes:
+        """Act on what is new, and log it by the names of the targets."""
+        limits = marks.take_all(self._limits.fresh)
+        leaving = marks.take_all(self._leaving.fresh)
+        if not limits and not leaving:
             return
-        entries = self._hub.view.fleet.entries
-        names = {neighbours.code_target(name): name for name in entries}
+        lives = self._hub.view.fleet.list_lives()
+        names = {neighbours.code_target(name): name for name in lives}
+        self._look_at_limits(limits, names)
+        self._look_at_leaving(leaving, names)
+
+    def _look_at_leaving(self, changes, names):
+        for known in changes:
+            name = names.get(known.life, known.life)
+            self._hub.recorder.record(
+                'leaving_over' if known.is_over else 'leaving_told',
+                target=name,
+                told_by=known.box or self._hub.place.box,
+                age_s=round(self._hub.clock() - known.heard, 3),
+            )
+            entry = self._hub.view.fleet.entries.get(name)
+            if entry is not None:
+                # What is at rest there only keeps places from the others.
+                self._hub.upstream.drop(entry.address)
+
+    def _look_at_limits(self, changes, names):
         for life, known in changes:
             if known.box and known.since < known.changed and known.per_s:
                 # Who heard the target name another figure has logged it.
@@ -108,6 +127,19 @@
         named = self._limits.list_named(entries)
         used = {name: self._limits.find_used(name, now) for name in named}
         self._hub.metrics.note_limits(named, used, now)
+        self._hub.metrics.note_leaving(self.list_leaving(now))
+
+    def list_leaving(self, now):
+        """Give the seconds since listed targets said that they leave."""
+        found = {
+            name: self._leaving.find(name)
+            for name in self._hub.view.fleet.entries
+        }
+        return {
+            name: round(now - known.heard, 1)
+            for name, known in found.items()
+            if known is not None
+        }
 
     def _take_limit(self, name, limit, asked, certain):
         now = self._hub.clock()
@@ -124,11 +156,8 @@
             )
 
     def _take_leaving(self, name, leaving):
-        if not isinstance(leaving, words_module.Leaving):
-            return
-        if name not in self._leaving:
-            self._leaving.add(name)
-            self._hub.recorder.record('leaving_told', target=name)
+        if isinstance(leaving, words_module.Leaving):
+            self._leaving.note_told(name, self._hub.clock())
 
     def _note_unreadable(self, name, title, text):
         # One line for what a target says again and again.
--- a/landingspool/gateway/hub.py
+++ b/landingspool/gateway/hub.py
@@ -171,8 +171,7 @@
             self.view.bars.shares.restart(tick.now)
         for name in self.view.fleet.tick(tick.now):
             self.recorder.record('target_down', target=name, sure=True)
-            self.view.endings.note_over(name, tick.now)
-            self.view.forget(name)
+            self.view.note_over(name, tick.now)
         self.marks.look()
         self.hearing.look()
 
@@ -200,6 +199,7 @@
             stores=self._describe_stores(tick.now),
             cold=len(self.view.bars.coldness.list_cold(tick.now)),
             evacuated=self.view.bars.evacuation.describe(tick.now),
+            leaving=self.hearing.list_leaving(tick.now),
         )
 
     def _describe_stores(self, now):
--- a/landingspool/gateway/ordering.py
+++ b/landingspool/gateway/ordering.py
@@ -206,6 +206,9 @@
             return rollouts.REFUSED
         if not self._hub.beat.is_fresh(self._hub.clock()):
             return rollouts.REFUSED
+        if not self._hub.view.may_call(entry.name):
+            # It may have said so since the order was planned.
+            return rollouts.REFUSED
         fence = self._lease.fence
         reply = await self._hub.runners.order(
             entry.address, order, report.orders, self._hub.place.box, fence
--- a/landingspool/gateway/peering.py
+++ b/landingspool/gateway/peering.py
@@ -229,6 +229,7 @@
             link_mbps=self._hub.place.link_mbps,
             endings=view.endings.tell(now),
             limits=view.bars.limits.tell(now),
+            leaving=view.bars.leaving.tell(now),
         )
         for address in self._pick_told():
             self._socket.send(digest, address)
--- a/landingspool/gateway/relay.py
+++ b/landingspool/gateway/relay.py
@@ -23,6 +23,9 @@
 # When a refused caller should come back, seconds: spread, so that callers
 # do not come back together; a target's reload takes about a second.
 RETRY_AFTER_S = (0.15, 0.5)
+# The same where all targets leave: another one has to start, load and be
+# listed.
+REPLACED_AFTER_S = (1.0, 2.0)
 
 
 class Answer(typing.NamedTuple):
@@ -104,6 +107,9 @@
                 lack = self._view.find_lack(progress.work, now)
                 if lack == bars.LIMITED:
                     return await self._defer(now)
+                if lack == bars.LEAVING:
+                    after = random.uniform(*REPLACED_AFTER_S)
+                    return await self._give_up(lack, after=after)
                 return await self._give_up(lack)
             if plan.is_scarce and not progress.sends:
                 if not self._view.room.take(
@@ -172,12 +178,12 @@
         self._hub.metrics.budget_refusals.inc()
         return False
 
-    async def _give_up(self, reason, status=502):
+    async def _give_up(self, reason, status=502, after=None):
         """Answer what can't be served; says "not run" only if that holds."""
         if self._reply.started:
             return self._break_off(reason)
         if not self._progress.may_have_run:
-            return await self._refuse(reason)
+            return await self._refuse(reason, after)
         await self._reply.send_error(status, reason)
         return Answer(status, reason, True)
 
--- a/landingspool/gateway/state.py
+++ b/landingspool/gateway/state.py
@@ -32,6 +32,8 @@
         The requests under which targets ended.
     limits : list of neighbours.LimitWord
         The limits that targets name.
+    leaving : list of neighbours.LeavingWord
+        The targets that have said that they leave.
     """
 
     proof_s: float
@@ -42,6 +44,7 @@
     evacuated: list[str] = []
     endings: list[neighbours.Word] = []
     limits: list[neighbours.LimitWord] = []
+    leaving: list[neighbours.LeavingWord] = []
 
 
 class State:
@@ -95,6 +98,7 @@
             evacuated=self._view.bars.evacuation.list_domains(),
             endings=self._view.endings.list_known(self._hub.clock()),
             limits=self._view.bars.limits.list_words(self._hub.clock()),
+            leaving=self._view.bars.leaving.list_words(self._hub.clock()),
         )
 
     def take(self, given, sent):
@@ -104,6 +108,8 @@
             self._view.endings.take(word, now)
         for limit in given.limits:
             self._view.bars.limits.take(limit, '', sent)
+        for word in given.leaving:
+            self._view.bars.leaving.take(word, '', sent)
         if given.table is None:
             return
         self.take_table(given.table)
@@ -192,8 +198,7 @@
         """
         name = self._lose_target(target, unsure)
         if name is not None and not unsure:
-            self._view.endings.note_over(name, self._hub.clock())
-            self._view.forget(name)
+            self._view.note_over(name, self._hub.clock())
 
     def _lose_target(self, target, unsure):
         """Take a target off the list; gives the name of its life."""
--- a/tests/gateway/test_leaving.py
+++ b/tests/gateway/test_leaving.py
@@ -6,6 +6,14 @@
 Order of events: the platform's store is away.  A target leaves, writes so into
 the store in vain, and says so in each of its answers.  Boxes pass these
 answers on, and go on sending there until the store is back.
+
+Cause: no box read the word.  Whether a target leaves was known from the
+store's list alone, and nothing else could have told it apart from another one.
+
+Evidence: the log tells of the leaving only when the store is back, twelve
+seconds after the answer, and nothing brought the target back before; the
+request came to the box 14 ms before it reached the target, for the first time;
+with the word read and the store's list as it was these tests pass.
 """
 
 import asyncio
--- /dev/null
+++ b/tests/gateway/test_leaving_words.py
@@ -0,0 +1,182 @@
+"""How a box hears and tells that targets leave, and for how long it holds."""
+
+import asyncio
+
+from landingspool.decisions.gateway import rollouts
+from landingspool import http
+from tests.gateway import site
+
+BORN = 1_700_000_000_000
+# Seconds in which a box that leaves out a word would have used the target.
+LATER_S = 0.5
+
+
+async def hear_leaving(hub, runner, path='/safe/a'):
+    """Let a box hear from a target itself that it leaves."""
+    runner.leaving = True
+    while not hub.view.bars.leaving.holds(runner.name):
+        await site.ask(hub, path)
+        await asyncio.sleep(0.01)
+
+
+def test_a_list_read_anew_does_not_bring_it_back():
+    async def check(deployment):
+        hub = await deployment.start_box()
+        (runner,) = deployment.plain
+        await hear_leaving(hub, runner)
+        known = len(runner.heads)
+        # It goes from the list, and comes back as it was before.
+        deployment.store.put('keyed.servers', 'p0', b'')
+        await site.wait_until(lambda: 'p0' not in hub.view.fleet.entries)
+        deployment.announce(runner, 'plain')
+        await site.wait_until(lambda: 'p0' in hub.view.fleet.entries)
+        assert (await site.ask(hub, '/safe/a')).status == 503
+        assert len(runner.heads) == known
+
+    site.run(check, plain=1, engines=1)
+
+
+def test_a_new_life_is_not_leaving():
+    async def check(deployment):
+        hub = await deployment.start_box()
+        (runner,) = deployment.plain
+        await hear_leaving(hub, runner)
+        runner.leaving = False
+        deployment.announce(runner, 'plain', born=BORN)
+        await site.wait_until(lambda: 'p0' not in hub.view.fleet.entries)
+        assert (await site.ask(hub, '/safe/a')).status == 200
+        await site.wait_until(lambda: hub.recorder.counts['leaving_over'])
+
+    site.run(check, plain=1, engines=1)
+
+
+def test_other_boxes_hear_of_it_and_one_that_starts():
+    async def check(deployment):
+        first, second = await site.start_boxes(deployment, 2)
+        (runner,) = deployment.plain
+        await hear_leaving(first, runner)
+        known = len(runner.heads)
+        await site.wait_until(lambda: second.view.bars.leaving.holds('p0'))
+        third = await deployment.start_box('box2', [first.place.links])
+        await site.wait_until(lambda: third.view.bars.leaving.holds('p0'))
+        assert [word.life for word in first.state.give().leaving]
+        for hub in (second, third):
+            got = await site.ask(hub, '/safe/a')
+            assert got.status == 503
+            assert 'leaving' in got.body.decode()
+        assert len(runner.heads) == known
+
+    site.run(check, plain=1, engines=1)
+
+
+def test_failures_refusals_and_calls_beside_requests_tell_it():
+    for behaviour in ('failure', 'shed'):
+
+        async def check(deployment, behaviour=behaviour):
+            hub = await deployment.start_box()
+            (runner,) = deployment.plain
+            runner.usual = behaviour
+            await hear_leaving(hub, runner, '/unsafe/a')
+            assert len(runner.heads) == 1
+
+        site.run(check, plain=1, engines=1)
+
+    async def check_report(deployment):
+        hub = await deployment.start_box()
+        (runner,) = deployment.engines
+        runner.leaving = True
+        await hub.runners.report(http.Address(*runner.address))
+        assert hub.view.bars.leaving.holds('e0')
+
+    site.run(check_report, plain=1, engines=1)
+
+
+def test_an_answer_to_a_call_tells_nothing_of_a_life_begun_since():
+    async def check(deployment):
+        hub = await deployment.start_box()
+        (runner,) = deployment.engines
+        called = hub.hearing.begin_call(http.Address(*runner.address))
+        deployment.announce(runner, 'engine', model='m', born=BORN)
+        await site.wait_until(lambda: 'e0' not in hub.view.fleet.entries)
+        assert called.lives == ('e0',)
+        assert not hub.view.bars.leaving.holds(f'e0@{BORN}')
+
+    site.run(check, plain=1, engines=1)
+
+
+def test_what_waits_for_a_connection_does_not_go_out_after_the_word():
+    async def check(deployment):
+        hub = await deployment.start_box()
+        (runner,) = deployment.plain
+        opened = hub.upstream.open
+
+        async def open_later(*args):
+            exchange = await opened(*args)
+            await asyncio.sleep(LATER_S)
+            return exchange
+
+        hub.upstream.open = open_later
+        work = asyncio.ensure_future(site.ask(hub, '/unsafe/a'))
+        await asyncio.sleep(LATER_S / 2)
+        hub.view.bars.leaving.note_told('p0', hub.clock())
+        assert (await work).status == 503
+        assert not runner.heads
+
+    site.run(check, plain=1, engines=1)
+
+
+def test_a_stream_is_served_to_its_end_and_the_next_goes_elsewhere():
+    async def check(deployment):
+        hub = await deployment.start_box()
+        for runner in deployment.engines:
+            runner.usual = 'stream'
+        leaving, other = deployment.engines
+        leaving.leaving = True
+        works = [site.ask(hub, f'/stream/{n}') for n in range(12)]
+        got = await asyncio.gather(*works)
+        assert {answer.status for answer in got} == {200}
+        assert all(answer.whole for answer in got)
+        assert leaving.heads
+        known = [len(runner.heads) for runner in deployment.engines]
+        for number in range(4):
+            assert (await site.ask(hub, f'/stream/{number}')).whole
+        assert len(leaving.heads) == known[0]
+        assert len(other.heads) == known[1] + 4
+
+    site.run(check)
+
+
+def test_it_gets_no_orders():
+    async def check(deployment):
+        hub = await deployment.start_box()
+        leaving, other = deployment.engines
+        hub.view.bars.leaving.note_told(leaving.name, hub.clock())
+        deployment.store.put(
+            'keyed.op', 'version/m', {'model': 'm', 'version': 2}
+        )
+        await site.wait_until(
+            lambda: other.orders, 8 * rollouts.CLOSING_S + 4.0
+        )
+        await asyncio.sleep(LATER_S)
+        assert not leaving.orders
+
+    site.run(check)
+
+
+def test_operators_see_since_when_it_leaves():
+    async def check(deployment):
+        hub = await deployment.start_box()
+        (runner,) = deployment.plain
+        await hear_leaving(hub, runner)
+        hub.hearing.sweep()
+        lines = hub.metrics.render().decode().splitlines()
+        (row,) = [
+            line
+            for line in lines
+            if 'target_leaving_age_seconds{target="p0"}' in line
+        ]
+        assert float(row.split()[1]) < 1.0
+        await site.wait_until(lambda: hub.recorder.counts['leaving_told'])
+        assert hub.recorder.counts['leaving_told'] == 1
+
+    site.run(check, plain=1, engines=1)
