Let targets leave unheard and ask for rest in the soak

Cause: the soak had no target that says of itself that it leaves before the store does, nor one that asks for rest, so it could not have met either fault. Change: two faults, and checks of what each target had said to each box, leaving out boxes that started or stood still since, and harmed paths.

--- a/soak/auditor.py
+++ b/soak/auditor.py
@@ -5,6 +5,8 @@
 from soak import callers
 from soak import faults
 from soak import fleet as fleet_module
+from soak import words
+from standins import behaviours
 
 # Seconds after which a leaving target may get nothing new (the bound is 2;
 # the rest is the scheduling of a machine that many processes share).
@@ -35,11 +37,12 @@
     runs = collections.Counter()
     for runner in fleet.runners:
         for head in runner.ran:
-            runs[get_id(head)] += 1
+            runs[behaviours.get_id(head)] += 1
     known = {row.name: row for row in sent}
     problems = [p for row in sent for p in check_answer(row, runs[row.name])]
     for runner in fleet.runners:
         problems += check_target(fleet, runner, known)
+        problems += words.check_words(fleet, runner, known)
     problems += check_stops(fleet)
     for limited in fleet.limits:
         problems += check_limit(fleet, limited, known)
@@ -72,10 +75,10 @@
     runner, told, counted = limited.runner, {}, []
     for at, name in runner.told:
         if at >= limited.since:
-            told.setdefault(find_box(name, known), at)
+            told.setdefault(words.find_box(name, known), at)
     for head in runner.heads:
-        at, name = head['at'], get_id(head)
-        box = find_box(name, known)
+        at, name = head['at'], behaviours.get_id(head)
+        box = words.find_box(name, known)
         if at > (limited.ended or at) or box not in told or not head['limit']:
             continue
         since = at - CONTACT_S
@@ -87,17 +90,6 @@
     return counted
 
 
-def get_id(head):
-    """Give the caller's id of a request."""
-    return head['x-landingspool-request-id']
-
-
-def find_box(name, known):
-    """Give the name of the box that a request went to."""
-    row = known.get(name)
-    return row.box if row is not None else name.rpartition(' ')[2]
-
-
 def check_ending(fleet, path):
     """Yield that a request went on ending targets, if it did.
 
@@ -129,7 +121,7 @@
 
 def get_box(row):
     """Give the box that sent a request that ends its targets."""
-    return find_box(get_id(row), {})
+    return words.find_box(behaviours.get_id(row), {})
 
 
 def check_stops(fleet):
@@ -172,7 +164,7 @@
 def check_target(fleet, runner, known):
     """Yield what should not have reached a target."""
     for head in runner.ran:
-        name = get_id(head)
+        name = behaviours.get_id(head)
         row = known.get(name)
         if row is None:
             # Its caller was cancelled at the end of the run.
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -27,6 +27,13 @@
 LIMITS = 0.3, 4.0
 LIMIT_CHANGES = 1, 3
 LIMIT_S = 3.0
+# Seconds for which a leaving target says so in its answers alone.
+UNHEARD_LEAVING_S = 0.5, 5.0
+# Seconds of rest that targets ask for, how many requests each turns away, and
+# for how many seconds it does.
+RESTS_S = 0.2, 3.0
+SHEDS = 1, 6
+SHED_S = 4.0
 SCRIPTS = (
     'failure',
     'shed',
@@ -214,11 +221,7 @@
 @fault
 async def name_limits(fleet, rng):
     """Let targets name how many requests a second they take; it changes."""
-    staying = [
-        r
-        for r in fleet.runners
-        if r.name not in fleet.left and r.limit is None
-    ]
+    staying = [r for r in list_staying(fleet) if r.limit is None]
     for runner in rng.sample(staying, rng.randint(0, len(staying))):
         runner.limit = f'{rng.uniform(*LIMITS):.2f}'
         fleet.limits.append(fleet_module.Limited(runner, time.monotonic()))
@@ -232,6 +235,38 @@
         row.ended = time.monotonic()
 
 
+@fault
+async def leave_unheard(fleet, rng):
+    """Let a target leave that tells the store later, or never."""
+    staying = list_staying(fleet)
+    runner = rng.choice(staying)
+    await fleet.add_runner(runner.service)
+    runner.leaving = True
+    await asyncio.sleep(rng.uniform(*UNHEARD_LEAVING_S))
+    if rng.random() < 0.5:
+        fleet.drain(runner)
+
+
+@fault
+async def ask_for_rest(fleet, rng):
+    """Let targets turn requests away and ask for rest, for some seconds."""
+    staying = list_staying(fleet)
+    tired = rng.sample(staying, rng.randint(1, len(staying)))
+    for runner in tired:
+        runner.rest = f'{rng.uniform(*RESTS_S):.2f}'
+        runner.script += ['shed'] * rng.randint(*SHEDS)
+    await asyncio.sleep(SHED_S)
+    for runner in tired:
+        runner.rest = None
+
+
+def list_staying(fleet):
+    """List the targets that do not leave, nor have ended."""
+    return [
+        r for r in fleet.runners if r.name not in fleet.left and not r.leaving
+    ]
+
+
 @fault
 async def change(fleet, rng):
     """Publish another table, or take a key away."""
@@ -244,8 +279,7 @@
 @fault
 async def replace(fleet, rng):
     """Let a target leave, after another one has come."""
-    staying = [r for r in fleet.runners if r.name not in fleet.left]
-    runner = rng.choice(staying)
+    runner = rng.choice(list_staying(fleet))
     await fleet.add_runner(runner.service)
     fleet.drain(runner)
 
--- a/standins/behaviours.py
+++ b/standins/behaviours.py
@@ -105,7 +105,7 @@
         b'HTTP/1.1 503 X\r\nx-landingspool-not-executed: 1\r\n'
         b'content-length: 0\r\n'
         + runner.say(head)
-        + runner.ask_rest()
+        + runner.ask_rest(head)
         + b'\r\n'
     )
 
--- a/standins/runner.py
+++ b/standins/runner.py
@@ -8,10 +8,29 @@
 import asyncio
 import json
 import time
+import typing
 
+from landingspool.platform import limits
 from standins import behaviours
 
 
+class Said(typing.NamedTuple):
+    """What an answer to a request said of its target.
+
+    Attributes
+    ----------
+    at : float
+    name : str
+        The caller's id of the request.
+    rest_s : float or None
+        The seconds of rest that it asked for; None: it said that it leaves.
+    """
+
+    at: float
+    name: str
+    rest_s: float | None = None
+
+
 class Runner:
     """One target.
 
@@ -41,6 +60,8 @@
         Whether it says in its answers that it leaves.
     rest : str or None
         What it names as the seconds of rest that it wants, where it sheds.
+    said : list of Said
+        What its answers to requests said, but for the limit.
     cancelled : int
         Requests whose connection closed while they ran.
     """
@@ -69,6 +90,7 @@
         self.told = []
         self.leaving = False
         self.rest = None
+        self.said = []
         self._writers = set()
         self._seen = set()
         self._server = None
@@ -164,20 +186,30 @@
         head : dict, optional
             Of the request that is answered.
         """
-        lines = b'server-leaving: 1\r\n' if self.leaving else b''
-        if self.limit is None:
-            return lines
-        if head is not None:
-            self.told.append((time.monotonic(), behaviours.get_id(head)))
-        limit = self.limit.encode('latin-1')
-        return lines + b'server-limit: ' + limit + b'\r\n'
+        lines = b''
+        if self.leaving:
+            self._note_said(head)
+            lines += b'server-leaving: 1\r\n'
+        if self.limit is not None:
+            if head is not None:
+                self.told.append((time.monotonic(), behaviours.get_id(head)))
+            limit = self.limit.encode('latin-1')
+            lines += b'server-limit: ' + limit + b'\r\n'
+        return lines
 
-    def ask_rest(self):
+    def ask_rest(self, head):
         """Give the line of a refusal that asks for rest, if it wants some."""
         if self.rest is None:
             return b''
+        if limits.DECIMAL.fullmatch(self.rest):
+            self._note_said(head, float(self.rest))
         return b'retry-after: ' + self.rest.encode('latin-1') + b'\r\n'
 
+    def _note_said(self, head, rest_s=None):
+        if head is not None:
+            name = behaviours.get_id(head)
+            self.said.append(Said(time.monotonic(), name, rest_s))
+
     def run(self, head, body):
         """Note that a request runs."""
         at = time.monotonic()
