Count no failure where a target that ran a request asks for rest

What callers saw: nothing yet; found by reading. A target that fails a request for want of room and asks for rest counted as failing for long after that. Cause: only refusals that say that the request has not run were looked at. Change: a failure that asks for rest is none in the target's health. Why it holds: the word itself decides, wherever it stands. Measured: the test failed before for the one that ran, and passes.

--- a/landingspool/gateway/attempts.py
+++ b/landingspool/gateway/attempts.py
@@ -250,7 +250,9 @@
             body += data
         self._exchange.release()
         wait = self._hub.clock() - self._sent
-        self._view.note_answer(self._plan, wait, head.status >= 500)
+        # Who asks for rest is short of room, and has said for how long.
+        failed = head.status >= 500 and not head.words.asks_rest
+        self._view.note_answer(self._plan, wait, failed)
         return outcomes.Failed(head, bytes(body))
 
     async def _pass_on(self, head):
--- a/landingspool/platform/words.py
+++ b/landingspool/platform/words.py
@@ -42,6 +42,11 @@
     rest: typing.Any = limits.Unnamed()
     leaving: typing.Any = limits.Unnamed()
 
+    @property
+    def asks_rest(self):
+        """Whether it asks for rest."""
+        return isinstance(self.rest, Rest)
+
     @property
     def is_wish(self):
         """Whether it asks for less, so that a refusal is no failure."""
--- a/standins/behaviours.py
+++ b/standins/behaviours.py
@@ -110,6 +110,13 @@
     )
 
 
+@behaviour('overrun')
+async def answer_overrun(runner, head, body, reader, writer):
+    """Run, fail for want of room, and ask for rest."""
+    runner.run(head, body)
+    write_answer(runner, head, writer, 503, b'', f'retry-after: {runner.rest}')
+
+
 @behaviour('misdirected')
 async def answer_misdirected(runner, head, body, reader, writer):
     """Refuse what is meant for another target."""
