Let only requests end the careful return after a rest

What callers saw: nothing yet; found by reading. After a rest all requests of a box could go to the target at once, since a report had been answered. Cause: any answer ended the time in which one request at a time goes there. Change: only an answer to a request sent after the rest ends it. Why it holds: reports and events take no place at a target, so their answers no longer count. Measured: of 6 requests at once after the rest and a report 6 went there, now one does; the tests of rests, limits and leaving pass.

--- a/landingspool/decisions/gateway/rests.py
+++ b/landingspool/decisions/gateway/rests.py
@@ -101,7 +101,10 @@
             self._known[name] = known._replace(tried=now)
 
     def note_answered(self, name, asked):
-        """Note that a target has answered what was sent to it at `asked`.
+        """Note that a target has answered the request sent to it at `asked`.
+
+        What is asked beside the requests takes no place there, so that its
+        answer says nothing of what requests would find.
 
         >>> import random
         >>> rests = Rests(random.Random(1))
--- a/landingspool/decisions/gateway/room.py
+++ b/landingspool/decisions/gateway/room.py
@@ -86,9 +86,6 @@
         return sum(known.per_s for known in named) / boxes
 
     def _find_wait(self, entries, now):
-        """Give the seconds until one may get a request; None: no permit.
-
-        Not nothing: it could not now, whatever has changed in this moment.
-        """
+        """Give the seconds until one may get a request; None: no permit."""
         waits = [self._bars.find_wait(entry.name, now) for entry in entries]
         return min((wait for wait in waits if wait is not None), default=None)
--- a/landingspool/gateway/attempts.py
+++ b/landingspool/gateway/attempts.py
@@ -354,9 +354,10 @@
             return
         # Only a signed success without a limit tells that there is none.
         certain = answered and is_success(head)
-        self._hub.hearing.take(
-            self._plan.entry.name, head.words, self._sent, certain
-        )
+        name = self._plan.entry.name
+        self._hub.hearing.take(name, head.words, self._sent, certain)
+        if answered and not head.words.asks_rest:
+            self._view.bars.rests.note_answered(name, self._sent)
 
     def _note_version(self, version):
         prompt = self._progress.work.prompt
--- a/landingspool/gateway/hearing.py
+++ b/landingspool/gateway/hearing.py
@@ -50,7 +50,7 @@
             only then one without tells that there is none.
         """
         self._take_limit(name, words.limit, asked, certain)
-        self._take_rest(name, words.rest, asked)
+        self._take_rest(name, words.rest)
         self._take_leaving(name, words.leaving)
         for title, word in words._asdict().items():
             if isinstance(word, field.Unreadable):
@@ -162,11 +162,9 @@
         elif isinstance(limit, field.Unnamed) and certain:
             self._limits.note_unnamed(name, asked, now)
 
-    def _take_rest(self, name, rest, asked):
+    def _take_rest(self, name, rest):
         if isinstance(rest, words_module.Rest):
             self._rests.note_asked(name, rest.seconds, self._hub.clock())
-        else:
-            self._rests.note_answered(name, asked)
 
     def _take_leaving(self, name, leaving):
         if isinstance(leaving, words_module.Leaving):
--- a/tests/gateway/test_rest_words.py
+++ b/tests/gateway/test_rest_words.py
@@ -4,6 +4,7 @@
 import random
 
 from landingspool.decisions.gateway import rests as rests_module
+from landingspool import http
 from landingspool.platform import limits as field
 from landingspool.platform import words
 from tests.gateway import site
@@ -129,6 +130,22 @@
     site.run(check, plain=1, engines=1)
 
 
+def test_an_answer_beside_the_requests_is_no_reason_to_return_at_once():
+    async def check(deployment):
+        hub = await deployment.start_box()
+        (runner,) = deployment.engines
+        runner.usual = 'stream'
+        runner.script, runner.rest = ['shed'], str(REST_S)
+        await site.ask(hub, '/stream/a')
+        await asyncio.sleep(REST_S + SPREAD_S + MARGIN_S)
+        await hub.runners.report(http.Address(*runner.address))
+        works = [site.ask(hub, '/stream/a') for _ in range(6)]
+        got = await asyncio.gather(*works)
+        assert sorted(answer.status for answer in got) == [200] + [503] * 5
+
+    site.run(check, plain=1, engines=1)
+
+
 def test_it_holds_for_the_life_that_asked_also_where_its_entry_lapses():
     async def check(deployment):
         hub = await deployment.start_box()
