Say which word refused a request also where others of its targets are busy

What callers saw: nothing yet; a refused request's reason read no_target where it had been limited before. Cause: the reason was taken from all targets of a service as soon as one was open, also where that one had had the request already. Change: as before for a request that finds no target; one that was turned away asks first whether any target is open to it. Why it holds: the two questions, is anything open and what bars the rest, are two calls now.

--- a/landingspool/decisions/gateway/bars.py
+++ b/landingspool/decisions/gateway/bars.py
@@ -23,8 +23,6 @@
 LEAVING = 'leaving'
 # What forbids a target that has asked this box for rest.
 RESTING = 'resting'
-# What is said where no target is there, or each is barred by another bar.
-NO_TARGET = 'no_target'
 # Of these bars it is known when they end: callers are told when to return.
 PASSING = (LIMITED, RESTING)
 
@@ -149,21 +147,14 @@
         """List the entries that nothing forbids."""
         return [e for e in entries if self.find_bar(e, limits, now) is None]
 
-    def find_lack(self, entries, limits, now, other=NO_TARGET):
-        """Give why no target may get a request.
-
-        Parameters
-        ----------
-        other : str
-            What is given where some may, and for what has no one reason.
-        """
+    def find_lack(self, entries, limits, now):
+        """Give why no target may get a request, but for those that it had."""
         bars = {self.find_bar(entry, limits, now) for entry in entries}
-        if None in bars:
-            return other
+        bars.discard(None)
         for bar in PASSING:
             if bar in bars:
                 return bar
-        return bars.pop() if len(bars) == 1 else other
+        return bars.pop() if len(bars) == 1 else 'no_target'
 
     def list_keepers(self, work, table):
         """Give the stores, by address, in which its context may be kept."""
--- a/landingspool/decisions/gateway/view.py
+++ b/landingspool/decisions/gateway/view.py
@@ -131,11 +131,17 @@
         limits = self.bars.find_limits(work, self.table)
         return self.bars.find_bar(entry, limits, now) is None
 
-    def find_lack(self, work, now, other=bars.NO_TARGET):
+    def has_open(self, work, now):
+        """Tell whether nothing forbids some target of a request's service."""
+        limits = self.bars.find_limits(work, self.table)
+        entries = self.fleet.list_service(work.service)
+        return bool(self.bars.list_open(entries, limits, now))
+
+    def find_lack(self, work, now):
         """Give why no target may get a request, as bars.Bars.find_lack."""
         limits = self.bars.find_limits(work, self.table)
         entries = self.fleet.list_service(work.service)
-        return self.bars.find_lack(entries, limits, now, other)
+        return self.bars.find_lack(entries, limits, now)
 
     def plan(self, work, avoid, now, ready=frozenset()):
         """Choose a target for a request; a Plan, or None where none is.
--- a/landingspool/gateway/relay.py
+++ b/landingspool/gateway/relay.py
@@ -146,9 +146,10 @@
     async def _judge_rejected(self, outcome):
         if self._progress.has_sends_left() and self._take_repeat():
             return None
-        now = self._hub.clock()
-        lack = self._view.find_lack(self._progress.work, now, 'rejected')
-        return await self._defer(lack, now)
+        work, now = self._progress.work, self._hub.clock()
+        if self._view.has_open(work, now):
+            return await self._give_up('rejected')
+        return await self._defer(self._view.find_lack(work, now), now)
 
     async def _judge_failed(self, outcome):
         head = outcome.head
