--- a/landingspool/decisions/gateway/bars.py
+++ b/landingspool/decisions/gateway/bars.py
@@ -116,7 +116,7 @@
         ]
 
     def list_passing(self, entries, limits, now):
-        """List the entries that only limits or rests forbid, or may."""
+        """List the entries that nothing but a limit or a rest holds back."""
         return [
             entry
             for entry in entries
@@ -181,10 +181,10 @@
         return True
 
     def forget(self, name):
-        """Forget a life that is over, as it seems.
+        """Forget a life that seems to be over.
 
-        That it leaves, or wants rest, it is not asked again: both hold if it
-        comes back.
+        Its words that it leaves or wants rest stay: a target whose entry
+        lapsed may come back in the same life, and does not say them again.
         """
         self.shares.forget(name)
         self.coldness.forget(name)
--- a/landingspool/decisions/gateway/plans.py
+++ b/landingspool/decisions/gateway/plans.py
@@ -66,3 +66,11 @@
 def count_held(work):
     """Count the tokens of memory that a request takes in the end."""
     return work.prompt.tokens_in + work.prompt.tokens_out
+
+
+def weigh_candidates(candidates, work, held):
+    """Let a request bear a wait for memory as far as it needs memory."""
+    if work.prompt is None:
+        return candidates
+    weight = choice.weigh_memory(count_held(work), held)
+    return [c._replace(weight=weight) for c in candidates]
--- a/landingspool/decisions/gateway/view.py
+++ b/landingspool/decisions/gateway/view.py
@@ -163,7 +163,7 @@
             for entry in entries
         ]
         held = choice.measure_held(candidates)
-        candidates = weigh_candidates(candidates, work, held)
+        candidates = plans.weigh_candidates(candidates, work, held)
         patience_s = (
             PLAIN_PATIENCE_S if work.prompt is None else ENGINE_PATIENCE_S
         )
@@ -494,11 +494,3 @@
             # they take is only free again after that.
             return planned._replace(save=())
         return planned
-
-
-def weigh_candidates(candidates, work, held):
-    """Let a request bear a wait for memory as far as it needs memory."""
-    if work.prompt is None:
-        return candidates
-    weight = choice.weigh_memory(plans.count_held(work), held)
-    return [c._replace(weight=weight) for c in candidates]
