Trim ordered dicts by a function of its own place; drop a reader of limits

Cause: the function that keeps ordered dicts to a number of rows stood among the ends of targets, and limits, rests and leaving took it from there; reading the limit of a head by itself was left without a caller, since one function reads all words of a head. Change: bounded.trim; the reader is gone, and its test asks the one that is used, with the same rows and the same answer. Measured: no behaviour changes; doctests of the decisions and the adapter, tests of the layout, limits, rests, leaving and ends pass.

--- a/landingspool/decisions/gateway/endings.py
+++ b/landingspool/decisions/gateway/endings.py
@@ -17,6 +17,7 @@
 import enum
 import math
 
+from landingspool.decisions.gateway import bounded
 from landingspool.decisions.gateway import neighbours
 from landingspool.decisions.gateway import rumors
 
@@ -146,14 +147,14 @@
         life = neighbours.code_target(name)
         self._alive[life] = max(sent, self._alive.get(life, sent))
         self._alive.move_to_end(life)
-        limit(self._alive, MOST_MARKS)
+        bounded.trim(self._alive, MOST_MARKS)
         for fingerprint in self._recent.pop(life, ()):
             ends = self._marks.get(fingerprint, {})
             if life in ends and self._is_alive(life, ends[life]):
                 del ends[life]
                 self._void[fingerprint, life] = sent
                 self._note_fewer(fingerprint, len(ends) + 1)
-        limit(self._void, MOST_MARKS)
+        bounded.trim(self._void, MOST_MARKS)
 
     def note_served(self, fingerprint, now):
         """Note that a request was answered whole, here."""
@@ -279,9 +280,9 @@
             return
         ends[life] = at
         self._marks.move_to_end(fingerprint)
-        limit(self._marks, MOST_MARKS)
+        bounded.trim(self._marks, MOST_MARKS)
         self._recent.setdefault(life, set()).add(fingerprint)
-        limit(self._recent, MOST_MARKS)
+        bounded.trim(self._recent, MOST_MARKS)
         self._rumors.put(fingerprint, life, at)
         if len(ends) == MOST_ENDS:
             self.fresh.append(fingerprint)
@@ -290,7 +291,7 @@
         """Take back all ends of a request up to `at`."""
         self._served[fingerprint] = at
         self._served.move_to_end(fingerprint)
-        limit(self._served, MOST_MARKS)
+        bounded.trim(self._served, MOST_MARKS)
         ends = self._marks.get(fingerprint, {})
         before = len(ends)
         for life in [life for life, end in ends.items() if end <= at]:
@@ -303,9 +304,3 @@
             self.lifted.append(fingerprint)
         if not left:
             self._marks.pop(fingerprint, None)
-
-
-def limit(rows, most):
-    """Forget the oldest rows of an ordered dict over so many."""
-    while len(rows) > most:
-        rows.popitem(last=False)
--- a/landingspool/decisions/gateway/leaving.py
+++ b/landingspool/decisions/gateway/leaving.py
@@ -12,7 +12,7 @@
 import collections
 import typing
 
-from landingspool.decisions.gateway import endings
+from landingspool.decisions.gateway import bounded
 from landingspool.decisions.gateway import neighbours
 
 # Lives of which the word is kept: more than leave while any box is up, but
@@ -132,7 +132,7 @@
             return
         self._known[known.life] = known
         self.fresh.append(known)
-        endings.limit(self._known, MOST_KNOWN)
+        bounded.trim(self._known, MOST_KNOWN)
 
 
 def make_word(known, now):
--- a/landingspool/decisions/gateway/limits.py
+++ b/landingspool/decisions/gateway/limits.py
@@ -20,7 +20,7 @@
 import math
 import typing
 
-from landingspool.decisions.gateway import endings
+from landingspool.decisions.gateway import bounded
 from landingspool.decisions.gateway import neighbours
 from landingspool.decisions.gateway import shares as shares_module
 
@@ -248,7 +248,7 @@
             self.fresh.append(Change(life, word))
         self._known[life] = word
         self._known.move_to_end(life)
-        endings.limit(self._known, MOST_KNOWN)
+        bounded.trim(self._known, MOST_KNOWN)
 
 
 def is_looser(word, known):
--- a/landingspool/decisions/gateway/rests.py
+++ b/landingspool/decisions/gateway/rests.py
@@ -13,7 +13,7 @@
 import collections
 import typing
 
-from landingspool.decisions.gateway import endings
+from landingspool.decisions.gateway import bounded
 
 # Part of a rest by which it is prolonged at most, by chance: the boxes that
 # were refused together do not return together.
@@ -92,7 +92,7 @@
             self.fresh.append(Asked(name, rest))
         self._known[name] = rest
         self._known.move_to_end(name)
-        endings.limit(self._known, MOST_KNOWN)
+        bounded.trim(self._known, MOST_KNOWN)
 
     def note_sent(self, name, now):
         """Note that a request goes to a target."""
--- a/landingspool/platform/limits.py
+++ b/landingspool/platform/limits.py
@@ -8,8 +8,6 @@
 import re
 import typing
 
-from landingspool.platform import names
-
 DECIMAL = re.compile(r'(?:\d+\.?\d*|\.\d+)', re.ASCII)
 # Characters of a field that can't be read that are logged.
 MOST_LOGGED = 40
@@ -101,8 +99,3 @@
     """
     key = name.encode()
     return [v.decode('latin-1') for k, v in headers if k == key]
-
-
-def read_head_limit(headers):
-    """Read the field in a head, as list_lines takes it."""
-    return read_limit(list_lines(headers, names.LIMIT))
--- a/tests/gateway/test_limit_words.py
+++ b/tests/gateway/test_limit_words.py
@@ -7,6 +7,7 @@
 from landingspool.decisions.gateway import shares
 from landingspool import http
 from landingspool.platform import limits as field
+from landingspool.platform import words
 from tests.gateway import site
 
 # Seconds from a box's start until it may use its permits, with a margin.
@@ -49,7 +50,7 @@
 
 def test_several_lines_of_the_field_are_one_limit():
     rows = [(b'server-limit', b'3'), (b'x', b'1'), (b'server-limit', b'2.5')]
-    assert field.read_head_limit(rows) == field.Named(2.5)
+    assert words.read_head_words(200, rows).limit == field.Named(2.5)
 
 
 def test_a_new_life_of_a_target_has_no_limit():
