Notice a stall at every reading of the clock

Callers saw 503 no_target, "not run", with two seconds to come back in, from boxes whose targets were sound: their fleet had been stopped for 6 s as the requests were sent.

Change: Timer.now() checks for a stall whenever it is read and notifies the subscribers first; Timer.look() is gone, and the readings that were made only to check are, too.

Why it works: no decision of this interface can have a time that is later than an unnoticed stall.

--- a/landingspool/core.py
+++ b/landingspool/core.py
@@ -95,12 +95,11 @@
 
     def deliver(self, sender, message):
         """Handle a message from another box."""
-        now = self.timer.look()
+        now = self.timer.now()
         self.perform(self.node.handle(sender, message, now))
 
     def open_inbox(self, request):
         """Return the queue on which a request receives its decisions."""
-        self.timer.look()
         inbox = self._inboxes[request] = asyncio.Queue()
         self.metrics.open.set(len(self._inboxes))
         return inbox
--- a/landingspool/gateway/resumption.py
+++ b/landingspool/gateway/resumption.py
@@ -52,7 +52,7 @@
         their requests would reach the targets all at once, together with
         those that are still wanted.
         """
-        now = self._hub.timer.look()
+        now = self._hub.timer.now()
         if self._resumed_at is not None:
             left_s = self._resumed_at + PENDING_INPUT_S - now
             if left_s > 0:
--- a/landingspool/timer.py
+++ b/landingspool/timer.py
@@ -54,7 +54,7 @@
     """
 
     def __init__(self, clock=boot_clock.read, sleep=asyncio.sleep):
-        self.now = clock
+        self._clock = clock
         self._sleep = sleep
         self._tasks = []
         self._last_check = None
@@ -70,17 +70,18 @@
     def subscribe_stall(self, call):
         """Call ``call(Stall)`` after each stall until `close`."""
         if not self._on_stall:
-            self.look()
+            self.now()
             self.subscribe(CHECK_PERIOD_S, lambda tick: None)
         self._on_stall.append(call)
 
-    def look(self):
-        """Check for a stall and return the time in seconds.
+    def now(self):
+        """Return the time in seconds, after a check for a stall.
 
-        Callers that act on data that has just arrived check first: after a
-        stall such data is handled before any tick.
+        Every reading of the time is a check.  A process can stall between
+        any two statements, and a decision at a time after a stall must not
+        be made before the subscribers are notified of it.
         """
-        now = self.now()
+        now = self._clock()
         seconds = timing.measure_stall(self._last_check, now)
         self._last_check = now
         if seconds:
@@ -92,12 +93,12 @@
 
     def ran_since(self, moment):
         """Return whether this process has not stalled since `moment`."""
-        self.look()
+        self.now()
         return not self._stalls or self._stalls[-1].now <= moment
 
     def measure_running_s(self, since):
         """Return the seconds since `since` without the stalls."""
-        now = self.look()
+        now = self.now()
         stalled_s = sum(
             min(past.seconds, past.now - since)
             for past in self._stalls
@@ -114,4 +115,4 @@
     async def _run(self, period, call):
         while True:
             await self._sleep(period)
-            call(Tick(self.look()))
+            call(Tick(self.now()))
--- a/tests/gateway/test_standstill.py
+++ b/tests/gateway/test_standstill.py
@@ -136,7 +136,7 @@
         works = [asyncio.ensure_future(site.ask(hub, p)) for p in paths]
         await site.wait_until(lambda: count_ran(deployment) == len(works))
         suspend(STALL_S)
-        hub.timer.look()
+        hub.timer.now()
         assert hub.view.peer_digests.list_fresh_peers(hub.clock()) == ['box1']
         answers = await asyncio.gather(*works)
         assert [a.status for a in answers] == [200] * len(works)
--- a/tests/virtual/world.py
+++ b/tests/virtual/world.py
@@ -19,6 +19,7 @@
 from standins import plain
 from standins import store
 from standins import weights
+from tests.virtual import clock
 from tests.virtual import loop as loop_module
 from tests.virtual import network
 from tests.virtual import steps
@@ -85,6 +86,7 @@
         self.now = 0.0
         self.processes = {}
         self.members = {}
+        self.clocks = {}
         self.exchanges = []
         self.cuts = []
         self.frozen = {}
@@ -124,8 +126,9 @@
         """Start a box as a process."""
         loop = loop_module.Loop(self.now)
         client = network.Client(self, name)
+        self.clocks[name] = clock.StallingClock(loop.time)
         outside = box_module.Environment(
-            client, loop.time, lambda: WALL + loop.time()
+            client, self.clocks[name], lambda: WALL + loop.time()
         )
         settings = self._make_settings(name, domain, policy or {})
         incarnation = f'{int(self.now * 1000):08x}'
