Take a spilled request back from a domain that has no target

Callers saw 503 no_target although targets of their own domain, or of a third one, were sound. Found by reading, while the listed refusals were traced: a domain whose last target leaves sends no summary any more, so for five seconds others go by its last one and send it requests, after a stall nearly all of them, since own reports are old then. It refused them at once and the entry box passed that on as the answer.

Change: an entry box asks its own domain again where another one has no target for the request; the scheduler there no longer uses that summary and may pick another domain. A request that returns because the other domain does not answer is treated alike. What schedulers know of other domains has a class of its own (spill.OtherDomains), shared by the shards of a model.

Why it works: each return voids one summary, so the request ends at a target or is refused by its own domain once no summary is left.

--- a/landingspool/decisions/entry.py
+++ b/landingspool/decisions/entry.py
@@ -210,6 +210,9 @@
         tracked = self._tracked.get(refuse.request)
         if tracked is None or tracked.grant or sender != tracked.scheduler:
             return []
+        if refuse.reason == 'no_target' and tracked.domain != self.domain:
+            # The summary of that domain was out of date.
+            return self._return_home(refuse.request, tracked, now)
         return [outputs.Decide(refuse.request, refuse)]
 
     def _on_spill(self, sender, spill, now):
@@ -274,6 +277,9 @@
                 request, 'no_scheduler', SILENT_RETRY_AFTER_S
             )
             return [outputs.Decide(request, refuse)]
+        return self._return_home(request, tracked, now)
+
+    def _return_home(self, request, tracked, now):
         self._tracked[request] = tracked._replace(domain=self.domain, asks=0)
         return self._ask(request, now)
 
--- a/landingspool/decisions/pools.py
+++ b/landingspool/decisions/pools.py
@@ -39,7 +39,7 @@
         self._policy = policy
         self._retention = retention
         self._rollouts = {}
-        self._rooms = {}
+        self._domains = {}
 
     def open(self, pool, now):
         """Return the scheduler of a shard, creating it if necessary."""
@@ -50,7 +50,7 @@
                 model, domain, self.box, self._policy, now
             )
             pool_scheduler.set_members(self._roster.list_targets(pool))
-            pool_scheduler.rooms = self._rooms.setdefault(model, {})
+            pool_scheduler.domains = self._open_domains(model)
             self.schedulers[pool] = pool_scheduler
             self._rollouts[pool] = rollout.Rollout()
             self.offload_planners[pool] = kv_offload.OffloadPlanner(
@@ -78,11 +78,8 @@
         """Extend leases and summaries by a stall of `seconds`."""
         for pool_scheduler in self.schedulers.values():
             pool_scheduler.resume(seconds, now)
-        for rooms in self._rooms.values():
-            for domain, received in rooms.items():
-                rooms[domain] = received._replace(
-                    received_at=received.received_at + seconds
-                )
+        for domains in self._domains.values():
+            domains.resume(seconds)
 
     def set_members(self):
         """Apply a changed live list."""
@@ -208,8 +205,8 @@
     def record_summary(self, summary, now):
         """Record a summary from another domain."""
         for room in summary.rooms:
-            rooms = self._rooms.setdefault(room.model, {})
-            rooms[summary.domain] = spill.ReceivedSummary(room, now)
+            domains = self._open_domains(room.model)
+            domains.record_summary(summary.domain, room, now)
 
     def summarize(self, now):
         """Send summaries of pools with targets to the other domains."""
@@ -224,6 +221,9 @@
                     actions += self._send_summary(summary, room.model, domain)
         return actions
 
+    def _open_domains(self, model):
+        return self._domains.setdefault(model, spill.OtherDomains())
+
     def _send_summary(self, summary, model, domain):
         boxes = {
             self._roster.get_owner(pool, domain)
--- a/landingspool/decisions/scheduler.py
+++ b/landingspool/decisions/scheduler.py
@@ -61,7 +61,7 @@
         self.queue = fairness.FairQueue(policy.charge)
         self.directory = directory.Directory()
         self.active_grants = {}
-        self.rooms = {}
+        self.domains = spill.OtherDomains()
         self.rng = random.Random(f'{policy.seed}/{box}/{model}')
         self.policy_state = routing.PolicyState(self.rng.random())
         self._waiting = {}
@@ -111,13 +111,13 @@
             return [outputs.Send(work.entry, messages.Queued(work.request))]
         if work.request in self._by_request:
             return self._resend_grant(work)
+        if self.domains.take_back(work.request):
+            work = work._replace(hops=0)
         usable = self._list_usable(now)
         reason, wait = self._check_admission(work, share, usable, now)
-        spill = self._find_spill(work, wait, reason, usable, now)
-        if spill:
-            return [
-                outputs.Send(work.entry, messages.Spill(work.request, spill))
-            ]
+        domain = self._pick_domain(work, wait, reason, usable, now)
+        if domain:
+            return [make_spill(work, domain)]
         if reason:
             return [self._refuse(work, reason, wait)]
         self.queue.push(work, share)
@@ -250,6 +250,7 @@
         # measurement would show that it has become fast.
         recovery = placement.FETCH_S_PER_BLOCK - self._fetch_s_per_block
         self._fetch_s_per_block += FETCH_RECOVERY * recovery
+        self.domains.expire(now)
         notes = self._expire_grants(now)
         sends = self._refuse_overdue(now)
         sends += self.place(now)
@@ -269,7 +270,7 @@
 
     def record_room(self, domain, room, now):
         """Record another domain's summary of its pool."""
-        self.rooms[domain] = spill.ReceivedSummary(room, now)
+        self.domains.record_summary(domain, room, now)
 
     def count_waiting(self):
         """Return the number of requests in the queue."""
@@ -307,8 +308,8 @@
         rate = pool.compute_request_rate(usable, self._mean_compute_tokens)
         return ahead / rate if rate else shortage.SETTLE_S
 
-    def _find_spill(self, work, wait, reason, usable, now):
-        if work.hops >= MAX_HOPS or not self.rooms:
+    def _pick_domain(self, work, wait, reason, usable, now):
+        if work.hops >= MAX_HOPS:
             return ''
         local_s = float('inf')
         if not reason:
@@ -316,7 +317,7 @@
             if wait + backlog < spill.MARGIN_S:
                 return ''
             local_s = wait + self._estimate_first(work, usable, now)
-        return spill.find_earlier_domain(self.rooms, work, local_s, now)
+        return self.domains.pick(work, local_s, now)
 
     def _measure_backlog(self, usable, now):
         """Return the least backlog in seconds of a target with a slot."""
@@ -471,10 +472,11 @@
         waited, left = now - row.arrived, row.deadline - now
         work = row.work._replace(waited=waited, left=left)
         self.withdraw(work.request)
-        spill = self._find_spill(work, shortage.SETTLE_S, 'no_target', [], now)
-        if not spill:
-            return self._refuse(work, 'no_target', shortage.SETTLE_S)
-        return outputs.Send(work.entry, messages.Spill(work.request, spill))
+        wait = shortage.SETTLE_S
+        domain = self._pick_domain(work, wait, 'no_target', [], now)
+        if not domain:
+            return self._refuse(work, 'no_target', wait)
+        return make_spill(work, domain)
 
     def _expire_grants(self, now):
         notes = []
@@ -513,6 +515,11 @@
         target.mark_leaving(target.incarnation)
 
 
+def make_spill(work, domain):
+    """Return the answer that sends a request to another domain."""
+    return outputs.Send(work.entry, messages.Spill(work.request, domain))
+
+
 OUTCOMES = {
     'ok': Scheduler._end_ok,
     'failed': Scheduler._end_failed,
--- a/tests/test_spill.py
+++ b/tests/test_spill.py
@@ -1,10 +1,15 @@
 """Tests of the spill of requests to another failure domain."""
 
+from landingspool.decisions import configuration
 from landingspool.decisions import messages
+from landingspool.decisions import node as node_module
+from landingspool.decisions import outputs
 from landingspool.decisions import placement
+from landingspool.decisions import records
 from landingspool.decisions import spill
 from tests import examples
 
+ROW = records.Row('a', 1.0, 0.1, 20, 1, '')
 IDLE = messages.Room('m', 4, 0.0, 10_000.0, 1)
 
 
@@ -70,3 +75,62 @@
     owned.record_room('south', IDLE, 0.0)
     (message,) = ask(owned, examples.make_work('r1'))
     assert message == messages.Spill('r1', 'south')
+
+
+def make_entry_node(domains=('south',), targets=('t1',)):
+    """Return a node of north that has summaries of other domains."""
+    node = node_module.Node('box-1', 'north', 'i1')
+    boxes = [
+        records.Member(f'box-{name}', 'entry', name, '127.0.0.1', 2)
+        for name in domains
+    ]
+    own = records.Member('box-1', 'entry', 'north', '127.0.0.1', 2)
+    members = [own, *boxes, *map(examples.make_member, targets)]
+    node.set_table(configuration.Table(0, {'a': ROW}))
+    node.set_live(members, 0.0)
+    # The scheduler of the own domain starts with the first request.
+    node.open_request(examples.make_work('first'), 0.0)
+    node.end_request('first', 0.0)
+    for name in targets:
+        node.report(examples.make_report(name, queued_tokens=30_000), 2.0)
+    for index, name in enumerate(domains):
+        room = IDLE._replace(delay=index / 10)
+        node.handle(f'box-{name}', messages.Summary(name, (room,)), 2.0)
+    return node
+
+
+def list_asked(actions):
+    """List the boxes that are asked for a slot."""
+    return [
+        a.to
+        for a in actions
+        if isinstance(a, outputs.Send) and isinstance(a.message, messages.Ask)
+    ]
+
+
+def list_decided(actions):
+    """List the kinds of the decisions among some actions."""
+    return [type(a.message) for a in actions if isinstance(a, outputs.Decide)]
+
+
+def test_request_that_another_domain_can_not_serve_is_served_at_home():
+    # Guards against refusals by a domain whose targets have left since its
+    # last summary, although the own targets are sound.
+    node = make_entry_node()
+    actions = node.open_request(examples.make_work('r1'), 2.1)
+    assert list_asked(actions) == ['box-south']
+    refuse = messages.Refuse('r1', 'no_target', 2.0)
+    actions = node.handle('box-south', refuse, 2.2)
+    assert list_decided(actions) == [messages.Grant]
+
+
+def test_request_that_another_domain_can_not_serve_goes_to_a_third():
+    # Guards against the same where the own domain has no target.
+    node = make_entry_node(domains=('south', 'west'), targets=())
+    actions = node.open_request(examples.make_work('r1'), 2.1)
+    assert list_asked(actions) == ['box-south']
+    refuse = messages.Refuse('r1', 'no_target', 2.0)
+    actions = node.handle('box-south', refuse, 2.2)
+    assert list_asked(actions) == ['box-west']
+    actions = node.handle('box-west', refuse, 2.3)
+    assert list_decided(actions) == [messages.Refuse]
