Wait for the summaries of other domains after a start or a stall

Cause: a scheduler settles after a start or a stall while its own targets may still report. If these all leave, it did not settle, and took the lack of any summary for the lack of any target elsewhere.

Change: it also settles while a domain that has staying targets by the live list has not sent a summary yet. Requests that wait without a usable target are sent to another domain at the first tick after its summary arrives, and no longer when the shortage has lasted for a second.

Why it works: "not known yet" ends with the first summary or after the stated second; if no listed target stays anywhere, the request is refused at once. Two of the three new tests failed before (refused, not held); the third shows that what is known to be unservable is not held.

--- a/landingspool/decisions/pools.py
+++ b/landingspool/decisions/pools.py
@@ -49,8 +49,8 @@
             pool_scheduler = scheduler.Scheduler(
                 model, domain, self.box, self._policy, now
             )
-            pool_scheduler.set_members(self._roster.list_targets(pool))
             pool_scheduler.domains = self._open_domains(model)
+            self._update_members(pool, pool_scheduler)
             self.schedulers[pool] = pool_scheduler
             self._rollouts[pool] = rollout.Rollout()
             self.offload_planners[pool] = kv_offload.OffloadPlanner(
@@ -84,7 +84,7 @@
     def set_members(self):
         """Apply a changed live list."""
         for pool, pool_scheduler in self.schedulers.items():
-            pool_scheduler.set_members(self._roster.list_targets(pool))
+            self._update_members(pool, pool_scheduler)
 
     def set_stores(self, contents, now):
         """Apply the contents of the stores; return a list of actions.
@@ -221,6 +221,11 @@
                     actions += self._send_summary(summary, room.model, domain)
         return actions
 
+    def _update_members(self, pool, pool_scheduler):
+        pool_scheduler.set_members(self._roster.list_targets(pool))
+        listed = self._roster.list_other_domains(pool_scheduler.model)
+        pool_scheduler.domains.set_listed(listed)
+
     def _open_domains(self, model):
         return self._domains.setdefault(model, spill.OtherDomains())
 
--- a/landingspool/decisions/roster.py
+++ b/landingspool/decisions/roster.py
@@ -74,6 +74,16 @@
         """List the targets of a model in a domain."""
         return self._pools.get((model, domain), [])
 
+    def list_other_domains(self, model):
+        """List the other domains with targets of a model that stay."""
+        return {
+            domain
+            for (name, domain), members in self._pools.items()
+            if name == model
+            and domain != self.domain
+            and any(not member.leaving for member in members)
+        }
+
     def list_models(self, domain):
         """List the models that have targets in a domain."""
         return sorted(model for model, at in self._pools if at == domain)
--- a/landingspool/decisions/scheduler.py
+++ b/landingspool/decisions/scheduler.py
@@ -254,7 +254,7 @@
         notes = self._expire_grants(now)
         sends = self._refuse_overdue(now)
         sends += self.place(now)
-        sends += self._refuse_without_targets(now)
+        sends += self._spill_or_refuse_waiting(now)
         return sends, notes
 
     def summarize(self, now):
@@ -291,8 +291,8 @@
         # Returns the reason to refuse a request, or an empty one, and the
         # seconds that it would wait.
         if not usable:
-            settling = self._shortage.is_settling(self.targets.values(), now)
-            return ('' if settling else 'no_target'), shortage.SETTLE_S
+            reason = '' if self._is_settling(now) else 'no_target'
+            return reason, shortage.SETTLE_S
         if not self.queue.length:
             if self._list_free(usable, now):
                 return '', 0.0
@@ -458,25 +458,40 @@
             sends.append(self._refuse(row.work, 'deadline', wait))
         return sends
 
-    def _refuse_without_targets(self, now):
-        """Answer waiting requests if no target has been usable for long."""
+    def _spill_or_refuse_waiting(self, now):
+        """Answer waiting requests if no target is usable.
+
+        Each is sent to another domain as soon as one is known, and refused
+        if the shortage has lasted.
+        """
         usable = self._list_usable(now)
-        if not self._shortage.has_lasted(usable, self.targets.values(), now):
+        lasted = self._shortage.has_lasted(usable, self._is_settling(now), now)
+        if usable:
             return []
-        return [
-            self._spill_or_refuse(r, now) for r in [*self._waiting.values()]
+        answers = [
+            self._spill_or_refuse(row, lasted, now)
+            for row in [*self._waiting.values()]
         ]
+        return [answer for answer in answers if answer]
 
-    def _spill_or_refuse(self, row, now):
-        """Spill a waiting request to another domain, or refuse it."""
+    def _spill_or_refuse(self, row, lasted, now):
+        """Return the answer to a waiting request, or None if it waits on."""
         waited, left = now - row.arrived, row.deadline - now
         work = row.work._replace(waited=waited, left=left)
-        self.withdraw(work.request)
+        reason = 'no_target' if lasted else ''
         wait = shortage.SETTLE_S
-        domain = self._pick_domain(work, wait, 'no_target', [], now)
-        if not domain:
-            return self._refuse(work, 'no_target', wait)
-        return make_spill(work, domain)
+        domain = self._pick_domain(work, wait, reason, [], now)
+        if not domain and not lasted:
+            return None
+        self.withdraw(work.request)
+        if domain:
+            return make_spill(work, domain)
+        return self._refuse(work, reason, wait)
+
+    def _is_settling(self, now):
+        return self._shortage.is_settling(
+            self.targets.values(), self.domains, now
+        )
 
     def _expire_grants(self, now):
         notes = []
--- a/landingspool/decisions/shortage.py
+++ b/landingspool/decisions/shortage.py
@@ -1,12 +1,13 @@
 """Tracking of how long a pool has had no usable target.
 
 A scheduler that has just started, or whose process has stalled, has no load
-reports or only old ones, even if all targets are healthy.  Requests are then
-queued for a short time while the targets are polled.  Otherwise new requests
+reports or only old ones, even if all targets are healthy, and may not have
+received a summary of each other domain.  Requests are then queued for a short
+time while the targets are polled.  Otherwise new requests
 are refused at once, and queued ones as soon as the shortage has lasted.
 """
 
-# Seconds to wait for load reports of targets.
+# Seconds to wait for load reports of targets and summaries of domains.
 SETTLE_S = 1.0
 
 
@@ -27,22 +28,27 @@
         """Wait for the targets again after a stall of the process."""
         self._settles_until = now + SETTLE_S
 
-    def is_settling(self, targets, now):
+    def is_settling(self, targets, domains, now):
         """Return whether a usable target may still report.
 
-        >>> shortage = Shortage(1.0)
-        >>> shortage.is_settling([], 1.5), shortage.is_settling([], 2.0)
-        (True, False)
+        This includes the targets of other domains, which these summarize.
+
+        >>> from landingspool.decisions import spill
+        >>> shortage, domains = Shortage(1.0), spill.OtherDomains()
+        >>> [shortage.is_settling([], domains, now) for now in (1.5, 2.0)]
+        [True, False]
         """
         if now >= self._settles_until:
             return False
-        return not targets or any(not t.is_leaving() for t in targets)
+        if not targets or domains.is_unheard():
+            return True
+        return any(not target.is_leaving() for target in targets)
 
-    def has_lasted(self, usable, targets, now):
+    def has_lasted(self, usable, is_settling, now):
         """Return whether queued requests have waited long enough for a target.
 
         >>> shortage = Shortage(1.0)
-        >>> [shortage.has_lasted([], [], now) for now in (1.5, 2.0, 2.5)]
+        >>> [shortage.has_lasted([], False, now) for now in (1.5, 2.0, 2.5)]
         [False, False, True]
         """
         if usable:
@@ -51,4 +57,4 @@
         if self._since is None:
             self._since = now
         long = now - self._since >= SETTLE_S
-        return long and not self.is_settling(targets, now)
+        return long and not is_settling
--- a/landingspool/decisions/spill.py
+++ b/landingspool/decisions/spill.py
@@ -79,6 +79,15 @@
     def __init__(self):
         self._summaries = {}
         self._spilled = {}
+        self._listed = set()
+
+    def set_listed(self, domains):
+        """Set the domains that have targets by the live list."""
+        self._listed = domains
+
+    def is_unheard(self):
+        """Return whether a listed domain has not sent a summary yet."""
+        return not self._listed <= self._summaries.keys()
 
     def record_summary(self, domain, room, now):
         """Record another domain's summary of its pool."""
--- a/tests/test_spill.py
+++ b/tests/test_spill.py
@@ -134,3 +134,43 @@
     assert list_asked(actions) == ['box-west']
     actions = node.handle('box-west', refuse, 2.3)
     assert list_decided(actions) == [messages.Refuse]
+
+
+def make_leaving_node(members=()):
+    """Return a node, just started, whose only target is leaving."""
+    leaving = examples.make_member('t1', leaving=True)
+    node = node_module.Node('box-1', 'north', 'i1')
+    node.set_table(configuration.Table(0, {'a': ROW}))
+    own = records.Member('box-1', 'entry', 'north', '127.0.0.1', 2)
+    other = records.Member('box-south', 'entry', 'south', '127.0.0.1', 2)
+    node.set_live([own, other, leaving, *members], 0.0)
+    node.tick(0.0)
+    node.report(examples.make_report('t1', leaving=True), 0.1)
+    return node
+
+
+def test_request_waits_for_the_first_summary_of_a_listed_domain():
+    # Guards against refusals after a start, before other domains are heard.
+    node = make_leaving_node([examples.make_member('t2', domain='south')])
+    actions = node.open_request(examples.make_work('r1'), 0.2)
+    assert list_decided(actions) == []
+    node.handle('box-south', messages.Summary('south', (IDLE,)), 0.4)
+    assert list_asked(node.tick(0.5)) == ['box-south']
+
+
+def test_request_does_not_wait_long_for_a_summary():
+    # Guards against requests that are held for a domain that says nothing.
+    node = make_leaving_node([examples.make_member('t2', domain='south')])
+    node.open_request(examples.make_work('r1'), 0.2)
+    decided = []
+    for tick in range(3, 14):
+        decided += list_decided(node.tick(tick / 10))
+    assert decided == [messages.Refuse]
+
+
+def test_request_that_no_listed_target_can_serve_is_refused_at_once():
+    # Guards against requests that wait though all listed targets leave.
+    south = examples.make_member('t2', domain='south', leaving=True)
+    node = make_leaving_node([south])
+    actions = node.open_request(examples.make_work('r1'), 0.2)
+    assert list_decided(actions) == [messages.Refuse]
