Leave a claim to the boxes before by the time for which this one ran

What users saw: none of their requests failed; several boxes appended a claim on orders for one published version, all but one in vain. With 195 boxes and one cause that stops all, such as a store that answers late, that is a herd of appends at the store.

Cause: the delay of a box by its rank was the difference of two readings of the clock. In a stall of all boxes, or behind a store that has not answered yet, that time passes without anybody able to claim or to see a claim. Stalls under 0.75 s are not told to subscribers of the timer service.

Change: timing.RunningTime counts a step between two regular checks for one period at most. A box that is not the first also reads the end of the claims before it appends, so that the claim of the first is seen however slow the store is; that is one call of a box whose turn has come, none of the others.

--- a/landingspool/decisions/timing.py
+++ b/landingspool/decisions/timing.py
@@ -49,3 +49,40 @@
     def is_fresh(self, now):
         """Return whether the timer ran shortly before `now`."""
         return not measure_stall(self._last, now)
+
+
+class RunningTime:
+    """Time for which this process ran, counted by regular checks.
+
+    A step between two checks counts for one period at most.  In a longer one
+    this process did not run for a part of it, and could not notice what other
+    processes did, nor did they if the cause was common.
+
+    Parameters
+    ----------
+    period_s : float
+        Period of the checks, in seconds.
+
+    >>> running = RunningTime(0.1)
+    >>> [round(running.advance(now), 2) for now in (5.0, 5.1, 8.1, 8.15)]
+    [0.0, 0.1, 0.2, 0.25]
+    >>> running.restart()
+    >>> running.advance(9.0)
+    0.0
+    """
+
+    def __init__(self, period_s):
+        self._period_s = period_s
+        self.restart()
+
+    def restart(self):
+        """Count from the next check on."""
+        self._last = None
+        self._seconds = 0.0
+
+    def advance(self, now):
+        """Record a check at `now`; return the seconds since the first one."""
+        if self._last is not None:
+            self._seconds += min(now - self._last, self._period_s)
+        self._last = now
+        return self._seconds
--- a/landingspool/gateway/ordering.py
+++ b/landingspool/gateway/ordering.py
@@ -9,6 +9,7 @@
 
 from landingspool.decisions.gateway import fleet
 from landingspool.decisions.gateway import rollouts
+from landingspool.decisions import timing
 from landingspool.platform import catalogue
 from landingspool.platform import names
 from landingspool.platform import runners
@@ -39,8 +40,8 @@
         self.watch = rollouts.ClaimWatch(hub.deployment.bounds.lease_s)
         self._lease = None
         self._claimed_loading = ()
-        # Since when the claim is needed and nobody holds it.
-        self._unclaimed_since = None
+        # How long the claim has been needed without a holder.
+        self._unclaimed = timing.RunningTime(CHECK_PERIOD_S)
         self._rollouts = {}
         self._tasks = set()
 
@@ -50,9 +51,9 @@
             await asyncio.sleep(CHECK_PERIOD_S)
             behind = self._list_behind()
             if not behind and not self._claimed_loading:
-                self._unclaimed_since = None
+                self._unclaimed.restart()
                 continue
-            if not self._may_hold():
+            if not await self._may_hold():
                 continue
             orders = self._plan_orders(behind)
             if await self._renew_claim(self._list_loading()):
@@ -72,7 +73,7 @@
                 rows.append((model, named.version, targets))
         return rows
 
-    def _may_hold(self):
+    async def _may_hold(self):
         now = self._hub.clock()
         if rollouts.is_held(self._lease, now):
             return True
@@ -80,18 +81,28 @@
             return False
         box = self._hub.deployment.box
         if not self.watch.may_claim(box, now):
-            self._unclaimed_since = None
+            self._unclaimed.restart()
             return False
-        return self.watch.is_last_holder(box) or self._is_turn(now)
+        return self.watch.is_last_holder(box) or await self._is_turn(now)
 
-    def _is_turn(self, now):
+    async def _is_turn(self, now):
         """Return whether the boxes before this one had time to claim."""
-        if self._unclaimed_since is None:
-            self._unclaimed_since = now
+        unclaimed_s = self._unclaimed.advance(now)
         rank = self._hub.peering.get_rank(CLAIM_KEY)
-        return now - self._unclaimed_since >= rollouts.compute_claim_delay(
-            rank
-        )
+        if unclaimed_s < rollouts.compute_claim_delay(rank):
+            return False
+        return not rank or await self._is_unclaimed()
+
+    async def _is_unclaimed(self):
+        """Return whether the store has no claim that is unknown here.
+
+        A slow store delays both the claims of other boxes and the reads that
+        would show them.
+        """
+        end = self.watch.end
+        reply = await self._hub.store.read(names.CLAIMS_TOPIC, end, 0.0)
+        is_known = isinstance(reply, store_module.Page) and reply.end == end
+        return is_known and self.watch.end == end
 
     async def _renew_claim(self, loading):
         """Renew the claim if needed; return whether orders may be given.
--- a/standins/platformstore.py
+++ b/standins/platformstore.py
@@ -62,6 +62,8 @@
     mode : str
         '' works; 'busy' answers 503; 'silent' says nothing; 'lost' does
         what is asked and says nothing.
+    delay_s : float
+        Seconds that a call, and its answer, are on their way.
     turned_away : set of str
         Paths that are answered with 503 whatever the mode.
     calls : list of tuple
@@ -71,6 +73,7 @@
     def __init__(self, topics=None):
         self.topics = {} if topics is None else topics
         self.mode = ''
+        self.delay_s = 0.0
         self.calls = []
         self.address = None
         self._server = http.Server(self._handle)
@@ -96,6 +99,9 @@
 
     async def _handle(self, request, exchange):
         self.calls.append((request.method, request.path))
+        if self.delay_s:
+            await asyncio.sleep(self.delay_s)
+            exchange = Delayed(exchange, self.delay_s)
         if self.mode == 'busy':
             await exchange.send_json(503, {})
             return
@@ -165,6 +171,24 @@
         await exchange.send_json(200, page)
 
 
+class Delayed:
+    """Sends an answer that is on its way for some seconds."""
+
+    def __init__(self, exchange, seconds):
+        self._exchange = exchange
+        self._seconds = seconds
+
+    async def send_json(self, status, value):
+        """Send a JSON answer late."""
+        await asyncio.sleep(self._seconds)
+        await self._exchange.send_json(status, value)
+
+    async def send_body(self, status, body, kind):
+        """Send an answer late."""
+        await asyncio.sleep(self._seconds)
+        await self._exchange.send_body(status, body, kind)
+
+
 class Dropped:
     """Takes an answer that nobody gets."""
 
--- a/tests/gateway/test_ordering.py
+++ b/tests/gateway/test_ordering.py
@@ -2,6 +2,9 @@
 
 import asyncio
 
+import pytest
+
+from landingspool import boot_clock
 from landingspool.decisions.gateway import rollouts
 from landingspool import http
 from landingspool.platform import catalogue
@@ -114,3 +117,80 @@
             assert len(claiming) == 1
 
     asyncio.run(main())
+
+
+async def name_version(deployment, hubs, disturb):
+    """Name new weights, disturb the boxes; return the boxes that claimed."""
+    named = {'model': 'm', 'version': 2}
+    deployment.store.put('keyed.op', 'version/m', named)
+    disturbing = asyncio.ensure_future(disturb())
+    await site.wait_until(
+        lambda: all(r.version == 2 for r in deployment.engines), 20.0
+    )
+    disturbing.cancel()
+    kind = f'append {names.CLAIMS_TOPIC}'
+    return [hub for hub in hubs if hub.store.calls[kind]]
+
+
+def run(test):
+    """Run an async test against a site, on the event loop of the product."""
+
+    async def main():
+        async with site.Site(engines=2) as deployment:
+            await test(deployment)
+
+    boot_clock.run(main())
+
+
+@pytest.mark.parametrize('moment_s', [0.02, 0.05, 0.08, 0.11])
+def test_short_stall_is_no_time_left_to_the_boxes_before(suspend, moment_s):
+    # Guards against claims of boxes whose turn passed while no box ran.
+    async def check(deployment):
+        hubs = await site.start_boxes(deployment, 6)
+
+        async def disturb():
+            await asyncio.sleep(moment_s)
+            suspend(0.4)
+
+        claiming = await name_version(deployment, hubs, disturb)
+        assert len(claiming) == 1
+
+    run(check)
+
+
+def test_slow_store_is_no_time_left_to_the_boxes_before():
+    # Guards against claims of boxes that can't know the claim of the first.
+    async def check(deployment):
+        hubs = await site.start_boxes(deployment, 6)
+        deployment.store.delay_s = 0.25
+
+        async def disturb():
+            """Leave the boxes alone."""
+
+        claiming = await name_version(deployment, hubs, disturb)
+        assert len(claiming) == 1
+
+    run(check)
+
+
+def test_next_box_claims_between_short_stalls(suspend):
+    # Guards against a claim that nobody makes where stalls keep coming.
+    async def check(deployment):
+        hubs = await site.start_boxes(deployment, 3)
+
+        async def fail(*call):
+            return store_module.Unavailable('cut off', False)
+
+        (first,) = [h for h in hubs if not h.peering.get_rank('orders')]
+        first.store.append = fail
+
+        async def disturb():
+            while True:
+                suspend(0.4)
+                await asyncio.sleep(0.05)
+
+        claiming = await name_version(deployment, hubs, disturb)
+        assert first not in claiming
+        assert claiming
+
+    run(check)
