Count the turns to write a crash record by running time

What users saw: nothing by itself; found by looking for the fault of the claims elsewhere. After a stall of 3 s that all boxes share, each of six boxes writes the same record of what quarantines a request, where one is enough; a domain of 195 would send that many appends at once.

Cause: a box leaves half a second to each box before it, as the difference of two readings of the clock, so all turns pass in the stall.

Change: the turns are counted by timing.RunningTime, as those of claims, and a record that another box has written is dropped at the next check. The window in which a box may probe a target with a limit (limits._is_turn) was looked at, too: its windows are aligned to the time of the limit, so that only one box's is open at a time, also after a stall.

Why it works: after the stall the first box writes at its next check, and the others read the record before their turns.

--- a/landingspool/gateway/crash_records.py
+++ b/landingspool/gateway/crash_records.py
@@ -9,6 +9,7 @@
 import typing
 
 from landingspool.decisions.gateway import peer_digests
+from landingspool.decisions import timing
 from landingspool.platform import catalogue
 from landingspool.platform import names
 from landingspool.platform import store as store_module
@@ -17,13 +18,19 @@
 # boxes, to write what all of them know.  One of them writes the record, and
 # the others read it within a few milliseconds.
 TURN_S = 0.5
+# Period at which a box checks whether its turn has come, seconds.
+CHECK_PERIOD_S = 0.1
 # Seconds for which a failed write waits at most for the store to answer any
 # read.
 MAX_WAIT_S = 5.0
 
 
 class PendingWrite(typing.NamedTuple):
-    """A value, and when to write it unless another box has done so."""
+    """A value to write unless another box has done so before.
+
+    `at` is the end of the turns of the boxes before this one, in seconds for
+    which this process has run.
+    """
 
     value: bytes
     at: float
@@ -42,6 +49,8 @@
         self._hub = hub
         self._crashes = hub.view.crashes
         self._pending = {}
+        self._running = timing.RunningTime(CHECK_PERIOD_S)
+        self._ran_s = 0.0
         self._written = {}
         self._wake = asyncio.Event()
 
@@ -90,8 +99,12 @@
             await self._wake.wait()
             self._wake.clear()
             while self._pending:
-                key = min(self._pending, key=lambda row: self._pending[row].at)
-                await self._write(key, self._pending[key])
+                self._ran_s = self._running.advance(self._hub.clock())
+                for key, write in list(self._pending.items()):
+                    if self._ran_s >= write.at:
+                        await self._write(key, write)
+                    self._drop_written(key)
+                await asyncio.sleep(CHECK_PERIOD_S)
 
     def _record_quarantine(self, fingerprint):
         now = self._hub.clock()
@@ -113,28 +126,25 @@
     def _put(self, fingerprint, value):
         key = fingerprint.hex()
         turn = self._hub.peering.get_rank(key)
-        self._pending[key] = PendingWrite(
-            value, self._hub.clock() + turn * TURN_S
-        )
+        self._pending[key] = PendingWrite(value, self._ran_s + turn * TURN_S)
         self._wake.set()
 
     async def _write(self, key, write):
-        """Write one record in this box's turn if nobody has written it yet."""
-        left_s = write.at - self._hub.clock()
-        if left_s > 0:
-            await asyncio.sleep(min(left_s, TURN_S))
-        elif not self._is_written(key, write.value):
-            reply = await self._hub.store.append(
-                names.CLAIMS_TOPIC, f'{names.CRASHES_KEY}{key}', write.value
-            )
-            if isinstance(reply, store_module.Unavailable):
-                await self._hub.sources.wait_answered(MAX_WAIT_S)
-                return
-            self._written[key] = write.value
-        if (
-            self._is_written(key, write.value)
-            and self._pending.get(key) == write
-        ):
+        """Write one record if no other box has written it yet."""
+        if self._is_written(key, write.value):
+            return
+        reply = await self._hub.store.append(
+            names.CLAIMS_TOPIC, f'{names.CRASHES_KEY}{key}', write.value
+        )
+        if isinstance(reply, store_module.Unavailable):
+            await self._hub.sources.wait_answered(MAX_WAIT_S)
+            return
+        self._written[key] = write.value
+
+    def _drop_written(self, key):
+        """Drop a pending record that this or another box has written."""
+        write = self._pending.get(key)
+        if write is not None and self._is_written(key, write.value):
             del self._pending[key]
 
     def _is_written(self, key, value):
--- a/tests/gateway/site.py
+++ b/tests/gateway/site.py
@@ -6,6 +6,7 @@
 import os
 import socket
 
+from landingspool import boot_clock
 from landingspool.gateway import deployment
 from landingspool.gateway import hub as hub_module
 from landingspool import http
@@ -203,14 +204,19 @@
         return hub
 
 
-def run(test, **kinds):
+def run(test, run_loop=asyncio.run, **kinds):
     """Run an async test against a site."""
 
     async def main():
         async with Site(**kinds) as deployment:
             await test(deployment)
 
-    asyncio.run(main())
+    run_loop(main())
+
+
+def run_on_boot_clock(test, **kinds):
+    """Run an async test on the product's loop, which a suspension stalls."""
+    run(test, boot_clock.run, **kinds)
 
 
 async def start_boxes(deployment, count):
--- a/tests/gateway/test_endings.py
+++ b/tests/gateway/test_endings.py
@@ -24,6 +24,7 @@
 
 from landingspool.decisions.gateway import crashes as crashes_module
 from landingspool.decisions.gateway import peer_digests
+from landingspool.platform import names
 from standins import runner as runner_module
 from tests.gateway import site
 
@@ -141,6 +142,25 @@
     run(check)
 
 
+def test_stall_is_no_time_left_to_the_boxes_before_to_write(suspend):
+    # Guards against the same record written by each box after a stall.
+    async def check(deployment):
+        hubs = await site.start_boxes(deployment, 6)
+        for hub in hubs:
+            for incarnation in range(7, 7 + MAX_CRASHES):
+                notice = peer_digests.CrashNotice(b'f', incarnation, 0)
+                hub.view.crashes.take(notice, hub.clock())
+            hub.crash_records.check()
+        suspend(3.0)
+        await site.wait_until(
+            lambda: not any(hub.crash_records.list_due() for hub in hubs)
+        )
+        kind = f'append {names.CLAIMS_TOPIC}'
+        assert sum(hub.store.calls[kind] for hub in hubs) == 1
+
+    site.run_on_boot_clock(check)
+
+
 def test_the_same_body_of_another_path_counts_by_itself():
     async def check(deployment, engines):
         (hub,) = await site.start_boxes(deployment, 1)
--- a/tests/gateway/test_ordering.py
+++ b/tests/gateway/test_ordering.py
@@ -4,7 +4,6 @@
 
 import pytest
 
-from landingspool import boot_clock
 from landingspool.decisions.gateway import rollouts
 from landingspool import http
 from landingspool.platform import catalogue
@@ -132,16 +131,6 @@
     return [hub for hub in hubs if hub.store.calls[kind]]
 
 
-def run(test):
-    """Run an async test against a site, on the event loop of the product."""
-
-    async def main():
-        async with site.Site(engines=2) as deployment:
-            await test(deployment)
-
-    boot_clock.run(main())
-
-
 @pytest.mark.parametrize('moment_s', [0.02, 0.05, 0.08, 0.11])
 def test_short_stall_is_no_time_left_to_the_boxes_before(suspend, moment_s):
     # Guards against claims of boxes whose turn passed while no box ran.
@@ -155,7 +144,7 @@
         claiming = await name_version(deployment, hubs, disturb)
         assert len(claiming) == 1
 
-    run(check)
+    site.run_on_boot_clock(check, engines=2)
 
 
 def test_slow_store_is_no_time_left_to_the_boxes_before():
@@ -170,7 +159,7 @@
         claiming = await name_version(deployment, hubs, disturb)
         assert len(claiming) == 1
 
-    run(check)
+    site.run_on_boot_clock(check, engines=2)
 
 
 def test_next_box_claims_between_short_stalls(suspend):
@@ -193,4 +182,4 @@
         assert first not in claiming
         assert claiming
 
-    run(check)
+    site.run_on_boot_clock(check, engines=2)
--- a/tests/gateway/test_standstill.py
+++ b/tests/gateway/test_standstill.py
@@ -8,7 +8,6 @@
 
 import pytest
 
-from landingspool import boot_clock
 from tests.gateway import site
 
 # Longer than the bound for keys (5 s), so that no proof is valid after it.
@@ -23,16 +22,6 @@
 ).encode()
 
 
-def run(test, **kinds):
-    """Run an async test against a site, on the event loop of the product."""
-
-    async def main():
-        async with site.Site(**kinds) as deployment:
-            await test(deployment)
-
-    boot_clock.run(main())
-
-
 def count_ran(deployment):
     """Return the number of requests that targets have executed."""
     runners = deployment.plain + deployment.engines
@@ -51,7 +40,7 @@
             wrong = [a.body for a in answers if a.status != 200]
             assert not wrong
 
-    run(check)
+    site.run_on_boot_clock(check)
 
 
 @pytest.mark.parametrize('path', ['/safe/a', '/unsafe/a', '/resumed/a'])
@@ -74,7 +63,7 @@
             assert (health.failures, health.failing) == (0, 0.0)
         assert not hub.view.reachability.list_failed()
 
-    run(check)
+    site.run_on_boot_clock(check)
 
 
 def test_a_kept_connection_is_served_after_a_standstill(suspend):
@@ -89,7 +78,7 @@
                     assert b'200' in await reader.readline()
                     await reader.readuntil(b'done')
 
-    run(check)
+    site.run_on_boot_clock(check)
 
 
 def test_without_the_store_nothing_is_served_on_the_old_proof(suspend):
@@ -106,7 +95,7 @@
             True
         }
 
-    run(check)
+    site.run_on_boot_clock(check)
 
 
 def test_a_box_without_a_table_yet_goes_on(suspend):
@@ -120,7 +109,7 @@
         await site.wait_until(lambda: hub.view.table is not None)
         assert (await site.ask(hub, '/safe/a')).status == 200
 
-    run(check)
+    site.run_on_boot_clock(check)
 
 
 def test_the_time_is_not_counted_against_targets_or_boxes(suspend):
@@ -144,4 +133,4 @@
             assert hub.view.get_health(entry.name).wait_s < STALL_S / 2
         assert hub.view.latency.measure('engine', hub.clock()) < 1.0
 
-    run(check)
+    site.run_on_boot_clock(check)
