Notice a stall at every reading of the clock on the platform, too

Callers on the platform would see 503 unproved_table at once, where a request is held for the renewal of the proof: found by looking for the fault of the own interface elsewhere. It needs a stall between the check for one and the next reading of the clock, some microseconds a request.

Cause: the gateway read the raw clock in 90 places, and a stall was only noticed by ticks and by the few checks of the timer service. A proof that a stall had aged was taken for a store that is away.

Change: the hub's clock is Timer.now, so every reading notifies of a stall first. The heartbeat that told of a stall that nobody had noticed is gone; what it guarded asks whether the process has run since the moment that the decision rests on: a plan since its time, an order since its target was asked to drain, parts to be freed since their list. The timer checks only while somebody subscribes, so that the time before a start is no stall.

A test of a choice that is made anew replaced the heartbeat by a function; it now stalls the process while the connection opens and counts two choices, one run and the answer, which is as strict.

--- a/landingspool/gateway/attempts.py
+++ b/landingspool/gateway/attempts.py
@@ -35,19 +35,21 @@
     Parameters
     ----------
     hub
-        The box's parts: `view`, `upstream`, `prober`, `heartbeat`, `recorder`,
+        The box's parts: `view`, `upstream`, `prober`, `recorder`,
         `metrics`, `target_notices`, `crash_records`, `clock`, `timer`.
     state : request_state.RequestState
         The request; the attempt updates it.
     plan : view.Plan
+    planned_at : float
+        Time as of which the plan was made, seconds of the clock.
     """
 
-    def __init__(self, hub, state, plan):
+    def __init__(self, hub, state, plan, planned_at):
         self._hub = hub
         self._view = hub.view
         self._state = state
         self._plan = plan
-        self._planned_at = hub.clock()
+        self._planned_at = planned_at
         self._exchange = None
         self._sent_at = None
 
@@ -74,7 +76,6 @@
         now = self._hub.clock()
         return (
             self._hub.timer.ran_since(self._planned_at)
-            and self._hub.heartbeat.is_fresh(now)
             and is_proved(self._view, now)
             and self._view.may_send(self._plan.entry, self._state.work, now)
             and not self._get_quarantine(now)
--- a/landingspool/gateway/hub.py
+++ b/landingspool/gateway/hub.py
@@ -9,7 +9,6 @@
 from landingspool.decisions.gateway import routes
 from landingspool.decisions.gateway import stalls
 from landingspool.decisions.gateway import view as view_module
-from landingspool.decisions import timing
 from landingspool import events
 from landingspool.gateway import cache_follower
 from landingspool.gateway import crash_records
@@ -34,8 +33,8 @@
 from landingspool.platform import store
 from landingspool import timer as timer_module
 
-# Period of the heartbeat that shows that this process isn't stalled.
-HEARTBEAT_S = 0.1
+# Period of the check for target entries whose grace has expired.
+FLEET_CHECK_PERIOD_S = 0.1
 SWEEP_PERIOD_S = 1.0
 # Period of the `figures` log event.
 METRICS_LOG_PERIOD_S = 10.0
@@ -77,9 +76,10 @@
         self, deployment, seed, clock=boot_clock.read, wall=time.time
     ):
         self.deployment = deployment
-        self.clock = clock
         self.wall = wall
         self.timer = timer_module.Timer(clock)
+        # Every reading of the time notices a stall before it is used.
+        self.clock = self.timer.now
         self.recorder = events.Recorder(
             deployment.box, wall, RING_EVENTS, events.format_json
         )
@@ -87,12 +87,11 @@
         self.view = view_module.View(
             deployment.domain, deployment.bounds, seed, deployment.regions
         )
-        self.heartbeat = timing.Heartbeat()
         self.client = httpclient.Client()
-        self.store = store.Store(self.client, deployment.store, clock)
+        self.store = store.Store(self.client, deployment.store, self.clock)
         self.target_notices = target_notices.TargetNotices(self)
         self.runners = runners.Runners(self.client, self.target_notices)
-        self.upstream = upstream.Upstream(self.metrics, clock)
+        self.upstream = upstream.Upstream(self.metrics, self.clock)
         max_connections = max(
             deployment.descriptors - RESERVED_DESCRIPTORS, MIN_CONNECTIONS
         )
@@ -106,7 +105,7 @@
         self.state = state.State(self)
         self.sources = sources.Sources(self)
         self.record_server = sources.RecordServer(
-            lambda: self.peering.is_cut(), clock
+            lambda: self.peering.is_cut(), self.clock
         )
         self.cache_follower = cache_follower.CacheFollower(self)
         self.peering = peering.Peering(self)
@@ -123,7 +122,7 @@
         await self._start_metrics()
         await self.listener.start(self.deployment.callers)
         self.timer.subscribe_stall(self._on_stall)
-        self.timer.subscribe(HEARTBEAT_S, self._on_heartbeat)
+        self.timer.subscribe(FLEET_CHECK_PERIOD_S, self._check_fleet)
         self.timer.subscribe(prober.CHECK_PERIOD_S, self.prober.check)
         self.timer.subscribe(SWEEP_PERIOD_S, self._sweep)
         self.timer.subscribe(METRICS_LOG_PERIOD_S, self._log_metrics)
@@ -186,13 +185,11 @@
     def _on_stall(self, stall):
         """Correct what is known for a stall of this process."""
         self.recorder.record('frozen', seconds=round(stall.seconds, 2))
-        self.heartbeat.record(stall.now)
         stalls.exclude_stall(self.view, stall.seconds, stall.now)
         self.sources.exclude_stall(stall.seconds)
         self.resumption.begin(stall)
 
-    def _on_heartbeat(self, tick):
-        self.heartbeat.record(tick.now)
+    def _check_fleet(self, tick):
         for name in self.view.fleet.tick(tick.now):
             self.recorder.record('target_down', target=name, sure=True)
             self.view.record_incarnation_end(name, tick.now)
--- a/landingspool/gateway/ordering.py
+++ b/landingspool/gateway/ordering.py
@@ -192,12 +192,13 @@
         if entry is None:
             rollout.finish(order.target)
             return
+        began = self._hub.clock()
         report = await self._drain(entry, order)
         if isinstance(report, runners.Unanswered) or self._has(report, order):
             rollout.record(order, self._hub.clock(), rollouts.REFUSED)
             return
         if not report.busy:
-            state = await self._send(entry, order, report)
+            state = await self._send(entry, order, report, began)
             rollout.record(order, self._hub.clock(), state)
             if state == rollouts.REFUSED:
                 return
@@ -219,10 +220,11 @@
             if idle or self._hub.clock() >= deadline:
                 return report
 
-    async def _send(self, entry, order, report):
+    async def _send(self, entry, order, report, began):
         if not rollouts.is_held(self._lease, self._hub.clock()):
             return rollouts.REFUSED
-        if not self._hub.heartbeat.is_fresh(self._hub.clock()):
+        if not self._hub.timer.ran_since(began):
+            # What was planned before a stall of this process is void.
             return rollouts.REFUSED
         if not self._hub.view.may_call(entry.name, self._hub.clock()):
             # The target may have asked for a back-off since the planning.
--- a/landingspool/gateway/relay.py
+++ b/landingspool/gateway/relay.py
@@ -124,7 +124,8 @@
                 plan, state.work
             ):
                 return await self._refuse_overloaded()
-            outcome = await attempts.Attempt(self._hub, state, plan).run()
+            attempt = attempts.Attempt(self._hub, state, plan, now)
+            outcome = await attempt.run()
             if not isinstance(outcome, outcomes.Stale):
                 state.tried_targets.append(plan.entry.name)
             answer = await OUTCOME_HANDLERS[type(outcome)](self, outcome)
--- a/landingspool/gateway/sweeper.py
+++ b/landingspool/gateway/sweeper.py
@@ -34,7 +34,7 @@
     Parameters
     ----------
     hub
-        The box's parts: `view`, `peering`, `runners`, `heartbeat`, `recorder`,
+        The box's parts: `view`, `peering`, `runners`, `timer`, `recorder`,
         `clock`.
     """
 
@@ -88,7 +88,7 @@
         if index is None or not view.context_index.may_fetch(address, now):
             return
         parts = garbage.list_stale(index.cached, model, min_version)
-        if not parts or not self._hub.heartbeat.is_fresh(now):
+        if not parts or not self._hub.timer.ran_since(index.confirmed):
             return
         age_s = now - index.confirmed
         until_ms = index.clock_ms + (age_s + garbage.CALL_TIMEOUT_S) * 1000
@@ -144,9 +144,9 @@
         sent = hub.clock()
         updates = await hub.runners.read_list(boot.parse_address(address))
         now = hub.clock()
-        if isinstance(
-            updates, runners.Unanswered
-        ) or not hub.heartbeat.is_fresh(now):
+        if isinstance(updates, runners.Unanswered) or not hub.timer.ran_since(
+            sent
+        ):
             return
         self._listed[address] = now
         if updates.epoch != index.epoch:
--- a/landingspool/timer.py
+++ b/landingspool/timer.py
@@ -70,7 +70,7 @@
     def subscribe_stall(self, call):
         """Call ``call(Stall)`` after each stall until `close`."""
         if not self._on_stall:
-            self.now()
+            self._last_check = self.now()
             self.subscribe(CHECK_PERIOD_S, lambda tick: None)
         self._on_stall.append(call)
 
@@ -82,13 +82,8 @@
         be made before the subscribers are notified of it.
         """
         now = self._clock()
-        seconds = timing.measure_stall(self._last_check, now)
-        self._last_check = now
-        if seconds:
-            stall = Stall(seconds, now)
-            self._stalls.append(stall)
-            for call in self._on_stall:
-                call(stall)
+        if self._on_stall:
+            self._check(now)
         return now
 
     def ran_since(self, moment):
@@ -112,6 +107,15 @@
         for task in self._tasks:
             task.cancel()
 
+    def _check(self, now):
+        seconds = timing.measure_stall(self._last_check, now)
+        self._last_check = now
+        if seconds:
+            stall = Stall(seconds, now)
+            self._stalls.append(stall)
+            for call in self._on_stall:
+                call(stall)
+
     async def _run(self, period, call):
         while True:
             await self._sleep(period)
--- a/tests/gateway/site.py
+++ b/tests/gateway/site.py
@@ -182,7 +182,9 @@
         entry = runner.entry(service, **fields)
         self.store.put('keyed.servers', runner.name, entry)
 
-    async def start_box(self, name='box1', seeds=(), **bounds):
+    async def start_box(
+        self, name='box1', seeds=(), clock=boot_clock.read, **bounds
+    ):
         """Start a box and wait until it is ready."""
         ports = [http.Address('127.0.0.1', find_port()) for _ in range(3)]
         settings = deployment.Deployment(
@@ -195,7 +197,7 @@
             store=self.store.address,
             bounds=deployment.Bounds(**bounds),
         )
-        hub = hub_module.Hub(settings, 1)
+        hub = hub_module.Hub(settings, 1, clock)
         self.hubs.append(hub)
         self._works.append(asyncio.ensure_future(hub.run()))
         await wait_until(lambda: hub.view.table is not None)
--- a/tests/gateway/test_standstill.py
+++ b/tests/gateway/test_standstill.py
@@ -8,7 +8,9 @@
 
 import pytest
 
+from landingspool import boot_clock
 from tests.gateway import site
+from tests.virtual import clock
 
 # Longer than the bound for keys (5 s), so that no proof is valid after it.
 STALL_S = 6.0
@@ -134,3 +136,33 @@
         assert hub.view.latency.measure('engine', hub.clock()) < 1.0
 
     site.run_on_boot_clock(check)
+
+
+# More readings of the clock than a box makes while it serves one request.
+READINGS = 12
+
+
+@pytest.mark.parametrize('path', ['/safe/a', '/unsafe/a', '/stream/a'])
+def test_stall_at_any_reading_of_the_clock_refuses_no_request(path):
+    # Guards against decisions at a time after a stall that isn't noticed.
+    routes = {
+        name: {**row, 'timeout_ms': 30_000, 'target_latency_ms': 2_000}
+        for name, row in site.ROUTES.items()
+    }
+
+    async def check(deployment):
+        deployment.publish(site.make_table(2, routes=routes))
+        stalling = clock.StallingClock(boot_clock.read)
+        hub = await deployment.start_box(clock=stalling)
+        for runner in deployment.engines:
+            runner.usual = 'stream'
+        wrong = {}
+        for reading in range(READINGS):
+            stalling.stall_at(reading, STALL_S)
+            deadline = ('x-landingspool-deadline-ms', '25000')
+            got = await site.ask(hub, path, headers=[deadline])
+            if got.status != 200:
+                wrong[reading] = got.body
+        assert wrong == {}
+
+    site.run_on_boot_clock(check)
--- a/tests/gateway/test_stop.py
+++ b/tests/gateway/test_stop.py
@@ -39,20 +39,26 @@
     asyncio.run(main())
 
 
-def test_after_a_freeze_a_choice_is_made_anew():
-    async def main():
-        async with site.Site(plain=1) as deployment:
-            hub = await deployment.start_box()
-            real = hub.heartbeat.is_fresh
-            answers = [False, True]
-            hub.heartbeat.is_fresh = lambda now: answers.pop(0) and real(now)
-            got = await site.ask(hub, '/unsafe/a')
-            (runner,) = deployment.plain
-            assert got.status == 200
-            assert len(runner.ran) == 1
-            assert not answers
+def test_after_a_freeze_a_choice_is_made_anew(suspend):
+    async def check(deployment):
+        hub = await deployment.start_box()
+        real = hub.upstream.open
+        opened = []
 
-    asyncio.run(main())
+        async def stall_and_open(*call):
+            if not opened:
+                suspend(1.0)
+            opened.append(call)
+            return await real(*call)
+
+        hub.upstream.open = stall_and_open
+        got = await site.ask(hub, '/unsafe/a')
+        (runner,) = deployment.plain
+        assert got.status == 200
+        assert len(runner.ran) == 1
+        assert len(opened) == 2
+
+    site.run_on_boot_clock(check, plain=1)
 
 
 def test_after_a_freeze_that_outlasts_the_proof_nothing_is_sent():
