Send summaries also to the successor of a scheduler

Callers of a domain without a usable target of its own got 503 no_target after the box that schedules its pool had failed: found by reading, as another way in which no other domain is known. Domains send their summaries to the scheduler by the live list, which keeps a failed box for seconds, while its successor takes over within two; until then it had heard nobody.

Change: the second box of each shard's order receives the summaries as well. Each domain sends one more small message per model, shard and half second.

Why it works: the successor by rendezvous hashing is the second box of the same order at all senders. The new test failed before (one receiver of two); the tests of decisions and the fault matrix pass.

--- a/landingspool/decisions/pools.py
+++ b/landingspool/decisions/pools.py
@@ -14,6 +14,9 @@
 from landingspool.decisions import spill
 
 IDLE_TIMEOUT_S = 30.0
+# Boxes of each shard that receive the summaries of other domains: its
+# scheduler, and the box that takes over if that fails.
+SUMMARY_RECEIVERS = 2
 
 
 class Pools:
@@ -230,11 +233,13 @@
         return self._domains.setdefault(model, spill.OtherDomains())
 
     def _send_summary(self, summary, model, domain):
+        view = self._roster.view(domain)
         boxes = {
-            self._roster.get_owner(pool, domain)
+            box
             for pool in self._roster.list_shards(model, domain)
+            for box in ownership.rank(pool, view)[:SUMMARY_RECEIVERS]
         }
-        return [outputs.Send(box, summary) for box in sorted(boxes - {None})]
+        return [outputs.Send(box, summary) for box in sorted(boxes)]
 
     def _plan_orders(self, pool, pool_scheduler, table, now):
         holder = self.holders.get(pool)
--- a/tests/test_spill.py
+++ b/tests/test_spill.py
@@ -4,6 +4,7 @@
 from landingspool.decisions import messages
 from landingspool.decisions import node as node_module
 from landingspool.decisions import outputs
+from landingspool.decisions import ownership
 from landingspool.decisions import placement
 from landingspool.decisions import records
 from landingspool.decisions import spill
@@ -174,3 +175,23 @@
     node = make_leaving_node([south])
     actions = node.open_request(examples.make_work('r1'), 0.2)
     assert list_decided(actions) == [messages.Refuse]
+
+
+def test_summary_reaches_the_successor_of_a_scheduler():
+    # Guards against refusals by a box that has just taken over a pool, as it
+    # would not have heard of any other domain.
+    node = make_entry_node()
+    boxes = [f's{number}' for number in range(4)]
+    members = [
+        records.Member(name, 'entry', 'south', '127.0.0.1', 2)
+        for name in boxes
+    ]
+    node.set_live([*node.members.values(), *members], 2.0)
+    sent = {
+        action.to
+        for action in node.tick(2.5)
+        if isinstance(action, outputs.Send)
+        and isinstance(action.message, messages.Summary)
+    }
+    south = tuple(sorted([*boxes, 'box-south']))
+    assert sent == {*ownership.rank('m@south#0', south)[:2]}
