Split what a scheduler estimates and learns from grants into modules

Change: the estimates of compute and fetch time, the handlers of the outcomes of grants (now a registry) and the list of free slots are modules and functions of their own; no statement that decides differs.

--- a/landingspool/decisions/pool.py
+++ b/landingspool/decisions/pool.py
@@ -233,6 +233,35 @@
         )
 
 
+def list_free(targets, max_backlog_s, now):
+    """Return the number of free slots of each target that has any.
+
+    Parameters
+    ----------
+    targets : iterable of Target
+        Usable targets.
+    max_backlog_s : float
+        Maximum seconds of prefill that may wait at a target; 0 for no bound.
+    now : float
+        Monotonic seconds.
+
+    Returns
+    -------
+    dict of Target to int
+    """
+    free = {}
+    for target in targets:
+        # Requests queued at the scheduler can still go to the first free
+        # target, in the order of the weights; those queued at a target
+        # cannot.
+        if max_backlog_s and target.measure_backlog_s() > max_backlog_s:
+            continue
+        count = target.count_free(now)
+        if count > 0:
+            free[target] = count
+    return free
+
+
 def compute_request_rate(targets, compute):
     """Return the number of requests a second that targets can process.
 
--- a/landingspool/decisions/scheduler.py
+++ b/landingspool/decisions/scheduler.py
@@ -10,8 +10,10 @@
 import typing
 
 from landingspool.decisions import admission
+from landingspool.decisions import cost_estimates
 from landingspool.decisions import directory
 from landingspool.decisions import fairness
+from landingspool.decisions import grant_outcomes
 from landingspool.decisions import identity
 from landingspool.decisions import messages
 from landingspool.decisions import outputs
@@ -25,9 +27,6 @@
 
 MAX_HOPS = 1
 FIRST_TOKEN_GRACE_S = 0.05
-COMPUTE_SMOOTHING = 0.05
-FETCH_SMOOTHING = 0.3
-FETCH_RECOVERY = 0.003
 
 
 class Choice(typing.NamedTuple):
@@ -66,8 +65,7 @@
         self.policy_state = routing.PolicyState(self.rng.random())
         self._waiting = {}
         self._grant_count = 0
-        self._mean_compute_tokens = float(identity.PIECE_TOKENS)
-        self._fetch_s_per_block = placement.FETCH_S_PER_BLOCK
+        self._estimates = cost_estimates.CostEstimates()
         self._epoch = f'{box}.{self.rng.getrandbits(40):x}'
         self._by_request = {}
 
@@ -158,17 +156,14 @@
             done.output_tokens,
         )
         if done.fetched:
-            seconds = done.fetch_s / done.fetched
-            self._fetch_s_per_block += FETCH_SMOOTHING * (
-                seconds - self._fetch_s_per_block
-            )
+            self._estimates.record_fetch(done.fetched, done.fetch_s)
         if done.outcome == 'ok':
-            self._mean_compute_tokens += COMPUTE_SMOOTHING * (
-                computed - self._mean_compute_tokens
-            )
+            self._estimates.record_compute(computed)
         if target is not None:
             target.end_grant(done.grant, now)
-            OUTCOMES[done.outcome](self, target, active_grant, done, now)
+            grant_outcomes.apply(
+                target, self.directory, active_grant, done, now
+            )
         return self.place(now)
 
     def withdraw(self, request):
@@ -239,17 +234,11 @@
                 self.directory.record_cached(name, [event.piece])
 
     def tick(self, now):
-        """Expire grants and refuse requests that cannot be served any more.
+        """Expire grants, and refuse requests that cannot be served any more.
 
-        Returns
-        -------
-        tuple of (list of Send, list of TimelineEvent)
+        Return a list of Send and a list of TimelineEvent.
         """
-        # The estimate returns slowly to its initial value.  Otherwise no
-        # request would fetch over a link once it was slow, and no new
-        # measurement would show that it has become fast.
-        recovery = placement.FETCH_S_PER_BLOCK - self._fetch_s_per_block
-        self._fetch_s_per_block += FETCH_RECOVERY * recovery
+        self._estimates.recover()
         self.domains.expire(now)
         notes = self._expire_grants(now)
         sends = self._refuse_overdue(now)
@@ -288,8 +277,7 @@
         return request in self._waiting or request in self._by_request
 
     def _check_admission(self, work, share, usable, now):
-        # Returns the reason to refuse a request, or an empty one, and the
-        # seconds that it would wait.
+        # Returns the reason to refuse, or '', and the expected wait.
         if not usable:
             reason = '' if self._is_settling(now) else 'no_target'
             return reason, shortage.SETTLE_S
@@ -305,7 +293,9 @@
         if not ahead:
             return 0.0
         usable = self._list_usable(now)
-        rate = pool.compute_request_rate(usable, self._mean_compute_tokens)
+        rate = pool.compute_request_rate(
+            usable, self._estimates.compute_tokens
+        )
         return ahead / rate if rate else shortage.SETTLE_S
 
     def _pick_domain(self, work, wait, reason, usable, now):
@@ -337,18 +327,7 @@
         return [t for t in self.targets.values() if t.is_usable(now)]
 
     def _list_free(self, usable, now):
-        """Return the number of free slots of each target that has any."""
-        free = {}
-        max_backlog_s = self.policy.backlog_s
-        for target in usable:
-            # Requests queued here can still go to the first free target, in
-            # the order of the weights; requests queued at a target cannot.
-            if max_backlog_s and target.measure_backlog_s() > max_backlog_s:
-                continue
-            count = target.count_free(now)
-            if count > 0:
-                free[target] = count
-        return free
+        return pool.list_free(usable, self.policy.backlog_s, now)
 
     def _take_next(self, usable, now):
         """Choose the next request and its target; return a Choice or None."""
@@ -366,7 +345,9 @@
 
     def _make_views(self, work, free):
         """Return views of targets, and context locations by version."""
-        fetch_s_per_block = self._fetch_s_per_block + self.policy.link_price_s
+        fetch_s_per_block = (
+            self._estimates.fetch_s_per_block + self.policy.link_price_s
+        )
         locations = {}
         views = []
         for target, count in free.items():
@@ -513,31 +494,7 @@
             notes.append(outputs.TimelineEvent('lapsed', fields))
         return notes
 
-    def _end_ok(self, target, active_grant, done, now):
-        target.breaker = retries.record_success(target.breaker, now)
-        target.record_hold(done.held)
-        self.directory.record_cached(active_grant.target, active_grant.keys)
-
-    def _end_failed(self, target, active_grant, done, now):
-        target.breaker = retries.record_failure(target.breaker, now)
-        self.directory.record_evicted(active_grant.target, active_grant.keys)
-
-    def _end_unused(self, target, active_grant, done, now):
-        if target.breaker.state == retries.PROBING:
-            target.breaker = target.breaker._replace(state=retries.OPEN)
-
-    def _end_leaving(self, target, active_grant, done, now):
-        target.mark_leaving(target.incarnation)
-
 
 def make_spill(work, domain):
     """Return the answer that sends a request to another domain."""
     return outputs.Send(work.entry, messages.Spill(work.request, domain))
-
-
-OUTCOMES = {
-    'ok': Scheduler._end_ok,
-    'failed': Scheduler._end_failed,
-    'unused': Scheduler._end_unused,
-    'leaving': Scheduler._end_leaving,
-}
