Log why a scheduler refuses for want of a target, and shorten tests

Change: LS301 tells for each such request the pool, its targets, those that leave and report, the domains of the live list and the ages of their summaries; the event was in the catalogue and never recorded.

--- a/landingspool/decisions/pool.py
+++ b/landingspool/decisions/pool.py
@@ -233,6 +233,23 @@
         )
 
 
+def describe_targets(targets, now):
+    """Return for a log how many targets are known, leave and report.
+
+    Returns
+    -------
+    dict of str to int
+    """
+    targets = list(targets)
+    return {
+        'targets': len(targets),
+        'leaving': sum(target.is_leaving() for target in targets),
+        'reporting': sum(
+            now - target.received_at <= MAX_REPORT_AGE_S for target in targets
+        ),
+    }
+
+
 def list_free(targets, max_backlog_s, now):
     """Return the number of free slots of each target that has any.
 
--- a/landingspool/decisions/scheduler.py
+++ b/landingspool/decisions/scheduler.py
@@ -103,7 +103,7 @@
 
         Returns
         -------
-        list of Send
+        list of Send and TimelineEvent
         """
         if work.request in self._waiting:
             return [outputs.Send(work.entry, messages.Queued(work.request))]
@@ -117,7 +117,9 @@
         if domain:
             return [make_spill(work, domain)]
         if reason:
-            return [self._refuse(work, reason, wait)]
+            refused = [work] if reason == 'no_target' else []
+            notes = shortage.explain(self, refused, now)
+            return [*notes, self._refuse(work, reason, wait)]
         self.queue.push(work, share)
         arrived = now - work.waited
         row = records.Waiting(work, arrived, now + work.left)
@@ -243,8 +245,9 @@
         notes = self._expire_grants(now)
         sends = self._refuse_overdue(now)
         sends += self.place(now)
-        sends += self._spill_or_refuse_waiting(now)
-        return sends, notes
+        more, refused = self._spill_or_refuse_waiting(now)
+        notes += shortage.explain(self, refused, now)
+        return sends + more, notes
 
     def summarize(self, now):
         """Return the summary of this pool for the other domains."""
@@ -443,17 +446,18 @@
         """Answer waiting requests if no target is usable.
 
         Each is sent to another domain as soon as one is known, and refused
-        if the shortage has lasted.
+        if the shortage has lasted.  Return the answers and the refused work.
         """
         usable = self._list_usable(now)
         lasted = self._shortage.has_lasted(usable, self._is_settling(now), now)
-        if usable:
-            return []
-        answers = [
-            self._spill_or_refuse(row, lasted, now)
-            for row in [*self._waiting.values()]
-        ]
-        return [answer for answer in answers if answer]
+        sends, refused = [], []
+        for row in [] if usable else [*self._waiting.values()]:
+            answer = self._spill_or_refuse(row, lasted, now)
+            if answer is not None:
+                sends.append(answer)
+                if isinstance(answer.message, messages.Refuse):
+                    refused.append(row.work)
+        return sends, refused
 
     def _spill_or_refuse(self, row, lasted, now):
         """Return the answer to a waiting request, or None if it waits on."""
--- a/landingspool/decisions/shortage.py
+++ b/landingspool/decisions/shortage.py
@@ -7,10 +7,38 @@
 are refused at once, and queued ones as soon as the shortage has lasted.
 """
 
+from landingspool.decisions import outputs
+from landingspool.decisions import pool
+
 # Seconds to wait for load reports of targets and summaries of domains.
 SETTLE_S = 1.0
 
 
+def explain(scheduler, refused, now):
+    """Return an event for each request refused for want of a target.
+
+    Parameters
+    ----------
+    scheduler : scheduler.Scheduler
+    refused : list of records.Work
+    now : float
+        Monotonic seconds.
+
+    Returns
+    -------
+    list of TimelineEvent
+    """
+    fields = {
+        'pool': f'{scheduler.model}@{scheduler.domain}',
+        **pool.describe_targets(scheduler.targets.values(), now),
+        **scheduler.domains.describe(now),
+    }
+    return [
+        outputs.TimelineEvent('refused', {'request': work.request, **fields})
+        for work in refused
+    ]
+
+
 class Shortage:
     """Shortage of usable targets in one pool.
 
--- a/landingspool/decisions/spill.py
+++ b/landingspool/decisions/spill.py
@@ -93,6 +93,23 @@
         """Record another domain's summary of its pool."""
         self._summaries[domain] = ReceivedSummary(room, now)
 
+    def describe(self, now):
+        """Return for a log the listed domains and the ages of summaries.
+
+        >>> domains = OtherDomains()
+        >>> domains.set_listed({'south', 'west'})
+        >>> room = messages.Room('m', 2, 0.0, 9_000.0, 1)
+        >>> domains.record_summary('south', room, 1.0)
+        >>> domains.describe(1.5)
+        {'listed': ['south', 'west'], 'summary_ages_s': {'south': 0.5}}
+        """
+        ages_s = {
+            domain: round(now - received.received_at, 2)
+            for domain, received in sorted(self._summaries.items())
+            if received.room.targets
+        }
+        return {'listed': sorted(self._listed), 'summary_ages_s': ages_s}
+
     def resume(self, seconds):
         """Extend the summaries by a stall of `seconds`."""
         for domain, received in self._summaries.items():
--- a/landingspool/event_kinds.py
+++ b/landingspool/event_kinds.py
@@ -128,7 +128,12 @@
         Kind(
             300, 'queued', 'DEBUG', 'A request waits in the queue of its pool.'
         ),
-        Kind(301, 'refused', 'INFO', 'A scheduler refused a request.'),
+        Kind(
+            301,
+            'refused',
+            'INFO',
+            'A scheduler refused a request for want of a target.',
+        ),
         Kind(
             302,
             'spilled',
--- a/tests/virtual/clock.py
+++ b/standins/clock.py
@@ -1,4 +1,4 @@
-"""A clock of one process that can be ahead of the loop's time."""
+"""Stand-in for the clock of a process that stalls."""
 
 
 class StallingClock:
--- a/tests/gateway/test_ordering.py
+++ b/tests/gateway/test_ordering.py
@@ -118,7 +118,7 @@
     asyncio.run(main())
 
 
-async def name_version(deployment, hubs, disturb):
+async def name_version(deployment, hubs, disturb=lambda: asyncio.sleep(0)):
     """Name new weights, disturb the boxes; return the boxes that claimed."""
     named = {'model': 'm', 'version': 2}
     deployment.store.put('keyed.op', 'version/m', named)
@@ -152,11 +152,7 @@
     async def check(deployment):
         hubs = await site.start_boxes(deployment, 6)
         deployment.store.delay_s = 0.25
-
-        async def disturb():
-            """Leave the boxes alone."""
-
-        claiming = await name_version(deployment, hubs, disturb)
+        claiming = await name_version(deployment, hubs)
         assert len(claiming) == 1
 
     site.run_on_boot_clock(check, engines=2)
--- a/tests/gateway/test_standstill.py
+++ b/tests/gateway/test_standstill.py
@@ -9,8 +9,8 @@
 import pytest
 
 from landingspool import boot_clock
+from standins import clock
 from tests.gateway import site
-from tests.virtual import clock
 
 # Longer than the bound for keys (5 s), so that no proof is valid after it.
 STALL_S = 6.0
@@ -24,6 +24,9 @@
 ).encode()
 
 
+run = site.run_on_boot_clock
+
+
 def count_ran(deployment):
     """Return the number of requests that targets have executed."""
     runners = deployment.plain + deployment.engines
@@ -42,7 +45,7 @@
             wrong = [a.body for a in answers if a.status != 200]
             assert not wrong
 
-    site.run_on_boot_clock(check)
+    run(check)
 
 
 @pytest.mark.parametrize('path', ['/safe/a', '/unsafe/a', '/resumed/a'])
@@ -65,7 +68,7 @@
             assert (health.failures, health.failing) == (0, 0.0)
         assert not hub.view.reachability.list_failed()
 
-    site.run_on_boot_clock(check)
+    run(check)
 
 
 def test_a_kept_connection_is_served_after_a_standstill(suspend):
@@ -80,7 +83,7 @@
                     assert b'200' in await reader.readline()
                     await reader.readuntil(b'done')
 
-    site.run_on_boot_clock(check)
+    run(check)
 
 
 def test_without_the_store_nothing_is_served_on_the_old_proof(suspend):
@@ -97,7 +100,7 @@
             True
         }
 
-    site.run_on_boot_clock(check)
+    run(check)
 
 
 def test_a_box_without_a_table_yet_goes_on(suspend):
@@ -111,7 +114,7 @@
         await site.wait_until(lambda: hub.view.table is not None)
         assert (await site.ask(hub, '/safe/a')).status == 200
 
-    site.run_on_boot_clock(check)
+    run(check)
 
 
 def test_the_time_is_not_counted_against_targets_or_boxes(suspend):
@@ -135,7 +138,7 @@
             assert hub.view.get_health(entry.name).wait_s < STALL_S / 2
         assert hub.view.latency.measure('engine', hub.clock()) < 1.0
 
-    site.run_on_boot_clock(check)
+    run(check)
 
 
 # More readings of the clock than a box makes while it serves one request.
@@ -165,4 +168,4 @@
                 wrong[reading] = got.body
         assert wrong == {}
 
-    site.run_on_boot_clock(check)
+    run(check)
--- a/tests/test_spill.py
+++ b/tests/test_spill.py
@@ -78,20 +78,26 @@
     assert message == messages.Spill('r1', 'south')
 
 
-def make_entry_node(domains=('south',), targets=('t1',)):
-    """Return a node of north that has summaries of other domains."""
+def make_node(domains=('south',), targets=(), others=()):
+    """Return a node of north, just started, and a box of each other domain."""
     node = node_module.Node('box-1', 'north', 'i1')
-    boxes = [
-        records.Member(f'box-{name}', 'entry', name, '127.0.0.1', 2)
-        for name in domains
+    boxes = [('box-1', 'north'), *((f'box-{name}', name) for name in domains)]
+    entries = [
+        records.Member(name, 'entry', domain, '127.0.0.1', 2)
+        for name, domain in boxes
     ]
-    own = records.Member('box-1', 'entry', 'north', '127.0.0.1', 2)
-    members = [own, *boxes, *map(examples.make_member, targets)]
     node.set_table(configuration.Table(0, {'a': ROW}))
-    node.set_live(members, 0.0)
+    targets = map(examples.make_member, targets)
+    node.set_live([*entries, *targets, *others], 0.0)
     # The scheduler of the own domain starts with the first request.
     node.open_request(examples.make_work('first'), 0.0)
     node.end_request('first', 0.0)
+    return node
+
+
+def make_busy_node(domains=('south',), targets=('t1',)):
+    """Return a node with busy targets and summaries of other domains."""
+    node = make_node(domains, targets)
     for name in targets:
         node.report(examples.make_report(name, queued_tokens=30_000), 2.0)
     for index, name in enumerate(domains):
@@ -100,13 +106,18 @@
     return node
 
 
-def list_asked(actions):
-    """List the boxes that are asked for a slot."""
-    return [
-        a.to
-        for a in actions
-        if isinstance(a, outputs.Send) and isinstance(a.message, messages.Ask)
-    ]
+def make_leaving_node(**other):
+    """Return a node whose target leaves, and another domain with one."""
+    south = examples.make_member('t2', domain='south', **other)
+    node = make_node(targets=['t1'], others=[south])
+    node.report(examples.make_report('t1', leaving=True), 0.1)
+    return node
+
+
+def list_sent(actions, kind=messages.Ask):
+    """List the boxes that get a message of a kind."""
+    sends = [a for a in actions if isinstance(a, outputs.Send)]
+    return [send.to for send in sends if isinstance(send.message, kind)]
 
 
 def list_decided(actions):
@@ -117,9 +128,9 @@
 def test_request_that_another_domain_can_not_serve_is_served_at_home():
     # Guards against refusals by a domain whose targets have left since its
     # last summary, although the own targets are sound.
-    node = make_entry_node()
+    node = make_busy_node()
     actions = node.open_request(examples.make_work('r1'), 2.1)
-    assert list_asked(actions) == ['box-south']
+    assert list_sent(actions) == ['box-south']
     refuse = messages.Refuse('r1', 'no_target', 2.0)
     actions = node.handle('box-south', refuse, 2.2)
     assert list_decided(actions) == [messages.Grant]
@@ -127,41 +138,28 @@
 
 def test_request_that_another_domain_can_not_serve_goes_to_a_third():
     # Guards against the same where the own domain has no target.
-    node = make_entry_node(domains=('south', 'west'), targets=())
+    node = make_busy_node(domains=('south', 'west'), targets=())
     actions = node.open_request(examples.make_work('r1'), 2.1)
-    assert list_asked(actions) == ['box-south']
+    assert list_sent(actions) == ['box-south']
     refuse = messages.Refuse('r1', 'no_target', 2.0)
     actions = node.handle('box-south', refuse, 2.2)
-    assert list_asked(actions) == ['box-west']
+    assert list_sent(actions) == ['box-west']
     actions = node.handle('box-west', refuse, 2.3)
     assert list_decided(actions) == [messages.Refuse]
 
 
-def make_leaving_node(members=()):
-    """Return a node, just started, whose only target is leaving."""
-    leaving = examples.make_member('t1', leaving=True)
-    node = node_module.Node('box-1', 'north', 'i1')
-    node.set_table(configuration.Table(0, {'a': ROW}))
-    own = records.Member('box-1', 'entry', 'north', '127.0.0.1', 2)
-    other = records.Member('box-south', 'entry', 'south', '127.0.0.1', 2)
-    node.set_live([own, other, leaving, *members], 0.0)
-    node.tick(0.0)
-    node.report(examples.make_report('t1', leaving=True), 0.1)
-    return node
-
-
 def test_request_waits_for_the_first_summary_of_a_listed_domain():
     # Guards against refusals after a start, before other domains are heard.
-    node = make_leaving_node([examples.make_member('t2', domain='south')])
+    node = make_leaving_node()
     actions = node.open_request(examples.make_work('r1'), 0.2)
     assert list_decided(actions) == []
     node.handle('box-south', messages.Summary('south', (IDLE,)), 0.4)
-    assert list_asked(node.tick(0.5)) == ['box-south']
+    assert list_sent(node.tick(0.5)) == ['box-south']
 
 
 def test_request_does_not_wait_long_for_a_summary():
     # Guards against requests that are held for a domain that says nothing.
-    node = make_leaving_node([examples.make_member('t2', domain='south')])
+    node = make_leaving_node()
     node.open_request(examples.make_work('r1'), 0.2)
     decided = []
     for tick in range(3, 14):
@@ -171,8 +169,7 @@
 
 def test_request_that_no_listed_target_can_serve_is_refused_at_once():
     # Guards against requests that wait though all listed targets leave.
-    south = examples.make_member('t2', domain='south', leaving=True)
-    node = make_leaving_node([south])
+    node = make_leaving_node(leaving=True)
     actions = node.open_request(examples.make_work('r1'), 0.2)
     assert list_decided(actions) == [messages.Refuse]
 
@@ -180,18 +177,12 @@
 def test_summary_reaches_the_successor_of_a_scheduler():
     # Guards against refusals by a box that has just taken over a pool, as it
     # would not have heard of any other domain.
-    node = make_entry_node()
-    boxes = [f's{number}' for number in range(4)]
-    members = [
+    boxes = ('s0', 's1', 's2', 's3')
+    south = [
         records.Member(name, 'entry', 'south', '127.0.0.1', 2)
         for name in boxes
     ]
-    node.set_live([*node.members.values(), *members], 2.0)
-    sent = {
-        action.to
-        for action in node.tick(2.5)
-        if isinstance(action, outputs.Send)
-        and isinstance(action.message, messages.Summary)
-    }
-    south = tuple(sorted([*boxes, 'box-south']))
-    assert sent == {*ownership.rank('m@south#0', south)[:2]}
+    node = make_node((), ['t1'], south)
+    node.report(examples.make_report('t1'), 0.1)
+    sent = list_sent(node.tick(0.6), messages.Summary)
+    assert sent == sorted(ownership.rank('m@south#0', boxes)[:2])
--- a/tests/virtual/world.py
+++ b/tests/virtual/world.py
@@ -13,13 +13,13 @@
 from landingspool.decisions import identity
 from landingspool import http
 from landingspool import settings as settings_module
+from standins import clock
 from standins import engine
 from standins import live
 from standins import log
 from standins import plain
 from standins import store
 from standins import weights
-from tests.virtual import clock
 from tests.virtual import loop as loop_module
 from tests.virtual import network
 from tests.virtual import steps
