--- a/landingspool/decisions/shortage.py
+++ b/landingspool/decisions/shortage.py
@@ -28,6 +28,8 @@
     -------
     list of TimelineEvent
     """
+    if not refused:
+        return []
     fields = {
         'pool': f'{scheduler.model}@{scheduler.domain}',
         **pool.describe_targets(scheduler.targets.values(), now),
