--- a/landingspool/decisions/shortage.py
+++ b/landingspool/decisions/shortage.py
@@ -3,8 +3,8 @@
 A scheduler that has just started, or whose process has stalled, has no load
 reports or only old ones, even if all targets are healthy, and may not have
 received a summary of each other domain.  Requests are then queued for a short
-time while the targets are polled.  Otherwise new requests
-are refused at once, and queued ones as soon as the shortage has lasted.
+time while the targets are polled.  Otherwise new requests are refused at once,
+and queued ones as soon as the shortage has lasted.
 """
 
 from landingspool.decisions import outputs
