Plan requests in a module of its own, and measure only what narrows

Change: planner.py plans; loads are summed once for all targets, cached context is looked up only for candidates that are compared, lags once for each version. The choices are the same.

Result: the tests of the view and of many boxes pass unchanged but for the module that holds the constant and make_plan.

--- a/landingspool/decisions/gateway/choice.py
+++ b/landingspool/decisions/gateway/choice.py
@@ -135,35 +135,45 @@
     wait_s: float = 0.0
 
 
-def choose(candidates, prompt, domain, now, rng, silence_timeout_s):
-    """Choose a target; return None if none may be used.
+class Comparison(typing.NamedTuple):
+    """What the candidates are compared by.
+
+    Attributes
+    ----------
+    peers : health.Peers
+        Of all usable targets, also of those that are no candidates.
+    ranks : dict of str to int
+        As returned by rank_targets.
+    """
+
+    peers: health_module.Peers
+    ranks: dict
+
+
+def choose(candidates, prompt, domain, comparison, rng):
+    """Choose a target.
 
     Parameters
     ----------
     candidates : sequence of Candidate
+        At least one.
     prompt : prompts.Prompt or None
         None for plain services.
     domain : str
         Failure domain of this box.
+    comparison : Comparison
     rng : random.Random
-    silence_timeout_s : float
-        Seconds without a byte after which a target with a request is silent.
 
     Returns
     -------
-    Chosen or None
+    Chosen
     """
-    usable = list_usable(candidates, now, silence_timeout_s)
-    if not usable:
-        return None
-    # Computed once: a large service has some sixty targets.
-    peers = health_module.measure_peers([c.health for c in usable])
-    ranks = rank_targets(prompt, usable)
-    usable = limit_to_preferred(usable, ranks)
     scored = []
-    for candidate in usable:
-        seconds = estimate_first_byte(candidate, prompt, domain, peers)
-        rank = ranks.get(candidate.entry.name, 0)
+    for candidate in candidates:
+        seconds = estimate_first_byte(
+            candidate, prompt, domain, comparison.peers
+        )
+        rank = comparison.ranks.get(candidate.entry.name, 0)
         seconds += rank * compute_rank_penalty(candidate, prompt)
         scored.append((seconds, rng.random(), candidate))
     if rng.random() < TRIAL_SHARE:
@@ -173,7 +183,7 @@
     seconds, _, candidate = best
     wait = estimate_wait(candidate)
     return Chosen(
-        candidate.entry, seconds, candidate.cached, len(usable), wait
+        candidate.entry, seconds, candidate.cached, len(candidates), wait
     )
 
 
--- a/landingspool/decisions/gateway/loads.py
+++ b/landingspool/decisions/gateway/loads.py
@@ -97,7 +97,8 @@
         Parameters
         ----------
         peer_load : tuple of float
-            Requests of other boxes there, as PeerDigests.get_load returns.
+            Requests of other boxes there, as peer_digests.PeerLoads.get
+            returns.
 
         >>> loads = Loads()
         >>> loads.record_sent('t', 'q', Sent(1.0, 500, False, 600))
@@ -105,15 +106,26 @@
         >>> load.waiting, load.waiting_tokens, load.peer_running
         (1, 500, 2.0)
         """
-        rows = self._sent.get(target, {}).values()
-        waiting = [row for row in rows if not row.begun]
         tokens, running, held, queued = peer_load
+        last_byte = self._last_bytes.get(target, 0.0)
+        at_target = self._sent.get(target)
+        if at_target is None:
+            # Most targets have no request of this box.
+            return choice.Load(
+                last_byte=last_byte,
+                peer_tokens=tokens,
+                peer_running=running,
+                peer_held=held,
+                peer_waiting=queued,
+            )
+        rows = at_target.values()
+        waiting = [row for row in rows if not row.begun]
         return choice.Load(
             waiting=len(waiting),
             running=len(rows) - len(waiting),
             waiting_tokens=sum(row.tokens for row in waiting),
             oldest=min((row.at for row in waiting), default=None),
-            last_byte=self._last_bytes.get(target, 0.0),
+            last_byte=last_byte,
             peer_tokens=tokens,
             peer_running=running,
             held_tokens=sum(row.held for row in rows),
--- a/landingspool/decisions/gateway/peer_digests.py
+++ b/landingspool/decisions/gateway/peer_digests.py
@@ -25,7 +25,7 @@
 # Stands for the target in the notice that a request was answered completely.
 NO_INCARNATION = 0
 # Load of a target that is in no digest.
-NO_LOAD = 0, 0, 0, 0
+NO_LOAD = 0.0, 0.0, 0.0, 0.0
 
 
 class CrashNotice(typing.NamedTuple):
@@ -202,9 +202,7 @@
 
     def __init__(self):
         self._received = {}
-        self._sums = {}
-        self._sums_boxes = 0
-        self._sums_domains = set()
+        self._sums = PeerLoads()
         self._summed = None
 
     def take(self, digest, now):
@@ -236,8 +234,8 @@
             box for box, row in self._received.items() if row.is_fresh(now)
         ]
 
-    def get_load(self, target, counts, now):
-        """Return the load that peers put on a target.
+    def sum_loads(self, counts, now):
+        """Return the loads that peers put on all targets.
 
         Parameters
         ----------
@@ -248,41 +246,72 @@
 
         Returns
         -------
-        tuple of float
-            As in the digests: tokens waiting, requests running, tokens held,
-            requests waiting.
+        PeerLoads
 
         >>> digests = PeerDigests()
         >>> loads = hash_loads({'t': [1, 2, 9, 3]})
         >>> digests.take(Digest('b', 'd', 1, loads), 1.0)
-        >>> digests.get_load('t', {'d': 1}, 1.5)
+        >>> digests.sum_loads({'d': 1}, 1.5).get('t')
         (1.0, 2.0, 9.0, 3.0)
-        >>> digests.get_load('t', {'d': 2, 'away': 9}, 1.5)
+        >>> digests.sum_loads({'d': 2, 'away': 9}, 1.7).get('t')
         (2.0, 4.0, 18.0, 6.0)
-        >>> digests.get_load('t', {'d': 1}, 3.0)
+        >>> digests.sum_loads({'d': 1}, 3.0).get('t')
         (0.0, 0.0, 0.0, 0.0)
         """
-        self._sum(now)
-        if not self._sums_boxes:
-            return tuple(map(float, NO_LOAD))
-        boxes = sum(counts.get(domain, 0) for domain in self._sums_domains)
-        scale = max(boxes / self._sums_boxes, 1.0)
-        sums = self._sums.get(hash_target(target), NO_LOAD)
-        return tuple(n * scale for n in sums)
-
-    def _sum(self, now):
         # Computed only every SUM_CACHE_S: digests change some times a second,
         # and every routing decision reads the load of every target.
-        if self._summed is not None and now - self._summed < SUM_CACHE_S:
-            return
-        sums = {}
-        rows = [row for row in self._received.values() if row.is_fresh(now)]
-        for row in rows:
-            for target, load in row.digest.loads.items():
-                known = sums.get(target, NO_LOAD)
-                pairs = zip(known, load, strict=True)
-                sums[target] = tuple(a + b for a, b in pairs)
-        self._sums = sums
-        self._sums_boxes = len(rows)
-        self._sums_domains = {row.digest.domain for row in rows}
-        self._summed = now
+        if self._summed is None or now - self._summed >= SUM_CACHE_S:
+            rows = [
+                row for row in self._received.values() if row.is_fresh(now)
+            ]
+            self._sums = PeerLoads(
+                add_up([row.digest for row in rows], counts)
+            )
+            self._summed = now
+        return self._sums
+
+
+class PeerLoads(typing.NamedTuple):
+    """The loads that peers put on targets, by the hash of the target."""
+
+    loads: dict = {}
+
+    def get(self, target):
+        """Return the load of a target, by the name of its incarnation.
+
+        Returns
+        -------
+        tuple of float
+            As in the digests: tokens waiting, requests running, tokens held,
+            requests waiting.
+        """
+        return self.loads.get(hash_target(target), NO_LOAD)
+
+
+def add_up(digests, counts):
+    """Return the sum of the digests' loads, scaled to all peers.
+
+    Parameters
+    ----------
+    digests : list of Digest
+    counts : dict of str to int
+        Number of peers, by domain.
+    """
+    sums = {}
+    for digest in digests:
+        for target, (tokens, running, held, waiting) in digest.loads.items():
+            known = sums.get(target, NO_LOAD)
+            sums[target] = (
+                known[0] + tokens,
+                known[1] + running,
+                known[2] + held,
+                known[3] + waiting,
+            )
+    heard_of = {digest.domain for digest in digests}
+    boxes = sum(counts.get(domain, 0) for domain in heard_of)
+    scale = max(boxes / len(digests), 1.0) if digests else 1.0
+    if scale == 1.0:
+        return sums
+    return {
+        target: tuple(n * scale for n in load) for target, load in sums.items()
+    }
--- a/landingspool/decisions/gateway/view.py
+++ b/landingspool/decisions/gateway/view.py
@@ -7,9 +7,7 @@
 
 import random
 
-from landingspool.decisions.gateway import admission
 from landingspool.decisions.gateway import capacity as capacity_module
-from landingspool.decisions.gateway import choice
 from landingspool.decisions.gateway import context_index as index_module
 from landingspool.decisions.gateway import crashes as crashes_module
 from landingspool.decisions.gateway import engine_split as split_module
@@ -20,28 +18,17 @@
 from landingspool.decisions.gateway import latency
 from landingspool.decisions.gateway import loads as loads_module
 from landingspool.decisions.gateway import peer_digests
+from landingspool.decisions.gateway import planner
 from landingspool.decisions.gateway import plans
 from landingspool.decisions.gateway import prompts
 from landingspool.decisions.gateway import reachability as reachability_module
 from landingspool.decisions.gateway import retry_budget
-from landingspool.decisions.gateway import transfers
 from landingspool.decisions.gateway import watchers as watchers_module
 from landingspool.decisions.gateway import weights as weights_module
 
 # Lowest number of boxes that the retry budget is divided by: the deployments
 # have six and seven boxes, and may replace one of them.
 MIN_BOXES = 8
-# Seconds without a byte after which a target with a waiting request counts as
-# silent: engines answer within some hundred ms, plain services within 220 ms
-# at most.
-ENGINE_SILENCE_S = 1.0
-PLAIN_SILENCE_S = 0.45
-
-
-# Share of a route's latency objective that a request may be expected to wait
-# at each of the engines for its size; above it the other engines are
-# candidates, too.
-OVERFLOW_SHARE = 0.2
 
 
 class View:
@@ -85,6 +72,7 @@
         self.peers_by_domain = {}
         # Epoch and used tokens of each store, as this box last counted them.
         self.store_usage = {}
+        self.planner = planner.Planner(self)
         self._health = {}
         self._retry_budgets = {}
 
@@ -163,88 +151,11 @@
         ready : frozenset of tuple
             Addresses to which there is an idle connection.
         """
-        entries = self._list_usable(work, avoid, now)
-        # Most targets run the same weights, so transfers are planned once for
-        # each namespace.
-        transfers_by_space = {}
-        candidates = [
-            self._make_candidate(
-                entry, work, now, transfers_by_space
-            )._replace(ready=entry.address in ready)
-            for entry in entries
-        ]
-        held = choice.measure_memory(candidates)
-        candidates = plans.weigh_candidates(candidates, work, held)
-        silence_timeout_s = (
-            PLAIN_SILENCE_S if work.prompt is None else ENGINE_SILENCE_S
-        )
-        usable = choice.list_usable(candidates, now, silence_timeout_s)
-        chosen = choice.choose(
-            self._pick_by_size(usable, work, held),
-            work.prompt,
-            self.domain,
-            now,
-            self.rng,
-            silence_timeout_s,
-        )
-        if chosen is None:
-            return None
-        plan = self._make_plan(chosen, work, now, transfers_by_space)
-        pressure = max(
-            choice.measure_pressure(candidates),
-            self.latency.measure(work.service, now),
-        )
-        all_limited = all(c.limited for c in candidates)
-        return plan._replace(
-            pressure=pressure, held=held, all_limited=all_limited
-        )
-
-    def _pick_by_size(self, candidates, work, held):
-        """Return the healthy engines for prompts of this request's size.
-
-        All candidates are returned where each of these engines would let the
-        request wait too long.
-        """
-        if work.prompt is None or not candidates:
-            return candidates
-        taken, slots = choice.count_occupancy(candidates)
-        self.engine_split.record_headroom(
-            split_module.measure_headroom(taken, slots, len(candidates)),
-            held.share,
-        )
-        stored = max(candidate.stored for candidate in candidates)
-        read = prompts.count_read(work.prompt, stored)
-        names = self.engine_split.pick(read, [c.entry for c in candidates])
-        if names is None:
-            return candidates
-        limit_s = work.route.target_latency_s * OVERFLOW_SHARE
-        suited = [c for c in candidates if c.entry.name in names]
-        if all(choice.estimate_wait(c) > limit_s for c in suited):
-            return candidates
-        return suited
+        return self.planner.plan(work, avoid, now, ready)
 
     def is_admitted(self, plan, work):
         """Return whether a request should be sent as planned."""
-        if work.prompt is None:
-            return True
-        weight = choice.compute_memory_weight(
-            plans.count_held(work), plan.held
-        )
-        filled = (
-            (plan.pressure, admission.PRESSURES),
-            (plan.held.share * weight, admission.MEMORY_SHARES),
-        )
-        for share, bounds in filled:
-            if not admission.is_below_share(
-                share, bounds, work.route.priority, self.rng.random()
-            ):
-                return False
-        return admission.is_admitted(
-            plan.wait_s,
-            work.route.target_latency_s,
-            plan.read_tokens,
-            work.route.priority,
-        )
+        return self.planner.is_admitted(plan, work)
 
     def get_lag(self, name, model, now):
         """Return the seconds since the first version that a target missed."""
@@ -395,131 +306,3 @@
             )
             self._retry_budgets[service] = known
         return known
-
-    def _list_usable(self, work, avoid, now):
-        """Return the entries of the targets that a request may be sent to."""
-        limits = self.exclusions.get_requirements(work, self.table)
-        known = self.fleet.list_service(work.service)
-        known = [entry for entry in known if entry.name not in avoid]
-        entries = self.exclusions.list_open(known, limits, now)
-        # If none can be reached, an attempt costs no more than a refusal.
-        reached = [e for e in entries if not self.reachability.is_out(e.name)]
-        entries = reached or entries
-        if work.prompt is None:
-            return entries
-        return self._list_loaded(entries, work.prompt, now)
-
-    def _list_loaded(self, entries, prompt, now):
-        """Return the entries that neither load nor have too old weights."""
-        idle = [
-            entry
-            for entry in entries
-            if not self.weights.is_loading(entry.name, prompt, now)
-        ]
-        return [
-            entry
-            for entry in idle or entries
-            if self.get_lag(entry.name, prompt.model, now)
-            < self.weights.max_lag_s
-        ]
-
-    def _make_candidate(self, entry, work, now, transfers_by_space):
-        peers_by_domain = self.peer_digests.get_load(
-            entry.name, self.peers_by_domain, now
-        )
-        load = self.loads.measure(entry.name, peers_by_domain)
-        health = self.get_health(entry.name)
-        cold_s = self.exclusions.cold_targets.get_seconds_left(entry.name, now)
-        limited = self.exclusions.limits.find(entry.name) is not None
-        if work.prompt is None:
-            return choice.Candidate(
-                entry, load, health, cold_s=cold_s, limited=limited
-            )
-        version = self.fleet.get_version(entry.name, work.prompt.model)
-        space = prompts.build_namespace(
-            work.prompt.model, version, work.tenancy
-        )
-        cached = prompts.count_kept(
-            work.prompt, space, self.context_index.cached(entry.name)
-        )
-        transfer = transfers_by_space.get(space)
-        if transfer is None:
-            transfer = self._plan_transfer(work, version, space, now)
-            transfers_by_space[space] = transfer
-        return choice.Candidate(
-            entry,
-            load,
-            health,
-            cached,
-            transfer.tokens,
-            transfer.seconds,
-            weights_module.compute_penalty(
-                self.get_lag(entry.name, work.prompt.model, now)
-            ),
-            self._get_capacity(work.service),
-            cold_s=cold_s,
-            limited=limited,
-        )
-
-    def _get_capacity(self, service):
-        known = self.table.services.get(service)
-        if known is None or known.engine is None:
-            return 0
-        return known.engine.capacity_tokens
-
-    def _make_plan(self, chosen, work, now, transfers_by_space):
-        version, space, read = None, '', 0
-        transfer = transfers.Transfer()
-        if work.prompt is not None:
-            version, space = self._get_namespace(chosen.entry.name, work, now)
-            if version is not None:
-                transfer = transfers_by_space[space]
-            cached = max(chosen.cached, transfer.tokens)
-            read = prompts.count_read(work.prompt, cached)
-        return plans.Plan(
-            chosen.entry,
-            chosen.expected_s,
-            chosen.wait_s,
-            chosen.cached,
-            read,
-            chosen.candidates,
-            version,
-            space,
-            transfer,
-        )
-
-    def _get_namespace(self, name, work, now):
-        """Return the version that a request needs, and its namespace.
-
-        A target that is about to load may have the new weights before the
-        request arrives, or get them while it runs.  So the version is None
-        (any version will do), and the request has a namespace of its own and
-        no transfers: it shares no context with other requests.
-        """
-        model = work.prompt.model
-        version = self.fleet.get_version(name, model)
-        space = prompts.build_namespace(model, version, work.tenancy)
-        loading = self.weights.is_loading(name, work.prompt, now)
-        if version is None or loading:
-            return None, f'{space}.{work.name}'
-        return version, space
-
-    def _plan_transfer(self, work, version, space, now):
-        service = self.table.services.get(work.service)
-        if service is None or service.engine is None:
-            return transfers.Transfer()
-        if not service.engine.managed or len(work.prompt.parts) < 2:
-            return transfers.Transfer()
-        planned = transfers.plan_transfer(
-            work.prompt,
-            space,
-            self.exclusions.list_context_stores(work, self.table),
-            self.context_index,
-            service.engine.token_bytes,
-            now,
-        )
-        if self.weights.is_replaced(work.prompt.model, version):
-            # Parts of replaced weights are of no use within seconds, and the
-            # memory that they take becomes free only after that.
-            return planned._replace(save=())
-        return planned
--- a/tests/gateway/test_view.py
+++ b/tests/gateway/test_view.py
@@ -3,6 +3,7 @@
 from landingspool.decisions.gateway import choice
 from landingspool.decisions.gateway import context_index
 from landingspool.decisions.gateway import fleet
+from landingspool.decisions.gateway import planner
 from landingspool.decisions.gateway import plans
 from landingspool.decisions.gateway import prompts
 from landingspool.decisions.gateway import routes
@@ -77,7 +78,7 @@
     preferred = pick(view)
     plan = view.plan(make_work('first'), (), 10.0)
     view.record_sent(plan, make_work('first'), 10.0)
-    late = 10.0 + view_module.ENGINE_SILENCE_S + 0.1
+    late = 10.0 + planner.ENGINE_SILENCE_S + 0.1
     assert all(pick(view, late, name=f'n{i}') != preferred for i in range(20))
 
 
@@ -150,7 +151,7 @@
     work = make_work(prompt=None)
     for entry in entries:
         for _ in range(20):
-            plan = view._make_plan(
+            plan = view.planner.make_plan(
                 choice.Chosen(entry, 0.0, 0, 2), work, 1.0, {}
             )
             view.record_answer(plan, 0.01, True)
@@ -272,5 +273,5 @@
         plan = view.plan(make_work('first'), (), 10.0)
         entry = view.fleet.entries[name]
         view.record_sent(plan._replace(entry=entry), make_work(name), 10.0)
-    late = 10.0 + view_module.ENGINE_SILENCE_S + 0.1
+    late = 10.0 + planner.ENGINE_SILENCE_S + 0.1
     assert pick(view, late, prompt=short) not in {None, *names}
