Read datagrams together, and let the ticks of a box fall together

Cause: a box of 62 receives 115 datagrams a second and runs 40 ticks, and woke up for each.

Change: the socket of datagrams is read every 0.05 s by a tick, at once after a stall, and encoded once for all receivers; ticks are due at multiples of their periods since the timer's start.

--- a/landingspool/boxes/datagrams.py
+++ b/landingspool/boxes/datagrams.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import io
+import socket
 
 import cbor2
 import msgspec
@@ -18,65 +19,98 @@
     'tell': peer_digests.ProofReply,
 }
 MESSAGE_NAMES = {kind: name for name, kind in MESSAGE_TYPES.items()}
+# Seconds between two readings of the socket: short beside the period of the
+# digests, whose age grows by half of it on average.
+READ_PERIOD_S = 0.05
+# Datagrams that one reading delivers, so that a flood does not keep the
+# process from its requests; the rest is read at the next.
+MAX_READ = 256
 # A larger datagram is fragmented on the way and therefore easily lost.
 MAX_DATAGRAM_BYTES = 8192
 
 
-class Datagrams(asyncio.DatagramProtocol):
-    """UDP socket of one box.
+class Datagrams:
+    """UDP socket of one box, read at the ticks of a timer.
+
+    A box receives a hundred datagrams a second from its peers.  To wake up
+    for each of them takes longer than to read them, so those that have
+    arrived are read together, READ_PERIOD_S after the last ones.
 
     Parameters
     ----------
+    timer : timer.Timer
     on_message : callable
         ``on_message(message, address)``.
     on_bad : callable
         ``on_bad(reason)`` for a datagram that can't be decoded.
     """
 
-    def __init__(self, on_message, on_bad):
+    def __init__(self, timer, on_message, on_bad):
+        self._timer = timer
         self._on_message = on_message
         self._on_bad = on_bad
-        self._transport = None
+        self._socket = None
 
     async def start(self, address):
         """Open the socket."""
+        self._socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        self._socket.setblocking(False)
+        self._socket.bind(tuple(address))
+        self._timer.subscribe(READ_PERIOD_S, self._read_arrived)
+        self._timer.subscribe_stall(self._read_soon)
+
+    def _read_soon(self, stall):
+        """Read at once what arrived during a stall."""
         loop = asyncio.get_running_loop()
-        await loop.create_datagram_endpoint(
-            lambda: self, local_addr=tuple(address)
-        )
-
-    def connection_made(self, transport):
-        """Store the transport (asyncio callback)."""
-        self._transport = transport
-
-    def datagram_received(self, data, address):
-        """Decode and deliver one datagram (asyncio callback)."""
+        loop.call_soon(self._read_arrived, stall)
+
+    def _read_arrived(self, event):
+        """Deliver the datagrams that have arrived."""
+        for _ in range(MAX_READ):
+            if self._socket is None:
+                return
+            try:
+                data, address = self._socket.recvfrom(MAX_DATAGRAM_BYTES)
+            except BlockingIOError:
+                return
+            except OSError as error:
+                # The platform reports that an earlier send met a closed port;
+                # an unreachable peer is noticed by its missing messages.
+                self._on_bad(f'receive: {error!r}')
+                continue
+            self._deliver(data, address)
+
+    def _deliver(self, data, address):
         message = decode(data)
         if message is None:
             self._on_bad(f'{len(data)} bytes from {address[0]}')
             return
         self._on_message(message, address)
 
-    def error_received(self, error):
-        """Ignore send errors (asyncio callback).
-
-        An unreachable peer is detected by its missing messages.
-        """
-
     def send(self, message, address):
         """Send a message without any guarantee of delivery.
 
         A message over `MAX_DATAGRAM_BYTES` is dropped.
         """
+        self.send_to_all(message, (address,))
+
+    def send_to_all(self, message, addresses):
+        """Send a message to several boxes, encoded once."""
         data = encode(message)
-        if self._transport is None or len(data) > MAX_DATAGRAM_BYTES:
+        if self._socket is None or len(data) > MAX_DATAGRAM_BYTES:
             return
-        self._transport.sendto(data, tuple(address))
+        for address in addresses:
+            try:
+                self._socket.sendto(data, tuple(address))
+            except OSError as error:
+                # Such as a full buffer; the next message replaces this one.
+                self._on_bad(f'send: {error!r}')
 
     def close(self):
         """Close the socket."""
-        if self._transport is not None:
-            self._transport.close()
+        if self._socket is not None:
+            self._socket.close()
+            self._socket = None
 
 
 def encode(message):
--- a/landingspool/gateway/peering.py
+++ b/landingspool/gateway/peering.py
@@ -82,7 +82,7 @@
             deployment.box, deployment.link_mbps, self.ages.old_s
         )
         self._socket = datagrams.Datagrams(
-            self._receive, self._record_bad_message
+            hub.timer, self._receive, self._record_bad_message
         )
         self._server = http.Server(self._answer)
 
@@ -239,8 +239,7 @@
             limits=view.exclusions.limits.list_due_notices(now),
             leaving=view.exclusions.leaving.list_due_notices(now),
         )
-        for address in self._pick_digest_receivers():
-            self._socket.send(digest, address)
+        self._socket.send_to_all(digest, self._pick_digest_receivers())
 
     def _on_ask_period(self, tick):
         if self._get_proof_age() < self.ages.old_s + ASK_DELAY_S:
--- a/landingspool/timer.py
+++ b/landingspool/timer.py
@@ -10,6 +10,7 @@
 
 import asyncio
 import collections
+import math
 import typing
 
 from landingspool import boot_clock
@@ -17,6 +18,9 @@
 
 # Period of the checks for a stall, in seconds.
 CHECK_PERIOD_S = 0.1
+# Seconds by which the event loop may run a tick before it is due: the
+# resolution of its timers.
+EARLY_S = 0.002
 # Number of stalls that are remembered; older ones are dropped.
 MAX_STALLS = 64
 
@@ -56,13 +60,19 @@
     def __init__(self, clock=boot_clock.read, sleep=asyncio.sleep):
         self._clock = clock
         self._sleep = sleep
+        self._origin = clock()
         self._tasks = []
         self._last_check = None
         self._on_stall = []
         self._stalls = collections.deque(maxlen=MAX_STALLS)
 
     def subscribe(self, period, call):
-        """Call ``call(Tick)`` every `period` seconds until `close`."""
+        """Call ``call(Tick)`` every `period` seconds until `close`.
+
+        All ticks are due at multiples of their periods, counted from when the
+        timer was created.  So the process wakes up once for ticks of several
+        subscribers, and a box is woken some dozen times a second less.
+        """
         task = asyncio.ensure_future(self._run(period, call))
         self._tasks.append(task)
         return task
@@ -118,5 +128,14 @@
 
     async def _run(self, period, call):
         while True:
-            await self._sleep(period)
+            await self._sleep(self._compute_wait(period))
             call(Tick(self.now()))
+
+    def _compute_wait(self, period):
+        """Return the seconds until the next multiple of `period`.
+
+        A tick that is run early, by less than EARLY_S, is not repeated.
+        """
+        passed = self._clock() - self._origin
+        due = (math.floor((passed + EARLY_S) / period) + 1) * period
+        return due - passed
