--- a/landingspool/gateway/relay.py
+++ b/landingspool/gateway/relay.py
@@ -28,6 +28,11 @@
 # The same when all targets are leaving: a replacement has to start, load its
 # weights and be listed.
 REPLACEMENT_RETRY_AFTER_S = (1.0, 2.0)
+# Longest wait of a request for the first table of a box that has just started,
+# in seconds and as a share of the time that its caller waits.  The table comes
+# within 0.3 s; a caller that is refused comes back no sooner than that.
+START_WAIT_S = 0.4
+START_WAIT_SHARE = 0.125
 
 
 class Answer(typing.NamedTuple):
@@ -45,7 +50,7 @@
     ----------
     hub
         The box's parts: `view`, `recorder`, `metrics`, `clock`, `upstream`,
-        `resumption`, and those that an attempt needs.
+        `resumption`, `state`, and those that an attempt needs.
     call : ingress.Call
     body : bytes
     reply : listener.Reply
@@ -72,11 +77,17 @@
 
     async def _serve(self):
         await self._hub.resumption.wait_for_pending_input()
+        if self._view.table is None:
+            await self._hub.state.wait_for_table(self._get_start_wait())
         if self._view.table is None:
             return await self._refuse('no_table')
         proved = self._is_proved() or await self._wait_for_proof()
         return await self._admit(proved)
 
+    def _get_start_wait(self):
+        """Return the seconds for which a request may wait for the table."""
+        return min(START_WAIT_S, self._call.left_s * START_WAIT_SHARE)
+
     async def _admit(self, proved):
         table = self._view.table
         route = self._get_route()
--- a/landingspool/gateway/state.py
+++ b/landingspool/gateway/state.py
@@ -4,11 +4,15 @@
 platform's store reads them as if they came from the store.
 """
 
+import asyncio
+import contextlib
+
 import msgspec
 
 from landingspool.decisions.gateway import fleet as fleet_module
 from landingspool.decisions.gateway import peer_digests
 from landingspool.platform import catalogue
+from landingspool import timeouts
 
 
 class StateSnapshot(msgspec.Struct):
@@ -67,6 +71,7 @@
         self._hub = hub
         self._view = hub.view
         self._table_value = None
+        self._has_table = asyncio.Event()
         self.target_values = {}
         self.targets_end = 0
 
@@ -80,12 +85,19 @@
         table = catalogue.read_table(value)
         if self._view.put_table(table):
             self._table_value = value
+            self._has_table.set()
             self._hub.recorder.record(
                 'published',
                 version=table.version,
                 proof_s=self._view.proof.age_to_log(self._hub.clock()),
             )
 
+    async def wait_for_table(self, seconds):
+        """Wait until the first table is in force, for `seconds` at most."""
+        with contextlib.suppress(TimeoutError):
+            async with timeouts.Timeout(seconds):
+                await self._has_table.wait()
+
     def get_snapshot(self):
         """Return what a box needs that can't reach the store."""
         versions = {m: n.version for m, n in self._view.weights.named.items()}
--- a/landingspool/platform/__main__.py
+++ b/landingspool/platform/__main__.py
@@ -13,6 +13,11 @@
 from landingspool import settings
 
 BAD_SETTINGS = 2
+# New objects between two runs of the garbage collector, and runs between two
+# for the next older generation.  Requests leave few cycles, and the indexes of
+# cached context hold tens of thousands of objects that a run would scan.
+GC_OBJECTS = 20_000
+GC_OLDER = 20
 
 
 async def serve(deployment):
@@ -58,6 +63,7 @@
     # Imported objects live as long as the process; the garbage collector
     # need not scan them.
     gc.freeze()
+    gc.set_threshold(GC_OBJECTS, GC_OLDER, GC_OLDER)
     boot_clock.run(serve(deployment))
     return 0
 
