Plan around stores of cached context that are slow or dead

Fetches queued at a store whose link had turned slow until their offers ended, and a store that had crashed was offered for the rest of its lease. Boxes now compare the first bytes of their fetches with what is usual, share suspicions in digests, and read parts where fetching takes longer; a store that refuses connections is not offered.

--- a/landingspool/boxes/datagrams.py
+++ b/landingspool/boxes/datagrams.py
@@ -114,23 +114,34 @@
 
 
 def encode(message):
-    """Encode a message.
+    """Encode a message, without the fields at its end that have defaults.
+
+    So boxes of an earlier release understand it while nothing is in use that
+    they don't know.
 
     >>> decode(encode(peer_digests.ProofQuery('a', 1)))
     ProofQuery(box='a', number=1)
     """
-    return cbor2.dumps([MESSAGE_NAMES[type(message)], *message])
+    fields, defaults = list(message), message._field_defaults
+    for name in reversed(message._fields):
+        if name not in defaults or fields[-1] != defaults[name]:
+            break
+        fields.pop()
+    return cbor2.dumps([MESSAGE_NAMES[type(message)], *fields])
 
 
 def decode(data):
     """Decode a message; None if it is not a valid message of a box.
 
+    Fields that boxes of a later release have added at its end are dropped.
+
     >>> decode(b'nonsense') is None
     True
     """
     try:
         name, *fields = cbor2.load(io.BytesIO(data))
-        return msgspec.convert(fields, MESSAGE_TYPES[name])
+        kind = MESSAGE_TYPES[name]
+        return msgspec.convert(fields[: len(kind._fields)], kind)
     except (
         cbor2.CBORError,
         msgspec.ValidationError,
--- a/landingspool/decisions/gateway/context_index.py
+++ b/landingspool/decisions/gateway/context_index.py
@@ -208,6 +208,20 @@
         extra = sum(row.room for row in left)
         self._indexes[name] = index._replace(incomplete=left, extra=extra)
 
+    def withdraw(self, name):
+        """Stop offering parts of a store until it answers again.
+
+        Returns
+        -------
+        bool
+            Whether parts were offered.
+        """
+        index = self._indexes.get(name)
+        if index is None or index.clock_ms is None:
+            return False
+        self._indexes[name] = index._replace(clock_ms=None)
+        return True
+
     def get_position(self, name):
         """Return the epoch and position up to which changes are known here."""
         index = self._indexes.get(name)
--- a/landingspool/decisions/gateway/peer_digests.py
+++ b/landingspool/decisions/gateway/peer_digests.py
@@ -105,6 +105,9 @@
         Limits that targets advertise, likewise.
     leaving : tuple of LeavingNotice
         Targets that have announced that they are leaving, likewise.
+    slow_stores : dict of str to int
+        Milliseconds by which fetches from a store were delayed, if it seems
+        slow.
     """
 
     box: str
@@ -117,6 +120,7 @@
     endings: tuple[CrashNotice, ...] = ()
     limits: tuple[LimitNotice, ...] = ()
     leaving: tuple[LeavingNotice, ...] = ()
+    slow_stores: dict[str, int] = {}
 
 
 class ProofQuery(typing.NamedTuple):
--- a/landingspool/decisions/gateway/planner.py
+++ b/landingspool/decisions/gateway/planner.py
@@ -328,6 +328,9 @@
             view.context_index,
             service.engine.token_bytes,
             now,
+            transfers.Delays(
+                lambda store: view.get_store_delay(store, now), view.rng
+            ),
         )
         if view.weights.is_replaced(work.prompt.model, version):
             # Parts of replaced weights are of no use within seconds, and the
--- a/landingspool/decisions/gateway/transfers.py
+++ b/landingspool/decisions/gateway/transfers.py
@@ -1,7 +1,8 @@
 """Plans which parts of a prompt are fetched from stores or written to them.
 
 A store frees nothing by itself and checks nothing: a part is offered only as
-the index allows, and every offer ends at a time on the targets' clock.
+the index allows, and every offer ends at a time on the targets' clock.  A part
+that takes longer to fetch from a slow store than to read is read.
 """
 
 import typing
@@ -16,6 +17,11 @@
 # Share of a store that is filled: simultaneous writes of other boxes have to
 # fit in as well.
 FILL_SHARE = 0.96
+# Share of the fetches from a slow store that are planned all the same, to
+# detect its recovery, and the tokens of the largest part used for that: it
+# delays its request by at most the time to read one more piece of a prompt.
+TRIAL_SHARE = 0.05
+MAX_TRIAL_TOKENS = 2048
 # Bits; links are published in megabits a second.
 MEGABIT = 1e6
 
@@ -32,7 +38,13 @@
     tokens : int
         Leading tokens that need not be read.
     seconds : float
-        Duration of the transfer on idle links.
+        Duration of the transfer on idle links, and the delay at slow stores.
+    delay_s : float
+        The latter.
+    store : str
+        Address of the store that most tokens are fetched from; or empty.
+    declined : int
+        Parts that are read, since their store is slow.
     """
 
     fetch: tuple = ()
@@ -40,9 +52,43 @@
     until_ms: float | None = None
     tokens: int = 0
     seconds: float = 0.0
+    delay_s: float = 0.0
+    store: str = ''
+    declined: int = 0
 
 
-def plan_transfer(prompt, space, stores, index, token_bytes, now):
+class Source(typing.NamedTuple):
+    """A store to fetch a part from, and the expected seconds.
+
+    `delay_s` of the `seconds` are due to the store being slow.
+    """
+
+    address: str
+    seconds: float
+    delay_s: float
+
+
+class Delays(typing.NamedTuple):
+    """Delays at slow stores.
+
+    Attributes
+    ----------
+    get : callable
+        ``get(address)`` returns the seconds of delay; 0 for most stores.
+    rng : random.Random or None
+        Draws the trials of slow stores; None: there are no trials.
+    """
+
+    get: typing.Callable
+    rng: typing.Any = None
+
+
+NO_DELAYS = Delays(lambda address: 0.0)
+
+
+def plan_transfer(
+    prompt, space, stores, index, token_bytes, now, delays=NO_DELAYS
+):
     """Return the transfers of one request.
 
     Parameters
@@ -51,30 +97,36 @@
         By address.
     index : context_index.ContextIndex
     token_bytes : int
+    delays : Delays
     """
     managed = {a: k for a, k in stores.items() if k.managed}
     readable = [a for a in managed if index.may_fetch(a, now)]
     writable = [a for a in managed if index.may_save(a, now)]
     if not readable:
         return Transfer()
-    fetch, save, used = [], [], set()
-    tokens, seconds, leading = 0, 0.0, True
+    fetch, save, used = [], [], {}
+    tokens, seconds, delay_s, leading, declined = 0, 0.0, 0.0, True, 0
     for part in prompts.list_shared(prompt):
-        source = choose_source(part, space, readable, managed, index)
+        holding = list_holding(part, space, readable, index)
+        source = choose_source(part, holding, managed, token_bytes, delays)
+        if source is not None and not is_worth_fetching(part, source, delays):
+            source = None
+            declined += 1
         destination = (
             ''
-            if source
+            if holding
             else choose_destination(part, space, writable, managed, index)
         )
-        fetch.append(source)
+        fetch.append(source.address if source else '')
         save.append(destination)
-        leading = leading and bool(source)
-        if not source:
+        leading = leading and source is not None
+        if source is None:
             continue
-        used.add(source)
+        used[source.address] = used.get(source.address, 0) + part.tokens
         if leading:
             tokens += part.tokens
-        seconds += estimate_seconds(part.tokens, managed[source], token_bytes)
+        seconds += source.seconds
+        delay_s = max(delay_s, source.delay_s)
     # The last part is the request's own: it is not read again.
     fetch.append('')
     save.append('')
@@ -83,20 +135,55 @@
         tuple(save),
         compute_offer_end(used, index),
         tokens,
-        seconds,
+        # Parts are fetched side by side: only the longest delay counts.
+        seconds + delay_s,
+        delay_s,
+        max(used, key=used.get, default=''),
+        declined,
     )
 
 
-def choose_source(part, space, readable, stores, index):
-    """Return the fastest store that holds the complete part, or ''."""
+def list_holding(part, space, readable, index):
+    """List the stores that hold the complete part."""
     if part.tokens < MIN_TOKENS:
-        return ''
-    holding = [
+        return []
+    return [
         address
         for address in readable
         if index.cached(address).get((space, part.name), 0) >= part.tokens
     ]
-    return max(holding, key=lambda a: (stores[a].link_mbps, a), default='')
+
+
+def choose_source(part, holding, stores, token_bytes, delays):
+    """Return the Source that a part is fetched from soonest, or None."""
+    sources = [
+        Source(
+            address,
+            estimate_seconds(part.tokens, stores[address], token_bytes),
+            delays.get(address),
+        )
+        for address in holding
+    ]
+    return min(
+        sources,
+        key=lambda row: (row.seconds + row.delay_s, row.address),
+        default=None,
+    )
+
+
+def is_worth_fetching(part, source, delays):
+    """Return whether a part is fetched, and not read.
+
+    Without a delay it is: reading takes the target's time from others as well.
+    """
+    if not source.delay_s:
+        return True
+    read_s = part.tokens / prompts.READ_TOKENS_S
+    if source.seconds + source.delay_s < read_s:
+        return True
+    if delays.rng is None or part.tokens > MAX_TRIAL_TOKENS:
+        return False
+    return delays.rng.random() < TRIAL_SHARE
 
 
 def choose_destination(part, space, writable, stores, index):
--- a/landingspool/decisions/gateway/view.py
+++ b/landingspool/decisions/gateway/view.py
@@ -23,6 +23,8 @@
 from landingspool.decisions.gateway import prompts
 from landingspool.decisions.gateway import reachability as reachability_module
 from landingspool.decisions.gateway import retry_budget
+from landingspool.decisions.gateway import store_health as store_health_module
+from landingspool.decisions.gateway import transfers
 from landingspool.decisions.gateway import watchers as watchers_module
 from landingspool.decisions.gateway import weights as weights_module
 
@@ -64,6 +66,7 @@
             self.fleet, self.exclusions
         )
         self.context_index = index_module.ContextIndex()
+        self.store_health = store_health_module.StoreHealth()
         self.proof = freshness.Proof(bounds.key_s, bounds.keys_fail_closed)
         self.peer_digests = peer_digests.PeerDigests()
         self.crashes = crashes_module.Crashes()
@@ -207,10 +210,33 @@
         self.latency.record_first(
             work.service, now - sent.at, objective_s, now
         )
+        self._record_fetch(plan, work, now - sent.at, now)
         if plan.space:
             parts = prompts.list_shared(work.prompt)
             self.context_index.add_read(name, plan.space, parts, now)
 
+    def _record_fetch(self, plan, work, wait_s, now):
+        """Record the time to the first byte for the store fetched from."""
+        transfer = plan.transfer
+        # What the target has cached is not fetched.
+        fetched = transfer.tokens > plan.cached + transfers.MIN_TOKENS
+        beyond_s = wait_s - plan.expected_s + transfer.delay_s
+        sample = store_health_module.Sample(
+            work.service,
+            plan.entry.name,
+            transfer.store if fetched else '',
+            beyond_s,
+        )
+        self.store_health.record(sample, now)
+
+    def get_store_delay(self, store, now):
+        """Return the seconds by which fetches from a store are delayed."""
+        return self.store_health.get_delay(store, self.boxes, now)
+
+    def list_slow_stores(self, now):
+        """Return the delay in seconds of each slow store."""
+        return self.store_health.list_slow(self.boxes, now)
+
     def record_answer(self, plan, wait_s, failed):
         """Update a target's health from an answer.
 
@@ -250,6 +276,7 @@
             self.exclusions.leaving.take(notice, digest.box, now)
         for store, counted in digest.rooms.items():
             self.context_index.record_taken(store, *counted)
+        self.store_health.take_reports(digest.box, digest.slow_stores, now)
 
     def _suspect(self, name, now):
         duty = self.watchers.is_duty(name)
--- a/landingspool/gateway/attempts.py
+++ b/landingspool/gateway/attempts.py
@@ -102,6 +102,8 @@
             self._hub.metrics.repeats.inc()
         self._view.record_sent(plan, state.work, self._sent_at)
         self._view.crashes.record_sent(state.fingerprint)
+        if plan.transfer.declined:
+            self._hub.metrics.declined_parts.inc(plan.transfer.declined)
         self._hub.recorder.record(
             'dispatched',
             request=state.call.name,
@@ -412,6 +414,7 @@
         'kept': plan.cached,
         'fetched': plan.transfer.tokens,
         'read': plan.read_tokens,
+        'declined': plan.transfer.declined,
         'saved': sum(1 for address in plan.transfer.save if address),
         'candidates': plan.candidates,
         'weights': plan.version,
--- a/landingspool/gateway/cache_follower.py
+++ b/landingspool/gateway/cache_follower.py
@@ -125,6 +125,7 @@
         # A box that received the state of a store from a peer continues from
         # there.
         needs_list = self._hub.view.context_index.get(name) is None
+        answered = True
         while True:
             sent = self._hub.clock()
             if needs_list:
@@ -133,8 +134,14 @@
                 updates = await self._read_events(name, address)
             now = self._hub.clock()
             if isinstance(updates, runners.Unanswered):
-                await asyncio.sleep(RETRY_PAUSE_S)
+                self._withdraw_if_dead(name, updates)
+                # A call to a store that is cut off may be the first sign of a
+                # crash; the next one shows whether anything still listens.
+                ask_now = answered and period_s == STORE_PERIOD_S
+                await asyncio.sleep(MIN_PAUSE_S if ask_now else RETRY_PAUSE_S)
+                answered = False
                 continue
+            answered = True
             needs_list = self._apply(name, updates, sent, now)
             # A list doesn't give the store's clock, so events are read at
             # once after it.
@@ -142,12 +149,25 @@
                 pause = max(period_s - (now - sent), MIN_PAUSE_S)
                 await asyncio.sleep(pause)
 
+    def _withdraw_if_dead(self, name, unanswered):
+        """Stop offering parts of a store at whose address nothing listens.
+
+        Boxes that ask this one learn of it with the next answer.
+        """
+        if not unanswered.refused:
+            return
+        if self._hub.view.context_index.withdraw(name):
+            self._hub.recorder.record(
+                'store_withdrawn', store=name, reason=unanswered.reason
+            )
+
     def _apply(self, name, updates, sent, now):
         """Apply updates; return whether the complete list is needed."""
         known = self._hub.view.context_index
         index = known.get(name)
         needs_list = known.take(name, updates, sent, now)
         if index is None or index.epoch != updates.epoch:
+            self._hub.view.store_health.forget(name)
             self._hub.recorder.record(
                 'cache_epoch', target=name, epoch=updates.epoch
             )
--- a/landingspool/gateway/hub.py
+++ b/landingspool/gateway/hub.py
@@ -22,6 +22,7 @@
 from landingspool.gateway import resumption
 from landingspool.gateway import sources
 from landingspool.gateway import state
+from landingspool.gateway import store_reports
 from landingspool.gateway import sweeper
 from landingspool.gateway import target_notices
 from landingspool.gateway import upstream
@@ -108,6 +109,7 @@
             lambda: self.peering.is_cut(), self.clock
         )
         self.cache_follower = cache_follower.CacheFollower(self)
+        self.store_reports = store_reports.StoreReports(self)
         self.peering = peering.Peering(self)
         self.prober = prober.Prober(self)
         self.crash_records = crash_records.CrashRecords(self)
@@ -199,6 +201,7 @@
     def _sweep(self, tick):
         self.upstream.sweep()
         self.target_notices.sweep()
+        self.store_reports.check(tick.now)
         exclusions = self.view.exclusions
         self.metrics.record_targets(
             len(exclusions.cold_targets.list_cold(tick.now)),
--- a/landingspool/gateway/metrics.py
+++ b/landingspool/gateway/metrics.py
@@ -68,6 +68,15 @@
         self.partitioned = self._make_gauge(
             'engines_parted', '1 while engines are parted by reading size'
         )
+        self.store_delays = self._make_gauge(
+            'store_delay_seconds',
+            'Delay of fetches from a store that is believed slow',
+            ('store',),
+        )
+        self.declined_parts = self._make_counter(
+            'parts_read_instead',
+            'Parts that were read, since their store is slow',
+        )
         self.seconds = self._make_histogram(
             'answer', 'Time to the whole answer'
         )
@@ -156,6 +165,18 @@
         for name, seconds in left_s.items():
             self.backoffs_left.labels(name).set(seconds)
 
+    def record_store_delays(self, delays_s):
+        """Update the gauges of the stores that are believed slow.
+
+        Parameters
+        ----------
+        delays_s : dict of str to float
+            Seconds by the address of the store.
+        """
+        self.store_delays.clear()
+        for address, delay_s in delays_s.items():
+            self.store_delays.labels(address).set(delay_s)
+
     def render(self):
         """Return the metrics in the text format of Prometheus."""
         return prometheus.generate_latest(self.registry)
--- a/landingspool/gateway/peering.py
+++ b/landingspool/gateway/peering.py
@@ -238,6 +238,7 @@
             endings=view.crashes.list_due_notices(now),
             limits=view.exclusions.limits.list_due_notices(now),
             leaving=view.exclusions.leaving.list_due_notices(now),
+            slow_stores=view.store_health.list_reported(now),
         )
         self._socket.send_to_all(digest, self._pick_digest_receivers())
 
--- a/landingspool/http.py
+++ b/landingspool/http.py
@@ -77,12 +77,14 @@
 class Unreachable(Exception):
     """Raised if an exchange with a peer failed.
 
-    `sent` tells whether a byte of the request may have been sent.
+    `sent` tells whether a byte of the request may have been sent, `refused`
+    whether nothing listens at the address.
     """
 
-    def __init__(self, text, sent):
+    def __init__(self, text, sent, refused=False):
         super().__init__(text)
         self.sent = sent
+        self.refused = refused
 
 
 class Exchange:
--- a/landingspool/httpclient.py
+++ b/landingspool/httpclient.py
@@ -137,7 +137,10 @@
             async with timeouts.Timeout(CONNECT_TIMEOUT_S):
                 reader, writer = await asyncio.open_connection(*self._address)
         except (OSError, TimeoutError) as error:
-            raise http.Unreachable(f'connect: {error}', False) from error
+            refused = isinstance(error, ConnectionRefusedError)
+            raise http.Unreachable(
+                f'connect: {error}', False, refused
+            ) from error
         conn = h11.Connection(h11.CLIENT, http.MAX_HEADER_BYTES)
         self._stream = reader, writer, conn
 
--- a/landingspool/platform/runners.py
+++ b/landingspool/platform/runners.py
@@ -54,10 +54,14 @@
 
 @dataclasses.dataclass(frozen=True)
 class Unanswered:
-    """No usable answer; `sent`: the call may have arrived."""
+    """No usable answer; `sent`: the call may have arrived.
+
+    `refused`: nothing listens at the address.
+    """
 
     reason: str
     sent: bool
+    refused: bool = False
 
 
 class Runners:
@@ -176,7 +180,7 @@
                 address, method, path, body, headers, timeout
             )
         except http.Unreachable as error:
-            return Unanswered(str(error), error.sent)
+            return Unanswered(str(error), error.sent, error.refused)
         notices_found = notices.read_folded_notices(
             reply.status, reply.headers
         )
