Judge slow stores against the others, not against the past

Where engines delay all requests within a second, every store seemed slow, and a third of them was believed so in an emulation of 62 boxes whose waits rise by 0.8 s within 2 s. A store now counts only if three times as many boxes suspect it as the least suspect quarter: 0.004 of the stores are believed slow then, and a queue is still noticed by nearly all boxes after 2.2 s.

--- a/landingspool/decisions/gateway/store_health.py
+++ b/landingspool/decisions/gateway/store_health.py
@@ -14,6 +14,7 @@
 
 import collections
 import math
+import statistics
 import typing
 
 from landingspool.decisions.gateway import bounded
@@ -23,10 +24,12 @@
 HALF_LIFE_S = 2.0
 # Weight of the newest fetch in the mean delay of its store.
 SAMPLE_WEIGHT = 0.4
-# Newest requests of a service that a fetch is compared with, and the least
-# number of them.  Engines that fill up raise the waits of all within a second.
+# Newest requests of a service that a fetch is compared with: their number and
+# age in seconds, and the least number of them.  Engines that fill up raise the
+# waits of all requests within a second.
 MAX_USUAL = 40
-MIN_USUAL = 10
+USUAL_S = 2.5
+MIN_USUAL = 4
 # Share of these that must be left without the stores that seem slow; if fewer
 # are, all requests are delayed, and all are compared.
 MIN_SOUND_SHARE = 0.3
@@ -44,9 +47,18 @@
 MIN_TARGETS = 2
 # Seconds for which a report of another box counts.
 REPORT_S = 1.5
-# Boxes whose reports are believed: a share of all, and at least two.
+# Boxes whose reports are believed: a share of all, within bounds.  In a large
+# deployment few boxes fetch from the same store within that time.
 REPORTING_SHARE = 0.15
 MIN_REPORTS = 2
+MAX_REPORTS = 5
+# Where engines delay all requests, all stores seem slow: only those count for
+# which so many times the boxes vote as for the least suspect quarter of them.
+VOTES_RATIO = 3
+# Seconds for which a store without fetches is compared with the others.
+KNOWN_S = 10.0
+# Seconds for which verdicts are cached: requests ask for several stores each.
+VERDICT_S = 0.1
 # Stores and services whose values are kept.
 MAX_STORES = 256
 MAX_SERVICES = 64
@@ -95,6 +107,9 @@
         return self.seconds * 0.5 ** (max(now - self.at, 0.0) / HALF_LIFE_S)
 
 
+NO_DELAY = Delay()
+
+
 class Sample(typing.NamedTuple):
     """Time to the first byte of one request.
 
@@ -121,6 +136,8 @@
         self._suspects = set()
         self._delays = collections.OrderedDict()
         self._reports = {}
+        # When stores were last judged, and the delays of the slow ones.
+        self._verdicts = -math.inf, {}
 
     def record(self, sample, now):
         """Record the time to the first byte of a request."""
@@ -129,16 +146,23 @@
             recent = collections.deque(maxlen=MAX_USUAL)
             self._recent[sample.service] = recent
             bounded.trim(self._recent, MAX_SERVICES)
+        while recent and now - recent[0][0] > USUAL_S:
+            recent.popleft()
         if sample.store and len(recent) >= MIN_USUAL:
-            known = self._delays.get(sample.store, Delay())
-            usual = measure_usual(recent, {sample.store, *self._suspects})
-            known = add_sample(known, sample, usual, now)
-            self._delays[sample.store] = known
-            bounded.trim(self._delays, MAX_STORES)
-            self._suspects.discard(sample.store)
-            if is_suspect(known, now):
-                self._suspects.add(sample.store)
-        recent.append(sample)
+            self._compare(sample, [row for _, row in recent], now)
+        recent.append((now, sample))
+
+    def _compare(self, sample, recent, now):
+        store = sample.store
+        usual = measure_usual(recent, {store, *self._suspects})
+        known = add_sample(
+            self._delays.get(store, NO_DELAY), sample, usual, now
+        )
+        self._delays[store] = known
+        bounded.trim(self._delays, MAX_STORES)
+        self._suspects.discard(store)
+        if is_suspect(known, now):
+            self._suspects.add(store)
 
     def take_reports(self, box, reports, now):
         """Store the delays that another box reports.
@@ -159,6 +183,7 @@
         self._delays.pop(store, None)
         self._reports.pop(store, None)
         self._suspects.discard(store)
+        self._verdicts = -math.inf, {}
 
     def get_delay(self, store, boxes, now):
         """Return the seconds by which fetches from a store are delayed.
@@ -173,19 +198,17 @@
         float
             0 unless the store is slow.
         """
-        known = self._delays.get(store)
-        own_s = 0.0
-        if known is not None and is_slow(known, now):
-            own_s = known.get_seconds(now)
-        if store not in self._reports:
-            return own_s
-        return max(own_s, self._get_reported(store, boxes, now))
+        if not self._reports and not self._suspects:
+            return 0.0
+        return self.list_slow(boxes, now).get(store, 0.0)
 
     def list_slow(self, boxes, now):
         """Return the delay in seconds of each slow store."""
-        stores = {*self._delays, *self._reports}
-        delays = {s: self.get_delay(s, boxes, now) for s in stores}
-        return {s: delay_s for s, delay_s in delays.items() if delay_s > 0}
+        judged, verdicts = self._verdicts
+        if not 0 <= now - judged < VERDICT_S:
+            verdicts = self._judge(boxes, now)
+            self._verdicts = now, verdicts
+        return verdicts
 
     def list_reported(self, now):
         """Return the milliseconds of delay of the stores that seem slow."""
@@ -195,19 +218,39 @@
             if is_suspect(known, now)
         }
 
-    def _get_reported(self, store, boxes, now):
-        rows = self._reports[store]
-        delays = sorted(s for s, at in rows.values() if now - at < REPORT_S)
-        if not delays:
-            del self._reports[store]
-            return 0.0
+    def _judge(self, boxes, now):
+        self._drop_old_reports(now)
+        votes = {
+            store: self._list_votes(store, now)
+            for store in {*self._delays, *self._reports}
+            if self._is_compared(store, now)
+        }
+        counts = sorted(map(len, votes.values()))
+        common = counts[len(counts) // 4] if counts else 0
+        needed = math.ceil(boxes * REPORTING_SHARE)
+        needed = min(max(needed, MIN_REPORTS), MAX_REPORTS)
+        slow = {}
+        for store, delays in votes.items():
+            own = is_slow(self._delays.get(store, NO_DELAY), now)
+            if len(delays) <= VOTES_RATIO * common:
+                continue
+            if own or len(delays) >= needed:
+                slow[store] = statistics.median(delays)
+        return slow
+
+    def _is_compared(self, store, now):
+        known = self._delays.get(store, NO_DELAY)
+        return store in self._reports or now - known.at < KNOWN_S
+
+    def _list_votes(self, store, now):
+        """Return the delays that boxes see, where the store seems slow."""
+        rows = self._reports.get(store, {})
+        delays = [s for s, at in rows.values() if now - at < REPORT_S]
         # What this box has seen itself counts as one report.
-        known = self._delays.get(store)
-        own = known is not None and is_suspect(known, now)
-        needed = max(MIN_REPORTS, math.ceil(boxes * REPORTING_SHARE))
-        if len(delays) + own < needed:
-            return 0.0
-        return delays[len(delays) // 2]
+        known = self._delays.get(store, NO_DELAY)
+        if is_suspect(known, now):
+            delays.append(known.get_seconds(now))
+        return delays
 
     def _drop_old_reports(self, now):
         self._reports = {
