Let the planner state the rate at which targets read

Whether a part of a slow store is read instead depends on the rate of its targets, which the profiles of targets will state; until then the constant applies, and nothing changes (tests/gateway/test_store_health.py).

--- a/landingspool/decisions/gateway/transfers.py
+++ b/landingspool/decisions/gateway/transfers.py
@@ -77,10 +77,13 @@
         ``get(address)`` returns the seconds of delay; 0 for most stores.
     rng : random.Random or None
         Draws the trials of slow stores; None: there are no trials.
+    read_tokens_s : float
+        Prompt tokens that targets read in a second.
     """
 
     get: typing.Callable
     rng: typing.Any = None
+    read_tokens_s: float = prompts.READ_TOKENS_S
 
 
 NO_DELAYS = Delays(lambda address: 0.0)
@@ -178,7 +181,7 @@
     """
     if not source.delay_s:
         return True
-    read_s = part.tokens / prompts.READ_TOKENS_S
+    read_s = part.tokens / delays.read_tokens_s
     if source.seconds + source.delay_s < read_s:
         return True
     if delays.rng is None or part.tokens > MAX_TRIAL_TOKENS:
