Split the planning of transfers in two

A newcomer had to follow seven variables through one loop. Sources are chosen in one function and summed up in another; the plans are the same (tests/gateway/test_context.py, tests/gateway/test_store_health.py).

--- a/landingspool/decisions/gateway/transfers.py
+++ b/landingspool/decisions/gateway/transfers.py
@@ -107,38 +107,54 @@
     writable = [a for a in managed if index.may_save(a, now)]
     if not readable:
         return Transfer()
-    fetch, save, used = [], [], {}
-    tokens, seconds, delay_s, leading, declined = 0, 0.0, 0.0, True, 0
+    fetch, save = [], []
+    declined = 0
     for part in prompts.list_shared(prompt):
         holding = list_holding(part, space, readable, index)
         source = choose_source(part, holding, managed, token_bytes, delays)
-        if source is not None and not is_worth_fetching(part, source, delays):
-            source = None
-            declined += 1
-        destination = (
+        is_fetched = source is not None and is_worth_fetching(
+            part, source, delays
+        )
+        declined += source is not None and not is_fetched
+        fetch.append(source if is_fetched else None)
+        save.append(
             ''
             if holding
             else choose_destination(part, space, writable, managed, index)
         )
-        fetch.append(source.address if source else '')
-        save.append(destination)
-        leading = leading and source is not None
+    return make_transfer(prompt, fetch, save, index, declined)
+
+
+def make_transfer(prompt, sources, save, index, declined):
+    """Return the Transfer that fetches shared parts from these sources.
+
+    Parameters
+    ----------
+    sources : sequence of Source or None
+        For each shared part.
+    save : sequence of str
+        The address that each shared part is written to, or ''.
+    """
+    used = {}
+    leading, seconds, delay_s = 0, 0.0, 0.0
+    pairs = zip(prompts.list_shared(prompt), sources, strict=True)
+    for part, source in pairs:
         if source is None:
             continue
         used[source.address] = used.get(source.address, 0) + part.tokens
-        if leading:
-            tokens += part.tokens
         seconds += source.seconds
+        # Parts are fetched side by side: only the longest delay counts.
         delay_s = max(delay_s, source.delay_s)
+    for part, source in zip(prompt.parts, sources, strict=False):
+        if source is None:
+            break
+        leading += part.tokens
     # The last part is the request's own: it is not read again.
-    fetch.append('')
-    save.append('')
     return Transfer(
-        tuple(fetch),
-        tuple(save),
+        (*(source.address if source else '' for source in sources), ''),
+        (*save, ''),
         compute_offer_end(used, index),
-        tokens,
-        # Parts are fetched side by side: only the longest delay counts.
+        leading,
         seconds + delay_s,
         delay_s,
         max(used, key=used.get, default=''),
