Divide scarce capacity fairly among workspaces

Under pressure all workspaces were refused alike, so whoever sent more got more, and nobody kept what a workspace had had. Now each box keeps decaying sums of what workspaces ask for and get, adds the largest to some digests while a service refuses, and spreads refusals max-min fairly over workspaces; as many are refused in all as before. On by the contract for competing callers and a table with several workspaces; otherwise nothing is recorded or sent.

--- a/landingspool/boxes/datagrams.py
+++ b/landingspool/boxes/datagrams.py
@@ -125,12 +125,15 @@
 def decode(data):
     """Decode a message; None if it is not a valid message of a box.
 
+    Fields that only a newer release knows follow the others and are dropped.
+
     >>> decode(b'nonsense') is None
     True
     """
     try:
         name, *fields = cbor2.load(io.BytesIO(data))
-        return msgspec.convert(fields, MESSAGE_TYPES[name])
+        kind = MESSAGE_TYPES[name]
+        return msgspec.convert(fields[: len(kind._fields)], kind)
     except (
         cbor2.CBORError,
         msgspec.ValidationError,
--- a/landingspool/decisions/gateway/admission.py
+++ b/landingspool/decisions/gateway/admission.py
@@ -91,6 +91,26 @@
     )
 
 
+def compute_refused(share, bounds, priority):
+    """Return the share of requests that is refused as slots or memory fill up.
+
+    Parameters
+    ----------
+    share : float
+        As in is_below_share, like the other parameters.
+
+    Returns
+    -------
+    float
+        0 or less: none; 1 or more: all.
+
+    >>> round(compute_refused(0.925, PRESSURES, 2), 3)
+    0.5
+    """
+    first, last = pick_row(bounds, priority)
+    return (share - first) / (last - first)
+
+
 def is_below_share(share, bounds, priority, chance):
     """Return whether a request is admitted as slots or memory fill up.
 
@@ -117,8 +137,7 @@
     >>> is_below_share(0.95, MEMORY_SHARES, 2, 0.1)
     False
     """
-    first, last = pick_row(bounds, priority)
-    return chance >= (share - first) / (last - first)
+    return chance >= compute_refused(share, bounds, priority)
 
 
 def compute_retry_after(wait_s, pressure, rng):
--- a/landingspool/decisions/gateway/peer_digests.py
+++ b/landingspool/decisions/gateway/peer_digests.py
@@ -105,6 +105,9 @@
         Limits that targets advertise, likewise.
     leaving : tuple of LeavingNotice
         Targets that have announced that they are leaving, likewise.
+    usage : dict of int to bytes
+        What workspaces ask of scarce services and get, by the hash of the
+        service (workspace_usage.encode_rows); empty in most digests.
     """
 
     box: str
@@ -117,6 +120,7 @@
     endings: tuple[CrashNotice, ...] = ()
     limits: tuple[LimitNotice, ...] = ()
     leaving: tuple[LeavingNotice, ...] = ()
+    usage: dict[int, bytes] = {}
 
 
 class ProofQuery(typing.NamedTuple):
--- a/landingspool/decisions/gateway/planner.py
+++ b/landingspool/decisions/gateway/planner.py
@@ -85,6 +85,7 @@
             pressure=pressure,
             held=held,
             all_limited=all(c.limited for c in candidates),
+            planned_at=now,
         )
 
     def is_admitted(self, plan, work):
@@ -100,9 +101,8 @@
             (plan.held.share * weight, admission.MEMORY_SHARES),
         )
         for share, bounds in filled:
-            if not admission.is_below_share(
-                share, bounds, priority, rng.random()
-            ):
+            refused = admission.compute_refused(share, bounds, priority)
+            if rng.random() < self.spread_refused(refused, plan, work):
                 return False
         return admission.is_admitted(
             plan.wait_s,
@@ -111,6 +111,18 @@
             priority,
         )
 
+    def spread_refused(self, refused, plan, work):
+        """Return the share of a workspace's requests that is refused.
+
+        Parameters
+        ----------
+        refused : float
+            Share of the requests of all workspaces that is refused.
+        """
+        return self._view.fair_admission.spread(
+            work, refused, self._view.peers_by_domain, plan.planned_at
+        )
+
     def make_plan(self, chosen, work, now, spaces):
         """Return the Plan of a request for the chosen target.
 
--- a/landingspool/decisions/gateway/routes.py
+++ b/landingspool/decisions/gateway/routes.py
@@ -116,13 +116,15 @@
     """A workspace as the routes see it.
 
     If `priority` is None, the route's applies.  `regions` are its allowed
-    regions; empty if its requests may run anywhere.
+    regions; empty if its requests may run anywhere.  `weight` is that of its
+    share of scarce capacity.
     """
 
     name: str
     priority: int | None = None
     isolated: bool = False
     regions: frozenset = frozenset()
+    weight: float = 1.0
 
 
 class Limits(typing.NamedTuple):
--- a/landingspool/decisions/gateway/view.py
+++ b/landingspool/decisions/gateway/view.py
@@ -12,6 +12,7 @@
 from landingspool.decisions.gateway import crashes as crashes_module
 from landingspool.decisions.gateway import engine_split as split_module
 from landingspool.decisions.gateway import exclusions
+from landingspool.decisions.gateway import fair_admission
 from landingspool.decisions.gateway import fleet as fleet_module
 from landingspool.decisions.gateway import freshness
 from landingspool.decisions.gateway import health as health_module
@@ -67,6 +68,7 @@
         self.proof = freshness.Proof(bounds.key_s, bounds.keys_fail_closed)
         self.peer_digests = peer_digests.PeerDigests()
         self.crashes = crashes_module.Crashes()
+        self.fair_admission = fair_admission.FairAdmission(bounds.fair_shares)
         self.boxes = MIN_BOXES
         # Number of other boxes in each domain.
         self.peers_by_domain = {}
@@ -81,6 +83,7 @@
         if self.table is not None and table.version <= self.table.version:
             return False
         self.table = table
+        self.fair_admission.put_table(table)
         return True
 
     def put_entry(self, entry, now):
@@ -187,6 +190,7 @@
             held = plans.count_held(work)
         sent = loads_module.Sent(now, tokens, False, held)
         self.loads.record_sent(plan.entry.name, work.name, sent)
+        self.fair_admission.record_served(work, now)
         self.exclusions.record_sent(plan.entry.name, now)
 
     def record_first(self, plan, work, now):
@@ -250,6 +254,7 @@
             self.exclusions.leaving.take(notice, digest.box, now)
         for store, counted in digest.rooms.items():
             self.context_index.record_taken(store, *counted)
+        self.fair_admission.take(digest, now)
 
     def _suspect(self, name, now):
         duty = self.watchers.is_duty(name)
@@ -273,6 +278,7 @@
         """Count a request for the retry budget of its service."""
         self._get_retry_budget(work.service).record_first(now)
         self.free_capacity.record(work, now)
+        self.fair_admission.record_asked(work, now)
 
     def may_repeat(self, service, now):
         """Take one repeat from a service's retry budget, if one is left."""
--- a/landingspool/gateway/deployment.py
+++ b/landingspool/gateway/deployment.py
@@ -32,6 +32,8 @@
     cold_over, cold_slack : float
         Requests a second that all boxes together may send a cold target:
         `cold_over` times its capacity while cold, and `cold_slack` more.
+    fair_shares : bool
+        Whether scarce capacity is divided fairly among the workspaces.
     """
 
     drain_s: float = 2.0
@@ -46,6 +48,7 @@
     retry_window_s: float = 10.0
     cold_over: float = 1.5
     cold_slack: float = 5.0
+    fair_shares: bool = False
 
 
 class Deployment(typing.NamedTuple):
--- a/landingspool/gateway/hub.py
+++ b/landingspool/gateway/hub.py
@@ -205,6 +205,9 @@
             exclusions.evacuation.describe(tick.now),
             self.view.engine_split.is_on,
         )
+        self.metrics.record_workspaces(
+            self.view.fair_admission.count_over(tick.now)
+        )
         self.metrics.quarantined.set(
             len(self.view.crashes.list_quarantined(tick.now))
         )
--- a/landingspool/gateway/metrics.py
+++ b/landingspool/gateway/metrics.py
@@ -2,6 +2,8 @@
 
 import prometheus_client as prometheus
 
+from landingspool.decisions.gateway import fair_admission
+
 BUCKETS_S = (0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.6, 1.0, 2.0, 5.0, 15.0)
 
 
@@ -68,6 +70,16 @@
         self.partitioned = self._make_gauge(
             'engines_parted', '1 while engines are parted by reading size'
         )
+        self.share_refusals = self._make_counter(
+            'share_refusals',
+            'Refusals for overload by whether the workspace exceeds its share',
+            ('service', 'over_share'),
+        )
+        self.workspaces_over = self._make_gauge(
+            'workspaces_over_share',
+            'Workspaces over their share of a service that refuses requests',
+            ('service',),
+        )
         self.seconds = self._make_histogram(
             'answer', 'Time to the whole answer'
         )
@@ -109,6 +121,23 @@
             self.evacuated.labels(domain).set(seconds)
         self.partitioned.set(partitioned)
 
+    def record_share_refusal(self, service, excess):
+        """Count a refusal for overload by the excess of its workspace."""
+        over = 'yes' if excess > fair_admission.MIN_EXCESS else 'no'
+        self.share_refusals.labels(service, over).inc()
+
+    def record_workspaces(self, counts):
+        """Update the gauge of workspaces over their share.
+
+        Parameters
+        ----------
+        counts : dict of str to int
+            By the name of the service.
+        """
+        self.workspaces_over.clear()
+        for service, count in counts.items():
+            self.workspaces_over.labels(service).set(count)
+
     def record_limits(self, advertised, used, now):
         """Update the gauges of the limits that targets advertise.
 
--- a/landingspool/gateway/peering.py
+++ b/landingspool/gateway/peering.py
@@ -238,6 +238,7 @@
             endings=view.crashes.list_due_notices(now),
             limits=view.exclusions.limits.list_due_notices(now),
             leaving=view.exclusions.leaving.list_due_notices(now),
+            usage=view.fair_admission.make_due_report(now),
         )
         self._socket.send_to_all(digest, self._pick_digest_receivers())
 
--- a/landingspool/gateway/relay.py
+++ b/landingspool/gateway/relay.py
@@ -278,10 +278,23 @@
             'turned_away',
             wait_s=round(wait_s, 3),
             pressure=round(self._plan.pressure, 3),
+            **self._describe_workspace(),
             **self._describe_choice(),
         )
         return Answer(503, 'busy', False)
 
+    def _describe_workspace(self):
+        """Count a refusal by its workspace's share; return it for the log."""
+        work, fair = self._state.work, self._view.fair_admission
+        if not fair.is_on:
+            return {}
+        excess = fair.measure_excess(work)
+        self._hub.metrics.record_share_refusal(work.service, excess)
+        return {
+            'workspace': work.tenancy.name if work.tenancy else '',
+            'excess': round(excess, 2),
+        }
+
     async def _deny(self, status, reason):
         await self._reply.send_error(status, reason)
         return Answer(status, reason, False)
--- a/landingspool/platform/boot.py
+++ b/landingspool/platform/boot.py
@@ -54,6 +54,7 @@
         retry_window_s=reader.number('bounds.budget_window_s', 10),
         cold_over=reader.number('bounds.cold_over', 1.5),
         cold_slack=reader.number('bounds.cold_slack', 5),
+        fair_shares=names.COMPETITION in reader.names('contracts'),
     )
     links = None
     if reader.find('listen.control') is not None:
@@ -113,6 +114,17 @@
             return value
         return self._add_error(key, value, 'expected a table of texts', {})
 
+    def names(self, key):
+        """Return an optional list of texts; empty if absent."""
+        value = self.find(key)
+        if value is None:
+            return []
+        if isinstance(value, list) and all(
+            isinstance(text, str) for text in value
+        ):
+            return value
+        return self._add_error(key, value, 'expected a list of texts', [])
+
     def number(self, key, default):
         """Return a number of 0 or more; `default` if absent."""
         value = self.find(key)
--- a/landingspool/platform/catalogue.py
+++ b/landingspool/platform/catalogue.py
@@ -154,6 +154,7 @@
         priority=None if priority is None else int(priority),
         isolated=bool(row.get('isolated')),
         regions=frozenset(row.get('allowed_regions') or ()),
+        weight=float(row.get('weight') or 1.0),
     )
 
 
--- a/landingspool/platform/names.py
+++ b/landingspool/platform/names.py
@@ -101,4 +101,7 @@
 VERSION_KEY = 'version/'
 EVACUATION_KEY = 'evacuate/'
 
+# Contract in the settings: callers compete for room at times.
+COMPETITION = 'pressure'
+
 SETTINGS_VARIABLE = 'LANDINGSPOOL_BOOT'
