Test that full places make room at whoever is over its share

The refusals of a view were tested only through the parts that spread them, and a weight of zero or less in a table was taken as it stood. One test plays a view at half of its refusals: the smaller of two workspaces is admitted 200 times of 200, the larger between 40 and 120 times; such weights count as one.

--- a/landingspool/platform/catalogue.py
+++ b/landingspool/platform/catalogue.py
@@ -149,12 +149,13 @@
 def read_tenancy(row):
     """Decode a workspace."""
     priority = row.get('priority')
+    weight = float(row.get('weight') or 0.0)
     return routes.Tenancy(
         name=row['name'],
         priority=None if priority is None else int(priority),
         isolated=bool(row.get('isolated')),
         regions=frozenset(row.get('allowed_regions') or ()),
-        weight=float(row.get('weight') or 1.0),
+        weight=weight if weight > 0 else 1.0,
     )
 
 
--- a/tests/gateway/test_fair_admission.py
+++ b/tests/gateway/test_fair_admission.py
@@ -6,11 +6,14 @@
 import pytest
 
 from landingspool.boxes import datagrams
+from landingspool.decisions.gateway import admission
 from landingspool.decisions.gateway import fair_admission
 from landingspool.decisions.gateway import peer_digests
 from landingspool.decisions.gateway import plans
+from landingspool.decisions.gateway import prompts
 from landingspool.decisions.gateway import routes
 from landingspool.decisions.gateway import stalls
+from landingspool.decisions.gateway import transfers
 from landingspool.decisions.gateway import view as view_module
 from landingspool.decisions.gateway import workspace_usage
 from landingspool.gateway import deployment
@@ -253,6 +256,26 @@
     assert spread[0] == pytest.approx(spread[1], abs=0.01)
 
 
+def test_as_places_fill_up_who_is_over_the_share_makes_room():
+    view = view_module.View('d', deployment.Bounds(fair_shares=True), 1)
+    view.put_table(make_table(['loud', 'quiet']))
+    prompt = prompts.Prompt('m', 900, 5, (prompts.Part('own', 900),))
+    for name in ['loud'] * 90 + ['quiet'] * 10:
+        view.count_first(make_work(name)._replace(prompt=prompt), 10.0)
+    first, last = admission.PRESSURES[ROUTE.priority]
+    plan = plans.Plan(None, 0.0, 0.0, 0, 0, 1, 1, '', transfers.Transfer())
+    plan = plan._replace(pressure=(first + last) / 2, planned_at=10.0)
+    admitted = {
+        name: sum(
+            view.is_admitted(plan, make_work(name)._replace(prompt=prompt))
+            for _ in range(200)
+        )
+        for name in ('loud', 'quiet')
+    }
+    assert admitted['quiet'] == 200
+    assert 40 < admitted['loud'] < 120
+
+
 def test_an_operator_sees_who_is_over():
     box = make_box()
     play(box, 0.3, random.Random(1))
@@ -278,8 +301,12 @@
 
 
 def test_a_workspace_has_weight_one_unless_the_table_says_otherwise():
-    assert catalogue.read_tenancy({'name': 'w'}).weight == 1.0
-    assert catalogue.read_tenancy({'name': 'w', 'weight': 3}).weight == 3.0
+    for row, weight in (
+        ({}, 1.0),
+        ({'weight': 3}, 3.0),
+        ({'weight': -1}, 1.0),
+    ):
+        assert catalogue.read_tenancy({'name': 'w', **row}).weight == weight
 
 
 def test_digests_of_other_releases_are_read():
