--- a/landingspool/decisions/gateway/peer_digests.py
+++ b/landingspool/decisions/gateway/peer_digests.py
@@ -108,6 +108,9 @@
     slow_stores : dict of str to int
         Milliseconds by which fetches from a store were delayed, if it seems
         slow.
+    usage : dict of int to bytes
+        What workspaces ask of scarce services and get, by the hash of the
+        service (workspace_usage.encode_rows); empty in most digests.
     """
 
     box: str
@@ -121,6 +124,7 @@
     limits: tuple[LimitNotice, ...] = ()
     leaving: tuple[LeavingNotice, ...] = ()
     slow_stores: dict[str, int] = {}
+    usage: dict[int, bytes] = {}
 
 
 class ProofQuery(typing.NamedTuple):
--- a/landingspool/gateway/peering.py
+++ b/landingspool/gateway/peering.py
@@ -239,6 +239,7 @@
             limits=view.exclusions.limits.list_due_notices(now),
             leaving=view.exclusions.leaving.list_due_notices(now),
             slow_stores=view.store_health.list_reported(now),
+            usage=view.fair_admission.make_due_report(now),
         )
         self._socket.send_to_all(digest, self._pick_digest_receivers())
 
