Learn how fast targets are, and choose by it

Cause: one set of constants stood for all services: 112,000 prompt tokens a second, where engines read 48,000 to 140,000, and 45 ms for a plain request, where some take 72. A third of the targets of some services takes evenly 1.3 times as long; that is under the ratio of a failing target, so they were sent as much as the others.

Change: each box learns base time, reading rate and time of a plain request of a service from answers that did not wait, and the factor of each target relative to its peers, from its own answers and those that others report in their digests (11 bytes each). Without evidence the constants hold. Fields that a later version appends to a datagram are ignored.

Engines that are all alike are chosen as before.

--- a/bench/many.py
+++ b/bench/many.py
@@ -123,7 +123,7 @@
 
 
 class Play:
-    """One run; `run` gives a Got."""
+    """One run; `run` gives a Got, `views` are those of the boxes."""
 
     def __init__(self, size, seed):
         self._size = size
@@ -132,11 +132,11 @@
         self._order = itertools.count()
         self._held = {}
         self._engines = [
-            engine.Engine(size.slots, size.capacity, size.mix.speed)
-            for _ in range(size.engines)
+            engine.Engine(size.slots, size.capacity, get_speed(place, size))
+            for place in range(size.engines)
         ]
         self._idle = [collections.defaultdict(list) for _ in range(size.boxes)]
-        self._views = [self._make_view(n) for n in range(size.boxes)]
+        self.views = [self._make_view(n) for n in range(size.boxes)]
         self._counts = collections.Counter()
         # The newest digest of each box.
         self._numbers = collections.Counter()
@@ -190,7 +190,7 @@
         self._at(now + DIGEST_S / steps, self._tell, number + 1)
 
     def _tell_others(self, box, now):
-        view, size = self._views[box], self._size
+        view, size = self.views[box], self._size
         self._numbers[box] += 1
         digest = peer_digests.Digest(
             str(box),
@@ -199,14 +199,15 @@
             peer_digests.hash_loads(view.loads.list_reported()),
             view.reachability.list_reported(),
             limits=view.exclusions.limits.list_due_notices(now),
+            answers=view.profiles.take_reports(),
         )
         near, far = [], []
         for other in range(size.boxes):
             if other != box:
-                same = self._views[other].domain == view.domain
+                same = self.views[other].domain == view.domain
                 (near if same else far).append(other)
         for other in peer_digests.pick_recipients(near, far, view.rng):
-            self._views[other].take_digest(digest, now)
+            self.views[other].take_digest(digest, now)
 
     def _is_dark(self, address, now):
         """Tell whether an engine answers nothing any more."""
@@ -216,7 +217,7 @@
         """Let each box probe the engines that it is due to probe."""
         if now >= self._size.seconds or not self._size.dark:
             return
-        for view in self._views:
+        for view in self.views:
             for name in view.reachability.list_due(now):
                 self._counts['probes'] += 1
                 address = view.fleet.entries[name].address
@@ -231,12 +232,12 @@
 
     def _name_version(self, now, version):
         """Name new weights, which engines load a few at a time."""
-        for view in self._views:
+        for view in self.views:
             view.weights.put_version('m', version, now)
         self._at(now + NAMING_S, self._begin_loads, version)
 
     def _begin_loads(self, now, version):
-        view = self._views[0]
+        view = self.views[0]
         behind = [
             entry.name
             for entry in view.fleet.list_service('engine')
@@ -248,7 +249,7 @@
         names = behind[
             : rollouts.compute_concurrency(self._size.engines, left)
         ]
-        for view in self._views:
+        for view in self.views:
             view.weights.put_loading(dict.fromkeys(names, CLOSING_S), now)
         for name in names:
             self._engines[int(name[1:])].load(now + CLOSING_S, LOAD_S)
@@ -257,7 +258,7 @@
         self._at(ends + 0.1, self._begin_loads, version)
 
     def _end_loads(self, now, names, version):
-        for view in self._views:
+        for view in self.views:
             for name in names:
                 view.weights.end_loading(name)
                 view.fleet.record_version(name, 'm', version)
@@ -290,7 +291,7 @@
 
     def _try(self, now, asked):
         """Choose an engine, and send there or refuse."""
-        view = self._views[asked.box]
+        view = self.views[asked.box]
         ready = self._list_ready(asked, now)
         plan = view.plan(asked.work, asked.avoid, now, ready)
         if plan is None or not view.is_admitted(plan, asked.work):
@@ -315,7 +316,7 @@
 
     def _hear_limit(self, now, asked, plan, sent):
         """Take in the limit that an answer names."""
-        view = self._views[asked.box]
+        view = self.views[asked.box]
         view.exclusions.limits.record_named(
             plan.entry.name, self._size.limit_per_s, sent, now
         )
@@ -324,7 +325,7 @@
 
     def _send(self, now, arrives, asked, plan):
         work = asked.work
-        self._views[asked.box].record_sent(plan, work, now)
+        self.views[asked.box].record_sent(plan, work, now)
         if self._is_limited(plan.entry.address, now):
             self._at(arrives, self._hear_limit, asked, plan, now)
             if now >= self._size.limited_at + CONTACT_S:
@@ -346,19 +347,19 @@
     def _lose_later(self, now, asked, plan):
         """Lose what was sent on a kept connection to a dark engine."""
         self._counts['lost'] += 1
-        self._views[asked.box].record_sent(plan, asked.work, now)
+        self.views[asked.box].record_sent(plan, asked.work, now)
         self._idle[asked.box].pop(plan.entry.address, None)
         self._at(now + SILENT_S, self._lose, asked, plan)
 
     def _lose(self, now, asked, plan):
-        view = self._views[asked.box]
+        view = self.views[asked.box]
         view.loads.record_end(plan.entry.name, asked.work.name)
         view.record_unreached(plan.entry.name, now)
 
     def _try_elsewhere(self, now, asked, plan):
         """Try again once a new connection has not come up."""
         name, later = plan.entry.name, now + TIMEOUT_S
-        self._at(later, self._fail, self._views[asked.box], name)
+        self._at(later, self._fail, self.views[asked.box], name)
         avoid = (*asked.avoid, name)
         self._at(later, self._try, asked._replace(avoid=avoid))
 
@@ -373,10 +374,10 @@
         self._held[key] = tokens
 
     def _begin(self, now, asked, plan):
-        self._views[asked.box].record_first(plan, asked.work, now)
+        self.views[asked.box].record_first(plan, asked.work, now)
 
     def _end(self, now, asked, plan):
-        view = self._views[asked.box]
+        view = self.views[asked.box]
         view.loads.record_end(plan.entry.name, asked.work.name)
         self._idle[asked.box][plan.entry.address].append(now)
 
@@ -426,6 +427,18 @@
         )
 
 
+def get_speed(place, size):
+    """Give the speed of an engine."""
+    speed = size.mix.speed
+    if place >= size.slower:
+        return speed
+    return engine.Speed(
+        speed.read_tokens_s / size.slower_ratio,
+        speed.first_s * size.slower_ratio,
+        speed.step_s * size.slower_ratio,
+    )
+
+
 def draw_size(rng, mean):
     """Draw a number of tokens around a mean."""
     spread = mixes.SPREAD
--- a/bench/mixes.py
+++ b/bench/mixes.py
@@ -75,6 +75,9 @@
     limited: int = 0
     limit_per_s: float = 2.0
     limited_at: float = 3.0
+    # How many engines take evenly longer than the others, and by how much.
+    slower: int = 0
+    slower_ratio: float = 1.3
     mix: Mix = MANY_RUNS
 
 
@@ -89,6 +92,25 @@
     seconds=9.0,
     mix=SHORT_QUESTIONS,
 )
+# 60 boxes and 24 engines, a third of them slower: mostly short prompts, and
+# engines that read less than is assumed without any answers.
+UNEVEN = Size(
+    boxes=60,
+    engines=24,
+    domains=3,
+    slots=48,
+    capacity=84_144,
+    per_s=230.0,
+    seconds=24.0,
+    slower=8,
+    mix=Mix(
+        (
+            Kind('sheet', 0.17, 9122, 2870, 64, 1000, 1.0, 1, False),
+            Kind('check', 0.83, 1861, 507, 4, 2000, 0.5, 0, False),
+        ),
+        engine.Speed(64_200.0, 0.03, 0.006),
+    ),
+)
 CASES = {
     'calm': Size(seconds=9.0),
     'a quarter dark': Size(seconds=12.0, dark=13),
@@ -98,4 +120,5 @@
     'the same, a third more': SHORT._replace(per_s=520.0),
     'the same, new weights': SHORT._replace(seconds=14.0, named_at=(2.0, 6.0)),
     'the same, a quarter dark': SHORT._replace(per_s=500.0, dark=8),
+    'a third slower': UNEVEN,
 }
--- a/landingspool/boxes/datagrams.py
+++ b/landingspool/boxes/datagrams.py
@@ -127,10 +127,14 @@
 
     >>> decode(b'nonsense') is None
     True
+    >>> decode(cbor2.dumps(['ask', 'a', 1, 'a field of a later version']))
+    ProofQuery(box='a', number=1)
     """
     try:
         name, *fields = cbor2.load(io.BytesIO(data))
-        return msgspec.convert(fields, MESSAGE_TYPES[name])
+        kind = MESSAGE_TYPES[name]
+        # A later version of this software may append fields.
+        return msgspec.convert(fields[: len(kind._fields)], kind)
     except (
         cbor2.CBORError,
         msgspec.ValidationError,
--- a/landingspool/decisions/gateway/choice.py
+++ b/landingspool/decisions/gateway/choice.py
@@ -12,6 +12,7 @@
 
 from landingspool.decisions.gateway import health as health_module
 from landingspool.decisions.gateway import prompts
+from landingspool.decisions.gateway import service_figures
 from landingspool.decisions import ownership
 
 # Penalty for each rank of a target in the hash order of a shared part, as a
@@ -25,16 +26,10 @@
 # and would send to it.  A small set that differs from prompt to prompt avoids
 # that.
 MAX_PREFERRED = 6
-# Seconds that a request waiting for its first byte adds at a plain target.
-PLAIN_WORK_S = 0.045
-# Seconds that one running request adds to the first token of the next: a
-# decoding step takes 3.2 ms, and each running request lengthens it by 0.05 ms.
-RUNNING_S = 0.0006
 # Share of an engine's memory that running requests may take; the remainder
 # caches context for later requests.  Above it, or above the number of slots,
-# waits grow with the time of a run: two seconds for the longest kind.
+# waits grow with the time of a run.
 MEMORY_SHARE = 0.75
-RUN_S = 2.0
 # Seconds of penalty for a target all of whose requests fail; proportionally
 # less for a lower share of failures.
 FAILING_S = 1.5
@@ -98,7 +93,8 @@
     `penalty_s` is added to its expected time; `capacity` is its memory in
     tokens, 0 if not known; `cold_s` is how much longer it is slow after its
     start.  `weight` is the share of the wait for memory that applies to the
-    request; `limited` is whether the target advertises a limit.
+    request; `limited` is whether the target advertises a limit.  `profile` is
+    what the target is assumed to do.
     """
 
     entry: typing.Any
@@ -113,6 +109,7 @@
     cold_s: float = 0.0
     weight: float = 1.0
     limited: bool = False
+    profile: service_figures.Profile = service_figures.PRIOR
 
 
 class HeldMemory(typing.NamedTuple):
@@ -223,16 +220,19 @@
 def estimate_first_byte(candidate, prompt, domain, peers):
     """Return the expected seconds to the first byte, penalties included."""
     load, health = candidate.load, candidate.health
+    profile = candidate.profile
     slow = health_module.compute_slowness(health, peers)
     if prompt is None:
         slots = max(candidate.entry.slots, 1)
         busy = load.waiting + load.running + load.peer_running
         busy /= slots
-        seconds = PLAIN_WORK_S * (1.0 + busy)
+        seconds = profile.work_s * (1.0 + busy)
     else:
         cached = max(candidate.cached, candidate.stored)
         read = prompts.count_read(prompt, cached)
-        seconds = read / prompts.READ_TOKENS_S + candidate.fetch_s
+        seconds = read / profile.read_tokens_s + candidate.fetch_s
+        # The base of a typical target is common to all, and changes nothing.
+        seconds += profile.excess_s
         seconds += estimate_wait(candidate)
     # Some routes have failures of their own, so only failures above the lowest
     # share among peers count.
@@ -248,17 +248,17 @@
 
 def estimate_wait(candidate):
     """Return the expected seconds of a request behind others at an engine."""
-    load = candidate.load
+    load, profile = candidate.load, candidate.profile
     waiting = load.waiting_tokens + load.peer_tokens
-    seconds = waiting / prompts.READ_TOKENS_S
+    seconds = waiting / profile.read_tokens_s
     running = load.running + load.peer_running
-    seconds += running * RUNNING_S
+    seconds += running * profile.running_s
     slots = max(candidate.entry.slots, 1)
     queued = load.waiting + load.peer_waiting
     # With all slots taken, a new request waits until runs finish and free
     # their slots or memory.
     if running + queued >= slots:
-        seconds += (running + queued - slots + 1) / slots * RUN_S
+        seconds += (running + queued - slots + 1) / slots * profile.run_s
     return seconds + candidate.weight * estimate_memory_wait(candidate)
 
 
@@ -268,7 +268,7 @@
     over = load.held_tokens + load.peer_held - capacity * MEMORY_SHARE
     if not capacity or over <= 0:
         return 0.0
-    return over / capacity * RUN_S
+    return over / capacity * candidate.profile.run_s
 
 
 def measure_memory(candidates):
@@ -371,7 +371,7 @@
         return 0.0
     shared = sum(part.tokens for part in prompts.list_shared(prompt))
     unsaved = max(shared - candidate.stored, 0)
-    return unsaved / prompts.READ_TOKENS_S * AFFINITY_SHARE
+    return unsaved / candidate.profile.read_tokens_s * AFFINITY_SHARE
 
 
 def rank_targets(prompt, candidates):
--- a/landingspool/decisions/gateway/peer_digests.py
+++ b/landingspool/decisions/gateway/peer_digests.py
@@ -82,6 +82,24 @@
     age_ms: int
 
 
+class AnswerReport(typing.NamedTuple):
+    """The time that a target took to answer a request of the box.
+
+    Attributes
+    ----------
+    incarnation : int
+        Hash of the incarnation's name (hash_target).
+    tokens : int
+        Prompt tokens that it read; 0 for a plain request.
+    units : int
+        Tenths of a millisecond from the request to the first byte.
+    """
+
+    incarnation: int
+    tokens: int
+    units: int
+
+
 class Digest(typing.NamedTuple):
     """What one box reports to its peers about its requests and targets.
 
@@ -105,6 +123,8 @@
         Limits that targets advertise, likewise.
     leaving : tuple of LeavingNotice
         Targets that have announced that they are leaving, likewise.
+    answers : tuple of AnswerReport
+        Answers to the box's requests since its last digest.
     """
 
     box: str
@@ -117,6 +137,7 @@
     endings: tuple[CrashNotice, ...] = ()
     limits: tuple[LimitNotice, ...] = ()
     leaving: tuple[LeavingNotice, ...] = ()
+    answers: tuple[AnswerReport, ...] = ()
 
 
 class ProofQuery(typing.NamedTuple):
--- a/landingspool/decisions/gateway/planner.py
+++ b/landingspool/decisions/gateway/planner.py
@@ -61,6 +61,7 @@
         The parameters are those of `view.View.plan`.
         """
         view = self._view
+        view.profiles.refresh(now)
         entries = self._list_usable(work, avoid, now)
         spaces = self._find_spaces(entries, work, now)
         candidates = self._make_candidates(entries, work, now, ready, spaces)
@@ -226,6 +227,7 @@
                     capacity=capacity,
                     ready=entry.address in ready,
                     limited=limits.find(entry.name) is not None,
+                    profile=view.profiles.get(entry.name, entry.service),
                 )
             )
         return candidates
--- a/landingspool/decisions/gateway/prompts.py
+++ b/landingspool/decisions/gateway/prompts.py
@@ -9,11 +9,6 @@
 
 import typing
 
-# Prompt tokens that a target is assumed to read in a second.  Known engines
-# read 48 and 112 in a millisecond; a rate estimated from answers (47 in a
-# millisecond) gives no better choices.
-READ_TOKENS_S = 112_000.0
-
 
 class Part(typing.NamedTuple):
     """One part of a prompt."""
--- a/landingspool/decisions/gateway/view.py
+++ b/landingspool/decisions/gateway/view.py
@@ -20,6 +20,7 @@
 from landingspool.decisions.gateway import peer_digests
 from landingspool.decisions.gateway import planner
 from landingspool.decisions.gateway import plans
+from landingspool.decisions.gateway import profiles as profiles_module
 from landingspool.decisions.gateway import prompts
 from landingspool.decisions.gateway import reachability as reachability_module
 from landingspool.decisions.gateway import retry_budget
@@ -67,6 +68,7 @@
         self.proof = freshness.Proof(bounds.key_s, bounds.keys_fail_closed)
         self.peer_digests = peer_digests.PeerDigests()
         self.crashes = crashes_module.Crashes()
+        self.profiles = profiles_module.Profiles()
         self.boxes = MIN_BOXES
         # Number of other boxes in each domain.
         self.peers_by_domain = {}
@@ -201,6 +203,7 @@
         sent = self.loads.record_first(name, work.name)
         if sent is not None:
             self.crashes.record_alive(name, sent.at)
+            self._learn_speed(plan, work, now - sent.at, now)
         if sent is None or work.prompt is None:
             return
         objective_s = work.route.target_latency_s
@@ -211,6 +214,15 @@
             parts = prompts.list_shared(work.prompt)
             self.context_index.add_read(name, plan.space, parts, now)
 
+    def _learn_speed(self, plan, work, seconds, now):
+        name = plan.entry.name
+        is_usual = (
+            not self.exclusions.cold_targets.get_seconds_left(name, now)
+            and self.exclusions.limits.find(name) is None
+        )
+        if is_usual and profiles_module.is_telling(plan, work):
+            self.profiles.record(name, plan.read_tokens, seconds, now)
+
     def record_answer(self, plan, wait_s, failed):
         """Update a target's health from an answer.
 
@@ -248,6 +260,8 @@
             self.exclusions.limits.take(notice, digest.box, now)
         for notice in digest.leaving:
             self.exclusions.leaving.take(notice, digest.box, now)
+        for report in digest.answers:
+            self.profiles.take(report, now)
         for store, counted in digest.rooms.items():
             self.context_index.record_taken(store, *counted)
 
@@ -293,6 +307,7 @@
         """Discard what was learned of a target that is gone."""
         self._health.pop(name, None)
         self.loads.forget(name)
+        self.profiles.forget(name)
         self.reachability.forget(name)
         self.context_index.forget(name)
         self.exclusions.forget(name)
--- a/landingspool/event_kinds.py
+++ b/landingspool/event_kinds.py
@@ -287,6 +287,12 @@
             'INFO',
             'The back-off that a target asked for has expired.',
         ),
+        Kind(
+            523,
+            'speed_changed',
+            'INFO',
+            'A target counts as slower or faster than its peers, or no more.',
+        ),
         Kind(
             600, 'kept', 'DEBUG', 'A block of context was sealed in a store.'
         ),
--- a/landingspool/gateway/hub.py
+++ b/landingspool/gateway/hub.py
@@ -208,8 +208,12 @@
         self.metrics.quarantined.set(
             len(self.view.crashes.list_quarantined(tick.now))
         )
+        for change in self.view.profiles.take_changes():
+            self.recorder.record('speed_changed', **change._asdict())
 
     def _log_metrics(self, tick):
+        speeds = self.view.profiles.describe()
+        self.metrics.record_speeds(speeds)
         self.recorder.record(
             'figures',
             calls=dict(self.store.calls),
@@ -224,6 +228,7 @@
             evacuated=self.view.exclusions.evacuation.describe(tick.now),
             leaving=self.target_notices.list_leaving(tick.now),
             resting=self.view.exclusions.backoffs.list_backoffs(tick.now),
+            speeds={name: list(known) for name, known in speeds.items()},
         )
 
     def _describe_stores(self, now):
--- a/landingspool/gateway/metrics.py
+++ b/landingspool/gateway/metrics.py
@@ -65,6 +65,11 @@
             'For how much longer a target wants nothing of this box',
             ('target',),
         )
+        self.speeds = self._make_gauge(
+            'service_speed',
+            'What this box has learned of the targets of a service',
+            ('service', 'figure'),
+        )
         self.partitioned = self._make_gauge(
             'engines_parted', '1 while engines are parted by reading size'
         )
@@ -156,6 +161,19 @@
         for name, seconds in left_s.items():
             self.backoffs_left.labels(name).set(seconds)
 
+    def record_speeds(self, speeds):
+        """Update the gauges of the figures learned of each service.
+
+        Parameters
+        ----------
+        speeds : dict of str to profiles.Figures
+            By the name of the service.
+        """
+        self.speeds.clear()
+        for service, figures in speeds.items():
+            for name, value in figures._asdict().items():
+                self.speeds.labels(service, name).set(value)
+
     def render(self):
         """Return the metrics in the text format of Prometheus."""
         return prometheus.generate_latest(self.registry)
--- a/landingspool/gateway/peering.py
+++ b/landingspool/gateway/peering.py
@@ -238,6 +238,7 @@
             endings=view.crashes.list_due_notices(now),
             limits=view.exclusions.limits.list_due_notices(now),
             leaving=view.exclusions.leaving.list_due_notices(now),
+            answers=view.profiles.take_reports(),
         )
         self._socket.send_to_all(digest, self._pick_digest_receivers())
 
