--- a/landingspool/decisions/gateway/store_health.py
+++ b/landingspool/decisions/gateway/store_health.py
@@ -36,9 +36,10 @@
 # Highest delay of one fetch that counts: offers end before that.
 MAX_DELAY_S = 3.0
 # Delay from which on a store is slow: mean deviations of the service, and at
-# least a fifth of the shortest objective for which engines are used (0.5 s).
+# least 0.3 of the shortest objective for which engines are used (0.5 s).
+# A shorter one lets answers begin in time, and reading delays others.
 SLOW_DEVIATIONS = 3.0
-MIN_SLOW_S = 0.1
+MIN_SLOW_S = 0.15
 # A store that was slow is so until its delay is below this share of the limit.
 RECOVERED_SHARE = 0.5
 # Delayed fetches in a row, and their targets, that show a store to be slow.  A
@@ -50,7 +51,7 @@
 # Boxes whose reports are believed: a share of all, within bounds.  In a large
 # deployment few boxes fetch from the same store within that time.
 REPORTING_SHARE = 0.15
-MIN_REPORTS = 2
+MIN_REPORTS = 3
 MAX_REPORTS = 5
 # Where engines delay all requests, all stores seem slow: only those count for
 # which so many times the boxes vote as for the least suspect quarter of them.
--- a/landingspool/gateway/cache_follower.py
+++ b/landingspool/gateway/cache_follower.py
@@ -134,10 +134,12 @@
                 updates = await self._read_events(name, address)
             now = self._hub.clock()
             if isinstance(updates, runners.Unanswered):
-                self._withdraw_if_dead(name, updates)
+                is_store = name in self._hub.view.table.context_stores
+                if is_store:
+                    self._withdraw_if_dead(name, updates)
                 # A call to a store that is cut off may be the first sign of a
                 # crash; the next one shows whether anything still listens.
-                ask_now = answered and period_s == STORE_PERIOD_S
+                ask_now = answered and is_store
                 await asyncio.sleep(MIN_PAUSE_S if ask_now else RETRY_PAUSE_S)
                 answered = False
                 continue
