--- a/tests/gateway/test_store_health.py
+++ b/tests/gateway/test_store_health.py
@@ -5,10 +5,13 @@
 from landingspool.boxes import datagrams
 from landingspool.decisions.gateway import context_index
 from landingspool.decisions.gateway import peer_digests
+from landingspool.decisions.gateway import prompts
+from landingspool.decisions.gateway import routes
 from landingspool.decisions.gateway import store_health
 from landingspool.decisions.gateway import transfers
 from tests.gateway import site
 from tests.gateway import test_context
+from tests.gateway import test_view
 
 BOXES = 60
 USUAL_S = 0.05
@@ -174,3 +177,49 @@
         assert update.clock_ms is None
 
     site.run(check)
+
+
+def test_requests_teach_a_box_which_store_to_avoid():
+    view = test_view.make_view(count=6)
+    stores = [
+        routes.Service(
+            f's{name}', context_store=test_context.make_keeper(name)
+        )
+        for name in ('k1', 'k2', 'k3', 'k4')
+    ]
+    engines = routes.Service('s', engine=test_view.ENGINE)
+    view.put_table(
+        routes.make_table(
+            2,
+            [test_view.ROUTE],
+            [engines, *stores],
+            {},
+            routes.Limits(),
+            False,
+        )
+    )
+
+    def answer(number, now):
+        """Answer a request whose part one store holds; k1 is slow."""
+        store = f'k{number % 4 + 1}'
+        part = prompts.Part(f'p{store}', 2500)
+        prompt = prompts.Prompt(
+            'm', 3000, 50, (part, prompts.Part('own', 500))
+        )
+        work = test_view.make_work(f'q{number}', prompt)
+        held = test_context.make_news(1, (part.name, 2500))
+        view.context_index.take(store, held, now, now)
+        plan = view.plan(work, (), now)
+        view.record_sent(plan, work, now)
+        slow = bool(plan.transfer.store) and store == 'k1'
+        first = now + plan.expected_s + (0.6 if slow else 0.0)
+        view.record_first(plan, work, first)
+        view.loads.record_end(plan.entry.name, work.name)
+        # Targets lose what they have read, so that it is fetched again.
+        view.context_index.forget(plan.entry.name)
+        return plan.transfer
+
+    plans = [answer(number, 10.0 + number / 10) for number in range(40)]
+    assert any(row.store == 'k1' for row in plans[:16])
+    assert [row.declined for row in plans[-4:]] == [1, 0, 0, 0]
+    assert list(view.list_slow_stores(14.0)) == ['k1']
