Admit, order and time the return of callers that compete for room

Cause: urgency, size and what a caller loses by waiting were one figure, so that large urgent prompts had half the allowance of small ones; plain targets were excluded for half a second by each rejection; and a caller that came back competed anew. Change: a Demand holds these apart; allowances go by steps of urgency; what a box sends to a full plain target follows the end of its own requests; callers that return are known by the time left that they state, and are told to return one after the other.

--- a/landingspool/decisions/gateway/admission.py
+++ b/landingspool/decisions/gateway/admission.py
@@ -158,11 +158,19 @@
     >>> 0.6 <= compute_retry_after(0.1, 1.0, random.Random(1)) <= 1.05
     True
     """
+    return estimate_retry_s(wait_s, pressure) * rng.uniform(*RETRY_SPREAD)
+
+
+def estimate_retry_s(wait_s, pressure):
+    """Return the seconds until most of what waits has been read.
+
+    >>> estimate_retry_s(0.4, 0.5), round(estimate_retry_s(0.4, 1.05), 2)
+    (0.4, 1.0)
+    """
     seconds = min(max(wait_s, MIN_RETRY_S), MAX_RETRY_S)
     first, _ = PRESSURES[-1]
     shortage = max(pressure - first, 0.0) * SHORTAGE_RETRY_S
-    seconds = max(seconds, min(shortage, MAX_SHORTAGE_RETRY_S))
-    return seconds * rng.uniform(*RETRY_SPREAD)
+    return max(seconds, min(shortage, MAX_SHORTAGE_RETRY_S))
 
 
 def pick_row(rows, priority):
--- a/landingspool/decisions/gateway/capacity.py
+++ b/landingspool/decisions/gateway/capacity.py
@@ -67,6 +67,17 @@
             work.service, work.route.priority, free_per_s, wait_s, left_s, now
         )
 
+    def pace_return(self, service, priority, per_s, first_s, left_s, now):
+        """Return the seconds after which a refused caller should retry.
+
+        Where room is short, refused callers are given successive times like
+        those that a limit refuses; the parameters are those of
+        pacing.Pacer.compute_retry_after.
+        """
+        return self._pacer.compute_retry_after(
+            service, priority, per_s, first_s, left_s, now
+        )
+
     def _sum_capacity(self, entries, now):
         """Return the requests a second that this box may send to targets."""
         return sum(self._get_capacity(entry, now) for entry in entries)
--- a/landingspool/decisions/gateway/planner.py
+++ b/landingspool/decisions/gateway/planner.py
@@ -13,6 +13,7 @@
 from landingspool.decisions.gateway import health as health_module
 from landingspool.decisions.gateway import plans
 from landingspool.decisions.gateway import prompts
+from landingspool.decisions.gateway import room as room_module
 from landingspool.decisions.gateway import transfers
 from landingspool.decisions.gateway import weights as weights_module
 
@@ -71,6 +72,7 @@
             now,
             PLAIN_SILENCE_S if work.prompt is None else ENGINE_SILENCE_S,
         )
+        room, usable = self._measure_room(usable, work, now)
         chosen = self._choose(
             self._pick_by_size(usable, work, held), work, now, spaces
         )
@@ -86,10 +88,23 @@
             held=held,
             all_limited=all(c.limited for c in candidates),
             planned_at=now,
+            room=room,
         )
 
-    def is_admitted(self, plan, work):
-        """Return whether a request should be sent as planned."""
+    def is_admitted(self, plan, work, demand):
+        """Return whether a request should be sent as planned.
+
+        The parameters are those of `view.View.is_admitted`.
+        """
+        contention = self._view.contention
+        if contention is not None and demand is not None:
+            return contention.is_admitted(
+                plan,
+                work,
+                demand,
+                self._view.table,
+                lambda refused: self.spread_refused(refused, plan, work),
+            )
         if work.prompt is None:
             return True
         rng, priority = self._view.rng, work.route.priority
@@ -279,6 +294,17 @@
         )
         return candidate._replace(cached=cached, cold_s=cold_s)
 
+    def _measure_room(self, candidates, work, now):
+        """Return the Room at plain targets, and those that are not full."""
+        contention = self._view.contention
+        if contention is None or work.prompt is not None:
+            return room_module.Room(), candidates
+        boxes = sum(self._view.peers_by_domain.values()) + 1
+        room, accepting = room_module.measure(
+            candidates, contention.rejections, boxes, now
+        )
+        return room, accepting or candidates
+
     def _pick_by_size(self, candidates, work, held):
         """Return the healthy engines for prompts of this request's size.
 
--- a/landingspool/decisions/gateway/plans.py
+++ b/landingspool/decisions/gateway/plans.py
@@ -5,6 +5,7 @@
 from landingspool.decisions.gateway import choice
 from landingspool.decisions.gateway import fleet as fleet_module
 from landingspool.decisions.gateway import prompts
+from landingspool.decisions.gateway import room as room_module
 from landingspool.decisions.gateway import routes
 from landingspool.decisions.gateway import transfers
 
@@ -50,6 +51,8 @@
         Memory that requests hold at all candidates.
     planned_at : float
         When it was made.
+    room : room.Room
+        Room at all candidates; empty where no account is kept.
     """
 
     entry: fleet_module.Entry
@@ -65,6 +68,7 @@
     held: choice.HeldMemory = choice.HeldMemory(0.0, 0.0)
     all_limited: bool = False
     planned_at: float = 0.0
+    room: room_module.Room = room_module.Room()
 
 
 def count_held(work):
--- a/landingspool/decisions/gateway/stalls.py
+++ b/landingspool/decisions/gateway/stalls.py
@@ -21,5 +21,7 @@
     view.fair_admission.exclude_stall(seconds)
     view.watchers.exclude_stall(seconds)
     view.fleet.exclude_stall(seconds)
+    if view.contention is not None:
+        view.contention.exclude_stall()
     # Peers may have taken over this box's permits for targets with limits.
     view.exclusions.shares.restart(now)
--- a/landingspool/decisions/gateway/view.py
+++ b/landingspool/decisions/gateway/view.py
@@ -7,9 +7,12 @@
 
 import random
 
+from landingspool.decisions.gateway import admission
 from landingspool.decisions.gateway import capacity as capacity_module
+from landingspool.decisions.gateway import contention as contention_module
 from landingspool.decisions.gateway import context_index as index_module
 from landingspool.decisions.gateway import crashes as crashes_module
+from landingspool.decisions.gateway import demand as demand_module
 from landingspool.decisions.gateway import engine_split as split_module
 from landingspool.decisions.gateway import exclusions
 from landingspool.decisions.gateway import fair_admission
@@ -66,6 +69,12 @@
         self.free_capacity = capacity_module.FreeCapacity(
             self.fleet, self.exclusions
         )
+        # None unless callers compete for room at times.
+        self.contention = (
+            contention_module.Contention(self.free_capacity)
+            if bounds.contended
+            else None
+        )
         self.context_index = index_module.ContextIndex()
         self.store_health = store_health_module.StoreHealth()
         self.proof = freshness.Proof(bounds.key_s, bounds.keys_fail_closed)
@@ -159,9 +168,32 @@
         """
         return self.planner.plan(work, avoid, now, ready)
 
-    def is_admitted(self, plan, work):
-        """Return whether a request should be sent as planned."""
-        return self.planner.is_admitted(plan, work)
+    def make_demand(self, work, left_s, fingerprint, now):
+        """Return the Demand of a request that arrives."""
+        if self.contention is None:
+            return demand_module.make_demand(work, left_s, False, 0.0)
+        excess = self.fair_admission.measure_excess(work)
+        return self.contention.make_demand(
+            work, left_s, fingerprint, self.rng.random(), now, excess
+        )
+
+    def is_admitted(self, plan, work, demand=None):
+        """Return whether a request should be sent as planned.
+
+        Parameters
+        ----------
+        demand : demand.Demand or None
+            None where callers don't compete for room.
+        """
+        return self.planner.is_admitted(plan, work, demand)
+
+    def compute_retry_after(self, plan, work, demand, now):
+        """Return the seconds after which a refused caller should retry."""
+        if self.contention is None:
+            return admission.compute_retry_after(
+                plan.wait_s, plan.pressure, self.rng
+            )
+        return self.contention.compute_retry_after(plan, work, demand, now)
 
     def get_lag(self, name, model, now):
         """Return the seconds since the first version that a target missed."""
@@ -257,6 +289,17 @@
             known, beyond, failed
         )
 
+    def record_rejected(self, plan, work, now):
+        """Update what is known of a target that rejected a request."""
+        name = plan.entry.name
+        if self.contention is None or work.prompt is not None:
+            self.record_loss(name, now, certain=True)
+            return
+        peer_loads = self.peer_digests.sum_loads(self.peers_by_domain, now)
+        load = self.loads.measure(name, peer_loads.get(name))
+        if not self.contention.record_rejected(plan.entry, load, now):
+            self.record_loss(name, now)
+
     def record_loss(self, name, now, certain=False):
         """Update a target's health from a request that it did not answer."""
         known = self.get_health(name)
--- a/landingspool/gateway/deployment.py
+++ b/landingspool/gateway/deployment.py
@@ -34,6 +34,9 @@
         `cold_over` times its capacity while cold, and `cold_slack` more.
     fair_shares : bool
         Whether scarce capacity is divided fairly among the workspaces.
+    contended : bool
+        Whether callers compete for room at times.  They are then admitted by
+        what each asks for, and wait for room or return in order.
     """
 
     drain_s: float = 2.0
@@ -49,6 +52,7 @@
     cold_over: float = 1.5
     cold_slack: float = 5.0
     fair_shares: bool = False
+    contended: bool = False
 
 
 class Deployment(typing.NamedTuple):
