Let requests wait for room, and join admission in the relay

A box refused at once or sent at once. Where the settings name the contract for competing callers, a request without room now waits for an eighth of its latency objective, in order, and is planned anew when this box sees room become free; callers that leave, stalls, a planned stop, a full queue and a service without targets end the wait. LS218 and LS219 tell of shortages, and metrics count who waits and who returns.

--- a/landingspool/event_kinds.py
+++ b/landingspool/event_kinds.py
@@ -125,6 +125,18 @@
             'INFO',
             'A quarantine was lifted: the request did not crash its targets.',
         ),
+        Kind(
+            218,
+            'room_short',
+            'WARNING',
+            'A service has too little room; requests for it are refused.',
+        ),
+        Kind(
+            219,
+            'room_free',
+            'INFO',
+            'No request for a service was refused for want of room lately.',
+        ),
         Kind(
             300, 'queued', 'DEBUG', 'A request waits in the queue of its pool.'
         ),
--- a/landingspool/gateway/attempts.py
+++ b/landingspool/gateway/attempts.py
@@ -5,6 +5,7 @@
 forwarded as soon as it is certain that it belongs to this request.
 """
 
+from landingspool.decisions.gateway import demand
 from landingspool.decisions.gateway import routes
 from landingspool.gateway import outcomes
 from landingspool.gateway import stream as stream_module
@@ -124,6 +125,8 @@
             self._exchange.abort()
             self._log_loss(outcome)
         self._view.loads.record_end(name, self._state.work.name)
+        if not isinstance(outcome, outcomes.Rejected):
+            self._hub.gate.record_end(self._state.work.service)
         self._record_for_quarantine(outcome)
         if not isinstance(outcome, outcomes.Rejected):
             self._state.may_have_run = True
@@ -178,11 +181,7 @@
         return egress.write_head(state.call, instructions, len(state.body))
 
     def _get_priority(self):
-        """Return the priority of the workspace, or else of the route."""
-        tenancy, route = self._state.work.tenancy, self._state.work.route
-        if tenancy is not None and tenancy.priority is not None:
-            return tenancy.priority
-        return route.priority
+        return demand.find_priority(self._state.work)
 
     async def _receive(self):
         """Read the answer before the request's deadline; return an outcome."""
@@ -240,7 +239,9 @@
         elif not head.notices.asks_for_less:
             # A target that asks for fewer requests and rejects the surplus
             # is healthy; any other rejection counts as a failure.
-            self._record_loss(certain=True)
+            self._view.record_rejected(
+                self._plan, self._state.work, self._hub.clock()
+            )
         try:
             async with timeouts.Timeout(REJECTION_READ_S):
                 while await self._exchange.read_data():
--- a/landingspool/gateway/hub.py
+++ b/landingspool/gateway/hub.py
@@ -10,6 +10,7 @@
 from landingspool.decisions.gateway import stalls
 from landingspool.decisions.gateway import view as view_module
 from landingspool import events
+from landingspool.gateway import admission_gate
 from landingspool.gateway import cache_follower
 from landingspool.gateway import crash_records
 from landingspool.gateway import following
@@ -88,6 +89,7 @@
         self.view = view_module.View(
             deployment.domain, deployment.bounds, seed, deployment.regions
         )
+        self.gate = admission_gate.AdmissionGate(self)
         self.client = httpclient.Client()
         self.store = store.Store(self.client, deployment.store, self.clock)
         self.target_notices = target_notices.TargetNotices(self)
@@ -188,6 +190,7 @@
         """Correct what is known for a stall of this process."""
         self.recorder.record('frozen', seconds=round(stall.seconds, 2))
         stalls.exclude_stall(self.view, stall.seconds, stall.now)
+        self.gate.void()
         self.sources.exclude_stall(stall.seconds)
         self.resumption.begin(stall)
 
@@ -211,6 +214,7 @@
         self.metrics.record_workspaces(
             self.view.fair_admission.count_over(tick.now)
         )
+        self.gate.sweep()
         self.metrics.quarantined.set(
             len(self.view.crashes.list_quarantined(tick.now))
         )
@@ -224,6 +228,7 @@
             relayed_kb=self.record_server.relayed_bytes // 1024,
             targets=len(self.view.fleet.entries),
             open=self.listener.count_busy(),
+            waiting=self.gate.count_waiting(),
             proof_s=self.view.proof.age_to_log(tick.now),
             stores=self._describe_stores(tick.now),
             cold=len(self.view.exclusions.cold_targets.list_cold(tick.now)),
@@ -274,6 +279,7 @@
         began = self.clock()
         deadline = began + self.deployment.bounds.grace_s - EXIT_MARGIN_S
         self.listener.stop()
+        self.gate.stop()
         self._spawn(self.peering.leave())
         await asyncio.sleep(
             min(STOP_NOTICE_S, self.deployment.bounds.grace_s / 2)
--- a/landingspool/gateway/metrics.py
+++ b/landingspool/gateway/metrics.py
@@ -89,6 +89,15 @@
             'Workspaces over their share of a service that refuses requests',
             ('service',),
         )
+        self.waiting = self._make_gauge(
+            'waiting_requests', 'Requests that wait for room at a service'
+        )
+        self.waited = self._make_counter(
+            'waited', 'Requests that waited for room', ('outcome',)
+        )
+        self.returns = self._make_counter(
+            'returns', 'Answers to callers back after a refusal', ('outcome',)
+        )
         self.seconds = self._make_histogram(
             'answer', 'Time to the whole answer'
         )
@@ -112,6 +121,16 @@
         if first_s is not None:
             self.first.observe(first_s)
 
+    def record_return(self, answer):
+        """Count the answer to a caller that came back after a refusal.
+
+        Parameters
+        ----------
+        answer : relay.Answer
+        """
+        served = 200 <= answer.status < 300
+        self.returns.labels('served' if served else answer.reason[:40]).inc()
+
     def record_targets(self, cold, evacuated, partitioned):
         """Update the gauges of what excludes targets from requests.
 
--- a/landingspool/gateway/peering.py
+++ b/landingspool/gateway/peering.py
@@ -293,6 +293,7 @@
             )
         now = self._hub.clock()
         self._hub.view.take_digest(digest, now)
+        self._hub.gate.record_digest()
         self._hub.crash_records.check()
         self.send_urgent_digest()
 
--- a/landingspool/gateway/relay.py
+++ b/landingspool/gateway/relay.py
@@ -10,10 +10,10 @@
 import random
 import typing
 
-from landingspool.decisions.gateway import admission
 from landingspool.decisions.gateway import exclusions
 from landingspool.decisions.gateway import plans
 from landingspool.decisions.gateway import routes
+from landingspool.gateway import admission_gate
 from landingspool.gateway import attempts
 from landingspool.gateway import outcomes
 from landingspool.gateway import request_state as request_state_module
@@ -104,7 +104,11 @@
                 self._call.name, route, service, tenancy, self._call.prompt
             )
         )
-        self._view.count_first(self._state.work, self._state.started)
+        state = self._state
+        self._view.count_first(state.work, state.started)
+        state.demand = self._view.make_demand(
+            state.work, self._call.left_s, state.fingerprint, state.started
+        )
         return await self._run_attempts()
 
     async def _run_attempts(self):
@@ -124,6 +128,7 @@
             plan = self._view.plan(state.work, state.tried_targets, now, ready)
             self._plan = plan
             if plan is None:
+                self._hub.gate.record_no_target(state.work.service)
                 shortage = self._view.get_shortage(state.work, now)
                 return await self._refuse_excluded(shortage, now)
             if plan.all_limited and not state.sends:
@@ -131,9 +136,10 @@
                     state.work, self._view.table, now
                 ):
                     return await self._refuse_excluded(exclusions.LIMITED, now)
-            if not state.sends and not self._view.is_admitted(
-                plan, state.work
-            ):
+            verdict = await self._hub.gate.check(state, plan)
+            if verdict == admission_gate.Verdict.REPLAN:
+                continue
+            if verdict == admission_gate.Verdict.REFUSE:
                 return await self._refuse_overloaded()
             attempt = attempts.Attempt(self._hub, state, plan, now)
             outcome = await attempt.run()
@@ -194,7 +200,7 @@
             return None
         work, now = self._state.work, self._hub.clock()
         if self._view.has_available(work, now):
-            return await self._give_up('rejected')
+            return await self._refuse_rejected()
         return await self._refuse_excluded(
             self._view.get_shortage(work, now), now
         )
@@ -269,15 +275,22 @@
         return random.uniform(*REPLACEMENT_RETRY_AFTER_S)
 
     async def _refuse_overloaded(self):
-        wait_s = self._plan.wait_s
-        after = admission.compute_retry_after(
-            wait_s, self._plan.pressure, self._view.rng
-        )
+        state, plan = self._state, self._plan
+        held_s = self._hub.clock() - state.started
+        after = self._compute_retry_after()
         await self._reply.send_error(503, 'busy', after)
         self._record(
             'turned_away',
-            wait_s=round(wait_s, 3),
-            pressure=round(self._plan.pressure, 3),
+            wait_s=round(plan.wait_s, 3),
+            pressure=round(plan.pressure, 3),
+            taken=round(plan.room.taken, 1),
+            rejecting=plan.room.rejecting,
+            priority=state.demand.priority,
+            route_priority=state.demand.route_priority,
+            returns=state.demand.returns,
+            held_s=round(held_s, 3),
+            waited=state.release or '',
+            after_s=round(after, 3),
             **self._describe_workspace(),
             **self._describe_choice(),
         )
@@ -295,6 +308,21 @@
             'excess': round(excess, 2),
         }
 
+    async def _refuse_rejected(self):
+        """Answer a request that all targets it was sent to rejected."""
+        if self._view.contention is None or self._state.may_have_run:
+            return await self._give_up('rejected')
+        return await self._refuse('rejected', self._compute_retry_after())
+
+    def _compute_retry_after(self):
+        """Return the time to retry of a request refused for want of room."""
+        state = self._state
+        after = self._view.compute_retry_after(
+            self._plan, state.work, state.demand, self._hub.clock()
+        )
+        self._hub.gate.record_refused(state, after)
+        return after
+
     async def _deny(self, status, reason):
         await self._reply.send_error(status, reason)
         return Answer(status, reason, False)
@@ -314,6 +342,8 @@
         seconds = self._hub.clock() - state.started
         first_s = state.first_byte_s
         self._hub.metrics.record_answer(answer, seconds, first_s)
+        if state.demand is not None and state.demand.returns:
+            self._hub.metrics.record_return(answer)
         self._record(
             'answered' if 200 <= answer.status < 300 else 'not_served',
             status=answer.status,
--- a/landingspool/gateway/request_state.py
+++ b/landingspool/gateway/request_state.py
@@ -46,6 +46,12 @@
     fingerprint : bytes
         The same for all requests with the same workspace, path and body;
         empty until the route is known.
+    demand : demand.Demand or None
+        What it asks of admission; None until its route is known.
+    wait_until : float or None
+        When it is refused if there was no room; None before it waits.
+    release : admission_gate.Release or None
+        Why it no longer waits; None if it has not waited.
     """
 
     def __init__(self, call, body, reply, now):
@@ -62,6 +68,9 @@
         self.may_have_run = False
         self.first_byte_s = None
         self.fingerprint = b''
+        self.demand = None
+        self.wait_until = None
+        self.release = None
 
     def begin(self, work):
         """Set the work; the route may shorten the time to the deadline."""
--- a/landingspool/platform/boot.py
+++ b/landingspool/platform/boot.py
@@ -55,6 +55,7 @@
         cold_over=reader.number('bounds.cold_over', 1.5),
         cold_slack=reader.number('bounds.cold_slack', 5),
         fair_shares=names.COMPETITION in reader.names('contracts'),
+        contended=names.COMPETITION in reader.names('contracts'),
     )
     links = None
     if reader.find('listen.control') is not None:
--- a/tests/gateway/test_boot.py
+++ b/tests/gateway/test_boot.py
@@ -29,6 +29,13 @@
     assert place.bounds.keys_fail_closed is False
     assert place.bounds.lease_s == 2.0
     assert place.bounds.version_s == 9.0
+    assert not place.bounds.contended
+
+
+def test_callers_compete_for_room_where_the_contracts_say_so():
+    place, errors = boot.read({**SETTINGS, 'contracts': ['pressure']}, 'f')
+    assert not errors
+    assert place.bounds.contended
 
 
 def test_keys_fail_closed_where_nothing_is_said():
@@ -44,6 +51,7 @@
     table['bounds']['lease_ms'] = -5
     table['bounds']['version_ms'] = 'soon'
     table['bounds']['revoke_fail_closed'] = 'no'
+    table['contracts'] = 'pressure'
     place, errors = boot.read(table, 'f')
     assert place is None
     found = {(error.key, error.value) for error in errors}
@@ -52,5 +60,6 @@
         ('bounds.lease_ms', -5),
         ('bounds.version_ms', 'soon'),
         ('bounds.revoke_fail_closed', 'no'),
+        ('contracts', 'pressure'),
     }
     assert all(error.file == 'f' and error.text for error in errors)
