Forget who was over its share once nothing is refused any more

The excess of a workspace was kept from the last shortage for as long as the box ran, so that requests that wait or return were ordered by an old figure.

--- a/landingspool/decisions/gateway/fair_admission.py
+++ b/landingspool/decisions/gateway/fair_admission.py
@@ -129,11 +129,12 @@
         self._demands.clear()
 
     def _list_scarce(self, now):
-        return [
-            service
-            for service, at in self._refused_at.items()
-            if now - at < REPORTED_S
-        ]
+        """List the services that refused lately; forget the others."""
+        for service, at in list(self._refused_at.items()):
+            if now - at >= REPORTED_S:
+                del self._refused_at[service]
+                self._demands.pop(service, None)
+        return list(self._refused_at)
 
     def _find_demands(self, service, peers_by_domain, now):
         known = self._demands.get(service)
--- a/tests/gateway/test_fair_admission.py
+++ b/tests/gateway/test_fair_admission.py
@@ -282,6 +282,10 @@
     assert box.measure_excess(make_work('w0')) > 0.5
     assert box.measure_excess(make_work('w23')) == 0.0
     assert 0 < box.count_over(20.0)['s'] < 5
+    # Nobody is over a share of what isn't scarce any more.
+    later = 20.0 + fair_admission.REPORTED_S
+    assert box.count_over(later) == {}
+    assert box.measure_excess(make_work('w0')) == 0.0
 
 
 @pytest.mark.parametrize(
