--- a/landingspool/boxes/datagrams.py
+++ b/landingspool/boxes/datagrams.py
@@ -130,7 +130,9 @@
     """
     try:
         name, *fields = cbor2.load(io.BytesIO(data))
-        return msgspec.convert(fields, MESSAGE_TYPES[name])
+        kind = MESSAGE_TYPES[name]
+        # A box of a later version may send further fields at the end.
+        return msgspec.convert(fields[: len(kind._fields)], kind)
     except (
         cbor2.CBORError,
         msgspec.ValidationError,
--- a/landingspool/decisions/gateway/choice.py
+++ b/landingspool/decisions/gateway/choice.py
@@ -193,18 +193,23 @@
     If every target is avoided, requests are still sent to those that are not
     silent: the worst outcome is the failure that a refusal makes certain.
     """
-    sound = [
+    sound = list_sound(candidates, now, silence_timeout_s)
+    if sound:
+        return sound
+    return [
+        c for c in candidates if not is_silent(c.load, now, silence_timeout_s)
+    ]
+
+
+def list_sound(candidates, now, silence_timeout_s):
+    """Return the candidates that are not avoided."""
+    return [
         c
         for c in candidates
         if not health_module.is_avoided(c.health, now)
         and not is_silent(c.load, now, silence_timeout_s)
         and not (health_module.is_on_trial(c.health, now) and c.load.waiting)
     ]
-    if sound:
-        return sound
-    return [
-        c for c in candidates if not is_silent(c.load, now, silence_timeout_s)
-    ]
 
 
 def is_silent(load, now, silence_timeout_s):
--- a/landingspool/decisions/gateway/loads.py
+++ b/landingspool/decisions/gateway/loads.py
@@ -145,6 +145,10 @@
         waiting = sum(1 for row in rows if not row.begun)
         return waiting, len(rows) - waiting
 
+    def list_targets(self):
+        """Return the names of the targets that have requests of this box."""
+        return list(self._sent)
+
     def list_reported(self):
         """Return this box's requests at each target, as in a Digest.
 
--- a/landingspool/decisions/gateway/peer_digests.py
+++ b/landingspool/decisions/gateway/peer_digests.py
@@ -82,6 +82,30 @@
     age_ms: int
 
 
+class GroupLoad(typing.NamedTuple):
+    """The load of one group as its boxes report it.
+
+    Attributes
+    ----------
+    service : int
+        Hash of the service's name.
+    index : int
+        Number of the group in the domain of the box that reports it.
+    engines : int
+        Engines that may get requests.
+    tokens, running, held, waiting : int
+        Over these engines, as in the loads of a digest.
+    """
+
+    service: int
+    index: int
+    engines: int
+    tokens: int
+    running: int
+    held: int
+    waiting: int
+
+
 class Digest(typing.NamedTuple):
     """What one box reports to its peers about its requests and targets.
 
@@ -105,6 +129,8 @@
         Limits that targets advertise, likewise.
     leaving : tuple of LeavingNotice
         Targets that have announced that they are leaving, likewise.
+    groups : tuple of GroupLoad
+        The load of the groups of engines that the box sends to first.
     """
 
     box: str
@@ -117,6 +143,7 @@
     endings: tuple[CrashNotice, ...] = ()
     limits: tuple[LimitNotice, ...] = ()
     leaving: tuple[LeavingNotice, ...] = ()
+    groups: tuple[GroupLoad, ...] = ()
 
 
 class ProofQuery(typing.NamedTuple):
@@ -173,6 +200,18 @@
     return {hash_target(name): load for name, load in loads.items()}
 
 
+def is_urgent(digest):
+    """Return whether a digest has notices that all boxes need soon.
+
+    >>> is_urgent(Digest('b', 'd', 1, {})), is_urgent(
+    ...     Digest('b', 'd', 1, {}, unreached=('t',))
+    ... )
+    (False, True)
+    """
+    notices = digest.unreached, digest.endings, digest.limits, digest.leaving
+    return any(notices)
+
+
 def pick_recipients(near, far, rng):
     """Pick the boxes that a digest is sent to.
 
@@ -202,6 +241,7 @@
 
     def __init__(self):
         self._received = {}
+        self._group_targets = []
         self._sums = PeerLoads()
         self._summed = None
 
@@ -234,6 +274,29 @@
             box for box, row in self._received.items() if row.is_fresh(now)
         ]
 
+    def set_group_targets(self, targets):
+        """Set the engines of this box's groups.
+
+        All boxes of a group report to each other, and other boxes with
+        requests at its engines report to them.  So the digests received are
+        all that bear on these engines, and stand for no others.
+
+        Parameters
+        ----------
+        targets : collection of str
+            Names of the engines' incarnations.
+
+        >>> digests = PeerDigests()
+        >>> digests.set_group_targets(['t'])
+        >>> loads = hash_loads({'t': [1, 2, 9, 3], 'u': [1, 2, 9, 3]})
+        >>> digests.take(Digest('b', 'd', 1, loads), 1.0)
+        >>> found = digests.sum_loads({'d': 2}, 1.5)
+        >>> found.get('t'), found.get('u')
+        ((1.0, 2.0, 9.0, 3.0), (2.0, 4.0, 18.0, 6.0))
+        """
+        self._group_targets = [hash_target(name) for name in targets]
+        self._summed = None
+
     def sum_loads(self, counts, now):
         """Return the loads that peers put on all targets.
 
@@ -264,9 +327,13 @@
             rows = [
                 row for row in self._received.values() if row.is_fresh(now)
             ]
-            self._sums = PeerLoads(
-                add_up([row.digest for row in rows], counts)
-            )
+            digests = [row.digest for row in rows]
+            sums = add_up(digests)
+            loads = scale_up(sums, digests, counts)
+            for target in self._group_targets:
+                if target in sums:
+                    loads[target] = sums[target]
+            self._sums = PeerLoads(loads)
             self._summed = now
         return self._sums
 
@@ -288,15 +355,8 @@
         return self.loads.get(hash_target(target), NO_LOAD)
 
 
-def add_up(digests, counts):
-    """Return the sum of the digests' loads, scaled to all peers.
-
-    Parameters
-    ----------
-    digests : list of Digest
-    counts : dict of str to int
-        Number of peers, by domain.
-    """
+def add_up(digests):
+    """Return the sum of the digests' loads, by target."""
     sums = {}
     for digest in digests:
         for target, (tokens, running, held, waiting) in digest.loads.items():
@@ -307,11 +367,25 @@
                 known[2] + held,
                 known[3] + waiting,
             )
+    return sums
+
+
+def scale_up(sums, digests, counts):
+    """Return the sums of the digests' loads, scaled to all peers.
+
+    Parameters
+    ----------
+    sums : dict of int to tuple
+        As add_up.
+    digests : list of Digest
+    counts : dict of str to int
+        Number of peers, by domain.
+    """
     heard_of = {digest.domain for digest in digests}
     boxes = sum(counts.get(domain, 0) for domain in heard_of)
     scale = max(boxes / len(digests), 1.0) if digests else 1.0
     if scale == 1.0:
-        return sums
+        return dict(sums)
     return {
         target: tuple(n * scale for n in load) for target, load in sums.items()
     }
