Plan requests within groups of engines, and spill over to others

The candidates of a request are the engines of the box's own group, and of one other group if the own one is gone, full or slow, or if a part of the demand of its domain is balanced over domains. Cold and limited engines, whose quotas are dealt over all boxes, stay candidates for everyone. Groups, spilled requests and the room of others are logged and exported as metrics.

The emulator now plays engines of two speeds, domains whose demand swings and clients that keep to one box, and counts crossings, digests and spills.

--- a/bench/many.py
+++ b/bench/many.py
@@ -12,6 +12,7 @@
 import functools
 import heapq
 import itertools
+import math
 import random
 import typing
 
@@ -35,7 +36,6 @@
 DIGEST_S = 0.2
 # Seconds for which an engine keeps a connection at rest, as it names them,
 # and for which one is used for what must not be repeated.
-IDLE_S = 9.5
 UNREPEATABLE_S = 2.0
 # Seconds after which a connection is given up that does not come up.
 TIMEOUT_S = 0.2
@@ -88,6 +88,9 @@
     by_kind: dict
     by_second: tuple
     limited_per_s: tuple = ()
+    spilled: dict = {}
+    digests: int = 0
+    crossings: float = 0.0
 
 
 class Asked(typing.NamedTuple):
@@ -132,9 +135,12 @@
         self._order = itertools.count()
         self._held = {}
         self._engines = [
-            engine.Engine(size.slots, size.capacity, size.mix.speed)
-            for _ in range(size.engines)
+            engine.Engine(size.slots, size.capacity, find_speed(size, place))
+            for place in range(size.engines)
         ]
+        self._domains = {
+            str(n): f'd{n % size.domains}' for n in range(size.boxes)
+        }
         self._idle = [collections.defaultdict(list) for _ in range(size.boxes)]
         self._views = [self._make_view(n) for n in range(size.boxes)]
         self._counts = collections.Counter()
@@ -190,7 +196,7 @@
         self._at(now + DIGEST_S / steps, self._tell, number + 1)
 
     def _tell_others(self, box, now):
-        view, size = self._views[box], self._size
+        view = self._views[box]
         self._numbers[box] += 1
         digest = peer_digests.Digest(
             str(box),
@@ -199,14 +205,18 @@
             peer_digests.hash_loads(view.loads.list_reported()),
             view.reachability.list_reported(),
             limits=view.exclusions.limits.list_due_notices(now),
+            groups=view.grouping.list_loads(now),
         )
-        near, far = [], []
-        for other in range(size.boxes):
-            if other != box:
-                same = self._views[other].domain == view.domain
-                (near if same else far).append(other)
-        for other in peer_digests.pick_recipients(near, far, view.rng):
-            self._views[other].take_digest(digest, now)
+        peers = {
+            name: domain
+            for name, domain in self._domains.items()
+            if name != digest.box
+        }
+        view.grouping.update(digest.box, self._domains, now)
+        is_urgent = peer_digests.is_urgent(digest)
+        for other in view.grouping.pick_recipients(peers, is_urgent):
+            self._counts['digests'] += 1
+            self._views[int(other)].take_digest(digest, now)
 
     def _is_dark(self, address, now):
         """Tell whether an engine answers nothing any more."""
@@ -265,15 +275,45 @@
     def _arrive(self, now):
         if now >= self._size.seconds:
             return
-        self._at(now + self._rng.expovariate(self._size.per_s), self._arrive)
+        self._at(
+            now + self._rng.expovariate(self._get_rate(now)), self._arrive
+        )
         kinds = self._size.mix.kinds
         weights = [kind.share for kind in kinds]
         kind = self._rng.choices(kinds, weights)[0]
-        box = self._rng.randrange(self._size.boxes)
+        box = self._draw_box(now)
         self._counts['asked', kind.name] += 1
         self._counts['all', int(now)] += 1
         self._try(now, Asked(kind, box, self._make_work(kind), now))
 
+    def _get_rate(self, now):
+        """Return the requests a second at a time, over all domains."""
+        size = self._size
+        swings = [
+            math.sin(math.tau * (now / 13.0 + n * size.step))
+            for n in range(size.domains)
+        ]
+        return size.per_s * (1.0 + size.swing * sum(swings) / size.domains)
+
+    def _draw_box(self, now):
+        """Draw the box that a request comes to.
+
+        Demand swings by domain, a little out of step, and each client keeps
+        to one box.
+        """
+        size = self._size
+        swings = [
+            1.0
+            + size.swing * math.sin(math.tau * (now / 13.0 + n * size.step))
+            for n in range(size.domains)
+        ]
+        domain = self._rng.choices(range(size.domains), swings)[0]
+        if not size.clients:
+            return self._rng.randrange(domain, size.boxes, size.domains)
+        client = self._rng.randrange(size.clients)
+        homes = random.Random(f'{domain}/{client}')
+        return homes.randrange(domain, size.boxes, size.domains)
+
     def _make_work(self, kind):
         thing = f'{kind.name}{self._rng.randrange(kind.things)}'
         name = f'q{next(self._order)}'
@@ -298,6 +338,7 @@
             return
         address = plan.entry.address
         is_kept = address in ready
+        self._counts['crossings'] += plan.entry.domain != view.domain
         if is_kept:
             self._idle[asked.box][address].pop()
         else:
@@ -382,10 +423,14 @@
 
     def _list_ready(self, asked, now):
         """List the engines to which a connection at rest may be used."""
-        most = IDLE_S if asked.kind.repeatable else UNREPEATABLE_S
+        most = self._size.idle_s
+        if not asked.kind.repeatable:
+            most = min(most, UNREPEATABLE_S)
         idle = self._idle[asked.box]
         for address in list(idle):
-            idle[address] = [at for at in idle[address] if now - at < IDLE_S]
+            idle[address] = [
+                at for at in idle[address] if now - at < self._size.idle_s
+            ]
         return frozenset(
             address
             for address, rows in idle.items()
@@ -414,6 +459,14 @@
                 for n in range(int(self._size.seconds))
                 if counts['all', n]
             ),
+            spilled=dict(
+                sum(
+                    (v.grouping.summaries.spilled for v in self._views),
+                    collections.Counter(),
+                )
+            ),
+            digests=counts['digests'],
+            crossings=counts['crossings'] / asked,
             limited_per_s=self._find_limited_rates(),
         )
 
@@ -426,6 +479,18 @@
         )
 
 
+def find_speed(size, place):
+    """Give the speed of one engine: the last of each three may be slower."""
+    speed = size.mix.speed
+    if place // size.domains % 3 != 2:
+        return speed
+    return engine.Speed(
+        speed.read_tokens_s / size.slow,
+        speed.first_s * size.slow,
+        speed.step_s * size.slow,
+    )
+
+
 def draw_size(rng, mean):
     """Draw a number of tokens around a mean."""
     spread = mixes.SPREAD
@@ -489,7 +554,8 @@
             f'{name}: in aim {got.in_aim:.3f}, refused {got.refused:.4f}, '
             f'read again {got.read_again:.0f}, '
             f'connections {got.connections:.2f}, p99 {got.slowest_s:.2f} s, '
-            f'probes {got.probes}, by second {got.by_second}'
+            f'probes {got.probes}, by second {got.by_second}, '
+            f'spilled {got.spilled}, digests {got.digests}, {got.by_kind}'
         )
 
 
--- a/bench/mixes.py
+++ b/bench/mixes.py
@@ -52,6 +52,22 @@
     ),
     engine.Speed(88_000.0, 0.055, 0.062),
 )
+# Long prompts that are the most urgent ones, and many short ones that are not.
+LONG_FIRST = Mix(
+    (
+        Kind('describe', 0.075, 9122, 2870, 29, 1244, 0.545, 0, True),
+        Kind('classify', 0.925, 1861, 507, 2, 6209, 1.522, 2, False),
+    ),
+    engine.Speed(140_000.0, 0.03, 0.0135),
+)
+# Short prompts that are the most urgent ones, on engines of two speeds.
+UNEVEN = Mix(
+    (
+        Kind('explain', 0.167, 9122, 2870, 64, 12440, 1.045, 1, True),
+        Kind('label', 0.833, 1861, 507, 4, 62090, 0.522, 0, False),
+    ),
+    engine.Speed(64_200.0, 0.035, 0.026),
+)
 # Spread of the sizes of prompts and answers around these: the standard
 # deviation of their logarithm.
 SPREAD = 0.6
@@ -76,6 +92,16 @@
     limit_per_s: float = 2.0
     limited_at: float = 3.0
     mix: Mix = MANY_RUNS
+    # How much slower a third of the engines is, and by which share demand
+    # swings in each domain, out of step.
+    slow: float = 1.0
+    swing: float = 0.0
+    # How far apart the swings of two domains are, as a share of their period,
+    # and how many clients each domain has, who keep to one box; 0: very many.
+    step: float = 0.08
+    clients: int = 0
+    # Seconds for which an engine keeps a connection at rest.
+    idle_s: float = 9.5
 
 
 # 71 boxes and 30 engines: where places are many, and questions short.
@@ -89,7 +115,43 @@
     seconds=9.0,
     mix=SHORT_QUESTIONS,
 )
+# 62 boxes and 36 engines of 24 slots.
+CORES = Size(
+    boxes=62,
+    engines=36,
+    domains=3,
+    slots=24,
+    capacity=80_061,
+    per_s=680.0,
+    seconds=9.0,
+    mix=LONG_FIRST,
+    idle_s=1.4,
+    clients=60,
+)
+# 129 boxes and 45 uneven engines of 48 slots, demand by waves.
+WAVES = Size(
+    boxes=129,
+    engines=45,
+    domains=3,
+    slots=48,
+    capacity=84_144,
+    per_s=330.0,
+    seconds=13.0,
+    mix=UNEVEN,
+    slow=1.3,
+    idle_s=1.4,
+    swing=0.5,
+    clients=76,
+)
 CASES = {
+    'cores': CORES,
+    'cores, twice': CORES._replace(per_s=1360.0),
+    'cores, a quarter dark': CORES._replace(dark=9),
+    'cores, new weights': CORES._replace(seconds=14.0, named_at=(2.0, 6.0)),
+    'waves': WAVES,
+    'waves, twice': WAVES._replace(per_s=660.0),
+    'waves, a quarter dark': WAVES._replace(dark=11),
+    'waves, new weights': WAVES._replace(seconds=14.0, named_at=(2.0, 6.0)),
     'calm': Size(seconds=9.0),
     'a quarter dark': Size(seconds=12.0, dark=13),
     'a quarter limited': Size(seconds=15.0, limited=13),
--- a/landingspool/decisions/gateway/planner.py
+++ b/landingspool/decisions/gateway/planner.py
@@ -10,6 +10,7 @@
 from landingspool.decisions.gateway import admission
 from landingspool.decisions.gateway import choice
 from landingspool.decisions.gateway import engine_split as split_module
+from landingspool.decisions.gateway import group_planner
 from landingspool.decisions.gateway import health as health_module
 from landingspool.decisions.gateway import plans
 from landingspool.decisions.gateway import prompts
@@ -44,6 +45,44 @@
     lag_s: float = 0.0
 
 
+class Field(typing.NamedTuple):
+    """The targets that a request may be sent to.
+
+    Attributes
+    ----------
+    candidates : list of choice.Candidate
+    spaces : dict of (int or None) to Space
+        By version of the weights.
+    held : choice.HeldMemory
+        Memory that requests hold at the candidates, other groups excluded.
+    reason : str
+        Why there are candidates of another group (spillover.py).
+    spilled_to : frozenset of str
+        Names of the targets of that other group.
+    """
+
+    candidates: list
+    spaces: dict
+    held: choice.HeldMemory
+    reason: str = ''
+    spilled_to: frozenset = frozenset()
+
+
+def choose_side(field, name):
+    """Return the candidates that are in the same group as a target."""
+    is_spilled = name in field.spilled_to
+    return [
+        c
+        for c in field.candidates
+        if (c.entry.name in field.spilled_to) == is_spilled
+    ]
+
+
+def get_silence_timeout(work):
+    """Return after how many seconds a target with a request is silent."""
+    return PLAIN_SILENCE_S if work.prompt is None else ENGINE_SILENCE_S
+
+
 class Planner:
     """Plan requests with the state of one box.
 
@@ -54,37 +93,37 @@
 
     def __init__(self, view):
         self._view = view
+        self._group_planner = group_planner.GroupPlanner(view, self)
 
     def plan(self, work, avoid, now, ready):
         """Choose a target for a request; return a Plan, or None.
 
         The parameters are those of `view.View.plan`.
         """
-        view = self._view
-        entries = self._list_usable(work, avoid, now)
-        spaces = self._find_spaces(entries, work, now)
-        candidates = self._make_candidates(entries, work, now, ready, spaces)
-        held = choice.measure_memory(candidates)
-        candidates = plans.weigh_candidates(candidates, work, held)
+        field = self._gather(work, avoid, now, ready)
         usable = choice.list_usable(
-            candidates,
-            now,
-            PLAIN_SILENCE_S if work.prompt is None else ENGINE_SILENCE_S,
+            field.candidates, now, get_silence_timeout(work)
         )
         chosen = self._choose(
-            self._pick_by_size(usable, work, held), work, now, spaces
+            self._pick_by_size(usable, work, field.held),
+            work,
+            now,
+            field.spaces,
         )
         if chosen is None:
             return None
+        plan = self.make_plan(chosen, work, now, field.spaces)
+        near = choose_side(field, plan.entry.name)
         pressure = max(
-            choice.measure_pressure(candidates),
-            view.latency.measure(work.service, now),
+            choice.measure_pressure(near),
+            self._view.latency.measure(work.service, now),
         )
-        plan = self.make_plan(chosen, work, now, spaces)
+        is_spilled = plan.entry.name in field.spilled_to
         return plan._replace(
             pressure=pressure,
-            held=held,
-            all_limited=all(c.limited for c in candidates),
+            held=choice.measure_memory(near),
+            all_limited=all(c.limited for c in field.candidates),
+            spill=field.reason if is_spilled else '',
         )
 
     def is_admitted(self, plan, work):
@@ -140,6 +179,34 @@
             transfer,
         )
 
+    def _gather(self, work, avoid, now, ready):
+        """Return the Field of a request."""
+        field = self._group_planner.gather(work, avoid, now, ready)
+        if field is not None:
+            return field
+        entries = self._list_usable(work, avoid, now)
+        return self.make_field(entries, work, now, ready)
+
+    def make_field(self, entries, work, now, ready, held=None, load=None):
+        """Return the Field of a request for some targets.
+
+        Parameters
+        ----------
+        held : choice.HeldMemory, optional
+            That by which the wait for memory is weighted; None: that of these
+            targets.
+        load : tuple of float, optional
+            The load that peers put on each of them; None: as in their digests.
+        """
+        spaces = self._find_spaces(entries, work, now)
+        candidates = self._make_candidates(
+            entries, work, now, ready, spaces, load
+        )
+        if held is None:
+            held = choice.measure_memory(candidates)
+        candidates = plans.weigh_candidates(candidates, work, held)
+        return Field(candidates, spaces, held)
+
     def _list_usable(self, work, avoid, now):
         """Return the entries of the targets that a request may be sent to."""
         view = self._view
@@ -162,7 +229,11 @@
             for entry in entries
             if not view.weights.is_loading(entry.name, prompt, now)
         ]
-        entries = idle or entries
+        return self.list_new_enough(idle or entries, prompt, now)
+
+    def list_new_enough(self, entries, prompt, now):
+        """Return the entries whose weights are not too old."""
+        view = self._view
         max_lag_s = view.weights.max_lag_s
         lags = self._list_lags(entries, prompt.model, now)
         if all(lag_s < max_lag_s for lag_s in lags.values()):
@@ -204,13 +275,13 @@
         transfer = self._plan_transfer(work, version, name, now)
         return Space(name, transfer, lag_s)
 
-    def _make_candidates(self, entries, work, now, ready, spaces):
+    def _make_candidates(self, entries, work, now, ready, spaces, load):
         """Return what narrows the targets down, as a Candidate for each."""
         view = self._view
         peer_loads = view.peer_digests.sum_loads(view.peers_by_domain, now)
         capacity = 0
         if work.prompt is not None:
-            capacity = self._get_capacity(work.service)
+            capacity = self.get_capacity(work.service)
         limits = view.exclusions.limits
         candidates = []
         for entry in entries:
@@ -218,7 +289,9 @@
             candidates.append(
                 choice.Candidate(
                     entry,
-                    view.loads.measure(entry.name, peer_loads.get(entry.name)),
+                    view.loads.measure(
+                        entry.name, load or peer_loads.get(entry.name)
+                    ),
                     view.get_health(entry.name),
                     stored=space.transfer.tokens,
                     fetch_s=space.transfer.seconds,
@@ -292,7 +365,8 @@
             return candidates
         return suited
 
-    def _get_capacity(self, service):
+    def get_capacity(self, service):
+        """Return the memory of a service's engines in tokens, or 0."""
         known = self._view.table.services.get(service)
         if known is None or known.engine is None:
             return 0
--- a/landingspool/decisions/gateway/plans.py
+++ b/landingspool/decisions/gateway/plans.py
@@ -48,6 +48,8 @@
         Whether all targets that the request might go to advertise limits.
     held : choice.HeldMemory
         Memory that requests hold at all candidates.
+    spill : str
+        Why it goes to another group than that of the box; empty if not.
     """
 
     entry: fleet_module.Entry
@@ -62,6 +64,7 @@
     pressure: float = 0.0
     held: choice.HeldMemory = choice.HeldMemory(0.0, 0.0)
     all_limited: bool = False
+    spill: str = ''
 
 
 def count_held(work):
--- a/landingspool/decisions/gateway/stalls.py
+++ b/landingspool/decisions/gateway/stalls.py
@@ -18,6 +18,7 @@
     """
     view.loads.exclude_stall(seconds)
     view.peer_digests.exclude_stall(seconds)
+    view.grouping.summaries.exclude_stall(seconds)
     view.watchers.exclude_stall(seconds)
     view.fleet.exclude_stall(seconds)
     # Peers may have taken over this box's permits for targets with limits.
--- a/landingspool/decisions/gateway/view.py
+++ b/landingspool/decisions/gateway/view.py
@@ -14,6 +14,7 @@
 from landingspool.decisions.gateway import exclusions
 from landingspool.decisions.gateway import fleet as fleet_module
 from landingspool.decisions.gateway import freshness
+from landingspool.decisions.gateway import grouping as grouping_module
 from landingspool.decisions.gateway import health as health_module
 from landingspool.decisions.gateway import latency
 from landingspool.decisions.gateway import loads as loads_module
@@ -72,6 +73,7 @@
         self.peers_by_domain = {}
         # Epoch and used tokens of each store, as this box last counted them.
         self.store_usage = {}
+        self.grouping = grouping_module.Grouping(self)
         self.planner = planner.Planner(self)
         self._health = {}
         self._retry_budgets = {}
@@ -185,6 +187,9 @@
             stored = prompts.count_read(work.prompt, plan.transfer.tokens)
             self.engine_split.record(stored, now)
             held = plans.count_held(work)
+        if plan.spill:
+            is_crossing = plan.entry.domain != self.domain
+            self.grouping.summaries.count(plan.spill, is_crossing)
         sent = loads_module.Sent(now, tokens, False, held)
         self.loads.record_sent(plan.entry.name, work.name, sent)
         self.exclusions.record_sent(plan.entry.name, now)
@@ -235,6 +240,7 @@
     def take_digest(self, digest, now):
         """Store what another box reports of its requests and of targets."""
         self.peer_digests.take(digest, now)
+        self.grouping.summaries.take(digest, now)
         for name in self.watchers.receive_report(
             digest.box, digest.unreached, now
         ):
--- a/landingspool/event_kinds.py
+++ b/landingspool/event_kinds.py
@@ -363,6 +363,12 @@
             'INFO',
             'The box that this one reads from is avoided for a time.',
         ),
+        Kind(
+            709,
+            'group_dealt',
+            'INFO',
+            'This box has a group of engines that it sends to first.',
+        ),
         Kind(
             800,
             'fault',
--- a/landingspool/gateway/hub.py
+++ b/landingspool/gateway/hub.py
@@ -205,6 +205,10 @@
             exclusions.evacuation.describe(tick.now),
             self.view.engine_split.is_on,
         )
+        self.metrics.record_groups(
+            self.view.grouping.describe(tick.now),
+            self.view.grouping.summaries.spilled,
+        )
         self.metrics.quarantined.set(
             len(self.view.crashes.list_quarantined(tick.now))
         )
@@ -224,6 +228,8 @@
             evacuated=self.view.exclusions.evacuation.describe(tick.now),
             leaving=self.target_notices.list_leaving(tick.now),
             resting=self.view.exclusions.backoffs.list_backoffs(tick.now),
+            groups=self.view.grouping.describe(tick.now),
+            spilled=self.view.grouping.summaries.describe_spilled(),
         )
 
     def _describe_stores(self, now):
--- a/landingspool/gateway/metrics.py
+++ b/landingspool/gateway/metrics.py
@@ -68,6 +68,26 @@
         self.partitioned = self._make_gauge(
             'engines_parted', '1 while engines are parted by reading size'
         )
+        self.spilled = self._make_gauge(
+            'spilled_requests',
+            'Requests sent to another group than the own one, since the start',
+            ('reason', 'to'),
+        )
+        self.group_sizes = self._make_gauge(
+            'group_size',
+            'Engines and boxes of the group of this box',
+            ('service', 'of'),
+        )
+        self.balanced = self._make_gauge(
+            'group_balanced_share',
+            'Share of the requests that goes to less loaded groups',
+            ('service',),
+        )
+        self.group_requests = self._make_gauge(
+            'group_requests',
+            'Requests at the engines of another group, as reported',
+            ('service', 'group'),
+        )
         self.seconds = self._make_histogram(
             'answer', 'Time to the whole answer'
         )
@@ -109,6 +129,27 @@
             self.evacuated.labels(domain).set(seconds)
         self.partitioned.set(partitioned)
 
+    def record_groups(self, groups, spilled):
+        """Update the gauges of groups of engines.
+
+        Parameters
+        ----------
+        groups : dict of str to dict
+            As grouping.Grouping.describe.
+        spilled : dict of tuple to int
+            Requests that left their group, by reason and destination.
+        """
+        for gauge in (self.group_sizes, self.balanced, self.group_requests):
+            gauge.clear()
+        for service, row in groups.items():
+            for of in ('engines', 'boxes'):
+                self.group_sizes.labels(service, of).set(row[of])
+            self.balanced.labels(service).set(row['balanced'])
+            for group, (_, requests) in row['others'].items():
+                self.group_requests.labels(service, group).set(requests)
+        for (reason, to), count in spilled.items():
+            self.spilled.labels(reason, to).set(count)
+
     def record_limits(self, advertised, used, now):
         """Update the gauges of the limits that targets advertise.
 
--- a/landingspool/gateway/peering.py
+++ b/landingspool/gateway/peering.py
@@ -208,8 +208,24 @@
         view.watchers.set_members(
             self._hub.deployment.box, self._list_domain_peers()
         )
+        self._update_groups(tick.now)
         self._send_digest(tick.now)
 
+    def _update_groups(self, now):
+        deployment, grouping = self._hub.deployment, self._hub.view.grouping
+        boxes = {peer.name: peer.domain for peer in self.peers.values()}
+        boxes[deployment.box] = deployment.domain
+        if not grouping.update(deployment.box, boxes, now):
+            return
+        for service, own in grouping.subsets.list_own():
+            self._hub.recorder.record(
+                'group_dealt',
+                service=service,
+                group=own.index,
+                engines=own.engines,
+                boxes=len(own.boxes),
+            )
+
     def send_urgent_digest(self):
         """Send a digest now if a limit has begun.
 
@@ -238,8 +254,9 @@
             endings=view.crashes.list_due_notices(now),
             limits=view.exclusions.limits.list_due_notices(now),
             leaving=view.exclusions.leaving.list_due_notices(now),
+            groups=view.grouping.list_loads(now),
         )
-        self._socket.send_to_all(digest, self._pick_digest_receivers())
+        self._socket.send_to_all(digest, self._pick_digest_receivers(digest))
 
     def _on_ask_period(self, tick):
         if self._get_proof_age() < self.ages.old_s + ASK_DELAY_S:
@@ -253,21 +270,14 @@
         for address in self._pick(PEERS_ASKED):
             self._socket.send(ask, address)
 
-    def _pick_digest_receivers(self):
+    def _pick_digest_receivers(self, digest):
         if not self.peers:
             return self._pick(peer_digests.FAN_OUT)
-        domain, same_domain, other_domains = (
-            self._hub.deployment.domain,
-            [],
-            [],
-        )
-        for peer in self.peers.values():
-            (same_domain if peer.domain == domain else other_domains).append(
-                peer.address
-            )
-        return peer_digests.pick_recipients(
-            same_domain, other_domains, self._hub.view.rng
+        domains = {peer.name: peer.domain for peer in self.peers.values()}
+        picked = self._hub.view.grouping.pick_recipients(
+            domains, peer_digests.is_urgent(digest)
         )
+        return [self.peers[name].address for name in picked]
 
     def _pick(self, count):
         # The seeds are used if the store doesn't list any box.
