--- a/landingspool/boxes/datagrams.py
+++ b/landingspool/boxes/datagrams.py
@@ -22,6 +22,8 @@
 # Seconds between two readings of the socket: short beside the period of the
 # digests, whose age grows by half of it on average.
 READ_PERIOD_S = 0.05
+# The same where reports of single requests decide the next choices.
+SHORT_READ_PERIOD_S = 0.025
 # Datagrams that one reading delivers, so that a flood does not keep the
 # process from its requests; the rest is read at the next.
 MAX_READ = 256
@@ -50,15 +52,26 @@
         self._on_message = on_message
         self._on_bad = on_bad
         self._socket = None
+        self._reading = None
+        self._period_s = None
 
     async def start(self, address):
         """Open the socket."""
         self._socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         self._socket.setblocking(False)
         self._socket.bind(tuple(address))
-        self._timer.subscribe(READ_PERIOD_S, self._read_arrived)
+        self.set_read_period(READ_PERIOD_S)
         self._timer.subscribe_stall(self._read_soon)
 
+    def set_read_period(self, seconds):
+        """Read the socket every `seconds` from now on."""
+        if seconds == self._period_s:
+            return
+        self._period_s = seconds
+        if self._reading is not None:
+            self._reading.cancel()
+        self._reading = self._timer.subscribe(seconds, self._read_arrived)
+
     def _read_soon(self, stall):
         """Read at once what arrived during a stall."""
         loop = asyncio.get_running_loop()
--- a/landingspool/decisions/gateway/plans.py
+++ b/landingspool/decisions/gateway/plans.py
@@ -56,6 +56,8 @@
         Room at all candidates; empty where no account is kept.
     profile : service_figures.Profile
         What a typical target of the service does.
+    spill : str
+        Why it goes to another group than that of the box; empty if not.
     """
 
     entry: fleet_module.Entry
@@ -73,6 +75,7 @@
     planned_at: float = 0.0
     room: room_module.Room = room_module.Room()
     profile: service_figures.Profile = service_figures.PRIOR
+    spill: str = ''
 
 
 def count_held(work):
--- a/landingspool/gateway/attempts.py
+++ b/landingspool/gateway/attempts.py
@@ -102,6 +102,8 @@
         if state.sends > 1:
             self._hub.metrics.repeats.inc()
         self._view.record_sent(plan, state.work, self._sent_at)
+        if state.work.prompt is not None:
+            self._hub.peering.report_sent()
         self._view.crashes.record_sent(state.fingerprint)
         if plan.transfer.declined:
             self._hub.metrics.declined_parts.inc(plan.transfer.declined)
--- a/landingspool/gateway/hub.py
+++ b/landingspool/gateway/hub.py
@@ -215,6 +215,10 @@
             self.view.fair_admission.count_over(tick.now)
         )
         self.gate.sweep()
+        self.metrics.record_groups(
+            self.view.grouping.describe(tick.now),
+            self.view.grouping.summaries.spilled,
+        )
         self.metrics.quarantined.set(
             len(self.view.crashes.list_quarantined(tick.now))
         )
@@ -240,6 +244,8 @@
             leaving=self.target_notices.list_leaving(tick.now),
             resting=self.view.exclusions.backoffs.list_backoffs(tick.now),
             speeds={name: list(known) for name, known in speeds.items()},
+            groups=self.view.grouping.describe(tick.now),
+            spilled=self.view.grouping.summaries.describe_spilled(),
         )
 
     def _describe_stores(self, now):
--- a/landingspool/gateway/peering.py
+++ b/landingspool/gateway/peering.py
@@ -28,8 +28,9 @@
 # Period of the digests, seconds: about the prefill of two long prompts (0.1 s
 # each), so that boxes seldom choose the same idle target.
 DIGEST_S = 0.2
-# Minimum seconds between a digest and an urgent one for a limit that begins.
-# A target that names a limit in every other answer must not cause a flood.
+# Minimum seconds between a digest and an urgent one: for a limit that begins,
+# and for requests that were sent to engines of a group.  A target that names a
+# limit in every other answer must not cause a flood.
 MIN_DIGEST_GAP_S = 0.05
 # Period of the questions to peers about their tables, seconds.
 ASK_PERIOD_S = 0.4
@@ -71,6 +72,7 @@
         self._hub = hub
         self._number = 0
         self._sent = -math.inf
+        self._is_due = False
         self._asked_at = {}
         self._fetching = False
         self.peers = {}
@@ -92,6 +94,7 @@
         await self._socket.start(address)
         await self._server.start(*address)
         self._hub.timer.subscribe(DIGEST_S, self._on_digest_period)
+        self._hub.timer.subscribe(MIN_DIGEST_GAP_S, self._send_if_due)
         self._hub.timer.subscribe(ASK_PERIOD_S, self._on_ask_period)
 
     async def run(self):
@@ -208,7 +211,29 @@
         view.watchers.set_members(
             self._hub.deployment.box, self._list_domain_peers()
         )
-        self._send_digest(tick.now)
+        self._update_groups(tick.now)
+        if not self._is_reported(tick.now):
+            self._send_digest(tick.now)
+
+    def _update_groups(self, now):
+        deployment, grouping = self._hub.deployment, self._hub.view.grouping
+        boxes = {peer.name: peer.domain for peer in self.peers.values()}
+        boxes[deployment.box] = deployment.domain
+        if not grouping.update(deployment.box, boxes, now):
+            return
+        self._socket.set_read_period(
+            datagrams.SHORT_READ_PERIOD_S
+            if grouping.subsets.list_services()
+            else datagrams.READ_PERIOD_S
+        )
+        for service, own in grouping.subsets.list_own():
+            self._hub.recorder.record(
+                'group_dealt',
+                service=service,
+                group=own.index,
+                engines=own.engines,
+                boxes=len(own.boxes),
+            )
 
     def send_urgent_digest(self):
         """Send a digest now if a limit has begun.
@@ -223,7 +248,32 @@
         if is_urgent and now - self._sent >= MIN_DIGEST_GAP_S:
             self._send_digest(now)
 
+    def report_sent(self):
+        """Tell the boxes of the group of a request that was just sent.
+
+        A request is often over before the next periodic digest, and the
+        boxes of a group choose among few engines: without this they would
+        choose the same one in the meantime.
+        """
+        if not self._hub.view.grouping.subsets.list_services():
+            return
+        now = self._hub.clock()
+        if now - self._sent >= MIN_DIGEST_GAP_S:
+            self._send_digest(now)
+        else:
+            self._is_due = True
+
+    def _send_if_due(self, tick):
+        if self._is_due:
+            self._send_digest(tick.now)
+
+    def _is_reported(self, now):
+        """Return whether a digest was sent since half a period."""
+        grouped = self._hub.view.grouping.subsets.list_services()
+        return bool(grouped) and now - self._sent < DIGEST_S / 2
+
     def _send_digest(self, now):
+        self._is_due = False
         view = self._hub.view
         self._number += 1
         self._sent = now
@@ -241,8 +291,9 @@
             slow_stores=view.store_health.list_reported(now),
             usage=view.fair_admission.make_due_report(now),
             answers=view.profiles.take_reports(),
+            groups=view.grouping.list_loads(now),
         )
-        self._socket.send_to_all(digest, self._pick_digest_receivers())
+        self._socket.send_to_all(digest, self._pick_digest_receivers(digest))
 
     def _on_ask_period(self, tick):
         if self._get_proof_age() < self.ages.old_s + ASK_DELAY_S:
@@ -256,21 +307,14 @@
         for address in self._pick(PEERS_ASKED):
             self._socket.send(ask, address)
 
-    def _pick_digest_receivers(self):
+    def _pick_digest_receivers(self, digest):
         if not self.peers:
             return self._pick(peer_digests.FAN_OUT)
-        domain, same_domain, other_domains = (
-            self._hub.deployment.domain,
-            [],
-            [],
-        )
-        for peer in self.peers.values():
-            (same_domain if peer.domain == domain else other_domains).append(
-                peer.address
-            )
-        return peer_digests.pick_recipients(
-            same_domain, other_domains, self._hub.view.rng
+        domains = {peer.name: peer.domain for peer in self.peers.values()}
+        picked = self._hub.view.grouping.pick_recipients(
+            domains, peer_digests.is_urgent(digest)
         )
+        return [self.peers[name].address for name in picked]
 
     def _pick(self, count):
         # The seeds are used if the store doesn't list any box.
--- a/tests/gateway/test_datagrams.py
+++ b/tests/gateway/test_datagrams.py
@@ -6,7 +6,9 @@
 from landingspool import boot_clock
 from landingspool.boxes import datagrams
 from landingspool.decisions.gateway import peer_digests
+from landingspool.gateway import peering
 from landingspool import timer as timer_module
+from tests.gateway import site
 
 # More than one reading delivers, and fewer than a socket buffers.
 MAX_READ = 64
@@ -85,3 +87,27 @@
         if now - before < 0.005
     )
     assert together >= 1
+
+
+def test_a_request_that_was_sent_is_reported_to_the_group_at_once():
+    async def check(deployment):
+        hub = await deployment.start_box()
+        sent = []
+        hub.peering._socket.send_to_all = lambda digest, to: sent.append(
+            hub.clock()
+        )
+        hub.peering.report_sent()
+        assert not sent
+        hub.view.grouping.subsets.list_services = lambda: ('s',)
+        await asyncio.sleep(peering.MIN_DIGEST_GAP_S * 2)
+        began = hub.clock()
+        for _ in range(3):
+            hub.peering.report_sent()
+        await asyncio.sleep(peering.MIN_DIGEST_GAP_S * 2.5)
+        prompt = [at for at in sent if at - began < peering.MIN_DIGEST_GAP_S]
+        later = [at for at in sent if at - began >= peering.MIN_DIGEST_GAP_S]
+        # One at once, and one for those that followed too soon.
+        assert len(prompt) in (1, 2)
+        assert 1 <= len(prompt) - 1 + len(later) <= 2
+
+    site.run_on_boot_clock(check, engines=2)
