Split the fixed parts of the emulator off, and test two modules by name

Change: bench/world.py has engines, stores and routes; the process of a box moved from platform/ to gateway/, since it translates nothing; a test each.

--- a/bench/many.py
+++ b/bench/many.py
@@ -9,7 +9,6 @@
 """
 
 import collections
-import functools
 import heapq
 import itertools
 import math
@@ -18,17 +17,15 @@
 
 from bench import engine
 from bench import mixes
+from bench import world
 from landingspool.decisions.gateway import context_index
-from landingspool.decisions.gateway import fleet
 from landingspool.decisions.gateway import peer_digests
 from landingspool.decisions.gateway import plans
 from landingspool.decisions.gateway import prompts
 from landingspool.decisions.gateway import rollouts
-from landingspool.decisions.gateway import routes
 from landingspool.decisions.gateway import view as view_module
 from landingspool.gateway import deployment
 
-STORE = '10.0.0.1:1'
 # Seconds from the end of a reading until all boxes know that a store has it:
 # the event is 60 ms late, and is asked for every 0.6 s, once by a reader and
 # once by the boxes that follow this one.
@@ -113,16 +110,18 @@
         )
 
     def get(self, name):
-        return self._index if name == STORE else super().get(name)
+        return self._index if name == world.STORE else super().get(name)
 
     def cached(self, name):
-        return self._index.cached if name == STORE else super().cached(name)
+        return (
+            self._index.cached if name == world.STORE else super().cached(name)
+        )
 
     def may_fetch(self, name, now):
-        return name == STORE
+        return name == world.STORE
 
     def may_save(self, name, now):
-        return name == STORE
+        return name == world.STORE
 
 
 class Play:
@@ -135,7 +134,9 @@
         self._order = itertools.count()
         self._held = {}
         self._engines = [
-            engine.Engine(size.slots, size.capacity, find_speed(size, place))
+            engine.Engine(
+                size.slots, size.capacity, world.find_speed(size, place)
+            )
             for place in range(size.engines)
         ]
         self._domains = {
@@ -155,7 +156,7 @@
         view = view_module.View(
             domain, deployment.Bounds(version_s=15.0), number
         )
-        view.put_table(make_table(size))
+        view.put_table(world.make_table(size))
         view.context_index = SharedStore(self._held)
         view.boxes = size.boxes
         peers_by_domain = [f'd{n % size.domains}' for n in range(size.boxes)]
@@ -166,7 +167,7 @@
             str(number), [str(n) for n in near if n != number]
         )
         for place in range(size.engines):
-            view.fleet.put(make_entry(place, size))
+            view.fleet.put(world.make_entry(place, size))
         boxes = [str(n) for n in range(size.boxes)]
         view.exclusions.shares.set_members(str(number), boxes, -LISTED_S)
         return view
@@ -319,15 +320,15 @@
         thing = f'{kind.name}{self._rng.randrange(kind.things)}'
         name = f'q{next(self._order)}'
         # A shared part has one size, whoever asks for it.
-        shared = draw_size(random.Random(thing), kind.shared)
-        own = draw_size(self._rng, kind.own)
+        shared = world.draw_size(random.Random(thing), kind.shared)
+        own = world.draw_size(self._rng, kind.own)
         prompt = prompts.Prompt(
             'm',
             shared + own,
-            draw_size(self._rng, kind.tokens_out),
+            world.draw_size(self._rng, kind.tokens_out),
             (prompts.Part(thing, shared), prompts.Part(name, own)),
         )
-        return plans.Work(name, make_route(kind), 'engine', None, prompt)
+        return plans.Work(name, world.make_route(kind), 'engine', None, prompt)
 
     def _try(self, now, asked):
         """Choose an engine, and send there or refuse."""
@@ -480,73 +481,6 @@
         )
 
 
-def find_speed(size, place):
-    """Give the speed of one engine: the last of each three may be slower."""
-    speed = size.mix.speed
-    if place // size.domains % 3 != 2:
-        return speed
-    return engine.Speed(
-        speed.read_tokens_s / size.slow,
-        speed.first_s * size.slow,
-        speed.step_s * size.slow,
-    )
-
-
-def draw_size(rng, mean):
-    """Draw a number of tokens around a mean."""
-    spread = mixes.SPREAD
-    return max(int(mean * rng.lognormvariate(-spread * spread / 2, spread)), 1)
-
-
-def make_entry(place, size):
-    """Give what one engine says of itself."""
-    return fleet.Entry(
-        f'e{place}',
-        'engine',
-        ('e', place),
-        f'd{place % size.domains}',
-        fleet.READY,
-        size.slots,
-        {'m': 1},
-    )
-
-
-def make_table(size):
-    """Give the table of a service of engines with a store."""
-    kind = routes.Engine(size.slots, size.capacity, 35_136, 1.1e6, 4, True)
-    context_store = routes.ContextStore(
-        STORE, 'd0', 10**9, 310_000.0, 4, True, 0.0005
-    )
-    services = [
-        routes.Service('engine', max_connections=1300, engine=kind),
-        routes.Service('store', context_store=context_store),
-    ]
-    return routes.make_table(
-        1,
-        [make_route(kind) for kind in size.mix.kinds],
-        services,
-        {},
-        routes.Limits(),
-        False,
-    )
-
-
-@functools.lru_cache
-def make_route(kind):
-    """Give the route of a kind of request."""
-    return routes.Route(
-        kind.name,
-        'h',
-        f'/{kind.name}/',
-        routes.STREAM,
-        9.0,
-        kind.aim_s,
-        kind.priority,
-        (),
-        resumable=kind.repeatable,
-    )
-
-
 def main():
     """Play each case, and print what callers get."""
     for name, size in mixes.CASES.items():
--- a/landingspool/decisions/gateway/speed_factors.py
+++ b/landingspool/decisions/gateway/speed_factors.py
@@ -31,7 +31,7 @@
 MIN_FACTOR = 1.08
 # Standard deviations by which the spread of the targets has to exceed what
 # chance gives, by whether they count as uneven already.  Waits of some seconds
-# at some engines, all alike, reach three to four: 195 boxes and 50 engines.
+# at some engines, all alike, reach three to four.
 MIN_EXCESS = {False: 5.0, True: 1.0}
 # Lowest variance assumed of the logs of one target's ratios.
 MIN_VARIANCE = 0.01
--- a/landingspool/platform/process.py
+++ b/landingspool/gateway/process.py
@@ -1,4 +1,4 @@
-"""Runs the process of one box on the platform."""
+"""Run the process of one box on the platform."""
 
 import asyncio
 import gc
--- a/landingspool/platform/__main__.py
+++ b/landingspool/platform/__main__.py
@@ -9,7 +9,7 @@
     # What is imported stays, so that a collection meanwhile finds no garbage;
     # collections are a quarter of the time of a start.
     gc.disable()
-    from landingspool.platform import process
+    from landingspool.gateway import process
 
     return process.main()
 
--- a/tests/gateway/test_fair_admission.py
+++ b/tests/gateway/test_fair_admission.py
@@ -8,6 +8,7 @@
 from landingspool.boxes import datagrams
 from landingspool.decisions.gateway import admission
 from landingspool.decisions.gateway import fair_admission
+from landingspool.decisions.gateway import fair_levels
 from landingspool.decisions.gateway import peer_digests
 from landingspool.decisions.gateway import plans
 from landingspool.decisions.gateway import prompts
@@ -319,3 +320,18 @@
     for fields in (older, newer):
         data = cbor2.dumps(['digest', *fields])
         assert datagrams.decode(data).usage == {}
+
+
+def test_half_of_the_usual_admissions_are_left_to_whoever_asks_for_most():
+    """A workspace that asks for nearly all of a service, and a small one."""
+    usage = {
+        1: workspace_usage.Usage(900.0, 500.0, 1.0),
+        2: workspace_usage.Usage(100.0, 60.0, 1.0),
+    }
+    level = fair_levels.make_demands(usage, {}, 1.0)
+    shares = [
+        fair_levels.compute_admitted(row.asked, 1.0, level.asked / 10, 0.4)
+        for row in usage.values()
+    ]
+    assert shares[0] >= (1 - 0.4) * fair_levels.MIN_ADMITTED
+    assert shares[1] >= shares[0]
--- a/tests/gateway/test_store_health.py
+++ b/tests/gateway/test_store_health.py
@@ -9,6 +9,7 @@
 from landingspool.decisions.gateway import routes
 from landingspool.decisions.gateway import store_health
 from landingspool.decisions.gateway import transfers
+from landingspool.gateway import store_reports
 from tests.gateway import site
 from tests.gateway import test_context
 from tests.gateway import test_view
@@ -223,3 +224,27 @@
     assert any(row.store == 'k1' for row in plans[:16])
     assert [row.declined for row in plans[-4:]] == [1, 0, 0, 0]
     assert list(view.list_slow_stores(14.0)) == ['k1']
+
+
+def test_an_operator_is_told_once_when_a_store_turns_slow_and_recovers():
+    events, gauges, slow = [], [], {}
+
+    class Hub:
+        class view:
+            list_slow_stores = staticmethod(lambda now: dict(slow))
+
+        class recorder:
+            record = staticmethod(
+                lambda name, **fields: events.append((name, fields['store']))
+            )
+
+        class metrics:
+            record_store_delays = staticmethod(gauges.append)
+
+    reports = store_reports.StoreReports(Hub)
+    for now, known in enumerate(({}, {'k': 0.4}, {'k': 0.5}, {}, {})):
+        slow.clear()
+        slow.update(known)
+        reports.check(float(now))
+    assert events == [('store_slow', 'k'), ('store_recovered', 'k')]
+    assert gauges == [{'k': 0.4}, {'k': 0.5}, {}]
