Deal groups only where boxes outnumber slots by two, and log failed ticks

Change: groups need two boxes for each slot of an engine and engines of 24 slots or more, since with fewer boxes a box knows its engines by its own requests; groups are checked once a second; a failed tick is logged as a fault and the next one comes. The emulator draws boxes as before where demand does not swing.

--- a/bench/many.py
+++ b/bench/many.py
@@ -304,6 +304,8 @@
         to one box.
         """
         size = self._size
+        if not size.swing and not size.clients:
+            return self._rng.randrange(size.boxes)
         swings = [
             1.0
             + size.swing * math.sin(math.tau * (now / 13.0 + n * size.step))
--- a/landingspool/decisions/gateway/subsets.py
+++ b/landingspool/decisions/gateway/subsets.py
@@ -30,6 +30,10 @@
 # a tenth of them by chance alone (the root of 100), so that groups of the same
 # demand seldom overflow.
 MIN_GROUP_SLOTS = 96
+# Boxes for each slot of an engine from which on engines are dealt into groups.
+# With fewer a box has half a slot of each engine and more: its own requests
+# tell it a good part of an engine's load, and its connections stay in use.
+MIN_BOXES_PER_SLOT = 2
 # Maximum number of boxes of a group: each sends its digests to all others, and
 # to some outside the group (peer_digests.FAN_OUT).
 MAX_GROUP_BOXES = 19
@@ -199,7 +203,11 @@
     if not entries:
         return False
     slots = max(entries[0].slots, 1)
-    return boxes > slots and len(entries) >= 2 * compute_group_size(slots)
+    size = compute_group_size(slots)
+    if size > MIN_GROUP_ENGINES:
+        # Groups of many small engines would have nearly all boxes of a domain.
+        return False
+    return boxes >= MIN_BOXES_PER_SLOT * slots and len(entries) >= 2 * size
 
 
 def compute_group_size(slots):
--- a/landingspool/gateway/hub.py
+++ b/landingspool/gateway/hub.py
@@ -79,7 +79,7 @@
     ):
         self.deployment = deployment
         self.wall = wall
-        self.timer = timer_module.Timer(clock)
+        self.timer = timer_module.Timer(clock, on_error=self._record_fault)
         # Every reading of the time notices a stall before it is used.
         self.clock = self.timer.now
         self.recorder = events.Recorder(
@@ -150,6 +150,9 @@
         """Begin a planned stop."""
         self._stop.set()
 
+    def _record_fault(self, error):
+        self.recorder.record('fault', reason=repr(error))
+
     def _spawn(self, work):
         task = asyncio.ensure_future(work)
         task.add_done_callback(self._handle_task_end)
@@ -215,10 +218,6 @@
             self.view.fair_admission.count_over(tick.now)
         )
         self.gate.sweep()
-        self.metrics.record_groups(
-            self.view.grouping.describe(tick.now),
-            self.view.grouping.summaries.spilled,
-        )
         self.metrics.quarantined.set(
             len(self.view.crashes.list_quarantined(tick.now))
         )
@@ -228,6 +227,10 @@
     def _log_metrics(self, tick):
         speeds = self.view.profiles.describe()
         self.metrics.record_speeds(speeds)
+        groups = self.view.grouping.describe(tick.now)
+        self.metrics.record_groups(
+            groups, self.view.grouping.summaries.spilled
+        )
         self.recorder.record(
             'figures',
             calls=dict(self.store.calls),
@@ -244,7 +247,7 @@
             leaving=self.target_notices.list_leaving(tick.now),
             resting=self.view.exclusions.backoffs.list_backoffs(tick.now),
             speeds={name: list(known) for name, known in speeds.items()},
-            groups=self.view.grouping.describe(tick.now),
+            groups=groups,
             spilled=self.view.grouping.summaries.describe_spilled(),
         )
 
--- a/landingspool/gateway/peering.py
+++ b/landingspool/gateway/peering.py
@@ -32,6 +32,9 @@
 # and for requests that were sent to engines of a group.  A target that names a
 # limit in every other answer must not cause a flood.
 MIN_DIGEST_GAP_S = 0.05
+# Period of the checks whether groups of engines have changed, seconds: boxes
+# and engines come and go seldom, and those that are gone are left out anyway.
+GROUPS_PERIOD_S = 1.0
 # Period of the questions to peers about their tables, seconds.
 ASK_PERIOD_S = 0.4
 # Seconds by which the proof must exceed the age at which a box reads the store
@@ -73,6 +76,7 @@
         self._number = 0
         self._sent = -math.inf
         self._is_due = False
+        self._grouped_at = -math.inf
         self._asked_at = {}
         self._fetching = False
         self.peers = {}
@@ -216,6 +220,9 @@
             self._send_digest(tick.now)
 
     def _update_groups(self, now):
+        if now - self._grouped_at < GROUPS_PERIOD_S:
+            return
+        self._grouped_at = now
         deployment, grouping = self._hub.deployment, self._hub.view.grouping
         boxes = {peer.name: peer.domain for peer in self.peers.values()}
         boxes[deployment.box] = deployment.domain
--- a/landingspool/timer.py
+++ b/landingspool/timer.py
@@ -55,10 +55,16 @@
         Returns monotonic time in seconds.
     sleep : coroutine function, optional
         Waits for a number of seconds; tests pass in virtual time.
+    on_error : callable, optional
+        ``on_error(exception)`` if a subscriber fails; its ticks go on.
+        Without it they end.
     """
 
-    def __init__(self, clock=boot_clock.read, sleep=asyncio.sleep):
+    def __init__(
+        self, clock=boot_clock.read, sleep=asyncio.sleep, on_error=None
+    ):
         self._clock = clock
+        self._on_error = on_error
         self._sleep = sleep
         self._origin = clock()
         self._tasks = []
@@ -129,7 +135,12 @@
     async def _run(self, period, call):
         while True:
             await self._sleep(self._compute_wait(period))
-            call(Tick(self.now()))
+            try:
+                call(Tick(self.now()))
+            except Exception as error:
+                if self._on_error is None:
+                    raise
+                self._on_error(error)
 
     def _compute_wait(self, period):
         """Return the seconds until the next multiple of `period`.
--- a/tests/gateway/test_datagrams.py
+++ b/tests/gateway/test_datagrams.py
@@ -111,3 +111,21 @@
         assert 1 <= len(prompt) - 1 + len(later) <= 2
 
     site.run_on_boot_clock(check, engines=2)
+
+
+def test_a_subscriber_that_fails_is_told_of_and_called_again():
+    async def check():
+        errors, ticks = [], []
+        timer = timer_module.Timer(on_error=errors.append)
+
+        def fail(tick):
+            ticks.append(tick)
+            raise KeyError('unknown event')
+
+        timer.subscribe(0.02, fail)
+        await asyncio.sleep(0.1)
+        timer.close()
+        return errors, ticks
+
+    errors, ticks = boot_clock.run(check())
+    assert len(errors) == len(ticks) > 1
