Move the making of a spill answer to the module of spills

Change: make_spill stands beside the messages and estimates of spills; nothing else changes. Result: the tests of the scheduler and of spills pass.

--- a/landingspool/decisions/scheduler.py
+++ b/landingspool/decisions/scheduler.py
@@ -115,7 +115,7 @@
         reason, wait = self._check_admission(work, share, usable, now)
         domain = self._pick_domain(work, wait, reason, usable, now)
         if domain:
-            return [make_spill(work, domain)]
+            return [spill.make_spill(work, domain)]
         if reason:
             refused = [work] if reason == 'no_target' else []
             notes = shortage.explain(self, refused, now)
@@ -470,7 +470,7 @@
             return None
         self.withdraw(work.request)
         if domain:
-            return make_spill(work, domain)
+            return spill.make_spill(work, domain)
         return self._refuse(work, reason, wait)
 
     def _is_settling(self, now):
@@ -497,8 +497,3 @@
             }
             notes.append(outputs.TimelineEvent('lapsed', fields))
         return notes
-
-
-def make_spill(work, domain):
-    """Return the answer that sends a request to another domain."""
-    return outputs.Send(work.entry, messages.Spill(work.request, domain))
--- a/landingspool/decisions/spill.py
+++ b/landingspool/decisions/spill.py
@@ -9,6 +9,7 @@
 import typing
 
 from landingspool.decisions import messages
+from landingspool.decisions import outputs
 
 MAX_SUMMARY_AGE_S = 5.0
 MARGIN_S = 0.1
@@ -179,3 +180,8 @@
     """Return whether requests may be sent to a domain by its summary."""
     age_s = now - received.received_at
     return age_s <= MAX_SUMMARY_AGE_S and received.room.targets > 0
+
+
+def make_spill(work, domain):
+    """Return the answer that sends a request to another domain."""
+    return outputs.Send(work.entry, messages.Spill(work.request, domain))
