Let the soak play callers who compete for room

Cause: the new parts for competing callers were in no run of real processes. Change: odd seeds have the contract for competing callers in the settings of their boxes, and 24 more callers who come at once for 1.5 s, drawn apart so that the draws of the others stay.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -49,19 +49,22 @@
 async def run_seed(seed, subnet, folder):
     """Run one seed; gives its Outcome."""
     rng = random.Random(seed)
-    fleet = fleet_module.Fleet(folder, subnet)
+    contended = bool(seed % 2)
+    fleet = fleet_module.Fleet(folder, subnet, contended)
     people = [callers.Caller(i, fleet, rng) for i in range(CALLERS)]
+    crowd = callers.make_crowd(seed, fleet) if contended else []
     try:
         await fleet.open(rng)
         await fleet_module.wait_ready(fleet)
         await asyncio.sleep(0.5)
         works = [asyncio.ensure_future(one.run()) for one in people]
+        works += [asyncio.ensure_future(one.rush()) for one in crowd]
         await faults.play(fleet, rng, RUN_S)
         await asyncio.sleep(SETTLE_S)
         for work in works:
             work.cancel()
         await asyncio.gather(*works, return_exceptions=True)
-        sent = [row for one in people for row in one.sent]
+        sent = [row for one in people + crowd for row in one.sent]
         problems = auditor.audit(fleet, sent)
         served = sum(1 for row in sent if row.status == 200 and row.whole)
         if not served:
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import json
+import random
 import time
 import typing
 
@@ -11,6 +12,11 @@
 
 LEFT_S = 2.5
 PAUSE_S = 0.02
+# Callers who come at once, for how long each sends without a pause, and the
+# seconds within which all begin.
+CROWD = 24
+RUSH_S = 1.5
+RUSH_WITHIN_S = 4.0
 # Statuses that promise that a request has not run and will not.
 PROMISES = (503, 429, 408, 421)
 
@@ -58,6 +64,13 @@
             await self._send_one()
             await asyncio.sleep(self._rng.uniform(0, 2 * PAUSE_S))
 
+    async def rush(self):
+        """Send for a time that is drawn, and no more."""
+        await asyncio.sleep(self._rng.uniform(0, RUSH_WITHIN_S))
+        ends = time.monotonic() + RUSH_S
+        while time.monotonic() < ends:
+            await self._send_one()
+
     async def _send_one(self):
         self._count += 1
         name = f'c{self._number}-{self._count}'
@@ -98,3 +111,9 @@
             call.close()
         stamped = 'x-landingspool-response-stamp' in call.headers
         return call.status, whole, bytes(body), stamped
+
+
+def make_crowd(seed, fleet):
+    """Return callers who compete for room, apart from the usual draws."""
+    rng = random.Random(f'crowd {seed}')
+    return [Caller(f'r{number}', fleet, rng) for number in range(CROWD)]
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -44,6 +44,7 @@
 node = "{name}"
 zone = "{domain}"
 seeds = {seeds}
+contracts = {contracts}
 [listen]
 front = "{ip}:{ports[front]}"
 ready = "{ip}:{ports[ready]}"
@@ -85,6 +86,7 @@
         self.ip = ip
         self.domain = f'd-{name}'
         self.link_mbps = LINKS_MBPS[0]
+        self.contracts = ()
         self.process = None
         # When it was started, each time.
         self.starts = []
@@ -106,6 +108,7 @@
             domain=self.domain,
             link_mbps=self.link_mbps,
             seeds=json.dumps(seeds),
+            contracts=json.dumps(self.contracts),
             ip=self.ip,
             ports=PORTS,
             revoke_ms=KEY_S * 1000,
@@ -144,9 +147,16 @@
 
 
 class Fleet:
-    """Boxes, targets and the store of one run."""
+    """Boxes, targets and the store of one run.
 
-    def __init__(self, folder, subnet):
+    Parameters
+    ----------
+    contended : bool
+        Whether callers compete for room, as the settings say.
+    """
+
+    def __init__(self, folder, subnet, contended=False):
+        self._contracts = (names.COMPETITION,) if contended else ()
         self.folder = folder
         self.subnet = subnet
         self.store = platformstore.PlatformStore()
@@ -222,6 +232,7 @@
         for number, ip in enumerate(ips):
             box = Box(f'box{number}', ip, self.store.address, self.folder)
             box.link_mbps = rng.choice(LINKS_MBPS)
+            box.contracts = self._contracts
             if large:
                 box.domain = 'd-all'
             self.boxes.append(box)
