Report sent requests by digests of loads alone, to the group alone

Change: such a digest has loads and unreached targets and goes to the boxes of the group; the periodic one is as before; what is known of a version of the weights is used for both groups.

--- a/landingspool/decisions/gateway/group_planner.py
+++ b/landingspool/decisions/gateway/group_planner.py
@@ -96,6 +96,7 @@
             ready,
             field.held if field.candidates else None,
             None if load is None else group_loads.compute_mean(load),
+            field.spaces,
         )
 
     def _list_free(self, names, work, avoid, now):
--- a/landingspool/decisions/gateway/planner.py
+++ b/landingspool/decisions/gateway/planner.py
@@ -216,7 +216,9 @@
         entries = self._list_usable(work, avoid, now)
         return self.make_field(entries, work, now, ready)
 
-    def make_field(self, entries, work, now, ready, held=None, load=None):
+    def make_field(
+        self, entries, work, now, ready, held=None, load=None, spaces=None
+    ):
         """Return the Field of a request for some targets.
 
         Parameters
@@ -226,8 +228,10 @@
             targets.
         load : tuple of float, optional
             The load that peers put on each of them; None: as in their digests.
+        spaces : dict, optional
+            The Space of each version that is known already.
         """
-        spaces = self._find_spaces(entries, work, now)
+        spaces = self._find_spaces(entries, work, now, spaces or {})
         candidates = self._make_candidates(
             entries, work, now, ready, spaces, load
         )
@@ -283,17 +287,23 @@
             for version in versions
         }
 
-    def _find_spaces(self, entries, work, now):
+    def _find_spaces(self, entries, work, now, known):
         """Return the Space of each version of the weights, by version.
 
         Most targets run the same weights, so transfers are planned once for
         all of them.
+
+        Parameters
+        ----------
+        known : dict
+            Those found for other targets of the same request.
         """
         if work.prompt is None:
             return {}
         lags = self._list_lags(entries, work.prompt.model, now)
         return {
-            version: self._make_space(version, lag_s, work, now)
+            version: known.get(version)
+            or self._make_space(version, lag_s, work, now)
             for version, lag_s in lags.items()
         }
 
--- a/landingspool/gateway/peering.py
+++ b/landingspool/gateway/peering.py
@@ -216,8 +216,7 @@
             self._hub.deployment.box, self._list_domain_peers()
         )
         self._update_groups(tick.now)
-        if not self._is_reported(tick.now):
-            self._send_digest(tick.now)
+        self._send_digest(tick.now)
 
     def _update_groups(self, now):
         if now - self._grouped_at < GROUPS_PERIOD_S:
@@ -266,18 +265,33 @@
             return
         now = self._hub.clock()
         if now - self._sent >= MIN_DIGEST_GAP_S:
-            self._send_digest(now)
+            self._send_loads(now)
         else:
             self._is_due = True
 
     def _send_if_due(self, tick):
         if self._is_due:
-            self._send_digest(tick.now)
+            self._send_loads(tick.now)
 
-    def _is_reported(self, now):
-        """Return whether a digest was sent since half a period."""
-        grouped = self._hub.view.grouping.subsets.list_services()
-        return bool(grouped) and now - self._sent < DIGEST_S / 2
+    def _send_loads(self, now):
+        """Send a digest of nothing but loads to the boxes of the group."""
+        self._is_due = False
+        view = self._hub.view
+        self._number += 1
+        self._sent = now
+        digest = peer_digests.Digest(
+            box=self._hub.deployment.box,
+            domain=self._hub.deployment.domain,
+            number=self._number,
+            loads=peer_digests.hash_loads(view.loads.list_reported()),
+            unreached=view.reachability.list_reported(),
+            link_mbps=self._hub.deployment.link_mbps,
+        )
+        members = view.grouping.subsets.list_peers()
+        self._socket.send_to_all(
+            digest,
+            [self.peers[name].address for name in members & self.peers.keys()],
+        )
 
     def _send_digest(self, now):
         self._is_due = False
