--- a/landingspool/gateway/listener.py
+++ b/landingspool/gateway/listener.py
@@ -165,7 +165,9 @@
 
     async def close(self, seconds):
         """Close idle connections, and the others after `seconds` at most."""
-        self._server.close()
+        if self._server is not None:
+            # It is None if the process is stopped while it starts.
+            self._server.close()
         for task, busy in list(self._tasks.items()):
             if not busy:
                 task.cancel()
--- a/tests/gateway/test_starting.py
+++ b/tests/gateway/test_starting.py
@@ -3,6 +3,7 @@
 import asyncio
 import time
 
+from landingspool.gateway import listener
 from landingspool.gateway import relay
 from landingspool.gateway import state
 from tests.gateway import site
@@ -39,3 +40,7 @@
         assert time.monotonic() - began < relay.START_WAIT_S * 2
 
     site.run(check)
+
+
+def test_a_listener_that_has_not_started_can_be_closed():
+    asyncio.run(listener.Listener(None, None, 1).close(0.1))
