Make both kinds of digest in one place

Cause: the digest of loads alone and the periodic one repeated number, time, loads and unreached targets. Change: _make_digest has what both share; fields and receivers are as before.

--- a/landingspool/gateway/peering.py
+++ b/landingspool/gateway/peering.py
@@ -275,37 +275,17 @@
 
     def _send_loads(self, now):
         """Send a digest of nothing but loads to the boxes of the group."""
-        self._is_due = False
-        view = self._hub.view
-        self._number += 1
-        self._sent = now
-        digest = peer_digests.Digest(
-            box=self._hub.deployment.box,
-            domain=self._hub.deployment.domain,
-            number=self._number,
-            loads=peer_digests.hash_loads(view.loads.list_reported()),
-            unreached=view.reachability.list_reported(),
-            link_mbps=self._hub.deployment.link_mbps,
-        )
-        members = view.grouping.subsets.list_peers()
+        digest = self._make_digest(now)
+        members = self._hub.view.grouping.subsets.list_peers()
         self._socket.send_to_all(
             digest,
             [self.peers[name].address for name in members & self.peers.keys()],
         )
 
     def _send_digest(self, now):
-        self._is_due = False
         view = self._hub.view
-        self._number += 1
-        self._sent = now
-        digest = peer_digests.Digest(
-            box=self._hub.deployment.box,
-            domain=self._hub.deployment.domain,
-            number=self._number,
-            loads=peer_digests.hash_loads(view.loads.list_reported()),
-            unreached=view.reachability.list_reported(),
+        digest = self._make_digest(now)._replace(
             rooms=view.store_usage,
-            link_mbps=self._hub.deployment.link_mbps,
             endings=view.crashes.list_due_notices(now),
             limits=view.exclusions.limits.list_due_notices(now),
             leaving=view.exclusions.leaving.list_due_notices(now),
@@ -316,6 +296,21 @@
         )
         self._socket.send_to_all(digest, self._pick_digest_receivers(digest))
 
+    def _make_digest(self, now):
+        """Return a digest of loads and of targets that can't be reached."""
+        self._is_due = False
+        view = self._hub.view
+        self._number += 1
+        self._sent = now
+        return peer_digests.Digest(
+            box=self._hub.deployment.box,
+            domain=self._hub.deployment.domain,
+            number=self._number,
+            loads=peer_digests.hash_loads(view.loads.list_reported()),
+            unreached=view.reachability.list_reported(),
+            link_mbps=self._hub.deployment.link_mbps,
+        )
+
     def _on_ask_period(self, tick):
         if self._get_proof_age() < self.ages.old_s + ASK_DELAY_S:
             return
