Show that silence of a target ends what runs there

What callers see: a request that must not be repeated is answered 502 after 0.8 s, and a stream or a safe request with no repeat or no other target left is given up, although the target goes on after 1.3 s and the deadline is 2.5 s away. Evidence: 502 PeerSilent(ETIMEDOUT), 504 silent, 502 no_target, two streams reset, and a TCP_USER_TIMEOUT of 800 ms on a connection in use.

--- a/standins/behaviours.py
+++ b/standins/behaviours.py
@@ -12,6 +12,8 @@
 ENDLESS_BYTES = 64 * 1024
 # Seconds for which a request that ends its target is run.
 FATAL_S = 0.05
+# Seconds for which a target that is sound falls silent.
+SILENCE_S = 1.3
 
 
 def behaviour(name):
@@ -272,6 +274,28 @@
     write_answer(runner, head, writer, 200, b'done')
 
 
+@behaviour('late')
+async def answer_late(runner, head, body, reader, writer):
+    """Run, fall silent, and answer whole."""
+    runner.run(head, body)
+    await asyncio.sleep(SILENCE_S)
+    write_answer(runner, head, writer, 200, b'done')
+
+
+@behaviour('paused stream')
+async def answer_paused(runner, head, body, reader, writer):
+    """Stream four events, and fall silent after the second."""
+    runner.run(head, body)
+    start_stream(runner, head, writer)
+    events = list_events(head)
+    for event in events[:2]:
+        write_chunk(writer, event)
+    await asyncio.sleep(SILENCE_S)
+    for event in events[2:]:
+        write_chunk(writer, event)
+    writer.write(b'0\r\n\r\n')
+
+
 @behaviour('echo')
 async def answer_echo(runner, head, body, reader, writer):
     """Run, and answer with the caller's id."""
--- a/standins/runner.py
+++ b/standins/runner.py
@@ -52,6 +52,8 @@
         Body of a request that ends the target when it runs it.
     ended : bool
         Whether it has ended by one.
+    deaf_s : float
+        Seconds for which it reads nothing from a new connection.
     limit : str or None
         What it names in its answers as the requests a second that it takes.
     told : list of tuple
@@ -86,6 +88,7 @@
         self.forgets = False
         self.fatal = None
         self.ended = False
+        self.deaf_s = 0.0
         self.limit = None
         self.told = []
         self.leaving = False
@@ -129,6 +132,10 @@
     async def _serve(self, reader, writer):
         self.connections += 1
         self._writers.add(writer)
+        if self.deaf_s:
+            writer.transport.pause_reading()
+            await asyncio.sleep(self.deaf_s)
+            writer.transport.resume_reading()
         try:
             while True:
                 head, body = await read_request(reader)
