Leave it to the deadline, not the kernel, to end a silent exchange

What callers saw: a request that must not be repeated was answered 502 0.8 s after it was sent, with 1.7 s of its deadline left, because its sound target had fallen silent for 1.3 s.

Cause: TCP_USER_TIMEOUT of 0.8 s on every connection to a target. It ends connections whose sent bytes stay unacknowledged and, whatever the count of keep-alive probes, those on which a box only waits; keep-alive alone would do the same after 2 s. Silence was taken for death.

Change: a connection has kernel time-outs only while it is idle in the pool. What the time-out was for, keeping new requests off a dead path, is done by a probe: a target that has sent nothing for 0.8 s although requests wait there is probed, and excluded only if the probe fails; its idle connections are dropped if the probe times out. The deadline of a request bounds how long its caller, its place and its memory are held. The test of the keep-alive options reads them from a pooled connection now instead of from a fresh socket; its bounds are the same.

--- a/landingspool/decisions/gateway/loads.py
+++ b/landingspool/decisions/gateway/loads.py
@@ -149,6 +149,30 @@
         """Return the names of the targets that have requests of this box."""
         return list(self._sent)
 
+    def list_silent(self, now, silence_s):
+        """List the targets that have sent no byte for `silence_s` seconds.
+
+        Only targets with requests of this box count.
+
+        >>> loads = Loads()
+        >>> loads.record_sent('t', 'q', Sent(1.0, 500, False, 600))
+        >>> loads.list_silent(1.5, 0.8), loads.list_silent(2.0, 0.8)
+        ([], ['t'])
+        >>> loads.record_received('t', 1.9)
+        >>> loads.list_silent(2.0, 0.8)
+        []
+        """
+        return [
+            target
+            for target, rows in self._sent.items()
+            if now
+            - max(
+                self._last_bytes.get(target, 0.0),
+                min(row.at for row in rows.values()),
+            )
+            > silence_s
+        ]
+
     def list_reported(self):
         """Return this box's requests at each target, as in a Digest.
 
--- a/landingspool/decisions/gateway/reachability.py
+++ b/landingspool/decisions/gateway/reachability.py
@@ -24,6 +24,10 @@
 # 195 boxes that all kept probing made 18,300 probes in 15 s; with this pause
 # they make 9,500.
 WATCHED_RETRY_S = 8.0
+# Seconds without a byte from a target with requests after which its path is
+# checked, and seconds to the next such check.
+SILENCE_S = 0.8
+SILENCE_RETRY_S = 3.0
 # Consecutive failed connections before a target is reported to peers: a single
 # failure may only have met a full queue, and each report makes all boxes
 # probe.
@@ -51,6 +55,7 @@
     def __init__(self):
         self._outages = {}
         self._reached = {}
+        self._checked = {}
 
     def record_failed(self, name, now, watched=False):
         """Record that a connection to a target failed.
@@ -99,6 +104,28 @@
         if now - self._reached.get(name, -sure_s) >= sure_s:
             self._outages[name] = Outage(0, now)
 
+    def take_unchecked(self, silent, now):
+        """Return which silent targets are due to be checked.
+
+        A silent target may be sound: it is probed, and is excluded only if
+        the probe fails.
+
+        >>> known = Reachability()
+        >>> [known.take_unchecked(['a'], now) for now in (10.0, 11.0)]
+        [['a'], []]
+        >>> known.take_unchecked(['a'], 13.0)
+        ['a']
+        """
+        due = [
+            name
+            for name in silent
+            if name not in self._outages
+            and now - self._checked.get(name, -SILENCE_RETRY_S)
+            >= SILENCE_RETRY_S
+        ]
+        self._checked.update(dict.fromkeys(due, now))
+        return due
+
     def expedite(self, name, now):
         """Expedite the next probe: a peer reports that the target is back.
 
@@ -144,3 +171,4 @@
         """Forget a target that is gone."""
         self._outages.pop(name, None)
         self._reached.pop(name, None)
+        self._checked.pop(name, None)
--- a/landingspool/event_kinds.py
+++ b/landingspool/event_kinds.py
@@ -305,6 +305,13 @@
             'INFO',
             'A target counts as slower or faster than its peers, or no more.',
         ),
+        Kind(
+            524,
+            'target_silent',
+            'INFO',
+            'A target with requests has sent nothing for a while; it is '
+            'probed.',
+        ),
         Kind(
             600, 'kept', 'DEBUG', 'A block of context was sealed in a store.'
         ),
--- a/landingspool/gateway/connection.py
+++ b/landingspool/gateway/connection.py
@@ -84,6 +84,10 @@
         """Whether the kernel has taken all written bytes."""
         return self._transport.get_write_buffer_size() == 0
 
+    def get_socket(self):
+        """Return the socket, for its options."""
+        return self._transport.get_extra_info('socket')
+
     async def read(self):
         """Return the bytes received, at least one; b'' at the end of file.
 
--- a/landingspool/gateway/prober.py
+++ b/landingspool/gateway/prober.py
@@ -1,4 +1,4 @@
-"""Probe unreachable targets so that no request has to try them.
+"""Probe unreachable and silent targets so that no request has to try them.
 
 A connection that is established stays open for the next request to its
 target.
@@ -6,6 +6,7 @@
 
 import asyncio
 
+from landingspool.decisions.gateway import reachability
 from landingspool.gateway import upstream
 
 # Period at which targets are checked for a due probe, seconds.
@@ -34,7 +35,12 @@
 
     def check(self, tick):
         """Start a probe of each target that is due."""
-        for name in self._hub.view.reachability.list_due(tick.now):
+        view = self._hub.view
+        silent = view.loads.list_silent(tick.now, reachability.SILENCE_S)
+        unchecked = view.reachability.take_unchecked(silent, tick.now)
+        for name in unchecked:
+            self._hub.recorder.record('target_silent', target=name)
+        for name in (*view.reachability.list_due(tick.now), *unchecked):
             if name not in self._probing and self._may_probe(name, tick.now):
                 self._start_probe(name)
 
@@ -65,6 +71,9 @@
                 entry.address, view.get_connection_limit(entry.service)
             )
         except upstream.ExchangeError as error:
+            if error.silent:
+                # The idle connections use the same silent path.
+                self._hub.upstream.drop(entry.address)
             if name in view.fleet.entries:
                 self.record_failed(name, str(error))
             return
--- a/landingspool/gateway/upstream.py
+++ b/landingspool/gateway/upstream.py
@@ -33,16 +33,12 @@
 # 0.3 s two in three requests open a connection, with 2 s four in ten; with 4 s
 # the share of failed requests rises by 0.36 percentage points.
 MAX_UNREPEATABLE_IDLE_S = 2.0
-# TCP keep-alive: idle seconds before the first probe, seconds between probes,
-# and unanswered probes after which the kernel drops the connection.  A dead
-# peer is noticed within two seconds.
+# TCP keep-alive of idle connections: idle seconds before the first probe,
+# seconds between probes, and unanswered probes after which the kernel drops
+# the connection.  A dead peer is noticed within two seconds.
 KEEPALIVE_IDLE_S = 1
 KEEPALIVE_INTERVAL_S = 1
 KEEPALIVE_PROBES = 1
-# TCP_USER_TIMEOUT: the kernel drops a connection on which sent data stays
-# unacknowledged for this time.  An acknowledgement takes some ms, or 0.2 and
-# 0.6 s where one or two packets are lost.
-USER_TIMEOUT_MS = 800
 # Idle connections per target and box; a box has about ten concurrent requests
 # at a target.
 MAX_IDLE_CONNECTIONS = 24
@@ -130,6 +126,7 @@
         if idle_s <= 0 or len(idle) >= min(max_idle, MAX_IDLE_CONNECTIONS):
             connection.close()
             return
+        enable_keepalive(connection, True)
         now = self._clock()
         idle.append(IdleConnection(connection, now, now + idle_s))
 
@@ -190,12 +187,15 @@
         loop = asyncio.get_running_loop()
         try:
             async with timeouts.Timeout(CONNECT_TIMEOUT_S):
-                transport, connection = await loop.create_connection(
+                _, connection = await loop.create_connection(
                     connection_module.Connection, *address
                 )
         except (OSError, TimeoutError) as error:
-            raise ExchangeError(f'connect: {error!r}', False) from error
-        enable_keepalive(transport.get_extra_info('socket'))
+            silent = isinstance(error, TimeoutError)
+            raise ExchangeError(
+                f'connect: {error!r}', False, silent
+            ) from error
+        set_keepalive_times(connection.get_socket())
         self._metrics.connections.inc()
         return connection
 
@@ -207,6 +207,7 @@
             now = self._clock()
             if is_usable(row, repeatable, now):
                 idle.pop()
+                enable_keepalive(row.connection, False)
                 return row.connection
             if now < row.until and row.connection.is_idle:
                 return None
@@ -231,17 +232,23 @@
     return repeatable or now - row.since <= MAX_UNREPEATABLE_IDLE_S
 
 
-def enable_keepalive(sock):
-    """Have the kernel detect a peer that no longer answers.
-
-    Without it, each request on a cut path waits for its full time-out.
-    """
-    sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+def set_keepalive_times(sock):
+    """Set when keep-alive probes detect a peer that is gone."""
     tcp = socket.IPPROTO_TCP
     sock.setsockopt(tcp, socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_S)
     sock.setsockopt(tcp, socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S)
     sock.setsockopt(tcp, socket.TCP_KEEPCNT, KEEPALIVE_PROBES)
-    sock.setsockopt(tcp, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS)
+
+
+def enable_keepalive(connection, enabled):
+    """Have the kernel drop a connection if its peer is gone, or not.
+
+    An idle connection is dropped, since the next request on it would be lost.
+    One with a request is not: a sound target may fall silent for some time,
+    and what runs there may not be repeatable.
+    """
+    sock = connection.get_socket()
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, enabled)
 
 
 class Exchange:
--- a/tests/gateway/test_silence.py
+++ b/tests/gateway/test_silence.py
@@ -1,10 +1,12 @@
 """A sound target that falls silent for a second loses no request."""
 
+import asyncio
 import socket
 
 import pytest
 
 from landingspool.decisions.gateway import routes
+from landingspool.gateway import upstream
 from standins import behaviours
 from tests.gateway import site
 from tests.gateway import test_relay
@@ -26,17 +28,43 @@
     site.run(check, plain=1)
 
 
-def test_no_kernel_timeout_ends_a_request_that_waits_for_its_answer():
+@pytest.mark.parametrize('pooled', [False, True])
+def test_no_kernel_timeout_ends_a_request_that_waits_for_its_answer(pooled):
     async def check(deployment):
         hub = await deployment.start_box()
-        address = deployment.plain[0].address
-        exchange = await hub.upstream.open(address, False)
-        sock = exchange._connection._transport.get_extra_info('socket')
+        (target,) = deployment.plain
+        target.usual = 'kept'
+        if pooled:
+            await site.ask(hub, '/unsafe/a')
+        exchange = await hub.upstream.open(target.address[:2], False)
+        assert target.connections == 1
+        sock = exchange._connection.get_socket()
         tcp = socket.IPPROTO_TCP
         assert not sock.getsockopt(tcp, socket.TCP_USER_TIMEOUT)
         assert not sock.getsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE)
         exchange.abort()
 
+    site.run(check, plain=1)
+
+
+def test_silent_path_is_left_by_new_requests_and_kept_by_the_running_one():
+    async def check(deployment):
+        hub = await deployment.start_box()
+        test_relay.script(deployment.plain, 'late')
+
+        async def fail(address, max_idle):
+            raise upstream.ExchangeError('connect', False, silent=True)
+
+        hub.upstream.probe = fail
+        work = asyncio.ensure_future(site.ask(hub, '/unsafe/a'))
+        await site.wait_until(hub.view.reachability.list_failed, 1.1)
+        (name,) = hub.view.reachability.list_failed()
+        for _ in range(5):
+            assert (await site.ask(hub, '/unsafe/a')).status == 200
+        (silent,) = [t for t in deployment.plain if t.name == name]
+        assert len(silent.ran) == 1
+        assert (await work).status == 200
+
     site.run(check)
 
 
@@ -79,7 +107,7 @@
         hub = await deployment.start_box()
         for target in deployment.engines:
             target.script = ['paused stream']
-        work = site.asyncio.ensure_future(
+        work = asyncio.ensure_future(
             site.ask(hub, '/resumed/a', headers=test_relay.PROMPT)
         )
         await site.wait_until(lambda: any(t.ran for t in deployment.engines))
--- a/tests/gateway/test_upstream.py
+++ b/tests/gateway/test_upstream.py
@@ -56,15 +56,19 @@
 
 
 def test_the_kernel_asks_whether_a_silent_peer_is_there():
-    with socket.socket() as sock:
-        upstream.enable_keepalive(sock)
+    async def check(deployment):
+        hub, target = await start_one(deployment)
+        (idle,) = hub.upstream._idle[target.address[:2]]
+        sock = idle.connection.get_socket()
         tcp = socket.IPPROTO_TCP
         silent_s = sock.getsockopt(tcp, socket.TCP_KEEPIDLE)
         silent_s += sock.getsockopt(
             tcp, socket.TCP_KEEPINTVL
         ) * sock.getsockopt(tcp, socket.TCP_KEEPCNT)
         assert sock.getsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE)
-    assert silent_s <= upstream.MAX_UNREPEATABLE_IDLE_S
+        assert silent_s <= upstream.MAX_UNREPEATABLE_IDLE_S
+
+    site.run(check, plain=1)
 
 
 def test_a_dead_path_takes_the_target_out_and_drops_what_is_kept(monkeypatch):
