Leave a silent target only once another one can take the request

What callers saw: a stream that may be resumed was reset after a pause of 1 s, and a request that may be repeated was answered 504 or 502 after 0.8 s, where the retry budget was spent or no other target accepted it. The target went on after 1.3 s; the deadline was 2.5 s away.

Cause: an attempt at a silent target was ended first, and only then did the relay ask whether there was a repeat left and a target to send it to. A stream that has begun can't be refused any more, so its caller got neither an answer nor a refusal.

Change: the relay prepares the next attempt while the present one still waits: the request may be repeated and isn't quarantined, the retry budget has a repeat left, another target has room, and a connection to it is open. Otherwise the request stays where it is, and is asked again after the same time-out; its deadline ends it. A target that answers while the connection comes up keeps the request.

--- a/landingspool/decisions/gateway/retry_budget.py
+++ b/landingspool/decisions/gateway/retry_budget.py
@@ -51,14 +51,18 @@
         >>> budget.take(11.0, 2)
         True
         """
-        self._forget(now)
-        earned = len(self._firsts) * self._ratio
-        limit = USED_SHARE * (earned + self._slack / max(boxes, 1))
-        if len(self._repeats) + 1 > limit:
+        if not self.has_left(now, boxes):
             return False
         self._repeats.append(now)
         return True
 
+    def has_left(self, now, boxes):
+        """Return whether a repeat is left, without taking it."""
+        self._forget(now)
+        earned = len(self._firsts) * self._ratio
+        limit = USED_SHARE * (earned + self._slack / max(boxes, 1))
+        return len(self._repeats) + 1 <= limit
+
     def _forget(self, now):
         # Repeats are kept for a full window after the first sends that earned
         # them: the bound holds in any window.
--- a/landingspool/decisions/gateway/view.py
+++ b/landingspool/decisions/gateway/view.py
@@ -374,6 +374,10 @@
         """Take one repeat from a service's retry budget, if one is left."""
         return self._get_retry_budget(service).take(now, self.boxes)
 
+    def has_repeat(self, service, now):
+        """Return whether a service's retry budget has a repeat left."""
+        return self._get_retry_budget(service).has_left(now, self.boxes)
+
     def may_call(self, name, now):
         """Return whether calls other than requests may go to a target."""
         entry = self.fleet.entries.get(name)
--- a/landingspool/gateway/attempts.py
+++ b/landingspool/gateway/attempts.py
@@ -43,29 +43,33 @@
     plan : view.Plan
     planned_at : float
         Time as of which the plan was made, seconds of the clock.
+    replacements : replacements.Replacements
+        Finds another target if this one is silent.
+    exchange : upstream.Exchange, optional
+        On a connection that is open already.
     """
 
-    def __init__(self, hub, state, plan, planned_at):
+    def __init__(
+        self, hub, state, plan, planned_at, replacements, exchange=None
+    ):
         self._hub = hub
         self._view = hub.view
         self._state = state
         self._plan = plan
         self._planned_at = planned_at
-        self._exchange = None
+        self._replacements = replacements
+        self._exchange = exchange
         self._sent_at = None
 
     async def run(self):
         """Make the attempt and return one of the outcomes."""
         try:
-            self._exchange = await self._hub.upstream.open(
-                self._plan.entry.address,
-                routes.may_repeat(self._state.work.route),
-                self._view.get_connection_limit(self._state.work.service),
-            )
+            if self._exchange is None:
+                self._exchange = await open_exchange(
+                    self._hub, self._state.work, self._plan.entry
+                )
         except upstream_module.ExchangeError as error:
-            reason = str(error)
-            self._hub.prober.record_failed(self._plan.entry.name, reason)
-            return outcomes.Unreached(reason)
+            return outcomes.Unreached(str(error))
         if not self._may_send():
             self._exchange.abort()
             return outcomes.Stale()
@@ -188,8 +192,7 @@
     async def _receive(self):
         """Read the answer before the request's deadline; return an outcome."""
         try:
-            async with timeouts.Timeout(self._compute_timeout()):
-                head = await self._exchange.read_head()
+            head = await self._read_head()
         except TimeoutError:
             return self._report_lost('silent', outcomes.Cause.SILENT)
         except upstream_module.ExchangeError as error:
@@ -215,6 +218,31 @@
         except stream_module.EventTooLong as error:
             return self._report_lost(str(error), outcomes.Cause.MALFORMED)
 
+    async def _read_head(self):
+        """Read the answer's head; wait on while nothing can replace this.
+
+        Raises
+        ------
+        TimeoutError
+            If another target takes over, or the deadline has passed.
+        """
+        while True:
+            try:
+                async with timeouts.Timeout(self._compute_timeout()):
+                    return await self._exchange.read_head()
+            except TimeoutError:
+                if self._is_expired() or await self._prepare_replacement():
+                    raise
+
+    async def _prepare_replacement(self):
+        """Return whether another target takes over from a silent one."""
+        return await self._replacements.prepare(
+            self._plan, lambda: self._exchange.has_answer
+        )
+
+    def _is_expired(self):
+        return self._state.is_expired(self._hub.clock())
+
     def _compute_timeout(self):
         left_s = self._state.get_time_left(self._hub.clock())
         if not self._state.may_send_again():
@@ -302,6 +330,8 @@
                 async with timeouts.Timeout(pause_s):
                     data = await self._exchange.read_data()
             except TimeoutError:
+                if not await self._prepare_replacement():
+                    continue
                 return self._report_lost('paused', outcomes.Cause.PAUSED)
             if not data:
                 break
@@ -382,6 +412,24 @@
         self._view.fleet.record_version(name, prompt.model, version)
 
 
+async def open_exchange(hub, work, entry):
+    """Open an exchange with a target; a failure is recorded for its path.
+
+    Raises
+    ------
+    upstream.ExchangeError
+    """
+    try:
+        return await hub.upstream.open(
+            entry.address,
+            routes.may_repeat(work.route),
+            hub.view.get_connection_limit(work.service),
+        )
+    except upstream_module.ExchangeError as error:
+        hub.prober.record_failed(entry.name, str(error))
+        raise
+
+
 def is_proved(view, now):
     """Return whether the table in force may be used for requests at `now`.
 
--- a/landingspool/gateway/relay.py
+++ b/landingspool/gateway/relay.py
@@ -16,6 +16,7 @@
 from landingspool.gateway import admission_gate
 from landingspool.gateway import attempts
 from landingspool.gateway import outcomes
+from landingspool.gateway import replacements
 from landingspool.gateway import request_state as request_state_module
 from landingspool.platform import answers
 
@@ -64,6 +65,7 @@
         self._state = request_state_module.RequestState(
             call, body, reply, hub.clock()
         )
+        self._replacements = replacements.Replacements(hub, self._state)
         self._plan = None
 
     async def run(self):
@@ -112,44 +114,72 @@
         return await self._run_attempts()
 
     async def _run_attempts(self):
+        try:
+            while True:
+                answer = await self._run_attempt()
+                if answer is not None:
+                    return answer
+        finally:
+            self._replacements.close()
+
+    async def _run_attempt(self):
+        """Make one attempt; return the Answer, or None to go on."""
+        state, now = self._state, self._hub.clock()
+        if state.is_expired(now):
+            return await self._give_up('time_over', 504)
+        quarantine = self._view.crashes.get_quarantine(state.fingerprint, now)
+        if quarantine is not None:
+            return await self._refuse_quarantined(quarantine, now)
+        prepared = self._replacements.take()
+        if prepared is not None:
+            self._plan = prepared.plan
+            return await self._attempt(prepared.planned_at, prepared.exchange)
+        answer = await self._choose(now)
+        if answer is not None or self._plan is None:
+            return answer
+        return await self._attempt(now)
+
+    async def _choose(self, now):
+        """Set the plan of the next attempt; return an Answer if refused.
+
+        The plan is None if a new one has to be made.
+        """
         state = self._state
-        while True:
-            now = self._hub.clock()
-            if state.is_expired(now):
-                return await self._give_up('time_over', 504)
-            quarantine = self._view.crashes.get_quarantine(
-                state.fingerprint, now
-            )
-            if quarantine is not None:
-                return await self._refuse_quarantined(quarantine, now)
-            ready = self._hub.upstream.list_ready(
-                routes.may_repeat(state.work.route)
-            )
-            plan = self._view.plan(state.work, state.tried_targets, now, ready)
-            self._plan = plan
-            if plan is None:
-                self._hub.gate.record_no_target(state.work.service)
-                shortage = self._view.get_shortage(state.work, now)
-                return await self._refuse_excluded(shortage, now)
-            if plan.all_limited and not state.sends:
-                if not self._view.free_capacity.take(
-                    state.work, self._view.table, now
-                ):
-                    return await self._refuse_excluded(exclusions.LIMITED, now)
-            verdict = await self._hub.gate.check(state, plan)
-            if verdict == admission_gate.Verdict.REPLAN:
-                continue
-            if verdict == admission_gate.Verdict.REFUSE:
-                return await self._refuse_overloaded()
-            attempt = attempts.Attempt(self._hub, state, plan, now)
-            outcome = await attempt.run()
-            if not isinstance(outcome, outcomes.Stale):
-                state.tried_targets.append(plan.entry.name)
-            answer = await OUTCOME_HANDLERS[type(outcome)](self, outcome)
-            if answer is not None:
-                return answer
+        ready = self._hub.upstream.list_ready(
+            routes.may_repeat(state.work.route)
+        )
+        plan = self._view.plan(state.work, state.tried_targets, now, ready)
+        self._plan = plan
+        if plan is None:
+            self._hub.gate.record_no_target(state.work.service)
+            shortage = self._view.get_shortage(state.work, now)
+            return await self._refuse_excluded(shortage, now)
+        if plan.all_limited and not state.sends:
+            if not self._view.free_capacity.take(
+                state.work, self._view.table, now
+            ):
+                return await self._refuse_excluded(exclusions.LIMITED, now)
+        verdict = await self._hub.gate.check(state, plan)
+        if verdict == admission_gate.Verdict.REFUSE:
+            return await self._refuse_overloaded()
+        if verdict == admission_gate.Verdict.REPLAN:
+            self._plan = None
+        return None
+
+    async def _attempt(self, planned_at, exchange=None):
+        """Carry out the plan; return the Answer, or None to go on."""
+        state, plan = self._state, self._plan
+        attempt = attempts.Attempt(
+            self._hub, state, plan, planned_at, self._replacements, exchange
+        )
+        outcome = await attempt.run()
+        if not isinstance(outcome, outcomes.Stale):
+            state.tried_targets.append(plan.entry.name)
+        answer = await OUTCOME_HANDLERS[type(outcome)](self, outcome)
+        if answer is None:
             reason = outcomes.describe(outcome)
             self._record('retried', reason=reason, **self._describe_choice())
+        return answer
 
     async def _handle_done(self, outcome):
         return Answer(outcome.status, 'answered', True)
@@ -217,6 +247,8 @@
         return Answer(head.status, 'failed', True)
 
     async def _handle_lost(self, outcome):
+        if self._replacements.is_prepared:
+            return None
         if self._state.may_send_again() and self._take_retry_budget():
             return None
         status = 504 if outcome.reason in ('silent', 'time_over') else 502
--- a/landingspool/gateway/upstream.py
+++ b/landingspool/gateway/upstream.py
@@ -123,7 +123,8 @@
     def keep(self, address, connection, idle_s, max_idle):
         """Return a connection to the pool for `idle_s` seconds at most."""
         idle = self._idle[address]
-        if idle_s <= 0 or len(idle) >= min(max_idle, MAX_IDLE_CONNECTIONS):
+        is_full = len(idle) >= min(max_idle, MAX_IDLE_CONNECTIONS)
+        if idle_s <= 0 or is_full or not connection.is_idle:
             connection.close()
             return
         enable_keepalive(connection, True)
@@ -334,6 +335,17 @@
             self._address, self._connection, idle_s, self._max_idle
         )
 
+    @property
+    def has_answer(self):
+        """Whether bytes of the answer have arrived that were not read."""
+        return not self._connection.is_idle
+
+    def cancel(self):
+        """Return the connection of an exchange that has sent nothing."""
+        self._upstream.keep(
+            self._address, self._connection, DEFAULT_IDLE_S, self._max_idle
+        )
+
     def abort(self):
         """Reset the connection, at which the target cancels the request."""
         self._connection.abort()
