Answer HEAD requests that are refused, and faults before any byte

Cause: the error has a JSON body, but to h11 an answer to HEAD has none, so that it raised LocalProtocolError. `Reply.started` was set by then, though nothing had been written, so `fail` reset the connection instead of sending 500, as for any other answer that h11 doesn't encode.

Now an answer to HEAD keeps its Content-Length and sends no body, `started` is set when bytes are written, and `fail` uses a new codec, since h11 refuses all further events after an error. The connection is reused after HEAD.

--- a/landingspool/gateway/listener.py
+++ b/landingspool/gateway/listener.py
@@ -36,19 +36,22 @@
     connection : connection.Connection
     is_closing : callable
         Returns whether the answer should have ``Connection: close``.
+    method : bytes
+        Of the request: the answer to HEAD has no body.
 
     Attributes
     ----------
     started : bool
-        Whether the head of the answer was sent.
+        Whether any byte of the answer was sent.
     broken : bool
         Whether the answer was broken off.
     """
 
-    def __init__(self, codec, connection, is_closing):
+    def __init__(self, codec, connection, is_closing, method=b''):
         self._codec = codec
         self._connection = connection
         self._is_closing = is_closing
+        self._method = method
         self.started = False
         self.broken = False
 
@@ -56,10 +59,10 @@
         """Send a complete answer with a length."""
         framed = [*headers, (b'content-length', str(len(body)).encode())]
         data = self._begin(status, framed)
-        data += self._codec.send(h11.Data(data=body))
+        if self._method != b'HEAD':
+            data += self._codec.send(h11.Data(data=body))
         data += self._codec.send(h11.EndOfMessage())
-        self._connection.write(data)
-        await self._connection.drain()
+        await self._write(data)
 
     async def send_error(self, status, reason, retry_after=None):
         """Send an error of this box as JSON.
@@ -80,18 +83,15 @@
     async def start(self, status, headers, data):
         """Begin an answer of unknown length with its first bytes."""
         head = self._begin(status, headers)
-        self._connection.write(head + self._codec.send(h11.Data(data=data)))
-        await self._connection.drain()
+        await self._write(head + self._codec.send(h11.Data(data=data)))
 
     async def send_data(self, data):
         """Send the next bytes of an answer."""
-        self._connection.write(self._codec.send(h11.Data(data=data)))
-        await self._connection.drain()
+        await self._write(self._codec.send(h11.Data(data=data)))
 
     async def finish(self):
         """End a complete answer."""
-        self._connection.write(self._codec.send(h11.EndOfMessage()))
-        await self._connection.drain()
+        await self._write(self._codec.send(h11.EndOfMessage()))
 
     def abort(self):
         """Reset the connection, so that the answer doesn't look complete."""
@@ -103,6 +103,8 @@
         if self.started:
             self.abort()
             return
+        # The codec refuses all further events after one that it can't send.
+        self._codec = h11.Connection(h11.SERVER)
         self._is_closing = lambda: True
         await self.send_error(500, 'fault')
 
@@ -111,8 +113,12 @@
         """Whether the connection can take another request."""
         return not self.broken and self._codec.our_state is h11.DONE
 
-    def _begin(self, status, headers):
+    async def _write(self, data):
         self.started = True
+        self._connection.write(data)
+        await self._connection.drain()
+
+    def _begin(self, status, headers):
         rows = list(headers)
         if self._is_closing():
             rows.append((b'connection', b'close'))
@@ -215,7 +221,7 @@
             return False
         self._tasks[task] = True
         codec, request, body = read
-        reply = Reply(codec, connection, lambda: self.stopping)
+        reply = Reply(codec, connection, lambda: self.stopping, request.method)
         await self._answer(connection, request, body, reply)
         return reply.is_reusable and not self.stopping
 
