Answer errors outside of the relay, and log what stays unanswered

A request whose head could not be decoded, or whose handling was cancelled by a part of the box, lost its connection with no answer and no log line: 4 of 4 in test_an_error_before_the_relay_is_answered ([] for [500]), and one whose 500 could not be sent left no line.

Cause: `Hub._handle` decoded the head outside of its `try`, a CancelledError that nobody sent to the request passed for the caller's leaving or a stop, and `Listener._serve` takes OSError and ProtocolError for the caller's, or ends its task without closing the connection on any other.

All of a request's handling is now inside the `try`; `Task.cancelling` tells a request that was cancelled from one that met a stray cancellation. Whatever still ends without an answer is broken off with LS804 `unanswered`, which has the request's id and the reason, and counts in `unanswered_total`.

--- a/landingspool/event_kinds.py
+++ b/landingspool/event_kinds.py
@@ -424,6 +424,12 @@
             'ERROR',
             'The handling of a request raised an error; its caller got a 500.',
         ),
+        Kind(
+            804,
+            'unanswered',
+            'ERROR',
+            'A request was read and its caller got no whole answer.',
+        ),
     )
 }
 
--- a/landingspool/gateway/hub.py
+++ b/landingspool/gateway/hub.py
@@ -99,7 +99,10 @@
             deployment.descriptors - RESERVED_DESCRIPTORS, MIN_CONNECTIONS
         )
         self.listener = listener.Listener(
-            self._handle, self._get_limits, max_connections
+            self._handle,
+            self._get_limits,
+            max_connections,
+            self._record_unanswered,
         )
         # Readiness for the balancer and metrics for engineers are at two
         # addresses.
@@ -167,23 +170,40 @@
         self.stop()
 
     async def _handle(self, request, body, reply):
-        call = ingress.read_call(
-            request.method.decode('latin-1'),
-            request.target.decode('latin-1'),
-            list(request.headers),
-        )
         try:
+            call = ingress.read_call(
+                request.method.decode('latin-1'),
+                request.target.decode('latin-1'),
+                list(request.headers),
+            )
             await relay.Relay(self, call, body, reply).run()
+        except asyncio.CancelledError:
+            if asyncio.current_task().cancelling():
+                raise
+            # A part of the box was cancelled, not this request.
+            await self._answer_fault(request, reply)
         except Exception:
             # An unexpected error ends only this request: its caller gets an
             # answer at once, and the box continues to serve.
-            self.metrics.faults.inc()
-            self.recorder.record(
-                'request_fault',
-                request=call.name,
-                trace=traceback.format_exc(limit=-TRACE_FRAMES),
-            )
-            await reply.fail()
+            await self._answer_fault(request, reply)
+
+    async def _answer_fault(self, request, reply):
+        """Log the error being handled, and answer its request."""
+        self.metrics.faults.inc()
+        self.recorder.record(
+            'request_fault',
+            request=ingress.read_name(request.headers),
+            trace=traceback.format_exc(limit=-TRACE_FRAMES),
+        )
+        await reply.fail()
+
+    def _record_unanswered(self, request, reason):
+        self.metrics.unanswered.inc()
+        self.recorder.record(
+            'unanswered',
+            request=ingress.read_name(request.headers),
+            reason=reason,
+        )
 
     def _get_limits(self):
         table = self.view.table
--- a/landingspool/gateway/listener.py
+++ b/landingspool/gateway/listener.py
@@ -140,6 +140,9 @@
         Returns the routes.Limits in force.
     max_connections : int
         Concurrent connections; further ones are reset.
+    on_unanswered : callable
+        Called with a request that was read and the reason if its handler
+        fails, so that its caller gets no whole answer.
 
     Attributes
     ----------
@@ -147,10 +150,11 @@
         Whether callers are asked to connect elsewhere.
     """
 
-    def __init__(self, handle, get_limits, max_connections):
+    def __init__(self, handle, get_limits, max_connections, on_unanswered):
         self._handle = handle
         self._get_limits = get_limits
         self._max_connections = max_connections
+        self._on_unanswered = on_unanswered
         self._server = None
         self._tasks = {}
         self.stopping = False
@@ -202,7 +206,8 @@
                 pass
             connection.close()
         except (OSError, h11.ProtocolError):
-            # The caller reset the connection or broke off within a request.
+            # The caller reset the connection or broke off within a request,
+            # of which nothing was handled yet.
             connection.abort()
         except asyncio.CancelledError:
             connection.close()
@@ -222,9 +227,19 @@
         self._tasks[task] = True
         codec, request, body = read
         reply = Reply(codec, connection, lambda: self.stopping, request.method)
-        await self._answer(connection, request, body, reply)
+        try:
+            await self._answer(connection, request, body, reply)
+        except Exception as error:
+            self._break_off(request, reply, repr(error))
+        if not reply.started and not connection.closed:
+            self._break_off(request, reply, 'no reply')
         return reply.is_reusable and not self.stopping
 
+    def _break_off(self, request, reply, reason):
+        if not reply.broken:
+            self._on_unanswered(request, reason)
+            reply.abort()
+
     async def _answer(self, connection, request, body, reply):
         work = asyncio.ensure_future(self._handle(request, body, reply))
         connection.on_close = work.cancel
--- a/landingspool/gateway/metrics.py
+++ b/landingspool/gateway/metrics.py
@@ -28,6 +28,9 @@
         self.faults = self._make_counter(
             'faults', 'Requests whose handling raised an error'
         )
+        self.unanswered = self._make_counter(
+            'unanswered', 'Requests that were read and got no whole answer'
+        )
         self.orders = self._make_counter(
             'orders', 'Orders to targets by outcome', ('outcome',)
         )
--- a/landingspool/platform/ingress.py
+++ b/landingspool/platform/ingress.py
@@ -74,6 +74,16 @@
     )
 
 
+def read_name(headers):
+    """Return the caller's id of a request, or an empty text.
+
+    >>> read_name([(b'host', b'a'), (b'x-landingspool-request-id', b'r1')])
+    'r1'
+    """
+    found = dict(headers)
+    return found.get(names.REQUEST_ID.encode(), b'').decode('latin-1')
+
+
 def read_time_left(text):
     """Return the seconds in a header of milliseconds, or the default.
 
--- a/tests/gateway/test_unanswered.py
+++ b/tests/gateway/test_unanswered.py
@@ -2,10 +2,13 @@
 
 import asyncio
 import re
+from unittest import mock
 
 import pytest
 
+from landingspool.gateway import listener
 from landingspool.platform import answers
+from landingspool.platform import ingress
 from tests.gateway import site
 
 # Seconds within which each request here is answered.
@@ -67,3 +70,34 @@
         assert hub.recorder.counts['request_fault'] == 1
 
     site.run(check, plain=1)
+
+
+@pytest.mark.parametrize(
+    'error', [ValueError, TimeoutError, OSError, asyncio.CancelledError]
+)
+def test_an_error_before_the_relay_is_answered(monkeypatch, error):
+    async def check(deployment):
+        hub = await deployment.start_box()
+        monkeypatch.setattr(ingress, 'read_call', mock.Mock(side_effect=error))
+        async with site.connect(hub) as (reader, writer):
+            writer.write(write_request())
+            assert await read_statuses(reader) == [500]
+        assert count_endings(hub) == 1
+
+    site.run(check)
+
+
+def test_a_request_whose_error_cannot_be_sent_is_logged(monkeypatch):
+    async def check(deployment):
+        hub = await deployment.start_box()
+        fails = mock.AsyncMock(side_effect=TimeoutError('late'))
+        monkeypatch.setattr(listener.Reply, 'send_complete', fails)
+        async with site.connect(hub) as (reader, writer):
+            writer.write(write_request())
+            assert await read_statuses(reader) == []
+        (event,) = [e for e in hub.recorder.select() if e.name == 'unanswered']
+        assert 'late' in event.fields['reason']
+        assert event.fields['request'].startswith('r')
+        assert b'gateway_unanswered_total 1.0' in hub.metrics.render()
+
+    site.run(check)
