Serve requests that are being received when the box stops

At a planned stop a caller whose request was partly or wholly received, but not yet handed on, had its connection closed with no answer and no log line; so had one whose next request came behind an answer that began before the stop. Before, tests/gateway/test_unanswered.py got [] instead of [200] for a body in two parts around the close, a request in the buffer, and one behind a stream (twice); all four are served now.

Cause: a connection was busy only once its request had been read whole, and `close` cancelled all others; and a connection was closed after any answer once the box stopped, also if that answer hadn't said `Connection: close`.

It is busy from the first byte of a request on, `close` ends those that are neither busy nor have unread bytes, and does so at once, so that nothing is read afterwards; one accepted later is reset unread. After an answer without `Connection: close` the next request is served until the listener closes. The time for all of this is bounded by `close` and the header time-out.

--- a/landingspool/gateway/heads.py
+++ b/landingspool/gateway/heads.py
@@ -146,11 +146,33 @@
             raise http.BadRequest(400, 'the request ended too early')
 
 
+async def wait_for_request(connection, idle_s):
+    """Wait for the first byte of a request.
+
+    Parameters
+    ----------
+    connection : connection.Connection
+    idle_s : float
+        Idle time-out, seconds.
+
+    Returns
+    -------
+    bool
+        Whether it has come, before the end of the connection or the time-out.
+    """
+    try:
+        async with timeouts.Timeout(idle_s):
+            first = await connection.read()
+    except TimeoutError:
+        return False
+    connection.push_back(first)
+    return bool(first)
+
+
 async def read_request(connection, limits):
     """Read one complete request within the time limits for callers.
 
-    The wait for the first byte is limited by the idle time-out.  The head
-    and the body are limited by the header time-out, each by itself.
+    The head and the body are limited by the header time-out, each by itself.
 
     Parameters
     ----------
@@ -160,20 +182,12 @@
     Returns
     -------
     tuple of (h11.Connection, h11.Request, bytes) or None
-        None if the connection is closed or was idle for too long.
+        None if the connection was closed before a head began.
 
     Raises
     ------
     http.BadRequest
     """
-    try:
-        async with timeouts.Timeout(limits.idle_s):
-            first = await connection.read()
-    except TimeoutError:
-        return None
-    if not first:
-        return None
-    connection.push_back(first)
     try:
         async with timeouts.Timeout(limits.header_s):
             data = await read_head(connection, limits.header_bytes)
--- a/landingspool/gateway/listener.py
+++ b/landingspool/gateway/listener.py
@@ -156,7 +156,11 @@
         self._max_connections = max_connections
         self._on_unanswered = on_unanswered
         self._server = None
+        # The connection that each task serves.
         self._tasks = {}
+        # Tasks that have begun to receive a request and not ended its answer.
+        self._busy = set()
+        self._closing = False
         self.stopping = False
 
     async def start(self, address):
@@ -175,11 +179,14 @@
 
     async def close(self, seconds):
         """Close idle connections, and the others after `seconds` at most."""
+        self.stopping = self._closing = True
         if self._server is not None:
             # It is None if the process is stopped while it starts.
             self._server.close()
-        for task, busy in list(self._tasks.items()):
-            if not busy:
+        for task, connection in list(self._tasks.items()):
+            if task not in self._busy and connection.is_idle:
+                # It is closed at once, so that no request is read any more.
+                connection.close()
                 task.cancel()
         if self._tasks:
             await asyncio.wait(list(self._tasks), timeout=seconds)
@@ -190,33 +197,37 @@
 
     def count_busy(self):
         """Return the number of connections with a request in progress."""
-        return sum(1 for busy in self._tasks.values() if busy)
+        return len(self._busy)
 
     def _accept(self, connection):
-        if len(self._tasks) >= self._max_connections:
+        if self._closing or len(self._tasks) >= self._max_connections:
             connection.abort()
             return
         task = asyncio.ensure_future(self._serve(connection))
-        self._tasks[task] = False
-        task.add_done_callback(lambda done: self._tasks.pop(done, None))
+        self._tasks[task] = connection
+        task.add_done_callback(self._forget)
+
+    def _forget(self, task):
+        self._busy.discard(task)
+        del self._tasks[task]
 
     async def _serve(self, connection):
         try:
             while await self._serve_one(connection):
-                pass
-            connection.close()
+                self._busy.discard(asyncio.current_task())
         except (OSError, h11.ProtocolError):
             # The caller reset the connection or broke off within a request,
             # of which nothing was handled yet.
             connection.abort()
-        except asyncio.CancelledError:
+        finally:
             connection.close()
-            raise
 
     async def _serve_one(self, connection):
-        task = asyncio.current_task()
-        self._tasks[task] = False
+        """Serve one request; return whether the next may be waited for."""
         limits = self._get_limits()
+        if not await heads.wait_for_request(connection, limits.idle_s):
+            return False
+        self._busy.add(asyncio.current_task())
         try:
             read = await heads.read_request(connection, limits)
         except http.BadRequest as error:
@@ -224,7 +235,6 @@
             return False
         if read is None:
             return False
-        self._tasks[task] = True
         codec, request, body = read
         reply = Reply(codec, connection, lambda: self.stopping, request.method)
         try:
@@ -233,7 +243,10 @@
             self._break_off(request, reply, repr(error))
         if not reply.started and not connection.closed:
             self._break_off(request, reply, 'no reply')
-        return reply.is_reusable and not self.stopping
+        # An answer begun before the stop doesn't ask the caller to connect
+        # elsewhere: it may have sent its next request by now.
+        is_over = self._closing and connection.is_idle
+        return reply.is_reusable and not is_over
 
     def _break_off(self, request, reply, reason):
         if not reply.broken:
--- a/tests/gateway/test_unanswered.py
+++ b/tests/gateway/test_unanswered.py
@@ -1,11 +1,13 @@
 """A request that was received whole ends with an answer or a refusal."""
 
 import asyncio
+import contextlib
 import re
 from unittest import mock
 
 import pytest
 
+from landingspool.gateway import connection as connection_module
 from landingspool.gateway import listener
 from landingspool.platform import answers
 from landingspool.platform import ingress
@@ -13,6 +15,9 @@
 
 # Seconds within which each request here is answered.
 ANSWER_S = 1.5
+PROMPT = (
+    'X-Landingspool-Model-Name: m\r\nX-Landingspool-Token-Usage: 300,10\r\n'
+)
 ENDINGS = ('answered', 'not_served', 'caller_gone', 'request_fault')
 
 
@@ -28,12 +33,24 @@
 
 async def read_statuses(reader):
     """Return the statuses that came back until the first or the end."""
-    try:
+    found = []
+    with contextlib.suppress(TimeoutError, ConnectionError):
         async with asyncio.timeout(ANSWER_S):
-            data = await reader.read(65536)
-    except (TimeoutError, ConnectionError):
-        return []
-    return [int(status) for status in re.findall(rb'HTTP/1.1 (\d+)', data)]
+            while not found and (data := await reader.read(65536)):
+                found = re.findall(rb'HTTP/1.1 (\d+)', data)
+    return [int(status) for status in found]
+
+
+def keep_connections(hub):
+    """Return a list that gets the connections which callers open."""
+    connections, accept = [], hub.listener._accept
+
+    def keep(connection):
+        connections.append(connection)
+        accept(connection)
+
+    hub.listener._accept = keep
+    return connections
 
 
 def count_endings(hub):
@@ -101,3 +118,71 @@
         assert b'gateway_unanswered_total 1.0' in hub.metrics.render()
 
     site.run(check)
+
+
+def test_a_stop_ends_no_request_that_is_being_received():
+    async def check(deployment):
+        hub = await deployment.start_box()
+        async with site.connect(hub) as (reader, writer):
+            data = write_request(body='x' * 4000)
+            writer.write(data[:2000])
+            await asyncio.sleep(0.05)
+            closing = asyncio.ensure_future(hub.listener.close(1.0))
+            await asyncio.sleep(0.05)
+            writer.write(data[2000:])
+            assert await read_statuses(reader) == [200]
+            await closing
+
+    site.run(check, plain=1)
+
+
+def test_a_stop_ends_no_request_that_waits_in_the_buffer():
+    async def check(deployment):
+        hub = await deployment.start_box()
+        connections = keep_connections(hub)
+        async with site.connect(hub) as (reader, _):
+            await site.wait_until(lambda: connections)
+            closing = asyncio.ensure_future(hub.listener.close(1.0))
+            connections[0].data_received(write_request())
+            assert await read_statuses(reader) == [200]
+            await closing
+
+    site.run(check, plain=1)
+
+
+@pytest.mark.parametrize('is_closed', [False, True])
+def test_a_stop_ends_no_request_sent_behind_a_running_one(is_closed):
+    async def check(deployment):
+        hub = await deployment.start_box()
+        (runner,) = deployment.engines
+        runner.script = ['stream', 'stream']
+        async with site.connect(hub) as (reader, writer):
+            writer.write(write_request('/stream/a', extra=PROMPT))
+            assert await read_statuses(reader) == [200]
+            writer.write(write_request('/stream/a', extra=PROMPT))
+            hub.listener.stop()
+            await asyncio.sleep(0.01)
+            if is_closed:
+                await hub.listener.close(1.0)
+            assert await read_statuses(reader) == [200]
+            assert len(runner.ran) == 2
+
+    site.run(check, engines=1)
+
+
+def test_a_stop_closes_connections_at_rest_and_new_ones_at_once():
+    async def check(deployment):
+        hub = await deployment.start_box()
+        connections = keep_connections(hub)
+        async with site.connect(hub) as (reader, _):
+            await site.wait_until(lambda: connections)
+            began = hub.clock()
+            await hub.listener.close(1.0)
+            assert await reader.read() == b''
+            assert hub.clock() - began < 0.5
+        late = connection_module.Connection()
+        late.connection_made(mock.Mock())
+        hub.listener._accept(late)
+        late._transport.abort.assert_called_once()
+
+    site.run(check)
