Answer requests that are open when a stop's time is over

A caller whose request still ran at the end of a box's grace time had its connection closed with no answer ([] for [502] in tests/gateway/ test_unanswered.py), and the log had nothing but `caller_gone`; a stream that was broken off there left no line of its own.

Cause: `Listener.close` cancels the tasks that are left, and these closed their connections at once, whatever had been sent.

A request without any byte of an answer now gets 502 `stopped`, which promises nothing, since it may have run; one whose answer has begun is broken off with LS804 and the reason `stopped`. An answer that was complete when the task was cancelled is left as it is. This takes no more time than before: the handler has ended when its task notices the cancellation.

--- a/landingspool/gateway/listener.py
+++ b/landingspool/gateway/listener.py
@@ -253,17 +253,28 @@
             self._on_unanswered(request, reason)
             reply.abort()
 
+    async def _cut_off(self, request, reply):
+        """Answer a request that the box can't wait for any longer."""
+        if reply.started:
+            self._break_off(request, reply, 'stopped')
+        else:
+            # The request may have been executed.
+            await reply.send_error(502, 'stopped')
+
     async def _answer(self, connection, request, body, reply):
         work = asyncio.ensure_future(self._handle(request, body, reply))
         connection.on_close = work.cancel
         try:
             await work
         except asyncio.CancelledError:
-            if not connection.closed:
-                # The listener is closing: the handler is cancelled, too.
-                work.cancel()
-                raise
-            reply.broken = True
+            if connection.closed:
+                reply.broken = True
+                return
+            # The listener is closing, and has cancelled the handler, too,
+            # unless the answer was complete by then.
+            if work.cancelled():
+                await self._cut_off(request, reply)
+            raise
         finally:
             connection.on_close = None
 
--- a/tests/gateway/test_unanswered.py
+++ b/tests/gateway/test_unanswered.py
@@ -186,3 +186,33 @@
         late._transport.abort.assert_called_once()
 
     site.run(check)
+
+
+def test_a_request_open_at_the_end_of_a_stop_is_answered():
+    async def check(deployment):
+        hub = await deployment.start_box()
+        (runner,) = deployment.plain
+        runner.script = ['silent']
+        async with site.connect(hub) as (reader, writer):
+            writer.write(write_request())
+            await site.wait_until(lambda: runner.ran)
+            await hub.listener.close(0.1)
+            assert await read_statuses(reader) == [502]
+
+    site.run(check, plain=1)
+
+
+def test_an_answer_open_at_the_end_of_a_stop_is_logged():
+    async def check(deployment):
+        hub = await deployment.start_box()
+        (runner,) = deployment.engines
+        runner.script = ['stream']
+        async with site.connect(hub) as (reader, writer):
+            writer.write(write_request('/stream/a', extra=PROMPT))
+            assert await read_statuses(reader) == [200]
+            await hub.listener.close(0.0)
+            assert not (await reader.read()).endswith(b'0\r\n\r\n')
+        (event,) = [e for e in hub.recorder.select() if e.name == 'unanswered']
+        assert event.fields['reason'] == 'stopped'
+
+    site.run(check, engines=1)
