Serve requests that meet the idle time-out, and follow its changes

A whole request that arrived as its connection's idle time-out fired was dropped with no answer and no log line ([] for [200]); and beside a change of the configuration that raises `idle_timeout_ms`, connections that were open were closed by the old time, while their callers used them by the new one.

Cause: the time-out cancels the wait one or two turns of the event loop after it fires. A request that is received in between is in the buffer by then, but only the time-out counted. And a wait kept the limit with which it began.

After a time-out the wait now goes on if there are unread bytes, or if the limit in force isn't reached. Whether there are any is checked in the step in which the connection is closed, so that nothing can be read in between.

--- a/landingspool/gateway/heads.py
+++ b/landingspool/gateway/heads.py
@@ -6,6 +6,8 @@
 requests are refused before h11 reads them.
 """
 
+import asyncio
+import contextlib
 import re
 
 import h11
@@ -146,27 +148,35 @@
             raise http.BadRequest(400, 'the request ended too early')
 
 
-async def wait_for_request(connection, idle_s):
-    """Wait for the first byte of a request.
+async def wait_for_request(connection, get_limits):
+    """Wait for the first byte of a request, up to the idle time-out.
+
+    A time-out that was raised during the wait applies, since callers use
+    their open connections by the newest one.
 
     Parameters
     ----------
     connection : connection.Connection
-    idle_s : float
-        Idle time-out, seconds.
+    get_limits : callable
+        Returns the routes.Limits in force.
 
     Returns
     -------
     bool
         Whether it has come, before the end of the connection or the time-out.
     """
-    try:
-        async with timeouts.Timeout(idle_s):
-            first = await connection.read()
-    except TimeoutError:
-        return False
-    connection.push_back(first)
-    return bool(first)
+    loop = asyncio.get_running_loop()
+    began = loop.time()
+    left_s = get_limits().idle_s
+    # A byte may arrive between the time-out and its effect on this task.
+    while left_s > 0 or not connection.is_idle:
+        with contextlib.suppress(TimeoutError):
+            async with timeouts.Timeout(left_s):
+                first = await connection.read()
+            connection.push_back(first)
+            return bool(first)
+        left_s = began + get_limits().idle_s - loop.time()
+    return False
 
 
 async def read_request(connection, limits):
--- a/landingspool/gateway/listener.py
+++ b/landingspool/gateway/listener.py
@@ -224,12 +224,11 @@
 
     async def _serve_one(self, connection):
         """Serve one request; return whether the next may be waited for."""
-        limits = self._get_limits()
-        if not await heads.wait_for_request(connection, limits.idle_s):
+        if not await heads.wait_for_request(connection, self._get_limits):
             return False
         self._busy.add(asyncio.current_task())
         try:
-            read = await heads.read_request(connection, limits)
+            read = await heads.read_request(connection, self._get_limits())
         except http.BadRequest as error:
             await refuse(connection, error)
             return False
--- a/tests/gateway/test_unanswered.py
+++ b/tests/gateway/test_unanswered.py
@@ -11,6 +11,7 @@
 from landingspool.gateway import listener
 from landingspool.platform import answers
 from landingspool.platform import ingress
+from landingspool import timeouts
 from tests.gateway import site
 
 # Seconds within which each request here is answered.
@@ -216,3 +217,45 @@
         assert event.fields['reason'] == 'stopped'
 
     site.run(check, engines=1)
+
+
+async def publish_idle_timeout(deployment, hub, version, idle_ms):
+    """Have a box use a configuration with an idle time-out."""
+    limits = {'idle_timeout_ms': idle_ms}
+    deployment.publish(site.make_table(version, limits=limits))
+    await site.wait_until(lambda: hub.view.table.version == version)
+
+
+def test_a_request_that_comes_at_the_idle_timeout_is_answered(monkeypatch):
+    async def check(deployment):
+        hub = await deployment.start_box()
+        await publish_idle_timeout(deployment, hub, 2, 200)
+        connections = keep_connections(hub)
+        expire = timeouts.Timeout._expire
+
+        def expire_and_receive(timeout):
+            expire(timeout)
+            if connections and timeout._seconds == 0.2:
+                connections.pop().data_received(write_request())
+
+        monkeypatch.setattr(timeouts.Timeout, '_expire', expire_and_receive)
+        async with site.connect(hub) as (reader, _):
+            assert await read_statuses(reader) == [200]
+
+    site.run(check, plain=1)
+
+
+def test_a_longer_idle_timeout_applies_to_open_connections():
+    async def check(deployment):
+        hub = await deployment.start_box()
+        await publish_idle_timeout(deployment, hub, 2, 500)
+        async with site.connect(hub) as (reader, writer):
+            await publish_idle_timeout(deployment, hub, 3, 1000)
+            await asyncio.sleep(0.7)
+            writer.write(write_request())
+            assert await read_statuses(reader) == [200]
+            began = hub.clock()
+            assert await reader.read() == b''
+            assert 0.8 < hub.clock() - began < 1.3
+
+    site.run(check, plain=1)
