Don't send requests of callers that have left, and log each of them

A caller that closed its connection right after its request could have it run by a target all the same, and left no log line: the target ran 1 of 1 whose end of file was in when the request was read, and 0 of 10 that left one step later were logged `caller_gone`.

Cause: `Connection.on_close` was set after the close, so that it was never called; and cancelling a handler before its first step means that not even its `except` clause is run.

The handler's own first step sets `on_close` now, and a request whose caller has left by then is logged and goes no further. A shutdown of the sending side counts as a close, as before: both bring the same end of file and leave the socket in the same state (CLOSE_WAIT), only a reset differs.

--- a/landingspool/gateway/hub.py
+++ b/landingspool/gateway/hub.py
@@ -170,6 +170,13 @@
         self.stop()
 
     async def _handle(self, request, body, reply):
+        if reply.is_gone:
+            self.recorder.record(
+                'caller_gone',
+                request=ingress.read_name(request.headers),
+                reason='closed before it was handled',
+            )
+            return
         try:
             call = ingress.read_call(
                 request.method.decode('latin-1'),
--- a/landingspool/gateway/listener.py
+++ b/landingspool/gateway/listener.py
@@ -108,6 +108,15 @@
         self._is_closing = lambda: True
         await self.send_error(500, 'fault')
 
+    @property
+    def is_gone(self):
+        """Whether the caller has closed the connection.
+
+        One that has only shut down its sending side counts as gone, too: it
+        sends the same end of file, and most that send one have left.
+        """
+        return self._connection.closed
+
     @property
     def is_reusable(self):
         """Whether the connection can take another request."""
@@ -260,9 +269,15 @@
             # The request may have been executed.
             await reply.send_error(502, 'stopped')
 
+    async def _run_handler(self, connection, request, body, reply):
+        # A handler cancelled before its first step would log nothing.
+        connection.on_close = asyncio.current_task().cancel
+        await self._handle(request, body, reply)
+
     async def _answer(self, connection, request, body, reply):
-        work = asyncio.ensure_future(self._handle(request, body, reply))
-        connection.on_close = work.cancel
+        work = asyncio.ensure_future(
+            self._run_handler(connection, request, body, reply)
+        )
         try:
             await work
         except asyncio.CancelledError:
--- a/tests/gateway/test_unanswered.py
+++ b/tests/gateway/test_unanswered.py
@@ -259,3 +259,33 @@
             assert 0.8 < hub.clock() - began < 1.3
 
     site.run(check, plain=1)
+
+
+def test_a_request_of_a_caller_already_gone_is_not_sent():
+    async def check(deployment):
+        hub = await deployment.start_box()
+        connections = keep_connections(hub)
+        async with site.connect(hub):
+            await site.wait_until(lambda: connections)
+            connections[0].data_received(write_request())
+            connections[0].eof_received()
+            await asyncio.sleep(0.1)
+        assert not deployment.plain[0].ran
+        (event,) = [e for e in hub.recorder.select() if e.name in ENDINGS]
+        assert event.name == 'caller_gone'
+
+    site.run(check, plain=1)
+
+
+def test_a_caller_who_leaves_as_its_request_is_read_is_logged():
+    async def check(deployment):
+        hub = await deployment.start_box()
+        for _ in range(10):
+            async with site.connect(hub) as (_, writer):
+                writer.write(write_request())
+                writer.write_eof()
+                await asyncio.sleep(0.02)
+        assert not deployment.plain[0].ran
+        assert hub.recorder.counts['caller_gone'] == 10
+
+    site.run(check, plain=1)
