Treat a time left that isn't finite as none

A caller that sends `nan` as the milliseconds it waits got 500 and left a `request_fault`, and `-inf` got 503 (2 and 1 of 5 texts in tests/gateway/ test_unanswered.py; the other two were served before, too).

Cause: `float` reads these texts, and every comparison with a NaN is false, so that it passed `max` and `min` as the deadline and was kept among the waiting times of its route, whose order it breaks for all others.

Like any other text that isn't a number, they now stand for the default time.

--- a/landingspool/platform/ingress.py
+++ b/landingspool/platform/ingress.py
@@ -5,6 +5,7 @@
 to reject.
 """
 
+import math
 import typing
 
 from landingspool.decisions.gateway import prompts
@@ -87,13 +88,14 @@
 def read_time_left(text):
     """Return the seconds in a header of milliseconds, or the default.
 
-    >>> read_time_left('1500'), read_time_left(None), read_time_left('x')
+    >>> read_time_left('1500'), read_time_left(None), read_time_left('nan')
     (1.5, 30.0, 30.0)
     """
     try:
-        return max(float(text) / 1000, 0.0)
+        seconds = float(text) / 1000
     except (TypeError, ValueError):
         return DEFAULT_TIME_LEFT_S
+    return max(seconds, 0.0) if math.isfinite(seconds) else DEFAULT_TIME_LEFT_S
 
 
 def read_prompt(found):
--- a/tests/gateway/test_unanswered.py
+++ b/tests/gateway/test_unanswered.py
@@ -289,3 +289,15 @@
         assert hub.recorder.counts['caller_gone'] == 10
 
     site.run(check, plain=1)
+
+
+@pytest.mark.parametrize('text', ['nan', '-nan', 'inf', '-inf', '1e999'])
+def test_a_time_that_is_no_number_is_that_of_a_missing_one(text):
+    async def check(deployment):
+        hub = await deployment.start_box()
+        extra = f'X-Landingspool-Deadline-Ms: {text}\r\n'
+        async with site.connect(hub) as (reader, writer):
+            writer.write(write_request(extra=extra))
+            assert await read_statuses(reader) == [200]
+
+    site.run(check, plain=1)
