Read only ASCII digits as numbers in a target's answer

A caller whose target answered with `Versions` or a `Keep-Alive` time of a superscript digit got 500 instead of the target's 200, and the log had a `request_fault`: 2 of 2 in tests/gateway/test_unanswered.py.

Both places now match one pattern of up to 18 ASCII digits, and take anything else for a header that isn't there.

--- a/landingspool/platform/answers.py
+++ b/landingspool/platform/answers.py
@@ -4,6 +4,7 @@
 whether the request was executed.  The gateway decides what follows from it.
 """
 
+import re
 import typing
 
 from landingspool.platform import names
@@ -12,6 +13,8 @@
 # Misdirected Request (RFC 9110, 15.5.20): another target has taken over the
 # address of the one addressed.  The request was not executed.
 MISDIRECTED = 421
+# `str.isdigit` also holds for digits that `int` and `float` refuse.
+WHOLE_NUMBER = re.compile('[0-9]{1,18}')
 
 
 class Head(typing.NamedTuple):
@@ -82,14 +85,18 @@
     """
     for part in text.lower().split(','):
         name, _, value = part.strip().partition('=')
-        if name == 'timeout' and value.strip().isdigit():
+        if name == 'timeout' and WHOLE_NUMBER.fullmatch(value.strip()):
             return float(value)
     return None
 
 
 def read_integer(text):
-    """Return the whole number in a text, or None."""
-    return int(text) if text and text.strip().isdigit() else None
+    """Return the whole number in a text, or None.
+
+    >>> read_integer(' 12 '), read_integer('\xb2'), read_integer(None)
+    (12, None, None)
+    """
+    return int(text) if WHOLE_NUMBER.fullmatch((text or '').strip()) else None
 
 
 def relay_headers(head):
--- a/tests/gateway/test_unanswered.py
+++ b/tests/gateway/test_unanswered.py
@@ -301,3 +301,18 @@
             assert await read_statuses(reader) == [200]
 
     site.run(check, plain=1)
+
+
+@pytest.mark.parametrize(
+    'row', [b'versions: \xb2', b'keep-alive: timeout=\xb2']
+)
+def test_a_digit_of_another_script_fails_no_answer(monkeypatch, row):
+    async def check(deployment):
+        hub = await deployment.start_box()
+        (runner,) = deployment.plain
+        monkeypatch.setattr(runner, 'say', lambda head=None: row + b'\r\n')
+        async with site.connect(hub) as (reader, writer):
+            writer.write(write_request())
+            assert await read_statuses(reader) == [200]
+
+    site.run(check, plain=1)
