--- a/landingspool/gateway/listener.py
+++ b/landingspool/gateway/listener.py
@@ -36,19 +36,22 @@
     connection : connection.Connection
     is_closing : callable
         Returns whether the answer should have ``Connection: close``.
+    method : bytes
+        Of the request: the answer to HEAD has no body.
 
     Attributes
     ----------
     started : bool
-        Whether the head of the answer was sent.
+        Whether any byte of the answer was sent.
     broken : bool
         Whether the answer was broken off.
     """
 
-    def __init__(self, codec, connection, is_closing):
+    def __init__(self, codec, connection, is_closing, method=b''):
         self._codec = codec
         self._connection = connection
         self._is_closing = is_closing
+        self._method = method
         self.started = False
         self.broken = False
 
@@ -56,10 +59,10 @@
         """Send a complete answer with a length."""
         framed = [*headers, (b'content-length', str(len(body)).encode())]
         data = self._begin(status, framed)
-        data += self._codec.send(h11.Data(data=body))
+        if self._method != b'HEAD':
+            data += self._codec.send(h11.Data(data=body))
         data += self._codec.send(h11.EndOfMessage())
-        self._connection.write(data)
-        await self._connection.drain()
+        await self._write(data)
 
     async def send_error(self, status, reason, retry_after=None):
         """Send an error of this box as JSON.
@@ -80,18 +83,15 @@
     async def start(self, status, headers, data):
         """Begin an answer of unknown length with its first bytes."""
         head = self._begin(status, headers)
-        self._connection.write(head + self._codec.send(h11.Data(data=data)))
-        await self._connection.drain()
+        await self._write(head + self._codec.send(h11.Data(data=data)))
 
     async def send_data(self, data):
         """Send the next bytes of an answer."""
-        self._connection.write(self._codec.send(h11.Data(data=data)))
-        await self._connection.drain()
+        await self._write(self._codec.send(h11.Data(data=data)))
 
     async def finish(self):
         """End a complete answer."""
-        self._connection.write(self._codec.send(h11.EndOfMessage()))
-        await self._connection.drain()
+        await self._write(self._codec.send(h11.EndOfMessage()))
 
     def abort(self):
         """Reset the connection, so that the answer doesn't look complete."""
@@ -103,16 +103,31 @@
         if self.started:
             self.abort()
             return
+        # The codec refuses all further events after one that it can't send.
+        self._codec = h11.Connection(h11.SERVER)
         self._is_closing = lambda: True
         await self.send_error(500, 'fault')
 
+    @property
+    def is_gone(self):
+        """Whether the caller has closed the connection.
+
+        One that has only shut down its sending side counts as gone, too: it
+        sends the same end of file, and most that send one have left.
+        """
+        return self._connection.closed
+
     @property
     def is_reusable(self):
         """Whether the connection can take another request."""
         return not self.broken and self._codec.our_state is h11.DONE
 
-    def _begin(self, status, headers):
+    async def _write(self, data):
         self.started = True
+        self._connection.write(data)
+        await self._connection.drain()
+
+    def _begin(self, status, headers):
         rows = list(headers)
         if self._is_closing():
             rows.append((b'connection', b'close'))
@@ -134,6 +149,9 @@
         Returns the routes.Limits in force.
     max_connections : int
         Concurrent connections; further ones are reset.
+    on_unanswered : callable
+        Called with a request that was read and the reason if its handler
+        fails, so that its caller gets no whole answer.
 
     Attributes
     ----------
@@ -141,12 +159,17 @@
         Whether callers are asked to connect elsewhere.
     """
 
-    def __init__(self, handle, get_limits, max_connections):
+    def __init__(self, handle, get_limits, max_connections, on_unanswered):
         self._handle = handle
         self._get_limits = get_limits
         self._max_connections = max_connections
+        self._on_unanswered = on_unanswered
         self._server = None
+        # The connection that each task serves.
         self._tasks = {}
+        # Tasks that have begun to receive a request and not ended its answer.
+        self._busy = set()
+        self._closing = False
         self.stopping = False
 
     async def start(self, address):
@@ -165,11 +188,14 @@
 
     async def close(self, seconds):
         """Close idle connections, and the others after `seconds` at most."""
+        self.stopping = self._closing = True
         if self._server is not None:
             # It is None if the process is stopped while it starts.
             self._server.close()
-        for task, busy in list(self._tasks.items()):
-            if not busy:
+        for task, connection in list(self._tasks.items()):
+            if task not in self._busy and connection.is_idle:
+                # It is closed at once, so that no request is read any more.
+                connection.close()
                 task.cancel()
         if self._tasks:
             await asyncio.wait(list(self._tasks), timeout=seconds)
@@ -180,56 +206,89 @@
 
     def count_busy(self):
         """Return the number of connections with a request in progress."""
-        return sum(1 for busy in self._tasks.values() if busy)
+        return len(self._busy)
 
     def _accept(self, connection):
-        if len(self._tasks) >= self._max_connections:
+        if self._closing or len(self._tasks) >= self._max_connections:
             connection.abort()
             return
         task = asyncio.ensure_future(self._serve(connection))
-        self._tasks[task] = False
-        task.add_done_callback(lambda done: self._tasks.pop(done, None))
+        self._tasks[task] = connection
+        task.add_done_callback(self._forget)
+
+    def _forget(self, task):
+        self._busy.discard(task)
+        del self._tasks[task]
 
     async def _serve(self, connection):
         try:
             while await self._serve_one(connection):
-                pass
-            connection.close()
+                self._busy.discard(asyncio.current_task())
         except (OSError, h11.ProtocolError):
-            # The caller reset the connection or broke off within a request.
+            # The caller reset the connection or broke off within a request,
+            # of which nothing was handled yet.
             connection.abort()
-        except asyncio.CancelledError:
+        finally:
             connection.close()
-            raise
 
     async def _serve_one(self, connection):
-        task = asyncio.current_task()
-        self._tasks[task] = False
-        limits = self._get_limits()
+        """Serve one request; return whether the next may be waited for."""
+        if not await heads.wait_for_request(connection, self._get_limits):
+            return False
+        self._busy.add(asyncio.current_task())
         try:
-            read = await heads.read_request(connection, limits)
+            read = await heads.read_request(connection, self._get_limits())
         except http.BadRequest as error:
             await refuse(connection, error)
             return False
         if read is None:
             return False
-        self._tasks[task] = True
         codec, request, body = read
-        reply = Reply(codec, connection, lambda: self.stopping)
-        await self._answer(connection, request, body, reply)
-        return reply.is_reusable and not self.stopping
+        reply = Reply(codec, connection, lambda: self.stopping, request.method)
+        try:
+            await self._answer(connection, request, body, reply)
+        except Exception as error:
+            self._break_off(request, reply, repr(error))
+        if not reply.started and not connection.closed:
+            self._break_off(request, reply, 'no reply')
+        # An answer begun before the stop doesn't ask the caller to connect
+        # elsewhere: it may have sent its next request by now.
+        is_over = self._closing and connection.is_idle
+        return reply.is_reusable and not is_over
+
+    def _break_off(self, request, reply, reason):
+        if not reply.broken:
+            self._on_unanswered(request, reason)
+            reply.abort()
+
+    async def _cut_off(self, request, reply):
+        """Answer a request that the box can't wait for any longer."""
+        if reply.started:
+            self._break_off(request, reply, 'stopped')
+        else:
+            # The request may have been executed.
+            await reply.send_error(502, 'stopped')
+
+    async def _run_handler(self, connection, request, body, reply):
+        # A handler cancelled before its first step would log nothing.
+        connection.on_close = asyncio.current_task().cancel
+        await self._handle(request, body, reply)
 
     async def _answer(self, connection, request, body, reply):
-        work = asyncio.ensure_future(self._handle(request, body, reply))
-        connection.on_close = work.cancel
+        work = asyncio.ensure_future(
+            self._run_handler(connection, request, body, reply)
+        )
         try:
             await work
         except asyncio.CancelledError:
-            if not connection.closed:
-                # The listener is closing: the handler is cancelled, too.
-                work.cancel()
-                raise
-            reply.broken = True
+            if connection.closed:
+                reply.broken = True
+                return
+            # The listener is closing, and has cancelled the handler, too,
+            # unless the answer was complete by then.
+            if work.cancelled():
+                await self._cut_off(request, reply)
+            raise
         finally:
             connection.on_close = None
 
--- a/landingspool/platform/ingress.py
+++ b/landingspool/platform/ingress.py
@@ -5,6 +5,7 @@
 to reject.
 """
 
+import math
 import typing
 
 from landingspool.decisions.gateway import prompts
@@ -74,16 +75,27 @@
     )
 
 
+def read_name(headers):
+    """Return the caller's id of a request, or an empty text.
+
+    >>> read_name([(b'host', b'a'), (b'x-landingspool-request-id', b'r1')])
+    'r1'
+    """
+    found = dict(headers)
+    return found.get(names.REQUEST_ID.encode(), b'').decode('latin-1')
+
+
 def read_time_left(text):
     """Return the seconds in a header of milliseconds, or the default.
 
-    >>> read_time_left('1500'), read_time_left(None), read_time_left('x')
+    >>> read_time_left('1500'), read_time_left(None), read_time_left('nan')
     (1.5, 30.0, 30.0)
     """
     try:
-        return max(float(text) / 1000, 0.0)
+        seconds = float(text) / 1000
     except (TypeError, ValueError):
         return DEFAULT_TIME_LEFT_S
+    return max(seconds, 0.0) if math.isfinite(seconds) else DEFAULT_TIME_LEFT_S
 
 
 def read_prompt(found):
