Wait for a silent engine as long as the deadline allows

A caller of a request that must not be repeated got 502 `broken`, may have run, after 12.4 s in which its engine sent nothing (a long prefill, a process that stands still), or 6.4 s on a path that lets nothing pass, with 47 and 53 s of its deadline left, while the engine went on with the run.

Cause: four seconds without data counted as a broken stream, and two resumes without a token ended the request. That takes silence for the end of what runs and can't be run again; only where a request may be run elsewhere is there a use in giving it up.

Now a resume after mere silence isn't counted for such a request while the platform lists the target, so the deadline alone ends the wait. A refused connection, a target that doesn't know the run and one that is no longer listed still end it after two resumes.

The stand-in for the network reports a port without a listener as refused, as the real client does. test_silent_stream_is_cut compares the whole event, so it names the new field, too; it is as strict as before.

--- a/landingspool/callers/session.py
+++ b/landingspool/callers/session.py
@@ -45,11 +45,14 @@
         End mark of a complete answer.
     reason : str
         Cause of a failed attempt.
+    silent : bool
+        Whether the attempt failed only because the target was silent.
     """
 
     outcome: str
     end: targets.End | None = None
     reason: str = ''
+    silent: bool = False
 
 
 class Session:
@@ -214,24 +217,41 @@
             self._advance(Signal.NOT_STARTED)
             return AttemptResult('not_started', None, refusal.reason)
         result = await self._relay(stream, refusal)
+        if self._is_plain():
+            return result
+        return await self._resume_until_end(grant, result)
+
+    async def _resume_until_end(self, grant, result):
+        """Resume a broken stream until it ends or there is no use in it."""
         resumes, tokens = 0, self.state.tokens
         while result.outcome == 'cut' and resumes < MAX_RESUMES:
-            resumes += 1
+            if not self._must_wait(grant, result):
+                resumes += 1
             result = await self._resume(grant, result)
             if self.state.tokens > tokens:
                 resumes, tokens = 0, self.state.tokens
         return result
 
+    def _must_wait(self, grant, result):
+        """Return whether only the deadline limits the wait for a target.
+
+        A silent target may still run the request, which can't be run again
+        elsewhere.
+        """
+        return (
+            result.silent
+            and not request_module.may_retry(self.state)
+            and grant.target in self.core.node.members
+        )
+
     async def _relay(self, stream, cut):
         if cut is not None:
-            self._advance(Signal.CUT)
-            return AttemptResult('cut', None, cut.reason)
+            return self._handle_interrupted(cut)
         async for event in stream.read():
             if isinstance(event, targets.End):
                 return self._handle_end(event)
             if isinstance(event, targets.Interrupted):
-                self._advance(Signal.CUT)
-                return AttemptResult('cut', None, event.reason)
+                return self._handle_interrupted(event)
             if event.index != self.state.tokens:
                 # A missing or repeated token would corrupt the answer, so
                 # the stream is resumed at the expected token.
@@ -244,6 +264,10 @@
         self._advance(Signal.CUT)
         return AttemptResult('cut', None, 'no end')
 
+    def _handle_interrupted(self, event):
+        self._advance(Signal.CUT)
+        return AttemptResult('cut', None, event.reason, event.silent)
+
     def _handle_end(self, end):
         if end.output_tokens != self.state.tokens:
             self._advance(Signal.CUT)
@@ -255,8 +279,6 @@
 
     async def _resume(self, grant, result):
         """Resume a broken stream after its last token, without a new run."""
-        if self._is_plain():
-            return result
         await asyncio.sleep(RESUME_WAIT_S)
         stream = targets.Stream(self.core.client, self._address)
         try:
@@ -264,12 +286,12 @@
             request = f'{self.request}#{grant.grant}'
             refusal = await stream.resume(request, self.state.tokens)
             if refusal is not None:
-                return result
+                return result._replace(silent=is_silent(refusal))
             self._advance(Signal.RESUME)
             self._record('resumed', target=grant.target, at=self.state.tokens)
             return await self._relay(stream, None)
-        except http.Unreachable:
-            return result
+        except http.Unreachable as error:
+            return result._replace(silent=not error.refused)
         finally:
             stream.close()
 
@@ -443,6 +465,11 @@
                 )
 
 
+def is_silent(refusal):
+    """Return whether there was no answer, rather than a refusal."""
+    return isinstance(refusal, targets.Interrupted) and refusal.silent
+
+
 RESULT_HANDLERS = {
     'ok': Session._handle_ok,
     'stale': Session._handle_unused,
--- a/landingspool/targets/client.py
+++ b/landingspool/targets/client.py
@@ -33,9 +33,13 @@
 
 @dataclasses.dataclass(frozen=True)
 class Interrupted:
-    """No complete stream was received; the request may have run."""
+    """No complete stream was received; the request may have run.
+
+    `silent`: the target sent nothing for some time, and may still run it.
+    """
 
     reason: str
+    silent: bool = False
 
 
 @dataclasses.dataclass(frozen=True)
@@ -118,7 +122,8 @@
     client : httpclient.Client
     address : http.Address
     idle_timeout_s : float or None
-        Seconds without data after which the stream counts as interrupted.
+        Seconds without data after which the stream counts as interrupted by
+        silence.
         None for a service whose answers may take any time and can't be
         resumed.
     """
@@ -158,7 +163,7 @@
             except StopAsyncIteration:
                 event = Interrupted('no end mark')
             except TimeoutError:
-                event = Interrupted('stalled')
+                event = Interrupted('stalled', silent=True)
             except http.Unreachable as error:
                 event = Interrupted(str(error))
             yield event
@@ -177,7 +182,7 @@
                     return None
                 body = b''.join([data async for data in self._call.read()])
         except TimeoutError:
-            return Interrupted('stalled')
+            return Interrupted('stalled', silent=True)
         except http.Unreachable as error:
             return Interrupted(str(error))
         return decode_refusal(self._call.status, body)
--- a/tests/contracts/test_targets.py
+++ b/tests/contracts/test_targets.py
@@ -95,7 +95,7 @@
 
     reply = peer.open_stream(TOKEN)
     found = asyncio.run(peer.talk(reply, read, hang=True))
-    assert found[-1] == targets.Interrupted('stalled')
+    assert found[-1] == targets.Interrupted('stalled', silent=True)
 
 
 def test_connect_to_nobody_sends_nothing():
--- a/tests/virtual/network.py
+++ b/tests/virtual/network.py
@@ -68,7 +68,7 @@
             raise http.Unreachable('connect: timeout', False) from None
         self.server = self.world.find(self.address)
         if self.server is None:
-            raise http.Unreachable('nobody listens', False)
+            raise http.Unreachable('nobody listens', False, refused=True)
 
     async def send(self, method, path, value=None, headers=()):
         """Send the request and wait for the head of the answer."""
