Release an abandoned claim again if it arrives after its release

A caller whose key could not be claimed in time got 503 `log_down`, not run, and came back: from then on the key was held by a claim that nobody would ever run, so it got 409 `key_held` from every box for as long as the log's window lasts.

Cause: a silent log may carry out an append long after its answer was given up. The box releases an abandoned claim once; where the claim arrived after that release, the release had freed nothing and the claim won.

Now the box remembers what it has abandoned until it reads back a release that counted, and releases a claim again that it reads later. A release frees only its own claim, so a second one does no harm.

Seen failing before: tests/test_claims.py, a log that carries out its first append after the second; the holder of the key was claim b1.i1.1 at offset 1, and is None now.

--- a/landingspool/ledger/claimer.py
+++ b/landingspool/ledger/claimer.py
@@ -7,6 +7,7 @@
 """
 
 import asyncio
+import collections
 import dataclasses
 import itertools
 import typing
@@ -21,6 +22,8 @@
 # Appends a second of all boxes together.
 APPENDS_PER_S = 80
 DOWN_RETRY_AFTER_S = 5.0
+# Abandoned claims that are remembered until their release is read back.
+MAX_ABANDONED = 4096
 
 
 @dataclasses.dataclass(frozen=True)
@@ -77,6 +80,7 @@
         self._queued_claims = []
         self._waiting = {}
         self._queued_releases = []
+        self._abandoned = collections.OrderedDict()
         self._has_work = asyncio.Event()
 
     async def claim(self, key, minted):
@@ -124,7 +128,15 @@
             for pending in self._queued_claims
             if pending.claim != claim
         ]
-        self._queued_releases.append(claim._replace(action=claims.RELEASE))
+        self._abandoned[claim.claim] = True
+        while len(self._abandoned) > MAX_ABANDONED:
+            self._abandoned.popitem(last=False)
+        self._release(claim)
+
+    def _release(self, claim):
+        release = claim._replace(action=claims.RELEASE)
+        if release not in self._queued_releases:
+            self._queued_releases.append(release)
         self._has_work.set()
 
     async def _append_all(self):
@@ -174,9 +186,11 @@
                 return True
 
     def _record(self, claim, outcome):
-        if claim.action != claims.CLAIM or claim.box != self._box:
+        if claim.box != self._box:
             return
-        if claim.claim not in self._waiting:
+        if claim.claim in self._abandoned:
+            self._record_abandoned(claim, outcome)
+        if claim.action != claims.CLAIM or claim.claim not in self._waiting:
             return
         if outcome == claims.WON:
             self._settle(claim.claim, Won(claim.claim))
@@ -185,6 +199,16 @@
         else:
             self._settle(claim.claim, Unsettled('the key is too old'))
 
+    def _record_abandoned(self, claim, outcome):
+        if outcome != claims.WON:
+            return
+        if claim.action == claims.RELEASE:
+            del self._abandoned[claim.claim]
+        else:
+            # An append without an answer may be carried out after the
+            # release, which then found nothing to free.
+            self._release(claim)
+
     def _settle(self, claim, outcome):
         future = self._waiting.pop(claim, None)
         if future is None or future.done():
--- a/tests/test_claims.py
+++ b/tests/test_claims.py
@@ -1,9 +1,13 @@
 """Claims on idempotency keys, folded from the log."""
 
+import asyncio
+
 import pytest
 
 from landingspool.callers import parsing
 from landingspool.decisions import claims
+from landingspool.ledger import claimer
+from landingspool.ledger import outcomes as log_outcomes
 
 
 def make_claim(key, number=1, box='b1', minted=100.0, action='claim'):
@@ -104,3 +108,53 @@
 def test_keys_of_two_workspaces_never_meet():
     key = parsing.read_key('1700000000-a')
     assert parsing.make_claim_key('a', key) != parsing.make_claim_key('b', key)
+
+
+class LateLog:
+    """A log that carries out its first append only after the second."""
+
+    def __init__(self):
+        self.entries = []
+        self._late = None
+
+    async def append(self, stream, data):
+        if self._late is None:
+            self._late = data
+            return log_outcomes.Lost('no answer in time')
+        self.entries.append(data)
+        if self._late:
+            self.entries.append(self._late)
+            self._late = b''
+        return log_outcomes.Appended(len(self.entries) - 1)
+
+    async def read(self, stream, after):
+        rows = list(enumerate(self.entries))
+        return log_outcomes.Page(0, len(rows), tuple(rows[after + 1 :]))
+
+
+class Silence:
+    """A recorder that keeps nothing."""
+
+    def record(self, event, **fields):
+        """Keep nothing."""
+
+
+def test_claim_that_arrives_after_its_release_does_not_hold_the_key(
+    monkeypatch,
+):
+    monkeypatch.setattr(claimer, 'SETTLE_TIMEOUT_S', 0.1)
+    monkeypatch.setattr(claimer, 'IDLE_POLL_S', 0.02)
+
+    async def check():
+        box = claimer.Claimer(LateLog(), 'b1.i1', 60.0, Silence(), lambda: 1)
+        running = asyncio.ensure_future(box.run())
+        await asyncio.sleep(0.05)
+        outcome = await box.claim('k', 100.0)
+        await asyncio.sleep(0.3)
+        running.cancel()
+        return outcome, box.ledger.offset, box.ledger.find('k')
+
+    outcome, offset, holder = asyncio.run(check())
+    assert isinstance(outcome, claimer.Unsettled)
+    assert offset >= 1
+    assert holder is None
