--- a/landingspool/targets/client.py
+++ b/landingspool/targets/client.py
@@ -220,7 +220,7 @@
     >>> decode_refusal(503, b'{"started": false, "reason": "full"}')
     NotStarted(reason='full')
     >>> decode_refusal(500, b'oops')
-    Interrupted(reason='status 500')
+    Interrupted(reason='status 500', silent=False)
     """
     try:
         value = json.loads(body)
