Find out within two connection time-outs that no target is reached

Callers of a box that is partitioned from all targets waited for one connection time-out after the other (up to 0.8 s) before 503 `unreached`, request by request, since the box knew of each target only by itself. Now two new failures with no answer since let it probe a sample of four more targets, of different domains and services; if none accepts a connection, the box counts as partitioned until a probe connects. Once one connects, all others are probed at once.

--- a/landingspool/decisions/gateway/reachability.py
+++ b/landingspool/decisions/gateway/reachability.py
@@ -122,6 +122,10 @@
         """List the targets that are due to be probed."""
         return [name for name, out in self._outages.items() if now >= out.due]
 
+    def get_dues(self):
+        """Return when the next probe of each target is due."""
+        return {name: out.due for name, out in self._outages.items()}
+
     def list_failed(self):
         """List the targets that this box itself could not connect to."""
         return [name for name, out in self._outages.items() if out.failed]
--- a/landingspool/decisions/gateway/view.py
+++ b/landingspool/decisions/gateway/view.py
@@ -22,6 +22,7 @@
 from landingspool.decisions.gateway import health as health_module
 from landingspool.decisions.gateway import latency
 from landingspool.decisions.gateway import loads as loads_module
+from landingspool.decisions.gateway import partition as partition_module
 from landingspool.decisions.gateway import peer_digests
 from landingspool.decisions.gateway import planner
 from landingspool.decisions.gateway import plans
@@ -63,6 +64,7 @@
         self.latency = latency.LatencyTracker()
         self.weights = weights_module.Weights(bounds.version_s)
         self.reachability = reachability_module.Reachability()
+        self.partition = partition_module.Partition()
         self.watchers = watchers_module.Watchers()
         self.engine_split = split_module.EngineSplit()
         self.exclusions = exclusions.Exclusions(
@@ -122,6 +124,12 @@
             domain, entries, self.table, now
         )
 
+    def record_connected(self, now):
+        """Record that a new connection to any target was established."""
+        if self.partition.record_connected(now):
+            for name in self.reachability.list_failed():
+                self.reachability.expedite(name, now)
+
     def record_reconnected(self, name, now):
         """Record that this box can connect to a target again."""
         entry = self.fleet.entries.get(name)
@@ -244,6 +252,7 @@
             return
         self.loads.record_received(name, now)
         self.reachability.record_reached(name, now)
+        self.partition.record_answered(now)
         sent = self.loads.record_first(name, work.name)
         if sent is not None:
             self.crashes.record_alive(name, sent.at)
@@ -358,7 +367,36 @@
     def record_unreached(self, name, now):
         """Record that this box could not connect to a target."""
         watched = self.watchers.is_watched(name, now)
+        is_new = name not in self.reachability.list_failed()
         self.reachability.record_failed(name, now, watched)
+        self.partition.record_failed(name, is_new, now)
+
+    def list_samples(self, now):
+        """List the targets whose probes tell whether this box is cut off."""
+        if not self.partition.is_suspected(now):
+            return []
+        failed = self.reachability.list_failed()
+        untried = [
+            entry
+            for entry in self.fleet.entries.values()
+            if entry.name not in failed
+        ]
+        if not untried:
+            self.partition.begin(now)
+        samples = [e for e in untried if self.exclusions.may_call(e, now)]
+        return self.partition.pick_samples(samples, now)
+
+    def list_due_probes(self, now):
+        """List the targets that are due to be probed."""
+        if not self.partition.is_on:
+            return self.reachability.list_due(now)
+        dues = self.reachability.get_dues()
+        dues = {
+            name: dues.get(name, 0.0)
+            for name in self.fleet.entries
+            if self.may_call(name, now)
+        }
+        return self.partition.list_retries(dues, now)
 
     def get_health(self, name):
         """Return the Health of a target."""
--- a/landingspool/event_kinds.py
+++ b/landingspool/event_kinds.py
@@ -305,6 +305,18 @@
             'INFO',
             'A target counts as slower or faster than its peers, or no more.',
         ),
+        Kind(
+            526,
+            'partitioned',
+            'ERROR',
+            'This box reaches no target; other boxes serve its requests.',
+        ),
+        Kind(
+            527,
+            'partition_over',
+            'INFO',
+            'This box reaches targets again.',
+        ),
         Kind(
             600, 'kept', 'DEBUG', 'A block of context was sealed in a store.'
         ),
--- a/landingspool/gateway/prober.py
+++ b/landingspool/gateway/prober.py
@@ -24,17 +24,30 @@
     def __init__(self, hub):
         self._hub = hub
         self._probing = {}
+        self._is_partitioned = False
 
     def record_failed(self, name, reason):
         """Record that a connection failed, or that its path is dead."""
         view = self._hub.view
         if name not in view.reachability.list_failed():
             self._hub.recorder.record('unreached', target=name, reason=reason)
-        view.record_unreached(name, self._hub.clock())
+        now = self._hub.clock()
+        view.record_unreached(name, now)
+        for sample in view.list_samples(now):
+            if sample not in self._probing:
+                self._start_probe(sample)
+        self._record_partition()
+
+    def _record_partition(self):
+        is_on = self._hub.view.partition.is_on
+        if is_on != self._is_partitioned:
+            name = 'partitioned' if is_on else 'partition_over'
+            self._hub.recorder.record(name)
+        self._is_partitioned = is_on
 
     def check(self, tick):
         """Start a probe of each target that is due."""
-        for name in self._hub.view.reachability.list_due(tick.now):
+        for name in self._hub.view.list_due_probes(tick.now):
             if name not in self._probing and self._may_probe(name, tick.now):
                 self._start_probe(name)
 
@@ -68,6 +81,8 @@
             if name in view.fleet.entries:
                 self.record_failed(name, str(error))
             return
+        view.record_connected(self._hub.clock())
+        self._record_partition()
         if was_failed:
             view.record_reconnected(name, self._hub.clock())
             self._hub.recorder.record('reached', target=name)
