Decide which box serves the requests of one that is cut off

Callers of a box that reaches no target of a service are refused although other boxes reach it, since nothing says where a request may go instead. Peers say in their digests what they can't reach; a partitioned box says so in one flag at the end of the digest, which earlier builds drop, instead of naming all targets.

--- a/landingspool/decisions/gateway/peer_digests.py
+++ b/landingspool/decisions/gateway/peer_digests.py
@@ -160,6 +160,8 @@
         Answers to the box's requests since its last digest.
     groups : tuple of GroupLoad
         The load of the groups of engines that the box sends to first.
+    partitioned : bool
+        Whether the box reaches no target; then it reports none as unreached.
     """
 
     box: str
@@ -176,6 +178,7 @@
     usage: dict[int, bytes] = {}
     answers: tuple[AnswerReport, ...] = ()
     groups: tuple[GroupLoad, ...] = ()
+    partitioned: bool = False
 
 
 class ProofQuery(typing.NamedTuple):
@@ -257,8 +260,9 @@
     ... )
     (False, True)
     """
-    notices = digest.unreached, digest.endings, digest.limits, digest.leaving
-    return any(notices)
+    return digest.partitioned or any(
+        (digest.unreached, digest.endings, digest.limits, digest.leaving)
+    )
 
 
 def pick_recipients(near, far, rng):
@@ -322,8 +326,12 @@
 
     def list_fresh_peers(self, now):
         """List the names of the boxes whose digest is fresh at `now`."""
+        return [digest.box for digest in self.list_fresh(now)]
+
+    def list_fresh(self, now):
+        """List the newest digests of the boxes that are fresh at `now`."""
         return [
-            box for box, row in self._received.items() if row.is_fresh(now)
+            row.digest for row in self._received.values() if row.is_fresh(now)
         ]
 
     def set_group_targets(self, targets):
--- a/landingspool/decisions/gateway/view.py
+++ b/landingspool/decisions/gateway/view.py
@@ -17,6 +17,7 @@
 from landingspool.decisions.gateway import exclusions
 from landingspool.decisions.gateway import fair_admission
 from landingspool.decisions.gateway import fleet as fleet_module
+from landingspool.decisions.gateway import forwarding as forwarding_module
 from landingspool.decisions.gateway import freshness
 from landingspool.decisions.gateway import grouping as grouping_module
 from landingspool.decisions.gateway import health as health_module
@@ -93,6 +94,7 @@
         self.store_usage = {}
         self.grouping = grouping_module.Grouping(self)
         self.planner = planner.Planner(self)
+        self.forwarding = forwarding_module.Forwarding(self)
         self._health = {}
         self._retry_budgets = {}
 
