Take no word against targets from a box that reaches none

While most boxes are partitioned from all targets, each of them reports all targets as unreached, so the others excluded and probed sound targets one and all: callers of boxes that reach them waited for these probes, and each probe is a new connection. Boxes also waited up to 8 s for watchers that were cut off themselves. Now a partitioned box says so in its digest and reports no target; a digest (of an earlier build, too) that names nine tenths of all targets is taken the same way, and such a box watches no target until it reports again.

--- a/landingspool/decisions/gateway/partition.py
+++ b/landingspool/decisions/gateway/partition.py
@@ -19,6 +19,11 @@
 RETRY_PERIOD_S = 0.3
 RETRIES = 2
 
+# Share of all targets from which on a box that reports them as unreached is
+# itself cut off, and the lowest number of targets of which this is concluded.
+CUT_OFF_SHARE = 0.9
+MIN_CUT_OFF = 4
+
 
 class Partition:
     """Whether one box is partitioned from all targets.
@@ -139,6 +144,15 @@
         )
 
 
+def is_nearly_all(unreached, targets):
+    """Return whether the number of unreached targets is nearly all.
+
+    >>> is_nearly_all(50, 55), is_nearly_all(40, 55), is_nearly_all(2, 2)
+    (True, False, False)
+    """
+    return unreached >= max(targets * CUT_OFF_SHARE, MIN_CUT_OFF)
+
+
 def pick_varied(entries, count):
     """Pick targets that differ in domain and service as far as possible.
 
--- a/landingspool/decisions/gateway/view.py
+++ b/landingspool/decisions/gateway/view.py
@@ -337,13 +337,7 @@
         """Store what another box reports of its requests and of targets."""
         self.peer_digests.take(digest, now)
         self.grouping.summaries.take(digest, now)
-        for name in self.watchers.receive_report(
-            digest.box, digest.unreached, now
-        ):
-            self.reachability.expedite(name, now)
-        for name in digest.unreached:
-            if name in self.fleet.entries:
-                self._suspect(name, now)
+        self._take_unreached(digest, now)
         for notice in digest.endings:
             self.crashes.take(notice, now)
         for notice in digest.limits:
@@ -357,6 +351,22 @@
         self.store_health.take_reports(digest.box, digest.slow_stores, now)
         self.fair_admission.take(digest, now)
 
+    def _take_unreached(self, digest, now):
+        unreached = self.fleet.entries.keys() & digest.unreached
+        if digest.partitioned or partition_module.is_nearly_all(
+            len(unreached), len(self.fleet.entries)
+        ):
+            # The box is cut off, which says nothing about the targets.
+            self.watchers.record_partitioned(digest.box)
+            return
+        for name in self.watchers.receive_report(
+            digest.box, digest.unreached, now
+        ):
+            self.reachability.expedite(name, now)
+        for name in digest.unreached:
+            if name in unreached:
+                self._suspect(name, now)
+
     def _suspect(self, name, now):
         duty = self.watchers.is_duty(name)
         confirm_s = (
--- a/landingspool/decisions/gateway/watchers.py
+++ b/landingspool/decisions/gateway/watchers.py
@@ -32,6 +32,8 @@
         self._box = ''
         self._members = ()
         self._reports = {}
+        # Boxes that reach no target.
+        self._partitioned = set()
 
     def set_members(self, box, near):
         """Set the name of this box and those of its peers in the domain."""
@@ -54,6 +56,7 @@
         >>> watchers.receive_report(first, (), 1.2)
         frozenset({'t'})
         """
+        self._partitioned.discard(box)
         known = self._reports.get(box)
         report = Report(frozenset(unreached), now)
         self._reports[box] = report
@@ -62,6 +65,11 @@
         back = known.unreached - report.unreached
         return frozenset(t for t in back if box in self.list_watchers(t))
 
+    def record_partitioned(self, box):
+        """Record that a peer reaches no target until its next report."""
+        self._reports.pop(box, None)
+        self._partitioned.add(box)
+
     def exclude_stall(self, seconds):
         """Exclude a stall of this box from the age of reports."""
         for box, report in self._reports.items():
@@ -71,7 +79,10 @@
         """List the boxes that watch a target; empty: each box probes it."""
         if len(self._members) <= readers.MAX_DIRECT_READERS:
             return ()
-        return ownership.rank(target, self._members)[:WATCHERS_PER_TARGET]
+        ranked = ownership.rank(target, self._members)
+        if self._partitioned:
+            ranked = [box for box in ranked if box not in self._partitioned]
+        return ranked[:WATCHERS_PER_TARGET]
 
     def is_duty(self, target):
         """Return whether this box watches a target for its peers."""
--- a/landingspool/gateway/peering.py
+++ b/landingspool/gateway/peering.py
@@ -307,8 +307,13 @@
             domain=self._hub.deployment.domain,
             number=self._number,
             loads=peer_digests.hash_loads(view.loads.list_reported()),
-            unreached=view.reachability.list_reported(),
+            unreached=(
+                ()
+                if view.partition.is_on
+                else view.reachability.list_reported()
+            ),
             link_mbps=self._hub.deployment.link_mbps,
+            partitioned=view.partition.is_on,
         )
 
     def _on_ask_period(self, tick):
