Leave the orders to another box where their holder reaches no target

Requests would be served on old weights, and refused once these are too old, for as long as the box that holds the claim on orders is partitioned from all targets: it kept renewing its claim while each of its reports went unanswered, and no other box may claim meanwhile. Now a partitioned box gives the claim up and makes none; another takes over once the claim has expired. A report that finds no connection counts as a failed connection, so a holder without requests learns of the partition, too; for this the two failures may be three seconds apart. Evidence: with the first of four boxes cut, no target had the new weights after 15 s in all four cases of test_weights_are_ordered_though_the_first_box_is_cut, with and without requests, hanging and refused; all have them now.

--- a/landingspool/decisions/gateway/partition.py
+++ b/landingspool/decisions/gateway/partition.py
@@ -9,8 +9,9 @@
 
 import collections
 
-# Seconds within which connections to two targets have to fail.
-WINDOW_S = 1.0
+# Seconds within which connections to two targets have to fail: a box with few
+# requests, or with orders alone, seldom opens one.
+WINDOW_S = 3.0
 # Number of targets that are probed to tell a partition from dead targets.
 SAMPLES = 4
 # Minimum seconds between two samples: each probe is a new connection.
@@ -56,7 +57,7 @@
                 if now - at <= WINDOW_S
             }
             self._failed[name] = now
-        if name in self._pending and now - self._sampled <= WINDOW_S:
+        if name in self._pending and now - self._sampled < SAMPLE_PERIOD_S:
             self._pending.discard(name)
             if not self._pending:
                 self.begin(now)
--- a/landingspool/gateway/ordering.py
+++ b/landingspool/gateway/ordering.py
@@ -75,6 +75,12 @@
 
     async def _may_hold(self):
         now = self._hub.clock()
+        if self._hub.view.partition.is_on:
+            # Other boxes reach the targets; they claim once this one's claim
+            # has expired.
+            self._drop_claim('no target can be reached')
+            self._unclaimed.restart()
+            return False
         if rollouts.is_held(self._lease, now):
             return True
         if self.watch.end is None:
@@ -268,6 +274,8 @@
                 'calls to the target are excluded', False
             )
         report = await self._hub.runners.report(entry.address)
+        if isinstance(report, runners.Unanswered) and not report.sent:
+            self._hub.prober.record_failed(entry.name, report.reason)
         if isinstance(report, runners.Report):
             if report.is_other_incarnation(
                 fleet.parse_incarnation(entry.name)
--- a/tests/gateway/test_cut_boxes.py
+++ b/tests/gateway/test_cut_boxes.py
@@ -122,3 +122,22 @@
         assert all(shares[n] >= others * 2 / 3 for n in names[:boxes]), shares
 
     site.run(check, plain=3, engines=3)
+
+
+@pytest.mark.parametrize('manner', ['hanging', 'refused'])
+@pytest.mark.parametrize('asked', [0, 2])
+def test_weights_are_ordered_though_the_first_box_is_cut(asked, manner):
+    # Guards against a claim that is held by a box that reaches no target.
+    async def check(deployment):
+        hubs = await site.start_boxes(deployment, BOXES)
+        (first,) = [h for h in hubs if not h.peering.get_rank('orders')]
+        Cut(first, deployment.plain + deployment.engines, manner)
+        for _ in range(asked):
+            await site.ask(first, '/safe/a')
+        named = {'model': 'm', 'version': 2}
+        deployment.store.put('keyed.op', 'version/m', named)
+        await site.wait_until(
+            lambda: all(r.version == 2 for r in deployment.engines), 15.0
+        )
+
+    site.run(check, plain=3, engines=2)
