Follow the caches through a box that reaches the stores

In a large domain two boxes ask the stores of cached context and the others follow these two. Where such a reader is partitioned from all targets and stores, its followers reach the stores themselves and still went on without updates, so that their callers' prompts were computed from the beginning for as long as the cut lasts: only a reader that doesn't answer was left. Now a box that says that it is partitioned is no reader of the caches until it reports again; for the tables, which come from the platform's store, it stays one. Evidence: test_caches_are_not_followed_through_a_partitioned_box failed before (the follower stayed with it).

--- a/landingspool/decisions/gateway/watchers.py
+++ b/landingspool/decisions/gateway/watchers.py
@@ -70,6 +70,10 @@
         self._reports.pop(box, None)
         self._partitioned.add(box)
 
+    def is_partitioned(self, box):
+        """Return whether a peer has reported that it reaches no target."""
+        return box in self._partitioned
+
     def exclude_stall(self, seconds):
         """Exclude a stall of this box from the age of reports."""
         for box, report in self._reports.items():
--- a/landingspool/gateway/peering.py
+++ b/landingspool/gateway/peering.py
@@ -136,13 +136,11 @@
         at once.  Over the one link of the reader that takes 4 s with 100 boxes
         and 1,000 targets, and 30 s with 300 boxes and 3,000 targets.
         """
-        return self._pick_peer(self._hub.view.proof.age(self._hub.clock()))
+        age_s = self._hub.view.proof.age(self._hub.clock())
+        return self._pick_peer(self._list_domain_peers(), age_s)
 
-    def _pick_peer(self, age_s):
-        links = {
-            name: self.peers[name].link_mbps
-            for name in self._list_domain_peers()
-        }
+    def _pick_peer(self, names, age_s):
+        links = {name: self.peers[name].link_mbps for name in names}
         name = self._readers.pick(links, age_s, self._hub.clock())
         return self.peers.get(name)
 
@@ -151,9 +149,14 @@
 
         None means that this box follows them.  However old its proof of the
         tables is, a box stays with the peer that it follows: each box that
-        began to follow the stores would ask them for complete lists.
+        began to follow the stores would ask them for complete lists.  Only
+        one that reaches no target, and so no store either, is left.
         """
-        return self._pick_peer(0.0)
+        watchers = self._hub.view.watchers
+        names = self._list_domain_peers()
+        return self._pick_peer(
+            [name for name in names if not watchers.is_partitioned(name)], 0.0
+        )
 
     def get_reader_name(self):
         """Return the name of the box to read from; empty for the store."""
--- a/tests/gateway/test_witnesses.py
+++ b/tests/gateway/test_witnesses.py
@@ -61,3 +61,17 @@
         assert not probed
 
     site.run(check, plain=3, engines=3)
+
+
+def test_caches_are_not_followed_through_a_partitioned_box():
+    async def check(deployment):
+        hubs = await site.start_boxes(deployment, 6)
+        hub = next(h for h in hubs if h.peering.pick_store_follower())
+        reader = hub.peering.pick_store_follower().name
+        digest = peer_digests.Digest(reader, 'd1', 10**6, {}, partitioned=True)
+        hub.view.take_digest(digest, hub.clock())
+        follower = hub.peering.pick_store_follower()
+        assert follower is None or follower.name != reader
+        assert hub.peering.pick_reader().name == reader
+
+    site.run(check)
