Leave idle connections at once where a partition is silent

Requests at a box whose paths to all targets hang are written on its idle connections and lost there: what can't be repeated ends without an answer, and each of the pooled connections takes one. When a partition begins by a connection that hangs, the idle connections to all targets are closed now. Where connections are refused, the open ones may live on and stay in use.

--- a/landingspool/gateway/attempts.py
+++ b/landingspool/gateway/attempts.py
@@ -64,7 +64,9 @@
             )
         except upstream_module.ExchangeError as error:
             reason = str(error)
-            self._hub.prober.record_failed(self._plan.entry.name, reason)
+            self._hub.prober.record_failed(
+                self._plan.entry.name, reason, error.silent
+            )
             return outcomes.Unreached(reason)
         if not self._may_send():
             self._exchange.abort()
--- a/landingspool/gateway/prober.py
+++ b/landingspool/gateway/prober.py
@@ -27,8 +27,14 @@
         self._probing = {}
         self._is_partitioned = False
 
-    def record_failed(self, name, reason):
-        """Record that a connection failed, or that its path is dead."""
+    def record_failed(self, name, reason, silent=False):
+        """Record that a connection failed, or that its path is dead.
+
+        Parameters
+        ----------
+        silent : bool
+            Whether the target answered nothing, instead of refusing.
+        """
         view = self._hub.view
         if name not in view.reachability.list_failed():
             self._hub.recorder.record('unreached', target=name, reason=reason)
@@ -37,14 +43,19 @@
         for sample in view.list_samples(now):
             if sample not in self._probing:
                 self._start_probe(sample)
-        self._record_partition()
+        if self._record_partition() and silent:
+            # The idle connections would lose the requests sent on them.
+            for entry in view.fleet.entries.values():
+                self._hub.upstream.drop(entry.address)
 
     def _record_partition(self):
-        is_on = self._hub.view.partition.is_on
-        if is_on != self._is_partitioned:
+        """Log a partition that begins or ends; return whether it begins."""
+        was_on, is_on = self._is_partitioned, self._hub.view.partition.is_on
+        self._is_partitioned = is_on
+        if is_on != was_on:
             name = 'partitioned' if is_on else 'partition_over'
             self._hub.recorder.record(name)
-        self._is_partitioned = is_on
+        return is_on and not was_on
 
     def check(self, tick):
         """Start a probe of each target that is due."""
@@ -88,7 +99,7 @@
                 # The idle connections use the same silent path.
                 self._hub.upstream.drop(entry.address)
             if name in view.fleet.entries:
-                self.record_failed(name, str(error))
+                self.record_failed(name, str(error), error.silent)
             return
         view.record_connected(self._hub.clock())
         self._record_partition()
--- a/tests/gateway/test_cut_boxes.py
+++ b/tests/gateway/test_cut_boxes.py
@@ -70,7 +70,7 @@
 
 async def hang():
     await asyncio.sleep(upstream.CONNECT_TIMEOUT_S)
-    raise upstream.ExchangeError('connect: time-out', False)
+    raise upstream.ExchangeError('connect: time-out', False, silent=True)
 
 
 async def refuse():
--- a/tests/gateway/test_partition.py
+++ b/tests/gateway/test_partition.py
@@ -112,3 +112,24 @@
         assert not hub.view.partition.is_on
 
     site.run(check, plain=4, engines=4)
+
+
+@pytest.mark.parametrize('manner', cuts.MANNERS)
+def test_idle_connections_are_left_if_they_are_silent_too(manner):
+    async def check(deployment):
+        hub = await deployment.start_box()
+        targets = deployment.plain + deployment.engines
+        for target in targets:
+            address = site.http.Address(*target.address[:2])
+            connection = await hub.upstream._connect(address)
+            hub.upstream.keep(address, connection, 9.0, 9)
+        cuts.Cut(hub, targets, manner)
+        for name in ('p0', 'p1'):
+            hub.prober.record_failed(name, 'told by the test')
+        await site.wait_until(lambda: hub.view.partition.is_on, 1.0)
+        assert len(hub.upstream.list_ready(True)) == READY[manner]
+
+    site.run(check, plain=4, engines=4)
+
+
+READY = {'hanging': 0, 'refused': 0, 'old connections live': 8}
