--- a/landingspool/event_kinds.py
+++ b/landingspool/event_kinds.py
@@ -312,6 +312,18 @@
             'A target with requests has sent nothing for a while; it is '
             'probed.',
         ),
+        Kind(
+            526,
+            'partitioned',
+            'ERROR',
+            'This box reaches no target; other boxes serve its requests.',
+        ),
+        Kind(
+            527,
+            'partition_over',
+            'INFO',
+            'This box reaches targets again.',
+        ),
         Kind(
             600, 'kept', 'DEBUG', 'A block of context was sealed in a store.'
         ),
--- a/landingspool/gateway/attempts.py
+++ b/landingspool/gateway/attempts.py
@@ -426,7 +426,7 @@
             hub.view.get_connection_limit(work.service),
         )
     except upstream_module.ExchangeError as error:
-        hub.prober.record_failed(entry.name, str(error))
+        hub.prober.record_failed(entry.name, str(error), error.silent)
         raise
 
 
--- a/landingspool/gateway/prober.py
+++ b/landingspool/gateway/prober.py
@@ -25,13 +25,37 @@
     def __init__(self, hub):
         self._hub = hub
         self._probing = {}
+        self._is_partitioned = False
 
-    def record_failed(self, name, reason):
-        """Record that a connection failed, or that its path is dead."""
+    def record_failed(self, name, reason, silent=False):
+        """Record that a connection failed, or that its path is dead.
+
+        Parameters
+        ----------
+        silent : bool
+            Whether the target answered nothing, instead of refusing.
+        """
         view = self._hub.view
         if name not in view.reachability.list_failed():
             self._hub.recorder.record('unreached', target=name, reason=reason)
-        view.record_unreached(name, self._hub.clock())
+        now = self._hub.clock()
+        view.record_unreached(name, now)
+        for sample in view.list_samples(now):
+            if sample not in self._probing:
+                self._start_probe(sample)
+        if self._record_partition() and silent:
+            # The idle connections would lose the requests sent on them.
+            for entry in view.fleet.entries.values():
+                self._hub.upstream.drop(entry.address)
+
+    def _record_partition(self):
+        """Log a partition that begins or ends; return whether it begins."""
+        was_on, is_on = self._is_partitioned, self._hub.view.partition.is_on
+        self._is_partitioned = is_on
+        if is_on != was_on:
+            name = 'partitioned' if is_on else 'partition_over'
+            self._hub.recorder.record(name)
+        return is_on and not was_on
 
     def check(self, tick):
         """Start a probe of each target that is due."""
@@ -40,7 +64,7 @@
         unchecked = view.reachability.take_unchecked(silent, tick.now)
         for name in unchecked:
             self._hub.recorder.record('target_silent', target=name)
-        for name in (*view.reachability.list_due(tick.now), *unchecked):
+        for name in (*view.list_due_probes(tick.now), *unchecked):
             if name not in self._probing and self._may_probe(name, tick.now):
                 self._start_probe(name)
 
@@ -75,8 +99,10 @@
                 # The idle connections use the same silent path.
                 self._hub.upstream.drop(entry.address)
             if name in view.fleet.entries:
-                self.record_failed(name, str(error))
+                self.record_failed(name, str(error), error.silent)
             return
+        view.record_connected(self._hub.clock())
+        self._record_partition()
         if was_failed:
             view.record_reconnected(name, self._hub.clock())
             self._hub.recorder.record('reached', target=name)
