Name the steps of an attempt that depend on a planned target

A request that a box forwards through another box is sent, timed and its answer relayed as by an attempt, but there is no planned target whose loads and health are to be updated. The steps that do so, and the check whether an answer belongs to the request, get methods of their own, so that a forwarding attempt can replace exactly them. No behaviour changes: the tests of the relay, of back-offs and of the pool of connections pass as before.

--- a/landingspool/gateway/attempts.py
+++ b/landingspool/gateway/attempts.py
@@ -198,10 +198,8 @@
         self._record_notices(head)
         if head.not_run:
             return await self._take_rejection(head)
-        if not is_answer_to(head, self._state.call.name):
-            return self._report_lost(
-                'not the answer to this request', outcomes.Cause.MALFORMED
-            )
+        if not self._is_answer(head):
+            return await self._take_foreign(head)
         try:
             async with timeouts.Timeout(self._get_remaining_s()):
                 if is_success(head):
@@ -229,6 +227,14 @@
         """Return the seconds until the request's deadline."""
         return self._state.deadline - self._hub.clock()
 
+    def _is_answer(self, head):
+        return is_answer_to(head, self._state.call.name)
+
+    async def _take_foreign(self, head):
+        return self._report_lost(
+            'not the answer to this request', outcomes.Cause.MALFORMED
+        )
+
     async def _take_rejection(self, head):
         name = self._plan.entry.name
         if (
@@ -244,6 +250,11 @@
             self._view.record_rejected(
                 self._plan, self._state.work, self._hub.clock()
             )
+        await self._read_rest()
+        return outcomes.Rejected(head)
+
+    async def _read_rest(self):
+        """Read the body of a rejection, so that its connection can be kept."""
         try:
             async with timeouts.Timeout(REJECTION_READ_S):
                 while await self._exchange.read_data():
@@ -251,19 +262,21 @@
                 self._exchange.release()
         except (TimeoutError, upstream_module.ExchangeError):
             self._exchange.abort()
-        return outcomes.Rejected(head)
 
     async def _take_failure(self, head):
         body = bytearray()
         while data := await self._exchange.read_data():
             body += data
         self._exchange.release()
+        self._record_failure(head)
+        return outcomes.Failed(head, bytes(body))
+
+    def _record_failure(self, head):
         wait_s = self._hub.timer.measure_running_s(self._sent_at)
         # A target that asks for a back-off lacks free capacity and has said
         # for how long: that is no failure.
         failed = head.status >= 500 and not head.notices.asks_backoff
         self._view.record_answer(self._plan, wait_s, failed)
-        return outcomes.Failed(head, bytes(body))
 
     async def _forward(self, head):
         if self._state.work.route.kind == routes.STREAM:
@@ -295,7 +308,7 @@
         return outcomes.Done(head.status)
 
     async def _forward_stream(self, head):
-        stream, name = self._open_stream(head), self._plan.entry.name
+        stream = self._open_stream(head)
         pause_s = MAX_STREAM_PAUSE_S if self._state.may_send_again() else None
         while True:
             try:
@@ -305,7 +318,7 @@
                 return self._report_lost('paused', outcomes.Cause.PAUSED)
             if not data:
                 break
-            self._view.loads.record_received(name, self._hub.clock())
+            self._record_received()
             self._record_version(await stream.take(data))
             if stream.any_sent and not stream.first_recorded:
                 stream.first_recorded = True
@@ -351,6 +364,10 @@
         name = self._plan.entry.name
         self._view.record_loss(name, self._hub.clock(), certain)
 
+    def _record_received(self):
+        name = self._plan.entry.name
+        self._view.loads.record_received(name, self._hub.clock())
+
     def _record_first(self):
         now = self._hub.clock()
         self._view.record_first(self._plan, self._state.work, now)
