Write the head of a request that is forwarded to another box

A box that can't reach the targets of a service is to forward its requests through a box that can. The head for that keeps the caller's key, which a target never gets, names the time left, and drops what concerns one connection; the rest of the writing is shared with the head for targets. Headers that boxes add for each other have a module of their own, so that a caller's copies can be dropped by their prefix. Nothing uses it yet; the doctests of both modules pass, and so do the tests of what targets are told.

--- /dev/null
+++ b/landingspool/gateway/forwarded_rows.py
@@ -0,0 +1,120 @@
+"""Read and write the headers that boxes add to forwarded requests.
+
+They are exchanged between boxes only.  A caller's copies are dropped, and
+neither targets nor callers ever receive them.
+"""
+
+import typing
+
+PREFIX = b'x-landingspool-box-'
+# In requests: the box that forwards it.
+FORWARDED_BY = PREFIX + b'name'
+# In requests: the service that the forwarding box has chosen.
+SERVICE = PREFIX + b'service'
+# In requests and answers: whether the request was counted.
+COUNTED = PREFIX + b'counted'
+# In answers that the box itself gives: why it did not serve the request.
+REASON = PREFIX + b'reason'
+# In answers that the box itself gives: how often it has sent the request.
+SENDS = PREFIX + b'sends'
+
+
+class Origin(typing.NamedTuple):
+    """Where a forwarded request comes from.
+
+    Attributes
+    ----------
+    box : str
+        Name of the box that forwards it.
+    service : str
+        The service that this box has chosen.
+    counted : bool
+        Whether it has counted the request.
+    """
+
+    box: str
+    service: str
+    counted: bool
+
+
+class Report(typing.NamedTuple):
+    """What a box did with a forwarded request that it did not serve.
+
+    Attributes
+    ----------
+    reason : str
+        Why it was not served; empty if the box did not say.
+    sends : int
+        How often it was sent to a target.
+    counted : bool
+        Whether any box has counted it.
+    """
+
+    reason: str
+    sends: int
+    counted: bool
+
+
+def read_origin(headers):
+    """Return the Origin of a forwarded request, or None if it has none.
+
+    >>> read_origin(write_origin(Origin('b', 's', True)))
+    Origin(box='b', service='s', counted=True)
+    >>> read_origin([]) is None
+    True
+    """
+    found = dict(headers)
+    if not found.get(FORWARDED_BY):
+        return None
+    return Origin(
+        found[FORWARDED_BY].decode('latin-1'),
+        found.get(SERVICE, b'').decode('latin-1'),
+        found.get(COUNTED) == b'1',
+    )
+
+
+def write_origin(origin):
+    """Return the headers of an Origin."""
+    return [
+        (FORWARDED_BY, origin.box.encode('latin-1')),
+        (SERVICE, origin.service.encode('latin-1')),
+        (COUNTED, b'%d' % origin.counted),
+    ]
+
+
+def read_report(headers):
+    """Return the Report in the headers of an answer.
+
+    A box that says nothing of how often it sent the request, as where it
+    could not read the request, has not sent it.
+
+    >>> read_report(write_report(Report('busy', 1, True)))
+    Report(reason='busy', sends=1, counted=True)
+    >>> read_report([])
+    Report(reason='', sends=0, counted=False)
+    """
+    found = dict(headers)
+    sends = found.get(SENDS, b'0')
+    return Report(
+        found.get(REASON, b'').decode('latin-1'),
+        int(sends) if sends.isdigit() else 0,
+        found.get(COUNTED) == b'1',
+    )
+
+
+def write_report(report):
+    """Return the headers of a Report."""
+    return [
+        (REASON, report.reason.encode('latin-1')),
+        (SENDS, b'%d' % report.sends),
+        (COUNTED, b'%d' % report.counted),
+    ]
+
+
+def strip(headers):
+    """Return the headers of a request or answer without those of boxes.
+
+    >>> strip([(b'host', b'h'), (COUNTED, b'1')])
+    [(b'host', b'h')]
+    """
+    return [row for row in headers if not row[0].startswith(PREFIX)]
--- a/landingspool/platform/egress.py
+++ b/landingspool/platform/egress.py
@@ -10,6 +10,8 @@
 
 # Milliseconds taken off the time left, since the answer has to travel back.
 RETURN_MARGIN_MS = 5
+# Headers of a caller that a target doesn't receive.
+DROPPED_HEADERS = names.HOP_HEADERS | names.OWN_HEADERS
 # Priorities at a target go from 0, the most urgent, to 9.
 LEAST_URGENT = 9
 
@@ -58,23 +60,61 @@
     -------
     list of tuple of bytes
     """
-    named = list_connection_names(call.headers)
-    kept = [
+    kept = keep_headers(call, instructions.after_event, DROPPED_HEADERS)
+    kept += write_length(call, body_length)
+    return kept + write_instructions(call, instructions)
+
+
+def write_forwarded_head(call, left_s, after_event, body_length):
+    """Return the headers with which a call is forwarded to another box.
+
+    That box checks the caller's key and sets the headers for the target.
+
+    Parameters
+    ----------
+    left_s : float
+        Seconds in which the other box is to answer.
+    after_event : str
+        Id of the last event that the caller has; empty if none.
+
+    Returns
+    -------
+    list of tuple of bytes
+    """
+    kept = keep_headers(
+        call, after_event, DROPPED_HEADERS - {names.AUTHORIZATION}
+    )
+    rows = [(names.TIME_LEFT, write_time_left(left_s))]
+    if after_event:
+        rows.append((names.LAST_EVENT, after_event))
+    return kept + write_length(call, body_length) + encode_rows(rows)
+
+
+def keep_headers(call, after_event, dropped):
+    """Return the headers of a caller that are relayed.
+
+    Parameters
+    ----------
+    after_event : str
+        Id of an event that replaces the one that the caller named, if any.
+    dropped : frozenset of str
+        Names of headers that are not relayed.
+    """
+    named = list_connection_names(call.headers) | dropped
+    if after_event:
+        named.add(names.LAST_EVENT)
+    return [
         (name, value)
         for name, value in call.headers
         if name.decode('latin-1') not in named
-        and not is_dropped(name.decode('latin-1'), instructions)
     ]
-    if has_body(call) or body_length:
-        kept.append((b'content-length', str(body_length).encode()))
-    return kept + write_instructions(call, instructions)
 
 
-def is_dropped(name, instructions):
-    """Return whether a header of the caller is not relayed."""
-    if name in names.HOP_HEADERS or name in names.OWN_HEADERS:
-        return True
-    return name == names.LAST_EVENT and bool(instructions.after_event)
+def write_length(call, body_length):
+    """Return the header of the body's length, if there is a body."""
+    if has_body(call) or body_length:
+        return [(b'content-length', str(body_length).encode())]
+    return []
 
 
 def has_body(call):
@@ -96,9 +136,8 @@
 
 def write_instructions(call, instructions):
     """Return the headers that the system sets."""
-    left_ms = max(int(instructions.left_s * 1000) - RETURN_MARGIN_MS, 1)
     rows = [
-        (names.TIME_LEFT, str(left_ms)),
+        (names.TIME_LEFT, write_time_left(instructions.left_s)),
         (names.ONLY_TARGET, instructions.target),
     ]
     if instructions.workspace:
@@ -107,6 +146,20 @@
         rows.append((names.LAST_EVENT, instructions.after_event))
     if call.prompt is not None:
         rows += write_engine_rows(instructions)
+    return encode_rows(rows)
+
+
+def write_time_left(left_s):
+    """Return the header value for the seconds left, less the way back.
+
+    >>> write_time_left(1.5), write_time_left(0.0)
+    ('1495', '1')
+    """
+    return str(max(int(left_s * 1000) - RETURN_MARGIN_MS, 1))
+
+
+def encode_rows(rows):
+    """Return headers of texts as headers of bytes."""
     return [(name.encode(), value.encode('latin-1')) for name, value in rows]
 
 
