Read the address of a box for forwarded requests from its settings

Forwarded requests must not come in where callers do: a caller could then pass for a box. The second of the machine's internal ports takes them, unless another part of the box listens there. A box without such a range, or with one of another form, has no such address and takes none, since it can serve its own callers all the same. New test: six forms of the range.

--- a/landingspool/gateway/deployment.py
+++ b/landingspool/gateway/deployment.py
@@ -83,6 +83,8 @@
         can be known yet.
     regions : dict of str to str
         The region of each failure domain.
+    forwarding : http.Address or None
+        Address for requests that peers forward; None: none are taken.
     """
 
     box: str
@@ -98,3 +100,4 @@
     link_mbps: float = 0.0
     first_start: bool = False
     regions: dict = {}
+    forwarding: http.Address | None = None
--- a/landingspool/platform/boot.py
+++ b/landingspool/platform/boot.py
@@ -76,10 +76,26 @@
         link_mbps=reader.number('limits.link_mbps', 0.0),
         first_start=reader.flag('bootstrap', False),
         regions=reader.texts('zones'),
+        forwarding=find_forwarding_address(reader),
     )
     return (None if reader.errors else loaded), reader.errors
 
 
+def find_forwarding_address(reader):
+    """Return the address for forwarded requests, or None if there is none.
+
+    It is the second of the ports that the machine may use internally, unless
+    that one is used for something else.
+    """
+    ports = reader.ports('internal_ports')
+    host = reader.find('ip')
+    if len(ports) < 2 or not isinstance(host, str):
+        return None
+    address = http.Address(host, ports[1])
+    used = (reader.find('listen') or {}).values()
+    return None if f'{host}:{ports[1]}' in used else address
+
+
 class Reader:
     """Reads checked values from nested tables and collects the errors."""
 
@@ -126,6 +142,20 @@
             return value
         return self._add_error(key, value, 'expected a list of texts', [])
 
+    def ports(self, key):
+        """Return an optional range of ports; empty if absent.
+
+        The range is a list or a text of its first and last port.  Without
+        it a box serves as well, so that another form is not an error.
+        """
+        value = self.find(key)
+        parts = value.split('-') if isinstance(value, str) else value
+        try:
+            first, last = (int(part) for part in parts)
+        except (TypeError, ValueError):
+            return range(0)
+        return range(first, last + 1)
+
     def number(self, key, default):
         """Return a number of 0 or more; `default` if absent."""
         value = self.find(key)
--- a/tests/gateway/test_boot.py
+++ b/tests/gateway/test_boot.py
@@ -2,6 +2,9 @@
 
 import copy
 
+import pytest
+
+from landingspool import http
 from landingspool.platform import boot
 
 SETTINGS = {
@@ -45,6 +48,25 @@
     assert place.bounds.keys_fail_closed is True
 
 
+PORTS = (
+    ([90, 99], http.Address('10.0.0.1', 91)),
+    ('90-99', http.Address('10.0.0.1', 91)),
+    # The second one is that of the other boxes.
+    ([81, 99], None),
+    ([90, 90], None),
+    ('90', None),
+    (None, None),
+)
+
+
+@pytest.mark.parametrize(('ports', 'address'), PORTS)
+def test_forwarded_requests_have_an_internal_port(ports, address):
+    table = {**SETTINGS, 'ip': '10.0.0.1', 'internal_ports': ports}
+    place, errors = boot.read(table, 'f')
+    assert not errors
+    assert place.forwarding == address
+
+
 def test_all_wrong_settings_are_named_at_once():
     table = copy.deepcopy(SETTINGS)
     del table['node']
