Forward requests through a box that reaches their targets

Nothing handed a request to a box that could send it.

A box whose decisions say that a service is cut off now sends the request to a peer's internal address. The peer chooses the target, keeps the accounts of that and passes the answer on as it is, streams event by event; answers of its own have no request id and name the reason, the sends and whether the request was counted. So a request counts once, runs no more often than its route allows, and a refusal stays a promise. A forwarded request is never forwarded again. Boxes that reach their targets send no new message.

--- a/landingspool/decisions/gateway/view.py
+++ b/landingspool/decisions/gateway/view.py
@@ -17,6 +17,7 @@
 from landingspool.decisions.gateway import exclusions
 from landingspool.decisions.gateway import fair_admission
 from landingspool.decisions.gateway import fleet as fleet_module
+from landingspool.decisions.gateway import forwarding as forwarding_module
 from landingspool.decisions.gateway import freshness
 from landingspool.decisions.gateway import grouping as grouping_module
 from landingspool.decisions.gateway import health as health_module
@@ -64,6 +65,7 @@
         self.weights = weights_module.Weights(bounds.version_s)
         self.reachability = reachability_module.Reachability()
         self.watchers = watchers_module.Watchers()
+        self.forwarding = forwarding_module.Forwarding()
         self.engine_split = split_module.EngineSplit()
         self.exclusions = exclusions.Exclusions(
             bounds, regions or {}, self.rng
@@ -154,6 +156,13 @@
         entries = self.fleet.list_service(work.service)
         return bool(self.exclusions.list_open(entries, limits, now))
 
+    def reaches(self, service):
+        """Return whether any target of a service can be connected to."""
+        return any(
+            not self.reachability.is_out(entry.name)
+            for entry in self.fleet.list_service(service)
+        )
+
     def get_shortage(self, work, now):
         """Return why no target may get a request."""
         limits = self.exclusions.get_requirements(work, self.table)
--- a/landingspool/event_kinds.py
+++ b/landingspool/event_kinds.py
@@ -137,6 +137,12 @@
             'INFO',
             'No request for a service was refused for want of room lately.',
         ),
+        Kind(
+            220,
+            'forwarded',
+            'DEBUG',
+            'A request is sent to a box that reaches its targets.',
+        ),
         Kind(
             300, 'queued', 'DEBUG', 'A request waits in the queue of its pool.'
         ),
@@ -412,6 +418,12 @@
             'A task ended with an unhandled error.',
         ),
         Kind(801, 'no_metrics', 'WARNING', 'The metrics cannot be served.'),
+        Kind(
+            804,
+            'no_forwarding',
+            'WARNING',
+            'This box takes no requests that peers forward.',
+        ),
         Kind(
             802,
             'left_out',
--- a/landingspool/gateway/hub.py
+++ b/landingspool/gateway/hub.py
@@ -14,6 +14,8 @@
 from landingspool.gateway import cache_follower
 from landingspool.gateway import crash_records
 from landingspool.gateway import following
+from landingspool.gateway import forwarded_rows
+from landingspool.gateway import forwarder
 from landingspool.gateway import listener
 from landingspool.gateway import metrics
 from landingspool.gateway import ordering
@@ -54,6 +56,8 @@
 RESERVED_DESCRIPTORS = 1200
 # Callers' connections that are accepted even if descriptors are scarce.
 MIN_CONNECTIONS = 256
+# Bytes by which the head of a forwarded request may exceed that of a caller's.
+FORWARDED_HEADER_BYTES = 2048
 # Innermost stack frames in the log line of a fault.
 TRACE_FRAMES = 6
 # Limits for callers' requests before a table is known.
@@ -99,8 +103,19 @@
             deployment.descriptors - RESERVED_DESCRIPTORS, MIN_CONNECTIONS
         )
         self.listener = listener.Listener(
-            self._handle, self._get_limits, max_connections
+            self._handle,
+            self._get_limits,
+            max_connections,
+            lambda: self.forward_listener.count_open(),
         )
+        # For requests of peers that can't reach the targets.
+        self.forward_listener = listener.Listener(
+            self._handle_forwarded,
+            self._get_forward_limits,
+            max_connections,
+            self.listener.count_open,
+        )
+        self._takes_forwarded = False
         # Readiness for the balancer and metrics for engineers are at two
         # addresses.
         self._readiness_server = http.Server(self._answer_side_request)
@@ -125,6 +140,7 @@
         await self._readiness_server.start(*self.deployment.readiness)
         await self._start_metrics()
         await self.listener.start(self.deployment.callers)
+        await self._start_forward_listener()
         self.timer.subscribe_stall(self._on_stall)
         self.timer.subscribe(FLEET_CHECK_PERIOD_S, self._check_fleet)
         self.timer.subscribe(prober.CHECK_PERIOD_S, self.prober.check)
@@ -167,13 +183,31 @@
         self.stop()
 
     async def _handle(self, request, body, reply):
+        await self._relay(request, body, reply, None)
+
+    async def _handle_forwarded(self, request, body, reply):
+        origin = forwarded_rows.read_origin(request.headers)
+        if origin is None:
+            await reply.send_error(400, 'not forwarded by a box')
+            return
+        if self._stop.is_set():
+            # It would be lost if it came as the listener closes.
+            report = forwarded_rows.Report(
+                forwarder.STOPPING, 0, origin.counted
+            )
+            rows = forwarded_rows.write_report(report)
+            await reply.send_error(503, forwarder.STOPPING, extra=rows)
+            return
+        await self._relay(request, body, reply, origin)
+
+    async def _relay(self, request, body, reply, origin):
         call = ingress.read_call(
             request.method.decode('latin-1'),
             request.target.decode('latin-1'),
-            list(request.headers),
+            forwarded_rows.strip(request.headers),
         )
         try:
-            await relay.Relay(self, call, body, reply).run()
+            await relay.Relay(self, call, body, reply, origin).run()
         except Exception:
             # An unexpected error ends only this request: its caller gets an
             # answer at once, and the box continues to serve.
@@ -189,6 +223,15 @@
         table = self.view.table
         return DEFAULT_LIMITS if table is None else table.limits
 
+    def _get_forward_limits(self):
+        limits = self._get_limits()
+        header_bytes = limits.header_bytes + FORWARDED_HEADER_BYTES
+        return limits._replace(header_bytes=header_bytes)
+
+    def get_forwarding_address(self):
+        """Return where peers may forward requests to, or None."""
+        return self.deployment.forwarding if self._takes_forwarded else None
+
     def _on_stall(self, stall):
         """Correct what is known for a stall of this process."""
         self.recorder.record('frozen', seconds=round(stall.seconds, 2))
@@ -240,6 +283,9 @@
             targets=len(self.view.fleet.entries),
             open=self.listener.count_busy(),
             waiting=self.gate.count_waiting(),
+            forwarded=dict(self.metrics.forward_counts),
+            served_peers=dict(self.metrics.served_peer_counts),
+            open_for_peers=self.forward_listener.count_busy(),
             proof_s=self.view.proof.age_to_log(tick.now),
             stores=self._describe_stores(tick.now),
             cold=len(self.view.exclusions.cold_targets.list_cold(tick.now)),
@@ -279,6 +325,21 @@
         serves = self.view.table is not None and known
         return serves and not self._stop.is_set()
 
+    async def _start_forward_listener(self):
+        address = self.deployment.forwarding
+        if self.deployment.links is None:
+            return
+        if address is None:
+            self.recorder.record('no_forwarding', reason='no address')
+            return
+        try:
+            await self.forward_listener.start(address)
+        except OSError as error:
+            # Peers need this only while they can't reach targets themselves.
+            self.recorder.record('no_forwarding', reason=str(error))
+            return
+        self._takes_forwarded = True
+
     async def _start_metrics(self):
         try:
             await self._metrics_server.start(
@@ -293,12 +354,16 @@
         began = self.clock()
         deadline = began + self.deployment.bounds.grace_s - EXIT_MARGIN_S
         self.listener.stop()
+        self.forward_listener.stop()
         self.gate.stop()
         self._spawn(self.peering.leave())
         await asyncio.sleep(
             min(STOP_NOTICE_S, self.deployment.bounds.grace_s / 2)
         )
-        await self.listener.close(max(deadline - self.clock(), 0.1))
+        left_s = max(deadline - self.clock(), 0.1)
+        await asyncio.gather(
+            self.listener.close(left_s), self.forward_listener.close(left_s)
+        )
         for task in self._tasks:
             task.cancel()
         with contextlib.suppress(asyncio.CancelledError):
--- a/landingspool/gateway/listener.py
+++ b/landingspool/gateway/listener.py
@@ -61,7 +61,7 @@
         self._connection.write(data)
         await self._connection.drain()
 
-    async def send_error(self, status, reason, retry_after=None):
+    async def send_error(self, status, reason, retry_after=None, extra=()):
         """Send an error of this box as JSON.
 
         Parameters
@@ -70,8 +70,10 @@
         reason : str
         retry_after : float, optional
             Seconds for the Retry-After header.
+        extra : iterable of tuple of bytes, optional
+            Further headers.
         """
-        rows = [(b'content-type', b'application/json')]
+        rows = [(b'content-type', b'application/json'), *extra]
         if retry_after is not None:
             rows.append((b'retry-after', f'{retry_after:.2f}'.encode()))
         body = json.dumps({'error': reason}).encode()
@@ -134,6 +136,9 @@
         Returns the routes.Limits in force.
     max_connections : int
         Concurrent connections; further ones are reset.
+    count_others : callable, optional
+        Returns the number of connections of other listeners that count
+        towards `max_connections`.
 
     Attributes
     ----------
@@ -141,10 +146,13 @@
         Whether callers are asked to connect elsewhere.
     """
 
-    def __init__(self, handle, get_limits, max_connections):
+    def __init__(
+        self, handle, get_limits, max_connections, count_others=lambda: 0
+    ):
         self._handle = handle
         self._get_limits = get_limits
         self._max_connections = max_connections
+        self._count_others = count_others
         self._server = None
         self._tasks = {}
         self.stopping = False
@@ -182,8 +190,13 @@
         """Return the number of connections with a request in progress."""
         return sum(1 for busy in self._tasks.values() if busy)
 
+    def count_open(self):
+        """Return the number of connections."""
+        return len(self._tasks)
+
     def _accept(self, connection):
-        if len(self._tasks) >= self._max_connections:
+        taken = len(self._tasks) + self._count_others()
+        if taken >= self._max_connections:
             connection.abort()
             return
         task = asyncio.ensure_future(self._serve(connection))
--- a/landingspool/gateway/metrics.py
+++ b/landingspool/gateway/metrics.py
@@ -1,5 +1,7 @@
 """Prometheus metrics of the gateway: counters, gauges and histograms."""
 
+import collections
+
 import prometheus_client as prometheus
 
 from landingspool.decisions.gateway import fair_admission
@@ -16,7 +18,7 @@
             'answers', 'Final answers', ('status', 'reason')
         )
         self.connections = self._make_counter(
-            'connections', 'New connections to targets'
+            'connections', 'New connections to targets and for forwarding'
         )
         self.repeats = self._make_counter('repeats', 'Requests sent again')
         self.budget_refusals = self._make_counter(
@@ -31,6 +33,15 @@
         self.orders = self._make_counter(
             'orders', 'Orders to targets by outcome', ('outcome',)
         )
+        self.forwards = self._make_counter(
+            'forwards', 'Requests forwarded to other boxes', ('outcome',)
+        )
+        self.served_peers = self._make_counter(
+            'served_peers', 'Answers to other boxes', ('status',)
+        )
+        # The same for the log, since the start.
+        self.forward_counts = collections.Counter()
+        self.served_peer_counts = collections.Counter()
         self.cold = self._make_gauge(
             'cold_targets', 'Targets that count as cold'
         )
@@ -146,6 +157,17 @@
         if first_s is not None:
             self.first.observe(first_s)
 
+    def record_forward(self, outcome):
+        """Count an attempt to have another box serve a request."""
+        self.forwards.labels(outcome).inc()
+        self.forward_counts[outcome] += 1
+
+    def record_served_peer(self, answer):
+        """Count the answer to a request that another box has forwarded."""
+        status = str(answer.status)
+        self.served_peers.labels(status).inc()
+        self.served_peer_counts[status] += 1
+
     def record_return(self, answer):
         """Count the answer to a caller that came back after a refusal.
 
--- a/landingspool/gateway/outcomes.py
+++ b/landingspool/gateway/outcomes.py
@@ -3,6 +3,7 @@
 import dataclasses
 import enum
 
+from landingspool.gateway import forwarded_rows
 from landingspool.platform import answers
 
 
@@ -62,6 +63,23 @@
     cause: Cause
 
 
+@dataclasses.dataclass(frozen=True)
+class PeerRefused:
+    """Another box says that the request was not executed and won't be.
+
+    `retry_after_s` is None if that box named no time to retry.
+    """
+
+    status: int
+    report: forwarded_rows.Report
+    retry_after_s: float | None
+
+    @property
+    def reason(self):
+        """Why the box did not serve it."""
+        return self.report.reason or f'status {self.status}'
+
+
 @dataclasses.dataclass(frozen=True)
 class Done:
     """The complete answer was forwarded."""
--- a/landingspool/gateway/registry.py
+++ b/landingspool/gateway/registry.py
@@ -32,12 +32,16 @@
 
 
 class Peer(typing.NamedTuple):
-    """Another box, its address and domain, and its link in Mbit/s."""
+    """Another box, its address and domain, and its link in Mbit/s.
+
+    `forwarding` is its address for forwarded requests; None if it takes none.
+    """
 
     name: str
     address: http.Address
     domain: str
     link_mbps: float = 0.0
+    forwarding: http.Address | None = None
 
 
 class Registry:
@@ -103,7 +107,10 @@
         """Write this box into the store, until that has succeeded."""
         deployment = self._hub.deployment
         row = write_peer(
-            deployment.links, deployment.domain, deployment.link_mbps
+            deployment.links,
+            deployment.domain,
+            deployment.link_mbps,
+            self._hub.get_forwarding_address(),
         )
         while True:
             reply = await self._hub.store.append(
@@ -128,7 +135,7 @@
         self._peers.update(listed)
 
 
-def write_peer(address, domain, link_mbps):
+def write_peer(address, domain, link_mbps, forwarding=None):
     """Return the record of a box.
 
     >>> write_peer(http.Address('10.0.0.1', 8002), 'd1', 5.0)
@@ -139,6 +146,8 @@
         'domain': domain,
         'link_mbps': link_mbps,
     }
+    if forwarding is not None:
+        row['forwarding'] = f'{forwarding[0]}:{forwarding[1]}'
     return json.dumps(row).encode()
 
 
@@ -148,6 +157,12 @@
     >>> row = write_peer(http.Address('10.0.0.1', 8002), 'd1', 5.0)
     >>> read_peer('b', row).address, read_peer('b', row).link_mbps
     (Address(host='10.0.0.1', port=8002), 5.0)
+    >>> read_peer('b', row).forwarding is None
+    True
+    >>> there = http.Address('10.0.0.1', 8003)
+    >>> row = write_peer(http.Address('10.0.0.1', 8002), 'd1', 5.0, there)
+    >>> read_peer('b', row).forwarding
+    Address(host='10.0.0.1', port=8003)
     >>> read_peer('b', b'') is None
     True
     """
@@ -155,6 +170,10 @@
         row = json.loads(value)
         address = boot.parse_address(row['address'])
         link_mbps = float(row.get('link_mbps', 0.0))
-        return address and Peer(name, address, row['domain'], link_mbps)
+        # A box of an earlier version names no address for it.
+        forwarding = boot.parse_address(row.get('forwarding'))
+        return address and Peer(
+            name, address, row['domain'], link_mbps, forwarding
+        )
     except (ValueError, KeyError, TypeError):
         return None
--- a/landingspool/gateway/relay.py
+++ b/landingspool/gateway/relay.py
@@ -15,12 +15,15 @@
 from landingspool.decisions.gateway import routes
 from landingspool.gateway import admission_gate
 from landingspool.gateway import attempts
+from landingspool.gateway import forwarded_rows
+from landingspool.gateway import forwarder
 from landingspool.gateway import outcomes
 from landingspool.gateway import request_state as request_state_module
 from landingspool.platform import answers
 
 # Attempts of a request that may fail before anything is sent; those that are
-# sent are limited by its route.
+# sent are limited by its route.  Also the number of boxes that a request may
+# be forwarded to.
 MAX_UNSENT_ATTEMPTS = 4
 # Range of the random Retry-After of a refusal, seconds.  Random, so that
 # callers don't return together; a target's reload takes about a second.
@@ -54,15 +57,18 @@
     call : ingress.Call
     body : bytes
     reply : listener.Reply
+    origin : forwarded_rows.Origin, optional
+        Where the request comes from if another box has forwarded it.
     """
 
-    def __init__(self, hub, call, body, reply):
+    def __init__(self, hub, call, body, reply, origin=None):
         self._hub = hub
+        self._origin = origin
         self._view = hub.view
         self._call = call
         self._reply = reply
         self._state = request_state_module.RequestState(
-            call, body, reply, hub.clock()
+            call, body, reply, hub.clock(), origin
         )
         self._plan = None
 
@@ -98,18 +104,38 @@
             return await self._deny(401, 'unknown_key')
         if not proved:
             return await self._refuse('unproved_table')
-        service = routes.pick_service(route, self._view.rng)
+        service = self._pick_service(route)
         self._state.begin(
             plans.Work(
                 self._call.name, route, service, tenancy, self._call.prompt
             )
         )
+        if self._may_send_directly(self._hub.clock()):
+            self._register()
+        return await self._run_attempts()
+
+    def _pick_service(self, route):
+        if self._origin is not None:
+            # The box that forwards it has chosen, if the routes are the same.
+            for share in route.shares:
+                if share.service == self._origin.service:
+                    return share.service
+        return routes.pick_service(route, self._view.rng)
+
+    def _register(self):
+        """Count the request, and find its demand, before it is sent here.
+
+        A request that is forwarded at once is counted by the other box.
+        """
         state = self._state
-        self._view.count_first(state.work, state.started)
+        if state.demand is not None:
+            return
+        if not state.is_counted:
+            state.is_counted = True
+            self._view.count_first(state.work, state.started)
         state.demand = self._view.make_demand(
             state.work, self._call.left_s, state.fingerprint, state.started
         )
-        return await self._run_attempts()
 
     async def _run_attempts(self):
         state = self._state
@@ -122,34 +148,98 @@
             )
             if quarantine is not None:
                 return await self._refuse_quarantined(quarantine, now)
-            ready = self._hub.upstream.list_ready(
-                routes.may_repeat(state.work.route)
-            )
-            plan = self._view.plan(state.work, state.tried_targets, now, ready)
-            self._plan = plan
-            if plan is None:
-                self._hub.gate.record_no_target(state.work.service)
-                shortage = self._view.get_shortage(state.work, now)
-                return await self._refuse_excluded(shortage, now)
-            if plan.all_limited and not state.sends:
-                if not self._view.free_capacity.take(
-                    state.work, self._view.table, now
-                ):
-                    return await self._refuse_excluded(exclusions.LIMITED, now)
-            verdict = await self._hub.gate.check(state, plan)
-            if verdict == admission_gate.Verdict.REPLAN:
-                continue
-            if verdict == admission_gate.Verdict.REFUSE:
-                return await self._refuse_overloaded()
-            attempt = attempts.Attempt(self._hub, state, plan, now)
-            outcome = await attempt.run()
-            if not isinstance(outcome, outcomes.Stale):
-                state.tried_targets.append(plan.entry.name)
-            answer = await OUTCOME_HANDLERS[type(outcome)](self, outcome)
+            if self._may_send_directly(now):
+                answer = await self._attempt_directly(now)
+            elif self._origin is not None:
+                # A request is forwarded once: two boxes that are cut off
+                # would hand it to each other.
+                answer = await self._give_up(forwarder.CUT_OFF)
+            else:
+                answer = await self._attempt_elsewhere(now)
             if answer is not None:
                 return answer
+
+    async def _attempt_directly(self, now):
+        """Send the request to a target; return the Answer if it was one."""
+        state = self._state
+        self._register()
+        ready = self._list_ready()
+        plan = self._view.plan(state.work, state.tried_targets, now, ready)
+        self._plan = plan
+        if plan is None:
+            self._hub.gate.record_no_target(state.work.service)
+            shortage = self._view.get_shortage(state.work, now)
+            return await self._refuse_excluded(shortage, now)
+        if plan.all_limited and not state.sends:
+            if not self._view.free_capacity.take(
+                state.work, self._view.table, now
+            ):
+                return await self._refuse_excluded(exclusions.LIMITED, now)
+        verdict = await self._hub.gate.check(state, plan)
+        if verdict == admission_gate.Verdict.REPLAN:
+            return None
+        if verdict == admission_gate.Verdict.REFUSE:
+            return await self._refuse_overloaded()
+        attempt = attempts.Attempt(self._hub, state, plan, now)
+        outcome = await attempt.run()
+        if not isinstance(outcome, outcomes.Stale):
+            state.tried_targets.append(plan.entry.name)
+        answer = await OUTCOME_HANDLERS[type(outcome)](self, outcome)
+        if answer is None:
             reason = outcomes.describe(outcome)
             self._record('retried', reason=reason, **self._describe_choice())
+        return answer
+
+    async def _attempt_elsewhere(self, now):
+        """Forward the request to a box; return the Answer if it was one."""
+        state = self._state
+        peer = self._pick_peer(now)
+        if peer is None:
+            if state.refusal is not None:
+                return await self._refuse_as_peer(state.refusal)
+            return await self._give_up(forwarder.CUT_OFF)
+        state.tried_peers.append(peer.name)
+        outcome = await forwarder.Forward(self._hub, state, peer, now).run()
+        answer = await FORWARD_HANDLERS[type(outcome)](self, outcome)
+        if answer is None:
+            reason = outcomes.describe(outcome)
+            self._record('retried', reason=reason, peer=peer.name)
+        return answer
+
+    def _may_send_directly(self, now):
+        """Return whether the request is for this box to send to a target."""
+        service = self._state.work.service
+        forwarding = self._view.forwarding
+        if not (
+            forwarding.is_cut_off(service, now)
+            or forwarding.is_unreachable(service, now)
+            or (self._origin is not None and not self._view.reaches(service))
+        ):
+            return True
+        # What is connected already is used for as long as it works.
+        ready = self._list_ready()
+        return any(
+            entry.address in ready
+            and self._view.may_send(entry, self._state.work, now)
+            for entry in self._view.fleet.list_service(service)
+        )
+
+    def _list_ready(self):
+        return self._hub.upstream.list_ready(
+            routes.may_repeat(self._state.work.route)
+        )
+
+    def _pick_peer(self, now):
+        """Return the registry.Peer to forward the request to, or None."""
+        tried = self._state.tried_peers
+        if len(tried) >= MAX_UNSENT_ATTEMPTS:
+            return None
+        peers = self._hub.peering.peers
+        unfit = [name for name, peer in peers.items() if not peer.forwarding]
+        picked = self._view.forwarding.pick_peer(
+            self._state.work.service, (*tried, *unfit), now
+        )
+        return peers.get(picked)
 
     async def _handle_done(self, outcome):
         return Answer(outcome.status, 'answered', True)
@@ -193,7 +283,33 @@
         """Allow another attempt after one that sent nothing, up to a limit."""
         if self._state.unsent_attempts < MAX_UNSENT_ATTEMPTS:
             return None
-        return await self._give_up('unreached')
+        now = self._hub.clock()
+        if self._origin is None and not self._may_send_directly(now):
+            if self._pick_peer(now) is not None:
+                return None
+        return await self._give_up(forwarder.UNREACHED)
+
+    async def _handle_peer_unreached(self, outcome):
+        return None
+
+    async def _handle_peer_refused(self, outcome):
+        """Try another box if it may do better than the one that refused."""
+        self._state.refusal = outcome
+        if outcome.report.sends:
+            if self._state.has_sends_left() and self._take_retry_budget():
+                return None
+        elif outcome.status != 503:
+            # Its table or its limits differ from those of this box, by which
+            # the request is allowed.
+            return None
+        elif outcome.reason in forwarder.TRY_ELSEWHERE:
+            return None
+        return await self._refuse_as_peer(outcome)
+
+    async def _refuse_as_peer(self, refusal):
+        return await self._give_up(
+            refusal.reason, after=refusal.retry_after_s or None
+        )
 
     async def _handle_rejected(self, outcome):
         if self._state.has_sends_left() and self._take_retry_budget():
@@ -228,7 +344,7 @@
         self._hub.metrics.budget_refusals.inc()
         return False
 
-    async def _give_up(self, reason, status=502):
+    async def _give_up(self, reason, status=502, after=None):
         """Answer what can't be served, as "not executed" only if that holds.
 
         A reply that has been started is broken off instead.
@@ -236,15 +352,25 @@
         if self._reply.started:
             return self._abort_reply(reason)
         if not self._state.may_have_run:
-            return await self._refuse(reason)
-        await self._reply.send_error(status, reason)
+            return await self._refuse(reason, after)
+        await self._send_error(status, reason)
         return Answer(status, reason, True)
 
     async def _refuse(self, reason, after=None):
         after = after or random.uniform(*RETRY_AFTER_S)
-        await self._reply.send_error(503, reason, after)
+        await self._send_error(503, reason, after)
         return Answer(503, reason, False)
 
+    async def _send_error(self, status, reason, after=None):
+        """Send an error of this box; tell more to a box that forwards."""
+        rows = ()
+        if self._origin is not None:
+            state = self._state
+            rows = forwarded_rows.write_report(
+                forwarded_rows.Report(reason, state.sends, state.is_counted)
+            )
+        await self._reply.send_error(status, reason, after, rows)
+
     async def _refuse_quarantined(self, quarantine, now):
         """Answer a request that might crash a further target."""
         if self._state.sends:
@@ -278,7 +404,7 @@
         state, plan = self._state, self._plan
         held_s = self._hub.clock() - state.started
         after = self._compute_retry_after()
-        await self._reply.send_error(503, 'busy', after)
+        await self._send_error(503, 'busy', after)
         self._record(
             'turned_away',
             wait_s=round(plan.wait_s, 3),
@@ -324,7 +450,7 @@
         return after
 
     async def _deny(self, status, reason):
-        await self._reply.send_error(status, reason)
+        await self._send_error(status, reason)
         return Answer(status, reason, False)
 
     def _abort_reply(self, reason):
@@ -341,7 +467,10 @@
         state = self._state
         seconds = self._hub.clock() - state.started
         first_s = state.first_byte_s
-        self._hub.metrics.record_answer(answer, seconds, first_s)
+        if self._origin is None:
+            self._hub.metrics.record_answer(answer, seconds, first_s)
+        else:
+            self._hub.metrics.record_served_peer(answer)
         if state.demand is not None and state.demand.returns:
             self._hub.metrics.record_return(answer)
         self._record(
@@ -356,8 +485,16 @@
             sends=state.sends,
             tried=state.tried_targets,
             proof_s=self._view.proof.age_to_log(self._hub.clock()),
+            **self._describe_forwarding(),
         )
 
+    def _describe_forwarding(self):
+        """Return the boxes that took part in a request, for the log."""
+        if self._origin is not None:
+            return {'forwarded_by': self._origin.box}
+        tried = self._state.tried_peers
+        return {'peers': tried} if tried else {}
+
 
 # Methods that return the Retry-After of a refusal, by why no target may get
 # the request.
@@ -374,3 +511,8 @@
     outcomes.Failed: Relay._handle_failed,
     outcomes.Lost: Relay._handle_lost,
 }
+FORWARD_HANDLERS = {
+    **OUTCOME_HANDLERS,
+    outcomes.Unreached: Relay._handle_peer_unreached,
+    outcomes.PeerRefused: Relay._handle_peer_refused,
+}
--- a/landingspool/gateway/request_state.py
+++ b/landingspool/gateway/request_state.py
@@ -24,6 +24,8 @@
     reply : listener.Reply
     now : float
         Boot-time clock, seconds.
+    origin : forwarded_rows.Origin or None
+        Where the request comes from if another box has forwarded it.
 
     Attributes
     ----------
@@ -37,6 +39,12 @@
         Targets of its earlier attempts.
     sends : int
         Attempts that were sent.
+    tried_peers : list of str
+        Boxes that it was to be forwarded to.
+    refusal : outcomes.PeerRefused or None
+        Why the last of these did not serve it, if it said so.
+    is_counted : bool
+        Whether a box has counted it.
     unsent_attempts : int
         Attempts that ended before anything was sent.
     may_have_run : bool
@@ -54,7 +62,7 @@
         Why it no longer waits; None if it has not waited.
     """
 
-    def __init__(self, call, body, reply, now):
+    def __init__(self, call, body, reply, now, origin=None):
         self.call = call
         self.body = body
         self.reply = reply
@@ -62,7 +70,11 @@
         self.work = None
         self.deadline = now + call.left_s
         self.stream = None
+        self.origin = origin
         self.tried_targets = []
+        self.tried_peers = []
+        self.refusal = None
+        self.is_counted = origin is not None and origin.counted
         self.sends = 0
         self.unsent_attempts = 0
         self.may_have_run = False
@@ -100,7 +112,13 @@
         return routes.may_repeat(self.work.route) and self.has_sends_left()
 
     def has_sends_left(self):
-        """Return whether its route allows a further send."""
+        """Return whether its route allows a further send.
+
+        A forwarded request is sent once here: the box that forwards it knows
+        of the sends through other boxes.
+        """
+        if self.origin is not None:
+            return not self.sends
         return self.sends < self.work.route.max_attempts
 
     def record_first(self, now):
--- a/tests/gateway/site.py
+++ b/tests/gateway/site.py
@@ -168,6 +168,7 @@
         for hub in self.hubs:
             hub.timer.close()
             await hub.listener.close(0)
+            await hub.forward_listener.close(0)
             await hub.peering.close()
         for runner in self.plain + self.engines:
             await runner.close()
@@ -186,7 +187,7 @@
         self, name='box1', seeds=(), clock=boot_clock.read, **bounds
     ):
         """Start a box and wait until it is ready."""
-        ports = [http.Address('127.0.0.1', find_port()) for _ in range(3)]
+        ports = [http.Address('127.0.0.1', find_port()) for _ in range(4)]
         settings = deployment.Deployment(
             box=name,
             domain='d1',
@@ -196,6 +197,7 @@
             seeds=tuple(seeds),
             store=self.store.address,
             bounds=deployment.Bounds(**bounds),
+            forwarding=ports[3],
         )
         hub = hub_module.Hub(settings, 1, clock)
         self.hubs.append(hub)
