Forward a request whose connections failed before the cut was known

Nothing was sent by then, so such a request now goes to one peer that is believed able to serve it. It goes to one only as long as the cut is not known, since the targets may be gone for all boxes. Both cases of the new test answered 503 before.

--- a/landingspool/gateway/relay.py
+++ b/landingspool/gateway/relay.py
@@ -166,6 +166,8 @@
         ready = self._list_ready()
         plan = self._view.plan(state.work, state.tried_targets, now, ready)
         self._plan = plan
+        if plan is None and self._turn_to_peers(now):
+            return None
         if plan is None:
             self._hub.gate.record_no_target(state.work.service)
             shortage = self._view.get_shortage(state.work, now)
@@ -208,6 +210,8 @@
 
     def _may_send_directly(self, now):
         """Return whether the request is for this box to send to a target."""
+        if self._state.is_unsendable:
+            return False
         service = self._state.work.service
         forwarding = self._view.forwarding
         if not (
@@ -231,16 +235,38 @@
 
     def _pick_peer(self, now):
         """Return the registry.Peer to forward the request to, or None."""
-        tried = self._state.tried_peers
-        if len(tried) >= MAX_UNSENT_ATTEMPTS:
+        tried, service = self._state.tried_peers, self._state.work.service
+        # Perhaps no box reaches the targets, which is known a little later.
+        is_known = self._view.forwarding.is_cut_off(service, now)
+        if len(tried) >= (MAX_UNSENT_ATTEMPTS if is_known else 1):
             return None
         peers = self._hub.peering.peers
         unfit = [name for name, peer in peers.items() if not peer.forwarding]
         picked = self._view.forwarding.pick_peer(
-            self._state.work.service, (*tried, *unfit), now
+            service, (*tried, *unfit), now
         )
         return peers.get(picked)
 
+    def _turn_to_peers(self, now):
+        """Go on with other boxes if connections from here have failed.
+
+        Connections may fail at once, before it is known that none succeeds.
+
+        Returns
+        -------
+        bool
+            False if there is no box to try, or if other reasons than the
+            connections keep the request from the targets.
+        """
+        state = self._state
+        state.is_unsendable = (
+            self._origin is None
+            and state.unsent_attempts > 0
+            and self._view.has_available(state.work, now)
+            and self._pick_peer(now) is not None
+        )
+        return state.is_unsendable
+
     async def _handle_done(self, outcome):
         return Answer(outcome.status, 'answered', True)
 
@@ -283,10 +309,8 @@
         """Allow another attempt after one that sent nothing, up to a limit."""
         if self._state.unsent_attempts < MAX_UNSENT_ATTEMPTS:
             return None
-        now = self._hub.clock()
-        if self._origin is None and not self._may_send_directly(now):
-            if self._pick_peer(now) is not None:
-                return None
+        if self._turn_to_peers(self._hub.clock()):
+            return None
         return await self._give_up(forwarder.UNREACHED)
 
     async def _handle_peer_unreached(self, outcome):
--- a/landingspool/gateway/request_state.py
+++ b/landingspool/gateway/request_state.py
@@ -43,6 +43,9 @@
         Boxes that it was to be forwarded to.
     refusal : outcomes.PeerRefused or None
         Why the last of these did not serve it, if it said so.
+    is_unsendable : bool
+        Whether this box has failed to connect to its targets; it goes on
+        with other boxes only.
     is_counted : bool
         Whether a box has counted it.
     unsent_attempts : int
@@ -74,6 +77,7 @@
         self.tried_targets = []
         self.tried_peers = []
         self.refusal = None
+        self.is_unsendable = False
         self.is_counted = origin is not None and origin.counted
         self.sends = 0
         self.unsent_attempts = 0
--- a/tests/gateway/test_forwarder.py
+++ b/tests/gateway/test_forwarder.py
@@ -182,13 +182,14 @@
     site.run(check)
 
 
-def test_a_box_that_fails_to_connect_forwards_instead_of_refusing():
+@pytest.mark.parametrize('targets', (2, 5))
+def test_connections_that_fail_before_the_cut_is_known(targets):
     async def check(deployment):
-        hub, _ = await start_cut_box(deployment, since=4)
+        hub, _ = await start_cut_box(deployment, since=100)
         assert (await site.ask(hub, '/unsafe/a')).status == 200
         assert count_runs(deployment) == 1
 
-    site.run(check, plain=5)
+    site.run(check, plain=targets)
 
 
 def test_a_caller_who_leaves_ends_the_work_over_both_hops():
