Read the list of boxes when a peer is needed that digests alone announced

Digests announce a new box at once, but where it takes forwarded requests is in the list of boxes, which 195 boxes read every twelve minutes. A cut box whose able peers are new ones would refuse all that time. Now it reads the list when it looks for a peer and some have no address there, at most every five seconds; a box that reaches its targets reads as seldom as before. The new test timed out without the read.

--- a/landingspool/gateway/peering.py
+++ b/landingspool/gateway/peering.py
@@ -105,6 +105,13 @@
         """Follow the list of boxes in the store until cancelled."""
         await self._registry.run()
 
+    def list_without_forwarding(self):
+        """List the peers that take no forwarded requests, or not yet."""
+        names = [n for n, p in self.peers.items() if p.forwarding is None]
+        if names:
+            self._registry.read_soon()
+        return names
+
     async def wait_listed(self):
         """Wait until the other boxes are known, for LIST_TIMEOUT_S at most."""
         if self._hub.deployment.links is None:
--- a/landingspool/gateway/registry.py
+++ b/landingspool/gateway/registry.py
@@ -9,7 +9,9 @@
 """
 
 import asyncio
+import contextlib
 import json
+import math
 import random
 import typing
 
@@ -23,6 +25,8 @@
 # BASE_BOXES the period is longer, so that all together ask no more often.
 LIST_PERIOD_S = 30.0
 BASE_BOXES = 8
+# Minimum seconds between two reads that are asked for.
+MIN_LIST_GAP_S = 5.0
 # Seconds from this box's registration to its read of the list when the whole
 # system starts.  All boxes start within 0.3 s, and the store takes the entries
 # of 195 boxes one after the other, in 0.4 s.
@@ -68,6 +72,8 @@
         self._peers = peers
         self.listed = asyncio.Event()
         self.was_read = False
+        self._wanted = asyncio.Event()
+        self._asked = -math.inf
 
     async def run(self):
         """Register this box, and read the list of boxes periodically."""
@@ -79,9 +85,23 @@
             await self._read_first_list()
         while True:
             # The period varies, since all boxes may start at once.
-            await asyncio.sleep(self._get_period() * random.uniform(0.5, 1.5))
+            period_s = self._get_period() * random.uniform(0.5, 1.5)
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(period_s):
+                    await self._wanted.wait()
+            self._wanted.clear()
             await self._read_list()
 
+    def read_soon(self):
+        """Have the list read now, unless that was asked for shortly before.
+
+        Digests announce new boxes, but not where they take forwarded requests.
+        """
+        now = self._hub.clock()
+        if now - self._asked >= MIN_LIST_GAP_S:
+            self._asked = now
+            self._wanted.set()
+
     async def _read_first_list(self):
         """Read the list for the first time, and wake those who wait."""
         await self._read_list()
--- a/landingspool/gateway/relay.py
+++ b/landingspool/gateway/relay.py
@@ -240,12 +240,11 @@
         is_known = self._view.forwarding.is_cut_off(service, now)
         if len(tried) >= (MAX_UNSENT_ATTEMPTS if is_known else 1):
             return None
-        peers = self._hub.peering.peers
-        unfit = [name for name, peer in peers.items() if not peer.forwarding]
+        unfit = self._hub.peering.list_without_forwarding()
         picked = self._view.forwarding.pick_peer(
             service, (*tried, *unfit), now
         )
-        return peers.get(picked)
+        return self._hub.peering.peers.get(picked)
 
     def _turn_to_peers(self, now):
         """Go on with other boxes if connections from here have failed.
--- a/tests/gateway/test_forwarder.py
+++ b/tests/gateway/test_forwarder.py
@@ -328,6 +328,35 @@
     site.run(check)
 
 
+def test_where_a_new_peer_takes_requests_is_learnt_when_it_is_needed():
+    async def check(deployment):
+        hub, other = await site.start_boxes(deployment, 2)
+        # It knows the other one by its digests.
+        assert hub.peering.peers[other.deployment.box].forwarding is None
+        cut(deployment, hub, [other.deployment.box])
+        await site.ask(hub, '/safe/a')
+        await site.wait_until(
+            lambda: hub.peering.peers[other.deployment.box].forwarding
+        )
+        assert (await site.ask(hub, '/safe/a')).status == 200
+
+    site.run(check)
+
+
+def test_a_head_at_the_limit_is_taken_by_the_peer_too():
+    async def check(deployment):
+        hub, _ = await start_cut_box(deployment)
+        for length in range(16_300, 15_000, -20):
+            got = await site.ask(
+                hub, '/safe/a', headers=[('x-long', 'x' * length)]
+            )
+            if got.status != 431:
+                break
+        assert got.status == 200
+
+    site.run(check)
+
+
 def test_callers_can_not_pass_for_a_box():
     async def check(deployment):
         hub, (other,) = await start_cut_box(deployment, 1)
