Move the choice between targets and other boxes out of the relay

The relay had grown by a third: it chose between the direct way and another box, looked for that box, and handled what came of either. The choice needs the decisions, the idle connections and the list of peers, and none of the answering, so that it is a class of its own now. No behaviour changes; the tests of forwarding and of the relay pass as before.

--- a/landingspool/gateway/relay.py
+++ b/landingspool/gateway/relay.py
@@ -18,12 +18,12 @@
 from landingspool.gateway import forwarded_rows
 from landingspool.gateway import forwarder
 from landingspool.gateway import outcomes
+from landingspool.gateway import path_choice
 from landingspool.gateway import request_state as request_state_module
 from landingspool.platform import answers
 
 # Attempts of a request that may fail before anything is sent; those that are
-# sent are limited by its route.  Also the number of boxes that a request may
-# be forwarded to.
+# sent are limited by its route.
 MAX_UNSENT_ATTEMPTS = 4
 # Range of the random Retry-After of a refusal, seconds.  Random, so that
 # callers don't return together; a target's reload takes about a second.
@@ -70,6 +70,7 @@
         self._state = request_state_module.RequestState(
             call, body, reply, hub.clock(), origin
         )
+        self._paths = path_choice.PathChoice(hub, self._state)
         self._plan = None
 
     async def run(self):
@@ -110,7 +111,7 @@
                 self._call.name, route, service, tenancy, self._call.prompt
             )
         )
-        if self._may_send_directly(self._hub.clock()):
+        if self._paths.may_send_directly(self._hub.clock()):
             self._register()
         return await self._run_attempts()
 
@@ -148,7 +149,7 @@
             )
             if quarantine is not None:
                 return await self._refuse_quarantined(quarantine, now)
-            if self._may_send_directly(now):
+            if self._paths.may_send_directly(now):
                 answer = await self._attempt_directly(now)
             elif self._origin is not None:
                 # A request is forwarded once: two boxes that are cut off
@@ -163,10 +164,10 @@
         """Send the request to a target; return the Answer if it was one."""
         state = self._state
         self._register()
-        ready = self._list_ready()
+        ready = self._paths.list_ready()
         plan = self._view.plan(state.work, state.tried_targets, now, ready)
         self._plan = plan
-        if plan is None and self._turn_to_peers(now):
+        if plan is None and self._paths.turn_to_peers(now):
             return None
         if plan is None:
             self._hub.gate.record_no_target(state.work.service)
@@ -195,7 +196,7 @@
     async def _attempt_elsewhere(self, now):
         """Forward the request to a box; return the Answer if it was one."""
         state = self._state
-        peer = self._pick_peer(now)
+        peer = self._paths.pick_peer(now)
         if peer is None:
             if state.refusal is not None:
                 return await self._refuse_as_peer(state.refusal)
@@ -208,64 +209,6 @@
             self._record('retried', reason=reason, peer=peer.name)
         return answer
 
-    def _may_send_directly(self, now):
-        """Return whether the request is for this box to send to a target."""
-        if self._state.is_unsendable:
-            return False
-        service = self._state.work.service
-        forwarding = self._view.forwarding
-        if not (
-            forwarding.is_cut_off(service, now)
-            or forwarding.is_unreachable(service, now)
-            or (self._origin is not None and not self._view.reaches(service))
-        ):
-            return True
-        # What is connected already is used for as long as it works.
-        ready = self._list_ready()
-        return any(
-            entry.address in ready
-            and self._view.may_send(entry, self._state.work, now)
-            for entry in self._view.fleet.list_service(service)
-        )
-
-    def _list_ready(self):
-        return self._hub.upstream.list_ready(
-            routes.may_repeat(self._state.work.route)
-        )
-
-    def _pick_peer(self, now):
-        """Return the registry.Peer to forward the request to, or None."""
-        tried, service = self._state.tried_peers, self._state.work.service
-        # Perhaps no box reaches the targets, which is known a little later.
-        is_known = self._view.forwarding.is_cut_off(service, now)
-        if len(tried) >= (MAX_UNSENT_ATTEMPTS if is_known else 1):
-            return None
-        unfit = self._hub.peering.list_without_forwarding()
-        picked = self._view.forwarding.pick_peer(
-            service, (*tried, *unfit), now
-        )
-        return self._hub.peering.peers.get(picked)
-
-    def _turn_to_peers(self, now):
-        """Go on with other boxes if connections from here have failed.
-
-        Connections may fail at once, before it is known that none succeeds.
-
-        Returns
-        -------
-        bool
-            False if there is no box to try, or if other reasons than the
-            connections keep the request from the targets.
-        """
-        state = self._state
-        state.is_unsendable = (
-            self._origin is None
-            and state.unsent_attempts > 0
-            and self._view.has_available(state.work, now)
-            and self._pick_peer(now) is not None
-        )
-        return state.is_unsendable
-
     async def _handle_done(self, outcome):
         return Answer(outcome.status, 'answered', True)
 
@@ -308,7 +251,7 @@
         """Allow another attempt after one that sent nothing, up to a limit."""
         if self._state.unsent_attempts < MAX_UNSENT_ATTEMPTS:
             return None
-        if self._turn_to_peers(self._hub.clock()):
+        if self._paths.turn_to_peers(self._hub.clock()):
             return None
         return await self._give_up(forwarder.UNREACHED)
 
