--- a/landingspool/decisions/gateway/view.py
+++ b/landingspool/decisions/gateway/view.py
@@ -164,6 +164,13 @@
         entries = self.fleet.list_service(work.service)
         return bool(self.exclusions.list_open(entries, limits, now))
 
+    def reaches(self, service):
+        """Return whether any target of a service can be connected to."""
+        return any(
+            not self.reachability.is_out(entry.name)
+            for entry in self.fleet.list_service(service)
+        )
+
     def get_shortage(self, work, now):
         """Return why no target may get a request."""
         limits = self.exclusions.get_requirements(work, self.table)
--- a/landingspool/event_kinds.py
+++ b/landingspool/event_kinds.py
@@ -137,6 +137,12 @@
             'INFO',
             'No request for a service was refused for want of room lately.',
         ),
+        Kind(
+            220,
+            'forwarded',
+            'DEBUG',
+            'A request is sent to a box that reaches its targets.',
+        ),
         Kind(
             300, 'queued', 'DEBUG', 'A request waits in the queue of its pool.'
         ),
@@ -449,6 +455,12 @@
             'ERROR',
             'A request was read and its caller got no whole answer.',
         ),
+        Kind(
+            805,
+            'no_forwarding',
+            'WARNING',
+            'This box takes no requests that peers forward.',
+        ),
     )
 }
 
--- a/landingspool/gateway/listener.py
+++ b/landingspool/gateway/listener.py
@@ -64,7 +64,7 @@
         data += self._codec.send(h11.EndOfMessage())
         await self._write(data)
 
-    async def send_error(self, status, reason, retry_after=None):
+    async def send_error(self, status, reason, retry_after=None, extra=()):
         """Send an error of this box as JSON.
 
         Parameters
@@ -73,8 +73,10 @@
         reason : str
         retry_after : float, optional
             Seconds for the Retry-After header.
+        extra : iterable of tuple of bytes, optional
+            Further headers.
         """
-        rows = [(b'content-type', b'application/json')]
+        rows = [(b'content-type', b'application/json'), *extra]
         if retry_after is not None:
             rows.append((b'retry-after', f'{retry_after:.2f}'.encode()))
         body = json.dumps({'error': reason}).encode()
@@ -152,6 +154,9 @@
     on_unanswered : callable
         Called with a request that was read and the reason if its handler
         fails, so that its caller gets no whole answer.
+    count_others : callable, optional
+        Returns the number of connections of other listeners that count
+        towards `max_connections`.
 
     Attributes
     ----------
@@ -159,11 +164,19 @@
         Whether callers are asked to connect elsewhere.
     """
 
-    def __init__(self, handle, get_limits, max_connections, on_unanswered):
+    def __init__(
+        self,
+        handle,
+        get_limits,
+        max_connections,
+        on_unanswered,
+        count_others=lambda: 0,
+    ):
         self._handle = handle
         self._get_limits = get_limits
         self._max_connections = max_connections
         self._on_unanswered = on_unanswered
+        self._count_others = count_others
         self._server = None
         # The connection that each task serves.
         self._tasks = {}
@@ -208,8 +221,13 @@
         """Return the number of connections with a request in progress."""
         return len(self._busy)
 
+    def count_open(self):
+        """Return the number of connections."""
+        return len(self._tasks)
+
     def _accept(self, connection):
-        if self._closing or len(self._tasks) >= self._max_connections:
+        taken = len(self._tasks) + self._count_others()
+        if self._closing or taken >= self._max_connections:
             connection.abort()
             return
         task = asyncio.ensure_future(self._serve(connection))
--- a/landingspool/gateway/registry.py
+++ b/landingspool/gateway/registry.py
@@ -9,7 +9,9 @@
 """
 
 import asyncio
+import contextlib
 import json
+import math
 import random
 import typing
 
@@ -23,6 +25,8 @@
 # BASE_BOXES the period is longer, so that all together ask no more often.
 LIST_PERIOD_S = 30.0
 BASE_BOXES = 8
+# Minimum seconds between two reads that are asked for.
+MIN_LIST_GAP_S = 5.0
 # Seconds from this box's registration to its read of the list when the whole
 # system starts.  All boxes start within 0.3 s, and the store takes the entries
 # of 195 boxes one after the other, in 0.4 s.
@@ -32,12 +36,16 @@
 
 
 class Peer(typing.NamedTuple):
-    """Another box, its address and domain, and its link in Mbit/s."""
+    """Another box, its address and domain, and its link in Mbit/s.
+
+    `forwarding` is its address for forwarded requests; None if it takes none.
+    """
 
     name: str
     address: http.Address
     domain: str
     link_mbps: float = 0.0
+    forwarding: http.Address | None = None
 
 
 class Registry:
@@ -64,6 +72,8 @@
         self._peers = peers
         self.listed = asyncio.Event()
         self.was_read = False
+        self._wanted = asyncio.Event()
+        self._asked = -math.inf
 
     async def run(self):
         """Register this box, and read the list of boxes periodically."""
@@ -75,9 +85,23 @@
             await self._read_first_list()
         while True:
             # The period varies, since all boxes may start at once.
-            await asyncio.sleep(self._get_period() * random.uniform(0.5, 1.5))
+            period_s = self._get_period() * random.uniform(0.5, 1.5)
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(period_s):
+                    await self._wanted.wait()
+            self._wanted.clear()
             await self._read_list()
 
+    def read_soon(self):
+        """Have the list read now, unless that was asked for shortly before.
+
+        Digests announce new boxes, but not where they take forwarded requests.
+        """
+        now = self._hub.clock()
+        if now - self._asked >= MIN_LIST_GAP_S:
+            self._asked = now
+            self._wanted.set()
+
     async def _read_first_list(self):
         """Read the list for the first time, and wake those who wait."""
         await self._read_list()
@@ -103,7 +127,10 @@
         """Write this box into the store, until that has succeeded."""
         deployment = self._hub.deployment
         row = write_peer(
-            deployment.links, deployment.domain, deployment.link_mbps
+            deployment.links,
+            deployment.domain,
+            deployment.link_mbps,
+            self._hub.get_forwarding_address(),
         )
         while True:
             reply = await self._hub.store.append(
@@ -128,7 +155,7 @@
         self._peers.update(listed)
 
 
-def write_peer(address, domain, link_mbps):
+def write_peer(address, domain, link_mbps, forwarding=None):
     """Return the record of a box.
 
     >>> write_peer(http.Address('10.0.0.1', 8002), 'd1', 5.0)
@@ -139,6 +166,8 @@
         'domain': domain,
         'link_mbps': link_mbps,
     }
+    if forwarding is not None:
+        row['forwarding'] = f'{forwarding[0]}:{forwarding[1]}'
     return json.dumps(row).encode()
 
 
@@ -148,6 +177,12 @@
     >>> row = write_peer(http.Address('10.0.0.1', 8002), 'd1', 5.0)
     >>> read_peer('b', row).address, read_peer('b', row).link_mbps
     (Address(host='10.0.0.1', port=8002), 5.0)
+    >>> read_peer('b', row).forwarding is None
+    True
+    >>> there = http.Address('10.0.0.1', 8003)
+    >>> row = write_peer(http.Address('10.0.0.1', 8002), 'd1', 5.0, there)
+    >>> read_peer('b', row).forwarding
+    Address(host='10.0.0.1', port=8003)
     >>> read_peer('b', b'') is None
     True
     """
@@ -155,6 +190,10 @@
         row = json.loads(value)
         address = boot.parse_address(row['address'])
         link_mbps = float(row.get('link_mbps', 0.0))
-        return address and Peer(name, address, row['domain'], link_mbps)
+        # A box of an earlier version names no address for it.
+        forwarding = boot.parse_address(row.get('forwarding'))
+        return address and Peer(
+            name, address, row['domain'], link_mbps, forwarding
+        )
     except (ValueError, KeyError, TypeError):
         return None
--- a/landingspool/gateway/replacements.py
+++ b/landingspool/gateway/replacements.py
@@ -8,7 +8,6 @@
 import typing
 
 from landingspool.decisions.gateway import plans
-from landingspool.decisions.gateway import routes
 from landingspool.gateway import attempts
 from landingspool.gateway import upstream
 
@@ -29,13 +28,16 @@
     hub
         The box's parts: `view`, `upstream`, `prober`, `clock`, `metrics`.
     state : request_state.RequestState
+    paths : path_choice.PathChoice
     """
 
-    def __init__(self, hub, state):
+    def __init__(self, hub, state, paths):
         self._hub = hub
         self._view = hub.view
         self._state = state
+        self._paths = paths
         self._prepared = None
+        self._granted = False
 
     async def prepare(self, plan, has_answer):
         """Prepare an attempt at another target, if that is possible.
@@ -53,9 +55,10 @@
             Whether the present attempt is to be given up.
         """
         now = self._hub.clock()
-        service = self._state.work.service
         if not self._may_leave(now):
             return False
+        if not self._paths.may_send_directly(now):
+            return self._turn_to_peers(now)
         replacement = self._plan(plan, now)
         if replacement is None or replacement.room.is_full():
             return False
@@ -65,18 +68,27 @@
             )
         except upstream.ExchangeError:
             return False
-        if has_answer() or not self._view.may_repeat(
-            service, self._hub.clock()
-        ):
+        if has_answer() or not self._take_repeat():
             exchange.cancel()
             return False
         self._prepared = Replacement(replacement, now, exchange)
         return True
 
-    @property
-    def is_prepared(self):
-        """Whether an attempt at another target is prepared."""
-        return self._prepared is not None
+    def prepare_peer(self):
+        """Let a request leave a silent box if another one may serve it.
+
+        Returns
+        -------
+        bool
+            Whether the present attempt is to be given up.
+        """
+        now = self._hub.clock()
+        return self._may_leave(now) and self._turn_to_peers(now)
+
+    def take_grant(self):
+        """Return whether a repeat was taken for the next attempt, once."""
+        granted, self._granted = self._granted, False
+        return granted
 
     def take(self):
         """Return the Replacement that was prepared, or None."""
@@ -89,6 +101,17 @@
         if prepared is not None:
             prepared.exchange.cancel()
 
+    def _turn_to_peers(self, now):
+        if self._state.origin is not None:
+            return False
+        return self._paths.pick_peer(now) is not None and self._take_repeat()
+
+    def _take_repeat(self):
+        self._granted = self._view.may_repeat(
+            self._state.work.service, self._hub.clock()
+        )
+        return self._granted
+
     def _may_leave(self, now):
         state = self._state
         crashes = self._view.crashes
@@ -105,5 +128,5 @@
             state.work,
             (*state.tried_targets, plan.entry.name),
             now,
-            self._hub.upstream.list_ready(routes.may_repeat(state.work.route)),
+            self._paths.list_ready(),
         )
--- a/tests/gateway/site.py
+++ b/tests/gateway/site.py
@@ -122,7 +122,7 @@
     The system could give a port of its own range to another connection
     before the box listens on it.
     """
-    for port in PORTS:
+    for port in itertools.islice(PORTS, BLOCK_PORTS):
         with socket.socket() as probe:
             probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
             try:
@@ -131,6 +131,7 @@
                 # Used by another process or still by an earlier box.
                 continue
             return port
+    raise OSError('no free port is left for a box')
 
 
 class Site:
@@ -168,7 +169,10 @@
         for hub in self.hubs:
             hub.timer.close()
             await hub.listener.close(0)
+            await hub.forward_listener.close(0)
             await hub.peering.close()
+            await hub._readiness_server.close()
+            await hub._metrics_server.close()
         for runner in self.plain + self.engines:
             await runner.close()
         await self.store.close()
@@ -186,7 +190,7 @@
         self, name='box1', seeds=(), clock=boot_clock.read, **bounds
     ):
         """Start a box and wait until it is ready."""
-        ports = [http.Address('127.0.0.1', find_port()) for _ in range(3)]
+        ports = [http.Address('127.0.0.1', find_port()) for _ in range(4)]
         settings = deployment.Deployment(
             box=name,
             domain='d1',
@@ -196,6 +200,7 @@
             seeds=tuple(seeds),
             store=self.store.address,
             bounds=deployment.Bounds(**bounds),
+            forwarding=ports[3],
         )
         hub = hub_module.Hub(settings, 1, clock)
         self.hubs.append(hub)
