--- a/tests/gateway/test_cut_boxes.py
+++ b/tests/gateway/test_cut_boxes.py
@@ -15,6 +15,10 @@
 CONTACT_S = 3.0
 COUNTED_S = 2.0
 ASK_PERIOD_S = 0.05
+# Longest mean time to a refusal that needs no attempt, and the longest time
+# after a cut until all boxes send to the targets again.
+REFUSAL_S = 0.1
+BACK_S = 1.0
 BOXES = 4
 PATHS = '/safe/a', '/unsafe/a', '/resumed/a'
 
@@ -124,6 +128,27 @@
     site.run(check, plain=3, engines=3)
 
 
+@pytest.mark.parametrize('manner', ['hanging', 'refused'])
+def test_refusal_comes_at_once_where_no_box_reaches_a_target(manner):
+    async def check(deployment):
+        hubs, cut = await start_cut(deployment, BOXES, manner)
+        await measure_served(hubs, 1.5)
+        loop = asyncio.get_running_loop()
+        for path in PATHS:
+            asked = loop.time()
+            answers = [await site.ask(hub, path) for hub in hubs]
+            assert loop.time() - asked < REFUSAL_S * BOXES
+            assert {a.status for a in answers} == {503}
+            assert all('retry-after' in a.headers for a in answers)
+        for one in cut:
+            one.heal()
+        await asyncio.sleep(BACK_S)
+        shares = await measure_served(hubs, 0.5)
+        assert min(shares.values()) == 1.0
+
+    site.run(check, plain=3, engines=3)
+
+
 @pytest.mark.parametrize('manner', ['hanging', 'refused'])
 @pytest.mark.parametrize('asked', [0, 2])
 def test_weights_are_ordered_though_the_first_box_is_cut(asked, manner):
