Plan again for the blocks of a store that was only silent

Callers would have lost more and more kept context: a store that once left a listing unanswered for two seconds got new blocks as if it were empty, until its memory was full and each further write failed.

Cause: the plan of what the stores hold drops the blocks of a store that does not answer, while the directory goes on offering them. When the store answers again, only blocks that the directory lacks were adopted, so the plan counted nothing for the others, chose no victim among them and never freed one.

Now a listed block is adopted, too, if it is the one that is offered and the plan lacks it; where the plan has no room it is withdrawn before it is freed.

--- a/landingspool/decisions/kv_offload.py
+++ b/landingspool/decisions/kv_offload.py
@@ -181,12 +181,24 @@
         for row in listing:
             if row.block.write in self._rejected:
                 continue
-            if row.sealed and not directory.is_stored(row.block.key):
+            if row.sealed and self._is_unplanned(row.block, directory):
                 actions += self._adopt_block(row, directory, now)
             elif not row.sealed and row.age > ORPHAN_AGE_S:
                 actions.append(Free(row.block.store, row.block.write))
         return actions
 
+    def _is_unplanned(self, block, directory):
+        """Return whether a sealed block is not offered, or not planned for.
+
+        The plan drops the blocks of a store that doesn't answer.  It may
+        only have been silent, and then holds them still.
+        """
+        stored = directory.get_stored(block.key)
+        if stored is None:
+            return True
+        is_planned = block.key in self.retention.blocks
+        return stored.block.write == block.write and not is_planned
+
     def _adopt_block(self, row, directory, now):
         retained = retention.RetainedBlock(
             key=row.block.key,
@@ -200,6 +212,7 @@
         )
         accepted, evicted = self.retention.add(retained, {}, now)
         if not accepted:
+            directory.record_freed([row.block.key])
             return [Free(row.block.store, row.block.write)]
         self._states[row.block.key] = blocks.State.OFFERED
         directory.record_stored(
--- a/tests/test_retention.py
+++ b/tests/test_retention.py
@@ -3,6 +3,9 @@
 import pytest
 
 from landingspool.decisions import blocks
+from landingspool.decisions import directory
+from landingspool.decisions import kv_offload
+from landingspool.decisions import records
 from landingspool.decisions import retention
 
 SHARES = {'a': 0.5, 'b': 0.5}
@@ -107,3 +110,15 @@
     for signal in SIGNALS:
         after = blocks.advance(blocks.State.WRITING, signal)
         assert after is not blocks.State.OFFERED
+
+
+def test_blocks_of_a_store_that_was_silent_are_still_planned():
+    planner = kv_offload.OffloadPlanner('b1', 'lru')
+    offers = directory.Directory()
+    block = records.Block('k', 's', 'w', 40, 'c')
+    listing = [kv_offload.Listed(block, 'a', True, 1.0, 0.1, 0)]
+    for capacities in ({'s': 100}, {}, {'s': 100}):
+        planner.set_stores(capacities)
+        planner.adopt(listing if capacities else [], offers, 10.0)
+    assert offers.is_stored('k')
+    assert planner.retention.get_stored_bytes('s') == 40
