--- a/landingspool/decisions/gateway/view.py
+++ b/landingspool/decisions/gateway/view.py
@@ -17,11 +17,13 @@
 from landingspool.decisions.gateway import exclusions
 from landingspool.decisions.gateway import fair_admission
 from landingspool.decisions.gateway import fleet as fleet_module
+from landingspool.decisions.gateway import forwarding as forwarding_module
 from landingspool.decisions.gateway import freshness
 from landingspool.decisions.gateway import grouping as grouping_module
 from landingspool.decisions.gateway import health as health_module
 from landingspool.decisions.gateway import latency
 from landingspool.decisions.gateway import loads as loads_module
+from landingspool.decisions.gateway import partition as partition_module
 from landingspool.decisions.gateway import peer_digests
 from landingspool.decisions.gateway import planner
 from landingspool.decisions.gateway import plans
@@ -63,6 +65,7 @@
         self.latency = latency.LatencyTracker()
         self.weights = weights_module.Weights(bounds.version_s)
         self.reachability = reachability_module.Reachability()
+        self.partition = partition_module.Partition()
         self.watchers = watchers_module.Watchers()
         self.engine_split = split_module.EngineSplit()
         self.exclusions = exclusions.Exclusions(
@@ -91,6 +94,7 @@
         self.store_usage = {}
         self.grouping = grouping_module.Grouping(self)
         self.planner = planner.Planner(self)
+        self.forwarding = forwarding_module.Forwarding(self)
         self._health = {}
         self._retry_budgets = {}
 
@@ -122,6 +126,12 @@
             domain, entries, self.table, now
         )
 
+    def record_connected(self, now):
+        """Record that a new connection to any target was established."""
+        if self.partition.record_connected(now):
+            for name in self.reachability.list_failed():
+                self.reachability.expedite(name, now)
+
     def record_reconnected(self, name, now):
         """Record that this box can connect to a target again."""
         entry = self.fleet.entries.get(name)
@@ -244,6 +254,7 @@
             return
         self.loads.record_received(name, now)
         self.reachability.record_reached(name, now)
+        self.partition.record_answered(now)
         sent = self.loads.record_first(name, work.name)
         if sent is not None:
             self.crashes.record_alive(name, sent.at)
@@ -326,13 +337,7 @@
         """Store what another box reports of its requests and of targets."""
         self.peer_digests.take(digest, now)
         self.grouping.summaries.take(digest, now)
-        for name in self.watchers.receive_report(
-            digest.box, digest.unreached, now
-        ):
-            self.reachability.expedite(name, now)
-        for name in digest.unreached:
-            if name in self.fleet.entries:
-                self._suspect(name, now)
+        self._take_unreached(digest, now)
         for notice in digest.endings:
             self.crashes.take(notice, now)
         for notice in digest.limits:
@@ -346,6 +351,22 @@
         self.store_health.take_reports(digest.box, digest.slow_stores, now)
         self.fair_admission.take(digest, now)
 
+    def _take_unreached(self, digest, now):
+        unreached = self.fleet.entries.keys() & digest.unreached
+        if digest.partitioned or partition_module.is_nearly_all(
+            len(unreached), len(self.fleet.entries)
+        ):
+            # The box is cut off, which says nothing about the targets.
+            self.watchers.record_partitioned(digest.box)
+            return
+        for name in self.watchers.receive_report(
+            digest.box, digest.unreached, now
+        ):
+            self.reachability.expedite(name, now)
+        for name in digest.unreached:
+            if name in unreached:
+                self._suspect(name, now)
+
     def _suspect(self, name, now):
         duty = self.watchers.is_duty(name)
         confirm_s = (
@@ -358,7 +379,36 @@
     def record_unreached(self, name, now):
         """Record that this box could not connect to a target."""
         watched = self.watchers.is_watched(name, now)
+        is_new = name not in self.reachability.list_failed()
         self.reachability.record_failed(name, now, watched)
+        self.partition.record_failed(name, is_new, now)
+
+    def list_samples(self, now):
+        """List the targets whose probes tell whether this box is cut off."""
+        if not self.partition.is_suspected(now):
+            return []
+        failed = self.reachability.list_failed()
+        untried = [
+            entry
+            for entry in self.fleet.entries.values()
+            if entry.name not in failed
+        ]
+        if not untried:
+            self.partition.begin(now)
+        samples = [e for e in untried if self.exclusions.may_call(e, now)]
+        return self.partition.pick_samples(samples, now)
+
+    def list_due_probes(self, now):
+        """List the targets that are due to be probed."""
+        if not self.partition.is_on:
+            return self.reachability.list_due(now)
+        dues = self.reachability.get_dues()
+        dues = {
+            name: dues.get(name, 0.0)
+            for name in self.fleet.entries
+            if self.may_call(name, now)
+        }
+        return self.partition.list_retries(dues, now)
 
     def get_health(self, name):
         """Return the Health of a target."""
@@ -374,6 +424,10 @@
         """Take one repeat from a service's retry budget, if one is left."""
         return self._get_retry_budget(service).take(now, self.boxes)
 
+    def has_repeat(self, service, now):
+        """Return whether a service's retry budget has a repeat left."""
+        return self._get_retry_budget(service).has_left(now, self.boxes)
+
     def may_call(self, name, now):
         """Return whether calls other than requests may go to a target."""
         entry = self.fleet.entries.get(name)
--- a/landingspool/event_kinds.py
+++ b/landingspool/event_kinds.py
@@ -305,6 +305,25 @@
             'INFO',
             'A target counts as slower or faster than its peers, or no more.',
         ),
+        Kind(
+            524,
+            'target_silent',
+            'INFO',
+            'A target with requests has sent nothing for a while; it is '
+            'probed.',
+        ),
+        Kind(
+            526,
+            'partitioned',
+            'ERROR',
+            'This box reaches no target; other boxes serve its requests.',
+        ),
+        Kind(
+            527,
+            'partition_over',
+            'INFO',
+            'This box reaches targets again.',
+        ),
         Kind(
             600, 'kept', 'DEBUG', 'A block of context was sealed in a store.'
         ),
@@ -424,6 +443,12 @@
             'ERROR',
             'The handling of a request raised an error; its caller got a 500.',
         ),
+        Kind(
+            804,
+            'unanswered',
+            'ERROR',
+            'A request was read and its caller got no whole answer.',
+        ),
     )
 }
 
--- a/landingspool/gateway/heads.py
+++ b/landingspool/gateway/heads.py
@@ -6,6 +6,8 @@
 requests are refused before h11 reads them.
 """
 
+import asyncio
+import contextlib
 import re
 
 import h11
@@ -146,11 +148,41 @@
             raise http.BadRequest(400, 'the request ended too early')
 
 
+async def wait_for_request(connection, get_limits):
+    """Wait for the first byte of a request, up to the idle time-out.
+
+    A time-out that was raised during the wait applies, since callers use
+    their open connections by the newest one.
+
+    Parameters
+    ----------
+    connection : connection.Connection
+    get_limits : callable
+        Returns the routes.Limits in force.
+
+    Returns
+    -------
+    bool
+        Whether it has come, before the end of the connection or the time-out.
+    """
+    loop = asyncio.get_running_loop()
+    began = loop.time()
+    left_s = get_limits().idle_s
+    # A byte may arrive between the time-out and its effect on this task.
+    while left_s > 0 or not connection.is_idle:
+        with contextlib.suppress(TimeoutError):
+            async with timeouts.Timeout(left_s):
+                first = await connection.read()
+            connection.push_back(first)
+            return bool(first)
+        left_s = began + get_limits().idle_s - loop.time()
+    return False
+
+
 async def read_request(connection, limits):
     """Read one complete request within the time limits for callers.
 
-    The wait for the first byte is limited by the idle time-out.  The head
-    and the body are limited by the header time-out, each by itself.
+    The head and the body are limited by the header time-out, each by itself.
 
     Parameters
     ----------
@@ -160,20 +192,12 @@
     Returns
     -------
     tuple of (h11.Connection, h11.Request, bytes) or None
-        None if the connection is closed or was idle for too long.
+        None if the connection was closed before a head began.
 
     Raises
     ------
     http.BadRequest
     """
-    try:
-        async with timeouts.Timeout(limits.idle_s):
-            first = await connection.read()
-    except TimeoutError:
-        return None
-    if not first:
-        return None
-    connection.push_back(first)
     try:
         async with timeouts.Timeout(limits.header_s):
             data = await read_head(connection, limits.header_bytes)
--- a/landingspool/gateway/prober.py
+++ b/landingspool/gateway/prober.py
@@ -1,4 +1,4 @@
-"""Probe unreachable targets so that no request has to try them.
+"""Probe unreachable and silent targets so that no request has to try them.
 
 A connection that is established stays open for the next request to its
 target.
@@ -6,6 +6,7 @@
 
 import asyncio
 
+from landingspool.decisions.gateway import reachability
 from landingspool.gateway import upstream
 
 # Period at which targets are checked for a due probe, seconds.
@@ -24,17 +25,46 @@
     def __init__(self, hub):
         self._hub = hub
         self._probing = {}
+        self._is_partitioned = False
 
-    def record_failed(self, name, reason):
-        """Record that a connection failed, or that its path is dead."""
+    def record_failed(self, name, reason, silent=False):
+        """Record that a connection failed, or that its path is dead.
+
+        Parameters
+        ----------
+        silent : bool
+            Whether the target answered nothing, instead of refusing.
+        """
         view = self._hub.view
         if name not in view.reachability.list_failed():
             self._hub.recorder.record('unreached', target=name, reason=reason)
-        view.record_unreached(name, self._hub.clock())
+        now = self._hub.clock()
+        view.record_unreached(name, now)
+        for sample in view.list_samples(now):
+            if sample not in self._probing:
+                self._start_probe(sample)
+        if self._record_partition() and silent:
+            # The idle connections would lose the requests sent on them.
+            for entry in view.fleet.entries.values():
+                self._hub.upstream.drop(entry.address)
+
+    def _record_partition(self):
+        """Log a partition that begins or ends; return whether it begins."""
+        was_on, is_on = self._is_partitioned, self._hub.view.partition.is_on
+        self._is_partitioned = is_on
+        if is_on != was_on:
+            name = 'partitioned' if is_on else 'partition_over'
+            self._hub.recorder.record(name)
+        return is_on and not was_on
 
     def check(self, tick):
         """Start a probe of each target that is due."""
-        for name in self._hub.view.reachability.list_due(tick.now):
+        view = self._hub.view
+        silent = view.loads.list_silent(tick.now, reachability.SILENCE_S)
+        unchecked = view.reachability.take_unchecked(silent, tick.now)
+        for name in unchecked:
+            self._hub.recorder.record('target_silent', target=name)
+        for name in (*view.list_due_probes(tick.now), *unchecked):
             if name not in self._probing and self._may_probe(name, tick.now):
                 self._start_probe(name)
 
@@ -65,9 +95,14 @@
                 entry.address, view.get_connection_limit(entry.service)
             )
         except upstream.ExchangeError as error:
+            if error.silent:
+                # The idle connections use the same silent path.
+                self._hub.upstream.drop(entry.address)
             if name in view.fleet.entries:
-                self.record_failed(name, str(error))
+                self.record_failed(name, str(error), error.silent)
             return
+        view.record_connected(self._hub.clock())
+        self._record_partition()
         if was_failed:
             view.record_reconnected(name, self._hub.clock())
             self._hub.recorder.record('reached', target=name)
