Keep a block that was not read for a silence

Callers would have had context computed again for good: where a target or a store sent nothing for two seconds while a block was read, its store was told to free the block, though nothing was wrong with it.

Cause: no answer to an import counted like a failed check of what was read. A failed check means that the block can't be trusted, and is final; a silence says nothing of it.

Now only a receipt that doesn't match, or a target that says that the store has no such block (404), has it freed.

Seen failing before: tests/test_silence.py, a target or a store that stands still for 3 s as a block is read; the write was gone from its store.

--- a/landingspool/callers/session.py
+++ b/landingspool/callers/session.py
@@ -321,6 +321,10 @@
             receipt = await targets.import_block(
                 self.core.client, self._address, store, block, name
             )
+        if isinstance(receipt, targets.Unread):
+            # The block may be as it should be, so it stays offered.
+            self._record('unread', write=block.write, reason=receipt.reason)
+            return False
         problem = 'unreadable'
         if receipt is not None:
             problem = blocks.check_receipt(block, receipt)
--- a/landingspool/event_kinds.py
+++ b/landingspool/event_kinds.py
@@ -379,6 +379,12 @@
             'INFO',
             'Fetches from a store are no longer delayed.',
         ),
+        Kind(
+            611,
+            'unread',
+            'WARNING',
+            'A block could not be read; it is recomputed, and stays offered.',
+        ),
         Kind(700, 'joined', 'INFO', 'A box was seen alive.'),
         Kind(701, 'suspected', 'WARNING', 'A box did not answer its probes.'),
         Kind(702, 'removed', 'WARNING', 'A box was removed from the view.'),
--- a/landingspool/targets/client.py
+++ b/landingspool/targets/client.py
@@ -21,6 +21,8 @@
 EXPORT_TIMEOUT_S = 20.0
 # A block whose read takes longer could have been computed in that time.
 IMPORT_TIMEOUT_S = 2.0
+# Status with which a target says that the store has no such block.
+NO_BLOCK = 404
 IDLE_TIMEOUT_S = 4.0
 
 
@@ -42,6 +44,13 @@
     silent: bool = False
 
 
+@dataclasses.dataclass(frozen=True)
+class Unread:
+    """A block could not be read; that says nothing about the block."""
+
+    reason: str
+
+
 @dataclasses.dataclass(frozen=True)
 class Token:
     """One token with its position in the answer."""
@@ -318,7 +327,8 @@
 
     Returns
     -------
-    blocks.Receipt or None
+    blocks.Receipt, Unread or None
+        None if the store has no such block, or the receipt is malformed.
     """
     value = {
         'import': name,
@@ -331,13 +341,17 @@
         reply = await client.fetch(
             address, 'POST', '/kv/import', value, timeout=IMPORT_TIMEOUT_S
         )
-        if reply.status != 200:
+        if reply.status == NO_BLOCK:
             return None
+        if reply.status != 200:
+            return Unread(f'status {reply.status}')
         return msgspec.convert(
             [reply.json()[name] for name in blocks.Receipt._fields],
             blocks.Receipt,
         )
-    except (http.Unreachable, ValueError, KeyError):
+    except http.Unreachable as error:
+        return Unread(str(error))
+    except (ValueError, KeyError):
         return None
 
 
--- a/tests/contracts/test_targets.py
+++ b/tests/contracts/test_targets.py
@@ -144,6 +144,15 @@
     assert (receipt is not None) is good
 
 
+@pytest.mark.parametrize('reply', (peer.answer(502, '{}'), b''))
+def test_import_without_an_answer_says_nothing_of_the_block(reply):
+    def fetch(client, address):
+        return targets.import_block(client, address, MEMBER, BLOCK, 'k')
+
+    found = asyncio.run(peer.talk(reply, fetch))
+    assert isinstance(found, targets.Unread)
+
+
 @pytest.mark.parametrize(
     'body, good',
     (
--- a/tests/test_silence.py
+++ b/tests/test_silence.py
@@ -87,3 +87,32 @@
     assert answer.error['type'] == reason
     assert answer.error['verdict'] == 'may_have_run'
     assert answer.total < most_s
+
+
+@pytest.mark.parametrize('side', ('target', 'store'))
+def test_block_that_was_not_read_for_a_silence_stays_offered(side):
+    tried = []
+
+    def fall_silent(world, step):
+        if step.name == 'import' and not tried:
+            value = step.subject.request.json()
+            tried.append(value['write'])
+            silent = step.peer if side == 'target' else stores[value['port']]
+            world.freeze(silent, 3.0)
+
+    world = stories.build(1, fall_silent, cache=3)
+    stores = {world.get_address(name).port: name for name in ('s0', 's1')}
+    stories.keep(world)
+    (write,) = tried
+    assert any(write in world.processes[s].thing.writes for s in ('s0', 's1'))
+    assert write in list_offered(world)
+
+
+def list_offered(world):
+    """Return the writes that any scheduler offers."""
+    return {
+        stored.block.write
+        for box in world.list_boxes()
+        for owned in world.processes[box].thing.node.pools.schedulers.values()
+        for stored in owned.directory._stored.values()
+    }
