Discard what the kernel still holds of a request that is given up

What callers would have seen: nothing, but their targets would get requests long after these were given up: a caller that has left, or was answered 504, or whose request was moved, still has it delivered once the path of a silent target works again.

Cause: giving up closed the connection, and the kernel goes on sending what it holds.

Change: an exchange without the head of an answer is reset, which discards what was not sent. One that is being answered has arrived and is closed as before. The stand-in counts a reset as a cancelled request, as it does an end of file.

--- a/landingspool/gateway/connection.py
+++ b/landingspool/gateway/connection.py
@@ -6,7 +6,11 @@
 """
 
 import asyncio
+import socket
+import struct
 
+# Value of SO_LINGER: on, with no time to send what is left.
+NO_LINGER = struct.pack('ii', 1, 0)
 # Unread bytes in the buffer above which reading from the socket pauses.
 MAX_UNREAD_BYTES = 256 * 1024
 
@@ -126,7 +130,15 @@
         self._transport.close()
 
     def abort(self):
-        """Reset the connection."""
+        """Close the connection without waiting for the written bytes."""
+        self._transport.abort()
+
+    def reset(self):
+        """Reset the connection; the kernel discards what it has not sent."""
+        if not self.closed:
+            self.get_socket().setsockopt(
+                socket.SOL_SOCKET, socket.SO_LINGER, NO_LINGER
+            )
         self._transport.abort()
 
     def _take_buffer(self):
--- a/landingspool/gateway/upstream.py
+++ b/landingspool/gateway/upstream.py
@@ -347,8 +347,15 @@
         )
 
     def abort(self):
-        """Reset the connection, at which the target cancels the request."""
-        self._connection.abort()
+        """End the connection, at which the target cancels the request.
+
+        A request without an answer may still be in the kernel, which would
+        deliver it once the path of a silent target works again.
+        """
+        if self._head is None:
+            self._connection.reset()
+        else:
+            self._connection.abort()
 
     async def _next(self):
         try:
--- a/standins/behaviours.py
+++ b/standins/behaviours.py
@@ -201,7 +201,10 @@
 async def answer_silent(runner, head, body, reader, writer):
     """Run, and say nothing until the caller leaves."""
     runner.run(head, body)
-    if not await reader.read(1):
+    try:
+        if not await reader.read(1):
+            runner.cancelled += 1
+    except ConnectionResetError:
         runner.cancelled += 1
     return True
 
--- a/tests/gateway/test_silence.py
+++ b/tests/gateway/test_silence.py
@@ -119,3 +119,30 @@
         assert got.body.count(b'id: ') == 4
 
     site.run(check)
+
+
+def test_aborted_exchange_sends_nothing_more():
+    async def check(deployment):
+        hub = await deployment.start_box()
+        with socket.socket() as peer:
+            peer.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+            peer.bind(('127.0.0.1', 0))
+            peer.listen()
+            exchange = await hub.upstream.open(peer.getsockname(), False)
+            arrived, _ = peer.accept()
+            rows = [('host', 'a'), ('content-length', '200000')]
+            exchange.send('POST', '/', rows, b'x' * 200_000)
+            await asyncio.sleep(0.05)
+            exchange.abort()
+            await asyncio.sleep(2.0)
+            arrived.settimeout(0.5)
+            received = 0
+            try:
+                while data := arrived.recv(65536):
+                    received += len(data)
+            except OSError:
+                pass
+            arrived.close()
+            assert received < 100_000
+
+    site.run(check)
