Put an unused connection back into the pool as it was taken

What callers would have seen: a request that must not be repeated is sent on a connection that was idle for longer than such requests allow, and is lost if the target has dropped it; others open new connections that they need not.

Cause: a replacement that was not used returned its connection as if it had just been answered: idle from now on, and for 0.4 s only.

Change: an exchange knows the row of the pool that it came from and puts that back. Result: the tests of the pool and of silence pass.

--- a/landingspool/gateway/upstream.py
+++ b/landingspool/gateway/upstream.py
@@ -104,9 +104,10 @@
         ExchangeError
             With `sent` false.
         """
-        connection = self._take_idle(address, repeatable)
-        if connection is None:
-            connection = await self._connect(address)
+        idle = self._take_idle(address, repeatable)
+        if idle is not None:
+            return Exchange(self, address, idle.connection, max_idle, idle)
+        connection = await self._connect(address)
         return Exchange(self, address, connection, max_idle)
 
     async def probe(self, address, max_idle):
@@ -122,14 +123,24 @@
 
     def keep(self, address, connection, idle_s, max_idle):
         """Return a connection to the pool for `idle_s` seconds at most."""
+        now = self._clock()
+        row = IdleConnection(connection, now, now + idle_s)
+        self.put_back(address, row, max_idle)
+
+    def put_back(self, address, row, max_idle):
+        """Return a row to the pool.
+
+        Parameters
+        ----------
+        row : IdleConnection
+        """
         idle = self._idle[address]
         is_full = len(idle) >= min(max_idle, MAX_IDLE_CONNECTIONS)
-        if idle_s <= 0 or is_full or not connection.is_idle:
-            connection.close()
+        if is_full or row.until <= row.since or not row.connection.is_idle:
+            row.connection.close()
             return
-        enable_keepalive(connection, True)
-        now = self._clock()
-        idle.append(IdleConnection(connection, now, now + idle_s))
+        enable_keepalive(row.connection, True)
+        idle.append(row)
 
     def drop(self, address):
         """Close the idle connections to an address."""
@@ -209,7 +220,7 @@
             if is_usable(row, repeatable, now):
                 idle.pop()
                 enable_keepalive(row.connection, False)
-                return row.connection
+                return row
             if now < row.until and row.connection.is_idle:
                 return None
             idle.pop()
@@ -255,8 +266,9 @@
 class Exchange:
     """One request to a target and its answer, on one connection."""
 
-    def __init__(self, upstream, address, connection, max_idle):
+    def __init__(self, upstream, address, connection, max_idle, idle=None):
         self._upstream = upstream
+        self._idle = idle
         self._max_idle = max_idle
         self._address = address
         self._connection = connection
@@ -342,6 +354,9 @@
 
     def cancel(self):
         """Return the connection of an exchange that has sent nothing."""
+        if self._idle is not None:
+            self._upstream.put_back(self._address, self._idle, self._max_idle)
+            return
         self._upstream.keep(
             self._address, self._connection, DEFAULT_IDLE_S, self._max_idle
         )
--- a/tests/gateway/test_upstream.py
+++ b/tests/gateway/test_upstream.py
@@ -99,3 +99,21 @@
         assert used.address not in hub.upstream.list_ready(True)
 
     site.run(check)
+
+
+def test_cancelled_exchange_does_not_prolong_the_life_of_a_connection():
+    async def check(deployment):
+        hub = await deployment.start_box()
+        (target,) = deployment.plain
+        target.usual = 'kept'
+        await site.ask(hub, '/unsafe/a')
+        address = target.address[:2]
+        (before,) = hub.upstream._idle[address]
+        await asyncio.sleep(0.3)
+        exchange = await hub.upstream.open(address, True)
+        exchange.cancel()
+        (after,) = hub.upstream._idle[address]
+        assert after.since == before.since
+        assert after.until == before.until
+
+    site.run(check, plain=1)
