Notice a target that has restarted while a request waits there

What callers would have seen: a request at a target whose host has restarted, or whose address another one has, waits for its deadline, although the connection is known to be dead to the other side.

Cause: a connection with a request had no keep-alive at all, so nothing was sent on it that could be answered with a reset.

Evidence: by reading, from the review; a restarted host can't be had over loopback.

Change: keep-alive stays on, with 127 probes while there is a request and one while the connection is idle.

--- a/landingspool/gateway/upstream.py
+++ b/landingspool/gateway/upstream.py
@@ -33,12 +33,17 @@
 # 0.3 s two in three requests open a connection, with 2 s four in ten; with 4 s
 # the share of failed requests rises by 0.36 percentage points.
 MAX_UNREPEATABLE_IDLE_S = 2.0
-# TCP keep-alive of idle connections: idle seconds before the first probe,
-# seconds between probes, and unanswered probes after which the kernel drops
-# the connection.  A dead peer is noticed within two seconds.
+# TCP keep-alive: idle seconds before the first probe, and seconds between
+# probes.
 KEEPALIVE_IDLE_S = 1
 KEEPALIVE_INTERVAL_S = 1
+# Unanswered probes after which the kernel drops an idle connection: a peer
+# that is gone is noticed within two seconds.
 KEEPALIVE_PROBES = 1
+# The same with a request on it, the most that Linux takes: beyond all
+# deadlines, since a sound target may fall silent for some time.  The probes
+# still find a peer that has restarted, which resets the connection.
+BUSY_KEEPALIVE_PROBES = 127
 # Idle connections per target and box; a box has about ten concurrent requests
 # at a target.
 MAX_IDLE_CONNECTIONS = 24
@@ -139,7 +144,7 @@
         if is_full or row.until <= row.since or not row.connection.is_idle:
             row.connection.close()
             return
-        enable_keepalive(row.connection, True)
+        set_keepalive_probes(row.connection, KEEPALIVE_PROBES)
         idle.append(row)
 
     def drop(self, address):
@@ -207,7 +212,7 @@
             raise ExchangeError(
                 f'connect: {error!r}', False, silent
             ) from error
-        set_keepalive_times(connection.get_socket())
+        enable_keepalive(connection)
         self._metrics.connections.inc()
         return connection
 
@@ -219,7 +224,7 @@
             now = self._clock()
             if is_usable(row, repeatable, now):
                 idle.pop()
-                enable_keepalive(row.connection, False)
+                set_keepalive_probes(row.connection, BUSY_KEEPALIVE_PROBES)
                 return row
             if now < row.until and row.connection.is_idle:
                 return None
@@ -244,23 +249,20 @@
     return repeatable or now - row.since <= MAX_UNREPEATABLE_IDLE_S
 
 
-def set_keepalive_times(sock):
-    """Set when keep-alive probes detect a peer that is gone."""
+def enable_keepalive(connection):
+    """Have the kernel probe the peer of a connection."""
+    sock = connection.get_socket()
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
     tcp = socket.IPPROTO_TCP
     sock.setsockopt(tcp, socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_S)
     sock.setsockopt(tcp, socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S)
-    sock.setsockopt(tcp, socket.TCP_KEEPCNT, KEEPALIVE_PROBES)
-
+    set_keepalive_probes(connection, BUSY_KEEPALIVE_PROBES)
 
-def enable_keepalive(connection, enabled):
-    """Have the kernel drop a connection if its peer is gone, or not.
 
-    An idle connection is dropped, since the next request on it would be lost.
-    One with a request is not: a sound target may fall silent for some time,
-    and what runs there may not be repeatable.
-    """
+def set_keepalive_probes(connection, probes):
+    """Set after how many unanswered probes the kernel drops a connection."""
     sock = connection.get_socket()
-    sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, enabled)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, probes)
 
 
 class Exchange:
