Check the paths of listed targets only

What operators would have seen: a line every 0.1 s for a target that has left the list while a request waits there, and a task each.

Cause: the probe of a target that isn't listed forgets what is known of it, the time of the last check included, so that it was due again.

Change: only targets that calls may go to are checked.

--- a/landingspool/decisions/gateway/view.py
+++ b/landingspool/decisions/gateway/view.py
@@ -405,6 +405,17 @@
         samples = [e for e in untried if self.exclusions.may_call(e, now)]
         return self.partition.pick_samples(samples, now)
 
+    def list_silent(self, now):
+        """List the silent targets whose paths are due to be checked."""
+        silent = [
+            name
+            for name in self.loads.list_silent(
+                now, reachability_module.SILENCE_S
+            )
+            if self.may_call(name, now)
+        ]
+        return self.reachability.take_unchecked(silent, now)
+
     def list_due_probes(self, now):
         """List the targets that are due to be probed."""
         if not self.partition.is_on:
--- a/landingspool/gateway/prober.py
+++ b/landingspool/gateway/prober.py
@@ -6,7 +6,6 @@
 
 import asyncio
 
-from landingspool.decisions.gateway import reachability
 from landingspool.gateway import upstream
 
 # Period at which targets are checked for a due probe, seconds.
@@ -60,11 +59,10 @@
     def check(self, tick):
         """Start a probe of each target that is due."""
         view = self._hub.view
-        silent = view.loads.list_silent(tick.now, reachability.SILENCE_S)
-        unchecked = view.reachability.take_unchecked(silent, tick.now)
-        for name in unchecked:
+        silent = view.list_silent(tick.now)
+        for name in silent:
             self._hub.recorder.record('target_silent', target=name)
-        for name in (*view.list_due_probes(tick.now), *unchecked):
+        for name in (*view.list_due_probes(tick.now), *silent):
             if name not in self._probing and self._may_probe(name, tick.now):
                 self._start_probe(name)
 
--- a/tests/gateway/test_silence.py
+++ b/tests/gateway/test_silence.py
@@ -149,3 +149,17 @@
             assert received < 100_000
 
     site.run(check)
+
+
+def test_target_that_is_delisted_is_logged_as_silent_once():
+    async def check(deployment):
+        hub = await deployment.start_box()
+        (target,) = deployment.plain
+        target.script = ['silent']
+        work = asyncio.ensure_future(site.ask(hub, '/unsafe/a'))
+        await site.wait_until(lambda: target.ran)
+        hub.view.fleet.drop(target.name, hub.clock(), False)
+        await work
+        assert hub.recorder.counts['target_silent'] <= 1
+
+    site.run(check, plain=1)
