Check a replacement again once its connection is open

What callers saw: a stream was reset although its target was only silent: `unproved_table` after 1.005 s where the table's proof had gone stale, and `no_target` after 1.157 s where the other target began to leave while it was connected to. A repeatable request under which two targets had ended never left a silent one: 504 after 2.45 s.

Cause: the plan of a replacement was checked only after the request had left its target. The quarantine counted the request itself as one that is under way. Targets that can't be reached were tried, too.

Change: proof, exclusions and stalls are checked before the repeat is taken; only a request that has ended three targets is kept where it is; targets known as unreachable replace nothing.

--- a/landingspool/gateway/replacements.py
+++ b/landingspool/gateway/replacements.py
@@ -7,6 +7,7 @@
 
 import typing
 
+from landingspool.decisions.gateway import crashes as crashes_module
 from landingspool.decisions.gateway import plans
 from landingspool.gateway import attempts
 from landingspool.gateway import upstream
@@ -26,7 +27,7 @@
     Parameters
     ----------
     hub
-        The box's parts: `view`, `upstream`, `prober`, `clock`, `metrics`.
+        The box's parts: `view`, `upstream`, `prober`, `clock`, `timer`.
     state : request_state.RequestState
     paths : path_choice.PathChoice
     """
@@ -59,8 +60,8 @@
             return False
         if not self._paths.may_send_directly(now):
             return self._turn_to_peers(now)
-        replacement = self._plan(plan, now)
-        if replacement is None or replacement.room.is_full():
+        replacement = self._plan_other(plan, now)
+        if replacement is None:
             return False
         try:
             exchange = await attempts.open_exchange(
@@ -68,7 +69,11 @@
             )
         except upstream.ExchangeError:
             return False
-        if has_answer() or not self._take_repeat():
+        if (
+            has_answer()
+            or not self._may_send(replacement, now)
+            or not self._take_repeat()
+        ):
             exchange.cancel()
             return False
         self._prepared = Replacement(replacement, now, exchange)
@@ -119,14 +124,29 @@
             state.may_send_again()
             and not state.is_expired(now)
             and self._view.has_repeat(state.work.service, now)
-            and crashes.get_quarantine(state.fingerprint, now) is None
+            # The request itself is under way, and will have ended by then.
+            and crashes.get_quarantine(state.fingerprint, now)
+            is not crashes_module.Quarantine.CRASHED
         )
 
-    def _plan(self, plan, now):
-        state = self._state
-        return self._view.plan(
+    def _plan_other(self, plan, now):
+        """Return the Plan for a reachable target with room, or None."""
+        state, view = self._state, self._view
+        other = view.plan(
             state.work,
             (*state.tried_targets, plan.entry.name),
             now,
             self._paths.list_ready(),
         )
+        if other is None or other.room.is_full():
+            return None
+        return None if view.reachability.is_out(other.entry.name) else other
+
+    def _may_send(self, plan, planned_at):
+        """Return whether a plan still holds once its connection is open."""
+        now = self._hub.clock()
+        return (
+            self._hub.timer.ran_since(planned_at)
+            and attempts.is_proved(self._view, now)
+            and self._view.may_send(plan.entry, self._state.work, now)
+        )
--- /dev/null
+++ b/tests/gateway/test_replacements.py
@@ -0,0 +1,177 @@
+"""A request leaves a silent target only for one that takes it."""
+
+import asyncio
+
+import pytest
+
+from landingspool.gateway import attempts
+from landingspool.gateway import upstream
+from tests.gateway import site
+from tests.gateway import test_relay
+
+
+async def ask_stream(hub):
+    return await site.ask(hub, '/resumed/a', headers=test_relay.PROMPT)
+
+
+def check_whole(got):
+    assert got.whole
+    assert got.body.count(b'id: ') == 4
+
+
+def test_stream_stays_while_the_table_is_not_proved():
+    async def check(deployment):
+        hub = await deployment.start_box()
+        test_relay.script(deployment.engines, 'paused stream')
+        for target in deployment.engines:
+            target.usual = 'stream'
+        work = asyncio.ensure_future(ask_stream(hub))
+        await site.wait_until(lambda: any(t.ran for t in deployment.engines))
+        hub.view.proof.is_fresh = lambda now: False
+        check_whole(await work)
+
+    site.run(check)
+
+
+def test_stream_stays_if_its_replacement_leaves_while_being_connected_to(
+    monkeypatch,
+):
+    async def check(deployment):
+        hub = await deployment.start_box()
+        test_relay.script(deployment.engines, 'paused stream')
+        for target in deployment.engines:
+            target.usual = 'stream'
+        open_exchange = attempts.open_exchange
+
+        async def open_late(hub, work, entry):
+            exchange = await open_exchange(hub, work, entry)
+            if any(t.ran for t in deployment.engines):
+                for target in deployment.engines:
+                    if not target.ran:
+                        deployment.announce(
+                            target, 'engine', state='draining', model='m'
+                        )
+                await asyncio.sleep(0.15)
+            return exchange
+
+        monkeypatch.setattr(attempts, 'open_exchange', open_late)
+        check_whole(await ask_stream(hub))
+
+    site.run(check)
+
+
+@pytest.mark.parametrize('stall_s', [0.4, 1.2])
+def test_stream_survives_a_stall_while_its_replacement_is_connected_to(
+    monkeypatch, suspend, stall_s
+):
+    async def check(deployment):
+        hub = await deployment.start_box()
+        test_relay.script(deployment.engines, 'paused stream')
+        for target in deployment.engines:
+            target.usual = 'stream'
+        open_exchange = attempts.open_exchange
+
+        async def open_stalled(hub, work, entry):
+            exchange = await open_exchange(hub, work, entry)
+            if any(t.ran for t in deployment.engines) and not stalled:
+                stalled.append(entry.name)
+                suspend(stall_s)
+            return exchange
+
+        stalled = []
+        monkeypatch.setattr(attempts, 'open_exchange', open_stalled)
+        got = await ask_stream(hub)
+        assert stalled
+        check_whole(got)
+
+    site.run_on_boot_clock(check)
+
+
+def test_caller_who_leaves_during_a_preparation_leaves_nothing_behind(
+    monkeypatch,
+):
+    async def check(deployment):
+        hub = await deployment.start_box()
+        for target in deployment.plain:
+            target.script = ['silent']
+        connect = upstream.Upstream._connect
+
+        async def connect_late(self, address):
+            if any(t.ran for t in deployment.plain):
+                connecting.set()
+                await asyncio.sleep(0.3)
+            return await connect(self, address)
+
+        connecting = asyncio.Event()
+        monkeypatch.setattr(upstream.Upstream, '_connect', connect_late)
+        work = asyncio.ensure_future(site.ask(hub, '/safe/a'))
+        await connecting.wait()
+        work.cancel()
+        await site.wait_until(
+            lambda: sum(t.cancelled for t in deployment.plain) == 1, 0.5
+        )
+        await asyncio.sleep(0.6)
+        assert sum(len(t.ran) for t in deployment.plain) == 1
+        assert not hub.view.loads.list_targets()
+        assert not hub.view.crashes._under_way
+        assert not hub.listener.count_busy()
+
+    site.run(check)
+
+
+def test_first_run_has_ended_when_the_second_begins():
+    async def check(deployment):
+        hub = await deployment.start_box()
+        test_relay.script(deployment.plain, 'silent')
+        before = hub.view._get_retry_budget('plain')
+        taken = len(before._repeats)
+        got = await site.ask(hub, '/safe/a')
+        assert got.status == 200
+        assert sum(t.cancelled for t in deployment.plain) == 1
+        assert len(before._repeats) == taken + 1
+        assert not hub.view.loads.list_targets()
+        assert not hub.view.crashes._under_way
+
+    site.run(check)
+
+
+def test_request_seen_at_two_crashes_leaves_a_silent_target():
+    async def check(deployment):
+        hub = await deployment.start_box()
+        assert (await site.ask(hub, '/safe/a')).status == 200
+        test_relay.script(deployment.plain, 'silent')
+        work = asyncio.ensure_future(site.ask(hub, '/safe/b'))
+        await site.wait_until(lambda: hub.view.crashes._under_way)
+        (fingerprint,) = hub.view.crashes._under_way
+        for name in ('x', 'y'):
+            hub.view.crashes.record_lost(fingerprint, name, hub.clock())
+        assert (await work).status == 200
+
+    site.run(check)
+
+
+@pytest.mark.parametrize('dropped', ['services', 'routes', 'tenants'])
+@pytest.mark.parametrize('path', ['resumed', 'safe'])
+def test_change_of_the_table_ends_nothing_that_waits(dropped, path):
+    async def check(deployment):
+        hub = await deployment.start_box()
+        test_relay.script(deployment.engines, 'paused stream')
+        test_relay.script(deployment.plain, 'late')
+        for target in deployment.engines:
+            target.usual = 'stream'
+        work = asyncio.ensure_future(
+            site.ask(hub, f'/{path}/a', headers=test_relay.PROMPT)
+        )
+        await site.wait_until(
+            lambda: any(t.ran for t in deployment.engines + deployment.plain)
+        )
+        table = site.make_table(2)
+        del table[dropped][:]
+        deployment.publish(table)
+        await site.wait_until(lambda: hub.view.table.version == 2)
+        got = await work
+        assert got.status == 200, got.body
+        assert got.whole
+        assert not hub.recorder.counts['request_fault']
+
+    site.run(check)
