--- a/landingspool/gateway/upstream.py
+++ b/landingspool/gateway/upstream.py
@@ -33,12 +33,17 @@
 # 0.3 s two in three requests open a connection, with 2 s four in ten; with 4 s
 # the share of failed requests rises by 0.36 percentage points.
 MAX_UNREPEATABLE_IDLE_S = 2.0
-# TCP keep-alive of idle connections: idle seconds before the first probe,
-# seconds between probes, and unanswered probes after which the kernel drops
-# the connection.  A dead peer is noticed within two seconds.
+# TCP keep-alive: idle seconds before the first probe, and seconds between
+# probes.
 KEEPALIVE_IDLE_S = 1
 KEEPALIVE_INTERVAL_S = 1
+# Unanswered probes after which the kernel drops an idle connection: a peer
+# that is gone is noticed within two seconds.
 KEEPALIVE_PROBES = 1
+# The same with a request on it, the most that Linux takes: beyond all
+# deadlines, since a sound target may fall silent for some time.  The probes
+# still find a peer that has restarted, which resets the connection.
+BUSY_KEEPALIVE_PROBES = 127
 # Idle connections per target and box; a box has about ten concurrent requests
 # at a target.
 MAX_IDLE_CONNECTIONS = 24
@@ -104,9 +109,10 @@
         ExchangeError
             With `sent` false.
         """
-        connection = self._take_idle(address, repeatable)
-        if connection is None:
-            connection = await self._connect(address)
+        idle = self._take_idle(address, repeatable)
+        if idle is not None:
+            return Exchange(self, address, idle.connection, max_idle, idle)
+        connection = await self._connect(address)
         return Exchange(self, address, connection, max_idle)
 
     async def probe(self, address, max_idle):
@@ -122,14 +128,24 @@
 
     def keep(self, address, connection, idle_s, max_idle):
         """Return a connection to the pool for `idle_s` seconds at most."""
+        now = self._clock()
+        row = IdleConnection(connection, now, now + idle_s)
+        self.put_back(address, row, max_idle)
+
+    def put_back(self, address, row, max_idle):
+        """Return a row to the pool.
+
+        Parameters
+        ----------
+        row : IdleConnection
+        """
         idle = self._idle[address]
         is_full = len(idle) >= min(max_idle, MAX_IDLE_CONNECTIONS)
-        if idle_s <= 0 or is_full or not connection.is_idle:
-            connection.close()
+        if is_full or row.until <= row.since or not row.connection.is_idle:
+            row.connection.close()
             return
-        enable_keepalive(connection, True)
-        now = self._clock()
-        idle.append(IdleConnection(connection, now, now + idle_s))
+        set_keepalive_probes(row.connection, KEEPALIVE_PROBES)
+        idle.append(row)
 
     def drop(self, address):
         """Close the idle connections to an address."""
@@ -196,7 +212,7 @@
             raise ExchangeError(
                 f'connect: {error!r}', False, silent
             ) from error
-        set_keepalive_times(connection.get_socket())
+        enable_keepalive(connection)
         self._metrics.connections.inc()
         return connection
 
@@ -208,8 +224,8 @@
             now = self._clock()
             if is_usable(row, repeatable, now):
                 idle.pop()
-                enable_keepalive(row.connection, False)
-                return row.connection
+                set_keepalive_probes(row.connection, BUSY_KEEPALIVE_PROBES)
+                return row
             if now < row.until and row.connection.is_idle:
                 return None
             idle.pop()
@@ -233,30 +249,28 @@
     return repeatable or now - row.since <= MAX_UNREPEATABLE_IDLE_S
 
 
-def set_keepalive_times(sock):
-    """Set when keep-alive probes detect a peer that is gone."""
+def enable_keepalive(connection):
+    """Have the kernel probe the peer of a connection."""
+    sock = connection.get_socket()
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
     tcp = socket.IPPROTO_TCP
     sock.setsockopt(tcp, socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_S)
     sock.setsockopt(tcp, socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S)
-    sock.setsockopt(tcp, socket.TCP_KEEPCNT, KEEPALIVE_PROBES)
+    set_keepalive_probes(connection, BUSY_KEEPALIVE_PROBES)
 
 
-def enable_keepalive(connection, enabled):
-    """Have the kernel drop a connection if its peer is gone, or not.
-
-    An idle connection is dropped, since the next request on it would be lost.
-    One with a request is not: a sound target may fall silent for some time,
-    and what runs there may not be repeatable.
-    """
+def set_keepalive_probes(connection, probes):
+    """Set after how many unanswered probes the kernel drops a connection."""
     sock = connection.get_socket()
-    sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, enabled)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, probes)
 
 
 class Exchange:
     """One request to a target and its answer, on one connection."""
 
-    def __init__(self, upstream, address, connection, max_idle):
+    def __init__(self, upstream, address, connection, max_idle, idle=None):
         self._upstream = upstream
+        self._idle = idle
         self._max_idle = max_idle
         self._address = address
         self._connection = connection
@@ -342,13 +356,23 @@
 
     def cancel(self):
         """Return the connection of an exchange that has sent nothing."""
+        if self._idle is not None:
+            self._upstream.put_back(self._address, self._idle, self._max_idle)
+            return
         self._upstream.keep(
             self._address, self._connection, DEFAULT_IDLE_S, self._max_idle
         )
 
     def abort(self):
-        """Reset the connection, at which the target cancels the request."""
-        self._connection.abort()
+        """End the connection, at which the target cancels the request.
+
+        A request without an answer may still be in the kernel, which would
+        deliver it once the path of a silent target works again.
+        """
+        if self._head is None:
+            self._connection.reset()
+        else:
+            self._connection.abort()
 
     async def _next(self):
         try:
