Leave a silent target only for one that accepts the request

What callers saw: a stream was reset after 1.005 s, or a safe request answered 502 `rejected`, because the target that it was moved to turned it away or failed it, although the silent one went on after 1.3 s.

Cause: an open connection was taken for a target that takes the request. A target that is full, loads weights or has other ones connects, too.

Change: the next attempt is begun while the silent one is held: once its target has sent the head of a success, or has not answered within 0.25 s, the request leaves the silent target, which is below the 0.4 s for which two targets may run a request. A rejection, a failure or a broken connection leaves it where it is.

--- a/landingspool/gateway/attempts.py
+++ b/landingspool/gateway/attempts.py
@@ -21,6 +21,9 @@
 # Seconds without data after which a resumable stream is continued at another
 # target.  Callers give up after two seconds or more.
 MAX_STREAM_PAUSE_S = 1.0
+# Seconds for which a target may take to accept a request that is still under
+# way at another one: both run it for as long.
+ACCEPT_S = 0.25
 # Seconds to read the body of a rejection.  Its connection can be used again
 # only after a complete read, which isn't worth more of the request's time.
 REJECTION_READ_S = 0.05
@@ -59,6 +62,7 @@
         self._planned_at = planned_at
         self._replacements = replacements
         self._exchange = exchange
+        self._head = None
         self._sent_at = None
 
     async def run(self):
@@ -73,32 +77,79 @@
         if not self._may_send():
             self._exchange.abort()
             return outcomes.Stale()
-        return await self._send_and_receive()
+        return await self._record(self._send_and_receive())
 
-    def _may_send(self):
-        # While the connection came up, the process may have stalled or the
-        # table may have changed.  Only a decision that still holds is sent.
+    async def begin(self):
+        """Send the request, and wait shortly for the target to accept it.
+
+        Returns
+        -------
+        One of the outcomes, or None
+            None if the attempt goes on: it is to be resumed or stopped.
+        """
+        return await self._record(self._send_and_wait())
+
+    async def resume(self):
+        """Complete an attempt that was begun; return one of the outcomes."""
+        return await self._record(self._receive())
+
+    def stop(self):
+        """End an attempt that was begun and isn't needed."""
+        self._record_end(outcomes.Lost('stopped', outcomes.Cause.STOPPED))
+
+    @property
+    def plan(self):
+        """The plan that is carried out."""
+        return self._plan
+
+    def is_current(self):
+        """Return whether the plan still holds.
+
+        While the connection came up, the process may have stalled or the
+        table may have changed.
+        """
         now = self._hub.clock()
         return (
             self._hub.timer.ran_since(self._planned_at)
             and is_proved(self._view, now)
             and self._view.may_send(self._plan.entry, self._state.work, now)
-            and not self._get_quarantine(now)
         )
 
+    def _may_send(self):
+        now = self._hub.clock()
+        return self.is_current() and not self._get_quarantine(now)
+
     def _get_quarantine(self, now):
         crashes = self._view.crashes
         return crashes.get_quarantine(self._state.fingerprint, now)
 
-    async def _send_and_receive(self):
+    async def _record(self, work):
+        """Await the outcome and record the end, if it has one."""
         outcome = outcomes.Lost('stopped', outcomes.Cause.STOPPED)
         try:
-            self._send()
-            outcome = await self._receive()
+            outcome = await work
         finally:
-            self._record_end(outcome)
+            if outcome is not None:
+                self._record_end(outcome)
         return outcome
 
+    async def _send_and_receive(self):
+        self._send()
+        return await self._receive()
+
+    async def _send_and_wait(self):
+        self._send()
+        try:
+            async with timeouts.Timeout(ACCEPT_S):
+                self._head = await self._exchange.read_head()
+        except TimeoutError:
+            return None
+        except upstream_module.ExchangeError as error:
+            return self._report_broken(error)
+        if is_success(self._head) and self._is_answer(self._head):
+            return None
+        return await self._receive()
+
     def _send(self):
         state, plan = self._state, self._plan
         self._sent_at = self._hub.clock()
@@ -192,7 +243,7 @@
     async def _receive(self):
         """Read the answer before the request's deadline; return an outcome."""
         try:
-            head = await self._read_head()
+            head = self._head or await self._read_head()
         except TimeoutError:
             return self._report_lost('silent', outcomes.Cause.SILENT)
         except upstream_module.ExchangeError as error:
--- a/landingspool/gateway/forwarder.py
+++ b/landingspool/gateway/forwarder.py
@@ -64,7 +64,7 @@
         if not self._may_send():
             self._exchange.abort()
             return self._count(outcomes.Stale())
-        return await self._send_and_receive()
+        return await self._record(self._send_and_receive())
 
     def _may_send(self):
         now = self._hub.clock()
--- a/landingspool/gateway/relay.py
+++ b/landingspool/gateway/relay.py
@@ -153,16 +153,16 @@
 
     async def _run_attempt(self):
         """Make one attempt; return the Answer, or None to go on."""
+        begun = self._replacements.take()
+        if begun is not None:
+            self._plan = begun.plan
+            return await self._finish_attempt(begun.resume())
         state, now = self._state, self._hub.clock()
         if state.is_expired(now):
             return await self._give_up('time_over', 504)
         quarantine = self._view.crashes.get_quarantine(state.fingerprint, now)
         if quarantine is not None:
             return await self._refuse_quarantined(quarantine, now)
-        prepared = self._replacements.take()
-        if prepared is not None:
-            self._plan = prepared.plan
-            return await self._attempt(prepared.planned_at, prepared.exchange)
         if self._paths.may_send_directly(now):
             return await self._attempt_directly(now)
         if self._origin is not None:
@@ -207,15 +207,17 @@
             self._plan = None
         return None
 
-    async def _attempt(self, planned_at, exchange=None):
+    async def _attempt(self, planned_at):
         """Carry out the plan; return the Answer, or None to go on."""
-        state, plan = self._state, self._plan
         attempt = attempts.Attempt(
-            self._hub, state, plan, planned_at, self._replacements, exchange
+            self._hub, self._state, self._plan, planned_at, self._replacements
         )
-        outcome = await attempt.run()
+        return await self._finish_attempt(attempt.run())
+
+    async def _finish_attempt(self, work):
+        outcome = await work
         if not isinstance(outcome, outcomes.Stale):
-            state.tried_targets.append(plan.entry.name)
+            self._state.tried_targets.append(self._plan.entry.name)
         answer = await OUTCOME_HANDLERS[type(outcome)](self, outcome)
         if answer is None:
             reason = outcomes.describe(outcome)
--- a/landingspool/gateway/replacements.py
+++ b/landingspool/gateway/replacements.py
@@ -1,33 +1,22 @@
 """Find another target for a request whose target is silent.
 
 A target that is silent may be sound, so a request leaves it only for a target
-that can take it: it may be repeated, the retry budget allows it, there is
-room, and a connection is open.  Otherwise the request stays where it is.
+that takes it: it may be repeated, the retry budget allows it, and the other
+target has not rejected it.  Otherwise the request stays where it is.
 """
 
-import typing
-
 from landingspool.decisions.gateway import crashes as crashes_module
-from landingspool.decisions.gateway import plans
 from landingspool.gateway import attempts
 from landingspool.gateway import upstream
 
 
-class Replacement(typing.NamedTuple):
-    """A planned target with an open connection."""
-
-    plan: plans.Plan
-    planned_at: float
-    exchange: upstream.Exchange
-
-
 class Replacements:
     """Prepare the next attempt of one request while the present one waits.
 
     Parameters
     ----------
     hub
-        The box's parts: `view`, `upstream`, `prober`, `clock`, `timer`.
+        The box's parts, as of an attempt.
     state : request_state.RequestState
     paths : path_choice.PathChoice
     """
@@ -39,9 +28,10 @@
         self._paths = paths
         self._prepared = None
         self._granted = False
+        self._was_refused = False
 
     async def prepare(self, plan, has_answer):
-        """Prepare an attempt at another target, if that is possible.
+        """Begin an attempt at another target, if that is possible.
 
         Parameters
         ----------
@@ -69,15 +59,18 @@
             )
         except upstream.ExchangeError:
             return False
-        if (
-            has_answer()
-            or not self._may_send(replacement, now)
-            or not self._take_repeat()
-        ):
+        attempt = attempts.Attempt(
+            self._hub, self._state, replacement, now, self, exchange
+        )
+        if has_answer() or not attempt.is_current() or not self._take_repeat():
             exchange.cancel()
             return False
-        self._prepared = Replacement(replacement, now, exchange)
-        return True
+        if await self._begin(attempt, has_answer):
+            self._prepared = attempt
+            return True
+        self._granted = False
+        self._state.tried_targets.append(replacement.entry.name)
+        return False
 
     def prepare_peer(self):
         """Let a request leave a silent box if another one may serve it.
@@ -96,15 +89,23 @@
         return granted
 
     def take(self):
-        """Return the Replacement that was prepared, or None."""
+        """Return the Attempt that was begun, or None."""
         prepared, self._prepared = self._prepared, None
         return prepared
 
     def close(self):
-        """Return the connection of a replacement that is not used."""
+        """End an attempt that was begun and isn't needed."""
         prepared = self.take()
         if prepared is not None:
-            prepared.exchange.cancel()
+            prepared.stop()
+
+    async def _begin(self, attempt, has_answer):
+        """Return whether a target accepts the request before the other."""
+        outcome = await attempt.begin()
+        if outcome is None and has_answer():
+            attempt.stop()
+            return False
+        return outcome is None
 
     def _turn_to_peers(self, now):
         if self._state.origin is not None:
@@ -120,15 +121,23 @@
     def _may_leave(self, now):
         state = self._state
         crashes = self._view.crashes
+        if not state.may_send_again() or state.is_expired(now):
+            return False
         return (
-            state.may_send_again()
-            and not state.is_expired(now)
-            and self._view.has_repeat(state.work.service, now)
+            self._has_repeat(now)
             # The request itself is under way, and will have ended by then.
             and crashes.get_quarantine(state.fingerprint, now)
             is not crashes_module.Quarantine.CRASHED
         )
 
+    def _has_repeat(self, now):
+        if self._view.has_repeat(self._state.work.service, now):
+            return True
+        if not self._was_refused:
+            self._was_refused = True
+            self._hub.metrics.budget_refusals.inc()
+        return False
+
     def _plan_other(self, plan, now):
         """Return the Plan for a reachable target with room, or None."""
         state, view = self._state, self._view
@@ -141,12 +150,3 @@
         if other is None or other.room.is_full():
             return None
         return None if view.reachability.is_out(other.entry.name) else other
-
-    def _may_send(self, plan, planned_at):
-        """Return whether a plan still holds once its connection is open."""
-        now = self._hub.clock()
-        return (
-            self._hub.timer.ran_since(planned_at)
-            and attempts.is_proved(self._view, now)
-            and self._view.may_send(plan.entry, self._state.work, now)
-        )
