Keep a released connection from being reset

A caller who read its answer slowly and left, or whose deadline passed meanwhile, made the box answer 502 to another caller's request. An attempt released its exchange to the pool before it wrote the answer to the caller, but kept a reference to it; if the write was cancelled, `_record_end` reset the connection, on which another request was waiting by then.

`test_slow_caller_who_leaves_ends_no_other_request` failed before with 502 instead of 200. The attempt now forgets the exchange when it releases it, in one place that all paths use, so that nothing is left to reset; forwarding to other boxes inherits this.

--- a/landingspool/gateway/attempts.py
+++ b/landingspool/gateway/attempts.py
@@ -128,7 +128,7 @@
     def _record_end(self, outcome):
         name = self._plan.entry.name
         if isinstance(outcome, outcomes.Lost):
-            self._exchange.abort()
+            self._abort()
             self._log_loss(outcome)
         self._view.loads.record_end(name, self._state.work.name)
         if not isinstance(outcome, outcomes.Rejected):
@@ -137,6 +137,16 @@
         if not isinstance(outcome, outcomes.Rejected):
             self._state.may_have_run = True
 
+    def _release(self):
+        """Return the connection, which another request may use from now."""
+        exchange, self._exchange = self._exchange, None
+        exchange.release()
+
+    def _abort(self):
+        """Reset the connection unless it was released."""
+        if self._exchange is not None:
+            self._exchange.abort()
+
     def _record_for_quarantine(self, outcome):
         """Record whether the target may have crashed under this request.
 
@@ -287,7 +297,7 @@
             async with timeouts.Timeout(REJECTION_READ_S):
                 while await self._exchange.read_data():
                     pass
-                self._exchange.release()
+                self._release()
         except (TimeoutError, upstream_module.ExchangeError):
             self._exchange.abort()
 
@@ -295,7 +305,7 @@
         body = bytearray()
         while data := await self._exchange.read_data():
             body += data
-        self._exchange.release()
+        self._release()
         self._record_failure(head)
         return outcomes.Failed(head, bytes(body))
 
@@ -319,7 +329,7 @@
 
     async def _forward_complete(self, head, body):
         self._record_first()
-        self._exchange.release()
+        self._release()
         rows = answers.relay_headers(head)
         await self._state.reply.send_complete(head.status, rows, body)
         return outcomes.Done(head.status)
@@ -331,7 +341,7 @@
         await reply.start(head.status, answers.relay_headers(head), body)
         while data := await self._exchange.read_data():
             await reply.send_data(data)
-        self._exchange.release()
+        self._release()
         await reply.finish()
         return outcomes.Done(head.status)
 
@@ -357,7 +367,7 @@
             return outcomes.Lost(
                 'ended within an event', outcomes.Cause.MALFORMED
             )
-        self._exchange.release()
+        self._release()
         await stream.finish()
         return outcomes.Done(head.status)
 
--- a/landingspool/gateway/forwarder.py
+++ b/landingspool/gateway/forwarder.py
@@ -110,7 +110,7 @@
         state, now = self._state, self._hub.clock()
         self._forwarding.record_end(self._peer.name, now)
         if isinstance(outcome, outcomes.Lost):
-            self._exchange.abort()
+            self._abort()
             self._log_loss(outcome)
         if isinstance(outcome, outcomes.PeerRefused):
             # Only a send to a target counts.
--- /dev/null
+++ b/tests/gateway/test_exchange_ends.py
@@ -0,0 +1,59 @@
+"""How the end of an exchange affects what comes after it."""
+
+import asyncio
+import contextlib
+import socket
+
+from standins import behaviours
+from tests.gateway import site
+
+LONG_BODY = b'x' * 250_000
+
+
+@behaviours.behaviour('long kept')
+async def answer_long_kept(runner, head, body, reader, writer):
+    """Run, answer at length, and keep the connection for long."""
+    runner.run(head, body)
+    behaviours.write_answer(
+        runner, head, writer, 200, LONG_BODY, 'keep-alive: timeout=9'
+    )
+
+
+@contextlib.asynccontextmanager
+async def ask_without_reading(hub, deadline_ms):
+    """Send a request, and read nothing of the answer."""
+    (listening,) = hub.listener._server.sockets
+    listening.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
+    loop = asyncio.get_running_loop()
+    with socket.socket() as sock:
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+        sock.setblocking(False)
+        await loop.sock_connect(sock, tuple(hub.deployment.callers))
+        await loop.sock_sendall(
+            sock,
+            b'POST /unsafe/a HTTP/1.1\r\nhost: h.example\r\n'
+            b'x-landingspool-request-id: slow1\r\n'
+            b'x-landingspool-deadline-ms: %d\r\n'
+            b'authorization: Bearer %s\r\ncontent-length: 1\r\n\r\nx'
+            % (deadline_ms, site.KEY.encode()),
+        )
+        yield sock
+
+
+def test_slow_caller_who_leaves_ends_no_other_request():
+    async def check(deployment):
+        hub = await deployment.start_box()
+        (target,) = deployment.plain
+        target.script = ['long kept', 'late']
+        async with ask_without_reading(hub, 2500):
+            await site.wait_until(
+                lambda: hub.upstream.list_ready(False) and target.ran
+            )
+            assert hub.listener.count_busy() == 1
+            work = asyncio.ensure_future(site.ask(hub, '/unsafe/b'))
+            await site.wait_until(lambda: len(target.ran) == 2)
+            assert target.connections == 1
+        got = await work
+        assert got.status == 200, got.body
+
+    site.run(check, plain=1)
