Hold the sending of a failure to the deadline

A caller that read nothing of a target's long failure kept its request, the whole body in memory and its place among the connections for as long as it stayed connected: `Relay._handle_failed` awaited the sending outside of any time-out, unlike the sending of a success.

`test_caller_who_reads_nothing_of_a_failure_is_held_to_the_deadline` failed before: half a second after its deadline of 1 s the request was still in progress. The sending now ends at the deadline, or 0.25 s after a failure that arrives just before it, and the reply is then broken off, as for a success. Errors of the box itself need no such limit: they are far shorter than the 64 KiB from which on a write waits for the caller.

--- a/landingspool/gateway/relay.py
+++ b/landingspool/gateway/relay.py
@@ -22,6 +22,7 @@
 from landingspool.gateway import replacements
 from landingspool.gateway import request_state as request_state_module
 from landingspool.platform import answers
+from landingspool import timeouts
 
 # Attempts of a request that may fail before anything is sent; those that are
 # sent are limited by its route.
@@ -37,6 +38,8 @@
 # within 0.3 s; a caller that is refused comes back no sooner than that.
 START_WAIT_S = 0.4
 START_WAIT_SHARE = 0.125
+# Least time to send a failure that arrives just before the deadline, seconds.
+MIN_SEND_S = 0.25
 
 
 class Answer(typing.NamedTuple):
@@ -326,8 +329,17 @@
                 return None
         if self._reply.started:
             return self._abort_reply('failed')
+        return await self._send_failure(head, outcome.body)
+
+    async def _send_failure(self, head, body):
+        """Forward a target's failure, to a slow caller until the deadline."""
         rows = answers.relay_headers(head)
-        await self._reply.send_complete(head.status, rows, outcome.body)
+        left_s = self._state.deadline - self._hub.clock()
+        try:
+            async with timeouts.Timeout(max(left_s, MIN_SEND_S)):
+                await self._reply.send_complete(head.status, rows, body)
+        except TimeoutError:
+            return self._abort_reply('time_over')
         return Answer(head.status, 'failed', True)
 
     async def _handle_lost(self, outcome):
--- a/tests/gateway/test_exchange_ends.py
+++ b/tests/gateway/test_exchange_ends.py
@@ -19,6 +19,13 @@
     )
 
 
+@behaviours.behaviour('long failure')
+async def answer_long_failure(runner, head, body, reader, writer):
+    """Run, and answer with a long failure."""
+    runner.run(head, body)
+    behaviours.write_answer(runner, head, writer, 500, LONG_BODY)
+
+
 @contextlib.asynccontextmanager
 async def ask_without_reading(hub, deadline_ms):
     """Send a request, and read nothing of the answer."""
@@ -57,3 +64,15 @@
         assert got.status == 200, got.body
 
     site.run(check, plain=1)
+
+
+def test_caller_who_reads_nothing_of_a_failure_is_held_to_the_deadline():
+    async def check(deployment):
+        hub = await deployment.start_box()
+        (target,) = deployment.plain
+        target.script = ['long failure']
+        async with ask_without_reading(hub, 1000):
+            await site.wait_until(lambda: target.ran)
+            await site.wait_until(lambda: not hub.listener.count_busy(), 1.5)
+
+    site.run(check, plain=1)
