Count crashes under requests that still wait

A request that must not be repeated and under which a target dies without closing its connections was never counted as a suspect: it waits for its deadline, and by then the end of the target's entry, which confirms crashes, had been looked at. Sent again by callers, it could end target after target without being quarantined.

The time of each confirmed end is now remembered, and a request sent before it that stays unanswered is counted as of then. An answer to anything sent after the end shows that the target lives, and revokes it.

--- a/landingspool/decisions/gateway/crashes.py
+++ b/landingspool/decisions/gateway/crashes.py
@@ -77,6 +77,7 @@
         self._revoked = collections.OrderedDict()
         self._under_way = collections.Counter()
         self._pending = []
+        self._ended = collections.OrderedDict()
         self._gossip = gossip.Gossip()
         self._digests = 0
 
@@ -109,23 +110,35 @@
         """
         self._add(fingerprint, peer_digests.hash_target(name), now, now)
 
-    def record_unanswered(self, fingerprint, name, now):
+    def record_unanswered(self, fingerprint, name, sent, now):
         """Record that no answer came, for whatever reason.
 
-        The attempt counts as a crash if the crash of the target is confirmed
-        soon after.
+        The attempt counts as a crash if the crash of the target was confirmed
+        while it waited, or is confirmed soon after.  It doesn't count before
+        it has ended: a target whose entry has gone may serve on.
+
+        >>> crashes = Crashes()
+        >>> crashes.record_incarnation_end('a', 2.0)
+        >>> crashes.record_unanswered(b'f', 'a', 1.0, 3.0)
+        >>> crashes.record_unanswered(b'g', 'a', 2.5, 3.0)
+        >>> crashes.count(b'f', 3.0), crashes.count(b'g', 3.0)
+        (1, 0)
         """
         self._pending = [
             row for row in self._pending if now - row[2] < PENDING_S
         ]
         code = peer_digests.hash_target(name)
-        self._pending.append((fingerprint, code, now))
+        ended = self._ended.get(code, -math.inf)
+        if sent <= ended and self._alive.get(code, -math.inf) <= ended:
+            self._add(fingerprint, code, ended, now)
+        else:
+            self._pending.append((fingerprint, code, now))
 
     def record_incarnation_end(self, name, now):
         """Record a crash that the target's entry has confirmed.
 
         >>> crashes = Crashes()
-        >>> crashes.record_unanswered(b'f', 'a', 1.0)
+        >>> crashes.record_unanswered(b'f', 'a', 0.5, 1.0)
         >>> crashes.record_incarnation_end('a', 3.0)
         >>> crashes.count(b'f', 3.0)
         1
@@ -135,6 +148,9 @@
             if incarnation == code and now - at < PENDING_S:
                 self._add(fingerprint, incarnation, at, now)
         self._pending = [row for row in self._pending if row[1] != code]
+        self._ended[code] = now
+        self._ended.move_to_end(code)
+        bounded.trim(self._ended, MAX_FINGERPRINTS)
 
     def record_alive(self, name, sent):
         """Record that a target answers what was sent to it at `sent`.
--- a/landingspool/gateway/attempts.py
+++ b/landingspool/gateway/attempts.py
@@ -162,7 +162,9 @@
             if outcome.cause == outcomes.Cause.CLOSED:
                 crashes.record_lost(fingerprint, name, now)
             elif outcome.cause in outcomes.UNANSWERED:
-                crashes.record_unanswered(fingerprint, name, now)
+                crashes.record_unanswered(
+                    fingerprint, name, self._sent_at, now
+                )
         self._hub.crash_records.check()
 
     def _log_loss(self, outcome):
--- a/tests/gateway/test_exchange_ends.py
+++ b/tests/gateway/test_exchange_ends.py
@@ -76,3 +76,31 @@
             await site.wait_until(lambda: not hub.listener.count_busy(), 1.5)
 
     site.run(check, plain=1)
+
+
+def count_crashes_after(behaviour):
+    """Count the crashes under a request whose target's entry goes."""
+    counts = []
+
+    async def check(deployment):
+        hub = await deployment.start_box()
+        (target,) = deployment.plain
+        target.script = [behaviour]
+        work = asyncio.ensure_future(site.ask(hub, '/unsafe/a'))
+        await site.wait_until(lambda: hub.view.crashes._under_way)
+        (fingerprint,) = hub.view.crashes._under_way
+        await asyncio.sleep(0.5)
+        hub.view.record_incarnation_end(target.name, hub.clock())
+        await work
+        counts.append(hub.view.crashes.count(fingerprint, hub.clock()))
+
+    site.run(check, plain=1)
+    return counts
+
+
+def test_crash_under_a_waiting_request_is_counted():
+    assert count_crashes_after('silent') == [1]
+
+
+def test_target_that_serves_on_without_an_entry_counts_as_no_crash():
+    assert count_crashes_after('late') == [0]
