Don't suspect a request whose answer was complete

A caller who read a whole answer slowly, past its deadline, had its request counted as a suspect if the target's entry went within three seconds, for instance because the target left in order. Three of these would have had the same request refused to everybody for an hour.

`test_slow_caller_of_a_whole_answer_counts_as_no_crash` failed before with 1 crash instead of 0. An attempt that has released its exchange has read the complete answer, so it is no longer counted for a crash.

--- a/landingspool/gateway/attempts.py
+++ b/landingspool/gateway/attempts.py
@@ -158,7 +158,8 @@
         crashes.record_done(fingerprint)
         if isinstance(outcome, outcomes.Done):
             crashes.record_served(fingerprint, now)
-        elif isinstance(outcome, outcomes.Lost):
+        elif isinstance(outcome, outcomes.Lost) and self._exchange is not None:
+            # Once released, the target's answer was complete.
             if outcome.cause == outcomes.Cause.CLOSED:
                 crashes.record_lost(fingerprint, name, now)
             elif outcome.cause in outcomes.UNANSWERED:
--- a/tests/gateway/test_exchange_ends.py
+++ b/tests/gateway/test_exchange_ends.py
@@ -104,3 +104,19 @@
 
 def test_target_that_serves_on_without_an_entry_counts_as_no_crash():
     assert count_crashes_after('late') == [0]
+
+
+def test_slow_caller_of_a_whole_answer_counts_as_no_crash():
+    async def check(deployment):
+        hub = await deployment.start_box()
+        (target,) = deployment.plain
+        target.script = ['long kept']
+        crashes = hub.view.crashes
+        async with ask_without_reading(hub, 1000):
+            await site.wait_until(lambda: crashes._under_way)
+            (fingerprint,) = crashes._under_way
+            await site.wait_until(lambda: not crashes._under_way)
+        hub.view.record_incarnation_end(target.name, hub.clock())
+        assert crashes.count(fingerprint, hub.clock()) == 0
+
+    site.run(check, plain=1)
