Let sound targets fall silent in the soak

A request that must not be repeated was lost where its target said nothing for about a second and went on, and no soak run could have shown that: its faults either harm the answer itself or leave a path bad for long, which excuses all.

A new fault withholds the bytes of a sound target for 1.3 s and lets it go on. The auditor checks that no request that can't be repeated, which that target ran as usual, ends without its answer over 0.4 s before its deadline. A box that stood still, stopped or started meanwhile, or a path that another fault harmed, is excused. Callers note how long a request took, and a stand-in by which behaviour it answered.

It withholds bytes, not acknowledgements: what the kernel ends by itself is not seen here.

--- a/soak/auditor.py
+++ b/soak/auditor.py
@@ -28,6 +28,8 @@
 LIMIT_SLACK = 5
 # Seconds from a box's being told until what it sends counts.
 TOLD_S = 0.5
+# Seconds before its deadline in which a request may be given up.
+EARLY_S = 0.4
 # Reasons for which a box refuses that lacks what the store holds.
 LACKS = ('no_table', 'unproved_table')
 UNREPEATABLE = ('unsafe', 'stream')
@@ -47,6 +49,8 @@
         problems += check_target(fleet, runner, known)
         problems += words.check_words(fleet, runner, known)
     problems += check_stops(fleet)
+    for silence in fleet.silences:
+        problems += check_silence(fleet, silence, known)
     for limited in fleet.limits:
         problems += check_limit(fleet, limited, known)
     for path in fleet.ending:
@@ -73,6 +77,37 @@
         yield f'{row.name}: {row.reason} at {row.box}, which was sound'
 
 
+def check_silence(fleet, silence, known):
+    """Yield the requests that a silence ended though they can't be repeated.
+
+    Those count that a sound target ran and would have answered in time.
+    """
+    (runner,) = (r for r in fleet.runners if r.name == silence.name)
+    for head in runner.ran:
+        row = known.get(behaviours.get_id(head))
+        if row is None or head['how'] != runner.usual or runner.ended:
+            continue
+        ends = row.at + row.took_s
+        served = row.whole and row.status not in (502, 504)
+        early = row.took_s < callers.LEFT_S - EARLY_S
+        if served or not early or row.route not in UNREPEATABLE:
+            continue
+        if silence.start <= ends <= silence.end + TURN_S and not any(
+            h not in fleet.silences
+            and h.name in (row.box, silence.name)
+            and h.start <= ends
+            and row.at <= h.end
+            for h in fleet.holds
+        ):
+            # A box that was stopped starts again within this time.
+            later = ends + fleet_module.GRACE_S + TURN_S
+            if not fleet.has_started(row.box, row.at, later):
+                yield (
+                    f'{row.name}: {row.status} {row.reason} after '
+                    f'{row.took_s:.2f} s at {silence.name}, only silent'
+                )
+
+
 def check_limit(fleet, limited, known):
     """Yield that a target got more than it named, if it did."""
     counted = list_bound(fleet, limited, known)
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -25,7 +25,7 @@
     """One request: what was sent, and what a caller got.
 
     `status` is 0 where no answer came; `whole` tells whether the answer had
-    its proper end.
+    its proper end, and `took_s` the seconds until that or its loss.
     """
 
     name: str
@@ -37,6 +37,7 @@
     whole: bool
     body: bytes
     stamped: bool
+    took_s: float
 
     @property
     def reason(self):
@@ -82,9 +83,8 @@
         status, whole, body, stamped = await self.ask(
             box, f'/{route}/a', name, key, b'x'
         )
-        self.sent.append(
-            Sent(name, box.name, route, key, at, status, whole, body, stamped)
-        )
+        answer = status, whole, body, stamped, time.monotonic() - at
+        self.sent.append(Sent(name, box.name, route, key, at, *answer))
 
     async def ask(self, box, path, name, key, sent):
         """Send one request; gives what came back."""
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -27,6 +27,8 @@
 LIMITS = 0.3, 4.0
 LIMIT_CHANGES = 1, 3
 LIMIT_S = 3.0
+# Seconds for which a sound target is silent before it goes on.
+SILENCE_S = 1.3
 # Seconds for which a leaving target says so in its answers alone.
 UNHEARD_LEAVING_S = 0.5, 5.0
 # Seconds of rest that targets ask for, how many requests each turns away, and
@@ -203,6 +205,17 @@
     runner.script += rng.choices(scripts, k=rng.randint(1, 4))
 
 
+@fault
+async def fall_silent(fleet, rng):
+    """Let a sound target be silent for a while, and go on."""
+    name = rng.choice(list_staying(fleet)).name
+    with fleet.hold(name) as silence:
+        fleet.silences.append(silence)
+        fleet.wires[name].mode = 'silent'
+        await asyncio.sleep(SILENCE_S)
+        fleet.wires[name].mode = ''
+
+
 @fault
 async def end_targets(fleet, rng):
     """Let a request come again that ends each target that runs it."""
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -174,6 +174,8 @@
         # The targets that named limits, each time anew.
         self.limits = []
         self.holds = []
+        # The holds in which sound targets were only silent.
+        self.silences = []
         # The paths of requests that end their targets.
         self.ending = []
 
@@ -208,7 +210,7 @@
         row = Hold(name, time.monotonic())
         self.holds.append(row)
         try:
-            yield
+            yield row
         finally:
             row.end = time.monotonic()
 
--- a/standins/runner.py
+++ b/standins/runner.py
@@ -148,6 +148,7 @@
                     continue
                 at = time.monotonic()
                 name = self.script.pop(0) if self.script else self.usual
+                head['how'] = name
                 self.heads.append(
                     {
                         **head,
