--- a/landingspool/gateway/attempts.py
+++ b/landingspool/gateway/attempts.py
@@ -7,6 +7,7 @@
 
 from landingspool.decisions.gateway import demand
 from landingspool.decisions.gateway import routes
+from landingspool.gateway import delivery
 from landingspool.gateway import outcomes
 from landingspool.gateway import stream as stream_module
 from landingspool.gateway import upstream as upstream_module
@@ -18,19 +19,12 @@
 # multiple of the route's latency objective, and a minimum in seconds.
 TIMEOUT_RATIO = 2.0
 MIN_TIMEOUT_S = 0.4
-# Seconds without data after which a resumable stream is continued at another
-# target.  Callers give up after two seconds or more.
-MAX_STREAM_PAUSE_S = 1.0
 # Seconds for which a target may take to accept a request that is still under
 # way at another one: both run it for as long.
 ACCEPT_S = 0.25
 # Seconds to read the body of a rejection.  Its connection can be used again
 # only after a complete read, which isn't worth more of the request's time.
 REJECTION_READ_S = 0.05
-# Bytes of an answer that are buffered before the first one is forwarded.  If
-# the answer breaks off before that, the request can still be sent again or
-# be answered with an error.
-MAX_HELD_BYTES = 256 * 1024
 
 
 class Attempt:
@@ -146,7 +140,7 @@
             return None
         except upstream_module.ExchangeError as error:
             return self._report_broken(error)
-        if is_success(self._head) and self._is_answer(self._head):
+        if delivery.is_success(self._head) and self._is_answer(self._head):
             return None
         return await self._receive()
 
@@ -188,7 +182,7 @@
         if not isinstance(outcome, outcomes.Rejected):
             self._state.may_have_run = True
 
-    def _release(self):
+    def release(self):
         """Return the connection, which another request may use from now."""
         exchange, self._exchange = self._exchange, None
         exchange.release()
@@ -258,10 +252,10 @@
         try:
             head = self._head or await self._read_head()
         except TimeoutError:
-            return self._report_lost('silent', outcomes.Cause.SILENT)
+            return self.report_lost('silent', outcomes.Cause.SILENT)
         except upstream_module.ExchangeError as error:
             return self._report_broken(error)
-        self._record_version(head.version)
+        self.record_version(head.version)
         self._record_notices(head)
         if head.not_run:
             return await self._take_rejection(head)
@@ -269,8 +263,8 @@
             return await self._take_foreign(head)
         try:
             async with timeouts.Timeout(self._get_remaining_s()):
-                if is_success(head):
-                    return await self._forward(head)
+                if delivery.is_success(head):
+                    return await self._deliver(head)
                 return await self._take_failure(head)
         except TimeoutError:
             # The caller's deadline has passed, which isn't the target's fault.
@@ -278,7 +272,7 @@
         except upstream_module.ExchangeError as error:
             return self._report_broken(error)
         except stream_module.EventTooLong as error:
-            return self._report_lost(str(error), outcomes.Cause.MALFORMED)
+            return self.report_lost(str(error), outcomes.Cause.MALFORMED)
 
     async def _read_head(self):
         """Read the answer's head; wait on while nothing can replace this.
@@ -293,10 +287,10 @@
                 async with timeouts.Timeout(self._compute_timeout()):
                     return await self._exchange.read_head()
             except TimeoutError:
-                if self._is_expired() or await self._prepare_replacement():
+                if self._is_expired() or await self.prepare_replacement():
                     raise
 
-    async def _prepare_replacement(self):
+    async def prepare_replacement(self):
         """Return whether another target takes over from a silent one."""
         return await self._replacements.prepare(
             self._plan, lambda: self._exchange.has_answer
@@ -320,10 +314,10 @@
         return self._state.deadline - self._hub.clock()
 
     def _is_answer(self, head):
-        return is_answer_to(head, self._state.call.name)
+        return delivery.is_answer_to(head, self._state.call.name)
 
     async def _take_foreign(self, head):
-        return self._report_lost(
+        return self.report_lost(
             'not the answer to this request', outcomes.Cause.MALFORMED
         )
 
@@ -351,15 +345,19 @@
             async with timeouts.Timeout(REJECTION_READ_S):
                 while await self._exchange.read_data():
                     pass
-                self._release()
+                self.release()
         except (TimeoutError, upstream_module.ExchangeError):
             self._exchange.abort()
 
+    async def _deliver(self, head):
+        answer = delivery.Delivery(self._state, self._exchange, self)
+        return await answer.forward(head)
+
     async def _take_failure(self, head):
         body = bytearray()
         while data := await self._exchange.read_data():
             body += data
-        self._release()
+        self.release()
         self._record_failure(head)
         return outcomes.Failed(head, bytes(body))
 
@@ -370,71 +368,7 @@
         failed = head.status >= 500 and not head.notices.asks_backoff
         self._view.record_answer(self._plan, wait_s, failed)
 
-    async def _forward(self, head):
-        if self._state.work.route.kind == routes.STREAM:
-            return await self._forward_stream(head)
-        body = bytearray()
-        while len(body) <= MAX_HELD_BYTES:
-            data = await self._exchange.read_data()
-            if not data:
-                return await self._forward_complete(head, bytes(body))
-            body += data
-        return await self._forward_long(head, bytes(body))
-
-    async def _forward_complete(self, head, body):
-        self._record_first()
-        self._release()
-        rows = answers.relay_headers(head)
-        await self._state.reply.send_complete(head.status, rows, body)
-        return outcomes.Done(head.status)
-
-    async def _forward_long(self, head, body):
-        """Forward an answer of which `body` is the beginning."""
-        self._record_first()
-        reply = self._state.reply
-        await reply.start(head.status, answers.relay_headers(head), body)
-        while data := await self._exchange.read_data():
-            await reply.send_data(data)
-        self._release()
-        await reply.finish()
-        return outcomes.Done(head.status)
-
-    async def _forward_stream(self, head):
-        stream = self._open_stream(head)
-        pause_s = MAX_STREAM_PAUSE_S if self._state.may_send_again() else None
-        while True:
-            try:
-                async with timeouts.Timeout(pause_s):
-                    data = await self._exchange.read_data()
-            except TimeoutError:
-                if not await self._prepare_replacement():
-                    continue
-                return self._report_lost('paused', outcomes.Cause.PAUSED)
-            if not data:
-                break
-            self._record_received()
-            self._record_version(await stream.take(data))
-            if stream.any_sent and not stream.first_recorded:
-                stream.first_recorded = True
-                self._record_first()
-        if not stream.is_complete():
-            return outcomes.Lost(
-                'ended within an event', outcomes.Cause.MALFORMED
-            )
-        self._release()
-        await stream.finish()
-        return outcomes.Done(head.status)
-
-    def _open_stream(self, head):
-        """Return the caller's stream; begin it if this is the first answer."""
-        state = self._state
-        if state.stream is None:
-            rows = answers.relay_headers(head)
-            state.stream = stream_module.Stream(state.reply, head.status, rows)
-        state.stream.restart()
-        return state.stream
-
-    def _report_lost(self, reason, cause):
+    def report_lost(self, reason, cause):
         """Count a loss for the target and return the outcome Lost."""
         self._record_loss(certain=False)
         return outcomes.Lost(reason, cause)
@@ -449,20 +383,22 @@
             entry = self._plan.entry
             self._hub.upstream.drop(entry.address)
             self._hub.prober.record_failed(entry.name, str(error))
-            return self._report_lost(str(error), outcomes.Cause.DEAD_PATH)
+            return self.report_lost(str(error), outcomes.Cause.DEAD_PATH)
         if self._exchange.is_closed:
-            return self._report_lost(str(error), outcomes.Cause.CLOSED)
-        return self._report_lost(str(error), outcomes.Cause.MALFORMED)
+            return self.report_lost(str(error), outcomes.Cause.CLOSED)
+        return self.report_lost(str(error), outcomes.Cause.MALFORMED)
 
     def _record_loss(self, certain):
         name = self._plan.entry.name
         self._view.record_loss(name, self._hub.clock(), certain)
 
-    def _record_received(self):
+    def record_received(self):
+        """Record that the target has sent a part of the answer."""
         name = self._plan.entry.name
         self._view.loads.record_received(name, self._hub.clock())
 
-    def _record_first(self):
+    def record_first(self):
+        """Record the first part of the answer that is forwarded."""
         now = self._hub.clock()
         self._view.record_first(self._plan, self._state.work, now)
         wait_s = self._hub.timer.measure_running_s(self._sent_at)
@@ -473,11 +409,11 @@
         if head.status == answers.MISDIRECTED:
             # The answer comes from another target, which has the address now.
             return
-        answered = is_answer_to(head, self._state.call.name)
+        answered = delivery.is_answer_to(head, self._state.call.name)
         if not answered and not head.not_run:
             return
         # A missing limit means "no limit" only in a signed success.
-        certain = answered and is_success(head)
+        certain = answered and delivery.is_success(head)
         name = self._plan.entry.name
         self._hub.target_notices.take(
             name, head.notices, self._sent_at, certain
@@ -485,7 +421,8 @@
         if answered and not head.notices.asks_backoff:
             self._view.exclusions.backoffs.record_answered(name, self._sent_at)
 
-    def _record_version(self, version):
+    def record_version(self, version):
+        """Record the version of the weights that the target has, if known."""
         prompt = self._state.work.prompt
         if version is None or prompt is None:
             return
@@ -520,24 +457,6 @@
     return not view.table.keyed or view.proof.is_fresh(now)
 
 
-def is_success(head):
-    """Return whether the status of an answer is a success (2xx)."""
-    return 200 <= head.status < 300
-
-
-def is_answer_to(head, name):
-    """Return whether an answer belongs to the request of this id.
-
-    A success must also be signed by the target, and its body must be as the
-    target made it, without a content coding.
-    """
-    if head.name != name:
-        return False
-    if is_success(head):
-        return head.stamped and not head.content_encoded
-    return True
-
-
 def describe_plan(plan, table):
     """Return the values that decided the choice of a target, for the log."""
     return {
--- /dev/null
+++ b/landingspool/gateway/delivery.py
@@ -0,0 +1,132 @@
+"""Forward the answer of a target to the caller of a request.
+
+An answer is buffered up to a limit, so that one that breaks off before can
+still be replaced; streams are forwarded event by event.
+"""
+
+from landingspool.decisions.gateway import routes
+from landingspool.gateway import outcomes
+from landingspool.gateway import stream as stream_module
+from landingspool.platform import answers
+from landingspool import timeouts
+
+# Seconds without data after which a resumable stream is continued at another
+# target.  Callers give up after two seconds or more.
+MAX_STREAM_PAUSE_S = 1.0
+# Bytes of an answer that are buffered before the first one is forwarded.  If
+# the answer breaks off before that, the request can still be sent again or
+# be answered with an error.
+MAX_HELD_BYTES = 256 * 1024
+
+
+class Delivery:
+    """Forwards the answer to one attempt, if it is a success.
+
+    Parameters
+    ----------
+    state : request_state.RequestState
+        The request; its reply receives the answer.
+    exchange : upstream.Exchange
+        Where the answer is read from.
+    attempt : attempts.Attempt
+        Keeps the accounts of the target and gives up the exchange.
+    """
+
+    def __init__(self, state, exchange, attempt):
+        self._state = state
+        self._exchange = exchange
+        self._attempt = attempt
+
+    async def forward(self, head):
+        """Forward the answer of this head.
+
+        Returns
+        -------
+        outcomes.Done or outcomes.Lost
+
+        Raises
+        ------
+        upstream.ExchangeError
+            If the answer breaks off.
+        stream.EventTooLong
+        """
+        if self._state.work.route.kind == routes.STREAM:
+            return await self._forward_stream(head)
+        body = bytearray()
+        while len(body) <= MAX_HELD_BYTES:
+            data = await self._exchange.read_data()
+            if not data:
+                return await self._forward_complete(head, bytes(body))
+            body += data
+        return await self._forward_long(head, bytes(body))
+
+    async def _forward_complete(self, head, body):
+        self._attempt.record_first()
+        self._attempt.release()
+        rows = answers.relay_headers(head)
+        await self._state.reply.send_complete(head.status, rows, body)
+        return outcomes.Done(head.status)
+
+    async def _forward_long(self, head, body):
+        """Forward an answer of which `body` is the beginning."""
+        self._attempt.record_first()
+        reply = self._state.reply
+        await reply.start(head.status, answers.relay_headers(head), body)
+        while data := await self._exchange.read_data():
+            await reply.send_data(data)
+        self._attempt.release()
+        await reply.finish()
+        return outcomes.Done(head.status)
+
+    async def _forward_stream(self, head):
+        stream, attempt = self._open_stream(head), self._attempt
+        pause_s = MAX_STREAM_PAUSE_S if self._state.may_send_again() else None
+        while True:
+            try:
+                async with timeouts.Timeout(pause_s):
+                    data = await self._exchange.read_data()
+            except TimeoutError:
+                if not await attempt.prepare_replacement():
+                    continue
+                return attempt.report_lost('paused', outcomes.Cause.PAUSED)
+            if not data:
+                break
+            attempt.record_received()
+            attempt.record_version(await stream.take(data))
+            if stream.any_sent and not stream.first_recorded:
+                stream.first_recorded = True
+                attempt.record_first()
+        if not stream.is_complete():
+            return outcomes.Lost(
+                'ended within an event', outcomes.Cause.MALFORMED
+            )
+        attempt.release()
+        await stream.finish()
+        return outcomes.Done(head.status)
+
+    def _open_stream(self, head):
+        """Return the caller's stream; begin it if this is the first answer."""
+        state = self._state
+        if state.stream is None:
+            rows = answers.relay_headers(head)
+            state.stream = stream_module.Stream(state.reply, head.status, rows)
+        state.stream.restart()
+        return state.stream
+
+
+def is_success(head):
+    """Return whether the status of an answer is a success (2xx)."""
+    return 200 <= head.status < 300
+
+
+def is_answer_to(head, name):
+    """Return whether an answer belongs to the request of this id.
+
+    A success must also be signed by the target, and its body must be as the
+    target made it, without a content coding.
+    """
+    if head.name != name:
+        return False
+    if is_success(head):
+        return head.stamped and not head.content_encoded
+    return True
--- a/landingspool/gateway/forwarder.py
+++ b/landingspool/gateway/forwarder.py
@@ -134,7 +134,7 @@
             after_s=round(self._hub.clock() - self._sent_at, 4),
         )
 
-    async def _prepare_replacement(self):
+    async def prepare_replacement(self):
         return self._replacements.prepare_peer()
 
     def _compute_timeout(self):
@@ -188,7 +188,7 @@
     def _record_unable(self):
         self._forwarding.record_failed(self._peer.name, self._hub.clock())
 
-    def _record_first(self):
+    def record_first(self):
         self._state.record_first(self._hub.clock())
 
     def _record_loss(self, certain):
@@ -197,13 +197,13 @@
     def _record_failure(self, head):
         """Leave the accounts of the target to the box that sends to it."""
 
-    def _record_received(self):
+    def record_received(self):
         """Leave the accounts of the target to the box that sends to it."""
 
     def _record_notices(self, head):
         """Leave the notices to the box that knows the target."""
 
-    def _record_version(self, version):
+    def record_version(self, version):
         """Leave the version to the box that knows the target."""
 
     def _count(self, outcome):
--- a/tests/gateway/test_exchange_ends.py
+++ b/tests/gateway/test_exchange_ends.py
@@ -4,10 +4,12 @@
 import contextlib
 import socket
 
+from landingspool.gateway import delivery
 from standins import behaviours
 from tests.gateway import site
 
-LONG_BODY = b'x' * 250_000
+# Held here until it is complete.
+LONG_BODY = b'x' * (delivery.MAX_HELD_BYTES - 12_144)
 
 
 @behaviours.behaviour('long kept')
