Give the headers between boxes a prefix of their own

The headers that boxes exchange began with the prefix of the platform's names, which only the adapter may know, and one of its future headers could have been dropped from requests by mistake.

They begin with x-spool-box- now. Nothing else used the old prefix; callers' copies are still dropped by it.

--- a/landingspool/gateway/forwarded_rows.py
+++ b/landingspool/gateway/forwarded_rows.py
@@ -6,7 +6,7 @@
 
 import typing
 
-PREFIX = b'x-landingspool-box-'
+PREFIX = b'x-spool-box-'
 # In requests: the box that forwards it.
 FORWARDED_BY = PREFIX + b'name'
 # In requests: the service that the forwarding box has chosen.
