Test which refusals of a box let another one be asked

The sets of reasons for which another box is asked, and for which a box is taken as unable to send, were tested for single reasons only, and the limit of boxes that one request is forwarded to was not tested.

The test of the time to retry now runs over all these reasons and keeps its checks; a direct test of the choice of paths holds the limit, with the cut known and not yet known.

--- a/tests/gateway/test_forwarder.py
+++ b/tests/gateway/test_forwarder.py
@@ -2,10 +2,13 @@
 
 import asyncio
 import contextlib
+import types
 
 import pytest
 
 from landingspool.gateway import forwarded_rows
+from landingspool.gateway import forwarder
+from landingspool.gateway import path_choice
 from landingspool.gateway import upstream
 from landingspool import http
 from tests.gateway import site
@@ -298,25 +301,51 @@
     site.run(check)
 
 
-def test_the_time_to_retry_is_that_of_the_peer():
-    async def busy(reader, writer):
+@pytest.mark.parametrize('reason', sorted({'busy', *forwarder.TRY_ELSEWHERE}))
+def test_a_peer_that_refuses_is_left_if_another_one_may_do_better(reason):
+    async def refuse(reader, writer):
         writer.write(
             b'HTTP/1.1 503 X\r\ncontent-length: 0\r\nretry-after: 1.75\r\n'
             + forwarded_rows.REASON
-            + b': busy\r\n\r\n'
+            + b': %s\r\n\r\n' % reason.encode()
         )
 
     async def check(deployment):
         hub, (first, _) = await start_cut_box(deployment)
-        async with fake_peer(hub, first.deployment.box, busy):
+        name = first.deployment.box
+        async with fake_peer(hub, name, refuse):
             got = await site.ask(hub, '/safe/a')
-            assert got.status == 503
+            assert count_runs(deployment) == (reason != 'busy')
+        assert got.status == (503 if reason == 'busy' else 200)
+        if reason == 'busy':
             assert got.headers['retry-after'] == '1.75'
-            assert count_runs(deployment) == 0
+        is_unable = reason in forwarder.UNABLE
+        assert hub.view.forwarding.failed == ([name] if is_unable else [])
 
     site.run(check)
 
 
+@pytest.mark.parametrize(
+    ('since', 'limit'), ((0, path_choice.MAX_PEERS), (1, 1))
+)
+def test_a_request_is_forwarded_to_a_limited_number_of_peers(since, limit):
+    names = [f'box{number}' for number in range(path_choice.MAX_PEERS + 2)]
+    state = types.SimpleNamespace(
+        tried_peers=[], work=types.SimpleNamespace(service='plain')
+    )
+    hub = types.SimpleNamespace(
+        view=types.SimpleNamespace(forwarding=Cut(names, since)),
+        upstream=None,
+        peering=types.SimpleNamespace(
+            peers=dict(zip(names, names)), list_without_forwarding=list
+        ),
+    )
+    paths = path_choice.PathChoice(hub, state)
+    while (picked := paths.pick_peer(0.0)) is not None:
+        state.tried_peers.append(picked)
+    assert state.tried_peers == names[:limit]
+
+
 def test_a_peer_without_the_address_gets_nothing():
     async def check(deployment):
         hub, (other,) = await start_cut_box(deployment, 1)
