--- a/landingspool/gateway/metrics.py
+++ b/landingspool/gateway/metrics.py
@@ -149,7 +149,7 @@
 
         Parameters
         ----------
-        answer : relay.Answer
+        answer : refusals.Answer
         seconds : float
             From the arrival of the request to the end of its answer.
         first_s : float or None
@@ -176,7 +176,7 @@
 
         Parameters
         ----------
-        answer : relay.Answer
+        answer : refusals.Answer
         """
         served = 200 <= answer.status < 300
         self.returns.labels('served' if served else answer.reason[:40]).inc()
--- a/landingspool/gateway/relay.py
+++ b/landingspool/gateway/relay.py
@@ -7,18 +7,16 @@
 """
 
 import asyncio
-import random
-import typing
 
 from landingspool.decisions.gateway import exclusions
 from landingspool.decisions.gateway import plans
 from landingspool.decisions.gateway import routes
 from landingspool.gateway import admission_gate
 from landingspool.gateway import attempts
-from landingspool.gateway import forwarded_rows
 from landingspool.gateway import forwarder
 from landingspool.gateway import outcomes
 from landingspool.gateway import path_choice
+from landingspool.gateway import refusals
 from landingspool.gateway import replacements
 from landingspool.gateway import request_state as request_state_module
 from landingspool.platform import answers
@@ -27,12 +25,6 @@
 # Attempts of a request that may fail before anything is sent; those that are
 # sent are limited by its route.
 MAX_UNSENT_ATTEMPTS = 4
-# Range of the random Retry-After of a refusal, seconds.  Random, so that
-# callers don't return together; a target's reload takes about a second.
-RETRY_AFTER_S = (0.15, 0.5)
-# The same when all targets are leaving: a replacement has to start, load its
-# weights and be listed.
-REPLACEMENT_RETRY_AFTER_S = (1.0, 2.0)
 # Longest wait of a request for the first table of a box that has just started,
 # in seconds and as a share of the time that its caller waits.  The table comes
 # within 0.3 s; a caller that is refused comes back no sooner than that.
@@ -42,14 +34,6 @@
 MIN_SEND_S = 0.25
 
 
-class Answer(typing.NamedTuple):
-    """The final answer to a request, for the log and the metrics."""
-
-    status: int
-    reason: str
-    may_have_run: bool
-
-
 class Relay:
     """Relays one request and answers it exactly once.
 
@@ -78,6 +62,7 @@
         self._replacements = replacements.Replacements(
             hub, self._state, self._paths
         )
+        self._refusals = refusals.Refusals(hub, self._state, origin)
         self._plan = None
 
     async def run(self):
@@ -94,7 +79,7 @@
         if self._view.table is None:
             await self._hub.state.wait_for_table(self._get_start_wait())
         if self._view.table is None:
-            return await self._refuse('no_table')
+            return await self._refusals.refuse('no_table')
         proved = self._is_proved() or await self._wait_for_proof()
         return await self._admit(proved)
 
@@ -106,12 +91,12 @@
         table = self._view.table
         route = self._get_route()
         if route is None:
-            return await self._deny(404, 'no_route')
+            return await self._refusals.deny(404, 'no_route')
         tenancy, passes = routes.get_tenancy(table, route, self._call.key)
         if not passes:
-            return await self._deny(401, 'unknown_key')
+            return await self._refusals.deny(401, 'unknown_key')
         if not proved:
-            return await self._refuse('unproved_table')
+            return await self._refusals.refuse('unproved_table')
         service = self._pick_service(route)
         self._state.begin(
             plans.Work(
@@ -162,16 +147,16 @@
             return await self._finish_attempt(begun.resume())
         state, now = self._state, self._hub.clock()
         if state.is_expired(now):
-            return await self._give_up('time_over', 504)
+            return await self._refusals.give_up('time_over', 504)
         quarantine = self._view.crashes.get_quarantine(state.fingerprint, now)
         if quarantine is not None:
-            return await self._refuse_quarantined(quarantine, now)
+            return await self._refusals.refuse_quarantined(quarantine, now)
         if self._paths.may_send_directly(now):
             return await self._attempt_directly(now)
         if self._origin is not None:
             # A request is forwarded once: two boxes that are cut off would
             # hand it to each other.
-            return await self._give_up(forwarder.CUT_OFF)
+            return await self._refusals.give_up(forwarder.CUT_OFF)
         return await self._attempt_elsewhere(now)
 
     async def _attempt_directly(self, now):
@@ -197,15 +182,17 @@
         if plan is None:
             self._hub.gate.record_no_target(state.work.service)
             shortage = self._view.get_shortage(state.work, now)
-            return await self._refuse_excluded(shortage, now)
+            return await self._refusals.refuse_excluded(shortage, now)
         if plan.all_limited and not state.sends:
             if not self._view.free_capacity.take(
                 state.work, self._view.table, now
             ):
-                return await self._refuse_excluded(exclusions.LIMITED, now)
+                return await self._refusals.refuse_excluded(
+                    exclusions.LIMITED, now
+                )
         verdict = await self._hub.gate.check(state, plan)
         if verdict == admission_gate.Verdict.REFUSE:
-            return await self._refuse_overloaded()
+            return await self._refusals.refuse_overloaded(self._plan)
         if verdict == admission_gate.Verdict.REPLAN:
             self._plan = None
         return None
@@ -233,8 +220,8 @@
         peer = self._paths.pick_peer(now)
         if peer is None:
             if state.refusal is not None:
-                return await self._refuse_as_peer(state.refusal)
-            return await self._give_up(forwarder.CUT_OFF)
+                return await self._refusals.refuse_as_peer(state.refusal)
+            return await self._refusals.give_up(forwarder.CUT_OFF)
         state.tried_peers.append(peer.name)
         forward = forwarder.Forward(
             self._hub, state, peer, now, self._replacements
@@ -247,7 +234,7 @@
         return answer
 
     async def _handle_done(self, outcome):
-        return Answer(outcome.status, 'answered', True)
+        return refusals.Answer(outcome.status, 'answered', True)
 
     async def _handle_stale(self, outcome):
         self._state.unsent_attempts += 1
@@ -255,7 +242,7 @@
             return await self._continue_unsent()
         if await self._wait_for_proof() and self._is_still_allowed():
             return await self._continue_unsent()
-        return await self._give_up('unproved_table')
+        return await self._refusals.give_up('unproved_table')
 
     def _is_proved(self):
         return attempts.is_proved(self._view, self._hub.clock())
@@ -290,7 +277,7 @@
             return None
         if self._paths.turn_to_peers(self._hub.clock()):
             return None
-        return await self._give_up(forwarder.UNREACHED)
+        return await self._refusals.give_up(forwarder.UNREACHED)
 
     async def _handle_peer_unreached(self, outcome):
         return None
@@ -307,20 +294,15 @@
             return None
         elif outcome.reason in forwarder.TRY_ELSEWHERE:
             return None
-        return await self._refuse_as_peer(outcome)
-
-    async def _refuse_as_peer(self, refusal):
-        return await self._give_up(
-            refusal.reason, after=refusal.retry_after_s or None
-        )
+        return await self._refusals.refuse_as_peer(outcome)
 
     async def _handle_rejected(self, outcome):
         if self._state.has_sends_left() and self._take_retry_budget():
             return None
         work, now = self._state.work, self._hub.clock()
         if self._view.has_available(work, now):
-            return await self._refuse_rejected()
-        return await self._refuse_excluded(
+            return await self._refusals.refuse_rejected(self._plan)
+        return await self._refusals.refuse_excluded(
             self._view.get_shortage(work, now), now
         )
 
@@ -330,7 +312,7 @@
             if self._take_retry_budget():
                 return None
         if self._reply.started:
-            return self._abort_reply('failed')
+            return self._refusals.abort_reply('failed')
         return await self._send_failure(head, outcome.body)
 
     async def _send_failure(self, head, body):
@@ -341,8 +323,8 @@
             async with timeouts.Timeout(max(left_s, MIN_SEND_S)):
                 await self._reply.send_complete(head.status, rows, body)
         except TimeoutError:
-            return self._abort_reply('time_over')
-        return Answer(head.status, 'failed', True)
+            return self._refusals.abort_reply('time_over')
+        return refusals.Answer(head.status, 'failed', True)
 
     async def _handle_lost(self, outcome):
         if self._replacements.take_grant():
@@ -350,7 +332,7 @@
         if self._state.may_send_again() and self._take_retry_budget():
             return None
         status = 504 if outcome.reason in ('silent', 'time_over') else 502
-        return await self._give_up(outcome.reason, status)
+        return await self._refusals.give_up(outcome.reason, status)
 
     def _take_retry_budget(self):
         if self._view.may_repeat(self._state.work.service, self._hub.clock()):
@@ -358,119 +340,6 @@
         self._hub.metrics.budget_refusals.inc()
         return False
 
-    async def _give_up(self, reason, status=502, after=None):
-        """Answer what can't be served, as "not executed" only if that holds.
-
-        A reply that has been started is broken off instead.
-        """
-        if self._reply.started:
-            return self._abort_reply(reason)
-        if not self._state.may_have_run:
-            return await self._refuse(reason, after)
-        await self._send_error(status, reason)
-        return Answer(status, reason, True)
-
-    async def _refuse(self, reason, after=None):
-        after = after or random.uniform(*RETRY_AFTER_S)
-        await self._send_error(503, reason, after)
-        return Answer(503, reason, False)
-
-    async def _send_error(self, status, reason, after=None):
-        """Send an error of this box; tell more to a box that forwards."""
-        rows = ()
-        if self._origin is not None:
-            state = self._state
-            rows = forwarded_rows.write_report(
-                forwarded_rows.Report(reason, state.sends, state.is_counted)
-            )
-        await self._reply.send_error(status, reason, after, rows)
-
-    async def _refuse_quarantined(self, quarantine, now):
-        """Answer a request that might crash a further target."""
-        if self._state.sends:
-            return await self._give_up(quarantine)
-        crashes = self._view.crashes
-        left_s = crashes.get_seconds_left(self._state.fingerprint, now)
-        return await self._refuse(quarantine, left_s or None)
-
-    async def _refuse_excluded(self, shortage, now):
-        """Answer a request that no target may get now.
-
-        Retry-After says when a target may be available, if that follows from
-        the reason of the shortage.
-        """
-        if self._reply.started or self._state.may_have_run:
-            return await self._give_up(shortage)
-        estimate = RETRY_AFTER_ESTIMATORS.get(shortage)
-        after = estimate(self, now) if estimate is not None else None
-        return await self._refuse(shortage, after)
-
-    def _estimate_capacity_return(self, now):
-        left_s = self._state.get_time_left(now)
-        return self._view.free_capacity.compute_retry_after(
-            self._state.work, self._view.table, left_s, now
-        )
-
-    def _estimate_replacement(self, now):
-        return random.uniform(*REPLACEMENT_RETRY_AFTER_S)
-
-    async def _refuse_overloaded(self):
-        state, plan = self._state, self._plan
-        held_s = self._hub.clock() - state.started
-        after = self._compute_retry_after()
-        await self._send_error(503, 'busy', after)
-        self._record(
-            'turned_away',
-            wait_s=round(plan.wait_s, 3),
-            pressure=round(plan.pressure, 3),
-            taken=round(plan.room.taken, 1),
-            rejecting=plan.room.rejecting,
-            priority=state.demand.priority,
-            route_priority=state.demand.route_priority,
-            returns=state.demand.returns,
-            held_s=round(held_s, 3),
-            waited=state.release or '',
-            after_s=round(after, 3),
-            **self._describe_workspace(),
-            **self._describe_choice(),
-        )
-        return Answer(503, 'busy', False)
-
-    def _describe_workspace(self):
-        """Count a refusal by its workspace's share; return it for the log."""
-        work, fair = self._state.work, self._view.fair_admission
-        if not fair.is_on:
-            return {}
-        excess = fair.measure_excess(work)
-        self._hub.metrics.record_share_refusal(work.service, excess)
-        return {
-            'workspace': work.tenancy.name if work.tenancy else '',
-            'excess': round(excess, 2),
-        }
-
-    async def _refuse_rejected(self):
-        """Answer a request that all targets it was sent to rejected."""
-        if self._view.contention is None or self._state.may_have_run:
-            return await self._give_up('rejected')
-        return await self._refuse('rejected', self._compute_retry_after())
-
-    def _compute_retry_after(self):
-        """Return the time to retry of a request refused for want of room."""
-        state = self._state
-        after = self._view.compute_retry_after(
-            self._plan, state.work, state.demand, self._hub.clock()
-        )
-        self._hub.gate.record_refused(state, after)
-        return after
-
-    async def _deny(self, status, reason):
-        await self._send_error(status, reason)
-        return Answer(status, reason, False)
-
-    def _abort_reply(self, reason):
-        self._reply.abort()
-        return Answer(0, reason, True)
-
     def _record(self, event, **fields):
         self._hub.recorder.record(event, request=self._call.name, **fields)
 
@@ -510,13 +379,6 @@
         return {'peers': tried} if tried else {}
 
 
-# Methods that return the Retry-After of a refusal, by why no target may get
-# the request.
-RETRY_AFTER_ESTIMATORS = {
-    exclusions.LIMITED: Relay._estimate_capacity_return,
-    exclusions.BACKING_OFF: Relay._estimate_capacity_return,
-    exclusions.LEAVING: Relay._estimate_replacement,
-}
 OUTCOME_HANDLERS = {
     outcomes.Done: Relay._handle_done,
     outcomes.Stale: Relay._handle_stale,
