Move the reader of settings out of the platform's package

A part of them knows no such name: the reader of checked values from nested tables, and the parsing of IP:PORT, for which three modules of the gateway imported the platform's settings.

The reader is a module of its own now, and the parsing stands beside Address. A new test holds that ports in another form are none and no error.

--- a/landingspool/gateway/cache_follower.py
+++ b/landingspool/gateway/cache_follower.py
@@ -18,7 +18,7 @@
 
 from landingspool.decisions.gateway import context_index
 from landingspool.gateway import boxcalls
-from landingspool.platform import boot
+from landingspool import http
 from landingspool.platform import runners
 
 # Pause between two calls to one target, seconds.
@@ -99,7 +99,7 @@
             return {}
         followed = {}
         for address in table.context_stores:
-            followed[address] = boot.parse_address(address), STORE_PERIOD_S
+            followed[address] = http.parse_address(address), STORE_PERIOD_S
         if len(self._hub.peering.peers) >= MAX_PEERS_TO_ASK_TARGETS:
             return followed
         for entry in self._hub.view.fleet.entries.values():
@@ -247,7 +247,7 @@
     async def _read_list(self, name):
         """Read the complete list of a store; return whether it was read."""
         sent = self._hub.clock()
-        updates = await self._hub.runners.read_list(boot.parse_address(name))
+        updates = await self._hub.runners.read_list(http.parse_address(name))
         if isinstance(updates, runners.Unanswered):
             self._hub.recorder.record(
                 'store_down', store=name, reason=updates.reason
--- a/landingspool/gateway/registry.py
+++ b/landingspool/gateway/registry.py
@@ -16,7 +16,6 @@
 import typing
 
 from landingspool import http
-from landingspool.platform import boot
 from landingspool.platform import names
 from landingspool.platform import store as store_module
 
@@ -188,10 +187,10 @@
     """
     try:
         row = json.loads(value)
-        address = boot.parse_address(row['address'])
+        address = http.parse_address(row['address'])
         link_mbps = float(row.get('link_mbps', 0.0))
         # A box of an earlier version names no address for it.
-        forwarding = boot.parse_address(row.get('forwarding'))
+        forwarding = http.parse_address(row.get('forwarding'))
         return address and Peer(
             name, address, row['domain'], link_mbps, forwarding
         )
--- a/landingspool/gateway/sweeper.py
+++ b/landingspool/gateway/sweeper.py
@@ -14,7 +14,7 @@
 
 from landingspool.decisions.gateway import garbage
 from landingspool.decisions import ownership
-from landingspool.platform import boot
+from landingspool import http
 from landingspool.platform import runners
 
 # Range of the seconds between two checks, spread evenly.
@@ -93,7 +93,7 @@
         age_s = now - index.confirmed
         until_ms = index.clock_ms + (age_s + garbage.CALL_TIMEOUT_S) * 1000
         done = await self._hub.runners.free(
-            boot.parse_address(address), index.epoch, parts, until_ms
+            http.parse_address(address), index.epoch, parts, until_ms
         )
         self._hub.recorder.record(
             'swept',
@@ -142,7 +142,7 @@
             return
         clock_ms, asked = index.clock_ms, index.confirmed
         sent = hub.clock()
-        updates = await hub.runners.read_list(boot.parse_address(address))
+        updates = await hub.runners.read_list(http.parse_address(address))
         now = hub.clock()
         if isinstance(updates, runners.Unanswered) or not hub.timer.ran_since(
             sent
@@ -162,7 +162,7 @@
             return
         until_ms = clock_ms + (now - asked + FREE_WITHIN_S) * 1000
         done = await hub.runners.free(
-            boot.parse_address(address), index.epoch, parts, until_ms
+            http.parse_address(address), index.epoch, parts, until_ms
         )
         if done:
             context_index.forget_incomplete(address, parts)
--- a/landingspool/http.py
+++ b/landingspool/http.py
@@ -28,6 +28,22 @@
     port: int
 
 
+def parse_address(text):
+    """Return the Address in a text IP:PORT, or None.
+
+    >>> parse_address('10.0.0.1:80')
+    Address(host='10.0.0.1', port=80)
+    >>> parse_address('10.0.0.1') is None
+    True
+    """
+    if not isinstance(text, str):
+        return None
+    host, _, port = text.rpartition(':')
+    if not host or not port.isdigit():
+        return None
+    return Address(host, int(port))
+
+
 class Request(typing.NamedTuple):
     """One complete HTTP request."""
 
--- a/landingspool/platform/boot.py
+++ b/landingspool/platform/boot.py
@@ -7,6 +7,7 @@
 from landingspool import http
 from landingspool.platform import names
 from landingspool import settings
+from landingspool import settings_reader
 
 MEGABYTE = 1024 * 1024
 # File descriptors that the platform reserves for files.
@@ -40,7 +41,7 @@
     -------
     tuple of (deployment.Deployment or None, list of settings.Error)
     """
-    reader = Reader(table, path)
+    reader = settings_reader.Reader(table, path)
     bounds = deployment.Bounds(
         drain_s=reader.number('bounds.drain_ms', 2000) / 1000,
         grace_s=reader.number('bounds.grace_s', 8),
@@ -94,117 +95,3 @@
     address = http.Address(host, ports[1])
     used = (reader.find('listen') or {}).values()
     return None if f'{host}:{ports[1]}' in used else address
-
-
-class Reader:
-    """Reads checked values from nested tables and collects the errors."""
-
-    def __init__(self, table, path):
-        self._table = table
-        self._path = path
-        self.errors = []
-
-    def find(self, key):
-        """Return the value under a dotted key, or None."""
-        value = self._table
-        for name in key.split('.'):
-            if not isinstance(value, dict) or name not in value:
-                return None
-            value = value[name]
-        return value
-
-    def text(self, key):
-        """Return a required text."""
-        value = self.find(key)
-        if isinstance(value, str) and value:
-            return value
-        return self._add_error(key, value, 'expected a text', '')
-
-    def texts(self, key):
-        """Return an optional table of texts; empty if absent."""
-        value = self.find(key)
-        if value is None:
-            return {}
-        if isinstance(value, dict) and all(
-            isinstance(text, str) for text in value.values()
-        ):
-            return value
-        return self._add_error(key, value, 'expected a table of texts', {})
-
-    def names(self, key):
-        """Return an optional list of texts; empty if absent."""
-        value = self.find(key)
-        if value is None:
-            return []
-        if isinstance(value, list) and all(
-            isinstance(text, str) for text in value
-        ):
-            return value
-        return self._add_error(key, value, 'expected a list of texts', [])
-
-    def ports(self, key):
-        """Return an optional range of ports; empty if absent.
-
-        The range is a list or a text of its first and last port.  Without
-        it a box serves as well, so that another form is not an error.
-        """
-        value = self.find(key)
-        parts = value.split('-') if isinstance(value, str) else value
-        try:
-            first, last = (int(part) for part in parts)
-        except (TypeError, ValueError):
-            return range(0)
-        return range(first, last + 1)
-
-    def number(self, key, default):
-        """Return a number of 0 or more; `default` if absent."""
-        value = self.find(key)
-        if value is None:
-            return default
-        number = isinstance(value, int | float) and not isinstance(value, bool)
-        # Times, sizes and shares can't be negative.
-        if number and value >= 0:
-            return value
-        return self._add_error(
-            key, value, 'expected a number of 0 or more', default
-        )
-
-    def flag(self, key, default):
-        """Return a boolean; `default` if absent."""
-        value = self.find(key)
-        if value is None:
-            return default
-        if isinstance(value, bool):
-            return value
-        return self._add_error(key, value, 'expected true or false', default)
-
-    def address(self, key):
-        """Return a required address."""
-        return self.parse(key, self.find(key))
-
-    def parse(self, key, value):
-        """Return the address in a text IP:PORT; record an error otherwise."""
-        address = parse_address(value)
-        if address is None:
-            self._add_error(key, value, 'expected IP:PORT', None)
-        return address
-
-    def _add_error(self, key, value, text, default):
-        self.errors.append(settings.Error(self._path, key, value, text))
-        return default
-
-
-def parse_address(text):
-    """Return the Address in a text IP:PORT, or None.
-
-    >>> parse_address('10.0.0.1:80')
-    Address(host='10.0.0.1', port=80)
-    >>> parse_address('10.0.0.1') is None
-    True
-    """
-    if not isinstance(text, str):
-        return None
-    host, _, port = text.rpartition(':')
-    if not host or not port.isdigit():
-        return None
-    return http.Address(host, int(port))
--- a/landingspool/platform/catalogue.py
+++ b/landingspool/platform/catalogue.py
@@ -11,7 +11,7 @@
 from landingspool.decisions.gateway import peer_digests
 from landingspool.decisions.gateway import rollouts
 from landingspool.decisions.gateway import routes
-from landingspool.platform import boot
+from landingspool import http
 from landingspool.platform import names
 
 # Kinds of routes whose name on the wire differs from the internal one.
@@ -276,7 +276,7 @@
     ------
     ValueError
     """
-    address = boot.parse_address(text)
+    address = http.parse_address(text)
     if address is None or not 0 < address.port < 65536:
         raise ValueError(f'not an address: {text!r}')
     ipaddress.IPv4Address(address.host)
--- a/tests/gateway/test_boot.py
+++ b/tests/gateway/test_boot.py
@@ -6,6 +6,7 @@
 
 from landingspool import http
 from landingspool.platform import boot
+from landingspool import settings_reader
 
 SETTINGS = {
     'node': 'box1',
@@ -67,6 +68,13 @@
     assert place.forwarding == address
 
 
+def test_ports_that_are_no_range_are_none_and_no_error():
+    table = {'a': {'reversed': [9, 5], 'long': [1, 2, 3], 'text': 'x-y'}}
+    reader = settings_reader.Reader(table, 'f')
+    assert not any(reader.ports(f'a.{key}') for key in (*table['a'], 'none'))
+    assert not reader.errors
+
+
 def test_all_wrong_settings_are_named_at_once():
     table = copy.deepcopy(SETTINGS)
     del table['node']
