Condense the tests of replacements and of unanswered requests

Four tests of replacements set up the same pause, two differed only in how the other target refuses, and five tests of unanswered requests sent one request in the same three lines.

--- a/tests/gateway/test_replacements.py
+++ b/tests/gateway/test_replacements.py
@@ -14,6 +14,13 @@
     return await site.ask(hub, '/resumed/a', headers=test_relay.PROMPT)
 
 
+def script_pause(deployment):
+    """Let one engine pause in its stream, the others go on."""
+    test_relay.script(deployment.engines, 'paused stream')
+    for target in deployment.engines:
+        target.usual = 'stream'
+
+
 def check_whole(got):
     assert got.whole
     assert got.body.count(b'id: ') == 4
@@ -22,9 +29,7 @@
 def test_stream_stays_while_the_table_is_not_proved():
     async def check(deployment):
         hub = await deployment.start_box()
-        test_relay.script(deployment.engines, 'paused stream')
-        for target in deployment.engines:
-            target.usual = 'stream'
+        script_pause(deployment)
         work = asyncio.ensure_future(ask_stream(hub))
         await site.wait_until(lambda: any(t.ran for t in deployment.engines))
         hub.view.proof.is_fresh = lambda now: False
@@ -38,9 +43,7 @@
 ):
     async def check(deployment):
         hub = await deployment.start_box()
-        test_relay.script(deployment.engines, 'paused stream')
-        for target in deployment.engines:
-            target.usual = 'stream'
+        script_pause(deployment)
         open_exchange = attempts.open_exchange
 
         async def open_late(hub, work, entry):
@@ -66,9 +69,7 @@
 ):
     async def check(deployment):
         hub = await deployment.start_box()
-        test_relay.script(deployment.engines, 'paused stream')
-        for target in deployment.engines:
-            target.usual = 'stream'
+        script_pause(deployment)
         open_exchange = attempts.open_exchange
 
         async def open_stalled(hub, work, entry):
@@ -158,10 +159,8 @@
 def test_change_of_the_table_ends_nothing_that_waits(dropped, path):
     async def check(deployment):
         hub = await deployment.start_box()
-        test_relay.script(deployment.engines, 'paused stream')
+        script_pause(deployment)
         test_relay.script(deployment.plain, 'late')
-        for target in deployment.engines:
-            target.usual = 'stream'
         work = asyncio.ensure_future(
             site.ask(hub, f'/{path}/a', headers=test_relay.PROMPT)
         )
@@ -180,10 +179,11 @@
     site.run(check)
 
 
-def test_stream_is_not_broken_off_if_its_replacement_rejects_it():
+@pytest.mark.parametrize('refused', [['shed', 'shed'], ['failure']])
+def test_stream_is_not_broken_off_if_its_replacement_refuses_it(refused):
     async def check(deployment):
         hub = await deployment.start_box()
-        shared = ['paused stream', 'shed', 'shed']
+        shared = ['paused stream', *refused]
         for target in deployment.engines:
             target.script = shared
         check_whole(await ask_stream(hub))
@@ -203,17 +203,6 @@
     site.run(check)
 
 
-def test_stream_is_not_broken_off_if_its_replacement_fails():
-    async def check(deployment):
-        hub = await deployment.start_box()
-        shared = ['paused stream', 'failure']
-        for target in deployment.engines:
-            target.script = shared
-        check_whole(await ask_stream(hub))
-
-    site.run(check)
-
-
 def test_repeats_kept_back_for_want_of_budget_are_counted():
     async def check(deployment):
         hub = await deployment.start_box(retry_ratio=0.0, retry_slack=0.0)
--- a/tests/gateway/test_unanswered.py
+++ b/tests/gateway/test_unanswered.py
@@ -42,6 +42,13 @@
     return [int(status) for status in found]
 
 
+async def ask(hub, **request):
+    """Return the statuses that come back for one request."""
+    async with site.connect(hub) as (reader, writer):
+        writer.write(write_request(**request))
+        return await read_statuses(reader)
+
+
 def keep_connections(hub):
     """Return a list that gets the connections which callers open."""
     connections, accept = [], hub.listener._accept
@@ -82,9 +89,7 @@
     async def check(deployment):
         hub = await deployment.start_box()
         monkeypatch.setattr(answers, 'relay_headers', relay_headers)
-        async with site.connect(hub) as (reader, writer):
-            writer.write(write_request())
-            assert await read_statuses(reader) == [500]
+        assert await ask(hub) == [500]
         assert hub.recorder.counts['request_fault'] == 1
 
     site.run(check, plain=1)
@@ -97,9 +102,7 @@
     async def check(deployment):
         hub = await deployment.start_box()
         monkeypatch.setattr(ingress, 'read_call', mock.Mock(side_effect=error))
-        async with site.connect(hub) as (reader, writer):
-            writer.write(write_request())
-            assert await read_statuses(reader) == [500]
+        assert await ask(hub) == [500]
         assert count_endings(hub) == 1
 
     site.run(check)
@@ -110,9 +113,7 @@
         hub = await deployment.start_box()
         fails = mock.AsyncMock(side_effect=TimeoutError('late'))
         monkeypatch.setattr(listener.Reply, 'send_complete', fails)
-        async with site.connect(hub) as (reader, writer):
-            writer.write(write_request())
-            assert await read_statuses(reader) == []
+        assert await ask(hub) == []
         (event,) = [e for e in hub.recorder.select() if e.name == 'unanswered']
         assert 'late' in event.fields['reason']
         assert event.fields['request'].startswith('r')
@@ -296,9 +297,7 @@
     async def check(deployment):
         hub = await deployment.start_box()
         extra = f'X-Landingspool-Deadline-Ms: {text}\r\n'
-        async with site.connect(hub) as (reader, writer):
-            writer.write(write_request(extra=extra))
-            assert await read_statuses(reader) == [200]
+        assert await ask(hub, extra=extra) == [200]
 
     site.run(check, plain=1)
 
@@ -311,8 +310,6 @@
         hub = await deployment.start_box()
         (runner,) = deployment.plain
         monkeypatch.setattr(runner, 'say', lambda head=None: row + b'\r\n')
-        async with site.connect(hub) as (reader, writer):
-            writer.write(write_request())
-            assert await read_statuses(reader) == [200]
+        assert await ask(hub) == [200]
 
     site.run(check, plain=1)
