Say by its name that a repeat is taken from the budget

Cause: view.may_repeat took a repeat while has_repeat beside it only looks, and routes.may_repeat means something else; an attempt checked for an exchange that only begun attempts are given. Change: it is take_repeat, and run always opens its connection.

--- a/landingspool/decisions/gateway/view.py
+++ b/landingspool/decisions/gateway/view.py
@@ -438,7 +438,7 @@
         self.free_capacity.record(work, now)
         self.fair_admission.record_asked(work, now)
 
-    def may_repeat(self, service, now):
+    def take_repeat(self, service, now):
         """Take one repeat from a service's retry budget, if one is left."""
         return self._get_retry_budget(service).take(now, self.boxes)
 
--- a/landingspool/gateway/attempts.py
+++ b/landingspool/gateway/attempts.py
@@ -43,7 +43,8 @@
     replacements : replacements.Replacements
         Finds another target if this one is silent.
     exchange : upstream.Exchange, optional
-        On a connection that is open already.
+        On a connection that is open already, for an attempt that is begun
+        while another one waits.
     """
 
     def __init__(
@@ -62,10 +63,9 @@
     async def run(self):
         """Make the attempt and return one of the outcomes."""
         try:
-            if self._exchange is None:
-                self._exchange = await open_exchange(
-                    self._hub, self._state.work, self._plan.entry
-                )
+            self._exchange = await open_exchange(
+                self._hub, self._state.work, self._plan.entry
+            )
         except upstream_module.ExchangeError as error:
             return outcomes.Unreached(str(error))
         if not self._may_send():
--- a/landingspool/gateway/relay.py
+++ b/landingspool/gateway/relay.py
@@ -335,7 +335,7 @@
         return await self._refusals.give_up(outcome.reason, status)
 
     def _take_retry_budget(self):
-        if self._view.may_repeat(self._state.work.service, self._hub.clock()):
+        if self._view.take_repeat(self._state.work.service, self._hub.clock()):
             return True
         self._hub.metrics.budget_refusals.inc()
         return False
--- a/landingspool/gateway/replacements.py
+++ b/landingspool/gateway/replacements.py
@@ -113,7 +113,7 @@
         return self._paths.pick_peer(now) is not None and self._take_repeat()
 
     def _take_repeat(self):
-        self._granted = self._view.may_repeat(
+        self._granted = self._view.take_repeat(
             self._state.work.service, self._hub.clock()
         )
         return self._granted
