Log the software version of targets and what a request continues

Callers saw streams whose events came from two software versions of a service. The log could not tell how: no line named the software of a target, nor the attempt that a request continues. Entries of targets now keep the version of their software, target_up and every line that describes a choice name it, and dispatched names the attempt and the event after which a request continues. So two dispatched lines of one request tell a continuation within one answer, and a line with resumes one by the caller. No decision has changed. The tests of entries, relaying, heads and layout pass.

--- a/landingspool/decisions/gateway/fleet.py
+++ b/landingspool/decisions/gateway/fleet.py
@@ -75,6 +75,8 @@
         The version of the weights that it runs, by model.
     cold_s : float
         How much longer it is slow after its start, in seconds.
+    software : str
+        Version of its software; empty if it doesn't announce one.
     """
 
     name: str
@@ -85,6 +87,7 @@
     slots: int
     versions: dict
     cold_s: float = 0.0
+    software: str = ''
 
     @property
     def target(self):
--- a/landingspool/gateway/attempts.py
+++ b/landingspool/gateway/attempts.py
@@ -161,6 +161,8 @@
             request=state.call.name,
             content=state.fingerprint.hex(),
             priority=self._get_priority(),
+            resumes=state.call.resumes,
+            after=self._get_after_event(),
             **describe_plan(plan, self._view.table),
         )
         self._exchange.send(
@@ -229,7 +231,7 @@
 
     def _write_head(self):
         state, plan = self._state, self._plan
-        tenancy, stream = state.work.tenancy, state.stream
+        tenancy = state.work.tenancy
         instructions = egress.Instructions(
             target=plan.entry.target,
             left_s=state.deadline - self._sent_at,
@@ -240,10 +242,16 @@
             fetch=plan.transfer.fetch,
             save=plan.transfer.save,
             until_ms=plan.transfer.until_ms,
-            after_event=stream.last_event_id if stream else '',
+            after_event=state.stream.last_event_id if state.stream else '',
         )
         return egress.write_head(state.call, instructions, len(state.body))
 
+    def _get_after_event(self):
+        """Return the id of the last event that the caller has, or ''."""
+        stream = self._state.stream
+        sent = stream.last_event_id if stream else ''
+        return sent or self._state.call.after_event
+
     def _get_priority(self):
         return demand.find_priority(self._state.work)
 
@@ -469,5 +477,6 @@
         'saved': sum(1 for address in plan.transfer.save if address),
         'candidates': plan.candidates,
         'weights': plan.version,
+        'software': plan.entry.software,
         'table': table.version,
     }
--- a/landingspool/gateway/state.py
+++ b/landingspool/gateway/state.py
@@ -201,6 +201,7 @@
                 'target_up',
                 target=entry.name,
                 versions=entry.versions,
+                software=entry.software,
                 cold_s=entry.cold_s,
             )
 
--- a/landingspool/platform/catalogue.py
+++ b/landingspool/platform/catalogue.py
@@ -196,6 +196,8 @@
     born : int
         Start of the incarnation that writes, in Unix milliseconds; 0 if the
         target does not state it.
+    version : str
+        Version of its software; empty if the target does not state it.
     """
 
     service: Text
@@ -208,6 +210,9 @@
     ] = 0.0
     sequence: typing.Annotated[int, msgspec.Meta(ge=0)] = 0
     born: typing.Annotated[int, msgspec.Meta(ge=0, le=MAX_BORN_MS)] = 0
+    version: typing.Annotated[str, msgspec.Meta(max_length=MAX_TEXT_CHARS)] = (
+        ''
+    )
     models: list[ModelRecord] = []
 
 
@@ -243,6 +248,7 @@
             slots=row.slots,
             versions={model.name: model.version for model in row.models},
             cold_s=row.cold_remaining_ms / 1000,
+            software=row.version,
         )
     except DECODE_ERRORS as error:
         raise Malformed(
--- a/landingspool/platform/ingress.py
+++ b/landingspool/platform/ingress.py
@@ -32,6 +32,9 @@
     prompt : prompts.Prompt or None
     after_event : str
         Id of the last event that the caller has; empty if none.
+    resumes : str
+        Id of the attempt that brought the first event of the stream which
+        this request continues; empty if not stated.
     """
 
     name: str
@@ -43,6 +46,7 @@
     left_s: float
     prompt: prompts.Prompt | None
     after_event: str
+    resumes: str = ''
 
 
 def read_call(method, target, headers):
@@ -72,6 +76,7 @@
         left_s=read_time_left(found.get(names.TIME_LEFT)),
         prompt=read_prompt(found),
         after_event=found.get(names.LAST_EVENT, ''),
+        resumes=found.get(names.RESUMES, ''),
     )
 
 
--- a/landingspool/platform/names.py
+++ b/landingspool/platform/names.py
@@ -29,6 +29,9 @@
 RETRY_AFTER = 'retry-after'
 URGENCY = 'priority'
 LAST_EVENT = 'last-event-id'
+# Id of the caller's attempt that brought the first event of a stream which
+# this request continues.
+RESUMES = 'resumes'
 AUTHORIZATION = 'authorization'
 # Namespace of the cached context; parts are found only in the same namespace.
 SPACE = 'cache-salt'
