--- a/standins/runner.py
+++ b/standins/runner.py
@@ -66,6 +66,8 @@
         What its answers to requests said, but for the limit.
     cancelled : int
         Requests whose connection closed while they ran.
+    software : str
+        Version of its software, which its entry names.
     """
 
     def __init__(self, name, version=1):
@@ -94,6 +96,7 @@
         self.leaving = False
         self.rest = None
         self.said = []
+        self.software = 'v1'
         self._writers = set()
         self._seen = set()
         self._server = None
@@ -121,6 +124,7 @@
             'service': service,
             'address': f'{self.address[0]}:{self.address[1]}',
             'zone': domain,
+            'version': self.software,
             'slots': 4,
             'state': state,
             'cold_remaining_ms': 0,
--- a/tests/gateway/site.py
+++ b/tests/gateway/site.py
@@ -260,11 +260,13 @@
         self.whole = whole
 
 
-async def ask(hub, path, body=b'x', headers=(), key=KEY, method='POST'):
+async def ask(
+    hub, path, body=b'x', headers=(), key=KEY, method='POST', name=None
+):
     """Send one request as a caller does and return what it got."""
     call = httpclient.Client().open(hub.deployment.callers)
     rows = [
-        ('x-landingspool-request-id', f'id{next(NUMBERS)}'),
+        ('x-landingspool-request-id', name or f'id{next(NUMBERS)}'),
         ('x-landingspool-deadline-ms', '2500'),
         *headers,
     ]
