Continue a stream only at the software version that began it

Cause: what a stream began under was kept nowhere; every continuation was planned like a new request, among all targets. A stream is now bound to its service and software version as its first event is forwarded, with the version that the entry had then, and a request with a binding has only targets of that version as candidates: for the next attempt within one answer, for replacements of silent targets and for callers who come back to the same box and name the attempt in Resumes. A target that has restarted since it was chosen begins or continues nothing. What this box doesn't know follows only if the service has had one version for as long as a stream may last; it is refused as not executed otherwise. A continuation isn't refused for want of room.

--- /dev/null
+++ b/landingspool/decisions/gateway/continuations.py
@@ -0,0 +1,129 @@
+"""Decides where a stream goes on that a caller continues.
+
+A box that relayed the stream, or was told of it, knows its binding.  Where
+nobody knows it, it still follows if the service has had a single version for
+as long as a stream may last.  Otherwise the request is refused: a guess would
+join what two versions wrote.
+"""
+
+import enum
+import typing
+
+from landingspool.decisions.gateway import stream_bindings
+
+
+class Source(enum.StrEnum):
+    """How the binding of a stream is known."""
+
+    # This box relayed the stream, or was told of it.
+    SELF = 'self'
+    # Another box was told of it.
+    OWNER = 'owner'
+    # All streams of the route have the same binding.
+    IMPLIED = 'implied'
+    UNKNOWN = 'unknown'
+    # Streams of several bindings were begun under the same id.
+    AMBIGUOUS = 'ambiguous'
+    # The route doesn't lead to the service any more.
+    MOVED = 'moved'
+
+
+class Evidence(typing.NamedTuple):
+    """What one box knows of a stream.
+
+    Attributes
+    ----------
+    known : stream_bindings.Known or None
+    only : stream_bindings.Binding or None
+        The binding of all streams of the route, if the box can tell.
+    recent : frozenset of stream_bindings.Binding
+        The bindings that streams of the route may have.
+    """
+
+    known: stream_bindings.Known | None
+    only: stream_bindings.Binding | None
+    recent: frozenset
+
+
+class Found(typing.NamedTuple):
+    """Where a stream may go on.
+
+    Attributes
+    ----------
+    binding : stream_bindings.Binding or None
+        None: nowhere.
+    source : Source
+    known : stream_bindings.Known or None
+    """
+
+    binding: stream_bindings.Binding | None
+    source: Source
+    known: stream_bindings.Known | None = None
+
+    @property
+    def reason(self):
+        """Why the stream is not continued, as callers are told."""
+        return f'{self.source}_software'
+
+
+def decide(own, others):
+    """Decide where a stream goes on.
+
+    Parameters
+    ----------
+    own : Evidence
+    others : sequence of Evidence
+        That of the boxes that were asked and have answered.
+
+    Returns
+    -------
+    Found
+
+    >>> one, two = (stream_bindings.Binding('s', v) for v in ('v1', 'v2'))
+    >>> nothing = Evidence(None, None, frozenset((one, two)))
+    >>> decide(nothing, ()).source.value
+    'unknown'
+    >>> told = nothing._replace(known=stream_bindings.Known(two, 0.0, 9.0))
+    >>> decide(nothing, [nothing, told]).binding.software
+    'v2'
+    >>> watched = Evidence(None, one, frozenset((one,)))
+    >>> decide(watched, ()).source.value
+    'implied'
+    >>> decide(watched, [nothing]).source.value
+    'unknown'
+    """
+    if own.known is not None:
+        return judge_known([own.known], Source.SELF)
+    told = [row.known for row in others if row.known is not None]
+    if told:
+        return judge_known(told, Source.OWNER)
+    rows = (own, *others)
+    recent = frozenset().union(*(row.recent for row in rows))
+    only = {row.only for row in rows} - {None}
+    if len(recent) == 1 and only == recent:
+        return Found(*recent, Source.IMPLIED)
+    return Found(None, Source.UNKNOWN)
+
+
+def judge_known(told, source):
+    """Return the Found of a stream that boxes know, if they agree."""
+    bindings = {known.binding for known in told}
+    known = max(told, key=lambda row: row.since)
+    if len(bindings) > 1 or None in bindings:
+        return Found(None, Source.AMBIGUOUS, known)
+    return Found(*bindings, source, known)
+
+
+def check_route(found, route):
+    """Return what was found if the route still leads to the service.
+
+    Parameters
+    ----------
+    found : Found
+    route : routes.Route
+    """
+    if found.binding is None:
+        return found
+    if any(share.service == found.binding.service for share in route.shares):
+        return found
+    return found._replace(binding=None, source=Source.MOVED)
--- a/landingspool/decisions/gateway/exclusions.py
+++ b/landingspool/decisions/gateway/exclusions.py
@@ -1,10 +1,11 @@
 """Decides which targets a request must not be sent to.
 
-A target is excluded by the allowed regions of the request, by an evacuation of
-its domain, by the request rate that a cold target can take, and by what it
-announces about itself: a limit, that it is leaving, or a back-off.  The check
-is made when a target is chosen and again just before sending, since a
-connection may have to be opened between the two.
+A target is excluded by the software version that began the request's stream,
+by its allowed regions, by an evacuation of the target's domain, by the request
+rate that a cold target can take, and by what the target announces about
+itself: a limit, that it is leaving, or a back-off.  The check is made when a
+target is chosen and again just before sending, since a connection may have to
+be opened between the two.
 """
 
 import typing
@@ -24,6 +25,8 @@
 LEAVING = 'leaving'
 # Exclusion of a target that has asked this box to back off.
 BACKING_OFF = 'resting'
+# Exclusion of a target of another software version than that of the stream.
+OTHER_SOFTWARE = 'other_software'
 # Exclusions whose end is known: a refusal says when to retry.
 TEMPORARY = (LIMITED, BACKING_OFF)
 
@@ -32,11 +35,13 @@
     """What a request requires of a target, the same for all targets.
 
     `regions` is None if any region is allowed.  `cold` is the request rate
-    that the targets of the service can take while they are cold.
+    that the targets of the service can take while they are cold.  `software`
+    is None if any software version may get the request.
     """
 
     regions: frozenset | None
     cold: cold_targets_module.Bound
+    software: str | None = None
 
 
 class Exclusions:
@@ -67,6 +72,7 @@
         return Requirements(
             allowed_regions.get_allowed_regions(work.route, work.tenancy),
             get_cold_bound(table, work.service),
+            work.software,
         )
 
     def get_exclusion(self, entry, requirements, now):
@@ -89,6 +95,8 @@
 
     def _get_lasting(self, entry, requirements):
         """Return the exclusion that is independent of earlier requests."""
+        if requirements.software not in (None, entry.software):
+            return OTHER_SOFTWARE
         if not allowed_regions.is_domain_allowed(
             entry.domain, requirements.regions, self.regions
         ):
@@ -162,6 +170,9 @@
             self.get_exclusion(entry, requirements, now) for entry in entries
         }
         exclusions.discard(None)
+        if len(exclusions) > 1:
+            # The targets of the right version say why none may get it.
+            exclusions.discard(OTHER_SOFTWARE)
         for exclusion in TEMPORARY:
             if exclusion in exclusions:
                 return exclusion
--- a/landingspool/decisions/gateway/fleet.py
+++ b/landingspool/decisions/gateway/fleet.py
@@ -118,6 +118,19 @@
         incarnation = self._incarnations.get(target)
         return incarnation.name if incarnation is not None else None
 
+    def is_same(self, entry):
+        """Return whether an entry's target hasn't restarted since.
+
+        >>> fleet = Fleet()
+        >>> entry = Entry('t', 's', (), 'd', READY, 1, {}, software='v1')
+        >>> _ = fleet.put(entry)
+        >>> fleet.is_same(entry), fleet.is_same(entry._replace(software='v2'))
+        (True, False)
+        """
+        known = self.entries.get(entry.name, entry)
+        newest = self.get_incarnation(entry.target)
+        return newest == entry.name and known.software == entry.software
+
     def list_incarnations(self):
         """Return the names of the newest incarnations, ended ones included."""
         return [
--- a/landingspool/decisions/gateway/plans.py
+++ b/landingspool/decisions/gateway/plans.py
@@ -12,13 +12,18 @@
 
 
 class Work(typing.NamedTuple):
-    """What the decisions need to know of one request."""
+    """What the decisions need to know of one request.
+
+    `software` is the only software version whose targets may get it, since
+    they have begun its stream; None if any may.
+    """
 
     name: str
     route: routes.Route
     service: str
     tenancy: routes.Tenancy | None
     prompt: prompts.Prompt | None
+    software: str | None = None
 
 
 class Plan(typing.NamedTuple):
--- a/landingspool/decisions/gateway/routes.py
+++ b/landingspool/decisions/gateway/routes.py
@@ -240,6 +240,11 @@
     return rng.choices(names, weights)[0]
 
 
+def is_resumable(route):
+    """Return whether a stream of the route may go on at another target."""
+    return route.kind == STREAM and route.resumable
+
+
 def may_repeat(route):
     """Return whether a request of the route may run more than once."""
-    return route.kind == SAFE or (route.kind == STREAM and route.resumable)
+    return route.kind == SAFE or is_resumable(route)
--- /dev/null
+++ b/landingspool/decisions/gateway/software_history.py
@@ -0,0 +1,106 @@
+"""Tracks which software versions the targets of a service have had lately.
+
+While a service has had a single version for as long as a stream may last, all
+of its streams began at that version.  A box can tell only if it has read the
+list of targets for that long: not after a start, nor while its list is old.
+"""
+
+import math
+
+from landingspool.decisions.gateway import stream_bindings
+
+# Seconds for which a version counts after its last target was listed: streams
+# that it began may be continued for as long.
+RETENTION_S = stream_bindings.MAX_AGE_S
+# Seconds after which the list of targets is old: two held reads of it, one
+# behind the other, and the time to answer them.
+LIST_TIMEOUT_S = 6.0
+
+
+class SoftwareHistory:
+    """The software versions that one box has seen, by service.
+
+    >>> history = SoftwareHistory()
+    >>> history.confirm_list(0.0, is_first_start=True)
+    >>> history.record('s', 'v1', 1.0)
+    >>> history.list_recent('s', 2.0)
+    ['v1']
+    >>> history.record('s', 'v2', 3.0)
+    >>> history.list_recent('s', 4.0), history.list_recent('s', 62.0)
+    (['v1', 'v2'], ['v2'])
+    """
+
+    def __init__(self):
+        self._seen = {}
+        self._watched_since = math.inf
+        self._confirmed = -math.inf
+        self._shares = {}
+        self._moved = {}
+
+    def confirm_list(self, at, is_first_start=False):
+        """Record that the list of targets was complete at some time.
+
+        Parameters
+        ----------
+        at : float
+            When the read was sent that has returned it.
+        is_first_start : bool
+            Whether the whole system has just started for the first time, so
+            that no stream began before.
+        """
+        if at - self._confirmed > LIST_TIMEOUT_S:
+            is_first = math.isinf(self._watched_since) and is_first_start
+            self._watched_since = -math.inf if is_first else at
+        self._confirmed = max(self._confirmed, at)
+
+    def record(self, service, software, now):
+        """Record that a target of a service is listed."""
+        self._seen.setdefault(service, {})[software] = now
+
+    def observe(self, entries, now):
+        """Record all targets that are listed at present."""
+        for service, software in {(e.service, e.software) for e in entries}:
+            self.record(service, software, now)
+
+    def put_table(self, table, now):
+        """Record to which services the routes lead from now on."""
+        for route in list_routes(table):
+            place = route.host, route.prefix
+            services = tuple(sorted(s.service for s in route.shares))
+            if self._shares.get(place, services) != services:
+                self._moved[place] = now
+            self._shares[place] = services
+
+    def list_recent(self, service, now):
+        """List the versions at which running streams may have begun."""
+        seen = self._seen.get(service, {})
+        return sorted(v for v, at in seen.items() if now - at < RETENTION_S)
+
+    def list_bindings(self, route, now):
+        """List the bindings that running streams of a route may have."""
+        return [
+            stream_bindings.Binding(share.service, software)
+            for share in route.shares
+            for software in self.list_recent(share.service, now)
+        ]
+
+    def find_only(self, route, now):
+        """Return the Binding of all running streams of a route.
+
+        Returns
+        -------
+        stream_bindings.Binding or None
+            None: there may be several, or this box can't tell.
+        """
+        moved = self._moved.get((route.host, route.prefix), -math.inf)
+        if now - max(moved, self._watched_since) < RETENTION_S:
+            return None
+        if now - self._confirmed >= LIST_TIMEOUT_S:
+            return None
+        bindings = self.list_bindings(route, now)
+        return bindings[0] if len(bindings) == 1 else None
+
+
+def list_routes(table):
+    """List the routes of a table."""
+    return [route for found in table.hosts.values() for route in found]
--- a/landingspool/decisions/gateway/view.py
+++ b/landingspool/decisions/gateway/view.py
@@ -31,7 +31,9 @@
 from landingspool.decisions.gateway import prompts
 from landingspool.decisions.gateway import reachability as reachability_module
 from landingspool.decisions.gateway import retry_budget
+from landingspool.decisions.gateway import software_history
 from landingspool.decisions.gateway import store_health as store_health_module
+from landingspool.decisions.gateway import stream_bindings
 from landingspool.decisions.gateway import transfers
 from landingspool.decisions.gateway import watchers as watchers_module
 from landingspool.decisions.gateway import weights as weights_module
@@ -61,6 +63,8 @@
         self.rng = random.Random(seed)
         self.table = None
         self.fleet = fleet_module.Fleet()
+        self.software_history = software_history.SoftwareHistory()
+        self.stream_bindings = stream_bindings.Bindings()
         self.loads = loads_module.Loads()
         self.latency = latency.LatencyTracker()
         self.weights = weights_module.Weights(bounds.version_s)
@@ -114,6 +118,7 @@
             return state
         if before not in (None, entry.name):
             self.record_incarnation_end(before, now)
+        self.software_history.record(entry.service, entry.software, now)
         self.exclusions.cold_targets.record_reported(
             entry.name, entry.cold_s, now
         )
--- a/landingspool/event_kinds.py
+++ b/landingspool/event_kinds.py
@@ -143,6 +143,18 @@
             'DEBUG',
             'A request is sent to a box that reaches its targets.',
         ),
+        Kind(
+            221,
+            'continued',
+            'INFO',
+            'A caller continues a stream; the software is that of its start.',
+        ),
+        Kind(
+            222,
+            'not_continued',
+            'INFO',
+            'A stream is not continued: what began it is not known or gone.',
+        ),
         Kind(
             300, 'queued', 'DEBUG', 'A request waits in the queue of its pool.'
         ),
--- a/landingspool/gateway/admission_gate.py
+++ b/landingspool/gateway/admission_gate.py
@@ -66,11 +66,14 @@
         plan : plans.Plan
         """
         if self._contention is None:
-            admitted = state.sends or self._view.is_admitted(
-                plan, state.work, state.demand
+            # A stream that has begun is worth more than one that has not.
+            admitted = (
+                state.sends
+                or state.is_continuation
+                or self._view.is_admitted(plan, state.work, state.demand)
             )
             return Verdict.SEND if admitted else Verdict.REFUSE
-        if state.sends:
+        if state.sends or state.is_continuation:
             return self._check_repeat(state, plan)
         if state.release == Release.GRANTED or self._view.is_admitted(
             plan, state.work, state.demand
--- a/landingspool/gateway/attempts.py
+++ b/landingspool/gateway/attempts.py
@@ -7,6 +7,7 @@
 
 from landingspool.decisions.gateway import demand
 from landingspool.decisions.gateway import routes
+from landingspool.decisions.gateway import stream_bindings
 from landingspool.gateway import delivery
 from landingspool.gateway import outcomes
 from landingspool.gateway import stream as stream_module
@@ -34,7 +35,8 @@
     ----------
     hub
         The box's parts: `view`, `upstream`, `prober`, `recorder`,
-        `metrics`, `target_notices`, `crash_records`, `clock`, `timer`.
+        `metrics`, `target_notices`, `crash_records`, `continuity`, `clock`,
+        `timer`.
     state : request_state.RequestState
         The request; the attempt updates it.
     plan : view.Plan
@@ -405,6 +407,24 @@
         name = self._plan.entry.name
         self._view.loads.record_received(name, self._hub.clock())
 
+    def bind_stream(self):
+        """Bind a stream to the target whose first event is to be forwarded.
+
+        Returns
+        -------
+        bool
+            False if the target has restarted since it was chosen: its answer
+            may be that of other software.
+        """
+        state, entry = self._state, self._plan.entry
+        if not routes.is_resumable(state.work.route):
+            return True
+        if not self._view.fleet.is_same(entry):
+            return False
+        state.bind(stream_bindings.Binding(entry.service, entry.software))
+        self._hub.continuity.record_begun(state)
+        return True
+
     def record_first(self):
         """Record the first part of the answer that is forwarded."""
         now = self._hub.clock()
--- a/landingspool/gateway/delivery.py
+++ b/landingspool/gateway/delivery.py
@@ -92,8 +92,13 @@
             if not data:
                 break
             attempt.record_received()
-            attempt.record_version(await stream.take(data))
-            if stream.any_sent and not stream.first_recorded:
+            complete = stream.cut_events(data)
+            if not complete:
+                continue
+            if not stream.first_recorded and not attempt.bind_stream():
+                return attempt.report_lost('reborn', outcomes.Cause.REBORN)
+            attempt.record_version(await stream.send(complete))
+            if not stream.first_recorded:
                 stream.first_recorded = True
                 attempt.record_first()
         if not stream.is_complete():
--- a/landingspool/gateway/following.py
+++ b/landingspool/gateway/following.py
@@ -301,6 +301,11 @@
         super()._apply_page(dataclasses.replace(page, records=newer))
         self._hub.state.targets_end = max(known, page.end)
 
+    def _record_read(self, sent):
+        self._hub.view.software_history.confirm_list(
+            sent, self._hub.deployment.first_start
+        )
+
     def _apply(self, record):
         if not record.value:
             self._drop(record.key)
--- a/landingspool/gateway/forwarder.py
+++ b/landingspool/gateway/forwarder.py
@@ -188,6 +188,10 @@
     def _record_unable(self):
         self._forwarding.record_failed(self._peer.name, self._hub.clock())
 
+    def bind_stream(self):
+        """Leave the binding to the box that knows the target."""
+        return True
+
     def record_first(self):
         self._state.record_first(self._hub.clock())
 
--- a/landingspool/gateway/hub.py
+++ b/landingspool/gateway/hub.py
@@ -12,6 +12,7 @@
 from landingspool import events
 from landingspool.gateway import admission_gate
 from landingspool.gateway import cache_follower
+from landingspool.gateway import continuity
 from landingspool.gateway import crash_records
 from landingspool.gateway import following
 from landingspool.gateway import forwarded_rows
@@ -130,6 +131,7 @@
         self.cache_follower = cache_follower.CacheFollower(self)
         self.store_reports = store_reports.StoreReports(self)
         self.peering = peering.Peering(self)
+        self.continuity = continuity.Continuity(self)
         self.prober = prober.Prober(self)
         self.crash_records = crash_records.CrashRecords(self)
         self.resumption = resumption.Resumption(self)
@@ -147,6 +149,7 @@
         self.timer.subscribe(FLEET_CHECK_PERIOD_S, self._check_fleet)
         self.timer.subscribe(prober.CHECK_PERIOD_S, self.prober.check)
         self.timer.subscribe(SWEEP_PERIOD_S, self._sweep)
+        self.continuity.start()
         self.timer.subscribe(METRICS_LOG_PERIOD_S, self._log_metrics)
         self._spawn(following.Published(self).run())
         self._spawn(following.Targets(self).run())
--- a/landingspool/gateway/metrics.py
+++ b/landingspool/gateway/metrics.py
@@ -27,6 +27,11 @@
         self.losses = self._make_counter(
             'losses', 'Tries whose answer did not come whole', ('cause',)
         )
+        self.continuations = self._make_counter(
+            'continuations',
+            'Streams that callers continue, by how their binding is known',
+            ('source',),
+        )
         self.faults = self._make_counter(
             'faults', 'Requests whose handling raised an error'
         )
--- a/landingspool/gateway/outcomes.py
+++ b/landingspool/gateway/outcomes.py
@@ -17,6 +17,8 @@
     TIME_OVER = 'time_over'
     MALFORMED = 'malformed'
     STOPPED = 'stopped'
+    # Another incarnation may have answered, whose software is not known.
+    REBORN = 'reborn'
 
 
 # Causes that a target which crashed without closing its connections brings
--- a/landingspool/gateway/refusals.py
+++ b/landingspool/gateway/refusals.py
@@ -62,6 +62,13 @@
         await self._send_error(503, reason, after)
         return Answer(503, reason, False)
 
+    async def refuse_for_good(self, reason):
+        """Answer a request that can't be served later, either."""
+        if self._state.reply.started or self._state.may_have_run:
+            return await self.give_up(reason)
+        await self._send_error(503, reason)
+        return Answer(503, reason, False)
+
     async def _send_error(self, status, reason, after=None):
         """Send an error of this box; tell more to a box that forwards."""
         rows = ()
@@ -86,6 +93,8 @@
         Retry-After says when a target may be available, if that follows from
         the reason of the shortage.
         """
+        if shortage == exclusions.OTHER_SOFTWARE:
+            return await self.refuse_for_good(shortage)
         if self._state.reply.started or self._state.may_have_run:
             return await self.give_up(shortage)
         estimate = RETRY_AFTER_ESTIMATORS.get(shortage)
--- a/landingspool/gateway/relay.py
+++ b/landingspool/gateway/relay.py
@@ -103,10 +103,23 @@
                 self._call.name, route, service, tenancy, self._call.prompt
             )
         )
+        if self._is_continuation(route):
+            found = self._hub.continuity.find(self._state)
+            if found.binding is None:
+                return await self._refusals.refuse_for_good(found.reason)
+            self._state.bind(found.binding)
         if self._paths.may_send_directly(self._hub.clock()):
             self._register()
         return await self._run_attempts()
 
+    def _is_continuation(self, route):
+        """Return whether a caller continues a stream that it had before."""
+        return (
+            self._origin is None
+            and routes.is_resumable(route)
+            and bool(self._call.after_event)
+        )
+
     def _pick_service(self, route):
         if self._origin is not None:
             # The box that forwards it has chosen, if the routes are the same.
--- a/landingspool/gateway/request_state.py
+++ b/landingspool/gateway/request_state.py
@@ -35,6 +35,8 @@
         Time on the boot-time clock by which it is to be answered.
     stream : stream.Stream or None
         The caller's stream, once it has begun.
+    is_continuation : bool
+        Whether it continues a stream, so that `work` names its software.
     tried_targets : list of str
         Targets of its earlier attempts.
     sends : int
@@ -73,6 +75,7 @@
         self.work = None
         self.deadline = now + call.left_s
         self.stream = None
+        self.is_continuation = False
         self.origin = origin
         self.tried_targets = []
         self.tried_peers = []
@@ -100,6 +103,18 @@
             self.body,
         )
 
+    def bind(self, binding):
+        """Restrict the request to the targets that may continue its stream.
+
+        Parameters
+        ----------
+        binding : stream_bindings.Binding
+        """
+        self.work = self.work._replace(
+            service=binding.service, software=binding.software
+        )
+        self.is_continuation = True
+
     def is_expired(self, now):
         """Return whether its deadline, less ANSWER_MARGIN_S, has passed."""
         return now >= self.deadline - ANSWER_MARGIN_S
--- a/landingspool/gateway/state.py
+++ b/landingspool/gateway/state.py
@@ -86,6 +86,7 @@
         if self._view.put_table(table):
             self._table_value = value
             self._has_table.set()
+            self._view.software_history.put_table(table, self._hub.clock())
             self._hub.recorder.record(
                 'published',
                 version=table.version,
@@ -178,25 +179,27 @@
 
     def _put_entry(self, entry, value):
         fleet = self._view.fleet
-        known = entry.name in fleet.entries
+        known = fleet.entries.get(entry.name)
         before = fleet.get_incarnation(entry.target)
         state = self._view.put_entry(entry, self._hub.clock())
         if state == fleet_module.SUPERSEDED:
             return
         self.target_values[entry.target] = value
-        if before != entry.name:
+        if before != entry.name or (
+            known is not None and known.software != entry.software
+        ):
             # Idle connections there belong to an earlier incarnation.
             self._hub.upstream.drop(entry.address)
         if before not in (None, entry.name):
             self._hub.recorder.record(
                 'target_reborn', target=entry.name, ended=before
             )
-        if state != fleet_module.READY and known:
+        if state != fleet_module.READY and known is not None:
             self._hub.recorder.record(
                 'leaving', target=entry.name, state=state
             )
             self._view.forget(entry.name)
-        elif state == fleet_module.READY and not known:
+        elif state == fleet_module.READY and known is None:
             self._hub.recorder.record(
                 'target_up',
                 target=entry.name,
--- a/landingspool/gateway/stream.py
+++ b/landingspool/gateway/stream.py
@@ -51,13 +51,12 @@
         self._partial = b''
         self.first_recorded = False
 
-    async def take(self, data):
-        """Forward the events that are complete.
+    def cut_events(self, data):
+        """Return the events that are complete, and keep the rest.
 
         Returns
         -------
-        int or None
-            Version of the target's weights, if the events name one.
+        bytes
 
         Raises
         ------
@@ -69,9 +68,16 @@
         self._partial = pending[cut:]
         if len(self._partial) > MAX_EVENT_BYTES:
             raise EventTooLong(f'an event of over {MAX_EVENT_BYTES} bytes')
-        if not cut:
-            return None
-        complete = pending[:cut]
+        return pending[:cut]
+
+    async def send(self, complete):
+        """Forward complete events.
+
+        Returns
+        -------
+        int or None
+            Version of the target's weights, if the events name one.
+        """
         self._record_id(complete)
         if self._reply.started:
             await self._reply.send_data(complete)
--- a/tests/gateway/site.py
+++ b/tests/gateway/site.py
@@ -226,12 +226,14 @@
     run(test, boot_clock.run, **kinds)
 
 
-async def start_boxes(deployment, count):
+async def start_boxes(deployment, count, **bounds):
     """Start boxes and wait until each knows all others."""
     hubs = []
     for number in range(count):
         seeds = [hub.deployment.links for hub in hubs]
-        hubs.append(await deployment.start_box(f'box{number}', seeds))
+        hubs.append(
+            await deployment.start_box(f'box{number}', seeds, **bounds)
+        )
     for hub in hubs:
         await wait_until(lambda hub=hub: len(hub.peering.peers) == count - 1)
     return hubs
--- a/tests/gateway/test_stream_software.py
+++ b/tests/gateway/test_stream_software.py
@@ -24,7 +24,7 @@
     for runner, version in zip(deployment.engines, software, strict=True):
         runner.software = version
         deployment.announce(runner, 'engine', model='m')
-    hubs = await site.start_boxes(deployment, count)
+    hubs = await site.start_boxes(deployment, count, retry_slack=1000.0)
     for hub in hubs:
         await hub.peering._registry._read_list()
     return hubs
