Tell other boxes which software began a stream, and ask them

Cause: only the box that relayed a stream knew its binding, and it may be gone.

Rendezvous hashing now names owners of each stream in several failure domains. A box tells them at the first event, in datagrams, and a box that is asked to continue a stream asks them, for 0.15 s at most. Nothing is told while the route has had one service with one version for as long as a stream may last: the binding follows from that, and a box that has just started, or whose list of targets is old, doesn't count as a witness. As soon as it doesn't follow any more, the streams that still run are told. A box that stops tells what it knows. What nobody knows is refused as not executed, with a time to retry only if an owner did not answer; so are ids that began streams of several versions, streams of services that the route has left, and versions that have left.

--- a/landingspool/boxes/datagrams.py
+++ b/landingspool/boxes/datagrams.py
@@ -12,11 +12,13 @@
 import msgspec
 
 from landingspool.decisions.gateway import peer_digests
+from landingspool.decisions.gateway import stream_records
 
 MESSAGE_TYPES = {
     'digest': peer_digests.Digest,
     'ask': peer_digests.ProofQuery,
     'tell': peer_digests.ProofReply,
+    'streams': stream_records.StreamRecords,
 }
 MESSAGE_NAMES = {kind: name for name, kind in MESSAGE_TYPES.items()}
 # Seconds between two readings of the socket: short beside the period of the
@@ -78,6 +80,9 @@
         loop.call_soon(self._read_arrived, stall)
 
     def _read_arrived(self, event):
+        self.read_arrived()
+
+    def read_arrived(self):
         """Deliver the datagrams that have arrived."""
         for _ in range(MAX_READ):
             if self._socket is None:
--- a/landingspool/decisions/gateway/continuations.py
+++ b/landingspool/decisions/gateway/continuations.py
@@ -2,8 +2,8 @@
 
 A box that relayed the stream, or was told of it, knows its binding.  Where
 nobody knows it, it still follows if the service has had a single version for
-as long as a stream may last.  Otherwise the request is refused: a guess would
-join what two versions wrote.
+as long as a stream may last, and an owner of the stream has seen no other.
+Otherwise the request is refused: a guess would join what two versions wrote.
 """
 
 import enum
@@ -12,6 +12,10 @@
 from landingspool.decisions.gateway import stream_bindings
 
 
+# Owners that agree with this box before the others are not waited for.
+MIN_AGREEING = 2
+
+
 class Source(enum.StrEnum):
     """How the binding of a stream is known."""
 
@@ -54,11 +58,14 @@
         None: nowhere.
     source : Source
     known : stream_bindings.Known or None
+    unanswered : int
+        The owners that might have known more.
     """
 
     binding: stream_bindings.Binding | None
     source: Source
     known: stream_bindings.Known | None = None
+    unanswered: int = 0
 
     @property
     def reason(self):
@@ -66,14 +73,16 @@
         return f'{self.source}_software'
 
 
-def decide(own, others):
+def decide(own, others, asked):
     """Decide where a stream goes on.
 
     Parameters
     ----------
     own : Evidence
     others : sequence of Evidence
-        That of the boxes that were asked and have answered.
+        That of the owners that have answered.
+    asked : int
+        The owners of the stream that were asked.
 
     Returns
     -------
@@ -81,15 +90,17 @@
 
     >>> one, two = (stream_bindings.Binding('s', v) for v in ('v1', 'v2'))
     >>> nothing = Evidence(None, None, frozenset((one, two)))
-    >>> decide(nothing, ()).source.value
+    >>> decide(nothing, (), 0).source.value
     'unknown'
     >>> told = nothing._replace(known=stream_bindings.Known(two, 0.0, 9.0))
-    >>> decide(nothing, [nothing, told]).binding.software
+    >>> decide(nothing, [nothing, told], 2).binding.software
     'v2'
     >>> watched = Evidence(None, one, frozenset((one,)))
-    >>> decide(watched, ()).source.value
+    >>> decide(watched, (), 0).source.value
     'implied'
-    >>> decide(watched, [nothing]).source.value
+    >>> decide(watched, [nothing], 1).source.value
+    'unknown'
+    >>> decide(watched, (), 1).source.value
     'unknown'
     """
     if own.known is not None:
@@ -97,12 +108,25 @@
     told = [row.known for row in others if row.known is not None]
     if told:
         return judge_known(told, Source.OWNER)
+    unanswered = asked - len(others)
     rows = (own, *others)
     recent = frozenset().union(*(row.recent for row in rows))
     only = {row.only for row in rows} - {None}
-    if len(recent) == 1 and only == recent:
-        return Found(*recent, Source.IMPLIED)
-    return Found(None, Source.UNKNOWN)
+    is_confirmed = bool(others) or not asked
+    if is_confirmed and len(recent) == 1 and only == recent:
+        return Found(*recent, Source.IMPLIED, None, unanswered)
+    return Found(None, Source.UNKNOWN, None, unanswered)
+
+
+def is_certain(found, own, others):
+    """Return whether further answers would not change what was found.
+
+    What is implied is taken as certain once this box and several owners have
+    seen a single version.
+    """
+    if found.source == Source.IMPLIED:
+        return own.only is not None and len(others) >= MIN_AGREEING
+    return found.source != Source.UNKNOWN
 
 
 def judge_known(told, source):
--- a/landingspool/decisions/gateway/software_history.py
+++ b/landingspool/decisions/gateway/software_history.py
@@ -76,6 +76,11 @@
         seen = self._seen.get(service, {})
         return sorted(v for v, at in seen.items() if now - at < RETENTION_S)
 
+    def list_mixed(self, now):
+        """Return the versions of the services that have several."""
+        found = {name: self.list_recent(name, now) for name in self._seen}
+        return {name: rows for name, rows in found.items() if len(rows) > 1}
+
     def list_bindings(self, route, now):
         """List the bindings that running streams of a route may have."""
         return [
--- a/landingspool/event_kinds.py
+++ b/landingspool/event_kinds.py
@@ -155,6 +155,12 @@
             'INFO',
             'A stream is not continued: what began it is not known or gone.',
         ),
+        Kind(
+            223,
+            'owner_silent',
+            'INFO',
+            'A box that may know what began a stream does not answer.',
+        ),
         Kind(
             300, 'queued', 'DEBUG', 'A request waits in the queue of its pool.'
         ),
@@ -342,6 +348,18 @@
             'INFO',
             'This box reaches targets again.',
         ),
+        Kind(
+            528,
+            'software_mixed',
+            'INFO',
+            'Targets of several software versions serve side by side.',
+        ),
+        Kind(
+            529,
+            'software_single',
+            'INFO',
+            'All targets of a service have had the same software for long.',
+        ),
         Kind(
             600, 'kept', 'DEBUG', 'A block of context was sealed in a store.'
         ),
--- a/landingspool/gateway/continuity.py
+++ b/landingspool/gateway/continuity.py
@@ -1,33 +1,56 @@
-"""Keep the streams of this box at the software version that began them.
+"""Keep streams at the software version that began them.
 
 The binding of a stream is recorded as its first event is forwarded, with the
 version that the target had then.  A caller that continues a stream names the
-attempt that began it.
+attempt that began it, at any box.  So unless the service has had a single
+version for as long as a stream may last, this box tells the owners of the
+stream at once, and the box that is asked to continue it asks them.
 """
 
+import asyncio
+
+import cbor2
+import msgspec
+
 from landingspool.decisions.gateway import continuations
+from landingspool.decisions.gateway import routes
 from landingspool.decisions.gateway import stream_bindings
+from landingspool.decisions.gateway import stream_owners
+from landingspool.decisions.gateway import stream_records
+from landingspool.gateway import boxcalls
 
+STREAMS_PATH = '/streams'
 # Period of the records of the versions that are listed, seconds.
 OBSERVE_PERIOD_S = 5.0
+# Period of the check whether owners have to be told, seconds.
+CHECK_PERIOD_S = 0.2
+# Seconds in which owners answer: several trips between failure domains, and a
+# new connection.
+ASK_TIMEOUT_S = 0.15
 
 
 class Continuity:
-    """Records and looks up the bindings of streams.
+    """Records the bindings of streams, and looks them up.
 
     Parameters
     ----------
     hub
-        The box's parts: `view`, `recorder`, `metrics`, `clock`.
+        The box's parts: `deployment`, `view`, `peering`, `client`, `timer`,
+        `recorder`, `metrics`, `clock`.
     """
 
     def __init__(self, hub):
         self._hub = hub
         self._view = hub.view
+        # The route of each stream of this box that no owner was told of.
+        self._untold = {}
+        # The services with several versions.
+        self._mixed = set()
 
     def start(self):
         """Begin the periodic checks."""
         self._hub.timer.subscribe(OBSERVE_PERIOD_S, self._observe)
+        self._hub.timer.subscribe(CHECK_PERIOD_S, self._check)
 
     def record_begun(self, state):
         """Record the binding of a stream whose first event is forwarded.
@@ -41,8 +64,30 @@
         binding = stream_bindings.Binding(work.service, work.software)
         until = state.started + state.call.left_s
         self._view.stream_bindings.put(key, binding, now, until)
+        if self._view.software_history.find_only(work.route, now) is None:
+            self._tell([key], now)
+        else:
+            self._untold[key] = work.route
+
+    def hand_over(self):
+        """Tell the owners of all streams, since this box stops."""
+        now = self._hub.clock()
+        live = self._view.stream_bindings.list_live(now)
+        self._tell([key for key, _ in live], now)
+
+    def take(self, message):
+        """Record what another box tells of its streams.
+
+        Parameters
+        ----------
+        message : stream_records.StreamRecords
+        """
+        now = self._hub.clock()
+        for record in message.records:
+            known = stream_records.read_record(record, now)
+            self._view.stream_bindings.put(record.key, *known)
 
-    def find(self, state):
+    async def find(self, state):
         """Find the binding of the stream that a caller continues.
 
         Parameters
@@ -54,23 +99,147 @@
         continuations.Found
         """
         work, call = state.work, state.call
-        own = self.collect(make_key(work, call.resumes), work.route)
-        found = continuations.check_route(
-            continuations.decide(own, ()), work.route
-        )
+        key = make_key(work, call.resumes)
+        # What this box was told before the request counts.
+        self._hub.peering.read_arrived()
+        own = self._collect(key, work.route)
+        found = continuations.decide(own, (), 0)
+        if call.resumes and own.known is None:
+            found = await self._ask_owners(key, work.route, own)
+        found = continuations.check_route(found, work.route)
         self._log(state, found, own)
         return found
 
-    def collect(self, key, route):
+    async def answer(self, request, exchange):
+        """Answer a box that asks for a stream."""
+        # What was told before the question counts.
+        self._hub.peering.read_arrived()
+        query = msgspec.convert(
+            cbor2.loads(request.body), stream_records.StreamQuery
+        )
+        table = self._view.table
+        route = None
+        if table is not None:
+            route = routes.match_route(table, query.host, query.prefix)
+        evidence = self._collect(query.key, route)
+        reply = stream_records.make_reply(
+            query.key, evidence, self._hub.clock()
+        )
+        await boxcalls.answer(
+            exchange, msgspec.to_builtins(reply, builtin_types=[bytes])
+        )
+
+    def _collect(self, key, route):
         """Return the continuations.Evidence that this box has of a stream."""
         now = self._hub.clock()
+        known = self._view.stream_bindings.find(key, now)
+        if route is None:
+            return continuations.Evidence(known, None, frozenset())
         history = self._view.software_history
         return continuations.Evidence(
-            self._view.stream_bindings.find(key, now),
+            known,
             history.find_only(route, now),
             frozenset(history.list_bindings(route, now)),
         )
 
+    async def _ask_owners(self, key, route, own):
+        """Return what follows from the answers of a stream's owners."""
+        peers = self._pick_owners(key)
+        query = stream_records.StreamQuery(key, route.host, route.prefix)
+        body = cbor2.dumps(msgspec.to_builtins(query, builtin_types=[bytes]))
+        asking = {
+            asyncio.ensure_future(self._ask(peer, body)) for peer in peers
+        }
+        answers, pending = [], asking
+        found = continuations.decide(own, answers, len(peers))
+        while pending and not continuations.is_certain(found, own, answers):
+            done, pending = await asyncio.wait(
+                pending, return_when=asyncio.FIRST_COMPLETED
+            )
+            answers += [task.result() for task in done if task.result()]
+            found = continuations.decide(own, answers, len(peers))
+        for task in pending:
+            task.cancel()
+        return found
+
+    async def _ask(self, peer, body):
+        """Return the Evidence of another box, or None if it doesn't answer."""
+        try:
+            reply = await boxcalls.fetch(
+                self._hub.client,
+                peer.address,
+                stream_records.StreamReply,
+                ('POST', STREAMS_PATH),
+                body,
+                timeout=ASK_TIMEOUT_S,
+            )
+        except boxcalls.NoAnswer as error:
+            self._hub.recorder.record(
+                'owner_silent', peer=peer.name, reason=str(error)
+            )
+            return None
+        return stream_records.read_reply(reply, self._hub.clock())
+
+    def _pick_owners(self, key):
+        """Return the registry.Peer of each owner of a stream."""
+        peers = self._hub.peering.list_stream_owners()
+        domains = {name: peer.domain for name, peer in peers.items()}
+        domain = self._hub.deployment.domain
+        names = stream_owners.pick_owners(key, domain, domains)
+        return [peers[name] for name in names]
+
+    def _tell(self, keys, now):
+        """Tell the owners of streams of this box."""
+        records = {}
+        for key in keys:
+            known = self._view.stream_bindings.find(key, now)
+            if known is None:
+                continue
+            record = stream_records.make_record(key, known, now)
+            for peer in self._pick_owners(key):
+                records.setdefault(peer.address, []).append(record)
+        box = self._hub.deployment.box
+        for address, rows in records.items():
+            self._hub.metrics.stream_records.inc(len(rows))
+            for message in stream_records.split_records(box, rows):
+                self._hub.peering.send(message, address)
+
+    def _check(self, tick):
+        """Tell owners of the streams whose binding is no longer implied."""
+        history = self._view.software_history
+        certain = {}
+        due = []
+        for key, route in self._untold.items():
+            if route not in certain:
+                only = history.find_only(route, tick.now)
+                certain[route] = only is not None
+            if not certain[route]:
+                due.append(key)
+        for key in due:
+            del self._untold[key]
+        self._tell(due, tick.now)
+
+    def _observe(self, tick):
+        now = tick.now
+        known = self._view.stream_bindings
+        known.drop_expired(now)
+        for key in [k for k in self._untold if known.find(k, now) is None]:
+            del self._untold[key]
+        history = self._view.software_history
+        history.observe(self._view.fleet.entries.values(), now)
+        self._log_versions(history, now)
+
+    def _log_versions(self, history, now):
+        """Log which services begin or end to have several versions."""
+        mixed = history.list_mixed(now)
+        for service in mixed.keys() - self._mixed:
+            self._hub.recorder.record(
+                'software_mixed', service=service, versions=mixed[service]
+            )
+        for service in self._mixed - mixed.keys():
+            self._hub.recorder.record('software_single', service=service)
+        self._mixed = set(mixed)
+
     def _log(self, state, found, own):
         self._hub.metrics.continuations.labels(found.source).inc()
         age_s = None
@@ -85,13 +254,9 @@
             source=found.source,
             age_s=age_s,
             serving=sorted(binding.software for binding in own.recent),
+            unanswered=found.unanswered,
         )
 
-    def _observe(self, tick):
-        entries = self._view.fleet.entries.values()
-        self._view.software_history.observe(entries, tick.now)
-        self._view.stream_bindings.drop_expired(tick.now)
-
 
 def make_key(work, attempt):
     """Return the key of the stream that an attempt of a workspace began.
--- a/landingspool/gateway/hub.py
+++ b/landingspool/gateway/hub.py
@@ -385,6 +385,7 @@
         self.listener.stop()
         self.forward_listener.stop()
         self.gate.stop()
+        self.continuity.hand_over()
         self._spawn(self.peering.leave())
         await asyncio.sleep(
             min(STOP_NOTICE_S, self.deployment.bounds.grace_s / 2)
--- a/landingspool/gateway/metrics.py
+++ b/landingspool/gateway/metrics.py
@@ -32,6 +32,9 @@
             'Streams that callers continue, by how their binding is known',
             ('source',),
         )
+        self.stream_records = self._make_counter(
+            'stream_records', 'Records of streams sent to their owners'
+        )
         self.faults = self._make_counter(
             'faults', 'Requests whose handling raised an error'
         )
--- a/landingspool/gateway/peering.py
+++ b/landingspool/gateway/peering.py
@@ -17,9 +17,11 @@
 from landingspool.boxes import datagrams
 from landingspool.decisions.gateway import peer_digests
 from landingspool.decisions.gateway import readers
+from landingspool.decisions.gateway import stream_records
 from landingspool.decisions import ownership
 from landingspool.gateway import boxcalls
 from landingspool.gateway import cache_follower
+from landingspool.gateway import continuity
 from landingspool.gateway import registry
 from landingspool.gateway import sources
 from landingspool.gateway import state
@@ -112,6 +114,18 @@
             self._registry.read_soon()
         return names
 
+    def list_stream_owners(self):
+        """Return the peers that can be told of streams, by name."""
+        return {n: p for n, p in self.peers.items() if p.owns_streams}
+
+    def send(self, message, address):
+        """Send a message without any guarantee of delivery."""
+        self._socket.send(message, address)
+
+    def read_arrived(self):
+        """Apply the messages that have arrived."""
+        self._socket.read_arrived()
+
     async def wait_listed(self):
         """Wait until the other boxes are known, for LIST_TIMEOUT_S at most."""
         if self._hub.deployment.links is None:
@@ -437,6 +451,12 @@
         )
         await boxcalls.answer(exchange, snapshot)
 
+    def _receive_streams(self, message, address):
+        self._hub.continuity.take(message)
+
+    async def _answer_streams(self, request, exchange):
+        await self._hub.continuity.answer(request, exchange)
+
     async def _answer_records(self, request, exchange):
         await self._hub.record_server.answer_records(request, exchange)
 
@@ -454,6 +474,7 @@
     peer_digests.Digest: Peering._receive_digest,
     peer_digests.ProofQuery: Peering._receive_ask,
     peer_digests.ProofReply: Peering._receive_tell,
+    stream_records.StreamRecords: Peering._receive_streams,
 }
 
 
@@ -462,4 +483,5 @@
     sources.RECORDS_PATH: Peering._answer_records,
     sources.NEWEST_PATH: Peering._answer_newest,
     cache_follower.CHANGES_PATH: Peering._answer_changes,
+    continuity.STREAMS_PATH: Peering._answer_streams,
 }
--- a/landingspool/gateway/refusals.py
+++ b/landingspool/gateway/refusals.py
@@ -62,6 +62,17 @@
         await self._send_error(503, reason, after)
         return Answer(503, reason, False)
 
+    async def refuse_unbound(self, found):
+        """Answer a caller whose stream goes on nowhere.
+
+        Parameters
+        ----------
+        found : continuations.Found
+        """
+        if found.unanswered:
+            return await self.refuse(found.reason)
+        return await self.refuse_for_good(found.reason)
+
     async def refuse_for_good(self, reason):
         """Answer a request that can't be served later, either."""
         if self._state.reply.started or self._state.may_have_run:
--- a/landingspool/gateway/registry.py
+++ b/landingspool/gateway/registry.py
@@ -38,6 +38,7 @@
     """Another box, its address and domain, and its link in Mbit/s.
 
     `forwarding` is its address for forwarded requests; None if it takes none.
+    `owns_streams` is whether it can be told what began a stream.
     """
 
     name: str
@@ -45,6 +46,7 @@
     domain: str
     link_mbps: float = 0.0
     forwarding: http.Address | None = None
+    owns_streams: bool = False
 
 
 class Registry:
@@ -157,13 +159,15 @@
 def write_peer(address, domain, link_mbps, forwarding=None):
     """Return the record of a box.
 
-    >>> write_peer(http.Address('10.0.0.1', 8002), 'd1', 5.0)
-    b'{"address": "10.0.0.1:8002", "domain": "d1", "link_mbps": 5.0}'
+    >>> row = json.loads(write_peer(http.Address('10.0.0.1', 80), 'd1', 5.0))
+    >>> row['address'], row['domain'], row['link_mbps'], row['streams']
+    ('10.0.0.1:80', 'd1', 5.0, True)
     """
     row = {
         'address': f'{address[0]}:{address[1]}',
         'domain': domain,
         'link_mbps': link_mbps,
+        'streams': True,
     }
     if forwarding is not None:
         row['forwarding'] = f'{forwarding[0]}:{forwarding[1]}'
@@ -192,7 +196,12 @@
         # A box of an earlier version names no address for it.
         forwarding = http.parse_address(row.get('forwarding'))
         return address and Peer(
-            name, address, row['domain'], link_mbps, forwarding
+            name,
+            address,
+            row['domain'],
+            link_mbps,
+            forwarding,
+            bool(row.get('streams')),
         )
     except (ValueError, KeyError, TypeError):
         return None
--- a/landingspool/gateway/relay.py
+++ b/landingspool/gateway/relay.py
@@ -104,9 +104,9 @@
             )
         )
         if self._is_continuation(route):
-            found = self._hub.continuity.find(self._state)
+            found = await self._hub.continuity.find(self._state)
             if found.binding is None:
-                return await self._refusals.refuse_for_good(found.reason)
+                return await self._refusals.refuse_unbound(found)
             self._state.bind(found.binding)
         if self._paths.may_send_directly(self._hub.clock()):
             self._register()
--- a/standins/behaviours.py
+++ b/standins/behaviours.py
@@ -285,6 +285,17 @@
     write_answer(runner, head, writer, 200, b'done')
 
 
+@behaviour('slow stream')
+async def answer_slow_stream(runner, head, body, reader, writer):
+    """Stream four events after a while."""
+    runner.run(head, body)
+    await asyncio.sleep(0.6)
+    start_stream(runner, head, writer)
+    for event in list_events(head):
+        write_chunk(writer, event)
+    writer.write(b'0\r\n\r\n')
+
+
 @behaviour('paused stream')
 async def answer_paused(runner, head, body, reader, writer):
     """Stream four events, and fall silent after the second."""
--- a/tests/gateway/test_stream_software.py
+++ b/tests/gateway/test_stream_software.py
@@ -1,5 +1,7 @@
 """Streams that break off while targets of two software versions serve."""
 
+import asyncio
+
 import pytest
 
 from tests.gateway import site
@@ -36,11 +38,17 @@
         runner.usual = behaviour
 
 
-async def begin(deployment, hub, name):
+async def begin(deployment, hub, name, body=None):
     """Have a caller get two events of a stream that breaks off."""
     usually(deployment, 'broken stream')
-    got = await site.ask(hub, '/taken/a', headers=test_relay.PROMPT, name=name)
-    assert list_events(got) == [1, 2]
+    got = await site.ask(
+        hub,
+        '/taken/a',
+        (body or name).encode(),
+        test_relay.PROMPT,
+        name=name,
+    )
+    assert list_events(got) == [1, 2], (got.status, got.body)
     usually(deployment, 'stream')
 
 
@@ -48,7 +56,9 @@
     """Have a caller continue a stream that attempt `first` began."""
     rows = ('last-event-id', str(after)), ('resumes', first)
     headers = (*test_relay.PROMPT, *rows)
-    return await site.ask(hub, '/taken/a', headers=headers, key=key, name=name)
+    return await site.ask(
+        hub, '/taken/a', first.encode(), headers, key, name=name
+    )
 
 
 def list_events(got):
@@ -101,3 +111,209 @@
             assert began == went_on
 
     site.run(check, engines=4)
+
+
+async def add_software(deployment, hubs, version, count=2):
+    """Announce the last engines at a version; wait until boxes know it."""
+    added = deployment.engines[-count:]
+    for runner in added:
+        runner.software = version
+        deployment.announce(runner, 'engine', model='m')
+    for hub in hubs:
+        entries = hub.view.fleet.entries
+        await site.wait_until(
+            lambda entries=entries: all(
+                entries[runner.name].software == version for runner in added
+            )
+        )
+
+
+async def leave(deployment, hubs, version):
+    """Have the engines of a version say that they leave."""
+    for runner in deployment.engines:
+        if runner.software == version:
+            deployment.announce(runner, 'engine', model='m', state='draining')
+    for hub in hubs:
+        entries = hub.view.fleet.entries
+        await site.wait_until(
+            lambda entries=entries: all(
+                entry.software != version for entry in entries.values()
+            )
+        )
+
+
+def kill(hub):
+    """End a box as a kill does, without a word to the others."""
+    hub.peering._socket.close()
+    hub.forward_listener._server.close()
+    hub.listener._server.close()
+    hub.timer.close()
+
+
+def test_a_stream_goes_on_after_its_box_has_been_killed():
+    async def check(deployment):
+        hubs = await start(deployment, 4)
+        began = [f'a{number}' for number in range(STREAMS)]
+        for first in began:
+            await begin(deployment, hubs[0], first)
+        kill(hubs[0])
+        await hubs[0].peering._server.close()
+        for number, first in enumerate(began):
+            hub = hubs[1 + number % 3]
+            got = await take_up(hub, f'b{number}', first)
+            assert list_events(got) == [3, 4]
+            one, other = list_software(deployment, first, f'b{number}')
+            assert one == other
+
+    site.run(check, engines=4)
+
+
+def test_streams_begun_before_a_second_version_go_on_at_the_first():
+    async def check(deployment):
+        hubs = await start(deployment, 3, ('v1', 'v1', 'v1', 'v1'))
+        # As after long with one version.
+        for hub in hubs:
+            hub.view.software_history._watched_since = -1e9
+        began = [f'a{number}' for number in range(STREAMS)]
+        for first in began:
+            await begin(deployment, hubs[0], first)
+        assert not hubs[1].view.stream_bindings.list_live(hubs[1].clock())
+        await add_software(deployment, hubs, 'v2')
+        told = hubs[1].view.stream_bindings
+        await site.wait_until(
+            lambda: len(told.list_live(hubs[1].clock())) == STREAMS
+        )
+        for number, first in enumerate(began):
+            hub = hubs[1 + number % 2]
+            got = await take_up(hub, f'b{number}', first)
+            assert list_events(got) == [3, 4]
+            assert set(list_software(deployment, f'b{number}')) == {'v1'}
+
+    site.run(check, engines=4)
+
+
+def test_a_stream_that_nobody_knows_is_not_guessed():
+    async def check(deployment):
+        hubs = await start(deployment, 3)
+        usually(deployment, 'stream')
+        for number in range(STREAMS):
+            got = await take_up(hubs[number % 3], f'b{number}', 'nobody')
+            assert got.status == 503
+            assert b'unknown_software' in got.body
+            assert 'retry-after' not in got.headers
+        assert not any(runner.ran for runner in deployment.engines)
+
+    site.run(check, engines=4)
+
+
+def test_a_stream_of_the_only_version_goes_on_without_a_record():
+    async def check(deployment):
+        hubs = await start(deployment, 3, ('v1',) * 4)
+        for hub in hubs:
+            hub.view.software_history._watched_since = -1e9
+        usually(deployment, 'stream')
+        got = await take_up(hubs[1], 'b', 'nobody')
+        assert list_events(got) == [3, 4]
+
+    site.run(check, engines=4)
+
+
+def test_a_stream_whose_version_has_left_is_refused_at_once():
+    async def check(deployment):
+        hubs = await start(deployment, 2)
+        await begin(deployment, hubs[0], 'a')
+        (version,) = list_software(deployment, 'a')
+        await leave(deployment, hubs, version)
+        began = hubs[1].clock()
+        got = await take_up(hubs[1], 'b', 'a')
+        assert hubs[1].clock() - began < 0.3
+        assert got.status == 503
+        assert b'other_software' in got.body
+        assert 'retry-after' not in got.headers
+        assert not list_software(deployment, 'b')
+
+    site.run(check, engines=4)
+
+
+def test_an_id_used_for_two_versions_continues_neither():
+    async def check(deployment):
+        hubs = await start(deployment, 3)
+        tries = 0
+        while len(set(list_software(deployment, 'a'))) < 2:
+            tries += 1
+            await begin(deployment, hubs[0], 'a', f'body {tries}')
+        for hub in hubs:
+            got = await take_up(hub, 'b', 'a')
+            assert got.status == 503
+            assert b'ambiguous_software' in got.body
+
+    site.run(check, engines=4)
+
+
+def test_a_stream_of_another_workspace_is_not_found():
+    async def check(deployment):
+        table = site.make_table(2, routes=ROUTES)
+        table['tenants'].append({'name': 'w2', 'api_keys': ['key-of-w2']})
+        hubs = await start(deployment, 2)
+        deployment.publish({**table, 'version': 3})
+        for hub in hubs:
+            await site.wait_until(lambda hub=hub: hub.view.table.version == 3)
+        await begin(deployment, hubs[0], 'a')
+        got = await take_up(hubs[1], 'b', 'a', key='key-of-w2')
+        assert got.status == 503
+        assert list_events(await take_up(hubs[1], 'c', 'a')) == [3, 4]
+
+    site.run(check, engines=4)
+
+
+def test_a_stream_of_a_service_that_its_route_has_left_is_refused():
+    async def check(deployment):
+        hubs = await start(deployment, 2)
+        await begin(deployment, hubs[0], 'a')
+        routes = {'taken': {**ROUTES['taken'], 'service': 'plain'}}
+        deployment.publish(site.make_table(3, routes=routes))
+        for hub in hubs:
+            await site.wait_until(lambda hub=hub: hub.view.table.version == 3)
+            got = await take_up(hub, 'b', 'a')
+            assert got.status == 503
+            assert b'moved_software' in got.body
+
+    site.run(check, engines=4)
+
+
+def test_a_target_back_at_another_version_continues_nothing_it_began():
+    async def check(deployment):
+        hubs = await start(deployment, 2, ('v1', 'v2', 'v2', 'v2'))
+        old = deployment.engines[0]
+        tries = 0
+        while not old.ran:
+            tries += 1
+            await begin(deployment, hubs[0], f'a{tries}')
+        old.software = 'v2'
+        deployment.announce(old, 'engine', model='m', born=1)
+        for hub in hubs:
+            fleet = hub.view.fleet
+            await site.wait_until(lambda fleet=fleet: 'e0@1' in fleet.entries)
+            got = await take_up(hub, 'b', f'a{tries}')
+            assert got.status == 503
+        assert not list_software(deployment, 'b')
+
+    site.run(check, engines=4)
+
+
+def test_a_target_that_restarts_before_it_answers_begins_no_stream():
+    async def check(deployment):
+        (hub,) = await start(deployment, 1, ('v1', 'v1'))
+        usually(deployment, 'slow stream')
+        asking = asyncio.ensure_future(
+            site.ask(hub, '/taken/a', headers=test_relay.PROMPT)
+        )
+        engines = deployment.engines
+        await site.wait_until(lambda: any(r.ran for r in engines))
+        (old,) = (runner for runner in engines if runner.ran)
+        old.software = 'v2'
+        deployment.announce(old, 'engine', model='m', born=1)
+        got = await asking
+        assert got.status == 502
+
+    site.run(check, engines=2)
