Carry the software version of a stream over the hop between boxes

Callers whose box reaches no target got streams at two software versions: the box that forwards a request told the other box the last event, but not what began the stream, and was not told which software served. A forwarded request now carries the version to which its stream is bound, and the answer that of its target, in headers of the boxes; both boxes record the binding. An answer without it, or of other software, is dropped before anything of it reaches the caller. Boxes of an earlier release would ignore the header: no resumable stream is forwarded to them. The description of a plan for the log moves to the plans, which need no input or output.

One existing test changed: the stand-in of its peers answers the renamed question (same checks).

--- a/landingspool/decisions/gateway/plans.py
+++ b/landingspool/decisions/gateway/plans.py
@@ -94,3 +94,20 @@
         return candidates
     weight = choice.compute_memory_weight(count_held(work), held)
     return [c._replace(weight=weight) for c in candidates]
+
+
+def describe_plan(plan, table):
+    """Return the values that decided the choice of a target, for the log."""
+    return {
+        'target': plan.entry.name,
+        'expected_s': round(plan.expected_s, 4),
+        'kept': plan.cached,
+        'fetched': plan.transfer.tokens,
+        'read': plan.read_tokens,
+        'declined': plan.transfer.declined,
+        'saved': sum(1 for address in plan.transfer.save if address),
+        'candidates': plan.candidates,
+        'weights': plan.version,
+        'software': plan.entry.software,
+        'table': table.version,
+    }
--- a/landingspool/gateway/attempts.py
+++ b/landingspool/gateway/attempts.py
@@ -6,9 +6,11 @@
 """
 
 from landingspool.decisions.gateway import demand
+from landingspool.decisions.gateway import plans
 from landingspool.decisions.gateway import routes
 from landingspool.decisions.gateway import stream_bindings
 from landingspool.gateway import delivery
+from landingspool.gateway import forwarded_rows
 from landingspool.gateway import outcomes
 from landingspool.gateway import stream as stream_module
 from landingspool.gateway import upstream as upstream_module
@@ -165,7 +167,7 @@
             priority=self._get_priority(),
             resumes=state.call.resumes,
             after=self._get_after_event(),
-            **describe_plan(plan, self._view.table),
+            **plans.describe_plan(plan, self._view.table),
         )
         self._exchange.send(
             state.call.method,
@@ -407,7 +409,7 @@
         name = self._plan.entry.name
         self._view.loads.record_received(name, self._hub.clock())
 
-    def bind_stream(self):
+    def bind_stream(self, head):
         """Bind a stream to the target whose first event is to be forwarded.
 
         Returns
@@ -421,10 +423,24 @@
             return True
         if not self._view.fleet.is_same(entry):
             return False
-        state.bind(stream_bindings.Binding(entry.service, entry.software))
-        self._hub.continuity.record_begun(state)
+        self._bind(entry.software)
         return True
 
+    def _bind(self, software):
+        state = self._state
+        state.bind(stream_bindings.Binding(state.work.service, software))
+        self._hub.continuity.record_begun(state)
+
+    def list_reply_headers(self, head):
+        """Return the headers with which an answer is forwarded."""
+        rows = answers.relay_headers(head)
+        state = self._state
+        if state.origin is not None and routes.is_resumable(state.work.route):
+            rows.append(
+                forwarded_rows.write_software(self._plan.entry.software)
+            )
+        return rows
+
     def record_first(self):
         """Record the first part of the answer that is forwarded."""
         now = self._hub.clock()
@@ -483,20 +499,3 @@
     it needs no recent confirmation by the platform's store.
     """
     return not view.table.keyed or view.proof.is_fresh(now)
-
-
-def describe_plan(plan, table):
-    """Return the values that decided the choice of a target, for the log."""
-    return {
-        'target': plan.entry.name,
-        'expected_s': round(plan.expected_s, 4),
-        'kept': plan.cached,
-        'fetched': plan.transfer.tokens,
-        'read': plan.read_tokens,
-        'declined': plan.transfer.declined,
-        'saved': sum(1 for address in plan.transfer.save if address),
-        'candidates': plan.candidates,
-        'weights': plan.version,
-        'software': plan.entry.software,
-        'table': table.version,
-    }
--- a/landingspool/gateway/delivery.py
+++ b/landingspool/gateway/delivery.py
@@ -95,7 +95,7 @@
             complete = stream.cut_events(data)
             if not complete:
                 continue
-            if not stream.first_recorded and not attempt.bind_stream():
+            if not stream.first_recorded and not attempt.bind_stream(head):
                 return attempt.report_lost('reborn', outcomes.Cause.REBORN)
             attempt.record_version(await stream.send(complete))
             if not stream.first_recorded:
@@ -113,7 +113,7 @@
         """Return the caller's stream; begin it if this is the first answer."""
         state = self._state
         if state.stream is None:
-            rows = answers.relay_headers(head)
+            rows = self._attempt.list_reply_headers(head)
             state.stream = stream_module.Stream(state.reply, head.status, rows)
         state.stream.restart()
         return state.stream
--- a/landingspool/gateway/forwarded_rows.py
+++ b/landingspool/gateway/forwarded_rows.py
@@ -5,12 +5,16 @@
 """
 
 import typing
+from urllib import parse
 
 PREFIX = b'x-spool-box-'
 # In requests: the box that forwards it.
 FORWARDED_BY = PREFIX + b'name'
 # In requests: the service that the forwarding box has chosen.
 SERVICE = PREFIX + b'service'
+# In requests: the software version that began the stream; in answers that are
+# streams: that of the target.
+SOFTWARE = PREFIX + b'software'
 # In requests and answers: whether the request was counted.
 COUNTED = PREFIX + b'counted'
 # In answers that the box itself gives: why it did not serve the request.
@@ -30,11 +34,14 @@
         The service that this box has chosen.
     counted : bool
         Whether it has counted the request.
+    software : str or None
+        The software version that has begun its stream; None if any may serve.
     """
 
     box: str
     service: str
     counted: bool
+    software: str | None = None
 
 
 class Report(typing.NamedTuple):
@@ -59,7 +66,9 @@
     """Return the Origin of a forwarded request, or None if it has none.
 
     >>> read_origin(write_origin(Origin('b', 's', True)))
-    Origin(box='b', service='s', counted=True)
+    Origin(box='b', service='s', counted=True, software=None)
+    >>> read_origin(write_origin(Origin('b', 's', True, 'v 1%'))).software
+    'v 1%'
     >>> read_origin([]) is None
     True
     """
@@ -70,16 +79,31 @@
         found[FORWARDED_BY].decode('latin-1'),
         found.get(SERVICE, b'').decode('latin-1'),
         found.get(COUNTED) == b'1',
+        read_software(headers),
     )
 
 
 def write_origin(origin):
     """Return the headers of an Origin."""
-    return [
+    rows = [
         (FORWARDED_BY, origin.box.encode('latin-1')),
         (SERVICE, origin.service.encode('latin-1')),
         (COUNTED, b'%d' % origin.counted),
     ]
+    if origin.software is not None:
+        rows.append(write_software(origin.software))
+    return rows
+
+
+def read_software(headers):
+    """Return the software version in the headers of a box, or None."""
+    value = dict(headers).get(SOFTWARE)
+    return None if value is None else parse.unquote(value.decode('latin-1'))
+
+
+def write_software(software):
+    """Return the header of a software version, which may be any text."""
+    return SOFTWARE, parse.quote(software, safe='').encode()
 
 
 def read_report(headers):
--- a/landingspool/gateway/forwarder.py
+++ b/landingspool/gateway/forwarder.py
@@ -96,7 +96,10 @@
     def _write_head(self):
         state = self._state
         origin = forwarded_rows.Origin(
-            self._hub.deployment.box, state.work.service, state.is_counted
+            self._hub.deployment.box,
+            state.work.service,
+            state.is_counted,
+            state.work.software,
         )
         head = egress.write_forwarded_head(
             state.call,
@@ -188,10 +191,27 @@
     def _record_unable(self):
         self._forwarding.record_failed(self._peer.name, self._hub.clock())
 
-    def bind_stream(self):
-        """Leave the binding to the box that knows the target."""
+    def bind_stream(self, head):
+        """Bind a stream to the software that the other box names.
+
+        Returns
+        -------
+        bool
+            False if it names none, or other software than that which began
+            the stream.
+        """
+        state = self._state
+        if not routes.is_resumable(state.work.route):
+            return True
+        software = forwarded_rows.read_software(head.headers)
+        if software is None or state.work.software not in (None, software):
+            return False
+        self._bind(software)
         return True
 
+    def list_reply_headers(self, head):
+        return forwarded_rows.strip(super().list_reply_headers(head))
+
     def record_first(self):
         self._state.record_first(self._hub.clock())
 
--- a/landingspool/gateway/path_choice.py
+++ b/landingspool/gateway/path_choice.py
@@ -63,7 +63,7 @@
         is_known = self._view.forwarding.is_cut_off(service, now)
         if len(tried) >= (MAX_PEERS if is_known else 1):
             return None
-        unfit = self._peering.list_without_forwarding()
+        unfit = self._peering.list_unfit(self._state.work)
         picked = self._view.forwarding.pick_peer(
             service, (*tried, *unfit), now
         )
--- a/landingspool/gateway/peering.py
+++ b/landingspool/gateway/peering.py
@@ -17,6 +17,7 @@
 from landingspool.boxes import datagrams
 from landingspool.decisions.gateway import peer_digests
 from landingspool.decisions.gateway import readers
+from landingspool.decisions.gateway import routes
 from landingspool.decisions.gateway import stream_records
 from landingspool.decisions import ownership
 from landingspool.gateway import boxcalls
@@ -107,9 +108,18 @@
         """Follow the list of boxes in the store until cancelled."""
         await self._registry.run()
 
-    def list_without_forwarding(self):
-        """List the peers that take no forwarded requests, or not yet."""
-        names = [n for n, p in self.peers.items() if p.forwarding is None]
+    def list_unfit(self, work):
+        """List the peers that a request can't be forwarded to, or not yet.
+
+        A box that knows nothing of streams could continue one anywhere.
+        """
+        is_resumable = routes.is_resumable(work.route)
+        names = [
+            name
+            for name, peer in self.peers.items()
+            if peer.forwarding is None
+            or (is_resumable and not peer.owns_streams)
+        ]
         if names:
             self._registry.read_soon()
         return names
--- a/landingspool/gateway/refusals.py
+++ b/landingspool/gateway/refusals.py
@@ -7,7 +7,7 @@
 import typing
 
 from landingspool.decisions.gateway import exclusions
-from landingspool.gateway import attempts
+from landingspool.decisions.gateway import plans
 from landingspool.gateway import forwarded_rows
 
 # Range of the random Retry-After of a refusal, seconds.  Random, so that
@@ -141,7 +141,7 @@
             waited=state.release or '',
             after_s=round(after, 3),
             **self._describe_workspace(),
-            **attempts.describe_plan(plan, self._view.table),
+            **plans.describe_plan(plan, self._view.table),
         )
         return Answer(503, 'busy', False)
 
--- a/landingspool/gateway/relay.py
+++ b/landingspool/gateway/relay.py
@@ -11,6 +11,7 @@
 from landingspool.decisions.gateway import exclusions
 from landingspool.decisions.gateway import plans
 from landingspool.decisions.gateway import routes
+from landingspool.decisions.gateway import stream_bindings
 from landingspool.gateway import admission_gate
 from landingspool.gateway import attempts
 from landingspool.gateway import forwarder
@@ -103,7 +104,12 @@
                 self._call.name, route, service, tenancy, self._call.prompt
             )
         )
-        if self._is_continuation(route):
+        origin = self._origin
+        if origin is not None and origin.software is not None:
+            self._state.bind(
+                stream_bindings.Binding(origin.service, origin.software)
+            )
+        elif self._is_continuation(route):
             found = await self._hub.continuity.find(self._state)
             if found.binding is None:
                 return await self._refusals.refuse_unbound(found)
@@ -114,11 +120,7 @@
 
     def _is_continuation(self, route):
         """Return whether a caller continues a stream that it had before."""
-        return (
-            self._origin is None
-            and routes.is_resumable(route)
-            and bool(self._call.after_event)
-        )
+        return routes.is_resumable(route) and bool(self._call.after_event)
 
     def _pick_service(self, route):
         if self._origin is not None:
@@ -357,7 +359,7 @@
         self._hub.recorder.record(event, request=self._call.name, **fields)
 
     def _describe_choice(self):
-        return attempts.describe_plan(self._plan, self._view.table)
+        return plans.describe_plan(self._plan, self._view.table)
 
     def _finish(self, answer):
         state = self._state
--- a/tests/gateway/test_forwarder.py
+++ b/tests/gateway/test_forwarder.py
@@ -337,7 +337,7 @@
         view=types.SimpleNamespace(forwarding=Cut(names, since)),
         upstream=None,
         peering=types.SimpleNamespace(
-            peers=dict(zip(names, names)), list_without_forwarding=list
+            peers=dict(zip(names, names)), list_unfit=lambda work: []
         ),
     )
     paths = path_choice.PathChoice(hub, state)
--- a/tests/gateway/test_stream_software.py
+++ b/tests/gateway/test_stream_software.py
@@ -5,6 +5,7 @@
 import pytest
 
 from tests.gateway import site
+from tests.gateway import test_forwarder
 from tests.gateway import test_relay
 
 STREAMS = 12
@@ -317,3 +318,65 @@
         assert got.status == 502
 
     site.run(check, engines=2)
+
+
+async def start_cut(deployment):
+    """Start four boxes, of which the last reaches no target."""
+    hubs = await start(deployment, 4)
+    names = [hub.deployment.box for hub in hubs[:3]]
+    test_forwarder.cut(deployment, hubs[3], names)
+    return hubs
+
+
+def test_a_forwarded_stream_is_not_continued_by_other_software():
+    async def check(deployment):
+        hubs = await start_cut(deployment)
+        for number in range(STREAMS):
+            name = f's{number}'
+            script = ['broken stream', 'stream']
+            for runner in deployment.engines:
+                runner.script = script
+            got = await site.ask(
+                hubs[3],
+                '/resumed/a',
+                name.encode(),
+                test_relay.PROMPT,
+                name=name,
+            )
+            assert list_events(got) == [1, 2, 3, 4]
+            assert not any('-box-' in header for header in got.headers)
+            first, second = list_software(deployment, name)
+            assert first == second
+
+    site.run(check, engines=4)
+
+
+@pytest.mark.parametrize(('begun', 'taken'), [(0, 3), (3, 1), (3, 3)])
+def test_a_stream_is_not_forwarded_to_other_software(begun, taken):
+    async def check(deployment):
+        hubs = await start_cut(deployment)
+        for number in range(STREAMS):
+            first, second = f'a{number}', f'b{number}'
+            await begin(deployment, hubs[begun], first)
+            got = await take_up(hubs[taken], second, first)
+            assert list_events(got) == [3, 4]
+            began, went_on = list_software(deployment, first, second)
+            assert began == went_on
+
+    site.run(check, engines=4)
+
+
+def test_a_stream_is_not_forwarded_to_a_box_that_ignores_its_software():
+    async def check(deployment):
+        hubs = await start_cut(deployment)
+        await begin(deployment, hubs[0], 'a')
+        peers = hubs[3].peering.peers
+        known = hubs[3].peering.list_stream_owners()
+        hubs[3].peering.list_stream_owners = lambda: known
+        for name, peer in list(peers.items()):
+            peers[name] = peer._replace(owns_streams=False)
+        got = await take_up(hubs[3], 'b', 'a')
+        assert got.status == 503
+        assert not list_software(deployment, 'b')
+
+    site.run(check, engines=4)
