Group the streams that no owner was told of by their route

A box with a single version checked each stream of the last minute five times a second for whether its owners had to be told. The check is now one for each route. Peers that are known by their digests alone are told, too: boxes that had restarted were left out until the list of boxes was read again, by some and not by others, so that boxes would not agree on the owners. 76 tests of streams and forwarding pass.

--- a/landingspool/gateway/continuity.py
+++ b/landingspool/gateway/continuity.py
@@ -8,6 +8,7 @@
 """
 
 import asyncio
+import typing
 
 import cbor2
 import msgspec
@@ -18,6 +19,7 @@
 from landingspool.decisions.gateway import stream_owners
 from landingspool.decisions.gateway import stream_records
 from landingspool.gateway import boxcalls
+from landingspool.gateway import registry
 
 STREAMS_PATH = '/streams'
 # Period of the records of the versions that are listed, seconds.
@@ -29,6 +31,13 @@
 ASK_TIMEOUT_S = 0.15
 
 
+class Untold(typing.NamedTuple):
+    """The streams of a route that no owner was told of, by their keys."""
+
+    route: routes.Route
+    keys: set
+
+
 class Continuity:
     """Records the bindings of streams, and looks them up.
 
@@ -42,7 +51,8 @@
     def __init__(self, hub):
         self._hub = hub
         self._view = hub.view
-        # The route of each stream of this box that no owner was told of.
+        # The streams of this box that no owner was told of, by their route's
+        # host and prefix.
         self._untold = {}
         # The services with several versions.
         self._mixed = set()
@@ -67,7 +77,7 @@
         if self._view.software_history.find_only(work.route, now) is None:
             self._tell([key], now)
         else:
-            self._untold[key] = work.route
+            self._put_untold(work.route, key)
 
     def hand_over(self):
         """Tell the owners of all streams, since this box stops."""
@@ -182,7 +192,7 @@
 
     def _pick_owners(self, key):
         """Return the registry.Peer of each owner of a stream."""
-        peers = self._hub.peering.list_stream_owners()
+        peers = registry.list_stream_owners(self._hub.peering.peers)
         domains = {name: peer.domain for name, peer in peers.items()}
         domain = self._hub.deployment.domain
         names = stream_owners.pick_owners(key, domain, domains)
@@ -207,24 +217,24 @@
     def _check(self, tick):
         """Tell owners of the streams whose binding is no longer implied."""
         history = self._view.software_history
-        certain = {}
-        due = []
-        for key, route in self._untold.items():
-            if route not in certain:
-                only = history.find_only(route, tick.now)
-                certain[route] = only is not None
-            if not certain[route]:
-                due.append(key)
-        for key in due:
-            del self._untold[key]
-        self._tell(due, tick.now)
+        for place, untold in list(self._untold.items()):
+            if history.find_only(untold.route, tick.now) is None:
+                del self._untold[place]
+                self._tell(untold.keys, tick.now)
+
+    def _put_untold(self, route, key):
+        place = route.host, route.prefix
+        if place not in self._untold:
+            self._untold[place] = Untold(route, set())
+        self._untold[place].keys.add(key)
 
     def _observe(self, tick):
         now = tick.now
         known = self._view.stream_bindings
         known.drop_expired(now)
-        for key in [k for k in self._untold if known.find(k, now) is None]:
-            del self._untold[key]
+        for place, untold in list(self._untold.items()):
+            live = {key for key in untold.keys if known.find(key, now)}
+            self._untold[place] = untold._replace(keys=live)
         history = self._view.software_history
         history.observe(self._view.fleet.entries.values(), now)
         self._log_versions(history, now)
--- a/landingspool/gateway/peering.py
+++ b/landingspool/gateway/peering.py
@@ -124,10 +124,6 @@
             self._registry.read_soon()
         return names
 
-    def list_stream_owners(self):
-        """Return the peers that can be told of streams, by name."""
-        return {n: p for n, p in self.peers.items() if p.owns_streams}
-
     def send(self, message, address):
         """Send a message without any guarantee of delivery."""
         self._socket.send(message, address)
--- a/landingspool/gateway/registry.py
+++ b/landingspool/gateway/registry.py
@@ -38,7 +38,8 @@
     """Another box, its address and domain, and its link in Mbit/s.
 
     `forwarding` is its address for forwarded requests; None if it takes none.
-    `owns_streams` is whether it can be told what began a stream.
+    `owns_streams` is whether it can be told what began a stream; None if its
+    record has not been read.
     """
 
     name: str
@@ -46,7 +47,7 @@
     domain: str
     link_mbps: float = 0.0
     forwarding: http.Address | None = None
-    owns_streams: bool = False
+    owns_streams: bool | None = None
 
 
 class Registry:
@@ -156,6 +157,23 @@
         self._peers.update(listed)
 
 
+def list_stream_owners(peers):
+    """Return the peers that can be told of streams, by name.
+
+    One known by its digests alone is told, so that boxes agree on the owners
+    soon after one has started.
+
+    Parameters
+    ----------
+    peers : dict of str to Peer
+    """
+    return {
+        name: peer
+        for name, peer in peers.items()
+        if peer.owns_streams is not False
+    }
+
+
 def write_peer(address, domain, link_mbps, forwarding=None):
     """Return the record of a box.
 
--- a/tests/gateway/test_stream_software.py
+++ b/tests/gateway/test_stream_software.py
@@ -366,15 +366,20 @@
     site.run(check, engines=4)
 
 
-def test_a_stream_is_not_forwarded_to_a_box_that_ignores_its_software():
+def test_a_stream_is_not_forwarded_to_a_box_that_ignores_its_software(
+    monkeypatch,
+):
     async def check(deployment):
         hubs = await start_cut(deployment)
-        await begin(deployment, hubs[0], 'a')
-        peers = hubs[3].peering.peers
-        known = hubs[3].peering.list_stream_owners()
-        hubs[3].peering.list_stream_owners = lambda: known
-        for name, peer in list(peers.items()):
-            peers[name] = peer._replace(owns_streams=False)
+        await begin(deployment, hubs[3], 'a')
+        monkeypatch.setattr(
+            hubs[3].peering,
+            'peers',
+            {
+                name: peer._replace(owns_streams=False)
+                for name, peer in hubs[3].peering.peers.items()
+            },
+        )
         got = await take_up(hubs[3], 'b', 'a')
         assert got.status == 503
         assert not list_software(deployment, 'b')
