--- a/landingspool/command/logs.py
+++ b/landingspool/command/logs.py
@@ -6,6 +6,8 @@
 from landingspool import events
 
 STANDARD_INPUT = '-'
+# What a line of a request that continues a stream holds.
+RESUMES = '"resumes":'
 
 
 def read_events(paths, filters):
@@ -37,6 +39,37 @@
     return events.merge_events([matches])
 
 
+def find_attempts(paths, request):
+    """Find the attempts of the stream that a request belongs to.
+
+    Callers continue a stream by a new request that names the attempt which
+    began it.
+
+    Parameters
+    ----------
+    paths : sequence of str
+        Names of files; standard input can be read only once: not searched.
+    request : str
+
+    Returns
+    -------
+    list of str
+        Ids of requests, `request` among them.
+    """
+    links = set()
+    for path in paths:
+        lines = () if path == STANDARD_INPUT else read_lines(path)
+        events_found = (parse_line(line) for line in lines if RESUMES in line)
+        links |= {
+            (event.fields['request'], event.fields['resumes'])
+            for event in events_found
+            if event is not None and event.fields.get('resumes')
+        }
+    begun = {first for one, first in links if one == request} | {request}
+    later = {one for one, first in links if first in begun}
+    return sorted(begun | later)
+
+
 def read_lines(path):
     """Yield the lines of a file or of standard input."""
     if path == STANDARD_INPUT:
--- a/landingspool/command/state.py
+++ b/landingspool/command/state.py
@@ -78,14 +78,16 @@
         if not self.option('logs'):
             return super().handle()
         try:
-            rows = logs.read_events(
-                self.option('logs').split(','), self.get_filters()
-            )
+            rows = self.read_logs(self.option('logs').split(','))
         except OSError as error:
             self.line_error(f'{error.filename}: {error.strerror}')
             return base.BAD_INPUT
         return self.print_matches(rows)
 
+    def read_logs(self, paths):
+        """Read the matching events in log files, in order."""
+        return logs.read_events(paths, self.get_filters())
+
     async def run_async(self, client):
         """Fetch the events of all boxes and print them in order."""
         return self.print_matches(
@@ -129,6 +131,13 @@
         """Return the field values that an event must have to be printed."""
         return {'request': self.argument('request')}
 
+    def read_logs(self, paths):
+        """Read the events of all attempts of a request's stream."""
+        attempts = logs.find_attempts(paths, self.argument('request'))
+        return events.merge_events(
+            logs.read_events(paths, {'request': name}) for name in attempts
+        )
+
     def print_matches(self, rows):
         """Print the events of the request and a summary line."""
         status = super().print_matches(rows)
--- a/tests/test_logs.py
+++ b/tests/test_logs.py
@@ -50,3 +50,19 @@
     assert (
         run_command('explain', 'z', '--logs', str(tmp_path / 'none'))[0] == 2
     )
+
+
+def test_explain_shows_all_attempts_of_a_stream(tmp_path):
+    path = tmp_path / 'a.log'
+    row = '{{"t":{0},"box":"b","n":221,"event":"continued","request":"r{0}"'
+    path.write_text(
+        '\n'.join(
+            row.format(at) + f',"resumes":"{first}"}}'
+            for at, first in enumerate(('', 'r0', 'r0', ''))
+        )
+    )
+    for request in ('r0', 'r2'):
+        status, text = run_command('explain', request, '--logs', str(path))
+        assert status == 0
+        assert all(f'request=r{at}' in text for at in range(3))
+        assert 'request=r3' not in text
