Let a box that starts adopt the versions that others have seen

Worse, by reading: once half of the boxes have been restarted, a kill of the others leaves nobody who could tell that there was one version, and their streams, which nobody was told of, would all be refused.

A box that has watched for too short a time now asks a peer every two seconds for its history, and adopts it if the list of that peer was complete after this box began to watch. Owners are asked also where the caller names no attempt. The two new tests fail without this: the box never knows, and refuses. 20 tests of streams pass.

--- a/landingspool/event_kinds.py
+++ b/landingspool/event_kinds.py
@@ -161,6 +161,12 @@
             'INFO',
             'A box that may know what began a stream does not answer.',
         ),
+        Kind(
+            224,
+            'history_adopted',
+            'INFO',
+            'The software versions that another box has seen were adopted.',
+        ),
         Kind(
             300, 'queued', 'DEBUG', 'A request waits in the queue of its pool.'
         ),
--- a/landingspool/gateway/continuity.py
+++ b/landingspool/gateway/continuity.py
@@ -15,6 +15,7 @@
 
 from landingspool.decisions.gateway import continuations
 from landingspool.decisions.gateway import routes
+from landingspool.decisions.gateway import software_history
 from landingspool.decisions.gateway import stream_bindings
 from landingspool.decisions.gateway import stream_owners
 from landingspool.decisions.gateway import stream_records
@@ -22,6 +23,7 @@
 from landingspool.gateway import registry
 
 STREAMS_PATH = '/streams'
+HISTORY_PATH = '/software'
 # Period of the records of the versions that are listed, seconds.
 OBSERVE_PERIOD_S = 5.0
 # Period of the check whether owners have to be told, seconds.
@@ -29,6 +31,11 @@
 # Seconds in which owners answer: several trips between failure domains, and a
 # new connection.
 ASK_TIMEOUT_S = 0.15
+# Period at which a box that has watched for a short time asks a peer for its
+# history, seconds.
+ADOPT_PERIOD_S = 2.0
+# Seconds in which it answers.
+ADOPT_TIMEOUT_S = 1.0
 
 
 class Untold(typing.NamedTuple):
@@ -56,11 +63,13 @@
         self._untold = {}
         # The services with several versions.
         self._mixed = set()
+        self._adopting = None
 
     def start(self):
         """Begin the periodic checks."""
         self._hub.timer.subscribe(OBSERVE_PERIOD_S, self._observe)
         self._hub.timer.subscribe(CHECK_PERIOD_S, self._check)
+        self._hub.timer.subscribe(ADOPT_PERIOD_S, self._adopt_soon)
 
     def record_begun(self, state):
         """Record the binding of a stream whose first event is forwarded.
@@ -69,6 +78,9 @@
         ----------
         state : request_state.RequestState
         """
+        if not state.call.name:
+            # No caller can name it.
+            return
         now, work = self._hub.clock(), state.work
         key = make_key(work, state.call.name)
         binding = stream_bindings.Binding(work.service, work.software)
@@ -114,7 +126,7 @@
         self._hub.peering.read_arrived()
         own = self._collect(key, work.route)
         found = continuations.decide(own, (), 0)
-        if call.resumes and own.known is None:
+        if own.known is None:
             found = await self._ask_owners(key, work.route, own)
         found = continuations.check_route(found, work.route)
         self._log(state, found, own)
@@ -139,6 +151,43 @@
             exchange, msgspec.to_builtins(reply, builtin_types=[bytes])
         )
 
+    async def answer_history(self, request, exchange):
+        """Answer a box that asks for the versions seen by this one."""
+        now = self._hub.clock()
+        report = self._view.software_history.make_report(now)
+        await boxcalls.answer(exchange, msgspec.to_builtins(report))
+
+    def _adopt_soon(self, tick):
+        """Ask a peer for its history if this box has watched too short."""
+        if self._view.software_history.has_watched(tick.now):
+            return
+        peers = list(self._hub.peering.peers.values())
+        if peers and (self._adopting is None or self._adopting.done()):
+            peer = self._view.rng.choice(peers)
+            self._adopting = asyncio.ensure_future(self._adopt(peer))
+
+    async def _adopt(self, peer):
+        sent = self._hub.clock()
+        try:
+            report = await boxcalls.fetch(
+                self._hub.client,
+                peer.address,
+                software_history.Report,
+                ('GET', HISTORY_PATH),
+                timeout=ADOPT_TIMEOUT_S,
+            )
+        except boxcalls.NoAnswer as error:
+            self._hub.recorder.record(
+                'owner_silent', peer=peer.name, reason=str(error)
+            )
+            return
+        if self._view.software_history.adopt(report, sent):
+            self._hub.recorder.record(
+                'history_adopted',
+                peer=peer.name,
+                watched_s=round(report.watched_s, 1),
+            )
+
     def _collect(self, key, route):
         """Return the continuations.Evidence that this box has of a stream."""
         now = self._hub.clock()
--- a/landingspool/gateway/peering.py
+++ b/landingspool/gateway/peering.py
@@ -463,6 +463,9 @@
     async def _answer_streams(self, request, exchange):
         await self._hub.continuity.answer(request, exchange)
 
+    async def _answer_history(self, request, exchange):
+        await self._hub.continuity.answer_history(request, exchange)
+
     async def _answer_records(self, request, exchange):
         await self._hub.record_server.answer_records(request, exchange)
 
@@ -490,4 +493,5 @@
     sources.NEWEST_PATH: Peering._answer_newest,
     cache_follower.CHANGES_PATH: Peering._answer_changes,
     continuity.STREAMS_PATH: Peering._answer_streams,
+    continuity.HISTORY_PATH: Peering._answer_history,
 }
--- a/tests/gateway/test_stream_software.py
+++ b/tests/gateway/test_stream_software.py
@@ -143,6 +143,12 @@
         )
 
 
+def watch(hubs):
+    """Have boxes believe that they have watched the targets for long."""
+    for hub in hubs:
+        hub.view.software_history._watched_since = -1e9
+
+
 def kill(hub):
     """End a box as a kill does, without a word to the others."""
     hub.peering._socket.close()
@@ -172,9 +178,7 @@
 def test_streams_begun_before_a_second_version_go_on_at_the_first():
     async def check(deployment):
         hubs = await start(deployment, 3, ('v1', 'v1', 'v1', 'v1'))
-        # As after long with one version.
-        for hub in hubs:
-            hub.view.software_history._watched_since = -1e9
+        watch(hubs)
         began = [f'a{number}' for number in range(STREAMS)]
         for first in began:
             await begin(deployment, hubs[0], first)
@@ -210,8 +214,7 @@
 def test_a_stream_of_the_only_version_goes_on_without_a_record():
     async def check(deployment):
         hubs = await start(deployment, 3, ('v1',) * 4)
-        for hub in hubs:
-            hub.view.software_history._watched_since = -1e9
+        watch(hubs)
         usually(deployment, 'stream')
         got = await take_up(hubs[1], 'b', 'nobody')
         assert list_events(got) == [3, 4]
@@ -385,3 +388,40 @@
         assert not list_software(deployment, 'b')
 
     site.run(check, engines=4)
+
+
+def test_a_started_box_adopts_what_others_have_seen():
+    async def check(deployment):
+        hubs = await start(deployment, 2, ('v1',) * 4)
+        watch(hubs)
+        added = await deployment.start_box(
+            'box9', [hubs[0].deployment.links], retry_slack=1000.0
+        )
+        history = added.view.software_history
+        for _ in range(2):
+            # Reads of the list that are held are answered.
+            deployment.announce(deployment.engines[0], 'engine', model='m')
+            await asyncio.sleep(0.1)
+        await site.wait_until(lambda: history.has_watched(added.clock()))
+        for hub in hubs:
+            kill(hub)
+            await hub.peering._server.close()
+        usually(deployment, 'stream')
+        # The others have told nobody of their streams.
+        assert not added.view.stream_bindings.list_live(added.clock())
+        route = added.view.table.hosts[site.HOST][0]
+        assert history.find_only(route, added.clock()).software == 'v1'
+
+    site.run(check, engines=4)
+
+
+def test_a_box_that_was_just_restarted_asks_others_what_serves():
+    async def check(deployment):
+        hubs = await start(deployment, 3, ('v1',) * 4)
+        watch(hubs[:2])
+        usually(deployment, 'stream')
+        for first in ('', 'nobody'):
+            got = await take_up(hubs[2], 'b', first)
+            assert list_events(got) == [3, 4]
+
+    site.run(check, engines=4)
