Tell owners as soon as a second version is listed

Streams whose binding was implied were told up to 0.2 s after a target of a second version was listed; a box killed in that time took them along. They are told as the entry is read. A target that is only silent or already tried is no reason to say that the version of a stream has left, and a version that this box has not seen yet may be listed soon: both are refused with a time to retry now. A route that goes and comes back elsewhere counts as moved.

--- a/landingspool/decisions/gateway/exclusions.py
+++ b/landingspool/decisions/gateway/exclusions.py
@@ -169,10 +169,9 @@
         exclusions = {
             self.get_exclusion(entry, requirements, now) for entry in entries
         }
-        exclusions.discard(None)
-        if len(exclusions) > 1:
-            # The targets of the right version say why none may get it.
-            exclusions.discard(OTHER_SOFTWARE)
+        if exclusions == {OTHER_SOFTWARE}:
+            return OTHER_SOFTWARE
+        exclusions -= {None, OTHER_SOFTWARE}
         for exclusion in TEMPORARY:
             if exclusion in exclusions:
                 return exclusion
--- a/landingspool/decisions/gateway/software_history.py
+++ b/landingspool/decisions/gateway/software_history.py
@@ -90,16 +90,30 @@
 
     def put_table(self, table, now):
         """Record to which services the routes lead from now on."""
-        for route in list_routes(table):
-            place = route.host, route.prefix
-            services = tuple(sorted(s.service for s in route.shares))
-            if self._shares.get(place, services) != services:
+        shares = {
+            (route.host, route.prefix): {s.service for s in route.shares}
+            for routes in table.hosts.values()
+            for route in routes
+        }
+        for place, services in self._shares.items():
+            if shares.get(place) != services:
                 self._moved[place] = now
-            self._shares[place] = services
+        self._shares = shares
+
+    def drop_expired(self, now):
+        """Forget the versions and moves that no running stream has seen."""
+        for service, seen in list(self._seen.items()):
+            recent = {v: at for v, at in seen.items() if is_recent(at, now)}
+            self._seen[service] = recent
+        self._moved = {
+            place: at
+            for place, at in self._moved.items()
+            if is_recent(at, now)
+        }
 
     def has_watched(self, now):
         """Return whether the history is as long as a stream may last."""
-        return now - self._watched_since >= RETENTION_S
+        return not is_recent(self._watched_since, now)
 
     def make_report(self, now):
         """Return the Report of this history."""
@@ -110,12 +124,12 @@
                 (service, software, now - at)
                 for service, seen in self._seen.items()
                 for software, at in seen.items()
-                if now - at < RETENTION_S
+                if is_recent(at, now)
             ],
             [
                 (*place, now - at)
                 for place, at in self._moved.items()
-                if now - at < RETENTION_S
+                if is_recent(at, now)
             ],
         )
 
@@ -164,7 +178,7 @@
     def list_recent(self, service, now):
         """List the versions at which running streams may have begun."""
         seen = self._seen.get(service, {})
-        return sorted(v for v, at in seen.items() if now - at < RETENTION_S)
+        return sorted(v for v, at in seen.items() if is_recent(at, now))
 
     def list_mixed(self, now):
         """Return the versions of the services that have several."""
@@ -188,7 +202,7 @@
             None: there may be several, or this box can't tell.
         """
         moved = self._moved.get((route.host, route.prefix), -math.inf)
-        if now - max(moved, self._watched_since) < RETENTION_S:
+        if is_recent(max(moved, self._watched_since), now):
             return None
         if now - self._confirmed >= LIST_TIMEOUT_S:
             return None
@@ -196,6 +210,6 @@
         return bindings[0] if len(bindings) == 1 else None
 
 
-def list_routes(table):
-    """List the routes of a table."""
-    return [route for found in table.hosts.values() for route in found]
+def is_recent(at, now):
+    """Return whether a stream that still runs may have begun at a time."""
+    return now - at < RETENTION_S
--- a/landingspool/gateway/admission_gate.py
+++ b/landingspool/gateway/admission_gate.py
@@ -69,11 +69,11 @@
             # A stream that has begun is worth more than one that has not.
             admitted = (
                 state.sends
-                or state.is_continuation
+                or state.has_begun
                 or self._view.is_admitted(plan, state.work, state.demand)
             )
             return Verdict.SEND if admitted else Verdict.REFUSE
-        if state.sends or state.is_continuation:
+        if state.sends or state.has_begun:
             return self._check_repeat(state, plan)
         if state.release == Release.GRANTED or self._view.is_admitted(
             plan, state.work, state.demand
--- a/landingspool/gateway/continuity.py
+++ b/landingspool/gateway/continuity.py
@@ -28,12 +28,15 @@
 OBSERVE_PERIOD_S = 5.0
 # Period of the check whether owners have to be told, seconds.
 CHECK_PERIOD_S = 0.2
+# Streams of which a stopping box tells, the newest: some tens of milliseconds
+# of work.
+MAX_HANDED_OVER = 512
 # Seconds in which owners answer: several trips between failure domains, and a
 # new connection.
 ASK_TIMEOUT_S = 0.15
 # Period at which a box that has watched for a short time asks a peer for its
 # history, seconds.
-ADOPT_PERIOD_S = 2.0
+ADOPT_PERIOD_S = 1.0
 # Seconds in which it answers.
 ADOPT_TIMEOUT_S = 1.0
 
@@ -95,7 +98,7 @@
         """Tell the owners of all streams, since this box stops."""
         now = self._hub.clock()
         live = self._view.stream_bindings.list_live(now)
-        self._tell([key for key, _ in live], now)
+        self._tell([key for key, _ in live[-MAX_HANDED_OVER:]], now)
 
     def take(self, message):
         """Record what another box tells of its streams.
@@ -211,14 +214,18 @@
         }
         answers, pending = [], asking
         found = continuations.decide(own, answers, len(peers))
-        while pending and not continuations.is_certain(found, own, answers):
-            done, pending = await asyncio.wait(
-                pending, return_when=asyncio.FIRST_COMPLETED
-            )
-            answers += [task.result() for task in done if task.result()]
-            found = continuations.decide(own, answers, len(peers))
-        for task in pending:
-            task.cancel()
+        try:
+            while pending and not continuations.is_certain(
+                found, own, answers
+            ):
+                done, pending = await asyncio.wait(
+                    pending, return_when=asyncio.FIRST_COMPLETED
+                )
+                answers += [task.result() for task in done if task.result()]
+                found = continuations.decide(own, answers, len(peers))
+        finally:
+            for task in asking:
+                task.cancel()
         return found
 
     async def _ask(self, peer, body):
@@ -264,12 +271,15 @@
                 self._hub.peering.send(message, address)
 
     def _check(self, tick):
+        self.check(tick.now)
+
+    def check(self, now):
         """Tell owners of the streams whose binding is no longer implied."""
         history = self._view.software_history
         for place, untold in list(self._untold.items()):
-            if history.find_only(untold.route, tick.now) is None:
+            if history.find_only(untold.route, now) is None:
                 del self._untold[place]
-                self._tell(untold.keys, tick.now)
+                self._tell(untold.keys, now)
 
     def _put_untold(self, route, key):
         place = route.host, route.prefix
@@ -286,6 +296,7 @@
             self._untold[place] = untold._replace(keys=live)
         history = self._view.software_history
         history.observe(self._view.fleet.entries.values(), now)
+        history.drop_expired(now)
         self._log_versions(history, now)
 
     def _log_versions(self, history, now):
--- a/landingspool/gateway/refusals.py
+++ b/landingspool/gateway/refusals.py
@@ -104,7 +104,7 @@
         Retry-After says when a target may be available, if that follows from
         the reason of the shortage.
         """
-        if shortage == exclusions.OTHER_SOFTWARE:
+        if shortage == exclusions.OTHER_SOFTWARE and self._has_left(now):
             return await self.refuse_for_good(shortage)
         if self._state.reply.started or self._state.may_have_run:
             return await self.give_up(shortage)
@@ -112,6 +112,14 @@
         after = estimate(self, now) if estimate is not None else None
         return await self.refuse(shortage, after)
 
+    def _has_left(self, now):
+        """Return whether the software of a stream was here and has left.
+
+        If not, its targets may be listed soon.
+        """
+        work, history = self._state.work, self._view.software_history
+        return work.software in history.list_recent(work.service, now)
+
     def _estimate_capacity_return(self, now):
         left_s = self._state.get_time_left(now)
         return self._view.free_capacity.compute_retry_after(
--- a/landingspool/gateway/request_state.py
+++ b/landingspool/gateway/request_state.py
@@ -35,8 +35,9 @@
         Time on the boot-time clock by which it is to be answered.
     stream : stream.Stream or None
         The caller's stream, once it has begun.
-    is_continuation : bool
-        Whether it continues a stream, so that `work` names its software.
+    has_begun : bool
+        Whether its stream has begun, perhaps in an earlier attempt of the
+        caller: then `work` names the software that may continue it.
     tried_targets : list of str
         Targets of its earlier attempts.
     sends : int
@@ -75,7 +76,7 @@
         self.work = None
         self.deadline = now + call.left_s
         self.stream = None
-        self.is_continuation = False
+        self.has_begun = False
         self.origin = origin
         self.tried_targets = []
         self.tried_peers = []
@@ -113,7 +114,7 @@
         self.work = self.work._replace(
             service=binding.service, software=binding.software
         )
-        self.is_continuation = True
+        self.has_begun = True
 
     def is_expired(self, now):
         """Return whether its deadline, less ANSWER_MARGIN_S, has passed."""
--- a/landingspool/gateway/state.py
+++ b/landingspool/gateway/state.py
@@ -57,7 +57,7 @@
     Parameters
     ----------
     hub
-        The box's parts: `view`, `recorder`, `clock`.
+        The box's parts: `view`, `recorder`, `continuity`, `clock`.
 
     Attributes
     ----------
@@ -207,6 +207,7 @@
                 software=entry.software,
                 cold_s=entry.cold_s,
             )
+            self._hub.continuity.check(self._hub.clock())
 
     def drop_target(self, target, unconfirmed):
         """Apply that a target is no longer listed.
