Soak: serve two software versions, and let callers take streams up

Callers of the soak never continued a stream, and its targets had one version, so that it could not see streams at two versions. Engines now serve v1 and v2 side by side and name their software in each event; callers take a stream up that broke off, up to three times and at any box; a fault lets engines break streams off. The auditor reports events of two versions in one stream, over all attempts, and, at sound boxes, a share that goes on of under half of the share that begins (12 streams or more).

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -19,6 +19,7 @@
 from soak import callers
 from soak import faults
 from soak import fleet as fleet_module
+from soak import streams
 
 RUN_S = 9.0
 SETTLE_S = 1.5
@@ -38,12 +39,16 @@
         Requests.
     answers : dict of tuple to int
         Requests by the status and the reason of their answers.
+    taken_up, went_on : int
+        Streams that callers took up, and those that went on.
     """
 
     problems: list
     sent: int
     served: int
     answers: dict
+    taken_up: int = 0
+    went_on: int = 0
 
 
 async def run_seed(seed, subnet, folder):
@@ -69,7 +74,15 @@
         served = sum(1 for row in sent if row.status == 200 and row.whole)
         if not served:
             problems.append('nothing was served')
-        return Outcome(problems, len(sent), served, count_answers(sent))
+        taken = [row for row in sent if row.first]
+        return Outcome(
+            problems,
+            len(sent),
+            served,
+            count_answers(sent),
+            len(taken),
+            sum(streams.has_events(row) for row in taken),
+        )
     finally:
         await fleet.close()
 
@@ -97,7 +110,8 @@
             found = Outcome([f'could not run: {error!r}'], 0, 0, {})
         free.put_nowait(subnet)
         print(
-            f'seed {seed}: {found.sent} requests, {found.served} served, ',
+            f'seed {seed}: {found.sent} requests, {found.served} served, '
+            f'{found.went_on} of {found.taken_up} streams went on, ',
             end='',
         )
         if not found.problems:
--- a/soak/auditor.py
+++ b/soak/auditor.py
@@ -5,6 +5,7 @@
 from soak import callers
 from soak import faults
 from soak import fleet as fleet_module
+from soak import streams
 from soak import words
 from standins import behaviours
 
@@ -49,6 +50,7 @@
         problems += check_target(fleet, runner, known)
         problems += words.check_words(fleet, runner, known)
     problems += check_stops(fleet)
+    problems += streams.check_streams(fleet, sent)
     for silence in fleet.silences:
         problems += check_silence(fleet, silence, known)
     for limited in fleet.limits:
@@ -205,10 +207,10 @@
         if row.whole and row.body != row.name.encode():
             yield f'{row.name}: got {row.body!r}'
         return
-    numbers = list_numbers(row.body)
-    if numbers != WHOLE_STREAM[: len(numbers)]:
+    numbers, due = list_numbers(row.body), WHOLE_STREAM[row.after :]
+    if numbers != due[: len(numbers)]:
         yield f'{row.name}: events {numbers}'
-    if row.whole and numbers != WHOLE_STREAM:
+    if row.whole and numbers != due:
         yield f'{row.name}: looks whole with events {numbers}'
 
 
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -17,6 +17,9 @@
 CROWD = 24
 RUSH_S = 1.5
 RUSH_WITHIN_S = 4.0
+# How often a caller takes a stream up, and the seconds until it does.
+TAKEN_UP = 3
+RETURN_S = 0.0, 0.05, 0.5
 # Statuses that promise that a request has not run and will not.
 PROMISES = (503, 429, 408, 421)
 
@@ -25,7 +28,9 @@
     """One request: what was sent, and what a caller got.
 
     `status` is 0 where no answer came; `whole` tells whether the answer had
-    its proper end, and `took_s` the seconds until that or its loss.
+    its proper end, and `took_s` the seconds until that or its loss.  A request
+    that continues a stream names its `first` attempt and the events that its
+    caller has.
     """
 
     name: str
@@ -38,6 +43,8 @@
     body: bytes
     stamped: bool
     took_s: float
+    first: str = ''
+    after: int = 0
 
     @property
     def reason(self):
@@ -81,13 +88,53 @@
         box = self._rng.choice(self._fleet.boxes)
         at = time.monotonic()
         status, whole, body, stamped = await self.ask(
-            box, f'/{route}/a', name, key, b'x'
+            box, f'/{route}/a', name, key, name.encode()
         )
         answer = status, whole, body, stamped, time.monotonic() - at
         self.sent.append(Sent(name, box.name, route, key, at, *answer))
-
-    async def ask(self, box, path, name, key, sent):
-        """Send one request; gives what came back."""
+        if route in fleet_module.RESUMABLE:
+            await self._continue(self.sent[-1])
+
+    async def _continue(self, row):
+        """Take a stream up that has broken off, at any box, for some times."""
+        first, after = row.name, count_events(row.body)
+        for number in range(TAKEN_UP):
+            if row.whole or row.status not in (0, 200) or not after:
+                return
+            await asyncio.sleep(self._rng.choice(RETURN_S))
+            box = self._rng.choice(self._fleet.boxes)
+            name, at = f'{first}+{number}', time.monotonic()
+            answer = await self.ask(
+                box,
+                f'/{row.route}/a',
+                name,
+                row.key,
+                first.encode(),
+                (first, after),
+            )
+            took_s = time.monotonic() - at
+            row = Sent(
+                name,
+                box.name,
+                row.route,
+                row.key,
+                at,
+                *answer,
+                took_s,
+                first,
+                after,
+            )
+            self.sent.append(row)
+            after += count_events(row.body)
+
+    async def ask(self, box, path, name, key, sent, begun=None):
+        """Send one request; gives what came back.
+
+        Parameters
+        ----------
+        begun : tuple of (str, int), optional
+            The attempt that began the stream, and the last event received.
+        """
         call = self._client.open(box.address)
         rows = [
             ('x-landingspool-request-id', name),
@@ -97,6 +144,8 @@
             ('x-landingspool-token-usage', '300,10'),
             ('x-landingspool-prefix-hash', 'aa:200,bb:100'),
         ]
+        if begun is not None:
+            rows += [('resumes', begun[0]), ('last-event-id', str(begun[1]))]
         body = bytearray()
         try:
             async with asyncio.timeout(LEFT_S):
@@ -113,6 +162,11 @@
         return call.status, whole, bytes(body), stamped
 
 
+def count_events(body):
+    """Count the whole events in a stream."""
+    return body.count(b'\n\n')
+
+
 def make_crowd(seed, fleet):
     """Return callers who compete for room, apart from the usual draws."""
     rng = random.Random(f'crowd {seed}')
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -36,6 +36,8 @@
 RESTS_S = 0.2, 3.0
 SHEDS = 1, 6
 SHED_S = 4.0
+# Streams that each engine breaks off in a row: least and most.
+BROKEN = 2, 12
 SCRIPTS = (
     'failure',
     'shed',
@@ -205,6 +207,14 @@
     runner.script += rng.choices(scripts, k=rng.randint(1, 4))
 
 
+@fault
+async def break_streams(fleet, rng):
+    """Let all engines break off some of their next streams."""
+    for runner in list_staying(fleet):
+        if runner.service == 'engine':
+            runner.script += ['broken stream'] * rng.randint(*BROKEN)
+
+
 @fault
 async def fall_silent(fleet, rng):
     """Let a sound target be silent for a while, and go on."""
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -23,7 +23,10 @@
     'unsafe': ('unsafe', 1, 'plain', False),
     'stream': ('streaming', 1, 'engine', False),
     'resumed': ('streaming', 2, 'engine', True),
+    # Only its callers continue what breaks off.
+    'taken': ('streaming', 1, 'engine', True),
 }
+RESUMABLE = 'resumed', 'taken'
 # Seconds from taking a key away until nothing with it may run, from a new
 # table until boxes in touch go by it, and from a planned stop until the
 # process would be killed.
@@ -32,6 +35,8 @@
 GRACE_S = 4
 # Boxes of a run: each in a domain of its own, or all in one that is large
 # enough for some to read the store for the others.
+# Versions of the targets' software, which serve side by side.
+SOFTWARE = 'v1', 'v2'
 # Body of a request that ends the engine that runs it.
 FATAL = b'ends whoever runs it'
 SMALL = 3
@@ -224,7 +229,7 @@
         large = rng.random() < 0.5
         await self.store.start()
         self.publish()
-        for service in ('plain', 'plain', 'plain', 'engine', 'engine'):
+        for service in ('plain',) * 3 + ('engine',) * 4:
             await self.add_runner(service)
         weights = {'model': 'm', 'version': 1}
         self.store.put(names.PUBLISHED_TOPIC, 'version/m', weights)
@@ -255,6 +260,7 @@
         runner = runner_module.Runner(f'{service}{len(self.runners)}')
         runner.usual = 'stream' if service == 'engine' else 'echo'
         runner.service = service
+        runner.software = SOFTWARE[len(self.runners) % len(SOFTWARE)]
         runner.fatal = FATAL if service == 'engine' else None
         await runner.start()
         wire = proxy.Proxy(runner.address)
--- a/standins/behaviours.py
+++ b/standins/behaviours.py
@@ -68,15 +68,16 @@
     )
 
 
-def list_events(head):
+def list_events(runner, head):
     """List the events of a stream that a caller does not have yet."""
-    events = [make_event(number) for number in range(1, 5)]
+    events = [make_event(runner, number) for number in range(1, 5)]
     return events[int(head.get('last-event-id', 0)) :]
 
 
-def make_event(number):
-    """Give one event of a stream."""
-    return f'id: {number}\ndata: piece {number}\n\n'.encode()
+def make_event(runner, number):
+    """Give one event of a stream, which names the software that made it."""
+    text = f'id: {number}\ndata: piece {number}\n: by {runner.software}\n\n'
+    return text.encode()
 
 
 @behaviour('whole')
@@ -214,7 +215,7 @@
     """Stream four events, from after the last one that the caller has."""
     runner.run(head, body)
     start_stream(runner, head, writer)
-    for event in list_events(head):
+    for event in list_events(runner, head):
         write_chunk(writer, event)
         await asyncio.sleep(0.01)
     writer.write(b'0\r\n\r\n')
@@ -225,7 +226,7 @@
     """Stream two events and half of the next, then reset."""
     runner.run(head, body)
     start_stream(runner, head, writer)
-    events = list_events(head)
+    events = list_events(runner, head)
     for event in events[:2]:
         write_chunk(writer, event)
     for event in events[2:3]:
@@ -241,7 +242,7 @@
     """Stream one event, and then one that does not end."""
     runner.run(head, body)
     start_stream(runner, head, writer)
-    write_chunk(writer, make_event(1))
+    write_chunk(writer, make_event(runner, 1))
     for _ in range(ENDLESS_PARTS):
         write_chunk(writer, b'x' * ENDLESS_BYTES)
         await writer.drain()
@@ -261,7 +262,7 @@
     """Stream one event and a half, and end in order."""
     runner.run(head, body)
     start_stream(runner, head, writer)
-    events = list_events(head)
+    events = list_events(runner, head)
     for event in events[:1]:
         write_chunk(writer, event)
     for event in events[1:2]:
@@ -291,7 +292,7 @@
     runner.run(head, body)
     await asyncio.sleep(0.6)
     start_stream(runner, head, writer)
-    for event in list_events(head):
+    for event in list_events(runner, head):
         write_chunk(writer, event)
     writer.write(b'0\r\n\r\n')
 
@@ -301,7 +302,7 @@
     """Stream four events, and fall silent after the second."""
     runner.run(head, body)
     start_stream(runner, head, writer)
-    events = list_events(head)
+    events = list_events(runner, head)
     for event in events[:2]:
         write_chunk(writer, event)
     await asyncio.sleep(SILENCE_S)
