Refuse forwarded streams whose service the route has left

A box that is told by another one which software began a stream sent it to that service, whatever its own table said of the route: a request could run at a service that a newer table had left. It is checked as for callers of its own. A version that has left is refused for good over the hop, too. Found by reading the change; the new test fails before.

--- a/landingspool/decisions/gateway/continuations.py
+++ b/landingspool/decisions/gateway/continuations.py
@@ -23,6 +23,8 @@
     SELF = 'self'
     # Another box was told of it.
     OWNER = 'owner'
+    # The box that forwards the request knows it.
+    FORWARDED = 'forwarded'
     # All streams of the route have the same binding.
     IMPLIED = 'implied'
     UNKNOWN = 'unknown'
--- a/landingspool/event_kinds.py
+++ b/landingspool/event_kinds.py
@@ -159,7 +159,7 @@
             223,
             'owner_silent',
             'INFO',
-            'A box that may know what began a stream does not answer.',
+            'A box that was asked what began a stream does not answer.',
         ),
         Kind(
             224,
--- a/landingspool/gateway/attempts.py
+++ b/landingspool/gateway/attempts.py
@@ -166,7 +166,7 @@
             content=state.fingerprint.hex(),
             priority=self._get_priority(),
             resumes=state.call.resumes,
-            after=self._get_after_event(),
+            after=state.last_event_id or state.call.after_event,
             **plans.describe_plan(plan, self._view.table),
         )
         self._exchange.send(
@@ -246,16 +246,10 @@
             fetch=plan.transfer.fetch,
             save=plan.transfer.save,
             until_ms=plan.transfer.until_ms,
-            after_event=state.stream.last_event_id if state.stream else '',
+            after_event=state.last_event_id,
         )
         return egress.write_head(state.call, instructions, len(state.body))
 
-    def _get_after_event(self):
-        """Return the id of the last event that the caller has, or ''."""
-        stream = self._state.stream
-        sent = stream.last_event_id if stream else ''
-        return sent or self._state.call.after_event
-
     def _get_priority(self):
         return demand.find_priority(self._state.work)
 
@@ -434,11 +428,10 @@
     def list_reply_headers(self, head):
         """Return the headers with which an answer is forwarded."""
         rows = answers.relay_headers(head)
-        state = self._state
-        if state.origin is not None and routes.is_resumable(state.work.route):
-            rows.append(
-                forwarded_rows.write_software(self._plan.entry.software)
-            )
+        origin, route = self._state.origin, self._state.work.route
+        if origin is not None and routes.is_resumable(route):
+            software = self._plan.entry.software
+            rows.append(forwarded_rows.write_software(software))
         return rows
 
     def record_first(self):
--- a/landingspool/gateway/continuity.py
+++ b/landingspool/gateway/continuity.py
@@ -15,7 +15,6 @@
 
 from landingspool.decisions.gateway import continuations
 from landingspool.decisions.gateway import routes
-from landingspool.decisions.gateway import software_history
 from landingspool.decisions.gateway import stream_bindings
 from landingspool.decisions.gateway import stream_owners
 from landingspool.decisions.gateway import stream_records
@@ -23,9 +22,7 @@
 from landingspool.gateway import registry
 
 STREAMS_PATH = '/streams'
-HISTORY_PATH = '/software'
-# Period of the records of the versions that are listed, seconds.
-OBSERVE_PERIOD_S = 5.0
+SWEEP_PERIOD_S = 5.0
 # Period of the check whether owners have to be told, seconds.
 CHECK_PERIOD_S = 0.2
 # Streams of which a stopping box tells, the newest: some tens of milliseconds
@@ -34,11 +31,6 @@
 # Seconds in which owners answer: several trips between failure domains, and a
 # new connection.
 ASK_TIMEOUT_S = 0.15
-# Period at which a box that has watched for a short time asks a peer for its
-# history, seconds.
-ADOPT_PERIOD_S = 1.0
-# Seconds in which it answers.
-ADOPT_TIMEOUT_S = 1.0
 
 
 class Untold(typing.NamedTuple):
@@ -64,15 +56,11 @@
         # The streams of this box that no owner was told of, by their route's
         # host and prefix.
         self._untold = {}
-        # The services with several versions.
-        self._mixed = set()
-        self._adopting = None
 
     def start(self):
         """Begin the periodic checks."""
-        self._hub.timer.subscribe(OBSERVE_PERIOD_S, self._observe)
+        self._hub.timer.subscribe(SWEEP_PERIOD_S, self._sweep)
         self._hub.timer.subscribe(CHECK_PERIOD_S, self._check)
-        self._hub.timer.subscribe(ADOPT_PERIOD_S, self._adopt_soon)
 
     def record_begun(self, state):
         """Record the binding of a stream whose first event is forwarded.
@@ -154,43 +142,6 @@
             exchange, msgspec.to_builtins(reply, builtin_types=[bytes])
         )
 
-    async def answer_history(self, request, exchange):
-        """Answer a box that asks for the versions seen by this one."""
-        now = self._hub.clock()
-        report = self._view.software_history.make_report(now)
-        await boxcalls.answer(exchange, msgspec.to_builtins(report))
-
-    def _adopt_soon(self, tick):
-        """Ask a peer for its history if this box has watched too short."""
-        if self._view.software_history.has_watched(tick.now):
-            return
-        peers = list(self._hub.peering.peers.values())
-        if peers and (self._adopting is None or self._adopting.done()):
-            peer = self._view.rng.choice(peers)
-            self._adopting = asyncio.ensure_future(self._adopt(peer))
-
-    async def _adopt(self, peer):
-        sent = self._hub.clock()
-        try:
-            report = await boxcalls.fetch(
-                self._hub.client,
-                peer.address,
-                software_history.Report,
-                ('GET', HISTORY_PATH),
-                timeout=ADOPT_TIMEOUT_S,
-            )
-        except boxcalls.NoAnswer as error:
-            self._hub.recorder.record(
-                'owner_silent', peer=peer.name, reason=str(error)
-            )
-            return
-        if self._view.software_history.adopt(report, sent):
-            self._hub.recorder.record(
-                'history_adopted',
-                peer=peer.name,
-                watched_s=round(report.watched_s, 1),
-            )
-
     def _collect(self, key, route):
         """Return the continuations.Evidence that this box has of a stream."""
         now = self._hub.clock()
@@ -206,7 +157,7 @@
 
     async def _ask_owners(self, key, route, own):
         """Return what follows from the answers of a stream's owners."""
-        peers = self._pick_owners(key)
+        peers = self._pick_owners([key])[key]
         query = stream_records.StreamQuery(key, route.host, route.prefix)
         body = cbor2.dumps(msgspec.to_builtins(query, builtin_types=[bytes]))
         asking = {
@@ -246,23 +197,28 @@
             return None
         return stream_records.read_reply(reply, self._hub.clock())
 
-    def _pick_owners(self, key):
-        """Return the registry.Peer of each owner of a stream."""
+    def _pick_owners(self, keys):
+        """Return the registry.Peer of each owner of some streams, by key."""
         peers = registry.list_stream_owners(self._hub.peering.peers)
         domains = {name: peer.domain for name, peer in peers.items()}
         domain = self._hub.deployment.domain
-        names = stream_owners.pick_owners(key, domain, domains)
-        return [peers[name] for name in names]
+        return {
+            key: [
+                peers[name]
+                for name in stream_owners.pick_owners(key, domain, domains)
+            ]
+            for key in keys
+        }
 
     def _tell(self, keys, now):
         """Tell the owners of streams of this box."""
         records = {}
-        for key in keys:
+        for key, owners in self._pick_owners(keys).items():
             known = self._view.stream_bindings.find(key, now)
             if known is None:
                 continue
             record = stream_records.make_record(key, known, now)
-            for peer in self._pick_owners(key):
+            for peer in owners:
                 records.setdefault(peer.address, []).append(record)
         box = self._hub.deployment.box
         for address, rows in records.items():
@@ -287,28 +243,14 @@
             self._untold[place] = Untold(route, set())
         self._untold[place].keys.add(key)
 
-    def _observe(self, tick):
+    def _sweep(self, tick):
+        """Forget the streams whose callers have given up."""
         now = tick.now
         known = self._view.stream_bindings
         known.drop_expired(now)
         for place, untold in list(self._untold.items()):
             live = {key for key in untold.keys if known.find(key, now)}
             self._untold[place] = untold._replace(keys=live)
-        history = self._view.software_history
-        history.observe(self._view.fleet.entries.values(), now)
-        history.drop_expired(now)
-        self._log_versions(history, now)
-
-    def _log_versions(self, history, now):
-        """Log which services begin or end to have several versions."""
-        mixed = history.list_mixed(now)
-        for service in mixed.keys() - self._mixed:
-            self._hub.recorder.record(
-                'software_mixed', service=service, versions=mixed[service]
-            )
-        for service in self._mixed - mixed.keys():
-            self._hub.recorder.record('software_single', service=service)
-        self._mixed = set(mixed)
 
     def _log(self, state, found, own):
         self._hub.metrics.continuations.labels(found.source).inc()
--- a/landingspool/gateway/forwarder.py
+++ b/landingspool/gateway/forwarder.py
@@ -104,7 +104,7 @@
         head = egress.write_forwarded_head(
             state.call,
             state.deadline - self._sent_at - RETURN_MARGIN_S,
-            state.stream.last_event_id if state.stream else '',
+            state.last_event_id,
             len(state.body),
         )
         return head + forwarded_rows.write_origin(origin)
--- a/landingspool/gateway/hub.py
+++ b/landingspool/gateway/hub.py
@@ -24,6 +24,7 @@
 from landingspool.gateway import prober
 from landingspool.gateway import relay
 from landingspool.gateway import resumption
+from landingspool.gateway import software_watch
 from landingspool.gateway import sources
 from landingspool.gateway import state
 from landingspool.gateway import store_reports
@@ -132,6 +133,7 @@
         self.store_reports = store_reports.StoreReports(self)
         self.peering = peering.Peering(self)
         self.continuity = continuity.Continuity(self)
+        self.software_watch = software_watch.SoftwareWatch(self)
         self.prober = prober.Prober(self)
         self.crash_records = crash_records.CrashRecords(self)
         self.resumption = resumption.Resumption(self)
@@ -150,6 +152,7 @@
         self.timer.subscribe(prober.CHECK_PERIOD_S, self.prober.check)
         self.timer.subscribe(SWEEP_PERIOD_S, self._sweep)
         self.continuity.start()
+        self.software_watch.start()
         self.timer.subscribe(METRICS_LOG_PERIOD_S, self._log_metrics)
         self._spawn(following.Published(self).run())
         self._spawn(following.Targets(self).run())
--- a/landingspool/gateway/peering.py
+++ b/landingspool/gateway/peering.py
@@ -24,6 +24,7 @@
 from landingspool.gateway import cache_follower
 from landingspool.gateway import continuity
 from landingspool.gateway import registry
+from landingspool.gateway import software_watch
 from landingspool.gateway import sources
 from landingspool.gateway import state
 from landingspool import http
@@ -464,7 +465,7 @@
         await self._hub.continuity.answer(request, exchange)
 
     async def _answer_history(self, request, exchange):
-        await self._hub.continuity.answer_history(request, exchange)
+        await self._hub.software_watch.answer(request, exchange)
 
     async def _answer_records(self, request, exchange):
         await self._hub.record_server.answer_records(request, exchange)
@@ -493,5 +494,5 @@
     sources.NEWEST_PATH: Peering._answer_newest,
     cache_follower.CHANGES_PATH: Peering._answer_changes,
     continuity.STREAMS_PATH: Peering._answer_streams,
-    continuity.HISTORY_PATH: Peering._answer_history,
+    software_watch.HISTORY_PATH: Peering._answer_history,
 }
--- a/landingspool/gateway/refusals.py
+++ b/landingspool/gateway/refusals.py
@@ -173,6 +173,9 @@
 
     async def refuse_as_peer(self, refusal):
         """Answer as the other box did, which had the request last."""
+        is_final = refusal.retry_after_s is None
+        if refusal.reason == exclusions.OTHER_SOFTWARE and is_final:
+            return await self.refuse_for_good(refusal.reason)
         return await self.give_up(
             refusal.reason, after=refusal.retry_after_s or None
         )
--- a/landingspool/gateway/relay.py
+++ b/landingspool/gateway/relay.py
@@ -8,6 +8,7 @@
 
 import asyncio
 
+from landingspool.decisions.gateway import continuations
 from landingspool.decisions.gateway import exclusions
 from landingspool.decisions.gateway import plans
 from landingspool.decisions.gateway import routes
@@ -104,23 +105,37 @@
                 self._call.name, route, service, tenancy, self._call.prompt
             )
         )
-        origin = self._origin
-        if origin is not None and origin.software is not None:
-            self._state.bind(
-                stream_bindings.Binding(origin.service, origin.software)
-            )
-        elif self._is_continuation(route):
-            found = await self._hub.continuity.find(self._state)
-            if found.binding is None:
-                return await self._refusals.refuse_unbound(found)
+        found = await self._find_binding(route)
+        if found is not None and found.binding is None:
+            return await self._refusals.refuse_unbound(found)
+        if found is not None:
             self._state.bind(found.binding)
         if self._paths.may_send_directly(self._hub.clock()):
             self._register()
         return await self._run_attempts()
 
-    def _is_continuation(self, route):
-        """Return whether a caller continues a stream that it had before."""
-        return routes.is_resumable(route) and bool(self._call.after_event)
+    async def _find_binding(self, route):
+        """Return what may continue the stream that the request continues.
+
+        Returns
+        -------
+        continuations.Found or None
+            None if it begins a stream, or is for none.
+        """
+        if not routes.is_resumable(route):
+            return None
+        origin = self._origin
+        if origin is not None and origin.software is not None:
+            return continuations.check_route(
+                continuations.Found(
+                    stream_bindings.Binding(origin.service, origin.software),
+                    continuations.Source.FORWARDED,
+                ),
+                route,
+            )
+        if self._call.after_event:
+            return await self._hub.continuity.find(self._state)
+        return None
 
     def _pick_service(self, route):
         if self._origin is not None:
--- a/landingspool/gateway/request_state.py
+++ b/landingspool/gateway/request_state.py
@@ -104,6 +104,11 @@
             self.body,
         )
 
+    @property
+    def last_event_id(self):
+        """Id of the last event forwarded by this box; empty if none."""
+        return self.stream.last_event_id if self.stream else ''
+
     def bind(self, binding):
         """Restrict the request to the targets that may continue its stream.
 
--- a/landingspool/gateway/stream.py
+++ b/landingspool/gateway/stream.py
@@ -31,8 +31,6 @@
     ----------
     last_event_id : str
         Id of the last event forwarded.
-    any_sent : bool
-        Whether any event was forwarded.
     first_recorded : bool
         Whether the first event of the current target was recorded.
     """
@@ -43,7 +41,6 @@
         self._headers = headers
         self._partial = b''
         self.last_event_id = ''
-        self.any_sent = False
         self.first_recorded = False
 
     def restart(self):
@@ -83,7 +80,6 @@
             await self._reply.send_data(complete)
         else:
             await self._reply.start(self._status, self._headers, complete)
-        self.any_sent = True
         return answers.read_event_version(complete)
 
     def is_complete(self):
--- a/tests/gateway/test_stream_software.py
+++ b/tests/gateway/test_stream_software.py
@@ -1,9 +1,11 @@
 """Streams that break off while targets of two software versions serve."""
 
 import asyncio
+import json
 
 import pytest
 
+from landingspool.platform import catalogue
 from tests.gateway import site
 from tests.gateway import test_forwarder
 from tests.gateway import test_relay
@@ -425,3 +427,25 @@
             assert list_events(got) == [3, 4]
 
     site.run(check, engines=4)
+
+
+def test_a_forwarded_stream_of_a_service_that_its_route_has_left_is_refused():
+    async def check(deployment):
+        hubs = await start_cut(deployment)
+        await begin(deployment, hubs[3], 'a')
+        routes = {'taken': {**ROUTES['taken'], 'service': 'plain'}}
+        table = catalogue.read_table(
+            json.dumps(site.make_table(3, routes=routes)).encode()
+        )
+        for hub in hubs[:3]:
+            # The box that forwards doesn't know this table yet.
+            hub.view.put_table(table)
+        got = await take_up(hubs[3], 'b', 'a')
+        assert got.status == 503
+        assert not any(
+            head['x-landingspool-request-id'] == 'b'
+            for runner in deployment.plain + deployment.engines
+            for head in runner.ran
+        )
+
+    site.run(check, engines=4)
