Keep the software versions seen lately in the platform's store

The history of versions is now a record in the claims topic, written as it changes, by the first box in hash order, and adopted by a box that starts as soon as it has read the list of targets. A box that may have missed a version only adds to the record. This takes the place of asking peers for their history, which could not help here.

The catalogue of events is two modules now.

--- a/landingspool/event_kinds.py
+++ b/landingspool/event_kinds.py
@@ -2,6 +2,8 @@
 
 import typing
 
+from landingspool import target_event_kinds
+
 
 class Kind(typing.NamedTuple):
     """One kind of event, with its number and log level."""
@@ -165,7 +167,7 @@
             224,
             'history_adopted',
             'INFO',
-            'The software versions that another box has seen were adopted.',
+            'The software versions in the store were adopted after a start.',
         ),
         Kind(
             300, 'queued', 'DEBUG', 'A request waits in the queue of its pool.'
@@ -239,133 +241,7 @@
             'INFO',
             'A new version of the weights was announced.',
         ),
-        Kind(
-            500,
-            'leaving',
-            'INFO',
-            'A target is leaving and gets no new requests.',
-        ),
-        Kind(501, 'target_down', 'WARNING', 'A target does not answer.'),
-        Kind(502, 'target_up', 'INFO', 'A target answers.'),
-        Kind(503, 'ordered', 'INFO', 'A fenced order was sent to a target.'),
-        Kind(504, 'order_refused', 'WARNING', 'A target refused an order.'),
-        Kind(505, 'planned', 'DEBUG', 'An order to a target was planned.'),
-        Kind(
-            506,
-            'holding',
-            'INFO',
-            'This box may issue orders, with the fence given.',
-        ),
-        Kind(
-            507,
-            'lease_lost',
-            'WARNING',
-            'This box may no longer issue orders.',
-        ),
-        Kind(
-            508,
-            'unreached',
-            'WARNING',
-            'No connection to a target can be opened.',
-        ),
-        Kind(509, 'reached', 'INFO', 'A target accepts connections again.'),
-        Kind(
-            510,
-            'target_reborn',
-            'INFO',
-            'A target restarted under its id; its earlier state is void.',
-        ),
-        Kind(
-            511,
-            'evacuated',
-            'WARNING',
-            'Targets of a failure domain get no more requests.',
-        ),
-        Kind(
-            512,
-            'evacuation_over',
-            'INFO',
-            'The targets of a domain may be used again; they count as cold.',
-        ),
-        Kind(
-            513,
-            'limit_named',
-            'WARNING',
-            'A target advertises a limit on the requests of all boxes.',
-        ),
-        Kind(
-            514,
-            'limit_over',
-            'INFO',
-            'A target no longer advertises a limit.',
-        ),
-        Kind(
-            515,
-            'bad_word',
-            'ERROR',
-            'A notice of a target is unreadable and is ignored.',
-        ),
-        Kind(
-            516,
-            'leaving_told',
-            'WARNING',
-            'A target announced in an answer that it is leaving.',
-        ),
-        Kind(
-            517,
-            'leaving_over',
-            'INFO',
-            'A target that had announced that it is leaving is gone.',
-        ),
-        Kind(
-            518,
-            'rest_asked',
-            'WARNING',
-            'A target asked this box to back off for a time.',
-        ),
-        Kind(
-            519,
-            'rest_over',
-            'INFO',
-            'The back-off that a target asked for has expired.',
-        ),
-        Kind(
-            523,
-            'speed_changed',
-            'INFO',
-            'A target counts as slower or faster than its peers, or no more.',
-        ),
-        Kind(
-            524,
-            'target_silent',
-            'INFO',
-            'A target with requests has sent nothing for a while; it is '
-            'probed.',
-        ),
-        Kind(
-            526,
-            'partitioned',
-            'ERROR',
-            'This box reaches no target; other boxes serve its requests.',
-        ),
-        Kind(
-            527,
-            'partition_over',
-            'INFO',
-            'This box reaches targets again.',
-        ),
-        Kind(
-            528,
-            'software_mixed',
-            'INFO',
-            'Targets of several software versions serve side by side.',
-        ),
-        Kind(
-            529,
-            'software_single',
-            'INFO',
-            'All targets of a service have had the same software for long.',
-        ),
+        *(Kind(*row) for row in target_event_kinds.KINDS),
         Kind(
             600, 'kept', 'DEBUG', 'A block of context was sealed in a store.'
         ),
--- a/landingspool/gateway/continuity.py
+++ b/landingspool/gateway/continuity.py
@@ -254,9 +254,10 @@
 
     def _log(self, state, found, own):
         self._hub.metrics.continuations.labels(found.source).inc()
-        age_s = None
+        now, age_s = self._hub.clock(), None
+        watched_s, list_s = self._view.software_history.get_ages(now)
         if found.known is not None:
-            age_s = round(self._hub.clock() - found.known.since, 3)
+            age_s = round(now - found.known.since, 3)
         self._hub.recorder.record(
             'continued' if found.binding else 'not_continued',
             request=state.call.name,
@@ -267,6 +268,8 @@
             age_s=age_s,
             serving=sorted(binding.software for binding in own.recent),
             unanswered=found.unanswered,
+            watched_s=watched_s,
+            list_s=list_s,
         )
 
 
--- a/landingspool/gateway/following.py
+++ b/landingspool/gateway/following.py
@@ -330,6 +330,7 @@
     def _apply_newest(self, newest):
         super()._apply_newest(newest)
         self._watch.end = newest.end
+        self._hub.software_watch.record_read()
 
     def _apply_page(self, page):
         super()._apply_page(page)
@@ -339,6 +340,9 @@
         if record.key.startswith(names.CRASHES_KEY):
             self._hub.crash_records.take(record)
             return
+        if record.key == names.SOFTWARE_KEY:
+            self._hub.software_watch.take(record)
+            return
         try:
             claim = catalogue.read_claim(record.value, record.offset)
         except catalogue.Malformed as error:
--- a/landingspool/gateway/peering.py
+++ b/landingspool/gateway/peering.py
@@ -24,7 +24,6 @@
 from landingspool.gateway import cache_follower
 from landingspool.gateway import continuity
 from landingspool.gateway import registry
-from landingspool.gateway import software_watch
 from landingspool.gateway import sources
 from landingspool.gateway import state
 from landingspool import http
@@ -464,9 +463,6 @@
     async def _answer_streams(self, request, exchange):
         await self._hub.continuity.answer(request, exchange)
 
-    async def _answer_history(self, request, exchange):
-        await self._hub.software_watch.answer(request, exchange)
-
     async def _answer_records(self, request, exchange):
         await self._hub.record_server.answer_records(request, exchange)
 
@@ -494,5 +490,4 @@
     sources.NEWEST_PATH: Peering._answer_newest,
     cache_follower.CHANGES_PATH: Peering._answer_changes,
     continuity.STREAMS_PATH: Peering._answer_streams,
-    software_watch.HISTORY_PATH: Peering._answer_history,
 }
--- a/landingspool/gateway/software_watch.py
+++ b/landingspool/gateway/software_watch.py
@@ -1,51 +1,72 @@
 """Watch which software versions the targets of each service have.
 
-A box that has watched for a shorter time than a stream may last can't tell
-that there was a single version.  It asks peers for what they have seen.
+A summary of what all boxes have seen is kept in the platform's store: a box
+that starts can't tell otherwise that there was a single version.  It is
+written as it changes, which is seldom.
 """
 
 import asyncio
 
-import msgspec
-
 from landingspool.decisions.gateway import software_history
-from landingspool.gateway import boxcalls
+from landingspool.decisions import timing
+from landingspool.platform import catalogue
+from landingspool.platform import names
+from landingspool.platform import store as store_module
 
-HISTORY_PATH = '/software'
 # Period of the records of the versions that are listed, seconds.
 OBSERVE_PERIOD_S = 5.0
-# Period at which a box that has watched for a short time asks a peer, seconds.
-ADOPT_PERIOD_S = 1.0
-# Time-out for the answer, seconds.
-ADOPT_TIMEOUT_S = 1.0
+# Period of the check whether the summary has changed, seconds.
+CHECK_PERIOD_S = 0.2
+# Seconds that a box leaves to each box before it, in the hash order of all
+# boxes, to write what all of them see.
+TURN_S = 0.5
+# Seconds that a box leaves to those that still have seen what it has not.
+SHRINK_DELAY_S = 2 * OBSERVE_PERIOD_S
+# Seconds for which a failed write waits at most for the store to answer any
+# read.
+MAX_WAIT_S = 5.0
 
 
 class SoftwareWatch:
-    """Keeps the history of versions, and tells peers of it.
+    """Keeps the history of versions, and its summary in the store.
 
     Parameters
     ----------
     hub
-        The box's parts: `view`, `peering`, `client`, `timer`, `recorder`,
-        `clock`.
+        The box's parts: `view`, `peering`, `sources`, `store`, `timer`,
+        `recorder`, `clock`.
     """
 
     def __init__(self, hub):
         self._hub = hub
         self._history = hub.view.software_history
+        self._running = timing.RunningTime(CHECK_PERIOD_S)
         # The services with several versions.
         self._mixed = set()
-        self._adopting = None
+        # The summary in the store; None if there is none.
+        self._stored = None
+        self._is_read = False
+        # Since when the one in the store is out of date, by running time.
+        self._differs_since = None
+        self._writing = None
 
     def start(self):
         """Begin the periodic checks."""
         self._hub.timer.subscribe(OBSERVE_PERIOD_S, self._observe)
-        self._hub.timer.subscribe(ADOPT_PERIOD_S, self._adopt_soon)
+        self._hub.timer.subscribe(CHECK_PERIOD_S, self._check)
 
-    async def answer(self, request, exchange):
-        """Answer a box that asks for the versions seen by this one."""
-        report = self._history.make_report(self._hub.clock())
-        await boxcalls.answer(exchange, msgspec.to_builtins(report))
+    def take(self, record):
+        """Apply the summary that a box has written."""
+        try:
+            self._stored = catalogue.read_software(record.value)
+        except catalogue.Malformed as error:
+            self._hub.recorder.record(
+                'malformed', key=record.key, reason=str(error)
+            )
+
+    def record_read(self):
+        """Record that the summary was read, if there is one."""
+        self._is_read = True
 
     def _observe(self, tick):
         entries = self._hub.view.fleet.entries.values()
@@ -63,33 +84,56 @@
             self._hub.recorder.record('software_single', service=service)
         self._mixed = set(mixed)
 
-    def _adopt_soon(self, tick):
-        """Ask a peer for its history if this box has watched too short."""
-        if self._history.has_watched(tick.now):
+    def _check(self, tick):
+        ran_s = self._running.advance(tick.now)
+        self._adopt(tick.now)
+        wanted = self._find_wanted(tick.now)
+        if wanted is None or wanted == self._stored:
+            self._differs_since = None
             return
-        peers = list(self._hub.peering.peers.values())
-        if peers and (self._adopting is None or self._adopting.done()):
-            peer = self._hub.view.rng.choice(peers)
-            self._adopting = asyncio.ensure_future(self._adopt(peer))
+        if self._differs_since is None:
+            self._differs_since = ran_s
+        is_idle = self._writing is None or self._writing.done()
+        if is_idle and ran_s >= self._differs_since + self._get_delay(wanted):
+            self._writing = asyncio.ensure_future(self._write(wanted))
 
-    async def _adopt(self, peer):
-        sent = self._hub.clock()
-        try:
-            report = await boxcalls.fetch(
-                self._hub.client,
-                peer.address,
-                software_history.Report,
-                ('GET', HISTORY_PATH),
-                timeout=ADOPT_TIMEOUT_S,
-            )
-        except boxcalls.NoAnswer as error:
-            self._hub.recorder.record(
-                'owner_silent', peer=peer.name, reason=str(error)
-            )
+    def _adopt(self, now):
+        """Adopt the stored summary if this box has watched too short."""
+        if self._stored is None or self._history.has_watched(now):
             return
-        if self._history.adopt(report, sent):
+        if self._history.adopt(self._stored, now):
             self._hub.recorder.record(
-                'history_adopted',
-                peer=peer.name,
-                watched_s=round(report.watched_s, 1),
+                'history_adopted', versions=sorted(self._stored.versions)
             )
+
+    def _find_wanted(self, now):
+        """Return the summary that should be stored; None if not known.
+
+        A box that may have missed a version only adds to what is stored.
+        """
+        if not self._is_read:
+            return None
+        own = self._history.summarize(now)
+        if self._history.is_witness(now):
+            return own
+        if self._stored is None:
+            return None
+        return software_history.merge(own, self._stored)
+
+    def _get_delay(self, wanted):
+        """Return after how many seconds this box writes a summary."""
+        stored = self._stored or software_history.Summary()
+        grows = software_history.merge(wanted, stored) != stored
+        turn_s = self._hub.peering.get_rank(names.SOFTWARE_KEY) * TURN_S
+        return turn_s if grows else turn_s + SHRINK_DELAY_S
+
+    async def _write(self, summary):
+        reply = await self._hub.store.append(
+            names.CLAIMS_TOPIC,
+            names.SOFTWARE_KEY,
+            catalogue.write_software(summary),
+        )
+        if isinstance(reply, store_module.Unavailable):
+            await self._hub.sources.wait_answered(MAX_WAIT_S)
+            return
+        self._stored = summary
--- a/landingspool/platform/catalogue.py
+++ b/landingspool/platform/catalogue.py
@@ -11,6 +11,7 @@
 from landingspool.decisions.gateway import peer_digests
 from landingspool.decisions.gateway import rollouts
 from landingspool.decisions.gateway import routes
+from landingspool.decisions.gateway import software_history
 from landingspool import http
 from landingspool.platform import names
 
@@ -39,6 +40,11 @@
     str, msgspec.Meta(min_length=1, max_length=MAX_TEXT_CHARS)
 ]
 
+MAX_PAIRS = 1000
+Pairs = typing.Annotated[
+    list[tuple[str, str]], msgspec.Meta(max_length=MAX_PAIRS)
+]
+
 
 class Malformed(Exception):
     """A record can't be decoded; the text names key and field."""
@@ -216,7 +222,15 @@
     models: list[ModelRecord] = []
 
 
+class SoftwareRecord(msgspec.Struct):
+    """Record of the software versions that boxes have seen lately."""
+
+    versions: Pairs
+    moved: Pairs = []
+
+
 TARGET_DECODER = msgspec.json.Decoder(TargetRecord)
+SOFTWARE_DECODER = msgspec.json.Decoder(SoftwareRecord)
 
 
 def read_entry(target, value):
@@ -338,6 +352,32 @@
         raise Malformed(f'endings: {error!r}') from error
 
 
+def write_software(summary):
+    """Encode a software_history.Summary."""
+    rows = {name: sorted(rows) for name, rows in summary._asdict().items()}
+    return json.dumps(rows).encode()
+
+
+def read_software(value):
+    """Decode a software_history.Summary.
+
+    >>> summary = software_history.Summary(frozenset([('s', 'v1')]))
+    >>> read_software(write_software(summary)) == summary
+    True
+
+    Raises
+    ------
+    Malformed
+    """
+    try:
+        row = SOFTWARE_DECODER.decode(value)
+    except DECODE_ERRORS as error:
+        raise Malformed(f'{names.SOFTWARE_KEY}: {error!r}') from error
+    return software_history.Summary(
+        frozenset(row.versions), frozenset(row.moved)
+    )
+
+
 def write_claim(holder, loading):
     """Encode a claim to the right to send orders."""
     return json.dumps({'holder': holder, 'loading': loading}).encode()
--- a/landingspool/platform/names.py
+++ b/landingspool/platform/names.py
@@ -99,6 +99,8 @@
 CLAIMS_TOPIC = 'keyed.claims'
 # Prefix of fingerprints in record keys of CLAIMS_TOPIC; no box name has it.
 CRASHES_KEY = 'ended/'
+# Key in CLAIMS_TOPIC of the software versions seen lately; no box has it.
+SOFTWARE_KEY = 'software/recent'
 # Record keys in PUBLISHED_TOPIC.
 TABLE_KEY = 'config'
 VERSION_KEY = 'version/'
