--- a/landingspool/decisions/gateway/software_history.py
+++ b/landingspool/decisions/gateway/software_history.py
@@ -16,8 +16,8 @@
 # that it began may be continued for as long.
 RETENTION_S = stream_bindings.MAX_AGE_S
 # Seconds after which the list of targets is old.  What a held read proves is
-# up to 4.8 s old as the next one is answered, 5.8 s behind a box that reads for
-# others; a short cut of a domain from the store is bridged.
+# up to 4.8 s old as the next one is answered, and 5.8 s behind a box that
+# reads for others; a short cut of a domain from the store is bridged.
 LIST_TIMEOUT_S = 10.0
 # Greatest age that the log names, seconds.
 MAX_LOGGED_S = 9999.0
