--- a/tests/test_layout.py
+++ b/tests/test_layout.py
@@ -7,6 +7,7 @@
 import pytest
 
 from landingspool import event_kinds
+from landingspool import target_event_kinds
 
 CORE = sorted(pathlib.Path('landingspool/decisions').rglob('*.py'))
 FORBIDDEN = {
@@ -70,6 +71,12 @@
     assert len(set(numbers)) == len(numbers)
 
 
+def test_events_of_targets_are_in_the_catalogue_once():
+    kinds = [event_kinds.Kind(*row) for row in target_event_kinds.KINDS]
+    assert len({kind.number for kind in kinds}) == len(kinds)
+    assert all(event_kinds.CATALOGUE[kind.name] == kind for kind in kinds)
+
+
 def test_event_document_is_what_the_catalogue_says():
     text = pathlib.Path('docs/events.md').read_text()
     assert event_kinds.describe_catalogue() in text
