--- a/landingspool/decisions/gateway/prompts.py
+++ b/landingspool/decisions/gateway/prompts.py
@@ -9,6 +9,9 @@
 
 import typing
 
+# Maximum number of parts of one prompt that a log line names.
+MAX_LOGGED_PARTS = 8
+
 
 class Part(typing.NamedTuple):
     """One part of a prompt."""
@@ -51,6 +54,19 @@
     return prompt.parts[:-1]
 
 
+def list_logged(prompt):
+    """Return the names of the leading shared parts, for the log.
+
+    >>> list_logged(Prompt('m', 30, 5, (Part('a', 10), Part('b', 20))))
+    ('a',)
+    >>> list_logged(None)
+    ()
+    """
+    if prompt is None:
+        return ()
+    return tuple(part.name for part in list_shared(prompt)[:MAX_LOGGED_PARTS])
+
+
 def count_kept(prompt, space, cached):
     """Return the number of leading tokens that `cached` covers.
 
--- a/landingspool/gateway/attempts.py
+++ b/landingspool/gateway/attempts.py
@@ -7,6 +7,7 @@
 
 from landingspool.decisions.gateway import demand
 from landingspool.decisions.gateway import plans
+from landingspool.decisions.gateway import prompts
 from landingspool.decisions.gateway import routes
 from landingspool.decisions.gateway import stream_bindings
 from landingspool.gateway import delivery
@@ -164,6 +165,7 @@
             'dispatched',
             request=state.call.name,
             content=state.fingerprint.hex(),
+            parts=prompts.list_logged(state.work.prompt),
             priority=self._get_priority(),
             resumes=state.call.resumes,
             after=state.last_event_id or state.call.after_event,
@@ -226,6 +228,7 @@
             'lost',
             request=self._state.call.name,
             content=self._state.fingerprint.hex(),
+            parts=prompts.list_logged(self._state.work.prompt),
             target=self._plan.entry.name,
             cause=outcome.cause,
             after_s=round(self._hub.clock() - self._sent_at, 4),
