Show that different requests with one part crash target after target

Three boxes and four stand-ins that crash under one part of a prompt, each replaced within 0.2 s; arrivals with the part share only a common first part with sound requests. The engines that crash are shared with the tests of whole requests.

--- a/standins/runner.py
+++ b/standins/runner.py
@@ -50,6 +50,8 @@
         The (namespace, part) that it was told to free.
     fatal : bytes or None
         Body of a request that ends the target when it runs it.
+    fatal_parts : frozenset of str
+        Parts of prompts that end the target when it runs a request with one.
     ended : bool
         Whether it has ended by one.
     deaf_s : float
@@ -89,6 +91,7 @@
         self.service = ''
         self.forgets = False
         self.fatal = None
+        self.fatal_parts = frozenset()
         self.ended = False
         self.deaf_s = 0.0
         self.limit = None
@@ -161,7 +164,7 @@
                         'shed': name == 'shed',
                     }
                 )
-                if self.fatal is not None and body == self.fatal:
+                if self._is_fatal(head, body):
                     name = 'fatal'
                 if name != 'shed' and not self._is_mine(head):
                     name = 'misdirected'
@@ -185,6 +188,11 @@
         self._seen.add(id(writer))
         return new
 
+    def _is_fatal(self, head, body):
+        if self.fatal is not None and body == self.fatal:
+            return True
+        return not self.fatal_parts.isdisjoint(list_parts(head))
+
     def _is_mine(self, head):
         wanted = head.get('x-landingspool-expect-instance', self.name)
         version = head.get('expect-version', str(self.version))
@@ -299,6 +307,12 @@
 }
 
 
+def list_parts(head):
+    """List the parts of a request's prompt, but for the last."""
+    rows = head.get('x-landingspool-prefix-hash', '').split(',')
+    return [row.partition(':')[0] for row in rows[:-1]]
+
+
 async def read_request(reader):
     """Read one request; gives its head as a dict and its body."""
     data = await reader.readuntil(b'\r\n\r\n')
--- a/tests/gateway/test_endings.py
+++ b/tests/gateway/test_endings.py
@@ -25,67 +25,31 @@
 from landingspool.decisions.gateway import crashes as crashes_module
 from landingspool.decisions.gateway import peer_digests
 from landingspool.platform import names
-from standins import runner as runner_module
+from tests.gateway import crashing
 from tests.gateway import site
 
 FATAL = b'ends whoever runs it'
 ENGINES = 4
 BOXES = 3
 ARRIVALS = 12
-# Seconds between two arrivals, and until a crashed engine is replaced.
+# Seconds between two arrivals.
 PAUSE_S = 0.15
-REPLACED_S = 0.2
 # Crashes after which a request is quarantined, and further sends that may be
 # under way or not be known to a box yet.
 MAX_CRASHES = 3
 MAX_UNKNOWN = 1
 
 
-class Engines:
-    """Engines of a site that crash under a request, and their replacements."""
-
-    def __init__(self, deployment):
-        self._deployment = deployment
-        self._numbers = itertools.count(100)
-        self.ended = []
-
-    async def start(self):
-        """Make the site's engines crash under the request; replace them."""
-        for runner in self._deployment.engines:
-            runner.fatal = FATAL
-            runner.usual = 'stream'
-        return asyncio.ensure_future(self._replace_all())
-
-    def count_ends(self):
-        """Count the engines that have crashed so far."""
-        now = [r for r in self._deployment.engines if r.ended]
-        return len(self.ended) + len(now)
-
-    async def _replace_all(self):
-        while True:
-            await asyncio.sleep(0.01)
-            for runner in list(self._deployment.engines):
-                if runner.ended:
-                    await self._replace(runner)
-
-    async def _replace(self, runner):
-        deployment = self._deployment
-        deployment.engines.remove(runner)
-        self.ended.append(runner)
-        follower = runner_module.Runner(f'e{next(self._numbers)}')
-        follower.fatal, follower.usual = FATAL, 'stream'
-        await asyncio.sleep(REPLACED_S)
-        await follower.start()
-        deployment.engines.append(follower)
-        deployment.announce(follower, 'engine', model='m')
-        deployment.store.put('keyed.servers', runner.name, b'')
+def make_fatal(runner):
+    """Let a target crash under the request."""
+    runner.fatal = FATAL
 
 
 def run(check):
     """Run a test against a site whose engines crash under the request."""
 
     async def start(deployment):
-        engines = Engines(deployment)
+        engines = crashing.Engines(deployment, make_fatal)
         work = await engines.start()
         try:
             await check(deployment, engines)
