Bar the parts of prompts under which targets crash

Cause: crashes were counted by the fingerprint of workspace, path and body. Requests with the part that crashes targets come with another body each, so that no count passed two or three; and a request that was lost was repeated at once at the next target.

Change: crashes are counted by all keys of a request, its fingerprint and the shared parts of its prompt (fingerprints.py). No repeat under a part that one more crash bars. What waits with a barred key is refused at once.

--- a/landingspool/decisions/gateway/gossip.py
+++ b/landingspool/decisions/gateway/gossip.py
@@ -29,14 +29,20 @@
         self._at[key] = at
         self._sent_counts[key] = 0
 
+    def drop(self, fingerprint, incarnation):
+        """Drop a notice that no longer holds, if it is queued."""
+        key = fingerprint, incarnation
+        if self._sent_counts.pop(key, None) is not None:
+            del self._at[key]
+
     def list_due_notices(self, now, weigh):
         """Return the notices for the next digest.
 
         Parameters
         ----------
         weigh : callable
-            ``weigh(fingerprint)``: notices of the greatest weight go first,
-            and of equal ones those sent least often.
+            ``weigh(fingerprint, incarnation)``: notices of the greatest weight
+            go first, and of equal ones those sent least often.
 
         Returns
         -------
@@ -44,17 +50,17 @@
 
         >>> gossip = Gossip()
         >>> gossip.put(b'f', 7, 1.0)
-        >>> gossip.list_due_notices(1.5, lambda fingerprint: 1)
+        >>> gossip.list_due_notices(1.5, lambda *key: 1)
         [CrashNotice(fingerprint=b'f', incarnation=7, age_ms=500)]
         >>> [
-        ...     len(gossip.list_due_notices(1.5, lambda fingerprint: 1))
+        ...     len(gossip.list_due_notices(1.5, lambda *key: 1))
         ...     for _ in 'abc'
         ... ]
         [1, 1, 0]
         """
         order = sorted(
             self._sent_counts,
-            key=lambda key: (-weigh(key[0]), self._sent_counts[key]),
+            key=lambda key: (-weigh(*key), self._sent_counts[key]),
         )
         notices = []
         for key in order[:MAX_NOTICES]:
--- a/landingspool/event_kinds.py
+++ b/landingspool/event_kinds.py
@@ -119,13 +119,13 @@
             216,
             'barred',
             'WARNING',
-            'Targets crashed under a request; it is sent to no further one.',
+            'Targets crashed under a request or a part; no target gets it.',
         ),
         Kind(
             217,
             'bar_lifted',
             'INFO',
-            'A quarantine was lifted: the request did not crash its targets.',
+            'A bar was lifted: the request or part did not crash its targets.',
         ),
         Kind(
             218,
@@ -169,6 +169,18 @@
             'INFO',
             'The software versions in the store were adopted after a start.',
         ),
+        Kind(
+            225,
+            'target_crashed',
+            'WARNING',
+            'A target crashed while it had requests of this box.',
+        ),
+        Kind(
+            226,
+            'suspect_refused',
+            'INFO',
+            'A request is not sent, since targets may crash under it.',
+        ),
         Kind(
             300, 'queued', 'DEBUG', 'A request waits in the queue of its pool.'
         ),
--- a/landingspool/gateway/admission_gate.py
+++ b/landingspool/gateway/admission_gate.py
@@ -136,6 +136,13 @@
             )
         self._hub.metrics.waiting.set(self.count_waiting())
 
+    def release_barred(self):
+        """Let those who wait with a barred key go on, to be refused."""
+        crashes = self._view.crashes
+        for state in list(self._futures):
+            if crashes.is_barred(state.keys):
+                self._release(state, Release.FREED)
+
     def void(self):
         """Refuse all who wait: this box has stalled."""
         self._release_all(Release.STALLED)
--- a/landingspool/gateway/attempts.py
+++ b/landingspool/gateway/attempts.py
@@ -116,11 +116,11 @@
 
     def _may_send(self):
         now = self._hub.clock()
-        return self.is_current() and not self._get_quarantine(now)
-
-    def _get_quarantine(self, now):
         crashes = self._view.crashes
-        return crashes.get_quarantine(self._state.fingerprint, now)
+        return (
+            self.is_current()
+            and crashes.find_quarantine(self._state.keys, now) is None
+        )
 
     async def _record(self, work):
         """Await the outcome and record the end, if it has one."""
@@ -158,7 +158,8 @@
         self._view.record_sent(plan, state.work, self._sent_at)
         if state.work.prompt is not None:
             self._hub.peering.report_sent()
-        self._view.crashes.record_sent(state.fingerprint)
+        for key in state.keys:
+            self._view.crashes.record_sent(key, self._sent_at)
         if plan.transfer.declined:
             self._hub.metrics.declined_parts.inc(plan.transfer.declined)
         self._hub.recorder.record(
@@ -203,24 +204,30 @@
     def _record_for_quarantine(self, outcome):
         """Record whether the target may have crashed under this request.
 
-        Crashes are counted by fingerprint and over all attempts, since callers
-        send a request that crashes targets again, under a new id each time.
+        Crashes are counted by the keys of the request and over all attempts,
+        since callers send what crashes targets again, under a new id each
+        time.
         """
-        crashes, name = self._view.crashes, self._plan.entry.name
-        fingerprint, now = self._state.fingerprint, self._hub.clock()
-        crashes.record_done(fingerprint)
-        if isinstance(outcome, outcomes.Done):
-            crashes.record_served(fingerprint, now)
-        elif isinstance(outcome, outcomes.Lost) and self._exchange is not None:
-            # Once released, the target's answer was complete.
-            if outcome.cause == outcomes.Cause.CLOSED:
-                crashes.record_lost(fingerprint, name, now)
-            elif outcome.cause in outcomes.UNANSWERED:
-                crashes.record_unanswered(
-                    fingerprint, name, self._sent_at, now
-                )
+        crashes, now = self._view.crashes, self._hub.clock()
+        for key in self._state.keys:
+            crashes.record_done(key)
+            if isinstance(outcome, outcomes.Done):
+                crashes.record_served(key, now)
+        # Once released, the target's answer was complete.
+        if isinstance(outcome, outcomes.Lost) and self._exchange is not None:
+            self._record_missing_answer(outcome, now)
         self._hub.crash_records.check()
 
+    def _record_missing_answer(self, outcome, now):
+        crashes, name = self._view.crashes, self._plan.entry.name
+        if outcome.cause == outcomes.Cause.CLOSED:
+            crashes.record_broken(self._state.keys, name, self._sent_at, now)
+            if len(self._state.keys) > 1:
+                self._hub.prober.confirm_crash(name)
+        elif outcome.cause in outcomes.UNANSWERED:
+            for key in self._state.keys:
+                crashes.record_unanswered(key, name, self._sent_at, now)
+
     def _log_loss(self, outcome):
         self._hub.metrics.losses.labels(outcome.cause).inc()
         waiting, running = self._view.loads.count(self._plan.entry.name)
@@ -484,7 +491,7 @@
             hub.view.get_connection_limit(work.service),
         )
     except upstream_module.ExchangeError as error:
-        hub.prober.record_failed(entry.name, str(error), error.silent)
+        hub.prober.record_error(entry.name, error)
         raise
 
 
--- a/landingspool/gateway/crash_records.py
+++ b/landingspool/gateway/crash_records.py
@@ -1,13 +1,14 @@
-"""Store which requests crashed targets, and log their quarantine.
+"""Store what crashes targets, and log crashes, bars and their ends.
 
-What boxes gossip about crashes is lost when they all stop.  So what
-quarantines a request is also written into the platform's store.  A box that
-starts, or was cut off, reads it there.
+What boxes gossip about crashes is lost when they all stop.  So what bars a
+request or a part of prompts is written into the platform's store as well.  A
+box that starts, or was cut off, reads it there.
 """
 
 import asyncio
 import typing
 
+from landingspool.decisions.gateway import fingerprints
 from landingspool.decisions.gateway import peer_digests
 from landingspool.decisions import timing
 from landingspool.platform import catalogue
@@ -23,6 +24,8 @@
 # Seconds for which a failed write waits at most for the store to answer any
 # read.
 MAX_WAIT_S = 5.0
+# Maximum number of suspects that the log line of one crash names.
+MAX_SUSPECTS = 8
 
 
 class PendingWrite(typing.NamedTuple):
@@ -37,12 +40,13 @@
 
 
 class CrashRecords:
-    """Keep the crashes that quarantine requests in the platform's store.
+    """Keep the crashes that bar requests and parts in the platform's store.
 
     Parameters
     ----------
     hub
-        The box's parts: `view`, `store`, `recorder`, `clock`, `wall`.
+        The box's parts: `view`, `store`, `recorder`, `gate`, `peering`,
+        `clock`, `wall`.
     """
 
     def __init__(self, hub):
@@ -55,13 +59,28 @@
         self._wake = asyncio.Event()
 
     def check(self):
-        """Log new and lifted quarantines, and have them written."""
+        """Log crashes and changed bars, and have the bars written."""
         crashes = self._crashes
-        for fingerprint in pop_all(crashes.fresh):
-            self._record_quarantine(fingerprint)
-        for fingerprint in pop_all(crashes.lifted):
-            self._hub.recorder.record('bar_lifted', content=fingerprint.hex())
-            self._put(fingerprint, b'')
+        crashes.update()
+        for crash in pop_all(crashes.confirmed):
+            self._hub.recorder.record(
+                'target_crashed',
+                target=crash.target,
+                keys=len(crash.keys),
+                suspects=crashes.describe_suspects(crash.keys, MAX_SUSPECTS),
+            )
+        fresh, lifted = pop_all(crashes.fresh), pop_all(crashes.lifted)
+        for key in fresh:
+            self._record_bar(key)
+        for key in lifted:
+            self._hub.recorder.record(
+                'bar_lifted', content=fingerprints.describe(key)
+            )
+            self._put(key, b'')
+        if fresh:
+            self._hub.gate.release_barred()
+        if crashes.is_urgent:
+            self._hub.peering.send_urgent_digest()
 
     def take(self, record):
         """Apply a record of any box; an empty value lifts a quarantine."""
@@ -106,14 +125,15 @@
                     self._drop_written(key)
                 await asyncio.sleep(CHECK_PERIOD_S)
 
-    def _record_quarantine(self, fingerprint):
+    def _record_bar(self, key):
         now = self._hub.clock()
-        notices = self._crashes.list_notices(fingerprint, now)
+        notices = self._crashes.list_notices(key, now)
         incarnations = self._hub.view.fleet.list_incarnations()
         found = {peer_digests.hash_target(name): name for name in incarnations}
         self._hub.recorder.record(
             'barred',
-            content=fingerprint.hex(),
+            content=fingerprints.describe(key),
+            record=f'{names.CRASHES_KEY}{key.hex()}',
             targets=[
                 found.get(notice.incarnation, notice.incarnation)
                 for notice in notices
@@ -121,7 +141,7 @@
             ages_ms=[notice.age_ms for notice in notices],
         )
         wall = self._hub.wall()
-        self._put(fingerprint, catalogue.write_crashes(notices, wall))
+        self._put(key, catalogue.write_crashes(notices, wall))
 
     def _put(self, fingerprint, value):
         key = fingerprint.hex()
--- a/landingspool/gateway/metrics.py
+++ b/landingspool/gateway/metrics.py
@@ -62,7 +62,13 @@
             ('domain',),
         )
         self.quarantined = self._make_gauge(
-            'barred_requests', 'Requests not sent, since targets end by them'
+            'barred_requests',
+            'Requests and parts not sent, since targets crash under them',
+        )
+        self.quarantine_refusals = self._make_counter(
+            'quarantine_refusals',
+            'Requests refused since targets may crash under them',
+            ('reason',),
         )
         self.advertised_limits = self._make_gauge(
             'target_limit_per_second',
--- a/landingspool/gateway/peering.py
+++ b/landingspool/gateway/peering.py
@@ -237,11 +237,10 @@
         view.peers_by_domain = dict(collections.Counter(domains))
         if self._registry.was_read:
             # Without the list, this box may know only few of its peers.
-            view.exclusions.shares.set_members(
-                self._hub.deployment.box,
-                (*self.peers, self._hub.deployment.box),
-                tick.now,
-            )
+            box = self._hub.deployment.box
+            members = (*self.peers, box)
+            view.exclusions.shares.set_members(box, members, tick.now)
+            view.crashes.set_members(box, members)
         view.watchers.set_members(
             self._hub.deployment.box, self._list_domain_peers()
         )
@@ -272,15 +271,17 @@
             )
 
     def send_urgent_digest(self):
-        """Send a digest now if a limit has begun.
+        """Send a digest now if a limit has begun or a target has crashed.
 
+        Until all boxes know what crashes targets, more of them crash.
         Until all boxes know of a limit, they exceed it.  With digests at
         their usual period alone, 20 requests exceed it in the first half
         second; with these, 7 do (195 boxes, 60 requests a second in all, the
         case of tests/gateway/test_limit_load.py).
         """
         now = self._hub.clock()
-        is_urgent = self._hub.view.exclusions.limits.is_urgent
+        view = self._hub.view
+        is_urgent = view.exclusions.limits.is_urgent or view.crashes.is_urgent
         if is_urgent and now - self._sent >= MIN_DIGEST_GAP_S:
             self._send_digest(now)
 
--- a/landingspool/gateway/prober.py
+++ b/landingspool/gateway/prober.py
@@ -18,7 +18,8 @@
     Parameters
     ----------
     hub
-        The box's parts: `view`, `upstream`, `recorder`, `clock`.
+        The box's parts: `view`, `upstream`, `recorder`, `crash_records`,
+        `clock`.
     """
 
     def __init__(self, hub):
@@ -26,6 +27,28 @@
         self._probing = {}
         self._is_partitioned = False
 
+    def record_error(self, name, error):
+        """Record that a connection could not be opened.
+
+        A target whose host refuses connections has crashed or stopped.
+
+        Parameters
+        ----------
+        error : upstream.ExchangeError
+        """
+        if error.refused:
+            crashes, now = self._hub.view.crashes, self._hub.clock()
+            crashes.record_incarnation_end(name, now)
+            self._hub.crash_records.check()
+        self.record_failed(name, str(error), error.silent)
+
+    def confirm_crash(self, name):
+        """Find out whether a target that broke off a request has crashed."""
+        if name in self._probing or name not in self._hub.view.fleet.entries:
+            return
+        if self._may_probe(name, self._hub.clock()):
+            self._start_probe(name)
+
     def record_failed(self, name, reason, silent=False):
         """Record that a connection failed, or that its path is dead.
 
@@ -97,7 +120,7 @@
                 # The idle connections use the same silent path.
                 self._hub.upstream.drop(entry.address)
             if name in view.fleet.entries:
-                self.record_failed(name, str(error), error.silent)
+                self.record_error(name, error)
             return
         view.record_connected(self._hub.clock())
         self._record_partition()
--- a/landingspool/gateway/refusals.py
+++ b/landingspool/gateway/refusals.py
@@ -7,6 +7,7 @@
 import typing
 
 from landingspool.decisions.gateway import exclusions
+from landingspool.decisions.gateway import fingerprints
 from landingspool.decisions.gateway import plans
 from landingspool.gateway import forwarded_rows
 
@@ -90,13 +91,26 @@
             )
         await self._state.reply.send_error(status, reason, after, rows)
 
-    async def refuse_quarantined(self, quarantine, now):
-        """Answer a request that might crash a further target."""
+    async def refuse_quarantined(self, suspicion):
+        """Answer a request that might crash a further target.
+
+        Parameters
+        ----------
+        suspicion : crashes.Suspicion
+        """
+        key, reason, left_s = suspicion
+        self._hub.metrics.quarantine_refusals.labels(reason).inc()
+        self._hub.recorder.record(
+            'suspect_refused',
+            request=self._state.call.name,
+            key=fingerprints.describe(key),
+            reason=reason,
+            crashes=self._view.crashes.count(key, self._hub.clock()),
+            left_s=round(left_s, 1),
+        )
         if self._state.sends:
-            return await self.give_up(quarantine)
-        crashes = self._view.crashes
-        left_s = crashes.get_seconds_left(self._state.fingerprint, now)
-        return await self.refuse(quarantine, left_s or None)
+            return await self.give_up(reason)
+        return await self.refuse(reason, left_s or None)
 
     async def refuse_excluded(self, shortage, now):
         """Answer a request that no target may get now.
--- a/landingspool/gateway/relay.py
+++ b/landingspool/gateway/relay.py
@@ -178,9 +178,9 @@
         state, now = self._state, self._hub.clock()
         if state.is_expired(now):
             return await self._refusals.give_up('time_over', 504)
-        quarantine = self._view.crashes.get_quarantine(state.fingerprint, now)
-        if quarantine is not None:
-            return await self._refusals.refuse_quarantined(quarantine, now)
+        found = self._view.crashes.find_quarantine(state.keys, now)
+        if found is not None:
+            return await self._refusals.refuse_quarantined(found)
         if self._paths.may_send_directly(now):
             return await self._attempt_directly(now)
         if self._origin is not None:
@@ -359,11 +359,18 @@
     async def _handle_lost(self, outcome):
         if self._replacements.take_grant():
             return None
-        if self._state.may_send_again() and self._take_retry_budget():
+        if self._may_repeat() and self._take_retry_budget():
             return None
         status = 504 if outcome.reason in ('silent', 'time_over') else 502
         return await self._refusals.give_up(outcome.reason, status)
 
+    def _may_repeat(self):
+        """Return whether a request that was lost may be sent again."""
+        crashes = self._view.crashes
+        return self._state.may_send_again() and crashes.may_repeat(
+            self._state.keys
+        )
+
     def _take_retry_budget(self):
         if self._view.take_repeat(self._state.work.service, self._hub.clock()):
             return True
--- a/landingspool/gateway/replacements.py
+++ b/landingspool/gateway/replacements.py
@@ -5,7 +5,6 @@
 target has not rejected it.  Otherwise the request stays where it is.
 """
 
-from landingspool.decisions.gateway import crashes as crashes_module
 from landingspool.gateway import attempts
 from landingspool.gateway import upstream
 
@@ -120,14 +119,10 @@
 
     def _may_leave(self, now):
         state = self._state
-        crashes = self._view.crashes
         if not state.may_send_again() or state.is_expired(now):
             return False
-        return (
-            self._has_repeat(now)
-            # The request itself is under way, and will have ended by then.
-            and crashes.get_quarantine(state.fingerprint, now)
-            is not crashes_module.Quarantine.CRASHED
+        return self._has_repeat(now) and not self._view.crashes.is_barred(
+            state.keys
         )
 
     def _has_repeat(self, now):
--- a/landingspool/gateway/request_state.py
+++ b/landingspool/gateway/request_state.py
@@ -60,6 +60,9 @@
     fingerprint : bytes
         The same for all requests with the same workspace, path and body;
         empty until the route is known.
+    keys : tuple of bytes
+        What targets may crash under: the fingerprint and the keys of the
+        shared parts of its prompt; empty until the route is known.
     demand : demand.Demand or None
         What it asks of admission; None until its route is known.
     wait_until : float or None
@@ -88,6 +91,7 @@
         self.may_have_run = False
         self.first_byte_s = None
         self.fingerprint = b''
+        self.keys = ()
         self.demand = None
         self.wait_until = None
         self.release = None
@@ -103,6 +107,10 @@
             self.call.target,
             self.body,
         )
+        self.keys = (
+            self.fingerprint,
+            *fingerprints.list_part_keys(work.prompt),
+        )
 
     @property
     def last_event_id(self):
--- a/landingspool/gateway/upstream.py
+++ b/landingspool/gateway/upstream.py
@@ -60,12 +60,15 @@
         Whether a byte of the request may have been sent.
     silent : bool
         Whether the path to the target is dead: its host answers nothing.
+    refused : bool
+        Whether its host refuses connections: nothing listens there.
     """
 
-    def __init__(self, text, sent, silent=False):
+    def __init__(self, text, sent, silent=False, refused=False):
         super().__init__(text)
         self.sent = sent
         self.silent = silent
+        self.refused = refused
 
 
 class IdleConnection(typing.NamedTuple):
@@ -209,8 +212,9 @@
                 )
         except (OSError, TimeoutError) as error:
             silent = isinstance(error, TimeoutError)
+            refused = isinstance(error, ConnectionRefusedError)
             raise ExchangeError(
-                f'connect: {error!r}', False, silent
+                f'connect: {error!r}', False, silent, refused
             ) from error
         enable_keepalive(connection)
         self._metrics.connections.inc()
