Soak: requests with a part under which targets crash

A target that has ended refuses connections. The auditor allows three runs later than 3 s after the fifth, at boxes that have neither started nor stood still, and does not excuse a store that is away: boxes tell each other.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -19,11 +19,14 @@
 from soak import callers
 from soak import faults
 from soak import fleet as fleet_module
+from soak import parts
 from soak import streams
 
 RUN_S = 9.0
 SETTLE_S = 1.5
 CALLERS = 6
+# Every such seed has requests with a part that crashes targets.
+PARTS_EVERY = 3
 # Seeds that ever failed, kept as regression cases: seed, cause.
 REGRESSIONS = {}
 
@@ -64,6 +67,9 @@
         await asyncio.sleep(0.5)
         works = [asyncio.ensure_future(one.run()) for one in people]
         works += [asyncio.ensure_future(one.rush()) for one in crowd]
+        if seed % PARTS_EVERY == 0:
+            drawn = random.Random(f'parts {seed}')
+            works.append(asyncio.ensure_future(parts.send_fatal(fleet, drawn)))
         await faults.play(fleet, rng, RUN_S)
         await asyncio.sleep(SETTLE_S)
         for work in works:
--- a/soak/auditor.py
+++ b/soak/auditor.py
@@ -5,6 +5,7 @@
 from soak import callers
 from soak import faults
 from soak import fleet as fleet_module
+from soak import parts
 from soak import streams
 from soak import words
 from standins import behaviours
@@ -18,9 +19,10 @@
 # Seconds over the bound for tables within which the machine, shared by many
 # processes, gives each its turn.
 TURN_S = 0.5
-# Targets that may end under a request, and those that may get it when all
-# boxes could hear of the third (the users' bounds).
+# Targets that may end under a request or a part of prompts, and those that
+# may get it when all boxes could hear of the last (the users' bounds).
 MOST_ENDS = 3
+MOST_ENDS_BY_PART = 5
 MOST_AFTER = 3
 # Users' bound on what reaches a target that names a limit: seconds of the
 # window, times the limit, and requests beyond; from CONTACT_S after it began.
@@ -57,6 +59,8 @@
         problems += check_limit(fleet, limited, known)
     for path in fleet.ending:
         problems += check_ending(fleet, path)
+    for part in fleet_module.FATAL_PARTS:
+        problems += check_part(fleet, part)
     return problems
 
 
@@ -173,6 +177,28 @@
         yield f'{path}: reached {len(late)} targets after the third had ended'
 
 
+def check_part(fleet, part):
+    """Yield that targets went on ending under a part of prompts, if they did.
+
+    Boxes tell each other of it, so that a store that is away excuses nothing.
+    """
+    rows = sorted(parts.list_runs(fleet, part), key=get_time)
+    if len(rows) < MOST_ENDS_BY_PART:
+        return
+    known = rows[MOST_ENDS_BY_PART - 1]['at'] + CONTACT_S
+    late = [
+        row
+        for row in rows
+        if row['at'] > known
+        and not fleet.has_started(
+            get_box(row), row['at'] - CONTACT_S, row['at']
+        )
+        and not fleet.was_held(get_box(row), row['at'] - CONTACT_S, row['at'])
+    ]
+    if len(late) > MOST_AFTER:
+        yield f'{part}: reached {len(late)} targets after the fifth had ended'
+
+
 def get_time(row):
     """Give when a request ran."""
     return row['at']
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -20,6 +20,8 @@
 # How often a caller takes a stream up, and the seconds until it does.
 TAKEN_UP = 3
 RETURN_S = 0.0, 0.05, 0.5
+# Parts of the prompt of a usual request.
+PROMPT = 'aa:200,bb:100'
 # Statuses that promise that a request has not run and will not.
 PROMISES = (503, 429, 408, 421)
 
@@ -127,13 +129,15 @@
             self.sent.append(row)
             after += count_events(row.body)
 
-    async def ask(self, box, path, name, key, sent, begun=None):
+    async def ask(self, box, path, name, key, sent, begun=None, prompt=PROMPT):
         """Send one request; gives what came back.
 
         Parameters
         ----------
         begun : tuple of (str, int), optional
             The attempt that began the stream, and the last event received.
+        prompt : str
+            The parts of its prompt.
         """
         call = self._client.open(box.address)
         rows = [
@@ -142,7 +146,7 @@
             ('authorization', f'Bearer {key}'),
             ('x-landingspool-model-name', 'm'),
             ('x-landingspool-token-usage', '300,10'),
-            ('x-landingspool-prefix-hash', 'aa:200,bb:100'),
+            ('x-landingspool-prefix-hash', prompt),
         ]
         if begun is not None:
             rows += [('resumes', begun[0]), ('last-event-id', str(begun[1]))]
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -39,6 +39,8 @@
 SOFTWARE = 'v1', 'v2'
 # Body of a request that ends the engine that runs it.
 FATAL = b'ends whoever runs it'
+# Parts of prompts that end the engine that runs a request with one.
+FATAL_PARTS = 'dead0', 'dead1'
 SMALL = 3
 LARGE = 7
 # Widths of links that are drawn, Mbit/s: the narrowest and the widest that
@@ -262,6 +264,8 @@
         runner.service = service
         runner.software = SOFTWARE[len(self.runners) % len(SOFTWARE)]
         runner.fatal = FATAL if service == 'engine' else None
+        if service == 'engine':
+            runner.fatal_parts = frozenset(FATAL_PARTS)
         await runner.start()
         wire = proxy.Proxy(runner.address)
         await wire.start()
@@ -275,6 +279,7 @@
         for runner in self.runners:
             if runner.ended and runner.name not in self.left:
                 self.left[runner.name] = time.monotonic()
+                self.wires[runner.name].close()
                 await self.add_runner(runner.service)
                 self.store.put(names.TARGETS_TOPIC, runner.name, b'')
 
