Close the connection that waited longest when a new one finds no place

What callers saw: with as many connections open as a box takes, each further one was reset, also where those that were open never brought a request.

Cause: the listener counted connections and reset the newest. Change: it knows since when each connection waits for a request, and closes the one that waited longest, first of those that never brought one; a connection younger than 0.1 s, or with a byte of a request, is left alone.

--- a/landingspool/gateway/hub.py
+++ b/landingspool/gateway/hub.py
@@ -314,6 +314,7 @@
             relayed_kb=self.record_server.relayed_bytes // 1024,
             targets=len(self.view.fleet.entries),
             open=self.listener.count_busy(),
+            displaced=self.listener.displaced,
             waiting=self.gate.count_waiting(),
             forwarded=dict(self.metrics.forward_counts),
             served_peers=dict(self.metrics.served_peer_counts),
--- a/landingspool/gateway/listener.py
+++ b/landingspool/gateway/listener.py
@@ -1,7 +1,9 @@
 """HTTP/1.1 server for callers: one request after another per connection."""
 
 import asyncio
+import collections
 import json
+import typing
 
 import h11
 
@@ -10,6 +12,9 @@
 from landingspool import http
 
 BACKLOG = 512
+# Seconds after which a connection without a request may be closed for a new
+# one: a caller's first request arrives a round trip after its connection.
+MIN_SILENCE_S = 0.1
 # Seconds in which cancelled connections may finish when the listener closes.
 CANCEL_TIMEOUT_S = 0.05
 REASONS = {
@@ -139,6 +144,20 @@
         )
 
 
+class Waiting(typing.NamedTuple):
+    """A connection that waits for its next request.
+
+    Attributes
+    ----------
+    connection : connection.Connection
+    since : float
+        When it began to wait, seconds of the event loop's clock.
+    """
+
+    connection: connection_module.Connection
+    since: float
+
+
 class Listener:
     """Accepts connections of callers and reads their requests.
 
@@ -150,7 +169,8 @@
     get_limits : callable
         Returns the routes.Limits in force.
     max_connections : int
-        Concurrent connections; further ones are reset.
+        Concurrent connections.  A further one takes the place of one that
+        waits for a request, and is reset if there is none.
     on_unanswered : callable
         Called with a request that was read and the reason if its handler
         fails, so that its caller gets no whole answer.
@@ -162,6 +182,8 @@
     ----------
     stopping : bool
         Whether callers are asked to connect elsewhere.
+    displaced : int
+        Connections that were closed to make room for new ones.
     """
 
     def __init__(
@@ -182,8 +204,13 @@
         self._tasks = {}
         # Tasks that have begun to receive a request and not ended its answer.
         self._busy = set()
+        # Tasks that wait for a request, the longest wait first: for the
+        # first one of their connection, and for a further one.
+        self._unused = collections.OrderedDict()
+        self._kept = collections.OrderedDict()
         self._closing = False
         self.stopping = False
+        self.displaced = 0
 
     async def start(self, address):
         """Begin to accept connections at a http.Address."""
@@ -227,21 +254,52 @@
 
     def _accept(self, connection):
         taken = len(self._tasks) + self._count_others()
-        if self._closing or taken >= self._max_connections:
+        is_full = taken >= self._max_connections
+        if self._closing or (is_full and not self._displace()):
             connection.abort()
             return
         task = asyncio.ensure_future(self._serve(connection))
         self._tasks[task] = connection
+        self._unused[task] = self._begin_wait(connection)
         task.add_done_callback(self._forget)
 
+    def _begin_wait(self, connection):
+        now = asyncio.get_running_loop().time()
+        return Waiting(connection, now)
+
+    def _displace(self):
+        """Close the connection that has waited longest; False if none has.
+
+        One that never brought a request goes first.
+        """
+        latest = asyncio.get_running_loop().time() - MIN_SILENCE_S
+        for rows in (self._unused, self._kept):
+            for task, row in rows.items():
+                if row.since > latest:
+                    break
+                if row.connection.is_idle:
+                    self._end_wait(task)
+                    self.displaced += 1
+                    row.connection.close()
+                    task.cancel()
+                    return True
+        return False
+
+    def _end_wait(self, task):
+        self._unused.pop(task, None)
+        self._kept.pop(task, None)
+
     def _forget(self, task):
         self._busy.discard(task)
+        self._end_wait(task)
         del self._tasks[task]
 
     async def _serve(self, connection):
         try:
             while await self._serve_one(connection):
-                self._busy.discard(asyncio.current_task())
+                task = asyncio.current_task()
+                self._busy.discard(task)
+                self._kept[task] = self._begin_wait(connection)
         except (OSError, h11.ProtocolError):
             # The caller reset the connection or broke off within a request,
             # of which nothing was handled yet.
@@ -254,6 +312,7 @@
         if not await heads.wait_for_request(connection, self._get_limits):
             return False
         self._busy.add(asyncio.current_task())
+        self._end_wait(asyncio.current_task())
         try:
             read = await heads.read_request(connection, self._get_limits())
         except http.BadRequest as error:
