Hand requests without a permit to a box that may have one

What callers saw: targets name limits to all boxes together, most new connections go to one box, and it refuses more than half of the requests, though no more are sent than before.

Cause: permits are dealt to all boxes alike, whatever each is asked for; a box that gets everything has one part of them. Class: what is dealt by the number of boxes while callers are not. Change: a request that finds no permit is handed to a peer, two at most, which sends it under a permit of its own. No permit moves, so that the limit holds to the letter, in cuts as well. Weighed: moving permits to where they are asked for, which needs an agreement of both sides for each and leaves a permit unused for a window.

--- a/landingspool/decisions/gateway/view.py
+++ b/landingspool/decisions/gateway/view.py
@@ -25,6 +25,7 @@
 from landingspool.decisions.gateway import loads as loads_module
 from landingspool.decisions.gateway import partition as partition_module
 from landingspool.decisions.gateway import peer_digests
+from landingspool.decisions.gateway import permit_search
 from landingspool.decisions.gateway import planner
 from landingspool.decisions.gateway import plans
 from landingspool.decisions.gateway import profiles as profiles_module
@@ -99,6 +100,7 @@
         self.grouping = grouping_module.Grouping(self)
         self.planner = planner.Planner(self)
         self.forwarding = forwarding_module.Forwarding(self)
+        self.permit_search = permit_search.PermitSearch()
         self._health = {}
         self._retry_budgets = {}
 
--- a/landingspool/gateway/path_choice.py
+++ b/landingspool/gateway/path_choice.py
@@ -1,9 +1,11 @@
 """Choose for one request between the targets and the boxes that reach them.
 
 A request goes to a target unless the service is known to be cut off from this
-box, or its own connections to the targets have failed.
+box, its own connections to the targets have failed, or the targets' limits
+leave this box no permit.
 """
 
+from landingspool.decisions.gateway import permit_search
 from landingspool.decisions.gateway import routes
 
 # Boxes that one request may be forwarded to.
@@ -29,7 +31,7 @@
 
     def may_send_directly(self, now):
         """Return whether the request is for this box to send to a target."""
-        if self._state.is_unsendable:
+        if self._state.is_unsendable or self._state.needs_permit:
             return False
         service = self._state.work.service
         forwarding = self._view.forwarding
@@ -59,9 +61,7 @@
     def pick_peer(self, now):
         """Return the registry.Peer to forward the request to, or None."""
         tried, service = self._state.tried_peers, self._state.work.service
-        # Perhaps no box reaches the targets, which is known a little later.
-        is_known = self._view.forwarding.is_cut_off(service, now)
-        if len(tried) >= (MAX_PEERS if is_known else 1):
+        if len(tried) >= self._get_max_peers(service, now):
             return None
         unfit = self._peering.list_unfit(self._state.work)
         picked = self._view.forwarding.pick_peer(
@@ -69,6 +69,30 @@
         )
         return self._peering.peers.get(picked)
 
+    def _get_max_peers(self, service, now):
+        if self._state.needs_permit:
+            return permit_search.MAX_PEERS
+        # Perhaps no box reaches the targets, which is known a little later.
+        is_known = self._view.forwarding.is_cut_off(service, now)
+        return MAX_PEERS if is_known else 1
+
+    def search_permit(self, now):
+        """Go on with other boxes if the limits leave this one no permit.
+
+        Returns
+        -------
+        bool
+            False if no other box is to be asked.
+        """
+        state = self._state
+        if state.origin is not None or state.sends or state.tried_peers:
+            return False
+        if not self._view.permit_search.may_search(state.work.service, now):
+            return False
+        state.needs_permit = True
+        state.needs_permit = self.pick_peer(now) is not None
+        return state.needs_permit
+
     def turn_to_peers(self, now):
         """Go on with other boxes if connections from here have failed.
 
--- a/landingspool/gateway/relay.py
+++ b/landingspool/gateway/relay.py
@@ -212,14 +212,14 @@
         if plan is None:
             self._hub.gate.record_no_target(state.work.service)
             shortage = self._view.get_shortage(state.work, now)
+            if shortage == exclusions.LIMITED:
+                return await self._refuse_limited(now)
             return await self._refusals.refuse_excluded(shortage, now)
         if plan.all_limited and not state.sends:
             if not self._view.free_capacity.take(
                 state.work, self._view.table, now
             ):
-                return await self._refusals.refuse_excluded(
-                    exclusions.LIMITED, now
-                )
+                return await self._refuse_limited(now)
         verdict = await self._hub.gate.check(state, plan)
         if verdict == admission_gate.Verdict.REFUSE:
             return await self._refusals.refuse_overloaded(self._plan)
@@ -227,6 +227,19 @@
             self._plan = None
         return None
 
+    async def _refuse_limited(self, now):
+        """Refuse a request without a permit unless another box may have one.
+
+        Returns
+        -------
+        refusals.Answer or None
+            None if another box is to be asked.
+        """
+        if self._paths.search_permit(now):
+            self._plan = None
+            return None
+        return await self._refusals.refuse_excluded(exclusions.LIMITED, now)
+
     async def _attempt(self, planned_at):
         """Carry out the plan; return the Answer, or None to go on."""
         attempt = attempts.Attempt(
@@ -251,12 +264,18 @@
         if peer is None:
             if state.refusal is not None:
                 return await self._refusals.refuse_as_peer(state.refusal)
+            if state.needs_permit:
+                return await self._refusals.refuse_excluded(
+                    exclusions.LIMITED, now
+                )
             return await self._refusals.give_up(forwarder.CUT_OFF)
         state.tried_peers.append(peer.name)
         forward = forwarder.Forward(
             self._hub, state, peer, now, self._replacements
         )
         outcome = await forward.run()
+        if state.needs_permit and isinstance(outcome, outcomes.Done):
+            self._view.permit_search.record_found(state.work.service)
         answer = await FORWARD_HANDLERS[type(outcome)](self, outcome)
         if answer is None:
             reason = outcomes.describe(outcome)
@@ -324,6 +343,16 @@
             return None
         elif outcome.reason in forwarder.TRY_ELSEWHERE:
             return None
+        elif self._state.needs_permit and outcome.reason == exclusions.LIMITED:
+            return await self._continue_search(outcome)
+        return await self._refusals.refuse_as_peer(outcome)
+
+    async def _continue_search(self, outcome):
+        """Ask one more box for a permit, or refuse the request."""
+        now, service = self._hub.clock(), self._state.work.service
+        if self._paths.pick_peer(now) is not None:
+            return None
+        self._view.permit_search.record_missing(service, now)
         return await self._refusals.refuse_as_peer(outcome)
 
     async def _handle_rejected(self, outcome):
--- a/landingspool/gateway/request_state.py
+++ b/landingspool/gateway/request_state.py
@@ -49,6 +49,9 @@
     is_unsendable : bool
         Whether this box has failed to connect to its targets; it goes on
         with other boxes only.
+    needs_permit : bool
+        Whether targets have no permit left for this box; it goes on with
+        other boxes only.
     is_counted : bool
         Whether a box has counted it.
     unsent_attempts : int
@@ -85,6 +88,7 @@
         self.tried_peers = []
         self.refusal = None
         self.is_unsendable = False
+        self.needs_permit = False
         self.is_counted = origin is not None and origin.counted
         self.sends = 0
         self.unsent_attempts = 0
--- a/tests/gateway/test_forwarder.py
+++ b/tests/gateway/test_forwarder.py
@@ -331,7 +331,9 @@
 def test_a_request_is_forwarded_to_a_limited_number_of_peers(since, limit):
     names = [f'box{number}' for number in range(path_choice.MAX_PEERS + 2)]
     state = types.SimpleNamespace(
-        tried_peers=[], work=types.SimpleNamespace(service='plain')
+        tried_peers=[],
+        work=types.SimpleNamespace(service='plain'),
+        needs_permit=False,
     )
     hub = types.SimpleNamespace(
         view=types.SimpleNamespace(forwarding=Cut(names, since)),
