Split what is barred from the evidence, and don't take a lift for an answer

A bar that is lifted, by hand or since another key explains the crashes, is an empty record in the store; boxes that read it took it for a complete answer, so that a part needed five crashes instead of three to be barred again (test_bar_that_is_lifted_by_hand_is_no_answer failed; found by reading). An answer that follows within a second of the last notice is told again. Crashes revoked of keys below the threshold don't make the bars be found anew.

--- a/landingspool/decisions/gateway/crashes.py
+++ b/landingspool/decisions/gateway/crashes.py
@@ -5,7 +5,7 @@
 are counted by what is sent, never by one arrival: under the key of the whole
 request and under those of the shared parts of its prompt (fingerprints.py).
 Boxes report each crash that they see to their peers.  Which keys are barred
-follows from the evidence (quarantine.py).
+follows from the evidence (quarantine.py, bars.py).
 
 A crash is seen from the side of a request: its connection breaks while the
 target has it.  Many requests share a part, and connections break for other
@@ -16,16 +16,16 @@
 """
 
 import collections
-import enum
 import math
 import typing
 
+from landingspool.decisions.gateway import bars as bars_module
 from landingspool.decisions.gateway import bounded
 from landingspool.decisions.gateway import fingerprints
 from landingspool.decisions.gateway import gossip
+from landingspool.decisions.gateway import missing_answers
 from landingspool.decisions.gateway import peer_digests
 from landingspool.decisions.gateway import quarantine
-from landingspool.decisions import ownership
 
 # Seconds for which a crash is remembered.  What crashes targets does so
 # whenever it comes, and each time it is forgotten costs more targets.
@@ -39,9 +39,6 @@
 # is alive.  A target that crashes is back after some seconds, at times under
 # the same id.
 ALIVE_S = 1.0
-# Seconds before a crash is confirmed in which a missing answer is attributed
-# to it: entries lapse after three heartbeats.
-PENDING_S = 3.0
 # Seconds within which two notices that a key was answered completely are
 # taken for the same answer.  The age in a notice lacks its transit time, so it
 # seems newer with each hop and would be passed on forever.
@@ -52,30 +49,6 @@
 REPEAT_EVERY = 5
 
 
-class Quarantine(enum.StrEnum):
-    """Why a request may not be sent."""
-
-    CRASHED = 'ended_targets'
-    SUSPECT_RUNNING = 'suspect_under_way'
-
-
-class Suspicion(typing.NamedTuple):
-    """Why a request may not be sent.
-
-    Attributes
-    ----------
-    key : bytes
-        What the request has in common with those under which targets crashed.
-    reason : Quarantine
-    left_s : float
-        Seconds until requests with the key may be tried.
-    """
-
-    key: bytes
-    reason: Quarantine
-    left_s: float
-
-
 class Crash(typing.NamedTuple):
     """A crash that this box has confirmed, for the log.
 
@@ -96,10 +69,8 @@
 
     Attributes
     ----------
-    fresh : list of bytes
-        Keys barred since the list was last emptied; `update` extends it.
-    lifted : list of bytes
-        Keys whose bar was lifted since the list was last emptied.
+    bars : bars.Bars
+        The barred keys, as of the last `update`.
     confirmed : list of Crash
         Crashes confirmed since the list was last emptied.
     is_urgent : bool
@@ -108,50 +79,21 @@
     """
 
     def __init__(self):
-        self.fresh = []
-        self.lifted = []
+        self.bars = bars_module.Bars()
         self.confirmed = []
         self.is_urgent = False
-        self._box = ''
-        self._boxes = ('',)
         self._crashes = collections.OrderedDict()
         self._recent = collections.OrderedDict()
         self._served = collections.OrderedDict()
+        self._lifted = collections.OrderedDict()
         self._told = collections.OrderedDict()
         self._alive = collections.OrderedDict()
         self._revoked = collections.OrderedDict()
-        self._under_way = collections.Counter()
-        self._pending = collections.OrderedDict()
-        self._ended = collections.OrderedDict()
-        self._tried = {}
-        self._barred = set()
-        self._rivals = {}
-        self._explained = set()
+        self._missing = missing_answers.MissingAnswers()
         self._is_outdated = False
         self._gossip = gossip.Gossip()
         self._digests = 0
 
-    def set_members(self, box, boxes):
-        """Set the name of this box and those of all boxes.
-
-        Parameters
-        ----------
-        boxes : iterable of str
-        """
-        self._box, self._boxes = box, tuple(sorted(boxes))
-
-    def record_sent(self, key, now):
-        """Record that a request is sent to a target."""
-        self._under_way[key] += 1
-        if key in self._barred:
-            self._tried[key] = now
-
-    def record_done(self, key):
-        """Record that a request is no longer at a target."""
-        self._under_way[key] -= 1
-        if not self._under_way[key]:
-            del self._under_way[key]
-
     def record_broken(self, keys, name, sent, now):
         """Record that the connection to a target broke during a request.
 
@@ -181,11 +123,11 @@
         >>> crashes = Crashes()
         >>> for name in ('a', 'b', 'b'):
         ...     crashes.record_lost(b'f', name, 1.0)
-        >>> crashes.get_quarantine(b'f', 2.0) is None
-        True
+        >>> crashes.list_quarantined(2.0)
+        []
         >>> crashes.record_lost(b'f', 'c', 2.0)
-        >>> crashes.get_quarantine(b'f', 2.0), crashes.fresh
-        (<Quarantine.CRASHED: 'ended_targets'>, [b'f'])
+        >>> crashes.list_quarantined(2.0)
+        [b'f']
         """
         self._add_own(key, peer_digests.hash_target(name), now, now)
 
@@ -204,16 +146,11 @@
         (1, 0)
         """
         code = peer_digests.hash_target(name)
-        ended = self._ended.get(code, -math.inf)
+        ended = self._missing.get_end(code)
         if sent <= ended and self._alive.get(code, -math.inf) <= ended:
             self._add_own(key, code, ended, now)
-            return
-        self._drop_pending(now)
-        pending = self._pending.setdefault(code, collections.OrderedDict())
-        pending[key] = now
-        self._pending.move_to_end(code)
-        bounded.trim(pending, MAX_KEYS)
-        bounded.trim(self._pending, MAX_KEYS)
+        else:
+            self._missing.put(key, code, now)
 
     def record_incarnation_end(self, name, now):
         """Record that the crash of a target is confirmed.
@@ -227,15 +164,11 @@
         1
         """
         code = peer_digests.hash_target(name)
-        pending = self._pending.pop(code, {})
-        keys = [key for key, at in pending.items() if now - at < PENDING_S]
-        for key in keys:
-            self._add_own(key, code, pending[key], now)
-        self._ended[code] = now
-        self._ended.move_to_end(code)
-        bounded.trim(self._ended, MAX_KEYS)
-        if keys:
-            self.confirmed.append(Crash(name, tuple(keys)))
+        missing = self._missing.take(code, now)
+        for key, at in missing.items():
+            self._add_own(key, code, at, now)
+        if missing:
+            self.confirmed.append(Crash(name, tuple(missing)))
 
     def record_alive(self, name, sent):
         """Record that a target answers what was sent to it at `sent`.
@@ -259,17 +192,15 @@
             if incarnation in crashes and self._is_alive(
                 incarnation, crashes[incarnation]
             ):
-                del crashes[incarnation]
+                self._remove(key, [incarnation])
                 self._revoked[key, incarnation] = sent
-                self._drop_if_empty(key)
-                self._is_outdated = True
         bounded.trim(self._revoked, MAX_KEYS)
 
     def record_served(self, key, now):
         """Record that this box has received a complete answer."""
         if key in self._crashes:
             self._clear(key, now)
-            self._tell_served(key, now)
+            self._gossip.put(key, peer_digests.NO_INCARNATION, now)
         elif fingerprints.is_part(key):
             self._record_answer(key, now)
 
@@ -281,12 +212,12 @@
         ...     crashes.take(
         ...         peer_digests.CrashNotice(b'f', incarnation, 100), 5.0
         ...     )
-        >>> crashes.get_quarantine(b'f', 5.0) is Quarantine.CRASHED
-        True
+        >>> crashes.list_quarantined(5.0)
+        [b'f']
         >>> none = peer_digests.NO_INCARNATION
         >>> crashes.take(peer_digests.CrashNotice(b'f', none, 0), 5.0)
-        >>> crashes.get_quarantine(b'f', 5.0), crashes.lifted
-        (None, [b'f'])
+        >>> crashes.list_quarantined(5.0), crashes.bars.lifted
+        ([], [b'f'])
         """
         key, at = notice.fingerprint, now - notice.age_ms / 1000
         if notice.incarnation != peer_digests.NO_INCARNATION:
@@ -312,25 +243,11 @@
             for key, crashes in self._crashes.items()
             if len(crashes) >= quarantine.MAX_CRASHES
         }
-        barred = quarantine.find_barred(rows)
-        self.fresh += [key for key in barred if key not in self._barred]
-        self.lifted += [key for key in self._barred if key not in barred]
-        self.is_urgent |= not barred <= self._barred
-        self._barred = barred
-        self._explained = {
-            incarnation for key in barred for incarnation in self._crashes[key]
-        }
-        self._tried = {k: at for k, at in self._tried.items() if k in barred}
-        self._rivals = {}
+        self.is_urgent |= self.bars.update(rows)
 
     def find_quarantine(self, keys, now):
         """Return why a request may not be sent now, or None if it may.
 
-        From the second crash on, this box runs only one such request at a
-        time.  Doing so from the first crash would refuse innocent requests:
-        some of 24 callers who sent the same request got a 503 because one
-        connection had broken.
-
         Parameters
         ----------
         keys : iterable of bytes
@@ -338,10 +255,10 @@
 
         Returns
         -------
-        Suspicion or None
+        bars.Suspicion or None
 
         >>> crashes = Crashes()
-        >>> crashes.record_sent(b'f', 1.0)
+        >>> crashes.bars.record_sent(b'f', 1.0)
         >>> crashes.record_lost(b'f', 'a', 1.0)
         >>> crashes.find_quarantine((b'f',), 1.0)
         >>> crashes.record_lost(b'f', 'b', 1.0)
@@ -351,27 +268,12 @@
         self.update()
         if not self._crashes:
             return None
-        for key in self._barred.intersection(keys):
-            due = self._compute_trial(key, keys)
-            if not self._may_try(key, due, now):
-                left_s = max(due - now, 0.0)
-                return Suspicion(key, Quarantine.CRASHED, left_s)
-        for key in keys:
-            if self._under_way[key] and self._is_suspect(
-                key, self._crashes.get(key, ())
-            ):
-                return Suspicion(key, Quarantine.SUSPECT_RUNNING, 0.0)
-        return None
-
-    def get_quarantine(self, key, now):
-        """Return why requests with nothing but a key may not be sent."""
-        found = self.find_quarantine((key,), now)
-        return found.reason if found is not None else None
+        return self.bars.find_suspicion(keys, self._get_evidence, now)
 
     def is_barred(self, keys):
         """Return whether one of the keys of a request is barred."""
         self.update()
-        return not self._barred.isdisjoint(keys)
+        return self.bars.is_barred(keys)
 
     def may_repeat(self, keys):
         """Return whether a request that broke may be repeated.
@@ -395,23 +297,13 @@
         """
         self.update()
         return not any(
-            self._is_suspect(key, self._list_blamed(key))
+            self.bars.is_suspect(
+                self._get_evidence(key, self._missing.find(key))
+            )
             for key in keys
             if fingerprints.is_part(key)
         )
 
-    def _is_suspect(self, key, incarnations):
-        """Return whether one more crash bars a key that was never answered."""
-        if self._has_answered(key):
-            return False
-        left = set(incarnations) - self._explained
-        return len(left) >= quarantine.MAX_CRASHES - 1
-
-    def _list_blamed(self, key):
-        """List the targets that broke off under a key, crashed or not."""
-        pending = [code for code, keys in self._pending.items() if key in keys]
-        return [*pending, *self._crashes.get(key, ())]
-
     def list_notices(self, key, now):
         """List what is known about a key, as notices."""
         return [
@@ -434,7 +326,7 @@
     def list_quarantined(self, now):
         """List the barred keys."""
         self.update()
-        return sorted(self._barred)
+        return self.bars.list_barred()
 
     def describe_suspects(self, keys, limit):
         """Return the keys with most evidence: crashes, and if ever answered.
@@ -493,10 +385,18 @@
         weight = len(self._crashes.get(key, ())) + fingerprints.is_part(key)
         return min(weight, quarantine.MAX_CRASHES)
 
-    def _get_evidence(self, key):
-        return quarantine.Evidence(
-            self._crashes.get(key, {}), self._has_answered(key)
-        )
+    def _get_evidence(self, key, missing=None):
+        """Return what speaks against a key.
+
+        Parameters
+        ----------
+        missing : dict of int to float, optional
+            Missing answers that count as crashes, by target.
+        """
+        crashes = self._crashes.get(key, {})
+        if missing:
+            crashes = {**missing, **crashes}
+        return quarantine.Evidence(crashes, self._has_answered(key))
 
     def _has_answered(self, key):
         """Return whether requests with a part were ever answered.
@@ -506,43 +406,6 @@
         """
         return fingerprints.is_part(key) and key in self._served
 
-    def _compute_trial(self, key, keys):
-        """Return when a request with a barred key may be tried.
-
-        Parameters
-        ----------
-        keys : iterable of bytes
-            All keys of the request.
-        """
-        is_doubtful = not self._find_rivals(key).issubset(keys)
-        return quarantine.compute_trial(self._get_evidence(key), is_doubtful)
-
-    def _find_rivals(self, key):
-        """Return the keys that explain the crashes of a barred key as well."""
-        if key not in self._rivals:
-            rows = {other: self._get_evidence(other) for other in self._barred}
-            self._rivals[key] = quarantine.find_rivals(key, rows)
-        return self._rivals[key]
-
-    def _may_try(self, key, due, now):
-        """Return whether this box may let one request with a key through."""
-        tried = self._tried.get(key, -math.inf)
-        if self._under_way[key] or now - tried < quarantine.TRIAL_TURN_S:
-            return False
-        order = ownership.rank(key.hex(), self._boxes)
-        if self._box not in order:
-            return False
-        rank = order.index(self._box)
-        return quarantine.is_in_turn(due, now, rank, len(order))
-
-    def _drop_pending(self, now):
-        """Drop the missing answers that no crash has confirmed in time."""
-        while self._pending:
-            code, pending = next(iter(self._pending.items()))
-            if now - max(pending.values()) < PENDING_S:
-                return
-            del self._pending[code]
-
     def _is_alive(self, incarnation, at):
         return at < self._alive.get(incarnation, at) <= at + ALIVE_S
 
@@ -564,6 +427,8 @@
             return
         if (key, incarnation) in self._revoked:
             return
+        if at <= self._lifted.get(key, -math.inf):
+            return
         crashes = self._crashes.setdefault(key, {})
         if incarnation in crashes or len(crashes) >= MAX_COUNTED:
             return
@@ -581,11 +446,10 @@
         """Forget the keys that crashed no target for longest, barred last."""
         while len(self._crashes) > MAX_KEYS:
             key = next(
-                (key for key in self._crashes if key not in self._barred),
+                (k for k in self._crashes if not self.bars.is_barred((k,))),
                 next(iter(self._crashes)),
             )
-            del self._crashes[key]
-            self._is_outdated |= key in self._barred
+            self._remove(key, list(self._crashes[key]))
 
     def _tell_served(self, key, now):
         """Tell peers of the last complete answer, once in SAME_ANSWER_S."""
@@ -601,17 +465,32 @@
         self._served.move_to_end(key)
         bounded.trim(self._served, MAX_KEYS)
 
+    def lift(self, key, now):
+        """Revoke all crashes of a key, as an operator or another box asks.
+
+        It does not count as answered by that.
+        """
+        self._lifted[key] = now
+        self._lifted.move_to_end(key)
+        bounded.trim(self._lifted, MAX_KEYS)
+        self._remove_until(key, now)
+
     def _clear(self, key, at):
-        """Revoke all crashes of a key up to `at`."""
+        """Revoke all crashes of a key up to a complete answer."""
         self._record_answer(key, at)
+        self._remove_until(key, at)
+
+    def _remove_until(self, key, at):
         crashes = self._crashes.get(key, {})
-        for incarnation, at_crash in list(crashes.items()):
-            if at_crash <= at:
-                del crashes[incarnation]
-                self._gossip.drop(key, incarnation)
-        self._drop_if_empty(key)
-        self._is_outdated = True
-
-    def _drop_if_empty(self, key):
-        if not self._crashes.get(key):
+        self._remove(key, [code for code, t in crashes.items() if t <= at])
+
+    def _remove(self, key, incarnations):
+        """Remove crashes of a key, and the notices of them."""
+        crashes = self._crashes.get(key, {})
+        # A new answer matters even if it revokes no crash.
+        self._is_outdated |= len(crashes) >= quarantine.MAX_CRASHES
+        for incarnation in incarnations:
+            del crashes[incarnation]
+            self._gossip.drop(key, incarnation)
+        if not crashes:
             self._crashes.pop(key, None)
--- a/landingspool/gateway/attempts.py
+++ b/landingspool/gateway/attempts.py
@@ -159,7 +159,7 @@
         if state.work.prompt is not None:
             self._hub.peering.report_sent()
         for key in state.keys:
-            self._view.crashes.record_sent(key, self._sent_at)
+            self._view.crashes.bars.record_sent(key, self._sent_at)
         if plan.transfer.declined:
             self._hub.metrics.declined_parts.inc(plan.transfer.declined)
         self._hub.recorder.record(
@@ -187,7 +187,13 @@
         self._view.loads.record_end(name, self._state.work.name)
         if not isinstance(outcome, outcomes.Rejected):
             self._hub.gate.record_end(self._state.work.service)
-        self._record_for_quarantine(outcome)
+        records = self._hub.crash_records
+        records.record_end(self._state, isinstance(outcome, outcomes.Done))
+        if isinstance(outcome, outcomes.Lost) and self._exchange is not None:
+            # Once released, the target's answer was complete.
+            records.record_missing_answer(
+                self._state, outcome.cause, name, self._sent_at
+            )
         if not isinstance(outcome, outcomes.Rejected):
             self._state.may_have_run = True
 
@@ -201,33 +207,6 @@
         if self._exchange is not None:
             self._exchange.abort()
 
-    def _record_for_quarantine(self, outcome):
-        """Record whether the target may have crashed under this request.
-
-        Crashes are counted by the keys of the request and over all attempts,
-        since callers send what crashes targets again, under a new id each
-        time.
-        """
-        crashes, now = self._view.crashes, self._hub.clock()
-        for key in self._state.keys:
-            crashes.record_done(key)
-            if isinstance(outcome, outcomes.Done):
-                crashes.record_served(key, now)
-        # Once released, the target's answer was complete.
-        if isinstance(outcome, outcomes.Lost) and self._exchange is not None:
-            self._record_missing_answer(outcome, now)
-        self._hub.crash_records.check()
-
-    def _record_missing_answer(self, outcome, now):
-        crashes, name = self._view.crashes, self._plan.entry.name
-        if outcome.cause == outcomes.Cause.CLOSED:
-            crashes.record_broken(self._state.keys, name, self._sent_at, now)
-            if len(self._state.keys) > 1:
-                self._hub.prober.confirm_crash(name)
-        elif outcome.cause in outcomes.UNANSWERED:
-            for key in self._state.keys:
-                crashes.record_unanswered(key, name, self._sent_at, now)
-
     def _log_loss(self, outcome):
         self._hub.metrics.losses.labels(outcome.cause).inc()
         waiting, running = self._view.loads.count(self._plan.entry.name)
--- a/landingspool/gateway/crash_records.py
+++ b/landingspool/gateway/crash_records.py
@@ -11,6 +11,7 @@
 from landingspool.decisions.gateway import fingerprints
 from landingspool.decisions.gateway import peer_digests
 from landingspool.decisions import timing
+from landingspool.gateway import outcomes
 from landingspool.platform import catalogue
 from landingspool.platform import names
 from landingspool.platform import store as store_module
@@ -46,7 +47,7 @@
     ----------
     hub
         The box's parts: `view`, `store`, `recorder`, `gate`, `peering`,
-        `clock`, `wall`.
+        `prober`, `clock`, `wall`.
     """
 
     def __init__(self, hub):
@@ -69,7 +70,8 @@
                 keys=len(crash.keys),
                 suspects=crashes.describe_suspects(crash.keys, MAX_SUSPECTS),
             )
-        fresh, lifted = pop_all(crashes.fresh), pop_all(crashes.lifted)
+        bars = crashes.bars
+        fresh, lifted = pop_all(bars.fresh), pop_all(bars.lifted)
         for key in fresh:
             self._record_bar(key)
         for key in lifted:
@@ -94,11 +96,8 @@
                 )
             else:
                 fingerprint = bytes.fromhex(key)
-                notices = [
-                    peer_digests.CrashNotice(
-                        fingerprint, peer_digests.NO_INCARNATION, 0
-                    )
-                ]
+                self._crashes.lift(fingerprint, now)
+                notices = ()
         except (catalogue.Malformed, ValueError) as error:
             self._hub.recorder.record(
                 'malformed', key=record.key, reason=str(error)
@@ -108,6 +107,49 @@
             self._crashes.take(notice, now)
         self.check()
 
+    def record_end(self, state, is_answered):
+        """Record that a request is no longer at a target.
+
+        Crashes are counted by the keys of the request and over all attempts,
+        since callers send what crashes targets again, under a new id each
+        time.
+
+        Parameters
+        ----------
+        state : request_state.RequestState
+        is_answered : bool
+            Whether it was answered completely.
+        """
+        now = self._hub.clock()
+        for key in state.keys:
+            self._crashes.bars.record_done(key)
+            if is_answered:
+                self._crashes.record_served(key, now)
+        self.check()
+
+    def record_missing_answer(self, state, cause, name, sent):
+        """Record that a target may have crashed under a request.
+
+        Parameters
+        ----------
+        state : request_state.RequestState
+        cause : outcomes.Cause
+            Why the answer is missing.
+        name : str
+            Name of the target's incarnation.
+        sent : float
+            When the request was sent to it.
+        """
+        now = self._hub.clock()
+        if cause == outcomes.Cause.CLOSED:
+            self._crashes.record_broken(state.keys, name, sent, now)
+            if len(state.keys) > 1:
+                self._hub.prober.confirm_crash(name)
+        elif cause in outcomes.UNANSWERED:
+            for key in state.keys:
+                self._crashes.record_unanswered(key, name, sent, now)
+        self.check()
+
     def list_due(self):
         """List the keys of the records that are still to be written."""
         return list(self._pending)
--- a/landingspool/gateway/peering.py
+++ b/landingspool/gateway/peering.py
@@ -240,7 +240,7 @@
             box = self._hub.deployment.box
             members = (*self.peers, box)
             view.exclusions.shares.set_members(box, members, tick.now)
-            view.crashes.set_members(box, members)
+            view.crashes.bars.set_members(box, members)
         view.watchers.set_members(
             self._hub.deployment.box, self._list_domain_peers()
         )
--- a/tests/gateway/test_crashing_parts.py
+++ b/tests/gateway/test_crashing_parts.py
@@ -273,7 +273,7 @@
     names = [f'box{number}' for number in range(BOXES)]
     boxes = [crashes_module.Crashes() for _ in names]
     for name, box in zip(names, boxes, strict=True):
-        box.set_members(name, names)
+        box.bars.set_members(name, names)
         for number in range(MAX_CRASHES):
             record_crash(box, str(number), 1.0, FATAL_KEY)
     tried = 0
@@ -300,3 +300,14 @@
         second.cancel()
 
     gates.run(check)
+
+
+def test_bar_that_is_lifted_by_hand_is_no_answer():
+    crashes = crashes_module.Crashes()
+    for name in ('a', 'b', 'c'):
+        record_crash(crashes, name, 1.0, FATAL_KEY)
+    crashes.lift(FATAL_KEY, 2.0)
+    assert crashes.list_quarantined(2.0) == []
+    for name in ('d', 'e', 'f'):
+        record_crash(crashes, name, 3.0, FATAL_KEY)
+    assert crashes.list_quarantined(3.0) == [FATAL_KEY]
--- a/tests/gateway/test_exchange_ends.py
+++ b/tests/gateway/test_exchange_ends.py
@@ -89,8 +89,8 @@
         (target,) = deployment.plain
         target.script = [behaviour]
         work = asyncio.ensure_future(site.ask(hub, '/unsafe/a'))
-        await site.wait_until(lambda: hub.view.crashes._under_way)
-        (fingerprint,) = hub.view.crashes._under_way
+        await site.wait_until(lambda: hub.view.crashes.bars._under_way)
+        (fingerprint,) = hub.view.crashes.bars._under_way
         await asyncio.sleep(0.5)
         hub.view.record_incarnation_end(target.name, hub.clock())
         await work
@@ -115,9 +115,9 @@
         target.script = ['long kept']
         crashes = hub.view.crashes
         async with ask_without_reading(hub, 1000):
-            await site.wait_until(lambda: crashes._under_way)
-            (fingerprint,) = crashes._under_way
-            await site.wait_until(lambda: not crashes._under_way)
+            await site.wait_until(lambda: crashes.bars._under_way)
+            (fingerprint,) = crashes.bars._under_way
+            await site.wait_until(lambda: not crashes.bars._under_way)
         hub.view.record_incarnation_end(target.name, hub.clock())
         assert crashes.count(fingerprint, hub.clock()) == 0
 
--- a/tests/gateway/test_replacements.py
+++ b/tests/gateway/test_replacements.py
@@ -114,7 +114,7 @@
         await asyncio.sleep(0.6)
         assert sum(len(t.ran) for t in deployment.plain) == 1
         assert not hub.view.loads.list_targets()
-        assert not hub.view.crashes._under_way
+        assert not hub.view.crashes.bars._under_way
         assert not hub.listener.count_busy()
 
     site.run(check)
@@ -134,7 +134,7 @@
         )
         assert len(before._repeats) == taken + 1
         assert not hub.view.loads.list_targets()
-        assert not hub.view.crashes._under_way
+        assert not hub.view.crashes.bars._under_way
 
     site.run(check)
 
@@ -145,8 +145,8 @@
         assert (await site.ask(hub, '/safe/a')).status == 200
         test_relay.script(deployment.plain, 'silent')
         work = asyncio.ensure_future(site.ask(hub, '/safe/b'))
-        await site.wait_until(lambda: hub.view.crashes._under_way)
-        (fingerprint,) = hub.view.crashes._under_way
+        await site.wait_until(lambda: hub.view.crashes.bars._under_way)
+        (fingerprint,) = hub.view.crashes.bars._under_way
         for name in ('x', 'y'):
             hub.view.crashes.record_lost(fingerprint, name, hub.clock())
         assert (await work).status == 200
--- a/tests/gateway/test_uneven_connections.py
+++ b/tests/gateway/test_uneven_connections.py
@@ -3,6 +3,7 @@
 import asyncio
 import itertools
 
+from landingspool.decisions.gateway import permit_search
 from tests.gateway import site
 
 BOXES = 3
@@ -63,6 +64,18 @@
     assert most <= TIMES * LIMIT_PER_S * WINDOW_S + SLACK
 
 
+def test_few_requests_search_a_permit_while_no_box_has_one():
+    search, searches = permit_search.PermitSearch(), 0
+    for number in range(200):
+        now = number * 0.05
+        if search.may_search('s', now):
+            searches += 1
+            search.record_missing('s', now)
+    assert searches <= 9
+    search.record_found('s')
+    assert search.may_search('s', 10.0)
+
+
 def test_silent_connections_leave_room_for_new_ones():
     async def check(deployment):
         hub = await deployment.start_box()
