--- a/tests/gateway/crashing.py
+++ b/tests/gateway/crashing.py
@@ -4,6 +4,7 @@
 import itertools
 
 from standins import runner as runner_module
+from tests.gateway import site
 
 # Seconds until a crashed engine is replaced.
 REPLACED_S = 0.2
@@ -63,3 +64,27 @@
         deployment.engines.append(follower)
         deployment.announce(follower, 'engine', model='m')
         deployment.store.put('keyed.servers', runner.name, b'')
+
+
+def run(check, make_fatal, engines):
+    """Run a test against a site whose engines crash under some requests.
+
+    Parameters
+    ----------
+    check : callable
+        ``async check(deployment, engines)``.
+    make_fatal : callable
+        As of Engines.
+    engines : int
+        Number of engines.
+    """
+
+    async def start(deployment):
+        found = Engines(deployment, make_fatal)
+        work = await found.start()
+        try:
+            await check(deployment, found)
+        finally:
+            work.cancel()
+
+    site.run(start, engines=engines)
--- a/tests/gateway/test_crashing_parts.py
+++ b/tests/gateway/test_crashing_parts.py
@@ -57,16 +57,7 @@
 
 def run(check, engines=ENGINES):
     """Run a test against a site whose engines crash under the parts."""
-
-    async def start(deployment):
-        found = crashing.Engines(deployment, make_fatal)
-        work = await found.start()
-        try:
-            await check(deployment, found)
-        finally:
-            work.cancel()
-
-    site.run(start, engines=engines)
+    crashing.run(check, make_fatal, engines)
 
 
 async def ask_in_turn(hubs, parts, arrivals=ARRIVALS):
--- a/tests/gateway/test_endings.py
+++ b/tests/gateway/test_endings.py
@@ -47,16 +47,7 @@
 
 def run(check):
     """Run a test against a site whose engines crash under the request."""
-
-    async def start(deployment):
-        engines = crashing.Engines(deployment, make_fatal)
-        work = await engines.start()
-        try:
-            await check(deployment, engines)
-        finally:
-            work.cancel()
-
-    site.run(start, engines=ENGINES)
+    crashing.run(check, make_fatal, ENGINES)
 
 
 def test_a_request_that_ends_targets_reaches_no_more_of_them():
