Keep the evidence in the store of a bar that another key explains

A bar that ends since another key explains its crashes was written to the store as lifted. Found by reading.

--- a/landingspool/gateway/crash_records.py
+++ b/landingspool/gateway/crash_records.py
@@ -10,6 +10,7 @@
 
 from landingspool.decisions.gateway import fingerprints
 from landingspool.decisions.gateway import peer_digests
+from landingspool.decisions.gateway import quarantine
 from landingspool.decisions import timing
 from landingspool.gateway import outcomes
 from landingspool.platform import catalogue
@@ -61,7 +62,7 @@
 
     def check(self):
         """Log crashes and changed bars, and have the bars written."""
-        crashes = self._crashes
+        crashes, now = self._crashes, self._hub.clock()
         crashes.update()
         for crash in pop_all(crashes.confirmed):
             self._hub.recorder.record(
@@ -78,7 +79,9 @@
             self._hub.recorder.record(
                 'bar_lifted', content=fingerprints.describe(key)
             )
-            self._put(key, b'')
+            if crashes.count(key, now) < quarantine.MAX_CRASHES:
+                # A bar that another key explains may hold again.
+                self._put(key, b'')
         if fresh:
             self._hub.gate.release_barred()
         if crashes.is_urgent:
--- a/tests/gateway/test_crashing_parts.py
+++ b/tests/gateway/test_crashing_parts.py
@@ -10,6 +10,7 @@
 
 from landingspool.decisions.gateway import crashes as crashes_module
 from landingspool.decisions.gateway import fingerprints
+from landingspool.decisions.gateway import missing_answers
 from tests.gateway import crashing
 from tests.gateway import site
 from tests.gateway import test_admission_gate as gates
@@ -302,3 +303,30 @@
     for name in ('d', 'e', 'f'):
         record_crash(crashes, name, 3.0, FATAL_KEY)
     assert crashes.list_quarantined(3.0) == [FATAL_KEY]
+
+
+def test_better_explanation_does_not_erase_evidence_in_the_store():
+    async def check(deployment):
+        hub = await deployment.start_box()
+        crashes, now = hub.view.crashes, hub.clock()
+        for name in ('a', 'b', 'c'):
+            record_crash(crashes, name, now, RARE_KEY, FATAL_KEY)
+        hub.crash_records.check()
+        record_crash(crashes, 'd', now, FATAL_KEY)
+        hub.crash_records.check()
+        await site.wait_until(lambda: not hub.crash_records.list_due())
+        deployment.hubs.remove(hub)
+        await hub.peering.close()
+        later = await deployment.start_box('later')
+        await site.wait_until(lambda: later._is_ready())
+        assert later.view.crashes.count(RARE_KEY, later.clock()) == 3
+
+    site.run(check)
+
+
+def test_answer_missing_long_before_a_crash_is_not_due_to_it():
+    missing = missing_answers.MissingAnswers()
+    missing.put(FATAL_KEY, 7, 1.0)
+    missing.put(RARE_KEY, 7, 4.0)
+    assert missing.take(7, 5.0) == {RARE_KEY: 4.0}
+    assert missing.find(RARE_KEY) == {}
