--- a/standins/behaviours.py
+++ b/standins/behaviours.py
@@ -270,6 +270,26 @@
     writer.write(b'0\r\n\r\n')
 
 
+@behaviour('unframed stream')
+async def answer_unframed_stream(runner, head, body, reader, writer):
+    """Stream four events that only the end of the connection ends."""
+    runner.run(head, body)
+    write_unframed(head, writer, b''.join(list_events(runner, head)))
+    await writer.drain()
+    return True
+
+
+@behaviour('unframed half event')
+async def answer_unframed_half(runner, head, body, reader, writer):
+    """Stream one event and a half, and close in order."""
+    runner.run(head, body)
+    events = list_events(runner, head)
+    data = b''.join(events[:1]) + b''.join(events[1:2])[:9]
+    write_unframed(head, writer, data)
+    await writer.drain()
+    return True
+
+
 @behaviour('slow')
 async def answer_slow(runner, head, body, reader, writer):
     """Run, and answer whole after a while."""
--- a/tests/gateway/test_relay.py
+++ b/tests/gateway/test_relay.py
@@ -71,6 +71,10 @@
     ('broken stream', 'resumed', True, 4, 2),
     ('endless event', 'stream', False, 1, 1),
     ('endless event', 'resumed', True, 4, 2),
+    ('unframed stream', 'stream', True, 4, 1),
+    ('unframed stream', 'resumed', True, 4, 1),
+    ('unframed half event', 'stream', False, 1, 1),
+    ('unframed half event', 'resumed', True, 4, 2),
     ('half event', 'stream', False, 1, 1),
     ('half event', 'resumed', True, 4, 2),
 )
