--- /dev/null
+++ b/review/lib/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins for the platform, the runners and the clients of the review."""
