--- a/review/1/case.py
+++ b/review/1/case.py
@@ -15,6 +15,7 @@
 
 from lib import boxes as boxes_module  # noqa: E402
 from lib import engine  # noqa: E402
+from lib import record as record_module  # noqa: E402
 from lib import store as store_module  # noqa: E402
 
 TROUBLE = os.environ.get('TROUBLE', '1') != '0'
@@ -32,20 +33,6 @@
 ROLLOUT_S = 40.0
 
 
-class Record:
-    """Writes what happens to record.txt."""
-
-    def __init__(self):
-        self._began = time.monotonic()
-        self._file = RECORD.open('w')
-
-    def add(self, text, at=None):
-        """Write one line with the seconds since the start."""
-        seconds = (at or time.monotonic()) - self._began
-        self._file.write(f'{seconds:8.3f} {text}\n')
-        self._file.flush()
-
-
 def make_config():
     """Return the configuration, like that of a small deployment."""
     route = {
@@ -225,20 +212,25 @@
     return 1 if shared or turns else 0
 
 
+def run(record):
+    """Play and judge the case; return the exit status."""
+    with tempfile.TemporaryDirectory() as folder:
+        orders, calm_since = asyncio.run(play(record, pathlib.Path(folder)))
+    status = judge(record, orders, calm_since)
+    record.add('broken' if status else 'held')
+    return status
+
+
 def main():
     """Run the case; return the exit status."""
-    record = Record()
+    record = record_module.Record(RECORD)
     record.add(f'TROUBLE={int(TROUBLE)}')
     try:
-        with tempfile.TemporaryDirectory() as folder:
-            orders, calm_since = asyncio.run(
-                play(record, pathlib.Path(folder))
-            )
+        status = run(record)
     except Exception as error:
         record.add(f'the case could not run: {error!r}')
-        return 2
-    status = judge(record, orders, calm_since)
-    record.add('broken' if status else 'held')
+        status = 2
+    record.write()
     return status
 
 
