--- a/review/lib/client.py
+++ b/review/lib/client.py
@@ -15,9 +15,10 @@
 class Sent:
     """A request that a client sent, and what came back."""
 
-    def __init__(self, box, name):
+    def __init__(self, box, name, key):
         self.box = box
         self.name = name
+        self.key = key
         self.at = time.monotonic()
         self.status = None
         self.headers = {}
@@ -33,11 +34,14 @@
     box : boxes.Box
     sent : list of Sent
         Receives what is sent.
+    key : str, optional
+        The API key.
     """
 
-    def __init__(self, box, sent):
+    def __init__(self, box, sent, key=KEY):
         self._box = box
         self._sent = sent
+        self._key = key
         self._stream = None
         self._lock = asyncio.Lock()
 
@@ -63,13 +67,13 @@
 
     async def post(self, path, deadline_ms):
         """Send one request with an id of its own; return the Sent."""
-        sent = Sent(self._box.name, uuid.uuid4().hex[:16])
+        sent = Sent(self._box.name, uuid.uuid4().hex[:16], self._key)
         self._sent.append(sent)
         rows = [
             ('Host', HOST),
             ('X-Landingspool-Request-Id', sent.name),
             ('X-Landingspool-Deadline-Ms', deadline_ms),
-            ('Authorization', f'Bearer {KEY}'),
+            ('Authorization', f'Bearer {self._key}'),
         ]
         try:
             async with asyncio.timeout(deadline_ms / 1000):
