Log the age of a version of weights, its source and the proof

It now has age_s, source and proof_s, on both ways. No decision changes. Measured: the test of the log line passes, and tests/gateway/test_ordering.py as before.

--- a/landingspool/decisions/gateway/weights.py
+++ b/landingspool/decisions/gateway/weights.py
@@ -73,6 +73,17 @@
         self.named[model] = Named(version, (*history, (version, received)))
         return True
 
+    def get_age(self, model, version, now):
+        """Return the seconds since a known version was published.
+
+        >>> weights = Weights(12.0)
+        >>> _ = weights.put_version('m', 1, 5.0)
+        >>> _ = weights.put_version('m', 2, 6.0)
+        >>> weights.get_age('m', 2, 6.5)
+        0.5
+        """
+        return now - dict(self.named[model].history)[version]
+
     def is_replaced(self, model, version):
         """Return whether a newer version than this (or None) is published."""
         named = self.named.get(model)
--- a/landingspool/gateway/following.py
+++ b/landingspool/gateway/following.py
@@ -242,12 +242,7 @@
 
     def _take_version(self, value):
         model, version = catalogue.read_version(value)
-        if self._hub.view.weights.put_version(
-            model, version, self._hub.clock()
-        ):
-            self._hub.recorder.record(
-                'version_named', model=model, version=version
-            )
+        self._hub.state.put_version(model, version, 'store')
 
     def _record_read(self, sent):
         self._hub.view.proof.record(sent)
--- a/landingspool/gateway/state.py
+++ b/landingspool/gateway/state.py
@@ -134,7 +134,7 @@
             # The peer's list of evacuations is newer than this box's own.
             self.set_evacuated(snapshot.evacuated)
         for model, version in snapshot.versions.items():
-            self._view.weights.put_version(model, version, now)
+            self.put_version(model, version, 'peer')
         if snapshot.targets_end >= self.targets_end:
             # An older list would bring back targets that are gone.
             self._apply_targets(snapshot.targets)
@@ -146,6 +146,26 @@
             proof_s=self._view.proof.age_to_log(now),
         )
 
+    def put_version(self, model, version, source):
+        """Apply that a version of weights is published.
+
+        Parameters
+        ----------
+        source : str
+            Who told this box, for the log.
+        """
+        now = self._hub.clock()
+        weights = self._view.weights
+        if weights.put_version(model, version, now):
+            self._hub.recorder.record(
+                'version_named',
+                model=model,
+                version=version,
+                source=source,
+                age_s=round(weights.get_age(model, version, now), 2),
+                proof_s=self._view.proof.age_to_log(now),
+            )
+
     def put_evacuation(self, domain, is_evacuated):
         """Apply that a domain's evacuation was ordered or withdrawn."""
         now = self._hub.clock()
