Let the age of a version of weights outlive a box

Cause: the store does not tell when a version was published, and a box dated the first one that it read from its own start, so that it used old weights for up to 7.5 s more.

Now a version has a date of which is known how sure it is. A box that follows the store has witnessed it; one that was away takes its last proof, one that starts takes it as past the bound until it is told. Ages go with the claims in the store (for the case that all boxes are killed; computed by the time of day, and only used where nothing better is known), with every fifth digest while they matter, and with the state that a box fetches from a peer. Of two that were witnessed the earlier publication holds, within what the box's own proof allows. Versions begin at 1, so the first start refuses nobody.

--- a/landingspool/decisions/gateway/peer_digests.py
+++ b/landingspool/decisions/gateway/peer_digests.py
@@ -85,6 +85,24 @@
     age_ms: int
 
 
+class VersionNotice(typing.NamedTuple):
+    """A published version of a model's weights.
+
+    Attributes
+    ----------
+    age_ms : int
+        Milliseconds since it was published.
+    is_witnessed : bool
+        Whether a box read its record as it came; otherwise `age_ms` is the
+        greatest age that is possible.
+    """
+
+    model: str
+    version: int
+    age_ms: int
+    is_witnessed: bool = True
+
+
 class AnswerReport(typing.NamedTuple):
     """The time that a target took to answer a request of the box.
 
@@ -162,6 +180,9 @@
         The load of the groups of engines that the box sends to first.
     partitioned : bool
         Whether the box reaches no target; then it reports none as unreached.
+    versions : tuple of VersionNotice
+        Versions of weights that were published a short time ago; empty in
+        most digests.
     """
 
     box: str
@@ -179,6 +200,7 @@
     answers: tuple[AnswerReport, ...] = ()
     groups: tuple[GroupLoad, ...] = ()
     partitioned: bool = False
+    versions: tuple[VersionNotice, ...] = ()
 
 
 class ProofQuery(typing.NamedTuple):
--- a/landingspool/decisions/gateway/rollouts.py
+++ b/landingspool/decisions/gateway/rollouts.py
@@ -53,12 +53,14 @@
 
     `loading` has the targets that the holder has ordered or will order, and in
     how many seconds: every box reads the claim and sends them only requests
-    that end before.
+    that end before.  `ages` has the peer_digests.VersionNotice of what was
+    published a short time ago: a box that starts can't tell otherwise.
     """
 
     holder: str
     fence: int
     loading: dict = {}
+    ages: tuple = ()
 
 
 class Lease(typing.NamedTuple):
--- a/landingspool/decisions/gateway/weights.py
+++ b/landingspool/decisions/gateway/weights.py
@@ -5,8 +5,13 @@
 only requests that end before that.
 """
 
+import collections
 import typing
 
+from landingspool.decisions.gateway import bounded
+from landingspool.decisions.gateway import peer_digests
+from landingspool.decisions.gateway import version_ages
+
 # Seconds after a version was published from which on targets without it get a
 # penalty, and that penalty in seconds: answers on old weights are worth a
 # fifth less, but the few targets with the new ones have to read all prompts
@@ -19,6 +24,13 @@
 START_MARGIN_S = 3.0
 # Seconds for which a target counts as loading without a further report.
 LOADING_S = 6.0
+# Maximum number of ages that are kept for versions which are not known yet.
+MAX_TOLD = 256
+# Seconds by which a publication has to change to be worth a log line: what
+# boxes know of it differs by the time that messages take.
+MIN_SHIFT_S = 0.5
+# Of so many digests one has the ages of versions: about each second.
+REPEAT_EVERY = 5
 # Seconds to generate one token, and the shortest run, under usual load.
 TOKEN_S = 0.002
 MIN_RUN_S = 0.2
@@ -27,7 +39,7 @@
 class Named(typing.NamedTuple):
     """The newest published version of a model's weights.
 
-    `history` has (version, when this box received it) of all, oldest first:
+    `history` has a version_ages.Published for each known one, oldest first:
     each version has a deadline of its own, counted from its publication.
     """
 
@@ -55,11 +67,19 @@
     def __init__(self, bound_s):
         self.named = {}
         self.max_lag_s = max(bound_s - START_MARGIN_S, OLD_WEIGHTS_S)
+        self._bound_s = bound_s
+        self._told = collections.OrderedDict()
+        self._digests = 0
         self._loading = {}
 
-    def put_version(self, model, version, now):
+    def put_version(self, model, version, now, proof_s=0.0, is_late=False):
         """Record a published version of weights; return True if it is newer.
 
+        Parameters
+        ----------
+        proof_s, is_late
+            As in version_ages.date_read.
+
         >>> weights = Weights(12.0)
         >>> weights.put_version('m', 2, 5.0), weights.put_version('m', 1, 6.0)
         (True, False)
@@ -67,12 +87,58 @@
         known = self.named.get(model)
         if known is not None and version <= known.version:
             return False
-        # The first one read after a start may have been published long ago.
-        received = now if known is not None else now - OLD_WEIGHTS_S
+        row = version_ages.date_read(version, now, proof_s, is_late)
         history = known.history if known is not None else ()
-        self.named[model] = Named(version, (*history, (version, received)))
+        self.named[model] = Named(version, version_ages.merge(history, row))
+        told = [key for key in self._told if key[0] == model]
+        for key in told:
+            if key[1] <= version:
+                self.take_age(*key, *self._told.pop(key))
         return True
 
+    def take_age(self, model, version, at, is_witnessed=True):
+        """Adopt from another box when a version was published.
+
+        Parameters
+        ----------
+        at : float
+            Seconds of this box's clock.
+        is_witnessed : bool
+            As in version_ages.Published.
+
+        Returns
+        -------
+        bool
+            Whether this box counts the version from another time now, by
+            MIN_SHIFT_S or more.
+
+        >>> weights = Weights(12.0)
+        >>> weights.take_age('m', 2, 4.0)
+        False
+        >>> weights.put_version('m', 3, 10.0, float('inf'), is_late=True)
+        True
+        >>> weights.get_lag('m', 1, 10.0), weights.get_lag('m', 3, 10.0)
+        (6.0, 0.0)
+        """
+        named = self.named.get(model)
+        if named is None or version > named.version:
+            self._told[model, version] = at, is_witnessed
+            bounded.trim(self._told, MAX_TOLD)
+            return False
+        known = self._find(model, version)
+        row = version_ages.Published(version, at, is_witnessed=is_witnessed)
+        if known is not None:
+            row = version_ages.adopt(known, at, is_witnessed)
+        others = tuple(r for r in named.history if r.version != version)
+        history = version_ages.merge(others, row)
+        self.named[model] = named._replace(history=history)
+        return known is None or abs(row.at - known.at) >= MIN_SHIFT_S
+
+    def is_witnessed(self, model, version):
+        """Return whether a box read the record of a version as it came."""
+        row = self._find(model, version)
+        return row is not None and row.is_witnessed
+
     def get_age(self, model, version, now):
         """Return the seconds since a known version was published.
 
@@ -82,7 +148,48 @@
         >>> weights.get_age('m', 2, 6.5)
         0.5
         """
-        return now - dict(self.named[model].history)[version]
+        return now - self._find(model, version).at
+
+    def _find(self, model, version):
+        """Return the Published of a version, or None if it is not known."""
+        named = self.named.get(model)
+        rows = named.history if named is not None else ()
+        return next((row for row in rows if row.version == version), None)
+
+    def list_ages(self, now):
+        """List the ages that boxes need to keep to the bound.
+
+        A version whose age is not known counts as past the bound, so that the
+        ages of those that are past it are of no use to anybody.
+
+        Returns
+        -------
+        list of peer_digests.VersionNotice
+
+        >>> weights = Weights(12.0)
+        >>> for version in 1, 2, 3:
+        ...     _ = weights.put_version('m', version, 20.0 * version)
+        >>> weights.list_ages(60.5)
+        [VersionNotice(model='m', version=3, age_ms=500, is_witnessed=True)]
+        """
+        return [
+            peer_digests.VersionNotice(
+                model,
+                row.version,
+                int((now - row.at) * 1000),
+                row.is_witnessed,
+            )
+            for model, named in self.named.items()
+            for row in named.history
+            if now - row.at < self._bound_s
+        ]
+
+    def list_due_ages(self, now):
+        """Return the ages for the next digest, in most of them none."""
+        self._digests += 1
+        if self._digests % REPEAT_EVERY:
+            return ()
+        return tuple(self.list_ages(now))
 
     def is_replaced(self, model, version):
         """Return whether a newer version than this (or None) is published."""
@@ -92,6 +199,8 @@
     def get_lag(self, model, has, now):
         """Return the seconds since the first version that a target missed.
 
+        They are infinite if this box can't tell when that was published.
+
         Parameters
         ----------
         has : int or None
@@ -106,11 +215,8 @@
         named = self.named.get(model)
         if named is None:
             return 0.0
-        has = has or 0
-        missed = [
-            received for version, received in named.history if version > has
-        ]
-        return now - min(missed) if missed else 0.0
+        missed = version_ages.find_missed(named.history, has)
+        return 0.0 if missed is None else now - missed
 
     def put_loading(self, delays, now):
         """Record which targets load or will, and in how many seconds.
--- a/landingspool/event_kinds.py
+++ b/landingspool/event_kinds.py
@@ -253,6 +253,12 @@
             'INFO',
             'A new version of the weights was announced.',
         ),
+        Kind(
+            409,
+            'version_dated',
+            'INFO',
+            'Another box told when a version of the weights was announced.',
+        ),
         *(Kind(*row) for row in target_event_kinds.KINDS),
         Kind(
             600, 'kept', 'DEBUG', 'A block of context was sealed in a store.'
--- a/landingspool/gateway/following.py
+++ b/landingspool/gateway/following.py
@@ -339,10 +339,13 @@
             self._hub.software_watch.take(record)
             return
         try:
-            claim = catalogue.read_claim(record.value, record.offset)
+            claim = catalogue.read_claim(
+                record.value, record.offset, self._hub.wall()
+            )
         except catalogue.Malformed as error:
             self._record_malformed(record, error)
             return
         now = self._hub.clock()
         self._watch.record(claim, now)
         self._hub.view.weights.put_loading(claim.loading, now)
+        self._hub.state.take_claimed_ages(claim.ages, now)
--- a/landingspool/gateway/peering.py
+++ b/landingspool/gateway/peering.py
@@ -324,6 +324,7 @@
             usage=view.fair_admission.make_due_report(now),
             answers=view.profiles.take_reports(),
             groups=view.grouping.list_loads(now),
+            versions=view.weights.list_due_ages(now),
         )
         self._socket.send_to_all(digest, self._pick_digest_receivers(digest))
 
@@ -390,6 +391,9 @@
             )
         now = self._hub.clock()
         self._hub.view.take_digest(digest, now)
+        if self._hub.timer.ran_since(now - DIGEST_S):
+            # Ages that were received during a stall would seem too low.
+            self._hub.state.take_ages(digest.versions, now, 'peer')
         self._hub.gate.record_digest()
         self._hub.crash_records.check()
         self.send_urgent_digest()
--- a/landingspool/gateway/state.py
+++ b/landingspool/gateway/state.py
@@ -6,11 +6,13 @@
 
 import asyncio
 import contextlib
+import math
 
 import msgspec
 
 from landingspool.decisions.gateway import fleet as fleet_module
 from landingspool.decisions.gateway import peer_digests
+from landingspool.decisions.gateway import readers
 from landingspool.platform import catalogue
 from landingspool import timeouts
 
@@ -38,6 +40,8 @@
         The limits that targets advertise.
     leaving : list of peer_digests.LeavingNotice
         The targets that have announced that they leave.
+    ages : list of peer_digests.VersionNotice
+        How long ago versions of weights were published.
     """
 
     proof_s: float
@@ -49,6 +53,7 @@
     endings: list[peer_digests.CrashNotice] = []
     limits: list[peer_digests.LimitNotice] = []
     leaving: list[peer_digests.LeavingNotice] = []
+    ages: list[peer_digests.VersionNotice] = []
 
 
 class State:
@@ -116,6 +121,7 @@
             leaving=self._view.exclusions.leaving.list_notices(
                 self._hub.clock()
             ),
+            ages=self._view.weights.list_ages(self._hub.clock()),
         )
 
     def take(self, snapshot, sent):
@@ -133,6 +139,7 @@
         if sent - snapshot.proof_s > now - self._view.proof.age(now):
             # The peer's list of evacuations is newer than this box's own.
             self.set_evacuated(snapshot.evacuated)
+        self.take_ages(snapshot.ages, sent, 'peer')
         for model, version in snapshot.versions.items():
             self.put_version(model, version, 'peer')
         if snapshot.targets_end >= self.targets_end:
@@ -155,16 +162,58 @@
             Who told this box, for the log.
         """
         now = self._hub.clock()
+        proof_s = self._view.proof.age(now)
+        ages = self._hub.peering.ages
+        is_late = readers.is_stale(proof_s, ages.hold_s, ages.old_s)
+        if self._view.weights.put_version(
+            model, version, now, proof_s, is_late
+        ):
+            self._log_version('version_named', model, version, source)
+
+    def take_ages(self, notices, now, source):
+        """Apply how long ago versions of weights were published at `now`.
+
+        Parameters
+        ----------
+        notices : iterable of peer_digests.VersionNotice
+        source : str
+            Who told this box, for the log.
+        """
+        for notice in notices:
+            at = now - max(notice.age_ms, 0) / 1000
+            if self._view.weights.take_age(
+                notice.model, notice.version, at, notice.is_witnessed
+            ):
+                self._log_version(
+                    'version_dated', notice.model, notice.version, source
+                )
+
+    def take_claimed_ages(self, notices, now):
+        """Apply the ages in a claim, for versions of which no better is known.
+
+        They are computed by the time of day of two boxes, which may differ.
+        If each box added such a difference to what it knows and claimed that,
+        ages would grow with each claim.
+        """
         weights = self._view.weights
-        if weights.put_version(model, version, now):
-            self._hub.recorder.record(
-                'version_named',
-                model=model,
-                version=version,
-                source=source,
-                age_s=round(weights.get_age(model, version, now), 2),
-                proof_s=self._view.proof.age_to_log(now),
-            )
+        unknown = [
+            notice
+            for notice in notices
+            if not weights.is_witnessed(notice.model, notice.version)
+        ]
+        self.take_ages(unknown, now, 'claim')
+
+    def _log_version(self, event, model, version, source):
+        now = self._hub.clock()
+        age_s = self._view.weights.get_age(model, version, now)
+        self._hub.recorder.record(
+            event,
+            model=model,
+            version=version,
+            source=source,
+            age_s=round(age_s, 2) if math.isfinite(age_s) else None,
+            proof_s=self._view.proof.age_to_log(now),
+        )
 
     def put_evacuation(self, domain, is_evacuated):
         """Apply that a domain's evacuation was ordered or withdrawn."""
--- a/landingspool/platform/catalogue.py
+++ b/landingspool/platform/catalogue.py
@@ -378,15 +378,48 @@
     )
 
 
-def write_claim(holder, loading):
-    """Encode a claim to the right to send orders."""
-    return json.dumps({'holder': holder, 'loading': loading}).encode()
+def write_claim(holder, loading, ages=(), wall_s=0.0):
+    """Encode a claim to the right to send orders.
+
+    Parameters
+    ----------
+    ages : iterable of peer_digests.VersionNotice
+    wall_s : float
+        Unix time in seconds, from which readers compute the ages.
+    """
+    row = {
+        'holder': holder,
+        'loading': loading,
+        'ages': [list(notice) for notice in ages],
+        'at_ms': int(wall_s * 1000),
+    }
+    return json.dumps(row).encode()
 
 
-def read_claim(value, offset):
-    """Decode a claim; its offset in the log is the fence of its orders."""
+def read_claim(value, offset, wall_s=0.0):
+    """Decode a claim; its offset in the log is the fence of its orders.
+
+    The ages in it are at least those of its writing, also if the time of day
+    was set back since.
+
+    >>> ages = [peer_digests.VersionNotice('m', 2, 500)]
+    >>> value = write_claim('b', {}, ages, 10.0)
+    >>> read_claim(value, 7, 12.0).ages
+    (VersionNotice(model='m', version=2, age_ms=2500, is_witnessed=True),)
+    >>> read_claim(value, 7, 9.0).ages[0].age_ms
+    500
+    """
     try:
         row = json.loads(value)
-        return rollouts.Claim(row['holder'], offset, dict(row['loading']))
+        since_ms = max(int(wall_s * 1000) - int(row.get('at_ms', 0)), 0)
+        ages = tuple(
+            peer_digests.VersionNotice(
+                str(model), int(version), age_ms + since_ms, bool(witnessed)
+            )
+            for model, version, age_ms, witnessed in row.get('ages', ())
+        )
+        return rollouts.Claim(
+            row['holder'], offset, dict(row['loading']), ages
+        )
     except DECODE_ERRORS as error:
         raise Malformed(f'claim: {error!r}') from error
--- a/tests/gateway/test_weight_ages.py
+++ b/tests/gateway/test_weight_ages.py
@@ -3,10 +3,15 @@
 import asyncio
 import io
 import json
+import math
 
 from loguru import logger
 import pytest
 
+from landingspool.decisions.gateway import peer_digests
+from landingspool.decisions.gateway import weights as weights_module
+from landingspool.platform import catalogue
+from landingspool.platform import names
 from standins import runner as runner_module
 from tests.gateway import site
 
@@ -17,6 +22,7 @@
 # Seconds from the naming to the start of a box, and to its requests.
 START_S = 3.0
 ASK_S = 5.6
+CLAIM_CALL = f'append {names.CLAIMS_TOPIC}'
 
 
 @pytest.fixture
@@ -93,3 +99,194 @@
     assert named['source'] == 'store'
     assert named['age_s'] < 0.5
     assert named['proof_s'] < 3.0
+
+
+def test_version_of_unknown_age_counts_as_past_the_bound(refuse_orders):
+    async def check(deployment):
+        name_version(deployment, 2)
+        hub = await deployment.start_box(version_s=BOUND_S)
+        assert await count_on_old_weights(deployment, hub) == 0
+
+    site.run(check)
+
+
+def test_targets_of_unknown_age_are_used_once_they_have_loaded():
+    async def check(deployment):
+        name_version(deployment, 2)
+        hub = await deployment.start_box(version_s=BOUND_S)
+        await site.wait_until(
+            lambda: all(e.version == 2 for e in deployment.engines), 8.0
+        )
+        await site.wait_until(
+            lambda: all(
+                hub.view.fleet.get_version(name, 'm') == 2
+                for name in ('e0', 'e1')
+            )
+        )
+        assert await count_on_old_weights(deployment, hub) == 6
+
+    site.run(check)
+
+
+def test_first_start_refuses_nobody_for_old_weights():
+    async def check(deployment):
+        for engine in deployment.engines:
+            engine.version = 0
+            deployment.announce(engine, 'engine', model='m')
+        hub = await deployment.start_box(version_s=BOUND_S)
+        assert hub.view.weights.get_lag('m', None, hub.clock()) == 0.0
+        assert hub.view.weights.get_lag('m', 0, hub.clock()) == 0.0
+
+    site.run(check)
+
+
+def test_age_outlives_boxes_that_are_all_killed(refuse_orders):
+    async def check(deployment):
+        hub = await deployment.start_box('box1', version_s=BOUND_S)
+        name_version(deployment, 2)
+        await site.wait_until(lambda: hub.store.calls[CLAIM_CALL])
+        hub.stop()
+        started = await deployment.start_box('box2', version_s=BOUND_S)
+        age_s = started.view.weights.get_age('m', 2, started.clock())
+        assert 0.0 <= age_s < SENT_S
+        assert await count_on_old_weights(deployment, started) == 6
+
+    site.run(check)
+
+
+def test_box_that_starts_counts_from_a_version_that_a_newer_one_hides(
+    refuse_orders,
+):
+    async def check(deployment):
+        first = await deployment.start_box('box1', version_s=BOUND_S)
+        name_version(deployment, 2)
+        await asyncio.sleep(START_S)
+        name_version(deployment, 3)
+        await site.wait_until(
+            lambda: first.view.weights.named['m'].version > 2
+        )
+        started = await deployment.start_box(
+            'box2', [first.deployment.links], version_s=BOUND_S
+        )
+        lag_s = first.view.get_lag('e0', 'm', first.clock())
+        assert lag_s > START_S
+        await site.wait_until(
+            lambda: (
+                abs(started.view.get_lag('e0', 'm', started.clock()) - lag_s)
+                < 1.0
+            )
+        )
+
+    site.run(check)
+
+
+def test_box_that_could_not_read_counts_from_its_last_proof():
+    weights = weights_module.Weights(BOUND_S)
+    weights.put_version('m', 1, 0.0)
+    weights.put_version('m', 2, 10.0, proof_s=6.0, is_late=True)
+    assert weights.get_lag('m', 1, 10.0) == 6.0
+    # Another box that followed the store knows it better.
+    assert weights.take_age('m', 2, 8.0)
+    assert weights.get_lag('m', 1, 10.0) == 2.0
+
+
+def test_later_word_does_not_make_a_version_younger():
+    weights = weights_module.Weights(BOUND_S)
+    weights.put_version('m', 2, 10.0, proof_s=1.0)
+    assert not weights.take_age('m', 2, 10.6)
+    assert weights.get_lag('m', 1, 11.0) == 1.0
+
+
+@pytest.mark.parametrize('at', [-1e9, 3.0, 8.9])
+def test_age_beyond_the_own_proof_is_not_believed(at):
+    weights = weights_module.Weights(BOUND_S)
+    weights.put_version('m', 2, 10.0, proof_s=1.0)
+    weights.take_age('m', 2, at)
+    assert weights.get_lag('m', 1, 10.0) == 1.0
+
+
+def test_ages_of_versions_that_nobody_published_change_nothing():
+    weights = weights_module.Weights(BOUND_S)
+    weights.put_version('m', 2, 10.0)
+    for version in range(3, 3 + 2 * weights_module.MAX_TOLD):
+        assert not weights.take_age('m', version, -1e9)
+        assert not weights.take_age('other', version, -1e9)
+    assert weights.named['m'].version == 2
+    assert weights.get_lag('m', 1, 10.0) == 0.0
+    assert len(weights._told) == weights_module.MAX_TOLD
+
+
+def test_claim_of_an_earlier_build_has_no_ages():
+    value = json.dumps({'holder': 'b', 'loading': {}}).encode()
+    assert catalogue.read_claim(value, 7, 5.0).ages == ()
+
+
+def test_state_of_an_earlier_build_leaves_the_age_unknown(refuse_orders):
+    async def check(deployment):
+        hub = await deployment.start_box(version_s=BOUND_S)
+        snapshot = hub.state.get_snapshot()
+        snapshot.versions, snapshot.ages = {'n': 2}, []
+        hub.view.proof._at = None
+        hub.state.take(snapshot, hub.clock())
+        assert hub.view.weights.get_lag('n', 1, hub.clock()) == math.inf
+
+    site.run(check)
+
+
+def test_peers_tell_ages_while_they_matter_and_not_at_rest():
+    async def check(deployment):
+        hub = await deployment.start_box(version_s=BOUND_S)
+        weights, now = hub.view.weights, hub.clock()
+        assert not any(weights.list_due_ages(now) for _ in range(10))
+        weights.put_version('m', 2, now)
+        due = [weights.list_due_ages(now) for _ in range(5)]
+        notice = peer_digests.VersionNotice('m', 2, 0)
+        assert [rows for rows in due if rows] == [(notice,)]
+        late = now + BOUND_S
+        assert not any(weights.list_due_ages(late) for _ in range(10))
+
+    site.run(check)
+
+
+def test_standstill_of_a_box_counts_in_the_age(suspend):
+    async def check(deployment):
+        hub = await deployment.start_box(version_s=BOUND_S)
+        hub.view.weights.put_version('m', 2, hub.clock())
+        suspend(SENT_S)
+        await asyncio.sleep(0.2)
+        assert hub.view.get_time_left('e0', 'm', hub.clock()) < 0.0
+
+    site.run_on_boot_clock(check)
+
+
+def test_ages_received_in_a_standstill_are_not_believed(suspend):
+    async def check(deployment):
+        hub = await deployment.start_box(version_s=BOUND_S)
+        weights = hub.view.weights
+        weights.put_version('m', 2, hub.clock(), math.inf, True)
+        notice = peer_digests.VersionNotice('m', 2, 100)
+        digest = peer_digests.Digest('b', 'd1', 1, {}, versions=(notice,))
+        suspend(SENT_S)
+        hub.peering._receive_digest(digest, hub.deployment.links)
+        assert weights.get_lag('m', 1, hub.clock()) == math.inf
+
+    site.run_on_boot_clock(check)
+
+
+def test_ages_do_not_grow_with_each_claim_of_a_clock_that_is_behind():
+    async def check(deployment):
+        hub = await deployment.start_box(version_s=BOUND_S)
+        name_version(deployment, 2)
+        await site.wait_until(lambda: hub.view.weights.is_replaced('m', 1))
+        weights = hub.view.weights
+        weights.put_version('n', 2, hub.clock(), math.inf, True)
+        for _ in range(3):
+            ages = weights.list_ages(hub.clock())
+            ages.append(peer_digests.VersionNotice('n', 2, 500))
+            value = catalogue.write_claim('b', {}, ages, hub.wall() - 2.0)
+            claim = catalogue.read_claim(value, 7, hub.wall())
+            hub.state.take_claimed_ages(claim.ages, hub.clock())
+        assert weights.get_lag('m', 1, hub.clock()) < 1.5
+        assert 2.0 < weights.get_lag('n', 1, hub.clock()) < 3.5
+
+    site.run(check)
