Keep the newest version of weights if the store goes back to an older one

Cause: an operator's write of version 2 was carried out again after that of version 3, so that the newest record named version 2. Boxes that ran kept version 3; each one that started read version 2 alone, and after the last restart nobody knew version 3.

A claim now holds the newest version of each model, also past the bound, and so does the state that a peer sends; a box takes a version from either though the store has an older one, which it logs (version_reverted). Ages in digests date known versions only.

The test of a box that starts after 2, 3 and 2 were written failed on, with and without another box, and so did the one of a claim of long ago; all pass.

--- a/landingspool/decisions/gateway/rollouts.py
+++ b/landingspool/decisions/gateway/rollouts.py
@@ -53,14 +53,14 @@
 
     `loading` has the targets that the holder has ordered or will order, and in
     how many seconds: every box reads the claim and sends them only requests
-    that end before.  `ages` has the peer_digests.VersionNotice of what was
-    published a short time ago: a box that starts can't tell otherwise.
+    that end before.  `versions` has a peer_digests.VersionNotice of each
+    version that boxes have to know: one that starts can't tell their ages.
     """
 
     holder: str
     fence: int
     loading: dict = {}
-    ages: tuple = ()
+    versions: tuple = ()
 
 
 class Lease(typing.NamedTuple):
--- a/landingspool/decisions/gateway/weights.py
+++ b/landingspool/decisions/gateway/weights.py
@@ -5,10 +5,8 @@
 only requests that end before that.
 """
 
-import collections
 import typing
 
-from landingspool.decisions.gateway import bounded
 from landingspool.decisions.gateway import peer_digests
 from landingspool.decisions.gateway import version_ages
 
@@ -24,8 +22,6 @@
 START_MARGIN_S = 3.0
 # Seconds for which a target counts as loading without a further report.
 LOADING_S = 6.0
-# Maximum number of ages that are kept for versions which are not known yet.
-MAX_TOLD = 256
 # Seconds by which a publication has to change to be worth a log line: what
 # boxes know of it differs by the time that messages take.
 MIN_SHIFT_S = 0.5
@@ -60,6 +56,7 @@
     ----------
     named : dict of str to Named
         By model.
+    bound_s : float
     max_lag_s : float
         Lag in seconds from which on a target is not used any more.
     """
@@ -67,8 +64,7 @@
     def __init__(self, bound_s):
         self.named = {}
         self.max_lag_s = max(bound_s - START_MARGIN_S, OLD_WEIGHTS_S)
-        self._bound_s = bound_s
-        self._told = collections.OrderedDict()
+        self.bound_s = bound_s
         self._digests = 0
         self._loading = {}
 
@@ -90,14 +86,13 @@
         row = version_ages.date_read(version, now, proof_s, is_late)
         history = known.history if known is not None else ()
         self.named[model] = Named(version, version_ages.merge(history, row))
-        told = [key for key in self._told if key[0] == model]
-        for key in told:
-            if key[1] <= version:
-                self.take_age(*key, *self._told.pop(key))
         return True
 
-    def take_age(self, model, version, at, is_witnessed=True):
-        """Adopt from another box when a version was published.
+    def take_version(self, model, version, at, is_witnessed=True):
+        """Adopt a version that another box knows, and when it was published.
+
+        The store may have an older one: an operator's write of that may have
+        been carried out late.
 
         Parameters
         ----------
@@ -106,6 +101,31 @@
         is_witnessed : bool
             As in version_ages.Published.
 
+        Returns
+        -------
+        bool
+            Whether the version is newer than those that this box knew.
+
+        >>> weights = Weights(12.0)
+        >>> weights.take_version('m', 3, 4.0)
+        True
+        >>> weights.put_version('m', 2, 10.0)
+        False
+        >>> weights.get_lag('m', 2, 10.0)
+        6.0
+        """
+        named = self.named.get(model)
+        if named is not None and version <= named.version:
+            self.take_age(model, version, at, is_witnessed)
+            return False
+        row = version_ages.Published(version, at, is_witnessed=is_witnessed)
+        history = named.history if named is not None else ()
+        self.named[model] = Named(version, version_ages.merge(history, row))
+        return True
+
+    def take_age(self, model, version, at, is_witnessed=True):
+        """Adopt when a version was published that is not newer than known.
+
         Returns
         -------
         bool
@@ -117,13 +137,13 @@
         False
         >>> weights.put_version('m', 3, 10.0, float('inf'), is_late=True)
         True
+        >>> weights.take_age('m', 2, 4.0)
+        True
         >>> weights.get_lag('m', 1, 10.0), weights.get_lag('m', 3, 10.0)
         (6.0, 0.0)
         """
         named = self.named.get(model)
         if named is None or version > named.version:
-            self._told[model, version] = at, is_witnessed
-            bounded.trim(self._told, MAX_TOLD)
             return False
         known = self._find(model, version)
         row = version_ages.Published(version, at, is_witnessed=is_witnessed)
@@ -156,11 +176,12 @@
         rows = named.history if named is not None else ()
         return next((row for row in rows if row.version == version), None)
 
-    def list_ages(self, now):
-        """List the ages that boxes need to keep to the bound.
+    def list_versions(self, now):
+        """List the versions that boxes have to know, with their ages.
 
-        A version whose age is not known counts as past the bound, so that the
-        ages of those that are past it are of no use to anybody.
+        A version whose age is not known counts as past the bound, so that it
+        is told as one that has just passed it; and so are those that are past
+        it.  Of these only the newest one matters.
 
         Returns
         -------
@@ -169,19 +190,28 @@
         >>> weights = Weights(12.0)
         >>> for version in 1, 2, 3:
         ...     _ = weights.put_version('m', version, 20.0 * version)
-        >>> weights.list_ages(60.5)
-        [VersionNotice(model='m', version=3, age_ms=500, is_witnessed=True)]
+        >>> weights.list_versions(80.0)
+        [VersionNotice(model='m', version=3, age_ms=12000, is_witnessed=True)]
         """
         return [
             peer_digests.VersionNotice(
                 model,
                 row.version,
-                int((now - row.at) * 1000),
+                int(min(now - row.at, self.bound_s) * 1000),
                 row.is_witnessed,
             )
             for model, named in self.named.items()
             for row in named.history
-            if now - row.at < self._bound_s
+            if row.version == named.version or now - row.at < self.bound_s
+        ]
+
+    def list_ages(self, now):
+        """List the notices of versions that are not past the bound."""
+        past_ms = int(self.bound_s * 1000)
+        return [
+            notice
+            for notice in self.list_versions(now)
+            if notice.age_ms < past_ms
         ]
 
     def list_due_ages(self, now):
--- a/landingspool/event_kinds.py
+++ b/landingspool/event_kinds.py
@@ -259,6 +259,13 @@
             'INFO',
             'Another box told when a version of the weights was announced.',
         ),
+        Kind(
+            410,
+            'version_reverted',
+            'WARNING',
+            'An older version of the weights than is known was read; the '
+            'newer one stays in force.',
+        ),
         *(Kind(*row) for row in target_event_kinds.KINDS),
         Kind(
             600, 'kept', 'DEBUG', 'A block of context was sealed in a store.'
--- a/landingspool/gateway/following.py
+++ b/landingspool/gateway/following.py
@@ -12,6 +12,7 @@
 
 from landingspool.decisions.gateway import tail as tail_module
 from landingspool.gateway import resumption
+from landingspool.gateway import state
 from landingspool.platform import catalogue
 from landingspool.platform import names
 from landingspool.platform import store as store_module
@@ -242,7 +243,7 @@
 
     def _take_version(self, value):
         model, version = catalogue.read_version(value)
-        self._hub.state.put_version(model, version, 'store')
+        self._hub.state.put_version(model, version, state.STORE)
 
     def _record_read(self, sent):
         self._hub.view.proof.record(sent)
@@ -348,4 +349,4 @@
         now = self._hub.clock()
         self._watch.record(claim, now)
         self._hub.view.weights.put_loading(claim.loading, now)
-        self._hub.state.take_claimed_ages(claim.ages, now)
+        self._hub.state.take_claimed(claim.versions, now)
--- a/landingspool/gateway/ordering.py
+++ b/landingspool/gateway/ordering.py
@@ -128,8 +128,8 @@
 
     async def _claim(self, loading):
         box = self._hub.deployment.box
-        ages = self._hub.view.weights.list_ages(self._hub.clock())
-        value = catalogue.write_claim(box, loading, ages, self._hub.wall())
+        versions = self._hub.view.weights.list_versions(self._hub.clock())
+        value = catalogue.write_claim(box, loading, versions, self._hub.wall())
         reply = await self._hub.store.append(
             names.CLAIMS_TOPIC, CLAIM_KEY, value, self.watch.end
         )
--- a/landingspool/gateway/peering.py
+++ b/landingspool/gateway/peering.py
@@ -393,7 +393,7 @@
         self._hub.view.take_digest(digest, now)
         if self._hub.timer.ran_since(now - DIGEST_S):
             # Ages that were received during a stall would seem too low.
-            self._hub.state.take_ages(digest.versions, now, 'peer')
+            self._hub.state.take_ages(digest.versions, now, state.PEER)
         self._hub.gate.record_digest()
         self._hub.crash_records.check()
         self.send_urgent_digest()
--- a/landingspool/gateway/state.py
+++ b/landingspool/gateway/state.py
@@ -17,6 +17,12 @@
 from landingspool import timeouts
 
 
+# Where a version of weights was read, for the log.
+STORE = 'store'
+CLAIM = 'claim'
+PEER = 'peer'
+
+
 class StateSnapshot(msgspec.Struct):
     """State that one box sends to another.
 
@@ -41,7 +47,7 @@
     leaving : list of peer_digests.LeavingNotice
         The targets that have announced that they leave.
     ages : list of peer_digests.VersionNotice
-        How long ago versions of weights were published.
+        The versions of weights that boxes have to know, with their ages.
     """
 
     proof_s: float
@@ -121,7 +127,7 @@
             leaving=self._view.exclusions.leaving.list_notices(
                 self._hub.clock()
             ),
-            ages=self._view.weights.list_ages(self._hub.clock()),
+            ages=self._view.weights.list_versions(self._hub.clock()),
         )
 
     def take(self, snapshot, sent):
@@ -139,9 +145,9 @@
         if sent - snapshot.proof_s > now - self._view.proof.age(now):
             # The peer's list of evacuations is newer than this box's own.
             self.set_evacuated(snapshot.evacuated)
-        self.take_ages(snapshot.ages, sent, 'peer')
+        self.take_versions(snapshot.ages, sent, PEER)
         for model, version in snapshot.versions.items():
-            self.put_version(model, version, 'peer')
+            self.put_version(model, version, PEER)
         if snapshot.targets_end >= self.targets_end:
             # An older list would bring back targets that are gone.
             self._apply_targets(snapshot.targets)
@@ -169,6 +175,30 @@
             model, version, now, proof_s, is_late
         ):
             self._log_version('version_named', model, version, source)
+            return
+        known = self._view.weights.named[model].version
+        if version < known and source == STORE:
+            self._hub.recorder.record(
+                'version_reverted', model=model, version=version, known=known
+            )
+
+    def take_versions(self, notices, now, source):
+        """Apply the versions of weights that another box knew at `now`.
+
+        Parameters
+        ----------
+        notices : iterable of peer_digests.VersionNotice
+        source : str
+            Who told this box, for the log.
+        """
+        for notice in notices:
+            at = now - max(notice.age_ms, 0) / 1000
+            if self._view.weights.take_version(
+                notice.model, notice.version, at, notice.is_witnessed
+            ):
+                self._log_version(
+                    'version_named', notice.model, notice.version, source
+                )
 
     def take_ages(self, notices, now, source):
         """Apply how long ago versions of weights were published at `now`.
@@ -188,10 +218,10 @@
                     'version_dated', notice.model, notice.version, source
                 )
 
-    def take_claimed_ages(self, notices, now):
-        """Apply the ages in a claim, for versions of which no better is known.
+    def take_claimed(self, notices, now):
+        """Apply the versions in a claim, and ages if no better are known.
 
-        They are computed by the time of day of two boxes, which may differ.
+        Ages are computed by the time of day of two boxes, which may differ.
         If each box added such a difference to what it knows and claimed that,
         ages would grow with each claim.
         """
@@ -201,7 +231,7 @@
             for notice in notices
             if not weights.is_witnessed(notice.model, notice.version)
         ]
-        self.take_ages(unknown, now, 'claim')
+        self.take_versions(unknown, now, CLAIM)
 
     def _log_version(self, event, model, version, source):
         now = self._hub.clock()
--- a/landingspool/platform/catalogue.py
+++ b/landingspool/platform/catalogue.py
@@ -378,19 +378,19 @@
     )
 
 
-def write_claim(holder, loading, ages=(), wall_s=0.0):
+def write_claim(holder, loading, versions=(), wall_s=0.0):
     """Encode a claim to the right to send orders.
 
     Parameters
     ----------
-    ages : iterable of peer_digests.VersionNotice
+    versions : iterable of peer_digests.VersionNotice
     wall_s : float
         Unix time in seconds, from which readers compute the ages.
     """
     row = {
         'holder': holder,
         'loading': loading,
-        'ages': [list(notice) for notice in ages],
+        'versions': [list(notice) for notice in versions],
         'at_ms': int(wall_s * 1000),
     }
     return json.dumps(row).encode()
@@ -402,24 +402,24 @@
     The ages in it are at least those of its writing, also if the time of day
     was set back since.
 
-    >>> ages = [peer_digests.VersionNotice('m', 2, 500)]
-    >>> value = write_claim('b', {}, ages, 10.0)
-    >>> read_claim(value, 7, 12.0).ages
+    >>> versions = [peer_digests.VersionNotice('m', 2, 500)]
+    >>> value = write_claim('b', {}, versions, 10.0)
+    >>> read_claim(value, 7, 12.0).versions
     (VersionNotice(model='m', version=2, age_ms=2500, is_witnessed=True),)
-    >>> read_claim(value, 7, 9.0).ages[0].age_ms
+    >>> read_claim(value, 7, 9.0).versions[0].age_ms
     500
     """
     try:
         row = json.loads(value)
         since_ms = max(int(wall_s * 1000) - int(row.get('at_ms', 0)), 0)
-        ages = tuple(
+        versions = tuple(
             peer_digests.VersionNotice(
                 str(model), int(version), age_ms + since_ms, bool(witnessed)
             )
-            for model, version, age_ms, witnessed in row.get('ages', ())
+            for model, version, age_ms, witnessed in row.get('versions', ())
         )
         return rollouts.Claim(
-            row['holder'], offset, dict(row['loading']), ages
+            row['holder'], offset, dict(row['loading']), versions
         )
     except DECODE_ERRORS as error:
         raise Malformed(f'claim: {error!r}') from error
--- a/tests/gateway/test_weight_ages.py
+++ b/tests/gateway/test_weight_ages.py
@@ -9,6 +9,7 @@
 import pytest
 
 from landingspool.decisions.gateway import peer_digests
+from landingspool.decisions.gateway import version_ages
 from landingspool.decisions.gateway import weights as weights_module
 from landingspool.platform import catalogue
 from landingspool.platform import names
@@ -205,20 +206,30 @@
     assert weights.get_lag('m', 1, 10.0) == 1.0
 
 
-def test_ages_of_versions_that_nobody_published_change_nothing():
+def test_age_of_a_version_that_is_not_known_changes_nothing():
     weights = weights_module.Weights(BOUND_S)
     weights.put_version('m', 2, 10.0)
-    for version in range(3, 3 + 2 * weights_module.MAX_TOLD):
-        assert not weights.take_age('m', version, -1e9)
-        assert not weights.take_age('other', version, -1e9)
+    assert not weights.take_age('m', 10**9, -1e9)
+    assert not weights.take_age('other', 2, -1e9)
+    assert list(weights.named) == ['m']
     assert weights.named['m'].version == 2
     assert weights.get_lag('m', 1, 10.0) == 0.0
-    assert len(weights._told) == weights_module.MAX_TOLD
+
+
+def test_known_versions_are_bounded_and_err_on_the_safe_side():
+    weights = weights_module.Weights(BOUND_S)
+    for version in range(2, 2 + 3 * version_ages.MAX_VERSIONS):
+        weights.put_version('m', version, float(version))
+    named = weights.named['m']
+    assert len(named.history) == version_ages.MAX_VERSIONS
+    assert weights.get_lag('m', 1, 100.0) == 98.0
+    last = named.version
+    assert weights.get_lag('m', last - 1, 100.0) == 100.0 - last
 
 
 def test_claim_of_an_earlier_build_has_no_ages():
     value = json.dumps({'holder': 'b', 'loading': {}}).encode()
-    assert catalogue.read_claim(value, 7, 5.0).ages == ()
+    assert catalogue.read_claim(value, 7, 5.0).versions == ()
 
 
 def test_state_of_an_earlier_build_leaves_the_age_unknown(refuse_orders):
@@ -285,8 +296,48 @@
             ages.append(peer_digests.VersionNotice('n', 2, 500))
             value = catalogue.write_claim('b', {}, ages, hub.wall() - 2.0)
             claim = catalogue.read_claim(value, 7, hub.wall())
-            hub.state.take_claimed_ages(claim.ages, hub.clock())
+            hub.state.take_claimed(claim.versions, hub.clock())
         assert weights.get_lag('m', 1, hub.clock()) < 1.5
         assert 2.0 < weights.get_lag('n', 1, hub.clock()) < 3.5
 
     site.run(check)
+
+
+async def check_reverted(deployment, stop_others):
+    """Start a box after an older version was written over the newest."""
+    first = await deployment.start_box('box1', version_s=BOUND_S)
+    for version in 2, 3, 2:
+        name_version(deployment, version)
+        await asyncio.sleep(0.5)
+    assert first.view.weights.named['m'].version == 3
+    if stop_others:
+        first.stop()
+    seeds = [first.deployment.links]
+    started = await deployment.start_box('box2', seeds, version_s=BOUND_S)
+    await site.wait_until(
+        lambda: started.view.weights.named['m'].version == 3, seconds=2.5
+    )
+
+
+@pytest.mark.parametrize('stop_others', [False, True])
+def test_box_that_starts_goes_back_to_an_older_version(
+    refuse_orders, stop_others
+):
+    site.run(lambda deployment: check_reverted(deployment, stop_others))
+
+
+def test_newest_version_is_known_to_a_box_that_starts_long_after():
+    weights = weights_module.Weights(BOUND_S)
+    for version in 1, 2, 3:
+        weights.put_version('m', version, 10.0 * version)
+    weights.put_version('n', 5, 10.0, math.inf, True)
+    claimed = weights.list_versions(1000.0)
+    started = weights_module.Weights(BOUND_S)
+    for notice in claimed:
+        at = 5.0 - notice.age_ms / 1000
+        started.take_version(*notice[:2], at, notice.is_witnessed)
+    started.put_version('m', 2, 5.0, math.inf, True)
+    assert started.named['m'].version == 3
+    assert started.named['n'].version == 5
+    assert started.get_lag('m', 2, 5.0) >= BOUND_S
+    assert started.get_lag('n', 4, 5.0) >= BOUND_S
