Check the age of the weights again when a request is sent

Callers' requests could begin on weights that were replaced longer ago than the bound allows, although their target had been chosen in time: between the choice and the first byte lie a new connection, the wait for one, or the preparation of a replacement, and nothing looked at the age again.

Attempt.is_current, which all ways to a target pass right before the sending, now asks StartLimits.may_send. A request that is too late is Stale, as after a change of the table: nothing was sent, and a target is chosen anew.

--- a/landingspool/decisions/gateway/view.py
+++ b/landingspool/decisions/gateway/view.py
@@ -33,6 +33,7 @@
 from landingspool.decisions.gateway import reachability as reachability_module
 from landingspool.decisions.gateway import retry_budget
 from landingspool.decisions.gateway import software_history
+from landingspool.decisions.gateway import start_limits
 from landingspool.decisions.gateway import store_health as store_health_module
 from landingspool.decisions.gateway import stream_bindings
 from landingspool.decisions.gateway import transfers
@@ -98,6 +99,7 @@
         # Epoch and used tokens of each store, as this box last counted them.
         self.store_usage = {}
         self.grouping = grouping_module.Grouping(self)
+        self.start_limits = start_limits.StartLimits(self)
         self.planner = planner.Planner(self)
         self.forwarding = forwarding_module.Forwarding(self)
         self.permit_search = permit_search.PermitSearch()
--- a/landingspool/gateway/attempts.py
+++ b/landingspool/gateway/attempts.py
@@ -104,14 +104,15 @@
     def is_current(self):
         """Return whether the plan still holds.
 
-        While the connection came up, the process may have stalled or the
-        table may have changed.
+        While the connection came up, the process may have stalled, the table
+        may have changed or the target's weights may have become too old.
         """
-        now = self._hub.clock()
+        now, plan, work = self._hub.clock(), self._plan, self._state.work
         return (
             self._hub.timer.ran_since(self._planned_at)
             and is_proved(self._view, now)
-            and self._view.may_send(self._plan.entry, self._state.work, now)
+            and self._view.may_send(plan.entry, work, now)
+            and self._view.start_limits.may_send(plan, work, now)
         )
 
     def _may_send(self):
--- /dev/null
+++ b/tests/gateway/test_start_limits.py
@@ -0,0 +1,136 @@
+"""No request begins on weights that were replaced longer ago than allowed."""
+
+import asyncio
+
+from landingspool.gateway import attempts
+from standins import runner
+from tests.gateway import site
+from tests.gateway import test_relay
+
+# A fence that no box reaches: the target takes no orders to load.
+NO_ORDERS = 10**9
+
+
+async def start(deployment, version_s, first=1):
+    """Start a box with one engine; a second one starts, but is not announced.
+
+    Parameters
+    ----------
+    first : int
+        Version of the weights of the first one; the second has the other.
+
+    Returns
+    -------
+    tuple of (hub.Hub, runner.Runner, runner.Runner)
+        The box, the engine on old weights and the one on new weights.
+    """
+    known = deployment.engines[0]
+    known.version = first
+    deployment.announce(known, 'engine', model='m')
+    hub = await deployment.start_box(version_s=version_s)
+    other = runner.Runner('late', 3 - first)
+    await other.start()
+    deployment.engines.append(other)
+    for target in deployment.engines:
+        target.fence = NO_ORDERS
+        target.usual = 'stream'
+    await use_objective(deployment, hub, 2000)
+    return hub, *sorted(deployment.engines, key=lambda t: t.version)
+
+
+async def use_objective(deployment, hub, objective_ms):
+    """Publish another latency objective for all routes."""
+    rows = {
+        name: {**row, 'target_latency_ms': objective_ms}
+        for name, row in site.ROUTES.items()
+    }
+    version = hub.view.table.version + 1
+    deployment.publish(site.make_table(version, routes=rows))
+    await site.wait_until(lambda: hub.view.table.version == version)
+
+
+async def name_version(deployment, hub, lag_s):
+    """Publish the new version; return as soon as it is known for `lag_s`."""
+    deployment.store.put('keyed.op', 'version/m', {'model': 'm', 'version': 2})
+    await site.wait_until(lambda: get_lag(hub) >= lag_s)
+
+
+def get_lag(hub):
+    """Return the seconds since the new version is known."""
+    return hub.view.weights.get_lag('m', 1, hub.clock())
+
+
+async def announce(deployment, hub, target):
+    """Announce a target, and wait until the box knows it."""
+    deployment.announce(target, 'engine', model='m')
+    await site.wait_until(
+        lambda: any(
+            entry.target == target.name
+            for entry in hub.view.fleet.entries.values()
+        )
+    )
+
+
+async def ask(hub, route):
+    return await site.ask(hub, f'/{route}/a', headers=test_relay.PROMPT)
+
+
+def delay_connections(monkeypatch, seconds, during=None):
+    """Let connections take some seconds, in which `during` is awaited."""
+    open_exchange = attempts.open_exchange
+
+    async def open_late(hub, work, entry):
+        exchange = await open_exchange(hub, work, entry)
+        await asyncio.sleep(seconds)
+        if during is not None:
+            await during()
+        return exchange
+
+    monkeypatch.setattr(attempts, 'open_exchange', open_late)
+
+
+def test_request_chosen_in_time_is_not_sent_late(monkeypatch):
+    async def check(deployment):
+        hub, old, new = await start(deployment, 5.0)
+        await name_version(deployment, hub, 1.5)
+
+        delay_connections(
+            monkeypatch, 0.7, lambda: announce(deployment, hub, new)
+        )
+        got = await ask(hub, 'stream')
+        assert got.status == 200
+        assert not old.ran
+        assert len(new.ran) == 1
+
+    site.run(check, engines=1)
+
+
+def test_request_chosen_in_time_is_refused_if_no_other_target_is_left(
+    monkeypatch,
+):
+    async def check(deployment):
+        hub, old, _ = await start(deployment, 5.0)
+        await name_version(deployment, hub, 1.5)
+        delay_connections(monkeypatch, 0.7)
+        got = await ask(hub, 'stream')
+        assert got.status == 503
+        assert float(got.headers['retry-after']) > 0
+        assert not old.ran
+
+    site.run(check, engines=1)
+
+
+def test_prepared_replacement_is_not_sent_late(monkeypatch):
+    async def check(deployment):
+        hub, old, new = await start(deployment, 5.0, first=2)
+        await use_objective(deployment, hub, 400)
+        new.usual = 'silent'
+        await name_version(deployment, hub, 0.5)
+        work = asyncio.ensure_future(ask(hub, 'resumed'))
+        await site.wait_until(lambda: new.ran)
+        await announce(deployment, hub, old)
+        delay_connections(monkeypatch, 1.0)
+        await work
+        assert not old.ran
+
+    site.run(check, engines=1)
