Measure the margin before the bound by the waits at a target

A request sent three seconds before the bound or earlier began on old weights after it wherever requests waited at the target for longer than that: one number stood for the wait of all targets.

The planner now drops the candidates that lack a version and where requests wait so long that, with an allowance for error of a half, the next one would begin past the bound; three seconds stay the least margin. The wait is the longest of what the plan expects, of the present waits of this box's requests there, and of the wait of the one that was answered last, within five seconds: the present waits alone don't tell the length of a queue whose requests have just been sent. The check at the sending uses the same function. If no candidate lacks a version, one comparison a version is all that is added.

Evidence: six tests failed before (one over stand-ins that let each request wait for 2.0 s under a bound of 3.0 s: the second one was sent and answered with 200 in place of 503). They pass now, with test_view.py, test_many.py and test_silence.py.

--- a/landingspool/decisions/gateway/loads.py
+++ b/landingspool/decisions/gateway/loads.py
@@ -9,6 +9,11 @@
 from landingspool.decisions.gateway import choice
 
 
+# Seconds for which the wait of the request that began last at a target tells
+# what the next one will wait.
+WAIT_KEPT_S = 5.0
+
+
 class Sent(typing.NamedTuple):
     """A request of this box at a target; `begun` once bytes came back.
 
@@ -28,6 +33,8 @@
     def __init__(self):
         self._sent = {}
         self._last_bytes = {}
+        # By target: the wait of the request that began last, and when.
+        self._last_waits = {}
 
     def record_sent(self, target, request, sent):
         """Record that a request was sent to a target.
@@ -41,6 +48,8 @@
     def record_first(self, target, request):
         """Record that bytes of an answer arrived.
 
+        The time is that of the target's last byte.
+
         Returns
         -------
         Sent or None
@@ -57,6 +66,8 @@
         if sent is None or sent.begun:
             return None
         self._sent[target][request] = sent._replace(begun=True)
+        now = self._last_bytes.get(target, sent.at)
+        self._last_waits[target] = (now - sent.at, now)
         return sent
 
     def record_end(self, target, request):
@@ -88,8 +99,9 @@
             self._last_bytes[target] += seconds
 
     def forget(self, target):
-        """Discard the time of the last byte from a target that is gone."""
+        """Discard the times of the last byte from a target that is gone."""
         self._last_bytes.pop(target, None)
+        self._last_waits.pop(target, None)
 
     def measure(self, target, peer_load):
         """Return the choice.Load at a target.
@@ -133,6 +145,28 @@
             peer_waiting=queued,
         )
 
+    def measure_wait(self, target, now):
+        """Return the seconds that this box's requests wait at a target.
+
+        That is the longer one of the longest wait of those without an answer
+        and the wait of the one that was answered last, if it is recent.
+
+        >>> loads = Loads()
+        >>> loads.record_sent('t', 'q', Sent(1.0, 500, False, 600))
+        >>> loads.measure_wait('t', 3.0)
+        2.0
+        >>> loads.record_received('t', 4.0)
+        >>> _ = loads.record_first('t', 'q')
+        >>> loads.measure_wait('t', 4.5), loads.measure_wait('t', 9.5)
+        (3.0, 0.0)
+        """
+        rows = self._sent.get(target, {}).values()
+        waits = [now - row.at for row in rows if not row.begun]
+        wait_s, ended = self._last_waits.get(target, (0.0, now))
+        if now - ended < WAIT_KEPT_S:
+            waits.append(wait_s)
+        return max(waits, default=0.0)
+
     def count(self, target):
         """Return this box's requests at a target: waiting, and begun.
 
--- a/landingspool/decisions/gateway/planner.py
+++ b/landingspool/decisions/gateway/planner.py
@@ -238,6 +238,9 @@
         if held is None:
             held = choice.measure_memory(candidates)
         candidates = plans.weigh_candidates(candidates, work, held)
+        candidates = self._view.start_limits.list_timely(
+            candidates, spaces, work, now
+        )
         return Field(candidates, spaces, held)
 
     def _list_usable(self, work, avoid, now):
--- a/landingspool/decisions/gateway/start_limits.py
+++ b/landingspool/decisions/gateway/start_limits.py
@@ -1,9 +1,41 @@
 """Decides whether a request would begin in time on weights that are replaced.
 
-The bound applies to the moment at which a target begins a request, so it is
-checked when a target is chosen and again when the request is sent.
+The bound applies to the moment at which a target begins a request.  So a
+request goes to a target that lacks a version only if its wait there, with an
+allowance for error, ends before the bound.
 """
 
+from landingspool.decisions.gateway import choice
+
+# Allowance for error: the factor by which a wait is assumed to be longer.
+WAIT_FACTOR = 1.5
+
+
+def may_begin(weights, lag_s, wait_s):
+    """Return whether a request begins in time on replaced weights.
+
+    Parameters
+    ----------
+    weights : weights.Weights
+    lag_s : float
+        Seconds since the first version that the target missed; infinite if
+        not known.
+    wait_s : float
+        Seconds for which requests wait at the target.
+
+    >>> import math
+    >>> from landingspool.decisions.gateway import weights
+    >>> weights = weights.Weights(12.0)
+    >>> may_begin(weights, 8.9, 0.0), may_begin(weights, 9.0, 0.0)
+    (True, False)
+    >>> may_begin(weights, 5.9, 4.0), may_begin(weights, 6.0, 4.0)
+    (True, False)
+    >>> may_begin(weights, math.inf, 0.0)
+    False
+    """
+    begins_s = lag_s + wait_s * WAIT_FACTOR
+    return lag_s < weights.max_lag_s and begins_s < weights.bound_s
+
 
 class StartLimits:
     """Apply the bound to the targets that one box knows.
@@ -16,9 +48,43 @@
     def __init__(self, view):
         self._view = view
 
+    def list_timely(self, candidates, spaces, work, now):
+        """Return the candidates at which a request begins in time.
+
+        Parameters
+        ----------
+        candidates : list of choice.Candidate
+        spaces : dict of (int or None) to planner.Space
+            Those of the candidates; none if the request has no prompt.
+        """
+        if not any(space.lag_s for space in spaces.values()):
+            return candidates
+        model = work.prompt.model
+        return [
+            candidate
+            for candidate in candidates
+            if self._may_begin(
+                candidate.entry.name,
+                spaces[self._get_version(candidate, model)].lag_s,
+                choice.estimate_wait(candidate),
+                now,
+            )
+        ]
+
     def may_send(self, plan, work, now):
         """Return whether a planned request still begins in time."""
         if work.prompt is None:
             return True
-        lag_s = self._view.get_lag(plan.entry.name, work.prompt.model, now)
-        return lag_s < self._view.weights.max_lag_s
+        name = plan.entry.name
+        lag_s = self._view.get_lag(name, work.prompt.model, now)
+        return self._may_begin(name, lag_s, plan.wait_s, now)
+
+    def _get_version(self, candidate, model):
+        return self._view.fleet.get_version(candidate.entry.name, model)
+
+    def _may_begin(self, name, lag_s, expected_s, now):
+        view = self._view
+        if not lag_s:
+            return True
+        wait_s = max(expected_s, view.loads.measure_wait(name, now))
+        return may_begin(view.weights, lag_s, wait_s)
--- a/landingspool/decisions/gateway/weights.py
+++ b/landingspool/decisions/gateway/weights.py
@@ -48,12 +48,14 @@
     ----------
     named : dict of str to Named
         By model.
+    bound_s : float
     max_lag_s : float
         Lag in seconds from which on a target is not used any more.
     """
 
     def __init__(self, bound_s):
         self.named = {}
+        self.bound_s = bound_s
         self.max_lag_s = max(bound_s - START_MARGIN_S, OLD_WEIGHTS_S)
         self._loading = {}
 
--- a/standins/behaviours.py
+++ b/standins/behaviours.py
@@ -221,6 +221,18 @@
     writer.write(b'0\r\n\r\n')
 
 
+@behaviour('queued stream')
+async def answer_queued(runner, head, body, reader, writer):
+    """Stream after a wait, unless the caller has left before the run."""
+    try:
+        async with asyncio.timeout(runner.queue_s):
+            await reader.read(1)
+    except TimeoutError:
+        return await answer_stream(runner, head, body, reader, writer)
+    runner.cancelled += 1
+    return True
+
+
 @behaviour('broken stream')
 async def answer_broken(runner, head, body, reader, writer):
     """Stream two events and half of the next, then reset."""
--- a/standins/runner.py
+++ b/standins/runner.py
@@ -56,6 +56,8 @@
         Whether it has ended by one.
     deaf_s : float
         Seconds for which it reads nothing from a new connection.
+    queue_s : float
+        Seconds for which a queued request waits before it begins.
     limit : str or None
         What it names in its answers as the requests a second that it takes.
     told : list of tuple
@@ -67,7 +69,7 @@
     said : list of Said
         What its answers to requests said, but for the limit.
     cancelled : int
-        Requests whose connection closed while they ran.
+        Requests whose connection closed while they waited or ran.
     software : str
         Version of its software, which its entry names.
     """
@@ -94,6 +96,7 @@
         self.fatal_parts = frozenset()
         self.ended = False
         self.deaf_s = 0.0
+        self.queue_s = 0.0
         self.limit = None
         self.told = []
         self.leaving = False
--- a/tests/gateway/test_start_limits.py
+++ b/tests/gateway/test_start_limits.py
@@ -6,6 +6,7 @@
 from standins import runner
 from tests.gateway import site
 from tests.gateway import test_relay
+from tests.gateway import test_view
 
 # A fence that no box reaches: the target takes no orders to load.
 NO_ORDERS = 10**9
@@ -134,3 +135,77 @@
         assert not old.ran
 
     site.run(check, engines=1)
+
+
+def test_request_is_not_sent_to_a_wait_beyond_the_bound():
+    async def check(deployment):
+        hub, old, _ = await start(deployment, 3.0)
+        old.usual, old.queue_s = 'queued stream', 2.0
+        assert (await ask(hub, 'stream')).status == 200
+        await name_version(deployment, hub, 1.2)
+        got = await ask(hub, 'stream')
+        assert got.status == 503
+        assert len(old.ran) == 1
+
+    site.run(check, engines=1)
+
+
+def make_late_view(lag_s):
+    """Return a View whose only target is behind, and the time."""
+    view = test_view.make_view(1)
+    view.weights.put_version('m', 1, 1.0)
+    view.weights.put_version('m', 2, 10.0)
+    return view, 10.0 + lag_s
+
+
+def send(view, at):
+    """Send a request; return its plan and work."""
+    work = test_view.make_work(f'sent at {at}')
+    plan = view.plan(work, (), at)
+    view.record_sent(plan, work, at)
+    return plan, work
+
+
+def test_target_behind_is_left_while_a_request_waits_there_for_long():
+    view, now = make_late_view(8.0)
+    _, work = send(view, now - 4.0)
+    view.loads.record_received('t0', now)
+    assert test_view.pick(view, now) is None
+    view.loads.record_end('t0', work.name)
+    assert test_view.pick(view, now) == 't0'
+
+
+def test_target_behind_is_left_after_a_long_wait():
+    view, now = make_late_view(8.0)
+    plan, work = send(view, now - 4.5)
+    view.record_first(plan, work, now - 0.5)
+    view.loads.record_end('t0', work.name)
+    assert test_view.pick(view, now - 2.4) == 't0'
+    assert test_view.pick(view, now) is None
+
+
+def test_target_behind_is_left_if_a_long_wait_is_expected():
+    view, now = make_late_view(8.0)
+    assert test_view.pick(view, now) == 't0'
+    test_view.begin_requests(view, 10)
+    plan = view.plan(test_view.make_work(), (), 10.2)
+    assert plan.wait_s > 3.0
+    assert test_view.pick(view, now) is None
+
+
+def test_request_is_not_sent_with_too_long_a_wait_expected():
+    view, now = make_late_view(8.0)
+    work = test_view.make_work()
+    plan = view.plan(work, (), now)
+    assert view.start_limits.may_send(plan, work, now)
+    late = plan._replace(wait_s=2.8)
+    assert not view.start_limits.may_send(late, work, now)
+
+
+def test_target_on_the_newest_weights_is_used_however_long_it_waits():
+    view, now = make_late_view(8.0)
+    send(view, now - 6.0)
+    view.loads.record_received('t0', now)
+    assert test_view.pick(view, now) is None
+    test_view.put(view, 't0', 2)
+    assert test_view.pick(view, now) == 't0'
