Take a request back before it begins on weights that are too old

A request that was sent in time and waited longer than expected began on old weights past the bound, although another target could have had it: an attempt waited for the answer's head until the target counted as silent, whatever the age of its weights.

What follows is what follows for a silent target: the request leaves it only if it may be repeated, a repeat is left and another target accepts it. The loss has a cause of its own, old_weights, and counts neither against the target's health nor as a sign of a crash. A request that must not be repeated stays.

Evidence: over stand-ins with a bound of 3.0 s, a request sent at 1.2 s that waited for 2.1 s ran on the old engine before; now the new one runs it, and the old one nothing.

--- a/landingspool/decisions/gateway/start_limits.py
+++ b/landingspool/decisions/gateway/start_limits.py
@@ -5,10 +5,15 @@
 allowance for error, ends before the bound.
 """
 
+import math
+
 from landingspool.decisions.gateway import choice
 
 # Allowance for error: the factor by which a wait is assumed to be longer.
 WAIT_FACTOR = 1.5
+# Seconds before the bound at which a request that has not begun is to be taken
+# back: another target has to be connected to and to accept it.
+RECALL_MARGIN_S = 1.0
 
 
 def may_begin(weights, lag_s, wait_s):
@@ -23,7 +28,6 @@
     wait_s : float
         Seconds for which requests wait at the target.
 
-    >>> import math
     >>> from landingspool.decisions.gateway import weights
     >>> weights = weights.Weights(12.0)
     >>> may_begin(weights, 8.9, 0.0), may_begin(weights, 9.0, 0.0)
@@ -79,6 +83,30 @@
         lag_s = self._view.get_lag(name, work.prompt.model, now)
         return self._may_begin(name, lag_s, plan.wait_s, now)
 
+    def measure_left(self, name, work, now):
+        """Return the seconds in which a request may begin at a target.
+
+        Returns
+        -------
+        float or None
+            None if the target lacks no version.
+        """
+        if work.prompt is None:
+            return None
+        lag_s = self._view.get_lag(name, work.prompt.model, now)
+        return self._view.weights.bound_s - lag_s if lag_s else None
+
+    def measure_recall(self, name, work, now):
+        """Return the seconds until a request is to be taken back.
+
+        Returns
+        -------
+        float
+            Infinite if the target lacks no version.
+        """
+        left_s = self.measure_left(name, work, now)
+        return math.inf if left_s is None else left_s - RECALL_MARGIN_S
+
     def _get_version(self, candidate, model):
         return self._view.fleet.get_version(candidate.entry.name, model)
 
--- a/landingspool/gateway/attempts.py
+++ b/landingspool/gateway/attempts.py
@@ -13,6 +13,7 @@
 from landingspool.gateway import delivery
 from landingspool.gateway import forwarded_rows
 from landingspool.gateway import outcomes
+from landingspool.gateway import recalls
 from landingspool.gateway import stream as stream_module
 from landingspool.gateway import upstream as upstream_module
 from landingspool.platform import answers
@@ -62,6 +63,7 @@
         self._planned_at = planned_at
         self._replacements = replacements
         self._exchange = exchange
+        self._recall = recalls.Recall(hub, state, plan)
         self._head = None
         self._sent_at = None
 
@@ -248,7 +250,7 @@
         try:
             head = self._head or await self._read_head()
         except TimeoutError:
-            return self.report_lost('silent', outcomes.Cause.SILENT)
+            return self._report_timeout()
         except upstream_module.ExchangeError as error:
             return self._report_broken(error)
         self.record_version(head.version)
@@ -292,6 +294,13 @@
             self._plan, lambda: self._exchange.has_answer
         )
 
+    def _report_timeout(self):
+        if self._recall.is_due() and not self._is_expired():
+            # The target is not silent.
+            cause = outcomes.Cause.OLD_WEIGHTS
+            return outcomes.Lost(cause, cause)
+        return self.report_lost('silent', outcomes.Cause.SILENT)
+
     def _is_expired(self):
         return self._state.is_expired(self._hub.clock())
 
@@ -303,7 +312,8 @@
         timeout_s = max(objective_s * TIMEOUT_RATIO, MIN_TIMEOUT_S)
         # The expected latency counts, too: where all targets are busy,
         # another one would not answer sooner.
-        return min(left_s, timeout_s + self._plan.expected_s * TIMEOUT_RATIO)
+        timeout_s += self._plan.expected_s * TIMEOUT_RATIO
+        return min(left_s, self._recall.limit_timeout(timeout_s))
 
     def _get_remaining_s(self):
         """Return the seconds until the request's deadline."""
--- a/landingspool/gateway/outcomes.py
+++ b/landingspool/gateway/outcomes.py
@@ -17,6 +17,8 @@
     TIME_OVER = 'time_over'
     MALFORMED = 'malformed'
     STOPPED = 'stopped'
+    # It was taken back before the bound on the age of the weights.
+    OLD_WEIGHTS = 'old_weights'
     # Another incarnation may have answered, whose software is not known.
     REBORN = 'reborn'
 
--- a/tests/gateway/test_start_limits.py
+++ b/tests/gateway/test_start_limits.py
@@ -2,6 +2,7 @@
 
 import asyncio
 
+from landingspool.decisions.gateway import health
 from landingspool.gateway import attempts
 from standins import runner
 from tests.gateway import site
@@ -12,7 +13,7 @@
 NO_ORDERS = 10**9
 
 
-async def start(deployment, version_s, first=1):
+async def start(deployment, version_s, first=1, **bounds):
     """Start a box with one engine; a second one starts, but is not announced.
 
     Parameters
@@ -28,7 +29,7 @@
     known = deployment.engines[0]
     known.version = first
     deployment.announce(known, 'engine', model='m')
-    hub = await deployment.start_box(version_s=version_s)
+    hub = await deployment.start_box(version_s=version_s, **bounds)
     other = runner.Runner('late', 3 - first)
     await other.start()
     deployment.engines.append(other)
@@ -150,6 +151,89 @@
     site.run(check, engines=1)
 
 
+async def ask_before_bound(deployment, route, **bounds):
+    """Send a request to old weights, where it would begin past the bound.
+
+    Returns
+    -------
+    tuple of (hub.Hub, runner.Runner, runner.Runner, asyncio.Future)
+        The box, the engines on old and new weights, and the answer to be.
+    """
+    hub, old, new = await start(deployment, 3.0, **bounds)
+    old.usual, old.queue_s = 'queued stream', 2.1
+    await name_version(deployment, hub, 1.2)
+    work = asyncio.ensure_future(ask(hub, route))
+    await site.wait_until(lambda: old.heads)
+    return hub, old, new, work
+
+
+def test_request_that_would_begin_late_is_taken_back():
+    async def check(deployment):
+        hub, old, new, work = await ask_before_bound(deployment, 'resumed')
+        await announce(deployment, hub, new)
+        got = await work
+        assert got.status == 200
+        assert got.body.count(b'id: ') == 4
+        assert not old.ran
+        assert len(new.ran) == 1
+        # The bound is not the fault of the target.
+        (left,) = [
+            entry.name
+            for entry in hub.view.fleet.entries.values()
+            if entry.target == old.name
+        ]
+        assert hub.view.get_health(left) == health.Health()
+        losses = hub.metrics.losses.labels('old_weights')
+        assert losses._value.get() == 1
+
+    site.run(check, engines=1)
+
+
+def test_request_that_must_not_be_repeated_is_not_taken_back():
+    async def check(deployment):
+        hub, old, new, work = await ask_before_bound(deployment, 'stream')
+        await announce(deployment, hub, new)
+        assert (await work).status == 200
+        assert len(old.ran) == 1
+        assert not new.heads
+
+    site.run(check, engines=1)
+
+
+def test_request_stays_beyond_the_bound_where_no_other_target_is_left():
+    async def check(deployment):
+        _, old, _, work = await ask_before_bound(deployment, 'resumed')
+        assert (await work).status == 200
+        assert len(old.ran) == 1
+
+    site.run(check, engines=1)
+
+
+def test_request_stays_beyond_the_bound_if_the_other_target_rejects_it():
+    async def check(deployment):
+        hub, old, new, work = await ask_before_bound(deployment, 'resumed')
+        new.usual = 'shed'
+        await announce(deployment, hub, new)
+        assert (await work).status == 200
+        assert len(old.ran) == 1
+        assert len(new.heads) == 1
+
+    site.run(check, engines=1)
+
+
+def test_request_stays_beyond_the_bound_without_a_repeat_left():
+    async def check(deployment):
+        hub, old, new, work = await ask_before_bound(
+            deployment, 'resumed', retry_ratio=0.0, retry_slack=0.0
+        )
+        await announce(deployment, hub, new)
+        assert (await work).status == 200
+        assert len(old.ran) == 1
+        assert not new.ran
+
+    site.run(check, engines=1)
+
+
 def make_late_view(lag_s):
     """Return a View whose only target is behind, and the time."""
     view = test_view.make_view(1)
