Log how long weights remain usable, and answers from weights too old

Whether a request that began on old weights past the bound had been sent late or had waited at its target could not be told from the log: `dispatched` does not say for how long the weights of the target remained usable, and no line says that an answer came from weights past the bound.

`dispatched` now has `weights_left_s` where the target lacks a version. The new warning `late_weights` (LS227) is recorded when an answer arrives whose version had been replaced for longer than the bound; it has the version, its lag and the seconds since the request was sent, by which both are told apart. A lag that is not known is logged as null. Stand-in engines name their version in the head of a stream, as the protocol has it.

--- a/landingspool/decisions/gateway/plans.py
+++ b/landingspool/decisions/gateway/plans.py
@@ -96,9 +96,16 @@
     return [c._replace(weight=weight) for c in candidates]
 
 
-def describe_plan(plan, table):
-    """Return the values that decided the choice of a target, for the log."""
-    return {
+def describe_plan(plan, table, weights_left_s=None):
+    """Return the values that decided the choice of a target, for the log.
+
+    Parameters
+    ----------
+    weights_left_s : float, optional
+        Seconds for which the target's weights remain usable; None if it lacks
+        no version.
+    """
+    values = {
         'target': plan.entry.name,
         'expected_s': round(plan.expected_s, 4),
         'kept': plan.cached,
@@ -111,3 +118,6 @@
         'software': plan.entry.software,
         'table': table.version,
     }
+    if weights_left_s is not None:
+        values['weights_left_s'] = round(weights_left_s, 2)
+    return values
--- a/landingspool/event_kinds.py
+++ b/landingspool/event_kinds.py
@@ -181,6 +181,12 @@
             'INFO',
             'A request is not sent, since targets may crash under it.',
         ),
+        Kind(
+            227,
+            'late_weights',
+            'WARNING',
+            'An answer began on weights replaced longer ago than allowed.',
+        ),
         Kind(
             300, 'queued', 'DEBUG', 'A request waits in the queue of its pool.'
         ),
--- a/landingspool/gateway/attempts.py
+++ b/landingspool/gateway/attempts.py
@@ -173,7 +173,9 @@
             priority=self._get_priority(),
             resumes=state.call.resumes,
             after=state.last_event_id or state.call.after_event,
-            **plans.describe_plan(plan, self._view.table),
+            **plans.describe_plan(
+                plan, self._view.table, self._recall.measure_left()
+            ),
         )
         self._exchange.send(
             state.call.method,
@@ -259,6 +261,7 @@
             return await self._take_rejection(head)
         if not self._is_answer(head):
             return await self._take_foreign(head)
+        self._recall.check_answer(head.version, self._sent_at)
         try:
             async with timeouts.Timeout(self._get_remaining_s()):
                 if delivery.is_success(head):
--- a/standins/behaviours.py
+++ b/standins/behaviours.py
@@ -62,7 +62,8 @@
         b'HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n'
         b'content-type: text/event-stream\r\n'
         + f'x-landingspool-request-id: {get_id(head)}\r\n'
-        f'x-landingspool-response-stamp: stamp-{runner.name}\r\n'.encode()
+        f'x-landingspool-response-stamp: stamp-{runner.name}\r\n'
+        f'versions: {runner.version}\r\n'.encode()
         + runner.say(head)
         + b'\r\n'
     )
--- a/tests/gateway/test_start_limits.py
+++ b/tests/gateway/test_start_limits.py
@@ -1,6 +1,7 @@
 """No request begins on weights that were replaced longer ago than allowed."""
 
 import asyncio
+import math
 
 from landingspool.decisions.gateway import health
 from landingspool.gateway import attempts
@@ -65,12 +66,15 @@
 async def announce(deployment, hub, target):
     """Announce a target, and wait until the box knows it."""
     deployment.announce(target, 'engine', model='m')
-    await site.wait_until(
-        lambda: any(
-            entry.target == target.name
-            for entry in hub.view.fleet.entries.values()
-        )
-    )
+    await site.wait_until(lambda: find_name(hub, target))
+
+
+def find_name(hub, target):
+    """Return the name of a target's incarnation, or None."""
+    for entry in hub.view.fleet.entries.values():
+        if entry.target == target.name:
+            return entry.name
+    return None
 
 
 async def ask(hub, route):
@@ -177,11 +181,7 @@
         assert not old.ran
         assert len(new.ran) == 1
         # The bound is not the fault of the target.
-        (left,) = [
-            entry.name
-            for entry in hub.view.fleet.entries.values()
-            if entry.target == old.name
-        ]
+        left = find_name(hub, old)
         assert hub.view.get_health(left) == health.Health()
         losses = hub.metrics.losses.labels('old_weights')
         assert losses._value.get() == 1
@@ -234,6 +234,55 @@
     site.run(check, engines=1)
 
 
+def find_event(hub, name):
+    """Return the fields of the last event of one kind."""
+    events = [e for e in hub.recorder.select() if e.name == name]
+    return events[-1].fields
+
+
+def test_answer_from_weights_past_the_bound_is_logged():
+    async def check(deployment):
+        hub, old, _, work = await ask_before_bound(deployment, 'stream')
+        assert (await work).status == 200
+        assert hub.recorder.counts['late_weights'] == 1
+        fields = find_event(hub, 'late_weights')
+        assert fields['target'] == find_name(hub, old)
+        assert fields['request'] == old.ran[0]['x-landingspool-request-id']
+        assert fields['version'] == 1
+        assert 3.2 < fields['lag_s'] < 3.9
+        assert 2.0 < fields['after_s'] < 2.5
+
+    site.run(check, engines=1)
+
+
+def test_answers_within_the_bound_are_not_logged_as_late():
+    async def check(deployment):
+        hub, old, _ = await start(deployment, 3.0)
+        assert (await ask(hub, 'stream')).status == 200
+        assert 'weights_left_s' not in find_event(hub, 'dispatched')
+        await name_version(deployment, hub, 0.1)
+        assert (await ask(hub, 'stream')).status == 200
+        assert len(old.ran) == 2
+        assert 2.5 < find_event(hub, 'dispatched')['weights_left_s'] < 2.95
+        assert not hub.recorder.counts['late_weights']
+
+    site.run(check, engines=1)
+
+
+def test_answer_from_weights_of_unknown_age_is_logged_without_an_age(
+    monkeypatch,
+):
+    async def check(deployment):
+        hub, _, _, work = await ask_before_bound(deployment, 'stream')
+        monkeypatch.setattr(
+            hub.view.weights, 'get_lag', lambda model, has, now: math.inf
+        )
+        assert (await work).status == 200
+        assert find_event(hub, 'late_weights')['lag_s'] is None
+
+    site.run(check, engines=1)
+
+
 def make_late_view(lag_s):
     """Return a View whose only target is behind, and the time."""
     view = test_view.make_view(1)
