--- a/landingspool/decisions/gateway/weights.py
+++ b/landingspool/decisions/gateway/weights.py
@@ -63,6 +63,7 @@
 
     def __init__(self, bound_s):
         self.named = {}
+        self.bound_s = bound_s
         self.max_lag_s = max(bound_s - START_MARGIN_S, OLD_WEIGHTS_S)
         self.bound_s = bound_s
         self._digests = 0
--- a/landingspool/gateway/attempts.py
+++ b/landingspool/gateway/attempts.py
@@ -13,6 +13,7 @@
 from landingspool.gateway import delivery
 from landingspool.gateway import forwarded_rows
 from landingspool.gateway import outcomes
+from landingspool.gateway import recalls
 from landingspool.gateway import stream as stream_module
 from landingspool.gateway import upstream as upstream_module
 from landingspool.platform import answers
@@ -62,6 +63,7 @@
         self._planned_at = planned_at
         self._replacements = replacements
         self._exchange = exchange
+        self._recall = recalls.Recall(hub, state, plan)
         self._head = None
         self._sent_at = None
 
@@ -104,14 +106,15 @@
     def is_current(self):
         """Return whether the plan still holds.
 
-        While the connection came up, the process may have stalled or the
-        table may have changed.
+        While the connection came up, the process may have stalled, the table
+        may have changed or the target's weights may have become too old.
         """
-        now = self._hub.clock()
+        now, plan, work = self._hub.clock(), self._plan, self._state.work
         return (
             self._hub.timer.ran_since(self._planned_at)
             and is_proved(self._view, now)
-            and self._view.may_send(self._plan.entry, self._state.work, now)
+            and self._view.may_send(plan.entry, work, now)
+            and self._view.start_limits.may_send(plan, work, now)
         )
 
     def _may_send(self):
@@ -170,7 +173,9 @@
             priority=self._get_priority(),
             resumes=state.call.resumes,
             after=state.last_event_id or state.call.after_event,
-            **plans.describe_plan(plan, self._view.table),
+            **plans.describe_plan(
+                plan, self._view.table, self._recall.measure_left()
+            ),
         )
         self._exchange.send(
             state.call.method,
@@ -247,7 +252,7 @@
         try:
             head = self._head or await self._read_head()
         except TimeoutError:
-            return self.report_lost('silent', outcomes.Cause.SILENT)
+            return self._report_timeout()
         except upstream_module.ExchangeError as error:
             return self._report_broken(error)
         self.record_version(head.version)
@@ -256,6 +261,7 @@
             return await self._take_rejection(head)
         if not self._is_answer(head):
             return await self._take_foreign(head)
+        self._recall.check_answer(head.version, self._sent_at)
         try:
             async with timeouts.Timeout(self._get_remaining_s()):
                 if delivery.is_success(head):
@@ -291,6 +297,13 @@
             self._plan, lambda: self._exchange.has_answer
         )
 
+    def _report_timeout(self):
+        if self._recall.is_due() and not self._is_expired():
+            # The target is not silent.
+            cause = outcomes.Cause.OLD_WEIGHTS
+            return outcomes.Lost(cause, cause)
+        return self.report_lost('silent', outcomes.Cause.SILENT)
+
     def _is_expired(self):
         return self._state.is_expired(self._hub.clock())
 
@@ -302,7 +315,8 @@
         timeout_s = max(objective_s * TIMEOUT_RATIO, MIN_TIMEOUT_S)
         # The expected latency counts, too: where all targets are busy,
         # another one would not answer sooner.
-        return min(left_s, timeout_s + self._plan.expected_s * TIMEOUT_RATIO)
+        timeout_s += self._plan.expected_s * TIMEOUT_RATIO
+        return min(left_s, self._recall.limit_timeout(timeout_s))
 
     def _get_remaining_s(self):
         """Return the seconds until the request's deadline."""
--- a/standins/behaviours.py
+++ b/standins/behaviours.py
@@ -62,7 +62,8 @@
         b'HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n'
         b'content-type: text/event-stream\r\n'
         + f'x-landingspool-request-id: {get_id(head)}\r\n'
-        f'x-landingspool-response-stamp: stamp-{runner.name}\r\n'.encode()
+        f'x-landingspool-response-stamp: stamp-{runner.name}\r\n'
+        f'versions: {runner.version}\r\n'.encode()
         + runner.say(head)
         + b'\r\n'
     )
@@ -221,6 +222,18 @@
     writer.write(b'0\r\n\r\n')
 
 
+@behaviour('queued stream')
+async def answer_queued(runner, head, body, reader, writer):
+    """Stream after a wait, unless the caller has left before the run."""
+    try:
+        async with asyncio.timeout(runner.queue_s):
+            await reader.read(1)
+    except TimeoutError:
+        return await answer_stream(runner, head, body, reader, writer)
+    runner.cancelled += 1
+    return True
+
+
 @behaviour('broken stream')
 async def answer_broken(runner, head, body, reader, writer):
     """Stream two events and half of the next, then reset."""
