Keep a bar that was written after a lift

What callers saw: after a bar was lifted (by hand, or by an answer) and the same content crashed three targets again, a box that reads the lift late lets the content through again; and it writes an empty record itself, so that all boxes do, until three more targets have crashed.

Cause: Crashes.lift ignores all crashes up to the moment at which the box reads the lift, not up to when it was written. A box that was cut off from the store reads lift and bar in one page, and one that starts may read a lift of long ago; crashes in a bar record that follows then count as older than the lift.

Evidence: test_a_bar_that_was_written_after_a_lift_outlasts_it fails before (the newest record of the key is b'' and the list of barred keys is empty).

Why the fix works: both are records of one topic, and a box reads them in its order. A record with crashes that is read after a lift was written after it, so the lift no longer hides crashes. What peers tell between the two is still ignored.

--- a/landingspool/decisions/gateway/crashes.py
+++ b/landingspool/decisions/gateway/crashes.py
@@ -475,6 +475,25 @@
         bounded.trim(self._lifted, MAX_KEYS)
         self._remove_until(key, now)
 
+    def forget_lift(self, key):
+        """Let all crashes of a key count that a later record names.
+
+        A lift counts from when this box reads it, which may be long after
+        these crashes.
+
+        >>> crashes = Crashes()
+        >>> crashes.lift(b'f', 9.0)
+        >>> notice = peer_digests.CrashNotice(b'f', 7, 1000)
+        >>> crashes.take(notice, 9.0)
+        >>> crashes.count(b'f', 9.0)
+        0
+        >>> crashes.forget_lift(b'f')
+        >>> crashes.take(notice, 9.0)
+        >>> crashes.count(b'f', 9.0)
+        1
+        """
+        self._lifted.pop(key, None)
+
     def _clear(self, key, at):
         """Revoke all crashes of a key up to a complete answer."""
         self._record_answer(key, at)
--- a/landingspool/gateway/crash_records.py
+++ b/landingspool/gateway/crash_records.py
@@ -97,6 +97,8 @@
                 notices = catalogue.read_crashes(
                     key, record.value, self._hub.wall()
                 )
+                # A lift that was read before was written before.
+                self._crashes.forget_lift(bytes.fromhex(key))
             else:
                 fingerprint = bytes.fromhex(key)
                 self._crashes.lift(fingerprint, now)
--- a/tests/gateway/test_endings.py
+++ b/tests/gateway/test_endings.py
@@ -24,6 +24,7 @@
 
 from landingspool.decisions.gateway import crashes as crashes_module
 from landingspool.decisions.gateway import peer_digests
+from landingspool.platform import catalogue
 from landingspool.platform import names
 from tests.gateway import crashing
 from tests.gateway import site
@@ -116,6 +117,29 @@
     site.run_on_boot_clock(check)
 
 
+def test_a_bar_that_was_written_after_a_lift_outlasts_it():
+    # Guards against a lift that counts from when a box reads it.
+    async def check(deployment):
+        hub = await deployment.start_box()
+        notices = [
+            peer_digests.CrashNotice(b'f', number, 0)
+            for number in range(7, 7 + MAX_CRASHES)
+        ]
+        for notice in notices:
+            hub.view.crashes.take(notice, hub.clock())
+        hub.crash_records.check()
+        key = f'{names.CRASHES_KEY}{b"f".hex()}'
+        bar = catalogue.write_crashes(notices, hub.wall())
+        for value in (b'', bar):
+            deployment.store.put(names.CLAIMS_TOPIC, key, value)
+        await site.wait_until(lambda: hub.recorder.counts['bar_lifted'])
+        await site.wait_until(lambda: not hub.crash_records.list_due())
+        assert deployment.store.topic(names.CLAIMS_TOPIC).newest[key][0]
+        assert hub.view.crashes.list_quarantined(hub.clock()) == [b'f']
+
+    site.run(check)
+
+
 def test_the_same_body_of_another_path_counts_by_itself():
     async def check(deployment, engines):
         (hub,) = await site.start_boxes(deployment, 1)
