Adopt only a record of versions that was read lately

What callers could see: a box that was cut off from the store for over ten seconds continues a stream at another software version than began it.

Cause: its watch of versions begins anew with the first list of targets after the cut, and is at once extended by the record of versions that it had read before the cut. A version that came and went meanwhile stands in the newer record alone, which may arrive up to some seconds after the list.

Why the fix works: each read of the claims topic that returned all there was proves the record as of its sending, and a record is adopted only if it was proved at most ten seconds (the age from which a list is old) before the watch began. After a start both are read at once. After a long cut the box implies nothing for up to the hold of one read of claims more (8 s, 16 s behind another box); streams that boxes know go on as before. The tests of adopt get the new argument and are otherwise as they were.

--- a/landingspool/decisions/gateway/software_history.py
+++ b/landingspool/decisions/gateway/software_history.py
@@ -135,15 +135,18 @@
             ),
         )
 
-    def adopt(self, summary, now):
+    def adopt(self, summary, at, now):
         """Extend this history by the summary in the platform's store.
 
         Boxes store a change as soon as they see it.  So the summary tells what
-        they had seen when this box began to watch.
+        they had seen when this box began to watch, unless it was read long
+        before.
 
         Parameters
         ----------
         summary : Summary
+        at : float
+            When the newest read was sent that showed it to be the newest.
 
         Returns
         -------
@@ -153,16 +156,20 @@
 
         >>> history = SoftwareHistory()
         >>> stored = Summary(frozenset([('s', 'v1')]))
-        >>> history.adopt(stored, 1.0)
+        >>> history.adopt(stored, 1.0, 1.0)
+        False
+        >>> history.confirm_list(20.0)
+        >>> history.adopt(stored, 1.0, 20.0)
         False
-        >>> history.confirm_list(2.0)
-        >>> history.adopt(stored, 2.0), history.has_watched(2.0)
+        >>> history.adopt(stored, 20.0, 20.0), history.has_watched(20.0)
         (True, True)
-        >>> history.list_recent('s', 3.0)
+        >>> history.list_recent('s', 21.0)
         ['v1']
         """
         if math.isinf(self._confirmed):
             return False
+        if at < self._watched_since - LIST_TIMEOUT_S:
+            return False
         self._watched_since = -math.inf
         for service, software in summary.versions:
             self.record(service, software, now)
--- a/landingspool/gateway/following.py
+++ b/landingspool/gateway/following.py
@@ -330,12 +330,14 @@
     def _apply_newest(self, newest):
         super()._apply_newest(newest)
         self._watch.end = newest.end
-        self._hub.software_watch.record_read()
 
     def _apply_page(self, page):
         super()._apply_page(page)
         self._watch.end = page.end
 
+    def _record_read(self, sent):
+        self._hub.software_watch.record_read(sent)
+
     def _apply(self, record):
         if record.key.startswith(names.CRASHES_KEY):
             self._hub.crash_records.take(record)
--- a/landingspool/gateway/software_watch.py
+++ b/landingspool/gateway/software_watch.py
@@ -45,7 +45,8 @@
         self._mixed = set()
         # The summary in the store; None if there is none.
         self._stored = None
-        self._is_read = False
+        # When the newest read was sent that has shown which one is there.
+        self._proved = None
         # Since when the one in the store is out of date, by running time.
         self._differs_since = None
         self._writing = None
@@ -64,9 +65,9 @@
                 'malformed', key=record.key, reason=str(error)
             )
 
-    def record_read(self):
-        """Record that the summary was read, if there is one."""
-        self._is_read = True
+    def record_read(self, sent):
+        """Record that a read sent at `sent` has shown the newest summary."""
+        self._proved = max(sent, self._proved or sent)
 
     def _observe(self, tick):
         entries = self._hub.view.fleet.entries.values()
@@ -99,9 +100,11 @@
 
     def _adopt(self, now):
         """Adopt the stored summary if this box has watched too short."""
-        if self._stored is None or self._history.has_watched(now):
+        if self._stored is None or self._proved is None:
             return
-        if self._history.adopt(self._stored, now):
+        if self._history.has_watched(now):
+            return
+        if self._history.adopt(self._stored, self._proved, now):
             self._hub.recorder.record(
                 'history_adopted', versions=sorted(self._stored.versions)
             )
@@ -111,7 +114,7 @@
 
         A box that may have missed a version only adds to what is stored.
         """
-        if not self._is_read:
+        if self._proved is None:
             return None
         own = self._history.summarize(now)
         if self._history.is_witness(now):
--- a/tests/gateway/test_software_history.py
+++ b/tests/gateway/test_software_history.py
@@ -93,10 +93,10 @@
 def test_a_summary_is_adopted_only_after_the_list_was_read(history):
     summary = history.summarize(LONG_S)
     started = software_history.SoftwareHistory()
-    assert not started.adopt(summary, LONG_S)
+    assert not started.adopt(summary, LONG_S, LONG_S)
     started.confirm_list(LONG_S)
     assert started.find_only(ROUTE, LONG_S) is None
-    assert started.adopt(summary, LONG_S)
+    assert started.adopt(summary, LONG_S, LONG_S)
     assert started.find_only(ROUTE, LONG_S) == ONE
 
 
@@ -105,7 +105,7 @@
     started = software_history.SoftwareHistory()
     started.confirm_list(LONG_S)
     started.record('s', 'v2', LONG_S)
-    started.adopt(history.summarize(LONG_S), LONG_S)
+    started.adopt(history.summarize(LONG_S), LONG_S, LONG_S)
     assert started.list_bindings(ROUTE, LONG_S) == [ONE, TWO]
     read_list(started, LONG_S * 2 - 1, 'v2')
     assert started.find_only(ROUTE, LONG_S * 2 - 1) is None
@@ -118,7 +118,7 @@
     put_table(history, SHARES, LONG_S)
     started = software_history.SoftwareHistory()
     started.confirm_list(LONG_S)
-    started.adopt(history.summarize(LONG_S), LONG_S)
+    started.adopt(history.summarize(LONG_S), LONG_S, LONG_S)
     assert started.find_only(ROUTE, LONG_S) is None
 
 
