--- a/tests/gateway/test_endings.py
+++ b/tests/gateway/test_endings.py
@@ -22,6 +22,8 @@
 import itertools
 import random
 
+import pytest
+
 from landingspool.decisions.gateway import crashes as crashes_module
 from landingspool.decisions.gateway import peer_digests
 from landingspool.platform import catalogue
@@ -39,6 +41,8 @@
 # under way or not be known to a box yet.
 MAX_CRASHES = 3
 MAX_UNKNOWN = 1
+# A time of day, seconds since 1970.
+WALL_S = 1e9
 
 
 def make_fatal(runner):
@@ -140,6 +144,19 @@
     site.run(check)
 
 
+@pytest.mark.parametrize('skew_s', [-7200.0, -3.0, 3.0, 7200.0])
+def test_a_box_whose_time_of_day_is_wrong_bars_what_it_reads(skew_s):
+    notices = [
+        peer_digests.CrashNotice(b'f', number, 500)
+        for number in range(7, 7 + MAX_CRASHES)
+    ]
+    value = catalogue.write_crashes(notices, WALL_S)
+    crashes = crashes_module.Crashes()
+    for notice in catalogue.read_crashes(b'f'.hex(), value, WALL_S + skew_s):
+        crashes.take(notice, 10_000.0)
+    assert crashes.list_quarantined(10_000.0) == [b'f']
+
+
 def test_the_same_body_of_another_path_counts_by_itself():
     async def check(deployment, engines):
         (hub,) = await site.start_boxes(deployment, 1)
--- a/tests/gateway/test_leaving_words.py
+++ b/tests/gateway/test_leaving_words.py
@@ -2,6 +2,7 @@
 
 import asyncio
 
+from landingspool.decisions.gateway import leaving as leaving_module
 from landingspool.decisions.gateway import rollouts
 from landingspool import http
 from tests.gateway import site
@@ -75,6 +76,19 @@
     site.run(check, plain=1, engines=1)
 
 
+def test_a_notice_that_is_passed_on_is_no_newer():
+    first, second = leaving_module.Leaving(), leaving_module.Leaving()
+    first.record_reported('t', 0.0)
+    for at in (30.0, 55.0):
+        for notice in first.list_notices(at):
+            second.take(notice, 'box0', at)
+    # Repeated in each fifth digest, until a minute after the answer.
+    told = [len(second.list_due_notices(at)) for at in (58.0, 59.0) * 5]
+    assert sum(told) == 2
+    assert not any(second.list_due_notices(61.0) for _ in range(10))
+    assert second.holds('t')
+
+
 def test_failures_refusals_and_calls_beside_requests_tell_it():
     for behaviour in ('failure', 'shed'):
 
