--- a/tests/gateway/test_endings.py
+++ b/tests/gateway/test_endings.py
@@ -22,8 +22,11 @@
 import itertools
 import random
 
+import pytest
+
 from landingspool.decisions.gateway import crashes as crashes_module
 from landingspool.decisions.gateway import peer_digests
+from landingspool.platform import catalogue
 from landingspool.platform import names
 from tests.gateway import crashing
 from tests.gateway import site
@@ -38,6 +41,8 @@
 # under way or not be known to a box yet.
 MAX_CRASHES = 3
 MAX_UNKNOWN = 1
+# A time of day, seconds since 1970.
+WALL_S = 1e9
 
 
 def make_fatal(runner):
@@ -116,6 +121,42 @@
     site.run_on_boot_clock(check)
 
 
+def test_a_bar_that_was_written_after_a_lift_outlasts_it():
+    # Guards against a lift that counts from when a box reads it.
+    async def check(deployment):
+        hub = await deployment.start_box()
+        notices = [
+            peer_digests.CrashNotice(b'f', number, 0)
+            for number in range(7, 7 + MAX_CRASHES)
+        ]
+        for notice in notices:
+            hub.view.crashes.take(notice, hub.clock())
+        hub.crash_records.check()
+        key = f'{names.CRASHES_KEY}{b"f".hex()}'
+        bar = catalogue.write_crashes(notices, hub.wall())
+        for value in (b'', bar):
+            deployment.store.put(names.CLAIMS_TOPIC, key, value)
+        await site.wait_until(lambda: hub.recorder.counts['bar_lifted'])
+        await site.wait_until(lambda: not hub.crash_records.list_due())
+        assert deployment.store.topic(names.CLAIMS_TOPIC).newest[key][0]
+        assert hub.view.crashes.list_quarantined(hub.clock()) == [b'f']
+
+    site.run(check)
+
+
+@pytest.mark.parametrize('skew_s', [-7200.0, -3.0, 3.0, 7200.0])
+def test_a_box_whose_time_of_day_is_wrong_bars_what_it_reads(skew_s):
+    notices = [
+        peer_digests.CrashNotice(b'f', number, 500)
+        for number in range(7, 7 + MAX_CRASHES)
+    ]
+    value = catalogue.write_crashes(notices, WALL_S)
+    crashes = crashes_module.Crashes()
+    for notice in catalogue.read_crashes(b'f'.hex(), value, WALL_S + skew_s):
+        crashes.take(notice, 10_000.0)
+    assert crashes.list_quarantined(10_000.0) == [b'f']
+
+
 def test_the_same_body_of_another_path_counts_by_itself():
     async def check(deployment, engines):
         (hub,) = await site.start_boxes(deployment, 1)
