--- a/landingspool/decisions/gateway/weights.py
+++ b/landingspool/decisions/gateway/weights.py
@@ -65,7 +65,6 @@
         self.named = {}
         self.bound_s = bound_s
         self.max_lag_s = max(bound_s - START_MARGIN_S, OLD_WEIGHTS_S)
-        self.bound_s = bound_s
         self._digests = 0
         self._loading = {}
 
