Let stand-in targets leave orders unanswered and load for a while

A stand-in target took each order at once and answered it, so that no test with real processes could show a rollout whose orders are carried out late.

`late_s` leaves an order without an answer and carries it out later, with `expected` and the fence checked at that time; `load_s` lets a load last, during which reports say `busy`, further orders get 409 and requests that need a model 503 with "not executed". Answers to requests with a model name the version of the weights, and `ran` notes on which version each request began. Without these settings orders are answered and carried out at once, as before.

The fleet of the soak names versions and notes when, takes the bound for them as a setting, gives new targets the newest version, and writes the entry of a target again when it has loaded, as the platform's targets do.

--- a/soak/faults.py
+++ b/soak/faults.py
@@ -310,6 +310,4 @@
 @fault
 async def rename_weights(fleet, rng):
     """Name new weights."""
-    newest = max(r.version for r in fleet.runners) + 1
-    row = {'model': 'm', 'version': newest}
-    fleet.store.put(names.PUBLISHED_TOPIC, 'version/m', row)
+    fleet.name_weights()
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import dataclasses
+import functools
 import json
 import math
 import os
@@ -33,6 +34,9 @@
 KEY_S = 5
 TABLE_S = 2
 GRACE_S = 4
+# Seconds after a version of weights was named from which on nothing may begin
+# on older ones.
+VERSION_S = 12.0
 # Boxes of a run: each in a domain of its own, or all in one that is large
 # enough for some to read the store for the others.
 # Versions of the targets' software, which serve side by side.
@@ -59,6 +63,7 @@
 [bounds]
 revoke_ms = {revoke_ms}
 config_ms = {config_ms}
+version_ms = {version_ms}
 grace_s = {grace_s}
 [limits]
 link_mbps = {link_mbps}
@@ -94,6 +99,7 @@
         self.domain = f'd-{name}'
         self.link_mbps = LINKS_MBPS[0]
         self.contracts = ()
+        self.version_s = VERSION_S
         self.process = None
         # When it was started, each time.
         self.starts = []
@@ -120,6 +126,7 @@
             ports=PORTS,
             revoke_ms=KEY_S * 1000,
             config_ms=TABLE_S * 1000,
+            version_ms=round(self.version_s * 1000),
             grace_s=GRACE_S,
             store=f'{host}:{port}',
         )
@@ -160,9 +167,14 @@
     ----------
     contended : bool
         Whether callers compete for room, as the settings say.
+    version_s : float
+        Seconds within which targets have to have new weights.
     """
 
-    def __init__(self, folder, subnet, contended=False):
+    def __init__(self, folder, subnet, contended=False, version_s=VERSION_S):
+        self.version_s = version_s
+        # When each version of the weights was named.
+        self.named = {}
         self._contracts = (names.COMPETITION,) if contended else ()
         self.folder = folder
         self.subnet = subnet
@@ -233,8 +245,7 @@
         self.publish()
         for service in ('plain',) * 3 + ('engine',) * 4:
             await self.add_runner(service)
-        weights = {'model': 'm', 'version': 1}
-        self.store.put(names.PUBLISHED_TOPIC, 'version/m', weights)
+        self.name_weights()
         count = LARGE if large else SMALL
         ips = [f'127.{self.subnet}.0.{i + 1}' for i in range(count)]
         seeds = [f'{ip}:{PORTS["control"]}' for ip in ips[:SMALL]]
@@ -242,6 +253,7 @@
             box = Box(f'box{number}', ip, self.store.address, self.folder)
             box.link_mbps = rng.choice(LINKS_MBPS)
             box.contracts = self._contracts
+            box.version_s = self.version_s
             if large:
                 box.domain = 'd-all'
             self.boxes.append(box)
@@ -264,6 +276,8 @@
         runner.service = service
         runner.software = SOFTWARE[len(self.runners) % len(SOFTWARE)]
         runner.fatal = FATAL if service == 'engine' else None
+        runner.version = max(self.named, default=1)
+        runner.on_load = functools.partial(self._tell_loaded, runner)
         if service == 'engine':
             runner.fatal_parts = frozenset(FATAL_PARTS)
         await runner.start()
@@ -295,6 +309,18 @@
         entry['address'] = f'{host}:{port}'
         self.store.put(names.TARGETS_TOPIC, runner.name, entry)
 
+    def _tell_loaded(self, runner):
+        if not runner.ended:
+            state = 'draining' if runner.name in self.left else 'ready'
+            self.announce(runner, state)
+
+    def name_weights(self):
+        """Name the next version of the weights."""
+        version = max(self.named, default=0) + 1
+        weights = {'model': 'm', 'version': version}
+        self.store.put(names.PUBLISHED_TOPIC, 'version/m', weights)
+        self.named[version] = time.monotonic()
+
     def drain(self, runner):
         """Let a target say that it leaves."""
         self.left[runner.name] = time.monotonic()
--- a/standins/behaviours.py
+++ b/standins/behaviours.py
@@ -113,6 +113,15 @@
     )
 
 
+@behaviour('loading')
+async def answer_loading(runner, head, body, reader, writer):
+    """Refuse without running, while new weights are loaded."""
+    writer.write(
+        b'HTTP/1.1 503 X\r\nx-landingspool-not-executed: 1\r\n'
+        b'content-length: 0\r\n' + runner.say(head) + b'\r\n'
+    )
+
+
 @behaviour('overrun')
 async def answer_overrun(runner, head, body, reader, writer):
     """Run, fail for want of room, and ask for rest."""
--- a/standins/runner.py
+++ b/standins/runner.py
@@ -11,6 +11,7 @@
 import typing
 
 from landingspool.platform import limits
+from landingspool.platform import names
 from standins import behaviours
 
 
@@ -70,6 +71,15 @@
         Requests whose connection closed while they ran.
     software : str
         Version of its software, which its entry names.
+    late_s : float or None
+        Seconds after which it carries out an order that it leaves without an
+        answer, if that is still valid then; None: it answers at once.
+    load_s : float
+        Seconds that a load takes; meanwhile it turns away what needs a model.
+    busy : bool
+        Whether it loads.
+    on_load : callable
+        Called without arguments when it has loaded.
     """
 
     def __init__(self, name, version=1):
@@ -100,6 +110,10 @@
         self.rest = None
         self.said = []
         self.software = 'v1'
+        self.late_s = None
+        self.load_s = 0.0
+        self.busy = False
+        self.on_load = do_nothing
         self._writers = set()
         self._seen = set()
         self._server = None
@@ -154,7 +168,7 @@
                     self._answer_call(writer, head, body)
                     continue
                 at = time.monotonic()
-                name = self.script.pop(0) if self.script else self.usual
+                name = self._choose_behaviour(head)
                 head['how'] = name
                 self.heads.append(
                     {
@@ -164,10 +178,7 @@
                         'shed': name == 'shed',
                     }
                 )
-                if self._is_fatal(head, body):
-                    name = 'fatal'
-                if name != 'shed' and not self._is_mine(head):
-                    name = 'misdirected'
+                name = self._correct_behaviour(name, head, body)
                 if await behaviours.BEHAVIOURS[name](
                     self, head, body, reader, writer
                 ):
@@ -188,6 +199,20 @@
         self._seen.add(id(writer))
         return new
 
+    def _choose_behaviour(self, head):
+        if self.busy and names.MODEL in head:
+            return 'loading'
+        return self.script.pop(0) if self.script else self.usual
+
+    def _correct_behaviour(self, name, head, body):
+        if name == 'loading':
+            return name
+        if self._is_fatal(head, body):
+            name = 'fatal'
+        if name != 'shed' and not self._is_mine(head):
+            name = 'misdirected'
+        return name
+
     def _is_fatal(self, head, body):
         if self.fatal is not None and body == self.fatal:
             return True
@@ -207,6 +232,8 @@
             Of the request that is answered.
         """
         lines = b''
+        if head is not None and names.MODEL in head:
+            lines += f'{names.VERSION}: {self.version}\r\n'.encode()
         if self.leaving:
             self._record_said(head)
             lines += b'server-leaving: 1\r\n'
@@ -231,12 +258,16 @@
             self.said.append(Said(time.monotonic(), name, rest_s))
 
     def run(self, head, body):
-        """Note that a request runs."""
-        at = time.monotonic()
-        self.ran.append({**head, 'body': body, 'at': at})
+        """Note that a request runs, and on which version of the weights."""
+        began = {'at': time.monotonic(), 'version': self.version}
+        self.ran.append({**head, 'body': body, **began})
 
     def _answer_call(self, writer, head, body):
         path = head['path'].split('?')[0]
+        if path == names.ORDER_PATH and self.late_s is not None:
+            loop = asyncio.get_running_loop()
+            loop.call_later(self.late_s, self._order, body)
+            return
         status, value = CALLS[path](self, body)
         data = json.dumps(value).encode()
         writer.write(
@@ -250,7 +281,7 @@
         return 200, {
             'stage': 'both',
             'models': models,
-            'busy': False,
+            'busy': self.busy,
             'sequence': len(self.orders),
             'queue_depth': 0,
             'active_requests': 0,
@@ -260,13 +291,23 @@
         order = json.loads(body)
         if order['fence'] < self.fence:
             return 412, {}
-        if order['expected'] != len(self.orders):
+        if self.busy or order['expected'] != len(self.orders):
             return 409, {}
         self.fence = order['fence']
         self.orders.append(order)
-        self.version = order['version']
+        if not self.load_s:
+            self._end_load(order)
+            return 202, {}
+        self.busy = True
+        loop = asyncio.get_running_loop()
+        loop.call_later(self.load_s, self._end_load, order)
         return 202, {}
 
+    def _end_load(self, order):
+        self.version = order['version']
+        self.busy = False
+        self.on_load()
+
     def _events(self, body):
         return 200, {
             'epoch': self.epoch,
@@ -307,6 +348,10 @@
 }
 
 
+def do_nothing():
+    """Ignore that a target has loaded."""
+
+
 def list_parts(head):
     """List the parts of a request's prompt, but for the last."""
     rows = head.get('x-landingspool-prefix-hash', '').split(',')
