Soak: take the addresses of its boxes as an option

Two soaks at once on one machine use the same addresses and break most checks. `--subnet N` lets the second use 127.N.0.0 and the following ones, one for each job; without it the addresses are as before.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -99,11 +99,11 @@
     return dict(rows.most_common())
 
 
-async def run_all(seeds, jobs):
+async def run_all(seeds, jobs, first_subnet):
     """Run seeds, some at a time; gives how many failed."""
     free = asyncio.Queue()
     for subnet in range(jobs):
-        free.put_nowait(subnet + 10)
+        free.put_nowait(subnet + first_subnet)
     failed = 0
 
     async def run_one(seed):
@@ -141,13 +141,15 @@
     parser.add_argument('--seeds', type=int, default=8)
     parser.add_argument('--first', type=int, default=None)
     parser.add_argument('--jobs', type=int, default=4)
+    # Two soaks on one machine need addresses of their own: 127.SUBNET.0.0 on.
+    parser.add_argument('--subnet', type=int, default=10)
     options = parser.parse_args()
     signal.signal(signal.SIGTERM, lambda *_: sys.exit(1))
     first = options.first
     if first is None:
         first = int(time.time())
     seeds = [*REGRESSIONS, *range(first, first + options.seeds)]
-    failed = asyncio.run(run_all(seeds, options.jobs))
+    failed = asyncio.run(run_all(seeds, options.jobs, options.subnet))
     print(f'{len(seeds) - failed} passed, {failed} failed')
     return 1 if failed else 0
 
