Order targets that had no order before those without an answer

Callers lost the targets whose weights were too old: with five engines whose orders are carried out late, the first two got two orders each before the other three had any, 14 to 19 s after the naming. Targets were ranked by version and name only, so those whose orders had run out of time came first again. Rollout now counts the orders to each target for a version, and ranks targets without any first, then by version, number of orders and name.

The tests that rank targets failed before, against the former rollouts.py: ['a', 'a', 'a', 'a'] instead of ['a', 'b', 'c', 'a'], and 'b' instead of 'a'.

--- a/landingspool/decisions/gateway/rollouts.py
+++ b/landingspool/decisions/gateway/rollouts.py
@@ -8,6 +8,7 @@
 order may be under way.
 """
 
+import collections
 import typing
 
 # Seconds beyond the lease by which another box's claim has to be old before it
@@ -187,7 +188,15 @@
     """Plan the orders for one model."""
 
     def __init__(self):
+        self._version = 0
         self._pending = {}
+        # Number of orders to each target for the version.
+        self._given = collections.Counter()
+
+    def prepare(self, order, now):
+        """Record that an order is about to be given."""
+        self._given[order.target] += 1
+        self.record(order, now, PREPARING)
 
     def record(self, order, now, state):
         """Record the state of an order."""
@@ -197,6 +206,11 @@
         """Record that nothing is under way at a target any more."""
         self._pending.pop(target, None)
 
+    def withdraw(self, order):
+        """Record that a planned order was not given."""
+        self.finish(order.target)
+        self._given[order.target] -= 1
+
     def plan(self, model, version, targets, concurrency, now):
         """Return the orders to give now.
 
@@ -217,20 +231,38 @@
         >>> rollout.plan('m', 2, {'a': 1, 'b': 1, 'c': 2}, 1, 1.0)
         []
         """
+        self._begin(version)
         self._forget(targets, now)
         # A target that refused its order does not load, and is not counted.
         loading = [p for p in self._pending.values() if p.state in LOADING]
         free = max(concurrency - len(loading), 0)
-        # The furthest behind first: each version has a deadline of its own.
-        behind = sorted(
+        behind = self._rank_behind(version, targets)
+        return [Order(name, model, version) for name in behind[:free]]
+
+    def _begin(self, version):
+        if version != self._version:
+            self._version = version
+            self._given.clear()
+
+    def _rank_behind(self, version, targets):
+        """Return the targets that may get an order, the first one first.
+
+        Those without any order precede the others.  Then the furthest behind
+        is first: each version has a deadline of its own.
+        """
+        return sorted(
             (
                 name
                 for name, has in targets.items()
                 if has < version and name not in self._pending
             ),
-            key=lambda name: (targets[name], name),
+            key=lambda name: (
+                self._given[name] > 0,
+                targets[name],
+                self._given[name],
+                name,
+            ),
         )
-        return [Order(name, model, version) for name in behind[:free]]
 
     def list_loading(self, now):
         """Return the targets that load or will, and in how many seconds."""
@@ -246,6 +278,8 @@
             expired = now - pending.sent >= RETRY_DELAYS_S[pending.state]
             if name not in targets or done or expired:
                 del self._pending[name]
+        for name in self._given.keys() - targets.keys():
+            del self._given[name]
 
 
 def compute_delay(pending, now):
--- a/landingspool/gateway/ordering.py
+++ b/landingspool/gateway/ordering.py
@@ -170,7 +170,7 @@
             for order in rollout.plan(
                 model, version, targets, max_loading, now
             ):
-                rollout.record(order, now, rollouts.PREPARING)
+                rollout.prepare(order, now)
                 orders.append(order)
         return orders
 
@@ -183,7 +183,7 @@
 
     def _cancel(self, orders):
         for order in orders:
-            self._rollouts[order.model].finish(order.target)
+            self._rollouts[order.model].withdraw(order)
 
     def _send_orders(self, orders):
         for order in orders:
--- a/tests/gateway/test_ordering.py
+++ b/tests/gateway/test_ordering.py
@@ -179,3 +179,38 @@
         assert claiming
 
     site.run_on_boot_clock(check, engines=2)
+
+
+def give(rollout, order, now, state):
+    """Record that an order is planned, and what becomes of it."""
+    rollout.prepare(order, now)
+    rollout.record(order, now, state)
+
+
+def test_targets_without_an_order_go_before_repeated_orders():
+    # Guards against two orders to one target before others have had any.
+    rollout, targets = rollouts.Rollout(), {'a': 1, 'b': 1, 'c': 1}
+    given, now = [], 0.0
+    while len(given) < 4:
+        for order in rollout.plan('m', 2, targets, 1, now):
+            give(rollout, order, now, rollouts.UNANSWERED)
+            given.append(order.target)
+        now += 0.1
+    assert given == ['a', 'b', 'c', 'a']
+
+
+def test_among_targets_without_an_order_the_furthest_behind_is_first():
+    rollout, targets = rollouts.Rollout(), {'a': 2, 'b': 1, 'c': 2}
+    (order,) = rollout.plan('m', 3, targets, 1, 0.0)
+    assert order.target == 'b'
+    give(rollout, order, 0.0, rollouts.UNANSWERED)
+    (order,) = rollout.plan('m', 3, targets, 1, rollouts.UNANSWERED_S)
+    assert order.target == 'a'
+
+
+def test_orders_for_another_version_are_counted_anew():
+    rollout, targets = rollouts.Rollout(), {'a': 1, 'b': 1}
+    (order,) = rollout.plan('m', 2, targets, 1, 0.0)
+    give(rollout, order, 0.0, rollouts.UNANSWERED)
+    (order,) = rollout.plan('m', 3, targets, 1, rollouts.UNANSWERED_S)
+    assert order == rollouts.Order('a', 'm', 3)
