Free the place of an order without an answer while its target is idle

Callers found the weights of most targets too old, and were refused: an order without an answer held one of one or two places, and kept its target closed, for 2.5 s after the time-out, though the target loaded only 2 to 12 s later.

The holder goes on reading the reports of such a target. One that says "not busy" frees the place, and the target serves again; the order is repeated UNANSWERED_S after the time-out at the earliest; a report that says "busy", at any time later, counts as a load under way and is told to all boxes.

What that costs: a late load begins while the target serves. Requests there that have not begun get 503 Not-Executed, which is a promise, and may be sent elsewhere within the retry budget; running ones continue (`retain`), and what they make afterwards earns nothing. Closing the target cost all that it could have served, up to its load or the next order. A repeated order doesn't close its target for the same reason, but takes a place until it is settled.

A watch ends when its target gets another order or another box holds the claim. Orders are also discarded if no target of their model is behind any more; one to a target that had gone kept the claim alive.

Against the former code, with stubs for methods that are new, these new tests failed: place held, "busy" not counted, repeated orders that close a target, orders to targets that are gone; and over sockets, with four targets that carry orders out 7 s late, not all had an order within 9 s. Now all have one within 7 s, and one each.

--- a/landingspool/decisions/gateway/rollouts.py
+++ b/landingspool/decisions/gateway/rollouts.py
@@ -9,6 +9,7 @@
 """
 
 import collections
+import itertools
 import typing
 
 # Seconds beyond the lease by which another box's claim has to be old before it
@@ -161,27 +162,55 @@
 
 
 class Pending(typing.NamedTuple):
-    """An order that was given, its time and state."""
+    """An order that was given, its time and state.
+
+    `number` tells the orders to one target apart.
+    """
 
     order: Order
     sent: float
     state: str
+    number: int = 0
 
 
 PREPARING = 'preparing'
+# Another order is under way to a target that may carry out an earlier one.
+REPEATING = 'repeating'
 ACCEPTED = 'accepted'
 UNANSWERED = 'unanswered'
+# Unanswered, and the target's report says that it does not load yet.
+NOT_BEGUN = 'not_begun'
+# The target's report says that it loads.
+BUSY = 'busy'
 REFUSED = 'refused'
 
 # Seconds for which a state prevents another order to the target.
 RETRY_DELAYS_S = {
     PREPARING: LOAD_S,
+    REPEATING: LOAD_S,
     ACCEPTED: LOAD_S,
     UNANSWERED: UNANSWERED_S,
+    NOT_BEGUN: UNANSWERED_S,
+    BUSY: LOAD_S,
     REFUSED: REFUSED_S,
 }
 # States in which a target refuses requests, or will soon.
-LOADING = (PREPARING, ACCEPTED, UNANSWERED)
+LOADING = (PREPARING, ACCEPTED, UNANSWERED, BUSY)
+# States that count as under way: a repeated order may be carried out at once,
+# but most aren't, and till then its target serves.
+UNDER_WAY = (*LOADING, REPEATING)
+# The state after a report of the target, by the state before and by whether it
+# says that the target is busy.
+REPORTED = {
+    (PREPARING, True): BUSY,
+    (REPEATING, True): BUSY,
+    (UNANSWERED, True): BUSY,
+    (UNANSWERED, False): NOT_BEGUN,
+    (NOT_BEGUN, True): BUSY,
+    (BUSY, False): NOT_BEGUN,
+}
+# The state after a repeated order: an earlier one may still be carried out.
+REPEATED = {UNANSWERED: NOT_BEGUN, REFUSED: NOT_BEGUN}
 
 
 class Rollout:
@@ -190,17 +219,72 @@
     def __init__(self):
         self._version = 0
         self._pending = {}
+        self._numbers = itertools.count(1)
         # Number of orders to each target for the version.
         self._given = collections.Counter()
 
+    def record(self, order, now, state):
+        """Record the state of an order."""
+        number = self.get_number(order.target)
+        if self.is_repeating(order.target):
+            state = REPEATED.get(state, state)
+        self._pending[order.target] = Pending(order, now, state, number)
+
     def prepare(self, order, now):
-        """Record that an order is about to be given."""
+        """Record that an order is about to be given.
+
+        >>> rollout, order = Rollout(), Order('a', 'm', 2)
+        >>> rollout.prepare(order, 0.0)
+        >>> rollout.record(order, 1.0, UNANSWERED)
+        >>> rollout.take_report('a', False, 1.2)
+        >>> rollout.prepare(order, 3.5)
+        >>> rollout.is_repeating('a'), rollout.list_loading(3.5)
+        (True, {})
+        """
+        known = self._pending.get(order.target)
+        is_repeated = known is not None and known.state == NOT_BEGUN
         self._given[order.target] += 1
-        self.record(order, now, PREPARING)
+        self._pending[order.target] = Pending(
+            order,
+            now,
+            REPEATING if is_repeated else PREPARING,
+            next(self._numbers),
+        )
 
-    def record(self, order, now, state):
-        """Record the state of an order."""
-        self._pending[order.target] = Pending(order, now, state)
+    def is_repeating(self, target):
+        """Return whether an order is repeated while the target serves."""
+        known = self._pending.get(target)
+        return known is not None and known.state == REPEATING
+
+    def get_number(self, target):
+        """Return the number of the last order to a target, or 0."""
+        known = self._pending.get(target)
+        return known.number if known is not None else 0
+
+    def take_report(self, target, busy, now):
+        """Record whether a target says that it is carrying out an order.
+
+        An order without an answer may be carried out at any time after a
+        report that the target is not busy.  Until then it needs no place.
+
+        >>> rollout, order = Rollout(), Order('a', 'm', 2)
+        >>> rollout.record(order, 1.0, UNANSWERED)
+        >>> rollout.take_report('a', False, 1.2)
+        >>> rollout.list_loading(1.2)
+        {}
+        >>> rollout.take_report('a', True, 5.0)
+        >>> rollout.list_loading(5.0)
+        {'a': 0.0}
+        """
+        known = self._pending.get(target)
+        if known is None:
+            return
+        state = REPORTED.get((known.state, busy))
+        if state is None:
+            return
+        # The order is repeated no later for a report that nothing began.
+        sent = known.sent if state == NOT_BEGUN else now
+        self._pending[target] = known._replace(sent=sent, state=state)
 
     def finish(self, target):
         """Record that nothing is under way at a target any more."""
@@ -211,6 +295,32 @@
         self.finish(order.target)
         self._given[order.target] -= 1
 
+    def is_open(self, target, number):
+        """Return whether an order is the last one to its target and open."""
+        known = self._pending.get(target)
+        return (
+            known is not None
+            and known.number == number
+            and known.state != REFUSED
+        )
+
+    def forget(self, targets, now):
+        """Discard the orders that are done, are over, or had a target gone.
+
+        Parameters
+        ----------
+        targets : dict of str to int
+            As for `plan`.
+        """
+        for name, pending in list(self._pending.items()):
+            done = targets.get(name, 0) >= pending.order.version
+            # A load that has not begun may begin after any time.
+            over = pending.state != NOT_BEGUN and is_over(pending, now)
+            if name not in targets or done or over:
+                del self._pending[name]
+        for name in self._given.keys() - targets.keys():
+            del self._given[name]
+
     def plan(self, model, version, targets, concurrency, now):
         """Return the orders to give now.
 
@@ -232,11 +342,11 @@
         []
         """
         self._begin(version)
-        self._forget(targets, now)
+        self.forget(targets, now)
         # A target that refused its order does not load, and is not counted.
-        loading = [p for p in self._pending.values() if p.state in LOADING]
-        free = max(concurrency - len(loading), 0)
-        behind = self._rank_behind(version, targets)
+        under_way = [p for p in self._pending.values() if p.state in UNDER_WAY]
+        free = max(concurrency - len(under_way), 0)
+        behind = self._rank_behind(version, targets, now)
         return [Order(name, model, version) for name in behind[:free]]
 
     def _begin(self, version):
@@ -244,7 +354,7 @@
             self._version = version
             self._given.clear()
 
-    def _rank_behind(self, version, targets):
+    def _rank_behind(self, version, targets, now):
         """Return the targets that may get an order, the first one first.
 
         Those without any order precede the others.  Then the furthest behind
@@ -254,7 +364,7 @@
             (
                 name
                 for name, has in targets.items()
-                if has < version and name not in self._pending
+                if has < version and self._may_order(name, now)
             ),
             key=lambda name: (
                 self._given[name] > 0,
@@ -264,6 +374,12 @@
             ),
         )
 
+    def _may_order(self, name, now):
+        pending = self._pending.get(name)
+        if pending is None:
+            return True
+        return pending.state == NOT_BEGUN and is_over(pending, now)
+
     def list_loading(self, now):
         """Return the targets that load or will, and in how many seconds."""
         return {
@@ -272,14 +388,15 @@
             if pending.state in LOADING
         }
 
-    def _forget(self, targets, now):
-        for name, pending in list(self._pending.items()):
-            done = targets.get(name, 0) >= pending.order.version
-            expired = now - pending.sent >= RETRY_DELAYS_S[pending.state]
-            if name not in targets or done or expired:
-                del self._pending[name]
-        for name in self._given.keys() - targets.keys():
-            del self._given[name]
+
+def is_over(pending, now):
+    """Return whether another order may be given.
+
+    >>> pending = Pending(None, 10.0, UNANSWERED)
+    >>> is_over(pending, 12.4), is_over(pending, 12.5)
+    (False, True)
+    """
+    return now - pending.sent >= RETRY_DELAYS_S[pending.state]
 
 
 def compute_delay(pending, now):
--- a/landingspool/gateway/ordering.py
+++ b/landingspool/gateway/ordering.py
@@ -69,6 +69,8 @@
                 entry.name: view.fleet.get_version(entry.name, model) or 0
                 for entry in view.list_loadable(model)
             }
+            if model in self._rollouts:
+                self._rollouts[model].forget(targets, self._hub.clock())
             if rollouts.is_needed(named.version, targets):
                 rows.append((model, named.version, targets))
         return rows
@@ -199,16 +201,20 @@
             rollout.finish(order.target)
             return
         began = self._hub.clock()
-        report = await self._drain(entry, order)
+        number = rollout.get_number(order.target)
+        if rollout.is_repeating(order.target):
+            # It serves until it carries out this order or an earlier one.
+            report = await self._read_report(entry, order)
+        else:
+            report = await self._drain(entry, order)
         if isinstance(report, runners.Unanswered) or self._has(report, order):
             rollout.record(order, self._hub.clock(), rollouts.REFUSED)
-            return
-        if not report.busy:
+        elif report.busy:
+            rollout.take_report(order.target, True, self._hub.clock())
+        else:
             state = await self._send(entry, order, report, began)
             rollout.record(order, self._hub.clock(), state)
-            if state == rollouts.REFUSED:
-                return
-        await self._wait(rollout, entry, order)
+        await self._wait(rollout, entry, order, number)
 
     async def _drain(self, entry, order):
         """Wait until a target is nearly idle; return its last report.
@@ -257,8 +263,13 @@
             self._drop_claim('fenced')
         return STATES[type(reply)]
 
-    async def _wait(self, rollout, entry, order):
-        while order.target in rollout.list_loading(self._hub.clock()):
+    async def _wait(self, rollout, entry, order, number):
+        """Follow a target until it has the version or gets another order."""
+        box = self._hub.deployment.box
+        while rollout.is_open(order.target, number):
+            if not self.watch.may_claim(box, self._hub.clock()):
+                # Another box gives the orders now.
+                return
             await asyncio.sleep(REPORT_PERIOD_S)
             report = await self._read_report(entry, order)
             if isinstance(report, runners.Unanswered):
@@ -267,6 +278,7 @@
                 rollout.finish(order.target)
                 self._hub.view.weights.end_loading(order.target)
                 return
+            rollout.take_report(order.target, report.busy, self._hub.clock())
 
     async def _read_report(self, entry, order):
         if not self._hub.view.may_call(entry.name, self._hub.clock()):
--- a/tests/gateway/test_ordering.py
+++ b/tests/gateway/test_ordering.py
@@ -1,14 +1,17 @@
 """Orders for new weights: one holder, rising fences, no order twice."""
 
 import asyncio
+import json
 
 import pytest
 
+from landingspool.decisions.gateway import prompts
 from landingspool.decisions.gateway import rollouts
 from landingspool import http
 from landingspool.platform import catalogue
 from landingspool.platform import names
 from landingspool.platform import store as store_module
+from standins import runner as runner_module
 from tests.gateway import site
 
 
@@ -214,3 +217,151 @@
     give(rollout, order, 0.0, rollouts.UNANSWERED)
     (order,) = rollout.plan('m', 3, targets, 1, rollouts.UNANSWERED_S)
     assert order == rollouts.Order('a', 'm', 3)
+
+
+def test_an_unanswered_order_holds_no_place_while_its_target_is_idle():
+    rollout, targets = rollouts.Rollout(), {'a': 1, 'b': 1, 'c': 1}
+    (order,) = rollout.plan('m', 2, targets, 1, 0.0)
+    give(rollout, order, 1.0, rollouts.UNANSWERED)
+    assert not rollout.plan('m', 2, targets, 1, 1.1)
+    rollout.take_report('a', False, 1.2)
+    assert not rollout.list_loading(1.2)
+    (order,) = rollout.plan('m', 2, targets, 1, 1.2)
+    assert order.target == 'b'
+
+
+def test_a_late_load_holds_a_place_again():
+    rollout, targets = rollouts.Rollout(), {'a': 1, 'b': 1, 'c': 1}
+    (order,) = rollout.plan('m', 2, targets, 1, 0.0)
+    give(rollout, order, 1.0, rollouts.UNANSWERED)
+    rollout.take_report('a', False, 1.2)
+    # After any time, also after that for another order.
+    late = 1.0 + 3 * rollouts.UNANSWERED_S
+    rollout.take_report('a', True, late)
+    assert rollout.list_loading(late) == {'a': 0.0}
+    assert not rollout.plan('m', 2, targets, 1, late)
+    rollout.take_report('a', False, late + 1.0)
+    assert rollout.plan('m', 2, targets, 1, late + 1.0)
+
+
+def test_a_report_that_nothing_began_repeats_no_order_earlier():
+    rollout, targets = rollouts.Rollout(), {'a': 1}
+    (order,) = rollout.plan('m', 2, targets, 1, 0.0)
+    give(rollout, order, 1.0, rollouts.UNANSWERED)
+    rollout.take_report('a', False, 1.2)
+    again = 1.0 + rollouts.UNANSWERED_S
+    assert not rollout.plan('m', 2, targets, 1, again - 0.1)
+    assert rollout.plan('m', 2, targets, 1, again)
+
+
+@pytest.mark.parametrize('state', [rollouts.UNANSWERED, rollouts.REFUSED])
+def test_a_repeated_order_does_not_close_its_target(state):
+    # Guards against a target out of use that may serve until a late load.
+    rollout, targets = rollouts.Rollout(), {'a': 1, 'b': 2}
+    (order,) = rollout.plan('m', 2, targets, 1, 0.0)
+    give(rollout, order, 1.0, rollouts.UNANSWERED)
+    rollout.take_report('a', False, 1.2)
+    rollout.prepare(order, 3.5)
+    assert not rollout.list_loading(3.5)
+    assert not rollout.plan('m', 2, targets, 1, 3.5)
+    rollout.record(order, 4.5, state)
+    assert not rollout.list_loading(4.5)
+    rollout.take_report('a', True, 4.7)
+    assert rollout.list_loading(4.7) == {'a': 0.0}
+
+
+def test_an_accepted_order_is_not_over_for_a_report_from_before_it():
+    rollout, targets = rollouts.Rollout(), {'a': 1, 'b': 1}
+    (order,) = rollout.plan('m', 2, targets, 1, 0.0)
+    give(rollout, order, 1.0, rollouts.ACCEPTED)
+    rollout.take_report('a', False, 1.1)
+    assert rollout.list_loading(1.1) == {'a': 0.0}
+
+
+def test_orders_to_targets_that_are_gone_are_discarded():
+    # Guards against a claim that is renewed for a target that is gone.
+    rollout = rollouts.Rollout()
+    (order,) = rollout.plan('m', 2, {'a': 1}, 1, 0.0)
+    give(rollout, order, 0.0, rollouts.ACCEPTED)
+    rollout.forget({'b': 2}, 0.1)
+    assert not rollout.list_loading(0.1)
+
+
+class LateRunner(runner_module.Runner):
+    """Leaves orders unanswered and carries them out late.
+
+    Attributes
+    ----------
+    asked : list of float
+        When orders arrived.
+    late_s, load_s : float
+        Seconds until an order is carried out, and those that it takes then.
+    """
+
+    def __init__(self, name, late_s, load_s=0.6):
+        super().__init__(name)
+        self.asked = []
+        self.late_s = late_s
+        self.load_s = load_s
+        self._is_busy = False
+
+    def _answer_call(self, writer, head, body):
+        if head['path'] == '/api/report':
+            _, row = self._report(body)
+            data = json.dumps({**row, 'busy': self._is_busy}).encode()
+            head = b'HTTP/1.1 200 X\r\ncontent-length: %d\r\n\r\n'
+            writer.write(head % len(data) + data)
+        elif head['path'] == '/api/order':
+            loop = asyncio.get_running_loop()
+            self.asked.append(loop.time())
+            loop.call_later(self.late_s, self._begin, body)
+        else:
+            super()._answer_call(writer, head, body)
+
+    def _begin(self, body):
+        """Carry out an order, with what it expects checked only now."""
+        if self._is_busy or json.loads(body)['expected'] != len(self.orders):
+            return
+        self._is_busy = True
+        loop = asyncio.get_running_loop()
+        loop.call_later(self.load_s, self._end, body)
+
+    def _end(self, body):
+        self._is_busy = False
+        self._order(body)
+
+
+def run_late(check, count, late_s):
+    """Run an async test against targets that carry orders out late."""
+
+    async def main():
+        deployment = site.Site(engines=0)
+        deployment.engines = [
+            LateRunner(f'e{i}', late_s) for i in range(count)
+        ]
+        async with deployment:
+            await check(deployment)
+
+    asyncio.run(main())
+
+
+def test_late_orders_do_not_delay_those_to_other_targets():
+    async def check(deployment):
+        (hub,) = await site.start_boxes(deployment, 1)
+        named = {'model': 'm', 'version': 2}
+        deployment.store.put('keyed.op', 'version/m', named)
+        began = asyncio.get_running_loop().time()
+        engines = deployment.engines
+        await site.wait_until(lambda: all(e.asked for e in engines), 9.0)
+        assert [len(e.asked) for e in engines] == [1] * 4
+        assert max(e.asked[0] for e in engines) - began < 7.0
+        # The first one has an order that it may carry out, and serves.
+        prompt = prompts.Prompt('m', 100, 4, ())
+        loading = hub.view.weights.is_loading
+        assert not loading(engines[0].name, prompt, hub.clock())
+        await site.wait_until(
+            lambda: all(e.version == 2 for e in engines), 12.0
+        )
+        assert [len(e.orders) for e in engines] == [1] * 4
+
+    run_late(check, 4, 7.0)
