Load targets past the bound beside those that still serve

Callers were refused for longer than needed: a target whose weights are too old for any request was counted against those that have to keep serving, waited for their turn, and was closed for up to half a second before its order though no box sent it anything.

Targets past the bound (also -inf: of unknown age) now leave the places of those in use, and are limited only by the loads that slow each other, two of five. They are ordered first, as the furthest behind, and without a closing time. More of those in use are under way as their bound comes near, as before.

All at once instead of two of five was weighed. If loads under way share their speed, five at once are all ready after 3.3 s, two at a time after 1.3, 2.6 and 3.9 s (by reckoning: 1.3 s a load, 5/2 as long for five). How targets slow each other isn't known, so the rate that is known to be free stays.

test_targets_past_the_bound_leave_the_places_of_those_in_use failed before (['a'] instead of ['a', 'c']); the other two tests hold for both.

--- a/landingspool/decisions/gateway/rollouts.py
+++ b/landingspool/decisions/gateway/rollouts.py
@@ -256,6 +256,23 @@
         known = self._pending.get(target)
         return known is not None and known.state == REPEATING
 
+    def needs_closing(self, target, left_s):
+        """Return whether a target has to be closed before its order.
+
+        No box uses one with weights that are too old, and one that may carry
+        out an earlier order at any time serves until it does.
+
+        Parameters
+        ----------
+        left_s : float
+            Seconds for which the target's weights remain usable.
+
+        >>> rollout = Rollout()
+        >>> rollout.needs_closing('a', 3.0), rollout.needs_closing('a', 0.0)
+        (True, False)
+        """
+        return left_s > 0 and not self.is_repeating(target)
+
     def get_number(self, target):
         """Return the number of the last order to a target, or 0."""
         known = self._pending.get(target)
@@ -321,7 +338,41 @@
         for name in self._given.keys() - targets.keys():
             del self._given[name]
 
-    def plan(self, model, version, targets, concurrency, now):
+    def plan_by_deadline(self, model, version, targets, left, now):
+        """Return the orders to give now, by the time that is left.
+
+        Parameters
+        ----------
+        version, targets
+            As for `plan`.
+        left : dict of str to float
+            For each target that is behind, the seconds for which it may still
+            be used.
+
+        >>> rollout, left = Rollout(), dict.fromkeys('abcde', 9.0)
+        >>> targets = dict.fromkeys('abcde', 1)
+        >>> [
+        ...     order.target
+        ...     for order in rollout.plan_by_deadline(
+        ...         'm', 2, targets, left | {'c': -1.0}, 0.0
+        ...     )
+        ... ]
+        ['a', 'c']
+        """
+        expired = frozenset(name for name in left if left[name] <= 0)
+        used = [seconds for seconds in left.values() if seconds > 0]
+        return self.plan(
+            model,
+            version,
+            targets,
+            compute_concurrency(len(targets), used),
+            now,
+            expired,
+        )
+
+    def plan(
+        self, model, version, targets, concurrency, now, expired=frozenset()
+    ):
         """Return the orders to give now.
 
         Parameters
@@ -331,7 +382,10 @@
         targets : dict of str to int
             The version that each target of the model has.
         concurrency : int
-            Targets that may load at once without slowing each other.
+            Targets that may be under way at once of those that are in use.
+        expired : frozenset of str
+            Targets whose weights are too old for any request.  They serve
+            nobody, so only the loads that slow each other limit them.
 
         >>> rollout = Rollout()
         >>> orders = rollout.plan('m', 2, {'a': 1, 'b': 1, 'c': 2}, 1, 0.0)
@@ -344,10 +398,20 @@
         self._begin(version)
         self.forget(targets, now)
         # A target that refused its order does not load, and is not counted.
-        under_way = [p for p in self._pending.values() if p.state in UNDER_WAY]
-        free = max(concurrency - len(under_way), 0)
-        behind = self._rank_behind(version, targets, now)
-        return [Order(name, model, version) for name in behind[:free]]
+        loading = {
+            name for name, p in self._pending.items() if p.state in UNDER_WAY
+        }
+        places = max(compute_limit(len(targets)), concurrency) - len(loading)
+        places_in_use = concurrency - len(loading - expired)
+        chosen = []
+        for name in self._rank_behind(version, targets, now):
+            is_in_use = name not in expired
+            if places <= 0 or (is_in_use and places_in_use <= 0):
+                continue
+            places -= 1
+            places_in_use -= is_in_use
+            chosen.append(name)
+        return [Order(name, model, version) for name in chosen]
 
     def _begin(self, version):
         if version != self._version:
@@ -452,9 +516,17 @@
     1
     """
     usual = int(targets * CONCURRENT_SHARE)
+    return max(min(max(compute_pace(left), usual), compute_limit(targets)), 1)
+
+
+def compute_limit(targets):
+    """Return how many targets may load at once without slowing each other.
+
+    >>> [compute_limit(targets) for targets in (1, 2, 5, 50)]
+    [1, 1, 2, 20]
+    """
     limit = int(targets * MAX_CONCURRENT_SHARE)
-    wanted = min(max(compute_pace(left), usual), limit)
-    return max(min(wanted, targets - 1), 1)
+    return max(min(limit, targets - 1), 1)
 
 
 def compute_pace(left):
--- a/landingspool/gateway/ordering.py
+++ b/landingspool/gateway/ordering.py
@@ -161,16 +161,13 @@
         orders = []
         for model, version, targets in behind:
             rollout = self._rollouts.setdefault(model, rollouts.Rollout())
-            seconds_left = [
-                self._hub.view.get_time_left(name, model, now)
+            seconds_left = {
+                name: self._hub.view.get_time_left(name, model, now)
                 for name, loaded in targets.items()
                 if loaded < version
-            ]
-            max_loading = rollouts.compute_concurrency(
-                len(targets), seconds_left
-            )
-            for order in rollout.plan(
-                model, version, targets, max_loading, now
+            }
+            for order in rollout.plan_by_deadline(
+                model, version, targets, seconds_left, now
             ):
                 rollout.prepare(order, now)
                 orders.append(order)
@@ -202,11 +199,11 @@
             return
         began = self._hub.clock()
         number = rollout.get_number(order.target)
-        if rollout.is_repeating(order.target):
-            # It serves until it carries out this order or an earlier one.
-            report = await self._read_report(entry, order)
-        else:
+        left_s = self._hub.view.get_time_left(order.target, order.model, began)
+        if rollout.needs_closing(order.target, left_s):
             report = await self._drain(entry, order)
+        else:
+            report = await self._read_report(entry, order)
         if isinstance(report, runners.Unanswered) or self._has(report, order):
             rollout.record(order, self._hub.clock(), rollouts.REFUSED)
         elif report.busy:
--- a/tests/gateway/test_ordering.py
+++ b/tests/gateway/test_ordering.py
@@ -287,6 +287,37 @@
     assert not rollout.list_loading(0.1)
 
 
+def list_planned(rollout, targets, left, now=0.0):
+    """Return the targets of the orders for version 2 that are due."""
+    orders = rollout.plan_by_deadline('m', 2, targets, left, now)
+    return [order.target for order in orders]
+
+
+def test_targets_past_the_bound_leave_the_places_of_those_in_use():
+    rollout, targets = rollouts.Rollout(), dict.fromkeys('abcde', 1)
+    left = dict.fromkeys('abcde', 9.0)
+    assert list_planned(rollout, targets, left) == ['a']
+    assert list_planned(rollout, targets, left | {'c': -1.0}) == ['a', 'c']
+    give(rollout, rollouts.Order('c', 'm', 2), 0.0, rollouts.ACCEPTED)
+    assert list_planned(rollout, targets, left | {'c': -1.0}) == ['a']
+
+
+def test_targets_past_the_bound_load_no_more_than_two_of_five_at_once():
+    rollout, targets = rollouts.Rollout(), dict.fromkeys('abcde', 1)
+    left = dict.fromkeys('abcde', float('-inf'))
+    assert list_planned(rollout, targets, left) == ['a', 'b']
+    give(rollout, rollouts.Order('a', 'm', 2), 0.0, rollouts.ACCEPTED)
+    assert list_planned(rollout, targets, left) == ['b']
+
+
+def test_targets_past_the_bound_are_ordered_first():
+    rollout, targets = rollouts.Rollout(), dict.fromkeys('abcde', 2)
+    targets['e'] = 1
+    left = dict.fromkeys('abcd', 1.0) | {'e': -1.0}
+    orders = rollout.plan_by_deadline('m', 3, targets, left, 0.0)
+    assert [order.target for order in orders] == ['e', 'a']
+
+
 class LateRunner(runner_module.Runner):
     """Leaves orders unanswered and carries them out late.
 
