Give each target its first order sooner while orders have no answer

Callers were refused from the bound on, as most targets still had old weights: with 195 boxes and 50 engines whose orders have no answer and are carried out 2 to 12 s late, the last first order came when the bound was near, since ten at a time were paced as if each loaded at once, and each had a second to be answered.

Until each target has had an order, more may be under way as the share of orders without an answer grows, up to two fifths, which load without slowing each other; such an order takes its place for less than a second. The answer to an order is awaited for 0.5 s instead of 1 s: reports tell of a load whose answer is late. Orders that are answered are paced as before.

bench/many.py plays such orders now (bench/orders.py) with the same Rollout as the boxes. A load there is slowed by those under way at its begin.

--- a/bench/many.py
+++ b/bench/many.py
@@ -17,6 +17,7 @@
 
 from bench import engine
 from bench import mixes
+from bench import orders
 from bench import world
 from landingspool.decisions.gateway import context_index
 from landingspool.decisions.gateway import peer_digests
@@ -73,6 +74,9 @@
     limited_per_s : tuple of float
         Requests a second that each engine with a limit got from CONTACT_S
         after it was named.
+    renewed : float
+        Share of the engines with the newest weights `Size.version_s` after
+        these were named; for orders of which some are carried out late.
     """
 
     in_aim: float
@@ -85,6 +89,7 @@
     by_kind: dict
     by_second: tuple
     limited_per_s: tuple = ()
+    renewed: float = 1.0
     spilled: dict = {}
     digests: int = 0
     crossings: float = 0.0
@@ -149,12 +154,13 @@
         self._numbers = collections.Counter()
         self._waits = []
         self._read_once = set()
+        self._renewed = 1.0
 
     def _make_view(self, number):
         size = self._size
         domain = f'd{number % size.domains}'
         view = view_module.View(
-            domain, deployment.Bounds(version_s=15.0), number
+            domain, deployment.Bounds(version_s=size.version_s), number
         )
         view.put_table(world.make_table(size))
         view.context_index = SharedStore(self._held)
@@ -174,17 +180,18 @@
 
     def run(self):
         """Play to the end."""
-        self._at(0.0, self._tell, 0)
-        self._at(0.0, self._arrive)
+        self.at(0.0, self._tell, 0)
+        self.at(0.0, self._arrive)
         for number, when in enumerate(self._size.named_at):
-            self._at(when, self._name_version, number + 2)
-        self._at(0.0, self._look, 0)
+            self.at(when, self._name_version, number + 2)
+        self.at(0.0, self._look, 0)
         while self._events:
             now, _, act, args = heapq.heappop(self._events)
             act(now, *args)
         return self._sum_up()
 
-    def _at(self, when, act, *args):
+    def at(self, when, act, *args):
+        """Call ``act(when, *args)`` at that time."""
         heapq.heappush(self._events, (when, next(self._order), act, args))
 
     def _tell(self, now, number):
@@ -194,7 +201,7 @@
         steps = 10
         for box in range(number % steps, self._size.boxes, steps):
             self._tell_others(box, now)
-        self._at(now + DIGEST_S / steps, self._tell, number + 1)
+        self.at(now + DIGEST_S / steps, self._tell, number + 1)
 
     def _tell_others(self, box, now):
         view = self.views[box]
@@ -233,10 +240,10 @@
                 self._counts['probes'] += 1
                 address = view.fleet.entries[name].address
                 if self._is_dark(address, now):
-                    self._at(now + TIMEOUT_S, self._fail, view, name)
+                    self.at(now + TIMEOUT_S, self._fail, view, name)
                 else:
                     view.reachability.record_reached(name, now)
-        self._at(now + TIMEOUT_S + 0.01, self._look, number + 1)
+        self.at(now + TIMEOUT_S + 0.01, self._look, number + 1)
 
     def _fail(self, now, view, name):
         view.record_unreached(name, now)
@@ -245,7 +252,21 @@
         """Name new weights, which engines load a few at a time."""
         for view in self.views:
             view.weights.put_version('m', version, now)
-        self._at(now + NAMING_S, self._begin_loads, version)
+        if not self._size.late:
+            self.at(now + NAMING_S, self._begin_loads, version)
+            return
+        holder = orders.Orders(self, self._size, self._engines, self._rng)
+        self.at(now + NAMING_S, holder.check, version)
+        self.at(now + self._size.version_s, self._count_renewed, version)
+
+    def get_version(self, name):
+        """Return the version of the weights that an engine has."""
+        return self.views[0].fleet.get_version(name, 'm')
+
+    def _count_renewed(self, now, version):
+        names = [f'e{n}' for n in range(self._size.engines)]
+        renewed = sum(self.get_version(name) >= version for name in names)
+        self._renewed = renewed / len(names)
 
     def _begin_loads(self, now, version):
         view = self.views[0]
@@ -265,10 +286,11 @@
         for name in names:
             self._engines[int(name[1:])].load(now + CLOSING_S, LOAD_S)
         ends = now + CLOSING_S + LOAD_S
-        self._at(ends, self._end_loads, names, version)
-        self._at(ends + 0.1, self._begin_loads, version)
+        self.at(ends, self.end_loads, names, version)
+        self.at(ends + 0.1, self._begin_loads, version)
 
-    def _end_loads(self, now, names, version):
+    def end_loads(self, now, names, version):
+        """Record at all boxes that engines have loaded a version."""
         for view in self.views:
             for name in names:
                 view.weights.end_loading(name)
@@ -277,9 +299,7 @@
     def _arrive(self, now):
         if now >= self._size.seconds:
             return
-        self._at(
-            now + self._rng.expovariate(self._get_rate(now)), self._arrive
-        )
+        self.at(now + self._rng.expovariate(self._get_rate(now)), self._arrive)
         kinds = self._size.mix.kinds
         weights = [kind.share for kind in kinds]
         kind = self._rng.choices(kinds, weights)[0]
@@ -371,7 +391,7 @@
         work = asked.work
         self.views[asked.box].record_sent(plan, work, now)
         if self._is_limited(plan.entry.address, now):
-            self._at(arrives, self._hear_limit, asked, plan, now)
+            self.at(arrives, self._hear_limit, asked, plan, now)
             if now >= self._size.limited_at + CONTACT_S:
                 self._counts['limited', plan.entry.name] += 1
         first, end, read = self._engines[plan.entry.address[1]].take(
@@ -385,15 +405,15 @@
         in_aim = wait_s <= asked.kind.aim_s
         self._counts['in_aim', asked.kind.name] += in_aim
         self._counts['good', int(asked.since)] += in_aim
-        self._at(first, self._begin, asked, plan)
-        self._at(end, self._end, asked, plan)
+        self.at(first, self._begin, asked, plan)
+        self.at(end, self._end, asked, plan)
 
     def _lose_later(self, now, asked, plan):
         """Lose what was sent on a kept connection to a dark engine."""
         self._counts['lost'] += 1
         self.views[asked.box].record_sent(plan, asked.work, now)
         self._idle[asked.box].pop(plan.entry.address, None)
-        self._at(now + SILENT_S, self._lose, asked, plan)
+        self.at(now + SILENT_S, self._lose, asked, plan)
 
     def _lose(self, now, asked, plan):
         view = self.views[asked.box]
@@ -403,16 +423,16 @@
     def _try_elsewhere(self, now, asked, plan):
         """Try again once a new connection has not come up."""
         name, later = plan.entry.name, now + TIMEOUT_S
-        self._at(later, self._fail, self.views[asked.box], name)
+        self.at(later, self._fail, self.views[asked.box], name)
         avoid = (*asked.avoid, name)
-        self._at(later, self._try, asked._replace(avoid=avoid))
+        self.at(later, self._try, asked._replace(avoid=avoid))
 
     def _record_read(self, key, tokens, first):
         """Note that a shared part is read, and when all know of it."""
         if key in self._read_once:
             self._counts['again'] += tokens
         self._read_once.add(key)
-        self._at(first + KNOWN_S, self._keep, key, tokens)
+        self.at(first + KNOWN_S, self._keep, key, tokens)
 
     def _keep(self, now, key, tokens):
         self._held[key] = tokens
@@ -472,6 +492,7 @@
             digests=counts['digests'],
             crossings=counts['crossings'] / asked,
             limited_per_s=self._find_limited_rates(),
+            renewed=self._renewed,
         )
 
     def _find_limited_rates(self):
--- a/bench/mixes.py
+++ b/bench/mixes.py
@@ -85,6 +85,12 @@
     seconds: float = 15.0
     # When new weights are named, and how many engines go dark, when.
     named_at: tuple = ()
+    # Seconds for which old weights may be used.
+    version_s: float = 15.0
+    # Share of the orders for new weights that have no answer and are carried
+    # out late, and the shortest and longest delay in seconds.
+    late: float = 0.0
+    late_s: tuple = (2.0, 12.0)
     dark: int = 0
     dark_at: float = 3.0
     # How many engines name a limit, which, and from when on.
--- a/landingspool/decisions/gateway/rollouts.py
+++ b/landingspool/decisions/gateway/rollouts.py
@@ -222,9 +222,12 @@
         self._numbers = itertools.count(1)
         # Number of orders to each target for the version.
         self._given = collections.Counter()
+        # Number of orders for the version by how they were taken.
+        self._outcomes = collections.Counter()
 
     def record(self, order, now, state):
         """Record the state of an order."""
+        self._outcomes[state] += 1
         number = self.get_number(order.target)
         if self.is_repeating(order.target):
             state = REPEATED.get(state, state)
@@ -359,16 +362,18 @@
         ... ]
         ['a', 'c']
         """
+        self._begin(version)
         expired = frozenset(name for name in left if left[name] <= 0)
         used = [seconds for seconds in left.values() if seconds > 0]
-        return self.plan(
-            model,
-            version,
-            targets,
-            compute_concurrency(len(targets), used),
-            now,
-            expired,
-        )
+        concurrency = compute_concurrency(len(targets), used)
+        if not all(map(self._given.get, left)):
+            concurrency = compute_first_concurrency(
+                len(targets),
+                concurrency,
+                self._outcomes[ACCEPTED],
+                self._outcomes[UNANSWERED],
+            )
+        return self.plan(model, version, targets, concurrency, now, expired)
 
     def plan(
         self, model, version, targets, concurrency, now, expired=frozenset()
@@ -417,6 +422,7 @@
         if version != self._version:
             self._version = version
             self._given.clear()
+            self._outcomes.clear()
 
     def _rank_behind(self, version, targets, now):
         """Return the targets that may get an order, the first one first.
@@ -519,6 +525,28 @@
     return max(min(max(compute_pace(left), usual), compute_limit(targets)), 1)
 
 
+def compute_first_concurrency(targets, concurrency, accepted, unanswered):
+    """Return how many targets may be under way until each has had an order.
+
+    An order without an answer may be carried out many seconds later, so the
+    others get theirs sooner if most have none.
+
+    Parameters
+    ----------
+    concurrency : int
+        Targets that may be under way at once if orders are answered.
+    accepted, unanswered : int
+        Orders so far that had an answer, and those that had none.
+
+    >>> compute_first_concurrency(5, 1, 0, 1)
+    2
+    >>> [compute_first_concurrency(50, 10, 6, n) for n in (0, 4, 10, 30)]
+    [10, 10, 15, 20]
+    """
+    wanted = concurrency * (unanswered + 1) // (accepted + 1)
+    return max(min(wanted, compute_limit(targets)), concurrency)
+
+
 def compute_limit(targets):
     """Return how many targets may load at once without slowing each other.
 
--- a/landingspool/platform/runners.py
+++ b/landingspool/platform/runners.py
@@ -13,6 +13,8 @@
 # Seconds for an answer.  A report takes a few milliseconds; a held call gets
 # its hold time in addition.
 ANSWER_S = 1.0
+# The same for an order: if its answer is late, reports tell of the load.
+ORDER_ANSWER_S = 0.5
 
 
 @dataclasses.dataclass(frozen=True)
@@ -128,7 +130,12 @@
         ]
         data = json.dumps(body).encode()
         reply = await self._call(
-            address, 'POST', names.ORDER_PATH, data, headers
+            address,
+            'POST',
+            names.ORDER_PATH,
+            data,
+            headers,
+            ORDER_ANSWER_S,
         )
         if isinstance(reply, Unanswered):
             return reply
--- a/tests/gateway/test_many.py
+++ b/tests/gateway/test_many.py
@@ -5,6 +5,8 @@
 time" means within the latency objective.
 """
 
+import pytest
+
 from bench import many
 from bench import mixes
 
@@ -85,3 +87,24 @@
     assert max(got.limited_per_s) <= 2.0
     assert got.in_aim > 0.92
     assert got.refused < 0.0124
+
+
+@pytest.mark.parametrize(
+    ('late', 'renewed', 'in_aim', 'refused'),
+    [(0.5, 0.92, 0.895, 0.015), (1.0, 0.6, 0.84, 0.07)],
+)
+def test_orders_carried_out_late_leave_few_targets_behind(
+    late, renewed, in_aim, refused
+):
+    """Half of the orders, or all, have no answer and come 2 to 12 s late.
+
+    At the bound, 12 s after the naming, 0.98 of the engines have the new
+    weights (0.76 if all orders are late), and in 13 s 0.916 (0.869) of the
+    requests begin in time.  Without the rules that this test guards, 0.80
+    (0.32), and 0.837 (0.686).
+    """
+    size = mixes.Size(seconds=13.0, named_at=(0.5,), version_s=12.0, late=late)
+    got = many.Play(size, 1).run()
+    assert got.renewed > renewed
+    assert got.in_aim > in_aim
+    assert got.refused < refused
--- a/tests/gateway/test_ordering.py
+++ b/tests/gateway/test_ordering.py
@@ -1,7 +1,6 @@
 """Orders for new weights: one holder, rising fences, no order twice."""
 
 import asyncio
-import json
 
 import pytest
 
@@ -11,7 +10,7 @@
 from landingspool.platform import catalogue
 from landingspool.platform import names
 from landingspool.platform import store as store_module
-from standins import runner as runner_module
+from tests.gateway import late_runner
 from tests.gateway import site
 
 
@@ -318,62 +317,22 @@
     assert [order.target for order in orders] == ['e', 'a']
 
 
-class LateRunner(runner_module.Runner):
-    """Leaves orders unanswered and carries them out late.
-
-    Attributes
-    ----------
-    asked : list of float
-        When orders arrived.
-    late_s, load_s : float
-        Seconds until an order is carried out, and those that it takes then.
-    """
-
-    def __init__(self, name, late_s, load_s=0.6):
-        super().__init__(name)
-        self.asked = []
-        self.late_s = late_s
-        self.load_s = load_s
-        self._is_busy = False
-
-    def _answer_call(self, writer, head, body):
-        if head['path'] == '/api/report':
-            _, row = self._report(body)
-            data = json.dumps({**row, 'busy': self._is_busy}).encode()
-            head = b'HTTP/1.1 200 X\r\ncontent-length: %d\r\n\r\n'
-            writer.write(head % len(data) + data)
-        elif head['path'] == '/api/order':
-            loop = asyncio.get_running_loop()
-            self.asked.append(loop.time())
-            loop.call_later(self.late_s, self._begin, body)
-        else:
-            super()._answer_call(writer, head, body)
-
-    def _begin(self, body):
-        """Carry out an order, with what it expects checked only now."""
-        if self._is_busy or json.loads(body)['expected'] != len(self.orders):
-            return
-        self._is_busy = True
-        loop = asyncio.get_running_loop()
-        loop.call_later(self.load_s, self._end, body)
-
-    def _end(self, body):
-        self._is_busy = False
-        self._order(body)
-
-
-def run_late(check, count, late_s):
-    """Run an async test against targets that carry orders out late."""
-
-    async def main():
-        deployment = site.Site(engines=0)
-        deployment.engines = [
-            LateRunner(f'e{i}', late_s) for i in range(count)
-        ]
-        async with deployment:
-            await check(deployment)
-
-    asyncio.run(main())
+def test_most_orders_without_an_answer_hasten_those_to_other_targets():
+    rollout = rollouts.Rollout()
+    targets = {f't{n:02}': 1 for n in range(50)}
+    left = dict.fromkeys(targets, 12.0)
+    first = rollout.plan_by_deadline('m', 2, targets, left, 0.0)
+    assert len(first) == 10
+    for order in first:
+        give(rollout, order, 1.0, rollouts.UNANSWERED)
+        rollout.take_report(order.target, False, 1.2)
+    assert len(rollout.plan_by_deadline('m', 2, targets, left, 1.2)) == 20
+    # Those that get their orders again are no more than usual.
+    for order in rollout.plan_by_deadline('m', 2, targets, left, 1.2):
+        give(rollout, order, 2.0, rollouts.ACCEPTED)
+        rollout.finish(order.target)
+        targets[order.target] = 2
+    assert len(rollout.plan_by_deadline('m', 2, targets, left, 2.0)) == 10
 
 
 def test_late_orders_do_not_delay_those_to_other_targets():
@@ -395,4 +354,4 @@
         )
         assert [len(e.orders) for e in engines] == [1] * 4
 
-    run_late(check, 4, 7.0)
+    late_runner.run(check, 4, 7.0)
