Tell callers why they are refused while all weights are too old

Callers whose service had only targets past the bound got 503 no_target and a random Retry-After of 0.15 to 0.5 s, which said nothing of the cause and was not true: a load takes 1.3 s, and an order that is carried out late tells no time at all. get_shortage asks only for exclusions, and old weights are none.

The reason is old_weights now, if the targets that a request may get, those reached if any is, all have too old weights. The holder's claim tells every box which targets load and since when: Retry-After is the end of the first such load by its usual time, and 0.15 to 0.5 s at random. It is left out if none loads or each has taken longer. The request is refused at once, as not run, as before.

--- a/landingspool/decisions/gateway/exclusions.py
+++ b/landingspool/decisions/gateway/exclusions.py
@@ -27,6 +27,8 @@
 BACKING_OFF = 'resting'
 # Exclusion of a target of another software version than that of the stream.
 OTHER_SOFTWARE = 'other_software'
+# Exclusion of targets whose weights are older than the bound allows.
+OLD_WEIGHTS = 'old_weights'
 # Exclusions whose end is known: a refusal says when to retry.
 TEMPORARY = (LIMITED, BACKING_OFF)
 
@@ -164,6 +166,14 @@
             if self.get_exclusion(e, requirements, now) is None
         ]
 
+    def list_permitted(self, entries, requirements):
+        """List the entries that a request may get, now or later."""
+        return [
+            entry
+            for entry in entries
+            if self._get_lasting(entry, requirements) is None
+        ]
+
     def get_shortage(self, entries, requirements, now):
         """Return why the targets that a request did not try are excluded."""
         exclusions = {
--- a/landingspool/decisions/gateway/weights.py
+++ b/landingspool/decisions/gateway/weights.py
@@ -19,6 +19,8 @@
 START_MARGIN_S = 3.0
 # Seconds for which a target counts as loading without a further report.
 LOADING_S = 6.0
+# Seconds that a load usually takes.
+USUAL_LOAD_S = 1.3
 # Seconds to generate one token, and the shortest run, under usual load.
 TOKEN_S = 0.002
 MIN_RUN_S = 0.2
@@ -130,6 +132,33 @@
         run_s = prompt.tokens_out * TOKEN_S + MIN_RUN_S
         return now + run_s > begins
 
+    def get_load_start(self, name, now):
+        """Return when a target loads or began to; None if it doesn't load."""
+        start = self._loading.get(name)
+        if start is None or now > start + LOADING_S:
+            return None
+        return start
+
+
+def estimate_load_end(starts, now):
+    """Return in how many seconds the first of some loads ends, or None.
+
+    One that has taken longer than usual may end at any time.
+
+    Parameters
+    ----------
+    starts : iterable of (float or None)
+        When each of them begins or began; None where nothing loads.
+
+    >>> round(estimate_load_end([10.5, 11.0, None], 10.0), 2)
+    1.8
+    >>> estimate_load_end([8.0, None], 10.0)
+    """
+    left = [
+        start + USUAL_LOAD_S - now for start in starts if start is not None
+    ]
+    return min((seconds for seconds in left if seconds > 0), default=None)
+
 
 def compute_penalty(lag_s):
     """Return the seconds of penalty for a target with a lag of `lag_s`.
--- a/landingspool/gateway/refusals.py
+++ b/landingspool/gateway/refusals.py
@@ -17,6 +17,8 @@
 # The same when all targets are leaving: a replacement has to start, load its
 # weights and be listed.
 REPLACEMENT_RETRY_AFTER_S = (1.0, 2.0)
+# Reasons of refusals that may name no time to retry.
+UNTIMED = (exclusions.OTHER_SOFTWARE, exclusions.OLD_WEIGHTS)
 
 
 class Answer(typing.NamedTuple):
@@ -72,10 +74,10 @@
         """
         if found.unanswered:
             return await self.refuse(found.reason)
-        return await self.refuse_for_good(found.reason)
+        return await self.refuse_untimed(found.reason)
 
-    async def refuse_for_good(self, reason):
-        """Answer a request that can't be served later, either."""
+    async def refuse_untimed(self, reason):
+        """Answer a request for which no time to retry is known."""
         if self._state.reply.started or self._state.may_have_run:
             return await self.give_up(reason)
         await self._send_error(503, reason)
@@ -119,13 +121,27 @@
         the reason of the shortage.
         """
         if shortage == exclusions.OTHER_SOFTWARE and self._has_left(now):
-            return await self.refuse_for_good(shortage)
+            return await self.refuse_untimed(shortage)
+        if shortage == exclusions.OLD_WEIGHTS:
+            return await self._refuse_old_weights(now)
         if self._state.reply.started or self._state.may_have_run:
             return await self.give_up(shortage)
         estimate = RETRY_AFTER_ESTIMATORS.get(shortage)
         after = estimate(self, now) if estimate is not None else None
         return await self.refuse(shortage, after)
 
+    async def _refuse_old_weights(self, now):
+        """Answer a request while all targets have too old weights.
+
+        A target under way may be ready soon; an order that is carried out late
+        tells no time.
+        """
+        left_s = self._view.estimate_new_weights(self._state.work, now)
+        if left_s is None:
+            return await self.refuse_untimed(exclusions.OLD_WEIGHTS)
+        after = left_s + random.uniform(*RETRY_AFTER_S)
+        return await self.give_up(exclusions.OLD_WEIGHTS, after=after)
+
     def _has_left(self, now):
         """Return whether the software of a stream was here and has left.
 
@@ -188,8 +204,8 @@
     async def refuse_as_peer(self, refusal):
         """Answer as the other box did, which had the request last."""
         is_final = refusal.retry_after_s is None
-        if refusal.reason == exclusions.OTHER_SOFTWARE and is_final:
-            return await self.refuse_for_good(refusal.reason)
+        if refusal.reason in UNTIMED and is_final:
+            return await self.refuse_untimed(refusal.reason)
         return await self.give_up(
             refusal.reason, after=refusal.retry_after_s or None
         )
