Order a target again soon after it has loaded for another model

Callers of a model whose targets were loading another model's weights kept the old ones for up to 8 s more: a target found busy before its order was sent counted as under way until LOAD_S was over, as nothing looked at its reports for the end of that load.

Such a target is `occupied`: it holds a place while its reports say "busy", and may get the order REFUSED_S after they say otherwise, after a closing time as for a first order, since it has none of this model to carry out.

Cause by reading.

--- a/landingspool/decisions/gateway/rollouts.py
+++ b/landingspool/decisions/gateway/rollouts.py
@@ -182,6 +182,8 @@
 NOT_BEGUN = 'not_begun'
 # The target's report says that it loads.
 BUSY = 'busy'
+# The same before the order was given: it loads for another one.
+OCCUPIED = 'occupied'
 REFUSED = 'refused'
 
 # Seconds for which a state prevents another order to the target.
@@ -192,17 +194,19 @@
     UNANSWERED: UNANSWERED_S,
     NOT_BEGUN: UNANSWERED_S,
     BUSY: LOAD_S,
+    OCCUPIED: LOAD_S,
     REFUSED: REFUSED_S,
 }
 # States in which a target refuses requests, or will soon.
-LOADING = (PREPARING, ACCEPTED, UNANSWERED, BUSY)
+LOADING = (PREPARING, ACCEPTED, UNANSWERED, BUSY, OCCUPIED)
 # States that count as under way: a repeated order may be carried out at once,
 # but most aren't, and till then its target serves.
 UNDER_WAY = (*LOADING, REPEATING)
 # The state after a report of the target, by the state before and by whether it
 # says that the target is busy.
 REPORTED = {
-    (PREPARING, True): BUSY,
+    (PREPARING, True): OCCUPIED,
+    (OCCUPIED, False): REFUSED,
     (REPEATING, True): BUSY,
     (UNANSWERED, True): BUSY,
     (UNANSWERED, False): NOT_BEGUN,
--- a/tests/gateway/test_ordering.py
+++ b/tests/gateway/test_ordering.py
@@ -355,3 +355,19 @@
         assert [len(e.orders) for e in engines] == [1] * 4
 
     late_runner.run(check, 4, 7.0)
+
+
+def test_a_load_for_another_model_delays_an_order_only_until_it_ends():
+    # Guards against an order that waits for seconds after that load.
+    rollout, targets = rollouts.Rollout(), {'a': 1}
+    (order,) = rollout.plan('m', 2, targets, 1, 0.0)
+    rollout.prepare(order, 0.0)
+    rollout.take_report('a', True, 0.5)
+    assert rollout.list_loading(0.5) == {'a': 0.0}
+    rollout.take_report('a', False, 1.8)
+    assert not rollout.list_loading(1.8)
+    again = 1.9 + rollouts.REFUSED_S
+    assert rollout.plan('m', 2, targets, 1, again) == [order]
+    # It has had no order that it may carry out, so it is closed first.
+    rollout.prepare(order, again)
+    assert rollout.needs_closing('a', 5.0)
