--- a/landingspool/decisions/gateway/rollouts.py
+++ b/landingspool/decisions/gateway/rollouts.py
@@ -8,6 +8,8 @@
 order may be under way.
 """
 
+import collections
+import itertools
 import typing
 
 # Seconds beyond the lease by which another box's claim has to be old before it
@@ -162,44 +164,226 @@
 
 
 class Pending(typing.NamedTuple):
-    """An order that was given, its time and state."""
+    """An order that was given, its time and state.
+
+    `number` tells the orders to one target apart.
+    """
 
     order: Order
     sent: float
     state: str
+    number: int = 0
 
 
 PREPARING = 'preparing'
+# Another order is under way to a target that may carry out an earlier one.
+REPEATING = 'repeating'
 ACCEPTED = 'accepted'
 UNANSWERED = 'unanswered'
+# Unanswered, and the target's report says that it does not load yet.
+NOT_BEGUN = 'not_begun'
+# The target's report says that it loads.
+BUSY = 'busy'
+# The same before the order was given: it loads for another one.
+OCCUPIED = 'occupied'
 REFUSED = 'refused'
 
 # Seconds for which a state prevents another order to the target.
 RETRY_DELAYS_S = {
     PREPARING: LOAD_S,
+    REPEATING: LOAD_S,
     ACCEPTED: LOAD_S,
     UNANSWERED: UNANSWERED_S,
+    NOT_BEGUN: UNANSWERED_S,
+    BUSY: LOAD_S,
+    OCCUPIED: LOAD_S,
     REFUSED: REFUSED_S,
 }
 # States in which a target refuses requests, or will soon.
-LOADING = (PREPARING, ACCEPTED, UNANSWERED)
+LOADING = (PREPARING, ACCEPTED, UNANSWERED, BUSY, OCCUPIED)
+# States that count as under way: a repeated order may be carried out at once,
+# but most aren't, and till then its target serves.
+UNDER_WAY = (*LOADING, REPEATING)
+# The state after a report of the target, by the state before and by whether it
+# says that the target is busy.
+REPORTED = {
+    (PREPARING, True): OCCUPIED,
+    (OCCUPIED, False): REFUSED,
+    (REPEATING, True): BUSY,
+    (UNANSWERED, True): BUSY,
+    (UNANSWERED, False): NOT_BEGUN,
+    (NOT_BEGUN, True): BUSY,
+    (BUSY, False): NOT_BEGUN,
+}
+# The state after a repeated order: an earlier one may still be carried out.
+REPEATED = {UNANSWERED: NOT_BEGUN, REFUSED: NOT_BEGUN}
 
 
 class Rollout:
     """Plan the orders for one model."""
 
     def __init__(self):
+        self._version = 0
         self._pending = {}
+        self._numbers = itertools.count(1)
+        # Number of orders to each target for the version.
+        self._given = collections.Counter()
+        # Number of orders for the version by how they were taken.
+        self._outcomes = collections.Counter()
 
     def record(self, order, now, state):
         """Record the state of an order."""
-        self._pending[order.target] = Pending(order, now, state)
+        self._outcomes[state] += 1
+        number = self.get_number(order.target)
+        if self.is_repeating(order.target):
+            state = REPEATED.get(state, state)
+        self._pending[order.target] = Pending(order, now, state, number)
+
+    def prepare(self, order, now):
+        """Record that an order is about to be given.
+
+        >>> rollout, order = Rollout(), Order('a', 'm', 2)
+        >>> rollout.prepare(order, 0.0)
+        >>> rollout.record(order, 1.0, UNANSWERED)
+        >>> rollout.take_report('a', False, 1.2)
+        >>> rollout.prepare(order, 3.5)
+        >>> rollout.is_repeating('a'), rollout.list_loading(3.5)
+        (True, {})
+        """
+        known = self._pending.get(order.target)
+        is_repeated = known is not None and known.state == NOT_BEGUN
+        self._given[order.target] += 1
+        self._pending[order.target] = Pending(
+            order,
+            now,
+            REPEATING if is_repeated else PREPARING,
+            next(self._numbers),
+        )
+
+    def is_repeating(self, target):
+        """Return whether an order is repeated while the target serves."""
+        known = self._pending.get(target)
+        return known is not None and known.state == REPEATING
+
+    def needs_closing(self, target, left_s):
+        """Return whether a target has to be closed before its order.
+
+        No box uses one with weights that are too old, and one that may carry
+        out an earlier order at any time serves until it does.
+
+        Parameters
+        ----------
+        left_s : float
+            Seconds for which the target's weights remain usable.
+
+        >>> rollout = Rollout()
+        >>> rollout.needs_closing('a', 3.0), rollout.needs_closing('a', 0.0)
+        (True, False)
+        """
+        return left_s > 0 and not self.is_repeating(target)
+
+    def get_number(self, target):
+        """Return the number of the last order to a target, or 0."""
+        known = self._pending.get(target)
+        return known.number if known is not None else 0
+
+    def take_report(self, target, busy, now):
+        """Record whether a target says that it is carrying out an order.
+
+        An order without an answer may be carried out at any time after a
+        report that the target is not busy.  Until then it needs no place.
+
+        >>> rollout, order = Rollout(), Order('a', 'm', 2)
+        >>> rollout.record(order, 1.0, UNANSWERED)
+        >>> rollout.take_report('a', False, 1.2)
+        >>> rollout.list_loading(1.2)
+        {}
+        >>> rollout.take_report('a', True, 5.0)
+        >>> rollout.list_loading(5.0)
+        {'a': 0.0}
+        """
+        known = self._pending.get(target)
+        if known is None:
+            return
+        state = REPORTED.get((known.state, busy))
+        if state is None:
+            return
+        # The order is repeated no later for a report that nothing began.
+        sent = known.sent if state == NOT_BEGUN else now
+        self._pending[target] = known._replace(sent=sent, state=state)
 
     def finish(self, target):
         """Record that nothing is under way at a target any more."""
         self._pending.pop(target, None)
 
-    def plan(self, model, version, targets, concurrency, now):
+    def withdraw(self, order):
+        """Record that a planned order was not given."""
+        self.finish(order.target)
+        self._given[order.target] -= 1
+
+    def is_open(self, target, number):
+        """Return whether an order is the last one to its target and open."""
+        known = self._pending.get(target)
+        return (
+            known is not None
+            and known.number == number
+            and known.state != REFUSED
+        )
+
+    def forget(self, targets, now):
+        """Discard the orders that are done, are over, or had a target gone.
+
+        Parameters
+        ----------
+        targets : dict of str to int
+            As for `plan`.
+        """
+        for name, pending in list(self._pending.items()):
+            done = targets.get(name, 0) >= pending.order.version
+            # A load that has not begun may begin after any time.
+            over = pending.state != NOT_BEGUN and is_over(pending, now)
+            if name not in targets or done or over:
+                del self._pending[name]
+        for name in self._given.keys() - targets.keys():
+            del self._given[name]
+
+    def plan_by_deadline(self, model, version, targets, left, now):
+        """Return the orders to give now, by the time that is left.
+
+        Parameters
+        ----------
+        version, targets
+            As for `plan`.
+        left : dict of str to float
+            For each target that is behind, the seconds for which it may still
+            be used.
+
+        >>> rollout, left = Rollout(), dict.fromkeys('abcde', 9.0)
+        >>> targets = dict.fromkeys('abcde', 1)
+        >>> [
+        ...     order.target
+        ...     for order in rollout.plan_by_deadline(
+        ...         'm', 2, targets, left | {'c': -1.0}, 0.0
+        ...     )
+        ... ]
+        ['a', 'c']
+        """
+        self._begin(version)
+        expired = frozenset(name for name in left if left[name] <= 0)
+        used = [seconds for seconds in left.values() if seconds > 0]
+        concurrency = compute_concurrency(len(targets), used)
+        if not all(map(self._given.get, left)):
+            concurrency = compute_first_concurrency(
+                len(targets),
+                concurrency,
+                self._outcomes[ACCEPTED],
+                self._outcomes[UNANSWERED],
+            )
+        return self.plan(model, version, targets, concurrency, now, expired)
+
+    def plan(
+        self, model, version, targets, concurrency, now, expired=frozenset()
+    ):
         """Return the orders to give now.
 
         Parameters
@@ -209,7 +393,10 @@
         targets : dict of str to int
             The version that each target of the model has.
         concurrency : int
-            Targets that may load at once without slowing each other.
+            Targets that may be under way at once of those that are in use.
+        expired : frozenset of str
+            Targets whose weights are too old for any request.  They serve
+            nobody, so only the loads that slow each other limit them.
 
         >>> rollout = Rollout()
         >>> orders = rollout.plan('m', 2, {'a': 1, 'b': 1, 'c': 2}, 1, 0.0)
@@ -219,20 +406,55 @@
         >>> rollout.plan('m', 2, {'a': 1, 'b': 1, 'c': 2}, 1, 1.0)
         []
         """
-        self._forget(targets, now)
+        self._begin(version)
+        self.forget(targets, now)
         # A target that refused its order does not load, and is not counted.
-        loading = [p for p in self._pending.values() if p.state in LOADING]
-        free = max(concurrency - len(loading), 0)
-        # The furthest behind first: each version has a deadline of its own.
-        behind = sorted(
+        loading = {
+            name for name, p in self._pending.items() if p.state in UNDER_WAY
+        }
+        places = max(compute_limit(len(targets)), concurrency) - len(loading)
+        places_in_use = concurrency - len(loading - expired)
+        chosen = []
+        for name in self._rank_behind(version, targets, now):
+            is_in_use = name not in expired
+            if places <= 0 or (is_in_use and places_in_use <= 0):
+                continue
+            places -= 1
+            places_in_use -= is_in_use
+            chosen.append(name)
+        return [Order(name, model, version) for name in chosen]
+
+    def _begin(self, version):
+        if version != self._version:
+            self._version = version
+            self._given.clear()
+            self._outcomes.clear()
+
+    def _rank_behind(self, version, targets, now):
+        """Return the targets that may get an order, the first one first.
+
+        Those without any order precede the others.  Then the furthest behind
+        is first: each version has a deadline of its own.
+        """
+        return sorted(
             (
                 name
                 for name, has in targets.items()
-                if has < version and name not in self._pending
+                if has < version and self._may_order(name, now)
+            ),
+            key=lambda name: (
+                self._given[name] > 0,
+                targets[name],
+                self._given[name],
+                name,
             ),
-            key=lambda name: (targets[name], name),
         )
-        return [Order(name, model, version) for name in behind[:free]]
+
+    def _may_order(self, name, now):
+        pending = self._pending.get(name)
+        if pending is None:
+            return True
+        return pending.state == NOT_BEGUN and is_over(pending, now)
 
     def list_loading(self, now):
         """Return the targets that load or will, and in how many seconds."""
@@ -242,12 +464,15 @@
             if pending.state in LOADING
         }
 
-    def _forget(self, targets, now):
-        for name, pending in list(self._pending.items()):
-            done = targets.get(name, 0) >= pending.order.version
-            expired = now - pending.sent >= RETRY_DELAYS_S[pending.state]
-            if name not in targets or done or expired:
-                del self._pending[name]
+
+def is_over(pending, now):
+    """Return whether another order may be given.
+
+    >>> pending = Pending(None, 10.0, UNANSWERED)
+    >>> is_over(pending, 12.4), is_over(pending, 12.5)
+    (False, True)
+    """
+    return now - pending.sent >= RETRY_DELAYS_S[pending.state]
 
 
 def compute_delay(pending, now):
@@ -303,9 +528,39 @@
     1
     """
     usual = int(targets * CONCURRENT_SHARE)
+    return max(min(max(compute_pace(left), usual), compute_limit(targets)), 1)
+
+
+def compute_first_concurrency(targets, concurrency, accepted, unanswered):
+    """Return how many targets may be under way until each has had an order.
+
+    An order without an answer may be carried out many seconds later, so the
+    others get theirs sooner if most have none.
+
+    Parameters
+    ----------
+    concurrency : int
+        Targets that may be under way at once if orders are answered.
+    accepted, unanswered : int
+        Orders so far that had an answer, and those that had none.
+
+    >>> compute_first_concurrency(5, 1, 0, 1)
+    2
+    >>> [compute_first_concurrency(50, 10, 6, n) for n in (0, 4, 10, 30)]
+    [10, 10, 15, 20]
+    """
+    wanted = concurrency * (unanswered + 1) // (accepted + 1)
+    return max(min(wanted, compute_limit(targets)), concurrency)
+
+
+def compute_limit(targets):
+    """Return how many targets may load at once without slowing each other.
+
+    >>> [compute_limit(targets) for targets in (1, 2, 5, 50)]
+    [1, 1, 2, 20]
+    """
     limit = int(targets * MAX_CONCURRENT_SHARE)
-    wanted = min(max(compute_pace(left), usual), limit)
-    return max(min(wanted, targets - 1), 1)
+    return max(min(limit, targets - 1), 1)
 
 
 def compute_pace(left):
--- a/tests/gateway/test_ordering.py
+++ b/tests/gateway/test_ordering.py
@@ -4,11 +4,13 @@
 
 import pytest
 
+from landingspool.decisions.gateway import prompts
 from landingspool.decisions.gateway import rollouts
 from landingspool import http
 from landingspool.platform import catalogue
 from landingspool.platform import names
 from landingspool.platform import store as store_module
+from tests.gateway import late_runner
 from tests.gateway import site
 
 
@@ -179,3 +181,193 @@
         assert claiming
 
     site.run_on_boot_clock(check, engines=2)
+
+
+def give(rollout, order, now, state):
+    """Record that an order is planned, and what becomes of it."""
+    rollout.prepare(order, now)
+    rollout.record(order, now, state)
+
+
+def test_targets_without_an_order_go_before_repeated_orders():
+    # Guards against two orders to one target before others have had any.
+    rollout, targets = rollouts.Rollout(), {'a': 1, 'b': 1, 'c': 1}
+    given, now = [], 0.0
+    while len(given) < 4:
+        for order in rollout.plan('m', 2, targets, 1, now):
+            give(rollout, order, now, rollouts.UNANSWERED)
+            given.append(order.target)
+        now += 0.1
+    assert given == ['a', 'b', 'c', 'a']
+
+
+def test_among_targets_without_an_order_the_furthest_behind_is_first():
+    rollout, targets = rollouts.Rollout(), {'a': 2, 'b': 1, 'c': 2}
+    (order,) = rollout.plan('m', 3, targets, 1, 0.0)
+    assert order.target == 'b'
+    give(rollout, order, 0.0, rollouts.UNANSWERED)
+    (order,) = rollout.plan('m', 3, targets, 1, rollouts.UNANSWERED_S)
+    assert order.target == 'a'
+
+
+def test_orders_for_another_version_are_counted_anew():
+    rollout, targets = rollouts.Rollout(), {'a': 1, 'b': 1}
+    (order,) = rollout.plan('m', 2, targets, 1, 0.0)
+    give(rollout, order, 0.0, rollouts.UNANSWERED)
+    (order,) = rollout.plan('m', 3, targets, 1, rollouts.UNANSWERED_S)
+    assert order == rollouts.Order('a', 'm', 3)
+
+
+def test_an_unanswered_order_holds_no_place_while_its_target_is_idle():
+    rollout, targets = rollouts.Rollout(), {'a': 1, 'b': 1, 'c': 1}
+    (order,) = rollout.plan('m', 2, targets, 1, 0.0)
+    give(rollout, order, 1.0, rollouts.UNANSWERED)
+    assert not rollout.plan('m', 2, targets, 1, 1.1)
+    rollout.take_report('a', False, 1.2)
+    assert not rollout.list_loading(1.2)
+    (order,) = rollout.plan('m', 2, targets, 1, 1.2)
+    assert order.target == 'b'
+
+
+def test_a_late_load_holds_a_place_again():
+    rollout, targets = rollouts.Rollout(), {'a': 1, 'b': 1, 'c': 1}
+    (order,) = rollout.plan('m', 2, targets, 1, 0.0)
+    give(rollout, order, 1.0, rollouts.UNANSWERED)
+    rollout.take_report('a', False, 1.2)
+    # After any time, also after that for another order.
+    late = 1.0 + 3 * rollouts.UNANSWERED_S
+    rollout.take_report('a', True, late)
+    assert rollout.list_loading(late) == {'a': 0.0}
+    assert not rollout.plan('m', 2, targets, 1, late)
+    rollout.take_report('a', False, late + 1.0)
+    assert rollout.plan('m', 2, targets, 1, late + 1.0)
+
+
+def test_a_report_that_nothing_began_repeats_no_order_earlier():
+    rollout, targets = rollouts.Rollout(), {'a': 1}
+    (order,) = rollout.plan('m', 2, targets, 1, 0.0)
+    give(rollout, order, 1.0, rollouts.UNANSWERED)
+    rollout.take_report('a', False, 1.2)
+    again = 1.0 + rollouts.UNANSWERED_S
+    assert not rollout.plan('m', 2, targets, 1, again - 0.1)
+    assert rollout.plan('m', 2, targets, 1, again)
+
+
+@pytest.mark.parametrize('state', [rollouts.UNANSWERED, rollouts.REFUSED])
+def test_a_repeated_order_does_not_close_its_target(state):
+    # Guards against a target out of use that may serve until a late load.
+    rollout, targets = rollouts.Rollout(), {'a': 1, 'b': 2}
+    (order,) = rollout.plan('m', 2, targets, 1, 0.0)
+    give(rollout, order, 1.0, rollouts.UNANSWERED)
+    rollout.take_report('a', False, 1.2)
+    rollout.prepare(order, 3.5)
+    assert not rollout.list_loading(3.5)
+    assert not rollout.plan('m', 2, targets, 1, 3.5)
+    rollout.record(order, 4.5, state)
+    assert not rollout.list_loading(4.5)
+    rollout.take_report('a', True, 4.7)
+    assert rollout.list_loading(4.7) == {'a': 0.0}
+
+
+def test_an_accepted_order_is_not_over_for_a_report_from_before_it():
+    rollout, targets = rollouts.Rollout(), {'a': 1, 'b': 1}
+    (order,) = rollout.plan('m', 2, targets, 1, 0.0)
+    give(rollout, order, 1.0, rollouts.ACCEPTED)
+    rollout.take_report('a', False, 1.1)
+    assert rollout.list_loading(1.1) == {'a': 0.0}
+
+
+def test_orders_to_targets_that_are_gone_are_discarded():
+    # Guards against a claim that is renewed for a target that is gone.
+    rollout = rollouts.Rollout()
+    (order,) = rollout.plan('m', 2, {'a': 1}, 1, 0.0)
+    give(rollout, order, 0.0, rollouts.ACCEPTED)
+    rollout.forget({'b': 2}, 0.1)
+    assert not rollout.list_loading(0.1)
+
+
+def list_planned(rollout, targets, left, now=0.0):
+    """Return the targets of the orders for version 2 that are due."""
+    orders = rollout.plan_by_deadline('m', 2, targets, left, now)
+    return [order.target for order in orders]
+
+
+def test_targets_past_the_bound_leave_the_places_of_those_in_use():
+    rollout, targets = rollouts.Rollout(), dict.fromkeys('abcde', 1)
+    left = dict.fromkeys('abcde', 9.0)
+    assert list_planned(rollout, targets, left) == ['a']
+    assert list_planned(rollout, targets, left | {'c': -1.0}) == ['a', 'c']
+    give(rollout, rollouts.Order('c', 'm', 2), 0.0, rollouts.ACCEPTED)
+    assert list_planned(rollout, targets, left | {'c': -1.0}) == ['a']
+
+
+def test_targets_past_the_bound_load_no_more_than_two_of_five_at_once():
+    rollout, targets = rollouts.Rollout(), dict.fromkeys('abcde', 1)
+    left = dict.fromkeys('abcde', float('-inf'))
+    assert list_planned(rollout, targets, left) == ['a', 'b']
+    give(rollout, rollouts.Order('a', 'm', 2), 0.0, rollouts.ACCEPTED)
+    assert list_planned(rollout, targets, left) == ['b']
+
+
+def test_targets_past_the_bound_are_ordered_first():
+    rollout, targets = rollouts.Rollout(), dict.fromkeys('abcde', 2)
+    targets['e'] = 1
+    left = dict.fromkeys('abcd', 1.0) | {'e': -1.0}
+    orders = rollout.plan_by_deadline('m', 3, targets, left, 0.0)
+    assert [order.target for order in orders] == ['e', 'a']
+
+
+def test_most_orders_without_an_answer_hasten_those_to_other_targets():
+    rollout = rollouts.Rollout()
+    targets = {f't{n:02}': 1 for n in range(50)}
+    left = dict.fromkeys(targets, 12.0)
+    first = rollout.plan_by_deadline('m', 2, targets, left, 0.0)
+    assert len(first) == 10
+    for order in first:
+        give(rollout, order, 1.0, rollouts.UNANSWERED)
+        rollout.take_report(order.target, False, 1.2)
+    assert len(rollout.plan_by_deadline('m', 2, targets, left, 1.2)) == 20
+    # Those that get their orders again are no more than usual.
+    for order in rollout.plan_by_deadline('m', 2, targets, left, 1.2):
+        give(rollout, order, 2.0, rollouts.ACCEPTED)
+        rollout.finish(order.target)
+        targets[order.target] = 2
+    assert len(rollout.plan_by_deadline('m', 2, targets, left, 2.0)) == 10
+
+
+def test_late_orders_do_not_delay_those_to_other_targets():
+    async def check(deployment):
+        (hub,) = await site.start_boxes(deployment, 1)
+        named = {'model': 'm', 'version': 2}
+        deployment.store.put('keyed.op', 'version/m', named)
+        began = asyncio.get_running_loop().time()
+        engines = deployment.engines
+        await site.wait_until(lambda: all(e.asked for e in engines), 9.0)
+        assert [len(e.asked) for e in engines] == [1] * 4
+        assert max(e.asked[0] for e in engines) - began < 7.0
+        # The first one has an order that it may carry out, and serves.
+        prompt = prompts.Prompt('m', 100, 4, ())
+        loading = hub.view.weights.is_loading
+        assert not loading(engines[0].name, prompt, hub.clock())
+        await site.wait_until(
+            lambda: all(e.version == 2 for e in engines), 12.0
+        )
+        assert [len(e.orders) for e in engines] == [1] * 4
+
+    late_runner.run(check, 4, 7.0)
+
+
+def test_a_load_for_another_model_delays_an_order_only_until_it_ends():
+    # Guards against an order that waits for seconds after that load.
+    rollout, targets = rollouts.Rollout(), {'a': 1}
+    (order,) = rollout.plan('m', 2, targets, 1, 0.0)
+    rollout.prepare(order, 0.0)
+    rollout.take_report('a', True, 0.5)
+    assert rollout.list_loading(0.5) == {'a': 0.0}
+    rollout.take_report('a', False, 1.8)
+    assert not rollout.list_loading(1.8)
+    again = 1.9 + rollouts.REFUSED_S
+    assert rollout.plan('m', 2, targets, 1, again) == [order]
+    # It has had no order that it may carry out, so it is closed first.
+    rollout.prepare(order, again)
+    assert rollout.needs_closing('a', 5.0)
