Remember a long wait at a target while nothing is sent there

A target whose requests waited for long was left early in a rollout, as it should be, and got requests again five seconds later, which waited as long and began on old weights past the bound: what was known of its wait was forgotten after five seconds, and could not be renewed while nothing was sent there.

The wait of the request that was answered last is now kept for twelve seconds, which spans the time from leaving a target until its weights are too old for any request. Requests that are answered sooner replace it as before.

Evidence: the new test failed before (the target was chosen).

--- a/landingspool/decisions/gateway/loads.py
+++ b/landingspool/decisions/gateway/loads.py
@@ -10,8 +10,8 @@
 
 
 # Seconds for which the wait of the request that began last at a target tells
-# what the next one will wait.
-WAIT_KEPT_S = 5.0
+# what the next one will wait.  It is not renewed while nothing is sent there.
+WAIT_KEPT_S = 12.0
 
 
 class Sent(typing.NamedTuple):
@@ -157,7 +157,7 @@
         2.0
         >>> loads.record_received('t', 4.0)
         >>> _ = loads.record_first('t', 'q')
-        >>> loads.measure_wait('t', 4.5), loads.measure_wait('t', 9.5)
+        >>> loads.measure_wait('t', 4.5), loads.measure_wait('t', 16.5)
         (3.0, 0.0)
         """
         rows = self._sent.get(target, {}).values()
--- a/tests/gateway/test_start_limits.py
+++ b/tests/gateway/test_start_limits.py
@@ -317,6 +317,14 @@
     assert test_view.pick(view, now) is None
 
 
+def test_long_wait_is_remembered_while_nothing_is_sent():
+    view, now = make_late_view(8.0)
+    plan, work = send(view, now - 11.0)
+    view.record_first(plan, work, now - 6.0)
+    view.loads.record_end('t0', work.name)
+    assert test_view.pick(view, now) is None
+
+
 def test_target_behind_is_left_if_a_long_wait_is_expected():
     view, now = make_late_view(8.0)
     assert test_view.pick(view, now) == 't0'
