Keep a request in its group if it would begin late in the other one

A request that was to be balanced over groups of engines, or that left a full group, was refused where the engines of the other group had old weights and waits beyond the bound: these are dropped as candidates, and a group was taken by its open engines before that.

GroupPlanner.gather now takes the first group that has candidates left, and otherwise the box's own group, as where a group has no open engine.

Evidence: the new test failed before (no plan for a request although all engines of its own group had the new weights).

--- a/landingspool/decisions/gateway/group_planner.py
+++ b/landingspool/decisions/gateway/group_planner.py
@@ -50,8 +50,8 @@
         for key in others:
             engines = deal.groups[key].engines
             entries = self._list_free(engines, work, avoid, now)
-            if entries:
-                other = self._make_other(entries, field, work, now, ready, key)
+            other = self._make_other(entries, field, work, now, ready, key)
+            if other.candidates:
                 return join(field, other, reason)
         return field if field.candidates else None
 
--- a/tests/gateway/test_subsets.py
+++ b/tests/gateway/test_subsets.py
@@ -9,6 +9,7 @@
 from landingspool.decisions.gateway import fleet
 from landingspool.decisions.gateway import group_loads
 from landingspool.decisions.gateway import group_planner
+from landingspool.decisions.gateway import loads
 from landingspool.decisions.gateway import peer_digests
 from landingspool.decisions.gateway import routes
 from landingspool.decisions.gateway import spillover
@@ -209,6 +210,24 @@
     assert not late.share
 
 
+def test_request_stays_if_it_would_begin_late_in_the_other_group(
+    monkeypatch,
+):
+    view = make_view()
+    own = get_own(view).engines
+    for version in 1, 2:
+        view.weights.put_version('m', version, 4.0)
+    for name in own:
+        view.fleet.record_version(name, 'm', 2)
+    for name in view.fleet.entries.keys() - set(own):
+        view.loads.record_sent(name, 'q', loads.Sent(2.0, 9, False))
+        view.loads.record_received(name, 10.0)
+    keys = [key for key in deal_keys(view) if key != get_own(view).key]
+    balance = group_loads.Balance(1.0, dict.fromkeys(keys, 1.0))
+    monkeypatch.setattr(view.grouping, 'get_balance', lambda name: balance)
+    assert {entry.name for entry in list_chosen(view)} <= set(own)
+
+
 def deal_keys(view):
     return list(view.grouping.subsets.get('s').groups)
 
