Count queued requests that leave a stand-in by a reset as cancelled

A stand-in engine that lets requests wait counted those that left it before their run only if their connection was closed in order, and the boxes reset it: the read raised an error, and the count stayed at zero. The test that takes a request back could not tell a cancelled request from one that never came.

The behaviour counts both now, as the silent one does, and the test asserts that exactly one request was cancelled at the old engine.

--- a/standins/behaviours.py
+++ b/standins/behaviours.py
@@ -230,6 +230,8 @@
             await reader.read(1)
     except TimeoutError:
         return await answer_stream(runner, head, body, reader, writer)
+    except ConnectionResetError:
+        pass
     runner.cancelled += 1
     return True
 
--- a/tests/gateway/test_start_limits.py
+++ b/tests/gateway/test_start_limits.py
@@ -179,6 +179,7 @@
         assert got.status == 200
         assert got.body.count(b'id: ') == 4
         assert not old.ran
+        assert old.cancelled == 1
         assert len(new.ran) == 1
         # The bound is not the fault of the target.
         left = find_name(hub, old)
