--- a/landingspool/decisions/gateway/view.py
+++ b/landingspool/decisions/gateway/view.py
@@ -214,11 +214,7 @@
         return reached or entries
 
     def estimate_new_weights(self, work, now):
-        """Return in how many seconds a target has new weights.
-
-        None if it isn't known: no target is loading, or each has taken longer
-        than usual.
-        """
+        """Return in how many seconds a target has new weights at least."""
         starts = [
             self.weights.get_load_start(entry.name, now)
             for entry in self._list_permitted(work)
--- a/landingspool/decisions/gateway/weights.py
+++ b/landingspool/decisions/gateway/weights.py
@@ -288,9 +288,10 @@
 
 
 def estimate_load_end(starts, now):
-    """Return in how many seconds the first of some loads ends, or None.
+    """Return in how many seconds the first load ends, at the earliest.
 
-    One that has taken longer than usual may end at any time.
+    One that has taken longer than usual may end at any time, and where none is
+    under way the next one has yet to begin.
 
     Parameters
     ----------
@@ -300,11 +301,12 @@
     >>> round(estimate_load_end([10.5, 11.0, None], 10.0), 2)
     1.8
     >>> estimate_load_end([8.0, None], 10.0)
+    1.3
     """
     left = [
         start + USUAL_LOAD_S - now for start in starts if start is not None
     ]
-    return min((seconds for seconds in left if seconds > 0), default=None)
+    return min((s for s in left if s > 0), default=USUAL_LOAD_S)
 
 
 def compute_penalty(lag_s):
--- a/landingspool/gateway/refusals.py
+++ b/landingspool/gateway/refusals.py
@@ -17,8 +17,6 @@
 # The same when all targets are leaving: a replacement has to start, load its
 # weights and be listed.
 REPLACEMENT_RETRY_AFTER_S = (1.0, 2.0)
-# Reasons of refusals that may name no time to retry.
-UNTIMED = (exclusions.OTHER_SOFTWARE, exclusions.OLD_WEIGHTS)
 
 
 class Answer(typing.NamedTuple):
@@ -74,10 +72,10 @@
         """
         if found.unanswered:
             return await self.refuse(found.reason)
-        return await self.refuse_untimed(found.reason)
+        return await self.refuse_for_good(found.reason)
 
-    async def refuse_untimed(self, reason):
-        """Answer a request for which no time to retry is known."""
+    async def refuse_for_good(self, reason):
+        """Answer a request that can't be served later, either."""
         if self._state.reply.started or self._state.may_have_run:
             return await self.give_up(reason)
         await self._send_error(503, reason)
@@ -121,27 +119,13 @@
         the reason of the shortage.
         """
         if shortage == exclusions.OTHER_SOFTWARE and self._has_left(now):
-            return await self.refuse_untimed(shortage)
-        if shortage == exclusions.OLD_WEIGHTS:
-            return await self._refuse_old_weights(now)
+            return await self.refuse_for_good(shortage)
         if self._state.reply.started or self._state.may_have_run:
             return await self.give_up(shortage)
         estimate = RETRY_AFTER_ESTIMATORS.get(shortage)
         after = estimate(self, now) if estimate is not None else None
         return await self.refuse(shortage, after)
 
-    async def _refuse_old_weights(self, now):
-        """Answer a request while all targets have too old weights.
-
-        A target under way may be ready soon; an order that is carried out late
-        tells no time.
-        """
-        left_s = self._view.estimate_new_weights(self._state.work, now)
-        if left_s is None:
-            return await self.refuse_untimed(exclusions.OLD_WEIGHTS)
-        after = left_s + random.uniform(*RETRY_AFTER_S)
-        return await self.give_up(exclusions.OLD_WEIGHTS, after=after)
-
     def _has_left(self, now):
         """Return whether the software of a stream was here and has left.
 
@@ -159,6 +143,12 @@
     def _estimate_replacement(self, now):
         return random.uniform(*REPLACEMENT_RETRY_AFTER_S)
 
+    def _estimate_new_weights(self, now):
+        # An order that is carried out late tells no time, but no target has
+        # the new weights sooner than a load takes.
+        left_s = self._view.estimate_new_weights(self._state.work, now)
+        return left_s + random.uniform(*RETRY_AFTER_S)
+
     async def refuse_overloaded(self, plan):
         """Answer a request for which the planned target has no room."""
         state = self._state
@@ -204,8 +194,8 @@
     async def refuse_as_peer(self, refusal):
         """Answer as the other box did, which had the request last."""
         is_final = refusal.retry_after_s is None
-        if refusal.reason in UNTIMED and is_final:
-            return await self.refuse_untimed(refusal.reason)
+        if refusal.reason == exclusions.OTHER_SOFTWARE and is_final:
+            return await self.refuse_for_good(refusal.reason)
         return await self.give_up(
             refusal.reason, after=refusal.retry_after_s or None
         )
@@ -236,4 +226,5 @@
     exclusions.LIMITED: Refusals._estimate_capacity_return,
     exclusions.BACKING_OFF: Refusals._estimate_capacity_return,
     exclusions.LEAVING: Refusals._estimate_replacement,
+    exclusions.OLD_WEIGHTS: Refusals._estimate_new_weights,
 }
--- a/tests/gateway/test_old_weights.py
+++ b/tests/gateway/test_old_weights.py
@@ -29,14 +29,14 @@
     return hub
 
 
-def test_callers_are_refused_at_once_without_a_time_that_is_not_known():
+def test_callers_are_refused_at_once_and_return_no_sooner_than_a_load():
     async def check(deployment):
         hub = await outdate(deployment)
-        hub.view.estimate_new_weights = lambda work, now: None
+        hub.view.weights.put_loading({}, hub.clock())
         got = await site.ask(hub, '/stream/a', headers=PROMPT)
         assert got.status == 503
         assert exclusions.OLD_WEIGHTS in got.body.decode()
-        assert 'retry-after' not in got.headers
+        assert 1.3 < float(got.headers['retry-after']) < 2.0
         assert not any(e.ran for e in deployment.engines)
 
     late_runner.run(check, 2, NEVER_S)
@@ -70,12 +70,12 @@
     view, late = make_outdated_view()
     work = test_view.make_work()
     assert view.get_shortage(work, late) == exclusions.OLD_WEIGHTS
-    assert view.estimate_new_weights(work, late) is None
+    assert view.estimate_new_weights(work, late) == 1.3
     view.weights.put_loading({'t0': 0.5, 't1': 0.0}, late)
     left_s = view.estimate_new_weights(work, late)
     assert left_s == pytest.approx(weights_module.USUAL_LOAD_S)
-    # One that takes longer than usual tells no time.
-    assert view.estimate_new_weights(work, late + 2.0) is None
+    # One that takes longer than usual may end at any time.
+    assert view.estimate_new_weights(work, late + 2.0) == 1.3
 
 
 def test_one_target_with_new_weights_is_no_lack_of_new_weights():
