Leave out of late_weights what a stalled box read late

It is now logged only if the answer is past the bound without the stalls of this process since the request was sent.

--- a/landingspool/gateway/recalls.py
+++ b/landingspool/gateway/recalls.py
@@ -18,7 +18,7 @@
     Parameters
     ----------
     hub
-        The box's parts: `view`, `recorder`, `clock`.
+        The box's parts: `view`, `recorder`, `clock`, `timer`.
     state : request_state.RequestState
     plan : plans.Plan or None
         None if another box has chosen the target, and watches over it.
@@ -72,7 +72,10 @@
         if self._plan is None or prompt is None or version is None:
             return
         lag_s = self._weights.get_lag(prompt.model, version, now)
-        if lag_s <= self._weights.bound_s:
+        # The answer may have waited to be read while this process stalled.
+        after_s = now - sent_at
+        stalled_s = after_s - self._hub.timer.measure_running_s(sent_at)
+        if lag_s - stalled_s <= self._weights.bound_s:
             return
         self._hub.recorder.record(
             'late_weights',
@@ -80,7 +83,7 @@
             target=self._plan.entry.name,
             version=version,
             lag_s=round(lag_s, 3) if math.isfinite(lag_s) else None,
-            after_s=round(now - sent_at, 3),
+            after_s=round(after_s, 3),
         )
 
     def _measure_recall(self):
--- a/tests/gateway/test_start_limits.py
+++ b/tests/gateway/test_start_limits.py
@@ -270,6 +270,21 @@
     site.run(check, engines=1)
 
 
+def test_answer_that_waited_for_a_stalled_box_is_not_logged_as_late(suspend):
+    async def check(deployment):
+        hub, old, _ = await start(deployment, 3.0)
+        old.usual, old.queue_s = 'queued stream', 0.4
+        await name_version(deployment, hub, 0.1)
+        work = asyncio.ensure_future(ask(hub, 'stream'))
+        await site.wait_until(lambda: hub.recorder.counts['dispatched'])
+        suspend(3.5)
+        assert (await work).status == 200
+        assert get_lag(hub) > 3.5
+        assert not hub.recorder.counts['late_weights']
+
+    site.run_on_boot_clock(check, engines=1)
+
+
 def test_answer_from_weights_of_unknown_age_is_logged_without_an_age(
     monkeypatch,
 ):
