--- /dev/null
+++ b/landingspool/decisions/gateway/order_claims.py
@@ -0,0 +1,132 @@
+"""Decides which box may give load orders: one at a time, under a lease.
+
+Orders of two boxes would load more targets at once than planned.  A box claims
+the lease by an append to the platform's store that succeeds only if nothing
+was appended since its last read, and the offset of that append is the fence of
+its orders.  The store has no clock for the lease: a box that sees another
+box's claim waits until that claim has not changed for the whole lease plus the
+time for which an order may be under way.
+"""
+
+import typing
+
+# Seconds beyond the lease by which another box's claim has to be old before it
+# is taken over.  An order of the former holder may be under way for longer,
+# but the target refuses it for its lower fence.
+TAKEOVER_S = 0.4
+# Seconds before the lease's end at which its holder gives no more orders.
+LEASE_MARGIN_S = 0.5
+# Seconds between the attempts of two boxes to claim a free lease, in the hash
+# order of all boxes: longer than it takes until all have read a claim (an
+# append of some ms, and two long-polled reads).  Without this delay each of
+# 195 boxes appended for each published version, and all but one in vain.  It
+# has a maximum, since many boxes may be disconnected from the store.
+CLAIM_DELAY_S = 0.15
+MAX_CLAIM_DELAY_S = 2.0
+# Share of the lease after which its holder appends again.
+RENEW_SHARE = 0.4
+
+
+class Claim(typing.NamedTuple):
+    """A holder's claim as it is in the store.
+
+    `loading` has the targets that the holder has ordered or will order, and in
+    how many seconds: every box reads the claim and sends them only requests
+    that end before.  `versions` has a peer_digests.VersionNotice of each
+    version that boxes have to know: one that starts can't tell their ages.
+    """
+
+    holder: str
+    fence: int
+    loading: dict = {}
+    versions: tuple = ()
+
+
+class Lease(typing.NamedTuple):
+    """This box's own claim: sent at `since`, on its own clock."""
+
+    fence: int
+    since: float
+    seconds: float
+
+
+def is_held(lease, now):
+    """Return whether orders may be given under the lease.
+
+    >>> lease = Lease(4, 10.0, 3.0)
+    >>> is_held(lease, 12.0), is_held(lease, 13.0), is_held(None, 12.0)
+    (True, False, False)
+    """
+    return (
+        lease is not None
+        and now - lease.since < lease.seconds - LEASE_MARGIN_S
+    )
+
+
+def is_recent(lease, now):
+    """Return whether the lease need not be renewed yet.
+
+    >>> lease = Lease(4, 10.0, 3.0)
+    >>> is_recent(lease, 11.1), is_recent(lease, 11.3)
+    (True, False)
+    """
+    return now - lease.since < lease.seconds * RENEW_SHARE
+
+
+class ClaimWatch:
+    """Track the newest claim on this box's clock.
+
+    Parameters
+    ----------
+    lease_s : float
+        Seconds for which a claim is valid after its append was sent.
+
+    Attributes
+    ----------
+    end : int or None
+        Offset of the end of the claims in the store, as far as was read.
+    """
+
+    def __init__(self, lease_s):
+        self._lease_s = lease_s
+        self.end = None
+        self._claim = None
+        self._since = 0.0
+
+    def record(self, claim, now):
+        """Record a claim that was read, if it is the newest."""
+        if self._claim is None or claim.fence > self._claim.fence:
+            self._claim = claim
+            self._since = now
+
+    def may_claim(self, holder, now):
+        """Return whether the box `holder` may append a claim.
+
+        >>> watch = ClaimWatch(3.0)
+        >>> watch.may_claim('a', 0.0)
+        True
+        >>> watch.record(Claim('b', 7), 1.0)
+        >>> watch.may_claim('a', 2.0), watch.may_claim('a', 6.0)
+        (False, True)
+        """
+        if self._claim is None or self._claim.holder == holder:
+            return True
+        return now - self._since >= self._lease_s + TAKEOVER_S
+
+    def is_last_holder(self, holder):
+        """Return whether the newest claim is that of the box `holder`."""
+        return self._claim is not None and self._claim.holder == holder
+
+
+def compute_claim_delay(rank):
+    """Return the seconds for which a box leaves a free lease to others.
+
+    Parameters
+    ----------
+    rank : int
+        Rank of the box in the hash order of all boxes.
+
+    >>> [compute_claim_delay(rank) for rank in (0, 2, 194)]
+    [0.0, 0.3, 2.0]
+    """
+    return min(rank * CLAIM_DELAY_S, MAX_CLAIM_DELAY_S)
--- a/landingspool/gateway/ordering.py
+++ b/landingspool/gateway/ordering.py
@@ -8,6 +8,7 @@
 import asyncio
 
 from landingspool.decisions.gateway import fleet
+from landingspool.decisions.gateway import order_claims
 from landingspool.decisions.gateway import rollouts
 from landingspool.decisions import timing
 from landingspool.platform import catalogue
@@ -31,13 +32,13 @@
 
     Attributes
     ----------
-    watch : rollouts.ClaimWatch
+    watch : order_claims.ClaimWatch
         Receives every claim that is read.
     """
 
     def __init__(self, hub):
         self._hub = hub
-        self.watch = rollouts.ClaimWatch(hub.deployment.bounds.lease_s)
+        self.watch = order_claims.ClaimWatch(hub.deployment.bounds.lease_s)
         self._lease = None
         self._claimed_loading = ()
         # How long the claim has been needed without a holder.
@@ -83,7 +84,7 @@
             self._drop_claim('no target can be reached')
             self._unclaimed.restart()
             return False
-        if rollouts.is_held(self._lease, now):
+        if order_claims.is_held(self._lease, now):
             return True
         if self.watch.end is None:
             return False
@@ -97,7 +98,7 @@
         """Return whether the boxes before this one had time to claim."""
         unclaimed_s = self._unclaimed.advance(now)
         rank = self._hub.peering.get_rank(CLAIM_KEY)
-        if unclaimed_s < rollouts.compute_claim_delay(rank):
+        if unclaimed_s < order_claims.compute_claim_delay(rank):
             return False
         return not rank or await self._is_unclaimed()
 
@@ -120,13 +121,13 @@
         orders.
         """
         now = self._hub.clock()
-        is_held = rollouts.is_held(self._lease, now)
-        is_recent = is_held and rollouts.is_recent(self._lease, now)
+        is_held = order_claims.is_held(self._lease, now)
+        is_recent = is_held and order_claims.is_recent(self._lease, now)
         if is_recent and tuple(loading) == self._claimed_loading:
             return True
         if not await self._claim(loading):
             return False
-        return rollouts.is_held(self._lease, self._hub.clock())
+        return order_claims.is_held(self._lease, self._hub.clock())
 
     async def _claim(self, loading):
         box = self._hub.deployment.box
@@ -140,7 +141,7 @@
             if self._lease is None:
                 self._hub.recorder.record('holding', fence=reply.offset)
             # The offset of the newest append is the fence: it only rises.
-            self._lease = rollouts.Lease(
+            self._lease = order_claims.Lease(
                 reply.offset, reply.sent, self._hub.deployment.bounds.lease_s
             )
             self._claimed_loading = tuple(loading)
@@ -231,7 +232,7 @@
                 return report
 
     async def _send(self, entry, order, report, began):
-        if not rollouts.is_held(self._lease, self._hub.clock()):
+        if not order_claims.is_held(self._lease, self._hub.clock()):
             return rollouts.REFUSED
         if not self._hub.timer.ran_since(began):
             # What was planned before a stall of this process is void.
--- a/landingspool/platform/catalogue.py
+++ b/landingspool/platform/catalogue.py
@@ -8,8 +8,8 @@
 
 from landingspool.decisions.gateway import cold_targets
 from landingspool.decisions.gateway import fleet
+from landingspool.decisions.gateway import order_claims
 from landingspool.decisions.gateway import peer_digests
-from landingspool.decisions.gateway import rollouts
 from landingspool.decisions.gateway import routes
 from landingspool.decisions.gateway import software_history
 from landingspool import http
@@ -418,7 +418,7 @@
             )
             for model, version, age_ms, witnessed in row.get('versions', ())
         )
-        return rollouts.Claim(
+        return order_claims.Claim(
             row['holder'], offset, dict(row['loading']), versions
         )
     except DECODE_ERRORS as error:
--- a/tests/gateway/test_ordering.py
+++ b/tests/gateway/test_ordering.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from landingspool.decisions.gateway import order_claims
 from landingspool.decisions.gateway import prompts
 from landingspool.decisions.gateway import rollouts
 from landingspool import http
@@ -35,25 +36,27 @@
 
 
 def test_a_claim_of_another_is_left_until_it_is_old():
-    watch = rollouts.ClaimWatch(LEASE_S)
-    watch.record(rollouts.Claim('b', 3), 10.0)
+    watch = order_claims.ClaimWatch(LEASE_S)
+    watch.record(order_claims.Claim('b', 3), 10.0)
     assert not watch.may_claim('a', 10.0 + LEASE_S)
-    watch.record(rollouts.Claim('b', 4), 12.0)
+    watch.record(order_claims.Claim('b', 4), 12.0)
     assert not watch.may_claim('a', 12.0 + LEASE_S)
-    assert watch.may_claim('a', 12.0 + LEASE_S + rollouts.TAKEOVER_S)
+    assert watch.may_claim('a', 12.0 + LEASE_S + order_claims.TAKEOVER_S)
     assert watch.may_claim('b', 12.0)
 
 
 def test_an_older_claim_read_late_changes_nothing():
-    watch = rollouts.ClaimWatch(LEASE_S)
-    watch.record(rollouts.Claim('b', 5), 10.0)
-    watch.record(rollouts.Claim('a', 4), 11.0)
+    watch = order_claims.ClaimWatch(LEASE_S)
+    watch.record(order_claims.Claim('b', 5), 10.0)
+    watch.record(order_claims.Claim('a', 4), 11.0)
     assert not watch.may_claim('a', 11.0)
 
 
 def test_a_claim_says_what_loads():
     value = catalogue.write_claim('b', {'t': 1.5})
-    assert catalogue.read_claim(value, 7) == rollouts.Claim('b', 7, {'t': 1.5})
+    assert catalogue.read_claim(value, 7) == order_claims.Claim(
+        'b', 7, {'t': 1.5}
+    )
 
 
 def test_an_append_elsewhere_ends_the_holders_right():
