--- a/landingspool/decisions/gateway/start_limits.py
+++ b/landingspool/decisions/gateway/start_limits.py
@@ -2,12 +2,14 @@
 
 The bound applies to the moment at which a target begins a request.  So a
 request goes to a target that lacks a version only if its wait there, with an
-allowance for error, ends before the bound.
+allowance for error, ends before the bound.  Where all targets lack it for too
+long, callers are told when one can have it at the earliest.
 """
 
 import math
 
 from landingspool.decisions.gateway import choice
+from landingspool.decisions.gateway import weights as weights_module
 
 # Allowance for error: the factor by which a wait is assumed to be longer.
 WAIT_FACTOR = 1.5
@@ -107,6 +109,42 @@
         left_s = self.measure_left(name, work, now)
         return math.inf if left_s is None else left_s - RECALL_MARGIN_S
 
+    def lacks_new_weights(self, work, now):
+        """Return whether all targets for a request have too old weights."""
+        entries = self._list_permitted(work)
+        return bool(
+            work.prompt is not None
+            and entries
+            and not self._view.planner.list_new_enough(
+                entries, work.prompt, now
+            )
+        )
+
+    def estimate_new_weights(self, work, now):
+        """Return in how many seconds a target has new weights at least."""
+        starts = [
+            self._view.weights.get_load_start(entry.name, now)
+            for entry in self._list_permitted(work)
+        ]
+        return weights_module.estimate_load_end(starts, now)
+
+    def _list_permitted(self, work):
+        """Return the entries that a request may get, now or later.
+
+        Those that can't be reached are left out unless there are no others.
+        """
+        view = self._view
+        limits = view.exclusions.get_requirements(work, view.table)
+        entries = view.exclusions.list_permitted(
+            view.fleet.list_service(work.service), limits
+        )
+        reached = [
+            entry
+            for entry in entries
+            if not view.reachability.is_out(entry.name)
+        ]
+        return reached or entries
+
     def _get_version(self, candidate, model):
         return self._view.fleet.get_version(candidate.entry.name, model)
 
--- a/landingspool/decisions/gateway/view.py
+++ b/landingspool/decisions/gateway/view.py
@@ -182,45 +182,12 @@
 
     def get_shortage(self, work, now):
         """Return why no target may get a request."""
-        if self._lacks_new_weights(work, now):
+        if self.start_limits.lacks_new_weights(work, now):
             return exclusions.OLD_WEIGHTS
         limits = self.exclusions.get_requirements(work, self.table)
         entries = self.fleet.list_service(work.service)
         return self.exclusions.get_shortage(entries, limits, now)
 
-    def _lacks_new_weights(self, work, now):
-        """Return whether all targets for a request have too old weights."""
-        entries = self._list_permitted(work)
-        return bool(
-            work.prompt is not None
-            and entries
-            and not self.planner.list_new_enough(entries, work.prompt, now)
-        )
-
-    def _list_permitted(self, work):
-        """Return the entries that a request may get, now or later.
-
-        Those that can't be reached are left out unless there are no others.
-        """
-        limits = self.exclusions.get_requirements(work, self.table)
-        entries = self.exclusions.list_permitted(
-            self.fleet.list_service(work.service), limits
-        )
-        reached = [
-            entry
-            for entry in entries
-            if not self.reachability.is_out(entry.name)
-        ]
-        return reached or entries
-
-    def estimate_new_weights(self, work, now):
-        """Return in how many seconds a target has new weights at least."""
-        starts = [
-            self.weights.get_load_start(entry.name, now)
-            for entry in self._list_permitted(work)
-        ]
-        return weights_module.estimate_load_end(starts, now)
-
     def plan(self, work, avoid, now, ready=frozenset()):
         """Choose a target for a request; return a Plan, or None.
 
--- a/landingspool/gateway/refusals.py
+++ b/landingspool/gateway/refusals.py
@@ -146,7 +146,8 @@
     def _estimate_new_weights(self, now):
         # An order that is carried out late tells no time, but no target has
         # the new weights sooner than a load takes.
-        left_s = self._view.estimate_new_weights(self._state.work, now)
+        limits = self._view.start_limits
+        left_s = limits.estimate_new_weights(self._state.work, now)
         return left_s + random.uniform(*RETRY_AFTER_S)
 
     async def refuse_overloaded(self, plan):
--- a/tests/gateway/test_old_weights.py
+++ b/tests/gateway/test_old_weights.py
@@ -45,7 +45,7 @@
 def test_callers_are_told_when_the_first_load_ends():
     async def check(deployment):
         hub = await outdate(deployment)
-        hub.view.estimate_new_weights = lambda work, now: 0.9
+        hub.view.start_limits.estimate_new_weights = lambda work, now: 0.9
         times = []
         for _ in range(6):
             got = await site.ask(hub, '/stream/a', headers=PROMPT)
@@ -70,12 +70,12 @@
     view, late = make_outdated_view()
     work = test_view.make_work()
     assert view.get_shortage(work, late) == exclusions.OLD_WEIGHTS
-    assert view.estimate_new_weights(work, late) == 1.3
+    assert view.start_limits.estimate_new_weights(work, late) == 1.3
     view.weights.put_loading({'t0': 0.5, 't1': 0.0}, late)
-    left_s = view.estimate_new_weights(work, late)
+    left_s = view.start_limits.estimate_new_weights(work, late)
     assert left_s == pytest.approx(weights_module.USUAL_LOAD_S)
     # One that takes longer than usual may end at any time.
-    assert view.estimate_new_weights(work, late + 2.0) == 1.3
+    assert view.start_limits.estimate_new_weights(work, late + 2.0) == 1.3
 
 
 def test_one_target_with_new_weights_is_no_lack_of_new_weights():
