Keep the targets that load in a module of their own

weights.py had two jobs since versions got ages: which version is published when, and which targets load.

--- a/bench/many.py
+++ b/bench/many.py
@@ -282,7 +282,7 @@
             : rollouts.compute_concurrency(self._size.engines, left)
         ]
         for view in self.views:
-            view.weights.put_loading(dict.fromkeys(names, CLOSING_S), now)
+            view.loading.put(dict.fromkeys(names, CLOSING_S), now)
         for name in names:
             self._engines[int(name[1:])].load(now + CLOSING_S, LOAD_S)
         ends = now + CLOSING_S + LOAD_S
@@ -293,7 +293,7 @@
         """Record at all boxes that engines have loaded a version."""
         for view in self.views:
             for name in names:
-                view.weights.end_loading(name)
+                view.loading.end(name)
                 view.fleet.record_version(name, 'm', version)
 
     def _arrive(self, now):
--- a/bench/orders.py
+++ b/bench/orders.py
@@ -76,7 +76,7 @@
             return
         self._closed = tuple(loading)
         for view in self._play.views:
-            view.weights.put_loading(loading, now)
+            view.loading.put(loading, now)
 
     def _send(self, now, order):
         if self._rng.random() < self._size.late:
--- a/landingspool/decisions/gateway/group_planner.py
+++ b/landingspool/decisions/gateway/group_planner.py
@@ -110,7 +110,7 @@
             and name not in fleet.lapsed
             and name not in avoid
             and not view.reachability.is_out(name)
-            and not view.weights.is_loading(name, prompt, now)
+            and not view.loading.excludes(name, prompt, now)
         ]
         if not known:
             return []
--- a/landingspool/decisions/gateway/planner.py
+++ b/landingspool/decisions/gateway/planner.py
@@ -263,7 +263,7 @@
         idle = [
             entry
             for entry in entries
-            if not view.weights.is_loading(entry.name, prompt, now)
+            if not view.loading.excludes(entry.name, prompt, now)
         ]
         return self.list_new_enough(idle or entries, prompt, now)
 
@@ -437,7 +437,7 @@
         model = work.prompt.model
         version = self._view.fleet.get_version(name, model)
         space = prompts.build_namespace(model, version, work.tenancy)
-        loading = self._view.weights.is_loading(name, work.prompt, now)
+        loading = self._view.loading.excludes(name, work.prompt, now)
         if version is None or loading:
             return None, f'{space}.{work.name}'
         return version, space
--- a/landingspool/decisions/gateway/start_limits.py
+++ b/landingspool/decisions/gateway/start_limits.py
@@ -9,7 +9,6 @@
 import math
 
 from landingspool.decisions.gateway import choice
-from landingspool.decisions.gateway import weights as weights_module
 
 # Allowance for error: the factor by which a wait is assumed to be longer.
 WAIT_FACTOR = 1.5
@@ -122,11 +121,8 @@
 
     def estimate_new_weights(self, work, now):
         """Return in how many seconds a target has new weights at least."""
-        starts = [
-            self._view.weights.get_load_start(entry.name, now)
-            for entry in self._list_permitted(work)
-        ]
-        return weights_module.estimate_load_end(starts, now)
+        names = [entry.name for entry in self._list_permitted(work)]
+        return self._view.loading.estimate_end(names, now)
 
     def _list_permitted(self, work):
         """Return the entries that a request may get, now or later.
--- a/landingspool/decisions/gateway/view.py
+++ b/landingspool/decisions/gateway/view.py
@@ -22,6 +22,7 @@
 from landingspool.decisions.gateway import grouping as grouping_module
 from landingspool.decisions.gateway import health as health_module
 from landingspool.decisions.gateway import latency
+from landingspool.decisions.gateway import loading_targets
 from landingspool.decisions.gateway import loads as loads_module
 from landingspool.decisions.gateway import partition as partition_module
 from landingspool.decisions.gateway import peer_digests
@@ -70,6 +71,7 @@
         self.loads = loads_module.Loads()
         self.latency = latency.LatencyTracker()
         self.weights = weights_module.Weights(bounds.version_s)
+        self.loading = loading_targets.LoadingTargets()
         self.reachability = reachability_module.Reachability()
         self.partition = partition_module.Partition()
         self.watchers = watchers_module.Watchers()
--- a/landingspool/decisions/gateway/weights.py
+++ b/landingspool/decisions/gateway/weights.py
@@ -1,8 +1,7 @@
-"""Tracks published versions of weights, and which targets lack or load them.
+"""Tracks published versions of weights, and for how long a target lacks one.
 
 Each version has a deadline of its own, counted from its publication, after
-which a target without it is not used.  A target that is about to load gets
-only requests that end before that.
+which a target without it is not used.
 """
 
 import typing
@@ -20,18 +19,11 @@
 # Seconds before the deadline from which on such targets are not used at all: a
 # request may wait two or three seconds more at the target before it begins.
 START_MARGIN_S = 3.0
-# Seconds for which a target counts as loading without a further report.
-LOADING_S = 6.0
 # Seconds by which a publication has to change to be worth a log line: what
 # boxes know of it differs by the time that messages take.
 MIN_SHIFT_S = 0.5
 # Of so many digests one has the ages of versions: about each second.
 REPEAT_EVERY = 5
-# Seconds that a load usually takes.
-USUAL_LOAD_S = 1.3
-# Seconds to generate one token, and the shortest run, under usual load.
-TOKEN_S = 0.002
-MIN_RUN_S = 0.2
 
 
 class Named(typing.NamedTuple):
@@ -46,7 +38,7 @@
 
 
 class Weights:
-    """Hold the published versions and the loading targets that one box knows.
+    """Hold the published versions that one box knows.
 
     Parameters
     ----------
@@ -68,7 +60,6 @@
         self.bound_s = bound_s
         self.max_lag_s = max(bound_s - START_MARGIN_S, OLD_WEIGHTS_S)
         self._digests = 0
-        self._loading = {}
 
     def put_version(self, model, version, now, proof_s=0.0, is_late=False):
         """Record a published version of weights; return True if it is newer.
@@ -250,64 +241,6 @@
         missed = version_ages.find_missed(named.history, has)
         return 0.0 if missed is None else now - missed
 
-    def put_loading(self, delays, now):
-        """Record which targets load or will, and in how many seconds.
-
-        Parameters
-        ----------
-        delays : dict of str to float
-            Seconds until a target loads, by its name.
-        """
-        self._loading = {
-            name: self._loading.get(name, now + delay)
-            for name, delay in delays.items()
-        }
-
-    def end_loading(self, name):
-        """Record that a target has its new weights."""
-        self._loading.pop(name, None)
-
-    def is_loading(self, name, prompt, now):
-        """Return whether a request should not be sent to a target any more.
-
-        A target that is about to load still gets requests that end before
-        that.
-        """
-        begins = self._loading.get(name)
-        if begins is None or now > begins + LOADING_S:
-            return False
-        run_s = prompt.tokens_out * TOKEN_S + MIN_RUN_S
-        return now + run_s > begins
-
-    def get_load_start(self, name, now):
-        """Return when a target loads or began to; None if it doesn't load."""
-        start = self._loading.get(name)
-        if start is None or now > start + LOADING_S:
-            return None
-        return start
-
-
-def estimate_load_end(starts, now):
-    """Return in how many seconds the first load ends, at the earliest.
-
-    One that has taken longer than usual may end at any time, and where none is
-    under way the next one has yet to begin.
-
-    Parameters
-    ----------
-    starts : iterable of (float or None)
-        When each of them begins or began; None where nothing loads.
-
-    >>> round(estimate_load_end([10.5, 11.0, None], 10.0), 2)
-    1.8
-    >>> estimate_load_end([8.0, None], 10.0)
-    1.3
-    """
-    left = [
-        start + USUAL_LOAD_S - now for start in starts if start is not None
-    ]
-    return min((s for s in left if s > 0), default=USUAL_LOAD_S)
-
 
 def compute_penalty(lag_s):
     """Return the seconds of penalty for a target with a lag of `lag_s`.
--- a/landingspool/gateway/following.py
+++ b/landingspool/gateway/following.py
@@ -350,5 +350,5 @@
             return
         now = self._hub.clock()
         self._watch.record(claim, now)
-        self._hub.view.weights.put_loading(claim.loading, now)
+        self._hub.view.loading.put(claim.loading, now)
         self._hub.state.take_claimed(claim.versions, now)
--- a/landingspool/gateway/ordering.py
+++ b/landingspool/gateway/ordering.py
@@ -145,7 +145,7 @@
                 reply.offset, reply.sent, self._hub.deployment.bounds.lease_s
             )
             self._claimed_loading = tuple(loading)
-            self._hub.view.weights.put_loading(loading, self._hub.clock())
+            self._hub.view.loading.put(loading, self._hub.clock())
             return True
         if isinstance(reply, store_module.Conflict):
             # Another box has appended, so the claim of this one is void.
@@ -275,7 +275,7 @@
                 continue
             if self._has(report, order):
                 rollout.finish(order.target)
-                self._hub.view.weights.end_loading(order.target)
+                self._hub.view.loading.end(order.target)
                 return
             rollout.take_report(order.target, report.busy, self._hub.clock())
 
--- a/tests/gateway/test_old_weights.py
+++ b/tests/gateway/test_old_weights.py
@@ -3,7 +3,7 @@
 import pytest
 
 from landingspool.decisions.gateway import exclusions
-from landingspool.decisions.gateway import weights as weights_module
+from landingspool.decisions.gateway import loading_targets
 from tests.gateway import site
 from tests.gateway import test_view
 
@@ -32,7 +32,7 @@
 def test_callers_are_refused_at_once_and_return_no_sooner_than_a_load():
     async def check(deployment):
         hub = await outdate(deployment)
-        hub.view.weights.put_loading({}, hub.clock())
+        hub.view.loading.put({}, hub.clock())
         got = await site.ask(hub, '/stream/a', headers=PROMPT)
         assert got.status == 503
         assert exclusions.OLD_WEIGHTS in got.body.decode()
@@ -71,9 +71,9 @@
     work = test_view.make_work()
     assert view.get_shortage(work, late) == exclusions.OLD_WEIGHTS
     assert view.start_limits.estimate_new_weights(work, late) == 1.3
-    view.weights.put_loading({'t0': 0.5, 't1': 0.0}, late)
+    view.loading.put({'t0': 0.5, 't1': 0.0}, late)
     left_s = view.start_limits.estimate_new_weights(work, late)
-    assert left_s == pytest.approx(weights_module.USUAL_LOAD_S)
+    assert left_s == pytest.approx(loading_targets.USUAL_LOAD_S)
     # One that takes longer than usual may end at any time.
     assert view.start_limits.estimate_new_weights(work, late + 2.0) == 1.3
 
--- a/tests/gateway/test_ordering.py
+++ b/tests/gateway/test_ordering.py
@@ -350,8 +350,8 @@
         assert max(e.asked[0] for e in engines) - began < 7.0
         # The first one has an order that it may carry out, and serves.
         prompt = prompts.Prompt('m', 100, 4, ())
-        loading = hub.view.weights.is_loading
-        assert not loading(engines[0].name, prompt, hub.clock())
+        loading = hub.view.loading
+        assert not loading.excludes(engines[0].name, prompt, hub.clock())
         await site.wait_until(
             lambda: all(e.version == 2 for e in engines), 12.0
         )
--- a/tests/gateway/test_view.py
+++ b/tests/gateway/test_view.py
@@ -116,18 +116,18 @@
 
 def test_a_closing_target_still_gets_what_ends_in_time():
     view = make_view(2)
-    view.weights.put_loading({'t0': 1.6}, 10.0)
+    view.loading.put({'t0': 1.6}, 10.0)
     short = prompts.Prompt('m', 100, 4, PROMPT.parts)
     long = prompts.Prompt('m', 100, 900, PROMPT.parts)
-    assert not view.weights.is_loading('t0', short, 10.0)
-    assert view.weights.is_loading('t0', long, 10.0)
-    assert view.weights.is_loading('t0', short, 11.6)
-    assert not view.weights.is_loading('t1', long, 11.6)
+    assert not view.loading.excludes('t0', short, 10.0)
+    assert view.loading.excludes('t0', long, 10.0)
+    assert view.loading.excludes('t0', short, 11.6)
+    assert not view.loading.excludes('t1', long, 11.6)
 
 
 def test_requests_to_a_loading_target_carry_no_transfer():
     view = make_view(1)
-    view.weights.put_loading({'t0': 0.0}, 10.0)
+    view.loading.put({'t0': 0.0}, 10.0)
     plan = view.plan(make_work(), (), 10.0)
     assert plan.version is None
     assert not plan.transfer.fetch
