--- a/landingspool/gateway/state.py
+++ b/landingspool/gateway/state.py
@@ -188,17 +188,18 @@
         Parameters
         ----------
         notices : iterable of peer_digests.VersionNotice
+        now : float
+            Seconds of this box's clock.
         source : str
             Who told this box, for the log.
         """
-        for notice in notices:
-            at = now - max(notice.age_ms, 0) / 1000
-            if self._view.weights.take_version(
-                notice.model, notice.version, at, notice.is_witnessed
-            ):
-                self._log_version(
-                    'version_named', notice.model, notice.version, source
-                )
+        self._take_notices(
+            notices,
+            now,
+            source,
+            self._view.weights.take_version,
+            'version_named',
+        )
 
     def take_ages(self, notices, now, source):
         """Apply how long ago versions of weights were published at `now`.
@@ -206,17 +207,21 @@
         Parameters
         ----------
         notices : iterable of peer_digests.VersionNotice
+        now : float
+            Seconds of this box's clock.
         source : str
             Who told this box, for the log.
         """
+        self._take_notices(
+            notices, now, source, self._view.weights.take_age, 'version_dated'
+        )
+
+    def _take_notices(self, notices, now, source, adopt, event):
+        """Adopt notices by a method of the weights; log what that changed."""
         for notice in notices:
             at = now - max(notice.age_ms, 0) / 1000
-            if self._view.weights.take_age(
-                notice.model, notice.version, at, notice.is_witnessed
-            ):
-                self._log_version(
-                    'version_dated', notice.model, notice.version, source
-                )
+            if adopt(notice.model, notice.version, at, notice.is_witnessed):
+                self._log_version(event, notice.model, notice.version, source)
 
     def take_claimed(self, notices, now):
         """Apply the versions in a claim, and ages if no better are known.
