--- a/landingspool/decisions/gateway/order_claims.py
+++ b/landingspool/decisions/gateway/order_claims.py
@@ -18,9 +18,9 @@
 LEASE_MARGIN_S = 0.5
 # Seconds between the attempts of two boxes to claim a free lease, in the hash
 # order of all boxes: longer than it takes until all have read a claim (an
-# append of some ms, and two long-polled reads).  Without this delay each of
-# 195 boxes appended for each published version, and all but one in vain.  It
-# has a maximum, since many boxes may be disconnected from the store.
+# append of some ms, and two long-polled reads).  Otherwise all boxes would
+# append for each published version, and all but one in vain.  The delay has a
+# maximum, since many boxes may be disconnected from the store.
 CLAIM_DELAY_S = 0.15
 MAX_CLAIM_DELAY_S = 2.0
 # Share of the lease after which its holder appends again.
--- a/landingspool/decisions/gateway/plans.py
+++ b/landingspool/decisions/gateway/plans.py
@@ -102,8 +102,8 @@
     Parameters
     ----------
     weights_left_s : float, optional
-        Seconds for which the target's weights remain usable; None if it lacks
-        no version.
+        Seconds in which a request may begin at the target; None if it lacks
+        no version of the weights.
     """
     values = {
         'target': plan.entry.name,
--- a/landingspool/decisions/gateway/rollouts.py
+++ b/landingspool/decisions/gateway/rollouts.py
@@ -22,8 +22,8 @@
 # fifth of all targets for seconds.
 CLOSING_S = 0.5
 # Share of the targets that are under way (closing or loading) at once; twice
-# as many may load without slowing each other (2 of 5, 18 of 45, 22 of 56, as
-# operators state), and are under way if the time left requires it.
+# as many may load without slowing each other, and are under way if
+# the time left requires it.
 CONCURRENT_SHARE = 0.2
 MAX_CONCURRENT_SHARE = 0.4
 # Seconds that one target is under way: closing, two reports, and a load of 1.3
@@ -379,9 +379,7 @@
     """Return how many targets may be under way at once.
 
     As few as bring all to the new weights in time, since the others have to
-    carry the load: with 195 boxes and two fifths of 50 engines always under
-    way, from five seconds after a version was published on, requests earned
-    0.60 to 0.73 of their value in those seconds.
+    carry the load.
 
     Parameters
     ----------
--- a/landingspool/decisions/gateway/weights.py
+++ b/landingspool/decisions/gateway/weights.py
@@ -22,7 +22,7 @@
 # Seconds by which a publication has to change to be worth a log line: what
 # boxes know of it differs by the time that messages take.
 MIN_SHIFT_S = 0.5
-# Of so many digests one has the ages of versions: about each second.
+# Number of digests of which one has the ages of versions: about one a second.
 REPEAT_EVERY = 5
 
 
@@ -208,7 +208,7 @@
         ]
 
     def list_due_ages(self, now):
-        """Return the ages for the next digest, in most of them none."""
+        """Count a digest; return the ages that it has, mostly none."""
         self._digests += 1
         if self._digests % REPEAT_EVERY:
             return ()
--- a/landingspool/gateway/recalls.py
+++ b/landingspool/gateway/recalls.py
@@ -13,7 +13,7 @@
 
 
 class Recall:
-    """Tells when one request is to be taken back from its target.
+    """Tell when one request is to be taken back from its target.
 
     Parameters
     ----------
@@ -46,7 +46,7 @@
         return min(timeout_s, max(self._measure_recall(), RETRY_S))
 
     def measure_left(self):
-        """Return the seconds for which the target's weights remain usable.
+        """Return the seconds in which the request may begin at the target.
 
         Returns
         -------
@@ -67,6 +67,7 @@
         version : int or None
             The version that the answer names; None if it names none.
         sent_at : float
+            When the request was sent, seconds of this box's clock.
         """
         prompt, now = self._state.work.prompt, self._hub.clock()
         if self._plan is None or prompt is None or version is None:
