--- a/tests/gateway/test_old_weights.py
+++ b/tests/gateway/test_old_weights.py
@@ -3,8 +3,7 @@
 import pytest
 
 from landingspool.decisions.gateway import exclusions
-from landingspool.decisions.gateway import weights as weights_module
-from tests.gateway import late_runner
+from landingspool.decisions.gateway import loading_targets
 from tests.gateway import site
 from tests.gateway import test_view
 
@@ -20,6 +19,7 @@
 
 async def outdate(deployment):
     """Start a box; return it once the weights of all targets are too old."""
+    site.delay_orders(deployment.engines, NEVER_S)
     hub = await deployment.start_box(version_s=VERSION_S)
     named = {'model': 'm', 'version': 2}
     deployment.store.put('keyed.op', 'version/m', named)
@@ -32,20 +32,20 @@
 def test_callers_are_refused_at_once_and_return_no_sooner_than_a_load():
     async def check(deployment):
         hub = await outdate(deployment)
-        hub.view.weights.put_loading({}, hub.clock())
+        hub.view.loading.put({}, hub.clock())
         got = await site.ask(hub, '/stream/a', headers=PROMPT)
         assert got.status == 503
         assert exclusions.OLD_WEIGHTS in got.body.decode()
         assert 1.3 < float(got.headers['retry-after']) < 2.0
         assert not any(e.ran for e in deployment.engines)
 
-    late_runner.run(check, 2, NEVER_S)
+    site.run(check)
 
 
 def test_callers_are_told_when_the_first_load_ends():
     async def check(deployment):
         hub = await outdate(deployment)
-        hub.view.estimate_new_weights = lambda work, now: 0.9
+        hub.view.start_limits.estimate_new_weights = lambda work, now: 0.9
         times = []
         for _ in range(6):
             got = await site.ask(hub, '/stream/a', headers=PROMPT)
@@ -55,7 +55,7 @@
         # Callers do not come back together.
         assert len({round(at, 2) for at in times}) > 1
 
-    late_runner.run(check, 2, NEVER_S)
+    site.run(check)
 
 
 def make_outdated_view():
@@ -70,12 +70,12 @@
     view, late = make_outdated_view()
     work = test_view.make_work()
     assert view.get_shortage(work, late) == exclusions.OLD_WEIGHTS
-    assert view.estimate_new_weights(work, late) == 1.3
-    view.weights.put_loading({'t0': 0.5, 't1': 0.0}, late)
-    left_s = view.estimate_new_weights(work, late)
-    assert left_s == pytest.approx(weights_module.USUAL_LOAD_S)
+    assert view.start_limits.estimate_new_weights(work, late) == 1.3
+    view.loading.put({'t0': 0.5, 't1': 0.0}, late)
+    left_s = view.start_limits.estimate_new_weights(work, late)
+    assert left_s == pytest.approx(loading_targets.USUAL_LOAD_S)
     # One that takes longer than usual may end at any time.
-    assert view.estimate_new_weights(work, late + 2.0) == 1.3
+    assert view.start_limits.estimate_new_weights(work, late + 2.0) == 1.3
 
 
 def test_one_target_with_new_weights_is_no_lack_of_new_weights():
--- a/tests/gateway/test_ordering.py
+++ b/tests/gateway/test_ordering.py
@@ -4,13 +4,13 @@
 
 import pytest
 
+from landingspool.decisions.gateway import order_claims
 from landingspool.decisions.gateway import prompts
 from landingspool.decisions.gateway import rollouts
 from landingspool import http
 from landingspool.platform import catalogue
 from landingspool.platform import names
 from landingspool.platform import store as store_module
-from tests.gateway import late_runner
 from tests.gateway import site
 
 
@@ -35,25 +35,27 @@
 
 
 def test_a_claim_of_another_is_left_until_it_is_old():
-    watch = rollouts.ClaimWatch(LEASE_S)
-    watch.record(rollouts.Claim('b', 3), 10.0)
+    watch = order_claims.ClaimWatch(LEASE_S)
+    watch.record(order_claims.Claim('b', 3), 10.0)
     assert not watch.may_claim('a', 10.0 + LEASE_S)
-    watch.record(rollouts.Claim('b', 4), 12.0)
+    watch.record(order_claims.Claim('b', 4), 12.0)
     assert not watch.may_claim('a', 12.0 + LEASE_S)
-    assert watch.may_claim('a', 12.0 + LEASE_S + rollouts.TAKEOVER_S)
+    assert watch.may_claim('a', 12.0 + LEASE_S + order_claims.TAKEOVER_S)
     assert watch.may_claim('b', 12.0)
 
 
 def test_an_older_claim_read_late_changes_nothing():
-    watch = rollouts.ClaimWatch(LEASE_S)
-    watch.record(rollouts.Claim('b', 5), 10.0)
-    watch.record(rollouts.Claim('a', 4), 11.0)
+    watch = order_claims.ClaimWatch(LEASE_S)
+    watch.record(order_claims.Claim('b', 5), 10.0)
+    watch.record(order_claims.Claim('a', 4), 11.0)
     assert not watch.may_claim('a', 11.0)
 
 
 def test_a_claim_says_what_loads():
     value = catalogue.write_claim('b', {'t': 1.5})
-    assert catalogue.read_claim(value, 7) == rollouts.Claim('b', 7, {'t': 1.5})
+    assert catalogue.read_claim(value, 7) == order_claims.Claim(
+        'b', 7, {'t': 1.5}
+    )
 
 
 def test_an_append_elsewhere_ends_the_holders_right():
@@ -337,24 +339,25 @@
 
 def test_late_orders_do_not_delay_those_to_other_targets():
     async def check(deployment):
+        engines = deployment.engines
+        site.delay_orders(engines, 7.0)
         (hub,) = await site.start_boxes(deployment, 1)
         named = {'model': 'm', 'version': 2}
         deployment.store.put('keyed.op', 'version/m', named)
         began = asyncio.get_running_loop().time()
-        engines = deployment.engines
         await site.wait_until(lambda: all(e.asked for e in engines), 9.0)
         assert [len(e.asked) for e in engines] == [1] * 4
         assert max(e.asked[0] for e in engines) - began < 7.0
         # The first one has an order that it may carry out, and serves.
         prompt = prompts.Prompt('m', 100, 4, ())
-        loading = hub.view.weights.is_loading
-        assert not loading(engines[0].name, prompt, hub.clock())
+        loading = hub.view.loading
+        assert not loading.excludes(engines[0].name, prompt, hub.clock())
         await site.wait_until(
             lambda: all(e.version == 2 for e in engines), 12.0
         )
         assert [len(e.orders) for e in engines] == [1] * 4
 
-    late_runner.run(check, 4, 7.0)
+    site.run(check, engines=4)
 
 
 def test_a_load_for_another_model_delays_an_order_only_until_it_ends():
