Count loads in a claim read at a start from its writing

A box that started left targets out for up to 6.4 s, or sent nothing to them but short requests, because the newest claim in the store announced their loads, however old the claim was: each load was counted from the reading.

A claim has had the time of day of its writing for its versions' ages. Its reader now computes the age of the claim, and the loads of a claim read at a start count from then. A claim read later is read as it comes, and its loads count from the reading as before: a time of day that differs between boxes by 6 s would otherwise hide every load. A claim of an earlier build, which does not tell its time, counts from the reading.

Before, test_load_announced_long_before_a_start_is_over failed (a load announced 600 s ago still left its target out) and test_load_announced_shortly_before_a_start_counts_from_then (a load that began 1.6 s ago seemed to begin in 0.4 s). Both pass now.

--- a/landingspool/decisions/gateway/rollouts.py
+++ b/landingspool/decisions/gateway/rollouts.py
@@ -57,12 +57,14 @@
     how many seconds: every box reads the claim and sends them only requests
     that end before.  `versions` has a peer_digests.VersionNotice of each
     version that boxes have to know: one that starts can't tell their ages.
+    `age_s` is the time since its writing by the time of day, 0 if not told.
     """
 
     holder: str
     fence: int
     loading: dict = {}
     versions: tuple = ()
+    age_s: float = 0.0
 
 
 class Lease(typing.NamedTuple):
--- a/landingspool/gateway/following.py
+++ b/landingspool/gateway/following.py
@@ -350,5 +350,17 @@
             return
         now = self._hub.clock()
         self._watch.record(claim, now)
-        self._hub.view.weights.put_loading(claim.loading, now)
+        self._put_loading(claim, now)
         self._hub.state.take_claimed(claim.versions, now)
+
+    def _put_loading(self, claim, now):
+        """Record the loads that a claim announces.
+
+        A claim read at a start may have been written long before.  Later ones
+        are read as they come: the time of day, which may differ between
+        boxes, would date their loads worse than the reading.
+        """
+        is_start = self._watch.end is None
+        age_s = claim.age_s if is_start else 0.0
+        delays = {name: s - age_s for name, s in claim.loading.items()}
+        self._hub.view.weights.put_loading(delays, now)
--- a/landingspool/platform/catalogue.py
+++ b/landingspool/platform/catalogue.py
@@ -408,10 +408,13 @@
     (VersionNotice(model='m', version=2, age_ms=2500, is_witnessed=True),)
     >>> read_claim(value, 7, 9.0).versions[0].age_ms
     500
+    >>> read_claim(value, 7, 12.0).age_s
+    2.0
     """
     try:
         row = json.loads(value)
-        since_ms = max(int(wall_s * 1000) - int(row.get('at_ms', 0)), 0)
+        at_ms = int(row.get('at_ms', 0))
+        since_ms = max(int(wall_s * 1000) - at_ms, 0)
         versions = tuple(
             peer_digests.VersionNotice(
                 str(model), int(version), age_ms + since_ms, bool(witnessed)
@@ -419,7 +422,12 @@
             for model, version, age_ms, witnessed in row.get('versions', ())
         )
         return rollouts.Claim(
-            row['holder'], offset, dict(row['loading']), versions
+            row['holder'],
+            offset,
+            dict(row['loading']),
+            versions,
+            # An earlier build does not tell when it wrote.
+            since_ms / 1000 if at_ms else 0.0,
         )
     except DECODE_ERRORS as error:
         raise Malformed(f'claim: {error!r}') from error
--- /dev/null
+++ b/tests/gateway/test_announced_loads.py
@@ -0,0 +1,81 @@
+"""Tests from when on boxes count the loads that a claim announces."""
+
+import json
+
+import pytest
+
+from landingspool.decisions.gateway import prompts
+from landingspool.platform import catalogue
+from landingspool.platform import names
+from tests.gateway import site
+
+PROMPT = prompts.Prompt('m', 100, 4, ())
+LONG_PROMPT = prompts.Prompt('m', 100, 900, ())
+# How long ago a claim was written, and the delay of a load in it, seconds.
+AGO_S = 600.0
+DELAY_S = 0.4
+
+
+def write_claim(deployment, loading, wall_s):
+    """Write a claim of a box that is gone."""
+    value = catalogue.write_claim('gone', loading, wall_s=wall_s)
+    deployment.store.put(names.CLAIMS_TOPIC, 'orders', json.loads(value))
+
+
+def is_read(hub):
+    """Return whether a box has read the newest claim."""
+    return hub._claims._watch.end is not None
+
+
+def test_load_announced_long_before_a_start_is_over():
+    # Guards against targets left out because a box starts.
+    async def check(deployment):
+        first = await deployment.start_box('box1')
+        write_claim(deployment, {'e0': DELAY_S}, first.wall() - AGO_S)
+        hub = await deployment.start_box('box2')
+        await site.wait_until(lambda: is_read(hub))
+        assert not hub.view.weights.is_loading('e0', LONG_PROMPT, hub.clock())
+
+    site.run(check)
+
+
+def test_load_announced_shortly_before_a_start_counts_from_then():
+    async def check(deployment):
+        first = await deployment.start_box('box1')
+        write_claim(deployment, {'e0': DELAY_S}, first.wall() - 2.0)
+        hub = await deployment.start_box('box2')
+        await site.wait_until(lambda: is_read(hub))
+        weights, now = hub.view.weights, hub.clock()
+        assert weights.is_loading('e0', LONG_PROMPT, now)
+        began = now - weights.get_load_start('e0', now)
+        assert 2.0 - DELAY_S <= began < 4.0 - DELAY_S
+
+    site.run(check)
+
+
+@pytest.mark.parametrize('shift_s', [-AGO_S, AGO_S])
+def test_load_in_a_claim_read_as_it_comes_counts_from_its_reading(shift_s):
+    # Guards against a time of day that hides the loads of other boxes.
+    async def check(deployment):
+        hub = await deployment.start_box()
+        await site.wait_until(lambda: is_read(hub))
+        write_claim(deployment, {'e0': DELAY_S}, hub.wall() + shift_s)
+        weights = hub.view.weights
+        await site.wait_until(
+            lambda: weights.is_loading('e0', PROMPT, hub.clock())
+        )
+        left = weights.get_load_start('e0', hub.clock()) - hub.clock()
+        assert -0.5 < left <= DELAY_S
+
+    site.run(check)
+
+
+def test_claim_that_does_not_tell_its_time_counts_from_its_reading():
+    value = json.dumps({'holder': 'b', 'loading': {'e0': 1.5}}).encode()
+    claim = catalogue.read_claim(value, 7, 5.0)
+    assert (claim.loading, claim.age_s) == ({'e0': 1.5}, 0.0)
+
+
+def test_age_of_a_claim_is_not_negative():
+    value = catalogue.write_claim('b', {'e0': 1.5}, wall_s=10.0)
+    assert catalogue.read_claim(value, 7, 9.0).age_s == 0.0
