Count another load of a target that stays listed as a new one

An order given anew to a target that had stayed on the list of loading ones without a break kept the time of the first: 6 s after that the target counted as free, and boxes sent it requests that it refused in its second load.

The list kept the first time of every name. Now a load that is still to come, announced after the one that is known has begun, has its own time; a renewed claim, whose delay has run down, still keeps the first.

test_another_load_of_a_target_that_stays_listed_counts_as_a_new_one failed before: listed since 0 s and announced anew with 0.4 s at 7.5 s, is_loading at 7.6 s was False. It passes now.

--- a/landingspool/decisions/gateway/weights.py
+++ b/landingspool/decisions/gateway/weights.py
@@ -253,16 +253,26 @@
     def put_loading(self, delays, now):
         """Record which targets load or will, and in how many seconds.
 
+        A target that stays listed keeps its time, unless another load is
+        announced after the first one began.
+
         Parameters
         ----------
         delays : dict of str to float
-            Seconds until a target loads, by its name.
+            Seconds until a target loads, by its name; negative ones if it
+            began to.
         """
         self._loading = {
-            name: self._loading.get(name, now + delay)
+            name: self._date_load(name, delay, now)
             for name, delay in delays.items()
         }
 
+    def _date_load(self, name, delay, now):
+        known = self._loading.get(name)
+        if known is None or (delay > 0 and known <= now):
+            return now + delay
+        return known
+
     def end_loading(self, name):
         """Record that a target has its new weights."""
         self._loading.pop(name, None)
--- a/tests/gateway/test_announced_loads.py
+++ b/tests/gateway/test_announced_loads.py
@@ -1,14 +1,17 @@
 """Tests from when on boxes count the loads that a claim announces."""
 
 import json
+import math
 
 import pytest
 
 from landingspool.decisions.gateway import prompts
+from landingspool.decisions.gateway import weights as weights_module
 from landingspool.platform import catalogue
 from landingspool.platform import names
 from tests.gateway import site
 
+BOUND_S = 12.0
 PROMPT = prompts.Prompt('m', 100, 4, ())
 LONG_PROMPT = prompts.Prompt('m', 100, 900, ())
 # How long ago a claim was written, and the delay of a load in it, seconds.
@@ -16,6 +19,13 @@
 DELAY_S = 0.4
 
 
+def make_weights(delay, now):
+    """Return Weights with one announced load."""
+    weights = weights_module.Weights(BOUND_S)
+    weights.put_loading({'e0': delay}, now)
+    return weights
+
+
 def write_claim(deployment, loading, wall_s):
     """Write a claim of a box that is gone."""
     value = catalogue.write_claim('gone', loading, wall_s=wall_s)
@@ -79,3 +89,22 @@
 def test_age_of_a_claim_is_not_negative():
     value = catalogue.write_claim('b', {'e0': 1.5}, wall_s=10.0)
     assert catalogue.read_claim(value, 7, 9.0).age_s == 0.0
+
+
+def test_another_load_of_a_target_that_stays_listed_counts_as_a_new_one():
+    # Guards against requests to a target whose second load is hidden.
+    weights = make_weights(DELAY_S, 0.0)
+    weights.put_loading({'e0': DELAY_S}, 7.5)
+    assert weights.is_loading('e0', LONG_PROMPT, 7.6)
+    assert weights.get_load_start('e0', 7.6) == 7.5 + DELAY_S
+    assert weights.is_loading('e0', PROMPT, 8.0)
+
+
+def test_a_claim_that_is_renewed_keeps_the_time_of_a_load():
+    weights = make_weights(DELAY_S, 0.0)
+    weights.put_loading({'e0': DELAY_S - 0.1}, 0.2)
+    assert weights.get_load_start('e0', 0.2) == DELAY_S
+    weights.put_loading({'e0': 0.0}, 1.4)
+    assert weights.get_load_start('e0', 1.4) == DELAY_S
+    late = math.nextafter(DELAY_S + weights_module.LOADING_S, math.inf)
+    assert not weights.is_loading('e0', PROMPT, late)
