Claim again before an order to a target that stays listed

Boxes sent requests to a target that refused them in its second load: its first order was over without a load, and the next one was given while the target stayed on the list of loading ones, so that no claim announced it.

The holder wrote its claim anew only when the names on the list changed or the claim was 1.2 s old, by when the delay of the order had run down and boxes kept the first time. Now a claim precedes every order.

test_order_given_anew_is_announced_before_it, with a target that accepts orders and never loads and a wait of 0.7 s for each, failed before: at the second order the load seemed to have begun 0.61 s ago. It passes now.

--- a/landingspool/gateway/ordering.py
+++ b/landingspool/gateway/ordering.py
@@ -56,7 +56,7 @@
             if not await self._may_hold():
                 continue
             orders = self._plan_orders(behind)
-            if await self._renew_claim(self._list_loading()):
+            if await self._renew_claim(self._list_loading(), orders):
                 self._send_orders(orders)
             else:
                 self._cancel(orders)
@@ -112,17 +112,18 @@
         is_known = isinstance(reply, store_module.Page) and reply.end == end
         return is_known and self.watch.end == end
 
-    async def _renew_claim(self, loading):
+    async def _renew_claim(self, loading, orders):
         """Renew the claim if needed; return whether orders may be given.
 
         The claim is written again before it expires, and whenever the set of
-        loading targets changes, so that all boxes know these before the
-        orders.
+        loading targets changes or there are orders, so that all boxes know
+        these before the orders.
         """
         now = self._hub.clock()
         is_held = rollouts.is_held(self._lease, now)
         is_recent = is_held and rollouts.is_recent(self._lease, now)
-        if is_recent and tuple(loading) == self._claimed_loading:
+        is_told = tuple(loading) == self._claimed_loading and not orders
+        if is_recent and is_told:
             return True
         if not await self._claim(loading):
             return False
--- a/tests/gateway/test_announced_loads.py
+++ b/tests/gateway/test_announced_loads.py
@@ -1,14 +1,17 @@
 """Tests from when on boxes count the loads that a claim announces."""
 
+import asyncio
 import json
 import math
 
 import pytest
 
 from landingspool.decisions.gateway import prompts
+from landingspool.decisions.gateway import rollouts
 from landingspool.decisions.gateway import weights as weights_module
 from landingspool.platform import catalogue
 from landingspool.platform import names
+from tests.gateway import late_runner
 from tests.gateway import site
 
 BOUND_S = 12.0
@@ -108,3 +111,37 @@
     assert weights.get_load_start('e0', 1.4) == DELAY_S
     late = math.nextafter(DELAY_S + weights_module.LOADING_S, math.inf)
     assert not weights.is_loading('e0', PROMPT, late)
+
+
+class IdleRunner(late_runner.LateRunner):
+    """Accepts orders and never begins to load."""
+
+    def _answer_call(self, writer, head, body):
+        if head['path'] == '/api/order':
+            self.asked.append(asyncio.get_running_loop().time())
+            writer.write(b'HTTP/1.1 202 X\r\ncontent-length: 2\r\n\r\n{}')
+        else:
+            super()._answer_call(writer, head, body)
+
+
+def test_order_given_anew_is_announced_before_it(monkeypatch):
+    # Guards against an order that no claim tells, as its target stays listed.
+    monkeypatch.setitem(rollouts.RETRY_DELAYS_S, rollouts.ACCEPTED, 0.7)
+
+    async def main():
+        deployment = site.Site(engines=0)
+        deployment.engines = [IdleRunner('e0', 0.0)]
+        async with deployment:
+            hub = await deployment.start_box()
+            named = {'model': 'm', 'version': 2}
+            deployment.store.put('keyed.op', 'version/m', named)
+            (engine,) = deployment.engines
+            for number in range(1, 4):
+                await site.wait_until(
+                    lambda count=number: len(engine.asked) == count
+                )
+                now = hub.clock()
+                began = now - hub.view.weights.get_load_start('e0', now)
+                assert began < rollouts.CLOSING_S / 2
+
+    asyncio.run(main())
