Let a new holder know the orders of the former one

After a takeover or a restart of the holder more targets were under way than allowed, and targets that had an order without an answer got another one before others had any: three of five loading or closed where two are allowed, and orders to targets that could carry out the first.

The orders under way were in the memory of the box that gave them. Now a claim names the orders that may be carried out (target, model, version, age; 64 at most, those given last), and a box that begins to hold adopts them: they rank after targets without one, are repeated UNANSWERED_S after the order, and count against its places until a report of the target, read at once, tells whether it loads; 1 s at least is left for that. While a box holds, and for what it claimed itself since its start, its own memory counts. An earlier build's claim tells what loads; one reads the new claim without the orders.

--- a/landingspool/decisions/gateway/rollouts.py
+++ b/landingspool/decisions/gateway/rollouts.py
@@ -48,6 +48,20 @@
 UNDER_WAY_S = 2.2
 # Pause in seconds after an order that was refused.
 REFUSED_S = 0.6
+# Seconds for which a new holder waits for a report of a target that had an
+# order of the former one, however long ago.
+TAKE_OVER_REPORT_S = 1.0
+# Maximum number of orders that a claim names: those given last.
+MAX_GIVEN = 64
+
+
+class Given(typing.NamedTuple):
+    """An order in a claim that may be carried out, and its age."""
+
+    target: str
+    model: str
+    version: int
+    age_ms: int
 
 
 class Claim(typing.NamedTuple):
@@ -58,6 +72,8 @@
     that end before.  `versions` has a peer_digests.VersionNotice of each
     version that boxes have to know: one that starts can't tell their ages.
     `age_s` is the time since its writing by the time of day, 0 if not told.
+    `given` has a Given of each order that may be carried out, for the next
+    holder.
     """
 
     holder: str
@@ -65,6 +81,7 @@
     loading: dict = {}
     versions: tuple = ()
     age_s: float = 0.0
+    given: tuple = ()
 
 
 class Lease(typing.NamedTuple):
@@ -110,18 +127,25 @@
     ----------
     end : int or None
         Offset of the end of the claims in the store, as far as was read.
+    claim : Claim or None
+        The newest one.
     """
 
     def __init__(self, lease_s):
         self._lease_s = lease_s
         self.end = None
-        self._claim = None
+        self.claim = None
         self._since = 0.0
 
+    @property
+    def written(self):
+        """Return when the newest claim was written, on this box's clock."""
+        return self._since - self.claim.age_s
+
     def record(self, claim, now):
         """Record a claim that was read, if it is the newest."""
-        if self._claim is None or claim.fence > self._claim.fence:
-            self._claim = claim
+        if self.claim is None or claim.fence > self.claim.fence:
+            self.claim = claim
             self._since = now
 
     def may_claim(self, holder, now):
@@ -134,13 +158,13 @@
         >>> watch.may_claim('a', 2.0), watch.may_claim('a', 6.0)
         (False, True)
         """
-        if self._claim is None or self._claim.holder == holder:
+        if self.claim is None or self.claim.holder == holder:
             return True
         return now - self._since >= self._lease_s + TAKEOVER_S
 
     def is_last_holder(self, holder):
         """Return whether the newest claim is that of the box `holder`."""
-        return self._claim is not None and self._claim.holder == holder
+        return self.claim is not None and self.claim.holder == holder
 
 
 def compute_claim_delay(rank):
@@ -188,6 +212,10 @@
 BUSY = 'busy'
 # The same before the order was given: it loads for another one.
 OCCUPIED = 'occupied'
+# Given by a former holder, whose claim named the target as loading, or did
+# not; the target's report has not been read since.
+TAKEN_OVER = 'taken_over'
+TAKEN_OVER_IDLE = 'taken_over_idle'
 REFUSED = 'refused'
 
 # Seconds for which a state prevents another order to the target.
@@ -200,12 +228,16 @@
     BUSY: LOAD_S,
     OCCUPIED: LOAD_S,
     REFUSED: REFUSED_S,
+    TAKEN_OVER: LOAD_S,
+    TAKEN_OVER_IDLE: LOAD_S,
 }
 # States in which a target refuses requests, or will soon.
-LOADING = (PREPARING, ACCEPTED, UNANSWERED, BUSY, OCCUPIED)
+LOADING = (PREPARING, ACCEPTED, UNANSWERED, BUSY, OCCUPIED, TAKEN_OVER)
 # States that count as under way: a repeated order may be carried out at once,
 # but most aren't, and till then its target serves.
-UNDER_WAY = (*LOADING, REPEATING)
+UNDER_WAY = (*LOADING, REPEATING, TAKEN_OVER_IDLE)
+# States in which no order of this version may be carried out.
+NOT_GIVEN = (OCCUPIED, REFUSED)
 # The state after a report of the target, by the state before and by whether it
 # says that the target is busy.
 REPORTED = {
@@ -216,6 +248,10 @@
     (UNANSWERED, False): NOT_BEGUN,
     (NOT_BEGUN, True): BUSY,
     (BUSY, False): NOT_BEGUN,
+    (TAKEN_OVER, True): BUSY,
+    (TAKEN_OVER, False): NOT_BEGUN,
+    (TAKEN_OVER_IDLE, True): BUSY,
+    (TAKEN_OVER_IDLE, False): NOT_BEGUN,
 }
 # The state after a repeated order: an earlier one may still be carried out.
 REPEATED = {UNANSWERED: NOT_BEGUN, REFUSED: NOT_BEGUN}
@@ -458,6 +494,57 @@
             return True
         return pending.state == NOT_BEGUN and is_over(pending, now)
 
+    def take_over(self, claim, model, version, targets, written, now):
+        """Adopt the orders that another holder's claim names.
+
+        What this box knows of a target since the claim is kept.
+
+        Parameters
+        ----------
+        version, targets
+            As for `plan`.
+        written : float
+            When the claim was written, in seconds of this box's clock.
+
+        Returns
+        -------
+        list of Order
+
+        >>> rollout, given = Rollout(), (Given('a', 'm', 2, 500),)
+        >>> claim = Claim('b', 7, {'a': 0.0}, given=given)
+        >>> rollout.take_over(claim, 'm', 2, {'a': 1, 'c': 1}, 1.0, 4.4)
+        [Order(target='a', model='m', version=2)]
+        >>> rollout.list_loading(4.4)
+        {'a': 0.0}
+        """
+        self._begin(version)
+        rows = list_taken_over(claim, model, version, written, now)
+        adopted = []
+        for row in rows:
+            target = row.order.target
+            known = self._pending.get(target)
+            if target not in targets or (known and known.sent >= row.sent):
+                continue
+            self._pending[target] = row._replace(number=next(self._numbers))
+            if row.order.version == version and row.state not in NOT_GIVEN:
+                self._given[target] = max(self._given[target], 1)
+            adopted.append(row.order)
+        return adopted
+
+    def list_given(self, now):
+        """Return a Given of each order that may be carried out.
+
+        >>> rollout, order = Rollout(), Order('a', 'm', 2)
+        >>> rollout.record(order, 1.0, UNANSWERED)
+        >>> rollout.list_given(1.5)
+        [Given(target='a', model='m', version=2, age_ms=500)]
+        """
+        return [
+            Given(*pending.order, int((now - pending.sent) * 1000))
+            for pending in self._pending.values()
+            if pending.state not in NOT_GIVEN
+        ]
+
     def list_loading(self, now):
         """Return the targets that load or will, and in how many seconds."""
         return {
@@ -467,6 +554,30 @@
         }
 
 
+def list_taken_over(claim, model, version, written, now):
+    """Return the orders for a model in a former holder's claim as Pending.
+
+    An earlier build's claim names only the targets that load.
+    """
+    # Each is known until its target's report can have been read.
+    oldest = now - LOAD_S + TAKE_OVER_REPORT_S
+    rows = [
+        Pending(
+            Order(given.target, given.model, given.version),
+            max(written - given.age_ms / 1000, oldest),
+            TAKEN_OVER if given.target in claim.loading else TAKEN_OVER_IDLE,
+        )
+        for given in claim.given
+        if given.model == model
+    ]
+    named = {given.target for given in claim.given}
+    return rows + [
+        Pending(Order(name, model, version), written + delay, OCCUPIED)
+        for name, delay in claim.loading.items()
+        if name not in named
+    ]
+
+
 def is_over(pending, now):
     """Return whether another order may be given.
 
--- a/landingspool/gateway/following.py
+++ b/landingspool/gateway/following.py
@@ -348,19 +348,16 @@
         except catalogue.Malformed as error:
             self._record_malformed(record, error)
             return
+        if self._watch.end is not None:
+            # It is read as it comes.  The time of day, which may differ
+            # between boxes, would date it worse than its reading.
+            claim = claim._replace(age_s=0.0)
         now = self._hub.clock()
         self._watch.record(claim, now)
         self._put_loading(claim, now)
         self._hub.state.take_claimed(claim.versions, now)
 
     def _put_loading(self, claim, now):
-        """Record the loads that a claim announces.
-
-        A claim read at a start may have been written long before.  Later ones
-        are read as they come: the time of day, which may differ between
-        boxes, would date their loads worse than the reading.
-        """
-        is_start = self._watch.end is None
-        age_s = claim.age_s if is_start else 0.0
-        delays = {name: s - age_s for name, s in claim.loading.items()}
+        """Record the loads that a claim announces, from its writing on."""
+        delays = {name: s - claim.age_s for name, s in claim.loading.items()}
         self._hub.view.weights.put_loading(delays, now)
--- a/landingspool/gateway/ordering.py
+++ b/landingspool/gateway/ordering.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import itertools
 
 from landingspool.decisions.gateway import fleet
 from landingspool.decisions.gateway import rollouts
@@ -40,6 +41,10 @@
         self.watch = rollouts.ClaimWatch(hub.deployment.bounds.lease_s)
         self._lease = None
         self._claimed_loading = ()
+        # Offset of the newest claim whose orders this box knows, and whether
+        # this process has tried to claim.
+        self._known_fence = -1
+        self._has_claimed = False
         # How long the claim has been needed without a holder.
         self._unclaimed = timing.RunningTime(CHECK_PERIOD_S)
         self._rollouts = {}
@@ -55,6 +60,7 @@
                 continue
             if not await self._may_hold():
                 continue
+            self._take_over(behind)
             orders = self._plan_orders(behind)
             if await self._renew_claim(self._list_loading(), orders):
                 self._send_orders(orders)
@@ -130,9 +136,12 @@
         return rollouts.is_held(self._lease, self._hub.clock())
 
     async def _claim(self, loading):
+        self._has_claimed = True
         box = self._hub.deployment.box
         versions = self._hub.view.weights.list_versions(self._hub.clock())
-        value = catalogue.write_claim(box, loading, versions, self._hub.wall())
+        value = catalogue.write_claim(
+            box, loading, versions, self._hub.wall(), self._list_given()
+        )
         reply = await self._hub.store.append(
             names.CLAIMS_TOPIC, CLAIM_KEY, value, self.watch.end
         )
@@ -144,6 +153,7 @@
             self._lease = rollouts.Lease(
                 reply.offset, reply.sent, self._hub.deployment.bounds.lease_s
             )
+            self._known_fence = reply.offset
             self._claimed_loading = tuple(loading)
             self._hub.view.weights.put_loading(loading, self._hub.clock())
             return True
@@ -158,6 +168,29 @@
         self._lease = None
         self._claimed_loading = ()
 
+    def _take_over(self, behind):
+        """Adopt the orders of the former holder, and follow their targets.
+
+        They may be those of this box, before it was started again; what this
+        process has claimed itself it knows better.
+        """
+        now = self._hub.clock()
+        claim = self.watch.claim
+        if rollouts.is_held(self._lease, now) or claim is None:
+            return
+        is_own = self._has_claimed and claim.holder == self._hub.deployment.box
+        if is_own or claim.fence <= self._known_fence:
+            return
+        self._known_fence = claim.fence
+        for model, version, targets in behind:
+            rollout = self._rollouts.setdefault(model, rollouts.Rollout())
+            for order in rollout.take_over(
+                claim, model, version, targets, self.watch.written, now
+            ):
+                entry = self._hub.view.fleet.entries[order.target]
+                number = rollout.get_number(order.target)
+                self._start(self._wait(rollout, entry, order, number))
+
     def _plan_orders(self, behind):
         now = self._hub.clock()
         orders = []
@@ -182,6 +215,11 @@
             loading.update(rollout.list_loading(now))
         return loading
 
+    def _list_given(self):
+        now = self._hub.clock()
+        rows = [r.list_given(now) for r in self._rollouts.values()]
+        return list(itertools.chain.from_iterable(rows))
+
     def _cancel(self, orders):
         for order in orders:
             self._rollouts[order.model].withdraw(order)
@@ -189,9 +227,12 @@
     def _send_orders(self, orders):
         for order in orders:
             rollout = self._rollouts[order.model]
-            task = asyncio.ensure_future(self._update_target(rollout, order))
-            self._tasks.add(task)
-            task.add_done_callback(self._tasks.discard)
+            self._start(self._update_target(rollout, order))
+
+    def _start(self, work):
+        task = asyncio.ensure_future(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
 
     async def _update_target(self, rollout, order):
         """Have one target load the version, as far as it answers."""
--- a/landingspool/platform/catalogue.py
+++ b/landingspool/platform/catalogue.py
@@ -378,7 +378,7 @@
     )
 
 
-def write_claim(holder, loading, versions=(), wall_s=0.0):
+def write_claim(holder, loading, versions=(), wall_s=0.0, given=()):
     """Encode a claim to the right to send orders.
 
     Parameters
@@ -386,12 +386,15 @@
     versions : iterable of peer_digests.VersionNotice
     wall_s : float
         Unix time in seconds, from which readers compute the ages.
+    given : iterable of rollouts.Given
     """
+    newest = sorted(given, key=lambda order: order.age_ms)
     row = {
         'holder': holder,
         'loading': loading,
         'versions': [list(notice) for notice in versions],
         'at_ms': int(wall_s * 1000),
+        'orders': [list(order) for order in newest[: rollouts.MAX_GIVEN]],
     }
     return json.dumps(row).encode()
 
@@ -428,6 +431,21 @@
             versions,
             # An earlier build does not tell when it wrote.
             since_ms / 1000 if at_ms else 0.0,
+            read_given(row),
         )
     except DECODE_ERRORS as error:
         raise Malformed(f'claim: {error!r}') from error
+
+
+def read_given(row):
+    """Decode the orders in a claim; an earlier build names none.
+
+    >>> read_given({'orders': [['t', 'm', 2, 500]]})
+    (Given(target='t', model='m', version=2, age_ms=500),)
+    """
+    return tuple(
+        rollouts.Given(
+            str(target), str(model), int(version), max(int(age_ms), 0)
+        )
+        for target, model, version, age_ms in row.get('orders', ())
+    )[: rollouts.MAX_GIVEN]
