--- a/landingspool/decisions/gateway/loading_targets.py
+++ b/landingspool/decisions/gateway/loading_targets.py
@@ -23,18 +23,27 @@
     def put(self, delays, now):
         """Record which targets load or will, and in how many seconds.
 
-        A target that was known already keeps its time.
+        A target that stays listed keeps its time, unless another load is
+        announced after the first one began.
 
         Parameters
         ----------
         delays : dict of str to float
-            Seconds until a target loads, by its name.
+            Seconds until a target loads, by its name; negative ones if it
+            began to.
         """
         self._starts = {
-            name: self._starts.get(name, now + delay)
+            name: self._date(name, delay, now)
             for name, delay in delays.items()
         }
 
+    def _date(self, name, delay, now):
+        """Return when a target loads that is listed."""
+        known = self._starts.get(name)
+        if known is None or (delay > 0 and known <= now):
+            return now + delay
+        return known
+
     def end(self, name):
         """Record that a target has its new weights."""
         self._starts.pop(name, None)
--- a/landingspool/decisions/gateway/order_claims.py
+++ b/landingspool/decisions/gateway/order_claims.py
@@ -34,12 +34,17 @@
     how many seconds: every box reads the claim and sends them only requests
     that end before.  `versions` has a peer_digests.VersionNotice of each
     version that boxes have to know: one that starts can't tell their ages.
+    `age_s` is the time since its writing by the time of day, 0 if not told.
+    `given` has a rollouts.Given of each order that may be carried out, for
+    the next holder.
     """
 
     holder: str
     fence: int
     loading: dict = {}
     versions: tuple = ()
+    age_s: float = 0.0
+    given: tuple = ()
 
 
 class Lease(typing.NamedTuple):
@@ -85,18 +90,25 @@
     ----------
     end : int or None
         Offset of the end of the claims in the store, as far as was read.
+    claim : Claim or None
+        The newest one.
     """
 
     def __init__(self, lease_s):
         self._lease_s = lease_s
         self.end = None
-        self._claim = None
+        self.claim = None
         self._since = 0.0
 
+    @property
+    def written(self):
+        """Return when the newest claim was written, on this box's clock."""
+        return self._since - self.claim.age_s
+
     def record(self, claim, now):
         """Record a claim that was read, if it is the newest."""
-        if self._claim is None or claim.fence > self._claim.fence:
-            self._claim = claim
+        if self.claim is None or claim.fence > self.claim.fence:
+            self.claim = claim
             self._since = now
 
     def may_claim(self, holder, now):
@@ -109,13 +121,13 @@
         >>> watch.may_claim('a', 2.0), watch.may_claim('a', 6.0)
         (False, True)
         """
-        if self._claim is None or self._claim.holder == holder:
+        if self.claim is None or self.claim.holder == holder:
             return True
         return now - self._since >= self._lease_s + TAKEOVER_S
 
     def is_last_holder(self, holder):
         """Return whether the newest claim is that of the box `holder`."""
-        return self._claim is not None and self._claim.holder == holder
+        return self.claim is not None and self.claim.holder == holder
 
 
 def compute_claim_delay(rank):
--- a/landingspool/platform/catalogue.py
+++ b/landingspool/platform/catalogue.py
@@ -10,6 +10,7 @@
 from landingspool.decisions.gateway import fleet
 from landingspool.decisions.gateway import order_claims
 from landingspool.decisions.gateway import peer_digests
+from landingspool.decisions.gateway import rollouts
 from landingspool.decisions.gateway import routes
 from landingspool.decisions.gateway import software_history
 from landingspool import http
@@ -378,7 +379,7 @@
     )
 
 
-def write_claim(holder, loading, versions=(), wall_s=0.0):
+def write_claim(holder, loading, versions=(), wall_s=0.0, given=()):
     """Encode a claim to the right to send orders.
 
     Parameters
@@ -386,12 +387,15 @@
     versions : iterable of peer_digests.VersionNotice
     wall_s : float
         Unix time in seconds, from which readers compute the ages.
+    given : iterable of rollouts.Given
     """
+    newest = sorted(given, key=lambda order: order.age_ms)
     row = {
         'holder': holder,
         'loading': loading,
         'versions': [list(notice) for notice in versions],
         'at_ms': int(wall_s * 1000),
+        'orders': [list(order) for order in newest[: rollouts.MAX_GIVEN]],
     }
     return json.dumps(row).encode()
 
@@ -408,10 +412,13 @@
     (VersionNotice(model='m', version=2, age_ms=2500, is_witnessed=True),)
     >>> read_claim(value, 7, 9.0).versions[0].age_ms
     500
+    >>> read_claim(value, 7, 12.0).age_s
+    2.0
     """
     try:
         row = json.loads(value)
-        since_ms = max(int(wall_s * 1000) - int(row.get('at_ms', 0)), 0)
+        at_ms = int(row.get('at_ms', 0))
+        since_ms = max(int(wall_s * 1000) - at_ms, 0)
         versions = tuple(
             peer_digests.VersionNotice(
                 str(model), int(version), age_ms + since_ms, bool(witnessed)
@@ -419,7 +426,27 @@
             for model, version, age_ms, witnessed in row.get('versions', ())
         )
         return order_claims.Claim(
-            row['holder'], offset, dict(row['loading']), versions
+            row['holder'],
+            offset,
+            dict(row['loading']),
+            versions,
+            # An earlier build does not tell when it wrote.
+            since_ms / 1000 if at_ms else 0.0,
+            read_given(row),
         )
     except DECODE_ERRORS as error:
         raise Malformed(f'claim: {error!r}') from error
+
+
+def read_given(row):
+    """Decode the orders in a claim; an earlier build names none.
+
+    >>> read_given({'orders': [['t', 'm', 2, 500]]})
+    (Given(target='t', model='m', version=2, age_ms=500),)
+    """
+    return tuple(
+        rollouts.Given(
+            str(target), str(model), int(version), max(int(age_ms), 0)
+        )
+        for target, model, version, age_ms in row.get('orders', ())
+    )[: rollouts.MAX_GIVEN]
