Tell a version past the bound beside newer ones

A box that started while a third version was young sent requests to targets that lacked the second one for longer than the bound. Boxes told each other, and claimed, only the newest version and those not past the bound, so that the starting box counted the lag of such a target from the third version. Now the newest version that is past the bound is told too, as one that has just passed it; version 1, which no target lacks, is not. Digests tell it only while a newer one is not past the bound, so that nothing is sent at rest.

Before: with a bound of 8 s, six of six requests of a box that started three seconds after the third version ran on weights two versions old, with the other box alive (digests) and without it (claim); lists gave a lag of 1.0 s where it is 9.0 s. Tests beside it that passed before: four boxes that tell each other ages stay within 0.2 s, and a claim of an earlier build leaves the age unknown.

--- a/landingspool/decisions/gateway/version_ages.py
+++ b/landingspool/decisions/gateway/version_ages.py
@@ -110,6 +110,16 @@
     return tuple(rows)
 
 
+def list_lacked(history):
+    """Return the versions that a target may lack.
+
+    >>> one, two = Published(1, 2.0), Published(2, 5.0)
+    >>> list_lacked((one, two)) == (two,)
+    True
+    """
+    return tuple(row for row in history if row.version > FIRST_VERSION)
+
+
 def find_missed(history, has):
     """Return when the first version that a target lacks was published.
 
--- a/landingspool/decisions/gateway/weights.py
+++ b/landingspool/decisions/gateway/weights.py
@@ -183,7 +183,8 @@
 
         A version whose age is not known counts as past the bound, so that it
         is told as one that has just passed it; and so are those that are past
-        it.  Of these only the newest one matters.
+        it.  Of these only the newest one matters, also beside newer ones that
+        are not past it.
 
         Returns
         -------
@@ -194,6 +195,8 @@
         ...     _ = weights.put_version('m', version, 20.0 * version)
         >>> weights.list_versions(80.0)
         [VersionNotice(model='m', version=3, age_ms=12000, is_witnessed=True)]
+        >>> [notice.version for notice in weights.list_versions(65.0)]
+        [2, 3]
         """
         return [
             peer_digests.VersionNotice(
@@ -202,19 +205,24 @@
                 int(min(now - row.at, self.bound_s) * 1000),
                 row.is_witnessed,
             )
-            for model, named in self.named.items()
-            for row in named.history
-            if row.version == named.version or now - row.at < self.bound_s
+            for model in self.named
+            for row in self._list_needed(model, now)
         ]
 
+    def _list_needed(self, model, now):
+        """List the Published of a model's versions that boxes have to know."""
+        history = self.named[model].history
+        rows = version_ages.list_lacked(history) or history
+        past = [row for row in rows if now - row.at >= self.bound_s]
+        recent = [row for row in rows if now - row.at < self.bound_s]
+        return [*past[-1:], *recent]
+
     def list_ages(self, now):
-        """List the notices of versions that are not past the bound."""
+        """List the notices of the models with versions not past the bound."""
         past_ms = int(self.bound_s * 1000)
-        return [
-            notice
-            for notice in self.list_versions(now)
-            if notice.age_ms < past_ms
-        ]
+        notices = self.list_versions(now)
+        recent = {n.model for n in notices if n.age_ms < past_ms}
+        return [notice for notice in notices if notice.model in recent]
 
     def list_due_ages(self, now):
         """Return the ages for the next digest, in most of them none."""
--- /dev/null
+++ b/tests/gateway/test_weight_ages_review.py
@@ -0,0 +1,117 @@
+"""Ages of versions under old, late and wrong messages and clocks."""
+
+import asyncio
+import math
+
+import pytest
+
+from landingspool.decisions.gateway import weights as weights_module
+from landingspool.gateway import ordering
+from landingspool.platform import names
+from tests.gateway import site
+from tests.gateway import test_weight_ages
+
+refuse_orders = test_weight_ages.refuse_orders
+BOUND_S = test_weight_ages.BOUND_S
+# Seconds after which a holder has renewed its claim.
+RENEWED_S = 1.4
+
+
+def tell(notices, now, weights):
+    """Apply notices as a box does that starts at `now`."""
+    for notice in notices:
+        at = now - notice.age_ms / 1000
+        weights.take_version(
+            notice.model, notice.version, at, notice.is_witnessed
+        )
+
+
+def make_replaced_twice():
+    """Return Weights with one version past the bound and a newer one."""
+    weights = weights_module.Weights(BOUND_S)
+    for version, at in (1, 0.0), (2, 10.0), (3, 10.0 + BOUND_S):
+        weights.put_version('m', version, at)
+    return weights, 11.0 + BOUND_S
+
+
+def test_newer_version_hides_one_that_is_past_the_bound():
+    weights, now = make_replaced_twice()
+    started = weights_module.Weights(BOUND_S)
+    tell(weights.list_versions(now), now, started)
+    assert started.get_lag('m', 1, now) >= BOUND_S
+    assert started.get_lag('m', 2, now) == 1.0
+
+
+def test_digests_hide_a_version_that_is_past_the_bound():
+    weights, now = make_replaced_twice()
+    started = weights_module.Weights(BOUND_S)
+    started.put_version('m', 3, now, math.inf, is_late=True)
+    for notice in weights.list_ages(now):
+        at = now - notice.age_ms / 1000
+        started.take_age('m', notice.version, at, notice.is_witnessed)
+    assert started.get_lag('m', 1, now) >= BOUND_S
+    assert started.get_lag('m', 2, now) == 1.0
+    # Once the newest one is past the bound, they tell nothing.
+    assert weights.list_ages(now + BOUND_S) == []
+
+
+@pytest.mark.parametrize('stop_others', [False, True])
+def test_box_that_starts_after_two_versions_uses_targets_without_either(
+    refuse_orders, stop_others
+):
+    async def check(deployment):
+        first = await deployment.start_box('box1', version_s=BOUND_S)
+        test_weight_ages.name_version(deployment, 2)
+        await asyncio.sleep(BOUND_S + 0.2)
+        test_weight_ages.name_version(deployment, 3)
+        await site.wait_until(
+            lambda: first.view.weights.named['m'].version == 3
+        )
+        await asyncio.sleep(RENEWED_S)
+        if stop_others:
+            first.stop()
+        started = await deployment.start_box(
+            'box2', [first.deployment.links], version_s=BOUND_S
+        )
+        # Most ages are in one digest a second.
+        await asyncio.sleep(1.1)
+        assert (
+            await test_weight_ages.count_on_old_weights(deployment, started)
+            == 0
+        )
+
+    site.run(check)
+
+
+def test_boxes_that_tell_each_other_make_no_version_older_or_younger():
+    boxes = [weights_module.Weights(BOUND_S) for _ in range(4)]
+    for number, box in enumerate(boxes):
+        # Two of them start later and can't tell.
+        is_late = number > 1
+        proof_s = math.inf if is_late else 1.0
+        box.put_version('m', 2, 10.0 + 0.1 * number, proof_s, is_late)
+    now = 10.5
+    while now < 10.0 + BOUND_S:
+        for sender in boxes:
+            told = sender.list_ages(now)
+            for receiver in boxes:
+                tell(told, now + 0.05, receiver)
+        now += 0.2
+    lags = [box.get_lag('m', 1, now) for box in boxes]
+    assert all(abs(lag_s - (now - 10.0)) < 0.2 for lag_s in lags)
+
+
+def test_claim_of_an_earlier_build_loses_ages_on_the_safe_side(refuse_orders):
+    async def check(deployment):
+        hub = await deployment.start_box('box1', version_s=BOUND_S)
+        test_weight_ages.name_version(deployment, 2)
+        claims = test_weight_ages.CLAIM_CALL
+        await site.wait_until(lambda: hub.store.calls[claims])
+        hub.stop()
+        claim = {'holder': 'b', 'loading': {}}
+        deployment.store.put(names.CLAIMS_TOPIC, ordering.CLAIM_KEY, claim)
+        started = await deployment.start_box('box2', version_s=BOUND_S)
+        lag_s = started.view.weights.get_lag('m', 1, started.clock())
+        assert lag_s == math.inf
+
+    site.run(check)
