Date a version that arrived in a stall from the last proof

A box that stood still for one or two seconds while a version was published dated it at the end of the stall, as if it had read the record when it came, so that it used replaced weights for as much longer; boxes that all stood still had nobody to tell them better. Only a proof older than 2.9 s made the reading count as late. Now a stall since the proof does too: the version is dated from the proof, and the word of a box that read it as it came replaces that.

After: it is that of the proof, at least 1.4 s.

--- a/landingspool/gateway/state.py
+++ b/landingspool/gateway/state.py
@@ -170,7 +170,10 @@
         now = self._hub.clock()
         proof_s = self._view.proof.age(now)
         ages = self._hub.peering.ages
-        is_late = readers.is_stale(proof_s, ages.hold_s, ages.old_s)
+        # A record may have waited for the end of a stall to be read.
+        is_late = readers.is_stale(
+            proof_s, ages.hold_s, ages.old_s
+        ) or not self._hub.timer.ran_since(now - proof_s)
         if self._view.weights.put_version(
             model, version, now, proof_s, is_late
         ):
--- a/tests/gateway/test_weight_ages_review.py
+++ b/tests/gateway/test_weight_ages_review.py
@@ -7,6 +7,7 @@
 
 from landingspool.decisions.gateway import weights as weights_module
 from landingspool.gateway import ordering
+from landingspool.gateway import state
 from landingspool.platform import names
 from tests.gateway import site
 from tests.gateway import test_weight_ages
@@ -15,6 +16,8 @@
 BOUND_S = test_weight_ages.BOUND_S
 # Seconds after which a holder has renewed its claim.
 RENEWED_S = 1.4
+# Seconds of a stall after which a proof is not too old yet.
+SHORT_STALL_S = 1.4
 
 
 def tell(notices, now, weights):
@@ -83,6 +86,20 @@
     site.run(check)
 
 
+def test_version_that_arrived_in_a_short_stall_counts_as_read_in_time(suspend):
+    async def check(deployment):
+        hub = await deployment.start_box(version_s=BOUND_S)
+        proved = hub.clock() - hub.view.proof.age(hub.clock())
+        suspend(SHORT_STALL_S)
+        # What arrived in it may be read before its ticks are due.
+        hub.state.put_version('n', 2, state.STORE)
+        age_s = hub.view.weights.get_age('n', 2, hub.clock())
+        assert age_s >= SHORT_STALL_S
+        assert age_s == pytest.approx(hub.clock() - proved, abs=0.1)
+
+    site.run_on_boot_clock(check)
+
+
 def test_boxes_that_tell_each_other_make_no_version_older_or_younger():
     boxes = [weights_module.Weights(BOUND_S) for _ in range(4)]
     for number, box in enumerate(boxes):
