Let ages in claims give way to the word of peers

A box that started in a rollout while the time of day of the holder was hours behind its own used no target on the old weights until they had loaded, though other boxes knew that the version was published a moment ago. Now they count as not witnessed, as their versions were not read as they came; the next digest of a box that did read the record replaces them.

--- a/landingspool/gateway/state.py
+++ b/landingspool/gateway/state.py
@@ -226,11 +226,12 @@
 
         Ages are computed by the time of day of two boxes, which may differ.
         If each box added such a difference to what it knows and claimed that,
-        ages would grow with each claim.
+        ages would grow with each claim.  So they give way to the word of any
+        box that read the record as it came.
         """
         weights = self._view.weights
         unknown = [
-            notice
+            notice._replace(is_witnessed=False)
             for notice in notices
             if not weights.is_witnessed(notice.model, notice.version)
         ]
--- a/tests/gateway/test_weight_ages_review.py
+++ b/tests/gateway/test_weight_ages_review.py
@@ -5,9 +5,11 @@
 
 import pytest
 
+from landingspool.decisions.gateway import peer_digests
 from landingspool.decisions.gateway import weights as weights_module
 from landingspool.gateway import ordering
 from landingspool.gateway import state
+from landingspool.platform import catalogue
 from landingspool.platform import names
 from tests.gateway import site
 from tests.gateway import test_weight_ages
@@ -16,6 +18,7 @@
 BOUND_S = test_weight_ages.BOUND_S
 # Seconds after which a holder has renewed its claim.
 RENEWED_S = 1.4
+HOUR_S = 3600.0
 # Seconds of a stall after which a proof is not too old yet.
 SHORT_STALL_S = 1.4
 
@@ -132,3 +135,22 @@
         assert lag_s == math.inf
 
     site.run(check)
+
+
+def claim_versions(hub, wall_s, age_ms=500):
+    """Let a box read a claim that was written at a time of day."""
+    notice = peer_digests.VersionNotice('n', 2, age_ms)
+    value = catalogue.write_claim('b', {}, [notice], wall_s)
+    claim = catalogue.read_claim(value, 7, hub.wall())
+    hub.state.take_claimed(claim.versions, hub.clock())
+
+
+def test_claim_by_a_clock_hours_behind_outweighs_the_word_of_peers():
+    async def check(deployment):
+        hub = await deployment.start_box(version_s=BOUND_S)
+        claim_versions(hub, hub.wall() - HOUR_S)
+        notice = peer_digests.VersionNotice('n', 2, 600)
+        hub.state.take_ages([notice], hub.clock(), state.PEER)
+        assert hub.view.weights.get_lag('n', 1, hub.clock()) < 1.0
+
+    site.run(check)
