Take no age from a claim that is dated in the future

Boxes that all started after the holder's time of day had been ahead, or theirs was set back, counted a version from the claim with no time passed since, however long they had been down, and used replaced weights for as much longer. A difference that is smaller than the time since the claim can't be seen and still makes ages wrong by as much.

Up to a second the ages are those of the claim's writing as they were, by the unchanged doctest.

--- a/landingspool/platform/catalogue.py
+++ b/landingspool/platform/catalogue.py
@@ -25,6 +25,11 @@
 MAX_COLD_MS = 3_600_000
 MAX_BORN_MS = 4_102_444_800_000
 MAX_TEXT_CHARS = 256
+# Milliseconds by which the times of day of two boxes usually differ at most.
+MAX_CLOCK_ERROR_MS = 1000
+# Milliseconds that count as passed if the time of day of a record can't be
+# right: more than any bound.
+UNKNOWN_SINCE_MS = 24 * 3600 * 1000
 # Exceptions that decoding an arbitrary record may raise.
 DECODE_ERRORS = (
     ValueError,
@@ -396,11 +401,24 @@
     return json.dumps(row).encode()
 
 
+def measure_since_ms(at_ms, wall_s):
+    """Return the milliseconds since a time of day of another box.
+
+    >>> [measure_since_ms(9000, at) for at in (9.5, 8.5, 5.0)]
+    [500, 0, 86400000]
+    """
+    since_ms = int(wall_s * 1000) - at_ms
+    if since_ms < -MAX_CLOCK_ERROR_MS:
+        return UNKNOWN_SINCE_MS
+    return max(since_ms, 0)
+
+
 def read_claim(value, offset, wall_s=0.0):
     """Decode a claim; its offset in the log is the fence of its orders.
 
     The ages in it are at least those of its writing, also if the time of day
-    was set back since.
+    was set back since.  If it was by more than MAX_CLOCK_ERROR_MS, nothing is
+    known of the ages, and they exceed any bound.
 
     >>> versions = [peer_digests.VersionNotice('m', 2, 500)]
     >>> value = write_claim('b', {}, versions, 10.0)
@@ -408,10 +426,12 @@
     (VersionNotice(model='m', version=2, age_ms=2500, is_witnessed=True),)
     >>> read_claim(value, 7, 9.0).versions[0].age_ms
     500
+    >>> read_claim(value, 7, 5.0).versions[0].age_ms
+    86400500
     """
     try:
         row = json.loads(value)
-        since_ms = max(int(wall_s * 1000) - int(row.get('at_ms', 0)), 0)
+        since_ms = measure_since_ms(int(row.get('at_ms', 0)), wall_s)
         versions = tuple(
             peer_digests.VersionNotice(
                 str(model), int(version), age_ms + since_ms, bool(witnessed)
--- a/tests/gateway/test_weight_ages_review.py
+++ b/tests/gateway/test_weight_ages_review.py
@@ -154,3 +154,12 @@
         assert hub.view.weights.get_lag('n', 1, hub.clock()) < 1.0
 
     site.run(check)
+
+
+def test_claim_by_a_clock_hours_ahead_makes_a_version_young():
+    async def check(deployment):
+        hub = await deployment.start_box(version_s=BOUND_S)
+        claim_versions(hub, hub.wall() + HOUR_S)
+        assert hub.view.weights.get_lag('n', 1, hub.clock()) >= BOUND_S
+
+    site.run(check)
