Read no claim whose ages are not numbers

The age of a version in a claim was added without a check, while holder, version and time of day are decoded: JSON admits NaN, which made the time of a publication NaN, so that no comparison with it holds and the version drops out of what boxes tell each other; and an infinite or negative age was taken as it stood. No box writes such a claim; callers saw nothing so far. Now an age is decoded as the other numbers are, and a claim that fails is logged as malformed.

Before: claims with NaN and with an infinite age were read. After: both are malformed, as those with null or text were.

--- a/landingspool/platform/catalogue.py
+++ b/landingspool/platform/catalogue.py
@@ -434,7 +434,10 @@
         since_ms = measure_since_ms(int(row.get('at_ms', 0)), wall_s)
         versions = tuple(
             peer_digests.VersionNotice(
-                str(model), int(version), age_ms + since_ms, bool(witnessed)
+                str(model),
+                int(version),
+                max(int(age_ms), 0) + since_ms,
+                bool(witnessed),
             )
             for model, version, age_ms, witnessed in row.get('versions', ())
         )
--- a/tests/gateway/test_weight_ages_review.py
+++ b/tests/gateway/test_weight_ages_review.py
@@ -163,3 +163,10 @@
         assert hub.view.weights.get_lag('n', 1, hub.clock()) >= BOUND_S
 
     site.run(check)
+
+
+@pytest.mark.parametrize('age', [math.nan, math.inf, None, 'x'])
+def test_claim_with_an_age_that_is_no_number_is_not_read(age):
+    value = catalogue.write_claim('b', {}, [('m', 2, age, True)], 10.0)
+    with pytest.raises(catalogue.Malformed):
+        catalogue.read_claim(value, 7, 10.0)
