Keep the time of a version if an older one is dated later

A box that had read version 3 as it came, and then heard of version 2 with a later time (late on its way, or wrong), counted version 3 from that time, as a version was assumed to come after those before it whatever their times were; so targets without either stayed in use for longer. A version that was read as it came keeps its own time now, and none counts as published after the next one. The assumption still fills in for versions that nobody read as they came.

Before: a lag of 0.0 s where version 3 was read a second before. After: 1.0 s, for targets on version 2 and on version 1.

--- a/landingspool/decisions/gateway/version_ages.py
+++ b/landingspool/decisions/gateway/version_ages.py
@@ -123,8 +123,8 @@
 def find_missed(history, has):
     """Return when the first version that a target lacks was published.
 
-    A version is published after those before it, so that one without a time
-    of its own has at least theirs.
+    A version is published after those before it, so that one that no box read
+    as it came has at least their time, and none has a later one than the next.
 
     Parameters
     ----------
@@ -144,10 +144,13 @@
     (5.0, 5.0)
     >>> find_missed(history, 3), find_missed(history[2:], 2)
     (None, -inf)
+    >>> find_missed((Published(2, 9.0), Published(3, 6.0)), None)
+    6.0
     """
-    at = UNKNOWN
+    at, missed = UNKNOWN, None
     for row in history:
-        at = max(at, row.at)
+        is_dated = row.is_witnessed and row.at != UNKNOWN
+        at = row.at if is_dated else max(at, row.at)
         if row.version > (has or FIRST_VERSION):
-            return at
-    return None
+            missed = at if missed is None else min(missed, at)
+    return missed
--- a/tests/gateway/test_weight_ages_review.py
+++ b/tests/gateway/test_weight_ages_review.py
@@ -170,3 +170,11 @@
     value = catalogue.write_claim('b', {}, [('m', 2, age, True)], 10.0)
     with pytest.raises(catalogue.Malformed):
         catalogue.read_claim(value, 7, 10.0)
+
+
+def test_late_word_of_an_older_version_makes_newer_ones_younger():
+    weights = weights_module.Weights(BOUND_S)
+    weights.put_version('m', 3, 10.0)
+    weights.take_age('m', 2, 11.0)
+    assert weights.get_lag('m', 2, 11.0) == 1.0
+    assert weights.get_lag('m', 1, 11.0) == 1.0
