Drop digests whose ages of versions are impossible

An age too large for a float in a digest raised an OverflowError in the handler of messages, after the loads in it had been applied and before the rest. No box sends such a digest; it takes a foul message. Small negative ages may stand, as a tick may be some milliseconds older than a reading.

Before: OverflowError with an age of 10 to the 400th.

--- a/landingspool/decisions/gateway/peer_digests.py
+++ b/landingspool/decisions/gateway/peer_digests.py
@@ -27,6 +27,9 @@
 # Highest number of tokens or requests that one box can have at a target; a
 # digest with more is not valid.
 MAX_FIGURE = 1e9
+# Highest age of a version in milliseconds, far above any bound: ages above the
+# bound are told as the bound.
+MAX_AGE_MS = 24 * 3600 * 1000
 # Load of a target that is in no digest.
 NO_LOAD = 0.0, 0.0, 0.0, 0.0
 
@@ -258,7 +261,7 @@
 
 
 def is_plausible(digest):
-    """Return whether the loads of a digest may be those of one box.
+    """Return whether the figures of a digest may be those of one box.
 
     >>> is_plausible(Digest('b', 'd', 1, {7: (1, 2, 9, 3)}))
     True
@@ -271,7 +274,7 @@
         0 <= figure <= MAX_FIGURE
         for load in digest.loads.values()
         for figure in load
-    )
+    ) and all(abs(notice.age_ms) <= MAX_AGE_MS for notice in digest.versions)
 
 
 def is_urgent(digest):
--- a/tests/gateway/test_weight_ages_review.py
+++ b/tests/gateway/test_weight_ages_review.py
@@ -5,6 +5,7 @@
 
 import pytest
 
+from landingspool.boxes import datagrams
 from landingspool.decisions.gateway import peer_digests
 from landingspool.decisions.gateway import weights as weights_module
 from landingspool.gateway import ordering
@@ -178,3 +179,22 @@
     weights.take_age('m', 2, 11.0)
     assert weights.get_lag('m', 2, 11.0) == 1.0
     assert weights.get_lag('m', 1, 11.0) == 1.0
+
+
+@pytest.mark.parametrize(
+    'age_ms',
+    [10**400, -(10**400), -1, 2**70],
+    ids=['huge', 'less', 'negative', 'long'],
+)
+def test_digest_with_an_impossible_age_harms_nothing(age_ms):
+    async def check(deployment):
+        hub = await deployment.start_box(version_s=BOUND_S)
+        hub.view.weights.put_version('m', 2, hub.clock())
+        notice = peer_digests.VersionNotice('m', 2, age_ms)
+        digest = peer_digests.Digest('b', 'd1', 1, {}, versions=(notice,))
+        message = datagrams.decode(datagrams.encode(digest))
+        if message is not None:
+            hub.peering._receive_digest(message, hub.deployment.links)
+        assert 0.0 <= hub.view.get_lag('e0', 'm', hub.clock()) < 2.0
+
+    site.run(check)
