Date a version from a fetched state only if no age is known

The state of another box is dated from the moment at which it was asked for, so an age in it is greater by the time of the answer. Of two ages that were witnessed the earlier publication holds, so boxes that had started since, whose own proof sets no limit, made a version older with each exchange, and would have stopped using replaced weights too soon. Now ages in a state count only where none that was witnessed is known, as those in claims do.

Before: after three fetches of a second each an age of 0.5 s had become 3.5 s. After: it stays 0.5 s.

--- a/landingspool/gateway/state.py
+++ b/landingspool/gateway/state.py
@@ -145,7 +145,8 @@
         if sent - snapshot.proof_s > now - self._view.proof.age(now):
             # The peer's list of evacuations is newer than this box's own.
             self.set_evacuated(snapshot.evacuated)
-        self.take_versions(snapshot.ages, sent, PEER)
+        # Dated from the asking, versions would grow older with each exchange.
+        self.take_versions(self._list_unknown(snapshot.ages), sent, PEER)
         for model, version in snapshot.versions.items():
             self.put_version(model, version, PEER)
         if snapshot.targets_end >= self.targets_end:
@@ -229,13 +230,20 @@
         ages would grow with each claim.  So they give way to the word of any
         box that read the record as it came.
         """
-        weights = self._view.weights
         unknown = [
             notice._replace(is_witnessed=False)
+            for notice in self._list_unknown(notices)
+        ]
+        self.take_versions(unknown, now, CLAIM)
+
+    def _list_unknown(self, notices):
+        """List the notices of versions that no box is known to have read."""
+        weights = self._view.weights
+        return [
+            notice
             for notice in notices
             if not weights.is_witnessed(notice.model, notice.version)
         ]
-        self.take_versions(unknown, now, CLAIM)
 
     def _log_version(self, event, model, version, source):
         now = self._hub.clock()
--- a/tests/gateway/test_weight_ages_review.py
+++ b/tests/gateway/test_weight_ages_review.py
@@ -173,6 +173,19 @@
         catalogue.read_claim(value, 7, 10.0)
 
 
+def test_states_that_are_fetched_slowly_make_a_version_older_each_time():
+    async def check(deployment):
+        hub = await deployment.start_box(version_s=BOUND_S)
+        notice = peer_digests.VersionNotice('n', 2, 500)
+        hub.state.take_versions([notice], hub.clock(), state.PEER)
+        for _ in range(3):
+            snapshot = hub.state.get_snapshot()
+            hub.state.take(snapshot, hub.clock() - 1.0)
+        assert 0.5 <= hub.view.weights.get_age('n', 2, hub.clock()) < 1.0
+
+    site.run(check)
+
+
 def test_late_word_of_an_older_version_makes_newer_ones_younger():
     weights = weights_module.Weights(BOUND_S)
     weights.put_version('m', 3, 10.0)
