--- a/landingspool/gateway/state.py
+++ b/landingspool/gateway/state.py
@@ -145,7 +145,8 @@
         if sent - snapshot.proof_s > now - self._view.proof.age(now):
             # The peer's list of evacuations is newer than this box's own.
             self.set_evacuated(snapshot.evacuated)
-        self.take_versions(snapshot.ages, sent, PEER)
+        # Dated from the asking, versions would grow older with each exchange.
+        self.take_versions(self._list_unknown(snapshot.ages), sent, PEER)
         for model, version in snapshot.versions.items():
             self.put_version(model, version, PEER)
         if snapshot.targets_end >= self.targets_end:
@@ -170,7 +171,10 @@
         now = self._hub.clock()
         proof_s = self._view.proof.age(now)
         ages = self._hub.peering.ages
-        is_late = readers.is_stale(proof_s, ages.hold_s, ages.old_s)
+        # A record may have waited for the end of a stall to be read.
+        is_late = readers.is_stale(
+            proof_s, ages.hold_s, ages.old_s
+        ) or not self._hub.timer.ran_since(now - proof_s)
         if self._view.weights.put_version(
             model, version, now, proof_s, is_late
         ):
@@ -228,15 +232,23 @@
 
         Ages are computed by the time of day of two boxes, which may differ.
         If each box added such a difference to what it knows and claimed that,
-        ages would grow with each claim.
+        ages would grow with each claim.  So they give way to the word of any
+        box that read the record as it came.
         """
-        weights = self._view.weights
         unknown = [
+            notice._replace(is_witnessed=False)
+            for notice in self._list_unknown(notices)
+        ]
+        self.take_versions(unknown, now, CLAIM)
+
+    def _list_unknown(self, notices):
+        """List the notices of versions that no box is known to have read."""
+        weights = self._view.weights
+        return [
             notice
             for notice in notices
             if not weights.is_witnessed(notice.model, notice.version)
         ]
-        self.take_versions(unknown, now, CLAIM)
 
     def _log_version(self, event, model, version, source):
         now = self._hub.clock()
