--- a/landingspool/decisions/gateway/rollouts.py
+++ b/landingspool/decisions/gateway/rollouts.py
@@ -31,6 +31,9 @@
 UNDER_WAY_S = 2.2
 # Pause in seconds after an order that was refused.
 REFUSED_S = 0.6
+# Seconds by which all loads are to end sooner if orders have no answer: some
+# of these are carried out late.
+LATE_ORDERS_MARGIN_S = 1.5
 # Seconds for which a new holder waits for a report of a target that had an
 # order of the former one, however long ago.
 TAKE_OVER_REPORT_S = 1.0
@@ -275,6 +278,8 @@
         self._begin(version)
         expired = frozenset(name for name in left if left[name] <= 0)
         used = [seconds for seconds in left.values() if seconds > 0]
+        if self._outcomes[UNANSWERED]:
+            used = [seconds - LATE_ORDERS_MARGIN_S for seconds in used]
         concurrency = compute_concurrency(len(targets), used)
         if not all(map(self._given.get, left)):
             concurrency = compute_first_concurrency(
