Tell the pace of a rollout apart from its orders

rollouts.py had grown to 559 lines with two jobs: the state of each order, and how many targets may be under way at once by the time that is left. The latter is rollout_pace.py now, with its constants. No behaviour changes.

--- a/bench/many.py
+++ b/bench/many.py
@@ -23,7 +23,7 @@
 from landingspool.decisions.gateway import peer_digests
 from landingspool.decisions.gateway import plans
 from landingspool.decisions.gateway import prompts
-from landingspool.decisions.gateway import rollouts
+from landingspool.decisions.gateway import rollout_pace
 from landingspool.decisions.gateway import view as view_module
 from landingspool.gateway import deployment
 
@@ -279,7 +279,7 @@
             return
         left = [view.get_time_left(name, 'm', now) for name in behind]
         names = behind[
-            : rollouts.compute_concurrency(self._size.engines, left)
+            : rollout_pace.compute_concurrency(self._size.engines, left)
         ]
         for view in self.views:
             view.loading.put(dict.fromkeys(names, CLOSING_S), now)
--- a/landingspool/decisions/gateway/rollouts.py
+++ b/landingspool/decisions/gateway/rollouts.py
@@ -2,14 +2,16 @@
 
 A target serves nobody while it loads, and orders may be left without an answer
 and be carried out late.  So the plan follows the state of each order, and
-limits how many targets are under way at once by the time that is left.  Who
-may give the orders is decided in `order_claims`.
+limits how many targets are under way at once (`rollout_pace`).  Who may give
+the orders is decided in `order_claims`.
 """
 
 import collections
 import itertools
 import typing
 
+from landingspool.decisions.gateway import rollout_pace
+
 # Seconds before another attempt at an order without an answer, which may be
 # carried out late; the target's own report allows one earlier.
 UNANSWERED_S = 2.5
@@ -21,14 +23,6 @@
 # the load, which costs a part of their value; waiting for them would exclude a
 # fifth of all targets for seconds.
 CLOSING_S = 0.5
-# Share of the targets that are under way (closing or loading) at once; twice
-# as many may load without slowing each other, and are under way if
-# the time left requires it.
-CONCURRENT_SHARE = 0.2
-MAX_CONCURRENT_SHARE = 0.4
-# Seconds that one target is under way: closing, two reports, and a load of 1.3
-# s (0.9 s in some deployments).
-UNDER_WAY_S = 2.2
 # Pause in seconds after an order that was refused.
 REFUSED_S = 0.6
 # Seconds by which all loads are to end sooner if orders have no answer: some
@@ -280,9 +274,9 @@
         used = [seconds for seconds in left.values() if seconds > 0]
         if self._outcomes[UNANSWERED]:
             used = [seconds - LATE_ORDERS_MARGIN_S for seconds in used]
-        concurrency = compute_concurrency(len(targets), used)
+        concurrency = rollout_pace.compute_concurrency(len(targets), used)
         if not all(map(self._given.get, left)):
-            concurrency = compute_first_concurrency(
+            concurrency = rollout_pace.compute_first_concurrency(
                 len(targets),
                 concurrency,
                 self._outcomes[ACCEPTED],
@@ -321,7 +315,9 @@
         loading = {
             name for name, p in self._pending.items() if p.state in UNDER_WAY
         }
-        places = max(compute_limit(len(targets)), concurrency) - len(loading)
+        places = max(
+            rollout_pace.compute_limit(len(targets)), concurrency
+        ) - len(loading)
         places_in_use = concurrency - len(loading - expired)
         chosen = []
         for name in self._rank_behind(version, targets, now):
@@ -480,80 +476,3 @@
     True
     """
     return any(has < version for has in targets.values())
-
-
-def compute_concurrency(targets, left):
-    """Return how many targets may be under way at once.
-
-    As few as bring all to the new weights in time, since the others have to
-    carry the load.
-
-    Parameters
-    ----------
-    targets : int
-        Targets of the model.
-    left : sequence of float
-        For each that is behind, the seconds for which it may still be used.
-
-    >>> compute_concurrency(50, [12.0] * 50)
-    10
-    >>> compute_concurrency(50, [7.0] * 30)
-    10
-    >>> compute_concurrency(50, [4.0] * 10 + [9.0] * 40)
-    12
-    >>> compute_concurrency(50, [1.0] * 30)
-    20
-    >>> compute_concurrency(5, [9.0] * 5)
-    1
-    >>> compute_concurrency(5, [2.4] * 2)
-    2
-    >>> compute_concurrency(1, [9.0])
-    1
-    """
-    usual = int(targets * CONCURRENT_SHARE)
-    return max(min(max(compute_pace(left), usual), compute_limit(targets)), 1)
-
-
-def compute_first_concurrency(targets, concurrency, accepted, unanswered):
-    """Return how many targets may be under way until each has had an order.
-
-    An order without an answer may be carried out many seconds later, so the
-    others get theirs sooner if most have none.
-
-    Parameters
-    ----------
-    concurrency : int
-        Targets that may be under way at once if orders are answered.
-    accepted, unanswered : int
-        Orders so far that had an answer, and those that had none.
-
-    >>> compute_first_concurrency(5, 1, 0, 1)
-    2
-    >>> [compute_first_concurrency(50, 10, 6, n) for n in (0, 4, 10, 30)]
-    [10, 10, 15, 20]
-    """
-    wanted = concurrency * (unanswered + 1) // (accepted + 1)
-    return max(min(wanted, compute_limit(targets)), concurrency)
-
-
-def compute_limit(targets):
-    """Return how many targets may load at once without slowing each other.
-
-    >>> [compute_limit(targets) for targets in (1, 2, 5, 50)]
-    [1, 1, 2, 20]
-    """
-    limit = int(targets * MAX_CONCURRENT_SHARE)
-    return max(min(limit, targets - 1), 1)
-
-
-def compute_pace(left):
-    """Return how many targets have to be under way for all to be in time.
-
-    >>> compute_pace([4.4, 4.4, 4.4]), compute_pace([])
-    (2, 0)
-    """
-    paces = [
-        rank * UNDER_WAY_S / max(seconds, UNDER_WAY_S)
-        for rank, seconds in enumerate(sorted(left), 1)
-    ]
-    return round(max(paces, default=0.0))
--- a/tests/gateway/test_start_limits.py
+++ b/tests/gateway/test_start_limits.py
@@ -2,9 +2,11 @@
 
 import asyncio
 import math
+import types
 
 from landingspool.decisions.gateway import health
 from landingspool.gateway import attempts
+from landingspool.gateway import recalls
 from standins import runner
 from tests.gateway import site
 from tests.gateway import test_relay
@@ -171,6 +173,28 @@
     return hub, old, new, work
 
 
+def test_time_out_ends_before_the_bound_but_is_never_too_short():
+    async def check(deployment):
+        hub, old, _, work = await ask_before_bound(deployment, 'resumed')
+        entry = hub.view.fleet.entries[find_name(hub, old)]
+        plan = types.SimpleNamespace(entry=entry)
+        state = types.SimpleNamespace(work=test_view.make_work('q'))
+        recall = recalls.Recall(hub, state, plan)
+        left_s = recall.measure_left()
+        assert 1.2 < left_s < 1.8
+        limit_s = recall.limit_timeout(9.0)
+        assert abs(limit_s - left_s + 1.0) < 0.05
+        assert recall.limit_timeout(0.1) == 0.1
+        assert not recall.is_due()
+        await site.wait_until(recall.is_due)
+        assert recall.limit_timeout(9.0) == recalls.RETRY_S
+        unplanned = recalls.Recall(hub, state, None)
+        assert unplanned.limit_timeout(9.0) == 9.0
+        await work
+
+    site.run(check, engines=1)
+
+
 def test_request_that_would_begin_late_is_taken_back():
     async def check(deployment):
         hub, old, new, work = await ask_before_bound(deployment, 'resumed')
--- a/tests/gateway/test_taken_over_orders.py
+++ b/tests/gateway/test_taken_over_orders.py
@@ -6,6 +6,7 @@
 import pytest
 
 from landingspool.decisions.gateway import order_claims
+from landingspool.decisions.gateway import rollout_pace
 from landingspool.decisions.gateway import rollouts
 from landingspool.platform import catalogue
 from landingspool.platform import names
@@ -187,7 +188,7 @@
         late, *others = deployment.engines
         for engine in others:
             engine.late_s, engine.load_s = 0.0, NEVER_S
-        limit = rollouts.compute_limit(len(deployment.engines))
+        limit = rollout_pace.compute_limit(len(deployment.engines))
 
         def list_busy():
             return {e.name for e in others if e.busy}
