--- a/landingspool/decisions/gateway/plans.py
+++ b/landingspool/decisions/gateway/plans.py
@@ -118,6 +118,8 @@
         'software': plan.entry.software,
         'table': table.version,
     }
+    if plan.transfer.until_ms is not None:
+        values['until_ms'] = int(plan.transfer.until_ms)
     if weights_left_s is not None:
         values['weights_left_s'] = round(weights_left_s, 2)
     return values
--- a/landingspool/gateway/sweeper.py
+++ b/landingspool/gateway/sweeper.py
@@ -11,6 +11,7 @@
 """
 
 import asyncio
+import collections
 
 from landingspool.decisions.gateway import garbage
 from landingspool.decisions import ownership
@@ -48,12 +49,16 @@
         """Check and free until cancelled."""
         while True:
             await asyncio.sleep(self._hub.view.rng.uniform(*CHECK_PERIOD_S))
-            owned = self._list_owned()
-            self._drop_unowned_counts(owned)
-            for address in self._list_due_stores(owned):
-                await self._check(address)
-            for model, min_version in self._list_garbage():
-                await self._free_all(model, min_version)
+            await self.check()
+
+    async def check(self):
+        """Check all stores once, and free what may be freed."""
+        owned = self._list_owned()
+        self._drop_unowned_counts(owned)
+        for address in self._list_due_stores(owned):
+            await self._check_abandoned(address)
+        for model, min_version in self._list_garbage():
+            await self._free_all(model, min_version)
 
     def _list_garbage(self):
         """List models, each with the version before which all is garbage."""
@@ -101,6 +106,19 @@
             parts=len(parts),
             before=min_version,
             done=done,
+            until_ms=int(until_ms),
+            index_s=round(age_s, 3),
+            proof_s=view.proof.age_to_log(now),
+            versions=self._count_versions(model),
+        )
+
+    def _count_versions(self, model):
+        """Return how many known targets of a model have each version."""
+        fleet = self._hub.view.fleet
+        services = self._hub.view.list_services()
+        return collections.Counter(
+            str(fleet.get_version(entry.name, model))
+            for entry in fleet.list_model(model, services)
         )
 
     def _list_owned(self):
@@ -134,7 +152,7 @@
             if now - self._listed.get(address, -LIST_PERIOD_S) >= LIST_PERIOD_S
         ]
 
-    async def _check(self, address):
+    async def _check_abandoned(self, address):
         """Read the complete list of a store and free abandoned parts."""
         hub, context_index = self._hub, self._hub.view.context_index
         index = context_index.get(address)
