Free parts of old weights by their age, not by a list of targets

What callers saw: requests that ran on context from a store that had been freed before the fetch ended (MIXED); an answer made so may be wrong.

Cause: who frees for all others went by a belief about all others. A box freed the parts of old weights 4.6 s after the last target left its own list of targets with old weights, however old that list was. Targets that crashed come back with the weights that they had. A box that is cut off from the platform's store and the other boxes does not hear of it, and freed the parts in all stores while the boxes that had heard offered them. The same holds without a cut: boxes hear of a target one after the other, so that one may free in the moment in which another one offers (docs/platform.md had accepted that). And a box that never heard of the newer weights, and whose table has no keys, offered parts of the old ones for as long as it liked.

Change: offers and frees now follow from when the newer weights were published, on which boxes agree without a message (garbage.py). Parts are offered until the bound on old weights, by a box whose proof that it knows the newest ones is younger than that. They are freed once a box has itself known the newer ones for that bound, a lease and a second. What others tell of the age is not used here: too high an age is harmless for sending, and does harm here. A target that is listed with old weights still keeps their parts. Why it works: an offer ends at most a lease after the bound, counted from the publication, and no box knows a version before its publication.

The same cause nearby: incomplete parts were freed if two lists of a store showed the same row, however long ago the first one was read and whether the part had been freed in between; rows are watched anew then, and a box without a recent proof frees none.

--- a/bench/many.py
+++ b/bench/many.py
@@ -205,6 +205,8 @@
 
     def _tell_others(self, box, now):
         view = self.views[box]
+        # Its reads of the platform's store are answered.
+        view.proof.record(now)
         self._numbers[box] += 1
         digest = peer_digests.Digest(
             str(box),
--- a/landingspool/decisions/gateway/planner.py
+++ b/landingspool/decisions/gateway/planner.py
@@ -10,6 +10,7 @@
 from landingspool.decisions.gateway import admission
 from landingspool.decisions.gateway import choice
 from landingspool.decisions.gateway import engine_split as split_module
+from landingspool.decisions.gateway import garbage
 from landingspool.decisions.gateway import group_planner
 from landingspool.decisions.gateway import health as health_module
 from landingspool.decisions.gateway import plans
@@ -314,7 +315,10 @@
         name = prompts.build_namespace(
             work.prompt.model, version, work.tenancy
         )
-        transfer = self._plan_transfer(work, version, name, now)
+        transfer = transfers.Transfer()
+        view = self._view
+        if garbage.may_offer(lag_s, view.proof.age(now), view.weights.bound_s):
+            transfer = self._plan_transfer(work, version, name, now)
         return Space(name, transfer, lag_s)
 
     def _make_candidates(self, entries, work, now, ready, spaces, load):
--- a/landingspool/gateway/sweeper.py
+++ b/landingspool/gateway/sweeper.py
@@ -1,19 +1,23 @@
 """Free KV cache parts in the stores that no request can use any more.
 
 Parts of replaced weights may be freed by any box that follows the stores
-itself.  If several boxes do so it is harmless; they check at different times,
-so mostly the first one frees all.
+itself, also by one that is cut off from the others: when they may be freed
+follows from the publication of the newer weights.  If several boxes do so it
+is harmless; they check at different times, so mostly the first one frees all.
 
 Abandoned parts, whose write was never completed and no longer advances, are
 freed by one box only: the owner of the store among the boxes that are known.
 The owner does so right after it has read the complete list of the store, and
-reports to the others how much of the store's capacity is taken.
+reports to the others how much of the store's capacity is taken.  A box that
+lacks a recent proof of the table may know the other boxes as little, and frees
+none.
 """
 
 import asyncio
 import collections
 
 from landingspool.decisions.gateway import garbage
+from landingspool.decisions.gateway import readers
 from landingspool.decisions import ownership
 from landingspool import http
 from landingspool.platform import runners
@@ -41,7 +45,7 @@
 
     def __init__(self, hub):
         self._hub = hub
-        self._garbage = garbage.OldestVersions()
+        self._versions = garbage.KnownVersions()
         self._abandoned = garbage.IncompleteParts()
         self._listed = {}
 
@@ -63,14 +67,18 @@
     def _list_garbage(self):
         """List models, each with the version before which all is garbage."""
         view, now = self._hub.view, self._hub.clock()
+        wait_s = garbage.compute_wait(view.weights.bound_s)
         found = []
-        for model in view.weights.named:
-            min_version = garbage.get_oldest_version(
+        for model, named in view.weights.named.items():
+            self._versions.record(model, named.version, now)
+            replacing = self._versions.find_replacing(model, wait_s, now)
+            in_use = garbage.get_oldest_version(
                 model, view.fleet, view.list_services()
             )
-            before = self._garbage.record(model, min_version, now)
-            if before is not None:
-                found.append((model, before))
+            if replacing is not None and in_use is not None:
+                # A box that does not know of the newer weights may still send
+                # requests to a target that has older ones.
+                found.append((model, min(replacing, in_use)))
         return found
 
     async def _free_all(self, model, min_version):
@@ -143,6 +151,12 @@
         for address in [name for name in store_usage if name not in owned]:
             del store_usage[address]
 
+    def _is_out_of_touch(self, now):
+        """Return whether this box may not know the other boxes any more."""
+        ages = self._hub.peering.ages
+        proof_s = self._hub.view.proof.age(now)
+        return readers.is_stale(proof_s, ages.hold_s, ages.old_s)
+
     def _list_due_stores(self, owned):
         """List the owned stores whose complete list is due."""
         now = self._hub.clock()
@@ -178,6 +192,9 @@
         parts = self._abandoned.record(address, index, now)
         if not parts:
             return
+        self._abandoned.forget(address, parts)
+        if self._is_out_of_touch(now):
+            return
         until_ms = clock_ms + (now - asked + FREE_WITHIN_S) * 1000
         done = await hub.runners.free(
             http.parse_address(address), index.epoch, parts, until_ms
--- a/tests/gateway/test_evacuation.py
+++ b/tests/gateway/test_evacuation.py
@@ -145,6 +145,7 @@
             1, [], [service, *context_stores], {}, routes.Limits(), False
         )
     )
+    view.proof.record(10.0)
     for domain in ('d', 'far'):
         entry = fleet.Entry(
             f't-{domain}', 's', (domain, 1), domain, fleet.READY, 4, {'m': 1}
--- a/tests/gateway/test_view.py
+++ b/tests/gateway/test_view.py
@@ -24,6 +24,7 @@
     view.put_table(
         routes.make_table(1, [ROUTE], [service], {}, routes.Limits(), False)
     )
+    view.proof.record(10.0)
     for number in range(count):
         put(view, f't{number}', 1)
     return view
