Log answers of targets that belong to no request

Three explanations could not be told apart: the answer of another request is taken, a connection is reused with unread bytes, or the target runs what it has rejected.

`surplus_answer` (LS228) and a counter say which request an answer names where that is not the one that waits; nothing else changes. The stand-ins now echo the id of the request in their rejections, as targets do.

--- a/landingspool/event_kinds.py
+++ b/landingspool/event_kinds.py
@@ -187,6 +187,12 @@
             'WARNING',
             'An answer began on weights replaced longer ago than allowed.',
         ),
+        Kind(
+            228,
+            'surplus_answer',
+            'INFO',
+            'A target sent an answer that belongs to no request.',
+        ),
         Kind(
             300, 'queued', 'DEBUG', 'A request waits in the queue of its pool.'
         ),
--- a/landingspool/gateway/attempts.py
+++ b/landingspool/gateway/attempts.py
@@ -255,6 +255,8 @@
             return self._report_timeout()
         except upstream_module.ExchangeError as error:
             return self._report_broken(error)
+        if not self._is_due(head):
+            self._record_surplus(head)
         self.record_version(head.version)
         self._record_notices(head)
         if head.not_run:
@@ -322,6 +324,26 @@
         """Return the seconds until the request's deadline."""
         return self._state.deadline - self._hub.clock()
 
+    def _is_due(self, head):
+        """Return whether an answer says that it belongs to this request."""
+        return head.name == self._state.call.name
+
+    def _record_surplus(self, head):
+        """Record an answer that belongs to no request."""
+        self._hub.metrics.surplus_answers.inc()
+        self._hub.recorder.record(
+            'surplus_answer',
+            request=self._state.call.name,
+            belongs_to=head.name,
+            target=self._get_answerer(),
+            status=head.status,
+            not_run=head.not_run,
+        )
+
+    def _get_answerer(self):
+        """Return the name of the target that answers."""
+        return self._plan.entry.name
+
     def _is_answer(self, head):
         return delivery.is_answer_to(head, self._state.call.name)
 
--- a/landingspool/gateway/forwarder.py
+++ b/landingspool/gateway/forwarder.py
@@ -153,6 +153,13 @@
         expected_s = estimate_seconds(profile, work.prompt)
         return min(left_s, timeout_s + expected_s * attempts.TIMEOUT_RATIO)
 
+    def _is_due(self, head):
+        is_marked = head.name or head.stamped
+        return not is_marked or super()._is_due(head)
+
+    def _get_answerer(self):
+        return self._peer.name
+
     def _is_answer(self, head):
         # A request without an id has an answer that is told by its stamp.
         is_marked = head.name or head.stamped
--- a/landingspool/gateway/metrics.py
+++ b/landingspool/gateway/metrics.py
@@ -27,6 +27,9 @@
         self.losses = self._make_counter(
             'losses', 'Tries whose answer did not come whole', ('cause',)
         )
+        self.surplus_answers = self._make_counter(
+            'surplus_answers', 'Answers of targets that belong to no request'
+        )
         self.continuations = self._make_counter(
             'continuations',
             'Streams that callers continue, by how their binding is known',
--- a/standins/behaviours.py
+++ b/standins/behaviours.py
@@ -31,6 +31,11 @@
     return head['x-landingspool-request-id']
 
 
+def write_id(head):
+    """Give the line of a head that echoes the caller's id of a request."""
+    return f'x-landingspool-request-id: {get_id(head)}\r\n'.encode()
+
+
 def write_answer(runner, head, writer, status, body, *rows, stamp=True):
     """Write a whole framed answer."""
     lines = [f'HTTP/1.1 {status} X', f'content-length: {len(body)}', *rows]
@@ -108,6 +113,7 @@
     writer.write(
         b'HTTP/1.1 503 X\r\nx-landingspool-not-executed: 1\r\n'
         b'content-length: 0\r\n'
+        + write_id(head)
         + runner.say(head)
         + runner.ask_rest(head)
         + b'\r\n'
@@ -119,7 +125,7 @@
     """Refuse without running, while new weights are loaded."""
     writer.write(
         b'HTTP/1.1 503 X\r\nx-landingspool-not-executed: 1\r\n'
-        b'content-length: 0\r\n' + runner.say(head) + b'\r\n'
+        b'content-length: 0\r\n' + write_id(head) + runner.say(head) + b'\r\n'
     )
 
 
@@ -135,6 +141,7 @@
     """Refuse what is meant for another target."""
     writer.write(
         b'HTTP/1.1 421 X\r\ncontent-length: 0\r\n'
+        + write_id(head)
         + f'x-landingspool-instance-id: {runner.name}\r\n\r\n'.encode()
     )
 
