Move the buffered connection to where all clients can use it

Cause: the client for control calls has asyncio's streams, which do not tell whether bytes wait to be read. The connection of the gateway does, and both clients need that.

Change: gateway/connection.py becomes landingspool/connection.py; only imports change.

--- a/landingspool/gateway/listener.py
+++ b/landingspool/gateway/listener.py
@@ -7,7 +7,7 @@
 
 import h11
 
-from landingspool.gateway import connection as connection_module
+from landingspool import connection as connection_module
 from landingspool.gateway import heads
 from landingspool import http
 
--- a/landingspool/gateway/upstream.py
+++ b/landingspool/gateway/upstream.py
@@ -13,7 +13,7 @@
 import h11
 
 from landingspool import boot_clock
-from landingspool.gateway import connection as connection_module
+from landingspool import connection as connection_module
 from landingspool.platform import answers
 from landingspool import timeouts
 
--- a/tests/gateway/test_unanswered.py
+++ b/tests/gateway/test_unanswered.py
@@ -7,7 +7,7 @@
 
 import pytest
 
-from landingspool.gateway import connection as connection_module
+from landingspool import connection as connection_module
 from landingspool.gateway import listener
 from landingspool.platform import answers
 from landingspool.platform import ingress
--- a/tests/gateway/test_upstream.py
+++ b/tests/gateway/test_upstream.py
@@ -3,7 +3,7 @@
 import asyncio
 import socket
 
-from landingspool.gateway import connection
+from landingspool import connection
 from landingspool.gateway import upstream
 from tests.gateway import site
 
