Take no answer that does not name the request

What callers saw: a request that must not be repeated got a 503, which promises that it was not run and will not be, and ran (REFUSED); with further attempts allowed it ran twice (TWICE). Others got a 502 though their own answer came.

Cause: bytes were taken for the answer to a request because of their place. A target may send an answer once more, late, in the place of the next one on the connection. The id in the head says whose it is, but the attempt acted on the head before it compared the id: a rejection was taken as such, a 421 dropped the target, and a rest, a limit, a leaving or a version were believed. An answer that was not a rejection was recognised as foreign, and the request was given up with a 502 although the answer that was due followed.

Change: answer_reader.py reads from a connection what belongs to the request and reads past the rest; nothing else of a head is used before. The answer that is due is waited for as any answer is: as long as the request's time lasts, or until another target takes over. The id can't tell a copy of a request's own earlier rejection, so no request goes twice over one connection. A box that refuses a forwarded request now names it; a refusal that names another is passed over. Why it works: whatever comes before, only a head with the id of the request decides on it.

--- a/landingspool/gateway/attempts.py
+++ b/landingspool/gateway/attempts.py
@@ -71,7 +71,7 @@
         """Make the attempt and return one of the outcomes."""
         try:
             self._exchange = await open_exchange(
-                self._hub, self._state.work, self._plan.entry
+                self._hub, self._state, self._plan.entry
             )
         except upstream_module.ExchangeError as error:
             return outcomes.Unreached(str(error))
@@ -143,7 +143,7 @@
         self._send()
         try:
             async with timeouts.Timeout(ACCEPT_S):
-                self._head = await self._exchange.read_head()
+                self._head = await self._exchange.read_head(self._is_due)
         except TimeoutError:
             return None
         except upstream_module.ExchangeError as error:
@@ -155,7 +155,7 @@
     def _send(self):
         state, plan = self._state, self._plan
         self._sent_at = self._hub.clock()
-        state.sends += 1
+        state.record_send(self._exchange.connection)
         if state.sends > 1:
             self._hub.metrics.repeats.inc()
         self._view.record_sent(plan, state.work, self._sent_at)
@@ -255,8 +255,6 @@
             return self._report_timeout()
         except upstream_module.ExchangeError as error:
             return self._report_broken(error)
-        if not self._is_due(head):
-            self._record_surplus(head)
         self.record_version(head.version)
         self._record_notices(head)
         if head.not_run:
@@ -288,7 +286,7 @@
         while True:
             try:
                 async with timeouts.Timeout(self._compute_timeout()):
-                    return await self._exchange.read_head()
+                    return await self._exchange.read_head(self._is_due)
             except TimeoutError:
                 if self._is_expired() or await self.prepare_replacement():
                     raise
@@ -325,11 +323,20 @@
         return self._state.deadline - self._hub.clock()
 
     def _is_due(self, head):
+        """Return whether an answer belongs to this request; log surplus ones.
+
+        Any other answer belongs to no request: a target sent it once more.
+        """
+        if self._is_own(head):
+            return True
+        self._record_surplus(head)
+        return False
+
+    def _is_own(self, head):
         """Return whether an answer says that it belongs to this request."""
         return head.name == self._state.call.name
 
     def _record_surplus(self, head):
-        """Record an answer that belongs to no request."""
         self._hub.metrics.surplus_answers.inc()
         self._hub.recorder.record(
             'surplus_answer',
@@ -492,9 +499,14 @@
         self._view.fleet.record_version(name, prompt.model, version)
 
 
-async def open_exchange(hub, work, entry):
+async def open_exchange(hub, state, entry):
     """Open an exchange with a target; a failure is recorded for its path.
 
+    Parameters
+    ----------
+    state : request_state.RequestState
+    entry : fleet.Entry
+
     Raises
     ------
     upstream.ExchangeError
@@ -502,8 +514,9 @@
     try:
         return await hub.upstream.open(
             entry.address,
-            routes.may_repeat(work.route),
-            hub.view.get_connection_limit(work.service),
+            routes.may_repeat(state.work.route),
+            hub.view.get_connection_limit(state.work.service),
+            state.connections,
         )
     except upstream_module.ExchangeError as error:
         hub.prober.record_error(entry.name, error)
--- a/landingspool/gateway/forwarded_rows.py
+++ b/landingspool/gateway/forwarded_rows.py
@@ -21,6 +21,8 @@
 REASON = PREFIX + b'reason'
 # In answers that the box itself gives: how often it has sent the request.
 SENDS = PREFIX + b'sends'
+# In answers that the box itself gives: the id of the request.
+REQUEST = PREFIX + b'request'
 
 
 class Origin(typing.NamedTuple):
@@ -55,11 +57,14 @@
         How often it was sent to a target.
     counted : bool
         Whether any box has counted it.
+    request : str or None
+        Id of the request; None if the box did not say.
     """
 
     reason: str
     sends: int
     counted: bool
+    request: str | None = None
 
 
 def read_origin(headers):
@@ -112,10 +117,10 @@
     A box that says nothing of how often it sent the request, as where it
     could not read the request, has not sent it.
 
-    >>> read_report(write_report(Report('busy', 1, True)))
-    Report(reason='busy', sends=1, counted=True)
+    >>> read_report(write_report(Report('busy', 1, True, 'id1')))
+    Report(reason='busy', sends=1, counted=True, request='id1')
     >>> read_report([])
-    Report(reason='', sends=0, counted=False)
+    Report(reason='', sends=0, counted=False, request=None)
     """
     found = dict(headers)
     sends = found.get(SENDS, b'0')
@@ -123,16 +128,25 @@
         found.get(REASON, b'').decode('latin-1'),
         int(sends) if sends.isdigit() else 0,
         found.get(COUNTED) == b'1',
+        read_text(found.get(REQUEST)),
     )
 
 
+def read_text(value):
+    """Return the text of a header value, or None if there is none."""
+    return None if value is None else value.decode('latin-1')
+
+
 def write_report(report):
     """Return the headers of a Report."""
-    return [
+    rows = [
         (REASON, report.reason.encode('latin-1')),
         (SENDS, b'%d' % report.sends),
         (COUNTED, b'%d' % report.counted),
     ]
+    if report.request is not None:
+        rows.append((REQUEST, report.request.encode('latin-1')))
+    return rows
 
 
 def strip(headers):
--- a/landingspool/gateway/forwarder.py
+++ b/landingspool/gateway/forwarder.py
@@ -57,6 +57,7 @@
             self._exchange = await self._hub.upstream.open(
                 self._peer.forwarding,
                 routes.may_repeat(self._state.work.route),
+                used=self._state.connections,
             )
         except upstream.ExchangeError as error:
             self._record_unable()
@@ -75,7 +76,7 @@
     def _send(self):
         state = self._state
         self._sent_at = self._hub.clock()
-        state.sends += 1
+        state.record_send(self._exchange.connection)
         if state.sends > 1:
             self._hub.metrics.repeats.inc()
         self._forwarding.record_sent(self._peer.name, self._sent_at)
@@ -153,9 +154,12 @@
         expected_s = estimate_seconds(profile, work.prompt)
         return min(left_s, timeout_s + expected_s * attempts.TIMEOUT_RATIO)
 
-    def _is_due(self, head):
-        is_marked = head.name or head.stamped
-        return not is_marked or super()._is_due(head)
+    def _is_own(self, head):
+        if head.name or head.stamped:
+            return super()._is_own(head)
+        # A box of an earlier build does not say whose its own answer is.
+        name = forwarded_rows.read_report(head.headers).request
+        return name in (None, self._state.call.name)
 
     def _get_answerer(self):
         return self._peer.name
--- a/landingspool/gateway/hub.py
+++ b/landingspool/gateway/hub.py
@@ -201,7 +201,10 @@
         if self._stop.is_set():
             # It would be lost if it came as the listener closes.
             report = forwarded_rows.Report(
-                forwarder.STOPPING, 0, origin.counted
+                forwarder.STOPPING,
+                0,
+                origin.counted,
+                ingress.read_name(request.headers),
             )
             rows = forwarded_rows.write_report(report)
             await reply.send_error(503, forwarder.STOPPING, extra=rows)
--- a/landingspool/gateway/refusals.py
+++ b/landingspool/gateway/refusals.py
@@ -87,7 +87,9 @@
         if self._origin is not None:
             state = self._state
             rows = forwarded_rows.write_report(
-                forwarded_rows.Report(reason, state.sends, state.is_counted)
+                forwarded_rows.Report(
+                    reason, state.sends, state.is_counted, state.call.name
+                )
             )
         await self._state.reply.send_error(status, reason, after, rows)
 
--- a/landingspool/gateway/replacements.py
+++ b/landingspool/gateway/replacements.py
@@ -54,7 +54,7 @@
             return False
         try:
             exchange = await attempts.open_exchange(
-                self._hub, self._state.work, replacement.entry
+                self._hub, self._state, replacement.entry
             )
         except upstream.ExchangeError:
             return False
--- a/landingspool/gateway/request_state.py
+++ b/landingspool/gateway/request_state.py
@@ -42,6 +42,8 @@
         Targets of its earlier attempts.
     sends : int
         Attempts that were sent.
+    connections : list of connection.Connection
+        Those on which it was sent.
     tried_peers : list of str
         Boxes that it was to be forwarded to.
     refusal : outcomes.PeerRefused or None
@@ -91,6 +93,7 @@
         self.needs_permit = False
         self.is_counted = origin is not None and origin.counted
         self.sends = 0
+        self.connections = []
         self.unsent_attempts = 0
         self.may_have_run = False
         self.first_byte_s = None
@@ -158,6 +161,11 @@
             return not self.sends
         return self.sends < self.work.route.max_attempts
 
+    def record_send(self, connection):
+        """Record that it is sent on a connection."""
+        self.sends += 1
+        self.connections.append(connection)
+
     def record_first(self, now):
         """Record the time of the answer's first byte, once."""
         if self.first_byte_s is None:
--- a/landingspool/gateway/upstream.py
+++ b/landingspool/gateway/upstream.py
@@ -14,7 +14,7 @@
 
 from landingspool import boot_clock
 from landingspool import connection as connection_module
-from landingspool.platform import answers
+from landingspool.gateway import answer_reader
 from landingspool import timeouts
 
 # Time-out for a new connection.  A round trip takes some ms.  A target that
@@ -47,7 +47,6 @@
 # Idle connections per target and box; a box has about ten concurrent requests
 # at a target.
 MAX_IDLE_CONNECTIONS = 24
-MAX_HEAD_BYTES = 32 * 1024
 
 
 class ExchangeError(Exception):
@@ -95,7 +94,9 @@
         self._clock = clock
         self._idle = collections.defaultdict(collections.deque)
 
-    async def open(self, address, repeatable, max_idle=MAX_IDLE_CONNECTIONS):
+    async def open(
+        self, address, repeatable, max_idle=MAX_IDLE_CONNECTIONS, used=()
+    ):
         """Return an Exchange on a pooled or a new connection.
 
         Parameters
@@ -104,6 +105,9 @@
             Host and port of the target.
         repeatable : bool
             Whether the request may be sent again if it is lost.
+        used : collection of connection.Connection
+            Connections on which the request was sent before: an answer that
+            comes there once more would have its id.
         max_idle : int
             Idle connections to the target that may be kept.
 
@@ -112,7 +116,7 @@
         ExchangeError
             With `sent` false.
         """
-        idle = self._take_idle(address, repeatable)
+        idle = self._take_idle(address, repeatable, used)
         if idle is not None:
             return Exchange(self, address, idle.connection, max_idle, idle)
         connection = await self._connect(address)
@@ -220,8 +224,17 @@
         self._metrics.connections.inc()
         return connection
 
-    def _take_idle(self, address, repeatable):
-        idle = self._idle.get(address)
+    def _take_idle(self, address, repeatable, used):
+        idle = self._idle[address]
+        kept = [row for row in idle if row.connection in used]
+        for row in kept:
+            idle.remove(row)
+        taken = self._take_newest(idle, repeatable)
+        idle.extend(kept)
+        return taken
+
+    def _take_newest(self, idle, repeatable):
+        """Take the newest idle connection that is usable, or return None."""
         while idle:
             # Newest first, so that surplus connections expire.
             row = idle[-1]
@@ -270,15 +283,20 @@
 
 
 class Exchange:
-    """One request to a target and its answer, on one connection."""
+    """One request to a target and its answer, on one connection.
+
+    Attributes
+    ----------
+    connection : connection.Connection
+    """
 
     def __init__(self, upstream, address, connection, max_idle, idle=None):
         self._upstream = upstream
         self._idle = idle
         self._max_idle = max_idle
         self._address = address
-        self._connection = connection
-        self._codec = h11.Connection(h11.CLIENT, MAX_HEAD_BYTES)
+        self.connection = connection
+        self._reader = answer_reader.AnswerReader(connection)
         self._head = None
         self._answered_early = False
 
@@ -287,13 +305,15 @@
 
         From here on nobody can prove that the target did not execute it.
         """
-        codec = self._codec
-        head = h11.Request(method=method, target=target, headers=headers)
-        data = codec.send(head) + codec.send(h11.Data(data=body))
-        self._connection.write(data + codec.send(h11.EndOfMessage()))
+        self._reader.send(method, target, headers, body)
 
-    async def read_head(self):
-        """Read the head of the answer.
+    async def read_head(self, is_due):
+        """Read the head of the answer, past those to other requests.
+
+        Parameters
+        ----------
+        is_due : callable
+            As in AnswerReader.read_head.
 
         Returns
         -------
@@ -303,16 +323,12 @@
         ------
         ExchangeError
         """
-        event = await self._next()
-        while isinstance(event, h11.InformationalResponse):
-            event = await self._next()
-        if not isinstance(event, h11.Response):
-            raise ExchangeError('closed before an answer', True)
+        head = await self._read(self._reader.read_head(is_due))
         # If the answer came before all of the request was sent, the rest of
         # the body is still due: the connection can't be used again.
-        self._answered_early = not self._connection.is_flushed
-        self._head = answers.read_head(event.status_code, list(event.headers))
-        return self._head
+        self._answered_early = not self.connection.is_flushed
+        self._head = head
+        return head
 
     async def read_data(self):
         """Return the next bytes of the body; b'' at its complete end.
@@ -321,27 +337,19 @@
         ------
         ExchangeError
         """
-        event = await self._next()
-        if isinstance(event, h11.Data):
-            return bytes(event.data)
-        if isinstance(event, h11.EndOfMessage):
-            return b''
-        raise ExchangeError('the answer was cut off', True)
+        return await self._read(self._reader.read_data())
 
     @property
     def is_closed(self):
         """Whether the target has closed or reset the connection."""
-        return self._connection.closed
+        return self.connection.closed
 
     def release(self):
         """Keep the connection if it can take another request."""
-        codec, head = self._codec, self._head
-        framed = codec.our_state is h11.DONE and codec.their_state is h11.DONE
-        clean = (
-            framed and not codec.trailing_data[0] and self._connection.is_idle
-        )
-        if not clean or self._answered_early or head.closing:
-            self._connection.close()
+        head = self._head
+        is_clean = self._reader.is_reusable and self.connection.is_idle
+        if not is_clean or self._answered_early or head.closing:
+            self.connection.close()
             return
         advertised_s = head.keep_alive_s
         idle_s = (
@@ -350,13 +358,13 @@
             else advertised_s - IDLE_MARGIN_S
         )
         self._upstream.keep(
-            self._address, self._connection, idle_s, self._max_idle
+            self._address, self.connection, idle_s, self._max_idle
         )
 
     @property
     def has_answer(self):
         """Whether bytes of the answer have arrived that were not read."""
-        return not self._connection.is_idle
+        return not self.connection.is_idle
 
     def cancel(self):
         """Return the connection of an exchange that has sent nothing."""
@@ -364,7 +372,7 @@
             self._upstream.put_back(self._address, self._idle, self._max_idle)
             return
         self._upstream.keep(
-            self._address, self._connection, DEFAULT_IDLE_S, self._max_idle
+            self._address, self.connection, DEFAULT_IDLE_S, self._max_idle
         )
 
     def abort(self):
@@ -374,17 +382,15 @@
         deliver it once the path of a silent target works again.
         """
         if self._head is None:
-            self._connection.reset()
+            self.connection.reset()
         else:
-            self._connection.abort()
+            self.connection.abort()
 
-    async def _next(self):
+    async def _read(self, reading):
         try:
-            while True:
-                event = self._codec.next_event()
-                if event is not h11.NEED_DATA:
-                    return event
-                self._codec.receive_data(await self._connection.read())
+            return await reading
+        except answer_reader.AnswerError as error:
+            raise ExchangeError(str(error), True) from error
         except (OSError, h11.ProtocolError) as error:
             silent = isinstance(error, connection_module.PeerSilent)
             raise ExchangeError(repr(error), True, silent) from error
--- a/standins/behaviours.py
+++ b/standins/behaviours.py
@@ -38,12 +38,29 @@
 
 def write_answer(runner, head, writer, status, body, *rows, stamp=True):
     """Write a whole framed answer."""
+    writer.write(make_answer(runner, head, status, body, *rows, stamp=stamp))
+
+
+def make_answer(runner, head, status, body, *rows, stamp=True):
+    """Give the bytes of a whole framed answer."""
     lines = [f'HTTP/1.1 {status} X', f'content-length: {len(body)}', *rows]
     lines.append(f'x-landingspool-request-id: {get_id(head)}')
     if stamp:
         lines.append(f'x-landingspool-response-stamp: stamp-{runner.name}')
     rows = '\r\n'.join(lines).encode() + b'\r\n' + runner.say(head)
-    writer.write(rows + b'\r\n' + body)
+    return rows + b'\r\n' + body
+
+
+def make_shed(runner, head):
+    """Give the bytes of a refusal without a run."""
+    return (
+        b'HTTP/1.1 503 X\r\nx-landingspool-not-executed: 1\r\n'
+        b'content-length: 0\r\n'
+        + write_id(head)
+        + runner.say(head)
+        + runner.ask_rest(head)
+        + b'\r\n'
+    )
 
 
 def write_unframed(head, writer, body):
@@ -110,14 +127,7 @@
 @behaviour('shed')
 async def answer_shed(runner, head, body, reader, writer):
     """Refuse without running."""
-    writer.write(
-        b'HTTP/1.1 503 X\r\nx-landingspool-not-executed: 1\r\n'
-        b'content-length: 0\r\n'
-        + write_id(head)
-        + runner.say(head)
-        + runner.ask_rest(head)
-        + b'\r\n'
-    )
+    writer.write(make_shed(runner, head))
 
 
 @behaviour('loading')
@@ -392,3 +402,37 @@
     runner.run(head, body)
     write_answer(runner, head, writer, 200, get_id(head).encode())
     write_answer(runner, head, writer, 200, get_id(head).encode())
+
+
+def register_surplus(name, make, is_run):
+    """Register an answer that is sent twice, the second time at each time.
+
+    Parameters
+    ----------
+    make : callable
+        ``make(runner, head)`` gives the bytes of the answer.
+    is_run : bool
+        Whether the request is run.
+    """
+    for when in SURPLUS_TIMES:
+
+        async def answer(runner, head, body, reader, writer, when=when):
+            if is_run:
+                runner.run(head, body)
+            data = make(runner, head)
+            writer.write(data)
+            runner.send_surplus(writer, data, when)
+
+        behaviour(f'{name}, again {when}')(answer)
+
+
+def make_echo(runner, head):
+    """Give the bytes of an answer with the caller's id."""
+    return make_answer(runner, head, 200, get_id(head).encode())
+
+
+# When a target sends an answer once more: in the same piece, shortly after it,
+# and in the place of the next one on the connection.
+SURPLUS_TIMES = 'at once', 'soon', 'late'
+register_surplus('echo', make_echo, True)
+register_surplus('shed', make_shed, False)
--- a/standins/runner.py
+++ b/standins/runner.py
@@ -15,6 +15,10 @@
 from standins import behaviours
 
 
+# Seconds after which surplus bytes come that come soon.
+SOON_S = 0.02
+
+
 class Said(typing.NamedTuple):
     """What an answer to a request said of its target.
 
@@ -84,6 +88,9 @@
         Whether it loads.
     on_load : callable
         Called without arguments when it has loaded.
+    calls_again : str
+        When it sends its answers to calls once more, as in SURPLUS_TIMES; it
+        does not if this is empty.
     """
 
     def __init__(self, name, version=1):
@@ -120,6 +127,8 @@
         self.load_s = 0.0
         self.busy = False
         self.on_load = do_nothing
+        self.calls_again = ''
+        self._owed = {}
         self._writers = set()
         self._seen = set()
         self._server = None
@@ -166,6 +175,7 @@
         try:
             while True:
                 head, body = await read_request(reader)
+                writer.write(self._owed.pop(writer, b''))
                 known = not self._is_new(writer)
                 if self.forgets and known:
                     writer.transport.abort()
@@ -198,8 +208,19 @@
             pass
         finally:
             self._writers.discard(writer)
+            self._owed.pop(writer, None)
             writer.close()
 
+    def send_surplus(self, writer, data, when):
+        """Send bytes that belong to no request, as in SURPLUS_TIMES."""
+        if when == 'at once':
+            writer.write(data)
+        elif when == 'soon':
+            loop = asyncio.get_running_loop()
+            loop.call_later(SOON_S, write_if_open, writer, data)
+        else:
+            self._owed[writer] = data
+
     def _is_new(self, writer):
         new = id(writer) not in self._seen
         self._seen.add(id(writer))
@@ -277,12 +298,15 @@
                 loop.call_later(self.late_s, self._order, body)
                 return
         status, value = CALLS[path](self, body)
-        data = json.dumps(value).encode()
-        writer.write(
+        body = json.dumps(value).encode()
+        data = (
             b'HTTP/1.1 %d X\r\ncontent-length: %d\r\n%s\r\n'
-            % (status, len(data), self.say())
-            + data
+            % (status, len(body), self.say())
+            + body
         )
+        writer.write(data)
+        if self.calls_again:
+            self.send_surplus(writer, data, self.calls_again)
 
     def _report(self, body):
         models = [{'name': 'm', 'version': self.version, 'adapters': []}]
@@ -356,6 +380,12 @@
 }
 
 
+def write_if_open(writer, data):
+    """Write to a connection unless it is closing."""
+    if not writer.is_closing():
+        writer.write(data)
+
+
 def do_nothing():
     """Ignore that a target has loaded."""
 
