Give orders and frees connections of their own

What could happen: a target or store that sends an answer to a control call once more has the next call on the connection answered by it. These answers carry no id. An order that the target refused, or never got, came back as carried out, and a rollout goes by that; a free that a store refused counted as done.

Cause: the client kept connections with bytes that nobody had read, and orders and frees shared connections with reports, lists and events.

Change: a connection on which bytes wait is not used again (httpclient.py now has the connection of the gateway, which tells). Bytes that come only after the next call was sent can't be told by their place; so a call that changes something gets a new connection. Reads stay on shared ones: what they return is checked by its fields, and by the position, the clock or the number of orders in it, and is read again soon. Price: one connection for each order and each free.

--- a/landingspool/httpclient.py
+++ b/landingspool/httpclient.py
@@ -2,14 +2,21 @@
 
 It pools idle connections, and reports of a failed call whether any byte of
 the request may have been sent.
+
+A peer may send an answer once more, and the answers to calls do not say to
+which call they belong.  So a connection on which bytes wait to be read is not
+used again, and a call that must not take the answer of another one asks for a
+connection of its own (`fresh`).
 """
 
 import asyncio
 import collections
 import json
+import typing
 
 import h11
 
+from landingspool import connection as connection_module
 from landingspool import http
 from landingspool import timeouts
 
@@ -17,6 +24,13 @@
 CONNECT_TIMEOUT_S = 1.0
 
 
+class Stream(typing.NamedTuple):
+    """A connection, and the state of the protocol on it."""
+
+    connection: connection_module.Connection
+    codec: h11.Connection
+
+
 class Client:
     """Sends HTTP requests and pools idle connections."""
 
@@ -24,7 +38,14 @@
         self._idle = collections.defaultdict(list)
 
     async def fetch(
-        self, address, method, path, value=None, headers=(), timeout=5.0
+        self,
+        address,
+        method,
+        path,
+        value=None,
+        headers=(),
+        timeout=5.0,
+        fresh=False,
     ):
         """Send one request and read the complete answer.
 
@@ -37,6 +58,8 @@
         headers : iterable of tuple, optional
         timeout : float, optional
             Seconds until the answer has to be complete.
+        fresh : bool, optional
+            Whether to use a new connection.
 
         Returns
         -------
@@ -49,7 +72,7 @@
         """
         call = self.open(address)
         task = asyncio.ensure_future(
-            call.fetch_response(method, path, value, headers)
+            call.fetch_response(method, path, value, headers, fresh)
         )
         try:
             await timeouts.wait_with_timeout(task, timeout)
@@ -67,26 +90,32 @@
         return Call(self, address)
 
     def acquire(self, address):
-        """Return an idle connection to `address`, or None."""
+        """Return an idle Stream to `address`, or None."""
         while self._idle[address]:
-            reader, writer, conn = self._idle[address].pop()
-            if not reader.at_eof() and not writer.is_closing():
-                return reader, writer, conn
-            writer.close()
+            stream = self._idle[address].pop()
+            if stream.connection.is_idle:
+                return stream
+            stream.connection.close()
         return None
 
-    def release(self, address, connection):
-        """Return a connection to the pool, or close it if the pool is full."""
-        if len(self._idle[address]) < IDLE_CONNECTIONS:
-            self._idle[address].append(connection)
+    def release(self, address, stream):
+        """Return a Stream to the pool, or close it if it can't be used again.
+
+        Bytes that are unread now belong to no call.
+        """
+        is_clean = (
+            stream.connection.is_idle and not stream.codec.trailing_data[0]
+        )
+        if is_clean and len(self._idle[address]) < IDLE_CONNECTIONS:
+            self._idle[address].append(stream)
         else:
-            connection[1].close()
+            stream.connection.close()
 
     def close(self):
         """Close all idle connections."""
-        for connection in self._idle.values():
-            for _, writer, _ in connection:
-                writer.close()
+        for streams in self._idle.values():
+            for stream in streams:
+                stream.connection.close()
         self._idle.clear()
 
 
@@ -133,16 +162,19 @@
             self._stream = self._client.acquire(self._address)
         if self._stream is not None:
             return
+        loop = asyncio.get_running_loop()
         try:
             async with timeouts.Timeout(CONNECT_TIMEOUT_S):
-                reader, writer = await asyncio.open_connection(*self._address)
+                _, connection = await loop.create_connection(
+                    connection_module.Connection, *self._address
+                )
         except (OSError, TimeoutError) as error:
             refused = isinstance(error, ConnectionRefusedError)
             raise http.Unreachable(
                 f'connect: {error}', False, refused
             ) from error
-        conn = h11.Connection(h11.CLIENT, http.MAX_HEADER_BYTES)
-        self._stream = reader, writer, conn
+        codec = h11.Connection(h11.CLIENT, http.MAX_HEADER_BYTES)
+        self._stream = Stream(connection, codec)
 
     async def send(self, method, path, value=None, headers=(), host=''):
         """Send the request and read the head of the answer.
@@ -156,15 +188,15 @@
             ('host', host or f'{self._address.host}:{self._address.port}'),
             ('content-length', str(len(body))),
         ]
-        _, writer, conn = self._stream
+        connection, codec = self._stream
         head = h11.Request(
             method=method, target=path, headers=[*framing, *headers]
         )
         self.sent = True
         try:
-            data = conn.send(head) + conn.send(h11.Data(data=body))
-            writer.write(data + conn.send(h11.EndOfMessage()))
-            await writer.drain()
+            data = codec.send(head) + codec.send(h11.Data(data=body))
+            connection.write(data + codec.send(h11.EndOfMessage()))
+            await connection.drain()
             event = await self._next()
         except (OSError, h11.ProtocolError) as error:
             raise http.Unreachable(str(error), True) from error
@@ -173,8 +205,10 @@
         self.status = event.status_code
         self.headers = combine_headers(event.headers)
 
-    async def fetch_response(self, method, path, value, headers):
+    async def fetch_response(self, method, path, value, headers, fresh=False):
         """Send the request and return the complete Response."""
+        if fresh:
+            await self.connect(fresh=True)
         await self.send(method, path, value, headers)
         body = bytearray()
         async for data in self.read():
@@ -207,26 +241,25 @@
     def close(self):
         """Close the connection, whatever its state."""
         if self._stream is not None:
-            self._stream[1].close()
+            self._stream.connection.close()
             self._stream = None
 
     def _release(self):
-        reader, writer, conn = self._stream
-        self._stream = None
-        done = conn.our_state is h11.DONE and conn.their_state is h11.DONE
-        if not done:
-            writer.close()
-            return
-        conn.start_next_cycle()
-        self._client.release(self._address, (reader, writer, conn))
+        stream, self._stream = self._stream, None
+        connection, codec = stream
+        if codec.our_state is h11.DONE and codec.their_state is h11.DONE:
+            codec.start_next_cycle()
+            self._client.release(self._address, stream)
+        else:
+            connection.close()
 
     async def _next(self):
-        reader, _, conn = self._stream
+        connection, codec = self._stream
         while True:
-            event = conn.next_event()
+            event = codec.next_event()
             if event is not h11.NEED_DATA:
                 return event
-            conn.receive_data(await reader.read(http.READ_BYTES))
+            codec.receive_data(await connection.read())
 
 
 def encode_body(value):
--- a/landingspool/platform/runners.py
+++ b/landingspool/platform/runners.py
@@ -1,4 +1,10 @@
-"""Control calls to targets and to stores of cached context."""
+"""Control calls to targets and to stores of cached context.
+
+A target may send an answer once more, in the place of the next one, and these
+answers do not say to which call they belong.  What a call reads is told by its
+fields, and by a position or a number of its own.  A call that changes
+something has a connection of its own, where no answer to another call comes.
+"""
 
 import dataclasses
 import json
@@ -136,6 +142,7 @@
             data,
             headers,
             ORDER_ANSWER_S,
+            fresh=True,
         )
         if isinstance(reply, Unanswered):
             return reply
@@ -174,17 +181,24 @@
         headers = [('content-type', 'application/json')]
         data = json.dumps(body).encode()
         reply = await self._call(
-            address, 'POST', names.FREE_PATH, data, headers
+            address, 'POST', names.FREE_PATH, data, headers, fresh=True
         )
         return not isinstance(reply, Unanswered) and reply.status == 200
 
     async def _call(
-        self, address, method, path, body=b'', headers=(), timeout=ANSWER_S
+        self,
+        address,
+        method,
+        path,
+        body=b'',
+        headers=(),
+        timeout=ANSWER_S,
+        fresh=False,
     ):
         called = self._observer.begin_call(address)
         try:
             reply = await self._client.fetch(
-                address, method, path, body, headers, timeout
+                address, method, path, body, headers, timeout, fresh
             )
         except http.Unreachable as error:
             return Unanswered(str(error), error.sent, error.refused)
--- a/tests/virtual/network.py
+++ b/tests/virtual/network.py
@@ -21,7 +21,14 @@
         self.owner = owner
 
     async def fetch(
-        self, address, method, path, value=None, headers=(), timeout=5.0
+        self,
+        address,
+        method,
+        path,
+        value=None,
+        headers=(),
+        timeout=5.0,
+        fresh=False,
     ):
         """Send one request and wait for the whole answer."""
         call = self.open(address)
