Free no incomplete part by a list that events have overtaken

What could happen: a part that was complete, and perhaps being fetched, was freed as abandoned (MIXED).

Cause: the owner of a store reads its complete list, and frees the incomplete parts that are as in the list before. A list that is older than the events read meanwhile is dropped by the index, as it should be; the sweeper then went by the rows of the list before that one, took them for unchanged, and freed them. The events that overtook the list may be those that a part is complete. An answer that a store sends once more brings the same about.

Change: such a list decides nothing; the next one does.

Test: test_no_part_is_freed_by_a_list_that_events_have_overtaken frees at 6 s without the change.

--- a/landingspool/gateway/sweeper.py
+++ b/landingspool/gateway/sweeper.py
@@ -181,8 +181,11 @@
         ):
             return
         self._listed[address] = now
-        if updates.epoch != index.epoch:
-            # The store has restarted: its follower applies the new epoch.
+        index = context_index.get(address)
+        if updates.epoch != index.epoch or updates.next < index.next:
+            # The store has restarted, whose follower applies the new epoch; or
+            # the follower knows more than the list: an incomplete part in it
+            # may be complete by now.
             return
         context_index.take(
             address, updates._replace(clock_ms=clock_ms), sent, now
--- a/tests/gateway/test_replaced_parts.py
+++ b/tests/gateway/test_replaced_parts.py
@@ -91,6 +91,18 @@
         plan = self.view.plan(test_view.make_work(), ('new',), now)
         if plan is not None and any(plan.transfer.fetch):
             self.offers.append(plan.transfer.until_ms / 1000)
+        self.check()
+
+    def read_events(self, now, position):
+        """Read the events of the store up to a position."""
+        self.now = now
+        events = context_index.CacheUpdate(
+            1, position, False, (), clock_ms=now * 1000
+        )
+        self.view.context_index.take(STORE, events, now, now)
+
+    def check(self):
+        """Free what may be freed now."""
         asyncio.run(self._sweeper.check())
 
 
@@ -186,6 +198,18 @@
     assert min(box.freed) == pytest.approx(1.0 + wait_s, abs=2 * STEP_S)
 
 
+def test_no_part_is_freed_by_a_list_that_events_have_overtaken():
+    # Guards against MIXED: the part is complete in events after the list.
+    box = Box({'new': 1}, (make_incomplete(0),))
+    box.view.context_index.take(STORE, list_parts(0.0), 0.0, 0.0)
+    for second in range(30):
+        position = 0 if second < 4 else 7
+        box.view.proof.record(second)
+        box.read_events(second, position)
+        box.check()
+    assert not box.freed
+
+
 def make_incomplete(tokens):
     """Return an incomplete part."""
     return context_index.IncompletePart('m.1', 'a', tokens, 800)
