Forget parts that a store has confirmed to be freed

Cause: one in a hundred events of a store is lost.

Change: a confirmed free takes the parts out of the box's own index.

Test: test_freed_parts_are_not_freed_again_for_want_of_an_event; seven frees in half a second without the change, one with it.

--- a/landingspool/decisions/gateway/context_index.py
+++ b/landingspool/decisions/gateway/context_index.py
@@ -191,6 +191,25 @@
         extra = max(taken - index.used, 0)
         self._indexes[name] = index._replace(extra=extra)
 
+    def forget_parts(self, name, epoch, parts):
+        """Record that complete parts of a store were freed.
+
+        One in a hundred events is lost, so that some would stay in the index
+        until the next list.
+
+        Parameters
+        ----------
+        epoch : int
+            The store's epoch when it freed them.
+        parts : collection of tuple of str
+            (namespace, part name) each.
+        """
+        index = self._indexes.get(name)
+        if index is None or index.epoch != epoch:
+            return
+        for key in parts:
+            index.cached.pop(key, None)
+
     def forget_incomplete(self, name, parts):
         """Record that incomplete parts of a store were freed.
 
--- a/landingspool/gateway/sweeper.py
+++ b/landingspool/gateway/sweeper.py
@@ -108,6 +108,8 @@
         done = await self._hub.runners.free(
             http.parse_address(address), index.epoch, parts, until_ms
         )
+        if done:
+            view.context_index.forget_parts(address, index.epoch, parts)
         self._hub.recorder.record(
             'swept',
             store=address,
--- a/tests/gateway/test_sweeper.py
+++ b/tests/gateway/test_sweeper.py
@@ -80,6 +80,24 @@
     site.run(check)
 
 
+def test_freed_parts_are_not_freed_again_for_want_of_an_event(monkeypatch):
+    monkeypatch.setattr(garbage, 'compute_wait', lambda bound_s: 0.2)
+    monkeypatch.setattr(sweeper, 'CHECK_PERIOD_S', (0.05, 0.1))
+
+    async def check(deployment):
+        hub, context_store = await start(deployment)
+        publish(deployment)
+        load(deployment, *deployment.engines)
+        await site.wait_until(lambda: context_store.freed)
+        await asyncio.sleep(0.5)
+        assert context_store.freed == [('m.1', 'aa')]
+        (address,) = hub.view.table.context_stores
+        assert ('m.2', 'aa') in hub.view.context_index.cached(address)
+        await context_store.close()
+
+    site.run(check)
+
+
 def test_a_store_in_another_life_frees_nothing(monkeypatch):
     monkeypatch.setattr(garbage, 'compute_wait', lambda bound_s: 0.2)
     monkeypatch.setattr(sweeper, 'CHECK_PERIOD_S', (0.05, 0.1))
