Let the targets of the soak send answers twice

Cause: no target of the soak sent a rejection once more, or anything late, in the place of the next answer; so it could not find what mends.

Change: a fault in which all staying targets send their next 8 to 40 answers once more, at once, 20 ms later or late, and for four seconds their answers to control calls as well.

--- a/soak/faults.py
+++ b/soak/faults.py
@@ -8,6 +8,7 @@
 from landingspool.platform import names
 from soak import callers
 from soak import fleet as fleet_module
+from standins import behaviours
 
 FAULTS = []
 # Pause between two faults, seconds; most last longer, so they overlap.
@@ -50,6 +51,10 @@
     'silent',
     'slow echo',
 )
+# Answers that a target sends once more: how many in a row, and the seconds for
+# which it does so with its answers to calls.
+TWICE = 8, 40
+CALLS_TWICE_S = 4.0
 STREAM_SCRIPTS = ('broken stream', 'half event', 'shed', 'closed', 'silent')
 
 
@@ -207,6 +212,24 @@
     runner.script += rng.choices(scripts, k=rng.randint(1, 4))
 
 
+@fault
+async def answer_twice(fleet, rng):
+    """Let targets send their next answers once more, and those to calls."""
+    staying = list_staying(fleet)
+    for runner in staying:
+        kinds = ['shed'] if runner.service == 'engine' else ['shed', 'echo']
+        scripts = [
+            f'{kind}, again {when}'
+            for kind in kinds
+            for when in behaviours.SURPLUS_TIMES
+        ]
+        runner.script += rng.choices(scripts, k=rng.randint(*TWICE))
+        runner.calls_again = rng.choice(behaviours.SURPLUS_TIMES)
+    await asyncio.sleep(CALLS_TWICE_S)
+    for runner in staying:
+        runner.calls_again = ''
+
+
 @fault
 async def break_streams(fleet, rng):
     """Let all engines break off some of their next streams."""
