Write the log lines of an attempt in a module of their own

Change: attempt_log.py writes the lines of a send, a loss and a surplus answer, for attempts at targets and at other boxes alike; whether the table is proved is asked of the view, which has both; a deadline that was computed in one place is computed there. No behaviour changes.

--- a/landingspool/decisions/gateway/view.py
+++ b/landingspool/decisions/gateway/view.py
@@ -116,6 +116,14 @@
         self.fair_admission.put_table(table)
         return True
 
+    def is_proved(self, now):
+        """Return whether the table in force may be used for requests.
+
+        A table without keys holds nothing that may have been revoked, so that
+        it needs no recent confirmation by the platform's store.
+        """
+        return not self.table.keyed or self.proof.is_fresh(now)
+
     def put_entry(self, entry, now):
         """Store a target's entry; return the state that applies."""
         before = self.fleet.get_incarnation(entry.target)
--- a/landingspool/gateway/attempts.py
+++ b/landingspool/gateway/attempts.py
@@ -6,10 +6,10 @@
 """
 
 from landingspool.decisions.gateway import demand
-from landingspool.decisions.gateway import plans
 from landingspool.decisions.gateway import prompts
 from landingspool.decisions.gateway import routes
 from landingspool.decisions.gateway import stream_bindings
+from landingspool.gateway import attempt_log
 from landingspool.gateway import delivery
 from landingspool.gateway import forwarded_rows
 from landingspool.gateway import outcomes
@@ -112,7 +112,7 @@
         now, plan, work = self._hub.clock(), self._plan, self._state.work
         return (
             self._hub.timer.ran_since(self._planned_at)
-            and is_proved(self._view, now)
+            and self._view.is_proved(now)
             and self._view.may_send(plan.entry, work, now)
             and self._view.start_limits.may_send(plan, work, now)
         )
@@ -165,17 +165,12 @@
             self._view.crashes.bars.record_sent(key, self._sent_at)
         if plan.transfer.declined:
             self._hub.metrics.declined_parts.inc(plan.transfer.declined)
-        self._hub.recorder.record(
-            'dispatched',
-            request=state.call.name,
-            content=state.fingerprint.hex(),
-            parts=prompts.list_logged(state.work.prompt),
-            priority=self._get_priority(),
-            resumes=state.call.resumes,
-            after=state.last_event_id or state.call.after_event,
-            **plans.describe_plan(
-                plan, self._view.table, self._recall.measure_left()
-            ),
+        attempt_log.log_dispatched(
+            self._hub,
+            state,
+            plan,
+            self._get_priority(),
+            self._recall.measure_left(),
         )
         self._exchange.send(
             state.call.method,
@@ -213,16 +208,15 @@
             self._exchange.abort()
 
     def _log_loss(self, outcome):
-        self._hub.metrics.losses.labels(outcome.cause).inc()
-        waiting, running = self._view.loads.count(self._plan.entry.name)
-        self._hub.recorder.record(
-            'lost',
-            request=self._state.call.name,
-            content=self._state.fingerprint.hex(),
+        name = self._plan.entry.name
+        waiting, running = self._view.loads.count(name)
+        attempt_log.log_loss(
+            self._hub,
+            self._state,
+            outcome.cause,
+            self._sent_at,
+            target=name,
             parts=prompts.list_logged(self._state.work.prompt),
-            target=self._plan.entry.name,
-            cause=outcome.cause,
-            after_s=round(self._hub.clock() - self._sent_at, 4),
             waiting=waiting,
             running=running,
         )
@@ -263,7 +257,9 @@
             return await self._take_foreign(head)
         self._recall.check_answer(head.version, self._sent_at)
         try:
-            async with timeouts.Timeout(self._get_remaining_s()):
+            # Until the request's deadline.
+            left_s = self._state.deadline - self._hub.clock()
+            async with timeouts.Timeout(left_s):
                 if delivery.is_success(head):
                     return await self._deliver(head)
                 return await self._take_failure(head)
@@ -318,35 +314,21 @@
         timeout_s += self._plan.expected_s * TIMEOUT_RATIO
         return min(left_s, self._recall.limit_timeout(timeout_s))
 
-    def _get_remaining_s(self):
-        """Return the seconds until the request's deadline."""
-        return self._state.deadline - self._hub.clock()
-
     def _is_due(self, head):
         """Return whether an answer belongs to this request; log surplus ones.
 
         Any other answer belongs to no request: a target sent it once more.
         """
-        if self._is_own(head):
-            return True
-        self._record_surplus(head)
-        return False
+        is_own = self._is_own(head)
+        if not is_own:
+            name = self._get_answerer()
+            attempt_log.log_surplus(self._hub, self._state, name, head)
+        return is_own
 
     def _is_own(self, head):
         """Return whether an answer says that it belongs to this request."""
         return head.name == self._state.call.name
 
-    def _record_surplus(self, head):
-        self._hub.metrics.surplus_answers.inc()
-        self._hub.recorder.record(
-            'surplus_answer',
-            request=self._state.call.name,
-            belongs_to=head.name,
-            target=self._get_answerer(),
-            status=head.status,
-            not_run=head.not_run,
-        )
-
     def _get_answerer(self):
         """Return the name of the target that answers."""
         return self._plan.entry.name
@@ -360,14 +342,11 @@
         )
 
     async def _take_rejection(self, head):
-        name = self._plan.entry.name
-        if (
-            head.status == answers.MISDIRECTED
-            and head.target
-            and head.target != self._plan.entry.target
-        ):
+        entry = self._plan.entry
+        is_elsewhere = head.target and head.target != entry.target
+        if head.status == answers.MISDIRECTED and is_elsewhere:
             # Another target has taken over the address: this one is gone.
-            self._view.fleet.drop(name, self._hub.clock(), False)
+            self._view.fleet.drop(entry.name, self._hub.clock(), False)
         elif not head.notices.asks_for_less:
             # A target that asks for fewer requests and rejects the surplus
             # is healthy; any other rejection counts as a failure.
@@ -478,15 +457,13 @@
         if head.status == answers.MISDIRECTED:
             # The answer comes from another target, which has the address now.
             return
-        answered = delivery.is_answer_to(head, self._state.call.name)
+        answered = self._is_answer(head)
         if not answered and not head.not_run:
             return
         # A missing limit means "no limit" only in a signed success.
         certain = answered and delivery.is_success(head)
-        name = self._plan.entry.name
-        self._hub.target_notices.take(
-            name, head.notices, self._sent_at, certain
-        )
+        name, notices = self._plan.entry.name, head.notices
+        self._hub.target_notices.take(name, notices, self._sent_at, certain)
         if answered and not head.notices.asks_backoff:
             self._view.exclusions.backoffs.record_answered(name, self._sent_at)
 
@@ -521,12 +498,3 @@
     except upstream_module.ExchangeError as error:
         hub.prober.record_error(entry.name, error)
         raise
-
-
-def is_proved(view, now):
-    """Return whether the table in force may be used for requests at `now`.
-
-    A table without keys holds nothing that may have been revoked, so that
-    it needs no recent confirmation by the platform's store.
-    """
-    return not view.table.keyed or view.proof.is_fresh(now)
--- a/landingspool/gateway/forwarder.py
+++ b/landingspool/gateway/forwarder.py
@@ -6,6 +6,7 @@
 """
 
 from landingspool.decisions.gateway import routes
+from landingspool.gateway import attempt_log
 from landingspool.gateway import attempts
 from landingspool.gateway import forwarded_rows
 from landingspool.gateway import outcomes
@@ -71,7 +72,7 @@
         now = self._hub.clock()
         return self._hub.timer.ran_since(
             self._planned_at
-        ) and attempts.is_proved(self._view, now)
+        ) and self._view.is_proved(now)
 
     def _send(self):
         state = self._state
@@ -128,14 +129,12 @@
         self._count(outcome)
 
     def _log_loss(self, outcome):
-        self._hub.metrics.losses.labels(outcome.cause).inc()
-        self._hub.recorder.record(
-            'lost',
-            request=self._state.call.name,
-            content=self._state.fingerprint.hex(),
+        attempt_log.log_loss(
+            self._hub,
+            self._state,
+            outcome.cause,
+            self._sent_at,
             peer=self._peer.name,
-            cause=outcome.cause,
-            after_s=round(self._hub.clock() - self._sent_at, 4),
         )
 
     async def prepare_replacement(self):
--- a/landingspool/gateway/relay.py
+++ b/landingspool/gateway/relay.py
@@ -294,7 +294,7 @@
         return await self._refusals.give_up('unproved_table')
 
     def _is_proved(self):
-        return attempts.is_proved(self._view, self._hub.clock())
+        return self._view.is_proved(self._hub.clock())
 
     async def _wait_for_proof(self):
         """Wait for the table's proof to be renewed after a stall."""
--- a/landingspool/gateway/resumption.py
+++ b/landingspool/gateway/resumption.py
@@ -8,7 +8,6 @@
 
 import asyncio
 
-from landingspool.gateway import attempts
 
 # Seconds after a stall for which a missing proof is attributed to the stall.
 RENEWAL_TIMEOUT_S = 0.5
@@ -107,7 +106,7 @@
 
     def _is_proved(self, now):
         view = self._hub.view
-        return view.table is not None and attempts.is_proved(view, now)
+        return view.table is not None and view.is_proved(now)
 
     def _finish(self, begun):
         """End the renewal that began at `begun`, unless a later one has."""
