Test reads of surplus answers that are cancelled or have no end

Cause: an attempt's time-out may cancel a read within a surplus answer, and a target may send one that goes on; both were read in the code and not tested.

--- a/tests/gateway/test_surplus_answers.py
+++ b/tests/gateway/test_surplus_answers.py
@@ -28,14 +28,16 @@
 # Statuses that promise that a request was not run and will not be.
 PROMISES = frozenset((408, 421, 429, 503))
 OTHER = {'x-landingspool-request-id': 'another'}
-NO_ID = 'x-landingspool-note: none'
+# Lines by which a surplus answer names another request, or none.
+OTHER_ID = b'x-landingspool-request-id: another'
+NO_ID = b'x-landingspool-note: none'
 NOT_RUN = 'x-landingspool-not-executed: 1'
 # Surplus answers by name: status, further lines of the head.
 SURPLUS = {
     'answer': (200,),
     'failure': (500,),
     'rejection': (503, NOT_RUN),
-    'limit of another kind': (429, NOT_RUN),
+    'too many': (429, NOT_RUN),
     'other target': (421, 'x-landingspool-instance-id: elsewhere'),
     'rest': (503, NOT_RUN, 'retry-after: 30'),
     'leaving': (503, NOT_RUN, 'server-leaving: 1'),
@@ -44,21 +46,26 @@
 }
 
 
-def write_surplus(runner, writer, name, row=''):
-    """Write a surplus answer; with `row` in place of the request's id."""
+def make_surplus(runner, name, id_line):
+    """Return the bytes of a surplus answer.
+
+    Parameters
+    ----------
+    name : str
+        Key in SURPLUS.
+    id_line : bytes
+        OTHER_ID or NO_ID.
+    """
     status, *rows = SURPLUS[name]
     data = behaviours.make_answer(runner, OTHER, status, b'', *rows)
-    if row:
-        data = data.replace(b'x-landingspool-request-id: another', row)
-    writer.write(data)
+    return data.replace(OTHER_ID, id_line)
 
 
 @behaviours.behaviour('after surplus')
 async def answer_after_surplus(runner, head, body, reader, writer):
-    """Send what the test sets, and then the answer."""
+    """Run, send the surplus bytes that the test sets, and then answer."""
     runner.run(head, body)
-    for name in runner.surplus:
-        write_surplus(runner, writer, name, runner.surplus_row)
+    writer.write(runner.surplus)
     await asyncio.sleep(0.01)
     if 'x-landingspool-model-name' in head:
         behaviours.start_stream(runner, head, writer)
@@ -69,22 +76,27 @@
     writer.write(behaviours.make_echo(runner, head))
 
 
-async def ask_after(deployment, hub, names, path='/unsafe/a', row=b'', **rows):
+async def ask_after(
+    deployment, hub, names, path='/unsafe/a', id_line=OTHER_ID, **fields
+):
     """Return the answer to a request before which surplus answers come."""
     for target in deployment.plain + deployment.engines:
-        target.surplus = names
-        target.surplus_row = row
+        target.surplus = b''.join(
+            make_surplus(target, name, id_line) for name in names
+        )
         target.usual = 'after surplus'
-    return await site.ask(hub, path, **rows)
+    return await site.ask(hub, path, **fields)
 
 
-@pytest.mark.parametrize('row', [b'', NO_ID.encode()])
+@pytest.mark.parametrize('id_line', [OTHER_ID, NO_ID])
 @pytest.mark.parametrize('name', SURPLUS)
-def test_an_answer_of_another_request_is_not_taken(name, row):
+def test_an_answer_of_another_request_is_not_taken(name, id_line):
     # Guards against REFUSED: a rejection sent twice promised "not run".
     async def check(deployment):
         hub = await deployment.start_box()
-        got = await ask_after(deployment, hub, [name], name='mine', row=row)
+        got = await ask_after(
+            deployment, hub, [name], id_line=id_line, name='mine'
+        )
         (target,) = deployment.plain
         assert got.status == 200
         assert got.body == b'mine'
@@ -182,7 +194,8 @@
 def test_a_request_is_not_repeated_on_a_connection_that_had_it():
     # Guards against REFUSED: a copy of its own rejection has its id.
     async def check(deployment):
-        pool = upstream.Upstream(deployment.hubs[0].metrics)
+        hub = await deployment.start_box()
+        pool = upstream.Upstream(hub.metrics)
         address = deployment.plain[0].address[:2]
         first = await pool.open(address, True)
         first.cancel()
@@ -197,11 +210,7 @@
         assert first.connection in {row.connection for row in kept}
         pool.close()
 
-    async def start(deployment):
-        await deployment.start_box()
-        await check(deployment)
-
-    site.run(start, plain=1)
+    site.run(check, plain=1)
 
 
 @pytest.mark.parametrize(
@@ -341,13 +350,8 @@
     kept = data[: max(len(data) - lost, 0)]
 
     async def read():
-        reader = answer_reader.AnswerReader(Wire(kept, cuts))
-        reader.send(
-            'POST', '/a', [('host', 'h'), ('content-length', '0')], b''
-        )
-        head = await reader.read_head(
-            lambda head: delivery.is_answer_to(head, 'mine')
-        )
+        reader = open_reader(Wire(kept, cuts))
+        head = await reader.read_head(is_mine)
         body = bytearray()
         while part := await reader.read_data():
             body += part
@@ -361,3 +365,65 @@
         return
     assert head.name == 'mine'
     assert (head.status, body) == (due[0][1], due[0][2])
+
+
+class SlowWire:
+    """Stands in for a connection whose pieces come when the test puts them."""
+
+    def __init__(self):
+        self.pieces = asyncio.Queue()
+
+    def write(self, data):
+        """Drop what is sent."""
+
+    async def read(self):
+        """Return the next piece."""
+        return await self.pieces.get()
+
+
+def is_mine(head):
+    """Return whether a head is that of the answer that is due."""
+    return delivery.is_answer_to(head, 'mine')
+
+
+def open_reader(wire):
+    """Return an AnswerReader that has sent a request."""
+    reader = answer_reader.AnswerReader(wire)
+    reader.send('POST', '/a', [('host', 'h'), ('content-length', '0')], b'')
+    return reader
+
+
+def test_a_read_that_is_cancelled_goes_on_where_it_was():
+    # Guards against a time-out within a surplus answer, whose rest would
+    # then be read as the answer that is due.
+    async def check():
+        wire = SlowWire()
+        reader = open_reader(wire)
+        data = frame('another', 503, b'x' * 40, 'length')
+        data += frame('mine', 200, b'yours', 'length')
+        for cut in range(0, len(data), 30):
+            with pytest.raises(TimeoutError):
+                async with asyncio.timeout(0.01):
+                    await reader.read_head(is_mine)
+            if cut + 30 >= len(data):
+                break
+            wire.pieces.put_nowait(data[cut : cut + 30])
+        wire.pieces.put_nowait(data[cut:])
+        head = await reader.read_head(is_mine)
+        assert (head.status, await reader.read_data()) == (200, b'yours')
+
+    asyncio.run(check())
+
+
+def test_a_surplus_answer_without_end_is_not_read_for_ever():
+    # Guards against a target that keeps a box busy with what nobody wants.
+    async def check():
+        body = b'x' * (answer_reader.MAX_SURPLUS_BYTES + 1)
+        data = frame('another', 200, body, 'length')
+        reader = open_reader(
+            Wire(data + frame('mine', 200, b'', 'length'), [])
+        )
+        with pytest.raises(answer_reader.AnswerError):
+            await reader.read_head(is_mine)
+
+    asyncio.run(check())
