--- a/tests/gateway/test_surplus_answers.py
+++ b/tests/gateway/test_surplus_answers.py
@@ -155,6 +155,26 @@
     site.run(check, plain=1)
 
 
+def test_a_surplus_answer_is_logged_with_the_request_that_it_names():
+    # Guards against a log that does not tell a rejection from a copy of one.
+    async def check(deployment):
+        hub = await deployment.start_box()
+        await ask_after(deployment, hub, ['rejection'], name='mine')
+        # Written by attempt_log.
+        lines = {
+            event.name: event.fields
+            for event in hub.recorder.select(request='mine')
+        }
+        line = lines['surplus_answer']
+        assert line['belongs_to'] == 'another'
+        assert (line['status'], line['not_run']) == (503, True)
+        assert 'dispatched' in lines
+        assert 'lost' not in lines
+        assert b'surplus_answers_total 1.0' in hub.metrics.render()
+
+    site.run(check, plain=1)
+
+
 def test_many_surplus_answers_end_the_request_without_a_promise():
     # Guards against an endless read.
     async def check(deployment):
