Log why each connection of a caller ends

Cause: of a request that reached a connection as it was closed no box had a line, so that the hypotheses of the incident could not be told apart. Change: each end is counted by its reason and logged (LS806) with the bytes that lay unread, also in the kernel, how long it waited, the idle time-out in force and the requests served on it. No logic changes. Measured: the tests of stops, starts and unanswered requests pass; unread bytes of a displaced connection show in a test of their own.

--- a/landingspool/connection.py
+++ b/landingspool/connection.py
@@ -5,9 +5,12 @@
 reported at once through a callback, also while nobody reads.
 """
 
+import array
 import asyncio
+import fcntl
 import socket
 import struct
+import termios
 
 # Value of SO_LINGER: on, with no time to send what is left.
 NO_LINGER = struct.pack('ii', 1, 0)
@@ -111,6 +114,22 @@
             raise ConnectionResetError(str(self._error))
         return b''
 
+    def count_unread(self):
+        """Return the number of bytes received and not read.
+
+        Returns
+        -------
+        int or None
+            With those that are still in the kernel; None if the connection
+            has been closed.
+        """
+        pending = array.array('i', [0])
+        try:
+            fcntl.ioctl(self.get_socket(), termios.FIONREAD, pending)
+        except (OSError, ValueError):
+            return None
+        return len(self._buffer) + pending[0]
+
     def push_back(self, data):
         """Put bytes back in front of the unread ones."""
         self._buffer[:0] = data
--- a/landingspool/event_kinds.py
+++ b/landingspool/event_kinds.py
@@ -416,6 +416,12 @@
             'WARNING',
             'This box takes no requests that peers forward.',
         ),
+        Kind(
+            806,
+            'connection_closed',
+            'DEBUG',
+            'A connection of a caller ended, with what lay unread on it.',
+        ),
     )
 }
 
--- a/landingspool/gateway/hub.py
+++ b/landingspool/gateway/hub.py
@@ -12,6 +12,7 @@
 from landingspool import events
 from landingspool.gateway import admission_gate
 from landingspool.gateway import cache_follower
+from landingspool.gateway import closings
 from landingspool.gateway import continuity
 from landingspool.gateway import crash_records
 from landingspool.gateway import following
@@ -104,11 +105,13 @@
         max_connections = max(
             deployment.descriptors - RESERVED_DESCRIPTORS, MIN_CONNECTIONS
         )
+        tally = closings.Tally(self.recorder, self.metrics)
         self.listener = listener.Listener(
             self._handle,
             self._get_limits,
             max_connections,
             self._record_unanswered,
+            tally.record,
             lambda: self.forward_listener.count_open(),
         )
         # For requests of peers that can't reach the targets.
@@ -117,6 +120,7 @@
             self._get_forward_limits,
             max_connections,
             self._record_unanswered,
+            tally.record,
             self.listener.count_open,
         )
         self._takes_forwarded = False
--- a/landingspool/gateway/listener.py
+++ b/landingspool/gateway/listener.py
@@ -8,6 +8,7 @@
 import h11
 
 from landingspool import connection as connection_module
+from landingspool.gateway import closings
 from landingspool.gateway import heads
 from landingspool import http
 
@@ -174,6 +175,8 @@
     on_unanswered : callable
         Called with a request that was read and the reason if its handler
         fails, so that its caller gets no whole answer.
+    on_closed : callable
+        Called with a closings.Closing for each connection that ends.
     count_others : callable, optional
         Returns the number of connections of other listeners that count
         towards `max_connections`.
@@ -192,16 +195,20 @@
         get_limits,
         max_connections,
         on_unanswered,
+        on_closed,
         count_others=lambda: 0,
     ):
         self._handle = handle
         self._get_limits = get_limits
         self._max_connections = max_connections
         self._on_unanswered = on_unanswered
+        self._on_closed = on_closed
         self._count_others = count_others
         self._server = None
         # The connection that each task serves.
         self._tasks = {}
+        # Requests answered so far on the connection of each task.
+        self._served = {}
         # Tasks that have begun to receive a request and not ended its answer.
         self._busy = set()
         # Tasks that wait for a request, the longest wait first: for the
@@ -234,9 +241,7 @@
             self._server.close()
         for task, connection in list(self._tasks.items()):
             if task not in self._busy and connection.is_idle:
-                # It is closed at once, so that no request is read any more.
-                connection.close()
-                task.cancel()
+                self._end(task, connection, closings.Reason.STOPPING)
         if self._tasks:
             await asyncio.wait(list(self._tasks), timeout=seconds)
         for task in list(self._tasks):
@@ -255,14 +260,43 @@
     def _accept(self, connection):
         taken = len(self._tasks) + self._count_others()
         is_full = taken >= self._max_connections
-        if self._closing or (is_full and not self._displace()):
-            connection.abort()
+        if self._closing:
+            self._turn_away(connection, closings.Reason.STOPPING)
+            return
+        if is_full and not self._displace():
+            self._turn_away(connection, closings.Reason.FULL)
             return
         task = asyncio.ensure_future(self._serve(connection))
         self._tasks[task] = connection
+        self._served[task] = 0
         self._unused[task] = self._begin_wait(connection)
         task.add_done_callback(self._forget)
 
+    def _turn_away(self, connection, reason):
+        """Close a connection that has just been opened."""
+        self._record_closing(connection, reason)
+        connection.abort()
+
+    def _end(self, task, connection, reason):
+        """Close a connection at rest at once: no request is read any more."""
+        self._record_closing(connection, reason, task)
+        self._end_wait(task)
+        connection.close()
+        task.cancel()
+
+    def _record_closing(self, connection, reason, task=None):
+        row = self._unused.get(task) or self._kept.get(task)
+        now = asyncio.get_running_loop().time()
+        self._on_closed(
+            closings.Closing(
+                reason,
+                connection.count_unread(),
+                self._served.pop(task, 0),
+                now - row.since if row is not None else 0.0,
+                self._get_limits().idle_s,
+            )
+        )
+
     def _begin_wait(self, connection):
         now = asyncio.get_running_loop().time()
         return Waiting(connection, now)
@@ -278,10 +312,8 @@
                 if row.since > latest:
                     break
                 if row.connection.is_idle:
-                    self._end_wait(task)
                     self.displaced += 1
-                    row.connection.close()
-                    task.cancel()
+                    self._end(task, row.connection, closings.Reason.DISPLACED)
                     return True
         return False
 
@@ -292,34 +324,59 @@
     def _forget(self, task):
         self._busy.discard(task)
         self._end_wait(task)
+        self._served.pop(task, None)
         del self._tasks[task]
 
     async def _serve(self, connection):
+        task = asyncio.current_task()
+        # Of a task that is cancelled.
+        reason = closings.Reason.STOPPING
         try:
-            while await self._serve_one(connection):
-                task = asyncio.current_task()
-                self._busy.discard(task)
-                self._kept[task] = self._begin_wait(connection)
+            reason = await self._serve_all(connection)
         except (OSError, h11.ProtocolError):
             # The caller reset the connection or broke off within a request,
             # of which nothing was handled yet.
+            reason = closings.Reason.RESET
             connection.abort()
         finally:
+            if task in self._served:
+                self._record_closing(connection, reason, task)
             connection.close()
 
+    async def _serve_all(self, connection):
+        """Serve one request after another; return why that ends."""
+        task = asyncio.current_task()
+        while True:
+            reason = await self._serve_one(connection)
+            if reason is not None:
+                return reason
+            self._served[task] += 1
+            self._busy.discard(task)
+            self._kept[task] = self._begin_wait(connection)
+
     async def _serve_one(self, connection):
-        """Serve one request; return whether the next may be waited for."""
+        """Serve one request.
+
+        Returns
+        -------
+        closings.Reason or None
+            None if the next request may be waited for.
+        """
         if not await heads.wait_for_request(connection, self._get_limits):
-            return False
+            return (
+                closings.Reason.CALLER
+                if connection.closed
+                else closings.Reason.IDLE
+            )
         self._busy.add(asyncio.current_task())
         self._end_wait(asyncio.current_task())
         try:
             read = await heads.read_request(connection, self._get_limits())
         except http.BadRequest as error:
             await refuse(connection, error)
-            return False
+            return closings.Reason.UNREADABLE
         if read is None:
-            return False
+            return closings.Reason.CALLER
         codec, request, body = read
         reply = Reply(codec, connection, lambda: self.stopping, request.method)
         try:
@@ -331,7 +388,17 @@
         # An answer begun before the stop doesn't ask the caller to connect
         # elsewhere: it may have sent its next request by now.
         is_over = self._closing and connection.is_idle
-        return reply.is_reusable and not is_over
+        if reply.is_reusable and not is_over:
+            return None
+        return self._explain_end(connection, reply)
+
+    def _explain_end(self, connection, reply):
+        """Return why a connection takes no request after this reply."""
+        if connection.closed:
+            return closings.Reason.CALLER_GONE
+        if reply.broken:
+            return closings.Reason.BROKEN_OFF
+        return closings.Reason.LAST_ANSWER
 
     def _break_off(self, request, reply, reason):
         if not reply.broken:
--- a/landingspool/gateway/metrics.py
+++ b/landingspool/gateway/metrics.py
@@ -44,6 +44,9 @@
         self.unanswered = self._make_counter(
             'unanswered', 'Requests that were read and got no whole answer'
         )
+        self.closed_connections = self._make_counter(
+            'closed_connections', 'Connections of callers', ('reason',)
+        )
         self.orders = self._make_counter(
             'orders', 'Orders to targets by outcome', ('outcome',)
         )
--- a/tests/gateway/test_starting.py
+++ b/tests/gateway/test_starting.py
@@ -43,4 +43,4 @@
 
 
 def test_a_listener_that_has_not_started_can_be_closed():
-    asyncio.run(listener.Listener(None, None, 1, None).close(0.1))
+    asyncio.run(listener.Listener(None, None, 1, None, None).close(0.1))
--- a/tests/gateway/test_unanswered.py
+++ b/tests/gateway/test_unanswered.py
@@ -3,11 +3,13 @@
 import asyncio
 import contextlib
 import re
+import socket
 from unittest import mock
 
 import pytest
 
 from landingspool import connection as connection_module
+from landingspool.gateway import closings
 from landingspool.gateway import listener
 from landingspool.platform import answers
 from landingspool.platform import ingress
@@ -184,7 +186,9 @@
             assert hub.clock() - began < 0.5
         late = connection_module.Connection()
         late.connection_made(mock.Mock())
-        hub.listener._accept(late)
+        with socket.socket() as unused:
+            late._transport.get_extra_info.return_value = unused
+            hub.listener._accept(late)
         late._transport.abort.assert_called_once()
 
     site.run(check)
@@ -220,6 +224,59 @@
     site.run(check, engines=1)
 
 
+def list_closings(hub):
+    """Return the reason and the unread bytes of each closed connection."""
+    return [
+        (event.fields['reason'], event.fields['unread'])
+        for event in hub.recorder.select()
+        if event.name == 'connection_closed'
+    ]
+
+
+@pytest.mark.parametrize(
+    ('sent', 'reason'),
+    [
+        (b'', closings.Reason.CALLER),
+        (b'x', closings.Reason.UNREADABLE),
+        (write_request('/nowhere/'), closings.Reason.CALLER),
+        (
+            write_request('/nowhere/', extra='Connection: close\r\n'),
+            closings.Reason.LAST_ANSWER,
+        ),
+    ],
+)
+def test_the_end_of_a_connection_is_logged_with_its_reason(sent, reason):
+    async def check(deployment):
+        hub = await deployment.start_box()
+        async with site.connect(hub) as (reader, writer):
+            writer.write(sent)
+            if reason != closings.Reason.UNREADABLE:
+                await asyncio.sleep(0.05)
+            writer.write_eof()
+            await reader.read()
+        await site.wait_until(lambda: list_closings(hub))
+        assert [row[0] for row in list_closings(hub)] == [reason]
+
+    site.run(check)
+
+
+def test_what_lies_unread_as_a_connection_is_closed_is_logged():
+    async def check(deployment):
+        hub = await deployment.start_box()
+        connections = keep_connections(hub)
+        async with site.connect(hub) as (_, writer):
+            await site.wait_until(lambda: connections)
+            writer.write(b'12345')
+            (task,) = hub.listener._tasks
+            # The loop has no turn in which it could read.
+            while not connections[0].count_unread():
+                pass
+            hub.listener._end(task, connections[0], closings.Reason.DISPLACED)
+        assert list_closings(hub) == [('displaced', 5)]
+
+    site.run(check)
+
+
 async def publish_idle_timeout(deployment, hub, version, idle_ms):
     """Have a box use a configuration with an idle time-out."""
     limits = {'idle_timeout_ms': idle_ms}
