Test, failing, that a close drops no request that has arrived

Cause: a connection at rest is closed by the idle time-out, for a new one or by a stop though a request has arrived on it, in the kernel, since the event loop last looked.

--- a/tests/gateway/test_unanswered.py
+++ b/tests/gateway/test_unanswered.py
@@ -4,6 +4,7 @@
 import contextlib
 import re
 import socket
+import time
 from unittest import mock
 
 import pytest
@@ -224,6 +225,13 @@
     site.run(check, engines=1)
 
 
+def wait_in_kernel(connection):
+    """Return once bytes have arrived, without a turn of the event loop."""
+    end = time.monotonic() + ANSWER_S
+    while not connection.count_unread():
+        assert time.monotonic() < end
+
+
 def list_closings(hub):
     """Return the reason and the unread bytes of each closed connection."""
     return [
@@ -268,9 +276,7 @@
             await site.wait_until(lambda: connections)
             writer.write(b'12345')
             (task,) = hub.listener._tasks
-            # The loop has no turn in which it could read.
-            while not connections[0].count_unread():
-                pass
+            wait_in_kernel(connections[0])
             hub.listener._end(task, connections[0], closings.Reason.DISPLACED)
         assert list_closings(hub) == [('displaced', 5)]
 
@@ -370,3 +376,66 @@
         assert await ask(hub) == [200]
 
     site.run(check, plain=1)
+
+
+def send_at_rest(writer, connection):
+    """Send a request that arrives before the loop has its next turn."""
+    writer.write(write_request())
+    wait_in_kernel(connection)
+
+
+async def close_by_idle_timeout(hub, send, monkeypatch):
+    limits, asked = hub.view.table.limits, []
+
+    def get_limits():
+        asked.append(True)
+        # For the first request, the wait for the second and its time-out.
+        if len(asked) == 3:
+            send()
+        return limits._replace(idle_s=0.05)
+
+    monkeypatch.setattr(hub.listener, '_get_limits', get_limits)
+
+
+async def close_by_displacement(hub, send, monkeypatch):
+    monkeypatch.setattr(listener, 'MIN_SILENCE_S', -1.0)
+    send()
+    hub.listener._displace()
+
+
+async def close_by_stop(hub, send, monkeypatch):
+    end = hub.listener._server.close
+
+    def close():
+        monkeypatch.undo()
+        end()
+        send()
+
+    monkeypatch.setattr(hub.listener._server, 'close', close)
+    hub.closing = asyncio.ensure_future(hub.listener.close(1.0))
+
+
+@pytest.mark.parametrize(
+    'close', [close_by_idle_timeout, close_by_displacement, close_by_stop]
+)
+def test_a_request_that_arrived_before_a_close_is_answered(close, monkeypatch):
+    async def check(deployment):
+        hub = await deployment.start_box()
+        connections = keep_connections(hub)
+        await publish_idle_timeout(deployment, hub, 2, 30_000)
+        async with site.connect(hub) as (reader, writer):
+            await site.wait_until(lambda: connections)
+
+            def send():
+                send_at_rest(writer, connections[0])
+
+            if close is close_by_idle_timeout:
+                await close(hub, send, monkeypatch)
+                # The wait for the next request has the new time-out.
+                writer.write(write_request('/nowhere/'))
+                assert await read_statuses(reader) == [404]
+            else:
+                await close(hub, send, monkeypatch)
+            assert await read_statuses(reader) == [200]
+
+    site.run(check, plain=1)
