Close no connection on which a request has arrived

What callers saw: a request sent on a connection at rest was reset, with neither an answer nor a refusal, and no box had a line of it. Cause: whether the connection was at rest was told from the bytes that the event loop had read. What arrives between that and the close stays in the kernel and goes with the connection; a box that runs slowly has more of it. Change: a connection is at rest only if the kernel holds no byte either, for the idle time-out, for one that gives way and for a stop. What crosses the close on its way is still lost, which no server can tell.

--- a/landingspool/connection.py
+++ b/landingspool/connection.py
@@ -130,6 +130,15 @@
             return None
         return len(self._buffer) + pending[0]
 
+    @property
+    def is_at_rest(self):
+        """Whether it is idle and no bytes wait in the kernel, either.
+
+        The event loop reads a socket once in each turn: what has arrived
+        since then is lost if the connection is closed.
+        """
+        return self.is_idle and not self.count_unread()
+
     def push_back(self, data):
         """Put bytes back in front of the unread ones."""
         self._buffer[:0] = data
--- a/landingspool/gateway/heads.py
+++ b/landingspool/gateway/heads.py
@@ -169,7 +169,7 @@
     began = loop.time()
     left_s = get_limits().idle_s
     # A byte may arrive between the time-out and its effect on this task.
-    while left_s > 0 or not connection.is_idle:
+    while left_s > 0 or not connection.is_at_rest:
         with contextlib.suppress(TimeoutError):
             async with timeouts.Timeout(left_s):
                 first = await connection.read()
--- a/landingspool/gateway/listener.py
+++ b/landingspool/gateway/listener.py
@@ -240,7 +240,7 @@
             # It is None if the process is stopped while it starts.
             self._server.close()
         for task, connection in list(self._tasks.items()):
-            if task not in self._busy and connection.is_idle:
+            if task not in self._busy and connection.is_at_rest:
                 self._end(task, connection, closings.Reason.STOPPING)
         if self._tasks:
             await asyncio.wait(list(self._tasks), timeout=seconds)
@@ -311,7 +311,7 @@
             for task, row in rows.items():
                 if row.since > latest:
                     break
-                if row.connection.is_idle:
+                if row.connection.is_at_rest:
                     self.displaced += 1
                     self._end(task, row.connection, closings.Reason.DISPLACED)
                     return True
@@ -387,7 +387,7 @@
             self._break_off(request, reply, 'no reply')
         # An answer begun before the stop doesn't ask the caller to connect
         # elsewhere: it may have sent its next request by now.
-        is_over = self._closing and connection.is_idle
+        is_over = self._closing and connection.is_at_rest
         if reply.is_reusable and not is_over:
             return None
         return self._explain_end(connection, reply)
