Bound interim heads and framing in answers of targets

Cause: AnswerReader.read_head passed over interim heads in a loop that counted nothing and never waited while bytes were buffered; chunk extensions around little data were read for ever.

Evidence: test_endless_answers.py, new.

Fix: AnswerReader reads through ResponseReader, which bounds all of that and gives other tasks their turns. Bodies of failures and rejections are still without a bound and follow.

--- a/landingspool/gateway/upstream.py
+++ b/landingspool/gateway/upstream.py
@@ -15,6 +15,7 @@
 from landingspool import boot_clock
 from landingspool import connection as connection_module
 from landingspool.gateway import answer_reader
+from landingspool import response_reader
 from landingspool import timeouts
 
 # Time-out for a new connection.  A round trip takes some ms.  A target that
@@ -389,7 +390,7 @@
     async def _read(self, reading):
         try:
             return await reading
-        except answer_reader.AnswerError as error:
+        except response_reader.ResponseError as error:
             raise ExchangeError(str(error), True) from error
         except (OSError, h11.ProtocolError) as error:
             silent = isinstance(error, connection_module.PeerSilent)
--- a/standins/runner.py
+++ b/standins/runner.py
@@ -77,6 +77,8 @@
         What its answers to requests said, but for the limit.
     cancelled : int
         Requests whose connection closed while they waited or ran.
+    endless_bytes : int
+        Bytes of answers without end that it has sent.
     software : str
         Version of its software, which its entry names.
     late_s : float or None
@@ -103,6 +105,7 @@
         self.asked = []
         self.fence = -1
         self.cancelled = 0
+        self.endless_bytes = 0
         self.connections = 0
         self.address = None
         self.epoch = 7
--- /dev/null
+++ b/tests/gateway/test_endless_answers.py
@@ -0,0 +1,116 @@
+"""What a target sends without end costs one connection, no request and no
+box."""
+
+import asyncio
+import contextlib
+
+import pytest
+
+from standins import behaviours
+from tests.gateway import site
+
+# Bytes that a connection may take before it is given up: those that are read,
+# and those that buffers of the system hold.
+MAX_SENT_BYTES = 8 * 1024 * 1024
+# Seconds for which nothing else may run, and until a connection is closed.
+MAX_LAG_S = 0.3
+MAX_OPEN_S = 1.0
+TICK_S = 0.01
+REQUESTS = 12
+
+
+class Lag:
+    """Longest time for which other tasks did not run, seconds."""
+
+    def __init__(self):
+        self.seconds = 0.0
+
+    async def measure(self):
+        """Measure until cancelled."""
+        loop = asyncio.get_running_loop()
+        while True:
+            before = loop.time()
+            await asyncio.sleep(TICK_S)
+            lag_s = loop.time() - before - TICK_S
+            self.seconds = max(self.seconds, lag_s)
+
+
+@contextlib.asynccontextmanager
+async def measure_lag():
+    """Yield the Lag of the event loop."""
+    lag = Lag()
+    task = asyncio.ensure_future(lag.measure())
+    try:
+        yield lag
+    finally:
+        task.cancel()
+
+
+def set_endless(target, name):
+    """Have a target answer every request without end."""
+    target.usual = f'{name} without end'
+
+
+async def check_closed(target, count):
+    """Check that connections were closed in time and within bytes."""
+    await site.wait_until(lambda: target.cancelled >= count, MAX_OPEN_S)
+    assert target.endless_bytes / count < MAX_SENT_BYTES
+
+
+ANSWERS = frozenset(
+    (
+        'success',
+        'failure',
+        'failure in chunks',
+        'unframed failure',
+        'client error',
+        'rejection',
+    )
+)
+BOUNDED = [name for name in behaviours.ENDLESS if name not in ANSWERS]
+
+
+@pytest.mark.parametrize('name', BOUNDED)
+def test_other_targets_serve_what_one_answers_without_end(name):
+    # Guards against LOST: a box that stands still answers nobody.
+    async def check(deployment):
+        hub = await deployment.start_box()
+        endless, _ = deployment.plain
+        set_endless(endless, name)
+        async with measure_lag() as lag:
+            got = await asyncio.gather(
+                *(site.ask(hub, '/safe/a') for _ in range(REQUESTS))
+            )
+        assert endless.endless_bytes
+        await check_closed(endless, endless.connections)
+        statuses = [answer.status for answer in got]
+        if name == 'client error':
+            # It is the answer, whoever is asked; but not a whole one.
+            assert set(statuses) <= {200, 502}
+        else:
+            assert statuses == [200] * REQUESTS
+        assert lag.seconds < MAX_LAG_S
+
+    site.run(check, plain=2)
+
+
+@pytest.mark.parametrize('name', BOUNDED)
+def test_a_request_that_must_not_be_repeated_is_answered_at_once(name):
+    # Guards against LOST, MIXED and REFUSED.
+    async def check(deployment):
+        hub = await deployment.start_box()
+        (endless,) = deployment.plain
+        set_endless(endless, name)
+        loop = asyncio.get_running_loop()
+        started = loop.time()
+        async with measure_lag() as lag:
+            got = await site.ask(hub, '/unsafe/a')
+        assert loop.time() - started < MAX_OPEN_S
+        assert got.whole
+        assert got.status == (503 if name == 'rejection' else 502)
+        assert 'x-landingspool-response-stamp' not in got.headers
+        assert len(endless.heads) == 1
+        await check_closed(endless, 1)
+        assert lag.seconds < MAX_LAG_S
+
+    site.run(check, plain=1)
