Give up the body of a failure beyond a bound, not its status

Cause: Attempt._take_failure gathered the body with no bound on bytes and until the deadline, and only then looked at the status, which is known from the head.

Evidence, test_endless_answers.py. Before: each of eight tests with a failure fails, the answer to a request that must not be repeated comes after 2.5 to 2.6 s, with 504; with a body that trickles, requests get 504. After: all pass, within 1 s and 8 MB sent by the target; all of 12 requests that may be repeated get 200.

Fix: error_bodies.py reads it up to 256 KiB, and for the time-out of an attempt if the request may be sent again. Beyond that the connection ends, the target counts as failing, LS229 body_given_up is logged, and the request is sent again or answered 502 without the stamp of the target, since a part of a body must not pass for the whole. Each part of a body counts for 64 bytes at least: 256 KiB in chunks of one byte took over a second to parse.

--- a/landingspool/event_kinds.py
+++ b/landingspool/event_kinds.py
@@ -193,6 +193,12 @@
             'INFO',
             'A target sent an answer that belongs to no request.',
         ),
+        Kind(
+            229,
+            'body_given_up',
+            'INFO',
+            'The body of a failure or rejection was too long or too slow.',
+        ),
         Kind(
             300, 'queued', 'DEBUG', 'A request waits in the queue of its pool.'
         ),
--- a/landingspool/gateway/answer_reader.py
+++ b/landingspool/gateway/answer_reader.py
@@ -37,7 +37,7 @@
     def __init__(self, connection):
         self._responses = response_reader.ResponseReader(connection)
         self._is_skipping = False
-        self._skipped_bytes = 0
+        self._skipped = response_reader.BodyCounter(MAX_SURPLUS_BYTES)
         self.surplus = 0
 
     def send(self, method, target, headers, body):
@@ -93,9 +93,11 @@
 
     async def _skip_body(self):
         """Read a surplus answer to its end, and prepare for the next one."""
-        while data := await self.read_data():
-            self._skipped_bytes += len(data)
-            if self._skipped_bytes > MAX_SURPLUS_BYTES:
-                raise AnswerError('too long an answer to another request')
+        try:
+            await response_reader.skip_body(self, self._skipped)
+        except response_reader.ResponseTooLong as error:
+            raise AnswerError(
+                'too long an answer to another request'
+            ) from error
         self._responses.expect_another()
         self._is_skipping = False
--- a/landingspool/gateway/attempt_log.py
+++ b/landingspool/gateway/attempt_log.py
@@ -73,3 +73,22 @@
         status=head.status,
         not_run=head.not_run,
     )
+
+
+def log_given_up(hub, state, answerer, head):
+    """Log that the body of an answer was given up; its status is known.
+
+    Parameters
+    ----------
+    hub
+        The box's parts: `recorder`.
+    answerer : str
+        Name of the target or box that sent it.
+    head : answers.Head
+    """
+    hub.recorder.record(
+        'body_given_up',
+        request=state.call.name,
+        target=answerer,
+        status=head.status,
+    )
--- a/landingspool/gateway/attempts.py
+++ b/landingspool/gateway/attempts.py
@@ -9,15 +9,16 @@
 from landingspool.decisions.gateway import prompts
 from landingspool.decisions.gateway import routes
 from landingspool.decisions.gateway import stream_bindings
+from landingspool.gateway import attempt_heads
 from landingspool.gateway import attempt_log
 from landingspool.gateway import delivery
+from landingspool.gateway import error_bodies
 from landingspool.gateway import forwarded_rows
 from landingspool.gateway import outcomes
 from landingspool.gateway import recalls
 from landingspool.gateway import stream as stream_module
 from landingspool.gateway import upstream as upstream_module
 from landingspool.platform import answers
-from landingspool.platform import egress
 from landingspool import timeouts
 
 # Time-out for the answer's head of a request that may be sent again: a
@@ -222,21 +223,7 @@
         )
 
     def _write_head(self):
-        state, plan = self._state, self._plan
-        tenancy = state.work.tenancy
-        instructions = egress.Instructions(
-            target=plan.entry.target,
-            left_s=state.deadline - self._sent_at,
-            workspace=tenancy.name if tenancy else '',
-            priority=self._get_priority(),
-            version=plan.version,
-            space=plan.space,
-            fetch=plan.transfer.fetch,
-            save=plan.transfer.save,
-            until_ms=plan.transfer.until_ms,
-            after_event=state.last_event_id,
-        )
-        return egress.write_head(state.call, instructions, len(state.body))
+        return attempt_heads.write_head(self._state, self._plan, self._sent_at)
 
     def _get_priority(self):
         return demand.find_priority(self._state.work)
@@ -314,6 +301,12 @@
         timeout_s += self._plan.expected_s * TIMEOUT_RATIO
         return min(left_s, self._recall.limit_timeout(timeout_s))
 
+    def _compute_body_timeout(self, head):
+        """Return the seconds for the body of a failure; None: no limit."""
+        if head.status >= 500 and self._state.may_send_again():
+            return self._compute_timeout()
+        return None
+
     def _is_due(self, head):
         """Return whether an answer belongs to this request; log surplus ones.
 
@@ -366,24 +359,31 @@
         except (TimeoutError, upstream_module.ExchangeError):
             self._exchange.abort()
 
+    def _give_up_body(self, head):
+        answerer = self._get_answerer()
+        attempt_log.log_given_up(self._hub, self._state, answerer, head)
+        self._exchange.abort()
+
     async def _deliver(self, head):
         answer = delivery.Delivery(self._state, self._exchange, self)
         return await answer.forward(head)
 
     async def _take_failure(self, head):
-        body = bytearray()
-        while data := await self._exchange.read_data():
-            body += data
-        self.release()
-        self._record_failure(head)
-        return outcomes.Failed(head, bytes(body))
-
-    def _record_failure(self, head):
+        limit_s = self._compute_body_timeout(head)
+        body = await error_bodies.read_failure(self._exchange, limit_s)
+        if body is None:
+            self._give_up_body(head)
+        else:
+            self.release()
+        self._record_failure(head, body is None)
+        return outcomes.Failed(head, body)
+
+    def _record_failure(self, head, is_cut):
         wait_s = self._hub.timer.measure_running_s(self._sent_at)
         # A target that asks for a back-off lacks free capacity and has said
         # for how long: that is no failure.
         failed = head.status >= 500 and not head.notices.asks_backoff
-        self._view.record_answer(self._plan, wait_s, failed)
+        self._view.record_answer(self._plan, wait_s, failed or is_cut)
 
     def report_lost(self, reason, cause):
         """Count a loss for the target and return the outcome Lost."""
--- a/landingspool/gateway/forwarder.py
+++ b/landingspool/gateway/forwarder.py
@@ -228,7 +228,7 @@
     def _record_loss(self, certain):
         """Leave the accounts of the target to the box that sends to it."""
 
-    def _record_failure(self, head):
+    def _record_failure(self, head, is_cut):
         """Leave the accounts of the target to the box that sends to it."""
 
     def record_received(self):
--- a/landingspool/gateway/outcomes.py
+++ b/landingspool/gateway/outcomes.py
@@ -53,10 +53,13 @@
 
 @dataclasses.dataclass(frozen=True)
 class Failed:
-    """The target answered with an error; it may have executed the request."""
+    """The target answered with an error; it may have executed the request.
+
+    `body` is None if it was too long or too slow to be read.
+    """
 
     head: answers.Head
-    body: bytes
+    body: bytes | None
 
 
 @dataclasses.dataclass(frozen=True)
--- a/landingspool/gateway/relay.py
+++ b/landingspool/gateway/relay.py
@@ -366,12 +366,15 @@
         )
 
     async def _handle_failed(self, outcome):
-        head = outcome.head
-        if head.status >= 500 and self._state.may_send_again():
+        head, is_cut = outcome.head, outcome.body is None
+        is_repeatable = head.status >= 500 or is_cut
+        if is_repeatable and self._state.may_send_again():
             if self._take_retry_budget():
                 return None
         if self._reply.started:
             return self._refusals.abort_reply('failed')
+        if is_cut:
+            return await self._refusals.give_up('failed')
         return await self._send_failure(head, outcome.body)
 
     async def _send_failure(self, head, body):
--- a/landingspool/response_reader.py
+++ b/landingspool/response_reader.py
@@ -20,6 +20,8 @@
 # six, and chunk extensions and trailers may add to that.
 MAX_FRAMING_RATIO = 16
 MAX_FRAMING_BYTES = 2 * PIECE_BYTES
+# Least bytes that a part of a body counts for, since each takes time to parse.
+MIN_PART_BYTES = 64
 
 
 class ResponseError(Exception):
@@ -210,7 +212,7 @@
     reader
         Anything with ``read_data()``, as ResponseReader has it.
     max_bytes : int
-        Size limit of the body.
+        Size limit of the body; very small parts count for more.
 
     Returns
     -------
@@ -222,13 +224,56 @@
         If the body is longer than `max_bytes`.
     """
     body = bytearray()
+    counter = BodyCounter(max_bytes)
     while data := await reader.read_data():
+        counter.count(data)
         body += data
-        if len(body) > max_bytes:
-            raise ResponseTooLong(f'a body of over {max_bytes} bytes')
     return bytes(body)
 
 
+async def skip_body(reader, counter):
+    """Read a body to its complete end and drop it.
+
+    Parameters
+    ----------
+    reader
+        As of `read_body`.
+    counter : BodyCounter
+
+    Raises
+    ------
+    ResponseTooLong
+        If the body is longer than the counter allows.
+    """
+    while data := await reader.read_data():
+        counter.count(data)
+
+
+class BodyCounter:
+    """Counts what was read of one or more bodies.
+
+    Parameters
+    ----------
+    max_bytes : int
+        Size limit of all of them.
+    """
+
+    def __init__(self, max_bytes):
+        self._max_bytes = max_bytes
+        self._bytes = 0
+
+    def count(self, data):
+        """Count the next part of a body.
+
+        Raises
+        ------
+        ResponseTooLong
+        """
+        self._bytes += max(len(data), MIN_PART_BYTES)
+        if self._bytes > self._max_bytes:
+            raise ResponseTooLong(f'a body of over {self._max_bytes} bytes')
+
+
 def make_codec():
     """Return the codec for one connection."""
     return h11.Connection(h11.CLIENT, MAX_HEAD_BYTES)
--- a/standins/behaviours.py
+++ b/standins/behaviours.py
@@ -54,6 +54,8 @@
 # An event that does not end is made of so many parts of so many bytes.
 ENDLESS_PARTS = 40
 ENDLESS_BYTES = 64 * 1024
+# Seconds between the parts of an answer that is sent slowly.
+SLOW_PART_S = 0.05
 # Seconds for which a request that ends its target is run.
 FATAL_S = 0.05
 # Seconds for which a target that is sound falls silent.
@@ -333,6 +335,25 @@
         await writer.drain()
 
 
+def register_slow(name, is_run, start, part):
+    """Register an answer of which a part is repeated slowly, without end."""
+
+    async def answer(runner, head, body, reader, writer):
+        if is_run:
+            runner.run(head, body)
+        writer.write(start.format(id=write_id(head).decode()).encode())
+        try:
+            while True:
+                writer.write(part.encode())
+                await writer.drain()
+                await asyncio.sleep(SLOW_PART_S)
+        except ConnectionError:
+            runner.cancelled += 1
+        return True
+
+    behaviour(f'{name} slowly')(answer)
+
+
 def register_without_end(name, is_run, start, part):
     """Register an answer of which a part is repeated without end."""
     parts = part.encode() * (ENDLESS_BYTES // len(part))
@@ -356,6 +377,7 @@
 
 for row in ENDLESS.items():
     register_without_end(row[0], *row[1])
+    register_slow(row[0], *row[1])
 
 
 @behaviour('fatal')
--- a/tests/gateway/test_endless_answers.py
+++ b/tests/gateway/test_endless_answers.py
@@ -57,16 +57,7 @@
     assert target.endless_bytes / count < MAX_SENT_BYTES
 
 
-ANSWERS = frozenset(
-    (
-        'success',
-        'failure',
-        'failure in chunks',
-        'unframed failure',
-        'client error',
-        'rejection',
-    )
-)
+ANSWERS = frozenset(('success', 'rejection'))
 BOUNDED = [name for name in behaviours.ENDLESS if name not in ANSWERS]
 
 
@@ -84,11 +75,7 @@
         assert endless.endless_bytes
         await check_closed(endless, endless.connections)
         statuses = [answer.status for answer in got]
-        if name == 'client error':
-            # It is the answer, whoever is asked; but not a whole one.
-            assert set(statuses) <= {200, 502}
-        else:
-            assert statuses == [200] * REQUESTS
+        assert statuses == [200] * REQUESTS
         assert lag.seconds < MAX_LAG_S
 
     site.run(check, plain=2)
@@ -114,3 +101,31 @@
         assert lag.seconds < MAX_LAG_S
 
     site.run(check, plain=1)
+
+
+def test_a_slow_body_of_a_failure_is_given_up_and_logged():
+    # Guards against a request that waits for a body which changes nothing.
+    async def check(deployment):
+        hub = await deployment.start_box()
+        for target in deployment.plain:
+            target.usual = 'whole'
+        deployment.plain[0].usual = 'failure slowly'
+        names = [f'slow{n}' for n in range(REQUESTS)]
+        loop = asyncio.get_running_loop()
+        started = loop.time()
+        got = await asyncio.gather(
+            *(site.ask(hub, '/safe/a', name=name) for name in names)
+        )
+        assert [answer.status for answer in got] == [200] * REQUESTS
+        # The time-out of the route is 0.8 s, with the expected latency.
+        assert loop.time() - started < 1.5
+        lines = [
+            event
+            for name in names
+            for event in hub.recorder.select(request=name)
+            if event.name == 'body_given_up'
+        ]
+        assert len(lines) == len(deployment.plain[0].ran)
+        assert {line.fields['status'] for line in lines} == {500}
+
+    site.run(check, plain=2)
--- a/tests/test_response_reader.py
+++ b/tests/test_response_reader.py
@@ -148,6 +148,17 @@
     asyncio.run(check())
 
 
+def test_a_body_of_very_small_parts_is_given_up_earlier():
+    # Each part takes as much time as a longer one.
+    async def check():
+        connection = Endless(CHUNKED, b'1\r\nx\r\n')
+        with pytest.raises(response_reader.ResponseTooLong):
+            await read_all(open_reader(connection), 100_000)
+        assert connection.read_bytes < 600_000
+
+    asyncio.run(check())
+
+
 def test_a_body_of_the_limit_is_read():
     data = UNFRAMED + b'x' * 100_000
     body = asyncio.run(read_all(open_reader(Fixed(data)), 100_000))
