Take bytes for an answer only with the head that is due

What callers saw: a request that may be repeated stayed with a target that trickles interim heads, header rows, junk or the answer to another request, until its deadline, and was answered 504 though another target accepts it.

Cause: Replacements asks whether the silent target has answered meanwhile, and Exchange.has_answer was true for any byte on the connection.

Evidence, test_endless_answers.py, 12 requests and a target of two that trickles. A caller who leaves during either check leaves no attempt and no connection behind.

Fix: Exchange.has_answered parses what has arrived and asks whether it holds the head that is due; a head found by it is returned by the next read. An exchange that has failed still counts as answered, so that its end is recorded with its own cause.

--- a/landingspool/gateway/attempts.py
+++ b/landingspool/gateway/attempts.py
@@ -274,7 +274,7 @@
     async def prepare_replacement(self):
         """Return whether another target takes over from a silent one."""
         return await self._replacements.prepare(
-            self._plan, lambda: self._exchange.has_answer
+            self._plan, lambda: self._exchange.has_answered(self._is_due)
         )
 
     def _report_timeout(self):
--- a/landingspool/gateway/replacements.py
+++ b/landingspool/gateway/replacements.py
@@ -37,7 +37,8 @@
         plan : plans.Plan
             The plan of the present attempt.
         has_answer : callable
-            Returns whether its target has answered in the meantime.
+            Coroutine function that returns whether its target has answered
+            in the meantime.
 
         Returns
         -------
@@ -61,8 +62,7 @@
         attempt = attempts.Attempt(
             self._hub, self._state, replacement, now, self, exchange
         )
-        if has_answer() or not attempt.is_current() or not self._take_repeat():
-            exchange.cancel()
+        if not await self._check_needed(attempt, exchange, has_answer):
             return False
         if await self._begin(attempt, has_answer):
             self._prepared = attempt
@@ -101,10 +101,29 @@
     async def _begin(self, attempt, has_answer):
         """Return whether a target accepts the request before the other."""
         outcome = await attempt.begin()
-        if outcome is None and has_answer():
-            attempt.stop()
+        if outcome is not None:
             return False
-        return outcome is None
+        is_needed = False
+        try:
+            is_needed = not await has_answer()
+        finally:
+            if not is_needed:
+                attempt.stop()
+        return is_needed
+
+    async def _check_needed(self, attempt, exchange, has_answer):
+        """Return whether to begin an attempt; end its exchange otherwise."""
+        is_needed = False
+        try:
+            is_needed = (
+                not await has_answer()
+                and attempt.is_current()
+                and self._take_repeat()
+            )
+        finally:
+            if not is_needed:
+                exchange.cancel()
+        return is_needed
 
     def _turn_to_peers(self, now):
         if self._state.origin is not None:
--- a/landingspool/gateway/upstream.py
+++ b/landingspool/gateway/upstream.py
@@ -45,6 +45,8 @@
 # deadlines, since a sound target may fall silent for some time.  The probes
 # still find a peer that has restarted, which resets the connection.
 BUSY_KEEPALIVE_PROBES = 127
+# Seconds to parse bytes that have arrived.
+POLL_S = 0.005
 # Idle connections per target and box; a box has about ten concurrent requests
 # at a target.
 MAX_IDLE_CONNECTIONS = 24
@@ -311,6 +313,8 @@
     async def read_head(self, is_due):
         """Read the head of the answer, past those to other requests.
 
+        It is read once, and then returned again.
+
         Parameters
         ----------
         is_due : callable
@@ -324,6 +328,8 @@
         ------
         ExchangeError
         """
+        if self._head is not None:
+            return self._head
         head = await self._read(self._reader.read_head(is_due))
         # If the answer came before all of the request was sent, the rest of
         # the body is still due: the connection can't be used again.
@@ -362,10 +368,30 @@
             self._address, self.connection, idle_s, self._max_idle
         )
 
-    @property
-    def has_answer(self):
-        """Whether bytes of the answer have arrived that were not read."""
-        return not self.connection.is_idle
+    async def has_answered(self, is_due):
+        """Return whether more of the answer has arrived since the last read.
+
+        Bytes are an answer only with the complete head of the one that is
+        due.  An exchange that has failed counts as answered, too: the next
+        read tells why.
+
+        Parameters
+        ----------
+        is_due : callable
+            As in AnswerReader.read_head.
+        """
+        if self.connection.is_idle:
+            return False
+        if self._head is not None:
+            return True
+        try:
+            async with timeouts.Timeout(POLL_S):
+                await self.read_head(is_due)
+        except TimeoutError:
+            return False
+        except ExchangeError:
+            return True
+        return True
 
     def cancel(self):
         """Return the connection of an exchange that has sent nothing."""
--- a/tests/gateway/test_endless_answers.py
+++ b/tests/gateway/test_endless_answers.py
@@ -6,6 +6,7 @@
 
 import pytest
 
+from landingspool.gateway import upstream
 from standins import behaviours
 from tests.gateway import site
 
@@ -143,3 +144,57 @@
             assert hub.view.get_health(entry.name).failures >= failures
 
     site.run(check, plain=1)
+
+
+@pytest.mark.parametrize(
+    'name', ['interim heads', 'head', 'header rows', 'junk', 'other answer']
+)
+def test_bytes_that_are_no_answer_keep_no_request(name):
+    # Guards against LOST: any byte counted as an answer.
+    async def check(deployment):
+        hub = await deployment.start_box()
+        trickling, other = deployment.plain
+        trickling.usual = f'{name} slowly'
+        other.usual = 'slow'
+        got = await asyncio.gather(
+            *(site.ask(hub, '/safe/a') for _ in range(REQUESTS))
+        )
+        assert trickling.ran
+        assert [answer.status for answer in got] == [200] * REQUESTS
+
+    site.run(check, plain=2)
+
+
+@pytest.mark.parametrize('checks', [1, 2])
+def test_caller_who_leaves_during_a_check_leaves_nothing_behind(
+    monkeypatch, checks
+):
+    # Guards against a replacement that nobody ends.
+    async def check(deployment):
+        hub = await deployment.start_box()
+        for target in deployment.plain:
+            target.usual = 'silent'
+        calls = []
+        reached = asyncio.Event()
+        has_answered = upstream.Exchange.has_answered
+
+        async def check_late(self, is_due):
+            calls.append(self)
+            if len(calls) == checks:
+                reached.set()
+                await asyncio.sleep(0.3)
+            return await has_answered(self, is_due)
+
+        monkeypatch.setattr(upstream.Exchange, 'has_answered', check_late)
+        work = asyncio.ensure_future(site.ask(hub, '/safe/a'))
+        await reached.wait()
+        work.cancel()
+        await site.wait_until(
+            lambda: sum(t.cancelled for t in deployment.plain) == checks, 0.5
+        )
+        assert sum(len(t.ran) for t in deployment.plain) == checks
+        assert not hub.view.loads.list_targets()
+        assert not hub.view.crashes.bars._under_way
+        assert not hub.listener.count_busy()
+
+    site.run(check, plain=2)
