--- /dev/null
+++ b/tests/gateway/test_endless_answers.py
@@ -0,0 +1,200 @@
+"""What a target sends without end costs one connection, no request and no
+box."""
+
+import asyncio
+import contextlib
+
+import pytest
+
+from landingspool.gateway import upstream
+from standins import behaviours
+from tests.gateway import site
+
+# Bytes that a connection may take before it is given up: those that are read,
+# and those that buffers of the system hold.
+MAX_SENT_BYTES = 8 * 1024 * 1024
+# Seconds for which nothing else may run, and until a connection is closed.
+MAX_LAG_S = 0.3
+MAX_OPEN_S = 1.0
+TICK_S = 0.01
+REQUESTS = 12
+
+
+class Lag:
+    """Longest time for which other tasks did not run, seconds."""
+
+    def __init__(self):
+        self.seconds = 0.0
+
+    async def measure(self):
+        """Measure until cancelled."""
+        loop = asyncio.get_running_loop()
+        while True:
+            before = loop.time()
+            await asyncio.sleep(TICK_S)
+            lag_s = loop.time() - before - TICK_S
+            self.seconds = max(self.seconds, lag_s)
+
+
+@contextlib.asynccontextmanager
+async def measure_lag():
+    """Yield the Lag of the event loop."""
+    lag = Lag()
+    task = asyncio.ensure_future(lag.measure())
+    try:
+        yield lag
+    finally:
+        task.cancel()
+
+
+def set_endless(target, name):
+    """Have a target answer every request without end."""
+    target.usual = f'{name} without end'
+
+
+async def check_closed(target, count):
+    """Check that connections were closed in time and within bytes."""
+    await site.wait_until(lambda: target.cancelled >= count, MAX_OPEN_S)
+    assert target.endless_bytes / count < MAX_SENT_BYTES
+
+
+BOUNDED = [name for name in behaviours.ENDLESS if name != 'success']
+
+
+@pytest.mark.parametrize('name', BOUNDED)
+def test_other_targets_serve_what_one_answers_without_end(name):
+    # Guards against LOST: a box that stands still answers nobody.
+    async def check(deployment):
+        hub = await deployment.start_box()
+        endless, _ = deployment.plain
+        set_endless(endless, name)
+        async with measure_lag() as lag:
+            got = await asyncio.gather(
+                *(site.ask(hub, '/safe/a') for _ in range(REQUESTS))
+            )
+        assert endless.endless_bytes
+        await check_closed(endless, endless.connections)
+        statuses = [answer.status for answer in got]
+        assert statuses == [200] * REQUESTS
+        assert lag.seconds < MAX_LAG_S
+
+    site.run(check, plain=2)
+
+
+@pytest.mark.parametrize('name', BOUNDED)
+def test_a_request_that_must_not_be_repeated_is_answered_at_once(name):
+    # Guards against LOST, MIXED and REFUSED.
+    async def check(deployment):
+        hub = await deployment.start_box()
+        (endless,) = deployment.plain
+        set_endless(endless, name)
+        loop = asyncio.get_running_loop()
+        started = loop.time()
+        async with measure_lag() as lag:
+            got = await site.ask(hub, '/unsafe/a')
+        assert loop.time() - started < MAX_OPEN_S
+        assert got.whole
+        assert got.status == (503 if name == 'rejection' else 502)
+        assert 'x-landingspool-response-stamp' not in got.headers
+        assert len(endless.heads) == 1
+        await check_closed(endless, 1)
+        assert lag.seconds < MAX_LAG_S
+
+    site.run(check, plain=1)
+
+
+def test_a_slow_body_of_a_failure_is_given_up_and_logged():
+    # Guards against a request that waits for a body which changes nothing.
+    async def check(deployment):
+        hub = await deployment.start_box()
+        for target in deployment.plain:
+            target.usual = 'whole'
+        deployment.plain[0].usual = 'failure slowly'
+        names = [f'slow{n}' for n in range(REQUESTS)]
+        loop = asyncio.get_running_loop()
+        started = loop.time()
+        got = await asyncio.gather(
+            *(site.ask(hub, '/safe/a', name=name) for name in names)
+        )
+        assert [answer.status for answer in got] == [200] * REQUESTS
+        # The time-out of the route is 0.8 s, with the expected latency.
+        assert loop.time() - started < 1.5
+        lines = [
+            event
+            for name in names
+            for event in hub.recorder.select(request=name)
+            if event.name == 'body_given_up'
+        ]
+        assert len(lines) == len(deployment.plain[0].ran)
+        assert {line.fields['status'] for line in lines} == {500}
+
+    site.run(check, plain=2)
+
+
+def test_a_rejection_without_end_counts_for_the_target():
+    # Guards against a target that gets its full share for what it wastes.
+    async def check(deployment):
+        hub = await deployment.start_box()
+        (target,) = deployment.plain
+        set_endless(target, 'rejection')
+        (entry,) = hub.view.fleet.list_service('plain')
+        for failures in (1, 2):
+            got = await site.ask(hub, '/unsafe/a')
+            assert got.status == 503
+            assert hub.view.get_health(entry.name).failures >= failures
+
+    site.run(check, plain=1)
+
+
+@pytest.mark.parametrize(
+    'name', ['interim heads', 'head', 'header rows', 'junk', 'other answer']
+)
+def test_bytes_that_are_no_answer_keep_no_request(name):
+    # Guards against LOST: any byte counted as an answer.
+    async def check(deployment):
+        hub = await deployment.start_box()
+        trickling, other = deployment.plain
+        trickling.usual = f'{name} slowly'
+        other.usual = 'slow'
+        got = await asyncio.gather(
+            *(site.ask(hub, '/safe/a') for _ in range(REQUESTS))
+        )
+        assert trickling.ran
+        assert [answer.status for answer in got] == [200] * REQUESTS
+
+    site.run(check, plain=2)
+
+
+@pytest.mark.parametrize('checks', [1, 2])
+def test_caller_who_leaves_during_a_check_leaves_nothing_behind(
+    monkeypatch, checks
+):
+    # Guards against a replacement that nobody ends.
+    async def check(deployment):
+        hub = await deployment.start_box()
+        for target in deployment.plain:
+            target.usual = 'silent'
+        calls = []
+        reached = asyncio.Event()
+        has_answered = upstream.Exchange.has_answered
+
+        async def check_late(self, is_due):
+            calls.append(self)
+            if len(calls) == checks:
+                reached.set()
+                await asyncio.sleep(0.3)
+            return await has_answered(self, is_due)
+
+        monkeypatch.setattr(upstream.Exchange, 'has_answered', check_late)
+        work = asyncio.ensure_future(site.ask(hub, '/safe/a'))
+        await reached.wait()
+        work.cancel()
+        await site.wait_until(
+            lambda: sum(t.cancelled for t in deployment.plain) == checks, 0.5
+        )
+        assert sum(len(t.ran) for t in deployment.plain) == checks
+        assert not hub.view.loads.list_targets()
+        assert not hub.view.crashes.bars._under_way
+        assert not hub.listener.count_busy()
+
+    site.run(check, plain=2)
