Add a reader of responses with bounds for all readers

Cause: the readers of answers from targets and of answers to control calls each drive the codec themselves, and bound neither the heads before the final one nor what surrounds the data of a body, nor let other tasks run while bytes are buffered.

Change: response_reader.py holds one reader for both, not used so far. It bounds the bytes of all heads together, the number of interim heads and the framing in proportion to the data; it gives the parser pieces and lets other tasks run after a number of steps. read_body reads a body up to a limit.

--- /dev/null
+++ b/landingspool/response_reader.py
@@ -0,0 +1,234 @@
+"""Reads the response to a request from a connection, within bounds.
+
+What a peer sends before the final head of its response, and around the data
+of the body, is bounded in bytes.  A reader lets other tasks run at regular
+intervals, also while bytes wait to be read.
+"""
+
+import asyncio
+
+import h11
+
+# Bytes of all heads of a response, interim ones (1xx) included.
+MAX_HEAD_BYTES = 32 * 1024
+MAX_INTERIM_HEADS = 16
+# Bytes given to the parser at once.
+PIECE_BYTES = 64 * 1024
+# Steps (events parsed, pieces taken) after which other tasks may run.
+STEPS_PER_TURN = 16
+# Bytes on the connection for the data of a body: a chunk of one byte takes
+# six, and chunk extensions and trailers may add to that.
+MAX_FRAMING_RATIO = 16
+MAX_FRAMING_BYTES = 2 * PIECE_BYTES
+
+
+class ResponseError(Exception):
+    """No response can be read from the connection any more."""
+
+
+class ResponseTooLong(ResponseError):
+    """The peer sent more than the bounds allow."""
+
+
+class ResponseReader:
+    """Writes requests to a connection and reads their responses.
+
+    A read that is cancelled can be repeated: nothing is lost by it.
+
+    Parameters
+    ----------
+    connection : connection.Connection
+    """
+
+    def __init__(self, connection):
+        self._connection = connection
+        self._codec = make_codec()
+        self._request = ()
+        self._unread = bytearray()
+        self._steps = 0
+        self._begin_response()
+
+    def send(self, method, target, headers, body):
+        """Send a complete request."""
+        self._request = (
+            h11.Request(method=method, target=target, headers=headers),
+            h11.Data(data=body),
+            h11.EndOfMessage(),
+        )
+        self._connection.write(self._encode_request())
+
+    async def next_event(self):
+        """Return the next event of the response, past interim heads.
+
+        Returns
+        -------
+        h11.Response, h11.Data, h11.EndOfMessage or h11.ConnectionClosed
+
+        Raises
+        ------
+        ResponseError
+            ResponseTooLong if the response exceeds a bound.
+        OSError
+            If the connection was reset.
+        h11.ProtocolError
+        """
+        while True:
+            await self._give_turn()
+            event = self._codec.next_event()
+            if event is h11.NEED_DATA:
+                await self._feed()
+            elif event is h11.PAUSED:
+                raise ResponseError('bytes after the end of the response')
+            elif isinstance(event, h11.InformationalResponse):
+                self._count_interim()
+            else:
+                self._count(event)
+                return event
+
+    async def read_head(self):
+        """Read the final head.
+
+        Returns
+        -------
+        h11.Response
+
+        Raises
+        ------
+        ResponseError, OSError, h11.ProtocolError
+            As in `next_event`.
+        """
+        event = await self.next_event()
+        if not isinstance(event, h11.Response):
+            raise ResponseError('closed before an answer')
+        return event
+
+    async def read_data(self):
+        """Return the next bytes of the body; b'' at its complete end.
+
+        Raises
+        ------
+        ResponseError, OSError, h11.ProtocolError
+            As in `next_event`.
+        """
+        event = await self.next_event()
+        if isinstance(event, h11.Data):
+            return bytes(event.data)
+        if isinstance(event, h11.EndOfMessage):
+            return b''
+        raise ResponseError('the answer was cut off')
+
+    def expect_another(self):
+        """Prepare for another response to the same request.
+
+        The one before must have been read to its end.
+        """
+        trailing, _ = self._codec.trailing_data
+        self._unread[:0] = trailing
+        self._codec = make_codec()
+        # How a response is framed depends on its request.
+        self._encode_request()
+        self._begin_response()
+
+    def start_next_cycle(self):
+        """Prepare for another request.
+
+        Raises
+        ------
+        h11.LocalProtocolError
+            If the connection can't be used again.
+        """
+        self._codec.start_next_cycle()
+        self._begin_response()
+
+    @property
+    def is_complete(self):
+        """Whether a whole response was read, after which others may follow."""
+        codec = self._codec
+        return codec.our_state is h11.DONE and codec.their_state is h11.DONE
+
+    @property
+    def has_unread(self):
+        """Whether bytes were received that belong to no event so far."""
+        return bool(self._unread or self._codec.trailing_data[0])
+
+    def _begin_response(self):
+        self._has_head = False
+        self._interim_heads = 0
+        self._fed_bytes = 0
+        self._data_bytes = 0
+
+    def _encode_request(self):
+        return b''.join(map(self._codec.send, self._request))
+
+    async def _give_turn(self):
+        self._steps += 1
+        if self._steps >= STEPS_PER_TURN:
+            self._steps = 0
+            await asyncio.sleep(0)
+
+    async def _feed(self):
+        """Give the parser the next piece."""
+        size = min(self._compute_budget(), PIECE_BYTES)
+        if size <= 0:
+            raise ResponseTooLong(self._describe_excess())
+        if not self._unread:
+            self._unread += await self._connection.read()
+        piece = bytes(self._unread[:size])
+        del self._unread[:size]
+        self._fed_bytes += len(piece)
+        # An empty piece is the end of the file.
+        self._codec.receive_data(piece)
+
+    def _compute_budget(self):
+        """Return how many bytes more the response may take by now."""
+        allowed = MAX_HEAD_BYTES
+        if self._has_head:
+            allowed += MAX_FRAMING_BYTES + self._data_bytes * MAX_FRAMING_RATIO
+        return allowed - self._fed_bytes
+
+    def _describe_excess(self):
+        part = 'framing' if self._has_head else 'head'
+        return f'too long a {part} of an answer'
+
+    def _count_interim(self):
+        self._interim_heads += 1
+        if self._interim_heads > MAX_INTERIM_HEADS:
+            raise ResponseTooLong('too many interim answers')
+
+    def _count(self, event):
+        if isinstance(event, h11.Response):
+            self._has_head = True
+        elif isinstance(event, h11.Data):
+            self._data_bytes += len(event.data)
+
+
+async def read_body(reader, max_bytes):
+    """Read a body to its complete end.
+
+    Parameters
+    ----------
+    reader
+        Anything with ``read_data()``, as ResponseReader has it.
+    max_bytes : int
+        Size limit of the body.
+
+    Returns
+    -------
+    bytes
+
+    Raises
+    ------
+    ResponseTooLong
+        If the body is longer than `max_bytes`.
+    """
+    body = bytearray()
+    while data := await reader.read_data():
+        body += data
+        if len(body) > max_bytes:
+            raise ResponseTooLong(f'a body of over {max_bytes} bytes')
+    return bytes(body)
+
+
+def make_codec():
+    """Return the codec for one connection."""
+    return h11.Connection(h11.CLIENT, MAX_HEAD_BYTES)
