Bound the answers to calls in bytes

Cause: httpclient gathered a body without a bound until the time-out of the call, and read all events that were buffered without a turn for other tasks. Such stalls also extend the time-out itself again and again. An interim head counted as the end of the connection.

Change: the client reads through response_reader, and every call names the bound of its answer, which follows from what its answer may hold. Beyond it, or when nothing valid can be read any more, the connection is reset at once and the call ends as any that lost its answer: it may have been done.

--- a/landingspool/command/remote.py
+++ b/landingspool/command/remote.py
@@ -8,6 +8,8 @@
 
 TIMEOUT_S = 15.0
 STATUS_TIMEOUT_S = 2.0
+# Bound of what a box answers, such as all tables.
+MAX_ANSWER_BYTES = 16 * 1024 * 1024
 
 
 class RemoteError(Exception):
@@ -76,6 +78,7 @@
             value,
             self._headers,
             timeout=seconds or TIMEOUT_S,
+            max_bytes=MAX_ANSWER_BYTES,
         )
         try:
             decoded = reply.json()
--- a/landingspool/gateway/boxcalls.py
+++ b/landingspool/gateway/boxcalls.py
@@ -10,6 +10,9 @@
 from landingspool import http
 
 CONTENT_TYPE = 'application/cbor'
+# Bound of an answer: the entries of 10,000 targets of 500 bytes with the
+# table, or the changes of all stores.
+MAX_ANSWER_BYTES = 8 * 1024 * 1024
 
 
 class NoAnswer(Exception):
@@ -35,7 +38,16 @@
         raise
 
 
-async def fetch(client, address, kind, call, body=None, *, timeout):
+async def fetch(
+    client,
+    address,
+    kind,
+    call,
+    body=None,
+    *,
+    timeout,
+    max_bytes=MAX_ANSWER_BYTES,
+):
     """Ask another box and return its answer as `kind`.
 
     Parameters
@@ -46,13 +58,19 @@
         The type to which msgspec converts the answer.
     call : tuple of str
         Method and path.
+    timeout : float
+        Seconds until the answer has to be complete.
+    max_bytes : int, optional
+        Size limit of the answer.
 
     Raises
     ------
     NoAnswer
     """
     try:
-        reply = await client.fetch(address, *call, body, timeout=timeout)
+        reply = await client.fetch(
+            address, *call, body, timeout=timeout, max_bytes=max_bytes
+        )
         return msgspec.convert(cbor2.loads(reply.body), kind)
     except (
         http.Unreachable,
--- a/landingspool/gateway/continuity.py
+++ b/landingspool/gateway/continuity.py
@@ -31,6 +31,8 @@
 # Seconds in which owners answer: several trips between failure domains, and a
 # new connection.
 ASK_TIMEOUT_S = 0.15
+# Bound of what an owner answers: the services and software of one route.
+REPLY_MAX_BYTES = 256 * 1024
 
 
 class Untold(typing.NamedTuple):
@@ -189,6 +191,7 @@
                 ('POST', STREAMS_PATH),
                 body,
                 timeout=ASK_TIMEOUT_S,
+                max_bytes=REPLY_MAX_BYTES,
             )
         except boxcalls.NoAnswer as error:
             self._hub.recorder.record(
--- a/landingspool/httpclient.py
+++ b/landingspool/httpclient.py
@@ -7,6 +7,9 @@
 which call they belong.  So a connection on which bytes wait to be read is not
 used again, and a call that must not take the answer of another one asks for a
 connection of its own (`fresh`).
+
+The owner of a call bounds its answer in bytes.  A connection whose answer is
+too long is reset at once.
 """
 
 import asyncio
@@ -18,17 +21,21 @@
 
 from landingspool import connection as connection_module
 from landingspool import http
+from landingspool import response_reader
 from landingspool import timeouts
 
 IDLE_CONNECTIONS = 16
 CONNECT_TIMEOUT_S = 1.0
+# Bound of an answer whose call names none.
+MAX_ANSWER_BYTES = 1024 * 1024
+READ_ERRORS = (OSError, h11.ProtocolError, response_reader.ResponseError)
 
 
 class Stream(typing.NamedTuple):
-    """A connection, and the state of the protocol on it."""
+    """A connection, and the reader of the answers on it."""
 
     connection: connection_module.Connection
-    codec: h11.Connection
+    reader: response_reader.ResponseReader
 
 
 class Client:
@@ -46,6 +53,7 @@
         headers=(),
         timeout=5.0,
         fresh=False,
+        max_bytes=MAX_ANSWER_BYTES,
     ):
         """Send one request and read the complete answer.
 
@@ -60,6 +68,8 @@
             Seconds until the answer has to be complete.
         fresh : bool, optional
             Whether to use a new connection.
+        max_bytes : int, optional
+            Size limit of the body of the answer.
 
         Returns
         -------
@@ -68,11 +78,12 @@
         Raises
         ------
         http.Unreachable
-            If no complete answer arrived within `timeout` seconds.
+            If no complete answer arrived within `timeout` seconds, or the
+            answer is too long.
         """
         call = self.open(address)
         task = asyncio.ensure_future(
-            call.fetch_response(method, path, value, headers, fresh)
+            call.fetch_response(method, path, value, headers, fresh, max_bytes)
         )
         try:
             await timeouts.wait_with_timeout(task, timeout)
@@ -103,9 +114,7 @@
 
         Bytes that are unread now belong to no call.
         """
-        is_clean = (
-            stream.connection.is_idle and not stream.codec.trailing_data[0]
-        )
+        is_clean = stream.connection.is_idle and not stream.reader.has_unread
         if is_clean and len(self._idle[address]) < IDLE_CONNECTIONS:
             self._idle[address].append(stream)
         else:
@@ -173,8 +182,8 @@
             raise http.Unreachable(
                 f'connect: {error}', False, refused
             ) from error
-        codec = h11.Connection(h11.CLIENT, http.MAX_HEADER_BYTES)
-        self._stream = Stream(connection, codec)
+        reader = response_reader.ResponseReader(connection)
+        self._stream = Stream(connection, reader)
 
     async def send(self, method, path, value=None, headers=(), host=''):
         """Send the request and read the head of the answer.
@@ -188,46 +197,69 @@
             ('host', host or f'{self._address.host}:{self._address.port}'),
             ('content-length', str(len(body))),
         ]
-        connection, codec = self._stream
-        head = h11.Request(
-            method=method, target=path, headers=[*framing, *headers]
-        )
+        connection, reader = self._stream
         self.sent = True
         try:
-            data = codec.send(head) + codec.send(h11.Data(data=body))
-            connection.write(data + codec.send(h11.EndOfMessage()))
+            reader.send(method, path, [*framing, *headers], body)
             await connection.drain()
-            event = await self._next()
-        except (OSError, h11.ProtocolError) as error:
-            raise http.Unreachable(str(error), True) from error
-        if not isinstance(event, h11.Response):
-            raise http.Unreachable('the connection was closed', True)
-        self.status = event.status_code
-        self.headers = combine_headers(event.headers)
-
-    async def fetch_response(self, method, path, value, headers, fresh=False):
+            head = await reader.read_head()
+        except READ_ERRORS as error:
+            raise self._fail(error) from error
+        self.status = head.status_code
+        self.headers = combine_headers(head.headers)
+
+    async def fetch_response(
+        self,
+        method,
+        path,
+        value,
+        headers,
+        fresh=False,
+        max_bytes=MAX_ANSWER_BYTES,
+    ):
         """Send the request and return the complete Response."""
         if fresh:
             await self.connect(fresh=True)
         await self.send(method, path, value, headers)
-        body = bytearray()
-        async for data in self.read():
-            body += data
-        return http.Response(self.status, self.headers, bytes(body))
+        body = await self.read_body(max_bytes)
+        return http.Response(self.status, self.headers, body)
+
+    async def read_body(self, max_bytes):
+        """Return the complete body.
+
+        Parameters
+        ----------
+        max_bytes : int
+            Size limit of the body.
+
+        Raises
+        ------
+        http.Unreachable
+            If it is incomplete or too long.
+        """
+        reader = self._stream.reader
+        try:
+            body = await response_reader.read_body(reader, max_bytes)
+        except READ_ERRORS as error:
+            raise self._fail(error) from error
+        self._release()
+        return body
 
     async def read(self):
-        """Yield the body in parts; raises Unreachable if it is incomplete."""
+        """Yield the body in parts; raises Unreachable if it is incomplete.
+
+        Its length is not bounded.
+        """
+        reader = self._stream.reader
         while True:
             try:
-                event = await self._next()
-            except (OSError, h11.ProtocolError) as error:
-                raise http.Unreachable(str(error), True) from error
-            if isinstance(event, h11.EndOfMessage):
+                data = await reader.read_data()
+            except READ_ERRORS as error:
+                raise self._fail(error) from error
+            if not data:
                 self._release()
                 return
-            if not isinstance(event, h11.Data):
-                raise http.Unreachable('the answer was cut off', True)
-            yield bytes(event.data)
+            yield data
 
     async def read_events(self):
         """Yield the data of server-sent events as text."""
@@ -244,22 +276,22 @@
             self._stream.connection.close()
             self._stream = None
 
+    def _fail(self, error):
+        """Reset the connection; return the error for the caller."""
+        stream, self._stream = self._stream, None
+        if stream is not None:
+            stream.connection.reset()
+        return http.Unreachable(str(error), True)
+
     def _release(self):
         stream, self._stream = self._stream, None
-        connection, codec = stream
-        if codec.our_state is h11.DONE and codec.their_state is h11.DONE:
-            codec.start_next_cycle()
+        if stream is None:
+            return
+        if stream.reader.is_complete:
+            stream.reader.start_next_cycle()
             self._client.release(self._address, stream)
         else:
-            connection.close()
-
-    async def _next(self):
-        connection, codec = self._stream
-        while True:
-            event = codec.next_event()
-            if event is not h11.NEED_DATA:
-                return event
-            codec.receive_data(await connection.read())
+            stream.connection.close()
 
 
 def encode_body(value):
--- a/landingspool/ledger/live.py
+++ b/landingspool/ledger/live.py
@@ -10,6 +10,8 @@
 from landingspool.ledger import outcomes
 
 TIMEOUT_S = 2.0
+# Bound of the list: 10,000 members of 400 bytes.
+MAX_BYTES = 4 * 1024 * 1024
 
 
 class Row(msgspec.Struct):
@@ -55,7 +57,11 @@
         """
         try:
             reply = await self._client.fetch(
-                self._address, 'GET', '/live', timeout=TIMEOUT_S
+                self._address,
+                'GET',
+                '/live',
+                timeout=TIMEOUT_S,
+                max_bytes=MAX_BYTES,
             )
             listing = msgspec.json.decode(reply.body, type=Listing)
         except http.Unreachable as error:
--- a/landingspool/ledger/log.py
+++ b/landingspool/ledger/log.py
@@ -8,6 +8,10 @@
 APPEND_TIMEOUT_S = 1.0
 READ_TIMEOUT_S = 2.0
 PAGE_RECORDS = 500
+# Bound of a page: a snapshot of the table, and edits of 16 KiB, in base64.
+PAGE_MAX_BYTES = 16 * 1024 * 1024
+# Bound of the answer to an append, which is an offset.
+APPEND_MAX_BYTES = 64 * 1024
 DECODE_ERRORS = (ValueError, KeyError, TypeError)
 
 
@@ -39,6 +43,7 @@
                 '/append',
                 value,
                 timeout=APPEND_TIMEOUT_S,
+                max_bytes=APPEND_MAX_BYTES,
             )
             if reply.status == 200:
                 return outcomes.Appended(int(reply.json()['offset']))
@@ -62,7 +67,11 @@
         path = f'/read?stream={stream}&after={after}&most={PAGE_RECORDS}'
         try:
             reply = await self._client.fetch(
-                self._address, 'GET', path, timeout=READ_TIMEOUT_S
+                self._address,
+                'GET',
+                path,
+                timeout=READ_TIMEOUT_S,
+                max_bytes=PAGE_MAX_BYTES,
             )
             if reply.status != 200:
                 return outcomes.Unavailable(f'status {reply.status}')
--- a/landingspool/platform/runners.py
+++ b/landingspool/platform/runners.py
@@ -21,6 +21,13 @@
 ANSWER_S = 1.0
 # The same for an order: if its answer is late, reports tell of the load.
 ORDER_ANSWER_S = 0.5
+# Bound of a report, which lists the models of a target.
+REPORT_MAX_BYTES = 256 * 1024
+# The same for an order or a free, of which only the status is used.
+CONFIRMATION_MAX_BYTES = 64 * 1024
+# The same for the cached parts of a target or a store: 100,000 rows of 80
+# bytes.
+CACHE_MAX_BYTES = 8 * 1024 * 1024
 
 
 @dataclasses.dataclass(frozen=True)
@@ -90,7 +97,9 @@
 
     async def report(self, address):
         """Fetch the state of a target; a Report or Unanswered."""
-        reply = await self._call(address, 'GET', names.REPORT_PATH)
+        reply = await self._call(
+            address, 'GET', names.REPORT_PATH, max_bytes=REPORT_MAX_BYTES
+        )
         if isinstance(reply, Unanswered):
             return reply
         try:
@@ -155,13 +164,20 @@
         headers = [(names.WAIT, str(int(hold_s * 1000)))]
         path = f'{names.EVENTS_PATH}?since={since}'
         reply = await self._call(
-            address, 'GET', path, b'', headers, hold_s + ANSWER_S
+            address,
+            'GET',
+            path,
+            headers=headers,
+            timeout=hold_s + ANSWER_S,
+            max_bytes=CACHE_MAX_BYTES,
         )
         return read_cache_update(reply, read_event, 'events')
 
     async def read_list(self, address):
         """Read the list of cached parts; a CacheUpdate or Unanswered."""
-        reply = await self._call(address, 'GET', names.LIST_PATH)
+        reply = await self._call(
+            address, 'GET', names.LIST_PATH, max_bytes=CACHE_MAX_BYTES
+        )
         return read_cache_update(reply, read_listed, 'held')
 
     async def free(self, address, epoch, parts, until_ms):
@@ -194,11 +210,19 @@
         headers=(),
         timeout=ANSWER_S,
         fresh=False,
+        max_bytes=CONFIRMATION_MAX_BYTES,
     ):
         called = self._observer.begin_call(address)
         try:
             reply = await self._client.fetch(
-                address, method, path, body, headers, timeout, fresh
+                address,
+                method,
+                path,
+                body,
+                headers,
+                timeout,
+                fresh,
+                max_bytes,
             )
         except http.Unreachable as error:
             return Unanswered(str(error), error.sent, error.refused)
--- a/landingspool/platform/store.py
+++ b/landingspool/platform/store.py
@@ -23,6 +23,14 @@
 LOG_BOUNDS = struct.Struct('>QQ')
 PARTITION = '0'
 MAX_KB = '1024'
+# Bound of the answer to a read: MAX_KB, one record of 256 KiB beyond it, and
+# the bounds of the log.
+READ_MAX_BYTES = 2 * 1024 * 1024
+# The same for a page of newest records: 1 MB or a record beyond it in base64,
+# and 500 keys of 255 bytes.
+NEWEST_MAX_BYTES = 4 * 1024 * 1024
+# The same for an append, which is answered by two offsets.
+APPEND_MAX_BYTES = 64 * 1024
 
 
 @dataclasses.dataclass(frozen=True)
@@ -118,7 +126,12 @@
         }
         sent = self._clock()
         reply = await self._call(
-            'GET', names.READ_PATH, query, b'', hold_s + ANSWER_S
+            'GET',
+            names.READ_PATH,
+            query,
+            b'',
+            hold_s + ANSWER_S,
+            READ_MAX_BYTES,
         )
         if isinstance(reply, Unavailable):
             return reply
@@ -154,7 +167,12 @@
             if after is not None:
                 query['after'] = after
             reply = await self._call(
-                'GET', names.NEWEST_PATH, query, b'', ANSWER_S
+                'GET',
+                names.NEWEST_PATH,
+                query,
+                b'',
+                ANSWER_S,
+                NEWEST_MAX_BYTES,
             )
             if isinstance(reply, Unavailable):
                 return reply
@@ -190,7 +208,12 @@
         sent = self._clock()
         body = pack_record(key, value)
         reply = await self._call(
-            'POST', names.APPEND_PATH, query, body, ANSWER_S
+            'POST',
+            names.APPEND_PATH,
+            query,
+            body,
+            ANSWER_S,
+            APPEND_MAX_BYTES,
         )
         if isinstance(reply, Unavailable):
             return reply
@@ -205,12 +228,17 @@
             done = reply.status == 200
             return Unavailable(f'append: {error!r}', done)
 
-    async def _call(self, method, path, query, body, timeout):
+    async def _call(self, method, path, query, body, timeout, max_bytes):
         self.calls[f'{path.rsplit("-", 1)[-1]} {query["topic"]}'] += 1
         target = f'{path}?{parse.urlencode(query)}'
         try:
             return await self._client.fetch(
-                self._address, method, target, body, timeout=timeout
+                self._address,
+                method,
+                target,
+                body,
+                timeout=timeout,
+                max_bytes=max_bytes,
             )
         except http.Unreachable as error:
             return Unavailable(str(error), error.sent)
--- a/landingspool/stores/client.py
+++ b/landingspool/stores/client.py
@@ -9,6 +9,10 @@
 from landingspool import http
 
 TIMEOUT_S = 2.0
+# Bound of a listing: 50,000 writes of 300 bytes.
+LISTING_MAX_BYTES = 16 * 1024 * 1024
+# The same for a free, of which only the status is used.
+CONFIRMATION_MAX_BYTES = 64 * 1024
 
 
 class Meta(msgspec.Struct):
@@ -68,7 +72,13 @@
     """
     address = http.Address(member.host, member.port)
     try:
-        reply = await client.fetch(address, 'GET', '/list', timeout=TIMEOUT_S)
+        reply = await client.fetch(
+            address,
+            'GET',
+            '/list',
+            timeout=TIMEOUT_S,
+            max_bytes=LISTING_MAX_BYTES,
+        )
         listing = msgspec.json.decode(reply.body, type=Listing)
     except (http.Unreachable, msgspec.DecodeError, msgspec.ValidationError):
         return None
@@ -97,7 +107,12 @@
     address = http.Address(member.host, member.port)
     try:
         reply = await client.fetch(
-            address, 'POST', '/free', {'write': write}, timeout=TIMEOUT_S
+            address,
+            'POST',
+            '/free',
+            {'write': write},
+            timeout=TIMEOUT_S,
+            max_bytes=CONFIRMATION_MAX_BYTES,
         )
     except http.Unreachable:
         return False
@@ -113,7 +128,13 @@
         0 if the store is unreachable.
     """
     try:
-        reply = await client.fetch(address, 'GET', '/list', timeout=TIMEOUT_S)
+        reply = await client.fetch(
+            address,
+            'GET',
+            '/list',
+            timeout=TIMEOUT_S,
+            max_bytes=LISTING_MAX_BYTES,
+        )
     except http.Unreachable:
         return 0
     return int(reply.json()['link_bytes'])
--- a/landingspool/targets/client.py
+++ b/landingspool/targets/client.py
@@ -24,6 +24,10 @@
 # Status with which a target says that the store has no such block.
 NO_BLOCK = 404
 IDLE_TIMEOUT_S = 4.0
+# Bound of an answer with a fixed number of fields, such as a refusal.
+FIELDS_MAX_BYTES = 64 * 1024
+# Bound of a page of cache events: 100,000 rows of 80 bytes.
+EVENTS_MAX_BYTES = 8 * 1024 * 1024
 
 
 @dataclasses.dataclass(frozen=True)
@@ -189,7 +193,7 @@
                 await self._call.send('POST', path, value)
                 if self._call.status == 200:
                     return None
-                body = b''.join([data async for data in self._call.read()])
+                body = await self._call.read_body(FIELDS_MAX_BYTES)
         except TimeoutError:
             return Interrupted('stalled', silent=True)
         except http.Unreachable as error:
@@ -245,7 +249,11 @@
     address = http.Address(member.host, member.port)
     try:
         reply = await client.fetch(
-            address, 'GET', '/load', timeout=LOAD_TIMEOUT_S
+            address,
+            'GET',
+            '/load',
+            timeout=LOAD_TIMEOUT_S,
+            max_bytes=FIELDS_MAX_BYTES,
         )
         load = msgspec.json.decode(reply.body, type=LoadReport)
     except (http.Unreachable, msgspec.DecodeError, msgspec.ValidationError):
@@ -259,7 +267,11 @@
     path = f'/events?after={after}'
     try:
         reply = await client.fetch(
-            address, 'GET', path, timeout=LOAD_TIMEOUT_S
+            address,
+            'GET',
+            path,
+            timeout=LOAD_TIMEOUT_S,
+            max_bytes=EVENTS_MAX_BYTES,
         )
         if reply.status != 200:
             return None
@@ -305,7 +317,12 @@
     """Cancel a request; a target that does not respond is ignored."""
     try:
         await client.fetch(
-            address, 'POST', '/cancel', {'request': request}, timeout=1.0
+            address,
+            'POST',
+            '/cancel',
+            {'request': request},
+            timeout=1.0,
+            max_bytes=FIELDS_MAX_BYTES,
         )
     except http.Unreachable:
         pass
@@ -339,7 +356,12 @@
     }
     try:
         reply = await client.fetch(
-            address, 'POST', '/kv/import', value, timeout=IMPORT_TIMEOUT_S
+            address,
+            'POST',
+            '/kv/import',
+            value,
+            timeout=IMPORT_TIMEOUT_S,
+            max_bytes=FIELDS_MAX_BYTES,
         )
         if reply.status == NO_BLOCK:
             return None
@@ -368,7 +390,12 @@
     }
     try:
         reply = await client.fetch(
-            address, 'POST', '/kv/export', value, timeout=EXPORT_TIMEOUT_S
+            address,
+            'POST',
+            '/kv/export',
+            value,
+            timeout=EXPORT_TIMEOUT_S,
+            max_bytes=FIELDS_MAX_BYTES,
         )
         if reply.status != 200:
             return None
