Bound the events of a stream of the own interface

What callers saw: a target of the own interface whose stream holds one event that never ends takes the box away for seconds, and its request stays until the time-out for silence.

Cause: read_events kept whatever came until an event was complete, copied and searched all of it again with each part, and gave no other task a turn between events that were buffered.

Change: an event is bounded at 1 MiB, only new bytes are searched, and other tasks run after 16 events.

--- a/landingspool/httpclient.py
+++ b/landingspool/httpclient.py
@@ -28,6 +28,10 @@
 CONNECT_TIMEOUT_S = 1.0
 # Bound of an answer whose call names none.
 MAX_ANSWER_BYTES = 1024 * 1024
+# Bound of one server-sent event, and the events after which other tasks run.
+MAX_EVENT_BYTES = 1024 * 1024
+EVENTS_PER_TURN = 16
+EVENT_END = b'\n\n'
 READ_ERRORS = (OSError, h11.ProtocolError, response_reader.ResponseError)
 
 
@@ -262,13 +266,28 @@
             yield data
 
     async def read_events(self):
-        """Yield the data of server-sent events as text."""
-        buffer = b''
+        """Yield the data of server-sent events as text.
+
+        Raises
+        ------
+        http.Unreachable
+            If the stream is incomplete or an event is too long.
+        """
+        buffer = bytearray()
         async for data in self.read():
+            searched = max(len(buffer) - len(EVENT_END) + 1, 0)
             buffer += data
-            while b'\n\n' in buffer:
-                event, buffer = buffer.split(b'\n\n', 1)
+            events = 0
+            while (end := buffer.find(EVENT_END, searched)) >= 0:
+                event = bytes(buffer[:end])
+                del buffer[: end + len(EVENT_END)]
+                searched = 0
                 yield event.removeprefix(b'data: ').decode()
+                events += 1
+                if events % EVENTS_PER_TURN == 0:
+                    await asyncio.sleep(0)
+            if len(buffer) > MAX_EVENT_BYTES:
+                raise self._fail(f'an event of over {MAX_EVENT_BYTES} bytes')
 
     def close(self):
         """Close the connection, whatever its state."""
@@ -276,12 +295,12 @@
             self._stream.connection.close()
             self._stream = None
 
-    def _fail(self, error):
+    def _fail(self, reason):
         """Reset the connection; return the error for the caller."""
         stream, self._stream = self._stream, None
         if stream is not None:
             stream.connection.reset()
-        return http.Unreachable(str(error), True)
+        return http.Unreachable(str(reason), True)
 
     def _release(self):
         stream, self._stream = self._stream, None
--- a/tests/test_endless_calls.py
+++ b/tests/test_endless_calls.py
@@ -370,3 +370,40 @@
     assert peer.closed_at is not None
     assert peer.sent < max_bytes + endless.IN_FLIGHT_BYTES
     assert turn_s < MAX_TURN_S
+
+
+async def read_stream(client, address):
+    """Return all events of a stream of a target."""
+    job = targets_client.Job('r', '', 'p', 1, 0, 'v', ())
+    stream = targets_client.Stream(client, address, TIMEOUT_S)
+    assert await stream.start(job) is None
+    return [event async for event in stream.read()]
+
+
+@pytest.mark.parametrize('kind', ['body without a length', 'large chunks'])
+def test_an_event_without_end_ends_its_stream(kind):
+    events, peer, turn_s = call_endless(kind, read_stream)
+    [end] = events
+    assert isinstance(end, targets_client.Interrupted)
+    assert not end.silent
+    assert peer.closed_at is not None
+    assert peer.sent < httpclient.MAX_EVENT_BYTES + endless.IN_FLIGHT_BYTES
+    assert turn_s < MAX_TURN_S
+
+
+def test_other_tasks_run_while_events_wait():
+    token = b'data: {"index": 0, "text": "a"}\n\n'
+    seen = []
+
+    async def read(client, address):
+        call = client.open(address)
+        await call.send('GET', '/')
+        async for event in call.read_events():
+            seen.append(event)
+            if len(seen) == 100_000:
+                call.close()
+                return
+
+    _, _, turn_s = call_endless('events', read)
+    assert seen[-1] == token[len(b'data: ') :].decode().rstrip()
+    assert turn_s < 0.02
