End a stream of the own interface whose event is no text

What callers saw: where a target of the own interface sends bytes that are no UTF-8, the request ends with an internal error of the box, which says nothing of the target and leaves its connection open.

Cause: read_events let the decoding error through, and no reader of a stream expects it.

Evidence: Stream.read raised UnicodeDecodeError for b'data: \xff', so that the new test failed; now it yields Interrupted as for any broken stream, and the connection is reset.

--- a/landingspool/httpclient.py
+++ b/landingspool/httpclient.py
@@ -271,7 +271,7 @@
         Raises
         ------
         http.Unreachable
-            If the stream is incomplete or an event is too long.
+            If the stream is incomplete, or an event is too long or no text.
         """
         buffer = bytearray()
         async for data in self.read():
@@ -282,7 +282,7 @@
                 event = bytes(buffer[:end])
                 del buffer[: end + len(EVENT_END)]
                 searched = 0
-                yield event.removeprefix(b'data: ').decode()
+                yield self._decode(event.removeprefix(b'data: '))
                 events += 1
                 if events % EVENTS_PER_TURN == 0:
                     await asyncio.sleep(0)
@@ -295,6 +295,12 @@
             self._stream.connection.close()
             self._stream = None
 
+    def _decode(self, event):
+        try:
+            return event.decode()
+        except UnicodeDecodeError as error:
+            raise self._fail(error) from error
+
     def _fail(self, reason):
         """Reset the connection; return the error for the caller."""
         stream, self._stream = self._stream, None
--- a/tests/endless.py
+++ b/tests/endless.py
@@ -29,6 +29,7 @@
     'body with a length': (OK + b'content-length: %d\r\n\r\n' % 10**15, b'a'),
     'body without a length': (OK + b'\r\n', b'a'),
     'body of a failure': (b'HTTP/1.1 500 Failed\r\n\r\n', b'a'),
+    'events that are no text': (OK + b'\r\n', b'data: \xff\n\n'),
     'events': (OK + b'\r\n', b'data: {"index": 0, "text": "a"}\n\n'),
     'large chunks': (CHUNKED, b'4000\r\n%b\r\n' % (b'a' * 0x4000)),
     'small chunks': (CHUNKED, b'1\r\na\r\n'),
--- a/tests/test_endless_calls.py
+++ b/tests/test_endless_calls.py
@@ -391,6 +391,13 @@
     assert turn_s < MAX_TURN_S
 
 
+def test_an_event_that_is_no_text_ends_its_stream():
+    result, peer, _ = call_endless('events that are no text', read_stream)
+    [end] = result
+    assert isinstance(end, targets_client.Interrupted)
+    assert peer.closed_at is not None
+
+
 def test_other_tasks_run_while_events_wait():
     token = b'data: {"index": 0, "text": "a"}\n\n'
     seen = []
