Let other tasks run while a request of many parts is read

What callers saw: one caller that sends chunks of one byte, or requests one after another without waiting, stops all other work of the process for half a second at a time, and its request outlasts the time limit for bodies.

Cause: the two readers of requests took all that was buffered, up to 512 KiB, event by event without a turn for other tasks; each such stall also extended the time-out. Extensions of chunks and the size lines counted for nothing.

Change: framing.Meter gives a turn after 16 events and bounds the framing by the data that it carries; a reader takes 64 KiB at once, and a caller's next request begins with a turn.

--- a/landingspool/connection.py
+++ b/landingspool/connection.py
@@ -92,9 +92,11 @@
         """Return the socket, for its options."""
         return self._transport.get_extra_info('socket')
 
-    async def read(self):
+    async def read(self, max_bytes=None):
         """Return the bytes received, at least one; b'' at the end of file.
 
+        With `max_bytes` no more than these are returned; the others stay.
+
         Raises
         ------
         ConnectionError
@@ -104,7 +106,7 @@
             self._readable.clear()
             await self._readable.wait()
         if self._buffer:
-            return self._take_buffer()
+            return self._take_buffer(max_bytes)
         if isinstance(self._error, TimeoutError):
             raise PeerSilent(str(self._error))
         if self._error is not None:
@@ -141,10 +143,11 @@
             )
         self._transport.abort()
 
-    def _take_buffer(self):
-        data = bytes(self._buffer)
-        self._buffer.clear()
-        if not self._transport.is_closing():
+    def _take_buffer(self, max_bytes):
+        data = bytes(self._buffer[:max_bytes])
+        del self._buffer[: len(data)]
+        is_full = len(self._buffer) > MAX_UNREAD_BYTES
+        if not is_full and not self._transport.is_closing():
             self._transport.resume_reading()
         return data
 
--- a/landingspool/gateway/heads.py
+++ b/landingspool/gateway/heads.py
@@ -12,6 +12,7 @@
 
 import h11
 
+from landingspool import framing
 from landingspool import http
 from landingspool import timeouts
 
@@ -19,6 +20,8 @@
 # A line feed without a carriage return, or the reverse.
 BARE_LINE_END = re.compile(rb'(?<!\r)\n|\r(?!\n)')
 FOLDED_LINE = re.compile(rb'\r\n[ \t]')
+# Bytes taken from the connection at once.
+PIECE_BYTES = 64 * 1024
 DIGITS = re.compile(rb'[0-9]{1,18}')
 CONTENT_LENGTHS = re.compile(rb'\r\ncontent-length[ \t]*:([^\r\n]*)', re.I)
 TRANSFER_CODINGS = re.compile(rb'\r\ntransfer-encoding[ \t]*:([^\r\n]*)', re.I)
@@ -45,7 +48,7 @@
     """
     received = bytearray()
     while True:
-        data = await connection.read()
+        data = await connection.read(PIECE_BYTES)
         if not data:
             if received.strip():
                 raise http.BadRequest(400, 'the head was cut off')
@@ -123,9 +126,10 @@
     Raises
     ------
     http.BadRequest
-        With 413 for a body of more than `max_bytes` bytes.
+        With 413 for a body of more than `max_bytes` bytes, 400 for one that
+        can't be read or has too much framing.
     """
-    body = bytearray()
+    body, meter = bytearray(), framing.Meter()
     if codec.they_are_waiting_for_100_continue:
         connection.write(
             codec.send(h11.InformationalResponse(status_code=100, headers=[]))
@@ -133,10 +137,13 @@
     while True:
         try:
             event = codec.next_event()
-        except h11.RemoteProtocolError as error:
+            await meter.count_event(event)
+        except (h11.RemoteProtocolError, framing.FramingTooLong) as error:
             raise http.BadRequest(400, str(error)) from error
         if event is h11.NEED_DATA:
-            codec.receive_data(await connection.read())
+            data = await connection.read(PIECE_BYTES)
+            meter.count_received(data)
+            codec.receive_data(data)
         elif isinstance(event, h11.Data):
             body += event.data
             if len(body) > max_bytes:
@@ -198,6 +205,8 @@
     ------
     http.BadRequest
     """
+    # A caller may send requests without waiting for the answers.
+    await asyncio.sleep(0)
     try:
         async with timeouts.Timeout(limits.header_s):
             data = await read_head(connection, limits.header_bytes)
--- a/landingspool/http.py
+++ b/landingspool/http.py
@@ -11,6 +11,7 @@
 
 import h11
 
+from landingspool import framing
 from landingspool import timeouts
 
 MAX_HEADER_BYTES = 16 * 1024
@@ -234,11 +235,12 @@
 
     async def _serve_connection(self, task, reader, writer):
         conn = h11.Connection(h11.SERVER, MAX_HEADER_BYTES)
+        meter = framing.Meter()
         while True:
             exchange = Exchange(conn, reader, writer)
             self._idle.add(task)
             try:
-                request = await self._read_request(task, conn, reader)
+                request = await self._read_request(task, conn, reader, meter)
                 if request is None:
                     return
                 await self._handle(request, exchange)
@@ -252,15 +254,18 @@
                 return
             conn.start_next_cycle()
 
-    async def _read_request(self, task, conn, reader):
-        head = await read_event(conn, reader, IDLE_TIMEOUT_S, self._idle, task)
+    async def _read_request(self, task, conn, reader, meter):
+        meter.start_request()
+        head = await read_event(
+            conn, reader, meter, IDLE_TIMEOUT_S, self._idle, task
+        )
         if not isinstance(head, h11.Request):
             return None
         body = bytearray()
         deadline = asyncio.get_running_loop().time() + BODY_TIMEOUT_S
         while True:
             remaining_s = deadline - asyncio.get_running_loop().time()
-            event = await read_event(conn, reader, remaining_s)
+            event = await read_event(conn, reader, meter, remaining_s)
             if isinstance(event, h11.EndOfMessage):
                 break
             if not isinstance(event, h11.Data):
@@ -291,13 +296,15 @@
         exchange.abort()
 
 
-async def read_event(conn, reader, timeout, idle=None, task=None):
+async def read_event(conn, reader, meter, timeout, idle=None, task=None):
     """Read the next h11 event.
 
     Parameters
     ----------
     conn : h11.Connection
     reader : asyncio.StreamReader
+    meter : framing.Meter
+        Of the connection.
     timeout : float
         Time limit in seconds.
     idle : set, optional
@@ -315,15 +322,18 @@
     ------
     BadRequest
         With status 408 at a time-out within a request, with 400 or 431 if
-        the data is not valid HTTP.
+        the data is not valid HTTP or has too much framing.
     """
     loop = asyncio.get_running_loop()
     deadline = loop.time() + timeout
     while True:
         try:
             event = conn.next_event()
+            await meter.count_event(event)
         except h11.RemoteProtocolError as error:
             raise BadRequest(error.error_status_hint, str(error)) from error
+        except framing.FramingTooLong as error:
+            raise BadRequest(400, str(error)) from error
         if event is not h11.NEED_DATA:
             if idle is not None:
                 idle.discard(task)
@@ -340,4 +350,6 @@
         if data and idle is not None and task in idle:
             idle.discard(task)
             deadline = min(deadline, loop.time() + HEADER_TIMEOUT_S)
+            deadline = min(deadline, loop.time() + HEADER_TIMEOUT_S)
+        meter.count_received(data)
         conn.receive_data(data)
--- a/tests/test_endless_calls.py
+++ b/tests/test_endless_calls.py
@@ -29,29 +29,10 @@
 from tests import endless
 
 TIMEOUT_S = 2.0
-# Processor time of this thread between two turns of another task, seconds.
-MAX_TURN_S = 0.1
 # Small chunks take longer to read than the time-out.
 IN_TIME = ('small chunks',)
 
 
-async def watch_turns(turns):
-    """Note how long this thread worked between the turns of this task."""
-    before = time.thread_time()
-    while True:
-        await asyncio.sleep(0)
-        now = time.thread_time()
-        turns.append(now - before)
-        before = now
-
-
-async def wait_closed(peer):
-    """Wait until the connection to a peer is closed, or for a second."""
-    deadline = time.monotonic() + 1.0
-    while peer.closed_at is None and time.monotonic() < deadline:
-        await asyncio.sleep(0.01)
-
-
 def call_endless(kind, call):
     """Run ``call(client, address)`` against an EndlessPeer.
 
@@ -66,14 +47,14 @@
         peer = endless.EndlessPeer(*endless.KINDS[kind])
         client = httpclient.Client()
         turns = []
-        watching = asyncio.ensure_future(watch_turns(turns))
+        watching = asyncio.ensure_future(endless.watch_turns(turns))
         try:
             result = await call(client, peer.address)
         except Exception as error:
             result = error
         finally:
             watching.cancel()
-        await wait_closed(peer)
+        await endless.wait_closed(peer)
         client.close()
         peer.close()
         return result, peer, max(turns)
@@ -96,7 +77,7 @@
     else:
         assert 'no answer in time' not in str(error)
     assert peer.sent < httpclient.MAX_ANSWER_BYTES + endless.IN_FLIGHT_BYTES
-    assert turn_s < MAX_TURN_S
+    assert turn_s < endless.MAX_TURN_S
 
 
 def test_interim_heads_before_an_answer_are_passed_over():
@@ -369,7 +350,7 @@
     assert 'in time' not in str(result)
     assert peer.closed_at is not None
     assert peer.sent < max_bytes + endless.IN_FLIGHT_BYTES
-    assert turn_s < MAX_TURN_S
+    assert turn_s < endless.MAX_TURN_S
 
 
 async def read_stream(client, address):
@@ -388,7 +369,7 @@
     assert not end.silent
     assert peer.closed_at is not None
     assert peer.sent < httpclient.MAX_EVENT_BYTES + endless.IN_FLIGHT_BYTES
-    assert turn_s < MAX_TURN_S
+    assert turn_s < endless.MAX_TURN_S
 
 
 def test_an_event_that_is_no_text_ends_its_stream():
