Bound what a caller sends while its request is served

What callers saw: a caller of the own interface that keeps sending requests while its first one is served makes the process grow by hundreds of MB.

Cause: wait_gone, which notices that a caller has left, gave whatever arrived to the parser, that keeps it for the next requests, without a bound.

A caller that sends 100 requests and leaves is noticed as before.

Change: beyond 256 KiB nothing more is read until the request is answered, so that the caller has to wait; a reset or a failed write still ends the wait.

--- a/landingspool/http.py
+++ b/landingspool/http.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import contextlib
 import json
 import typing
 from urllib import parse
@@ -17,6 +18,8 @@
 MAX_HEADER_BYTES = 16 * 1024
 MAX_BODY_BYTES = 8 * 1024 * 1024
 READ_BYTES = 64 * 1024
+# Bytes of next requests that are read while a request is served.
+MAX_EARLY_BYTES = 256 * 1024
 HEADER_TIMEOUT_S = 10.0
 BODY_TIMEOUT_S = 20.0
 IDLE_TIMEOUT_S = 60.0
@@ -165,12 +168,20 @@
         self._writer.transport.abort()
 
     async def wait_gone(self):
-        """Wait until the peer has closed its side."""
-        while not self._reader.at_eof():
+        """Wait until the peer has closed its side.
+
+        What it sends in the meantime is kept for the next request, up to
+        MAX_EARLY_BYTES; from then on only a reset is noticed.
+        """
+        early_bytes = 0
+        while early_bytes < MAX_EARLY_BYTES:
             data = await self._reader.read(READ_BYTES)
             if not data:
                 return
+            early_bytes += len(data)
             self._conn.receive_data(data)
+        with contextlib.suppress(OSError):
+            await self._writer.wait_closed()
 
     def _write(self, event):
         self.started = True
--- a/tests/test_endless_requests.py
+++ b/tests/test_endless_requests.py
@@ -116,3 +116,41 @@
     closed_s, _, _ = receive_endless('small chunks', CallerReader, 6.0)
     assert closed_s is not None
     assert closed_s < TIMEOUT_S + 2.0
+
+
+def test_what_comes_during_a_request_is_bounded():
+    async def run():
+        async def handle(request, exchange):
+            await exchange.wait_gone()
+
+        server = http.Server(handle)
+        address = await server.start('127.0.0.1', 0)
+        caller = endless.EndlessCaller(address, *endless.REQUESTS['requests'])
+        await endless.wait_closed(caller, TIMEOUT_S)
+        sent = caller.sent
+        await server.close()
+        caller.close()
+        return sent
+
+    sent = asyncio.run(run())
+    assert sent < http.MAX_EARLY_BYTES + endless.IN_FLIGHT_BYTES
+
+
+def test_a_caller_that_sends_early_and_is_gone_is_noticed():
+    async def run():
+        gone = asyncio.Event()
+
+        async def handle(request, exchange):
+            await exchange.wait_gone()
+            gone.set()
+
+        server = http.Server(handle)
+        address = await server.start('127.0.0.1', 0)
+        _, writer = await asyncio.open_connection(*address)
+        writer.write(b'GET / HTTP/1.1\r\nHost: h\r\n\r\n' * 100)
+        writer.close()
+        async with asyncio.timeout(2.0):
+            await gone.wait()
+        await server.close()
+
+    asyncio.run(run())
