Leave a link whose peer says no hello in time

What callers saw: whoever connects to the links of a box without its secret can keep it busy for 10 s a connection, or for good with pings, each of which is answered into a buffer that nobody reads.

Cause: before the peer has proved its secret it may send 16 frames of 4 MiB; after a refusal the closing handshake reads on, for 10 s by default. A frame that is no CBOR raised an error that nobody expected and no line told of.

Change: a link is aborted instead of closed where its handshake fails, with a line that says so; 2 s bound the opening and the closing, four frames may wait, and a box that connects takes frames of 16 KiB at most.

--- a/landingspool/boxes/link.py
+++ b/landingspool/boxes/link.py
@@ -23,10 +23,22 @@
 from landingspool import timeouts
 
 MAX_FRAME_BYTES = 4 * 1024 * 1024
+# Bound of a frame of the handshake.
+MAX_HELLO_BYTES = 16 * 1024
+# Frames of one link that are received before they are handled.
+MAX_WAITING_FRAMES = 4
 HANDSHAKE_S = 2.0
 IDLE_S = 60.0
 RECONNECT_DELAY_S = 0.25
 MAX_BATCH_MESSAGES = 64
+# What handling a frame raises that is no message of a box.
+BAD_FRAME_ERRORS = (
+    handshake.Refused,
+    cbor2.CBORError,
+    ValueError,
+    TypeError,
+    EOFError,
+)
 
 
 class Identity(typing.NamedTuple):
@@ -75,6 +87,9 @@
             port,
             compression=None,
             max_size=MAX_FRAME_BYTES,
+            max_queue=MAX_WAITING_FRAMES,
+            open_timeout=HANDSHAKE_S,
+            close_timeout=HANDSHAKE_S,
             ping_interval=None,
         )
         return self._server.sockets[0].getsockname()[:2]
@@ -104,7 +119,7 @@
             await self._connect(outbound)
         except (OSError, TimeoutError, websockets.WebSocketException):
             pass
-        except handshake.Refused as error:
+        except BAD_FRAME_ERRORS as error:
             self._recorder.record(
                 'link_refused', peer=outbound.box, reason=str(error)
             )
@@ -123,14 +138,21 @@
         async with ws_client.connect(
             uri,
             compression=None,
-            max_size=MAX_FRAME_BYTES,
+            # The peer sends nothing but its part of the handshake.
+            max_size=MAX_HELLO_BYTES,
+            max_queue=MAX_WAITING_FRAMES,
             open_timeout=HANDSHAKE_S,
             ping_interval=None,
             close_timeout=HANDSHAKE_S,
             proxy=None,
         ) as socket:
-            async with timeouts.Timeout(HANDSHAKE_S):
-                await self._authenticate_to_peer(socket)
+            try:
+                async with timeouts.Timeout(HANDSHAKE_S):
+                    await self._authenticate_to_peer(socket)
+            except (TimeoutError, *BAD_FRAME_ERRORS):
+                # A closing handshake would read on.
+                socket.transport.abort()
+                raise
             while not outbound.stopped:
                 batch = await outbound.take()
                 if not batch:
@@ -151,13 +173,18 @@
                 peer = await self._authenticate_peer(socket)
             async for frame in socket:
                 self._receive(peer, frame)
-        except (TimeoutError, websockets.WebSocketException):
+        except websockets.WebSocketException:
             pass
-        except (handshake.Refused, ValueError, EOFError) as error:
-            name = peer.box if peer else '-'
-            reason = str(error)
-            self._recorder.record('link_refused', peer=name, reason=reason)
-            await socket.close(1008, 'refused')
+        except TimeoutError:
+            self._refuse(socket, peer, 'no hello in time')
+        except BAD_FRAME_ERRORS as error:
+            self._refuse(socket, peer, str(error))
+
+    def _refuse(self, socket, peer, reason):
+        """Abort a link; a closing handshake would read on."""
+        name = peer.box if peer else '-'
+        self._recorder.record('link_refused', peer=name, reason=reason)
+        socket.transport.abort()
 
     async def _authenticate_peer(self, socket):
         nonce = secrets.token_bytes(16)
--- a/tests/endless.py
+++ b/tests/endless.py
@@ -87,12 +87,15 @@
             socket.SOL_SOCKET, socket.SO_SNDBUF, SEND_BUFFER_BYTES
         )
         with connection, contextlib.suppress(OSError):
-            connection.recv(BLOCK_BYTES)
+            self._read_request(connection)
             self.sent += connection.send(self._start) if self._start else 0
             while True:
                 self.sent += self._send_block(connection)
         self.closed_at = time.monotonic()
 
+    def _read_request(self, connection):
+        connection.recv(BLOCK_BYTES)
+
     def _send_block(self, connection):
         connection.sendall(self._block)
         return len(self._block)
