--- a/landingspool/http.py
+++ b/landingspool/http.py
@@ -5,17 +5,21 @@
 """
 
 import asyncio
+import contextlib
 import json
 import typing
 from urllib import parse
 
 import h11
 
+from landingspool import framing
 from landingspool import timeouts
 
 MAX_HEADER_BYTES = 16 * 1024
 MAX_BODY_BYTES = 8 * 1024 * 1024
 READ_BYTES = 64 * 1024
+# Bytes of next requests that are read while a request is served.
+MAX_EARLY_BYTES = 256 * 1024
 HEADER_TIMEOUT_S = 10.0
 BODY_TIMEOUT_S = 20.0
 IDLE_TIMEOUT_S = 60.0
@@ -164,12 +168,20 @@
         self._writer.transport.abort()
 
     async def wait_gone(self):
-        """Wait until the peer has closed its side."""
-        while not self._reader.at_eof():
+        """Wait until the peer has closed its side.
+
+        What it sends in the meantime is kept for the next request, up to
+        MAX_EARLY_BYTES; from then on only a reset is noticed.
+        """
+        early_bytes = 0
+        while early_bytes < MAX_EARLY_BYTES:
             data = await self._reader.read(READ_BYTES)
             if not data:
                 return
+            early_bytes += len(data)
             self._conn.receive_data(data)
+        with contextlib.suppress(OSError):
+            await self._writer.wait_closed()
 
     def _write(self, event):
         self.started = True
@@ -234,11 +246,12 @@
 
     async def _serve_connection(self, task, reader, writer):
         conn = h11.Connection(h11.SERVER, MAX_HEADER_BYTES)
+        meter = framing.Meter()
         while True:
             exchange = Exchange(conn, reader, writer)
             self._idle.add(task)
             try:
-                request = await self._read_request(task, conn, reader)
+                request = await self._read_request(task, conn, reader, meter)
                 if request is None:
                     return
                 await self._handle(request, exchange)
@@ -252,15 +265,18 @@
                 return
             conn.start_next_cycle()
 
-    async def _read_request(self, task, conn, reader):
-        head = await read_event(conn, reader, IDLE_TIMEOUT_S, self._idle, task)
+    async def _read_request(self, task, conn, reader, meter):
+        meter.start_request()
+        head = await read_event(
+            conn, reader, meter, IDLE_TIMEOUT_S, self._idle, task
+        )
         if not isinstance(head, h11.Request):
             return None
         body = bytearray()
         deadline = asyncio.get_running_loop().time() + BODY_TIMEOUT_S
         while True:
             remaining_s = deadline - asyncio.get_running_loop().time()
-            event = await read_event(conn, reader, remaining_s)
+            event = await read_event(conn, reader, meter, remaining_s)
             if isinstance(event, h11.EndOfMessage):
                 break
             if not isinstance(event, h11.Data):
@@ -291,13 +307,15 @@
         exchange.abort()
 
 
-async def read_event(conn, reader, timeout, idle=None, task=None):
+async def read_event(conn, reader, meter, timeout, idle=None, task=None):
     """Read the next h11 event.
 
     Parameters
     ----------
     conn : h11.Connection
     reader : asyncio.StreamReader
+    meter : framing.Meter
+        Of the connection.
     timeout : float
         Time limit in seconds.
     idle : set, optional
@@ -315,15 +333,18 @@
     ------
     BadRequest
         With status 408 at a time-out within a request, with 400 or 431 if
-        the data is not valid HTTP.
+        the data is not valid HTTP or has too much framing.
     """
     loop = asyncio.get_running_loop()
     deadline = loop.time() + timeout
     while True:
         try:
             event = conn.next_event()
+            await meter.count_event(event)
         except h11.RemoteProtocolError as error:
             raise BadRequest(error.error_status_hint, str(error)) from error
+        except framing.FramingTooLong as error:
+            raise BadRequest(400, str(error)) from error
         if event is not h11.NEED_DATA:
             if idle is not None:
                 idle.discard(task)
@@ -340,4 +361,6 @@
         if data and idle is not None and task in idle:
             idle.discard(task)
             deadline = min(deadline, loop.time() + HEADER_TIMEOUT_S)
+            deadline = min(deadline, loop.time() + HEADER_TIMEOUT_S)
+        meter.count_received(data)
         conn.receive_data(data)
