Try a begun stream again where it was reset at the first refusal

Callers saw a stream end by a reset, without its end, although its target had only been silent.

A resumable stream that has begun now waits for what it lacks, for two seconds without an event at most and never beyond its deadline, and is tried again. Each further send takes a repeat from the retry budget. Once its sends are used up it returns only to targets that rejected it or that it left while they were silent, so that it reaches no more targets than its route allows. Targets that broke off or failed get it no more often than before: those ends stay, as does the quarantine after crashes.

--- a/landingspool/event_kinds.py
+++ b/landingspool/event_kinds.py
@@ -193,6 +193,12 @@
             'INFO',
             'A target sent an answer that belongs to no request.',
         ),
+        Kind(
+            229,
+            'stream_waits',
+            'INFO',
+            'A stream that has begun waits to be tried again.',
+        ),
         Kind(
             300, 'queued', 'DEBUG', 'A request waits in the queue of its pool.'
         ),
--- a/landingspool/gateway/outcomes.py
+++ b/landingspool/gateway/outcomes.py
@@ -28,6 +28,8 @@
 UNANSWERED = frozenset(
     (Cause.DEAD_PATH, Cause.SILENT, Cause.PAUSED, Cause.TIME_OVER)
 )
+# Causes for which a request leaves a target that may be sound.
+LEFT = frozenset((Cause.SILENT, Cause.PAUSED, Cause.OLD_WEIGHTS))
 
 
 @dataclasses.dataclass(frozen=True)
@@ -91,6 +93,26 @@
     status: int
 
 
+def is_sound(outcome):
+    """Return whether a target may be sound in spite of an outcome.
+
+    Returns
+    -------
+    bool or None
+        None if nothing was sent to it.
+
+    >>> is_sound(Lost('paused', Cause.PAUSED))
+    True
+    >>> is_sound(Lost('reset', Cause.CLOSED))
+    False
+    """
+    if isinstance(outcome, Lost):
+        return outcome.cause in LEFT
+    if isinstance(outcome, Unreached):
+        return None
+    return isinstance(outcome, Rejected)
+
+
 def describe(outcome):
     """Return a short text for an outcome, for the log."""
     if isinstance(outcome, Rejected | Failed):
--- a/landingspool/gateway/path_choice.py
+++ b/landingspool/gateway/path_choice.py
@@ -108,6 +108,7 @@
         state.is_unsendable = (
             state.origin is None
             and state.unsent_attempts > 0
+            and state.has_sends_left()
             and self._view.has_available(state.work, now)
             and self.pick_peer(now) is not None
         )
--- a/landingspool/gateway/refusals.py
+++ b/landingspool/gateway/refusals.py
@@ -37,20 +37,30 @@
     state : request_state.RequestState
     origin : forwarded_rows.Origin or None
         Where the request comes from if another box has forwarded it.
+    stream_retries : stream_retries.StreamRetries
     """
 
-    def __init__(self, hub, state, origin):
+    def __init__(self, hub, state, origin, stream_retries):
         self._hub = hub
         self._view = hub.view
         self._state = state
         self._origin = origin
+        self._stream_retries = stream_retries
 
     async def give_up(self, reason, status=502, after=None):
         """Answer what can't be served, as "not executed" only if that holds.
 
-        A reply that has been started is broken off instead.
+        A reply that has been started is broken off instead, unless it is a
+        stream that is to be tried again.
+
+        Returns
+        -------
+        Answer or None
+            None if the request goes on.
         """
         if self._state.reply.started:
+            if await self._stream_retries.wait(reason):
+                return None
             return self.abort_reply(reason)
         if not self._state.may_have_run:
             return await self.refuse(reason, after)
@@ -76,7 +86,9 @@
 
     async def refuse_for_good(self, reason):
         """Answer a request that can't be served later, either."""
-        if self._state.reply.started or self._state.may_have_run:
+        if self._state.reply.started:
+            return self.abort_reply(reason)
+        if self._state.may_have_run:
             return await self.give_up(reason)
         await self._send_error(503, reason)
         return Answer(503, reason, False)
@@ -110,6 +122,8 @@
             crashes=self._view.crashes.count(key, self._hub.clock()),
             left_s=round(left_s, 1),
         )
+        if self._state.reply.started:
+            return self.abort_reply(reason)
         if self._state.sends:
             return await self.give_up(reason)
         return await self.refuse(reason, left_s or None)
--- a/landingspool/gateway/relay.py
+++ b/landingspool/gateway/relay.py
@@ -21,6 +21,7 @@
 from landingspool.gateway import refusals
 from landingspool.gateway import replacements
 from landingspool.gateway import request_state as request_state_module
+from landingspool.gateway import stream_retries
 from landingspool.platform import answers
 from landingspool import timeouts
 
@@ -64,7 +65,10 @@
         self._replacements = replacements.Replacements(
             hub, self._state, self._paths
         )
-        self._refusals = refusals.Refusals(hub, self._state, origin)
+        self._stream_retries = stream_retries.StreamRetries(hub, self._state)
+        self._refusals = refusals.Refusals(
+            hub, self._state, origin, self._stream_retries
+        )
         self._plan = None
 
     async def run(self):
@@ -204,7 +208,10 @@
         """
         state = self._state
         plan = self._view.plan(
-            state.work, state.tried_targets, now, self._paths.list_ready()
+            state.work,
+            self._stream_retries.list_avoided(),
+            now,
+            self._paths.list_ready(),
         )
         self._plan = plan
         if plan is None and self._paths.turn_to_peers(now):
@@ -250,7 +257,9 @@
     async def _finish_attempt(self, work):
         outcome = await work
         if not isinstance(outcome, outcomes.Stale):
-            self._state.tried_targets.append(self._plan.entry.name)
+            self._state.record_tried(
+                self._plan.entry.name, outcomes.is_sound(outcome)
+            )
         answer = await OUTCOME_HANDLERS[type(outcome)](self, outcome)
         if answer is None:
             reason = outcomes.describe(outcome)
@@ -260,7 +269,8 @@
     async def _attempt_elsewhere(self, now):
         """Forward the request to a box; return the Answer if it was one."""
         state = self._state
-        peer = self._paths.pick_peer(now)
+        # Another box may choose any target.
+        peer = self._paths.pick_peer(now) if state.has_sends_left() else None
         if peer is None:
             if state.refusal is not None:
                 return await self._refusals.refuse_as_peer(state.refusal)
@@ -371,7 +381,7 @@
             if self._take_retry_budget():
                 return None
         if self._reply.started:
-            return self._refusals.abort_reply('failed')
+            return await self._refusals.give_up('failed')
         return await self._send_failure(head, outcome.body)
 
     async def _send_failure(self, head, body):
@@ -401,7 +411,7 @@
         )
 
     def _take_retry_budget(self):
-        if self._view.take_repeat(self._state.work.service, self._hub.clock()):
+        if self._state.take_repeat(self._view, self._hub.clock()):
             return True
         self._hub.metrics.budget_refusals.inc()
         return False
--- a/landingspool/gateway/replacements.py
+++ b/landingspool/gateway/replacements.py
@@ -112,9 +112,7 @@
         return self._paths.pick_peer(now) is not None and self._take_repeat()
 
     def _take_repeat(self):
-        self._granted = self._view.take_repeat(
-            self._state.work.service, self._hub.clock()
-        )
+        self._granted = self._state.take_repeat(self._view, self._hub.clock())
         return self._granted
 
     def _may_leave(self, now):
--- a/landingspool/gateway/request_state.py
+++ b/landingspool/gateway/request_state.py
@@ -42,6 +42,10 @@
         Targets of its earlier attempts.
     sends : int
         Attempts that were sent.
+    sound_targets : set of str
+        Targets that rejected it, or that it left while they were silent.
+    repeats : int
+        Repeats taken from the retry budget for it.
     connections : list of connection.Connection
         Those on which it was sent.
     tried_peers : list of str
@@ -93,6 +97,8 @@
         self.needs_permit = False
         self.is_counted = origin is not None and origin.counted
         self.sends = 0
+        self.sound_targets = set()
+        self.repeats = 0
         self.connections = []
         self.unsent_attempts = 0
         self.may_have_run = False
@@ -166,6 +172,41 @@
         self.sends += 1
         self.connections.append(connection)
 
+    def record_tried(self, target, is_sound):
+        """Record that an attempt at a target has ended.
+
+        Parameters
+        ----------
+        target : str
+        is_sound : bool or None
+            Whether the target gave no sign of a fault but silence; None if
+            nothing was sent to it.
+        """
+        self.tried_targets.append(target)
+        if is_sound:
+            self.sound_targets.add(target)
+        elif is_sound is not None:
+            self.sound_targets.discard(target)
+
+    def has_repeat(self):
+        """Return whether the next send is covered by the retry budget."""
+        return self.sends <= self.repeats
+
+    def take_repeat(self, view, now):
+        """Take a repeat of its service; return False if none is left."""
+        if not view.take_repeat(self.work.service, now):
+            return False
+        self.repeats += 1
+        return True
+
+    def begin_round(self):
+        """Forget what the earlier attempts could not reach."""
+        self.tried_peers = []
+        self.refusal = None
+        self.is_unsendable = False
+        self.needs_permit = False
+        self.unsent_attempts = 0
+
     def record_first(self, now):
         """Record the time of the answer's first byte, once."""
         if self.first_byte_s is None:
