Leave a silent target or box only for a box that takes the request

A box that could open no connections, as when all targets that it knows are silent at once, handed a waiting request to another box without asking: the silent target or box was left first. Where the other box then refused (no room, no table, stopping), callers of safe requests got 502 and streams that had begun were reset, although the first target answered 0.5 s later.

The replacement at another box is begun in the same way as one at a target: it is connected to and sent the request while the first attempt is held, for 0.25 s at most, and the first one is given up only if the box has not refused it. A request that leaves a silent box is counted as first seen there, so that the second box doesn't count it once more.

--- a/landingspool/gateway/forwarder.py
+++ b/landingspool/gateway/forwarder.py
@@ -45,30 +45,36 @@
         Time as of which the box was picked, seconds of the clock.
     replacements : replacements.Replacements
         Finds another box if this one is silent.
+    exchange : upstream.Exchange, optional
+        As for attempts.Attempt.
     """
 
-    def __init__(self, hub, state, peer, picked_at, replacements):
-        super().__init__(hub, state, None, picked_at, replacements)
+    def __init__(
+        self, hub, state, peer, picked_at, replacements, exchange=None
+    ):
+        super().__init__(hub, state, None, picked_at, replacements, exchange)
         self._peer = peer
         self._forwarding = hub.view.forwarding
 
     async def run(self):
         """Make the attempt and return one of the outcomes."""
         try:
-            self._exchange = await self._hub.upstream.open(
-                self._peer.forwarding,
-                routes.may_repeat(self._state.work.route),
-                used=self._state.connections,
+            self._exchange = await open_exchange(
+                self._hub, self._state, self._peer
             )
         except upstream.ExchangeError as error:
-            self._record_unable()
             return self._count(outcomes.Unreached(str(error)))
-        if not self._may_send():
+        if not self.is_current():
             self._exchange.abort()
             return self._count(outcomes.Stale())
         return await self._record(self._send_and_receive())
 
-    def _may_send(self):
+    @property
+    def peer(self):
+        """Name of the other box."""
+        return self._peer.name
+
+    def is_current(self):
         now = self._hub.clock()
         return self._hub.timer.ran_since(
             self._planned_at
@@ -138,7 +144,9 @@
         )
 
     async def prepare_replacement(self):
-        return self._replacements.prepare_peer()
+        return await self._replacements.prepare_peer(
+            lambda: self._exchange.has_answer
+        )
 
     def _compute_timeout(self):
         left_s = self._state.get_time_left(self._hub.clock())
@@ -245,6 +253,29 @@
         return outcome
 
 
+async def open_exchange(hub, state, peer):
+    """Open an exchange with a box; a failure is recorded for it.
+
+    Parameters
+    ----------
+    state : request_state.RequestState
+    peer : registry.Peer
+
+    Raises
+    ------
+    upstream.ExchangeError
+    """
+    try:
+        return await hub.upstream.open(
+            peer.forwarding,
+            routes.may_repeat(state.work.route),
+            used=state.connections,
+        )
+    except upstream.ExchangeError:
+        hub.view.forwarding.record_failed(peer.name, hub.clock())
+        raise
+
+
 def estimate_seconds(profile, prompt):
     """Return the seconds to the first byte where nothing is cached.
 
--- a/landingspool/gateway/relay.py
+++ b/landingspool/gateway/relay.py
@@ -177,8 +177,7 @@
         """Make one attempt; return the Answer, or None to go on."""
         begun = self._replacements.take()
         if begun is not None:
-            self._plan = begun.plan
-            return await self._finish_attempt(begun.resume())
+            return await self._resume(begun)
         state, now = self._state, self._hub.clock()
         if state.is_expired(now):
             return await self._refusals.give_up('time_over', 504)
@@ -193,6 +192,13 @@
             return await self._refusals.give_up(forwarder.CUT_OFF)
         return await self._attempt_elsewhere(now)
 
+    async def _resume(self, attempt):
+        """Complete an attempt that was begun as a replacement."""
+        if isinstance(attempt, forwarder.Forward):
+            return await self._finish_forward(attempt, attempt.resume())
+        self._plan = attempt.plan
+        return await self._finish_attempt(attempt.resume())
+
     async def _attempt_directly(self, now):
         """Send the request to a target; return the Answer if it was one."""
         self._register()
@@ -279,17 +285,21 @@
                     exclusions.LIMITED, now
                 )
             return await self._refusals.give_up(forwarder.CUT_OFF)
-        state.tried_peers.append(peer.name)
         forward = forwarder.Forward(
             self._hub, state, peer, now, self._replacements
         )
-        outcome = await forward.run()
+        return await self._finish_forward(forward, forward.run())
+
+    async def _finish_forward(self, forward, work):
+        state = self._state
+        state.tried_peers.append(forward.peer)
+        outcome = await work
         if state.needs_permit and isinstance(outcome, outcomes.Done):
             self._view.permit_search.record_found(state.work.service)
         answer = await FORWARD_HANDLERS[type(outcome)](self, outcome)
         if answer is None:
             reason = outcomes.describe(outcome)
-            self._record('retried', reason=reason, peer=peer.name)
+            self._record('retried', reason=reason, peer=forward.peer)
         return answer
 
     async def _handle_done(self, outcome):
--- a/landingspool/gateway/replacements.py
+++ b/landingspool/gateway/replacements.py
@@ -2,10 +2,12 @@
 
 A target that is silent may be sound, so a request leaves it only for a target
 that takes it: it may be repeated, the retry budget allows it, and the other
-target has not rejected it.  Otherwise the request stays where it is.
+target has not rejected it.  Otherwise the request stays where it is.  The same
+holds for another box that is to reach a target.
 """
 
 from landingspool.gateway import attempts
+from landingspool.gateway import forwarder
 from landingspool.gateway import upstream
 
 
@@ -48,7 +50,7 @@
         if not self._may_leave(now):
             return False
         if not self._paths.may_send_directly(now):
-            return self._turn_to_peers(now)
+            return await self._begin_forward(now, has_answer)
         replacement = self._plan_other(plan, now)
         if replacement is None:
             return False
@@ -61,18 +63,20 @@
         attempt = attempts.Attempt(
             self._hub, self._state, replacement, now, self, exchange
         )
-        if has_answer() or not attempt.is_current() or not self._take_repeat():
-            exchange.cancel()
-            return False
-        if await self._begin(attempt, has_answer):
-            self._prepared = attempt
-            return True
-        self._granted = False
-        self._state.tried_targets.append(replacement.entry.name)
-        return False
+        return await self._hand_over(
+            attempt,
+            exchange,
+            has_answer,
+            (self._state.tried_targets, replacement.entry.name),
+        )
 
-    def prepare_peer(self):
-        """Let a request leave a silent box if another one may serve it.
+    async def prepare_peer(self, has_answer):
+        """Have another box begin to serve a request, if that is possible.
+
+        Parameters
+        ----------
+        has_answer : callable
+            Returns whether the silent box has answered in the meantime.
 
         Returns
         -------
@@ -80,7 +84,11 @@
             Whether the present attempt is to be given up.
         """
         now = self._hub.clock()
-        return self._may_leave(now) and self._turn_to_peers(now)
+        if not self._may_leave(now):
+            return False
+        # The silent box counts it, if it has read it.
+        self._state.is_counted = True
+        return await self._begin_forward(now, has_answer)
 
     def take_grant(self):
         """Return whether a repeat was taken for the next attempt, once."""
@@ -106,10 +114,51 @@
             return False
         return outcome is None
 
-    def _turn_to_peers(self, now):
+    async def _begin_forward(self, now, has_answer):
         if self._state.origin is not None:
             return False
-        return self._paths.pick_peer(now) is not None and self._take_repeat()
+        peer = self._paths.pick_peer(now)
+        if peer is None:
+            return False
+        try:
+            exchange = await forwarder.open_exchange(
+                self._hub, self._state, peer
+            )
+        except upstream.ExchangeError:
+            return False
+        forward = forwarder.Forward(
+            self._hub, self._state, peer, now, self, exchange
+        )
+        return await self._hand_over(
+            forward,
+            exchange,
+            has_answer,
+            (self._state.tried_peers, peer.name),
+        )
+
+    async def _hand_over(self, attempt, exchange, has_answer, tried):
+        """Begin an attempt; return whether the present one is given up.
+
+        Parameters
+        ----------
+        attempt : attempts.Attempt
+        exchange : upstream.Exchange
+            That of the attempt, which has sent nothing yet.
+        has_answer : callable
+            As in `prepare`.
+        tried : tuple of (list of str, str)
+            Where it is recorded that the request was refused, and by whom.
+        """
+        if has_answer() or not attempt.is_current() or not self._take_repeat():
+            exchange.cancel()
+            return False
+        if await self._begin(attempt, has_answer):
+            self._prepared = attempt
+            return True
+        self._granted = False
+        names, name = tried
+        names.append(name)
+        return False
 
     def _take_repeat(self):
         self._granted = self._state.take_repeat(self._view, self._hub.clock())
--- a/tests/gateway/test_begun_streams.py
+++ b/tests/gateway/test_begun_streams.py
@@ -4,9 +4,11 @@
 
 import pytest
 
+from landingspool.gateway import forwarded_rows
 from landingspool.gateway import upstream
 from standins import behaviours
 from tests.gateway import site
+from tests.gateway import test_forwarder
 from tests.gateway import test_relay
 
 # Longer than a replacement may take to be accepted.
@@ -256,3 +258,44 @@
         check_whole(await work)
 
     site.run(check)
+
+
+async def refuse(reader, writer):
+    """Answer as a box that has no room for a request."""
+    writer.write(
+        b'HTTP/1.1 503 X\r\ncontent-length: 0\r\nretry-after: 1.75\r\n'
+        + forwarded_rows.REASON
+        + b': busy\r\n\r\n'
+    )
+
+
+@pytest.mark.parametrize(
+    ('path', 'name'), [('resumed', 'paused stream'), ('safe', 'late')]
+)
+@pytest.mark.parametrize('is_forwarded', [False, True])
+def test_a_silent_target_is_left_for_no_box_that_refuses(
+    path, name, is_forwarded
+):
+    async def check(deployment):
+        if is_forwarded:
+            hub, others = await test_forwarder.start_cut_box(deployment)
+        else:
+            *others, hub = await site.start_boxes(deployment, 2)
+            await hub.peering._registry._read_list()
+        script(deployment, name)
+        test_relay.script(deployment.plain, name)
+        work = asyncio.ensure_future(
+            site.ask(hub, f'/{path}/a', headers=test_relay.PROMPT)
+        )
+        targets = deployment.plain + deployment.engines
+        await site.wait_until(lambda: any(t.ran for t in targets))
+        box = others[-1].deployment.box
+        if not is_forwarded:
+            test_forwarder.cut(deployment, hub, [box])
+        async with test_forwarder.fake_peer(hub, box, refuse):
+            got = await work
+        assert got.status == 200, got.body
+        assert got.whole
+        assert sum(len(t.ran) for t in targets) == 1
+
+    site.run(check)
