--- a/landingspool/event_kinds.py
+++ b/landingspool/event_kinds.py
@@ -199,6 +199,12 @@
             'INFO',
             'The body of a failure or rejection was too long or too slow.',
         ),
+        Kind(
+            230,
+            'stream_waits',
+            'INFO',
+            'A stream that has begun waits to be tried again.',
+        ),
         Kind(
             300, 'queued', 'DEBUG', 'A request waits in the queue of its pool.'
         ),
