Leave a silent target only over a connection that proves a way

What callers saw: beside a change of the configuration a begun stream was reset though its target had only been silent. Cause: it went on at another target over a connection at rest, which that one had forgotten, or which was as silent as the first; 0.25 s without a word counted as acceptance, and the reset came later, with no send left. Change: a request leaves a silent target or box only over a new connection, which a silent host does not accept; the first goes on being waited for otherwise.

--- a/landingspool/gateway/attempts.py
+++ b/landingspool/gateway/attempts.py
@@ -475,13 +475,15 @@
         self._view.fleet.record_version(name, prompt.model, version)
 
 
-async def open_exchange(hub, state, entry):
+async def open_exchange(hub, state, entry, fresh=False):
     """Open an exchange with a target; a failure is recorded for its path.
 
     Parameters
     ----------
     state : request_state.RequestState
     entry : fleet.Entry
+    fresh : bool
+        Whether to use a new connection.
 
     Raises
     ------
@@ -493,6 +495,7 @@
             routes.may_repeat(state.work.route),
             hub.view.get_connection_limit(state.work.service),
             state.connections,
+            fresh,
         )
     except upstream_module.ExchangeError as error:
         hub.prober.record_error(entry.name, error)
--- a/landingspool/gateway/forwarder.py
+++ b/landingspool/gateway/forwarder.py
@@ -253,13 +253,15 @@
         return outcome
 
 
-async def open_exchange(hub, state, peer):
+async def open_exchange(hub, state, peer, fresh=False):
     """Open an exchange with a box; a failure is recorded for it.
 
     Parameters
     ----------
     state : request_state.RequestState
     peer : registry.Peer
+    fresh : bool
+        Whether to use a new connection.
 
     Raises
     ------
@@ -270,6 +272,7 @@
             peer.forwarding,
             routes.may_repeat(state.work.route),
             used=state.connections,
+            fresh=fresh,
         )
     except upstream.ExchangeError:
         hub.view.forwarding.record_failed(peer.name, hub.clock())
--- a/landingspool/gateway/replacements.py
+++ b/landingspool/gateway/replacements.py
@@ -3,7 +3,8 @@
 A target that is silent may be sound, so a request leaves it only for a target
 that takes it: it may be repeated, the retry budget allows it, and the other
 target has not rejected it.  Otherwise the request stays where it is.  The same
-holds for another box that is to reach a target.
+holds for another box that is to reach a target.  A new connection shows that
+the other one can be reached, which a connection at rest does not.
 """
 
 from landingspool.gateway import attempts
@@ -57,7 +58,7 @@
             return False
         try:
             exchange = await attempts.open_exchange(
-                self._hub, self._state, replacement.entry
+                self._hub, self._state, replacement.entry, fresh=True
             )
         except upstream.ExchangeError:
             return False
@@ -142,7 +143,7 @@
             return False
         try:
             exchange = await forwarder.open_exchange(
-                self._hub, self._state, peer
+                self._hub, self._state, peer, fresh=True
             )
         except upstream.ExchangeError:
             return False
--- a/landingspool/gateway/upstream.py
+++ b/landingspool/gateway/upstream.py
@@ -98,7 +98,12 @@
         self._idle = collections.defaultdict(collections.deque)
 
     async def open(
-        self, address, repeatable, max_idle=MAX_IDLE_CONNECTIONS, used=()
+        self,
+        address,
+        repeatable,
+        max_idle=MAX_IDLE_CONNECTIONS,
+        used=(),
+        fresh=False,
     ):
         """Return an Exchange on a pooled or a new connection.
 
@@ -113,13 +118,17 @@
             comes there once more would have its id.
         max_idle : int
             Idle connections to the target that may be kept.
+        fresh : bool
+            Whether to use a new connection.
 
         Raises
         ------
         ExchangeError
             With `sent` false.
         """
-        idle = self._take_idle(address, repeatable, used)
+        idle = None
+        if not fresh:
+            idle = self._take_idle(address, repeatable, used)
         if idle is not None:
             return Exchange(self, address, idle.connection, max_idle, idle)
         connection = await self._connect(address)
--- a/standins/runner.py
+++ b/standins/runner.py
@@ -53,6 +53,8 @@
         When orders arrived, also those that it did not take.
     forgets : bool
         Whether it resets what comes on a connection that was at rest.
+    forget_s : float
+        Seconds after which it does so.
     freed : list of tuple
         The (namespace, part) that it was told to free.
     fatal : bytes or None
@@ -115,6 +117,7 @@
         self.usual = 'whole'
         self.service = ''
         self.forgets = False
+        self.forget_s = 0.0
         self.fatal = None
         self.fatal_parts = frozenset()
         self.ended = False
@@ -181,6 +184,7 @@
                 writer.write(self._owed.pop(writer, b''))
                 known = not self._is_new(writer)
                 if self.forgets and known:
+                    await asyncio.sleep(self.forget_s)
                     writer.transport.abort()
                     return
                 if head['path'].startswith('/api/'):
--- a/tests/gateway/test_replacements.py
+++ b/tests/gateway/test_replacements.py
@@ -46,8 +46,8 @@
         script_pause(deployment)
         open_exchange = attempts.open_exchange
 
-        async def open_late(hub, work, entry):
-            exchange = await open_exchange(hub, work, entry)
+        async def open_late(hub, work, entry, **how):
+            exchange = await open_exchange(hub, work, entry, **how)
             if any(t.ran for t in deployment.engines):
                 for target in deployment.engines:
                     if not target.ran:
@@ -72,8 +72,8 @@
         script_pause(deployment)
         open_exchange = attempts.open_exchange
 
-        async def open_stalled(hub, work, entry):
-            exchange = await open_exchange(hub, work, entry)
+        async def open_stalled(hub, work, entry, **how):
+            exchange = await open_exchange(hub, work, entry, **how)
             if any(t.ran for t in deployment.engines) and not stalled:
                 stalled.append(entry.name)
                 suspend(stall_s)
@@ -212,3 +212,32 @@
         assert hub.metrics.budget_refusals._value.get() == 1
 
     site.run(check)
+
+
+def test_stream_is_not_reset_by_a_connection_that_its_replacement_forgot(
+    monkeypatch,
+):
+    monkeypatch.setattr(upstream, 'DEFAULT_IDLE_S', 5.0)
+
+    async def check(deployment):
+        hub = await deployment.start_box()
+        for target in deployment.engines:
+            target.usual = 'stream'
+        for _ in range(8):
+            await asyncio.gather(ask_stream(hub), ask_stream(hub))
+        assert all(target.ran for target in deployment.engines)
+        for target in deployment.engines:
+            target.ran.clear()
+            target.script = ['paused stream']
+            target.usual = 'stream'
+        work = asyncio.ensure_future(ask_stream(hub))
+        await site.wait_until(lambda: any(t.ran for t in deployment.engines))
+        for target in deployment.engines:
+            target.script = []
+            if not target.ran:
+                target.forgets = True
+                target.forget_s = 2 * attempts.ACCEPT_S
+        check_whole(await work)
+        assert not hub.recorder.counts['stream_waits']
+
+    site.run(check)
--- a/tests/gateway/test_start_limits.py
+++ b/tests/gateway/test_start_limits.py
@@ -87,8 +87,8 @@
     """Let connections take some seconds, in which `during` is awaited."""
     open_exchange = attempts.open_exchange
 
-    async def open_late(hub, work, entry):
-        exchange = await open_exchange(hub, work, entry)
+    async def open_late(hub, work, entry, **how):
+        exchange = await open_exchange(hub, work, entry, **how)
         await asyncio.sleep(seconds)
         if during is not None:
             await during()
