Bound the pages of newest records that one read takes

What callers saw: nothing so far; a store that says with each page that there are more keeps a box from its table and grows its memory for good.

Cause: read_newest went on for as long as a page named more, each page within its own bound, and the rows of all pages stayed.

Evidence: before a store that answers the same page again and again the new test ended by its own time limit of 10 s; now the read is given up after 200 pages, as one that had no usable answer, and its reader logs it.

--- a/landingspool/platform/store.py
+++ b/landingspool/platform/store.py
@@ -29,7 +29,9 @@
 # The same for a page of newest records: 1 MB or a record beyond it in base64,
 # and 500 keys of 255 bytes.
 NEWEST_MAX_BYTES = 4 * 1024 * 1024
-# The same for an append, which is answered by two offsets.
+# Pages of newest records in one topic: 100,000 keys at 500 a page.
+MAX_NEWEST_PAGES = 200
+# Bound of the answer to an append, which is two offsets.
 APPEND_MAX_BYTES = 64 * 1024
 
 
@@ -162,7 +164,7 @@
         Newest or Unavailable
         """
         rows, after, end, first_sent = [], None, None, self._clock()
-        while True:
+        for _ in range(MAX_NEWEST_PAGES):
             query = {'topic': topic, 'part': PARTITION}
             if after is not None:
                 query['after'] = after
@@ -189,6 +191,7 @@
             if not page.get('more') or not page['items']:
                 return Newest(tuple(rows), end, first_sent)
             after = page['items'][-1]['key']
+        return Unavailable(f'newest: over {MAX_NEWEST_PAGES} pages', False)
 
     async def append(self, topic, key, value, at=None):
         """Append one record to a keyed topic.
--- a/tests/test_endless_calls.py
+++ b/tests/test_endless_calls.py
@@ -395,3 +395,28 @@
     _, _, turn_s = call_endless('events', read)
     assert seen[-1] == token[len(b'data: ') :].decode().rstrip()
     assert turn_s < 0.02
+
+
+def test_pages_without_end_are_given_up():
+    page = {
+        'items': [{'key': 'k', 'value': '', 'offset': 1}],
+        'more': True,
+        'end': 2,
+    }
+
+    async def run():
+        async def handle(request, exchange):
+            await exchange.send_json(200, page)
+
+        server = http.Server(handle)
+        address = await server.start('127.0.0.1', 0)
+        client = httpclient.Client()
+        store = store_module.Store(client, address)
+        try:
+            async with asyncio.timeout(10.0):
+                return await store.read_newest('keyed.op')
+        finally:
+            client.close()
+            await server.close()
+
+    assert isinstance(asyncio.run(run()), store_module.Unavailable)
