Test a box beside callers that send without end

What callers saw: one caller that sends chunks of one byte kept a whole box from its other callers, of which the tests of the reader alone say nothing.

--- a/tests/test_endless_requests.py
+++ b/tests/test_endless_requests.py
@@ -10,6 +10,7 @@
 from landingspool.gateway import heads
 from landingspool import http
 from tests import endless
+from tests.gateway import site
 
 BODY_BYTES = 1024 * 1024
 TIMEOUT_S = 1.0
@@ -154,3 +155,26 @@
         await server.close()
 
     asyncio.run(run())
+
+
+@pytest.mark.parametrize('kind', ['small chunks', 'requests'])
+def test_a_caller_that_sends_without_end_takes_no_turns_of_a_box(kind):
+    async def run():
+        async with site.Site() as deployment:
+            hub = await deployment.start_box()
+            async with site.connect(hub) as (_, writer):
+                address = writer.get_extra_info('peername')
+            turns = []
+            watching = asyncio.ensure_future(endless.watch_turns(turns))
+            caller = endless.EndlessCaller(
+                address[:2], *endless.REQUESTS[kind]
+            )
+            await endless.wait_closed(caller, TIMEOUT_S)
+            reply = await site.ask(hub, '/safe/a')
+            watching.cancel()
+            caller.close()
+            return reply.status, max(turns)
+
+    status, turn_s = asyncio.run(run())
+    assert status == 200
+    assert turn_s < endless.MAX_TURN_S
