--- a/tests/gateway/test_begun_streams.py
+++ b/tests/gateway/test_begun_streams.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from landingspool.gateway import delivery
 from landingspool.gateway import forwarded_rows
 from landingspool.gateway import upstream
 from standins import behaviours
@@ -37,7 +38,7 @@
     return True
 
 
-for delayed in ('shed', 'failure', 'closed', 'broken stream', 'nonsense'):
+for delayed in ('shed', 'failure', 'closed', 'stream', 'nonsense'):
     delay(delayed)
 
 
@@ -299,3 +300,91 @@
         assert sum(len(t.ran) for t in targets) == 1
 
     site.run(check)
+
+
+@behaviours.behaviour('paused long')
+async def answer_paused_long(runner, head, body, reader, writer):
+    runner.run(head, body)
+    data = b'x' * (2 * delivery.MAX_HELD_BYTES)
+    whole = behaviours.make_answer(runner, head, 200, data)
+    writer.write(whole[:-9])
+    await asyncio.sleep(behaviours.SILENCE_S)
+    writer.write(whole[-9:])
+
+
+@pytest.mark.parametrize('change', TABLES)
+@pytest.mark.parametrize('route', ['safe', 'unsafe'])
+@pytest.mark.parametrize('name', ['late', 'paused long'])
+def test_no_change_of_the_table_ends_an_answer_of_a_silent_target(
+    change, route, name
+):
+    async def check(deployment):
+        hub = await deployment.start_box()
+        test_relay.script(deployment.plain, name)
+        work = asyncio.ensure_future(site.ask(hub, f'/{route}/a'))
+        await site.wait_until(lambda: any(t.ran for t in deployment.plain))
+        table = site.make_table(2)
+        TABLES[change](table)
+        deployment.publish(table)
+        got = await work
+        assert hub.view.table.version == 2
+        assert got.status == 200, got.body
+        assert got.whole
+        if route == 'unsafe':
+            assert sum(len(t.ran) for t in deployment.plain) == 1
+
+    site.run(check)
+
+
+@pytest.mark.parametrize(
+    ('route', 'names'),
+    [
+        ('stream', ['paused stream']),
+        ('resumed', ['paused stream', 'late shed']),
+        ('resumed', ['broken stream', 'shed']),
+    ],
+)
+def test_a_begun_stream_goes_on_while_its_box_stops(route, names):
+    async def check(deployment):
+        hub = await deployment.start_box(grace_s=5.0)
+        script(deployment, *names)
+        work = asyncio.ensure_future(ask(hub, route))
+        await wait_for_arrivals(deployment)
+        hub.stop()
+        check_whole(await work)
+
+    site.run(check)
+
+
+def test_a_begun_stream_returns_if_its_replacement_has_other_software():
+    async def check(deployment):
+        hub = await deployment.start_box()
+        script(deployment, 'paused stream', 'late stream')
+        work = asyncio.ensure_future(ask(hub))
+        await wait_for_arrivals(deployment, 2)
+        (first,) = [t for t in deployment.engines if t.ran]
+        for target in deployment.engines:
+            if target is not first:
+                target.software = 'v2'
+                deployment.announce(target, 'engine', model='m')
+        got = await work
+        check_whole(got)
+        assert got.body.count(b'by v1') == 4
+
+    site.run(check)
+
+
+@pytest.mark.parametrize('route', ['stream', 'resumed'])
+def test_a_begun_stream_of_a_silent_target_lasts_until_its_deadline(route):
+    async def check(deployment):
+        hub = await deployment.start_box(retry_ratio=0.0, retry_slack=0.0)
+        script(deployment, 'paused stream')
+        rows = ('x-landingspool-deadline-ms', '1200')
+        began = hub.clock()
+        got = await site.ask(
+            hub, f'/{route}/a', headers=(*test_relay.PROMPT, rows)
+        )
+        assert not got.whole
+        assert 1.1 < hub.clock() - began < 1.3
+
+    site.run(check, engines=2)
