Let a stream leave a target that completes no event

What callers saw: a stream that may be continued elsewhere stayed until its deadline with a target that sends comment lines or parts of one event, fast or slowly, and was answered 504; an event without end in small parts also kept the whole box busy.

Cause: any byte began the pause anew, after which a stream is left, and a read that never waits is never timed out. Stream.cut_events copied and searched the incomplete event again for every part, so its time grew with the square.

Evidence, test_endless_answers.py. After: all four streams get their four events from the other target, other tasks wait 0.3 s at most, and ten times the length takes less than 30 times as long.

Fix: the pause runs from the last complete event and is also checked without a wait, past a stall; bytes that complete no event are then no answer. Only new bytes are searched, and small parts count for 64 bytes of the limit.

--- a/landingspool/gateway/attempts.py
+++ b/landingspool/gateway/attempts.py
@@ -271,10 +271,11 @@
                 if self._is_expired() or await self.prepare_replacement():
                     raise
 
-    async def prepare_replacement(self):
+    async def prepare_replacement(self, is_incomplete=False):
         """Return whether another target takes over from a silent one."""
         return await self._replacements.prepare(
-            self._plan, lambda: self._exchange.has_answered(self._is_due)
+            self._plan,
+            lambda: self._exchange.has_answered(self._is_due, is_incomplete),
         )
 
     def _report_timeout(self):
--- a/landingspool/gateway/delivery.py
+++ b/landingspool/gateway/delivery.py
@@ -4,14 +4,16 @@
 still be replaced; streams are forwarded event by event.
 """
 
+import asyncio
+
 from landingspool.decisions.gateway import routes
 from landingspool.gateway import outcomes
 from landingspool.gateway import stream as stream_module
 from landingspool.platform import answers
 from landingspool import timeouts
 
-# Seconds without data after which a resumable stream is continued at another
-# target.  Callers give up after two seconds or more.
+# Seconds without a complete event after which a resumable stream is continued
+# at another target.  Callers give up after two seconds or more.
 MAX_STREAM_PAUSE_S = 1.0
 # Bytes of an answer that are buffered before the first one is forwarded.  If
 # the answer breaks off before that, the request can still be sent again or
@@ -80,18 +82,19 @@
 
     async def _forward_stream(self, head):
         stream, attempt = self._open_stream(head), self._attempt
-        pause_s = MAX_STREAM_PAUSE_S if self._state.may_send_again() else None
+        pause = Pause(self._state.may_send_again())
         while True:
             try:
-                async with timeouts.Timeout(pause_s):
-                    data = await self._exchange.read_data()
+                data = await self._read_part(pause)
             except TimeoutError:
-                if not await attempt.prepare_replacement():
+                if not await attempt.prepare_replacement(pause.has_data):
+                    pause.begin()
                     continue
                 return attempt.report_lost('paused', outcomes.Cause.PAUSED)
             if not data:
                 break
             attempt.record_received()
+            pause.has_data = True
             complete = stream.cut_events(data)
             if not complete:
                 continue
@@ -101,6 +104,7 @@
             if not stream.first_recorded:
                 stream.first_recorded = True
                 attempt.record_first()
+            pause.begin()
         if not stream.is_complete():
             return outcomes.Lost(
                 'ended within an event', outcomes.Cause.MALFORMED
@@ -109,6 +113,21 @@
         await stream.finish()
         return outcomes.Done(head.status)
 
+    async def _read_part(self, pause):
+        """Return the next bytes of a stream.
+
+        Raises
+        ------
+        TimeoutError
+            If the pause is over.
+        upstream.ExchangeError
+        """
+        # A read that never waits can't be timed out.
+        if pause.is_over():
+            raise TimeoutError
+        async with timeouts.Timeout(pause.get_left()):
+            return await self._exchange.read_data()
+
     def _open_stream(self, head):
         """Return the caller's stream; begin it if this is the first answer."""
         state = self._state
@@ -119,6 +138,51 @@
         return state.stream
 
 
+class Pause:
+    """Time since the last complete event of a stream.
+
+    Parameters
+    ----------
+    is_limited : bool
+        Whether the stream may be continued at another target.
+
+    Attributes
+    ----------
+    has_data : bool
+        Whether bytes have been received in it, which make no event.
+    """
+
+    def __init__(self, is_limited):
+        self._is_limited = is_limited
+        self.begin()
+
+    def begin(self):
+        """Begin a new pause."""
+        self.has_data = False
+        self._expired_at = None
+        self._began_at = asyncio.get_running_loop().time()
+
+    def get_left(self):
+        """Return the seconds until MAX_STREAM_PAUSE_S, or None: no limit."""
+        if not self._is_limited:
+            return None
+        now = asyncio.get_running_loop().time()
+        return self._began_at + MAX_STREAM_PAUSE_S - now
+
+    def is_over(self):
+        """Return whether it is too long, also after a stall of the process.
+
+        What has arrived during a stall is read first, as by timeouts.Timeout.
+        """
+        left_s = self.get_left()
+        if left_s is None or left_s > 0:
+            return False
+        now = asyncio.get_running_loop().time()
+        if self._expired_at is None:
+            self._expired_at = now
+        return now - self._expired_at >= timeouts.EXTENSION_S
+
+
 def is_success(head):
     """Return whether the status of an answer is a success (2xx)."""
     return 200 <= head.status < 300
--- a/landingspool/gateway/forwarder.py
+++ b/landingspool/gateway/forwarder.py
@@ -137,7 +137,7 @@
             peer=self._peer.name,
         )
 
-    async def prepare_replacement(self):
+    async def prepare_replacement(self, is_incomplete=False):
         return self._replacements.prepare_peer()
 
     def _compute_timeout(self):
--- a/landingspool/gateway/stream.py
+++ b/landingspool/gateway/stream.py
@@ -7,10 +7,14 @@
 import re
 
 from landingspool.platform import answers
+from landingspool import response_reader
 
 BOUNDARY = re.compile(rb'\r?\n\r?\n')
-# Size limit of an event; events usually have some hundred bytes.
+# Size limit of an event; events usually have some hundred bytes.  Very small
+# parts count for more.
 MAX_EVENT_BYTES = 1024 * 1024
+# Length of the longest boundary less one.
+BOUNDARY_REST_BYTES = 3
 
 
 class EventTooLong(Exception):
@@ -39,13 +43,15 @@
         self._reply = reply
         self._status = status
         self._headers = headers
-        self._partial = b''
+        self._partial = bytearray()
+        self._counted_bytes = 0
         self.last_event_id = ''
         self.first_recorded = False
 
     def restart(self):
         """Prepare for the events of another target."""
-        self._partial = b''
+        self._partial = bytearray()
+        self._counted_bytes = 0
         self.first_recorded = False
 
     def cut_events(self, data):
@@ -59,13 +65,17 @@
         ------
         EventTooLong
         """
-        pending = self._partial + data
-        ends = [match.end() for match in BOUNDARY.finditer(pending)]
-        cut = ends[-1] if ends else 0
-        self._partial = pending[cut:]
-        if len(self._partial) > MAX_EVENT_BYTES:
-            raise EventTooLong(f'an event of over {MAX_EVENT_BYTES} bytes')
-        return pending[:cut]
+        pending = self._partial
+        # What was received before holds no boundary.
+        start = max(len(pending) - BOUNDARY_REST_BYTES, 0)
+        pending += data
+        cut = 0
+        for match in BOUNDARY.finditer(pending, start):
+            cut = match.end()
+        complete = bytes(pending[:cut])
+        del pending[:cut]
+        self._count(data, complete)
+        return complete
 
     async def send(self, complete):
         """Forward complete events.
@@ -92,6 +102,17 @@
             await self._reply.start(self._status, self._headers, b'')
         await self._reply.finish()
 
+    def _count(self, data, complete):
+        """Count the bytes of the event that isn't complete."""
+        if complete:
+            self._counted_bytes = len(self._partial)
+        else:
+            self._counted_bytes += max(
+                len(data), response_reader.MIN_PART_BYTES
+            )
+        if self._counted_bytes > MAX_EVENT_BYTES:
+            raise EventTooLong(f'an event of over {MAX_EVENT_BYTES} bytes')
+
     def _record_id(self, complete):
         for line in reversed(complete.split(b'\n')):
             if line.startswith(b'id:'):
--- a/landingspool/gateway/upstream.py
+++ b/landingspool/gateway/upstream.py
@@ -368,7 +368,7 @@
             self._address, self.connection, idle_s, self._max_idle
         )
 
-    async def has_answered(self, is_due):
+    async def has_answered(self, is_due, is_incomplete=False):
         """Return whether more of the answer has arrived since the last read.
 
         Bytes are an answer only with the complete head of the one that is
@@ -379,11 +379,13 @@
         ----------
         is_due : callable
             As in AnswerReader.read_head.
+        is_incomplete : bool, optional
+            Whether the bytes after the head complete no event.
         """
         if self.connection.is_idle:
             return False
         if self._head is not None:
-            return True
+            return not is_incomplete
         try:
             async with timeouts.Timeout(POLL_S):
                 await self.read_head(is_due)
--- a/standins/behaviours.py
+++ b/standins/behaviours.py
@@ -49,6 +49,16 @@
         f'HTTP/1.1 200 OK\r\n{OWN}{CHUNKED}',
         f'1;x={"x" * 999}\r\nx\r\n',
     ),
+    'event': (
+        True,
+        f'HTTP/1.1 200 OK\r\n{OWN}{CHUNKED}',
+        '1\r\nx\r\n',
+    ),
+    'comments': (
+        True,
+        f'HTTP/1.1 200 OK\r\n{OWN}{CHUNKED}',
+        '4\r\n: k\n\r\n',
+    ),
     'success': (True, f'HTTP/1.1 200 OK\r\n{OWN}{LENGTH}', 'x'),
 }
 # An event that does not end is made of so many parts of so many bytes.
--- a/tests/gateway/test_endless_answers.py
+++ b/tests/gateway/test_endless_answers.py
@@ -3,12 +3,16 @@
 
 import asyncio
 import contextlib
+import re
+import time
 
 import pytest
 
+from landingspool.gateway import stream as stream_module
 from landingspool.gateway import upstream
 from standins import behaviours
 from tests.gateway import site
+from tests.gateway import test_relay
 
 # Bytes that a connection may take before it is given up: those that are read,
 # and those that buffers of the system hold.
@@ -58,7 +62,10 @@
     assert target.endless_bytes / count < MAX_SENT_BYTES
 
 
-BOUNDED = [name for name in behaviours.ENDLESS if name != 'success']
+STREAMS = 'event', 'comments'
+BOUNDED = [
+    name for name in behaviours.ENDLESS if name not in ('success', *STREAMS)
+]
 
 
 @pytest.mark.parametrize('name', BOUNDED)
@@ -178,16 +185,16 @@
         reached = asyncio.Event()
         has_answered = upstream.Exchange.has_answered
 
-        async def check_late(self, is_due):
+        async def check_late(self, *args):
             calls.append(self)
             if len(calls) == checks:
                 reached.set()
                 await asyncio.sleep(0.3)
-            return await has_answered(self, is_due)
+            return await has_answered(self, *args)
 
         monkeypatch.setattr(upstream.Exchange, 'has_answered', check_late)
         work = asyncio.ensure_future(site.ask(hub, '/safe/a'))
-        await reached.wait()
+        await asyncio.wait_for(reached.wait(), 2.0)
         work.cancel()
         await site.wait_until(
             lambda: sum(t.cancelled for t in deployment.plain) == checks, 0.5
@@ -198,3 +205,64 @@
         assert not hub.listener.count_busy()
 
     site.run(check, plain=2)
+
+
+async def ask_streams(hub, endless, count):
+    """Return the answers to streams that may be continued elsewhere."""
+    async with measure_lag() as lag:
+        got = await asyncio.gather(
+            *(
+                site.ask(hub, '/resumed/a', headers=test_relay.PROMPT)
+                for _ in range(count)
+            )
+        )
+    assert endless.ran
+    for answer in got:
+        assert answer.status == 200
+        assert answer.whole
+        assert answer.body.count(b'id: ') == 4
+    assert lag.seconds < MAX_LAG_S
+
+
+@pytest.mark.parametrize('name', STREAMS)
+@pytest.mark.parametrize('speed', ['without end', 'slowly'])
+def test_a_stream_leaves_a_target_that_completes_no_event(name, speed):
+    # Guards against LOST: bytes that make no event kept a stream.
+    async def check(deployment):
+        hub = await deployment.start_box()
+        for target in deployment.engines:
+            target.usual = 'stream'
+        endless = deployment.engines[0]
+        endless.usual = f'{name} {speed}'
+        await ask_streams(hub, endless, 4)
+        await site.wait_until(lambda: endless.cancelled, MAX_OPEN_S)
+
+    site.run(check, engines=2)
+
+
+def test_the_time_to_receive_an_event_grows_with_its_length():
+    # Guards against a box that stands still over one event.
+    def measure(count):
+        stream = stream_module.Stream(None, 200, [])
+        started = time.process_time()
+        for _ in range(count):
+            assert not stream.cut_events(b'x' * 64)
+        return time.process_time() - started
+
+    short_s = min(measure(1600) for _ in range(3))
+    long_s = min(measure(16_000) for _ in range(3))
+    assert long_s < 30 * short_s
+
+
+@pytest.mark.parametrize('boundary', [b'\n\n', b'\r\n\r\n', b'\n\r\n'])
+def test_events_are_cut_wherever_the_parts_end(boundary):
+    data = boundary.join([b'data: a', b'data: b', b'', b'data: c\nid: 1'])
+    whole = re.match(rb'(?s).*(\r?\n\r?\n)', data).group()
+    for size in range(1, len(data)):
+        stream = stream_module.Stream(None, 200, [])
+        parts = [
+            stream.cut_events(data[at : at + size])
+            for at in range(0, len(data), size)
+        ]
+        assert b''.join(parts) == whole
+        assert not stream.is_complete()
