--- a/landingspool/gateway/forwarder.py
+++ b/landingspool/gateway/forwarder.py
@@ -143,9 +143,9 @@
             peer=self._peer.name,
         )
 
-    async def prepare_replacement(self):
+    async def prepare_replacement(self, is_incomplete=False):
         return await self._replacements.prepare_peer(
-            lambda: self._exchange.has_answered(self._is_due)
+            lambda: self._exchange.has_answered(self._is_due, is_incomplete)
         )
 
     def _compute_timeout(self):
