Test answers without end over the hop and to a slow caller

Cause: no test showed what a box holds of a success without end whose caller doesn't read, nor what a caller gets when another box meets a target that sends without end.

Change: a test of each.

--- a/tests/gateway/test_endless_answers.py
+++ b/tests/gateway/test_endless_answers.py
@@ -12,6 +12,8 @@
 from landingspool.gateway import upstream
 from standins import behaviours
 from tests.gateway import site
+from tests.gateway import test_exchange_ends
+from tests.gateway import test_forwarder
 from tests.gateway import test_relay
 
 # Bytes that a connection may take before it is given up: those that are read,
@@ -266,3 +268,41 @@
         ]
         assert b''.join(parts) == whole
         assert not stream.is_complete()
+
+
+def test_a_success_without_end_is_held_back_by_a_caller_who_does_not_read():
+    # Guards against a box that holds what a caller doesn't take.
+    async def check(deployment):
+        hub = await deployment.start_box()
+        (target,) = deployment.plain
+        set_endless(target, 'success')
+        async with test_exchange_ends.ask_without_reading(hub, 1500):
+            await site.wait_until(lambda: target.endless_bytes)
+            await asyncio.sleep(0.3)
+            target.usual = 'whole'
+            async with measure_lag() as lag:
+                got = await site.ask(hub, '/unsafe/b')
+            assert got.status == 200
+            assert lag.seconds < MAX_LAG_S
+            await site.wait_until(lambda: target.cancelled, 2.5)
+        assert target.endless_bytes < 2 * MAX_SENT_BYTES
+
+    site.run(check, plain=1)
+
+
+@pytest.mark.parametrize('name', ['interim heads', 'failure', 'rejection'])
+def test_another_box_tells_at_once_of_an_answer_without_end(name):
+    async def check(deployment):
+        hub, _ = await test_forwarder.start_cut_box(deployment, 1)
+        (endless,) = deployment.plain
+        set_endless(endless, name)
+        loop = asyncio.get_running_loop()
+        started = loop.time()
+        got = await site.ask(hub, '/unsafe/a')
+        assert loop.time() - started < MAX_OPEN_S
+        assert got.whole
+        assert got.status == (503 if name == 'rejection' else 502)
+        assert 'x-landingspool-response-stamp' not in got.headers
+        assert len(endless.heads) == 1
+
+    site.run(check, plain=1)
