Give the virtual network the bounds of calls

Calls name the bound of their answer since, which the stand-in for the client in tests/virtual did not take: all worlds failed with "the fleet did not start", 12 tests of tests/test_silence.py and tests/test_stalls.py. The stand-in now has the interface of the client and raises the same error for a body beyond the bound.

--- a/tests/virtual/network.py
+++ b/tests/virtual/network.py
@@ -29,13 +29,14 @@
         headers=(),
         timeout=5.0,
         fresh=False,
+        max_bytes=httpclient.MAX_ANSWER_BYTES,
     ):
         """Send one request and wait for the whole answer."""
         call = self.open(address)
         try:
             async with asyncio.timeout(timeout):
                 await call.send(method, path, value, headers)
-                body = b''.join([part async for part in call.read()])
+                body = await call.read_body(max_bytes)
         except TimeoutError:
             raise http.Unreachable('no answer in time', call.sent) from None
         finally:
@@ -93,6 +94,13 @@
         head = await self._next()
         self.status, self.headers = head
 
+    async def read_body(self, max_bytes):
+        """Return the whole body, of `max_bytes` bytes at most."""
+        body = b''.join([part async for part in self.read()])
+        if len(body) > max_bytes:
+            raise http.Unreachable('a body that is too long', True)
+        return body
+
     async def read(self):
         """Yield the parts of the body."""
         while True:
