--- a/landingspool/gateway/attempts.py
+++ b/landingspool/gateway/attempts.py
@@ -167,7 +167,7 @@
             self._hub,
             state,
             plan,
-            self._get_priority(),
+            demand.find_priority(state.work),
             self._recall.measure_left(),
         )
         self._exchange.send(
@@ -222,9 +222,6 @@
     def _write_head(self):
         return attempt_heads.write_head(self._state, self._plan, self._sent_at)
 
-    def _get_priority(self):
-        return demand.find_priority(self._state.work)
-
     async def _receive(self):
         """Read the answer before the request's deadline; return an outcome."""
         try:
--- a/tests/gateway/test_begun_streams.py
+++ b/tests/gateway/test_begun_streams.py
@@ -6,6 +6,7 @@
 
 from landingspool.gateway import delivery
 from landingspool.gateway import forwarded_rows
+from landingspool.gateway import stream_retries
 from landingspool.gateway import upstream
 from standins import behaviours
 from tests.gateway import site
@@ -388,3 +389,20 @@
         assert 1.1 < hub.clock() - began < 1.3
 
     site.run(check, engines=2)
+
+
+def test_a_begun_stream_is_broken_off_once_its_caller_may_have_left():
+    async def check(deployment):
+        hub = await deployment.start_box()
+        script(deployment, 'slow broken stream')
+        work = asyncio.ensure_future(ask(hub))
+        await wait_for_arrivals(deployment)
+        hub.view.proof.is_fresh = lambda now: False
+        began = hub.clock()
+        got = await work
+        assert not got.whole
+        waited_s = hub.clock() - began
+        longest_s = stream_retries.MAX_WAIT_S + stream_retries.MAX_DELAY_S
+        assert stream_retries.MAX_WAIT_S <= waited_s < longest_s + 0.4
+
+    site.run(check)
