Limit how often a time-out allows for stalls

What callers saw: nothing at all from a box that stalled steadily, until they gave up; a caller that sent a body in chunks of one byte made one stall so. Cause: a time-out that fires late is extended for what has arrived meanwhile, each time that it fires late again, so that none ever ended: deadlines, limits of what callers send, time-outs of calls. Change: ten extensions at most, which is a second beyond the stalls.

--- a/landingspool/timeouts.py
+++ b/landingspool/timeouts.py
@@ -4,7 +4,8 @@
 event loop runs them before it reads the data that arrived during the stall:
 a peer that has answered would count as unresponsive, and a healthy one would
 be given up.  A time-out that fires late is therefore extended for a short
-time, so that data that has arrived is read first.
+time, so that data that has arrived is read first.  Extensions are limited: a
+process that stalls all the time still has to answer.
 """
 
 import asyncio
@@ -13,6 +14,8 @@
 # the process, and is extended by EXTENSION_S seconds.
 MIN_STALL_S = 0.05
 EXTENSION_S = 0.1
+# Extensions of one time-out.
+MAX_EXTENSIONS = 10
 
 
 class Timeout:
@@ -29,6 +32,7 @@
         self._timeout = asyncio.timeout(None)
         self._due = None
         self._handle = None
+        self._extensions = 0
 
     async def __aenter__(self):
         await self._timeout.__aenter__()
@@ -48,10 +52,12 @@
 
     def _expire(self):
         now = asyncio.get_running_loop().time()
-        if now - self._due < MIN_STALL_S:
-            self._timeout.reschedule(now)
-        else:
+        is_late = now - self._due >= MIN_STALL_S
+        if is_late and self._extensions < MAX_EXTENSIONS:
+            self._extensions += 1
             self._schedule(EXTENSION_S)
+        else:
+            self._timeout.reschedule(now)
 
 
 async def wait_with_timeout(task, seconds):
@@ -67,7 +73,7 @@
         Time limit.
     """
     loop = asyncio.get_running_loop()
-    while True:
+    for _ in range(MAX_EXTENSIONS + 1):
         due = loop.time() + seconds
         await asyncio.wait({task}, timeout=seconds)
         if task.done() or loop.time() - due < MIN_STALL_S:
