Read what has arrived before a stop closes connections

What callers saw: a request sent as a box stopped was reset, on a connection that had not been accepted yet or was accepted in the last turns of the loop; calls to the box's own server as well. Cause: the stop closed the accept queue and turned away what had just come in. Change: some turns of the loop pass before the queue is closed and before connections at rest are.

--- a/landingspool/gateway/listener.py
+++ b/landingspool/gateway/listener.py
@@ -16,6 +16,9 @@
 # Seconds after which a connection without a request may be closed for a new
 # one: a caller's first request arrives a round trip after its connection.
 MIN_SILENCE_S = 0.1
+# Turns of the event loop in which it accepts a waiting connection and reads
+# what has arrived on it.
+ACCEPT_TURNS = 5
 # Seconds in which cancelled connections may finish when the listener closes.
 CANCEL_TIMEOUT_S = 0.05
 REASONS = {
@@ -235,10 +238,13 @@
 
     async def close(self, seconds):
         """Close idle connections, and the others after `seconds` at most."""
-        self.stopping = self._closing = True
+        self.stopping = True
         if self._server is not None:
             # It is None if the process is stopped while it starts.
+            await give_turns()
             self._server.close()
+            await give_turns()
+        self._closing = True
         for task, connection in list(self._tasks.items()):
             if task not in self._busy and connection.is_at_rest:
                 self._end(task, connection, closings.Reason.STOPPING)
@@ -437,6 +443,12 @@
             connection.on_close = None
 
 
+async def give_turns():
+    """Let the event loop take what waits in the kernel."""
+    for _ in range(ACCEPT_TURNS):
+        await asyncio.sleep(0)
+
+
 async def refuse(connection, error):
     """Answer a request that could not be read; its connection is closed."""
     codec = h11.Connection(h11.SERVER)
--- a/landingspool/http.py
+++ b/landingspool/http.py
@@ -18,6 +18,8 @@
 MAX_HEADER_BYTES = 16 * 1024
 MAX_BODY_BYTES = 8 * 1024 * 1024
 READ_BYTES = 64 * 1024
+# Turns of the event loop in which it reads what has arrived.
+READ_TURNS = 5
 # Bytes of next requests that are read while a request is served.
 MAX_EARLY_BYTES = 256 * 1024
 HEADER_TIMEOUT_S = 10.0
@@ -225,6 +227,9 @@
         if self._server is None:
             return
         self._server.close()
+        # What has arrived is read first.
+        for _ in range(READ_TURNS):
+            await asyncio.sleep(0)
         for task in list(self._idle):
             task.cancel()
         if self._tasks:
