Run no long answer again that broke off

What callers saw: nothing better, as another answer can't follow the part that was forwarded; targets ran the request twice and a repeat was spent. Cause: a started reply that is no stream counted as one that may be sent again. Evidence: two runs in the test before, one now, and the caller's answer breaks off in both. Change: such a request is given up as its answer breaks off.

--- a/landingspool/gateway/relay.py
+++ b/landingspool/gateway/relay.py
@@ -418,6 +418,9 @@
 
     def _may_repeat(self):
         """Return whether a request that was lost may be sent again."""
+        if self._reply.started and self._state.stream is None:
+            # Another answer can't be joined to the part that was forwarded.
+            return False
         crashes = self._view.crashes
         return self._state.may_send_again() and crashes.may_repeat(
             self._state.keys
