Send no request on a connection whose end has arrived

What callers saw: a request that must not be repeated ended with 502. Cause: a pooled connection counted as open by what the event loop had read; the end that its target had sent waited in the kernel, as after a short stall. Change: before a connection is used or closed at rest, the kernel is asked for bytes and for an end.

--- a/landingspool/connection.py
+++ b/landingspool/connection.py
@@ -8,6 +8,7 @@
 import array
 import asyncio
 import fcntl
+import select
 import socket
 import struct
 import termios
@@ -134,12 +135,20 @@
 
     @property
     def is_at_rest(self):
-        """Whether it is idle and no bytes wait in the kernel, either.
+        """Whether it is idle and the kernel holds no bytes and no end, either.
 
         The event loop reads a socket once in each turn: what has arrived
         since then is lost if the connection is closed.
         """
-        return self.is_idle and not self.count_unread()
+        if not self.is_idle:
+            return False
+        poll = select.poll()
+        try:
+            poll.register(self.get_socket().fileno(), select.POLLIN)
+        except (OSError, ValueError):
+            # It has been closed here.
+            return False
+        return not poll.poll(0)
 
     def push_back(self, data):
         """Put bytes back in front of the unread ones."""
--- a/landingspool/gateway/upstream.py
+++ b/landingspool/gateway/upstream.py
@@ -251,11 +251,11 @@
             # Newest first, so that surplus connections expire.
             row = idle[-1]
             now = self._clock()
-            if is_usable(row, repeatable, now):
+            if is_usable(row, repeatable, now) and row.connection.is_at_rest:
                 idle.pop()
                 set_keepalive_probes(row.connection, BUSY_KEEPALIVE_PROBES)
                 return row
-            if now < row.until and row.connection.is_idle:
+            if now < row.until and row.connection.is_at_rest:
                 return None
             idle.pop()
             row.connection.close()
