Let no slow failure elsewhere hold a sound target's answer

What callers saw: a begun stream broke off at its deadline although its first target, silent for 1.3 s, had gone on. Cause: the other target answered with a failure at once and with its body slowly; the request waited for that body, and nobody read from the first.

--- a/landingspool/gateway/attempt_log.py
+++ b/landingspool/gateway/attempt_log.py
@@ -53,6 +53,33 @@
     )
 
 
+def log_target_loss(hub, state, cause, sent_at, name):
+    """Log that a target did not answer a request wholly.
+
+    Parameters
+    ----------
+    hub
+        The box's parts: `recorder`, `metrics`, `clock`, `view`.
+    state : request_state.RequestState
+    cause : outcomes.Cause
+    sent_at : float
+        When it was sent, seconds of the clock.
+    name : str
+        Name of the target.
+    """
+    waiting, running = hub.view.loads.count(name)
+    log_loss(
+        hub,
+        state,
+        cause,
+        sent_at,
+        target=name,
+        parts=prompts.list_logged(state.work.prompt),
+        waiting=waiting,
+        running=running,
+    )
+
+
 def log_surplus(hub, state, answerer, head):
     """Log an answer in the place of that to the request.
 
--- a/landingspool/gateway/attempts.py
+++ b/landingspool/gateway/attempts.py
@@ -6,7 +6,6 @@
 """
 
 from landingspool.decisions.gateway import demand
-from landingspool.decisions.gateway import prompts
 from landingspool.decisions.gateway import routes
 from landingspool.decisions.gateway import stream_bindings
 from landingspool.gateway import attempt_heads
@@ -148,7 +147,11 @@
             return self._report_broken(error)
         if delivery.is_success(self._head) and self._is_answer(self._head):
             return None
-        return await self._receive()
+        try:
+            async with timeouts.Timeout(ACCEPT_S):
+                return await self._receive()
+        except TimeoutError:
+            return self.report_lost('slow failure', outcomes.Cause.MALFORMED)
 
     def _send(self):
         state, plan = self._state, self._plan
@@ -207,16 +210,8 @@
 
     def _log_loss(self, outcome):
         name = self._plan.entry.name
-        waiting, running = self._view.loads.count(name)
-        attempt_log.log_loss(
-            self._hub,
-            self._state,
-            outcome.cause,
-            self._sent_at,
-            target=name,
-            parts=prompts.list_logged(self._state.work.prompt),
-            waiting=waiting,
-            running=running,
+        attempt_log.log_target_loss(
+            self._hub, self._state, outcome.cause, self._sent_at, name
         )
 
     def _write_head(self):
