Keep connections at rest until a longer time-out can't be unknown

What callers saw: a request on a connection at rest was reset beside a change of the configuration. Cause: a caller goes by the newest idle time-out, a box by the one it has read, up to its bound for tables later.

--- a/landingspool/gateway/hub.py
+++ b/landingspool/gateway/hub.py
@@ -260,7 +260,10 @@
 
     def _get_limits(self):
         table = self.view.table
-        return DEFAULT_LIMITS if table is None else table.limits
+        limits = DEFAULT_LIMITS if table is None else table.limits
+        # Callers may know of a longer idle time-out before this box does.
+        idle_s = limits.idle_s + self.deployment.bounds.table_s
+        return limits._replace(idle_s=idle_s)
 
     def _get_forward_limits(self):
         limits = self._get_limits()
