Keep one bound of framing, and one way to register endless answers

Cause: the read-through found the bound of framing in two modules, a line of http.py twice, two nearly equal functions of the stand-in and two reasons of a close that were hard to tell apart. Change: one place each, clearer texts.

--- a/landingspool/framing.py
+++ b/landingspool/framing.py
@@ -1,4 +1,4 @@
-"""Bounds what surrounds the data in the body of a request.
+"""Bounds what surrounds the data in the body of a request or response.
 
 A chunk may carry a single byte of data and an extension of any length.  While
 such a body is read, other tasks run at regular intervals.
@@ -19,6 +19,15 @@
     """A request has more framing than the bounds allow."""
 
 
+def compute_limit(data_bytes):
+    """Return how many bytes on the connection a body of this size may take.
+
+    >>> compute_limit(0)
+    131072
+    """
+    return MAX_EXTRA_BYTES + data_bytes * MAX_RATIO
+
+
 class Meter:
     """Counts what is read from one connection.
 
@@ -55,6 +64,5 @@
             self._check()
 
     def _check(self):
-        allowed = MAX_EXTRA_BYTES + self._data_bytes * MAX_RATIO
-        if self._received_bytes > allowed:
+        if self._received_bytes > compute_limit(self._data_bytes):
             raise FramingTooLong('too long a framing of the body')
--- a/landingspool/gateway/closings.py
+++ b/landingspool/gateway/closings.py
@@ -12,7 +12,7 @@
 class Reason(enum.StrEnum):
     """Why a connection of a caller is closed."""
 
-    CALLER = 'closed by the caller'
+    CALLER = 'closed by the caller at rest'
     RESET = 'reset by the caller'
     IDLE = 'idle'
     DISPLACED = 'displaced'
@@ -21,7 +21,7 @@
     UNREADABLE = 'unreadable request'
     LAST_ANSWER = 'last answer'
     BROKEN_OFF = 'answer broken off'
-    CALLER_GONE = 'caller gone'
+    LEFT = 'caller left before its answer'
 
 
 class Closing(typing.NamedTuple):
--- a/landingspool/gateway/listener.py
+++ b/landingspool/gateway/listener.py
@@ -401,7 +401,7 @@
     def _explain_end(self, connection, reply):
         """Return why a connection takes no request after this reply."""
         if connection.closed:
-            return closings.Reason.CALLER_GONE
+            return closings.Reason.LEFT
         if reply.broken:
             return closings.Reason.BROKEN_OFF
         return closings.Reason.LAST_ANSWER
--- a/landingspool/gateway/replacements.py
+++ b/landingspool/gateway/replacements.py
@@ -78,7 +78,8 @@
         Parameters
         ----------
         has_answer : callable
-            Returns whether the silent box has answered in the meantime.
+            Coroutine function that returns whether the silent box has
+            answered in the meantime.
 
         Returns
         -------
--- a/landingspool/http.py
+++ b/landingspool/http.py
@@ -366,6 +366,5 @@
         if data and idle is not None and task in idle:
             idle.discard(task)
             deadline = min(deadline, loop.time() + HEADER_TIMEOUT_S)
-            deadline = min(deadline, loop.time() + HEADER_TIMEOUT_S)
         meter.count_received(data)
         conn.receive_data(data)
--- a/landingspool/response_reader.py
+++ b/landingspool/response_reader.py
@@ -9,6 +9,8 @@
 
 import h11
 
+from landingspool import framing
+
 # Bytes of all heads of a response, interim ones (1xx) included.
 MAX_HEAD_BYTES = 32 * 1024
 MAX_INTERIM_HEADS = 16
@@ -16,10 +18,6 @@
 PIECE_BYTES = 64 * 1024
 # Steps (events parsed, pieces taken) after which other tasks may run.
 STEPS_PER_TURN = 16
-# Bytes on the connection for the data of a body: a chunk of one byte takes
-# six, and chunk extensions and trailers may add to that.
-MAX_FRAMING_RATIO = 16
-MAX_FRAMING_BYTES = 2 * PIECE_BYTES
 # Least bytes that a part of a body counts for, since each takes time to parse.
 MIN_PART_BYTES = 64
 
@@ -185,7 +183,7 @@
         """Return how many bytes more the response may take by now."""
         allowed = MAX_HEAD_BYTES
         if self._has_head:
-            allowed += MAX_FRAMING_BYTES + self._data_bytes * MAX_FRAMING_RATIO
+            allowed += framing.compute_limit(self._data_bytes)
         return allowed - self._fed_bytes
 
     def _describe_excess(self):
--- a/standins/endless.py
+++ b/standins/endless.py
@@ -64,50 +64,34 @@
 PART_BYTES = 64 * 1024
 
 
-def register_slow(name, is_run, start, part):
-    """Register an answer of which a part is repeated slowly, without end."""
+def register(name, is_run, start, part, pause_s):
+    """Register an answer of which a part is repeated without end."""
 
     async def answer(runner, head, body, reader, writer):
         if is_run:
             runner.run(head, body)
-        writer.write(
-            start.format(id=behaviours.write_id(head).decode()).encode()
-        )
+        own = behaviours.write_id(head).decode()
+        writer.write(start.format(id=own).encode())
         try:
             while True:
-                writer.write(part.encode())
+                writer.write(part)
+                runner.endless_bytes += len(part)
                 await writer.drain()
-                await asyncio.sleep(SLOW_PART_S)
+                await asyncio.sleep(pause_s)
         except ConnectionError:
             runner.cancelled += 1
         return True
 
-    behaviours.behaviour(f'{name} slowly')(answer)
-
-
-def register_without_end(name, is_run, start, part):
-    """Register an answer of which a part is repeated without end."""
-    parts = part.encode() * (PART_BYTES // len(part))
+    behaviours.behaviour(name)(answer)
 
-    async def answer(runner, head, body, reader, writer):
-        if is_run:
-            runner.run(head, body)
-        writer.write(
-            start.format(id=behaviours.write_id(head).decode()).encode()
-        )
-        try:
-            while True:
-                writer.write(parts)
-                runner.endless_bytes += len(parts)
-                await writer.drain()
-                await asyncio.sleep(0)
-        except ConnectionError:
-            runner.cancelled += 1
-        return True
 
-    behaviours.behaviour(f'{name} without end')(answer)
+def register_all():
+    """Register each row of ENDLESS, at full speed and slowly."""
+    for name, (is_run, start, text) in ENDLESS.items():
+        part = text.encode()
+        parts = part * (PART_BYTES // len(part))
+        register(f'{name} without end', is_run, start, parts, 0)
+        register(f'{name} slowly', is_run, start, part, SLOW_PART_S)
 
 
-for row in ENDLESS.items():
-    register_without_end(row[0], *row[1])
-    register_slow(row[0], *row[1])
+register_all()
