--- /dev/null
+++ b/tests/gateway/test_close_at_rest.py
@@ -0,0 +1,64 @@
+"""Connections of callers at rest are closed only later than was announced."""
+
+import asyncio
+import re
+
+import pytest
+
+from tests.gateway import site
+from tests.gateway import test_unanswered
+
+KEPT = re.compile(rb'\r\nkeep-alive: timeout=(\d+)\r\n', re.I)
+# Seconds that a request may travel, from the end of the announced time on.
+TRAVEL_S = 0.5
+
+
+async def read_head(reader):
+    """Return the head of an answer, with the empty line."""
+    async with asyncio.timeout(test_unanswered.ANSWER_S):
+        return await reader.readuntil(b'\r\n\r\n')
+
+
+@pytest.mark.parametrize('path', ['/safe/a', '/nowhere/', '/stream/a'])
+def test_no_caller_is_left_to_guess_when_a_connection_closes(path):
+    async def check(deployment):
+        hub = await deployment.start_box()
+        await test_unanswered.publish_idle_timeout(deployment, hub, 2, 7900)
+        async with site.connect(hub) as (reader, writer):
+            extra = test_unanswered.PROMPT
+            writer.write(test_unanswered.write_request(path, extra=extra))
+            assert KEPT.findall(await read_head(reader)) == [b'7']
+
+    site.run(check)
+
+
+def test_an_answer_that_ends_its_connection_announces_no_time():
+    async def check(deployment):
+        hub = await deployment.start_box()
+        async with site.connect(hub) as (reader, writer):
+            extra = 'Connection: close\r\n'
+            writer.write(test_unanswered.write_request(extra=extra))
+            head = await read_head(reader)
+            assert b'\r\nconnection: close\r\n' in head.lower()
+            assert not KEPT.search(head)
+
+    site.run(check, plain=1)
+
+
+@pytest.mark.parametrize('lowered_ms', [1000, 100])
+def test_no_request_within_the_announced_time_crosses_a_close(lowered_ms):
+    async def check(deployment):
+        hub = await deployment.start_box(table_s=0.3)
+        await test_unanswered.publish_idle_timeout(deployment, hub, 2, 1000)
+        async with site.connect(hub) as (reader, writer):
+            writer.write(test_unanswered.write_request())
+            head = await read_head(reader)
+            kept_s = int(KEPT.search(head).group(1))
+            await test_unanswered.publish_idle_timeout(
+                deployment, hub, 3, lowered_ms
+            )
+            await asyncio.sleep(kept_s + TRAVEL_S)
+            writer.write(test_unanswered.write_request())
+            assert await test_unanswered.read_statuses(reader) == [200]
+
+    site.run(check, plain=1)
