--- a/landingspool/connection.py
+++ b/landingspool/connection.py
@@ -92,6 +92,14 @@
         """Whether the kernel has taken all written bytes."""
         return self._transport.get_write_buffer_size() == 0
 
+    @property
+    def peer(self):
+        """The peer's address, HOST:PORT; empty if it is not known."""
+        address = self._transport.get_extra_info('peername')
+        if not isinstance(address, tuple):
+            return ''
+        return f'{address[0]}:{address[1]}'
+
     def get_socket(self):
         """Return the socket, for its options."""
         return self._transport.get_extra_info('socket')
--- a/landingspool/gateway/closings.py
+++ b/landingspool/gateway/closings.py
@@ -37,7 +37,11 @@
     waited_s : float
         Seconds for which it has waited for a request.
     limit_s : float
-        Idle time-out in force, seconds.
+        Time-out of the wait in force, seconds.
+    longest_rest_s : float
+        The longest that it rested before a further request.
+    peer : str
+        Address of the caller; empty if it is not known.
     """
 
     reason: Reason
@@ -45,6 +49,8 @@
     served: int
     waited_s: float
     limit_s: float
+    longest_rest_s: float = 0.0
+    peer: str = ''
 
 
 class Tally:
@@ -70,4 +76,6 @@
             served=closing.served,
             waited_s=round(closing.waited_s, 4),
             limit_s=closing.limit_s,
+            longest_rest_s=round(closing.longest_rest_s, 4),
+            peer=closing.peer,
         )
--- a/landingspool/gateway/heads.py
+++ b/landingspool/gateway/heads.py
@@ -155,17 +155,14 @@
             raise http.BadRequest(400, 'the request ended too early')
 
 
-async def wait_for_request(connection, get_limits):
+async def wait_for_request(connection, get_limit_s):
     """Wait for the first byte of a request, up to the idle time-out.
 
-    A time-out that was raised during the wait applies, since callers use
-    their open connections by the newest one.
-
     Parameters
     ----------
     connection : connection.Connection
-    get_limits : callable
-        Returns the routes.Limits in force.
+    get_limit_s : callable
+        Returns the time-out in force, seconds from the beginning of the wait.
 
     Returns
     -------
@@ -174,7 +171,7 @@
     """
     loop = asyncio.get_running_loop()
     began = loop.time()
-    left_s = get_limits().idle_s
+    left_s = get_limit_s()
     # A byte may arrive between the time-out and its effect on this task.
     while left_s > 0 or not connection.is_at_rest:
         with contextlib.suppress(TimeoutError):
@@ -182,7 +179,7 @@
                 first = await connection.read()
             connection.push_back(first)
             return bool(first)
-        left_s = began + get_limits().idle_s - loop.time()
+        left_s = began + get_limit_s() - loop.time()
     return False
 
 
--- a/landingspool/gateway/hub.py
+++ b/landingspool/gateway/hub.py
@@ -113,6 +113,7 @@
             self._record_unanswered,
             tally.record,
             lambda: self.forward_listener.count_open(),
+            deployment.bounds.table_s,
         )
         # For requests of peers that can't reach the targets.
         self.forward_listener = listener.Listener(
@@ -122,6 +123,7 @@
             self._record_unanswered,
             tally.record,
             self.listener.count_open,
+            deployment.bounds.table_s,
         )
         self._takes_forwarded = False
         # Readiness for the balancer and metrics for engineers are at two
@@ -260,10 +262,7 @@
 
     def _get_limits(self):
         table = self.view.table
-        limits = DEFAULT_LIMITS if table is None else table.limits
-        # Callers may know of a longer idle time-out before this box does.
-        idle_s = limits.idle_s + self.deployment.bounds.table_s
-        return limits._replace(idle_s=idle_s)
+        return DEFAULT_LIMITS if table is None else table.limits
 
     def _get_forward_limits(self):
         limits = self._get_limits()
--- a/landingspool/gateway/listener.py
+++ b/landingspool/gateway/listener.py
@@ -10,6 +10,7 @@
 from landingspool import connection as connection_module
 from landingspool.gateway import closings
 from landingspool.gateway import heads
+from landingspool.gateway import persistence
 from landingspool import http
 
 BACKLOG = 512
@@ -47,6 +48,9 @@
         Returns whether the answer should have ``Connection: close``.
     method : bytes
         Of the request: the answer to HEAD has no body.
+    kept : tuple of bytes, optional
+        Header row that says for how long the connection is kept; without it
+        nothing is announced.
 
     Attributes
     ----------
@@ -56,11 +60,12 @@
         Whether the answer was broken off.
     """
 
-    def __init__(self, codec, connection, is_closing, method=b''):
+    def __init__(self, codec, connection, is_closing, method=b'', kept=None):
         self._codec = codec
         self._connection = connection
         self._is_closing = is_closing
         self._method = method
+        self._kept = kept
         self.started = False
         self.broken = False
 
@@ -142,6 +147,8 @@
         rows = list(headers)
         if self._is_closing():
             rows.append((b'connection', b'close'))
+        elif self._kept and self._codec.their_state is not h11.MUST_CLOSE:
+            rows.append(self._kept)
         reason = REASONS.get(status, b'')
         return self._codec.send(
             h11.Response(status_code=status, headers=rows, reason=reason)
@@ -183,6 +190,8 @@
     count_others : callable, optional
         Returns the number of connections of other listeners that count
         towards `max_connections`.
+    margin_s : float, optional
+        Seconds for which callers may know of a newer configuration.
 
     Attributes
     ----------
@@ -200,6 +209,7 @@
         on_unanswered,
         on_closed,
         count_others=lambda: 0,
+        margin_s=0.0,
     ):
         self._handle = handle
         self._get_limits = get_limits
@@ -207,11 +217,12 @@
         self._on_unanswered = on_unanswered
         self._on_closed = on_closed
         self._count_others = count_others
+        self._margin_s = margin_s
         self._server = None
         # The connection that each task serves.
         self._tasks = {}
-        # Requests answered so far on the connection of each task.
-        self._served = {}
+        # The persistence of the connection of each task.
+        self._uses = {}
         # Tasks that have begun to receive a request and not ended its answer.
         self._busy = set()
         # Tasks that wait for a request, the longest wait first: for the
@@ -274,7 +285,7 @@
             return
         task = asyncio.ensure_future(self._serve(connection))
         self._tasks[task] = connection
-        self._served[task] = 0
+        self._uses[task] = self._make_use()
         self._unused[task] = self._begin_wait(connection)
         task.add_done_callback(self._forget)
 
@@ -291,18 +302,28 @@
         task.cancel()
 
     def _record_closing(self, connection, reason, task=None):
-        row = self._unused.get(task) or self._kept.get(task)
-        now = asyncio.get_running_loop().time()
+        use = self._uses.pop(task, None) or self._make_use()
         self._on_closed(
             closings.Closing(
                 reason,
                 connection.count_unread(),
-                self._served.pop(task, 0),
-                now - row.since if row is not None else 0.0,
-                self._get_limits().idle_s,
+                use.served,
+                self._measure_wait(task),
+                use.compute_limit(self._get_limits()),
+                use.longest_rest_s,
+                connection.peer,
             )
         )
 
+    def _make_use(self):
+        return persistence.Persistence(self._margin_s)
+
+    def _measure_wait(self, task):
+        """Return the seconds for which a task has waited for a request."""
+        row = self._unused.get(task) or self._kept.get(task)
+        now = asyncio.get_running_loop().time()
+        return now - row.since if row is not None else 0.0
+
     def _begin_wait(self, connection):
         now = asyncio.get_running_loop().time()
         return Waiting(connection, now)
@@ -330,7 +351,7 @@
     def _forget(self, task):
         self._busy.discard(task)
         self._end_wait(task)
-        self._served.pop(task, None)
+        self._uses.pop(task, None)
         del self._tasks[task]
 
     async def _serve(self, connection):
@@ -345,7 +366,7 @@
             reason = closings.Reason.RESET
             connection.abort()
         finally:
-            if task in self._served:
+            if task in self._uses:
                 self._record_closing(connection, reason, task)
             connection.close()
 
@@ -356,7 +377,7 @@
             reason = await self._serve_one(connection)
             if reason is not None:
                 return reason
-            self._served[task] += 1
+            self._uses[task].served += 1
             self._busy.discard(task)
             self._kept[task] = self._begin_wait(connection)
 
@@ -368,23 +389,35 @@
         closings.Reason or None
             None if the next request may be waited for.
         """
-        if not await heads.wait_for_request(connection, self._get_limits):
+        task = asyncio.current_task()
+        use = self._uses[task]
+        if not await heads.wait_for_request(
+            connection, lambda: use.compute_limit(self._get_limits())
+        ):
             return (
                 closings.Reason.CALLER
                 if connection.closed
                 else closings.Reason.IDLE
             )
-        self._busy.add(asyncio.current_task())
-        self._end_wait(asyncio.current_task())
+        use.record_request(self._measure_wait(task))
+        self._busy.add(task)
+        self._end_wait(task)
+        limits = self._get_limits()
         try:
-            read = await heads.read_request(connection, self._get_limits())
+            read = await heads.read_request(connection, limits)
         except http.BadRequest as error:
             await refuse(connection, error)
             return closings.Reason.UNREADABLE
         if read is None:
             return closings.Reason.CALLER
         codec, request, body = read
-        reply = Reply(codec, connection, lambda: self.stopping, request.method)
+        reply = Reply(
+            codec,
+            connection,
+            lambda: self.stopping,
+            request.method,
+            use.announce(limits),
+        )
         try:
             await self._answer(connection, request, body, reply)
         except Exception as error:
--- a/tests/gateway/test_unanswered.py
+++ b/tests/gateway/test_unanswered.py
@@ -12,6 +12,7 @@
 from landingspool import connection as connection_module
 from landingspool.gateway import closings
 from landingspool.gateway import listener
+from landingspool.gateway import persistence
 from landingspool.platform import answers
 from landingspool.platform import ingress
 from landingspool import timeouts
@@ -398,6 +399,9 @@
         return limits._replace(idle_s=0.05)
 
     monkeypatch.setattr(hub.listener, '_get_limits', get_limits)
+    monkeypatch.setattr(
+        persistence.Persistence, 'compute_limit', lambda _, new: new.idle_s
+    )
 
 
 async def close_by_displacement(hub, send, monkeypatch):
