--- a/landingspool/gateway/persistence.py
+++ b/landingspool/gateway/persistence.py
@@ -1,14 +1,14 @@
 """Agree with callers on how long a connection at rest is kept.
 
-A request that crosses the close of its connection gets no answer, and its
-caller can't tell whether it was read.  HTTP/1.1 has no exchange before such a
-close.  So each answer announces for how long its connection is kept, and the
-connection is closed only some time after that, also if a configuration has
-lowered the idle time-out since.
+Each answer announces for how long its connection is kept.  The connection is
+closed only some time after that, also if a configuration has lowered the idle
+time-out since.
 """
 
 import math
 
+from landingspool import keep_alive
+
 # Seconds for which a connection is kept beyond the announced time, at least: a
 # request sent at its end has to arrive, and a caller counts from the arrival
 # of the last answer.
@@ -43,7 +43,7 @@
     def announce(self, limits):
         """Return the header row that announces the time to a caller."""
         self._announced_s = max(math.floor(limits.idle_s), MIN_ANNOUNCED_S)
-        return b'keep-alive', f'timeout={self._announced_s}'.encode()
+        return keep_alive.write_row(self._announced_s)
 
     def compute_limit(self, limits):
         """Return the seconds after which the connection at rest is closed.
--- a/landingspool/gateway/upstream.py
+++ b/landingspool/gateway/upstream.py
@@ -15,6 +15,7 @@
 from landingspool import boot_clock
 from landingspool import connection as connection_module
 from landingspool.gateway import answer_reader
+from landingspool import keep_alive
 from landingspool import response_reader
 from landingspool import timeouts
 
@@ -25,9 +26,6 @@
 # Idle time of connections to a target that sends no Keep-Alive time-out: it
 # may close them within a second.
 DEFAULT_IDLE_S = 0.4
-# Seconds before the end of the target's Keep-Alive time-out from which on a
-# connection isn't used: the request has to arrive before the target closes.
-IDLE_MARGIN_S = 0.5
 # Idle time after which a connection isn't used for requests that must not be
 # repeated.  A target may drop a connection without closing it; a request
 # sent on it is then lost, and nobody can tell whether it was executed.  With
@@ -371,7 +369,7 @@
         idle_s = (
             DEFAULT_IDLE_S
             if advertised_s is None
-            else advertised_s - IDLE_MARGIN_S
+            else advertised_s - keep_alive.MARGIN_S
         )
         self._upstream.keep(
             self._address, self.connection, idle_s, self._max_idle
--- a/landingspool/httpclient.py
+++ b/landingspool/httpclient.py
@@ -8,6 +8,9 @@
 used again, and a call that must not take the answer of another one asks for a
 connection of its own (`fresh`).
 
+A peer announces by Keep-Alive for how long it keeps a connection at rest; a
+connection is not used again once that time is nearly over.
+
 The owner of a call bounds its answer in bytes.  A connection whose answer is
 too long is reset at once.
 """
@@ -15,12 +18,15 @@
 import asyncio
 import collections
 import json
+import math
 import typing
 
 import h11
 
+from landingspool import boot_clock
 from landingspool import connection as connection_module
 from landingspool import http
+from landingspool import keep_alive
 from landingspool import response_reader
 from landingspool import timeouts
 
@@ -42,10 +48,24 @@
     reader: response_reader.ResponseReader
 
 
+class IdleStream(typing.NamedTuple):
+    """A Stream that may be used until `until`, seconds of the clock."""
+
+    stream: Stream
+    until: float
+
+
 class Client:
-    """Sends HTTP requests and pools idle connections."""
+    """Sends HTTP requests and pools idle connections.
 
-    def __init__(self):
+    Parameters
+    ----------
+    clock : callable, optional
+        Returns the boot-time clock, seconds.
+    """
+
+    def __init__(self, clock=boot_clock.read):
+        self._clock = clock
         self._idle = collections.defaultdict(list)
 
     async def fetch(
@@ -106,29 +126,38 @@
 
     def acquire(self, address):
         """Return an idle Stream to `address`, or None."""
+        now = self._clock()
         while self._idle[address]:
-            stream = self._idle[address].pop()
-            if stream.connection.is_idle:
+            stream, until = self._idle[address].pop()
+            if now < until and stream.connection.is_idle:
                 return stream
             stream.connection.close()
         return None
 
-    def release(self, address, stream):
+    def release(self, address, stream, kept_s=None):
         """Return a Stream to the pool, or close it if it can't be used again.
 
         Bytes that are unread now belong to no call.
+
+        Parameters
+        ----------
+        kept_s : float, optional
+            Seconds for which the peer keeps the connection, if it said so.
         """
+        left_s = math.inf if kept_s is None else kept_s - keep_alive.MARGIN_S
         is_clean = stream.connection.is_idle and not stream.reader.has_unread
-        if is_clean and len(self._idle[address]) < IDLE_CONNECTIONS:
-            self._idle[address].append(stream)
+        has_room = len(self._idle[address]) < IDLE_CONNECTIONS
+        if is_clean and has_room and left_s > 0:
+            row = IdleStream(stream, self._clock() + left_s)
+            self._idle[address].append(row)
         else:
             stream.connection.close()
 
     def close(self):
         """Close all idle connections."""
-        for streams in self._idle.values():
-            for stream in streams:
-                stream.connection.close()
+        for rows in self._idle.values():
+            for row in rows:
+                row.stream.connection.close()
         self._idle.clear()
 
 
@@ -314,7 +343,10 @@
             return
         if stream.reader.is_complete:
             stream.reader.start_next_cycle()
-            self._client.release(self._address, stream)
+            kept_s = keep_alive.read_seconds(
+                self.headers.get(keep_alive.HEADER, '')
+            )
+            self._client.release(self._address, stream, kept_s)
         else:
             stream.connection.close()
 
--- a/landingspool/platform/answers.py
+++ b/landingspool/platform/answers.py
@@ -4,17 +4,15 @@
 whether the request was executed.  The gateway decides what follows from it.
 """
 
-import re
 import typing
 
+from landingspool import keep_alive
 from landingspool.platform import names
 from landingspool.platform import notices as notices_module
 
 # Misdirected Request (RFC 9110, 15.5.20): another target has taken over the
 # address of the one addressed.  The request was not executed.
 MISDIRECTED = 421
-# `str.isdigit` also holds for digits that `int` and `float` refuse.
-WHOLE_NUMBER = re.compile('[0-9]{1,18}')
 
 
 class Head(typing.NamedTuple):
@@ -70,33 +68,24 @@
         content_encoded=found.get('content-encoding', 'identity')
         != 'identity',
         closing='close' in found.get('connection', '').lower(),
-        keep_alive_s=read_keep_alive(found.get('keep-alive', '')),
+        keep_alive_s=keep_alive.read_seconds(found.get(keep_alive.HEADER, '')),
         version=read_integer(found.get(names.VERSION)),
         target=found.get(names.TARGET_ID, ''),
         notices=notices_module.read_head_notices(status, headers),
     )
 
 
-def read_keep_alive(text):
-    """Return the time-out of a Keep-Alive header in seconds, or None.
-
-    >>> read_keep_alive('timeout=3, max=9'), read_keep_alive('')
-    (3.0, None)
-    """
-    for part in text.lower().split(','):
-        name, _, value = part.strip().partition('=')
-        if name == 'timeout' and WHOLE_NUMBER.fullmatch(value.strip()):
-            return float(value)
-    return None
-
-
 def read_integer(text):
     """Return the whole number in a text, or None.
 
     >>> read_integer(' 12 '), read_integer('\xb2'), read_integer(None)
     (12, None, None)
     """
-    return int(text) if WHOLE_NUMBER.fullmatch((text or '').strip()) else None
+    return (
+        int(text)
+        if keep_alive.WHOLE_NUMBER.fullmatch((text or '').strip())
+        else None
+    )
 
 
 def relay_headers(head):
--- a/tests/test_client.py
+++ b/tests/test_client.py
@@ -17,6 +17,8 @@
 ANSWER = b'HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok'
 ANSWERED_AFTER_S = 0.2
 TIMEOUT_S = 0.4
+# Seconds for which a peer keeps a connection, as it announces.
+KEPT_S = 1.0
 
 
 class Peer:
@@ -77,3 +79,26 @@
     finally:
         peer.close()
     assert time.monotonic() - start < 2 * TIMEOUT_S + 0.5
+
+
+async def answer_once(reader, writer):
+    """Answer one request, announce a second of rest, and close at its end."""
+    await reader.readuntil(b'\r\n\r\n')
+    writer.write(ANSWER.replace(b'\r\n', b'\r\nkeep-alive: timeout=1\r\n', 1))
+    await asyncio.sleep(KEPT_S)
+    writer.transport.abort()
+
+
+def test_no_call_crosses_the_announced_close_of_its_connection():
+    async def check():
+        server = await asyncio.start_server(answer_once, '127.0.0.1', 0)
+        address = http.Address(*server.sockets[0].getsockname())
+        client = httpclient.Client()
+        for _ in range(2):
+            reply = await client.fetch(address, 'GET', '/', timeout=TIMEOUT_S)
+            assert reply.status == 200
+            await asyncio.sleep(KEPT_S - 0.1)
+        client.close()
+        server.close()
+
+    asyncio.run(check())
