--- a/landingspool/gateway/listener.py
+++ b/landingspool/gateway/listener.py
@@ -22,6 +22,12 @@
 ACCEPT_TURNS = 5
 # Seconds in which cancelled connections may finish when the listener closes.
 CANCEL_TIMEOUT_S = 0.05
+# Sent before a connection at rest is closed.  A request that crosses the close
+# has not run, and this is its answer (RFC 9110, 15.5.9).
+REST_OVER = (
+    b'HTTP/1.1 408 Request Timeout\r\n'
+    b'content-length: 0\r\nconnection: close\r\n\r\n'
+)
 REASONS = {
     400: b'Bad Request',
     401: b'Unauthorized',
@@ -298,6 +304,7 @@
         """Close a connection at rest at once: no request is read any more."""
         self._record_closing(connection, reason, task)
         self._end_wait(task)
+        connection.write(REST_OVER)
         connection.close()
         task.cancel()
 
@@ -394,11 +401,10 @@
         if not await heads.wait_for_request(
             connection, lambda: use.compute_limit(self._get_limits())
         ):
-            return (
-                closings.Reason.CALLER
-                if connection.closed
-                else closings.Reason.IDLE
-            )
+            if connection.closed:
+                return closings.Reason.CALLER
+            connection.write(REST_OVER)
+            return closings.Reason.IDLE
         use.record_request(self._measure_wait(task))
         self._busy.add(task)
         self._end_wait(task)
@@ -429,6 +435,8 @@
         is_over = self._closing and connection.is_at_rest
         if reply.is_reusable and not is_over:
             return None
+        if reply.is_reusable:
+            connection.write(REST_OVER)
         return self._explain_end(connection, reply)
 
     def _explain_end(self, connection, reply):
--- a/tests/gateway/test_close_at_rest.py
+++ b/tests/gateway/test_close_at_rest.py
@@ -5,12 +5,15 @@
 
 import pytest
 
+from landingspool.gateway import listener
+from landingspool.gateway import persistence
 from tests.gateway import site
 from tests.gateway import test_unanswered
 
 KEPT = re.compile(rb'\r\nkeep-alive: timeout=(\d+)\r\n', re.I)
 # Seconds that a request may travel, from the end of the announced time on.
 TRAVEL_S = 0.5
+SHORT_REST_S = 0.2
 
 
 async def read_head(reader):
@@ -62,3 +65,44 @@
             assert await test_unanswered.read_statuses(reader) == [200]
 
     site.run(check, plain=1)
+
+
+async def close_at_idle_timeout(hub):
+    await asyncio.sleep(SHORT_REST_S)
+
+
+async def close_for_another(hub):
+    await asyncio.sleep(listener.MIN_SILENCE_S)
+    assert hub.listener._displace()
+
+
+async def close_for_stop(hub):
+    await hub.listener.close(1.0)
+
+
+@pytest.mark.parametrize(
+    'close', [close_at_idle_timeout, close_for_another, close_for_stop]
+)
+def test_a_request_that_crosses_a_close_is_told_that_it_has_not_run(
+    close, monkeypatch
+):
+    async def check(deployment):
+        hub = await deployment.start_box()
+        (target,) = deployment.plain
+        async with site.connect(hub) as (reader, writer):
+            writer.write(test_unanswered.write_request())
+            assert await test_unanswered.read_statuses(reader) == [200]
+            if close is close_at_idle_timeout:
+                monkeypatch.setattr(
+                    persistence.Persistence,
+                    'compute_limit',
+                    lambda *_: SHORT_REST_S / 2,
+                )
+                writer.write(test_unanswered.write_request('/nowhere/'))
+                assert await test_unanswered.read_statuses(reader) == [404]
+            await close(hub)
+            writer.write(test_unanswered.write_request())
+            assert await test_unanswered.read_statuses(reader) == [408]
+            assert len(target.ran) == 1
+
+    site.run(check, plain=1)
