--- a/landingspool/gateway/crash_records.py
+++ b/landingspool/gateway/crash_records.py
@@ -26,6 +26,9 @@
 # Seconds for which a failed write waits at most for the store to answer any
 # read.
 MAX_WAIT_S = 5.0
+# Seconds for which a write that raised an error is left, by the time for which
+# this process has run, so that the other records are written.
+RETRY_S = 5.0
 # Maximum number of suspects that the log line of one crash names.
 MAX_SUSPECTS = 8
 
@@ -48,7 +51,7 @@
     ----------
     hub
         The box's parts: `view`, `store`, `recorder`, `gate`, `peering`,
-        `prober`, `clock`, `wall`.
+        `prober`, `supervisor`, `clock`, `wall`.
     """
 
     def __init__(self, hub):
@@ -162,13 +165,14 @@
     async def run(self):
         """Write pending records until cancelled."""
         while True:
-            await self._wake.wait()
+            if not self._pending:
+                await self._wake.wait()
             self._wake.clear()
             while self._pending:
                 self._ran_s = self._running.advance(self._hub.clock())
                 for key, write in list(self._pending.items()):
                     if self._ran_s >= write.at:
-                        await self._write(key, write)
+                        await self._try_write(key, write)
                     self._drop_written(key)
                 await asyncio.sleep(CHECK_PERIOD_S)
 
@@ -196,6 +200,16 @@
         self._pending[key] = PendingWrite(value, self._ran_s + turn * TURN_S)
         self._wake.set()
 
+    async def _try_write(self, key, write):
+        """Write one record, or leave it for RETRY_S if that fails."""
+        try:
+            await self._write(key, write)
+        except Exception as error:
+            self._hub.supervisor.report('crash_records', error)
+            if self._pending.get(key) is write:
+                later = write._replace(at=self._ran_s + RETRY_S)
+                self._pending[key] = later
+
     async def _write(self, key, write):
         """Write one record if no other box has written it yet."""
         if self._is_written(key, write.value):
--- a/landingspool/gateway/hub.py
+++ b/landingspool/gateway/hub.py
@@ -1,7 +1,6 @@
 """Create, connect, run and stop all parts of one gateway box."""
 
 import asyncio
-import contextlib
 import time
 import traceback
 
@@ -38,6 +37,7 @@
 from landingspool.platform import names
 from landingspool.platform import runners
 from landingspool.platform import store
+from landingspool import supervisor as supervisor_module
 from landingspool import timer as timer_module
 
 # Period of the check for target entries whose grace has expired.
@@ -86,13 +86,18 @@
     ):
         self.deployment = deployment
         self.wall = wall
-        self.timer = timer_module.Timer(clock, on_error=self._record_fault)
-        # Every reading of the time notices a stall before it is used.
-        self.clock = self.timer.now
         self.recorder = events.Recorder(
             deployment.box, wall, RING_EVENTS, events.format_json
         )
         self.metrics = metrics.Metrics()
+        self.supervisor = supervisor_module.Supervisor(
+            self.recorder, self.metrics.task_failures
+        )
+        self.timer = timer_module.Timer(
+            clock, on_error=lambda error: self.supervisor.report('tick', error)
+        )
+        # Every reading of the time notices a stall before it is used.
+        self.clock = self.timer.now
         self.view = view_module.View(
             deployment.domain, deployment.bounds, seed, deployment.regions
         )
@@ -142,7 +147,6 @@
         self.crash_records = crash_records.CrashRecords(self)
         self.resumption = resumption.Resumption(self)
         self._claims = None
-        self._tasks = []
         self._stop = asyncio.Event()
 
     async def run(self):
@@ -158,18 +162,10 @@
         self.continuity.start()
         self.software_watch.start()
         self.timer.subscribe(METRICS_LOG_PERIOD_S, self._log_metrics)
-        self._spawn(following.Published(self).run())
-        self._spawn(following.Targets(self).run())
-        orderer = ordering.Orderer(self)
-        self._claims = following.Claims(self, orderer.watch)
-        self._spawn(self._claims.run())
-        self._spawn(self.crash_records.run())
-        self._spawn(orderer.run())
-        self._spawn(self.cache_follower.run())
-        self._spawn(sweeper.Sweeper(self).run())
+        self._keep_parts()
         if self.deployment.links is not None:
             await self.peering.start()
-            self._spawn(self.peering.run())
+            self.supervisor.keep('boxes', self.peering.run)
         self.recorder.record('started', domain=self.deployment.domain)
         await self._stop.wait()
         await self._shut_down()
@@ -178,21 +174,17 @@
         """Begin a planned stop."""
         self._stop.set()
 
-    def _record_fault(self, error):
-        self.recorder.record('fault', reason=repr(error))
-
-    def _spawn(self, work):
-        task = asyncio.ensure_future(work)
-        task.add_done_callback(self._handle_task_end)
-        self._tasks.append(task)
-
-    def _handle_task_end(self, task):
-        if task.cancelled() or task.exception() is None:
-            return
-        self.recorder.record('fault', reason=repr(task.exception()))
-        # A box without one of its tasks would serve on stale state, which is
-        # worse than a restart.
-        self.stop()
+    def _keep_parts(self):
+        orderer = ordering.Orderer(self)
+        self._claims = following.Claims(self, orderer.watch)
+        keep = self.supervisor.keep
+        keep('tables', following.Published(self).run)
+        keep('targets', following.Targets(self).run)
+        keep('claims', self._claims.run)
+        keep('crash_records', self.crash_records.run)
+        keep('orders', orderer.run)
+        keep('cache_events', self.cache_follower.run)
+        keep('sweeper', sweeper.Sweeper(self).run)
 
     async def _handle(self, request, body, reply):
         await self._relay(request, body, reply, None)
@@ -400,7 +392,7 @@
         self.forward_listener.stop()
         self.gate.stop()
         self.continuity.hand_over()
-        self._spawn(self.peering.leave())
+        self.supervisor.spawn('leave', self.peering.leave())
         await asyncio.sleep(
             min(STOP_NOTICE_S, self.deployment.bounds.grace_s / 2)
         )
@@ -408,10 +400,7 @@
         await asyncio.gather(
             self.listener.close(left_s), self.forward_listener.close(left_s)
         )
-        for task in self._tasks:
-            task.cancel()
-        with contextlib.suppress(asyncio.CancelledError):
-            await asyncio.gather(*self._tasks, return_exceptions=True)
+        await self.supervisor.close()
         self.timer.close()
         await self.peering.close()
         self.upstream.close()
--- a/landingspool/gateway/metrics.py
+++ b/landingspool/gateway/metrics.py
@@ -41,6 +41,9 @@
         self.faults = self._make_counter(
             'faults', 'Requests whose handling raised an error'
         )
+        self.task_failures = self._make_counter(
+            'task_failures', 'Unhandled errors of tasks', ('task',)
+        )
         self.unanswered = self._make_counter(
             'unanswered', 'Requests that were read and got no whole answer'
         )
