--- a/landingspool/event_kinds.py
+++ b/landingspool/event_kinds.py
@@ -401,7 +401,7 @@
             800,
             'fault',
             'ERROR',
-            'A task ended with an unhandled error.',
+            'A task, a tick or the handling of a message raised an error.',
         ),
         Kind(801, 'no_metrics', 'WARNING', 'The metrics cannot be served.'),
         Kind(
@@ -434,6 +434,12 @@
             'DEBUG',
             'A connection of a caller ended, with what lay unread on it.',
         ),
+        Kind(
+            807,
+            'record_passed_over',
+            'ERROR',
+            'A record raised an error; what was known before stays in force.',
+        ),
     )
 }
 
--- a/landingspool/gateway/following.py
+++ b/landingspool/gateway/following.py
@@ -10,6 +10,7 @@
 import asyncio
 import dataclasses
 
+from landingspool.decisions.gateway import order_claims
 from landingspool.decisions.gateway import tail as tail_module
 from landingspool.gateway import resumption
 from landingspool.gateway import state
@@ -24,19 +25,29 @@
 # read, for any read to be answered.  The tables are read again after 0.8 s at
 # most, so this matters only if their read stays without an answer too.
 MAX_WAIT_S = 3.0
+# The task under whose name records that are passed over are counted.
+RECORDS_TASK = 'records'
 # Seconds after a failed read in which a vanished entry may have lapsed only
 # because the store was unreachable.
 UNCONFIRMED_S = 5.0
 
 
+class NotApplied(Exception):
+    """The newest table could not be applied, so nothing is proved of it."""
+
+
 class Follower:
     """Follow one topic; each subclass applies the records of its topic.
 
+    A record whose application raises an unexpected error is passed over, and
+    what was known before stays in force.  While a newest record is passed
+    over that belongs to what a read of the topic proves, reads prove nothing.
+
     Parameters
     ----------
     hub
         The box's parts: `sources`, `record_server`, `view`, `recorder`,
-        `clock`.
+        `supervisor`, `clock`.
 
     Attributes
     ----------
@@ -58,6 +69,8 @@
         self._hub = hub
         self._up = None
         self.was_tried = False
+        # Keys whose newest record was passed over.
+        self._passed_over = set()
         self._tail = tail_module.Tail(self.newest_only)
         hub.record_server.add(self.topic, self._tail)
 
@@ -158,15 +171,47 @@
         return self._hub.clock() - failed_at < UNCONFIRMED_S
 
     def _apply_newest(self, newest):
-        for record in newest.records:
-            self._apply(record)
-        self._record_read(newest.sent)
+        self._passed_over.clear()
+        self._apply_records(newest.records)
+        self._replace_known(newest)
+        self._finish_read(newest.sent)
+
+    def _replace_known(self, newest):
+        """Drop what is no longer in the newest records."""
 
     def _apply_page(self, page):
-        for record in page.records:
-            self._apply(record)
+        self._apply_records(page.records)
         if page.whole:
-            self._record_read(page.sent)
+            self._finish_read(page.sent)
+
+    def _apply_records(self, records):
+        for record in records:
+            try:
+                self._apply(record)
+            except Exception as error:
+                self._pass_over(record, error)
+            else:
+                self._passed_over.discard(record.key)
+
+    def _pass_over(self, record, error):
+        self._passed_over.add(record.key)
+        self._hub.supervisor.report(
+            RECORDS_TASK,
+            error,
+            'record_passed_over',
+            topic=self.topic,
+            key=record.key,
+            offset=record.offset,
+        )
+
+    def _finish_read(self, sent):
+        """Record an answered read, unless what it proves isn't applied."""
+        if not any(map(self._is_proved, self._passed_over)):
+            self._record_read(sent)
+
+    def _is_proved(self, key):
+        """Return whether a read proves what the newest record of `key` is."""
+        return True
 
     def _apply(self, record):
         raise NotImplementedError
@@ -216,8 +261,7 @@
         """Pause after a failed read; this topic always asks again."""
         await asyncio.sleep(seconds)
 
-    def _apply_newest(self, newest):
-        super()._apply_newest(newest)
+    def _replace_known(self, newest):
         self._hub.state.set_evacuated(
             {
                 read_evacuated(record)
@@ -226,6 +270,21 @@
             }
         )
 
+    def _finish_read(self, sent):
+        """Record an answered read.
+
+        Raises
+        ------
+        NotApplied
+            If the newest table was passed over: it is read again.
+        """
+        if any(map(self._is_proved, self._passed_over)):
+            raise NotApplied('the newest table could not be applied')
+        super()._finish_read(sent)
+
+    def _is_proved(self, key):
+        return key == names.TABLE_KEY
+
     def _apply(self, record):
         domain = read_evacuated(record)
         if domain:
@@ -281,13 +340,13 @@
         """Return the end of what was read, or of a peer's state if newer."""
         return max(super().min_end, self._hub.state.targets_end)
 
-    def _apply_newest(self, newest):
-        super()._apply_newest(newest)
+    def _replace_known(self, newest):
         self._hub.state.targets_end = newest.end
+        # A target whose record was passed over is listed all the same.
         listed = {record.key for record in newest.records if record.value}
         for target in self._hub.view.fleet.list_targets():
             if target not in listed:
-                self._drop(target)
+                self._hub.supervisor.guard(RECORDS_TASK, self._drop, target)
 
     def _apply_page(self, page):
         # Records older than the state fetched from a peer would bring back
@@ -323,8 +382,7 @@
         super().__init__(hub)
         self._watch = watch
 
-    def _apply_newest(self, newest):
-        super()._apply_newest(newest)
+    def _replace_known(self, newest):
         self._watch.end = newest.end
 
     def _apply_page(self, page):
@@ -334,6 +392,9 @@
     def _record_read(self, sent):
         self._hub.software_watch.record_read(sent)
 
+    def _is_proved(self, key):
+        return key == names.SOFTWARE_KEY
+
     def _apply(self, record):
         if record.key.startswith(names.CRASHES_KEY):
             self._hub.crash_records.take(record)
@@ -357,7 +418,20 @@
         self._put_loading(claim, now)
         self._hub.state.take_claimed(claim.versions, now)
 
+    def _pass_over(self, record, error):
+        super()._pass_over(record, error)
+        if is_claim(record):
+            # Its holder may give orders, whoever it is.
+            unknown = order_claims.Claim('', record.offset)
+            self._watch.record(unknown, self._hub.clock())
+
     def _put_loading(self, claim, now):
         """Record the loads that a claim announces, from its writing on."""
         delays = {name: s - claim.age_s for name, s in claim.loading.items()}
         self._hub.view.loading.put(delays, now)
+
+
+def is_claim(record):
+    """Return whether a record of the topic of claims is one."""
+    is_crash = record.key.startswith(names.CRASHES_KEY)
+    return not is_crash and record.key != names.SOFTWARE_KEY
