--- a/landingspool/gateway/hub.py
+++ b/landingspool/gateway/hub.py
@@ -93,9 +93,7 @@
         self.supervisor = supervisor_module.Supervisor(
             self.recorder, self.metrics.task_failures
         )
-        self.timer = timer_module.Timer(
-            clock, on_error=lambda error: self.supervisor.report('tick', error)
-        )
+        self.timer = timer_module.Timer(clock, on_error=self.supervisor.report)
         # Every reading of the time notices a stall before it is used.
         self.clock = self.timer.now
         self.view = view_module.View(
@@ -155,7 +153,12 @@
         await self._start_metrics()
         await self.listener.start(self.deployment.callers)
         await self._start_forward_listener()
-        self.timer.subscribe_stall(self._on_stall)
+        # Each is called even if another one fails.
+        self.timer.subscribe_stall(self._record_stall)
+        self.timer.subscribe_stall(self._exclude_stall)
+        self.timer.subscribe_stall(lambda stall: self.gate.void())
+        self.timer.subscribe_stall(self.sources.exclude_stall)
+        self.timer.subscribe_stall(self.resumption.begin)
         self.timer.subscribe(FLEET_CHECK_PERIOD_S, self._check_fleet)
         self.timer.subscribe(prober.CHECK_PERIOD_S, self.prober.check)
         self.timer.subscribe(SWEEP_PERIOD_S, self._sweep)
@@ -266,25 +269,35 @@
         """Return where peers may forward requests to, or None."""
         return self.deployment.forwarding if self._takes_forwarded else None
 
-    def _on_stall(self, stall):
-        """Correct what is known for a stall of this process."""
+    def _record_stall(self, stall):
         self.recorder.record('frozen', seconds=round(stall.seconds, 2))
+
+    def _exclude_stall(self, stall):
+        """Correct the ages of what is known for a stall of this process."""
         stalls.exclude_stall(self.view, stall.seconds, stall.now)
-        self.gate.void()
-        self.sources.exclude_stall(stall.seconds)
-        self.resumption.begin(stall)
 
     def _check_fleet(self, tick):
-        for name in self.view.fleet.tick(tick.now):
+        self._guard(self._drop_lapsed, tick.now)
+        self._guard(self.crash_records.check)
+        self._guard(self.target_notices.check)
+
+    def _guard(self, call, *args):
+        """Call one of several functions of a tick; report its error."""
+        self.supervisor.guard(call.__qualname__, call, *args)
+
+    def _drop_lapsed(self, now):
+        for name in self.view.fleet.tick(now):
             self.recorder.record('target_down', target=name, sure=True)
-            self.view.record_incarnation_end(name, tick.now)
-        self.crash_records.check()
-        self.target_notices.check()
+            self._guard(self.view.record_incarnation_end, name, now)
 
     def _sweep(self, tick):
-        self.upstream.sweep()
-        self.target_notices.sweep()
-        self.store_reports.check(tick.now)
+        self._guard(self.upstream.sweep)
+        self._guard(self.target_notices.sweep)
+        self._guard(self.store_reports.check, tick.now)
+        self._guard(self.gate.sweep)
+        self._guard(self._record_gauges, tick)
+
+    def _record_gauges(self, tick):
         exclusions = self.view.exclusions
         self.metrics.record_targets(
             len(exclusions.cold_targets.list_cold(tick.now)),
@@ -294,7 +307,6 @@
         self.metrics.record_workspaces(
             self.view.fair_admission.count_over(tick.now)
         )
-        self.gate.sweep()
         self.metrics.quarantined.set(
             len(self.view.crashes.list_quarantined(tick.now))
         )
--- a/landingspool/gateway/sources.py
+++ b/landingspool/gateway/sources.py
@@ -70,10 +70,10 @@
         self._answered = asyncio.Event()
         self.failed_at = None
 
-    def exclude_stall(self, seconds):
-        """Don't count the seconds of a stall of this process."""
+    def exclude_stall(self, stall):
+        """Don't count the seconds of a timer.Stall of this process."""
         if self.failed_at is not None:
-            self.failed_at += seconds
+            self.failed_at += stall.seconds
 
     def leave(self, name):
         """Abort the pending reads of a source that has failed.
--- a/landingspool/timer.py
+++ b/landingspool/timer.py
@@ -56,8 +56,10 @@
     sleep : coroutine function, optional
         Waits for a number of seconds; tests pass in virtual time.
     on_error : callable, optional
-        ``on_error(exception)`` if a subscriber fails; its ticks go on.
-        Without it they end.
+        ``on_error(name, exception)`` if a subscriber fails, with the name
+        of its function; it is called again, and the others are called as
+        before.  Without it a stall raises the error of the first one that
+        failed, and ticks that raise an error end.
     """
 
     def __init__(
@@ -129,8 +131,19 @@
         if seconds:
             stall = Stall(seconds, now)
             self._stalls.append(stall)
-            for call in self._on_stall:
+            self._notify(stall)
+
+    def _notify(self, stall):
+        """Call all subscribers of stalls, whichever of them fails."""
+        errors = []
+        for call in list(self._on_stall):
+            try:
                 call(stall)
+            except Exception as error:
+                errors.append(error)
+                self._report(call, error)
+        if errors and self._on_error is None:
+            raise errors[0]
 
     async def _run(self, period, call):
         while True:
@@ -140,7 +153,12 @@
             except Exception as error:
                 if self._on_error is None:
                     raise
-                self._on_error(error)
+                self._report(call, error)
+
+    def _report(self, call, error):
+        if self._on_error is not None:
+            name = getattr(call, '__qualname__', type(call).__name__)
+            self._on_error(name, error)
 
     def _compute_wait(self, period):
         """Return the seconds until the next multiple of `period`.
--- a/tests/gateway/test_datagrams.py
+++ b/tests/gateway/test_datagrams.py
@@ -116,7 +116,9 @@
 def test_a_subscriber_that_fails_is_told_of_and_called_again():
     async def check():
         errors, ticks = [], []
-        timer = timer_module.Timer(on_error=errors.append)
+        timer = timer_module.Timer(
+            on_error=lambda name, error: errors.append((name, error))
+        )
 
         def fail(tick):
             ticks.append(tick)
