--- a/landingspool/gateway/cache_follower.py
+++ b/landingspool/gateway/cache_follower.py
@@ -12,6 +12,7 @@
 """
 
 import asyncio
+import functools
 
 import cbor2
 import msgspec
@@ -40,6 +41,9 @@
 # reading 15 lists one after the other takes 2 s, during which every prompt is
 # computed from the beginning.
 MAX_CONCURRENT_LISTS = 4
+# Seconds for which a store whose updates raised an error is not asked about,
+# so that its lists are not read again and again.
+LEFT_S = 5.0
 # Outcomes of asking another box.
 FOLLOWED = 'followed'
 LISTED = 'listed'
@@ -71,6 +75,8 @@
     def __init__(self, hub):
         self._hub = hub
         self._tasks = {}
+        # Until when stores are left whose updates raised an error.
+        self._left_until = {}
 
     async def run(self):
         """Follow until cancelled."""
@@ -118,8 +124,10 @@
         for name, (address, period_s) in followed.items():
             task = self._tasks.get(name)
             if task is None or task.done():
-                work = self._follow(name, address, period_s)
-                self._tasks[name] = asyncio.ensure_future(work)
+                self._tasks[name] = self._hub.supervisor.keep(
+                    'cache_events',
+                    functools.partial(self._follow, name, address, period_s),
+                )
 
     async def _follow(self, name, address, period_s):
         # A box that received the state of a store from a peer continues from
@@ -167,7 +175,12 @@
         """Apply updates; return whether the complete list is needed."""
         known = self._hub.view.context_index
         index = known.get(name)
-        needs_list = known.take(name, updates, sent, now)
+        try:
+            needs_list = known.take(name, updates, sent, now)
+        except Exception:
+            # Some of the changes may be applied; the list is read anew.
+            known.forget(name)
+            raise
         if index is None or index.epoch != updates.epoch:
             self._hub.view.store_health.forget(name)
             self._hub.recorder.record(
@@ -198,8 +211,12 @@
             read, whose clock comes with the next answer; MISSING if one of
             them could not be read.
         """
-        stores = self._hub.view.table.context_stores
         sent = self._hub.clock()
+        stores = [
+            name
+            for name in self._hub.view.table.context_stores
+            if self._left_until.get(name, sent) <= sent
+        ]
         found = await self._fetch_changes(peer, stores)
         if found is None:
             # The peer may have just started as well.  Complete lists come
@@ -208,13 +225,24 @@
             stores = [n for n in stores if not self._is_known(n)]
         for name, updates in found.items():
             if not updates.lost:
-                self._apply(name, updates, sent, self._hub.clock())
+                self._try_apply(name, updates, sent)
         missing = [n for n in stores if n not in found or found[n].lost]
         if not missing:
             return FOLLOWED
         self._hub.view.rng.shuffle(missing)
         return LISTED if await self._read_lists(missing) else MISSING
 
+    def _try_apply(self, name, updates, sent):
+        """Apply updates; leave the store for some time if that fails."""
+        try:
+            self._apply(name, updates, sent, self._hub.clock())
+        except Exception as error:
+            self._leave(name, error)
+
+    def _leave(self, name, error):
+        self._hub.supervisor.report('cache_events', error, target=name)
+        self._left_until[name] = self._hub.clock() + LEFT_S
+
     def _is_known(self, name):
         return self._hub.view.context_index.get(name) is not None
 
@@ -223,7 +251,7 @@
         read = []
         for start in range(0, len(names), MAX_CONCURRENT_LISTS):
             group = names[start : start + MAX_CONCURRENT_LISTS]
-            read += await asyncio.gather(*map(self._read_list, group))
+            read += await asyncio.gather(*map(self._try_read_list, group))
         return all(read)
 
     async def _fetch_changes(self, peer, stores):
@@ -244,6 +272,14 @@
             self._hub.recorder.record('no_state', reason=reason)
             return None
 
+    async def _try_read_list(self, name):
+        """Read a list as `_read_list`; an error counts as no answer."""
+        try:
+            return await self._read_list(name)
+        except Exception as error:
+            self._leave(name, error)
+            return False
+
     async def _read_list(self, name):
         """Read the complete list of a store; return whether it was read."""
         sent = self._hub.clock()
--- a/landingspool/gateway/continuity.py
+++ b/landingspool/gateway/continuity.py
@@ -49,7 +49,7 @@
     ----------
     hub
         The box's parts: `deployment`, `view`, `peering`, `client`, `timer`,
-        `recorder`, `metrics`, `clock`.
+        `recorder`, `metrics`, `supervisor`, `clock`.
     """
 
     def __init__(self, hub):
@@ -163,7 +163,8 @@
         query = stream_records.StreamQuery(key, route.host, route.prefix)
         body = cbor2.dumps(msgspec.to_builtins(query, builtin_types=[bytes]))
         asking = {
-            asyncio.ensure_future(self._ask(peer, body)) for peer in peers
+            self._hub.supervisor.spawn('owners', self._try_ask(peer, body))
+            for peer in peers
         }
         answers, pending = [], asking
         found = continuations.decide(own, answers, len(peers))
@@ -181,6 +182,12 @@
                 task.cancel()
         return found
 
+    async def _try_ask(self, peer, body):
+        """Ask a box; an error counts as no answer of it."""
+        return await self._hub.supervisor.attempt(
+            'owners', self._ask(peer, body)
+        )
+
     async def _ask(self, peer, body):
         """Return the Evidence of another box, or None if it doesn't answer."""
         try:
--- a/landingspool/gateway/ordering.py
+++ b/landingspool/gateway/ordering.py
@@ -16,6 +16,7 @@
 from landingspool.platform import names
 from landingspool.platform import runners
 from landingspool.platform import store as store_module
+from landingspool import supervisor
 
 # Period at which the versions of the targets are checked, seconds.
 CHECK_PERIOD_S = 0.1
@@ -49,10 +50,14 @@
         # How long the claim has been needed without a holder.
         self._unclaimed = timing.RunningTime(CHECK_PERIOD_S)
         self._rollouts = {}
-        self._tasks = set()
 
     async def run(self):
-        """Give orders until cancelled."""
+        """Give orders until cancelled.
+
+        After an error this box claims anew before it gives further orders.
+        What it has ordered stays known.
+        """
+        self._drop_claim('started again')
         while True:
             await asyncio.sleep(CHECK_PERIOD_S)
             behind = self._list_behind()
@@ -63,11 +68,19 @@
                 continue
             self._take_over(behind)
             orders = self._plan_orders(behind)
-            if await self._renew_claim(self._list_loading(), orders):
+            if await self._may_send(orders):
                 self._send_orders(orders)
             else:
                 self._cancel(orders)
 
+    async def _may_send(self, orders):
+        """Return whether planned orders may be given; cancel them if not."""
+        try:
+            return await self._renew_claim(self._list_loading(), orders)
+        except Exception:
+            self._cancel(orders)
+            raise
+
     def _list_behind(self):
         view = self._hub.view
         rows = []
@@ -190,7 +203,9 @@
             ):
                 entry = self._hub.view.fleet.entries[order.target]
                 number = rollout.get_number(order.target)
-                self._start(self._wait(rollout, entry, order, number))
+                self._hub.supervisor.spawn(
+                    'order', self._wait(rollout, entry, order, number)
+                )
 
     def _plan_orders(self, behind):
         now = self._hub.clock()
@@ -228,12 +243,9 @@
     def _send_orders(self, orders):
         for order in orders:
             rollout = self._rollouts[order.model]
-            self._start(self._update_target(rollout, order))
-
-    def _start(self, work):
-        task = asyncio.ensure_future(work)
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
+            self._hub.supervisor.spawn(
+                'order', self._update_target(rollout, order)
+            )
 
     async def _update_target(self, rollout, order):
         """Have one target load the version, as far as it answers."""
@@ -283,13 +295,7 @@
             # The target may have asked for a back-off since the planning.
             return rollouts.REFUSED
         fence = self._lease.fence
-        reply = await self._hub.runners.order(
-            entry.address,
-            order,
-            report.orders,
-            self._hub.deployment.box,
-            fence,
-        )
+        reply = await self._try_order(entry, order, report.orders, fence)
         self._hub.metrics.orders.labels(type(reply).__name__).inc()
         self._hub.recorder.record(
             'ordered',
@@ -304,6 +310,16 @@
             self._drop_claim('fenced')
         return STATES[type(reply)]
 
+    async def _try_order(self, entry, order, taken, fence):
+        """Give an order; after an error it may have been taken."""
+        try:
+            return await self._hub.runners.order(
+                entry.address, order, taken, self._hub.deployment.box, fence
+            )
+        except Exception as error:
+            self._hub.supervisor.report('order', error, target=entry.name)
+            return runners.Unanswered(supervisor.describe(error), True)
+
     async def _wait(self, rollout, entry, order, number):
         """Follow a target until it has the version or gets another order."""
         box = self._hub.deployment.box
@@ -322,6 +338,14 @@
             rollout.take_report(order.target, report.busy, self._hub.clock())
 
     async def _read_report(self, entry, order):
+        """Read a target's report; an error counts as no answer."""
+        try:
+            return await self._fetch_report(entry, order)
+        except Exception as error:
+            self._hub.supervisor.report('order', error, target=entry.name)
+            return runners.Unanswered(supervisor.describe(error), True)
+
+    async def _fetch_report(self, entry, order):
         if not self._hub.view.may_call(entry.name, self._hub.clock()):
             return runners.Unanswered(
                 'calls to the target are excluded', False
--- a/landingspool/gateway/peering.py
+++ b/landingspool/gateway/peering.py
@@ -244,7 +244,8 @@
         view.watchers.set_members(
             self._hub.deployment.box, self._list_domain_peers()
         )
-        self._update_groups(tick.now)
+        # Without its digests a box counts as gone.
+        self._hub.supervisor.guard('groups', self._update_groups, tick.now)
         self._send_digest(tick.now)
 
     def _update_groups(self, now):
@@ -380,7 +381,15 @@
         return round(proof.age_to_send(now), 3)
 
     def _receive(self, message, address):
-        HANDLERS[type(message)](self, message, http.Address(*address))
+        # One that fails must not delay the others, nor fail a request for
+        # which messages are read.
+        self._hub.supervisor.guard(
+            'messages',
+            HANDLERS[type(message)],
+            self,
+            message,
+            http.Address(*address),
+        )
 
     def _receive_digest(self, digest, address):
         if digest.box == self._hub.deployment.box:
@@ -418,7 +427,7 @@
             return
         if not self._fetching:
             self._fetching = True
-            work = asyncio.ensure_future(self._fetch(address))
+            work = self._hub.supervisor.spawn('state', self._fetch(address))
             work.add_done_callback(self._end_fetch)
 
     def _is_worth_fetching(self, tell):
@@ -430,8 +439,6 @@
 
     def _end_fetch(self, work):
         self._fetching = False
-        if not work.cancelled() and work.exception() is not None:
-            self._hub.recorder.record('fault', reason=repr(work.exception()))
 
     async def _fetch(self, address):
         """Fetch and apply a peer's state, with the proof that it contains."""
--- a/landingspool/gateway/prober.py
+++ b/landingspool/gateway/prober.py
@@ -4,9 +4,8 @@
 target.
 """
 
-import asyncio
-
 from landingspool.gateway import upstream
+from landingspool import supervisor
 
 # Period at which targets are checked for a due probe, seconds.
 CHECK_PERIOD_S = 0.1
@@ -19,7 +18,7 @@
     ----------
     hub
         The box's parts: `view`, `upstream`, `recorder`, `crash_records`,
-        `clock`.
+        `supervisor`, `clock`.
     """
 
     def __init__(self, hub):
@@ -95,14 +94,17 @@
         return name not in view.fleet.entries or view.may_call(name, now)
 
     def _start_probe(self, name):
-        work = asyncio.ensure_future(self._probe(name))
+        work = self._hub.supervisor.spawn('probe', self._try_probe(name))
         self._probing[name] = work
-        work.add_done_callback(lambda done: self._on_probe_end(name, done))
+        work.add_done_callback(lambda done: self._probing.pop(name))
 
-    def _on_probe_end(self, name, work):
-        del self._probing[name]
-        if not work.cancelled() and work.exception() is not None:
-            self._hub.recorder.record('fault', reason=repr(work.exception()))
+    async def _try_probe(self, name):
+        """Probe a target; an error counts as a probe that failed."""
+        try:
+            await self._probe(name)
+        except Exception as error:
+            self._hub.supervisor.report('probe', error, target=name)
+            self.record_failed(name, supervisor.describe(error))
 
     async def _probe(self, name):
         view = self._hub.view
--- a/landingspool/gateway/registry.py
+++ b/landingspool/gateway/registry.py
@@ -56,7 +56,8 @@
     Parameters
     ----------
     hub
-        The box's parts: `deployment`, `store`, `view`, `clock`.
+        The box's parts: `deployment`, `store`, `view`, `supervisor`,
+        `clock`.
     peers : dict of str to Peer
         The other boxes by name, updated in this object.
 
@@ -74,17 +75,14 @@
         self._peers = peers
         self.listed = asyncio.Event()
         self.was_read = False
+        self._is_registered = False
         self._wanted = asyncio.Event()
         self._asked = -math.inf
 
     async def run(self):
         """Register this box, and read the list of boxes periodically."""
-        if not self._hub.deployment.first_start:
-            await self._read_first_list()
-        await self._register()
-        if self._hub.deployment.first_start:
-            await asyncio.sleep(START_GATHERING_S)
-            await self._read_first_list()
+        if not self._is_registered:
+            await self._start()
         while True:
             # The period varies, since all boxes may start at once.
             period_s = self._get_period() * random.uniform(0.5, 1.5)
@@ -104,9 +102,23 @@
             self._asked = now
             self._wanted.set()
 
+    async def _start(self):
+        """Register this box, and read the list before or after."""
+        first_start = self._hub.deployment.first_start
+        if not first_start:
+            await self._read_first_list()
+        await self._register()
+        self._is_registered = True
+        if first_start:
+            await asyncio.sleep(START_GATHERING_S)
+            await self._read_first_list()
+
     async def _read_first_list(self):
-        """Read the list for the first time, and wake those who wait."""
-        await self._read_list()
+        """Read the list for the first time, and wake those who wait.
+
+        An error must not keep this box from being known to the others.
+        """
+        await self._hub.supervisor.attempt('boxes', self._read_list())
         self.listed.set()
 
     async def _read_list(self):
@@ -145,7 +157,7 @@
     def _apply_list(self, newest):
         listed = {}
         for key, value, _ in newest.records:
-            peer = read_peer(key, value)
+            peer = self._read_peer(key, value)
             if peer is not None and key != self._hub.deployment.box:
                 listed[key] = peer
         recent = self._hub.view.peer_digests.list_fresh_peers(
@@ -156,6 +168,14 @@
                 del self._peers[name]
         self._peers.update(listed)
 
+    def _read_peer(self, name, value):
+        """Return a Peer; the known one if its record raises an error."""
+        try:
+            return read_peer(name, value)
+        except Exception as error:
+            self._hub.supervisor.report('boxes', error, key=name)
+            return self._peers.get(name)
+
 
 def list_stream_owners(peers):
     """Return the peers that can be told of streams, by name.
--- a/landingspool/gateway/software_watch.py
+++ b/landingspool/gateway/software_watch.py
@@ -34,7 +34,7 @@
     ----------
     hub
         The box's parts: `view`, `peering`, `sources`, `store`, `timer`,
-        `recorder`, `clock`.
+        `recorder`, `supervisor`, `clock`.
     """
 
     def __init__(self, hub):
@@ -96,7 +96,9 @@
             self._differs_since = ran_s
         is_idle = self._writing is None or self._writing.done()
         if is_idle and ran_s >= self._differs_since + self._get_delay(wanted):
-            self._writing = asyncio.ensure_future(self._write(wanted))
+            self._writing = self._hub.supervisor.spawn(
+                'software_summary', self._try_write(wanted)
+            )
 
     def _adopt(self, now):
         """Adopt the stored summary if this box has watched too short."""
@@ -130,6 +132,14 @@
         turn_s = self._hub.peering.get_rank(names.SOFTWARE_KEY) * TURN_S
         return turn_s if grows else turn_s + SHRINK_DELAY_S
 
+    async def _try_write(self, summary):
+        """Write a summary; after an error none is written for MAX_WAIT_S."""
+        try:
+            await self._write(summary)
+        except Exception as error:
+            self._hub.supervisor.report('software_summary', error)
+            await asyncio.sleep(MAX_WAIT_S)
+
     async def _write(self, summary):
         reply = await self._hub.store.append(
             names.CLAIMS_TOPIC,
--- a/landingspool/gateway/sources.py
+++ b/landingspool/gateway/sources.py
@@ -18,6 +18,7 @@
 from landingspool.decisions.gateway import tail as tail_module
 from landingspool.gateway import boxcalls
 from landingspool.platform import store as store_module
+from landingspool import supervisor
 
 RECORDS_PATH = '/records'
 NEWEST_PATH = '/newest'
@@ -56,7 +57,8 @@
     Parameters
     ----------
     hub
-        The box's parts: `store`, `client`, `peering`, `clock`, `deployment`.
+        The box's parts: `store`, `client`, `peering`, `supervisor`, `clock`,
+        `deployment`.
 
     Attributes
     ----------
@@ -115,7 +117,7 @@
         while True:
             peer = peering.pick_reader()
             if peer is not None:
-                reply = await read_box(peer)
+                reply = await self._try_read_box(peer, read_box)
             else:
                 reply = await self._read_store(read_store())
             if not isinstance(reply, store_module.Unavailable):
@@ -125,6 +127,14 @@
             if peer is None and peering.pick_reader() is None:
                 return reply
 
+    async def _try_read_box(self, peer, read_box):
+        """Read a box; one whose answer raises an error is avoided."""
+        try:
+            return await read_box(peer)
+        except Exception as error:
+            self._hub.supervisor.report('sources', error, peer=peer.name)
+            return self._reject(peer, supervisor.describe(error))
+
     async def wait_answered(self, most_s):
         """Wait until any read is answered, for `most_s` seconds at most."""
         with contextlib.suppress(TimeoutError):
--- a/landingspool/supervisor.py
+++ b/landingspool/supervisor.py
@@ -9,6 +9,7 @@
 """
 
 import asyncio
+import functools
 import pathlib
 import traceback
 import typing
@@ -130,6 +131,10 @@
             **fields,
         )
 
+    def make_reporter(self, name):
+        """Return a function that reports an error under a name."""
+        return functools.partial(self.report, name)
+
     def report_loop_error(self, loop, context):
         """Report an error that reached the event loop."""
         error = context.get('exception')
@@ -160,6 +165,10 @@
     async def _run_once(self, name, work):
         try:
             return await work
+        except asyncio.CancelledError as error:
+            if not is_cancelled():
+                self.report(name, error)
+            raise
         except Exception as error:
             self.report(name, error)
             raise
