--- a/landingspool/gateway/hub.py
+++ b/landingspool/gateway/hub.py
@@ -129,8 +129,14 @@
         self._takes_forwarded = False
         # Readiness for the balancer and metrics for engineers are at two
         # addresses.
-        self._readiness_server = http.Server(self._answer_side_request)
-        self._metrics_server = http.Server(self._answer_side_request)
+        self._readiness_server = http.Server(
+            self._answer_side_request,
+            on_error=self.supervisor.make_reporter('side_requests'),
+        )
+        self._metrics_server = http.Server(
+            self._answer_side_request,
+            on_error=self.supervisor.make_reporter('side_requests'),
+        )
         self.state = state.State(self)
         self.sources = sources.Sources(self)
         self.record_server = sources.RecordServer(
--- a/landingspool/gateway/peering.py
+++ b/landingspool/gateway/peering.py
@@ -93,7 +93,10 @@
         self._socket = datagrams.Datagrams(
             hub.timer, self._receive, self._record_bad_message
         )
-        self._server = http.Server(self._answer)
+        self._server = http.Server(
+            self._answer,
+            on_error=hub.supervisor.make_reporter('peer_requests'),
+        )
 
     async def start(self):
         """Open the sockets and begin to send digests."""
--- a/landingspool/http.py
+++ b/landingspool/http.py
@@ -1,19 +1,22 @@
 """HTTP/1.1 server over asyncio streams with h11, and common HTTP types.
 
 It limits the header bytes, the body bytes and the time of each request, and
-does not interpret requests.
+does not interpret requests.  A request whose handling fails is answered.
 """
 
 import asyncio
 import contextlib
 import json
+import socket
 import typing
 from urllib import parse
 
 import h11
 
+from landingspool import connection
 from landingspool import framing
 from landingspool import timeouts
+from landingspool import verdict
 
 MAX_HEADER_BYTES = 16 * 1024
 MAX_BODY_BYTES = 8 * 1024 * 1024
@@ -25,6 +28,8 @@
 HEADER_TIMEOUT_S = 10.0
 BODY_TIMEOUT_S = 20.0
 IDLE_TIMEOUT_S = 60.0
+# States of a server's codec once an answer is complete.
+FINISHED_STATES = (h11.DONE, h11.MUST_CLOSE, h11.CLOSED)
 
 
 class Address(typing.NamedTuple):
@@ -96,6 +101,10 @@
         self.text = text
 
 
+class NoAnswer(Exception):
+    """Raised if the handling of a request ended without a whole answer."""
+
+
 class Unreachable(Exception):
     """Raised if an exchange with a peer failed.
 
@@ -165,8 +174,40 @@
         self._write(h11.EndOfMessage())
         await self._writer.drain()
 
+    @property
+    def is_finished(self):
+        """Whether the answer was sent whole."""
+        return self.started and self._conn.our_state in FINISHED_STATES
+
+    @property
+    def is_gone(self):
+        """Whether the connection is closed or about to be."""
+        return self._writer.transport.is_closing()
+
+    @property
+    def has_left(self):
+        """Whether the peer has closed its side, as far as was read."""
+        return self.is_gone or self._reader.at_eof()
+
+    async def fail(self, value, headers):
+        """Send 500, or abort an answer that has been started."""
+        if self.started and self.sent_bytes:
+            self.abort()
+            return
+        # The codec refuses all further events after one that it can't send.
+        self._conn = h11.Connection(h11.SERVER)
+        await self.send_json(500, value, headers)
+
     def abort(self):
-        """Abort the connection without finishing the answer."""
+        """Reset the connection without finishing the answer.
+
+        The end of an answer without a length is its close, so after a close it
+        would look whole.
+        """
+        if not self.is_gone:
+            self._writer.get_extra_info('socket').setsockopt(
+                socket.SOL_SOCKET, socket.SO_LINGER, connection.NO_LINGER
+            )
         self._writer.transport.abort()
 
     async def wait_gone(self):
@@ -202,11 +243,15 @@
         ``async handle(request, exchange)``; must send one answer.
     max_body : int, optional
         Size limit of a request's body, in bytes.
+    on_error : callable, optional
+        ``on_error(exception)`` if the handling of a request fails.  Without
+        it the event loop's handler of exceptions gets the error.
     """
 
-    def __init__(self, handle, max_body=MAX_BODY_BYTES):
+    def __init__(self, handle, max_body=MAX_BODY_BYTES, on_error=None):
         self._handle = handle
         self._max_body = max_body
+        self._on_error = on_error or raise_to_loop
         self._server = None
         self._tasks = set()
         self._idle = set()
@@ -259,10 +304,18 @@
                 request = await self._read_request(task, conn, reader, meter)
                 if request is None:
                     return
-                await self._handle(request, exchange)
+                if not await self._handle_request(request, exchange):
+                    return
             except BadRequest as error:
-                if not exchange.started:
-                    await answer_bad_request(exchange, error)
+                await answer_bad_request(exchange, error)
+                return
+            except (OSError, h11.ProtocolError):
+                raise
+            except Exception as error:
+                # It could not be read, and was not handled.
+                self._on_error(error)
+                refusal = BadRequest(500, 'a fault of landingspool itself')
+                await answer_bad_request(exchange, refusal)
                 return
             if conn.our_state is not h11.DONE:
                 return
@@ -270,6 +323,39 @@
                 return
             conn.start_next_cycle()
 
+    async def _handle_request(self, request, exchange):
+        """Handle a request; return whether its answer was sent whole.
+
+        Raises
+        ------
+        BadRequest
+        """
+        try:
+            await self._handle(request, exchange)
+            if not exchange.is_finished and not exchange.has_left:
+                raise NoAnswer(f'no whole answer to {request.path}')
+        except BadRequest:
+            raise
+        except asyncio.CancelledError as error:
+            if asyncio.current_task().cancelling():
+                raise
+            # Something that the request waits for was cancelled.
+            await self._answer_fault(exchange, error)
+            return False
+        except Exception as error:
+            await self._answer_fault(exchange, error)
+            return False
+        return True
+
+    async def _answer_fault(self, exchange, error):
+        """Report an error, and answer unless the caller has left."""
+        if exchange.is_gone and isinstance(
+            error, (OSError, h11.ProtocolError)
+        ):
+            return
+        self._on_error(error)
+        await answer_fault(exchange)
+
     async def _read_request(self, task, conn, reader, meter):
         meter.start_request()
         head = await read_event(
@@ -289,11 +375,51 @@
             body += event.data
             if len(body) > self._max_body:
                 raise BadRequest(413, f'body over {self._max_body} bytes')
+        return make_request(head, bytes(body))
+
+
+def raise_to_loop(error):
+    """Report an error to the event loop's handler of exceptions."""
+    loop = asyncio.get_running_loop()
+    loop.call_exception_handler(
+        {'message': 'the handling of a request failed', 'exception': error}
+    )
+
+
+def make_request(head, body):
+    """Return the Request of an h11.Request and its body.
+
+    Raises
+    ------
+    BadRequest
+        If its target is no URL.
+    """
+    try:
         url = parse.urlsplit(head.target.decode('ascii', 'replace'))
         query = dict(parse.parse_qsl(url.query))
-        headers = {k.decode(): v.decode('latin-1') for k, v in head.headers}
-        method = head.method.decode()
-        return Request(method, url.path, query, headers, bytes(body))
+    except ValueError as error:
+        raise BadRequest(400, f'the target is no URL: {error}') from error
+    headers = {k.decode(): v.decode('latin-1') for k, v in head.headers}
+    return Request(head.method.decode(), url.path, query, headers, body)
+
+
+async def answer_fault(exchange):
+    """Answer a request whose handling failed, and so may have run."""
+    reply = {
+        'error': {
+            'type': 'fault',
+            'message': 'a fault of landingspool itself',
+            'verdict': verdict.Verdict.MAY_HAVE_RUN.value,
+        }
+    }
+    headers = [
+        ('connection', 'close'),
+        ('x-verdict', verdict.Verdict.MAY_HAVE_RUN.value),
+    ]
+    try:
+        await exchange.fail(reply, headers)
+    except (h11.ProtocolError, OSError):
+        exchange.abort()
 
 
 async def answer_bad_request(exchange, error):
@@ -306,6 +432,9 @@
         }
     }
     headers = [('connection', 'close'), ('x-verdict', 'not_run')]
+    if exchange.started:
+        exchange.abort()
+        return
     try:
         await exchange.send_json(error.status, reply, headers)
     except (h11.ProtocolError, OSError):
