--- a/landingspool/box.py
+++ b/landingspool/box.py
@@ -22,6 +22,7 @@
 from landingspool import metrics as metrics_module
 from landingspool.operators import server as operators
 from landingspool import settings as settings_module
+from landingspool import supervisor as supervisor_module
 from landingspool import timer as timer_module
 
 LIVE_POLL_S = 0.5
@@ -60,9 +61,14 @@
     def __init__(self, settings, incarnation, environment):
         self.settings = settings
         self.incarnation = incarnation
-        self.timer = timer_module.Timer(environment.clock)
         self.recorder = events.Recorder(settings.box.name, environment.wall)
         self.metrics = metrics_module.Metrics()
+        self.supervisor = supervisor_module.Supervisor(
+            self.recorder, self.metrics.task_failures
+        )
+        self.timer = timer_module.Timer(
+            environment.clock, on_error=self.supervisor.report
+        )
         self.client = environment.client
         self.node = node_module.Node(
             settings.box.name,
@@ -72,7 +78,12 @@
             settings.policy.retention,
         )
         self.core = core_module.Core(
-            self.node, self.timer, self.recorder, self.metrics, self.client
+            self.node,
+            self.timer,
+            self.recorder,
+            self.metrics,
+            self.client,
+            self.supervisor,
         )
         self._stop = asyncio.Event()
         self._build_platform()
@@ -82,9 +93,9 @@
         """Start all tasks, with `links` to the other boxes."""
         self.core.links = links
         self.core.start(self.settings.policy.report_period_s)
-        self.core.supervise(self._poll_live)
-        self.core.supervise(self.follower.run)
-        self.core.supervise(self.claims.run)
+        self.supervisor.keep('live', self._poll_live)
+        self.supervisor.keep('configuration', self.follower.run)
+        self.supervisor.keep('claims', self.claims.run)
         self.recorder.record('started', incarnation=self.incarnation)
 
     def drain(self):
@@ -106,7 +117,7 @@
     async def close(self):
         """Cancel all tasks."""
         self.timer.close()
-        await self.core.close()
+        await self.supervisor.close()
         self.recorder.record('stopped')
 
     def _build_platform(self):
--- a/landingspool/boxes/link.py
+++ b/landingspool/boxes/link.py
@@ -20,6 +20,7 @@
 
 from landingspool.boxes import handshake
 from landingspool.decisions import messages
+from landingspool import supervisor as supervisor_module
 from landingspool import timeouts
 
 MAX_FRAME_BYTES = 4 * 1024 * 1024
@@ -65,10 +66,19 @@
     metrics : metrics.Metrics
     limit : int
         Maximum number of messages queued for one peer.
+    supervisor : supervisor.Supervisor, optional
+        That of the box; otherwise the links have one of their own.
     """
 
     def __init__(
-        self, identity, find_address, deliver, recorder, metrics, limit
+        self,
+        identity,
+        find_address,
+        deliver,
+        recorder,
+        metrics,
+        limit,
+        supervisor=None,
     ):
         self._identity = identity
         self._find_address = find_address
@@ -76,6 +86,9 @@
         self._recorder = recorder
         self._metrics = metrics
         self._limit = limit
+        self._supervisor = supervisor or supervisor_module.Supervisor(
+            recorder, metrics.task_failures
+        )
         self._out = {}
         self._server = None
 
@@ -107,7 +120,7 @@
         if outbound is None or outbound.ended:
             outbound = Outbound(box, self._limit)
             self._out[box] = outbound
-            outbound.task = asyncio.ensure_future(self._run(outbound))
+            outbound.task = self._supervisor.spawn('link', self._run(outbound))
         dropped = outbound.put(message)
         if dropped is not None:
             name = type(dropped).__name__
@@ -179,6 +192,9 @@
             self._refuse(socket, peer, 'no hello in time')
         except BAD_FRAME_ERRORS as error:
             self._refuse(socket, peer, str(error))
+        except Exception as error:
+            self._supervisor.report('link', error)
+            socket.transport.abort()
 
     def _refuse(self, socket, peer, reason):
         """Abort a link; a closing handshake would read on."""
@@ -225,7 +241,9 @@
                 continue
             name = type(message).__name__
             self._metrics.link_bytes.labels(name, 'in').inc(len(row))
-            self._deliver(peer.box, message)
+            self._supervisor.guard(
+                'messages', self._deliver, peer.box, message
+            )
 
 
 class Outbound:
--- a/landingspool/callers/server.py
+++ b/landingspool/callers/server.py
@@ -247,7 +247,9 @@
             result = await request_session.run()
         except Exception as error:
             # The caller gets an answer also after an internal error.
-            self.core.recorder.record('fault', error=repr(error))
+            self.core.supervisor.report(
+                'request', error, request=request_session.request
+            )
             result = answers.Rejection('fault', request_session.state.verdict)
         try:
             if isinstance(result, targets.End):
@@ -291,16 +293,21 @@
             return
         # Runs in a task of its own, so that it continues when the caller
         # disconnects and a retry finds the answer.
-        work = self.core.spawn(self._run_keyed(parsed, row, writer, key))
+        work = self.core.supervisor.spawn(
+            'keyed_request', self._run_keyed(parsed, row, writer, key)
+        )
         await asyncio.shield(work)
 
     async def _run_keyed(self, parsed, row, writer, key):
-        stored = None
         try:
             stored = await self._serve(parsed, row, writer)
-        finally:
-            if stored is not None:
-                self.answer_cache.finish(key, stored)
+        except BaseException:
+            # Retries that wait for the answer would wait for ever.
+            fault = answers.Rejection('fault', MAY_HAVE_RUN)
+            stored = self._make_unsent_answer(fault, writer, parsed)
+            self.answer_cache.finish(key, stored)
+            raise
+        self.answer_cache.finish(key, stored)
 
     async def _claim_key(self, parsed, key):
         """Claim the key; return None if this box may run the request.
--- a/landingspool/callers/session.py
+++ b/landingspool/callers/session.py
@@ -463,7 +463,7 @@
             if tracked is not None and tracked.grant is not None:
                 run = f'{self.request}#{tracked.grant.grant}'
                 call = targets.cancel(self.core.client, self._address, run)
-                self.core.spawn(call)
+                self.core.supervisor.spawn('cancel', call)
                 self._return_grant(
                     tracked.grant, AttemptResult('cut', None, 'cancelled')
                 )
--- a/landingspool/core.py
+++ b/landingspool/core.py
@@ -7,7 +7,6 @@
 """
 
 import asyncio
-import traceback
 
 from landingspool.decisions import kv_offload
 from landingspool.decisions import outputs
@@ -16,7 +15,6 @@
 from landingspool.targets import client as targets
 
 TICK_PERIOD_S = 0.1
-RESTART_DELAY_S = 1.0
 STORE_POLL_S = 2.0
 EVENT_POLL_S = 0.5
 # A target without active grants of this box is polled less often: no decision
@@ -35,10 +33,12 @@
     recorder : events.Recorder
     metrics : metrics.Metrics
     client : httpclient.Client
+    supervisor : supervisor.Supervisor
     """
 
-    def __init__(self, node, timer, recorder, metrics, client):
+    def __init__(self, node, timer, recorder, metrics, client, supervisor):
         self.node = node
+        self.supervisor = supervisor
         self.timer = timer
         self.recorder = recorder
         self.metrics = metrics
@@ -46,7 +46,6 @@
         self.links = None
         self.message_handlers = {}
         self._inboxes = {}
-        self._tasks = set()
         self._event_numbers = {}
 
     def start(self, report_period):
@@ -59,39 +58,10 @@
         """
         self.timer.subscribe_stall(self._resume)
         self.timer.subscribe(TICK_PERIOD_S, self._tick)
-        self.supervise(lambda: self._poll_loads(report_period))
-        self.supervise(self._poll_events)
-        self.supervise(self._poll_stores)
-
-    def spawn(self, coroutine):
-        """Start a task; an unhandled error in it is logged."""
-        task = asyncio.ensure_future(coroutine)
-        self._tasks.add(task)
-        task.add_done_callback(self._end_task)
-        return task
-
-    def supervise(self, call):
-        """Start a task that is restarted after an unhandled error.
-
-        The error is logged.  Without the restart the box would stop
-        following the platform.
-        """
-        return self.spawn(self._restart_on_fault(call))
-
-    async def _restart_on_fault(self, call):
-        while True:
-            try:
-                await call()
-                return
-            except Exception as error:
-                text = traceback.format_exc(limit=-3)
-                self.recorder.record('fault', error=repr(error), at=text)
-            await asyncio.sleep(RESTART_DELAY_S)
-
-    async def close(self):
-        """Cancel all tasks."""
-        for task in list(self._tasks):
-            task.cancel()
+        keep = self.supervisor.keep
+        keep('loads', lambda: self._poll_loads(report_period))
+        keep('cache_events', self._poll_events)
+        keep('stores', self._poll_stores)
 
     def deliver(self, sender, message):
         """Handle a message from another box."""
@@ -134,7 +104,7 @@
         seconds, now = stall
         self.recorder.record('frozen', seconds=round(seconds, 2))
         self.node.resume(seconds, now)
-        self.spawn(self._poll_all_loads())
+        self.supervisor.spawn('loads', self._poll_all_loads())
 
     def _tick(self, tick):
         self.perform(self.node.tick(tick.now))
@@ -158,7 +128,7 @@
     def _command(self, action):
         order = action.order
         self.recorder.record('planned', target=order.target, epoch=order.epoch)
-        self.spawn(self._order(action))
+        self.supervisor.spawn('order', self._order(action))
 
     async def _order(self, action):
         order = action.order
@@ -178,7 +148,7 @@
         )
 
     def _export(self, action):
-        self.spawn(self._run_export(action))
+        self.supervisor.spawn('export', self._run_export(action))
 
     async def _run_export(self, export):
         node = self.node
@@ -200,8 +170,11 @@
                 'depth': export.depth,
                 'cost_s': 2000 / report.prefill,
             }
-            block = await targets.export_block(
-                self.client, member, store, export, report.version, meta
+            block = await self.supervisor.attempt(
+                'export',
+                targets.export_block(
+                    self.client, member, store, export, report.version, meta
+                ),
             )
         if block is None:
             self.recorder.record('store_down', store=export.store)
@@ -213,7 +186,7 @@
         self.perform(node.end_export(export, block, now))
 
     def _free(self, action):
-        self.spawn(self._run_free(action))
+        self.supervisor.spawn('free', self._run_free(action))
 
     async def _run_free(self, action):
         store = self.node.members.get(action.store)
@@ -241,6 +214,10 @@
         await asyncio.gather(*map(self._poll_load, members))
 
     async def _poll_load(self, member):
+        """Poll a target; its odd report must not stop the others' polls."""
+        await self.supervisor.attempt('loads', self._take_load(member))
+
+    async def _take_load(self, member):
         report = await targets.fetch_load(self.client, member)
         if report is not None:
             self.perform(self.node.report(report, self.timer.now()))
@@ -256,7 +233,9 @@
                 is_due = due.get(member.name, 0.0) <= now
                 if member.kind == 'target' and is_due:
                     due[member.name] = now + IDLE_EVENT_POLL_S
-                    await self._poll_cache(member)
+                    await self.supervisor.attempt(
+                        'cache_events', self._poll_cache(member)
+                    )
             await asyncio.sleep(EVENT_POLL_S)
 
     async def _poll_cache(self, member):
@@ -278,17 +257,13 @@
             store_members = [m for m in members if m.kind == 'store']
             contents = {}
             for member in store_members:
-                listing = await stores.fetch_listing(self.client, member)
+                listing = await self.supervisor.attempt(
+                    'stores', stores.fetch_listing(self.client, member)
+                )
                 if listing is not None:
                     contents[member.name] = listing
             self.perform(self.node.set_stores(contents, self.timer.now()))
 
-    def _end_task(self, task):
-        self._tasks.discard(task)
-        if not task.cancelled() and task.exception() is not None:
-            error = task.exception()
-            self.recorder.record('fault', error=repr(error))
-
 
 ACTION_HANDLERS = {
     outputs.Send: Core._send,
--- a/landingspool/daemon.py
+++ b/landingspool/daemon.py
@@ -38,9 +38,14 @@
         self.box = box_module.Box(settings, incarnation, environment)
         self.links = self._make_links()
         self.caller_server = http.Server(
-            self.box.serving.handle, settings.callers.max_body_bytes
+            self.box.serving.handle,
+            settings.callers.max_body_bytes,
+            self.box.supervisor.make_reporter('caller_requests'),
+        )
+        self.operator_server = http.Server(
+            self.box.operating.handle,
+            on_error=self.box.supervisor.make_reporter('operator_requests'),
         )
-        self.operator_server = http.Server(self.box.operating.handle)
 
     async def run(self):
         """Serve until a planned stop, and finish all open requests first."""
@@ -76,6 +81,7 @@
             core.recorder,
             core.metrics,
             settings.links.queue,
+            self.box.supervisor,
         )
 
 
@@ -91,6 +97,7 @@
     """Run a daemon until SIGTERM or SIGINT."""
     daemon = Daemon(settings)
     loop = asyncio.get_running_loop()
+    loop.set_exception_handler(daemon.box.supervisor.report_loop_error)
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, daemon.box.drain)
     await daemon.run()
--- a/landingspool/gateway/process.py
+++ b/landingspool/gateway/process.py
@@ -24,6 +24,7 @@
     """Run one box until SIGTERM."""
     hub = hub_module.Hub(deployment, int.from_bytes(os.urandom(8)))
     loop = asyncio.get_running_loop()
+    loop.set_exception_handler(hub.supervisor.report_loop_error)
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, hub.stop)
     loop.add_signal_handler(signal.SIGHUP, reload, hub)
--- a/landingspool/ledger/claimer.py
+++ b/landingspool/ledger/claimer.py
@@ -116,7 +116,10 @@
 
     async def run(self):
         """Append batches and read the stream until cancelled."""
-        await asyncio.gather(self._append_all(), self._read_all())
+        async with asyncio.TaskGroup() as group:
+            # If one fails, the other ends as well; both are started again.
+            group.create_task(self._append_all())
+            group.create_task(self._read_all())
 
     def _abandon(self, claim):
         # This box never executes the request after this.  If the claim is
@@ -147,9 +150,18 @@
             releases, self._queued_releases = self._queued_releases, []
             rows = [pending.claim for pending in batch] + releases
             if rows:
-                await self._append(batch, releases, rows)
+                await self._try_append(batch, releases, rows)
             await asyncio.sleep(self._count_boxes() / APPENDS_PER_S)
 
+    async def _try_append(self, batch, releases, rows):
+        """Append a batch; after an error its claims are in doubt."""
+        try:
+            await self._append(batch, releases, rows)
+        except Exception:
+            # The claims end by their time-out, which releases them.
+            self._queued_releases += releases
+            raise
+
     async def _append(self, batch, releases, rows):
         data = claims.encode_batch(rows)
         reply = await self._log.append(claims.STREAM, data)
--- a/landingspool/ledger/follower.py
+++ b/landingspool/ledger/follower.py
@@ -147,7 +147,9 @@
             if isinstance(more, outcomes.Unavailable) or not more.entries:
                 break
             entries += more.entries
-        table, results = configuration.restore(page.first, entries)
+        table, results = self._core.supervisor.guard(
+            'configuration', configuration.restore, page.first, entries
+        ) or (None, [])
         if table is None:
             self._core.recorder.record('log_gap', first=page.first)
             self._ask_peers()
@@ -159,10 +161,26 @@
     def _fold(self, entries):
         table = self.table
         for offset, data in entries:
-            table, result = configuration.fold(table, offset, data)
+            try:
+                table, result = configuration.fold(table, offset, data)
+            except Exception as error:
+                # Every reader passes over it, as over an invalid record.
+                self._pass_over(offset, error)
+                table = table._replace(offset=offset)
+                continue
             self._record_result(result)
         self._set_table(table)
 
+    def _pass_over(self, offset, error):
+        self._core.supervisor.report(
+            'records',
+            error,
+            'record_passed_over',
+            topic=configuration.STREAM,
+            key='',
+            offset=offset,
+        )
+
     def _record_result(self, result):
         if result.edit and result.outcome != configuration.DUPLICATE:
             self.results[result.edit] = result
@@ -194,7 +212,9 @@
             table.offset // SNAPSHOT_INTERVAL > before // SNAPSHOT_INTERVAL
         )
         if is_due and before >= 0 and self._is_reader():
-            self._core.spawn(self._append_snapshot(table))
+            self._core.supervisor.spawn(
+                'snapshot', self._append_snapshot(table)
+            )
 
     async def _append_snapshot(self, table):
         # Every reader may append a snapshot; a duplicate has no effect.
--- a/landingspool/metrics.py
+++ b/landingspool/metrics.py
@@ -45,6 +45,9 @@
             'Bytes of kept context',
             ('workspace', 'direction'),
         )
+        self.task_failures = self._count(
+            'task_failures', 'Unhandled errors of tasks', ('task',)
+        )
         self.first_token = prometheus.Histogram(
             'landingspool_first_token_seconds',
             'Time to first token',
--- a/landingspool/supervisor.py
+++ b/landingspool/supervisor.py
@@ -117,6 +117,7 @@
         **fields
             Further fields of the event.
         """
+        error = find_first(error)
         self._failures.labels(name).inc()
         omitted = self._count_line(name)
         if omitted is None:
@@ -212,6 +213,17 @@
     return bool(asyncio.current_task().cancelling())
 
 
+def find_first(error):
+    """Return the first error of a group, or the error itself.
+
+    >>> find_first(ExceptionGroup('a task group', [KeyError('a')]))
+    KeyError('a')
+    """
+    while isinstance(error, BaseExceptionGroup):
+        error = error.exceptions[0]
+    return error
+
+
 def describe(error):
     """Return the type and the text of an error, of bounded length.
 
--- a/tests/contracts/test_links.py
+++ b/tests/contracts/test_links.py
@@ -141,3 +141,49 @@
         return outbound.stopped
 
     assert asyncio.run(run())
+
+
+def test_a_message_whose_handling_fails_ends_no_link():
+    async def run():
+        one, other = Side('one'), Side('other')
+        one.peers['other'] = await other.start()
+        taken = []
+
+        def deliver(sender, message):
+            taken.append(message)
+            raise ValueError('made by the test')
+
+        other.links._deliver = deliver
+        for name in ('r1', 'r2'):
+            one.links.send('other', messages.Refuse(name, 'full', 2.0))
+        await wait_for(lambda: len(taken) == 2)
+        await one.links.close()
+        await other.links.close()
+        return other.count('fault'), other.count('link_refused')
+
+    assert asyncio.run(run()) == (2, 0)
+
+
+def test_a_link_that_can_not_be_opened_is_told_of_and_opened_again():
+    async def run():
+        one, other = Side('one'), Side('other')
+        address = await other.start()
+        calls = []
+
+        def find_address(box):
+            calls.append(box)
+            if len(calls) == 1:
+                raise ZeroDivisionError('made by the test')
+            return address
+
+        one.links._find_address = find_address
+        one.links.send('other', messages.Refuse('r1', 'full', 2.0))
+        await wait_for(lambda: one.count('fault'))
+        await asyncio.sleep(link.RECONNECT_DELAY_S + 0.1)
+        one.links.send('other', messages.Refuse('r2', 'full', 2.0))
+        _, taken = await other.taken.get()
+        await one.links.close()
+        await other.links.close()
+        return taken.request
+
+    assert asyncio.run(run()) == 'r2'
--- a/tests/virtual/audit.py
+++ b/tests/virtual/audit.py
@@ -168,10 +168,11 @@
         box = process.thing
         if hasattr(box, 'recorder'):
             for event in box.recorder.select():
-                if event.name in ('fault', 'bad_message'):
+                if event.name in FAULTS:
                     yield f'{process.name}: {event.fields}'
 
 
+FAULTS = 'fault', 'record_passed_over', 'bad_message'
 CHECKS = (
     check_not_run,
     check_at_most_once,
