--- a/landingspool/gateway/hub.py
+++ b/landingspool/gateway/hub.py
@@ -1,7 +1,6 @@
 """Create, connect, run and stop all parts of one gateway box."""
 
 import asyncio
-import contextlib
 import time
 import traceback
 
@@ -38,6 +37,7 @@
 from landingspool.platform import names
 from landingspool.platform import runners
 from landingspool.platform import store
+from landingspool import supervisor as supervisor_module
 from landingspool import timer as timer_module
 
 # Period of the check for target entries whose grace has expired.
@@ -86,13 +86,16 @@
     ):
         self.deployment = deployment
         self.wall = wall
-        self.timer = timer_module.Timer(clock, on_error=self._record_fault)
-        # Every reading of the time notices a stall before it is used.
-        self.clock = self.timer.now
         self.recorder = events.Recorder(
             deployment.box, wall, RING_EVENTS, events.format_json
         )
         self.metrics = metrics.Metrics()
+        self.supervisor = supervisor_module.Supervisor(
+            self.recorder, self.metrics.task_failures
+        )
+        self.timer = timer_module.Timer(clock, on_error=self.supervisor.report)
+        # Every reading of the time notices a stall before it is used.
+        self.clock = self.timer.now
         self.view = view_module.View(
             deployment.domain, deployment.bounds, seed, deployment.regions
         )
@@ -128,8 +131,14 @@
         self._takes_forwarded = False
         # Readiness for the balancer and metrics for engineers are at two
         # addresses.
-        self._readiness_server = http.Server(self._answer_side_request)
-        self._metrics_server = http.Server(self._answer_side_request)
+        self._readiness_server = http.Server(
+            self._answer_side_request,
+            on_error=self.supervisor.make_reporter('side_requests'),
+        )
+        self._metrics_server = http.Server(
+            self._answer_side_request,
+            on_error=self.supervisor.make_reporter('side_requests'),
+        )
         self.state = state.State(self)
         self.sources = sources.Sources(self)
         self.record_server = sources.RecordServer(
@@ -144,7 +153,6 @@
         self.crash_records = crash_records.CrashRecords(self)
         self.resumption = resumption.Resumption(self)
         self._claims = None
-        self._tasks = []
         self._stop = asyncio.Event()
 
     async def run(self):
@@ -153,25 +161,22 @@
         await self._start_metrics()
         await self.listener.start(self.deployment.callers)
         await self._start_forward_listener()
-        self.timer.subscribe_stall(self._on_stall)
+        # Each is called even if another one fails.
+        self.timer.subscribe_stall(self._record_stall)
+        self.timer.subscribe_stall(self._exclude_stall)
+        self.timer.subscribe_stall(lambda stall: self.gate.void())
+        self.timer.subscribe_stall(self.sources.exclude_stall)
+        self.timer.subscribe_stall(self.resumption.begin)
         self.timer.subscribe(FLEET_CHECK_PERIOD_S, self._check_fleet)
         self.timer.subscribe(prober.CHECK_PERIOD_S, self.prober.check)
         self.timer.subscribe(SWEEP_PERIOD_S, self._sweep)
         self.continuity.start()
         self.software_watch.start()
         self.timer.subscribe(METRICS_LOG_PERIOD_S, self._log_metrics)
-        self._spawn(following.Published(self).run())
-        self._spawn(following.Targets(self).run())
-        orderer = ordering.Orderer(self)
-        self._claims = following.Claims(self, orderer.watch)
-        self._spawn(self._claims.run())
-        self._spawn(self.crash_records.run())
-        self._spawn(orderer.run())
-        self._spawn(self.cache_follower.run())
-        self._spawn(sweeper.Sweeper(self).run())
+        self._keep_parts()
         if self.deployment.links is not None:
             await self.peering.start()
-            self._spawn(self.peering.run())
+            self.supervisor.keep('boxes', self.peering.run)
         self.recorder.record('started', domain=self.deployment.domain)
         await self._stop.wait()
         await self._shut_down()
@@ -180,21 +185,17 @@
         """Begin a planned stop."""
         self._stop.set()
 
-    def _record_fault(self, error):
-        self.recorder.record('fault', reason=repr(error))
-
-    def _spawn(self, work):
-        task = asyncio.ensure_future(work)
-        task.add_done_callback(self._handle_task_end)
-        self._tasks.append(task)
-
-    def _handle_task_end(self, task):
-        if task.cancelled() or task.exception() is None:
-            return
-        self.recorder.record('fault', reason=repr(task.exception()))
-        # A box without one of its tasks would serve on stale state, which is
-        # worse than a restart.
-        self.stop()
+    def _keep_parts(self):
+        orderer = ordering.Orderer(self)
+        self._claims = following.Claims(self, orderer.watch)
+        keep = self.supervisor.keep
+        keep('tables', following.Published(self).run)
+        keep('targets', following.Targets(self).run)
+        keep('claims', self._claims.run)
+        keep('crash_records', self.crash_records.run)
+        keep('orders', orderer.run)
+        keep('cache_events', self.cache_follower.run)
+        keep('sweeper', sweeper.Sweeper(self).run)
 
     async def _handle(self, request, body, reply):
         await self._relay(request, body, reply, None)
@@ -273,25 +274,35 @@
         """Return where peers may forward requests to, or None."""
         return self.deployment.forwarding if self._takes_forwarded else None
 
-    def _on_stall(self, stall):
-        """Correct what is known for a stall of this process."""
+    def _record_stall(self, stall):
         self.recorder.record('frozen', seconds=round(stall.seconds, 2))
+
+    def _exclude_stall(self, stall):
+        """Correct the ages of what is known for a stall of this process."""
         stalls.exclude_stall(self.view, stall.seconds, stall.now)
-        self.gate.void()
-        self.sources.exclude_stall(stall.seconds)
-        self.resumption.begin(stall)
 
     def _check_fleet(self, tick):
-        for name in self.view.fleet.tick(tick.now):
+        self._guard(self._drop_lapsed, tick.now)
+        self._guard(self.crash_records.check)
+        self._guard(self.target_notices.check)
+
+    def _guard(self, call, *args):
+        """Call one of several functions of a tick; report its error."""
+        self.supervisor.guard(call.__qualname__, call, *args)
+
+    def _drop_lapsed(self, now):
+        for name in self.view.fleet.tick(now):
             self.recorder.record('target_down', target=name, sure=True)
-            self.view.record_incarnation_end(name, tick.now)
-        self.crash_records.check()
-        self.target_notices.check()
+            self._guard(self.view.record_incarnation_end, name, now)
 
     def _sweep(self, tick):
-        self.upstream.sweep()
-        self.target_notices.sweep()
-        self.store_reports.check(tick.now)
+        self._guard(self.upstream.sweep)
+        self._guard(self.target_notices.sweep)
+        self._guard(self.store_reports.check, tick.now)
+        self._guard(self.gate.sweep)
+        self._guard(self._record_gauges, tick)
+
+    def _record_gauges(self, tick):
         exclusions = self.view.exclusions
         self.metrics.record_targets(
             len(exclusions.cold_targets.list_cold(tick.now)),
@@ -301,7 +312,6 @@
         self.metrics.record_workspaces(
             self.view.fair_admission.count_over(tick.now)
         )
-        self.gate.sweep()
         self.metrics.quarantined.set(
             len(self.view.crashes.list_quarantined(tick.now))
         )
@@ -399,7 +409,7 @@
         self.forward_listener.stop()
         self.gate.stop()
         self.continuity.hand_over()
-        self._spawn(self.peering.leave())
+        self.supervisor.spawn('leave', self.peering.leave())
         await asyncio.sleep(
             min(STOP_NOTICE_S, self.deployment.bounds.grace_s / 2)
         )
@@ -407,10 +417,7 @@
         await asyncio.gather(
             self.listener.close(left_s), self.forward_listener.close(left_s)
         )
-        for task in self._tasks:
-            task.cancel()
-        with contextlib.suppress(asyncio.CancelledError):
-            await asyncio.gather(*self._tasks, return_exceptions=True)
+        await self.supervisor.close()
         self.timer.close()
         await self.peering.close()
         self.upstream.close()
