--- a/landingspool/decisions/gateway/view.py
+++ b/landingspool/decisions/gateway/view.py
@@ -246,6 +246,11 @@
         """Return the seconds for which a target's weights remain usable."""
         return self.weights.max_lag_s - self.get_lag(name, model, now)
 
+    def is_plain(self, service):
+        """Return whether the targets of a service are no model engines."""
+        known = self.table.services.get(service)
+        return known is not None and known.engine is None
+
     def get_connection_limit(self, service):
         """Return how many connections to one target this box may keep open.
 
--- a/landingspool/gateway/attempts.py
+++ b/landingspool/gateway/attempts.py
@@ -5,6 +5,8 @@
 forwarded as soon as it is certain that it belongs to this request.
 """
 
+import asyncio
+
 from landingspool.decisions.gateway import demand
 from landingspool.decisions.gateway import routes
 from landingspool.decisions.gateway import stream_bindings
@@ -24,9 +26,11 @@
 # multiple of the route's latency objective, and a minimum in seconds.
 TIMEOUT_RATIO = 2.0
 MIN_TIMEOUT_S = 0.4
-# Seconds for which a target may take to accept a request that is still under
-# way at another one: both run it for as long.
+# Seconds for which a model engine may take to accept a request that is still
+# under way at another one: both run it for as long.
 ACCEPT_S = 0.25
+# Period at which the silent target is looked at meanwhile, seconds.
+WATCH_PERIOD_S = 0.02
 
 
 class Attempt:
@@ -63,6 +67,8 @@
         self._recall = recalls.Recall(hub, state, plan)
         self._head = None
         self._sent_at = None
+        # Seconds for which it waited for the head while it was begun.
+        self._waited_s = 0.0
 
     async def run(self):
         """Make the attempt and return one of the outcomes."""
@@ -77,15 +83,21 @@
             return outcomes.Stale()
         return await self._record(self._send_and_receive())
 
-    async def begin(self):
-        """Send the request, and wait shortly for the target to accept it.
+    async def begin(self, has_other_answer):
+        """Send the request, and wait for the target to accept it.
+
+        Parameters
+        ----------
+        has_other_answer : callable
+            Coroutine function that returns whether the silent target has
+            answered in the meantime, which ends the wait.
 
         Returns
         -------
         One of the outcomes, or None
             None if the attempt goes on: it is to be resumed or stopped.
         """
-        return await self._record(self._send_and_wait())
+        return await self._record(self._send_and_wait(has_other_answer))
 
     async def resume(self):
         """Complete an attempt that was begun; return one of the outcomes."""
@@ -136,11 +148,10 @@
         self._send()
         return await self._receive()
 
-    async def _send_and_wait(self):
+    async def _send_and_wait(self, has_other_answer):
         self._send()
         try:
-            async with timeouts.Timeout(ACCEPT_S):
-                self._head = await self._exchange.read_head(self._is_due)
+            self._head = await self._wait_for_head(has_other_answer)
         except TimeoutError:
             return None
         except upstream_module.ExchangeError as error:
@@ -153,6 +164,36 @@
         except TimeoutError:
             return self.report_lost('slow failure', outcomes.Cause.MALFORMED)
 
+    async def _wait_for_head(self, has_other_answer):
+        """Read the head while another target has the request as well.
+
+        Raises
+        ------
+        TimeoutError
+            If the other target is to be left, or has answered.
+        upstream.ExchangeError
+        """
+        loop = asyncio.get_running_loop()
+        began, limit_s = loop.time(), self._compute_accept_timeout()
+        while True:
+            left_s = min(limit_s - self._waited_s, WATCH_PERIOD_S)
+            try:
+                async with timeouts.Timeout(left_s):
+                    return await self._exchange.read_head(self._is_due)
+            except TimeoutError:
+                self._waited_s = loop.time() - began
+                if self._waited_s >= limit_s or await has_other_answer():
+                    raise
+
+    def _compute_accept_timeout(self):
+        """Return the seconds for which two targets may run the request."""
+        work = self._state.work
+        if work.route.kind == routes.SAFE and self._view.is_plain(
+            work.service
+        ):
+            return self._compute_timeout()
+        return ACCEPT_S
+
     def _send(self):
         state, plan = self._state, self._plan
         self._sent_at = self._hub.clock()
@@ -255,13 +296,16 @@
         TimeoutError
             If another target takes over, or the deadline has passed.
         """
+        waited_s = self._waited_s
         while True:
+            left_s = max(self._compute_timeout() - waited_s, 0.0)
             try:
-                async with timeouts.Timeout(self._compute_timeout()):
+                async with timeouts.Timeout(left_s):
                     return await self._exchange.read_head(self._is_due)
             except TimeoutError:
                 if self._is_expired() or await self.prepare_replacement():
                     raise
+            waited_s = 0.0
 
     async def prepare_replacement(self, is_incomplete=False):
         """Return whether another target takes over from a silent one."""
--- a/landingspool/gateway/replacements.py
+++ b/landingspool/gateway/replacements.py
@@ -111,7 +111,7 @@
 
     async def _begin(self, attempt, has_answer):
         """Return whether a target accepts the request before the other."""
-        outcome = await attempt.begin()
+        outcome = await attempt.begin(has_answer)
         if outcome is not None:
             return False
         is_needed = False
--- a/landingspool/gateway/upstream.py
+++ b/landingspool/gateway/upstream.py
@@ -310,6 +310,8 @@
         self.connection = connection
         self._reader = answer_reader.AnswerReader(connection)
         self._head = None
+        # Whether its owner has not asked for the head since it was read.
+        self._is_unseen = False
         self._answered_early = False
 
     def send(self, method, target, headers, body):
@@ -337,6 +339,7 @@
         ------
         ExchangeError
         """
+        self._is_unseen = False
         if self._head is not None:
             return self._head
         head = await self._read(self._reader.read_head(is_due))
@@ -391,6 +394,8 @@
         is_incomplete : bool, optional
             Whether the bytes after the head complete no event.
         """
+        if self._is_unseen:
+            return True
         if self.connection.is_idle:
             return False
         if self._head is not None:
@@ -402,6 +407,7 @@
             return False
         except ExchangeError:
             return True
+        self._is_unseen = True
         return True
 
     def cancel(self):
--- a/standins/behaviours.py
+++ b/standins/behaviours.py
@@ -14,6 +14,8 @@
 FATAL_S = 0.05
 # Seconds for which a target that is sound falls silent.
 SILENCE_S = 1.3
+# Seconds after which a late behaviour is shown, longer than attempts.ACCEPT_S.
+LATE_S = 0.4
 
 
 def behaviour(name):
@@ -436,3 +438,16 @@
 SURPLUS_TIMES = 'at once', 'soon', 'late'
 register_surplus('echo', make_echo, True)
 register_surplus('shed', make_shed, False)
+
+
+def register_late(name):
+    """Register a behaviour that is shown after LATE_S."""
+
+    @behaviour(f'late {name}')
+    async def answer(runner, head, body, reader, writer):
+        await asyncio.sleep(LATE_S)
+        return await BEHAVIOURS[name](runner, head, body, reader, writer)
+
+
+for late in ('shed', 'failure', 'closed', 'stream', 'nonsense'):
+    register_late(late)
--- a/tests/gateway/test_begun_streams.py
+++ b/tests/gateway/test_begun_streams.py
@@ -13,22 +13,10 @@
 from tests.gateway import test_forwarder
 from tests.gateway import test_relay
 
-# Longer than a replacement may take to be accepted.
-LATE_S = 0.4
 # For how long a stream lacks what it needs to go on.
 LACK_S = 0.7
 
 
-def delay(name):
-    """Register a behaviour that is shown after LATE_S."""
-
-    @behaviours.behaviour(f'late {name}')
-    async def answer(runner, head, body, reader, writer):
-        await asyncio.sleep(LATE_S)
-        work = behaviours.BEHAVIOURS[name]
-        return await work(runner, head, body, reader, writer)
-
-
 @behaviours.behaviour('slow broken stream')
 async def answer_slow_broken(runner, head, body, reader, writer):
     runner.run(head, body)
@@ -39,10 +27,6 @@
     return True
 
 
-for delayed in ('shed', 'failure', 'closed', 'stream', 'nonsense'):
-    delay(delayed)
-
-
 def script(deployment, *names):
     """Let the engines show behaviours in the order of arrivals."""
     shared = list(names)
@@ -122,7 +106,7 @@
         script(deployment, 'paused stream', 'late closed')
         work = asyncio.ensure_future(ask(hub))
         await wait_for_arrivals(deployment, 2)
-        await asyncio.sleep(LATE_S + 0.1)
+        await asyncio.sleep(behaviours.LATE_S + 0.1)
         for _ in range(4 * answered):
             await ask(hub)
         got = await work
--- a/tests/gateway/test_replacements.py
+++ b/tests/gateway/test_replacements.py
@@ -7,8 +7,12 @@
 from landingspool.gateway import attempts
 from landingspool.gateway import upstream
 from tests.gateway import site
+from tests.gateway import test_forwarder
 from tests.gateway import test_relay
 
+# Id of a request that a box forwards.
+NAME = 'forwarded'
+
 
 async def ask_stream(hub):
     return await site.ask(hub, '/resumed/a', headers=test_relay.PROMPT)
@@ -203,6 +207,67 @@
     site.run(check)
 
 
+BESIDE = (
+    # what plain targets show in turn -> those that were left
+    ('late, silent', 1),
+    ('late, late closed', 0),
+    ('silent, slow', 1),
+    ('silent, silent, whole', 2),
+)
+
+
+@pytest.mark.parametrize(('names', 'left'), BESIDE)
+def test_request_stays_at_a_silent_target_until_another_one_answers(
+    names, left
+):
+    async def check(deployment):
+        hub = await deployment.start_box()
+        safe = {**site.ROUTES['safe'], 'max_attempts': 3}
+        deployment.publish(site.make_table(2, routes={'safe': safe}))
+        await site.wait_until(lambda: hub.view.table.version == 2)
+        shared = names.split(', ')
+        for target in deployment.plain:
+            target.script = shared
+        arrivals = len(shared)
+        got = await site.ask(hub, '/safe/a')
+        assert got.status == 200
+        assert (
+            sum(len(target.heads) for target in deployment.plain) == arrivals
+        )
+        repeats = hub.view._get_retry_budget('plain')._repeats
+        assert len(repeats) == arrivals - 1
+        await site.wait_until(
+            lambda: sum(t.cancelled for t in deployment.plain) == left
+        )
+        assert not hub.view.loads.list_targets()
+
+    site.run(check, plain=3)
+
+
+def test_request_stays_at_a_silent_box_until_another_one_answers():
+    async def answer_late(reader, writer):
+        name = NAME.encode()
+        await asyncio.sleep(1.3)
+        writer.write(
+            b'HTTP/1.1 200 X\r\ncontent-length: 4\r\n'
+            b'x-landingspool-request-id: %s\r\n'
+            b'x-landingspool-response-stamp: s\r\n\r\ndone' % name
+        )
+
+    async def check(deployment):
+        hub, (first, _) = await test_forwarder.start_cut_box(deployment)
+        for target in deployment.plain:
+            target.script = ['late shed', 'late shed']
+        name = first.deployment.box
+        async with test_forwarder.fake_peer(hub, name, answer_late):
+            got = await site.ask(hub, '/safe/a', name=NAME)
+        assert got.status == 200
+        assert sum(len(target.heads) for target in deployment.plain) == 1
+        assert not hub.view.forwarding.under_way
+
+    site.run(check)
+
+
 def test_repeats_kept_back_for_want_of_budget_are_counted():
     async def check(deployment):
         hub = await deployment.start_box(retry_ratio=0.0, retry_slack=0.0)
