--- a/landingspool/gateway/outcomes.py
+++ b/landingspool/gateway/outcomes.py
@@ -116,6 +116,17 @@
     return isinstance(outcome, Rejected)
 
 
+def is_left(outcome):
+    """Return whether a request has left a target that was silent.
+
+    >>> is_left(Lost('silent', Cause.SILENT))
+    True
+    >>> is_left(Lost('stale weights', Cause.OLD_WEIGHTS))
+    False
+    """
+    return isinstance(outcome, Lost) and outcome.cause == Cause.SILENT
+
+
 def describe(outcome):
     """Return a short text for an outcome, for the log."""
     if isinstance(outcome, Rejected | Failed):
--- a/landingspool/gateway/refusals.py
+++ b/landingspool/gateway/refusals.py
@@ -50,8 +50,8 @@
     async def give_up(self, reason, status=502, after=None):
         """Answer what can't be served, as "not executed" only if that holds.
 
-        A reply that has been started is broken off instead, unless it is a
-        stream that is to be tried again.
+        A reply that has been started is broken off instead.  Neither is done
+        if the request is to be tried again.
 
         Returns
         -------
@@ -64,6 +64,8 @@
             return self.abort_reply(reason)
         if not self._state.may_have_run:
             return await self.refuse(reason, after)
+        if self._stream_retries.return_once():
+            return None
         await self._send_error(status, reason)
         return Answer(status, reason, True)
 
--- a/landingspool/gateway/relay.py
+++ b/landingspool/gateway/relay.py
@@ -262,6 +262,7 @@
 
     async def _finish_attempt(self, work):
         outcome = await work
+        self._state.has_left |= outcomes.is_left(outcome)
         if not isinstance(outcome, outcomes.Stale):
             self._state.record_tried(
                 self._plan.entry.name, outcomes.is_sound(outcome)
--- a/landingspool/gateway/request_state.py
+++ b/landingspool/gateway/request_state.py
@@ -44,6 +44,8 @@
         Attempts that were sent.
     sound_targets : set of str
         Targets that rejected it, or that it left while they were silent.
+    has_left : bool
+        Whether it left a target while that was silent.
     repeats : int
         Repeats taken from the retry budget for it.
     connections : list of connection.Connection
@@ -98,6 +100,7 @@
         self.is_counted = origin is not None and origin.counted
         self.sends = 0
         self.sound_targets = set()
+        self.has_left = False
         self.repeats = 0
         self.connections = []
         self.unsent_attempts = 0
--- a/landingspool/gateway/stream_retries.py
+++ b/landingspool/gateway/stream_retries.py
@@ -4,6 +4,9 @@
 waits for what it lacks: a proved table, a repeat, a target or a way to one.
 It is broken off only if that takes longer than callers wait for an event.
 
+A request without an answer that left a silent target is tried again as well,
+but once and without a wait: its caller can send it again.
+
 Once its sends are used up, it returns only to targets that were not at fault.
 """
 
@@ -37,6 +40,7 @@
         self._until = None
         self._delay_s = FIRST_DELAY_S
         self._last_event_id = None
+        self._has_returned = False
 
     async def wait(self, reason):
         """Wait until the stream may be tried again.
@@ -51,7 +55,7 @@
         bool
             False if it is to be broken off.
         """
-        if not self._may_continue():
+        if not self._may_continue_stream():
             return False
         self._note_progress()
         self._hub.recorder.record(
@@ -64,16 +68,37 @@
         while True:
             await asyncio.sleep(self._delay_s)
             self._delay_s = min(self._delay_s * 2, MAX_DELAY_S)
-            if not self._may_continue() or self._hub.clock() >= self._until:
+            if not self._may_continue_stream():
+                return False
+            if self._hub.clock() >= self._until:
                 return False
             if self._is_possible():
                 self._state.begin_round()
                 return True
 
+    def return_once(self):
+        """Let a request that left a silent target be tried once more.
+
+        Returns
+        -------
+        bool
+            False if it is to be answered with an error.
+        """
+        state = self._state
+        if self._has_returned or not state.has_left:
+            return False
+        if not (routes.may_repeat(state.work.route) and self._may_continue()):
+            return False
+        self._has_returned = self._is_possible()
+        if self._has_returned:
+            state.begin_round()
+        return self._has_returned
+
     def list_avoided(self):
         """List the targets that must not get the request now."""
         state = self._state
-        if self._has_progress():
+        is_returning = self._has_returned and not state.reply.started
+        if self._has_progress() and not is_returning:
             return state.tried_targets
         if state.has_sends_left():
             return ()
@@ -84,11 +109,14 @@
             if entry.name not in state.sound_targets
         ]
 
+    def _may_continue_stream(self):
+        route = self._state.work.route
+        return routes.is_resumable(route) and self._may_continue()
+
     def _may_continue(self):
         state = self._state
         return (
             state.origin is None
-            and routes.is_resumable(state.work.route)
             and not state.is_expired(self._hub.clock())
             and (state.has_sends_left() or bool(state.sound_targets))
         )
--- a/tests/gateway/test_replacements.py
+++ b/tests/gateway/test_replacements.py
@@ -7,6 +7,7 @@
 from landingspool.gateway import attempts
 from landingspool.gateway import upstream
 from tests.gateway import site
+from tests.gateway import test_begun_streams
 from tests.gateway import test_forwarder
 from tests.gateway import test_relay
 
@@ -207,6 +208,37 @@
     site.run(check)
 
 
+# What the second target shows after a silent one, and the answer's status.
+SECOND = (
+    ('late shed', 200),
+    ('late failure', 500),
+    ('late shed, shed', 502),
+)
+
+
+@pytest.mark.parametrize(('second', 'status'), SECOND)
+def test_request_goes_back_to_an_engine_that_it_left_for_one_that_rejects_it(
+    second, status
+):
+    async def check(deployment):
+        hub = await deployment.start_box()
+        safe = {**site.ROUTES['safe'], 'service': 'engine'}
+        deployment.publish(site.make_table(2, routes={'safe': safe}))
+        await site.wait_until(lambda: hub.view.table.version == 2)
+        test_begun_streams.script(deployment, 'silent', *second.split(', '))
+        got = await site.ask(hub, '/safe/a', headers=test_relay.PROMPT)
+        assert got.status == status
+        reached = [t for t in deployment.engines if t.heads]
+        assert len(reached) <= safe['max_attempts']
+        arrivals = sum(len(target.heads) for target in deployment.engines)
+        repeats = hub.view._get_retry_budget('engine')._repeats
+        assert len(repeats) == arrivals - 1
+        assert not hub.view.loads.list_targets()
+        assert not hub.view.crashes.bars._under_way
+
+    site.run(check, engines=4)
+
+
 BESIDE = (
     # what plain targets show in turn -> those that were left
     ('late, silent', 1),
