--- a/landingspool/gateway/delivery.py
+++ b/landingspool/gateway/delivery.py
@@ -106,7 +106,7 @@
                 attempt.record_first()
             pause.begin()
         if not stream.is_complete():
-            return outcomes.Lost(
+            return attempt.report_lost(
                 'ended within an event', outcomes.Cause.MALFORMED
             )
         attempt.release()
--- a/tests/gateway/test_relay.py
+++ b/tests/gateway/test_relay.py
@@ -103,6 +103,21 @@
     site.run(check)
 
 
+@pytest.mark.parametrize(
+    'behaviour', ['half event', 'unframed half event', 'broken stream']
+)
+def test_a_stream_that_ends_within_an_event_counts_against_its_target(
+    behaviour,
+):
+    async def check(deployment):
+        hub = await deployment.start_box()
+        script(deployment.engines, behaviour)
+        await site.ask(hub, '/stream/a', headers=PROMPT)
+        assert [h.failing > 0 for h in hub.view._health.values()] == [True]
+
+    site.run(check)
+
+
 def test_an_event_without_end_is_left_at_once():
     async def check(deployment):
         hub = await deployment.start_box()
