--- a/landingspool/gateway/delivery.py
+++ b/landingspool/gateway/delivery.py
@@ -109,10 +109,23 @@
             return attempt.report_lost(
                 'ended within an event', outcomes.Cause.MALFORMED
             )
+        if not (head.framed or self._may_be_empty()):
+            return attempt.report_lost(
+                'closed before its first event', outcomes.Cause.CLOSED
+            )
         attempt.release()
         await stream.finish()
         return outcomes.Done(head.status)
 
+    def _may_be_empty(self):
+        """Return whether the answer may lack events.
+
+        The caller has some of them, or asks for the head alone.
+        """
+        call = self._state.call
+        has_events = self._state.reply.started or call.after_event
+        return bool(has_events) or call.method == 'HEAD'
+
     async def _read_part(self, pause):
         """Return the next bytes of a stream.
 
--- a/landingspool/platform/answers.py
+++ b/landingspool/platform/answers.py
@@ -13,6 +13,9 @@
 # Misdirected Request (RFC 9110, 15.5.20): another target has taken over the
 # address of the one addressed.  The request was not executed.
 MISDIRECTED = 421
+FRAMING_HEADERS = frozenset(('content-length', 'transfer-encoding'))
+# Statuses of answers without a body.
+BODILESS = frozenset((204, 304))
 # `str.isdigit` also holds for digits that `int` and `float` refuse.
 WHOLE_NUMBER = re.compile('[0-9]{1,18}')
 
@@ -36,6 +39,9 @@
         Version of the weights that made the answer.
     target : str
         Id of the target that answered; empty if not stated.
+    framed : bool
+        Whether it has a length or chunks; otherwise it ends with its
+        connection.
     notices : notices.Notices
         What the answer announces about its target.
     """
@@ -50,6 +56,7 @@
     keep_alive_s: float | None
     version: int | None
     target: str
+    framed: bool = True
     notices: notices_module.Notices = notices_module.Notices()
 
 
@@ -73,6 +80,7 @@
         keep_alive_s=read_keep_alive(found.get('keep-alive', '')),
         version=read_integer(found.get(names.VERSION)),
         target=found.get(names.TARGET_ID, ''),
+        framed=status in BODILESS or not FRAMING_HEADERS.isdisjoint(found),
         notices=notices_module.read_head_notices(status, headers),
     )
 
--- a/tests/gateway/test_forwarder.py
+++ b/tests/gateway/test_forwarder.py
@@ -43,14 +43,14 @@
         self.failed.append(peer)
 
 
-async def start_cut_box(deployment, peers=2, since=0):
+async def start_cut_box(deployment, peers=2, since=0, **bounds):
     """Start boxes, the last of which can't connect to any target.
 
     Returns
     -------
     tuple of (hub.Hub, list of hub.Hub)
     """
-    *others, hub = await site.start_boxes(deployment, peers + 1)
+    *others, hub = await site.start_boxes(deployment, peers + 1, **bounds)
     known = hub.peering.peers
     await hub.peering._registry._read_list()
     assert all(peer.forwarding for peer in known.values())
