--- a/landingspool/gateway/listener.py
+++ b/landingspool/gateway/listener.py
@@ -105,9 +105,17 @@
         await self._write(self._codec.send(h11.EndOfMessage()))
 
     def abort(self):
-        """Reset the connection, so that the answer doesn't look complete."""
+        """Close the connection, so that the answer doesn't look complete.
+
+        Without a length or chunks, as for HTTP/1.0, a close in order would be
+        the end of the answer, and only a reset tells that it is broken off.
+        """
         self.broken = True
-        self._connection.abort()
+        version = self._codec.their_http_version
+        if version is not None and version < b'1.1':
+            self._connection.reset()
+        else:
+            self._connection.abort()
 
     async def fail(self):
         """Send 500, or break off an answer that has been started."""
--- a/standins/behaviours.py
+++ b/standins/behaviours.py
@@ -16,6 +16,10 @@
 SILENCE_S = 1.3
 # Seconds after which a late behaviour is shown, longer than attempts.ACCEPT_S.
 LATE_S = 0.4
+# Size of an answer that is forwarded before its end has come, and of the part
+# that comes.
+LONG_BYTES = 600 * 1024
+PART_BYTES = 400 * 1024
 
 
 def behaviour(name):
@@ -440,6 +444,18 @@
 register_surplus('shed', make_shed, False)
 
 
+@behaviour('long answer broken off')
+async def answer_long_broken(runner, head, body, reader, writer):
+    """Run, and close within an answer that is forwarded as it comes."""
+    runner.run(head, body)
+    whole = make_answer(runner, head, 200, b'x' * LONG_BYTES)
+    writer.write(whole[:PART_BYTES])
+    await writer.drain()
+    await asyncio.sleep(0.2)
+    writer.transport.abort()
+    return True
+
+
 def register_late(name):
     """Register a behaviour that is shown after LATE_S."""
 
--- a/tests/gateway/test_cut_answers.py
+++ b/tests/gateway/test_cut_answers.py
@@ -10,6 +10,7 @@
 from tests.gateway import site
 from tests.gateway import test_begun_streams
 from tests.gateway import test_forwarder
+from tests.gateway import test_unanswered
 
 NUMBERS = itertools.count()
 KINDS = 'safe', 'unsafe', 'stream', 'resumed'
@@ -178,3 +179,30 @@
                     assert way.is_noticed(), where
 
     site.run(check)
+
+
+BROKEN_OFF = (
+    ('safe', 'long answer broken off'),
+    ('unsafe', 'long answer broken off'),
+    ('stream', 'broken stream'),
+    ('stream', 'half event'),
+)
+
+
+@pytest.mark.parametrize(('kind', 'behaviour'), BROKEN_OFF)
+def test_a_caller_of_http_1_0_takes_no_broken_answer_for_whole(
+    kind, behaviour
+):
+    async def check(deployment):
+        hub = await deployment.start_box()
+        for target in deployment.plain + deployment.engines:
+            target.script = [behaviour]
+        request = test_unanswered.write_request(
+            f'/{kind}/a', extra=test_unanswered.PROMPT
+        ).replace(b'HTTP/1.1', b'HTTP/1.0', 1)
+        async with site.connect(hub) as (reader, writer):
+            writer.write(request)
+            with pytest.raises(ConnectionResetError):
+                await reader.read()
+
+    site.run(check)
--- a/tests/gateway/test_lost_review.py
+++ b/tests/gateway/test_lost_review.py
@@ -18,21 +18,6 @@
 
 # Longest time in which a target that is late has answered, seconds.
 LATE_ANSWER_S = behaviours.SILENCE_S + 0.5
-# Size of an answer that is forwarded before its end has come, and of the part
-# that comes.
-LONG_BYTES = 600 * 1024
-PART_BYTES = 400 * 1024
-
-
-@behaviours.behaviour('long answer broken off')
-async def answer_long_broken(runner, head, body, reader, writer):
-    runner.run(head, body)
-    whole = behaviours.make_answer(runner, head, 200, b'x' * LONG_BYTES)
-    writer.write(whole[:PART_BYTES])
-    await writer.drain()
-    await asyncio.sleep(0.2)
-    writer.transport.abort()
-    return True
 
 
 @pytest.mark.parametrize('name', ['failure slowly', 'unframed failure slowly'])
