--- a/landingspool/stores/client.py
+++ b/landingspool/stores/client.py
@@ -44,6 +44,12 @@
     link_bytes: int
 
 
+class LinkBytes(msgspec.Struct):
+    """The field of a listing that tells the bytes of the store's link."""
+
+    link_bytes: int
+
+
 class Contents(typing.NamedTuple):
     """Contents of a store.
 
@@ -125,7 +131,7 @@
     Returns
     -------
     int
-        0 if the store is unreachable.
+        0 if the store did not respond or its response is malformed.
     """
     try:
         reply = await client.fetch(
@@ -135,6 +141,7 @@
             timeout=TIMEOUT_S,
             max_bytes=LISTING_MAX_BYTES,
         )
-    except http.Unreachable:
+        found = msgspec.json.decode(reply.body, type=LinkBytes)
+    except (http.Unreachable, msgspec.DecodeError, msgspec.ValidationError):
         return 0
-    return int(reply.json()['link_bytes'])
+    return found.link_bytes
--- a/standins/cuts.py
+++ b/standins/cuts.py
@@ -77,7 +77,7 @@
         return has_head and end == 'close'
 
 
-def list_cuts(framing, name, parts, extra=()):
+def list_cuts(framing, name, parts, extra=(), status=200):
     """List an answer with each of its ends, the last one whole.
 
     Parameters
@@ -90,6 +90,7 @@
         Parts of the body.
     extra : sequence of str, optional
         Further rows of the head.
+    status : int, optional
     """
     version, kinds = FRAMINGS[framing]
     rows = {
@@ -98,7 +99,8 @@
         'length': f'content-length: {sum(map(len, parts))}',
         'chunked': 'transfer-encoding: chunked',
     }
-    pieces = split_head(version, (*extra, *(rows[kind] for kind in kinds)))
+    lines = (*extra, *(rows[kind] for kind in kinds))
+    pieces = split_head(f'HTTP/{version} {status}', lines)
     if 'chunked' in kinds:
         pieces += split_chunks(parts)
     else:
@@ -110,11 +112,11 @@
     ]
 
 
-def split_head(version, rows):
-    """Split a head into pieces."""
+def split_head(start, rows):
+    """Split a head into pieces; `start` is its version and status."""
     pieces = [
-        Piece('status line', f'HTTP/{version} 2'.encode()),
-        Piece('end of the status line', b'00 OK'),
+        Piece('status line', start[:-2].encode()),
+        Piece('end of the status line', f'{start[-2:]} OK'.encode()),
         Piece('no row', b'\r\n'),
     ]
     for row in rows:
