--- a/landingspool/platform/runners.py
+++ b/landingspool/platform/runners.py
@@ -8,7 +8,11 @@
 
 import dataclasses
 import json
+import typing
 
+import msgspec
+
+from landingspool.decisions import decoding
 from landingspool.decisions.gateway import context_index
 from landingspool.decisions.gateway import fleet
 from landingspool import http
@@ -79,6 +83,87 @@
     refused: bool = False
 
 
+class ReportRecord(msgspec.Struct):
+    """State that a target reports, as it is written.
+
+    Attributes
+    ----------
+    sequence : int
+        Number of orders that the target has taken.
+    """
+
+    busy: bool
+    sequence: decoding.Count
+    queue_depth: decoding.Count = 0
+    active_requests: decoding.Count = 0
+    born: decoding.TimeMs | None = None
+    models: list[catalogue.ModelRecord] | None = None
+
+
+class EventRow(msgspec.Struct, array_like=True):
+    """One cache event."""
+
+    number: typing.Any
+    sign: str
+    space: str
+    part: str
+    tokens: decoding.Count
+
+
+class ListedRow(msgspec.Struct, array_like=True):
+    """One cached part in a list."""
+
+    space: str
+    part: str
+    tokens: decoding.Count
+
+
+class IncompleteRow(msgspec.Struct, array_like=True):
+    """One incomplete part in a list."""
+
+    space: str
+    part: str
+    tokens: decoding.Count
+    room: decoding.Count
+
+
+class CacheRecord(msgspec.Struct):
+    """What answers with cache events and with lists have in common.
+
+    Attributes
+    ----------
+    next_token : int
+        Position of the next call; a count of events, in spite of its name.
+    clock_ms : float or None
+        The targets' clock in milliseconds.
+    partial : list of IncompleteRow
+        The incomplete parts.
+    """
+
+    epoch: decoding.Whole
+    next_token: decoding.Count
+    lost: bool | None = None
+    clock_ms: decoding.Figure | None = None
+    partial: list[IncompleteRow] | None = None
+
+
+class EventsRecord(CacheRecord, kw_only=True):
+    """An answer with cache events."""
+
+    events: list[EventRow]
+
+
+class ListRecord(CacheRecord, kw_only=True):
+    """An answer with a list of cached parts."""
+
+    held: list[ListedRow]
+
+
+REPORT_DECODER = msgspec.json.Decoder(ReportRecord, strict=False)
+EVENTS_DECODER = msgspec.json.Decoder(EventsRecord, strict=False)
+LIST_DECODER = msgspec.json.Decoder(ListRecord, strict=False)
+
+
 class Runners:
     """Client of the control interface of targets and stores.
 
@@ -103,17 +188,9 @@
         if isinstance(reply, Unanswered):
             return reply
         try:
-            row = reply.json()
-            return Report(
-                versions=catalogue.read_versions(row),
-                busy=bool(row['busy']),
-                orders=int(row['sequence']),
-                waiting=int(row.get('queue_depth', 0)),
-                running=int(row.get('active_requests', 0)),
-                born=int(row.get('born') or 0),
-            )
-        except (ValueError, KeyError, TypeError) as error:
-            return Unanswered(f'report: {error!r}', True)
+            return decoding.decode('report', read_report, reply.body)
+        except decoding.Malformed as error:
+            return Unanswered(str(error), True)
 
     async def order(self, address, order, taken, holder, fence):
         """Order a target to load a version; running requests continue.
@@ -171,14 +248,14 @@
             timeout=hold_s + ANSWER_S,
             max_bytes=CACHE_MAX_BYTES,
         )
-        return read_cache_update(reply, read_event, 'events')
+        return read_cache_update(reply, 'events', read_events)
 
     async def read_list(self, address):
         """Read the list of cached parts; a CacheUpdate or Unanswered."""
         reply = await self._call(
             address, 'GET', names.LIST_PATH, max_bytes=CACHE_MAX_BYTES
         )
-        return read_cache_update(reply, read_listed, 'held')
+        return read_cache_update(reply, 'held', read_list)
 
     async def free(self, address, epoch, parts, until_ms):
         """Free parts of a store; True if the store confirms it.
@@ -233,49 +310,99 @@
         return reply
 
 
-def read_cache_update(reply, read_row, field):
-    """Decode an answer with cache events or a list of cached parts."""
+def read_report(value):
+    """Decode the report of a target.
+
+    Raises
+    ------
+    ValueError, RecursionError
+    """
+    row = REPORT_DECODER.decode(value)
+    return Report(
+        versions={model.name: model.version for model in row.models or ()},
+        busy=row.busy,
+        orders=row.sequence,
+        waiting=row.queue_depth,
+        running=row.active_requests,
+        born=row.born or 0,
+    )
+
+
+def read_cache_update(reply, subject, read):
+    """Decode an answer with cache events or a list of cached parts.
+
+    Parameters
+    ----------
+    reply : http.Response or Unanswered
+    subject : str
+        What the answer holds, for the log.
+    read : callable
+        Returns the CacheUpdate in the bytes of a body.
+
+    Returns
+    -------
+    context_index.CacheUpdate or Unanswered
+    """
     if isinstance(reply, Unanswered):
         return reply
     if reply.status != 200:
         return Unanswered(f'status {reply.status}', True)
     try:
-        row = reply.json()
-        return context_index.CacheUpdate(
-            epoch=row['epoch'],
-            # Position of the next call; a count of events, in spite of the
-            # name of the field.
-            next=int(row['next_token']),
-            lost=bool(row.get('lost')),
-            changes=tuple(read_row(change) for change in row[field]),
-            whole=field == 'held',
-            clock_ms=row.get('clock_ms'),
-            incomplete=tuple(map(read_incomplete, row.get('partial') or ())),
-        )
-    except (ValueError, KeyError, TypeError, IndexError) as error:
-        return Unanswered(f'{field}: {error!r}', True)
+        return decoding.decode(subject, read, reply.body)
+    except decoding.Malformed as error:
+        return Unanswered(str(error), True)
 
 
-def read_event(row):
-    """Decode one cache event.
+def read_events(value):
+    """Decode an answer with cache events.
 
-    >>> read_event([119, '+', 's1', '5c', 800, 'm'])
-    Change(space='s1', part='5c', tokens=800)
+    >>> read_events(
+    ...     b'{"epoch": 7, "next_token": 9,'
+    ...     b' "events": [[119, "+", "s1", "5c", 800, "m"]]}'
+    ... ).changes
+    (Change(space='s1', part='5c', tokens=800),)
     """
-    return context_index.Change(row[2], row[3], int(row[4]))
+    record = EVENTS_DECODER.decode(value)
+    return make_update(record, record.events, whole=False)
 
 
-def read_listed(row):
-    """Decode one row of a list of cached parts."""
-    return context_index.Change(row[0], row[1], int(row[2]))
+def read_list(value):
+    """Decode a list of cached parts.
+
+    >>> read_list(
+    ...     b'{"epoch": 7, "next_token": 9, "held": [],'
+    ...     b' "partial": [["s1", "5c", 100, 800]]}'
+    ... ).incomplete
+    (IncompletePart(space='s1', part='5c', tokens=100, room=800),)
+    """
+    record = LIST_DECODER.decode(value)
+    return make_update(record, record.held, whole=True)
 
 
-def read_incomplete(row):
-    """Decode one row of the incomplete parts in a list.
+def make_update(record, rows, whole):
+    """Return the CacheUpdate in an answer of a target or store.
 
-    >>> read_incomplete(['s1', '5c', 100, 800])
-    IncompletePart(space='s1', part='5c', tokens=100, room=800)
+    Parameters
+    ----------
+    record : CacheRecord
+    rows : list of EventRow or ListedRow
+    whole : bool
+        Whether the rows are the complete list.
     """
-    return context_index.IncompletePart(
-        row[0], row[1], int(row[2]), int(row[3])
+    return context_index.CacheUpdate(
+        epoch=record.epoch,
+        next=record.next_token,
+        lost=bool(record.lost),
+        changes=tuple(
+            context_index.Change(row.space, row.part, row.tokens)
+            for row in rows
+        ),
+        whole=whole,
+        clock_ms=record.clock_ms,
+        incomplete=tuple(
+            context_index.IncompletePart(
+                row.space, row.part, row.tokens, row.room
+            )
+            for row in record.partial or ()
+        ),
     )
