--- a/landingspool/decisions/gateway/fingerprints.py
+++ b/landingspool/decisions/gateway/fingerprints.py
@@ -23,6 +23,8 @@
 # Longest name of a part, in bytes, that its key contains as it is; of others
 # it contains a hash of that many hexadecimal digits.
 MAX_NAME_BYTES = 24
+# Longest key in bytes.
+MAX_KEY_BYTES = len(PART_PREFIX) + MAX_NAME_BYTES
 # Shared parts of one prompt that have keys, from the first on.
 MAX_PARTS = 64
 
--- a/landingspool/decisions/gateway/routes.py
+++ b/landingspool/decisions/gateway/routes.py
@@ -150,6 +150,8 @@
         Whether requests need a key.
     context_stores : dict of str to ContextStore
         The stores of cached context by the address that targets use.
+    passed_over : tuple of str
+        What of it could not be decoded and is left out, for the log.
     """
 
     version: int
@@ -159,6 +161,7 @@
     limits: Limits = Limits()
     keyed: bool = False
     context_stores: dict = {}
+    passed_over: tuple = ()
 
 
 def make_table(version, routes, services, keys, limits, keyed):
--- a/landingspool/gateway/crash_records.py
+++ b/landingspool/gateway/crash_records.py
@@ -8,6 +8,7 @@
 import asyncio
 import typing
 
+from landingspool.decisions import decoding
 from landingspool.decisions.gateway import fingerprints
 from landingspool.decisions.gateway import peer_digests
 from landingspool.decisions.gateway import quarantine
@@ -91,23 +92,26 @@
         """Apply a record of any box; an empty value lifts a quarantine."""
         now = self._hub.clock()
         key = record.key.removeprefix(names.CRASHES_KEY)
-        self._written[key] = record.value
+        notices = ()
         try:
+            fingerprint = catalogue.read_fingerprint(key)
             if record.value:
                 notices = catalogue.read_crashes(
                     key, record.value, self._hub.wall()
                 )
-                # A lift that was read before was written before.
-                self._crashes.forget_lift(bytes.fromhex(key))
-            else:
-                fingerprint = bytes.fromhex(key)
-                self._crashes.lift(fingerprint, now)
-                notices = ()
-        except (catalogue.Malformed, ValueError) as error:
+        except decoding.Malformed as error:
+            # It tells nothing, so a box may write what is known.
+            self._written.pop(key, None)
             self._hub.recorder.record(
                 'malformed', key=record.key, reason=str(error)
             )
             return
+        self._written[key] = record.value
+        if record.value:
+            # A lift that was read before was written before.
+            self._crashes.forget_lift(fingerprint)
+        else:
+            self._crashes.lift(fingerprint, now)
         for notice in notices:
             self._crashes.take(notice, now)
         self.check()
--- a/landingspool/gateway/following.py
+++ b/landingspool/gateway/following.py
@@ -10,6 +10,7 @@
 import asyncio
 import dataclasses
 
+from landingspool.decisions import decoding
 from landingspool.decisions.gateway import tail as tail_module
 from landingspool.gateway import resumption
 from landingspool.gateway import state
@@ -237,7 +238,7 @@
                 self._hub.state.take_table(record.value)
             elif record.key.startswith(names.VERSION_KEY):
                 self._take_version(record.value)
-        except catalogue.Malformed as error:
+        except decoding.Malformed as error:
             # The newest valid table stays in force.
             self._record_malformed(record, error)
 
@@ -345,7 +346,7 @@
             claim = catalogue.read_claim(
                 record.value, record.offset, self._hub.wall()
             )
-        except catalogue.Malformed as error:
+        except decoding.Malformed as error:
             self._record_malformed(record, error)
             return
         if self._watch.end is not None:
--- a/landingspool/gateway/software_watch.py
+++ b/landingspool/gateway/software_watch.py
@@ -7,6 +7,7 @@
 
 import asyncio
 
+from landingspool.decisions import decoding
 from landingspool.decisions.gateway import software_history
 from landingspool.decisions import timing
 from landingspool.platform import catalogue
@@ -60,7 +61,7 @@
         """Apply the summary that a box has written."""
         try:
             self._stored = catalogue.read_software(record.value)
-        except catalogue.Malformed as error:
+        except decoding.Malformed as error:
             self._hub.recorder.record(
                 'malformed', key=record.key, reason=str(error)
             )
--- a/landingspool/gateway/state.py
+++ b/landingspool/gateway/state.py
@@ -10,10 +10,12 @@
 
 import msgspec
 
+from landingspool.decisions import decoding
 from landingspool.decisions.gateway import fleet as fleet_module
 from landingspool.decisions.gateway import peer_digests
 from landingspool.decisions.gateway import readers
 from landingspool.platform import catalogue
+from landingspool.platform import names
 from landingspool import timeouts
 
 
@@ -91,7 +93,7 @@
 
         Raises
         ------
-        catalogue.Malformed
+        decoding.Malformed
         """
         table = catalogue.read_table(value)
         if self._view.put_table(table):
@@ -103,6 +105,10 @@
                 version=table.version,
                 proof_s=self._view.proof.age_to_log(self._hub.clock()),
             )
+            for reason in table.passed_over:
+                self._hub.recorder.record(
+                    'malformed', key=names.TABLE_KEY, reason=reason
+                )
 
     async def wait_for_table(self, seconds):
         """Wait until the first table is in force, for `seconds` at most."""
@@ -285,7 +291,7 @@
         """
         try:
             entry = catalogue.read_entry(target, value)
-        except catalogue.Malformed as error:
+        except decoding.Malformed as error:
             self._hub.recorder.record(
                 'malformed', key=target, reason=str(error)
             )
--- a/landingspool/http.py
+++ b/landingspool/http.py
@@ -6,7 +6,9 @@
 
 import asyncio
 import contextlib
+import ipaddress
 import json
+import re
 import typing
 from urllib import parse
 
@@ -25,6 +27,8 @@
 HEADER_TIMEOUT_S = 10.0
 BODY_TIMEOUT_S = 20.0
 IDLE_TIMEOUT_S = 60.0
+PORT = re.compile('[0-9]{1,5}')
+MAX_PORT = 65535
 
 
 class Address(typing.NamedTuple):
@@ -37,19 +41,42 @@
 def parse_address(text):
     """Return the Address in a text IP:PORT, or None.
 
+    Every address of another writer comes through here, so that whatever uses
+    one can connect to it or is refused by the network.
+
     >>> parse_address('10.0.0.1:80')
     Address(host='10.0.0.1', port=80)
-    >>> parse_address('10.0.0.1') is None
+    >>> [parse_address(f'10.0.0.1{port}') for port in ('', ':0', ':65536')]
+    [None, None, None]
+    >>> parse_address('a.example:80') is None
     True
     """
     if not isinstance(text, str):
         return None
     host, _, port = text.rpartition(':')
-    if not host or not port.isdigit():
+    if not PORT.fullmatch(port) or not 0 < int(port) <= MAX_PORT:
+        return None
+    try:
+        ipaddress.ip_address(host)
+    except ValueError:
         return None
     return Address(host, int(port))
 
 
+def read_address(text):
+    """Return the Address in a text IP:PORT.
+
+    Raises
+    ------
+    ValueError
+        If there is none.
+    """
+    address = parse_address(text)
+    if address is None:
+        raise ValueError(f'not an address: {text!r}')
+    return address
+
+
 class Request(typing.NamedTuple):
     """One complete HTTP request."""
 
--- a/landingspool/platform/catalogue.py
+++ b/landingspool/platform/catalogue.py
@@ -6,7 +6,9 @@
 
 import msgspec
 
+from landingspool.decisions import decoding
 from landingspool.decisions.gateway import cold_targets
+from landingspool.decisions.gateway import fingerprints
 from landingspool.decisions.gateway import fleet
 from landingspool.decisions.gateway import order_claims
 from landingspool.decisions.gateway import peer_digests
@@ -21,30 +23,28 @@
 DEFAULT_TIMEOUT_MS = 30_000
 # Bounds for the record of a target; a record beyond them was not written by a
 # target.  Slots and version numbers of this size are far above those of any
-# deployment; times end with the year 2100.
+# deployment.
 MAX_NUMBER = 1_000_000
 MAX_COLD_MS = 3_600_000
-MAX_BORN_MS = 4_102_444_800_000
 MAX_TEXT_CHARS = 256
+# Far above the time that a target has from a claim to its order, seconds.
+MAX_DELAY_S = 60.0
 # Milliseconds by which the times of day of two boxes usually differ at most.
 MAX_CLOCK_ERROR_MS = 1000
 # Milliseconds that count as passed if the time of day of a record can't be
 # right: more than any bound.
 UNKNOWN_SINCE_MS = 24 * 3600 * 1000
-# Exceptions that decoding an arbitrary record may raise.
-DECODE_ERRORS = (
-    ValueError,
-    KeyError,
-    TypeError,
-    AttributeError,
-    OverflowError,
-    RecursionError,
-)
 
 Number = typing.Annotated[int, msgspec.Meta(ge=0, le=MAX_NUMBER)]
 Text = typing.Annotated[
     str, msgspec.Meta(min_length=1, max_length=MAX_TEXT_CHARS)
 ]
+# Seconds until a target loads that a claim announces.
+Delay = typing.Annotated[float, msgspec.Meta(ge=0, le=MAX_DELAY_S)]
+# Milliseconds of a time-out in a configuration.
+Timeout = typing.Annotated[
+    float, msgspec.Meta(ge=0, le=decoding.MAX_MILLISECONDS)
+]
 
 MAX_PAIRS = 1000
 Pairs = typing.Annotated[
@@ -52,143 +52,274 @@
 ]
 
 
-class Malformed(Exception):
-    """A record can't be decoded; the text names key and field."""
+class ShareRow(msgspec.Struct):
+    """A service's part of the requests of a route."""
+
+    service: str
+    weight: decoding.Figure
+
+
+class RouteRow(msgspec.Struct):
+    """A route as operators write it."""
+
+    name: str
+    host: str
+    path_prefix: str
+    kind: str
+    service: str | None = None
+    traffic_split: list[ShareRow] | None = None
+    timeout_ms: Timeout | None = None
+    target_latency_ms: Timeout | None = None
+    priority: Number | None = None
+    max_attempts: Number | None = None
+    allow_anonymous: bool | None = None
+    session_affinity: bool | None = None
+    resumable: bool | None = None
+    allowed_regions: list[str] | None = None
+
+
+class EngineRow(msgspec.Struct):
+    """The properties of an engine as operators write them."""
+
+    slots: Number | None = None
+    kv_capacity: decoding.Count | None = None
+    token_kv_bytes: decoding.Count | None = None
+    link_mbps: decoding.Figure | None = None
+    max_in_flight: Number | None = None
+    managed: bool | None = None
+
+
+class ServiceRow(msgspec.Struct):
+    """A service as operators write it.
+
+    The address of a store is checked on its own: a service at an odd address
+    must not keep a configuration from being put in force.
+    """
+
+    name: str
+    health_path: str | None = None
+    max_connections: Number | None = None
+    cold_start_s: decoding.Figure | None = None
+    cold_per_s: decoding.Figure | None = None
+    engine: dict[str, typing.Any] | None = None
+    kv_store_addr: typing.Any = None
+    zone: str | None = None
+    kv_capacity: decoding.Count | None = None
+    link_mbps: decoding.Figure | None = None
+    max_in_flight: Number | None = None
+    managed: bool | None = None
+    first_ms: Timeout | None = None
+
+
+class TenancyRow(msgspec.Struct):
+    """A workspace as operators write it."""
+
+    name: str
+    api_keys: list[str] | None = None
+    priority: Number | None = None
+    isolated: bool | None = None
+    allowed_regions: list[str] | None = None
+    weight: (
+        typing.Annotated[
+            float,
+            msgspec.Meta(ge=-decoding.MAX_FIGURE, le=decoding.MAX_FIGURE),
+        ]
+        | None
+    ) = None
+
+
+class LimitsRow(msgspec.Struct):
+    """The limits on requests of callers as operators write them."""
+
+    max_header_bytes: decoding.Count | None = None
+    max_body_bytes: decoding.Count | None = None
+    header_timeout_ms: Timeout | None = None
+    idle_timeout_ms: Timeout | None = None
+
+
+class TableRecord(msgspec.Struct):
+    """A configuration as operators write it; unknown fields are ignored.
+
+    A field that is null counts as absent, except that `tenants` then say that
+    requests need a key.
+    """
+
+    version: decoding.Count
+    routes: list[RouteRow] | None = None
+    services: list[ServiceRow] | None = None
+    tenants: list[TenancyRow] | None | msgspec.UnsetType = msgspec.UNSET
+    limits: LimitsRow | None = None
+
+
+# Numbers and flags may be written as texts.
+TABLE_DECODER = msgspec.json.Decoder(TableRecord, strict=False)
 
 
 def read_table(value):
     """Decode a published configuration table.
 
+    A store of cached context at an odd address is left out, and named in
+    `passed_over`: the callers of all services need the routes and the keys,
+    while engines without the store compute what it would have held.
+
     Returns
     -------
     routes.Table
 
     Raises
     ------
-    Malformed
+    decoding.Malformed
     """
-    try:
-        table = json.loads(value)
-        tenants = table.get('tenants') or ()
-        return routes.make_table(
-            version=int(table['version']),
-            routes=[read_route(row) for row in table.get('routes') or ()],
-            services=[
-                read_service(row) for row in table.get('services') or ()
-            ],
-            keys={
-                key: read_tenancy(row)
-                for row in tenants
-                for key in row.get('api_keys') or ()
-            },
-            limits=read_limits(table.get('limits') or {}),
-            keyed='tenants' in table,
-        )
-    except DECODE_ERRORS as error:
-        raise Malformed(f'{names.TABLE_KEY}: {error!r}') from error
+    return decoding.decode(names.TABLE_KEY, decode_table, value)
+
+
+def decode_table(value):
+    """Decode a published configuration table."""
+    record = TABLE_DECODER.decode(value)
+    services = record.services or []
+    tenants = record.tenants or []
+    table = routes.make_table(
+        version=record.version,
+        routes=[make_route(row) for row in record.routes or ()],
+        services=[make_service(row) for row in services],
+        keys={
+            key: make_tenancy(row)
+            for row in tenants
+            for key in row.api_keys or ()
+        },
+        limits=make_limits(record.limits or LimitsRow()),
+        keyed=record.tenants is not msgspec.UNSET,
+    )
+    return table._replace(passed_over=list_odd_stores(services))
+
+
+def list_odd_stores(rows):
+    """List the services whose store has an odd address, for the log."""
+    return tuple(
+        f'service {decoding.shorten(row.name)}: no address of a store'
+        for row in rows
+        if row.kv_store_addr and http.parse_address(row.kv_store_addr) is None
+    )
+
+
+def get_given(value, default):
+    """Return a value that may be absent."""
+    return default if value is None else value
 
 
-def read_route(row):
-    """Decode one route."""
-    split = row.get('traffic_split') or ()
+def make_route(row):
+    """Return one route."""
     shares = tuple(
-        routes.Share(part['service'], float(part['weight'])) for part in split
+        routes.Share(part.service, part.weight)
+        for part in row.traffic_split or ()
     )
     if not shares:
-        shares = (routes.Share(row['service'], 1.0),)
-    timeout_ms = row.get('timeout_ms') or DEFAULT_TIMEOUT_MS
+        shares = (make_only_share(row),)
+    timeout_ms = row.timeout_ms or DEFAULT_TIMEOUT_MS
     return routes.Route(
-        name=row['name'],
-        host=row['host'].lower(),
-        prefix=row['path_prefix'],
-        kind=ROUTE_KINDS.get(row['kind'], row['kind']),
+        name=row.name,
+        host=row.host.lower(),
+        prefix=row.path_prefix,
+        kind=ROUTE_KINDS.get(row.kind, row.kind),
         timeout_s=timeout_ms / 1000,
-        target_latency_s=row.get('target_latency_ms', timeout_ms) / 1000,
-        priority=int(row.get('priority', 5)),
+        target_latency_s=get_given(row.target_latency_ms, timeout_ms) / 1000,
+        priority=get_given(row.priority, 5),
         shares=shares,
-        max_attempts=int(row.get('max_attempts', 1)),
-        anonymous=bool(row.get('allow_anonymous')),
-        sticky=bool(row.get('session_affinity')),
-        resumable=bool(row.get('resumable')),
-        regions=frozenset(row.get('allowed_regions') or ()),
+        max_attempts=get_given(row.max_attempts, 1),
+        anonymous=bool(row.allow_anonymous),
+        sticky=bool(row.session_affinity),
+        resumable=bool(row.resumable),
+        regions=frozenset(row.allowed_regions or ()),
     )
 
 
-def read_service(row):
-    """Decode one service."""
+def make_only_share(row):
+    """Return the share of a route's only service.
+
+    Raises
+    ------
+    ValueError
+        If the route names none.
+    """
+    if row.service is None:
+        raise ValueError(f'route {row.name!r} names no service')
+    return routes.Share(row.service, 1.0)
+
+
+def make_service(row):
+    """Return one service."""
     return routes.Service(
-        name=row['name'],
-        health_path=row.get('health_path', ''),
-        max_connections=int(row.get('max_connections', 64)),
-        engine=read_engine(row.get('engine')),
-        context_store=read_context_store(row),
+        name=row.name,
+        health_path=get_given(row.health_path, ''),
+        max_connections=get_given(row.max_connections, 64),
+        engine=make_engine(row.engine),
+        context_store=make_context_store(row),
         cold=cold_targets.Bound(
-            float(row.get('cold_start_s') or 0),
-            float(row.get('cold_per_s') or 0),
+            row.cold_start_s or 0.0, row.cold_per_s or 0.0
         ),
     )
 
 
-def read_engine(row):
-    """Decode the engine properties of a service; None for plain services."""
-    if not row:
+def make_engine(fields):
+    """Return the engine properties of a service; None for plain services."""
+    if not fields:
         return None
+    row = msgspec.convert(fields, EngineRow, strict=False)
     return routes.Engine(
-        slots=int(row.get('slots', 1)),
-        capacity_tokens=int(row.get('kv_capacity', 0)),
-        token_bytes=int(row.get('token_kv_bytes', 0)),
-        link_mbps=float(row.get('link_mbps', 0)),
-        event_calls=int(row.get('max_in_flight', 1)),
-        managed=bool(row.get('managed')),
+        slots=get_given(row.slots, 1),
+        capacity_tokens=row.kv_capacity or 0,
+        token_bytes=row.token_kv_bytes or 0,
+        link_mbps=row.link_mbps or 0.0,
+        event_calls=get_given(row.max_in_flight, 1),
+        managed=bool(row.managed),
     )
 
 
-def read_context_store(row):
-    """Decode a store of cached context; None for other services."""
-    if not row.get('kv_store_addr'):
+def make_context_store(row):
+    """Return a store of cached context; None for other services."""
+    if http.parse_address(row.kv_store_addr) is None:
         return None
     return routes.ContextStore(
-        address=row['kv_store_addr'],
-        domain=row.get('zone', ''),
-        capacity_tokens=int(row.get('kv_capacity', 0)),
-        link_mbps=float(row.get('link_mbps', 0)),
-        event_calls=int(row.get('max_in_flight', 1)),
-        managed=bool(row.get('managed')),
-        first_s=float(row.get('first_ms', 0)) / 1000,
+        address=row.kv_store_addr,
+        domain=row.zone or '',
+        capacity_tokens=row.kv_capacity or 0,
+        link_mbps=row.link_mbps or 0.0,
+        event_calls=get_given(row.max_in_flight, 1),
+        managed=bool(row.managed),
+        first_s=(row.first_ms or 0.0) / 1000,
     )
 
 
-def read_tenancy(row):
-    """Decode a workspace."""
-    priority = row.get('priority')
-    weight = float(row.get('weight') or 0.0)
+def make_tenancy(row):
+    """Return a workspace."""
+    weight = row.weight or 0.0
     return routes.Tenancy(
-        name=row['name'],
-        priority=None if priority is None else int(priority),
-        isolated=bool(row.get('isolated')),
-        regions=frozenset(row.get('allowed_regions') or ()),
+        name=row.name,
+        priority=row.priority,
+        isolated=bool(row.isolated),
+        regions=frozenset(row.allowed_regions or ()),
         weight=weight if weight > 0 else 1.0,
     )
 
 
-def read_limits(row):
-    """Decode the limits on requests of callers."""
+def make_limits(row):
+    """Return the limits on requests of callers."""
     defaults = routes.Limits()
+    header_ms = get_given(row.header_timeout_ms, defaults.header_s * 1000)
+    idle_ms = get_given(row.idle_timeout_ms, defaults.idle_s * 1000)
     return routes.Limits(
-        header_bytes=int(row.get('max_header_bytes', defaults.header_bytes)),
-        body_bytes=int(row.get('max_body_bytes', defaults.body_bytes)),
-        header_s=row.get('header_timeout_ms', defaults.header_s * 1000) / 1000,
-        idle_s=row.get('idle_timeout_ms', defaults.idle_s * 1000) / 1000,
+        header_bytes=get_given(row.max_header_bytes, defaults.header_bytes),
+        body_bytes=get_given(row.max_body_bytes, defaults.body_bytes),
+        header_s=header_ms / 1000,
+        idle_s=idle_ms / 1000,
     )
 
 
-def read_version(value):
-    """Decode a published version of weights as (model, version)."""
-    try:
-        row = json.loads(value)
-        return row['model'], int(row['version'])
-    except DECODE_ERRORS as error:
-        raise Malformed(f'{names.VERSION_KEY}: {error!r}') from error
+class VersionRecord(msgspec.Struct):
+    """A published version of the weights of a model."""
+
+    model: Text
+    version: Number
 
 
 class ModelRecord(msgspec.Struct):
@@ -221,7 +352,7 @@
         float, msgspec.Meta(ge=0, le=MAX_COLD_MS)
     ] = 0.0
     sequence: typing.Annotated[int, msgspec.Meta(ge=0)] = 0
-    born: typing.Annotated[int, msgspec.Meta(ge=0, le=MAX_BORN_MS)] = 0
+    born: decoding.TimeMs = 0
     version: typing.Annotated[str, msgspec.Meta(max_length=MAX_TEXT_CHARS)] = (
         ''
     )
@@ -235,8 +366,46 @@
     moved: Pairs = []
 
 
+class ClaimRecord(msgspec.Struct):
+    """Claim of a box to the right to send orders.
+
+    An earlier build names neither versions nor orders, and doesn't tell when
+    it wrote.
+
+    Attributes
+    ----------
+    loading : dict of str to float
+        Seconds until each target begins to load.
+    at_ms : int
+        Unix time of the writing in milliseconds; 0 if not told.
+    """
+
+    holder: Text
+    loading: dict[Text, Delay]
+    versions: list[tuple[Text, Number, decoding.Milliseconds, bool]] = []
+    at_ms: decoding.TimeMs = 0
+    orders: list[tuple[Text, Text, Number, decoding.Milliseconds]] = []
+
+
+VERSION_DECODER = msgspec.json.Decoder(VersionRecord, strict=False)
 TARGET_DECODER = msgspec.json.Decoder(TargetRecord)
 SOFTWARE_DECODER = msgspec.json.Decoder(SoftwareRecord)
+CLAIM_DECODER = msgspec.json.Decoder(ClaimRecord)
+# Hash of the incarnation, and Unix time of the crash in milliseconds.
+CRASHES_DECODER = msgspec.json.Decoder(
+    list[tuple[decoding.Hash, decoding.TimeMs]]
+)
+
+
+def read_version(value):
+    """Decode a published version of weights as (model, version).
+
+    Raises
+    ------
+    decoding.Malformed
+    """
+    row = decoding.decode(names.VERSION_KEY, VERSION_DECODER.decode, value)
+    return row.model, row.version
 
 
 def read_entry(target, value):
@@ -254,26 +423,35 @@
 
     Raises
     ------
-    Malformed
+    decoding.Malformed
         If the bytes are not a valid record.
     """
-    try:
-        row = TARGET_DECODER.decode(value)
-        return fleet.Entry(
-            name=fleet.Incarnation(check_target_id(target), row.born).name,
-            service=row.service,
-            address=read_address(row.address),
-            domain=row.zone,
-            state=row.state,
-            slots=row.slots,
-            versions={model.name: model.version for model in row.models},
-            cold_s=row.cold_remaining_ms / 1000,
-            software=row.version,
-        )
-    except DECODE_ERRORS as error:
-        raise Malformed(
-            f'target {target[:MAX_TEXT_CHARS]}: {error!r}'
-        ) from error
+    return decoding.decode(
+        f'target {decoding.shorten(target)}',
+        lambda data: make_entry(target, TARGET_DECODER.decode(data)),
+        value,
+    )
+
+
+def make_entry(target, row):
+    """Return the fleet.Entry in the record of a target.
+
+    Raises
+    ------
+    ValueError
+        If the id or the address can't be those of a target.
+    """
+    return fleet.Entry(
+        name=fleet.Incarnation(check_target_id(target), row.born).name,
+        service=row.service,
+        address=read_address(row.address),
+        domain=row.zone,
+        state=row.state,
+        slots=row.slots,
+        versions={model.name: model.version for model in row.models},
+        cold_s=row.cold_remaining_ms / 1000,
+        software=row.version,
+    )
 
 
 def check_target_id(target):
@@ -302,21 +480,11 @@
     ------
     ValueError
     """
-    address = http.parse_address(text)
-    if address is None or not 0 < address.port < 65536:
-        raise ValueError(f'not an address: {text!r}')
+    address = http.read_address(text)
     ipaddress.IPv4Address(address.host)
     return address
 
 
-def read_versions(row):
-    """Decode the versions of the weights in a report, by model."""
-    return {
-        model['name']: int(model.get('version', 0))
-        for model in row.get('models') or ()
-    }
-
-
 def write_crashes(notices, wall_s):
     """Encode the crashes of targets under one request.
 
@@ -342,20 +510,42 @@
 
     Raises
     ------
-    Malformed
+    decoding.Malformed
     """
-    try:
-        fingerprint = bytes.fromhex(key)
-        return [
-            peer_digests.CrashNotice(
-                fingerprint,
-                int(incarnation),
-                max(int(wall_s * 1000) - int(at), 0),
-            )
-            for incarnation, at in json.loads(value)
-        ]
-    except DECODE_ERRORS as error:
-        raise Malformed(f'endings: {error!r}') from error
+    fingerprint = read_fingerprint(key)
+    rows = decoding.decode(
+        f'{names.CRASHES_KEY}{key}', CRASHES_DECODER.decode, value
+    )
+    now_ms = int(wall_s * 1000)
+    return [
+        peer_digests.CrashNotice(fingerprint, incarnation, max(now_ms - at, 0))
+        for incarnation, at in rows
+    ]
+
+
+def read_fingerprint(key):
+    """Decode the fingerprint of a request in the key of its record.
+
+    Raises
+    ------
+    decoding.Malformed
+    """
+    return decoding.decode(
+        f'{names.CRASHES_KEY}{key}', decode_fingerprint, key
+    )
+
+
+def decode_fingerprint(key):
+    """Decode the fingerprint of a request.
+
+    Raises
+    ------
+    ValueError
+    """
+    fingerprint = bytes.fromhex(key)
+    if not 0 < len(fingerprint) <= fingerprints.MAX_KEY_BYTES:
+        raise ValueError(f'{len(fingerprint)} bytes: not a fingerprint')
+    return fingerprint
 
 
 def write_software(summary):
@@ -373,12 +563,9 @@
 
     Raises
     ------
-    Malformed
+    decoding.Malformed
     """
-    try:
-        row = SOFTWARE_DECODER.decode(value)
-    except DECODE_ERRORS as error:
-        raise Malformed(f'{names.SOFTWARE_KEY}: {error!r}') from error
+    row = decoding.decode(names.SOFTWARE_KEY, SOFTWARE_DECODER.decode, value)
     return software_history.Summary(
         frozenset(row.versions), frozenset(row.moved)
     )
@@ -434,42 +621,37 @@
     2.0
     >>> read_claim(value, 7, 5.0).versions[0].age_ms
     86400500
+
+    Raises
+    ------
+    decoding.Malformed
     """
-    try:
-        row = json.loads(value)
-        at_ms = int(row.get('at_ms', 0))
-        since_ms = measure_since_ms(at_ms, wall_s)
-        versions = tuple(
-            peer_digests.VersionNotice(
-                str(model),
-                int(version),
-                max(int(age_ms), 0) + since_ms,
-                bool(witnessed),
-            )
-            for model, version, age_ms, witnessed in row.get('versions', ())
-        )
-        return order_claims.Claim(
-            row['holder'],
-            offset,
-            dict(row['loading']),
-            versions,
-            # An earlier build does not tell when it wrote.
-            since_ms / 1000 if at_ms else 0.0,
-            read_given(row),
+    row = decoding.decode('claim', CLAIM_DECODER.decode, value)
+    since_ms = measure_since_ms(row.at_ms, wall_s)
+    versions = tuple(
+        peer_digests.VersionNotice(
+            model, version, max(age_ms, 0) + since_ms, is_witnessed
         )
-    except DECODE_ERRORS as error:
-        raise Malformed(f'claim: {error!r}') from error
+        for model, version, age_ms, is_witnessed in row.versions
+    )
+    return order_claims.Claim(
+        row.holder,
+        offset,
+        row.loading,
+        versions,
+        # An earlier build does not tell when it wrote.
+        since_ms / 1000 if row.at_ms else 0.0,
+        make_given(row.orders),
+    )
 
 
-def read_given(row):
-    """Decode the orders in a claim; an earlier build names none.
+def make_given(rows):
+    """Return the orders in a claim; an earlier build names none.
 
-    >>> read_given({'orders': [['t', 'm', 2, 500]]})
+    >>> make_given([('t', 'm', 2, 500)])
     (Given(target='t', model='m', version=2, age_ms=500),)
     """
     return tuple(
-        rollouts.Given(
-            str(target), str(model), int(version), max(int(age_ms), 0)
-        )
-        for target, model, version, age_ms in row.get('orders', ())
-    )[: rollouts.MAX_GIVEN]
+        rollouts.Given(target, model, version, max(age_ms, 0))
+        for target, model, version, age_ms in rows[: rollouts.MAX_GIVEN]
+    )
--- a/tests/gateway/test_fair_admission.py
+++ b/tests/gateway/test_fair_admission.py
@@ -1,5 +1,6 @@
 """Fair shares of workspaces: whom refusals fall on, and what boxes report."""
 
+import json
 import random
 
 import cbor2
@@ -311,7 +312,10 @@
         ({'weight': 3}, 3.0),
         ({'weight': -1}, 1.0),
     ):
-        assert catalogue.read_tenancy({'name': 'w', **row}).weight == weight
+        tenants = [{'name': 'w', 'api_keys': ['k'], **row}]
+        value = json.dumps({'version': 1, 'tenants': tenants}).encode()
+        table = catalogue.read_table(value)
+        assert table.keys['k'].weight == weight
 
 
 def test_digests_of_other_releases_are_read():
--- a/tests/gateway/test_lives.py
+++ b/tests/gateway/test_lives.py
@@ -6,6 +6,7 @@
 from hypothesis import strategies
 import pytest
 
+from landingspool.decisions import decoding
 from landingspool.decisions.gateway import context_index
 from landingspool.decisions.gateway import fleet
 from landingspool.platform import catalogue
@@ -124,7 +125,7 @@
 
 @pytest.mark.parametrize(('field', 'value'), WRONG, ids=str)
 def test_what_no_target_writes_names_none(field, value):
-    with pytest.raises(catalogue.Malformed):
+    with pytest.raises(decoding.Malformed):
         read(**{field: value})
 
 
@@ -134,11 +135,11 @@
     ids=range(5),
 )
 def test_bytes_that_are_no_entry_are_malformed_and_nothing_else(value):
-    with pytest.raises(catalogue.Malformed):
+    with pytest.raises(decoding.Malformed):
         catalogue.read_entry('t', value)
-    with pytest.raises(catalogue.Malformed):
+    with pytest.raises(decoding.Malformed):
         catalogue.read_table(value)
-    with pytest.raises(catalogue.Malformed):
+    with pytest.raises(decoding.Malformed):
         catalogue.read_version(value)
 
 
@@ -165,7 +166,7 @@
     value = json.dumps({**GOOD, **fields}).encode()
     try:
         entry = catalogue.read_entry(target, value)
-    except catalogue.Malformed:
+    except decoding.Malformed:
         return
     assert entry.target == target
     assert entry.slots > 0
--- a/tests/gateway/test_weight_ages_review.py
+++ b/tests/gateway/test_weight_ages_review.py
@@ -6,6 +6,7 @@
 import pytest
 
 from landingspool.boxes import datagrams
+from landingspool.decisions import decoding
 from landingspool.decisions.gateway import peer_digests
 from landingspool.decisions.gateway import weights as weights_module
 from landingspool.gateway import ordering
@@ -169,7 +170,7 @@
 @pytest.mark.parametrize('age', [math.nan, math.inf, None, 'x'])
 def test_claim_with_an_age_that_is_no_number_is_not_read(age):
     value = catalogue.write_claim('b', {}, [('m', 2, age, True)], 10.0)
-    with pytest.raises(catalogue.Malformed):
+    with pytest.raises(decoding.Malformed):
         catalogue.read_claim(value, 7, 10.0)
 
 
