--- a/landingspool/gateway/registry.py
+++ b/landingspool/gateway/registry.py
@@ -15,6 +15,9 @@
 import random
 import typing
 
+import msgspec
+
+from landingspool.decisions import decoding
 from landingspool import http
 from landingspool.platform import names
 from landingspool.platform import store as store_module
@@ -32,6 +35,7 @@
 START_GATHERING_S = 0.8
 # Pause between two attempts to register this box, seconds.
 REGISTER_RETRY_S = 0.7
+MAX_DOMAIN_CHARS = 256
 
 
 class Peer(typing.NamedTuple):
@@ -50,13 +54,30 @@
     owns_streams: bool | None = None
 
 
+class BoxRecord(msgspec.Struct):
+    """Record that a box writes about itself.
+
+    A box of an earlier version names no address for forwarded requests, and
+    doesn't say whether it can be told of streams.
+    """
+
+    address: str
+    domain: typing.Annotated[str, msgspec.Meta(max_length=MAX_DOMAIN_CHARS)]
+    link_mbps: decoding.Figure = 0.0
+    forwarding: str | None = None
+    streams: bool = False
+
+
+BOX_DECODER = msgspec.json.Decoder(BoxRecord)
+
+
 class Registry:
     """Register this box, and keep the peers that the store lists.
 
     Parameters
     ----------
     hub
-        The box's parts: `deployment`, `store`, `view`, `clock`.
+        The box's parts: `deployment`, `store`, `view`, `recorder`, `clock`.
     peers : dict of str to Peer
         The other boxes by name, updated in this object.
 
@@ -143,11 +164,18 @@
             await asyncio.sleep(REGISTER_RETRY_S)
 
     def _apply_list(self, newest):
+        own = self._hub.deployment.box
         listed = {}
         for key, value, _ in newest.records:
-            peer = read_peer(key, value)
-            if peer is not None and key != self._hub.deployment.box:
-                listed[key] = peer
+            if not value or key == own:
+                continue
+            try:
+                listed[key] = read_peer(key, value)
+            except decoding.Malformed as error:
+                # Another writer's; the boxes beside it count.
+                self._hub.recorder.record(
+                    'malformed', key=key, reason=str(error)
+                )
         recent = self._hub.view.peer_digests.list_fresh_peers(
             self._hub.clock()
         )
@@ -193,7 +221,7 @@
 
 
 def read_peer(name, value):
-    """Return the Peer in a box's record, or None if it has none.
+    """Return the Peer in a box's record.
 
     >>> row = write_peer(http.Address('10.0.0.1', 8002), 'd1', 5.0)
     >>> read_peer('b', row).address, read_peer('b', row).link_mbps
@@ -204,22 +232,34 @@
     >>> row = write_peer(http.Address('10.0.0.1', 8002), 'd1', 5.0, there)
     >>> read_peer('b', row).forwarding
     Address(host='10.0.0.1', port=8003)
-    >>> read_peer('b', b'') is None
-    True
+
+    Raises
+    ------
+    decoding.Malformed
     """
-    try:
-        row = json.loads(value)
-        address = http.parse_address(row['address'])
-        link_mbps = float(row.get('link_mbps', 0.0))
-        # A box of an earlier version names no address for it.
-        forwarding = http.parse_address(row.get('forwarding'))
-        return address and Peer(
-            name,
-            address,
-            row['domain'],
-            link_mbps,
-            forwarding,
-            bool(row.get('streams')),
-        )
-    except (ValueError, KeyError, TypeError):
-        return None
+    return decoding.decode(
+        f'box {decoding.shorten(name)}',
+        lambda data: make_peer(name, BOX_DECODER.decode(data)),
+        value,
+    )
+
+
+def make_peer(name, row):
+    """Return the Peer in a box's record.
+
+    Raises
+    ------
+    ValueError
+        If an address is none.
+    """
+    forwarding = None
+    if row.forwarding is not None:
+        forwarding = http.read_address(row.forwarding)
+    return Peer(
+        name,
+        http.read_address(row.address),
+        row.domain,
+        row.link_mbps,
+        forwarding,
+        row.streams,
+    )
