--- a/landingspool/gateway/following.py
+++ b/landingspool/gateway/following.py
@@ -161,6 +161,10 @@
     def _apply_newest(self, newest):
         for record in newest.records:
             self._apply(record)
+        for reason in newest.passed_over:
+            self._hub.recorder.record(
+                'malformed', key=self.topic, reason=reason
+            )
         self._record_read(newest.sent)
 
     def _apply_page(self, page):
--- a/landingspool/gateway/registry.py
+++ b/landingspool/gateway/registry.py
@@ -176,6 +176,10 @@
                 self._hub.recorder.record(
                     'malformed', key=key, reason=str(error)
                 )
+        for reason in newest.passed_over:
+            self._hub.recorder.record(
+                'malformed', key=names.BOXES_TOPIC, reason=reason
+            )
         recent = self._hub.view.peer_digests.list_fresh_peers(
             self._hub.clock()
         )
--- a/landingspool/platform/store.py
+++ b/landingspool/platform/store.py
@@ -7,10 +7,15 @@
 import base64
 import collections
 import dataclasses
+import json
 import struct
+import typing
 from urllib import parse
 
+import msgspec
+
 from landingspool import boot_clock
+from landingspool.decisions import decoding
 from landingspool.decisions.gateway import tail
 from landingspool import http
 from landingspool.platform import names
@@ -52,11 +57,15 @@
 
 @dataclasses.dataclass(frozen=True)
 class Newest:
-    """The newest tail.Record of each key."""
+    """The newest tail.Record of each key.
+
+    `passed_over` has the rows that could not be decoded, for the log.
+    """
 
     records: tuple
     end: int
     sent: float
+    passed_over: tuple = ()
 
 
 @dataclasses.dataclass(frozen=True)
@@ -87,6 +96,57 @@
     done: bool
 
 
+class AppendedRecord(msgspec.Struct):
+    """The answer to an append that was done."""
+
+    offset: decoding.Count
+
+
+class ConflictRecord(msgspec.Struct):
+    """The answer to an append that was not done at its offset."""
+
+    end: decoding.Count
+
+
+class NewestRow(msgspec.Struct):
+    """The newest record of a key; its value is written in base64."""
+
+    key: str
+    value: str
+    offset: decoding.Count
+
+
+class NewestRecord(msgspec.Struct):
+    """A page of newest records as it is written."""
+
+    items: list[typing.Any]
+    end: decoding.Count
+    more: bool = False
+
+
+class NewestPage(typing.NamedTuple):
+    """A page of newest records.
+
+    Attributes
+    ----------
+    records : list of tail.Record
+    passed_over : list of str
+        The rows that could not be decoded, and why.
+    end : int
+    after : str or None
+        The key after which the next page begins; None on the last one.
+    """
+
+    records: list
+    passed_over: list
+    end: int
+    after: str | None
+
+
+APPENDED_DECODER = msgspec.json.Decoder(AppendedRecord)
+CONFLICT_DECODER = msgspec.json.Decoder(ConflictRecord)
+
+
 class Store:
     """Client of the store at one address.
 
@@ -142,10 +202,9 @@
         if reply.status != 200:
             return Unavailable(f'status {reply.status}', False)
         try:
-            log_end, _ = LOG_BOUNDS.unpack_from(reply.body)
-            pairs = split_records(reply.body[LOG_BOUNDS.size :])
-        except (struct.error, ValueError) as error:
-            return Unavailable(f'read: {error}', False)
+            log_end, pairs = decoding.decode('read', split_page, reply.body)
+        except decoding.Malformed as error:
+            return Unavailable(str(error), False)
         if log_end < start:
             # The log ends before an offset that was read: it is another log.
             return Forgotten()
@@ -163,7 +222,8 @@
         -------
         Newest or Unavailable
         """
-        rows, after, end, first_sent = [], None, None, self._clock()
+        rows, odd, first_sent = [], [], self._clock()
+        after = end = None
         for _ in range(MAX_NEWEST_PAGES):
             query = {'topic': topic, 'part': PARTITION}
             if after is not None:
@@ -181,16 +241,17 @@
             if reply.status != 200:
                 return Unavailable(f'status {reply.status}', False)
             try:
-                page = reply.json()
-                rows += [read_newest_row(row) for row in page['items']]
-                # The pages are no consistent snapshot: the reader reads
-                # changes after the first page again, from its end on.
-                end = page['end'] if end is None else end
-            except (ValueError, KeyError, TypeError) as error:
-                return Unavailable(f'newest: {error}', False)
-            if not page.get('more') or not page['items']:
-                return Newest(tuple(rows), end, first_sent)
-            after = page['items'][-1]['key']
+                page = decoding.decode('newest', read_newest_page, reply.body)
+            except decoding.Malformed as error:
+                return Unavailable(str(error), False)
+            rows += page.records
+            odd += page.passed_over
+            # The pages are no consistent snapshot: the reader reads changes
+            # after the first page again, from its end on.
+            end = page.end if end is None else end
+            if page.after is None:
+                return Newest(tuple(rows), end, first_sent, tuple(odd))
+            after = page.after
         return Unavailable(f'newest: over {MAX_NEWEST_PAGES} pages', False)
 
     async def append(self, topic, key, value, at=None):
@@ -222,14 +283,14 @@
             return reply
         if reply.status not in (200, 412):
             return Unavailable(f'status {reply.status}', False)
+        done = reply.status == 200
+        decoder = APPENDED_DECODER if done else CONFLICT_DECODER
         try:
-            if reply.status == 412:
-                return Conflict(read_field(reply, 'end'))
-            return Appended(read_field(reply, 'offset'), sent)
-        except (ValueError, KeyError, TypeError) as error:
+            record = decoding.decode('append', decoder.decode, reply.body)
+        except decoding.Malformed as error:
             # The status tells whether it was done, but not the offset.
-            done = reply.status == 200
-            return Unavailable(f'append: {error!r}', done)
+            return Unavailable(str(error), done)
+        return Appended(record.offset, sent) if done else Conflict(record.end)
 
     async def _call(self, method, path, query, body, timeout, max_bytes):
         self.calls[f'{path.rsplit("-", 1)[-1]} {query["topic"]}'] += 1
@@ -247,21 +308,61 @@
             return Unavailable(str(error), error.sent)
 
 
-def read_field(reply, name):
-    """Return a whole number from a JSON answer.
+def read_newest_page(value):
+    """Decode a page of newest records.
+
+    A row whose key is no text is passed over: the rows beside it are sound.
+
+    Returns
+    -------
+    NewestPage
 
     Raises
     ------
-    ValueError, KeyError, TypeError
-        If there is none.
+    ValueError, RecursionError
     """
-    return int(reply.json()[name])
+    text = value.decode(errors='replace')
+    page = msgspec.convert(json.loads(text), NewestRecord)
+    found, odd = [], []
+    for row in page.items:
+        try:
+            found.append(decoding.decode('row', read_newest_row, row))
+        except decoding.Malformed as error:
+            odd.append(str(error))
+    if not page.more or not page.items:
+        return NewestPage(found, odd, page.end, None)
+    if not found:
+        raise ValueError('no row can be decoded')
+    # Rows that can't be decoded at the end of a page come again in the next.
+    return NewestPage(found, odd, page.end, found[-1].key)
 
 
 def read_newest_row(row):
-    """Return the tail.Record in one row of the newest records."""
-    value = base64.b64decode(row['value'])
-    return tail.Record(row['key'], value, row['offset'])
+    """Return the tail.Record in one row of the newest records.
+
+    Raises
+    ------
+    ValueError
+        If it is none, or its key can't be encoded.
+    """
+    record = msgspec.convert(row, NewestRow)
+    record.key.encode()
+    value = base64.b64decode(record.value)
+    return tail.Record(record.key, value, record.offset)
+
+
+def split_page(data):
+    """Split the answer to a read into the end of the log and its records.
+
+    Raises
+    ------
+    ValueError, struct.error
+        If it ends within a record.
+    """
+    log_end, _ = LOG_BOUNDS.unpack_from(data)
+    if log_end > decoding.MAX_COUNT:
+        raise ValueError(f'end {log_end}: not an offset')
+    return log_end, split_records(data[LOG_BOUNDS.size :])
 
 
 def pack_record(key, value):
--- a/tests/gateway/test_ordering.py
+++ b/tests/gateway/test_ordering.py
@@ -97,7 +97,7 @@
     store = store_module.Store(Client(), http.Address('127.0.0.1', 9))
     reply = asyncio.run(store.append('keyed.claims', 'orders', b'x'))
     assert reply == store_module.Unavailable(
-        "append: KeyError('offset')", True
+        'append: Object missing required field `offset`', True
     )
 
 
