--- a/landingspool/boxes/link.py
+++ b/landingspool/boxes/link.py
@@ -19,6 +19,7 @@
 from websockets.asyncio import server as ws_server
 
 from landingspool.boxes import handshake
+from landingspool.decisions import decoding
 from landingspool.decisions import messages
 from landingspool import timeouts
 
@@ -32,13 +33,7 @@
 RECONNECT_DELAY_S = 0.25
 MAX_BATCH_MESSAGES = 64
 # What handling a frame raises that is no message of a box.
-BAD_FRAME_ERRORS = (
-    handshake.Refused,
-    cbor2.CBORError,
-    ValueError,
-    TypeError,
-    EOFError,
-)
+BAD_FRAME_ERRORS = (handshake.Refused, *decoding.DECODE_ERRORS)
 
 
 class Identity(typing.NamedTuple):
--- a/landingspool/callers/parsing.py
+++ b/landingspool/callers/parsing.py
@@ -5,6 +5,7 @@
 import msgspec
 
 from landingspool.decisions import claims
+from landingspool.decisions import decoding
 from landingspool.decisions import identity
 
 MAX_TOKENS = 32_768
@@ -26,6 +27,9 @@
     adapter: str = ''
 
 
+BODY_DECODER = msgspec.json.Decoder(Body)
+
+
 class Key(typing.NamedTuple):
     """A caller's idempotency key.
 
@@ -118,9 +122,9 @@
     tuple of (ParsedRequest or None, Fault or None)
     """
     try:
-        body = msgspec.json.decode(request.body, type=Body)
-    except (msgspec.DecodeError, msgspec.ValidationError) as error:
-        return None, Fault(400, f'body: {error}')
+        body = decoding.decode('body', BODY_DECODER.decode, request.body)
+    except decoding.Malformed as error:
+        return None, Fault(400, str(error))
     if not 1 <= body.max_tokens <= MAX_TOKENS:
         text = f'max_tokens {body.max_tokens}: expected 1 to {MAX_TOKENS}'
         return None, Fault(400, text)
--- a/landingspool/command/remote.py
+++ b/landingspool/command/remote.py
@@ -1,8 +1,10 @@
 """Client of the operators' HTTP interface of boxes, for the tool."""
 
 import asyncio
+import json
 import typing
 
+from landingspool.decisions import decoding
 from landingspool import http
 from landingspool import httpclient
 
@@ -81,8 +83,8 @@
             max_bytes=MAX_ANSWER_BYTES,
         )
         try:
-            decoded = reply.json()
-        except ValueError:
+            decoded = decoding.decode(path, json.loads, reply.body)
+        except decoding.Malformed:
             raise RemoteError(f'{path}: response body is not JSON') from None
         if reply.status != 200:
             raise RemoteError(f'{path}: status {reply.status}: {decoded}')
--- a/landingspool/decisions/claims.py
+++ b/landingspool/decisions/claims.py
@@ -12,6 +12,8 @@
 
 import msgspec
 
+from landingspool.decisions import decoding
+
 STREAM = 'claims'
 CLAIM = 'claim'
 RELEASE = 'release'
@@ -48,6 +50,9 @@
     action: typing.Literal['claim', 'release'] = CLAIM
 
 
+BATCH_DECODER = msgspec.json.Decoder(tuple[Claim, ...])
+
+
 class Holder(typing.NamedTuple):
     """The claim that holds a key: the first in log order."""
 
@@ -87,8 +92,8 @@
             return []
         self.offset = offset
         try:
-            batch = msgspec.json.decode(data, type=tuple[Claim, ...])
-        except (msgspec.ValidationError, msgspec.DecodeError):
+            batch = decoding.decode('claims', BATCH_DECODER.decode, data)
+        except decoding.Malformed:
             return []
         results = [(claim, self._apply(claim, offset)) for claim in batch]
         self._forget()
--- a/landingspool/decisions/configuration.py
+++ b/landingspool/decisions/configuration.py
@@ -12,6 +12,7 @@
 
 import msgspec
 
+from landingspool.decisions import decoding
 from landingspool.decisions import records
 
 STREAM = 'configuration'
@@ -37,7 +38,7 @@
     author: str
     rows: tuple[records.Row, ...]
     removed: tuple[str, ...]
-    bases: tuple[int, ...]
+    bases: tuple[decoding.Whole, ...]
     versions: tuple[tuple[str, str], ...] = ()
 
 
@@ -67,7 +68,7 @@
     `applied` is the offset of the last record that it includes.
     """
 
-    applied: int
+    applied: decoding.Whole
     rows: tuple[records.Row, ...]
     edits: tuple[tuple[str, str], ...]
     versions: tuple[tuple[str, str], ...]
@@ -85,6 +86,9 @@
     snapshot: Snapshot | None = None
 
 
+ENTRY_DECODER = msgspec.json.Decoder(Entry)
+
+
 def check_row(row):
     """List the problems of a row.
 
@@ -191,8 +195,8 @@
         return table, Result(offset, '', DUPLICATE)
     advanced = table._replace(offset=offset)
     try:
-        entry = msgspec.json.decode(data, type=Entry)
-    except (msgspec.ValidationError, msgspec.DecodeError) as error:
+        entry = decoding.decode('record', ENTRY_DECODER.decode, data)
+    except decoding.Malformed as error:
         problem = records.Problem('-', INVALID, str(error))
         return advanced, Result(offset, '', INVALID, (), (problem,))
     if entry.publish is None:
@@ -262,9 +266,10 @@
     if not data.startswith(SNAPSHOT_PREFIX):
         return None
     try:
-        return msgspec.json.decode(data, type=Entry).snapshot
-    except (msgspec.ValidationError, msgspec.DecodeError):
+        entry = decoding.decode('snapshot', ENTRY_DECODER.decode, data)
+    except decoding.Malformed:
         return None
+    return entry.snapshot
 
 
 def load_snapshot(snapshot):
--- a/landingspool/decisions/records.py
+++ b/landingspool/decisions/records.py
@@ -6,6 +6,8 @@
 
 import typing
 
+from landingspool.decisions import decoding
+
 
 class Row(typing.NamedTuple):
     """One row of the operators' table: the quota of one workspace.
@@ -31,10 +33,10 @@
     workspace: str
     weight: float
     share: float
-    limit: int
-    priority: int
+    limit: decoding.Whole
+    priority: decoding.Whole
     key_hash: str
-    revision: int = 0
+    revision: decoding.Whole = 0
 
 
 class Block(typing.NamedTuple):
--- a/landingspool/ledger/live.py
+++ b/landingspool/ledger/live.py
@@ -3,8 +3,11 @@
 Members are boxes, targets and stores.  The list lags behind their state.
 """
 
+import typing
+
 import msgspec
 
+from landingspool.decisions import decoding
 from landingspool.decisions import records
 from landingspool import http
 from landingspool.ledger import outcomes
@@ -21,12 +24,12 @@
     kind: str
     domain: str
     host: str
-    port: int
+    port: decoding.Port
     model: str = ''
     incarnation: str = ''
     leaving: bool = False
     checks_fences: bool = True
-    operators_port: int = 0
+    operators_port: typing.Annotated[int, msgspec.Meta(ge=0, le=65535)] = 0
 
 
 class Listing(msgspec.Struct):
@@ -63,12 +66,23 @@
                 timeout=TIMEOUT_S,
                 max_bytes=MAX_BYTES,
             )
-            listing = msgspec.json.decode(reply.body, type=Listing)
-        except http.Unreachable as error:
+            return decoding.decode('live list', read_members, reply.body)
+        except (http.Unreachable, decoding.Malformed) as error:
             return outcomes.Unavailable(str(error))
-        except (msgspec.DecodeError, msgspec.ValidationError) as error:
-            return outcomes.Unavailable(f'malformed response: {error}')
-        return [make_member(row) for row in listing.members]
+
+
+LISTING_DECODER = msgspec.json.Decoder(Listing)
+
+
+def read_members(value):
+    """Return the list of records.Member in a response.
+
+    Raises
+    ------
+    ValueError, RecursionError
+    """
+    listing = LISTING_DECODER.decode(value)
+    return [make_member(row) for row in listing.members]
 
 
 def make_member(row):
--- a/landingspool/ledger/log.py
+++ b/landingspool/ledger/log.py
@@ -2,6 +2,9 @@
 
 import base64
 
+import msgspec
+
+from landingspool.decisions import decoding
 from landingspool import http
 from landingspool.ledger import outcomes
 
@@ -12,7 +15,25 @@
 PAGE_MAX_BYTES = 16 * 1024 * 1024
 # Bound of the answer to an append, which is an offset.
 APPEND_MAX_BYTES = 64 * 1024
-DECODE_ERRORS = (ValueError, KeyError, TypeError)
+
+
+class AppendedRecord(msgspec.Struct):
+    """Response to an append."""
+
+    offset: decoding.Count
+
+
+class PageRecord(msgspec.Struct):
+    """Response to a read; the records are written in base64."""
+
+    first: decoding.Count
+    next: decoding.Count
+    start: decoding.Count
+    records: list[bytes]
+
+
+APPENDED_DECODER = msgspec.json.Decoder(AppendedRecord)
+PAGE_DECODER = msgspec.json.Decoder(PageRecord)
 
 
 class Log:
@@ -46,13 +67,16 @@
                 max_bytes=APPEND_MAX_BYTES,
             )
             if reply.status == 200:
-                return outcomes.Appended(int(reply.json()['offset']))
+                record = decoding.decode(
+                    'append', APPENDED_DECODER.decode, reply.body
+                )
+                return outcomes.Appended(record.offset)
         except http.Unreachable as error:
             if not error.sent:
                 return outcomes.Refused('unreachable')
             return outcomes.Lost(str(error))
-        except DECODE_ERRORS as error:
-            return outcomes.Lost(f'malformed response: {error!r}')
+        except decoding.Malformed as error:
+            return outcomes.Lost(f'malformed response: {error}')
         if reply.status >= 500:
             return outcomes.Lost(f'status {reply.status}')
         return outcomes.Refused(f'status {reply.status}')
@@ -75,22 +99,25 @@
             )
             if reply.status != 200:
                 return outcomes.Unavailable(f'status {reply.status}')
-            return decode_page(reply.json())
+            return decoding.decode('page', decode_page, reply.body)
         except http.Unreachable as error:
             return outcomes.Unavailable(str(error))
-        except DECODE_ERRORS as error:
-            return outcomes.Unavailable(f'malformed response: {error!r}')
+        except decoding.Malformed as error:
+            return outcomes.Unavailable(f'malformed response: {error}')
 
 
 def decode_page(value):
     """Decode the response to a read.
 
-    >>> decode_page({'first': 0, 'next': 1, 'start': 0, 'records': ['YQ==']})
+    >>> decode_page(
+    ...     b'{"first": 0, "next": 1, "start": 0, "records": ["YQ=="]}'
+    ... )
     Page(first=0, next=1, entries=((0, b'a'),))
+
+    Raises
+    ------
+    ValueError, RecursionError
     """
-    start = int(value['start'])
-    entries = tuple(
-        (start + index, base64.b64decode(row))
-        for index, row in enumerate(value['records'])
-    )
-    return outcomes.Page(int(value['first']), int(value['next']), entries)
+    page = PAGE_DECODER.decode(value)
+    entries = tuple(enumerate(page.records, page.start))
+    return outcomes.Page(page.first, page.next, entries)
--- a/landingspool/operators/server.py
+++ b/landingspool/operators/server.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from landingspool.decisions import configuration
+from landingspool.decisions import decoding
 from landingspool.decisions import messages
 from landingspool import http
 from landingspool.ledger import outcomes
@@ -15,27 +16,30 @@
 APPEND_RETRY_DELAY_S = 0.3
 
 
+class Row(msgspec.Struct, forbid_unknown_fields=True):
+    """One row of a draft."""
+
+    workspace: str
+    weight: float
+    share: float
+    limit: decoding.Whole
+    priority: decoding.Whole
+    key_hash: str
+    revision: decoding.Whole = 0
+
+
 class Draft(msgspec.Struct, forbid_unknown_fields=True):
     """Body of a publish request, as the command-line tool sends it."""
 
     author: str
-    rows: list[dict]
+    rows: list[Row]
     removed: list[str]
-    bases: list[int]
+    bases: list[decoding.Whole]
     versions: dict[str, str] = {}
     edit: str = ''
 
 
-class Row(msgspec.Struct, forbid_unknown_fields=True):
-    """One row of a draft."""
-
-    workspace: str
-    weight: float
-    share: float
-    limit: int
-    priority: int
-    key_hash: str
-    revision: int = 0
+DRAFT_DECODER = msgspec.json.Decoder(Draft)
 
 
 class OperatorApi:
@@ -91,12 +95,13 @@
     async def publish(self, request, exchange):
         """Publish a draft and answer with its outcome."""
         try:
-            draft = msgspec.json.decode(request.body, type=Draft)
-            rows = [msgspec.convert(row, Row) for row in draft.rows]
-        except (msgspec.DecodeError, msgspec.ValidationError) as error:
-            raise http.BadRequest(400, f'draft: {error}') from error
+            draft = decoding.decode(
+                'draft', DRAFT_DECODER.decode, request.body
+            )
+        except decoding.Malformed as error:
+            raise http.BadRequest(400, str(error)) from error
         edit = draft.edit or uuid.uuid4().hex
-        values = [msgspec.structs.astuple(row) for row in rows]
+        values = [msgspec.structs.astuple(row) for row in draft.rows]
         publish = configuration.Publish(
             edit=edit,
             author=draft.author,
@@ -155,7 +160,10 @@
     async def list_events(self, request, exchange):
         """Return recorded events whose fields match those in the query."""
         query = dict(request.query)
-        since = float(query.pop('since', 0))
+        try:
+            since = decoding.decode('since', float, query.pop('since', '0'))
+        except decoding.Malformed as error:
+            raise http.BadRequest(400, str(error)) from error
         rows = self.core.recorder.select(since, **query)
         reply = [event._asdict() for event in rows]
         await exchange.send_json(200, {'events': reply})
--- a/landingspool/stores/client.py
+++ b/landingspool/stores/client.py
@@ -4,6 +4,7 @@
 
 import msgspec
 
+from landingspool.decisions import decoding
 from landingspool.decisions import kv_offload
 from landingspool.decisions import records
 from landingspool import http
@@ -21,18 +22,18 @@
     key: str
     pool: str
     workspace: str
-    cost_s: float
-    depth: int
+    cost_s: decoding.Figure
+    depth: decoding.Count
 
 
 class Row(msgspec.Struct):
     """One write of a listing."""
 
     write: str
-    length: int
+    length: decoding.Count
     checksum: str
     sealed: bool
-    age: float
+    age: decoding.Seconds
     meta: Meta
 
 
@@ -40,8 +41,18 @@
     """Response to a read of the listing."""
 
     writes: list[Row]
-    room: int
-    link_bytes: int
+    room: decoding.Whole
+    link_bytes: decoding.Count
+
+
+class LinkRecord(msgspec.Struct):
+    """What a listing tells of the link."""
+
+    link_bytes: decoding.Count
+
+
+LISTING_DECODER = msgspec.json.Decoder(Listing)
+LINK_DECODER = msgspec.json.Decoder(LinkRecord)
 
 
 class Contents(typing.NamedTuple):
@@ -79,8 +90,10 @@
             timeout=TIMEOUT_S,
             max_bytes=LISTING_MAX_BYTES,
         )
-        listing = msgspec.json.decode(reply.body, type=Listing)
-    except (http.Unreachable, msgspec.DecodeError, msgspec.ValidationError):
+        listing = decoding.decode(
+            'listing', LISTING_DECODER.decode, reply.body
+        )
+    except (http.Unreachable, decoding.Malformed):
         return None
     rows = [make_row(member.name, row) for row in listing.writes]
     return Contents(rows, listing.room, listing.link_bytes)
@@ -125,7 +138,7 @@
     Returns
     -------
     int
-        0 if the store is unreachable.
+        0 if the store is unreachable or its response is malformed.
     """
     try:
         reply = await client.fetch(
@@ -135,6 +148,7 @@
             timeout=TIMEOUT_S,
             max_bytes=LISTING_MAX_BYTES,
         )
-    except http.Unreachable:
+        found = decoding.decode('link', LINK_DECODER.decode, reply.body)
+    except (http.Unreachable, decoding.Malformed):
         return 0
-    return int(reply.json()['link_bytes'])
+    return found.link_bytes
--- a/landingspool/targets/client.py
+++ b/landingspool/targets/client.py
@@ -6,12 +6,12 @@
 """
 
 import dataclasses
-import json
 import typing
 
 import msgspec
 
 from landingspool.decisions import blocks
+from landingspool.decisions import decoding
 from landingspool.decisions import records
 from landingspool import http
 from landingspool import timeouts
@@ -89,12 +89,12 @@
 class StreamEvent(msgspec.Struct):
     """One encoded event of a stream."""
 
-    index: int | None = None
+    index: decoding.Count | None = None
     text: str = ''
     end: bool = False
-    prompt_tokens: int = 0
-    cached_tokens: int = 0
-    output_tokens: int = 0
+    prompt_tokens: decoding.Count = 0
+    cached_tokens: decoding.Count = 0
+    output_tokens: decoding.Count = 0
     version: str = ''
 
 
@@ -102,12 +102,12 @@
     """An encoded load report."""
 
     incarnation: str
-    age: float
-    slots: int
-    running: int
-    queued_tokens: int
-    prefill: float
-    step: float
+    age: decoding.Seconds
+    slots: decoding.Count
+    running: decoding.Count
+    queued_tokens: decoding.Count
+    prefill: decoding.Figure
+    step: decoding.Figure
     version: str
     leaving: bool
     ready: bool
@@ -116,7 +116,7 @@
 class CacheEvent(msgspec.Struct):
     """An encoded cache event."""
 
-    number: int
+    number: decoding.Count
     kind: str
     piece: str
 
@@ -127,6 +127,39 @@
     events: list[CacheEvent]
 
 
+class Refusal(msgspec.Struct):
+    """A response that states whether the request was started."""
+
+    started: bool = True
+    reason: str = ''
+
+
+class ExportRecord(msgspec.Struct):
+    """Response to an order to write a block."""
+
+    sealed: bool
+    length: decoding.Count
+    checksum: str
+
+
+class ReceiptRecord(msgspec.Struct):
+    """Response to an order to read a block; see blocks.Receipt."""
+
+    key: str
+    write: str
+    length: decoding.Count
+    checksum: str
+    sealed: bool
+
+
+EVENT_DECODER = msgspec.json.Decoder(StreamEvent)
+LOAD_DECODER = msgspec.json.Decoder(LoadReport)
+CACHE_DECODER = msgspec.json.Decoder(CacheEvents)
+REFUSAL_DECODER = msgspec.json.Decoder(Refusal)
+EXPORT_DECODER = msgspec.json.Decoder(ExportRecord)
+RECEIPT_DECODER = msgspec.json.Decoder(ReceiptRecord)
+
+
 class Stream:
     """One dispatch and its stream of tokens.
 
@@ -210,9 +243,9 @@
     True
     """
     try:
-        event = msgspec.json.decode(text, type=StreamEvent)
-    except (msgspec.DecodeError, msgspec.ValidationError) as error:
-        return Interrupted(f'bad event: {error}')
+        event = decoding.decode('bad event', EVENT_DECODER.decode, text)
+    except decoding.Malformed as error:
+        return Interrupted(str(error))
     if event.index is not None:
         return Token(event.index, event.text)
     if not event.end:
@@ -236,12 +269,12 @@
     Interrupted(reason='status 500', silent=False)
     """
     try:
-        value = json.loads(body)
-    except ValueError:
+        refusal = decoding.decode('refusal', REFUSAL_DECODER.decode, body)
+    except decoding.Malformed:
+        return Interrupted(f'status {status}')
+    if refusal.started:
         return Interrupted(f'status {status}')
-    if isinstance(value, dict) and value.get('started') is False:
-        return NotStarted(str(value.get('reason', status)))
-    return Interrupted(f'status {status}')
+    return NotStarted(refusal.reason or str(status))
 
 
 async def fetch_load(client, member):
@@ -255,8 +288,8 @@
             timeout=LOAD_TIMEOUT_S,
             max_bytes=FIELDS_MAX_BYTES,
         )
-        load = msgspec.json.decode(reply.body, type=LoadReport)
-    except (http.Unreachable, msgspec.DecodeError, msgspec.ValidationError):
+        load = decoding.decode('load', LOAD_DECODER.decode, reply.body)
+    except (http.Unreachable, decoding.Malformed):
         return None
     return records.Report(member.name, **msgspec.structs.asdict(load))
 
@@ -275,9 +308,10 @@
         )
         if reply.status != 200:
             return None
-        return msgspec.json.decode(reply.body, type=CacheEvents).events
-    except (http.Unreachable, msgspec.DecodeError, msgspec.ValidationError):
+        found = decoding.decode('events', CACHE_DECODER.decode, reply.body)
+    except (http.Unreachable, decoding.Malformed):
         return None
+    return found.events
 
 
 async def send_order(client, member, order, may_send):
@@ -367,14 +401,14 @@
             return None
         if reply.status != 200:
             return Unread(f'status {reply.status}')
-        return msgspec.convert(
-            [reply.json()[name] for name in blocks.Receipt._fields],
-            blocks.Receipt,
+        receipt = decoding.decode(
+            'receipt', RECEIPT_DECODER.decode, reply.body
         )
     except http.Unreachable as error:
         return Unread(str(error))
-    except (ValueError, KeyError):
+    except decoding.Malformed:
         return None
+    return blocks.Receipt(*msgspec.structs.astuple(receipt))
 
 
 async def export_block(client, member, store, export, version, meta):
@@ -399,15 +433,15 @@
         )
         if reply.status != 200:
             return None
-        sealed = reply.json()
-        if sealed['sealed'] is not True:
-            return None
-        return records.Block(
-            export.key,
-            export.store,
-            export.write,
-            int(sealed['length']),
-            str(sealed['checksum']),
-        )
-    except (http.Unreachable, ValueError, KeyError, TypeError):
+        written = decoding.decode('export', EXPORT_DECODER.decode, reply.body)
+    except (http.Unreachable, decoding.Malformed):
         return None
+    if not written.sealed:
+        return None
+    return records.Block(
+        export.key,
+        export.store,
+        export.write,
+        written.length,
+        written.checksum,
+    )
--- a/tests/real/test_path.py
+++ b/tests/real/test_path.py
@@ -3,7 +3,11 @@
 import asyncio
 import hashlib
 
+import pytest
+
+from bench import fleet
 from landingspool import httpclient
+from tests import odd_values
 from tests.real import conftest
 
 
@@ -47,6 +51,46 @@
         assert answer.text == ''.join(f'{word}-{i} ' for i in range(count))
 
 
+ODD_BODIES = {
+    'nested': b'{"model": "m", "x": %s}' % odd_values.DEEP.encode(),
+    'not_utf8': b'{"model": "\xff", "prompt": "p"}',
+    'long_number': b'{"model": "m", "prompt": "p", "max_tokens": %s}'
+    % (b'9' * 400),
+    'list': b'[]',
+    'nothing': b'',
+}
+
+
+@pytest.mark.parametrize('name', ODD_BODIES)
+def test_a_body_that_cannot_be_decoded_is_rejected_as_not_run(bench, name):
+    key = f'key-{conftest.WORKSPACES[0]}'
+    reply = bench.run(
+        bench.fleet.client.fetch(
+            bench.get_address('north-1'),
+            'POST',
+            '/v1/completions',
+            ODD_BODIES[name],
+            [('authorization', f'Bearer {key}')],
+        )
+    )
+    assert reply.status == 400
+    assert reply.json()['error']['verdict'] == 'not_run'
+
+
+@pytest.mark.parametrize('name', ODD_BODIES)
+def test_a_draft_that_cannot_be_decoded_is_rejected(bench, name):
+    reply = bench.run(
+        bench.fleet.client.fetch(
+            bench.fleet.boxes['north-1'].operators,
+            'POST',
+            '/admin/publish',
+            ODD_BODIES[name],
+            [('authorization', f'Bearer {fleet.OPERATOR_KEY}')],
+        )
+    )
+    assert reply.status == 400
+
+
 def test_wrong_key_is_rejected_as_not_run(bench):
     answer = bench.run(bench.send('north-1', workspace='nobody'))
     assert answer.status == 401
