--- a/landingspool/http.py
+++ b/landingspool/http.py
@@ -316,11 +316,24 @@
             body += event.data
             if len(body) > self._max_body:
                 raise BadRequest(413, f'body over {self._max_body} bytes')
+        return make_request(head, bytes(body))
+
+
+def make_request(head, body):
+    """Return the Request of a head and a body.
+
+    Raises
+    ------
+    BadRequest
+        With 400 if the target of the request is no URL.
+    """
+    try:
         url = parse.urlsplit(head.target.decode('ascii', 'replace'))
         query = dict(parse.parse_qsl(url.query))
-        headers = {k.decode(): v.decode('latin-1') for k, v in head.headers}
-        method = head.method.decode()
-        return Request(method, url.path, query, headers, bytes(body))
+    except ValueError as error:
+        raise BadRequest(400, f'target: {error}') from error
+    headers = {k.decode(): v.decode('latin-1') for k, v in head.headers}
+    return Request(head.method.decode(), url.path, query, headers, body)
 
 
 async def answer_bad_request(exchange, error):
--- a/tests/test_server.py
+++ b/tests/test_server.py
@@ -33,3 +33,18 @@
         await server.close()
 
     asyncio.run(check())
+
+
+@pytest.mark.parametrize('target', ('//[x]/', 'http://[::1/x', '//[::1'))
+def test_a_target_that_is_no_url_is_answered(target):
+    async def check():
+        server = http.Server(answer)
+        address = await server.start('127.0.0.1', 0)
+        reader, writer = await asyncio.open_connection(*address)
+        writer.write(f'GET {target} HTTP/1.1\r\nhost: h\r\n\r\n'.encode())
+        data = await asyncio.wait_for(reader.read(), 2.0)
+        assert data.startswith(b'HTTP/1.1 400')
+        writer.close()
+        await server.close()
+
+    asyncio.run(check())
