--- a/landingspool/boxes/datagrams.py
+++ b/landingspool/boxes/datagrams.py
@@ -11,6 +11,7 @@
 import cbor2
 import msgspec
 
+from landingspool.decisions import decoding
 from landingspool.decisions.gateway import peer_digests
 from landingspool.decisions.gateway import stream_records
 
@@ -162,17 +163,22 @@
     ProofQuery(box='a', number=1)
     """
     try:
-        name, *fields = cbor2.load(io.BytesIO(data))
-        kind = MESSAGE_TYPES[name]
-        message = msgspec.convert(fields[: len(kind._fields)], kind)
-    except (
-        cbor2.CBORError,
-        msgspec.ValidationError,
-        ValueError,
-        KeyError,
-        TypeError,
-    ):
+        message = decoding.decode('datagram', read_message, data)
+    except decoding.Malformed:
         return None
-    if kind is peer_digests.Digest and not peer_digests.is_plausible(message):
+    is_digest = isinstance(message, peer_digests.Digest)
+    if is_digest and not peer_digests.is_plausible(message):
         return None
     return message
+
+
+def read_message(data):
+    """Decode a message.
+
+    Raises
+    ------
+    ValueError, TypeError, LookupError, cbor2.CBORError
+    """
+    name, *fields = cbor2.load(io.BytesIO(data))
+    kind = MESSAGE_TYPES[name]
+    return msgspec.convert(fields[: len(kind._fields)], kind)
--- a/landingspool/decisions/gateway/context_index.py
+++ b/landingspool/decisions/gateway/context_index.py
@@ -16,6 +16,8 @@
 
 import typing
 
+from landingspool.decisions import decoding
+
 # Seconds for which a confirmation of a store's epoch may be used.
 LEASE_S = 2.6
 # Seconds of the lease that have to be left for an offer: the request has to
@@ -45,7 +47,7 @@
 
     space: str
     part: str
-    tokens: int
+    tokens: decoding.Whole
 
 
 class IncompletePart(typing.NamedTuple):
@@ -56,8 +58,8 @@
 
     space: str
     part: str
-    tokens: int
-    room: int
+    tokens: decoding.Whole
+    room: decoding.Whole
 
 
 class CacheContents(typing.NamedTuple):
@@ -111,13 +113,13 @@
     box forwards the answer.
     """
 
-    epoch: int
-    next: int
+    epoch: decoding.Whole
+    next: decoding.Whole
     lost: bool
     changes: tuple[Change, ...]
     whole: bool = False
-    clock_ms: float | None = None
-    age_s: float = 0.0
+    clock_ms: decoding.Figure | None = None
+    age_s: decoding.Seconds = 0.0
     incomplete: tuple[IncompletePart, ...] = ()
 
 
--- a/landingspool/decisions/gateway/peer_digests.py
+++ b/landingspool/decisions/gateway/peer_digests.py
@@ -9,8 +9,12 @@
 import functools
 import typing
 
+import msgspec
 import xxhash
 
+from landingspool.decisions import decoding
+from landingspool.decisions.gateway import fingerprints
+
 # Seconds for which a digest counts: several periods, so that one lost datagram
 # does not make a busy target look idle.
 FRESH_S = 1.0
@@ -34,6 +38,11 @@
 NO_LOAD = 0.0, 0.0, 0.0, 0.0
 
 
+Fingerprint = typing.Annotated[
+    bytes, msgspec.Meta(max_length=fingerprints.MAX_KEY_BYTES)
+]
+
+
 class CrashNotice(typing.NamedTuple):
     """One target that crashed under a request.
 
@@ -48,9 +57,9 @@
         Milliseconds since then.
     """
 
-    fingerprint: bytes
-    incarnation: int
-    age_ms: int
+    fingerprint: Fingerprint
+    incarnation: decoding.Hash
+    age_ms: decoding.Milliseconds
 
 
 class LimitNotice(typing.NamedTuple):
@@ -67,10 +76,10 @@
         received.
     """
 
-    incarnation: int
-    per_s: float
-    asked_ms: int
-    heard_ms: int
+    incarnation: decoding.Hash
+    per_s: decoding.Figure
+    asked_ms: decoding.Milliseconds
+    heard_ms: decoding.Milliseconds
 
 
 class LeavingNotice(typing.NamedTuple):
@@ -84,8 +93,8 @@
         Milliseconds since the announcement.
     """
 
-    incarnation: int
-    age_ms: int
+    incarnation: decoding.Hash
+    age_ms: decoding.Milliseconds
 
 
 class VersionNotice(typing.NamedTuple):
@@ -101,8 +110,8 @@
     """
 
     model: str
-    version: int
-    age_ms: int
+    version: decoding.Count
+    age_ms: decoding.Milliseconds
     is_witnessed: bool = True
 
 
@@ -119,9 +128,9 @@
         Tenths of a millisecond from the request to the first byte.
     """
 
-    incarnation: int
-    tokens: int
-    units: int
+    incarnation: decoding.Hash
+    tokens: decoding.Whole
+    units: decoding.Whole
 
 
 class GroupLoad(typing.NamedTuple):
@@ -139,13 +148,13 @@
         Over these engines, as in the loads of a digest.
     """
 
-    service: int
-    index: int
-    engines: int
-    tokens: int
-    running: int
-    held: int
-    waiting: int
+    service: decoding.Hash
+    index: decoding.Whole
+    engines: decoding.Whole
+    tokens: decoding.Whole
+    running: decoding.Whole
+    held: decoding.Whole
+    waiting: decoding.Whole
 
 
 class Digest(typing.NamedTuple):
@@ -190,16 +199,16 @@
 
     box: str
     domain: str
-    number: int
-    loads: dict[int, tuple[float, float, float, float]]
+    number: decoding.Count
+    loads: dict[decoding.Hash, tuple[float, float, float, float]]
     unreached: tuple[str, ...] = ()
-    rooms: dict[str, tuple[int, int]] = {}
-    link_mbps: float = 0.0
+    rooms: dict[str, tuple[decoding.Whole, decoding.Whole]] = {}
+    link_mbps: decoding.Figure = 0.0
     endings: tuple[CrashNotice, ...] = ()
     limits: tuple[LimitNotice, ...] = ()
     leaving: tuple[LeavingNotice, ...] = ()
-    slow_stores: dict[str, int] = {}
-    usage: dict[int, bytes] = {}
+    slow_stores: dict[str, decoding.Whole] = {}
+    usage: dict[decoding.Hash, bytes] = {}
     answers: tuple[AnswerReport, ...] = ()
     groups: tuple[GroupLoad, ...] = ()
     partitioned: bool = False
@@ -210,16 +219,16 @@
     """Asks a box how fresh its table is."""
 
     box: str
-    number: int
+    number: decoding.Count
 
 
 class ProofReply(typing.NamedTuple):
     """Answers a ProofQuery, with its number."""
 
     box: str
-    number: int
-    table: int
-    proof_s: float
+    number: decoding.Count
+    table: decoding.Count
+    proof_s: decoding.Age
 
 
 class Received(typing.NamedTuple):
--- a/landingspool/decisions/gateway/stream_records.py
+++ b/landingspool/decisions/gateway/stream_records.py
@@ -4,6 +4,7 @@
 
 import msgspec
 
+from landingspool.decisions import decoding
 from landingspool.decisions.gateway import continuations
 from landingspool.decisions.gateway import stream_bindings
 
@@ -19,7 +20,9 @@
     ),
 ]
 Text = typing.Annotated[str, msgspec.Meta(max_length=MAX_TEXT_CHARS)]
-Milliseconds = typing.Annotated[int, msgspec.Meta(ge=0)]
+Milliseconds = typing.Annotated[
+    int, msgspec.Meta(ge=0, le=decoding.MAX_MILLISECONDS)
+]
 
 
 class StreamRecord(typing.NamedTuple):
--- a/landingspool/gateway/boxcalls.py
+++ b/landingspool/gateway/boxcalls.py
@@ -7,6 +7,7 @@
 import cbor2
 import msgspec
 
+from landingspool.decisions import decoding
 from landingspool import http
 
 CONTENT_TYPE = 'application/cbor'
@@ -71,15 +72,23 @@
         reply = await client.fetch(
             address, *call, body, timeout=timeout, max_bytes=max_bytes
         )
-        return msgspec.convert(cbor2.loads(reply.body), kind)
-    except (
-        http.Unreachable,
-        cbor2.CBORError,
-        msgspec.ValidationError,
-    ) as error:
+        return read(kind, reply.body)
+    except (http.Unreachable, decoding.Malformed) as error:
         raise NoAnswer(str(error)) from error
 
 
+def read(kind, body):
+    """Decode what another box sent as `kind`.
+
+    Raises
+    ------
+    decoding.Malformed
+    """
+    return decoding.decode(
+        'box', lambda data: msgspec.convert(cbor2.loads(data), kind), body
+    )
+
+
 async def answer(exchange, value):
     """Answer another box with a value of built-in types."""
     await exchange.send_body(200, cbor2.dumps(value), CONTENT_TYPE)
--- a/landingspool/gateway/cache_follower.py
+++ b/landingspool/gateway/cache_follower.py
@@ -16,6 +16,7 @@
 import cbor2
 import msgspec
 
+from landingspool.decisions import decoding
 from landingspool.decisions.gateway import context_index
 from landingspool.gateway import boxcalls
 from landingspool import http
@@ -40,6 +41,8 @@
 # reading 15 lists one after the other takes 2 s, during which every prompt is
 # computed from the beginning.
 MAX_CONCURRENT_LISTS = 4
+# What a box names that asks for changes: the epoch and position by store.
+POSITIONS = dict[str, tuple[decoding.Whole, decoding.Whole]]
 # Outcomes of asking another box.
 FOLLOWED = 'followed'
 LISTED = 'listed'
@@ -259,10 +262,8 @@
     async def answer_changes(self, request, exchange):
         """Answer a peer with the updates of each store that it names."""
         try:
-            positions = msgspec.convert(
-                cbor2.loads(request.body), dict[str, tuple[int, int]]
-            )
-        except (cbor2.CBORError, msgspec.ValidationError) as error:
+            positions = boxcalls.read(POSITIONS, request.body)
+        except decoding.Malformed as error:
             self._hub.recorder.record('bad_message', reason=str(error))
             await exchange.send_json(400, {'error': 'not understood'})
             return
--- a/landingspool/gateway/continuity.py
+++ b/landingspool/gateway/continuity.py
@@ -13,6 +13,7 @@
 import cbor2
 import msgspec
 
+from landingspool.decisions import decoding
 from landingspool.decisions.gateway import continuations
 from landingspool.decisions.gateway import routes
 from landingspool.decisions.gateway import stream_bindings
@@ -129,9 +130,12 @@
         """Answer a box that asks for a stream."""
         # What was told before the question counts.
         self._hub.peering.read_arrived()
-        query = msgspec.convert(
-            cbor2.loads(request.body), stream_records.StreamQuery
-        )
+        try:
+            query = boxcalls.read(stream_records.StreamQuery, request.body)
+        except decoding.Malformed as error:
+            self._hub.recorder.record('bad_message', reason=str(error))
+            await exchange.send_json(400, {'error': 'not understood'})
+            return
         table = self._view.table
         route = None
         if table is not None:
--- a/landingspool/gateway/forwarded_rows.py
+++ b/landingspool/gateway/forwarded_rows.py
@@ -4,6 +4,7 @@
 neither targets nor callers ever receive them.
 """
 
+import re
 import typing
 from urllib import parse
 
@@ -23,6 +24,8 @@
 SENDS = PREFIX + b'sends'
 # In answers that the box itself gives: the id of the request.
 REQUEST = PREFIX + b'request'
+# How often a box can have sent a request: a few digits.
+COUNT = re.compile(b'[0-9]{1,9}')
 
 
 class Origin(typing.NamedTuple):
@@ -126,7 +129,7 @@
     sends = found.get(SENDS, b'0')
     return Report(
         found.get(REASON, b'').decode('latin-1'),
-        int(sends) if sends.isdigit() else 0,
+        int(sends) if COUNT.fullmatch(sends) else 0,
         found.get(COUNTED) == b'1',
         read_text(found.get(REQUEST)),
     )
--- a/landingspool/gateway/sources.py
+++ b/landingspool/gateway/sources.py
@@ -9,11 +9,13 @@
 
 import asyncio
 import contextlib
+import typing
 from urllib import parse
 
 import msgspec
 
 from landingspool import boot_clock
+from landingspool.decisions import decoding
 from landingspool.decisions.gateway import readers
 from landingspool.decisions.gateway import tail as tail_module
 from landingspool.gateway import boxcalls
@@ -24,6 +26,10 @@
 # Time-out for an answer beyond the hold, seconds.  It is short, since boxes of
 # one domain are near each other.
 ANSWER_TIMEOUT_S = 0.4
+# Longest hold that another box may ask for, seconds.
+MAX_HOLD_S = 60.0
+
+Hold = typing.Annotated[float, msgspec.Meta(ge=0, le=MAX_HOLD_S)]
 
 
 class Relayed(msgspec.Struct):
@@ -43,13 +49,20 @@
         Whether the store failed that box shortly before.
     """
 
-    records: list[tuple[str, bytes, int]]
-    end: int
-    age: float
+    records: list[tuple[str, bytes, decoding.Count]]
+    end: decoding.Count
+    age: decoding.Age
     gone: bool = False
     cut: bool = False
 
 
+class Query(msgspec.Struct):
+    """A read of records by another box: the first offset, and the seconds."""
+
+    start: decoding.Count = msgspec.field(name='from')
+    hold: Hold
+
+
 class Sources:
     """Read topics from the store, or from the peer that reads for this box.
 
@@ -239,6 +252,19 @@
         return abort
 
 
+def read_query(fields):
+    """Decode the query of a read by another box.
+
+    >>> read_query({'topic': 't', 'from': '7', 'hold': '0.5'})
+    Query(start=7, hold=0.5)
+
+    Raises
+    ------
+    ValueError
+    """
+    return msgspec.convert(fields, Query, strict=False)
+
+
 def read_rows(answer):
     """Return the tail.Records in an answer of another box."""
     return tuple(tail_module.Record(*row) for row in answer.records)
@@ -289,10 +315,14 @@
         if tail is None or tail.end is None:
             await self._send(exchange, tail, None)
             return
-        start = int(request.query['from'])
-        if start >= tail.end and not self._is_cut():
-            await self._hold(topic, float(request.query['hold']))
-        await self._send(exchange, tail, tail.read(start))
+        try:
+            query = decoding.decode('query', read_query, request.query)
+        except decoding.Malformed as error:
+            await exchange.send_json(400, {'error': str(error)})
+            return
+        if query.start >= tail.end and not self._is_cut():
+            await self._hold(topic, query.hold)
+        await self._send(exchange, tail, tail.read(query.start))
 
     async def answer_newest(self, request, exchange):
         """Answer a read of the newest record of each key."""
--- a/landingspool/gateway/state.py
+++ b/landingspool/gateway/state.py
@@ -52,11 +52,11 @@
         The versions of weights that boxes have to know, with their ages.
     """
 
-    proof_s: float
+    proof_s: decoding.Age
     table: bytes | None
-    versions: dict[str, int]
+    versions: dict[str, decoding.Count]
     targets: dict[str, bytes]
-    targets_end: int
+    targets_end: decoding.Count
     evacuated: list[str] = []
     endings: list[peer_digests.CrashNotice] = []
     limits: list[peer_digests.LimitNotice] = []
