--- a/landingspool/platform/ingress.py
+++ b/landingspool/platform/ingress.py
@@ -14,6 +14,8 @@
 BEARER = 'bearer '
 # Seconds that a caller is assumed to wait if its head states no time.
 DEFAULT_TIME_LEFT_S = 30.0
+# Most tokens that a prompt may state, far above what any target holds.
+MAX_TOKENS = 10**9
 
 
 class Call(typing.NamedTuple):
@@ -115,7 +117,9 @@
             for text in found.get(names.PARTS, '').split(',')
             if text.strip()
         )
-        return prompts.Prompt(model, int(tokens_in), int(tokens_out), parts)
+        return prompts.Prompt(
+            model, read_size(tokens_in), read_size(tokens_out), parts
+        )
     except (KeyError, ValueError):
         # A malformed size is left for the target to reject.
         return prompts.Prompt(model, 0, 0)
@@ -128,4 +132,18 @@
     Part(name='ab', tokens=12)
     """
     name, _, tokens = text.strip().partition(':')
-    return prompts.Part(name, int(tokens))
+    return prompts.Part(name, read_size(tokens))
+
+
+def read_size(text):
+    """Decode a number of tokens.
+
+    Raises
+    ------
+    ValueError
+        If it is none that a target can hold.
+    """
+    size = int(text)
+    if not 0 <= size <= MAX_TOKENS:
+        raise ValueError('not a number of tokens')
+    return size
