--- a/landingspool/gateway/target_notices.py
+++ b/landingspool/gateway/target_notices.py
@@ -4,6 +4,7 @@
 
 from landingspool.decisions.gateway import peer_digests
 from landingspool.gateway import crash_records
+from landingspool import http
 from landingspool.platform import limits as field
 from landingspool.platform import notices as notices_module
 
@@ -32,6 +33,7 @@
         self._hub = hub
         self._limits = hub.view.exclusions.limits
         self._unreadable = set()
+        self._malformed = set()
         self._leaving = hub.view.exclusions.leaving
         self._backoffs = hub.view.exclusions.backoffs
 
@@ -76,6 +78,23 @@
         for name in called.incarnations:
             self.take(name, notices, called.asked, certain=False)
 
+    def record_malformed(self, address, subject, reason):
+        """Log an answer that can't be decoded; what is repeated, once.
+
+        Parameters
+        ----------
+        address : http.Address
+            Of the target or store that gave it.
+        subject : str
+            What it should have held.
+        reason : str
+        """
+        row = address, subject
+        if row not in self._malformed:
+            self._malformed.add(row)
+            key = f'{address.host}:{address.port}'
+            self._hub.recorder.record('malformed', key=key, reason=reason)
+
     def check(self):
         """Act on new notices, and log them with the names of the targets."""
         self._log_backoffs()
@@ -128,6 +147,7 @@
     def sweep(self):
         """Update the metrics."""
         entries = self._hub.view.fleet.entries
+        self._sweep_malformed()
         self._unreadable = {
             row for row in self._unreadable if row[0] in entries
         }
@@ -140,6 +160,14 @@
         self._hub.metrics.record_leaving(self.list_leaving(now))
         self._hub.metrics.record_backoffs(self._backoffs.list_backoffs(now))
 
+    def _sweep_malformed(self):
+        """Forget the answers of targets and stores that are listed no more."""
+        table = self._hub.view.table
+        listed = {e.address for e in self._hub.view.fleet.entries.values()}
+        if table is not None:
+            listed.update(map(http.parse_address, table.context_stores))
+        self._malformed = {row for row in self._malformed if row[0] in listed}
+
     def list_leaving(self, now):
         """Return the seconds since listed targets announced their leaving."""
         found = {
--- a/landingspool/platform/runners.py
+++ b/landingspool/platform/runners.py
@@ -172,8 +172,9 @@
     client : httpclient.Client
     observer
         Receives the notices in the answers.  Has ``begin_call(address)``,
-        and ``take_answer(called, notices)``, which gets the result of the
-        former.
+        ``take_answer(called, notices)``, which gets the result of the former,
+        and ``record_malformed(address, subject, reason)`` for an answer that
+        can't be decoded.
     """
 
     def __init__(self, client, observer):
@@ -187,10 +188,7 @@
         )
         if isinstance(reply, Unanswered):
             return reply
-        try:
-            return decoding.decode('report', read_report, reply.body)
-        except decoding.Malformed as error:
-            return Unanswered(str(error), True)
+        return self._decode(address, 'report', read_report, reply)
 
     async def order(self, address, order, taken, holder, fence):
         """Order a target to load a version; running requests continue.
@@ -248,14 +246,14 @@
             timeout=hold_s + ANSWER_S,
             max_bytes=CACHE_MAX_BYTES,
         )
-        return read_cache_update(reply, 'events', read_events)
+        return self._decode_changes(address, 'events', read_events, reply)
 
     async def read_list(self, address):
         """Read the list of cached parts; a CacheUpdate or Unanswered."""
         reply = await self._call(
             address, 'GET', names.LIST_PATH, max_bytes=CACHE_MAX_BYTES
         )
-        return read_cache_update(reply, 'held', read_list)
+        return self._decode_changes(address, 'list', read_list, reply)
 
     async def free(self, address, epoch, parts, until_ms):
         """Free parts of a store; True if the store confirms it.
@@ -278,6 +276,22 @@
         )
         return not isinstance(reply, Unanswered) and reply.status == 200
 
+    def _decode_changes(self, address, subject, read, reply):
+        """Return the CacheUpdate in an answer, or Unanswered."""
+        if isinstance(reply, Unanswered):
+            return reply
+        if reply.status != 200:
+            return Unanswered(f'status {reply.status}', True)
+        return self._decode(address, subject, read, reply)
+
+    def _decode(self, address, subject, read, reply):
+        """Return what `read` finds in an answer, or Unanswered."""
+        try:
+            return decoding.decode(subject, read, reply.body)
+        except decoding.Malformed as error:
+            self._observer.record_malformed(address, subject, str(error))
+            return Unanswered(str(error), True)
+
     async def _call(
         self,
         address,
@@ -328,31 +342,6 @@
     )
 
 
-def read_cache_update(reply, subject, read):
-    """Decode an answer with cache events or a list of cached parts.
-
-    Parameters
-    ----------
-    reply : http.Response or Unanswered
-    subject : str
-        What the answer holds, for the log.
-    read : callable
-        Returns the CacheUpdate in the bytes of a body.
-
-    Returns
-    -------
-    context_index.CacheUpdate or Unanswered
-    """
-    if isinstance(reply, Unanswered):
-        return reply
-    if reply.status != 200:
-        return Unanswered(f'status {reply.status}', True)
-    try:
-        return decoding.decode(subject, read, reply.body)
-    except decoding.Malformed as error:
-        return Unanswered(str(error), True)
-
-
 def read_events(value):
     """Decode an answer with cache events.
 
--- a/standins/runner.py
+++ b/standins/runner.py
@@ -95,6 +95,8 @@
     calls_again : str
         When it sends its answers to calls once more, as in SURPLUS_TIMES; it
         does not if this is empty.
+    odd_bodies : dict of str to bytes
+        What it answers calls with in the place of what is so, by their path.
     """
 
     def __init__(self, name, version=1):
@@ -134,6 +136,7 @@
         self.busy = False
         self.on_load = do_nothing
         self.calls_again = ''
+        self.odd_bodies = {}
         self._owed = {}
         self._writers = set()
         self._seen = set()
@@ -305,7 +308,7 @@
                 loop.call_later(self.late_s, self._order, body)
                 return
         status, value = CALLS[path](self, body)
-        body = json.dumps(value).encode()
+        body = self.odd_bodies.get(path) or json.dumps(value).encode()
         data = (
             b'HTTP/1.1 %d X\r\ncontent-length: %d\r\n%s\r\n'
             % (status, len(body), self.say())
--- a/tests/gateway/test_odd_answers.py
+++ b/tests/gateway/test_odd_answers.py
@@ -7,7 +7,9 @@
 
 from landingspool.decisions.gateway import rollouts
 from landingspool import http
+from landingspool.platform import names
 from landingspool.platform import runners
+from tests.gateway import site
 from tests import odd_values
 
 ADDRESS = http.Address('127.0.0.1', 9)
@@ -73,3 +75,31 @@
     found = asyncio.run(decode(odd_values.RECORDS[value]))
     assert isinstance(found, runners.Unanswered)
     assert found.sent
+
+
+ODD = {name: odd_values.RECORDS[name] for name in ('deep', 'null', 'infinite')}
+
+
+@pytest.mark.parametrize('name', ODD)
+def test_a_target_gets_its_weights_once_its_answers_are_sound_again(name):
+    async def check(deployment):
+        hub = await deployment.start_box()
+        odd, sound = deployment.engines
+        odd.odd_bodies[names.REPORT_PATH] = ODD[name]
+        odd.odd_bodies[names.ORDER_PATH] = ODD[name]
+        odd.odd_bodies[names.EVENTS_PATH] = ODD[name]
+        odd.odd_bodies[names.LIST_PATH] = ODD[name]
+        weights = {'model': 'm', 'version': 2}
+        deployment.store.put(names.PUBLISHED_TOPIC, 'version/m', weights)
+        await site.wait_until(lambda: sound.version == 2)
+        key = f'{odd.address[0]}:{odd.address[1]}'
+        await site.wait_until(lambda: hub.recorder.select(key=key))
+        assert (await site.ask(hub, '/safe/a')).status == 200
+        odd.odd_bodies.clear()
+        await site.wait_until(lambda: odd.version == 2, 20.0)
+        logged = {event.name for event in hub.recorder.select(key=key)}
+        assert logged == {'malformed'}
+        assert len(hub.recorder.select(key=key)) <= len(DECODERS)
+        assert not hub._stop.is_set()
+
+    site.run(check)
--- a/tests/gateway/test_side_calls.py
+++ b/tests/gateway/test_side_calls.py
@@ -62,6 +62,9 @@
     def take_answer(self, called, notices):
         """Drop the notices."""
 
+    def record_malformed(self, address, subject, reason):
+        """Drop what can't be decoded."""
+
 
 def call_target(again, work):
     """Run calls to a target that sends its answers once more."""
--- a/tests/odd_values.py
+++ b/tests/odd_values.py
@@ -58,6 +58,9 @@
     def take_answer(self, called, notices):
         """Take no notice."""
 
+    def record_malformed(self, address, subject, reason):
+        """Take no notice."""
+
 
 class Case(typing.NamedTuple):
     """An odd record, and what is odd in it."""
--- a/tests/test_endless_calls.py
+++ b/tests/test_endless_calls.py
@@ -113,6 +113,9 @@
     def take_answer(self, called, notices):
         """Drop the notices."""
 
+    def record_malformed(self, address, subject, reason):
+        """Drop what can't be decoded."""
+
 
 def call_runners(call):
     """Return what runs a call to a target or a store of the platform."""
