--- a/landingspool/events.py
+++ b/landingspool/events.py
@@ -84,7 +84,7 @@
         """The stamp to put on an outgoing message."""
         return self._stamp
 
-    def select(self, since=0.0, **wanted):
+    def select(self, since=0.0, /, **wanted):
         """Return the recorded events that match all the given fields.
 
         Parameters
--- a/tests/real/test_path.py
+++ b/tests/real/test_path.py
@@ -140,3 +140,16 @@
     reply = bench.run(send(b'GET / HTTP/1.1\r\nx: ' + b'y' * 40_000))
     assert reply.startswith(b'HTTP/1.1 431')
     assert bench.run(bench.send('north-1')).whole
+
+
+@pytest.mark.parametrize('query', ('since=x', 'since=nan&self=1', 'self=1'))
+def test_an_odd_query_for_events_is_answered(bench, query):
+    reply = bench.run(
+        bench.fleet.client.fetch(
+            bench.fleet.boxes['north-1'].operators,
+            'GET',
+            f'/admin/events?{query}',
+            headers=[('authorization', f'Bearer {fleet.OPERATOR_KEY}')],
+        )
+    )
+    assert reply.status in (200, 400)
