--- a/landingspool/decisions/gateway/workspace_usage.py
+++ b/landingspool/decisions/gateway/workspace_usage.py
@@ -234,9 +234,14 @@
 
 
 def add_rows(total, rows, factor, now):
-    """Add the encoded rows of one report to a total, each times a factor."""
+    """Add the encoded rows of one report to a total, each times a factor.
+
+    A row that no box writes is passed over.
+    """
     whole = len(rows) // ROW.size * ROW.size
     for workspace, asked, served in ROW.iter_unpack(rows[:whole]):
+        if not (0 <= asked <= MAX_ROW_VALUE and 0 <= served <= MAX_ROW_VALUE):
+            continue
         known = total.get(workspace, NO_USAGE)
         total[workspace] = Usage(
             known.asked + asked * factor, known.served + served * factor, now
--- a/tests/gateway/test_odd_messages.py
+++ b/tests/gateway/test_odd_messages.py
@@ -6,6 +6,7 @@
 import pytest
 
 from landingspool.boxes import datagrams
+from landingspool.decisions.gateway import workspace_usage
 from landingspool.gateway import boxcalls
 from landingspool.gateway import forwarded_rows
 from landingspool.gateway import sources
@@ -79,6 +80,18 @@
     asyncio.run(ask())
 
 
+ODD_FIGURES = (float('nan'), float('inf'), -1.0)
+
+
+@pytest.mark.parametrize('figure', ODD_FIGURES)
+def test_a_usage_that_no_box_reports_is_passed_over(figure):
+    total = {}
+    rows = workspace_usage.ROW.pack(7, figure, 1.0)
+    rows += workspace_usage.ROW.pack(8, 1.0, figure)
+    workspace_usage.add_rows(total, rows, 1.0, 1.0)
+    assert total == {}
+
+
 ODD_COUNTS = (b'9' * 5000, b'9' * 400, '\xb2'.encode('latin-1'), b'-1', b'')
 
 
