--- a/landingspool/box.py
+++ b/landingspool/box.py
@@ -114,7 +114,9 @@
         address = settings_module.make_address(platform.log)
         self.log = log_module.Log(self.client, address)
         self.live = live.LiveList(
-            self.client, settings_module.make_address(platform.live)
+            self.client,
+            settings_module.make_address(platform.live),
+            self._record_malformed,
         )
         self.follower = follower.Follower(self.log, self.core)
         self.claims = claimer.Claimer(
@@ -138,6 +140,9 @@
         members = self.node.members.values()
         return max(1, sum(1 for m in members if m.kind == 'entry'))
 
+    def _record_malformed(self, reason):
+        self.recorder.record('malformed', key='live', reason=reason)
+
     async def _poll_live(self):
         while True:
             members = await self.live.read()
--- a/landingspool/ledger/live.py
+++ b/landingspool/ledger/live.py
@@ -17,13 +17,23 @@
 MAX_BYTES = 4 * 1024 * 1024
 
 
+# A name or an IP number that can be looked up.
+Host = typing.Annotated[
+    str,
+    msgspec.Meta(
+        pattern=r'^[0-9A-Za-z_:-]{1,63}(\.[0-9A-Za-z_-]{1,63})*\.?$',
+        max_length=253,
+    ),
+]
+
+
 class Row(msgspec.Struct):
     """One member as the platform lists it; unknown fields are ignored."""
 
     name: str
     kind: str
     domain: str
-    host: str
+    host: Host
     port: decoding.Port
     model: str = ''
     incarnation: str = ''
@@ -33,9 +43,12 @@
 
 
 class Listing(msgspec.Struct):
-    """Response to a read of the list."""
+    """Response to a read of the list; the rows are decoded one by one."""
+
+    members: list[typing.Any]
+
 
-    members: list[Row]
+LISTING_DECODER = msgspec.json.Decoder(Listing)
 
 
 class LiveList:
@@ -45,15 +58,22 @@
     ----------
     client : httpclient.Client
     address : http.Address
+    on_malformed : callable, optional
+        ``on_malformed(reason)`` for a list or a row that can't be decoded,
+        unless it was told at the last read.
     """
 
-    def __init__(self, client, address):
+    def __init__(self, client, address, on_malformed=None):
         self._client = client
         self._address = address
+        self._on_malformed = on_malformed
+        self._told = frozenset()
 
     async def read(self):
         """Read the list.
 
+        Rows that can't be decoded are passed over, unless all are such.
+
         Returns
         -------
         list of records.Member, or outcomes.Unavailable
@@ -66,26 +86,54 @@
                 timeout=TIMEOUT_S,
                 max_bytes=MAX_BYTES,
             )
-            return decoding.decode('live list', read_members, reply.body)
-        except (http.Unreachable, decoding.Malformed) as error:
+        except http.Unreachable as error:
             return outcomes.Unavailable(str(error))
-
-
-LISTING_DECODER = msgspec.json.Decoder(Listing)
+        try:
+            members, odd = read_members(reply.body)
+        except decoding.Malformed as error:
+            members, odd = None, [str(error)]
+        self._tell(odd)
+        if odd and not members:
+            return outcomes.Unavailable(odd[0])
+        return members
+
+    def _tell(self, reasons):
+        if self._on_malformed is not None:
+            for reason in reasons:
+                if reason not in self._told:
+                    self._on_malformed(reason)
+        self._told = frozenset(reasons)
 
 
 def read_members(value):
-    """Return the list of records.Member in a response.
+    """Decode the list.
+
+    Returns
+    -------
+    tuple of (list of records.Member, list of str)
+        The members, and why each of the other rows can't be decoded.
 
     Raises
     ------
-    ValueError, RecursionError
+    decoding.Malformed
     """
-    listing = LISTING_DECODER.decode(value)
-    return [make_member(row) for row in listing.members]
+    listing = decoding.decode('live list', LISTING_DECODER.decode, value)
+    members, odd = [], []
+    for number, row in enumerate(listing.members):
+        try:
+            found = decoding.decode(f'live list, row {number}', read_row, row)
+            members.append(found)
+        except decoding.Malformed as error:
+            odd.append(str(error))
+    return members, odd
 
 
-def make_member(row):
-    """Return the records.Member of a row of the list."""
-    values = msgspec.structs.asdict(row)
-    return records.Member(**values)
+def read_row(value):
+    """Return the records.Member in a row of the list.
+
+    Raises
+    ------
+    ValueError
+    """
+    row = msgspec.convert(value, Row)
+    return records.Member(**msgspec.structs.asdict(row))
--- a/tests/real/test_path.py
+++ b/tests/real/test_path.py
@@ -6,10 +6,14 @@
 import pytest
 
 from bench import fleet
+from landingspool import box
 from landingspool import httpclient
 from tests import odd_values
 from tests.real import conftest
 
+# Requests at once, below the share that a domain has of the limit.
+SHEETS = 4
+
 
 def digest(prompt):
     """Give what the stand-in's answer to a prompt begins with."""
@@ -153,3 +157,42 @@
         )
     )
     assert reply.status in (200, 400)
+
+
+ODD_MEMBERS = {
+    'port': {'port': 99_999_999_999},
+    'long_port': {'port': int('9' * 400)},
+    'host': {'host': 'a\0b'},
+    'list': {'domain': ['north']},
+}
+
+
+@pytest.mark.parametrize('name', ODD_MEMBERS)
+def test_requests_are_served_beside_an_odd_member(bench, name):
+    target = next(
+        member
+        for member in bench.fleet.members.values()
+        if member['kind'] == 'target'
+    )
+    odd = {**target, 'name': 'odd', **ODD_MEMBERS[name]}
+
+    async def run():
+        await bench.fleet.tell('live', '/set', {'members': [odd], 'now': True})
+        await asyncio.sleep(box.LIVE_POLL_S * 2)
+        try:
+            return await asyncio.gather(
+                *(
+                    bench.send('north-1', prompt=f'{name} {number}')
+                    for number in range(SHEETS)
+                )
+            )
+        finally:
+            removed = {'removed': ['odd'], 'now': True}
+            await bench.fleet.tell('live', '/set', removed)
+
+    answers = bench.run(run())
+    assert {answer.status for answer in answers} == {200}
+    assert all(answer.whole for answer in answers)
+    log = bench.fleet.processes['north-1'].log.read_text()
+    assert ' malformed ' in log
+    assert ' fault ' not in log
--- a/tests/test_odd_bodies.py
+++ b/tests/test_odd_bodies.py
@@ -197,3 +197,30 @@
 def test_an_odd_body_is_refused_or_bounded(name):
     row, decode = DECODERS[name]
     assert not asyncio.run(odd_values.list_failures(row, decode))
+
+
+ODD_MEMBERS = (
+    {},
+    5,
+    {**MEMBERS['members'][0], 'port': 65536},
+    {**MEMBERS['members'][0], 'port': 0},
+    {**MEMBERS['members'][0], 'operators_port': int('9' * 400)},
+    {**MEMBERS['members'][0], 'host': 'a\0b'},
+    {**MEMBERS['members'][0], 'host': 'x' * 64},
+    {**MEMBERS['members'][0], 'host': ''},
+)
+
+
+def test_an_odd_member_of_the_live_list_is_passed_over_and_told_once():
+    told = []
+    (sound,) = MEMBERS['members']
+    body = json.dumps({'members': [*ODD_MEMBERS, sound]}).encode()
+
+    async def read():
+        peer = odd_values.Peer(body)
+        reader = live.LiveList(peer, ADDRESS, told.append)
+        return [await reader.read() for _ in range(2)]
+
+    first, second = asyncio.run(read())
+    assert first == second == [records.Member(**sound)]
+    assert len(told) == len(ODD_MEMBERS)
