--- a/landingspool/gateway/state.py
+++ b/landingspool/gateway/state.py
@@ -147,7 +147,14 @@
             self._view.exclusions.leaving.take(notice, '', sent)
         if snapshot.table is None:
             return
-        self.take_table(snapshot.table)
+        try:
+            self.take_table(snapshot.table)
+        except decoding.Malformed as error:
+            # Without its table nothing else of it is proved.
+            self._hub.recorder.record(
+                'malformed', key=names.TABLE_KEY, reason=str(error)
+            )
+            return
         if sent - snapshot.proof_s > now - self._view.proof.age(now):
             # The peer's list of evacuations is newer than this box's own.
             self.set_evacuated(snapshot.evacuated)
--- a/tests/gateway/test_odd_messages.py
+++ b/tests/gateway/test_odd_messages.py
@@ -3,6 +3,7 @@
 import asyncio
 
 import cbor2
+import msgspec
 import pytest
 
 from landingspool.boxes import datagrams
@@ -11,6 +12,7 @@
 from landingspool.gateway import forwarded_rows
 from landingspool.gateway import sources
 from landingspool import http
+from landingspool.platform import names
 from tests.gateway import site
 from tests import odd_values
 
@@ -101,6 +103,22 @@
     assert 0 <= forwarded_rows.read_report(rows).sends < 2**31
 
 
+def test_a_state_with_an_odd_table_proves_nothing():
+    async def check(deployment):
+        hub = await deployment.start_box()
+        state = hub.state.get_snapshot()
+        version, proof_s = hub.view.table.version, hub.view.proof.age(0.0)
+        odd = msgspec.structs.replace(
+            state, table=odd_values.RECORDS['deep'], proof_s=0.0
+        )
+        hub.state.take(odd, hub.clock() + 1.0)
+        assert hub.view.table.version == version
+        assert hub.view.proof.age(0.0) == proof_s
+        assert hub.recorder.select(key=names.TABLE_KEY)
+
+    site.run(check)
+
+
 QUERIES = (
     '/records?topic=keyed.op',
     '/records?topic=keyed.op&from=x&hold=1',
