--- a/landingspool/decisions/gateway/context_index.py
+++ b/landingspool/decisions/gateway/context_index.py
@@ -119,7 +119,7 @@
     changes: tuple[Change, ...]
     whole: bool = False
     clock_ms: decoding.Figure | None = None
-    age_s: decoding.Seconds = 0.0
+    age_s: decoding.Age = 0.0
     incomplete: tuple[IncompletePart, ...] = ()
 
 
--- a/landingspool/decisions/gateway/peer_digests.py
+++ b/landingspool/decisions/gateway/peer_digests.py
@@ -261,12 +261,17 @@
 def hash_loads(loads):
     """Return the load of a box at each target as digests encode it.
 
+    Figures beyond those of a valid digest are told as its highest.
+
     Parameters
     ----------
     loads : dict of str to list
         By the name of the target's incarnation.
     """
-    return {hash_target(name): load for name, load in loads.items()}
+    return {
+        hash_target(name): [min(figure, MAX_FIGURE) for figure in load]
+        for name, load in loads.items()
+    }
 
 
 def is_plausible(digest):
--- a/landingspool/platform/ingress.py
+++ b/landingspool/platform/ingress.py
@@ -14,8 +14,10 @@
 BEARER = 'bearer '
 # Seconds that a caller is assumed to wait if its head states no time.
 DEFAULT_TIME_LEFT_S = 30.0
+# Longest time that a caller is taken to wait, seconds.
+MAX_TIME_LEFT_S = 24 * 3600.0
 # Most tokens that a prompt may state, far above what any target holds.
-MAX_TOKENS = 10**9
+MAX_TOKENS = 10**7
 
 
 class Call(typing.NamedTuple):
@@ -97,12 +99,16 @@
 
     >>> read_time_left('1500'), read_time_left(None), read_time_left('nan')
     (1.5, 30.0, 30.0)
+    >>> read_time_left('1e300') == MAX_TIME_LEFT_S
+    True
     """
     try:
         seconds = float(text) / 1000
     except (TypeError, ValueError):
         return DEFAULT_TIME_LEFT_S
-    return max(seconds, 0.0) if math.isfinite(seconds) else DEFAULT_TIME_LEFT_S
+    if not math.isfinite(seconds):
+        return DEFAULT_TIME_LEFT_S
+    return min(max(seconds, 0.0), MAX_TIME_LEFT_S)
 
 
 def read_prompt(found):
--- a/landingspool/platform/limits.py
+++ b/landingspool/platform/limits.py
@@ -9,6 +9,8 @@
 import typing
 
 DECIMAL = re.compile(r'(?:\d+\.?\d*|\.\d+)', re.ASCII)
+# Requests a second from which on a limit is none; higher ones count as this.
+MAX_PER_S = 1e9
 # Characters of an unreadable header that are logged.
 MAX_LOGGED_CHARS = 40
 
@@ -47,6 +49,8 @@
     ... # doctest: +NORMALIZE_WHITESPACE
     [Unreadable(text="''"), Unreadable(text="'0'"), Unreadable(text="'inf'"),
     Unreadable(text="'1e3'"), Unreadable(text="'-1'")]
+    >>> read_limit(['9' * 300])
+    AdvertisedLimit(per_s=1000000000.0)
     >>> read_limit(['9' * 400])
     Unreadable(text="'9999999999999999999999999999999999999999'")
     """
@@ -55,7 +59,7 @@
     numbers = [read_number(part) for part in split_parts(texts)]
     if None in numbers:
         return Unreadable(quote_lines(texts))
-    return AdvertisedLimit(min(numbers))
+    return AdvertisedLimit(min(*numbers, MAX_PER_S))
 
 
 def read_number(text):
--- a/landingspool/platform/runners.py
+++ b/landingspool/platform/runners.py
@@ -34,6 +34,9 @@
 CACHE_MAX_BYTES = 8 * 1024 * 1024
 
 
+MAX_PART_TOKENS = 10**9
+
+
 @dataclasses.dataclass(frozen=True)
 class Report:
     """State that a target reports, some hundred milliseconds old.
@@ -83,6 +86,11 @@
     refused: bool = False
 
 
+# Tokens of one cached part: sums over all parts that a target can hold stay
+# exact.
+Tokens = typing.Annotated[int, msgspec.Meta(ge=0, le=MAX_PART_TOKENS)]
+
+
 class ReportRecord(msgspec.Struct):
     """State that a target reports, as it is written.
 
@@ -107,7 +115,7 @@
     sign: str
     space: str
     part: str
-    tokens: decoding.Count
+    tokens: Tokens
 
 
 class ListedRow(msgspec.Struct, array_like=True):
@@ -115,7 +123,7 @@
 
     space: str
     part: str
-    tokens: decoding.Count
+    tokens: Tokens
 
 
 class IncompleteRow(msgspec.Struct, array_like=True):
@@ -123,8 +131,8 @@
 
     space: str
     part: str
-    tokens: decoding.Count
-    room: decoding.Count
+    tokens: Tokens
+    room: Tokens
 
 
 class CacheRecord(msgspec.Struct):
