--- a/landingspool/gateway/cache_follower.py
+++ b/landingspool/gateway/cache_follower.py
@@ -17,6 +17,7 @@
 import cbor2
 import msgspec
 
+from landingspool.decisions import decoding
 from landingspool.decisions.gateway import context_index
 from landingspool.gateway import boxcalls
 from landingspool import http
@@ -44,6 +45,8 @@
 # Seconds for which a store whose updates raised an error is not asked about,
 # so that its lists are not read again and again.
 LEFT_S = 5.0
+# What a box names that asks for changes: the epoch and position by store.
+POSITIONS = dict[str, tuple[decoding.Whole, decoding.Whole]]
 # Outcomes of asking another box.
 FOLLOWED = 'followed'
 LISTED = 'listed'
@@ -295,10 +298,8 @@
     async def answer_changes(self, request, exchange):
         """Answer a peer with the updates of each store that it names."""
         try:
-            positions = msgspec.convert(
-                cbor2.loads(request.body), dict[str, tuple[int, int]]
-            )
-        except (cbor2.CBORError, msgspec.ValidationError) as error:
+            positions = boxcalls.read(POSITIONS, request.body)
+        except decoding.Malformed as error:
             self._hub.recorder.record('bad_message', reason=str(error))
             await exchange.send_json(400, {'error': 'not understood'})
             return
