--- a/landingspool/gateway/attempts.py
+++ b/landingspool/gateway/attempts.py
@@ -83,21 +83,21 @@
             return outcomes.Stale()
         return await self._record(self._send_and_receive())
 
-    async def begin(self, has_other_answer):
+    async def begin(self, look_at_other):
         """Send the request, and wait for the target to accept it.
 
         Parameters
         ----------
-        has_other_answer : callable
-            Coroutine function that returns whether the silent target has
-            answered in the meantime, which ends the wait.
+        look_at_other : callable
+            Coroutine function that returns the upstream.Sign of the silent
+            target; any but NOTHING ends the wait.
 
         Returns
         -------
         One of the outcomes, or None
             None if the attempt goes on: it is to be resumed or stopped.
         """
-        return await self._record(self._send_and_wait(has_other_answer))
+        return await self._record(self._send_and_wait(look_at_other))
 
     async def resume(self):
         """Complete an attempt that was begun; return one of the outcomes."""
@@ -148,10 +148,10 @@
         self._send()
         return await self._receive()
 
-    async def _send_and_wait(self, has_other_answer):
+    async def _send_and_wait(self, look_at_other):
         self._send()
         try:
-            self._head = await self._wait_for_head(has_other_answer)
+            self._head = await self._wait_for_head(look_at_other)
         except TimeoutError:
             return None
         except upstream_module.ExchangeError as error:
@@ -164,7 +164,7 @@
         except TimeoutError:
             return self.report_lost('slow failure', outcomes.Cause.MALFORMED)
 
-    async def _wait_for_head(self, has_other_answer):
+    async def _wait_for_head(self, look_at_other):
         """Read the head while another target has the request as well.
 
         Raises
@@ -182,7 +182,7 @@
                     return await self._exchange.read_head(self._is_due)
             except TimeoutError:
                 self._waited_s = loop.time() - began
-                if self._waited_s >= limit_s or await has_other_answer():
+                if self._waited_s >= limit_s or await look_at_other():
                     raise
 
     def _compute_accept_timeout(self):
@@ -311,10 +311,12 @@
         """Return whether another target takes over from a silent one."""
         return await self._replacements.prepare(
             self._plan,
-            lambda: self._exchange.has_answered(self._is_due, is_incomplete),
+            lambda: self._exchange.look(self._is_due, is_incomplete),
         )
 
     def _report_timeout(self):
+        if self._exchange.error is not None:
+            return self._report_broken(self._exchange.error)
         if self._recall.is_due() and not self._is_expired():
             # The target is not silent.
             cause = outcomes.Cause.OLD_WEIGHTS
--- a/landingspool/gateway/replacements.py
+++ b/landingspool/gateway/replacements.py
@@ -32,16 +32,16 @@
         self._granted = False
         self._was_refused = False
 
-    async def prepare(self, plan, has_answer):
+    async def prepare(self, plan, look):
         """Begin an attempt at another target, if that is possible.
 
         Parameters
         ----------
         plan : plans.Plan
             The plan of the present attempt.
-        has_answer : callable
-            Coroutine function that returns whether its target has answered
-            in the meantime.
+        look : callable
+            Coroutine function that returns what its target has shown in the
+            meantime, an upstream.Sign.
 
         Returns
         -------
@@ -52,7 +52,7 @@
         if not self._may_leave(now):
             return False
         if not self._paths.may_send_directly(now):
-            return await self._begin_forward(now, has_answer)
+            return await self._begin_forward(now, look)
         replacement = self._plan_other(plan, now)
         if replacement is None:
             return False
@@ -68,18 +68,17 @@
         return await self._hand_over(
             attempt,
             exchange,
-            has_answer,
+            look,
             (self._state.tried_targets, replacement.entry.name),
         )
 
-    async def prepare_peer(self, has_answer):
+    async def prepare_peer(self, look):
         """Have another box begin to serve a request, if that is possible.
 
         Parameters
         ----------
-        has_answer : callable
-            Coroutine function that returns whether the silent box has
-            answered in the meantime.
+        look : callable
+            The same for the silent box.
 
         Returns
         -------
@@ -91,7 +90,7 @@
             return False
         # The silent box counts it, if it has read it.
         self._state.is_counted = True
-        return await self._begin_forward(now, has_answer)
+        return await self._begin_forward(now, look)
 
     def take_grant(self):
         """Return whether a repeat was taken for the next attempt, once."""
@@ -109,25 +108,25 @@
         if prepared is not None:
             prepared.stop()
 
-    async def _begin(self, attempt, has_answer):
+    async def _begin(self, attempt, look):
         """Return whether a target accepts the request before the other."""
-        outcome = await attempt.begin(has_answer)
+        outcome = await attempt.begin(look)
         if outcome is not None:
             return False
         is_needed = False
         try:
-            is_needed = not await has_answer()
+            is_needed = await look() != upstream.Sign.ANSWER
         finally:
             if not is_needed:
                 attempt.stop()
         return is_needed
 
-    async def _check_needed(self, attempt, exchange, has_answer):
+    async def _check_needed(self, attempt, exchange, look):
         """Return whether to begin an attempt; end its exchange otherwise."""
         is_needed = False
         try:
             is_needed = (
-                not await has_answer()
+                not await look()
                 and attempt.is_current()
                 and self._take_repeat()
             )
@@ -136,7 +135,7 @@
                 exchange.cancel()
         return is_needed
 
-    async def _begin_forward(self, now, has_answer):
+    async def _begin_forward(self, now, look):
         if self._state.origin is not None:
             return False
         peer = self._paths.pick_peer(now)
@@ -154,11 +153,11 @@
         return await self._hand_over(
             forward,
             exchange,
-            has_answer,
+            look,
             (self._state.tried_peers, peer.name),
         )
 
-    async def _hand_over(self, attempt, exchange, has_answer, tried):
+    async def _hand_over(self, attempt, exchange, look, tried):
         """Begin an attempt; return whether the present one is given up.
 
         Parameters
@@ -166,14 +165,14 @@
         attempt : attempts.Attempt
         exchange : upstream.Exchange
             That of the attempt, which has sent nothing yet.
-        has_answer : callable
+        look : callable
             As in `prepare`.
         tried : tuple of (list of str, str)
             Where it is recorded that the request was refused, and by whom.
         """
-        if not await self._check_needed(attempt, exchange, has_answer):
+        if not await self._check_needed(attempt, exchange, look):
             return False
-        if await self._begin(attempt, has_answer):
+        if await self._begin(attempt, look):
             self._prepared = attempt
             return True
         self._granted = False
--- a/landingspool/gateway/upstream.py
+++ b/landingspool/gateway/upstream.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import collections
+import enum
 import socket
 import typing
 
@@ -71,6 +72,14 @@
         self.refused = refused
 
 
+class Sign(enum.IntEnum):
+    """What a target has shown since the last read; only NOTHING is false."""
+
+    NOTHING = 0
+    ANSWER = 1
+    FAILURE = 2
+
+
 class IdleConnection(typing.NamedTuple):
     """A connection, idle since `since`, that may be used until `until`."""
 
@@ -310,6 +319,8 @@
         self._head = None
         # Whether its owner has not asked for the head since it was read.
         self._is_unseen = False
+        # Why the exchange failed as it was looked at.
+        self._error = None
         self._answered_early = False
 
     def send(self, method, target, headers, body):
@@ -338,6 +349,8 @@
         ExchangeError
         """
         self._is_unseen = False
+        if self._error is not None:
+            raise self._error
         if self._head is not None:
             return self._head
         head = await self._read(self._reader.read_head(is_due))
@@ -356,6 +369,11 @@
         """
         return await self._read(self._reader.read_data())
 
+    @property
+    def error(self):
+        """Why the exchange had failed when it was looked at, or None."""
+        return self._error
+
     @property
     def is_closed(self):
         """Whether the target has closed or reset the connection."""
@@ -378,12 +396,11 @@
             self._address, self.connection, idle_s, self._max_idle
         )
 
-    async def has_answered(self, is_due, is_incomplete=False):
-        """Return whether more of the answer has arrived since the last read.
+    async def look(self, is_due, is_incomplete=False):
+        """Return what has arrived since the last read.
 
         Bytes are an answer only with the complete head of the one that is
-        due.  An exchange that has failed counts as answered, too: the next
-        read tells why.
+        due.  If the exchange has failed, the next read tells why.
 
         Parameters
         ----------
@@ -391,22 +408,30 @@
             As in AnswerReader.read_head.
         is_incomplete : bool, optional
             Whether the bytes after the head complete no event.
+
+        Returns
+        -------
+        Sign
         """
         if self._is_unseen:
-            return True
+            return Sign.ANSWER
         if self.connection.is_idle:
-            return False
+            return Sign.NOTHING
         if self._head is not None:
-            return not is_incomplete
+            return Sign.NOTHING if is_incomplete else Sign.ANSWER
+        return await self._look_for_head(is_due)
+
+    async def _look_for_head(self, is_due):
         try:
             async with timeouts.Timeout(POLL_S):
                 await self.read_head(is_due)
         except TimeoutError:
-            return False
-        except ExchangeError:
-            return True
+            return Sign.NOTHING
+        except ExchangeError as error:
+            self._error = error
+            return Sign.FAILURE
         self._is_unseen = True
-        return True
+        return Sign.ANSWER
 
     def cancel(self):
         """Return the connection of an exchange that has sent nothing."""
--- a/tests/gateway/test_endless_answers.py
+++ b/tests/gateway/test_endless_answers.py
@@ -191,16 +191,16 @@
             target.usual = 'silent'
         calls = []
         reached = asyncio.Event()
-        has_answered = upstream.Exchange.has_answered
+        look = upstream.Exchange.look
 
         async def check_late(self, *args):
             calls.append(self)
             if len(calls) == checks:
                 reached.set()
                 await asyncio.sleep(0.3)
-            return await has_answered(self, *args)
+            return await look(self, *args)
 
-        monkeypatch.setattr(upstream.Exchange, 'has_answered', check_late)
+        monkeypatch.setattr(upstream.Exchange, 'look', check_late)
         work = asyncio.ensure_future(site.ask(hub, '/safe/a'))
         await asyncio.wait_for(reached.wait(), 2.0)
         work.cancel()
--- a/tests/gateway/test_replacements.py
+++ b/tests/gateway/test_replacements.py
@@ -6,6 +6,7 @@
 
 from landingspool.gateway import attempts
 from landingspool.gateway import upstream
+from standins import behaviours
 from tests.gateway import site
 from tests.gateway import test_begun_streams
 from tests.gateway import test_forwarder
@@ -338,3 +339,40 @@
         assert not hub.recorder.counts['stream_waits']
 
     site.run(check)
+
+
+# Seconds after which a silent target closes: its replacement has begun.
+CLOSED_S = 0.95
+# Seconds after which the replacement answers.
+REPLACED_S = 0.22
+
+
+@behaviours.behaviour('closed after a silence')
+async def close_late(runner, head, body, reader, writer):
+    runner.run(head, body)
+    await asyncio.sleep(CLOSED_S)
+    return True
+
+
+@behaviours.behaviour('answered after a while')
+async def answer_after_a_while(runner, head, body, reader, writer):
+    runner.run(head, body)
+    await asyncio.sleep(REPLACED_S)
+    behaviours.write_answer(runner, head, writer, 200, b'done')
+
+
+@pytest.mark.parametrize('service', ['plain', 'engine'])
+def test_a_target_that_closes_ends_no_attempt_at_its_replacement(service):
+    async def check(deployment):
+        routes = {**site.ROUTES, 'safe': {**site.ROUTES['safe']}}
+        routes['safe']['service'] = service
+        hub = await deployment.start_box()
+        deployment.publish(site.make_table(2, routes=routes))
+        await site.wait_until(lambda: hub.view.table.version == 2)
+        shared = ['closed after a silence', 'answered after a while']
+        for target in (*deployment.plain, *deployment.engines):
+            target.script = shared
+        got = await site.ask(hub, '/safe/a')
+        assert (got.status, got.whole) == (200, True)
+
+    site.run(check)
