--- a/landingspool/decisions/decoding.py
+++ b/landingspool/decisions/decoding.py
@@ -7,6 +7,7 @@
 over one record or refuse one answer, and go on.
 """
 
+import re
 import struct
 import typing
 
@@ -28,6 +29,12 @@
 MAX_REASON_CHARS = 200
 MAX_SUBJECT_CHARS = 256
 
+# What changes the depth in a JSON text, or whether it is within a string.
+MARKS = re.compile(rb'\\.|["\[\]{}]', re.DOTALL)
+STEPS = {b'[': 1, b'{': 1, b']': -1, b'}': -1}
+# Depth beyond that of any record.
+MAX_DEPTH = 16
+
 # Bounds of the numbers that are computed with.  Whole numbers up to this one
 # are exact as floats.
 MAX_COUNT = 2**53
@@ -88,6 +95,29 @@
         raise Malformed(f'{shorten(subject)}: {describe(error)}') from error
 
 
+def cut_nesting(data):
+    """Replace what is nested deeper than MAX_DEPTH in a JSON text by null.
+
+    In a text that holds what several writers wrote, one of them can't make
+    the others' unreadable so.
+
+    >>> cut_nesting(b'[{"a": "]"}, %s]' % (b'[' * 40 + b']' * 40))
+    b'[{"a": "]"}, [[[[[[[[[[[[[[[null]]]]]]]]]]]]]]]]'
+    """
+    kept, start, depth, is_text = [], 0, 0, False
+    for mark in MARKS.finditer(data):
+        is_text ^= mark.group() == b'"'
+        step = 0 if is_text else STEPS.get(mark.group(), 0)
+        if step > 0 and depth == MAX_DEPTH:
+            kept += [data[start : mark.start()], b'null']
+        depth += step
+        if step < 0 and depth == MAX_DEPTH:
+            start = mark.end()
+    if depth <= MAX_DEPTH:
+        kept.append(data[start:])
+    return b''.join(kept)
+
+
 def describe(error):
     """Return the text of an error of a decoder, of bounded length."""
     try:
--- a/landingspool/ledger/live.py
+++ b/landingspool/ledger/live.py
@@ -68,6 +68,9 @@
         self._address = address
         self._on_malformed = on_malformed
         self._told = frozenset()
+        # The newest response, and what was found in it.
+        self._body = None
+        self._found = None
 
     async def read(self):
         """Read the list.
@@ -76,7 +79,7 @@
 
         Returns
         -------
-        list of records.Member, or outcomes.Unavailable
+        tuple of records.Member, or outcomes.Unavailable
         """
         try:
             reply = await self._client.fetch(
@@ -88,10 +91,15 @@
             )
         except http.Unreachable as error:
             return outcomes.Unavailable(str(error))
+        if reply.body != self._body:
+            self._body, self._found = reply.body, self._decode(reply.body)
+        return self._found
+
+    def _decode(self, body):
         try:
-            members, odd = read_members(reply.body)
+            members, odd = read_members(body)
         except decoding.Malformed as error:
-            members, odd = None, [str(error)]
+            members, odd = (), [str(error)]
         self._tell(odd)
         if odd and not members:
             return outcomes.Unavailable(odd[0])
@@ -110,14 +118,14 @@
 
     Returns
     -------
-    tuple of (list of records.Member, list of str)
+    tuple of (tuple of records.Member, list of str)
         The members, and why each of the other rows can't be decoded.
 
     Raises
     ------
     decoding.Malformed
     """
-    listing = decoding.decode('live list', LISTING_DECODER.decode, value)
+    listing = decoding.decode('live list', read_listing, value)
     members, odd = [], []
     for number, row in enumerate(listing.members):
         try:
@@ -125,7 +133,20 @@
             members.append(found)
         except decoding.Malformed as error:
             odd.append(str(error))
-    return members, odd
+    return tuple(members), odd
+
+
+def read_listing(value):
+    """Decode the list without its rows.
+
+    Raises
+    ------
+    ValueError, RecursionError
+    """
+    try:
+        return LISTING_DECODER.decode(value)
+    except RecursionError:
+        return LISTING_DECODER.decode(decoding.cut_nesting(value))
 
 
 def read_row(value):
--- a/tests/test_odd_bodies.py
+++ b/tests/test_odd_bodies.py
@@ -222,5 +222,22 @@
         return [await reader.read() for _ in range(2)]
 
     first, second = asyncio.run(read())
-    assert first == second == [records.Member(**sound)]
+    assert first == second == (records.Member(**sound),)
     assert len(told) == len(ODD_MEMBERS)
+
+
+NESTED = odd_values.DEEP.encode()
+NESTED_ROWS = (NESTED, b'{"name": %s}' % NESTED, b'"\\"[", 5')
+
+
+@pytest.mark.parametrize('row', NESTED_ROWS, ids=range(3))
+def test_a_member_that_is_nested_deeply_is_passed_over(row):
+    (sound,) = MEMBERS['members']
+    later = json.dumps({**sound, 'later': 'x'}).encode()
+    later = later.replace(b'"x"', NESTED)
+    rows = b', '.join((later, row, json.dumps(sound).encode()))
+    told = []
+    peer = odd_values.Peer(b'{"members": [%s]}' % rows)
+    reader = live.LiveList(peer, ADDRESS, told.append)
+    assert asyncio.run(reader.read()) == (records.Member(**sound),) * 2
+    assert told
