--- a/landingspool/boxes/link.py
+++ b/landingspool/boxes/link.py
@@ -14,11 +14,13 @@
 import typing
 
 import cbor2
+import msgspec
 import websockets
 from websockets.asyncio import client as ws_client
 from websockets.asyncio import server as ws_server
 
 from landingspool.boxes import handshake
+from landingspool.decisions import clock
 from landingspool.decisions import decoding
 from landingspool.decisions import messages
 from landingspool import timeouts
@@ -210,7 +212,7 @@
 
     def _receive(self, peer, frame):
         stamp, rows = cbor2.loads(frame)
-        self._recorder.observe(stamp)
+        self._recorder.observe(msgspec.convert(stamp, clock.Stamp))
         for row in rows:
             message, problem = messages.unpack(cbor2.loads(row))
             if problem is not None:
--- a/landingspool/decisions/clock.py
+++ b/landingspool/decisions/clock.py
@@ -6,12 +6,14 @@
 
 import typing
 
+from landingspool.decisions import decoding
+
 
 class Stamp(typing.NamedTuple):
     """Wall-clock milliseconds and a counter for events within one of them."""
 
-    millis: int
-    count: int
+    millis: decoding.TimeMs
+    count: decoding.Count
 
 
 def advance(last, wall):
