--- a/landingspool/gateway/hub.py
+++ b/landingspool/gateway/hub.py
@@ -116,6 +116,7 @@
             self._record_unanswered,
             tally.record,
             lambda: self.forward_listener.count_open(),
+            self.supervisor.make_reporter('connections'),
         )
         # For requests of peers that can't reach the targets.
         self.forward_listener = listener.Listener(
@@ -125,6 +126,7 @@
             self._record_unanswered,
             tally.record,
             self.listener.count_open,
+            self.supervisor.make_reporter('connections'),
         )
         self._takes_forwarded = False
         # Readiness for the balancer and metrics for engineers are at two
@@ -408,8 +410,9 @@
         deadline = began + self.deployment.bounds.grace_s - EXIT_MARGIN_S
         self.listener.stop()
         self.forward_listener.stop()
-        self.gate.stop()
-        self.continuity.hand_over()
+        # An error in one step must not keep open requests from their end.
+        self._guard(self.gate.stop)
+        self._guard(self.continuity.hand_over)
         self.supervisor.spawn('leave', self.peering.leave())
         await asyncio.sleep(
             min(STOP_NOTICE_S, self.deployment.bounds.grace_s / 2)
--- a/landingspool/gateway/listener.py
+++ b/landingspool/gateway/listener.py
@@ -183,6 +183,9 @@
     count_others : callable, optional
         Returns the number of connections of other listeners that count
         towards `max_connections`.
+    on_error : callable, optional
+        ``on_error(exception)`` if a request can't be read or a connection not
+        be served for an unexpected error.
 
     Attributes
     ----------
@@ -200,6 +203,7 @@
         on_unanswered,
         on_closed,
         count_others=lambda: 0,
+        on_error=http.raise_to_loop,
     ):
         self._handle = handle
         self._get_limits = get_limits
@@ -207,6 +211,7 @@
         self._on_unanswered = on_unanswered
         self._on_closed = on_closed
         self._count_others = count_others
+        self._on_error = on_error
         self._server = None
         # The connection that each task serves.
         self._tasks = {}
@@ -344,6 +349,10 @@
             # of which nothing was handled yet.
             reason = closings.Reason.RESET
             connection.abort()
+        except Exception as error:
+            reason = closings.Reason.BROKEN_OFF
+            self._on_error(error)
+            connection.abort()
         finally:
             if task in self._served:
                 self._record_closing(connection, reason, task)
@@ -381,6 +390,12 @@
         except http.BadRequest as error:
             await refuse(connection, error)
             return closings.Reason.UNREADABLE
+        except (OSError, h11.ProtocolError):
+            raise
+        except Exception as error:
+            self._on_error(error)
+            await refuse(connection, http.BadRequest(500, 'fault'))
+            return closings.Reason.UNREADABLE
         if read is None:
             return closings.Reason.CALLER
         codec, request, body = read
--- a/landingspool/supervisor.py
+++ b/landingspool/supervisor.py
@@ -15,9 +15,9 @@
 import typing
 
 # Pause before a failed task is started again, seconds; doubled at each failure
-# up to the maximum, which is below the ages at which proofs expire.
+# up to the maximum, which is below the bounds for tables and leaving targets.
 FIRST_PAUSE_S = 0.1
-MAX_PAUSE_S = 3.2
+MAX_PAUSE_S = 1.6
 # Seconds for which a task has to run until its next pause is the first again.
 RUN_WELL_S = 10.0
 # Innermost stack frames in a log line, and characters of the reason.
