--- a/tests/gateway/test_silent_tasks.py
+++ b/tests/gateway/test_silent_tasks.py
@@ -168,3 +168,165 @@
         assert (await site.ask(hub, '/safe/a')).status == 200
 
     site.run_on_boot_clock(check)
+
+
+def test_planned_orders_are_withdrawn_if_the_claim_fails(monkeypatch):
+    async def check(deployment):
+        hub = await deployment.start_box()
+        calls = fail_first(
+            monkeypatch, site.hub_module.ordering.Orderer, '_claim', 1
+        )
+        deployment.store.put(
+            'keyed.op', 'version/m', {'model': 'm', 'version': 2}
+        )
+        # Far less than the time for which a planned order would hold a place.
+        await site.wait_until(
+            lambda: all(t.version == 2 for t in deployment.engines), 6.0
+        )
+        assert len(calls) > 1
+        assert [len(t.orders) for t in deployment.engines] == [1, 1]
+        assert list_faults(hub, 'orders')
+
+    site.run(check)
+
+
+def test_a_holder_whose_part_failed_claims_anew_before_it_orders(monkeypatch):
+    async def check(deployment):
+        for target in deployment.engines:
+            target.load_s = 0.8
+        hub = await deployment.start_box()
+        deployment.store.put(
+            'keyed.op', 'version/m', {'model': 'm', 'version': 2}
+        )
+        await site.wait_until(
+            lambda: any(t.orders for t in deployment.engines)
+        )
+        fail_first(
+            monkeypatch, site.hub_module.ordering.Orderer, '_plan_orders', 1
+        )
+        await site.wait_until(
+            lambda: all(t.version == 2 for t in deployment.engines), 9.0
+        )
+        assert [len(t.orders) for t in deployment.engines] == [1, 1]
+        names = [event.name for event in hub.recorder.select()]
+        assert names.index('lease_lost') > names.index('fault')
+        assert names.count('holding') == 2
+
+    site.run(check)
+
+
+def test_the_contents_of_a_store_that_are_half_applied_are_read_anew(
+    monkeypatch,
+):
+    async def check(deployment):
+        keeper, address = await site.start_keeper([])
+        try:
+            hub = await deployment.start_box()
+            deployment.publish(site.make_store_table(2, address))
+            known = hub.view.context_index
+            await site.wait_until(lambda: known.get(address) is not None)
+            lists = fail_first(monkeypatch, hub.runners, 'read_list', 0)
+            real = site.hub_module.cache_follower.context_index.trim
+            failed = []
+
+            def trim(cached):
+                if not failed:
+                    failed.append(cached)
+                    fail()
+                return real(cached)
+
+            monkeypatch.setattr(
+                site.hub_module.cache_follower.context_index, 'trim', trim
+            )
+            await site.wait_until(lambda: failed and lists, RETURN_S)
+            await site.wait_until(lambda: known.get(address) is not None)
+            assert list_faults(hub, 'cache_events')
+        finally:
+            await keeper.close()
+
+    site.run(check, engines=0)
+
+
+def test_one_store_of_a_peer_that_raises_leaves_the_others_followed(
+    monkeypatch,
+):
+    async def check(deployment):
+        hub = await deployment.start_box()
+        follower = hub.cache_follower
+        names = ['10.0.0.1:1', '10.0.0.2:2']
+        update = site.hub_module.cache_follower.context_index.CacheUpdate(
+            1, 1, False, (), clock_ms=1.0
+        )
+
+        async def fetch(peer, stores):
+            asked.append(list(stores))
+            return dict.fromkeys(stores, update)
+
+        asked, taken = [], []
+        monkeypatch.setattr(follower, '_fetch_changes', fetch)
+        monkeypatch.setattr(
+            follower,
+            '_apply',
+            lambda name, *args: (
+                fail() if name == names[0] else taken.append(name)
+            ),
+        )
+        hub.view.table = hub.view.table._replace(
+            context_stores=dict.fromkeys(names)
+        )
+        for _ in range(2):
+            await follower._ask_peer(None)
+        assert taken == [names[1]] * 2
+        assert asked == [names, names[1:]]
+        assert list_faults(hub, 'cache_events')
+
+    site.run(check)
+
+
+def test_a_box_registers_itself_though_the_list_of_boxes_raises(monkeypatch):
+    async def check(deployment):
+        calls = fail_first(
+            monkeypatch, registry.Registry, '_apply_list', ALWAYS
+        )
+        hub = await deployment.start_box()
+        topic = deployment.store.topic('keyed.boxes')
+        await site.wait_until(lambda: topic.end)
+        assert calls
+        assert hub.peering._registry.listed.is_set()
+        await asyncio.sleep(0.5)
+        assert topic.end == 1
+
+    site.run(check)
+
+
+def test_a_peer_whose_record_raises_stays_known(monkeypatch):
+    async def check(deployment):
+        hub = await deployment.start_box()
+        known = registry.Peer('odd', hub.deployment.links, 'd1')
+        hub.peering.peers['odd'] = known
+        real = registry.read_peer
+        monkeypatch.setattr(
+            registry,
+            'read_peer',
+            lambda name, value: fail() if name == 'odd' else real(name, value),
+        )
+        deployment.store.put('keyed.boxes', 'odd', {})
+        row = registry.write_peer(hub.deployment.links, 'd1', 5.0)
+        deployment.store.put('keyed.boxes', 'next', row)
+        hub.peering._registry.read_soon()
+        await site.wait_until(lambda: 'next' in hub.peering.peers)
+        assert hub.peering.peers['odd'] == known
+        assert list_faults(hub, 'boxes')
+
+    site.run(check)
+
+
+def test_an_owner_whose_answer_raises_counts_as_silent(monkeypatch):
+    async def check(deployment):
+        hub = await deployment.start_box()
+        monkeypatch.setattr(site.hub_module.continuity.boxcalls, 'fetch', fail)
+        peer = registry.Peer('odd', hub.deployment.links, 'd1')
+        assert await hub.continuity._try_ask(peer, b'') is None
+        assert list_faults(hub, 'owners')
+
+    site.run(check)
