--- a/landingspool/gateway/hub.py
+++ b/landingspool/gateway/hub.py
@@ -164,7 +164,7 @@
         # Each is called even if another one fails.
         self.timer.subscribe_stall(self._record_stall)
         self.timer.subscribe_stall(self._exclude_stall)
-        self.timer.subscribe_stall(lambda stall: self.gate.void())
+        self.timer.subscribe_stall(self._void_admissions)
         self.timer.subscribe_stall(self.sources.exclude_stall)
         self.timer.subscribe_stall(self.resumption.begin)
         self.timer.subscribe(FLEET_CHECK_PERIOD_S, self._check_fleet)
@@ -284,6 +284,9 @@
         """Correct the ages of what is known for a stall of this process."""
         stalls.exclude_stall(self.view, stall.seconds, stall.now)
 
+    def _void_admissions(self, stall):
+        self.gate.void()
+
     def _check_fleet(self, tick):
         self._guard(self._drop_lapsed, tick.now)
         self._guard(self.crash_records.check)
--- a/landingspool/http.py
+++ b/landingspool/http.py
@@ -217,13 +217,13 @@
         MAX_EARLY_BYTES; from then on only a reset is noticed.
         """
         early_bytes = 0
-        while early_bytes < MAX_EARLY_BYTES:
-            data = await self._reader.read(READ_BYTES)
-            if not data:
-                return
-            early_bytes += len(data)
-            self._conn.receive_data(data)
         with contextlib.suppress(OSError):
+            while early_bytes < MAX_EARLY_BYTES:
+                data = await self._reader.read(READ_BYTES)
+                if not data:
+                    return
+                early_bytes += len(data)
+                self._conn.receive_data(data)
             await self._writer.wait_closed()
 
     def _write(self, event):
--- a/tests/test_own_interface_parts.py
+++ b/tests/test_own_interface_parts.py
@@ -1,16 +1,25 @@
 """An error in one part of a box with its own interface ends no other."""
 
 import asyncio
+import gc
+import socket
 
 import pytest
 
 from landingspool.callers import server as callers_server
+from landingspool import connection
 from landingspool import core
+from landingspool import daemon as daemon_module
 from landingspool.decisions import configuration
+from landingspool import http
+from landingspool import httpclient
 from landingspool.ledger import claimer
 from landingspool.ledger import follower
 from landingspool.ledger import live
+from landingspool.operators import server as operators
+from landingspool import settings as settings_module
 from tests.virtual import stories
+from tests.virtual import world as world_module
 
 ALWAYS = 10**6
 # The kept tasks, and what is called in each of their rounds.
@@ -187,3 +196,95 @@
     stored = serving.answer_cache.find('key').result()
     assert stored.status == 500
     assert b'may_have_run' in stored.body
+
+
+def make_daemon():
+    """Return a daemon whose platform can't be reached."""
+    at = {'host': '127.0.0.1', 'port': 1}
+    raw = {
+        'box': {'name': 'one', 'domain': 'd'},
+        'callers': at,
+        'operators': {**at, 'key': world_module.OPERATOR_KEY},
+        'links': {**at, 'secret': world_module.SECRET},
+        'platform': dict.fromkeys(world_module.PLATFORM, at),
+    }
+    settings, errors = settings_module.check(raw)
+    assert not errors
+    return daemon_module.Daemon(settings)
+
+
+@pytest.mark.parametrize(
+    ('routes', 'server', 'call', 'task'),
+    [
+        (
+            callers_server.ROUTES,
+            'caller_server',
+            ('POST', '/v1/completions'),
+            'caller_requests',
+        ),
+        (
+            operators.ROUTES,
+            'operator_server',
+            ('GET', '/admin/status'),
+            'operator_requests',
+        ),
+    ],
+)
+def test_each_server_answers_a_request_whose_handling_failed(
+    routes, server, call, task, monkeypatch
+):
+    async def fail(owner, request, exchange):
+        raise RecursionError('made by the test')
+
+    async def check():
+        daemon = make_daemon()
+        client = httpclient.Client()
+        monkeypatch.setitem(routes, call, fail)
+        address = await getattr(daemon, server).start('127.0.0.1', 0)
+        key = f'Bearer {world_module.OPERATOR_KEY}'
+        reply = await client.fetch(
+            address, *call, b'{}', [('authorization', key)]
+        )
+        client.close()
+        await getattr(daemon, server).close()
+        (event,) = daemon.box.recorder.select(task=task)
+        metrics = daemon.box.metrics.render().decode()
+        daemon.box.timer.close()
+        return reply, event, metrics
+
+    reply, event, metrics = asyncio.run(check())
+    assert reply.status == 500
+    assert reply.headers['connection'] == 'close'
+    assert reply.json()['error']['verdict'] == 'may_have_run'
+    assert event.name == 'fault'
+    assert f'task_failures_total{{task="{task}"}} 1.0' in metrics
+
+
+def test_a_caller_that_resets_its_connection_is_no_error_of_the_box():
+    async def check():
+        errors = []
+        loop = asyncio.get_running_loop()
+        loop.set_exception_handler(
+            lambda loop, context: errors.append(context)
+        )
+
+        async def handle(request, exchange):
+            gone = asyncio.ensure_future(exchange.wait_gone())
+            await asyncio.wait({gone})
+
+        server = http.Server(handle)
+        address = await server.start('127.0.0.1', 0)
+        _, writer = await asyncio.open_connection(*address)
+        writer.write(b'GET /a HTTP/1.1\r\nhost: h\r\n\r\n')
+        await asyncio.sleep(0.05)
+        writer.get_extra_info('socket').setsockopt(
+            socket.SOL_SOCKET, socket.SO_LINGER, connection.NO_LINGER
+        )
+        writer.transport.abort()
+        await asyncio.sleep(0.1)
+        await server.close()
+        gc.collect()
+        await asyncio.sleep(0)
+        return errors
+
+    assert asyncio.run(check()) == []
