--- a/landingspool/gateway/hub.py
+++ b/landingspool/gateway/hub.py
@@ -117,6 +117,7 @@
             tally.record,
             lambda: self.forward_listener.count_open(),
             deployment.bounds.table_s,
+            self.supervisor.make_reporter('connections'),
         )
         # For requests of peers that can't reach the targets.
         self.forward_listener = listener.Listener(
@@ -127,6 +128,7 @@
             tally.record,
             self.listener.count_open,
             deployment.bounds.table_s,
+            self.supervisor.make_reporter('connections'),
         )
         self._takes_forwarded = False
         # Readiness for the balancer and metrics for engineers are at two
@@ -164,7 +166,7 @@
         # Each is called even if another one fails.
         self.timer.subscribe_stall(self._record_stall)
         self.timer.subscribe_stall(self._exclude_stall)
-        self.timer.subscribe_stall(lambda stall: self.gate.void())
+        self.timer.subscribe_stall(self._void_admissions)
         self.timer.subscribe_stall(self.sources.exclude_stall)
         self.timer.subscribe_stall(self.resumption.begin)
         self.timer.subscribe(FLEET_CHECK_PERIOD_S, self._check_fleet)
@@ -281,6 +283,9 @@
         """Correct the ages of what is known for a stall of this process."""
         stalls.exclude_stall(self.view, stall.seconds, stall.now)
 
+    def _void_admissions(self, stall):
+        self.gate.void()
+
     def _check_fleet(self, tick):
         self._guard(self._drop_lapsed, tick.now)
         self._guard(self.crash_records.check)
@@ -407,8 +412,9 @@
         deadline = began + self.deployment.bounds.grace_s - EXIT_MARGIN_S
         self.listener.stop()
         self.forward_listener.stop()
-        self.gate.stop()
-        self.continuity.hand_over()
+        # An error in one step must not keep open requests from their end.
+        self._guard(self.gate.stop)
+        self._guard(self.continuity.hand_over)
         self.supervisor.spawn('leave', self.peering.leave())
         await asyncio.sleep(
             min(STOP_NOTICE_S, self.deployment.bounds.grace_s / 2)
