--- a/tests/gateway/test_leaving_words.py
+++ b/tests/gateway/test_leaving_words.py
@@ -149,11 +149,20 @@
     async def check(deployment):
         hub = await deployment.start_box()
         for runner in deployment.engines:
-            runner.usual = 'stream'
+            runner.usual = 'queued stream'
+            runner.queue_s = LATER_S
         leaving, other = deployment.engines
+        works = asyncio.gather(
+            *(site.ask(hub, f'/stream/{n}') for n in range(12))
+        )
+        # Not before: answers to calls beside requests tell it as well.
+        await site.wait_until(
+            lambda: sum(len(r.heads) for r in deployment.engines) == 12
+        )
         leaving.leaving = True
-        works = [site.ask(hub, f'/stream/{n}') for n in range(12)]
-        got = await asyncio.gather(*works)
+        got = await works
+        for runner in deployment.engines:
+            runner.usual = 'stream'
         assert {answer.status for answer in got} == {200}
         assert all(answer.whole for answer in got)
         assert leaving.heads
