--- a/landingspool/supervisor.py
+++ b/landingspool/supervisor.py
@@ -20,9 +20,9 @@
 MAX_PAUSE_S = 1.6
 # Seconds for which a task has to run until its next pause is the first again.
 RUN_WELL_S = 10.0
-# Innermost stack frames in a log line, and characters of the reason.
+# Innermost stack frames in a log line, and characters of each of its texts.
 TRACE_FRAMES = 6
-MAX_REASON_CHARS = 200
+MAX_TEXT_CHARS = 200
 # Log lines for each name in a period; errors beyond are counted in the next.
 MAX_LINES = 10
 LINES_PERIOD_S = 10.0
@@ -129,7 +129,7 @@
             task=name,
             reason=describe(error),
             trace=list_frames(error),
-            **fields,
+            **{key: clip(value) for key, value in fields.items()},
         )
 
     def make_reporter(self, name):
@@ -224,6 +224,11 @@
     return error
 
 
+def clip(value):
+    """Return a field of a log line; a text has a bounded length."""
+    return value[:MAX_TEXT_CHARS] if isinstance(value, str) else value
+
+
 def describe(error):
     """Return the type and the text of an error, of bounded length.
 
@@ -234,7 +239,7 @@
         text = str(error)
     except Exception:
         text = 'no text'
-    return f'{type(error).__name__}: {text}'[:MAX_REASON_CHARS]
+    return clip(f'{type(error).__name__}: {text}')
 
 
 def list_frames(error):
--- a/tests/test_supervisor.py
+++ b/tests/test_supervisor.py
@@ -154,9 +154,11 @@
             raise ValueError('x' * 10_000)
 
         supervisor.guard('deep', descend, 200)
+        supervisor.report('key', ValueError('a'), key='x' * 10_000)
         supervisor.report('unprintable', Unprintable())
-        deep, unprintable = recorder.select()
+        deep, key, unprintable = recorder.select()
         assert len(str(deep.fields)) < 1000
+        assert len(str(key.fields)) < 1000
         assert deep.fields['trace'][-1].endswith('descend')
         assert unprintable.fields['reason'] == 'Unprintable: no text'
 
