--- a/landingspool/gateway/following.py
+++ b/landingspool/gateway/following.py
@@ -10,6 +10,7 @@
 import asyncio
 import dataclasses
 
+from landingspool.decisions import decoding
 from landingspool.decisions.gateway import order_claims
 from landingspool.decisions.gateway import tail as tail_module
 from landingspool.gateway import resumption
@@ -173,9 +174,16 @@
     def _apply_newest(self, newest):
         self._passed_over.clear()
         self._apply_records(newest.records)
+        self._log_undecoded(newest)
         self._replace_known(newest)
         self._finish_read(newest.sent)
 
+    def _log_undecoded(self, newest):
+        for reason in newest.passed_over:
+            self._hub.recorder.record(
+                'malformed', key=self.topic, reason=reason
+            )
+
     def _replace_known(self, newest):
         """Drop what is no longer in the newest records."""
 
@@ -296,7 +304,7 @@
                 self._hub.state.take_table(record.value)
             elif record.key.startswith(names.VERSION_KEY):
                 self._take_version(record.value)
-        except catalogue.Malformed as error:
+        except decoding.Malformed as error:
             # The newest valid table stays in force.
             self._record_malformed(record, error)
 
@@ -406,7 +414,7 @@
             claim = catalogue.read_claim(
                 record.value, record.offset, self._hub.wall()
             )
-        except catalogue.Malformed as error:
+        except decoding.Malformed as error:
             self._record_malformed(record, error)
             return
         if self._watch.end is not None:
--- a/landingspool/gateway/listener.py
+++ b/landingspool/gateway/listener.py
@@ -10,6 +10,7 @@
 from landingspool import connection as connection_module
 from landingspool.gateway import closings
 from landingspool.gateway import heads
+from landingspool.gateway import persistence
 from landingspool import http
 
 BACKLOG = 512
@@ -21,6 +22,12 @@
 ACCEPT_TURNS = 5
 # Seconds in which cancelled connections may finish when the listener closes.
 CANCEL_TIMEOUT_S = 0.05
+# Sent before a connection at rest is closed.  A request that crosses the close
+# has not run, and this is its answer (RFC 9110, 15.5.9).
+REST_OVER = (
+    b'HTTP/1.1 408 Request Timeout\r\n'
+    b'content-length: 0\r\nconnection: close\r\n\r\n'
+)
 REASONS = {
     400: b'Bad Request',
     401: b'Unauthorized',
@@ -47,6 +54,9 @@
         Returns whether the answer should have ``Connection: close``.
     method : bytes
         Of the request: the answer to HEAD has no body.
+    kept : tuple of bytes, optional
+        Header row that says for how long the connection is kept; without it
+        nothing is announced.
 
     Attributes
     ----------
@@ -56,11 +66,12 @@
         Whether the answer was broken off.
     """
 
-    def __init__(self, codec, connection, is_closing, method=b''):
+    def __init__(self, codec, connection, is_closing, method=b'', kept=None):
         self._codec = codec
         self._connection = connection
         self._is_closing = is_closing
         self._method = method
+        self._kept = kept
         self.started = False
         self.broken = False
 
@@ -105,9 +116,17 @@
         await self._write(self._codec.send(h11.EndOfMessage()))
 
     def abort(self):
-        """Reset the connection, so that the answer doesn't look complete."""
+        """Close the connection, so that the answer doesn't look complete.
+
+        Without a length or chunks, as for HTTP/1.0, a close in order would be
+        the end of the answer, and only a reset tells that it is broken off.
+        """
         self.broken = True
-        self._connection.abort()
+        version = self._codec.their_http_version
+        if version is not None and version < b'1.1':
+            self._connection.reset()
+        else:
+            self._connection.abort()
 
     async def fail(self):
         """Send 500, or break off an answer that has been started."""
@@ -142,6 +161,8 @@
         rows = list(headers)
         if self._is_closing():
             rows.append((b'connection', b'close'))
+        elif self._kept and self._codec.their_state is not h11.MUST_CLOSE:
+            rows.append(self._kept)
         reason = REASONS.get(status, b'')
         return self._codec.send(
             h11.Response(status_code=status, headers=rows, reason=reason)
@@ -183,6 +204,8 @@
     count_others : callable, optional
         Returns the number of connections of other listeners that count
         towards `max_connections`.
+    margin_s : float, optional
+        Seconds for which callers may know of a newer configuration.
     on_error : callable, optional
         ``on_error(exception)`` if a request can't be read or a connection not
         be served for an unexpected error.
@@ -203,6 +226,7 @@
         on_unanswered,
         on_closed,
         count_others=lambda: 0,
+        margin_s=0.0,
         on_error=http.raise_to_loop,
     ):
         self._handle = handle
@@ -211,12 +235,13 @@
         self._on_unanswered = on_unanswered
         self._on_closed = on_closed
         self._count_others = count_others
+        self._margin_s = margin_s
         self._on_error = on_error
         self._server = None
         # The connection that each task serves.
         self._tasks = {}
-        # Requests answered so far on the connection of each task.
-        self._served = {}
+        # The persistence of the connection of each task.
+        self._uses = {}
         # Tasks that have begun to receive a request and not ended its answer.
         self._busy = set()
         # Tasks that wait for a request, the longest wait first: for the
@@ -279,7 +304,7 @@
             return
         task = asyncio.ensure_future(self._serve(connection))
         self._tasks[task] = connection
-        self._served[task] = 0
+        self._uses[task] = self._make_use()
         self._unused[task] = self._begin_wait(connection)
         task.add_done_callback(self._forget)
 
@@ -292,22 +317,33 @@
         """Close a connection at rest at once: no request is read any more."""
         self._record_closing(connection, reason, task)
         self._end_wait(task)
+        connection.write(REST_OVER)
         connection.close()
         task.cancel()
 
     def _record_closing(self, connection, reason, task=None):
-        row = self._unused.get(task) or self._kept.get(task)
-        now = asyncio.get_running_loop().time()
+        use = self._uses.pop(task, None) or self._make_use()
         self._on_closed(
             closings.Closing(
                 reason,
                 connection.count_unread(),
-                self._served.pop(task, 0),
-                now - row.since if row is not None else 0.0,
-                self._get_limits().idle_s,
+                use.served,
+                self._measure_wait(task),
+                use.compute_limit(self._get_limits()),
+                use.longest_rest_s,
+                connection.peer,
             )
         )
 
+    def _make_use(self):
+        return persistence.Persistence(self._margin_s)
+
+    def _measure_wait(self, task):
+        """Return the seconds for which a task has waited for a request."""
+        row = self._unused.get(task) or self._kept.get(task)
+        now = asyncio.get_running_loop().time()
+        return now - row.since if row is not None else 0.0
+
     def _begin_wait(self, connection):
         now = asyncio.get_running_loop().time()
         return Waiting(connection, now)
@@ -335,7 +371,7 @@
     def _forget(self, task):
         self._busy.discard(task)
         self._end_wait(task)
-        self._served.pop(task, None)
+        self._uses.pop(task, None)
         del self._tasks[task]
 
     async def _serve(self, connection):
@@ -354,7 +390,7 @@
             self._on_error(error)
             connection.abort()
         finally:
-            if task in self._served:
+            if task in self._uses:
                 self._record_closing(connection, reason, task)
             connection.close()
 
@@ -365,7 +401,7 @@
             reason = await self._serve_one(connection)
             if reason is not None:
                 return reason
-            self._served[task] += 1
+            self._uses[task].served += 1
             self._busy.discard(task)
             self._kept[task] = self._begin_wait(connection)
 
@@ -377,16 +413,21 @@
         closings.Reason or None
             None if the next request may be waited for.
         """
-        if not await heads.wait_for_request(connection, self._get_limits):
-            return (
-                closings.Reason.CALLER
-                if connection.closed
-                else closings.Reason.IDLE
-            )
-        self._busy.add(asyncio.current_task())
-        self._end_wait(asyncio.current_task())
+        task = asyncio.current_task()
+        use = self._uses[task]
+        if not await heads.wait_for_request(
+            connection, lambda: use.compute_limit(self._get_limits())
+        ):
+            if connection.closed:
+                return closings.Reason.CALLER
+            connection.write(REST_OVER)
+            return closings.Reason.IDLE
+        use.record_request(self._measure_wait(task))
+        self._busy.add(task)
+        self._end_wait(task)
+        limits = self._get_limits()
         try:
-            read = await heads.read_request(connection, self._get_limits())
+            read = await heads.read_request(connection, limits)
         except http.BadRequest as error:
             await refuse(connection, error)
             return closings.Reason.UNREADABLE
@@ -399,7 +440,13 @@
         if read is None:
             return closings.Reason.CALLER
         codec, request, body = read
-        reply = Reply(codec, connection, lambda: self.stopping, request.method)
+        reply = Reply(
+            codec,
+            connection,
+            lambda: self.stopping,
+            request.method,
+            use.announce(limits),
+        )
         try:
             await self._answer(connection, request, body, reply)
         except Exception as error:
@@ -411,6 +458,8 @@
         is_over = self._closing and connection.is_at_rest
         if reply.is_reusable and not is_over:
             return None
+        if reply.is_reusable:
+            connection.write(REST_OVER)
         return self._explain_end(connection, reply)
 
     def _explain_end(self, connection, reply):
--- a/landingspool/gateway/state.py
+++ b/landingspool/gateway/state.py
@@ -10,10 +10,12 @@
 
 import msgspec
 
+from landingspool.decisions import decoding
 from landingspool.decisions.gateway import fleet as fleet_module
 from landingspool.decisions.gateway import peer_digests
 from landingspool.decisions.gateway import readers
 from landingspool.platform import catalogue
+from landingspool.platform import names
 from landingspool import timeouts
 
 
@@ -50,11 +52,11 @@
         The versions of weights that boxes have to know, with their ages.
     """
 
-    proof_s: float
+    proof_s: decoding.Age
     table: bytes | None
-    versions: dict[str, int]
+    versions: dict[str, decoding.Count]
     targets: dict[str, bytes]
-    targets_end: int
+    targets_end: decoding.Count
     evacuated: list[str] = []
     endings: list[peer_digests.CrashNotice] = []
     limits: list[peer_digests.LimitNotice] = []
@@ -91,7 +93,7 @@
 
         Raises
         ------
-        catalogue.Malformed
+        decoding.Malformed
         """
         table = catalogue.read_table(value)
         if self._view.put_table(table):
@@ -103,6 +105,10 @@
                 version=table.version,
                 proof_s=self._view.proof.age_to_log(self._hub.clock()),
             )
+            for reason in table.passed_over:
+                self._hub.recorder.record(
+                    'malformed', key=names.TABLE_KEY, reason=reason
+                )
 
     async def wait_for_table(self, seconds):
         """Wait until the first table is in force, for `seconds` at most."""
@@ -141,7 +147,14 @@
             self._view.exclusions.leaving.take(notice, '', sent)
         if snapshot.table is None:
             return
-        self.take_table(snapshot.table)
+        try:
+            self.take_table(snapshot.table)
+        except decoding.Malformed as error:
+            # Without its table nothing else of it is proved.
+            self._hub.recorder.record(
+                'malformed', key=names.TABLE_KEY, reason=str(error)
+            )
+            return
         if sent - snapshot.proof_s > now - self._view.proof.age(now):
             # The peer's list of evacuations is newer than this box's own.
             self.set_evacuated(snapshot.evacuated)
@@ -285,7 +298,7 @@
         """
         try:
             entry = catalogue.read_entry(target, value)
-        except catalogue.Malformed as error:
+        except decoding.Malformed as error:
             self._hub.recorder.record(
                 'malformed', key=target, reason=str(error)
             )
--- a/standins/behaviours.py
+++ b/standins/behaviours.py
@@ -14,6 +14,12 @@
 FATAL_S = 0.05
 # Seconds for which a target that is sound falls silent.
 SILENCE_S = 1.3
+# Seconds after which a late behaviour is shown, longer than attempts.ACCEPT_S.
+LATE_S = 0.4
+# Size of an answer that is forwarded before its end has come, and of the part
+# that comes.
+LONG_BYTES = 600 * 1024
+PART_BYTES = 400 * 1024
 
 
 def behaviour(name):
@@ -436,3 +442,28 @@
 SURPLUS_TIMES = 'at once', 'soon', 'late'
 register_surplus('echo', make_echo, True)
 register_surplus('shed', make_shed, False)
+
+
+@behaviour('long answer broken off')
+async def answer_long_broken(runner, head, body, reader, writer):
+    """Run, and close within an answer that is forwarded as it comes."""
+    runner.run(head, body)
+    whole = make_answer(runner, head, 200, b'x' * LONG_BYTES)
+    writer.write(whole[:PART_BYTES])
+    await writer.drain()
+    await asyncio.sleep(0.2)
+    writer.transport.abort()
+    return True
+
+
+def register_late(name):
+    """Register a behaviour that is shown after LATE_S."""
+
+    @behaviour(f'late {name}')
+    async def answer(runner, head, body, reader, writer):
+        await asyncio.sleep(LATE_S)
+        return await BEHAVIOURS[name](runner, head, body, reader, writer)
+
+
+for late in ('shed', 'failure', 'closed', 'stream', 'nonsense'):
+    register_late(late)
--- a/tests/gateway/test_replacements.py
+++ b/tests/gateway/test_replacements.py
@@ -6,9 +6,15 @@
 
 from landingspool.gateway import attempts
 from landingspool.gateway import upstream
+from standins import behaviours
 from tests.gateway import site
+from tests.gateway import test_begun_streams
+from tests.gateway import test_forwarder
 from tests.gateway import test_relay
 
+# Id of a request that a box forwards.
+NAME = 'forwarded'
+
 
 async def ask_stream(hub):
     return await site.ask(hub, '/resumed/a', headers=test_relay.PROMPT)
@@ -203,6 +209,98 @@
     site.run(check)
 
 
+# What the second target shows after a silent one, and the answer's status.
+SECOND = (
+    ('late shed', 200),
+    ('late failure', 500),
+    ('late shed, shed', 502),
+)
+
+
+@pytest.mark.parametrize(('second', 'status'), SECOND)
+def test_request_goes_back_to_an_engine_that_it_left_for_one_that_rejects_it(
+    second, status
+):
+    async def check(deployment):
+        hub = await deployment.start_box()
+        safe = {**site.ROUTES['safe'], 'service': 'engine'}
+        deployment.publish(site.make_table(2, routes={'safe': safe}))
+        await site.wait_until(lambda: hub.view.table.version == 2)
+        test_begun_streams.script(deployment, 'silent', *second.split(', '))
+        got = await site.ask(hub, '/safe/a', headers=test_relay.PROMPT)
+        assert got.status == status
+        reached = [t for t in deployment.engines if t.heads]
+        assert len(reached) <= safe['max_attempts']
+        arrivals = sum(len(target.heads) for target in deployment.engines)
+        repeats = hub.view._get_retry_budget('engine')._repeats
+        assert len(repeats) == arrivals - 1
+        assert not hub.view.loads.list_targets()
+        assert not hub.view.crashes.bars._under_way
+
+    site.run(check, engines=4)
+
+
+BESIDE = (
+    # what plain targets show in turn -> those that were left
+    ('late, silent', 1),
+    ('late, late closed', 0),
+    ('silent, slow', 1),
+    ('silent, silent, whole', 2),
+)
+
+
+@pytest.mark.parametrize(('names', 'left'), BESIDE)
+def test_request_stays_at_a_silent_target_until_another_one_answers(
+    names, left
+):
+    async def check(deployment):
+        hub = await deployment.start_box()
+        safe = {**site.ROUTES['safe'], 'max_attempts': 3}
+        deployment.publish(site.make_table(2, routes={'safe': safe}))
+        await site.wait_until(lambda: hub.view.table.version == 2)
+        shared = names.split(', ')
+        for target in deployment.plain:
+            target.script = shared
+        arrivals = len(shared)
+        got = await site.ask(hub, '/safe/a')
+        assert got.status == 200
+        assert (
+            sum(len(target.heads) for target in deployment.plain) == arrivals
+        )
+        repeats = hub.view._get_retry_budget('plain')._repeats
+        assert len(repeats) == arrivals - 1
+        await site.wait_until(
+            lambda: sum(t.cancelled for t in deployment.plain) == left
+        )
+        assert not hub.view.loads.list_targets()
+
+    site.run(check, plain=3)
+
+
+def test_request_stays_at_a_silent_box_until_another_one_answers():
+    async def answer_late(reader, writer):
+        name = NAME.encode()
+        await asyncio.sleep(1.3)
+        writer.write(
+            b'HTTP/1.1 200 X\r\ncontent-length: 4\r\n'
+            b'x-landingspool-request-id: %s\r\n'
+            b'x-landingspool-response-stamp: s\r\n\r\ndone' % name
+        )
+
+    async def check(deployment):
+        hub, (first, _) = await test_forwarder.start_cut_box(deployment)
+        for target in deployment.plain:
+            target.script = ['late shed', 'late shed']
+        name = first.deployment.box
+        async with test_forwarder.fake_peer(hub, name, answer_late):
+            got = await site.ask(hub, '/safe/a', name=NAME)
+        assert got.status == 200
+        assert sum(len(target.heads) for target in deployment.plain) == 1
+        assert not hub.view.forwarding.under_way
+
+    site.run(check)
+
+
 def test_repeats_kept_back_for_want_of_budget_are_counted():
     async def check(deployment):
         hub = await deployment.start_box(retry_ratio=0.0, retry_slack=0.0)
@@ -241,3 +339,40 @@
         assert not hub.recorder.counts['stream_waits']
 
     site.run(check)
+
+
+# Seconds after which a silent target closes: its replacement has begun.
+CLOSED_S = 0.95
+# Seconds after which the replacement answers.
+REPLACED_S = 0.22
+
+
+@behaviours.behaviour('closed after a silence')
+async def close_late(runner, head, body, reader, writer):
+    runner.run(head, body)
+    await asyncio.sleep(CLOSED_S)
+    return True
+
+
+@behaviours.behaviour('answered after a while')
+async def answer_after_a_while(runner, head, body, reader, writer):
+    runner.run(head, body)
+    await asyncio.sleep(REPLACED_S)
+    behaviours.write_answer(runner, head, writer, 200, b'done')
+
+
+@pytest.mark.parametrize('service', ['plain', 'engine'])
+def test_a_target_that_closes_ends_no_attempt_at_its_replacement(service):
+    async def check(deployment):
+        routes = {**site.ROUTES, 'safe': {**site.ROUTES['safe']}}
+        routes['safe']['service'] = service
+        hub = await deployment.start_box()
+        deployment.publish(site.make_table(2, routes=routes))
+        await site.wait_until(lambda: hub.view.table.version == 2)
+        shared = ['closed after a silence', 'answered after a while']
+        for target in (*deployment.plain, *deployment.engines):
+            target.script = shared
+        got = await site.ask(hub, '/safe/a')
+        assert (got.status, got.whole) == (200, True)
+
+    site.run(check)
--- a/tests/gateway/test_unanswered.py
+++ b/tests/gateway/test_unanswered.py
@@ -12,6 +12,7 @@
 from landingspool import connection as connection_module
 from landingspool.gateway import closings
 from landingspool.gateway import listener
+from landingspool.gateway import persistence
 from landingspool.platform import answers
 from landingspool.platform import ingress
 from landingspool import timeouts
@@ -183,7 +184,7 @@
             await site.wait_until(lambda: connections)
             began = hub.clock()
             await hub.listener.close(1.0)
-            assert await reader.read() == b''
+            assert await reader.read() == listener.REST_OVER
             assert hub.clock() - began < 0.5
         late = connection_module.Connection()
         late.connection_made(mock.Mock())
@@ -321,7 +322,7 @@
             writer.write(write_request())
             assert await read_statuses(reader) == [200]
             began = hub.clock()
-            assert await reader.read() == b''
+            assert await reader.read() == listener.REST_OVER
             waited_s = hub.clock() - began - hub.deployment.bounds.table_s
             assert 0.8 < waited_s < 1.3
 
@@ -398,6 +399,9 @@
         return limits._replace(idle_s=0.05)
 
     monkeypatch.setattr(hub.listener, '_get_limits', get_limits)
+    monkeypatch.setattr(
+        persistence.Persistence, 'compute_limit', lambda _, new: new.idle_s
+    )
 
 
 async def close_by_displacement(hub, send, monkeypatch):
