--- a/tests/gateway/test_silent_tasks.py
+++ b/tests/gateway/test_silent_tasks.py
@@ -330,3 +330,33 @@
         assert list_faults(hub, 'owners')
 
     site.run(check)
+
+
+def test_a_state_of_a_peer_that_raises_is_asked_for_again(monkeypatch):
+    async def check(deployment):
+        hub = await deployment.start_box()
+        module = site.hub_module.peering
+        tell = module.peer_digests.ProofReply('odd', 1, 99, 0.0)
+        calls = fail_first(monkeypatch, module.boxcalls, 'fetch', ALWAYS)
+        for count in (1, 2):
+            hub.peering._asked_at = {1: hub.clock()}
+            hub.peering._receive_tell(tell, hub.deployment.links)
+            await site.wait_until(lambda count=count: len(calls) == count)
+            await site.wait_until(lambda: not hub.peering._fetching)
+        assert len(list_faults(hub, 'state')) == 2
+
+    site.run(check)
+
+
+def test_a_box_whose_groups_fail_does_not_count_as_gone(monkeypatch):
+    async def check(deployment):
+        monkeypatch.setattr(
+            site.hub_module.peering.Peering, '_update_groups', fail
+        )
+        first, second = await site.start_boxes(deployment, 2)
+        await asyncio.sleep(1.5)
+        now = second.clock()
+        assert 'box0' in second.view.peer_digests.list_fresh_peers(now)
+        assert list_faults(first, 'groups')
+
+    site.run(check)
--- a/tests/gateway/test_supervision.py
+++ b/tests/gateway/test_supervision.py
@@ -38,11 +38,11 @@
     """Have a method fail `times` times; return the list of its calls."""
     real, calls = getattr(owner, method), []
 
-    def call(*args):
+    def call(*args, **kwargs):
         calls.append(args)
         if len(calls) <= times:
             fail()
-        return real(*args)
+        return real(*args, **kwargs)
 
     monkeypatch.setattr(owner, method, call)
     return calls
