--- a/landingspool/gateway/listener.py
+++ b/landingspool/gateway/listener.py
@@ -136,6 +136,10 @@
         # The codec refuses all further events after one that it can't send.
         self._codec = h11.Connection(h11.SERVER)
         self._is_closing = lambda: True
+        if self._method == b'HEAD':
+            # The new codec doesn't know that the answer has no body.
+            await self.send_complete(500, (), b'')
+            return
         await self.send_error(500, 'fault')
 
     @property
--- a/tests/gateway/test_unanswered.py
+++ b/tests/gateway/test_unanswered.py
@@ -99,6 +99,19 @@
     site.run(check, plain=1)
 
 
+@pytest.mark.parametrize('method', ['GET', 'HEAD', 'POST'])
+def test_a_fault_is_answered_for_each_method(monkeypatch, method):
+    async def check(deployment):
+        hub = await deployment.start_box()
+        fails = mock.Mock(side_effect=ValueError)
+        monkeypatch.setattr(ingress, 'read_call', fails)
+        body = 'x' if method == 'POST' else ''
+        statuses = await ask(hub, method=method, body=body)
+        assert statuses == [500]
+
+    site.run(check)
+
+
 @pytest.mark.parametrize(
     'error', [ValueError, TimeoutError, OSError, asyncio.CancelledError]
 )
