--- a/landingspool/gateway/listener.py
+++ b/landingspool/gateway/listener.py
@@ -22,8 +22,9 @@
 ACCEPT_TURNS = 5
 # Seconds in which cancelled connections may finish when the listener closes.
 CANCEL_TIMEOUT_S = 0.05
-# Sent before a connection at rest is closed.  A request that crosses the close
-# has not run, and this is its answer (RFC 9110, 15.5.9).
+# Sent before a connection at rest is closed, or one that gets no place.  A
+# request that crosses the close has not run, and this is its answer (RFC 9110,
+# 15.5.9).
 REST_OVER = (
     b'HTTP/1.1 408 Request Timeout\r\n'
     b'content-length: 0\r\nconnection: close\r\n\r\n'
@@ -199,7 +200,7 @@
         Returns the routes.Limits in force.
     max_connections : int
         Concurrent connections.  A further one takes the place of one that
-        waits for a request, and is reset if there is none.
+        waits for a request, and is closed if there is none.
     on_unanswered : callable
         Called with a request that was read and the reason if its handler
         fails, so that its caller gets no whole answer.
@@ -310,6 +311,7 @@
     def _turn_away(self, connection, reason):
         """Close a connection that has just been opened."""
         self._record_closing(connection, reason)
+        connection.write(REST_OVER)
         connection.abort()
 
     def _end(self, task, connection, reason):
--- a/tests/gateway/test_close_at_rest.py
+++ b/tests/gateway/test_close_at_rest.py
@@ -106,3 +106,14 @@
             assert len(target.ran) == 1
 
     site.run(check, plain=1)
+
+
+def test_a_request_on_a_connection_that_is_turned_away_is_answered():
+    async def check(deployment):
+        hub = await deployment.start_box()
+        hub.listener._max_connections = 0
+        async with site.connect(hub) as (reader, writer):
+            writer.write(test_unanswered.write_request())
+            assert await test_unanswered.read_statuses(reader) == [408]
+
+    site.run(check, plain=1)
