--- a/landingspool/httpclient.py
+++ b/landingspool/httpclient.py
@@ -129,7 +129,7 @@
         now = self._clock()
         while self._idle[address]:
             stream, until = self._idle[address].pop()
-            if now < until and stream.connection.is_idle:
+            if now < until and stream.connection.is_at_rest:
                 return stream
             stream.connection.close()
         return None
--- a/tests/test_client.py
+++ b/tests/test_client.py
@@ -19,6 +19,8 @@
 TIMEOUT_S = 0.4
 # Seconds for which a peer keeps a connection, as it announces.
 KEPT_S = 1.0
+# Seconds after which a peer closes a connection without a word.
+RESTED_S = 0.1
 
 
 class Peer:
@@ -102,3 +104,31 @@
         server.close()
 
     asyncio.run(check())
+
+
+def test_no_call_is_sent_on_a_connection_that_ended_in_a_stall():
+    def serve(server):
+        for _ in range(2):
+            connection, _ = server.accept()
+            with connection:
+                connection.recv(4096)
+                connection.sendall(ANSWER)
+                time.sleep(RESTED_S)
+
+    async def check(address):
+        client = httpclient.Client()
+        for _ in range(2):
+            reply = await client.fetch(address, 'GET', '/')
+            assert reply.status == 200
+            # The end of the connection waits in the kernel.
+            time.sleep(2 * RESTED_S)
+        client.close()
+
+    with socket.create_server(('127.0.0.1', 0)) as server:
+        server.settimeout(2.0)
+        thread = threading.Thread(target=serve, args=(server,))
+        thread.start()
+        try:
+            asyncio.run(check(http.Address(*server.getsockname())))
+        finally:
+            thread.join()
