--- a/landingspool/http.py
+++ b/landingspool/http.py
@@ -17,6 +17,7 @@
 
 from landingspool import connection
 from landingspool import framing
+from landingspool import keep_alive
 from landingspool import timeouts
 from landingspool import verdict
 
@@ -30,6 +31,9 @@
 HEADER_TIMEOUT_S = 10.0
 BODY_TIMEOUT_S = 20.0
 IDLE_TIMEOUT_S = 60.0
+# Seconds for which a connection at rest is kept, as each answer announces:
+# less than the time-out, since a request sent at the end has to arrive.
+ANNOUNCED_S = 58
 # States of a server's codec once an answer is complete.
 FINISHED_STATES = (h11.DONE, h11.MUST_CLOSE, h11.CLOSED)
 PORT = re.compile('[0-9]{1,5}')
@@ -253,8 +257,19 @@
         with contextlib.suppress(OSError):
             await self._writer.wait_closed()
 
+    def _announce(self, head):
+        """Return the head with the time for which its connection is kept."""
+        rows = list(head.headers)
+        is_last = self._conn.their_state is not h11.DONE
+        if is_last or (b'connection', b'close') in rows:
+            return head
+        rows.append(keep_alive.write_row(ANNOUNCED_S))
+        return h11.Response(status_code=head.status_code, headers=rows)
+
     def _write(self, event):
         self.started = True
+        if isinstance(event, h11.Response):
+            event = self._announce(event)
         data = self._conn.send(event)
         if data:
             self.sent_bytes += len(data)
--- a/tests/test_server.py
+++ b/tests/test_server.py
@@ -6,6 +6,8 @@
 import pytest
 
 from landingspool import http
+from landingspool import httpclient
+from landingspool import keep_alive
 
 
 async def answer(request, exchange):
@@ -158,3 +160,18 @@
         await server.close()
 
     asyncio.run(check())
+
+
+def test_no_call_is_left_to_guess_when_an_own_server_closes():
+    async def check():
+        server = http.Server(answer)
+        address = await server.start('127.0.0.1', 0)
+        client = httpclient.Client()
+        reply = await client.fetch(address, 'GET', '/')
+        kept_s = keep_alive.read_seconds(reply.headers.get('keep-alive', ''))
+        assert kept_s is not None
+        assert kept_s < http.IDLE_TIMEOUT_S
+        client.close()
+        await server.close()
+
+    asyncio.run(check())
