--- a/tests/gateway/test_rest_review.py
+++ b/tests/gateway/test_rest_review.py
@@ -37,3 +37,16 @@
         assert second.status == (200 if count > 1 else 503)
 
     site.run(check)
+
+
+@pytest.mark.parametrize('count', [1, 2])
+@pytest.mark.parametrize('path', ['/unsafe/a', '/safe/a'])
+def test_a_request_forwarded_to_a_box_without_a_place_is_not_lost(path, count):
+    async def check(deployment):
+        hub, others = await test_forwarder.start_cut_box(deployment, count)
+        others[0].forward_listener._max_connections = 0
+        answers = [await site.ask(hub, path) for _ in range(6)]
+        status = 200 if count > 1 else 503
+        assert {answer.status for answer in answers} == {status}
+
+    site.run(check)
