--- a/landingspool/http.py
+++ b/landingspool/http.py
@@ -158,12 +158,18 @@
         Protocol state of the connection.
     reader, writer
         The asyncio streams of the connection.
+
+    Attributes
+    ----------
+    has_body : bool
+        Whether an answer has a body: that to HEAD has none.
     """
 
     def __init__(self, conn, reader, writer):
         self._conn = conn
         self._reader = reader
         self._writer = writer
+        self.has_body = True
         self.started = False
         self.sent_bytes = 0
 
@@ -181,7 +187,8 @@
         self._write(
             h11.Response(status_code=status, headers=[*framing, *headers])
         )
-        self._write(h11.Data(data=body))
+        if self.has_body:
+            self._write(h11.Data(data=body))
         await self.finish()
 
     async def start_stream(self, headers=()):
@@ -227,6 +234,10 @@
             return
         # The codec refuses all further events after one that it can't send.
         self._conn = h11.Connection(h11.SERVER)
+        if not self.has_body:
+            # The new codec doesn't know that the answer has no body.
+            await self.send_body(500, b'', 'application/json', headers)
+            return
         await self.send_json(500, value, headers)
 
     def abort(self):
@@ -346,6 +357,7 @@
                 request = await self._read_request(task, conn, reader, meter)
                 if request is None:
                     return
+                exchange.has_body = request.method != 'HEAD'
                 if not await self._handle_request(request, exchange):
                     return
             except BadRequest as error:
--- a/tests/test_server.py
+++ b/tests/test_server.py
@@ -175,3 +175,21 @@
         await server.close()
 
     asyncio.run(check())
+
+
+@pytest.mark.parametrize(('handle', 'status'), [(answer, 200), (fail, 500)])
+def test_a_head_request_is_answered_without_a_body(handle, status):
+    async def check():
+        server = http.Server(handle, on_error=lambda error: None)
+        address = await server.start('127.0.0.1', 0)
+        reader, writer = await asyncio.open_connection(*address)
+        writer.write(
+            b'HEAD / HTTP/1.1\r\nhost: h\r\nconnection: close\r\n\r\n'
+        )
+        data = await asyncio.wait_for(reader.read(), 2.0)
+        assert data.startswith(b'HTTP/1.1 %d' % status)
+        assert data.endswith(b'\r\n\r\n')
+        writer.close()
+        await server.close()
+
+    asyncio.run(check())
