--- a/landingspool/platform/store.py
+++ b/landingspool/platform/store.py
@@ -311,7 +311,8 @@
 def read_newest_page(value):
     """Decode a page of newest records.
 
-    A row whose key is no text is passed over: the rows beside it are sound.
+    A row that can't be decoded is passed over, unless it is that of the
+    table: the rows beside it are sound.
 
     Returns
     -------
@@ -319,7 +320,7 @@
 
     Raises
     ------
-    ValueError, RecursionError
+    ValueError, RecursionError, decoding.Malformed
     """
     text = value.decode(errors='replace')
     page = msgspec.convert(json.loads(text), NewestRecord)
@@ -328,6 +329,9 @@
         try:
             found.append(decoding.decode('row', read_newest_row, row))
         except decoding.Malformed as error:
+            if is_table(row):
+                # The read would prove the former table.
+                raise
             odd.append(str(error))
     if not page.more or not page.items:
         return NewestPage(found, odd, page.end, None)
@@ -337,6 +341,11 @@
     return NewestPage(found, odd, page.end, found[-1].key)
 
 
+def is_table(row):
+    """Return whether a row of the newest records is that of the table."""
+    return isinstance(row, dict) and row.get('key') == names.TABLE_KEY
+
+
 def read_newest_row(row):
     """Return the tail.Record in one row of the newest records.
 
--- a/tests/gateway/test_odd_pages.py
+++ b/tests/gateway/test_odd_pages.py
@@ -76,6 +76,17 @@
     assert len(found.records) + len(found.passed_over) == 3
 
 
+@pytest.mark.parametrize('value', [5, None, 'a', {}])
+def test_no_read_proves_a_table_whose_row_can_not_be_decoded(value):
+    rows = [
+        {'key': 'config', 'value': value, 'offset': 9},
+        {'key': 'version/m', 'value': 'YQ==', 'offset': 4},
+    ]
+    page = json.dumps({'items': rows, 'end': 10}).encode()
+    found = asyncio.run(make_store(page).read_newest('keyed.op'))
+    assert isinstance(found, store.Unavailable)
+
+
 def test_a_page_on_which_nothing_can_be_decoded_is_no_answer():
     page = b'{"items": [5, []], "more": true, "end": 5}'
     found = asyncio.run(make_store(page).read_newest('keyed.op'))
