--- a/landingspool/boxes/link.py
+++ b/landingspool/boxes/link.py
@@ -274,7 +274,10 @@
             async with asyncio.timeout(IDLE_S):
                 await self._ready.wait()
         except TimeoutError:
-            return []
+            if not self._messages:
+                # The next message opens another link.
+                self.ended = True
+                return []
         if self.stopped:
             return []
         count = min(MAX_BATCH_MESSAGES, len(self._messages))
--- a/tests/contracts/test_links.py
+++ b/tests/contracts/test_links.py
@@ -63,6 +63,25 @@
     assert asyncio.run(run()) == ('one', True)
 
 
+@pytest.mark.parametrize('later_s', [0.0, 0.01, 0.1, 0.3])
+def test_no_message_is_lost_as_its_link_closes_at_rest(monkeypatch, later_s):
+    monkeypatch.setattr(link, 'IDLE_S', 0.2)
+
+    async def run():
+        one, other = Side('one'), Side('other')
+        one.peers['other'] = await other.start()
+        for number in range(3):
+            message = messages.Refuse(f'r{number}', 'full', 2.0)
+            one.links.send('other', message)
+            async with asyncio.timeout(2.0):
+                assert (await other.taken.get())[1] == message
+            await asyncio.sleep(link.IDLE_S + later_s)
+        await one.links.close()
+        await other.links.close()
+
+    asyncio.run(run())
+
+
 def test_wrong_secret_is_refused_on_both_sides():
     async def run():
         one, other = Side('one', 'another-secret-here'), Side('other')
