--- a/landingspool/boxes/link.py
+++ b/landingspool/boxes/link.py
@@ -36,7 +36,7 @@
 RECONNECT_DELAY_S = 0.25
 MAX_BATCH_MESSAGES = 64
 # What handling a frame raises that is no message of a box.
-BAD_FRAME_ERRORS = (handshake.Refused, *decoding.DECODE_ERRORS)
+BAD_FRAME_ERRORS = (handshake.Refused, decoding.Malformed)
 
 
 class Identity(typing.NamedTuple):
@@ -170,10 +170,10 @@
                 await socket.send(self._encode(batch))
 
     async def _authenticate_to_peer(self, socket):
-        peer_nonce = cbor2.loads(await socket.recv())
+        peer_nonce = read_frame(await socket.recv())
         nonce = secrets.token_bytes(16)
         await socket.send(cbor2.dumps(self._hello(peer_nonce, nonce)))
-        reply = cbor2.loads(await socket.recv())
+        reply = read_frame(await socket.recv())
         handshake.read_hello(reply, self._identity.secret, nonce)
 
     async def _accept(self, socket):
@@ -202,7 +202,7 @@
     async def _authenticate_peer(self, socket):
         nonce = secrets.token_bytes(16)
         await socket.send(cbor2.dumps(nonce))
-        value = cbor2.loads(await socket.recv())
+        value = read_frame(await socket.recv())
         hello = handshake.read_hello(value, self._identity.secret, nonce)
         reply = self._hello(hello.nonce, b'')
         await socket.send(cbor2.dumps(reply))
@@ -227,10 +227,10 @@
         return cbor2.dumps([list(self._recorder.stamp), rows])
 
     def _receive(self, peer, frame):
-        stamp, rows = cbor2.loads(frame)
-        self._recorder.observe(msgspec.convert(stamp, clock.Stamp))
+        stamp, rows = decoding.decode('frame', read_batch, frame)
+        self._recorder.observe(stamp)
         for row in rows:
-            message, problem = messages.unpack(cbor2.loads(row))
+            message, problem = messages.unpack(read_frame(row))
             if problem is not None:
                 self._recorder.record(
                     'bad_message', peer=peer.box, reason=problem.text
@@ -243,6 +243,32 @@
             )
 
 
+def read_frame(data):
+    """Decode what a peer has written.
+
+    Raises
+    ------
+    decoding.Malformed
+    """
+    return decoding.decode('frame', cbor2.loads, data)
+
+
+def read_batch(data):
+    """Decode a frame of messages, each of which is encoded by itself.
+
+    Returns
+    -------
+    tuple of (clock.Stamp, list of bytes)
+
+    Raises
+    ------
+    ValueError, TypeError, cbor2.CBORError
+    """
+    stamp, rows = cbor2.loads(data)
+    rows = msgspec.convert(rows, list[bytes])
+    return msgspec.convert(stamp, clock.Stamp), rows
+
+
 class Outbound:
     """Send queue of the link to one peer."""
 
