--- a/landingspool/platform/catalogue.py
+++ b/landingspool/platform/catalogue.py
@@ -39,6 +39,11 @@
 Text = typing.Annotated[
     str, msgspec.Meta(min_length=1, max_length=MAX_TEXT_CHARS)
 ]
+# Name of a target's incarnation: its id, which may be as long as a key, and
+# the start of the incarnation.
+TargetName = typing.Annotated[
+    str, msgspec.Meta(min_length=1, max_length=2 * MAX_TEXT_CHARS)
+]
 # Seconds until a target loads that a claim announces.
 Delay = typing.Annotated[float, msgspec.Meta(ge=0, le=MAX_DELAY_S)]
 # Milliseconds of a time-out in a configuration.
@@ -381,10 +386,10 @@
     """
 
     holder: Text
-    loading: dict[Text, Delay]
+    loading: dict[TargetName, Delay]
     versions: list[tuple[Text, Number, decoding.Milliseconds, bool]] = []
     at_ms: decoding.TimeMs = 0
-    orders: list[tuple[Text, Text, Number, decoding.Milliseconds]] = []
+    orders: list[tuple[TargetName, Text, Number, decoding.Milliseconds]] = []
 
 
 VERSION_DECODER = msgspec.json.Decoder(VersionRecord, strict=False)
--- a/tests/gateway/test_odd_records.py
+++ b/tests/gateway/test_odd_records.py
@@ -6,6 +6,7 @@
 import pytest
 
 from landingspool.decisions import decoding
+from landingspool.decisions.gateway import rollouts
 from landingspool.platform import catalogue
 from tests.gateway import site
 from tests import odd_addresses
@@ -91,3 +92,19 @@
     assert not table.context_stores
     assert set(table.services) == {'plain', 'engine', 'keeper'}
     assert bool(table.passed_over) == bool(text)
+
+
+def test_a_claim_is_read_that_names_a_target_with_the_longest_id():
+    record = {
+        'service': 's',
+        'address': '10.0.0.1:80',
+        'zone': 'z',
+        'state': 'ready',
+        'slots': 1,
+        'born': 1_700_000_000_000,
+    }
+    entry = catalogue.read_entry('i' * 255, json.dumps(record).encode())
+    given = [rollouts.Given(entry.name, 'm', 2, 500)]
+    value = catalogue.write_claim('b', {entry.name: 0.5}, given=given)
+    claim = catalogue.read_claim(value, 7)
+    assert (list(claim.loading), list(claim.given)) == ([entry.name], given)
