--- a/landingspool/boxes/link.py
+++ b/landingspool/boxes/link.py
@@ -36,7 +36,7 @@
 RECONNECT_DELAY_S = 0.25
 MAX_BATCH_MESSAGES = 64
 # What handling a frame raises that is no message of a box.
-BAD_FRAME_ERRORS = (handshake.Refused, *decoding.DECODE_ERRORS)
+BAD_FRAME_ERRORS = (handshake.Refused, decoding.Malformed)
 
 
 class Identity(typing.NamedTuple):
@@ -129,6 +129,10 @@
             await self._connect(outbound)
         except (OSError, TimeoutError, websockets.WebSocketException):
             pass
+        except BAD_FRAME_ERRORS as error:
+            self._recorder.record(
+                'link_refused', peer=outbound.box, reason=str(error)
+            )
         finally:
             # Queued messages are lost with the link; senders that wait for
             # an answer ask again.  The short delay bounds the cost of
@@ -155,13 +159,10 @@
             try:
                 async with timeouts.Timeout(HANDSHAKE_S):
                     await self._authenticate_to_peer(socket)
-            except TimeoutError:
+            except (TimeoutError, *BAD_FRAME_ERRORS):
                 # A closing handshake would read on.
                 socket.transport.abort()
                 raise
-            except BAD_FRAME_ERRORS as error:
-                self._refuse(socket, outbound.box, str(error))
-                return
             while not outbound.stopped:
                 batch = await outbound.take()
                 if not batch:
@@ -169,10 +170,10 @@
                 await socket.send(self._encode(batch))
 
     async def _authenticate_to_peer(self, socket):
-        peer_nonce = cbor2.loads(await socket.recv())
+        peer_nonce = read_frame(await socket.recv())
         nonce = secrets.token_bytes(16)
         await socket.send(cbor2.dumps(self._hello(peer_nonce, nonce)))
-        reply = cbor2.loads(await socket.recv())
+        reply = read_frame(await socket.recv())
         handshake.read_hello(reply, self._identity.secret, nonce)
 
     async def _accept(self, socket):
@@ -185,22 +186,23 @@
         except websockets.WebSocketException:
             pass
         except TimeoutError:
-            self._refuse(socket, get_box(peer), 'no hello in time')
+            self._refuse(socket, peer, 'no hello in time')
         except BAD_FRAME_ERRORS as error:
-            self._refuse(socket, get_box(peer), str(error))
+            self._refuse(socket, peer, str(error))
         except Exception as error:
             self._supervisor.report('link', error)
             socket.transport.abort()
 
-    def _refuse(self, socket, box, reason):
+    def _refuse(self, socket, peer, reason):
         """Abort a link; a closing handshake would read on."""
-        self._recorder.record('link_refused', peer=box, reason=reason)
+        name = peer.box if peer else '-'
+        self._recorder.record('link_refused', peer=name, reason=reason)
         socket.transport.abort()
 
     async def _authenticate_peer(self, socket):
         nonce = secrets.token_bytes(16)
         await socket.send(cbor2.dumps(nonce))
-        value = cbor2.loads(await socket.recv())
+        value = read_frame(await socket.recv())
         hello = handshake.read_hello(value, self._identity.secret, nonce)
         reply = self._hello(hello.nonce, b'')
         await socket.send(cbor2.dumps(reply))
@@ -225,10 +227,10 @@
         return cbor2.dumps([list(self._recorder.stamp), rows])
 
     def _receive(self, peer, frame):
-        stamp, rows = cbor2.loads(frame)
-        self._recorder.observe(msgspec.convert(stamp, clock.Stamp))
+        stamp, rows = decoding.decode('frame', read_batch, frame)
+        self._recorder.observe(stamp)
         for row in rows:
-            message, problem = messages.unpack(cbor2.loads(row))
+            message, problem = messages.unpack(read_frame(row))
             if problem is not None:
                 self._recorder.record(
                     'bad_message', peer=peer.box, reason=problem.text
@@ -241,9 +243,30 @@
             )
 
 
-def get_box(peer):
-    """Return the name of a peer for the log, also of one not known yet."""
-    return peer.box if peer else '-'
+def read_frame(data):
+    """Decode what a peer has written.
+
+    Raises
+    ------
+    decoding.Malformed
+    """
+    return decoding.decode('frame', cbor2.loads, data)
+
+
+def read_batch(data):
+    """Decode a frame of messages, each of which is encoded by itself.
+
+    Returns
+    -------
+    tuple of (clock.Stamp, list of bytes)
+
+    Raises
+    ------
+    ValueError, TypeError, cbor2.CBORError
+    """
+    stamp, rows = cbor2.loads(data)
+    rows = msgspec.convert(rows, list[bytes])
+    return msgspec.convert(stamp, clock.Stamp), rows
 
 
 class Outbound:
@@ -279,7 +302,10 @@
             async with asyncio.timeout(IDLE_S):
                 await self._ready.wait()
         except TimeoutError:
-            return []
+            if not self._messages:
+                # The next message opens another link.
+                self.ended = True
+                return []
         if self.stopped:
             return []
         count = min(MAX_BATCH_MESSAGES, len(self._messages))
--- a/landingspool/http.py
+++ b/landingspool/http.py
@@ -31,9 +31,9 @@
 HEADER_TIMEOUT_S = 10.0
 BODY_TIMEOUT_S = 20.0
 IDLE_TIMEOUT_S = 60.0
-# Seconds for which a connection at rest is kept, as answers announce.  It is
-# closed later: a request sent at the end of that time has to arrive.
-ANNOUNCED_IDLE_S = 55
+# Seconds for which a connection at rest is kept, as each answer announces:
+# less than the time-out, since a request sent at the end has to arrive.
+ANNOUNCED_S = 58
 # States of a server's codec once an answer is complete.
 FINISHED_STATES = (h11.DONE, h11.MUST_CLOSE, h11.CLOSED)
 PORT = re.compile('[0-9]{1,5}')
@@ -158,12 +158,18 @@
         Protocol state of the connection.
     reader, writer
         The asyncio streams of the connection.
+
+    Attributes
+    ----------
+    has_body : bool
+        Whether an answer has a body: that to HEAD has none.
     """
 
     def __init__(self, conn, reader, writer):
         self._conn = conn
         self._reader = reader
         self._writer = writer
+        self.has_body = True
         self.started = False
         self.sent_bytes = 0
 
@@ -178,8 +184,11 @@
             ('content-type', kind),
             ('content-length', str(len(body))),
         ]
-        self._write_head(status, [*framing, *headers])
-        self._write(h11.Data(data=body))
+        self._write(
+            h11.Response(status_code=status, headers=[*framing, *headers])
+        )
+        if self.has_body:
+            self._write(h11.Data(data=body))
         await self.finish()
 
     async def start_stream(self, headers=()):
@@ -188,7 +197,9 @@
             ('content-type', 'text/event-stream'),
             ('cache-control', 'no-store'),
         ]
-        self._write_head(200, [*framing, *headers])
+        self._write(
+            h11.Response(status_code=200, headers=[*framing, *headers])
+        )
 
     async def send_event(self, value):
         """Send one server-sent event; `value` is a text or is sent as JSON."""
@@ -223,6 +234,10 @@
             return
         # The codec refuses all further events after one that it can't send.
         self._conn = h11.Connection(h11.SERVER)
+        if not self.has_body:
+            # The new codec doesn't know that the answer has no body.
+            await self.send_body(500, b'', 'application/json', headers)
+            return
         await self.send_json(500, value, headers)
 
     def abort(self):
@@ -253,14 +268,19 @@
                 self._conn.receive_data(data)
             await self._writer.wait_closed()
 
-    def _write_head(self, status, rows):
-        is_last = ('connection', 'close') in rows
-        if not is_last and self._conn.their_state is not h11.MUST_CLOSE:
-            rows = [*rows, keep_alive.write_row(ANNOUNCED_IDLE_S)]
-        self._write(h11.Response(status_code=status, headers=rows))
+    def _announce(self, head):
+        """Return the head with the time for which its connection is kept."""
+        rows = list(head.headers)
+        is_last = self._conn.their_state is not h11.DONE
+        if is_last or (b'connection', b'close') in rows:
+            return head
+        rows.append(keep_alive.write_row(ANNOUNCED_S))
+        return h11.Response(status_code=head.status_code, headers=rows)
 
     def _write(self, event):
         self.started = True
+        if isinstance(event, h11.Response):
+            event = self._announce(event)
         data = self._conn.send(event)
         if data:
             self.sent_bytes += len(data)
@@ -337,6 +357,7 @@
                 request = await self._read_request(task, conn, reader, meter)
                 if request is None:
                     return
+                exchange.has_body = request.method != 'HEAD'
                 if not await self._handle_request(request, exchange):
                     return
             except BadRequest as error:
