--- a/landingspool/connection.py
+++ b/landingspool/connection.py
@@ -176,6 +176,11 @@
         """Close the connection after the written bytes are sent."""
         self._transport.close()
 
+    def end_sending(self):
+        """Send the end of file after the written bytes, and read on."""
+        if not self._transport.is_closing():
+            self._transport.write_eof()
+
     def abort(self):
         """Close the connection without waiting for the written bytes."""
         self._transport.abort()
--- a/landingspool/gateway/listener.py
+++ b/landingspool/gateway/listener.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import collections
+import contextlib
 import json
 import typing
 
@@ -12,6 +13,7 @@
 from landingspool.gateway import heads
 from landingspool.gateway import persistence
 from landingspool import http
+from landingspool import timeouts
 
 BACKLOG = 512
 # Seconds after which a connection without a request may be closed for a new
@@ -20,6 +22,8 @@
 # Turns of the event loop in which it accepts a waiting connection and reads
 # what has arrived on it.
 ACCEPT_TURNS = 5
+# Seconds for which the rest of a request that is refused is read and dropped.
+DISCARD_S = 1.0
 # Seconds in which cancelled connections may finish when the listener closes.
 CANCEL_TIMEOUT_S = 0.05
 # Sent before a connection at rest is closed, or one that gets no place.  A
@@ -524,3 +528,17 @@
     codec = h11.Connection(h11.SERVER)
     reply = Reply(codec, connection, lambda: True)
     await reply.send_error(error.status, error.text)
+    await discard_rest(connection)
+
+
+async def discard_rest(connection):
+    """Read what the caller still sends, for a limited time.
+
+    A close with unread bytes is a reset, at which the caller may drop the
+    answer before it has read it (RFC 9112, 9.6).
+    """
+    connection.end_sending()
+    with contextlib.suppress(TimeoutError, ConnectionError):
+        async with timeouts.Timeout(DISCARD_S):
+            while await connection.read():
+                pass
--- a/tests/gateway/test_unanswered.py
+++ b/tests/gateway/test_unanswered.py
@@ -99,6 +99,20 @@
     site.run(check, plain=1)
 
 
+@pytest.mark.parametrize('size', [5_000_000, 30_000_000])
+def test_a_caller_that_still_sends_is_told_that_its_body_is_too_long(size):
+    async def check(deployment):
+        hub = await deployment.start_box()
+        async with site.connect(hub) as (reader, writer):
+            head, _, _ = write_request().partition(b'Content-Length')
+            writer.write(head + b'Content-Length: %d\r\n\r\n' % size)
+            writer.write(b'x' * size)
+            await writer.drain()
+            assert await read_statuses(reader) == [413]
+
+    site.run(check, plain=1)
+
+
 @pytest.mark.parametrize('method', ['GET', 'HEAD', 'POST'])
 def test_a_fault_is_answered_for_each_method(monkeypatch, method):
     async def check(deployment):
