--- a/landingspool/gateway/listener.py
+++ b/landingspool/gateway/listener.py
@@ -24,6 +24,9 @@
 ACCEPT_TURNS = 5
 # Seconds for which the rest of a request that is refused is read and dropped.
 DISCARD_S = 1.0
+# Seconds in which a caller may take what is left of the last answer on a
+# connection that is closed.
+FLUSH_TIMEOUT_S = 60.0
 # Seconds in which cancelled connections may finish when the listener closes.
 CANCEL_TIMEOUT_S = 0.05
 # Sent before a connection at rest is closed, or one that gets no place.  A
@@ -328,7 +331,7 @@
         self._record_closing(connection, reason, task)
         self._end_wait(task)
         connection.write(REST_OVER)
-        connection.close()
+        close_in_time(connection)
         task.cancel()
 
     def _record_closing(self, connection, reason, task=None):
@@ -402,7 +405,7 @@
         finally:
             if task in self._uses:
                 self._record_closing(connection, reason, task)
-            connection.close()
+            close_in_time(connection)
 
     async def _serve_all(self, connection):
         """Serve one request after another; return why that ends."""
@@ -523,6 +526,14 @@
         await asyncio.sleep(0)
 
 
+def close_in_time(connection):
+    """Close a connection; drop what its caller doesn't take in time."""
+    connection.close()
+    if not connection.is_flushed:
+        loop = asyncio.get_running_loop()
+        loop.call_later(FLUSH_TIMEOUT_S, connection.abort)
+
+
 async def refuse(connection, error):
     """Answer a request that could not be read; its connection is closed."""
     codec = h11.Connection(h11.SERVER)
--- a/tests/gateway/test_close_at_rest.py
+++ b/tests/gateway/test_close_at_rest.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import re
+import socket
 
 import pytest
 
@@ -117,3 +118,32 @@
             assert await test_unanswered.read_statuses(reader) == [408]
 
     site.run(check, plain=1)
+
+
+def test_a_caller_that_takes_no_answer_keeps_no_descriptor(monkeypatch):
+    monkeypatch.setattr(listener, 'FLUSH_TIMEOUT_S', SHORT_REST_S)
+    monkeypatch.setattr(
+        persistence.Persistence, 'compute_limit', lambda *_: SHORT_REST_S
+    )
+
+    async def check(deployment):
+        hub = await deployment.start_box()
+        connections = test_unanswered.keep_connections(hub)
+
+        async def answer(request, body, reply):
+            connections[0].get_socket().setsockopt(
+                socket.SOL_SOCKET, socket.SO_SNDBUF, 4096
+            )
+            await reply.send_complete(200, (), b'x' * 60000)
+
+        monkeypatch.setattr(hub.listener, '_handle', answer)
+        with socket.socket() as caller:
+            caller.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+            caller.connect(tuple(hub.deployment.callers))
+            caller.sendall(test_unanswered.write_request())
+            await site.wait_until(lambda: connections)
+            await site.wait_until(
+                lambda: connections[0].get_socket().fileno() < 0
+            )
+
+    site.run(check)
