--- a/tests/test_server.py
+++ b/tests/test_server.py
@@ -193,3 +193,17 @@
         await server.close()
 
     asyncio.run(check())
+
+
+def test_an_answer_that_ends_its_connection_announces_no_time():
+    async def check():
+        server = http.Server(answer)
+        address = await server.start('127.0.0.1', 0)
+        reader, writer = await asyncio.open_connection(*address)
+        writer.write(b'GET / HTTP/1.1\r\nhost: h\r\nconnection: close\r\n\r\n')
+        data = await asyncio.wait_for(reader.read(), 2.0)
+        assert b'keep-alive' not in data.lower()
+        writer.close()
+        await server.close()
+
+    asyncio.run(check())
