--- a/landingspool/gateway/resumption.py
+++ b/landingspool/gateway/resumption.py
@@ -8,9 +8,12 @@
 
 import asyncio
 
+from landingspool import timeouts
 
-# Seconds after a stall for which a missing proof is attributed to the stall.
-RENEWAL_TIMEOUT_S = 0.5
+# Turns after a stall for which a missing proof is attributed to the stall, and
+# seconds of each.  A further pause of the process takes one turn at most.
+RENEWAL_TURNS = 5
+RENEWAL_TURN_S = 0.1
 # Seconds after a stall in which only the input received during it is read.
 PENDING_INPUT_S = 0.02
 # Share of its latency objective that a request may wait.  The other part is
@@ -40,9 +43,7 @@
         self._finished.clear()
         self._stall_begun.set()
         self._stall_begun = asyncio.Event()
-        asyncio.get_running_loop().call_later(
-            RENEWAL_TIMEOUT_S, self._finish, stall.now
-        )
+        self._await_renewal(stall.now, RENEWAL_TURNS)
 
     async def wait_for_pending_input(self):
         """Wait until the input received during a stall has been read.
@@ -99,7 +100,9 @@
             return False
         waiting = asyncio.ensure_future(self._finished.wait())
         try:
-            await asyncio.wait({waiting}, timeout=objective_s * MAX_WAIT_SHARE)
+            await timeouts.wait_with_timeout(
+                waiting, objective_s * MAX_WAIT_SHARE
+            )
         finally:
             waiting.cancel()
         return self._is_proved(self._hub.timer.now())
@@ -108,7 +111,16 @@
         view = self._hub.view
         return view.table is not None and view.is_proved(now)
 
-    def _finish(self, begun):
-        """End the renewal that began at `begun`, unless a later one has."""
-        if begun == self._resumed_at:
+    def _await_renewal(self, begun, turns):
+        """End the renewal that began at `begun` after a number of turns.
+
+        A later renewal takes its place.
+        """
+        if begun != self._resumed_at:
+            return
+        if not turns:
             self._finished.set()
+            return
+        asyncio.get_running_loop().call_later(
+            RENEWAL_TURN_S, self._await_renewal, begun, turns - 1
+        )
--- a/tests/gateway/test_standstill.py
+++ b/tests/gateway/test_standstill.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import time
 
 import pytest
 
@@ -48,6 +49,35 @@
     run(check)
 
 
+@pytest.mark.parametrize('pause_s', [0.25, 0.3, 0.45])
+def test_callers_are_served_if_the_process_pauses_again_after_a_standstill(
+    suspend, pause_s
+):
+    # Guards against refusals while the store's answer waits to be read.
+    async def check(deployment):
+        hub = await deployment.start_box()
+        wait_for_proof = hub.resumption.wait_for_proof
+        loop = asyncio.get_running_loop()
+        pauses = [pause_s]
+
+        def wait(objective_s):
+            if pauses:
+                loop.call_soon(time.sleep, pauses.pop())
+            return wait_for_proof(objective_s)
+
+        hub.resumption.wait_for_proof = wait
+        # The requests arrive before the proof is renewed.
+        deployment.store.delay_s = 0.02
+        suspend(STALL_S)
+        asked = [site.ask(hub, '/unsafe/a') for _ in range(20)]
+        answers = await asyncio.gather(*asked)
+        wrong = [a.body for a in answers if a.status != 200]
+        assert not wrong
+        assert not pauses
+
+    run(check)
+
+
 @pytest.mark.parametrize('path', ['/safe/a', '/unsafe/a', '/resumed/a'])
 def test_answers_that_came_meanwhile_are_delivered(suspend, path):
     # Guards against time-outs for targets that have answered in the stall.
