--- a/landingspool/gateway/attempts.py
+++ b/landingspool/gateway/attempts.py
@@ -89,8 +89,9 @@
         Parameters
         ----------
         has_other_answer : callable
-            Coroutine function that returns whether the silent target has
-            answered in the meantime, which ends the wait.
+            ``has_other_answer(is_sent)``, a coroutine function that returns
+            whether the silent target has answered in the meantime, which
+            ends the wait.
 
         Returns
         -------
@@ -182,7 +183,7 @@
                     return await self._exchange.read_head(self._is_due)
             except TimeoutError:
                 self._waited_s = loop.time() - began
-                if self._waited_s >= limit_s or await has_other_answer():
+                if self._waited_s >= limit_s or await has_other_answer(True):
                     raise
 
     def _compute_accept_timeout(self):
@@ -303,17 +304,33 @@
                 async with timeouts.Timeout(left_s):
                     return await self._exchange.read_head(self._is_due)
             except TimeoutError:
-                if self._is_expired() or await self.prepare_replacement():
+                if self._is_expired():
+                    raise
+                if await self.prepare_replacement():
+                    if self._exchange.has_failed:
+                        return await self._exchange.read_head(self._is_due)
                     raise
             waited_s = 0.0
 
     async def prepare_replacement(self, is_incomplete=False):
         """Return whether another target takes over from a silent one."""
         return await self._replacements.prepare(
-            self._plan,
-            lambda: self._exchange.has_answered(self._is_due, is_incomplete),
+            self._plan, self._make_check(is_incomplete)
         )
 
+    def _make_check(self, is_incomplete):
+        """Return what tells a replacement whether it is not needed.
+
+        Once that has the request as well, only a success ends it.
+        """
+
+        def check(is_sent):
+            exchange = self._exchange
+            has = exchange.has_succeeded if is_sent else exchange.has_answered
+            return has(self._is_due, is_incomplete)
+
+        return check
+
     def _report_timeout(self):
         if self._recall.is_due() and not self._is_expired():
             # The target is not silent.
--- a/landingspool/gateway/forwarder.py
+++ b/landingspool/gateway/forwarder.py
@@ -145,7 +145,7 @@
 
     async def prepare_replacement(self, is_incomplete=False):
         return await self._replacements.prepare_peer(
-            lambda: self._exchange.has_answered(self._is_due, is_incomplete)
+            self._make_check(is_incomplete)
         )
 
     def _compute_timeout(self):
--- a/landingspool/gateway/replacements.py
+++ b/landingspool/gateway/replacements.py
@@ -40,8 +40,9 @@
         plan : plans.Plan
             The plan of the present attempt.
         has_answer : callable
-            Coroutine function that returns whether its target has answered
-            in the meantime.
+            ``has_answer(is_sent)``, a coroutine function that returns whether
+            its target has answered in the meantime, with a success if the
+            other target has the request.
 
         Returns
         -------
@@ -78,8 +79,7 @@
         Parameters
         ----------
         has_answer : callable
-            Coroutine function that returns whether the silent box has
-            answered in the meantime.
+            As in `prepare`, for the silent box.
 
         Returns
         -------
@@ -116,7 +116,7 @@
             return False
         is_needed = False
         try:
-            is_needed = not await has_answer()
+            is_needed = not await has_answer(True)
         finally:
             if not is_needed:
                 attempt.stop()
@@ -127,7 +127,7 @@
         is_needed = False
         try:
             is_needed = (
-                not await has_answer()
+                not await has_answer(False)
                 and attempt.is_current()
                 and self._take_repeat()
             )
--- a/landingspool/gateway/upstream.py
+++ b/landingspool/gateway/upstream.py
@@ -410,6 +410,23 @@
         self._is_unseen = True
         return True
 
+    async def has_succeeded(self, is_due, is_incomplete=False):
+        """Return whether more of an answer has arrived that is a success.
+
+        Parameters
+        ----------
+        is_due, is_incomplete
+            As in `has_answered`.
+        """
+        if not await self.has_answered(is_due, is_incomplete):
+            return False
+        return self._head is not None and 200 <= self._head.status < 300
+
+    @property
+    def has_failed(self):
+        """Whether the target has closed the connection before a head."""
+        return self._head is None and self.connection.closed
+
     def cancel(self):
         """Return the connection of an exchange that has sent nothing."""
         if self._idle is not None:
--- a/standins/behaviours.py
+++ b/standins/behaviours.py
@@ -456,14 +456,16 @@
     return True
 
 
-def register_late(name):
-    """Register a behaviour that is shown after LATE_S."""
+def register_late(prefix, name, seconds):
+    """Register a behaviour that is shown after some seconds."""
 
-    @behaviour(f'late {name}')
+    @behaviour(f'{prefix} {name}')
     async def answer(runner, head, body, reader, writer):
-        await asyncio.sleep(LATE_S)
+        await asyncio.sleep(seconds)
         return await BEHAVIOURS[name](runner, head, body, reader, writer)
 
 
 for late in ('shed', 'failure', 'closed', 'stream', 'nonsense'):
-    register_late(late)
+    register_late('late', late, LATE_S)
+for late in ('shed', 'failure', 'closed'):
+    register_late('silent and', late, SILENCE_S)
--- a/tests/gateway/test_replacements.py
+++ b/tests/gateway/test_replacements.py
@@ -244,6 +244,9 @@
     ('late, silent', 1),
     ('late, late closed', 0),
     ('silent, slow', 1),
+    ('silent and closed, late', 0),
+    ('silent and shed, late', 0),
+    ('silent and failure, late', 0),
     ('silent, silent, whole', 2),
 )
 
@@ -254,13 +257,13 @@
 ):
     async def check(deployment):
         hub = await deployment.start_box()
-        safe = {**site.ROUTES['safe'], 'max_attempts': 3}
+        shared = names.split(', ')
+        arrivals = len(shared)
+        safe = {**site.ROUTES['safe'], 'max_attempts': arrivals}
         deployment.publish(site.make_table(2, routes={'safe': safe}))
         await site.wait_until(lambda: hub.view.table.version == 2)
-        shared = names.split(', ')
         for target in deployment.plain:
             target.script = shared
-        arrivals = len(shared)
         got = await site.ask(hub, '/safe/a')
         assert got.status == 200
         assert (
