--- a/landingspool/gateway/replacements.py
+++ b/landingspool/gateway/replacements.py
@@ -115,7 +115,7 @@
             return False
         is_needed = False
         try:
-            is_needed = await look() != upstream.Sign.ANSWER
+            is_needed = await look() != upstream.Sign.SUCCESS
         finally:
             if not is_needed:
                 attempt.stop()
--- a/landingspool/gateway/upstream.py
+++ b/landingspool/gateway/upstream.py
@@ -73,10 +73,14 @@
 
 
 class Sign(enum.IntEnum):
-    """What a target has shown since the last read; only NOTHING is false."""
+    """What a target has shown since the last read; only NOTHING is false.
+
+    SUCCESS is an answer of status 2xx.  Any other answer, and an exchange that
+    has broken off, are a FAILURE.
+    """
 
     NOTHING = 0
-    ANSWER = 1
+    SUCCESS = 1
     FAILURE = 2
 
 
@@ -317,8 +321,8 @@
         self.connection = connection
         self._reader = answer_reader.AnswerReader(connection)
         self._head = None
-        # Whether its owner has not asked for the head since it was read.
-        self._is_unseen = False
+        # Of a head that its owner has not asked for since it was read.
+        self._unseen = Sign.NOTHING
         # Why the exchange failed as it was looked at.
         self._error = None
         self._answered_early = False
@@ -348,7 +352,7 @@
         ------
         ExchangeError
         """
-        self._is_unseen = False
+        self._unseen = Sign.NOTHING
         if self._error is not None:
             raise self._error
         if self._head is not None:
@@ -413,25 +417,26 @@
         -------
         Sign
         """
-        if self._is_unseen:
-            return Sign.ANSWER
+        if self._unseen:
+            return self._unseen
         if self.connection.is_idle:
             return Sign.NOTHING
         if self._head is not None:
-            return Sign.NOTHING if is_incomplete else Sign.ANSWER
+            return Sign.NOTHING if is_incomplete else Sign.SUCCESS
         return await self._look_for_head(is_due)
 
     async def _look_for_head(self, is_due):
         try:
             async with timeouts.Timeout(POLL_S):
-                await self.read_head(is_due)
+                head = await self.read_head(is_due)
         except TimeoutError:
             return Sign.NOTHING
         except ExchangeError as error:
             self._error = error
             return Sign.FAILURE
-        self._is_unseen = True
-        return Sign.ANSWER
+        is_success = 200 <= head.status < 300
+        self._unseen = Sign.SUCCESS if is_success else Sign.FAILURE
+        return self._unseen
 
     def cancel(self):
         """Return the connection of an exchange that has sent nothing."""
