--- a/landingspool/gateway/state.py
+++ b/landingspool/gateway/state.py
@@ -16,6 +16,7 @@
 from landingspool.decisions.gateway import readers
 from landingspool.platform import catalogue
 from landingspool.platform import names
+from landingspool.platform import tables
 from landingspool import timeouts
 
 
@@ -95,7 +96,7 @@
         ------
         decoding.Malformed
         """
-        table = catalogue.read_table(value)
+        table = tables.read_table(value)
         if self._view.put_table(table):
             self._table_value = value
             self._has_table.set()
--- a/tests/gateway/test_fair_admission.py
+++ b/tests/gateway/test_fair_admission.py
@@ -20,7 +20,7 @@
 from landingspool.decisions.gateway import workspace_usage
 from landingspool.gateway import deployment
 from landingspool.platform import boot
-from landingspool.platform import catalogue
+from landingspool.platform import tables
 
 ROUTE = routes.Route('r', 'h', '/', routes.SAFE, 2, 1, 2, ())
 SKEW = 1.2
@@ -314,7 +314,7 @@
     ):
         tenants = [{'name': 'w', 'api_keys': ['k'], **row}]
         value = json.dumps({'version': 1, 'tenants': tenants}).encode()
-        table = catalogue.read_table(value)
+        table = tables.read_table(value)
         assert table.keys['k'].weight == weight
 
 
--- a/tests/gateway/test_forwarded_streams.py
+++ b/tests/gateway/test_forwarded_streams.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from landingspool.platform import catalogue
+from landingspool.platform import tables
 from tests.gateway import site
 from tests.gateway import test_forwarder
 from tests.gateway import test_relay
@@ -83,7 +83,7 @@
         hubs = await start_cut(deployment)
         await streams.begin(deployment, hubs[3], 'a')
         routes = {'taken': {**streams.ROUTES['taken'], 'service': 'plain'}}
-        table = catalogue.read_table(
+        table = tables.read_table(
             json.dumps(site.make_table(3, routes=routes)).encode()
         )
         for hub in hubs[:3]:
--- a/tests/gateway/test_lives.py
+++ b/tests/gateway/test_lives.py
@@ -138,7 +138,7 @@
     with pytest.raises(decoding.Malformed):
         catalogue.read_entry('t', value)
     with pytest.raises(decoding.Malformed):
-        catalogue.read_table(value)
+        tables.read_table(value)
     with pytest.raises(decoding.Malformed):
         catalogue.read_version(value)
 
--- a/tests/gateway/test_odd_records.py
+++ b/tests/gateway/test_odd_records.py
@@ -8,6 +8,7 @@
 from landingspool.decisions import decoding
 from landingspool.decisions.gateway import rollouts
 from landingspool.platform import catalogue
+from landingspool.platform import tables
 from tests.gateway import site
 from tests import odd_addresses
 from tests import odd_values
@@ -31,7 +32,7 @@
 }
 # Name: (sound record, coroutine function that decodes one).
 DECODERS = {
-    'table': (TABLE, odd_values.make_async(catalogue.read_table)),
+    'table': (TABLE, odd_values.make_async(tables.read_table)),
     'version': (
         {'model': 'm', 'version': 2},
         odd_values.make_async(catalogue.read_version),
@@ -88,7 +89,7 @@
 @pytest.mark.parametrize('text', odd_addresses.ADDRESSES, ids=ascii)
 def test_a_table_is_taken_without_a_store_at_an_odd_address(text):
     value = json.dumps(site.make_store_table(3, text)).encode()
-    table = catalogue.read_table(value)
+    table = tables.read_table(value)
     assert not table.context_stores
     assert set(table.services) == {'plain', 'engine', 'keeper'}
     assert bool(table.passed_over) == bool(text)
