--- a/tests/gateway/test_lives.py
+++ b/tests/gateway/test_lives.py
@@ -11,6 +11,7 @@
 from landingspool.decisions.gateway import fleet
 from landingspool.platform import catalogue
 from landingspool.platform import store as store_module
+from landingspool.platform import tables
 from tests.gateway import site
 from tests.gateway import test_view
 
