--- a/tests/gateway/test_silent_tasks.py
+++ b/tests/gateway/test_silent_tasks.py
@@ -164,6 +164,8 @@
     async def check(deployment):
         hub = await deployment.start_box()
         monkeypatch.setattr(site.hub_module.stalls, 'exclude_stall', fail)
+        # A read of the tables has to be held: it is sent again after a stall.
+        await asyncio.sleep(0.3)
         suspend(1.0)
         hub.clock()
         await site.wait_until(lambda: hub.recorder.counts['proof_renewed'])
