--- a/landingspool/gateway/relay.py
+++ b/landingspool/gateway/relay.py
@@ -47,7 +47,7 @@
         `resumption`, `state`, and those that an attempt needs.
     call : ingress.Call
     body : bytes
-    reply : listener.Reply
+    reply : replies.Reply
     origin : forwarded_rows.Origin, optional
         Where the request comes from if another box has forwarded it.
     """
--- a/landingspool/gateway/request_state.py
+++ b/landingspool/gateway/request_state.py
@@ -21,7 +21,7 @@
     ----------
     call : ingress.Call
     body : bytes
-    reply : listener.Reply
+    reply : replies.Reply
     now : float
         Boot-time clock, seconds.
     origin : forwarded_rows.Origin or None
--- a/landingspool/gateway/stream.py
+++ b/landingspool/gateway/stream.py
@@ -26,7 +26,7 @@
 
     Parameters
     ----------
-    reply : listener.Reply
+    reply : replies.Reply
     status : int
     headers : list
         Those of the first target that answered; later ones are dropped.
--- a/tests/gateway/test_unanswered.py
+++ b/tests/gateway/test_unanswered.py
@@ -13,6 +13,7 @@
 from landingspool.gateway import closings
 from landingspool.gateway import listener
 from landingspool.gateway import persistence
+from landingspool.gateway import replies
 from landingspool.platform import answers
 from landingspool.platform import ingress
 from landingspool import timeouts
@@ -143,7 +144,7 @@
     async def check(deployment):
         hub = await deployment.start_box()
         fails = mock.AsyncMock(side_effect=TimeoutError('late'))
-        monkeypatch.setattr(listener.Reply, 'send_complete', fails)
+        monkeypatch.setattr(replies.Reply, 'send_complete', fails)
         assert await ask(hub) == []
         (event,) = [e for e in hub.recorder.select() if e.name == 'unanswered']
         assert 'late' in event.fields['reason']
@@ -211,7 +212,7 @@
             await site.wait_until(lambda: connections)
             began = hub.clock()
             await hub.listener.close(1.0)
-            assert await reader.read() == listener.REST_OVER
+            assert await reader.read() == replies.REST_OVER
             assert hub.clock() - began < 0.5
         late = connection_module.Connection()
         late.connection_made(mock.Mock())
@@ -349,7 +350,7 @@
             writer.write(write_request())
             assert await read_statuses(reader) == [200]
             began = hub.clock()
-            assert await reader.read() == listener.REST_OVER
+            assert await reader.read() == replies.REST_OVER
             waited_s = hub.clock() - began - hub.deployment.bounds.table_s
             assert 0.8 < waited_s < 1.3
 
