Fail on two holders under one fence: a store that comes back from a copy

What callers saw: ten targets of kdd got orders of two boxes under one fence. The stand-in store can be away, and come back with what it had at some time; what operators and targets wrote since is written again. Each box has an entrance of its own. The new tests judge the orders at the targets.

--- a/standins/platformstore.py
+++ b/standins/platformstore.py
@@ -1,20 +1,33 @@
 """Stand-in for the platform's store, by its published protocol.
 
 Keyed topics with one partition: append (with `at`), held reads, the newest
-of each key, 410 for what was dropped.  Tests switch its faults.
+of each key, 410 for what was dropped or is not there.  Tests switch its
+faults: it may also be away, and come back from a copy.
 """
 
 import asyncio
 import base64
 import json
 import struct
+import typing
 
 from landingspool import http
+from landingspool.platform import names
 from landingspool.platform import store as protocol
 
 
 # Of an answer where the reader names no size, in KB.
 MAX_KB = 1024
+# Topics whose writers write again what the store has lost.
+REWRITTEN_TOPICS = names.PUBLISHED_TOPIC, names.TARGETS_TOPIC
+
+
+class Copy(typing.NamedTuple):
+    """The content of one topic at some time."""
+
+    first: int
+    records: tuple
+    newest: dict
 
 
 class Topic:
@@ -36,14 +49,27 @@
         offset = self.end
         self.records.append((key, value))
         self.newest[key] = value, offset
-        self.changed.set()
-        self.changed = asyncio.Event()
+        self._wake()
         return offset
 
     def forget(self):
         """Drop all records; the newest of each key stay."""
         self.first = self.end
         self.records = []
+        self._wake()
+
+    def copy(self):
+        """Return the Copy of its content."""
+        return Copy(self.first, tuple(self.records), dict(self.newest))
+
+    def restore(self, copy):
+        """Put the content back to that of a Copy."""
+        self.first = copy.first
+        self.records = list(copy.records)
+        self.newest = dict(copy.newest)
+        self._wake()
+
+    def _wake(self):
         self.changed.set()
         self.changed = asyncio.Event()
 
@@ -86,6 +112,30 @@
         """Stop."""
         await self._server.close()
 
+    async def leave(self):
+        """Stop listening, and reset all connections."""
+        await self._server.close()
+
+    async def come_back(self):
+        """Listen again at the same address."""
+        self._server = http.Server(self._handle)
+        await self._server.start(*self.address)
+
+    def copy(self):
+        """Return the Copy of each topic, by its name."""
+        return {name: topic.copy() for name, topic in self.topics.items()}
+
+    def restore(self, copies):
+        """Lose what was written since copies were taken.
+
+        What operators and targets wrote since is written again.
+        """
+        for name, topic in self.topics.items():
+            lost = topic.newest
+            topic.restore(copies.get(name, EMPTY_COPY))
+            if name in REWRITTEN_TOPICS:
+                rewrite(topic, lost)
+
     def topic(self, name):
         """Give a topic, made at first use."""
         return self.topics.setdefault(name, Topic())
@@ -128,7 +178,7 @@
 
     async def _read(self, topic, request, exchange):
         start = int(request.query['from'])
-        if start < topic.first:
+        if not topic.first <= start <= topic.end:
             await exchange.send_json(410, {'first': topic.first})
             return
         if start >= topic.end:
@@ -171,6 +221,21 @@
         await exchange.send_json(200, page)
 
 
+def rewrite(topic, newest):
+    """Append the newest records of keys again, as far as they are lost.
+
+    Parameters
+    ----------
+    topic : Topic
+    newest : dict
+        Value and offset of the newest record of each key.
+    """
+    ranked = sorted(newest.items(), key=lambda row: row[1][1])
+    for key, (value, _) in ranked:
+        if topic.newest.get(key, (None, 0))[0] != value:
+            topic.append(key, value)
+
+
 class Delayed:
     """Sends an answer that is on its way for some seconds."""
 
@@ -199,6 +264,7 @@
         """Drop an answer."""
 
 
+EMPTY_COPY = Copy(0, (), {})
 CALLS = {
     '/api/log-append': PlatformStore._append,
     '/api/log-read': PlatformStore._read,
--- a/standins/runner.py
+++ b/standins/runner.py
@@ -19,6 +19,15 @@
 SOON_S = 0.02
 
 
+class JudgedOrder(typing.NamedTuple):
+    """An order, and the status of its answer."""
+
+    at: float
+    holder: str
+    fence: int
+    status: int
+
+
 class Said(typing.NamedTuple):
     """What an answer to a request said of its target.
 
@@ -51,6 +60,8 @@
         The orders that it took.
     asked : list of float
         When orders arrived, also those that it did not take.
+    judged : list of JudgedOrder
+        The orders that it took or refused, as far as they were valid.
     forgets : bool
         Whether it resets what comes on a connection that was at rest.
     forget_s : float
@@ -107,6 +118,7 @@
         self.heads = []
         self.orders = []
         self.asked = []
+        self.judged = []
         self.fence = -1
         self.cancelled = 0
         self.endless_bytes = 0
@@ -331,19 +343,33 @@
 
     def _order(self, body):
         order = json.loads(body)
+        status = self._judge(order)
+        self.judged.append(
+            JudgedOrder(
+                time.monotonic(), order['holder'], order['fence'], status
+            )
+        )
+        if status == 202:
+            self._begin_load(order)
+        return status, {}
+
+    def _judge(self, order):
+        """Return the status of the answer to an order."""
         if order['fence'] < self.fence:
-            return 412, {}
+            return 412
         if self.busy or order['expected'] != len(self.orders):
-            return 409, {}
+            return 409
+        return 202
+
+    def _begin_load(self, order):
         self.fence = order['fence']
         self.orders.append(order)
         if not self.load_s:
             self._end_load(order)
-            return 202, {}
+            return
         self.busy = True
         loop = asyncio.get_running_loop()
         loop.call_later(self.load_s, self._end_load, order)
-        return 202, {}
 
     def _end_load(self, order):
         self.version = order['version']
--- a/tests/gateway/site.py
+++ b/tests/gateway/site.py
@@ -189,18 +189,30 @@
         self.store.put('keyed.servers', runner.name, entry)
 
     async def start_box(
-        self, name='box1', seeds=(), clock=boot_clock.read, **bounds
+        self,
+        name='box1',
+        seeds=(),
+        clock=boot_clock.read,
+        domain='d1',
+        entrance=None,
+        **bounds,
     ):
-        """Start a box and wait until it is ready."""
+        """Start a box and wait until it is ready.
+
+        Parameters
+        ----------
+        entrance : platformstore.PlatformStore, optional
+            Where this box reaches the store.
+        """
         ports = [http.Address('127.0.0.1', find_port()) for _ in range(4)]
         settings = deployment.Deployment(
             box=name,
-            domain='d1',
+            domain=domain,
             callers=ports[0],
             readiness=ports[1],
             links=ports[2],
             seeds=tuple(seeds),
-            store=self.store.address,
+            store=(entrance or self.store).address,
             bounds=deployment.Bounds(**bounds),
             forwarding=ports[3],
         )
