Log when a topic was rolled back, and where a claim was appended

LS411 log_rolled_back names the topic, the known and the found end, and the call that showed it (read, newest, append); log_rollbacks_total counts. A 410 for an offset beyond the end, which was taken for one that is dropped, is told apart by its 'first'. 'holding' has 'at', 'former' and 'former_fence'. What a box does is as before: it reads the newest records again.

--- a/landingspool/event_kinds.py
+++ b/landingspool/event_kinds.py
@@ -290,6 +290,12 @@
             'An older version of the weights than is known was read; the '
             'newer one stays in force.',
         ),
+        Kind(
+            411,
+            'log_rolled_back',
+            'ERROR',
+            'A topic has lost records that were read.',
+        ),
         *(Kind(*row) for row in target_event_kinds.KINDS),
         Kind(
             600, 'kept', 'DEBUG', 'A block of context was sealed in a store.'
--- a/landingspool/gateway/following.py
+++ b/landingspool/gateway/following.py
@@ -90,6 +90,13 @@
                     self.topic, self.min_end
                 ),
             )
+            known = self._tail.end or 0
+            if newest.end < known:
+                self._hub.rollbacks.report(
+                    store_module.RolledBack(
+                        self.topic, known, newest.end, store_module.NEWEST
+                    )
+                )
             self._tail.reset(newest.records, newest.end, newest.sent)
             self._apply_newest(newest)
             await self._follow(newest.end)
@@ -100,6 +107,9 @@
             if isinstance(page, store_module.Forgotten):
                 self._hub.recorder.record('log_gap', first=offset)
                 return
+            if isinstance(page, store_module.RolledBack):
+                self._hub.rollbacks.report(page)
+                return
             offset = page.end
             self._tail.extend(page)
             if page.records:
--- a/landingspool/gateway/hub.py
+++ b/landingspool/gateway/hub.py
@@ -24,6 +24,7 @@
 from landingspool.gateway import prober
 from landingspool.gateway import relay
 from landingspool.gateway import resumption
+from landingspool.gateway import rollbacks
 from landingspool.gateway import software_watch
 from landingspool.gateway import sources
 from landingspool.gateway import state
@@ -141,6 +142,7 @@
             self._answer_side_request,
             on_error=self.supervisor.make_reporter('side_requests'),
         )
+        self.rollbacks = rollbacks.Rollbacks(self)
         self.state = state.State(self)
         self.sources = sources.Sources(self)
         self.record_server = sources.RecordServer(
--- a/landingspool/gateway/metrics.py
+++ b/landingspool/gateway/metrics.py
@@ -50,6 +50,11 @@
         self.closed_connections = self._make_counter(
             'closed_connections', 'Connections of callers', ('reason',)
         )
+        self.log_rollbacks = self._make_counter(
+            'log_rollbacks',
+            'Times that a topic had lost records that were read',
+            ('topic',),
+        )
         self.orders = self._make_counter(
             'orders', 'Orders to targets by outcome', ('outcome',)
         )
--- a/landingspool/gateway/ordering.py
+++ b/landingspool/gateway/ordering.py
@@ -160,9 +160,16 @@
             names.CLAIMS_TOPIC, CLAIM_KEY, value, self.watch.end
         )
         if isinstance(reply, store_module.Appended):
-            self.watch.end = reply.offset + 1
             if self._lease is None:
-                self._hub.recorder.record('holding', fence=reply.offset)
+                former = self.watch.claim
+                self._hub.recorder.record(
+                    'holding',
+                    fence=reply.offset,
+                    at=self.watch.end,
+                    former=former.holder if former else '',
+                    former_fence=former.fence if former else None,
+                )
+            self.watch.end = reply.offset + 1
             # The offset of the newest append is the fence: it only rises.
             self._lease = order_claims.Lease(
                 reply.offset, reply.sent, self._hub.deployment.bounds.lease_s
@@ -174,6 +181,9 @@
         if isinstance(reply, store_module.Conflict):
             # Another box has appended, so the claim of this one is void.
             self._drop_claim('another box wrote a claim')
+        if isinstance(reply, store_module.RolledBack):
+            self._hub.rollbacks.report(reply)
+            self._drop_claim('the topic was rolled back')
         return False
 
     def _drop_claim(self, reason):
--- a/landingspool/platform/store.py
+++ b/landingspool/platform/store.py
@@ -36,6 +36,10 @@
 NEWEST_MAX_BYTES = 4 * 1024 * 1024
 # Pages of newest records in one topic: 100,000 keys at 500 a page.
 MAX_NEWEST_PAGES = 200
+# The calls that may show that a topic was rolled back.
+READ = 'read'
+NEWEST = 'newest'
+APPEND = 'append'
 # Bound of the answer to an append, which is two offsets.
 APPEND_MAX_BYTES = 64 * 1024
 
@@ -88,6 +92,20 @@
     """The requested records are no longer in the log."""
 
 
+@dataclasses.dataclass(frozen=True)
+class RolledBack:
+    """The topic has lost its newest records; their offsets are given again.
+
+    `known` is the end that was known, `found` the end that was found, None if
+    it wasn't told, and `noticed` the call that showed it.
+    """
+
+    topic: str
+    known: int
+    found: int | None
+    noticed: str
+
+
 @dataclasses.dataclass(frozen=True)
 class Unavailable:
     """No usable answer; `done`: an append may have been done."""
@@ -108,6 +126,12 @@
     end: decoding.Count
 
 
+class GoneRecord(msgspec.Struct):
+    """The answer to a read from an offset that is not in the log."""
+
+    first: decoding.Count
+
+
 class NewestRow(msgspec.Struct):
     """The newest record of a key; its value is written in base64."""
 
@@ -145,6 +169,7 @@
 
 APPENDED_DECODER = msgspec.json.Decoder(AppendedRecord)
 CONFLICT_DECODER = msgspec.json.Decoder(ConflictRecord)
+GONE_DECODER = msgspec.json.Decoder(GoneRecord)
 
 
 class Store:
@@ -177,7 +202,7 @@
 
         Returns
         -------
-        Page, Forgotten or Unavailable
+        Page, Forgotten, RolledBack or Unavailable
         """
         query = {
             'topic': topic,
@@ -198,7 +223,7 @@
         if isinstance(reply, Unavailable):
             return reply
         if reply.status == 410:
-            return Forgotten()
+            return explain_gone(topic, start, reply.body)
         if reply.status != 200:
             return Unavailable(f'status {reply.status}', False)
         try:
@@ -206,8 +231,7 @@
         except decoding.Malformed as error:
             return Unavailable(str(error), False)
         if log_end < start:
-            # The log ends before an offset that was read: it is another log.
-            return Forgotten()
+            return RolledBack(topic, start, log_end, READ)
         end = start + len(pairs)
         records = tuple(
             tail.Record(key, value, start + index)
@@ -264,7 +288,7 @@
 
         Returns
         -------
-        Appended, Conflict or Unavailable
+        Appended, Conflict, RolledBack or Unavailable
         """
         query = {'topic': topic, 'part': PARTITION}
         if at is not None:
@@ -290,7 +314,11 @@
         except decoding.Malformed as error:
             # The status tells whether it was done, but not the offset.
             return Unavailable(str(error), done)
-        return Appended(record.offset, sent) if done else Conflict(record.end)
+        if done:
+            return Appended(record.offset, sent)
+        if at is not None and record.end < at:
+            return RolledBack(topic, at, record.end, APPEND)
+        return Conflict(record.end)
 
     async def _call(self, method, path, query, body, timeout, max_bytes):
         self.calls[f'{path.rsplit("-", 1)[-1]} {query["topic"]}'] += 1
@@ -308,6 +336,28 @@
             return Unavailable(str(error), error.sent)
 
 
+def explain_gone(topic, start, body):
+    """Return why a read from an offset found it gone.
+
+    >>> explain_gone('t', 4, b'{"first": 9}')
+    Forgotten()
+    >>> explain_gone('t', 4, b'{"first": 2}').known
+    4
+
+    Returns
+    -------
+    Forgotten or RolledBack
+    """
+    try:
+        record = decoding.decode('gone', GONE_DECODER.decode, body)
+    except decoding.Malformed:
+        # Either way the newest records are read next.
+        return Forgotten()
+    if record.first > start:
+        return Forgotten()
+    return RolledBack(topic, start, None, READ)
+
+
 def read_newest_page(value):
     """Decode a page of newest records.
 
