Make fences of ballots: a round and the number of the box

Cause: a fence was the offset of the claim's append. A store that comes back from a copy gives its offsets out again, so a later holder got the fence of a former one.

A fence is (round << 32 | IPv4 address of the box) now. No two boxes have one address, so no two have one fence, whatever the log has lost; a box takes a round above all that it has heard of, from claims (which carry it), from other boxes (digests tell of a new round for 30 s, and are as long as before at other times) and by refusals of targets (further above with each). A renewed claim keeps its round. Fences are exact as floats up to round 2**21, and fit into 64 bits up to 2**31; one round is used for each time that a box takes the claim. A box of an earlier build ignores the round; as long as one is heard of, those of this build leave the orders to it, since its fences would be below.

--- a/landingspool/decisions/gateway/order_claims.py
+++ b/landingspool/decisions/gateway/order_claims.py
@@ -2,10 +2,9 @@
 
 Orders of two boxes would load more targets at once than planned.  A box claims
 the lease by an append to the platform's store that succeeds only if nothing
-was appended since its last read, and the offset of that append is the fence of
-its orders.  The store has no clock for the lease: a box that sees another
-box's claim waits until that claim has not changed for the whole lease plus the
-time for which an order may be under way.
+was appended since its last read.  The store has no clock for the lease: a box
+that sees another box's claim waits until that claim has not changed for the
+whole lease plus the time for which an order may be under way.
 """
 
 import typing
@@ -30,6 +29,8 @@
 class Claim(typing.NamedTuple):
     """A holder's claim as it is in the store.
 
+    `offset` is its place in the log, and `round` that of the ballots which the
+    holder's fences are made of; 0 in the claim of an earlier build.
     `loading` has the targets that the holder has ordered or will order, and in
     how many seconds: every box reads the claim and sends them only requests
     that end before.  `versions` has a peer_digests.VersionNotice of each
@@ -40,17 +41,23 @@
     """
 
     holder: str
-    fence: int
+    offset: int
     loading: dict = {}
     versions: tuple = ()
     age_s: float = 0.0
     given: tuple = ()
+    round: int = 0
+
+    @property
+    def rank(self):
+        """Return what orders claims, also those of a log that went back."""
+        return self.round, self.offset
 
 
 class Lease(typing.NamedTuple):
     """This box's own claim: sent at `since`, on its own clock."""
 
-    fence: int
+    round: int
     since: float
     seconds: float
 
@@ -95,7 +102,7 @@
     """
 
     def __init__(self, lease_s):
-        self._lease_s = lease_s
+        self._takeover_s = lease_s + TAKEOVER_S
         self.end = None
         self.claim = None
         self._since = 0.0
@@ -107,12 +114,12 @@
 
     def record(self, claim, now):
         """Record a claim that was read, if it is the newest."""
-        if self.claim is None or claim.fence > self.claim.fence:
+        if self.claim is None or claim.offset > self.claim.offset:
             self.claim = claim
             self._since = now
 
     def may_claim(self, holder, now):
-        """Return whether the box `holder` may append a claim.
+        """Return whether no other box than `holder` has a valid claim.
 
         >>> watch = ClaimWatch(3.0)
         >>> watch.may_claim('a', 0.0)
@@ -123,7 +130,7 @@
         """
         if self.claim is None or self.claim.holder == holder:
             return True
-        return now - self._since >= self._lease_s + TAKEOVER_S
+        return now - self._since >= self._takeover_s
 
     def is_last_holder(self, holder):
         """Return whether the newest claim is that of the box `holder`."""
--- a/landingspool/decisions/gateway/peer_digests.py
+++ b/landingspool/decisions/gateway/peer_digests.py
@@ -13,6 +13,7 @@
 import xxhash
 
 from landingspool.decisions import decoding
+from landingspool.decisions.gateway import ballots
 from landingspool.decisions.gateway import fingerprints
 
 # Seconds for which a digest counts: several periods, so that one lost datagram
@@ -195,6 +196,9 @@
     versions : tuple of VersionNotice
         Versions of weights that were published a short time ago; empty in
         most digests.
+    round : int
+        Highest round of orders that the box has heard of, shortly after it
+        was raised; 0 in most digests.
     """
 
     box: str
@@ -213,6 +217,7 @@
     groups: tuple[GroupLoad, ...] = ()
     partitioned: bool = False
     versions: tuple[VersionNotice, ...] = ()
+    round: ballots.Round = 0
 
 
 class ProofQuery(typing.NamedTuple):
@@ -367,6 +372,11 @@
         """List the names of the boxes whose digest is fresh at `now`."""
         return [digest.box for digest in self.list_fresh(now)]
 
+    def was_heard(self, box, now, within_s):
+        """Return whether a digest of a box came in the last seconds."""
+        row = self._received.get(box)
+        return row is not None and now - row.at < within_s
+
     def list_fresh(self, now):
         """List the newest digests of the boxes that are fresh at `now`."""
         return [
--- a/landingspool/decisions/gateway/view.py
+++ b/landingspool/decisions/gateway/view.py
@@ -8,6 +8,7 @@
 import random
 
 from landingspool.decisions.gateway import admission
+from landingspool.decisions.gateway import ballots
 from landingspool.decisions.gateway import capacity as capacity_module
 from landingspool.decisions.gateway import contention as contention_module
 from landingspool.decisions.gateway import context_index as index_module
@@ -72,6 +73,7 @@
         self.latency = latency.LatencyTracker()
         self.weights = weights_module.Weights(bounds.version_s)
         self.loading = loading_targets.LoadingTargets()
+        self.rounds = ballots.Rounds()
         self.reachability = reachability_module.Reachability()
         self.partition = partition_module.Partition()
         self.watchers = watchers_module.Watchers()
@@ -383,6 +385,7 @@
             self.context_index.record_taken(store, *counted)
         self.store_health.take_reports(digest.box, digest.slow_stores, now)
         self.fair_admission.take(digest, now)
+        self.rounds.hear(digest.round, now)
 
     def _take_unreached(self, digest, now):
         unreached = self.fleet.entries.keys() & digest.unreached
--- a/landingspool/gateway/following.py
+++ b/landingspool/gateway/following.py
@@ -432,6 +432,7 @@
             # between boxes, would date it worse than its reading.
             claim = claim._replace(age_s=0.0)
         now = self._hub.clock()
+        self._hub.view.rounds.hear(claim.round, now)
         self._watch.record(claim, now)
         self._put_loading(claim, now)
         self._hub.state.take_claimed(claim.versions, now)
--- a/landingspool/gateway/ordering.py
+++ b/landingspool/gateway/ordering.py
@@ -8,6 +8,7 @@
 import asyncio
 import itertools
 
+from landingspool.decisions.gateway import ballots
 from landingspool.decisions.gateway import fleet
 from landingspool.decisions.gateway import order_claims
 from landingspool.decisions.gateway import rollouts
@@ -22,6 +23,8 @@
 CHECK_PERIOD_S = 0.1
 # Period at which a target's report is read while it drains or loads, seconds.
 REPORT_PERIOD_S = 0.2
+# Below that of any claim.
+NO_RANK = 0, -1
 
 
 class Orderer:
@@ -41,11 +44,14 @@
     def __init__(self, hub):
         self._hub = hub
         self.watch = order_claims.ClaimWatch(hub.deployment.bounds.lease_s)
+        self._number = ballots.number_box(hub.deployment.callers.host)
         self._lease = None
+        # The round of the next claim, as long as no other box has claimed.
+        self._round = None
         self._claimed_loading = ()
-        # Offset of the newest claim whose orders this box knows, and whether
+        # Rank of the newest claim whose orders this box knows, and whether
         # this process has tried to claim.
-        self._known_fence = -1
+        self._known_rank = NO_RANK
         self._has_claimed = False
         # How long the claim has been needed without a holder.
         self._unclaimed = timing.RunningTime(CHECK_PERIOD_S)
@@ -58,6 +64,11 @@
         What it has ordered stays known.
         """
         self._drop_claim('started again')
+        if self._number is None:
+            self._hub.recorder.record(
+                'no_orders', reason='no IPv4 address of its own'
+            )
+            return
         while True:
             await asyncio.sleep(CHECK_PERIOD_S)
             behind = self._list_behind()
@@ -108,11 +119,18 @@
         if self.watch.end is None:
             return False
         box = self._hub.deployment.box
-        if not self.watch.may_claim(box, now):
+        if not self._may_claim(now):
             self._unclaimed.restart()
             return False
         return self.watch.is_last_holder(box) or await self._is_turn(now)
 
+    def _may_claim(self, now):
+        """Return whether no other box can have a valid claim."""
+        if not self.watch.may_claim(self._hub.deployment.box, now):
+            return False
+        # The fences of an earlier build are lower than those of this one.
+        return not self._hub.peering.has_older_orderers()
+
     async def _is_turn(self, now):
         """Return whether the boxes before this one had time to claim."""
         unclaimed_s = self._unclaimed.advance(now)
@@ -151,32 +169,20 @@
 
     async def _claim(self, loading):
         self._has_claimed = True
-        box = self._hub.deployment.box
-        versions = self._hub.view.weights.list_versions(self._hub.clock())
+        round_, end = self._get_round(), self.watch.end
         value = catalogue.write_claim(
-            box, loading, versions, self._hub.wall(), self._list_given()
+            self._hub.deployment.box,
+            loading,
+            self._hub.view.weights.list_versions(self._hub.clock()),
+            self._hub.wall(),
+            self._list_given(),
+            round_,
         )
         reply = await self._hub.store.append(
-            names.CLAIMS_TOPIC, CLAIM_KEY, value, self.watch.end
+            names.CLAIMS_TOPIC, CLAIM_KEY, value, end
         )
         if isinstance(reply, store_module.Appended):
-            if self._lease is None:
-                former = self.watch.claim
-                self._hub.recorder.record(
-                    'holding',
-                    fence=reply.offset,
-                    at=self.watch.end,
-                    former=former.holder if former else '',
-                    former_fence=former.fence if former else None,
-                )
-            self.watch.end = reply.offset + 1
-            # The offset of the newest append is the fence: it only rises.
-            self._lease = order_claims.Lease(
-                reply.offset, reply.sent, self._hub.deployment.bounds.lease_s
-            )
-            self._known_fence = reply.offset
-            self._claimed_loading = tuple(loading)
-            self._hub.view.loading.put(loading, self._hub.clock())
+            self._record_claimed(round_, reply, loading)
             return True
         if isinstance(reply, store_module.Conflict):
             # Another box has appended, so the claim of this one is void.
@@ -186,6 +192,38 @@
             self._drop_claim('the topic was rolled back')
         return False
 
+    def _get_round(self):
+        """Return the round of a claim: the same one while it is renewed."""
+        now, rounds = self._hub.clock(), self._hub.view.rounds
+        if order_claims.is_held(self._lease, now):
+            return self._lease.round
+        self._lease = None
+        if self._round is None or self._round <= rounds.claimed:
+            self._round = rounds.pick()
+        return self._round
+
+    def _record_claimed(self, round_, reply, loading):
+        """Record that this box holds the claim that it has appended."""
+        now = self._hub.clock()
+        if self._lease is None:
+            former = self.watch.claim
+            self._hub.recorder.record(
+                'holding',
+                fence=ballots.make_fence(round_, self._number),
+                round=round_,
+                at=reply.offset,
+                former=former.holder if former else '',
+                former_round=former.round if former else None,
+            )
+        self.watch.end = reply.offset + 1
+        self._lease = order_claims.Lease(
+            round_, reply.sent, self._hub.deployment.bounds.lease_s
+        )
+        self._hub.view.rounds.record_claimed(round_, now)
+        self._known_rank = round_, reply.offset
+        self._claimed_loading = tuple(loading)
+        self._hub.view.loading.put(loading, now)
+
     def _drop_claim(self, reason):
         if self._lease is not None:
             self._hub.recorder.record('lease_lost', reason=reason)
@@ -203,9 +241,9 @@
         if order_claims.is_held(self._lease, now) or claim is None:
             return
         is_own = self._has_claimed and claim.holder == self._hub.deployment.box
-        if is_own or claim.fence <= self._known_fence:
+        if is_own or claim.rank <= self._known_rank:
             return
-        self._known_fence = claim.fence
+        self._known_rank = claim.rank
         for model, version, targets in behind:
             rollout = self._rollouts.setdefault(model, rollouts.Rollout())
             for order in rollout.take_over(
@@ -304,7 +342,7 @@
         if not self._hub.view.may_call(entry.name, self._hub.clock()):
             # The target may have asked for a back-off since the planning.
             return rollouts.REFUSED
-        fence = self._lease.fence
+        fence = ballots.make_fence(self._lease.round, self._number)
         reply = await self._try_order(entry, order, report.orders, fence)
         self._hub.metrics.orders.labels(type(reply).__name__).inc()
         self._hub.recorder.record(
@@ -315,10 +353,17 @@
             fence=fence,
             outcome=str(reply),
         )
+        self._judge_fence(reply)
+        return STATES[type(reply)]
+
+    def _judge_fence(self, reply):
+        """Drop the claim if a target has seen a higher fence."""
+        rounds = self._hub.view.rounds
+        if isinstance(reply, runners.Taken):
+            rounds.record_taken()
         if isinstance(reply, runners.Refused) and reply.fenced:
-            # The target has seen a higher fence, so this one is obsolete.
+            rounds.record_refused()
             self._drop_claim('fenced')
-        return STATES[type(reply)]
 
     async def _try_order(self, entry, order, taken, fence):
         """Give an order; after an error it may have been taken."""
--- a/landingspool/gateway/peering.py
+++ b/landingspool/gateway/peering.py
@@ -31,6 +31,9 @@
 # Period of the digests, seconds: about the prefill of two long prompts (0.1 s
 # each), so that boxes seldom choose the same idle target.
 DIGEST_S = 0.2
+# Seconds without a digest after which a box of an earlier build counts as
+# gone: each digest reaches only some boxes.
+OLDER_BOX_S = 5.0
 # Minimum seconds between a digest and an urgent one: for a limit that begins,
 # and for requests that were sent to engines of a group.  A target that names a
 # limit in every other answer must not cause a flood.
@@ -127,6 +130,20 @@
             self._registry.read_soon()
         return names
 
+    def has_older_orderers(self):
+        """Return whether a box of an earlier build may give orders.
+
+        Its fences are offsets in the store, and so below those of this build.
+        """
+        now, digests = self._hub.clock(), self._hub.view.peer_digests
+        if any(peer.has_rounds is None for peer in self.peers.values()):
+            self._registry.read_soon()
+        return any(
+            peer.has_rounds is False
+            and digests.was_heard(name, now, OLDER_BOX_S)
+            for name, peer in self.peers.items()
+        )
+
     def send(self, message, address):
         """Send a message without any guarantee of delivery."""
         self._socket.send(message, address)
@@ -329,6 +346,7 @@
             answers=view.profiles.take_reports(),
             groups=view.grouping.list_loads(now),
             versions=view.weights.list_due_ages(now),
+            round=view.rounds.get_due(now),
         )
         self._socket.send_to_all(digest, self._pick_digest_receivers(digest))
 
--- a/landingspool/gateway/registry.py
+++ b/landingspool/gateway/registry.py
@@ -43,7 +43,8 @@
 
     `forwarding` is its address for forwarded requests; None if it takes none.
     `owns_streams` is whether it can be told what began a stream; None if its
-    record has not been read.
+    record has not been read.  `has_rounds` is the same for whether the fences
+    of its orders are made of rounds.
     """
 
     name: str
@@ -52,13 +53,15 @@
     link_mbps: float = 0.0
     forwarding: http.Address | None = None
     owns_streams: bool | None = None
+    has_rounds: bool | None = None
 
 
 class BoxRecord(msgspec.Struct):
     """Record that a box writes about itself.
 
     A box of an earlier version names no address for forwarded requests, and
-    doesn't say whether it can be told of streams.
+    doesn't say whether it can be told of streams, nor that the fences of its
+    orders are made of rounds.
     """
 
     address: str
@@ -66,6 +69,7 @@
     link_mbps: decoding.Figure = 0.0
     forwarding: str | None = None
     streams: bool = False
+    rounds: bool = False
 
 
 BOX_DECODER = msgspec.json.Decoder(BoxRecord)
@@ -240,6 +244,7 @@
         'domain': domain,
         'link_mbps': link_mbps,
         'streams': True,
+        'rounds': True,
     }
     if forwarding is not None:
         row['forwarding'] = f'{forwarding[0]}:{forwarding[1]}'
@@ -288,4 +293,5 @@
         row.link_mbps,
         forwarding,
         row.streams,
+        row.rounds,
     )
--- a/landingspool/platform/catalogue.py
+++ b/landingspool/platform/catalogue.py
@@ -11,6 +11,7 @@
 import msgspec
 
 from landingspool.decisions import decoding
+from landingspool.decisions.gateway import ballots
 from landingspool.decisions.gateway import fingerprints
 from landingspool.decisions.gateway import fleet
 from landingspool.decisions.gateway import order_claims
@@ -106,8 +107,8 @@
 class ClaimRecord(msgspec.Struct):
     """Claim of a box to the right to send orders.
 
-    An earlier build names neither versions nor orders, and doesn't tell when
-    it wrote.
+    An earlier build names neither versions nor orders nor a round, and
+    doesn't tell when it wrote.
 
     Attributes
     ----------
@@ -122,6 +123,7 @@
     versions: list[tuple[Text, Number, decoding.Milliseconds, bool]] = []
     at_ms: decoding.TimeMs = 0
     orders: list[tuple[TargetName, Text, Number, decoding.Milliseconds]] = []
+    round: ballots.Round = 0
 
 
 VERSION_DECODER = msgspec.json.Decoder(VersionRecord, strict=False)
@@ -308,7 +310,7 @@
     )
 
 
-def write_claim(holder, loading, versions=(), wall_s=0.0, given=()):
+def write_claim(holder, loading, versions=(), wall_s=0.0, given=(), round_=0):
     """Encode a claim to the right to send orders.
 
     Parameters
@@ -317,6 +319,8 @@
     wall_s : float
         Unix time in seconds, from which readers compute the ages.
     given : iterable of rollouts.Given
+    round_ : int
+        That of the holder's ballot.
     """
     newest = sorted(given, key=lambda order: order.age_ms)
     row = {
@@ -325,6 +329,7 @@
         'versions': [list(notice) for notice in versions],
         'at_ms': int(wall_s * 1000),
         'orders': [list(order) for order in newest[: rollouts.MAX_GIVEN]],
+        'round': round_,
     }
     return json.dumps(row).encode()
 
@@ -342,7 +347,7 @@
 
 
 def read_claim(value, offset, wall_s=0.0):
-    """Decode a claim; its offset in the log is the fence of its orders.
+    """Decode a claim.
 
     The ages in it are at least those of its writing, also if the time of day
     was set back since.  If it was by more than MAX_CLOCK_ERROR_MS, nothing is
@@ -379,6 +384,7 @@
         # An earlier build does not tell when it wrote.
         since_ms / 1000 if row.at_ms else 0.0,
         make_given(row.orders),
+        row.round,
     )
 
 
--- a/landingspool/target_event_kinds.py
+++ b/landingspool/target_event_kinds.py
@@ -127,4 +127,10 @@
         'INFO',
         'All targets of a service have had the same software for long.',
     ),
+    (
+        530,
+        'no_orders',
+        'ERROR',
+        'This box has no number for the fences of orders and gives none.',
+    ),
 )
--- a/tests/gateway/site.py
+++ b/tests/gateway/site.py
@@ -151,6 +151,8 @@
         self.engines = [runner_module.Runner(f'e{i}') for i in range(engines)]
         self.hubs = []
         self._works = []
+        # Each box has an address of its own, also after a restart.
+        self._hosts = {}
 
     async def __aenter__(self):
         await self.store.start()
@@ -195,6 +197,7 @@
         clock=boot_clock.read,
         domain='d1',
         entrance=None,
+        first_start=False,
         **bounds,
     ):
         """Start a box and wait until it is ready.
@@ -204,7 +207,8 @@
         entrance : platformstore.PlatformStore, optional
             Where this box reaches the store.
         """
-        ports = [http.Address('127.0.0.1', find_port()) for _ in range(4)]
+        host = self._hosts.setdefault(name, f'127.0.1.{len(self._hosts) + 1}')
+        ports = [http.Address(host, find_port()) for _ in range(4)]
         settings = deployment.Deployment(
             box=name,
             domain=domain,
@@ -214,6 +218,7 @@
             seeds=tuple(seeds),
             store=(entrance or self.store).address,
             bounds=deployment.Bounds(**bounds),
+            first_start=first_start,
             forwarding=ports[3],
         )
         hub = hub_module.Hub(settings, 1, clock)
