Claim only once every lease that the log may have lost is over

Causes, one class (the log alone said who may order): a box that read no claim claimed at once, also one that had just started or had been without the store; a claim of the new history was passed over for its lower offset; a holder went on under a claim that the log had lost; an answer of the lost log gave a lease.

A box claims only if it can't have missed a claim whose lease still runs. It may have missed one after a start (but not where the whole deployment starts for the first time), after a read of the claims that failed, after a stall of a second, after a rollback, after a target has seen a higher fence, and where another box tells of a round that it has not read: from then on, and from its next answered read on, it waits for the lease and a takeover, as for a claim that it has read. A rollback voids the claim that the log granted, and the watch begins anew; an append that was under way then gives nothing. A holder whose lease runs may renew: all others wait for longer than it.

--- a/landingspool/decisions/gateway/ballots.py
+++ b/landingspool/decisions/gateway/ballots.py
@@ -65,10 +65,14 @@
     ----------
     claimed : int
         The highest one that a claim is known to bear.
+    heard_at : float
+        When another box told of it, in seconds of this box's clock; minus
+        infinity if it was this box's own.
     """
 
     def __init__(self):
         self.claimed = 0
+        self.heard_at = -math.inf
         # The highest one known, also if no claim was made with it.
         self._highest = 0
         self._raised_at = -math.inf
@@ -83,6 +87,7 @@
         (5, 6)
         """
         if round_ > self.claimed:
+            self.heard_at = now
             self._raise_to(round_, now)
 
     def record_claimed(self, round_, now):
@@ -121,6 +126,10 @@
         """Record that a target has taken an order of this box."""
         self._jump = 1
 
+    def tell_again(self, now):
+        """Tell the other boxes again of the highest round claimed."""
+        self._raised_at = now
+
     def get_due(self, now):
         """Return the round to tell other boxes of, or 0.
 
--- a/landingspool/decisions/gateway/order_claims.py
+++ b/landingspool/decisions/gateway/order_claims.py
@@ -5,8 +5,13 @@
 was appended since its last read.  The store has no clock for the lease: a box
 that sees another box's claim waits until that claim has not changed for the
 whole lease plus the time for which an order may be under way.
+
+The store may lose a claim whose lease still runs, by a return from a copy.  So
+a box that may have missed a claim, since it has just started or its reads were
+interrupted, waits as long as for a claim that it has seen.
 """
 
+import math
 import typing
 
 # Seconds beyond the lease by which another box's claim has to be old before it
@@ -92,6 +97,8 @@
     ----------
     lease_s : float
         Seconds for which a claim is valid after its append was sent.
+    is_first_start : bool
+        Whether no box can have claimed before this one started.
 
     Attributes
     ----------
@@ -99,13 +106,21 @@
         Offset of the end of the claims in the store, as far as was read.
     claim : Claim or None
         The newest one.
+    rollbacks : int
+        How often the log was rolled back.
+    is_interrupted : bool
+        Whether claims may be missed until the next answered read.
     """
 
-    def __init__(self, lease_s):
+    def __init__(self, lease_s, is_first_start=False):
         self._takeover_s = lease_s + TAKEOVER_S
         self.end = None
         self.claim = None
+        self.rollbacks = 0
         self._since = 0.0
+        self.is_interrupted = not is_first_start
+        # Until when a claim that this box has missed may be valid.
+        self._unsettled_until = -math.inf
 
     @property
     def written(self):
@@ -121,6 +136,8 @@
     def may_claim(self, holder, now):
         """Return whether no other box than `holder` has a valid claim.
 
+        Claims that this box may have missed are left to `is_settled`.
+
         >>> watch = ClaimWatch(3.0)
         >>> watch.may_claim('a', 0.0)
         True
@@ -132,6 +149,56 @@
             return True
         return now - self._since >= self._takeover_s
 
+    def interrupt(self):
+        """Record that claims may be missed until the next answered read."""
+        self.is_interrupted = True
+
+    def confirm(self, now):
+        """Record that a read of the claims is answered at `now`."""
+        if self.is_interrupted:
+            self.is_interrupted = False
+            self.unsettle(now)
+
+    def unsettle(self, at):
+        """Record that a claim which is not known may have been made at `at`.
+
+        >>> from landingspool.decisions.gateway import ballots
+        >>> watch, rounds = ClaimWatch(3.0, True), ballots.Rounds()
+        >>> watch.confirm(1.0)
+        >>> watch.is_settled(rounds, 1.0)
+        True
+        >>> watch.interrupt()
+        >>> watch.confirm(2.0)
+        >>> [watch.is_settled(rounds, at) for at in (5.3, 5.5)]
+        [False, True]
+        """
+        until = at + self._takeover_s
+        self._unsettled_until = max(self._unsettled_until, until)
+
+    def is_settled(self, rounds, now):
+        """Return whether no claim that this box has not read is valid.
+
+        Parameters
+        ----------
+        rounds : ballots.Rounds
+            Those of the claims that other boxes have told of.
+        """
+        if self.is_interrupted or now < self._unsettled_until:
+            return False
+        known = self.claim.round if self.claim is not None else 0
+        return (
+            rounds.claimed <= known
+            or now - rounds.heard_at >= self._takeover_s
+        )
+
+    def roll_back(self, now):
+        """Record that the log has lost claims, and must be read again."""
+        self.rollbacks += 1
+        self.end = None
+        self.claim = None
+        self.interrupt()
+        self.unsettle(now)
+
     def is_last_holder(self, holder):
         """Return whether the newest claim is that of the box `holder`."""
         return self.claim is not None and self.claim.holder == holder
--- a/landingspool/gateway/following.py
+++ b/landingspool/gateway/following.py
@@ -33,6 +33,10 @@
 UNCONFIRMED_S = 5.0
 
 
+# Hold of a read of the claims.
+CLAIMS_HOLD_S = 8.0
+
+
 class NotApplied(Exception):
     """The newest table could not be applied, so nothing is proved of it."""
 
@@ -393,12 +397,24 @@
     """Follow who orders rollouts, and which requests crashed targets."""
 
     topic = names.CLAIMS_TOPIC
-    # Nothing depends on noticing quickly that nothing is new here.
-    hold_s = 8.0
 
     def __init__(self, hub, watch):
         super().__init__(hub)
         self._watch = watch
+        hub.sources.subscribe_failure(self.topic, watch.interrupt)
+
+    @property
+    def hold_s(self):
+        """Return the hold of a read; none after an interruption.
+
+        Nothing else depends on noticing quickly that nothing is new here.
+        """
+        return 0.0 if self._watch.is_interrupted else CLAIMS_HOLD_S
+
+    async def _read(self, kind, read):
+        reply = await super()._read(kind, read)
+        self._watch.confirm(self._hub.clock())
+        return reply
 
     def _replace_known(self, newest):
         self._watch.end = newest.end
--- a/landingspool/gateway/ordering.py
+++ b/landingspool/gateway/ordering.py
@@ -23,6 +23,9 @@
 CHECK_PERIOD_S = 0.1
 # Period at which a target's report is read while it drains or loads, seconds.
 REPORT_PERIOD_S = 0.2
+# Stalls of this process during which the store may have gone, lost a claim
+# and come back, seconds.
+LONG_STALL_S = 1.0
 # Below that of any claim.
 NO_RANK = 0, -1
 
@@ -43,7 +46,9 @@
 
     def __init__(self, hub):
         self._hub = hub
-        self.watch = order_claims.ClaimWatch(hub.deployment.bounds.lease_s)
+        self.watch = order_claims.ClaimWatch(
+            hub.deployment.bounds.lease_s, hub.deployment.first_start
+        )
         self._number = ballots.number_box(hub.deployment.callers.host)
         self._lease = None
         # The round of the next claim, as long as no other box has claimed.
@@ -56,6 +61,8 @@
         # How long the claim has been needed without a holder.
         self._unclaimed = timing.RunningTime(CHECK_PERIOD_S)
         self._rollouts = {}
+        hub.rollbacks.subscribe(names.CLAIMS_TOPIC, self._roll_back)
+        hub.timer.subscribe_stall(self._interrupt)
 
     async def run(self):
         """Give orders until cancelled.
@@ -128,8 +135,11 @@
         """Return whether no other box can have a valid claim."""
         if not self.watch.may_claim(self._hub.deployment.box, now):
             return False
-        # The fences of an earlier build are lower than those of this one.
-        return not self._hub.peering.has_older_orderers()
+        self._hub.peering.read_arrived()
+        if self._hub.peering.has_older_orderers():
+            # Its fences would be lower than those of this build.
+            return False
+        return self.watch.is_settled(self._hub.view.rounds, now)
 
     async def _is_turn(self, now):
         """Return whether the boxes before this one had time to claim."""
@@ -145,8 +155,12 @@
         A slow store delays both the claims of other boxes and the reads that
         would show them.
         """
-        end = self.watch.end
+        end, rollbacks = self.watch.end, self.watch.rollbacks
         reply = await self._hub.store.read(names.CLAIMS_TOPIC, end, 0.0)
+        if self.watch.rollbacks != rollbacks:
+            return False
+        if isinstance(reply, store_module.RolledBack):
+            self._hub.rollbacks.report(reply)
         is_known = isinstance(reply, store_module.Page) and reply.end == end
         return is_known and self.watch.end == end
 
@@ -170,6 +184,7 @@
     async def _claim(self, loading):
         self._has_claimed = True
         round_, end = self._get_round(), self.watch.end
+        rollbacks = self.watch.rollbacks
         value = catalogue.write_claim(
             self._hub.deployment.box,
             loading,
@@ -181,6 +196,9 @@
         reply = await self._hub.store.append(
             names.CLAIMS_TOPIC, CLAIM_KEY, value, end
         )
+        if self.watch.rollbacks != rollbacks:
+            # The answer is that of a log which has lost this claim.
+            return False
         if isinstance(reply, store_module.Appended):
             self._record_claimed(round_, reply, loading)
             return True
@@ -189,7 +207,6 @@
             self._drop_claim('another box wrote a claim')
         if isinstance(reply, store_module.RolledBack):
             self._hub.rollbacks.report(reply)
-            self._drop_claim('the topic was rolled back')
         return False
 
     def _get_round(self):
@@ -224,6 +241,19 @@
         self._claimed_loading = tuple(loading)
         self._hub.view.loading.put(loading, now)
 
+    def _roll_back(self, rollback):
+        """Drop the claim: the log that granted it has lost claims."""
+        now = self._hub.clock()
+        self._drop_claim('the claims were rolled back')
+        self._known_rank = NO_RANK
+        self.watch.roll_back(now)
+        self._hub.view.rounds.tell_again(now)
+
+    def _interrupt(self, stall):
+        """Record a stall in which a claim may have been made and lost."""
+        if stall.seconds >= LONG_STALL_S:
+            self.watch.interrupt()
+
     def _drop_claim(self, reason):
         if self._lease is not None:
             self._hub.recorder.record('lease_lost', reason=reason)
@@ -357,12 +387,17 @@
         return STATES[type(reply)]
 
     def _judge_fence(self, reply):
-        """Drop the claim if a target has seen a higher fence."""
+        """Drop the claim if a target has seen a higher fence.
+
+        Another box has a claim that this one has not read, and that may be
+        valid.
+        """
         rounds = self._hub.view.rounds
         if isinstance(reply, runners.Taken):
             rounds.record_taken()
         if isinstance(reply, runners.Refused) and reply.fenced:
             rounds.record_refused()
+            self.watch.unsettle(self._hub.clock())
             self._drop_claim('fenced')
 
     async def _try_order(self, entry, order, taken, fence):
--- a/landingspool/gateway/sources.py
+++ b/landingspool/gateway/sources.py
@@ -8,6 +8,7 @@
 """
 
 import asyncio
+import collections
 import contextlib
 import typing
 from urllib import parse
@@ -83,6 +84,7 @@
         self._hub = hub
         self._aborts = {}
         self._answered = asyncio.Event()
+        self._subscribers = collections.defaultdict(list)
         self.failed_at = None
 
     def exclude_stall(self, stall):
@@ -90,6 +92,10 @@
         if self.failed_at is not None:
             self.failed_at += stall.seconds
 
+    def subscribe_failure(self, topic, call):
+        """Call ``call()`` each time a source of a topic fails this box."""
+        self._subscribers[topic].append(call)
+
     def leave(self, name):
         """Abort the pending reads of a source that has failed.
 
@@ -103,6 +109,7 @@
     async def read(self, topic, start, hold_s):
         """Read records with the outcomes of store.Store.read."""
         return await self._read_any(
+            topic,
             lambda: self._hub.store.read(topic, start, hold_s),
             lambda peer: self._read_box(peer, topic, start, hold_s),
         )
@@ -117,11 +124,12 @@
             box whose end is lower is rejected.
         """
         return await self._read_any(
+            topic,
             lambda: self._hub.store.read_newest(topic),
             lambda peer: self._read_newest_of_box(peer, topic, min_end),
         )
 
-    async def _read_any(self, read_store, read_box):
+    async def _read_any(self, topic, read_store, read_box):
         """Ask one source after the other, until one answers or none is left.
 
         A source that fails is not picked again for some time.
@@ -136,7 +144,7 @@
             if not isinstance(reply, store_module.Unavailable):
                 self._record_answered()
                 return reply
-            self.failed_at = self._hub.clock()
+            self._record_failed(topic)
             if peer is None and peering.pick_reader() is None:
                 return reply
 
@@ -154,6 +162,11 @@
             async with asyncio.timeout(most_s):
                 await self._answered.wait()
 
+    def _record_failed(self, topic):
+        self.failed_at = self._hub.clock()
+        for call in self._subscribers[topic]:
+            call()
+
     def _record_answered(self):
         self._answered.set()
         self._answered = asyncio.Event()
@@ -228,7 +241,7 @@
             )
         if answer.cut:
             # The records are valid, but the next reads go to another source.
-            self.failed_at = self._hub.clock()
+            self._record_failed(query['topic'])
             self._avoid(peer, 'the store does not answer it')
         return answer, sent
 
--- a/tests/gateway/test_ballots.py
+++ b/tests/gateway/test_ballots.py
@@ -7,9 +7,11 @@
 
 from landingspool.boxes import datagrams
 from landingspool.decisions.gateway import ballots
+from landingspool.decisions.gateway import order_claims
 from landingspool.decisions.gateway import peer_digests
 from landingspool.platform import catalogue
 
+LEASE_S = 3.0
 HOSTS = [f'10.0.0.{number}' for number in range(1, 6)]
 # A step of some boxes: who picks a round, or who hears of whose.
 STEPS = strategies.lists(
@@ -80,3 +82,51 @@
     assert datagrams.decode(datagrams.encode(digest)).round == 4
     short = digest._replace(round=0)
     assert len(datagrams.encode(short)) < len(datagrams.encode(digest))
+
+
+def make_watch():
+    """Return a watch that has read the claim of box 'b' in round 4 at 0 s."""
+    watch = order_claims.ClaimWatch(LEASE_S, is_first_start=True)
+    watch.confirm(0.0)
+    watch.record(order_claims.Claim('b', 7, round=4), 0.0)
+    return watch
+
+
+WAIT_S = LEASE_S + order_claims.TAKEOVER_S
+JUST_BEFORE, JUST_AFTER = WAIT_S - 0.1, WAIT_S + 0.1
+
+
+def test_claim_that_only_another_box_has_heard_of_is_waited_for():
+    watch, rounds = make_watch(), ballots.Rounds()
+    rounds.hear(4, 0.0)
+    assert watch.is_settled(rounds, 10.0)
+    rounds.hear(5, 10.0)
+    assert not watch.is_settled(rounds, 10.0 + JUST_BEFORE)
+    assert watch.is_settled(rounds, 10.0 + JUST_AFTER)
+
+
+def test_no_claim_is_made_before_the_leases_of_a_lost_log_are_over():
+    watch, rounds = make_watch(), ballots.Rounds()
+    watch.roll_back(10.0)
+    assert watch.end is None
+    assert not watch.is_settled(rounds, 10.0 + JUST_AFTER)
+    watch.confirm(10.5)
+    assert not watch.is_settled(rounds, 10.5 + JUST_BEFORE)
+    assert watch.is_settled(rounds, 10.5 + JUST_AFTER)
+
+
+def test_claim_at_a_lower_offset_counts_after_a_rollback():
+    # Guards against a holder that is passed over for its lower offset.
+    watch = make_watch()
+    watch.roll_back(10.0)
+    watch.record(order_claims.Claim('c', 2, round=5), 11.0)
+    assert watch.claim.holder == 'c'
+    assert not watch.may_claim('b', 11.0 + JUST_BEFORE)
+
+
+@pytest.mark.parametrize('is_first_start', [True, False])
+def test_started_box_waits_unless_all_start_for_the_first_time(is_first_start):
+    watch = order_claims.ClaimWatch(LEASE_S, is_first_start)
+    watch.confirm(5.0)
+    assert watch.is_settled(ballots.Rounds(), 5.0) == is_first_start
+    assert watch.is_settled(ballots.Rounds(), 5.0 + JUST_AFTER)
