Give the answers to other boxes a module of their own

peering.py had grown to 526 lines, with two jobs: what boxes tell each other by themselves, and what they answer.

--- a/landingspool/gateway/peering.py
+++ b/landingspool/gateway/peering.py
@@ -12,8 +12,6 @@
 import math
 import random
 
-import msgspec
-
 from landingspool.boxes import datagrams
 from landingspool.decisions.gateway import peer_digests
 from landingspool.decisions.gateway import readers
@@ -21,10 +19,8 @@
 from landingspool.decisions.gateway import stream_records
 from landingspool.decisions import ownership
 from landingspool.gateway import boxcalls
-from landingspool.gateway import cache_follower
-from landingspool.gateway import continuity
+from landingspool.gateway import peer_requests
 from landingspool.gateway import registry
-from landingspool.gateway import sources
 from landingspool.gateway import state
 from landingspool import http
 
@@ -53,7 +49,6 @@
 MIN_GAIN_S = 0.3
 # Boxes that are asked in each period.
 PEERS_ASKED = 3
-STATE_PATH = '/state'
 # Seconds for which a starting box waits for the list of the other boxes.  If
 # the store has not answered by then, the box reads all topics from the store.
 LIST_TIMEOUT_S = 1.2
@@ -97,7 +92,7 @@
             hub.timer, self._receive, self._record_bad_message
         )
         self._server = http.Server(
-            self._answer,
+            peer_requests.PeerRequests(hub).answer,
             on_error=hub.supervisor.make_reporter('peer_requests'),
         )
 
@@ -469,7 +464,7 @@
                 self._hub.client,
                 address,
                 state.StateSnapshot,
-                ('GET', STATE_PATH),
+                ('GET', peer_requests.STATE_PATH),
                 timeout=FETCH_TIMEOUT_S,
             )
         except boxcalls.NoAnswer as error:
@@ -477,34 +472,9 @@
             return
         self._hub.state.take(snapshot, sent)
 
-    async def _answer(self, request, exchange):
-        answer = ANSWERS.get(request.path)
-        if answer is None:
-            await exchange.send_json(404, {'error': 'no such path'})
-            return
-        await answer(self, request, exchange)
-
-    async def _answer_state(self, request, exchange):
-        snapshot = msgspec.to_builtins(
-            self._hub.state.get_snapshot(), builtin_types=[bytes]
-        )
-        await boxcalls.answer(exchange, snapshot)
-
     def _receive_streams(self, message, address):
         self._hub.continuity.take(message)
 
-    async def _answer_streams(self, request, exchange):
-        await self._hub.continuity.answer(request, exchange)
-
-    async def _answer_records(self, request, exchange):
-        await self._hub.record_server.answer_records(request, exchange)
-
-    async def _answer_newest(self, request, exchange):
-        await self._hub.record_server.answer_newest(request, exchange)
-
-    async def _answer_changes(self, request, exchange):
-        await self._hub.cache_follower.answer_changes(request, exchange)
-
     def _record_bad_message(self, reason):
         self._hub.recorder.record('bad_message', reason=reason)
 
@@ -515,12 +485,3 @@
     peer_digests.ProofReply: Peering._receive_tell,
     stream_records.StreamRecords: Peering._receive_streams,
 }
-
-
-ANSWERS = {
-    STATE_PATH: Peering._answer_state,
-    sources.RECORDS_PATH: Peering._answer_records,
-    sources.NEWEST_PATH: Peering._answer_newest,
-    cache_follower.CHANGES_PATH: Peering._answer_changes,
-    continuity.STREAMS_PATH: Peering._answer_streams,
-}
