Believe no offset of an append that its record can't have

A done append 'at' the end of a topic can only have that offset. An answer that named another one (of another history of the log, or to another caller) was believed: a box that claims the right to give orders would have gone by a fence that isn't its own.

Such an answer is now Unavailable with done=True, as one whose body can't be read: the record may be there, and its offset isn't known. test_an_offset_that_can_not_be_that_of_the_record_is_not_believed fails before (both offsets: Appended) and passes now.

--- a/landingspool/platform/store.py
+++ b/landingspool/platform/store.py
@@ -314,6 +314,10 @@
         except decoding.Malformed as error:
             # The status tells whether it was done, but not the offset.
             return Unavailable(str(error), done)
+        if done and at not in (None, record.offset):
+            # Of another history of the log, or of another caller.
+            reason = f'appended at {at}, answered {record.offset}'
+            return Unavailable(reason, True)
         if done:
             return Appended(record.offset, sent)
         if at is not None and record.end < at:
--- a/tests/gateway/test_odd_pages.py
+++ b/tests/gateway/test_odd_pages.py
@@ -61,6 +61,15 @@
     assert found.done
 
 
+@pytest.mark.parametrize('offset', [2, 4])
+def test_an_offset_that_can_not_be_that_of_the_record_is_not_believed(offset):
+    # The answer is that to another caller, or of another history of the log.
+    client = make_store(json.dumps({'offset': offset}).encode())
+    found = asyncio.run(client.append('keyed.op', 'k', b'', 3))
+    assert isinstance(found, store.Unavailable)
+    assert found.done and f'answered {offset}' in found.reason
+
+
 ODD_KEYS = (b'"\xff"', b'"\\udcff"', b'5', b'null', b'[]')
 
 
