Forget the former history of a topic that was rolled back

What callers saw: after the store had come back from a copy and as much was written as was lost, a target announced at an offset given out again got no request, one dropped there got requests for good, an evacuation that was lost stayed, and no new configuration came into force. Where the log stayed shorter, boxes that read through another one rejected all that had read the new log ('its topic ends at') and believed one that had not; a box without the store took no list of targets of the new log.

Cause: a read from a known offset succeeds whatever stands below it, and ends of two histories were compared by their number.

Targets that aren't listed then are only doubted for five seconds, as after an outage. - of two answers that contradict each other the one that a later read of the store has shown counts. 'Relayed' tells how long ago the topic was rolled back ('peer'); a read tells since when its sender has its history, so that it isn't held. What was read before a rollback is rejected. Earlier versions leave both fields out. - a box's state tells the same of the list of targets.

--- a/landingspool/decisions/gateway/tail.py
+++ b/landingspool/decisions/gateway/tail.py
@@ -5,6 +5,7 @@
 of the two it reads from.
 """
 
+import math
 import typing
 
 # Records that are kept, some minutes of a busy topic.  A follower that is
@@ -45,11 +46,23 @@
         The offset after the newest record; None before any read.
     proved : float or None
         When the newest read was sent that returned all records there were.
+    last : Record or None
+        The record with the highest offset, as far as is known.
+    began : float
+        When the read was sent that showed all of the present history.
+    got : float
+        When the newest answer came.
+    rolled : float or None
+        When the topic was last rolled back; None: not since the start.
     """
 
     def __init__(self, newest_only=False, most=MAX_RECORDS):
         self.end = None
         self.proved = None
+        self.last = None
+        self.began = -math.inf
+        self.got = -math.inf
+        self.rolled = None
         self._newest_only = newest_only
         self._most = most
         # From this offset on no record is missing that a follower needs.
@@ -64,11 +77,37 @@
         self._first = end
         self.end = end
         self.proved = sent
+        self.began = sent
+        self.last = max(records, key=lambda row: row.offset, default=None)
+        if self.last is not None and self.last.offset == end - 1:
+            # Those who check their last record begin there.
+            self._first = end - 1
+            self._keep(self.last)
+
+    def forget(self, at):
+        """Forget all records, since the topic was rolled back.
+
+        Parameters
+        ----------
+        at : float
+            What was read from the store before may be of a former history.
+
+        >>> tail = Tail()
+        >>> tail.reset([Record('a', b'1', 4)], 5, 0.0)
+        >>> tail.forget(3.0)
+        >>> tail.end, tail.last, tail.read(4), tail.read_newest()
+        (None, None, None, ())
+        """
+        self._records.clear()
+        self._newest.clear()
+        self.end = self.proved = self.last = None
+        self.rolled = at if self.rolled is None else max(at, self.rolled)
 
     def extend(self, page):
         """Append the records of a store.Page."""
         for record in page.records:
             self._keep(record)
+            self.last = record
             self._newest[record.key] = record
             if not record.value:
                 del self._newest[record.key]
@@ -85,7 +124,7 @@
         >>> tail.end = 6
         >>> tail.read(5).records
         (Record(key='a', value=b'2', offset=5),)
-        >>> tail.read(4) is None, tail.read(9) is None
+        >>> tail.read(3) is None, tail.read(9) is None
         (True, True)
         """
         if self.end is None or not self._first <= start <= self.end:
--- a/landingspool/gateway/follower.py
+++ b/landingspool/gateway/follower.py
@@ -2,11 +2,13 @@
 
 Topics are followed with held reads of the store, or of a box that reads it.
 Each read is answered as soon as there is anything new.  If records are gone
-from the log, the newest record of each key is read again.
+from the log, the newest record of each key is read again.  So it is if the log
+was rolled back, and nothing of its former history counts from then on.
 """
 
 import asyncio
 
+from landingspool.decisions.gateway import histories
 from landingspool.decisions.gateway import tail as tail_module
 from landingspool.gateway import resumption
 from landingspool.platform import store as store_module
@@ -35,8 +37,8 @@
     Parameters
     ----------
     hub
-        The box's parts: `sources`, `record_server`, `view`, `recorder`,
-        `supervisor`, `clock`.
+        The box's parts: `sources`, `record_server`, `rollbacks`, `view`,
+        `recorder`, `supervisor`, `clock`.
 
     Attributes
     ----------
@@ -61,7 +63,13 @@
         # Keys whose newest record was passed over.
         self._passed_over = set()
         self._tail = tail_module.Tail(self.newest_only)
+        # Whether this box itself has noticed that the topic was rolled back,
+        # and has not read the newest records since.
+        self._is_first = False
+        # Done as soon as the topic was rolled back.
+        self._voided = None
         hub.record_server.add(self.topic, self._tail)
+        hub.rollbacks.subscribe(self.topic, self._take_rollback)
 
     async def run(self):
         """Follow until cancelled.
@@ -72,26 +80,71 @@
         """
         await self._hub.peering.wait_listed()
         while True:
-            newest = await self._read(
-                'newest',
-                lambda: self._hub.sources.read_newest(
-                    self.topic, self.min_end
-                ),
-            )
-            known = self._tail.end or 0
-            if newest.end < known:
-                self._hub.rollbacks.report(
-                    store_module.RolledBack(
-                        self.topic, known, newest.end, store_module.NEWEST
-                    )
-                )
-            self._tail.reset(newest.records, newest.end, newest.sent)
-            self._apply_newest(newest)
+            self._voided = asyncio.get_running_loop().create_future()
+            newest = await self._read('newest', self._read_newest)
+            if newest is None:
+                continue
+            self._check_newest(newest)
+            self._voided = asyncio.get_running_loop().create_future()
+            self._take_newest(newest)
             await self._follow(newest.end)
 
+    async def _read_newest(self):
+        """Read the newest records.
+
+        A box that has noticed itself that the topic was rolled back asks the
+        store: others may not have noticed it yet.
+        """
+        is_first, self._is_first = self._is_first, False
+        return await self._hub.sources.read_newest(
+            self.topic, self.min_end, self.known, is_first
+        )
+
+    def _check_newest(self, newest):
+        """Report if the newest records are of another history."""
+        known, kept = self.known, self._tail.read_newest()
+        is_lower = newest.end < known.end
+        if is_lower or histories.find_contradiction(
+            kept, newest.records, known.end
+        ):
+            self._hub.rollbacks.report(
+                store_module.RolledBack(
+                    self.topic,
+                    known.end,
+                    newest.end,
+                    store_module.NEWEST if is_lower else store_module.RECORD,
+                    newest.sent,
+                )
+            )
+            self._is_first = False
+
+    def _take_newest(self, newest):
+        self._tail.reset(newest.records, newest.end, newest.sent)
+        self._hub.record_server.wake(self.topic)
+        self._apply_newest(newest)
+
+    def _take_rollback(self, rollback):
+        """Forget the former history; what is read of it meanwhile is void."""
+        is_told = rollback.at is not None
+        self._tail.forget(rollback.at if is_told else self._hub.clock())
+        self._is_first = rollback.noticed != store_module.PEER
+        self._forget_end()
+        if self._voided is not None and not self._voided.done():
+            self._voided.set_result(None)
+
+    def _forget_end(self):
+        """Forget the end of the topic as others have told it."""
+
+    @property
+    def known(self):
+        """Return the histories.Known of the topic."""
+        return histories.make_known(self._tail)
+
     async def _follow(self, offset):
         while True:
             page = await self._read('read', lambda: self._read_page(offset))
+            if page is None:
+                return
             if isinstance(page, store_module.Forgotten):
                 self._hub.recorder.record('log_gap', first=offset)
                 return
@@ -105,11 +158,16 @@
             self._apply_page(page)
 
     async def _read_page(self, offset):
-        return await self._hub.sources.read(self.topic, offset, self.hold_s)
+        return await self._hub.sources.read(
+            self.topic, offset, self.hold_s, self.known
+        )
 
     async def _read(self, kind, read):
         """Read until there is an answer, with growing pauses.
 
+        Returns None if the topic was rolled back meanwhile: what is under way
+        then may be of its former history.
+
         A read that was pending during a stall of this process, and still has
         no answer, is sent again at once: its answer would prove only how
         things were before the stall, and its failure says nothing about the
@@ -119,7 +177,10 @@
         while True:
             sent = self._hub.clock()
             reply = await self._wait(asyncio.ensure_future(read()))
+            if self._voided.done():
+                return None
             if reply is not None and not is_failure(reply):
+                self._tail.got = self._hub.clock()
                 self._record_state(True, kind)
                 return reply
             if reply is None or not self._hub.timer.ran_since(sent):
@@ -130,12 +191,19 @@
             pause = min(pause * 2, MAX_RETRY_PAUSE_S)
 
     async def _wait(self, reading):
-        """Wait for a read; return None if this process stalled during it."""
+        """Wait for a read.
+
+        Returns None if this process stalled during it, or the topic was rolled
+        back.
+        """
         resumed = asyncio.ensure_future(self._hub.resumption.wait_for_stall())
         try:
             await asyncio.wait(
-                {reading, resumed}, return_when=asyncio.FIRST_COMPLETED
+                {reading, resumed, self._voided},
+                return_when=asyncio.FIRST_COMPLETED,
             )
+            if self._voided.done():
+                return None
             # Input that arrived during the stall is read first.
             await asyncio.wait({reading}, timeout=resumption.PENDING_INPUT_S)
             return reading.result() if reading.done() else None
@@ -163,11 +231,13 @@
         return self._tail.end or 0
 
     def was_store_unreachable(self):
-        """Return whether the store was unreachable shortly before."""
-        failed_at = self._hub.sources.failed_at
-        if failed_at is None:
-            return False
-        return self._hub.clock() - failed_at < UNCONFIRMED_S
+        """Return whether the store was unreachable shortly before.
+
+        It was, too, if it has come back from a copy.
+        """
+        times = (self._hub.sources.failed_at, self._tail.rolled)
+        now = self._hub.clock()
+        return any(at is not None and now - at < UNCONFIRMED_S for at in times)
 
     def _apply_newest(self, newest):
         self._passed_over.clear()
--- a/landingspool/gateway/following.py
+++ b/landingspool/gateway/following.py
@@ -122,8 +122,12 @@
         """Return the end of what was read, or of a peer's state if newer."""
         return max(super().min_end, self._hub.state.targets_end)
 
+    def _forget_end(self):
+        self._hub.state.forget_targets()
+
     def _replace_known(self, newest):
         self._hub.state.targets_end = newest.end
+        self._hub.state.put_targets_proof(newest.sent)
         # A target whose record was passed over is listed all the same.
         listed = {record.key for record in newest.records if record.value}
         for target in self._hub.view.fleet.list_targets():
@@ -139,6 +143,8 @@
         newer = tuple(r for r in page.records if r.offset >= known)
         super()._apply_page(dataclasses.replace(page, records=newer))
         self._hub.state.targets_end = max(known, page.end)
+        if page.whole:
+            self._hub.state.put_targets_proof(page.sent)
 
     def _record_read(self, sent):
         self._hub.view.software_history.confirm_list(
--- a/landingspool/gateway/hub.py
+++ b/landingspool/gateway/hub.py
@@ -22,6 +22,7 @@
 from landingspool.gateway import ordering
 from landingspool.gateway import peering
 from landingspool.gateway import prober
+from landingspool.gateway import record_server
 from landingspool.gateway import relay
 from landingspool.gateway import resumption
 from landingspool.gateway import rollbacks
@@ -145,7 +146,7 @@
         self.rollbacks = rollbacks.Rollbacks(self)
         self.state = state.State(self)
         self.sources = sources.Sources(self)
-        self.record_server = sources.RecordServer(
+        self.record_server = record_server.RecordServer(
             lambda: self.peering.is_cut(), self.clock
         )
         self.cache_follower = cache_follower.CacheFollower(self)
--- a/landingspool/gateway/sources.py
+++ b/landingspool/gateway/sources.py
@@ -9,13 +9,14 @@
 
 import asyncio
 import contextlib
-import typing
+import dataclasses
+import math
 from urllib import parse
 
 import msgspec
 
-from landingspool import boot_clock
 from landingspool.decisions import decoding
+from landingspool.decisions.gateway import histories
 from landingspool.decisions.gateway import readers
 from landingspool.decisions.gateway import tail as tail_module
 from landingspool.gateway import boxcalls
@@ -27,10 +28,8 @@
 # Time-out for an answer beyond the hold, seconds.  It is short, since boxes of
 # one domain are near each other.
 ANSWER_TIMEOUT_S = 0.4
-# Longest hold that another box may ask for, seconds.
-MAX_HOLD_S = 60.0
-
-Hold = typing.Annotated[float, msgspec.Meta(ge=0, le=MAX_HOLD_S)]
+# Why the records of another box are rejected.
+VOIDED = 'its records may be of a former history of the topic'
 
 
 class Relayed(msgspec.Struct):
@@ -48,6 +47,9 @@
         Whether the requested records are no longer available.
     cut : bool
         Whether the store failed that box shortly before.
+    rolled : float or None
+        Seconds since the topic was last rolled back, as that box noticed.  One
+        of an earlier version never tells.
     """
 
     records: list[tuple[str, bytes, decoding.Count]]
@@ -55,13 +57,7 @@
     age: decoding.Age
     gone: bool = False
     cut: bool = False
-
-
-class Query(msgspec.Struct):
-    """A read of records by another box: the first offset, and the seconds."""
-
-    start: decoding.Count = msgspec.field(name='from')
-    hold: Hold
+    rolled: decoding.Age | None = None
 
 
 class Sources:
@@ -100,27 +96,52 @@
         if abort is not None:
             abort.set_result(None)
 
-    async def read(self, topic, start, hold_s):
-        """Read records with the outcomes of store.Store.read."""
+    async def read(self, topic, start, hold_s, known=histories.NOTHING):
+        """Read records with the outcomes of store.Store.read.
+
+        Parameters
+        ----------
+        known : histories.Known, optional
+            What this box knows of the topic.  If a source has failed since,
+            the read begins with the last record, and compares it.
+        """
         return await self._read_any(
-            lambda: self._hub.store.read(topic, start, hold_s),
-            lambda peer: self._read_box(peer, topic, start, hold_s),
+            lambda: self._read_log(topic, start, hold_s, known),
+            lambda peer: self._read_box(peer, topic, start, hold_s, known),
         )
 
-    async def read_newest(self, topic, min_end):
+    async def read_newest(
+        self, topic, min_end, known=histories.NOTHING, is_first=False
+    ):
         """Read the newest record of each key, like store.Store.read_newest.
 
         Parameters
         ----------
         min_end : int
             End of the topic as far as this box knows.  The answer of another
-            box whose end is lower is rejected.
+            box whose end is lower is rejected, unless it is a later one.
+        known : histories.Known, optional
+            What this box knows of the topic.
+        is_first : bool, optional
+            Whether the store is asked first, whichever source is usual.
         """
+        if is_first:
+            reply = await self._read_store(self._hub.store.read_newest(topic))
+            if not isinstance(reply, store_module.Unavailable):
+                self._record_answered()
+                return reply
         return await self._read_any(
             lambda: self._hub.store.read_newest(topic),
-            lambda peer: self._read_newest_of_box(peer, topic, min_end),
+            lambda peer: self._read_newest_of_box(peer, topic, min_end, known),
         )
 
+    async def _read_log(self, topic, start, hold_s, known):
+        """Read the store; compare the last record if it may have lost it."""
+        if not histories.is_doubtful(known, self.failed_at):
+            return await self._hub.store.read(topic, start, hold_s)
+        reply = await self._hub.store.read(topic, known.last.offset, 0.0)
+        return check_page(topic, start, known, reply)
+
     async def _read_any(self, read_store, read_box):
         """Ask one source after the other, until one answers or none is left.
 
@@ -169,32 +190,71 @@
             self._hub.peering.record_cut(reply.reason)
         return reply
 
-    async def _read_box(self, peer, topic, start, hold_s):
-        query = {'topic': topic, 'from': start, 'hold': hold_s}
-        reply = await self._fetch(peer, RECORDS_PATH, query, hold_s)
+    async def _read_box(self, peer, topic, start, hold_s, known):
+        if histories.is_doubtful(known, self.failed_at):
+            first, wait_s = known.last.offset, 0.0
+        else:
+            first, wait_s = start, hold_s
+        query = {'topic': topic, 'from': first, 'hold': wait_s}
+        if not math.isinf(known.began):
+            query['age'] = max(self._hub.clock() - known.began, 0.0)
+        reply = await self._fetch(peer, RECORDS_PATH, query, wait_s)
         if isinstance(reply, store_module.Unavailable):
             return reply
         answer, sent = reply
+        rollback = self._find_rollback(topic, known, answer, sent)
+        if rollback is not None:
+            return rollback
         if answer.end < start:
             return self._reject(
                 peer, f'its topic ends at {answer.end}, before {start}'
             )
         if answer.gone:
             return store_module.Forgotten()
+        if histories.is_voided(known, sent - answer.age):
+            return self._reject(peer, VOIDED)
         if readers.is_stale(answer.age, hold_s, self._hub.peering.ages.old_s):
             # This peer can't read the store, but its records are valid.
             self._avoid(peer, f'its proof is {answer.age:.2f} s old')
         rows = read_rows(answer)
-        return store_module.Page(rows, answer.end, sent - answer.age)
+        page = store_module.Page(rows, answer.end, sent - answer.age)
+        if first == start:
+            return page
+        checked = check_page(topic, start, known, page)
+        is_same = isinstance(checked, store_module.Page)
+        if is_same or page.sent > known.got:
+            return checked
+        return self._reject(peer, f'another record at {first}')
+
+    def _find_rollback(self, topic, known, answer, sent):
+        """Return the store.RolledBack that a box's answer tells, or None."""
+        rolled = None
+        if answer.rolled is not None:
+            rolled = self._hub.clock() - answer.rolled
+        found = None if answer.gone else answer.end
+        if histories.is_later(known, rolled):
+            at = rolled - histories.SLACK_S
+        elif not answer.gone and histories.is_proof(
+            known, answer.end, sent - answer.age
+        ):
+            at = sent - answer.age
+        else:
+            return None
+        return store_module.RolledBack(
+            topic, known.end, found, store_module.PEER, at
+        )
 
-    async def _read_newest_of_box(self, peer, topic, min_end):
+    async def _read_newest_of_box(self, peer, topic, min_end, known):
         reply = await self._fetch(peer, NEWEST_PATH, {'topic': topic}, 0.0)
         if isinstance(reply, store_module.Unavailable):
             return reply
         answer, sent = reply
         if answer.gone:
             return self._reject(peer, 'it has no records of the topic')
-        if answer.end < min_end:
+        if histories.is_voided(known, sent - answer.age):
+            return self._reject(peer, VOIDED)
+        is_later = self._find_rollback(topic, known, answer, sent)
+        if answer.end < min_end and not is_later:
             return self._reject(peer, f'its topic ends at {answer.end}')
         rows = read_rows(answer)
         return store_module.Newest(rows, answer.end, sent - answer.age)
@@ -262,105 +322,36 @@
         return abort
 
 
-def read_query(fields):
-    """Decode the query of a read by another box.
+def check_page(topic, start, known, reply):
+    """Return the records from `start` on of a page from the last record on.
 
-    >>> read_query({'topic': 't', 'from': '7', 'hold': '0.5'})
-    Query(start=7, hold=0.5)
-
-    Raises
-    ------
-    ValueError
+    Parameters
+    ----------
+    topic : str
+    start : int
+    known : histories.Known
+    reply : store.Page
+        It begins with the last record that is known, unless the topic was
+        rolled back; other outcomes are returned as they are.
+
+    Returns
+    -------
+    store.Page, store.RolledBack, or `reply`
     """
-    return msgspec.convert(fields, Query, strict=False)
+    if isinstance(reply, store_module.RolledBack):
+        return dataclasses.replace(reply, known=known.end)
+    if not isinstance(reply, store_module.Page):
+        return reply
+    if not histories.is_continued(known, reply):
+        is_lower = reply.end < known.end
+        noticed = store_module.READ if is_lower else store_module.RECORD
+        return store_module.RolledBack(
+            topic, known.end, reply.end, noticed, reply.sent
+        )
+    newer = tuple(row for row in reply.records if row.offset >= start)
+    return dataclasses.replace(reply, records=newer)
 
 
 def read_rows(answer):
     """Return the tail.Records in an answer of another box."""
     return tuple(tail_module.Record(*row) for row in answer.records)
-
-
-class RecordServer:
-    """Answer the boxes that read from this one.
-
-    Parameters
-    ----------
-    is_cut : callable
-        Returns whether the store failed this box shortly before.
-    clock : callable, optional
-        Returns monotonic seconds.
-
-    Attributes
-    ----------
-    relayed_bytes : int
-        Bytes of keys and values that were sent to other boxes.
-    """
-
-    def __init__(self, is_cut, clock=boot_clock.read):
-        self.relayed_bytes = 0
-        self._is_cut = is_cut
-        self._clock = clock
-        self._tails = {}
-        self._changed = {}
-
-    def add(self, topic, tail):
-        """Answer reads of a topic from its tail."""
-        self._tails[topic] = tail
-        self._changed[topic] = asyncio.Event()
-
-    def wake(self, topic):
-        """Answer the held reads of a topic, since it has a new record."""
-        self._changed[topic].set()
-        self._changed[topic] = asyncio.Event()
-
-    def wake_all(self):
-        """Answer all held reads, since the store fails this box."""
-        for topic in self._changed:
-            self.wake(topic)
-
-    async def answer_records(self, request, exchange):
-        """Answer a read of records."""
-        topic = request.query.get('topic', '')
-        tail = self._tails.get(topic)
-        if tail is None or tail.end is None:
-            await self._send(exchange, tail, None)
-            return
-        try:
-            query = decoding.decode('query', read_query, request.query)
-        except decoding.Malformed as error:
-            await exchange.send_json(400, {'error': str(error)})
-            return
-        if query.start >= tail.end and not self._is_cut():
-            await self._hold(topic, query.hold)
-        await self._send(exchange, tail, tail.read(query.start))
-
-    async def answer_newest(self, request, exchange):
-        """Answer a read of the newest record of each key."""
-        tail = self._tails.get(request.query.get('topic', ''))
-        found = None
-        if tail is not None and tail.end is not None:
-            found = tail_module.Span(tail.read_newest(), tail.end)
-        await self._send(exchange, tail, found)
-
-    async def _hold(self, topic, hold_s):
-        changed = self._changed[topic]
-        try:
-            async with asyncio.timeout(hold_s):
-                await changed.wait()
-        except TimeoutError:
-            return
-
-    async def _send(self, exchange, tail, found):
-        cut = self._is_cut()
-        if found is None:
-            end = 0 if tail is None or tail.end is None else tail.end
-            answer = Relayed([], end, 0.0, gone=True, cut=cut)
-        else:
-            age = self._clock() - tail.proved
-            rows = [tuple(record) for record in found.records]
-            answer = Relayed(rows, found.end, age, cut=cut)
-            self.relayed_bytes += sum(
-                len(record.key) + len(record.value) for record in found.records
-            )
-        value = msgspec.to_builtins(answer, builtin_types=[bytes])
-        await boxcalls.answer(exchange, value)
--- a/landingspool/gateway/state.py
+++ b/landingspool/gateway/state.py
@@ -12,10 +12,12 @@
 
 from landingspool.decisions import decoding
 from landingspool.decisions.gateway import fleet as fleet_module
+from landingspool.decisions.gateway import histories
 from landingspool.decisions.gateway import peer_digests
 from landingspool.decisions.gateway import readers
 from landingspool.platform import catalogue
 from landingspool.platform import names
+from landingspool.platform import store
 from landingspool.platform import tables
 from landingspool import timeouts
 
@@ -41,6 +43,11 @@
         Their entries as they were written, by target.
     targets_end : int
         End offset of their topic for the box that sends them.
+    targets_s : float or None
+        Seconds since their topic was read; a box of an earlier version doesn't
+        tell.
+    targets_rolled : float or None
+        Seconds since that topic was rolled back; None: never, or not told.
     evacuated : list of str
         The evacuated failure domains.
     endings : list of peer_digests.CrashNotice
@@ -63,6 +70,8 @@
     limits: list[peer_digests.LimitNotice] = []
     leaving: list[peer_digests.LeavingNotice] = []
     ages: list[peer_digests.VersionNotice] = []
+    targets_s: decoding.Age | None = None
+    targets_rolled: decoding.Age | None = None
 
 
 class State:
@@ -71,7 +80,8 @@
     Parameters
     ----------
     hub
-        The box's parts: `view`, `recorder`, `continuity`, `clock`.
+        The box's parts: `view`, `recorder`, `continuity`, `rollbacks`,
+        `record_server`, `clock`.
 
     Attributes
     ----------
@@ -79,6 +89,8 @@
         The newest valid record of each target, by the target's id.
     targets_end : int
         End offset of their topic when they were read or fetched.
+    targets_proved : float
+        When the read of the store was sent that showed them.
     """
 
     def __init__(self, hub):
@@ -88,6 +100,7 @@
         self._has_table = asyncio.Event()
         self.target_values = {}
         self.targets_end = 0
+        self.targets_proved = -math.inf
 
     def take_table(self, value):
         """Put a published table in force if it is newer.
@@ -135,6 +148,10 @@
                 self._hub.clock()
             ),
             ages=self._view.weights.list_versions(self._hub.clock()),
+            targets_s=self._get_targets_age(),
+            targets_rolled=self._hub.record_server.get_rolled_age(
+                names.TARGETS_TOPIC
+            ),
         )
 
     def take(self, snapshot, sent):
@@ -163,10 +180,13 @@
         self.take_versions(self._list_unknown(snapshot.ages), sent, PEER)
         for model, version in snapshot.versions.items():
             self.put_version(model, version, PEER)
-        if snapshot.targets_end >= self.targets_end:
+        self._report_rollback(snapshot, now)
+        if self._is_newest(snapshot, sent):
             # An older list would bring back targets that are gone.
             self._apply_targets(snapshot.targets)
             self.targets_end = snapshot.targets_end
+            if snapshot.targets_s is not None:
+                self.put_targets_proof(sent - snapshot.targets_s)
         self._view.proof.record(sent - snapshot.proof_s)
         self._hub.recorder.record(
             'state_taken',
@@ -174,6 +194,47 @@
             proof_s=self._view.proof.age_to_log(now),
         )
 
+    def put_targets_proof(self, proved):
+        """Record that a read sent at `proved` showed the list of targets."""
+        self.targets_proved = max(self.targets_proved, proved)
+
+    def forget_targets(self):
+        """Forget the end of the topic of targets, since it was rolled back."""
+        self.targets_end = 0
+        self.targets_proved = -math.inf
+
+    def _get_targets_age(self):
+        """Return the seconds since the list of targets was read, or None."""
+        if math.isinf(self.targets_proved):
+            return None
+        return max(self._hub.clock() - self.targets_proved, 0.0)
+
+    def _report_rollback(self, snapshot, now):
+        """Report that the topic of targets was rolled back, as a box tells."""
+        if snapshot.targets_rolled is None:
+            return
+        known = self._hub.record_server.get_known(names.TARGETS_TOPIC)
+        rolled = now - snapshot.targets_rolled
+        if histories.is_later(known, rolled):
+            self._hub.rollbacks.report(
+                store.RolledBack(
+                    names.TARGETS_TOPIC,
+                    known.end,
+                    snapshot.targets_end,
+                    store.PEER,
+                    rolled - histories.SLACK_S,
+                )
+            )
+
+    def _is_newest(self, snapshot, sent):
+        """Return whether a list of targets is not older than this box's."""
+        known = self._hub.record_server.get_known(names.TARGETS_TOPIC)
+        age_s = snapshot.targets_s
+        proved = sent - age_s if age_s is not None else -math.inf
+        if histories.is_voided(known, proved):
+            return False
+        return snapshot.targets_end >= self.targets_end
+
     def put_version(self, model, version, source):
         """Apply that a version of weights is published.
 
--- a/landingspool/platform/store.py
+++ b/landingspool/platform/store.py
@@ -36,10 +36,13 @@
 NEWEST_MAX_BYTES = 4 * 1024 * 1024
 # Pages of newest records in one topic: 100,000 keys at 500 a page.
 MAX_NEWEST_PAGES = 200
-# The calls that may show that a topic was rolled back.
+# What may show that a topic was rolled back: an end below a known one in the
+# answer to a call, another record at a known offset, the word of a box.
 READ = 'read'
 NEWEST = 'newest'
 APPEND = 'append'
+RECORD = 'record'
+PEER = 'peer'
 # Bound of the answer to an append, which is two offsets.
 APPEND_MAX_BYTES = 64 * 1024
 
@@ -97,13 +100,15 @@
     """The topic has lost its newest records; their offsets are given again.
 
     `known` is the end that was known, `found` the end that was found, None if
-    it wasn't told, and `noticed` the call that showed it.
+    it wasn't told, and `noticed` what showed it.  What was read from the store
+    before `at` may be of the former history; None: before now.
     """
 
     topic: str
     known: int
     found: int | None
     noticed: str
+    at: float | None = None
 
 
 @dataclasses.dataclass(frozen=True)
