Write bars again that the store has lost with its newest records

What callers saw: requests and parts that crash targets stay barred at the boxes that know them, but a box that starts after the store's return from a copy counts from zero, and lets them crash five more. A lift that was lost comes back as a bar.

Cause: a box takes what it has written, or read, for written for good.

After a rollback of the topic nothing counts as written until the newest records are read again; then a barred key without a record is written again, in the turns of the boxes by hash order, so that one box does it. A record whose lift is lost is lifted again. A write whose answer comes after the rollback isn't taken for written. rollbacks.subscribe_end tells when a topic is read again.

--- a/landingspool/gateway/crash_records.py
+++ b/landingspool/gateway/crash_records.py
@@ -52,7 +52,7 @@
     ----------
     hub
         The box's parts: `view`, `store`, `recorder`, `gate`, `peering`,
-        `prober`, `supervisor`, `clock`, `wall`.
+        `prober`, `rollbacks`, `supervisor`, `clock`, `wall`.
     """
 
     def __init__(self, hub):
@@ -62,7 +62,15 @@
         self._running = timing.RunningTime(CHECK_PERIOD_S)
         self._ran_s = 0.0
         self._written = {}
+        # The records that were lifted, by their keys.
+        self._revoked = {}
+        # How often the topic was rolled back, and whether its newest records
+        # are still to be read since.
+        self._rollbacks = 0
+        self._is_void = False
         self._wake = asyncio.Event()
+        hub.rollbacks.subscribe(names.CLAIMS_TOPIC, self._take_rollback)
+        hub.rollbacks.subscribe_end(names.CLAIMS_TOPIC, self._write_lost)
 
     def check(self):
         """Log crashes and changed bars, and have the bars written."""
@@ -109,7 +117,12 @@
                 'malformed', key=record.key, reason=str(error)
             )
             return
-        self._written[key] = record.value
+        if self._is_void and self._revoked.get(key) == record.value:
+            # The store has lost the lift of this very record.
+            self._written[key] = record.value
+            self._put(fingerprint, b'')
+            return
+        self._record_written(key, record.value)
         if record.value:
             # A lift that was read before was written before.
             self._crashes.forget_lift(fingerprint)
@@ -119,6 +132,29 @@
             self._crashes.take(notice, now)
         self.check()
 
+    def _record_written(self, key, value):
+        """Record that a value is in the store."""
+        former = self._written.get(key)
+        self._written[key] = value
+        if value:
+            self._revoked.pop(key, None)
+        elif former:
+            self._revoked[key] = former
+
+    def _take_rollback(self, rollback):
+        """Take nothing for written until it is read again."""
+        self._rollbacks += 1
+        self._is_void = True
+        self._written.clear()
+
+    def _write_lost(self):
+        """Have what bars requests written again if the store has lost it."""
+        self._is_void = False
+        now = self._hub.clock()
+        for key in self._crashes.bars.list_barred():
+            if not self._written.get(key.hex()):
+                self._put_bar(key, self._crashes.list_notices(key, now))
+
     def record_end(self, state, is_answered):
         """Record that a request is no longer at a target.
 
@@ -175,7 +211,7 @@
             while self._pending:
                 self._ran_s = self._running.advance(self._hub.clock())
                 for key, write in list(self._pending.items()):
-                    if self._ran_s >= write.at:
+                    if self._ran_s >= write.at and not self._is_void:
                         await self._try_write(key, write)
                     self._drop_written(key)
                 await asyncio.sleep(CHECK_PERIOD_S)
@@ -195,6 +231,9 @@
             ],
             ages_ms=[notice.age_ms for notice in notices],
         )
+        self._put_bar(key, notices)
+
+    def _put_bar(self, key, notices):
         wall = self._hub.wall()
         self._put(key, catalogue.write_crashes(notices, wall))
 
@@ -218,13 +257,16 @@
         """Write one record if no other box has written it yet."""
         if self._is_written(key, write.value):
             return
+        rollbacks = self._rollbacks
         reply = await self._hub.store.append(
             names.CLAIMS_TOPIC, f'{names.CRASHES_KEY}{key}', write.value
         )
         if isinstance(reply, store_module.Unavailable):
             await self._hub.sources.wait_answered(MAX_WAIT_S)
             return
-        self._written[key] = write.value
+        if rollbacks == self._rollbacks:
+            # Otherwise it may be lost.
+            self._record_written(key, write.value)
 
     def _drop_written(self, key):
         """Drop a pending record that this or another box has written."""
@@ -233,7 +275,8 @@
             del self._pending[key]
 
     def _is_written(self, key, value):
-        return bool(self._written.get(key)) == bool(value)
+        is_same = bool(self._written.get(key)) == bool(value)
+        return is_same and not self._is_void
 
 
 def pop_all(rows):
--- a/landingspool/gateway/follower.py
+++ b/landingspool/gateway/follower.py
@@ -66,6 +66,8 @@
         # Whether this box itself has noticed that the topic was rolled back,
         # and has not read the newest records since.
         self._is_first = False
+        # Whether the newest records after a rollback are still to be read.
+        self._is_void = False
         # Done as soon as the topic was rolled back.
         self._voided = None
         hub.record_server.add(self.topic, self._tail)
@@ -122,12 +124,16 @@
         self._tail.reset(newest.records, newest.end, newest.sent)
         self._hub.record_server.wake(self.topic)
         self._apply_newest(newest)
+        if self._is_void:
+            self._is_void = False
+            self._hub.rollbacks.finish(self.topic)
 
     def _take_rollback(self, rollback):
         """Forget the former history; what is read of it meanwhile is void."""
         is_told = rollback.at is not None
         self._tail.forget(rollback.at if is_told else self._hub.clock())
         self._is_first = rollback.noticed != store_module.PEER
+        self._is_void = True
         self._forget_end()
         if self._voided is not None and not self._voided.done():
             self._voided.set_result(None)
--- a/landingspool/gateway/rollbacks.py
+++ b/landingspool/gateway/rollbacks.py
@@ -20,11 +20,21 @@
     def __init__(self, hub):
         self._hub = hub
         self._subscribers = collections.defaultdict(list)
+        self._finishers = collections.defaultdict(list)
 
     def subscribe(self, topic, take):
         """Call ``take(rollback)`` with each store.RolledBack of a topic."""
         self._subscribers[topic].append(take)
 
+    def subscribe_end(self, topic, finish):
+        """Call ``finish()`` once a topic was read again after a rollback."""
+        self._finishers[topic].append(finish)
+
+    def finish(self, topic):
+        """Tell that the newest records after a rollback are applied."""
+        for finish in self._finishers[topic]:
+            self._hub.supervisor.guard('rollbacks', finish)
+
     def report(self, rollback):
         """Report that a topic was rolled back.
 
