Write the summary of software versions again that the store has lost

What callers saw: after the store's return from a copy a box that starts knows the versions of the copy, or none: streams are refused that it could resume, or a version that was seen since is taken not to exist.

Cause: a box takes the summary that it has read or written for the one in the store, whatever the store has lost.

A rollback of the topic voids that belief, and a write under way doesn't set it again; the check that runs anyway then finds the difference, and one box writes in its turn. For ten seconds after it a box that has not watched long enough adopts no summary, which may be that of the copy. A box that starts after the return hears of no rollback and still adopts it at once: open.

test_the_summary_of_versions_that_was_lost_is_written_again_once (not written within 4 s) and test_a_summary_of_an_older_copy_is_not_adopted_before_it_is_ complete (adopted at once) fail before and pass now.

--- a/landingspool/gateway/software_watch.py
+++ b/landingspool/gateway/software_watch.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import math
 
 from landingspool.decisions import decoding
 from landingspool.decisions.gateway import software_history
@@ -26,6 +27,9 @@
 # Seconds for which a failed write waits at most for the store to answer any
 # read.
 MAX_WAIT_S = 5.0
+# Seconds after a rollback in which the summary in the store may lack versions
+# that the boxes which know them have not written again yet.
+REWRITTEN_S = 10.0
 
 
 class SoftwareWatch:
@@ -34,8 +38,8 @@
     Parameters
     ----------
     hub
-        The box's parts: `view`, `peering`, `sources`, `store`, `timer`,
-        `recorder`, `supervisor`, `clock`.
+        The box's parts: `view`, `peering`, `rollbacks`, `sources`, `store`,
+        `timer`, `recorder`, `supervisor`, `clock`.
     """
 
     def __init__(self, hub):
@@ -51,9 +55,12 @@
         # Since when the one in the store is out of date, by running time.
         self._differs_since = None
         self._writing = None
+        # When the topic was last rolled back.
+        self._rolled = -math.inf
 
     def start(self):
         """Begin the periodic checks."""
+        self._hub.rollbacks.subscribe(names.CLAIMS_TOPIC, self._take_rollback)
         self._hub.timer.subscribe(OBSERVE_PERIOD_S, self._observe)
         self._hub.timer.subscribe(CHECK_PERIOD_S, self._check)
 
@@ -66,6 +73,12 @@
                 'malformed', key=record.key, reason=str(error)
             )
 
+    def _take_rollback(self, rollback):
+        """Take nothing for stored until the topic is read again."""
+        self._rolled = self._hub.clock()
+        self._stored = None
+        self._proved = None
+
     def record_read(self, sent):
         """Record that a read sent at `sent` has shown the newest summary."""
         self._proved = max(sent, self._proved or sent)
@@ -107,6 +120,8 @@
             return
         if self._history.has_watched(now):
             return
+        if now - self._rolled < REWRITTEN_S:
+            return
         if self._history.adopt(self._stored, self._proved, now):
             self._hub.recorder.record(
                 'history_adopted', versions=sorted(self._stored.versions)
@@ -142,6 +157,7 @@
             await asyncio.sleep(MAX_WAIT_S)
 
     async def _write(self, summary):
+        rolled = self._rolled
         reply = await self._hub.store.append(
             names.CLAIMS_TOPIC,
             names.SOFTWARE_KEY,
@@ -150,4 +166,6 @@
         if isinstance(reply, store_module.Unavailable):
             await self._hub.sources.wait_answered(MAX_WAIT_S)
             return
-        self._stored = summary
+        if rolled == self._rolled:
+            # Otherwise it may be lost.
+            self._stored = summary
--- a/tests/gateway/test_rolled_back_writes.py
+++ b/tests/gateway/test_rolled_back_writes.py
@@ -2,12 +2,14 @@
 
 import asyncio
 
+from landingspool.decisions.gateway import tail
 from landingspool.gateway import software_watch
 from landingspool.platform import names
 from landingspool.platform import store
 from tests.gateway import returning
 from tests.gateway import site
 from tests.gateway import test_crashing_parts as crashing
+from tests.gateway import test_stream_software as streams
 
 KEY = crashing.FATAL_KEY
 RECORD = f'{names.CRASHES_KEY}{KEY.hex()}'
@@ -105,3 +107,43 @@
         assert len(list_written(deployment, RECORD)) == 1
 
     site.run(check)
+
+
+def test_the_summary_of_versions_that_was_lost_is_written_again_once():
+    async def check(deployment):
+        hubs = await streams.start(deployment, 2, ('v1',) * 4)
+        copies = deployment.store.copy()
+        streams.watch(hubs)
+        await site.wait_until(
+            lambda: b'v1' in streams.find_summary(deployment), WRITTEN_S
+        )
+        await asyncio.sleep(0.3)
+        await returning.return_from(
+            deployment.store, copies, lambda: write_other(deployment)
+        )
+        await site.wait_until(
+            lambda: b'v1' in streams.find_summary(deployment), WRITTEN_S
+        )
+        await asyncio.sleep(2 * software_watch.TURN_S)
+        assert len(list_written(deployment, names.SOFTWARE_KEY)) == 1
+
+    site.run(check, engines=4)
+
+
+def test_a_summary_of_an_older_copy_is_not_adopted_before_it_is_complete():
+    async def check(deployment):
+        (hub,) = await start(deployment, 1)
+        watch = hub.software_watch
+        hub.rollbacks.report(
+            store.RolledBack(names.CLAIMS_TOPIC, 5, 4, store.READ)
+        )
+        value = b'{"versions": [["engine", "v1"]]}'
+        watch.take(tail.Record(names.SOFTWARE_KEY, value, 3))
+        now = hub.clock()
+        watch.record_read(now)
+        watch._adopt(now)
+        assert not hub.recorder.counts['history_adopted']
+        watch._adopt(now + software_watch.REWRITTEN_S)
+        assert hub.recorder.counts['history_adopted'] == 1
+
+    site.run(check)
