Register a box again that the store has lost from its list

What callers saw: nothing at once; boxes that start after the store's return from a copy don't find the lost ones in the list, and hear of them by digests only.

Cause: a box registers at its start and never looks whether it is still listed.

After a rollback of any topic that is followed each box reads the list within five seconds, at a random time, and registers again if its record is missing or is not its own. It does so at each usual read of the list as well, which costs no call. A box that stops doesn't. A box that had left, and whose leaving the store has lost, is listed again until it starts and stops: as one that was killed.

test_a_box_that_the_store_has_lost_registers_again_once fails before (nobody in the list 9 s after the return) and passes now; the two others guard what was added.

--- a/landingspool/gateway/registry.py
+++ b/landingspool/gateway/registry.py
@@ -33,9 +33,18 @@
 # system starts.  All boxes start within 0.3 s, and the store takes the entries
 # of 195 boxes one after the other, in 0.4 s.
 START_GATHERING_S = 0.8
+# Maximum seconds from a rollback of the store's topics to the read of the list
+# that shows whether this box is still in it: 195 boxes make 39 calls a second.
+LOST_LIST_S = 5.0
 # Pause between two attempts to register this box, seconds.
 REGISTER_RETRY_S = 0.7
 MAX_DOMAIN_CHARS = 256
+# Topics that are always read, which show that the store has lost records.
+FOLLOWED_TOPICS = (
+    names.PUBLISHED_TOPIC,
+    names.TARGETS_TOPIC,
+    names.CLAIMS_TOPIC,
+)
 
 
 class Peer(typing.NamedTuple):
@@ -77,8 +86,8 @@
     Parameters
     ----------
     hub
-        The box's parts: `deployment`, `store`, `view`, `recorder`,
-        `supervisor`, `clock`.
+        The box's parts: `deployment`, `store`, `view`, `rollbacks`,
+        `recorder`, `supervisor`, `clock`.
     peers : dict of str to Peer
         The other boxes by name, updated in this object.
 
@@ -97,8 +106,15 @@
         self.listed = asyncio.Event()
         self.was_read = False
         self._is_registered = False
+        # The record of this box as it was written, and whether the store has
+        # lost it; None before it is written, and once this box stops.
+        self._row = None
+        self._is_lost = False
+        self._is_rolled_back = False
         self._wanted = asyncio.Event()
         self._asked = -math.inf
+        for topic in FOLLOWED_TOPICS:
+            hub.rollbacks.subscribe(topic, self._take_rollback)
 
     async def run(self):
         """Register this box, and read the list of boxes periodically."""
@@ -110,8 +126,19 @@
             with contextlib.suppress(TimeoutError):
                 async with asyncio.timeout(period_s):
                     await self._wanted.wait()
+            if self._is_rolled_back:
+                await asyncio.sleep(random.uniform(0.0, LOST_LIST_S))
+                self._is_rolled_back = False
             self._wanted.clear()
             await self._read_list()
+            if self._is_lost:
+                self._is_lost = False
+                await self._register()
+
+    def _take_rollback(self, rollback):
+        """Have the list read soon: the store may have lost this box."""
+        self._is_rolled_back = True
+        self._wanted.set()
 
     def read_soon(self):
         """Have the list read now, unless that was asked for shortly before.
@@ -154,6 +181,7 @@
 
     async def leave(self):
         """Remove this box from the store, since it stops."""
+        self._row = None
         await self._hub.store.append(
             names.BOXES_TOPIC, self._hub.deployment.box, b''
         )
@@ -172,18 +200,23 @@
                 names.BOXES_TOPIC, deployment.box, row
             )
             if isinstance(reply, store_module.Appended):
+                self._row = row
                 return
             await asyncio.sleep(REGISTER_RETRY_S)
 
     def _apply_list(self, newest):
         own = self._hub.deployment.box
         listed = {}
+        own_row = None
         for key, value, _ in newest.records:
+            if key == own:
+                own_row = value
             if not value or key == own:
                 continue
             peer = self._read_peer(key, value)
             if peer is not None:
                 listed[key] = peer
+        self._is_lost = self._row is not None and own_row != self._row
         for reason in newest.passed_over:
             self._hub.recorder.record(
                 'malformed', key=names.BOXES_TOPIC, reason=reason
--- a/tests/gateway/test_rolled_back_writes.py
+++ b/tests/gateway/test_rolled_back_writes.py
@@ -3,12 +3,15 @@
 import asyncio
 
 from landingspool.decisions.gateway import tail
+from landingspool.gateway import registry
 from landingspool.gateway import software_watch
 from landingspool.platform import names
 from landingspool.platform import store
+from standins import platformstore
 from tests.gateway import returning
 from tests.gateway import site
 from tests.gateway import test_crashing_parts as crashing
+from tests.gateway import test_rolled_back_topics as topics
 from tests.gateway import test_stream_software as streams
 
 KEY = crashing.FATAL_KEY
@@ -147,3 +150,64 @@
         assert hub.recorder.counts['history_adopted'] == 1
 
     site.run(check)
+
+
+def find_boxes(deployment):
+    """Return the names of the boxes that the store lists."""
+    topic = deployment.store.topic(names.BOXES_TOPIC)
+    return {key for key, (value, _) in topic.newest.items() if value}
+
+
+async def lose_boxes(deployment, copies):
+    """Have the store lose the boxes, and a target, since a copy."""
+    topics.add_entry(deployment, 'lost')
+    for hub in deployment.hubs:
+        await site.wait_until(lambda hub=hub: 'lost' in hub.view.fleet.entries)
+    await returning.return_from(deployment.store, copies)
+
+
+def test_a_box_that_the_store_has_lost_registers_again_once():
+    async def check(deployment):
+        copies = deployment.store.copy()
+        hubs = await start(deployment, 2)
+        await site.wait_until(lambda: len(find_boxes(deployment)) == 2)
+        calls = [dict(hub.store.calls) for hub in hubs]
+        copies.update({names.BOXES_TOPIC: platformstore.EMPTY_COPY})
+        await lose_boxes(deployment, copies)
+        assert not find_boxes(deployment)
+        await site.wait_until(
+            lambda: len(find_boxes(deployment)) == 2,
+            registry.LOST_LIST_S + WRITTEN_S,
+        )
+        for hub, before in zip(hubs, calls, strict=True):
+            call = f'append {names.BOXES_TOPIC}'
+            assert hub.store.calls[call] == before[call] + 1
+
+    site.run(check)
+
+
+def test_a_box_that_stops_does_not_register_again():
+    async def check(deployment):
+        (hub,) = await start(deployment, 1)
+        await site.wait_until(lambda: find_boxes(deployment))
+        own = hub.peering._registry
+        await own.leave()
+        await own._read_list()
+        assert not own._is_lost
+
+    site.run(check)
+
+
+def test_a_box_that_the_store_has_kept_does_not_register_again():
+    async def check(deployment):
+        (hub,) = await start(deployment, 1)
+        await site.wait_until(lambda: find_boxes(deployment))
+        own = hub.peering._registry
+        await site.wait_until(lambda: own._row is not None)
+        await own._read_list()
+        assert not own._is_lost
+        deployment.store.put(names.BOXES_TOPIC, hub.deployment.box, b'{}')
+        await own._read_list()
+        assert own._is_lost
+
+    site.run(check)
