Keep the doubt in a topic after the answer of a box that is cut off

A box whose reader says that the store has failed it takes its records and asks another source next, from its own end on: a log that was rolled back and has grown again went unnoticed there, since the answer counted as one that came after the failure.

The doubt now ends with a read that began after the last failure. test_the_answer_of_a_box_that_the_store_failed_leaves_the_doubt fails before (the next source is asked from the end on, with a hold) and passes now.

--- a/landingspool/decisions/gateway/histories.py
+++ b/landingspool/decisions/gateway/histories.py
@@ -29,8 +29,8 @@
         The newest record; None if it isn't known.
     began : float
         When a read was sent that showed all of the present history.
-    got : float
-        When the newest answer came.
+    asked, got : float
+        When the newest read that was answered began, and when its answer came.
     voided : float
         What was read from the store before may be of a former history.
     """
@@ -38,6 +38,7 @@
     end: int = 0
     last: tail.Record | None = None
     began: float = -math.inf
+    asked: float = -math.inf
     got: float = -math.inf
     voided: float = -math.inf
 
@@ -53,6 +54,7 @@
         kept.end or 0,
         kept.last,
         kept.began,
+        kept.asked,
         kept.got,
         -math.inf if kept.rolled is None else kept.rolled,
     )
@@ -61,16 +63,21 @@
 def is_doubtful(known, failed_at):
     """Return whether the store may have lost the last record since.
 
-    It may have come back from a copy if a source failed meanwhile.
+    It may have come back from a copy if a source failed meanwhile, or told
+    that the store had failed it.
 
     Parameters
     ----------
     failed_at : float or None
         When a source last failed.
+
+    >>> known = Known(5, tail.Record('k', b'v', 4), asked=1.0, got=3.0)
+    >>> is_doubtful(known, 0.9), is_doubtful(known, 2.9)
+    (False, True)
     """
     if known.last is None or failed_at is None:
         return False
-    return failed_at >= known.got
+    return failed_at >= known.asked
 
 
 def is_voided(known, proved):
--- a/landingspool/decisions/gateway/tail.py
+++ b/landingspool/decisions/gateway/tail.py
@@ -50,8 +50,8 @@
         The record with the highest offset, as far as is known.
     began : float
         When the read was sent that showed all of the present history.
-    got : float
-        When the newest answer came.
+    asked, got : float
+        When the newest read that was answered began, and when its answer came.
     rolled : float or None
         When the topic was last rolled back; None: not since the start.
     """
@@ -61,6 +61,7 @@
         self.proved = None
         self.last = None
         self.began = -math.inf
+        self.asked = -math.inf
         self.got = -math.inf
         self.rolled = None
         self._newest_only = newest_only
--- a/landingspool/gateway/follower.py
+++ b/landingspool/gateway/follower.py
@@ -186,7 +186,7 @@
             if self._voided.done():
                 return None
             if reply is not None and not is_failure(reply):
-                self._tail.got = self._hub.clock()
+                self._tail.asked, self._tail.got = sent, self._hub.clock()
                 self._record_state(True, kind)
                 return reply
             if reply is None or not self._hub.timer.ran_since(sent):
