Take only a record below the end of a topic for its last one

Such a record was taken for the last known one, so that a read which checks it would begin beyond the end and miss what lies between. Found by reading.

test_the_last_record_of_a_tail_is_below_its_end fails before (offset 7 at the end 5) and passes now.

--- a/landingspool/decisions/gateway/tail.py
+++ b/landingspool/decisions/gateway/tail.py
@@ -79,7 +79,9 @@
         self.end = end
         self.proved = sent
         self.began = sent
-        self.last = max(records, key=lambda row: row.offset, default=None)
+        # Pages of the newest records that were read later may go beyond.
+        below = [row for row in records if row.offset < end]
+        self.last = max(below, key=lambda row: row.offset, default=None)
         if self.last is not None and self.last.offset == end - 1:
             # Those who check their last record begin there.
             self._first = end - 1
--- a/tests/gateway/test_following.py
+++ b/tests/gateway/test_following.py
@@ -233,6 +233,18 @@
     assert [row.key for row in kept.read_newest()] == ['k0', 'k1', 'k2', 'k3']
 
 
+def test_the_last_record_of_a_tail_is_below_its_end():
+    # A read that begins there would miss what lies between.
+    kept = tail.Tail()
+    rows = [tail.Record(f'k{n}', b'x', n) for n in (2, 4, 7)]
+    kept.reset(rows, 5, 1.0)
+    assert kept.last == rows[1]
+    assert kept.read(4).records == (rows[1],)
+    kept.reset(rows, 7, 1.0)
+    assert kept.last == rows[1]
+    assert kept.read(6) is None
+
+
 def test_the_published_tables_are_handed_on_newest_only():
     async def check(deployment):
         hub = await deployment.start_box()
