Log which boxes' evidence a continued stream follows from

Owners tell the age of their list with their answer (a box of an earlier version doesn't), and both events have `evidence`: a row for this box and each that answered, with the age of its list and the versions that it has seen.

--- a/landingspool/decisions/gateway/continuations.py
+++ b/landingspool/decisions/gateway/continuations.py
@@ -44,11 +44,21 @@
         The binding of all streams of the route, if the box can tell.
     recent : frozenset of stream_bindings.Binding
         The bindings that streams of the route may have.
+    box : str
+    list_s : float or None
+        Age of its list of targets, seconds; None if it doesn't tell.
     """
 
     known: stream_bindings.Known | None
     only: stream_bindings.Binding | None
     recent: frozenset
+    box: str = ''
+    list_s: float | None = None
+
+    def describe(self):
+        """Return box, age of its list and versions, for the log."""
+        versions = sorted(binding.software for binding in self.recent)
+        return [self.box, self.list_s, versions]
 
 
 class Found(typing.NamedTuple):
@@ -62,12 +72,15 @@
     known : stream_bindings.Known or None
     unanswered : int
         The owners that might have known more.
+    evidence : tuple of Evidence
+        What it follows from if no box knows the stream.
     """
 
     binding: stream_bindings.Binding | None
     source: Source
     known: stream_bindings.Known | None = None
     unanswered: int = 0
+    evidence: tuple = ()
 
     @property
     def reason(self):
@@ -116,8 +129,8 @@
     only = {row.only for row in rows} - {None}
     is_confirmed = bool(others) or not asked
     if is_confirmed and len(recent) == 1 and only == recent:
-        return Found(*recent, Source.IMPLIED, None, unanswered)
-    return Found(None, Source.UNKNOWN, None, unanswered)
+        return Found(*recent, Source.IMPLIED, None, unanswered, rows)
+    return Found(None, Source.UNKNOWN, None, unanswered, rows)
 
 
 def is_certain(found, own, others):
--- a/landingspool/decisions/gateway/stream_records.py
+++ b/landingspool/decisions/gateway/stream_records.py
@@ -71,11 +71,15 @@
         Service and software version.
     recent : list of tuple of str
         Services and software versions.
+    list_s : float or None
+        Age of the list of targets, seconds.  A box of an earlier version
+        doesn't tell it.
     """
 
     record: StreamRecord | None
     only: tuple[Text, Text] | None
     recent: list[tuple[Text, Text]]
+    list_s: decoding.Age | None = None
 
 
 def make_record(key, known, now):
@@ -121,16 +125,19 @@
         None if known is None else make_record(key, known, now),
         evidence.only,
         sorted(evidence.recent),
+        evidence.list_s,
     )
 
 
-def read_reply(reply, now):
-    """Return the continuations.Evidence in a reply."""
+def read_reply(reply, box, now):
+    """Return the continuations.Evidence in the reply of a box."""
     only = reply.only
     return continuations.Evidence(
         None if reply.record is None else read_record(reply.record, now),
         None if only is None else stream_bindings.Binding(*only),
         frozenset(stream_bindings.Binding(*row) for row in reply.recent),
+        box,
+        reply.list_s,
     )
 
 
--- a/landingspool/gateway/continuity.py
+++ b/landingspool/gateway/continuity.py
@@ -152,13 +152,17 @@
         """Return the continuations.Evidence that this box has of a stream."""
         now = self._hub.clock()
         known = self._view.stream_bindings.find(key, now)
+        box = self._hub.deployment.box
         if route is None:
-            return continuations.Evidence(known, None, frozenset())
+            return continuations.Evidence(known, None, frozenset(), box)
         history = self._view.software_history
+        _, list_s = history.get_ages(now)
         return continuations.Evidence(
             known,
             history.find_only(route, now),
             frozenset(history.list_bindings(route, now)),
+            box,
+            list_s,
         )
 
     async def _ask_owners(self, key, route, own):
@@ -209,7 +213,7 @@
                 'owner_silent', peer=peer.name, reason=str(error)
             )
             return None
-        return stream_records.read_reply(reply, self._hub.clock())
+        return stream_records.read_reply(reply, peer.name, self._hub.clock())
 
     def _pick_owners(self, keys):
         """Return the registry.Peer of each owner of some streams, by key."""
@@ -282,6 +286,7 @@
             age_s=age_s,
             serving=sorted(binding.software for binding in own.recent),
             unanswered=found.unanswered,
+            evidence=[row.describe() for row in found.evidence],
             watched_s=watched_s,
             list_s=list_s,
         )
