--- a/tests/gateway/site.py
+++ b/tests/gateway/site.py
@@ -323,13 +323,20 @@
 
 
 async def ask(
-    hub, path, body=b'x', headers=(), key=KEY, method='POST', name=None
+    hub,
+    path,
+    body=b'x',
+    headers=(),
+    key=KEY,
+    method='POST',
+    name=None,
+    deadline_ms=2500,
 ):
     """Send one request as a caller does and return what it got."""
     call = httpclient.Client().open(hub.deployment.callers)
     rows = [
         ('x-landingspool-request-id', name or f'id{next(NUMBERS)}'),
-        ('x-landingspool-deadline-ms', '2500'),
+        ('x-landingspool-deadline-ms', str(deadline_ms)),
         *headers,
     ]
     if key:
