Imply a stream's version only from a list read for its take-up

Cause: a version counted as implied once this box and one owner had seen no other, by lists of targets up to ten seconds old. Boxes that are out of step together have the same old lists and bear each other out; a box that knew no other needed nobody.

Change: the list has to be read from the store after the request came, by this box, or by an owner that says so in its answer (an earlier build's answer doesn't, and counts as not current). A stream that began before the request began at a target that was listed before it, so that this read returns it. Where it can't be read: 503 unproved_software, not run, with Retry-After.

--- a/landingspool/decisions/gateway/continuations.py
+++ b/landingspool/decisions/gateway/continuations.py
@@ -2,8 +2,10 @@
 
 A box that relayed the stream, or was told of it, knows its binding.  Where
 nobody knows it, it still follows if the service has had a single version for
-as long as a stream may last, and an owner of the stream has seen no other.
-Otherwise the request is refused: a guess would join what two versions wrote.
+as long as a stream may last.  Only a list of targets that was read after the
+request came can tell: boxes that are out of step together have the same lists,
+which may be older than the stream.  Otherwise the request is refused: a guess
+would join what two versions wrote.
 """
 
 import enum
@@ -27,6 +29,8 @@
     FORWARDED = 'forwarded'
     # All streams of the route have the same binding.
     IMPLIED = 'implied'
+    # They may have, but no list of targets is newer than the request.
+    UNPROVED = 'unproved'
     UNKNOWN = 'unknown'
     # Streams of several bindings were begun under the same id.
     AMBIGUOUS = 'ambiguous'
@@ -47,6 +51,8 @@
     box : str
     list_s : float or None
         Age of its list of targets, seconds; None if it doesn't tell.
+    is_current : bool
+        Whether that list was read after the request came.
     """
 
     known: stream_bindings.Known | None
@@ -54,11 +60,22 @@
     recent: frozenset
     box: str = ''
     list_s: float | None = None
+    is_current: bool = False
+
+    @property
+    def may_imply(self):
+        """Whether it shows no two bindings."""
+        return len(self.recent) <= 1
+
+    @property
+    def is_proof(self):
+        """Whether no other binding can have escaped the box."""
+        return self.only is not None and self.is_current
 
     def describe(self):
-        """Return box, age of its list and versions, for the log."""
+        """Return box, list (age, whether current) and versions, to log."""
         versions = sorted(binding.software for binding in self.recent)
-        return [self.box, self.list_s, versions]
+        return [self.box, self.list_s, self.is_current, versions]
 
 
 class Found(typing.NamedTuple):
@@ -111,11 +128,12 @@
     >>> decide(nothing, [nothing, told], 2).binding.software
     'v2'
     >>> watched = Evidence(None, one, frozenset((one,)))
-    >>> decide(watched, (), 0).source.value
+    >>> decide(watched, [watched, watched], 2).source.value
+    'unproved'
+    >>> current = watched._replace(is_current=True)
+    >>> decide(watched, [current], 2).source.value
     'implied'
-    >>> decide(watched, [nothing], 1).source.value
-    'unknown'
-    >>> decide(watched, (), 1).source.value
+    >>> decide(current, [nothing], 1).source.value
     'unknown'
     """
     if own.known is not None:
@@ -127,10 +145,11 @@
     rows = (own, *others)
     recent = frozenset().union(*(row.recent for row in rows))
     only = {row.only for row in rows} - {None}
-    is_confirmed = bool(others) or not asked
-    if is_confirmed and len(recent) == 1 and only == recent:
-        return Found(*recent, Source.IMPLIED, None, unanswered, rows)
-    return Found(None, Source.UNKNOWN, None, unanswered, rows)
+    if len(recent) != 1 or only != recent:
+        return Found(None, Source.UNKNOWN, None, unanswered, rows)
+    if not any(row.is_proof for row in rows):
+        return Found(None, Source.UNPROVED, None, unanswered, rows)
+    return Found(*recent, Source.IMPLIED, None, unanswered, rows)
 
 
 def is_certain(found, own, others):
@@ -141,7 +160,7 @@
     """
     if found.source == Source.IMPLIED:
         return own.only is not None and len(others) >= MIN_AGREEING
-    return found.source != Source.UNKNOWN
+    return found.source not in (Source.UNKNOWN, Source.UNPROVED)
 
 
 def judge_known(told, source):
--- a/landingspool/decisions/gateway/software_history.py
+++ b/landingspool/decisions/gateway/software_history.py
@@ -117,6 +117,10 @@
         ages = now - self._watched_since, now - self._confirmed
         return [round(min(age, MAX_LOGGED_S), 1) for age in ages]
 
+    def is_proved_since(self, at):
+        """Return whether the list of targets was read at `at` or later."""
+        return self._confirmed >= at
+
     def is_witness(self, now):
         """Return whether no version can have escaped this box."""
         is_listed = now - self._confirmed < LIST_TIMEOUT_S
--- a/landingspool/decisions/gateway/stream_records.py
+++ b/landingspool/decisions/gateway/stream_records.py
@@ -54,11 +54,18 @@
 
 
 class StreamQuery(msgspec.Struct):
-    """Asks a box for a stream of the route with this host and prefix."""
+    """Asks a box for a stream of the route with this host and prefix.
+
+    Attributes
+    ----------
+    wants_list : bool
+        Whether the box is to read the newest targets before it answers.
+    """
 
     key: Key
     host: str
     prefix: str
+    wants_list: bool = False
 
 
 class StreamReply(msgspec.Struct):
@@ -74,12 +81,15 @@
     list_s : float or None
         Age of the list of targets, seconds.  A box of an earlier version
         doesn't tell it.
+    is_current : bool
+        Whether that list was read after the question had come.
     """
 
     record: StreamRecord | None
     only: tuple[Text, Text] | None
     recent: list[tuple[Text, Text]]
     list_s: decoding.Age | None = None
+    is_current: bool = False
 
 
 def make_record(key, known, now):
@@ -126,6 +136,7 @@
         evidence.only,
         sorted(evidence.recent),
         evidence.list_s,
+        evidence.is_current,
     )
 
 
@@ -138,6 +149,7 @@
         frozenset(stream_bindings.Binding(*row) for row in reply.recent),
         box,
         reply.list_s,
+        reply.is_current,
     )
 
 
--- a/landingspool/event_kinds.py
+++ b/landingspool/event_kinds.py
@@ -205,6 +205,12 @@
             'INFO',
             'A stream that has begun waits to be tried again.',
         ),
+        Kind(
+            231,
+            'list_not_renewed',
+            'INFO',
+            'The newest targets could not be read for a stream to continue.',
+        ),
         Kind(
             300, 'queued', 'DEBUG', 'A request waits in the queue of its pool.'
         ),
--- a/landingspool/gateway/continuity.py
+++ b/landingspool/gateway/continuity.py
@@ -5,6 +5,9 @@
 attempt that began it, at any box.  So unless the service has had a single
 version for as long as a stream may last, this box tells the owners of the
 stream at once, and the box that is asked to continue it asks them.
+
+What follows from a single version rests on a list of targets that is read
+while the request waits: by this box, or by an owner if it can't.
 """
 
 import asyncio
@@ -20,6 +23,7 @@
 from landingspool.decisions.gateway import stream_owners
 from landingspool.decisions.gateway import stream_records
 from landingspool.gateway import boxcalls
+from landingspool.gateway import current_list
 from landingspool.gateway import registry
 
 STREAMS_PATH = '/streams'
@@ -32,6 +36,8 @@
 # Seconds in which owners answer: several trips between failure domains, and a
 # new connection.
 ASK_TIMEOUT_S = 0.15
+# The same if they read the list of targets before.
+ASK_LIST_TIMEOUT_S = ASK_TIMEOUT_S + current_list.RENEWAL_TIMEOUT_S
 # Bound of what an owner answers: the services and software of one route.
 REPLY_MAX_BYTES = 256 * 1024
 
@@ -43,14 +49,22 @@
     keys: set
 
 
+class Inquiry(typing.NamedTuple):
+    """A stream of a route that was asked for at some time."""
+
+    key: bytes
+    route: routes.Route
+    asked_at: float
+
+
 class Continuity:
     """Records the bindings of streams, and looks them up.
 
     Parameters
     ----------
     hub
-        The box's parts: `deployment`, `view`, `peering`, `client`, `timer`,
-        `recorder`, `metrics`, `supervisor`, `clock`.
+        The box's parts: `deployment`, `view`, `peering`, `current_list`,
+        `client`, `timer`, `recorder`, `metrics`, `supervisor`, `clock`.
     """
 
     def __init__(self, hub):
@@ -118,10 +132,11 @@
         key = make_key(work, call.resumes)
         # What this box was told before the request counts.
         self._hub.peering.read_arrived()
-        own = self._collect(key, work.route)
+        asked_at = self._hub.clock()
+        own = self._collect(key, work.route, asked_at)
         found = continuations.decide(own, (), 0)
         if own.known is None:
-            found = await self._ask_owners(key, work.route, own)
+            found = await self._inquire(Inquiry(key, work.route, asked_at))
         found = continuations.check_route(found, work.route)
         self._log(state, found, own)
         return found
@@ -130,6 +145,7 @@
         """Answer a box that asks for a stream."""
         # What was told before the question counts.
         self._hub.peering.read_arrived()
+        asked_at = self._hub.clock()
         try:
             query = boxcalls.read(stream_records.StreamQuery, request.body)
         except decoding.Malformed as error:
@@ -140,7 +156,10 @@
         route = None
         if table is not None:
             route = routes.match_route(table, query.host, query.prefix)
-        evidence = self._collect(query.key, route)
+        evidence = self._collect(query.key, route, asked_at)
+        if query.wants_list and evidence.known is None and evidence.only:
+            await self._hub.current_list.renew()
+            evidence = self._collect(query.key, route, asked_at)
         reply = stream_records.make_reply(
             query.key, evidence, self._hub.clock()
         )
@@ -148,8 +167,14 @@
             exchange, msgspec.to_builtins(reply, builtin_types=[bytes])
         )
 
-    def _collect(self, key, route):
-        """Return the continuations.Evidence that this box has of a stream."""
+    def _collect(self, key, route, asked_at):
+        """Return the continuations.Evidence that this box has of a stream.
+
+        Parameters
+        ----------
+        asked_at : float
+            When the stream was asked for: a list read later is current.
+        """
         now = self._hub.clock()
         known = self._view.stream_bindings.find(key, now)
         box = self._hub.deployment.box
@@ -163,40 +188,74 @@
             frozenset(history.list_bindings(route, now)),
             box,
             list_s,
+            history.is_proved_since(asked_at),
         )
 
-    async def _ask_owners(self, key, route, own):
-        """Return what follows from the answers of a stream's owners."""
-        peers = self._pick_owners([key])[key]
-        query = stream_records.StreamQuery(key, route.host, route.prefix)
-        body = cbor2.dumps(msgspec.to_builtins(query, builtin_types=[bytes]))
-        asking = {
-            self._hub.supervisor.spawn('owners', self._try_ask(peer, body))
-            for peer in peers
-        }
-        answers, pending = [], asking
-        found = continuations.decide(own, answers, len(peers))
+    async def _inquire(self, inquiry):
+        """Return what follows from this box and the owners of a stream.
+
+        Owners read the list of targets only if this box can't: each read is
+        a call to the store.
+        """
+        peers = self._pick_owners([inquiry.key])[inquiry.key]
+        own = self._collect(*inquiry)
+        is_unable = own.only is None or self._hub.current_list.is_failing
+        wants_list = own.may_imply and is_unable
+        found = await self._gather(inquiry, peers, wants_list)
+        if wants_list or found.source != continuations.Source.UNPROVED:
+            return found
+        answered = {row.box for row in found.evidence}
+        able = [peer for peer in peers if peer.name in answered]
+        if not able:
+            return found
+        last = await self._gather(inquiry, able, True)
+        return last._replace(unanswered=last.unanswered + found.unanswered)
+
+    async def _gather(self, inquiry, peers, wants_list):
+        """Read the list of targets and ask owners, until that decides."""
+        pending = self._ask_all(inquiry, peers, wants_list)
+        if self._collect(*inquiry).only is not None:
+            renewal = self._hub.current_list.renew()
+            pending.add(self._hub.supervisor.spawn('owners', renewal))
+        tasks, answers = set(pending), []
         try:
-            while pending and not continuations.is_certain(
-                found, own, answers
-            ):
+            while True:
+                own = self._collect(*inquiry)
+                found = continuations.decide(own, answers, len(peers))
+                if not pending or continuations.is_certain(
+                    found, own, answers
+                ):
+                    return found
                 done, pending = await asyncio.wait(
                     pending, return_when=asyncio.FIRST_COMPLETED
                 )
                 answers += [task.result() for task in done if task.result()]
-                found = continuations.decide(own, answers, len(peers))
         finally:
-            for task in asking:
+            for task in tasks:
                 task.cancel()
-        return found
 
-    async def _try_ask(self, peer, body):
+    def _ask_all(self, inquiry, peers, wants_list):
+        """Return the tasks that ask the owners of a stream."""
+        key, route, _ = inquiry
+        query = stream_records.StreamQuery(
+            key, route.host, route.prefix, wants_list
+        )
+        body = cbor2.dumps(msgspec.to_builtins(query, builtin_types=[bytes]))
+        timeout = ASK_LIST_TIMEOUT_S if wants_list else ASK_TIMEOUT_S
+        return {
+            self._hub.supervisor.spawn(
+                'owners', self._try_ask(peer, body, timeout)
+            )
+            for peer in peers
+        }
+
+    async def _try_ask(self, peer, body, timeout=ASK_TIMEOUT_S):
         """Ask a box; an error counts as no answer of it."""
         return await self._hub.supervisor.attempt(
-            'owners', self._ask(peer, body)
+            'owners', self._ask(peer, body, timeout)
         )
 
-    async def _ask(self, peer, body):
+    async def _ask(self, peer, body, timeout):
         """Return the Evidence of another box, or None if it doesn't answer."""
         try:
             reply = await boxcalls.fetch(
@@ -205,7 +264,7 @@
                 stream_records.StreamReply,
                 ('POST', STREAMS_PATH),
                 body,
-                timeout=ASK_TIMEOUT_S,
+                timeout=timeout,
                 max_bytes=REPLY_MAX_BYTES,
             )
         except boxcalls.NoAnswer as error:
--- a/landingspool/gateway/following.py
+++ b/landingspool/gateway/following.py
@@ -378,6 +378,7 @@
         self._hub.view.software_history.confirm_list(
             sent, self._hub.deployment.first_start
         )
+        self._hub.current_list.record_read(self._tail.end)
 
     def _apply(self, record):
         if not record.value:
--- a/landingspool/gateway/hub.py
+++ b/landingspool/gateway/hub.py
@@ -14,6 +14,7 @@
 from landingspool.gateway import closings
 from landingspool.gateway import continuity
 from landingspool.gateway import crash_records
+from landingspool.gateway import current_list
 from landingspool.gateway import following
 from landingspool.gateway import forwarded_rows
 from landingspool.gateway import forwarder
@@ -151,6 +152,7 @@
         self.cache_follower = cache_follower.CacheFollower(self)
         self.store_reports = store_reports.StoreReports(self)
         self.peering = peering.Peering(self)
+        self.current_list = current_list.CurrentList(self)
         self.continuity = continuity.Continuity(self)
         self.software_watch = software_watch.SoftwareWatch(self)
         self.prober = prober.Prober(self)
--- a/landingspool/gateway/metrics.py
+++ b/landingspool/gateway/metrics.py
@@ -35,6 +35,11 @@
             'Streams that callers continue, by how their binding is known',
             ('source',),
         )
+        self.list_renewals = self._make_counter(
+            'list_renewals',
+            'Reads of the newest targets for streams that callers continue',
+            ('outcome',),
+        )
         self.stream_records = self._make_counter(
             'stream_records', 'Records of streams sent to their owners'
         )
--- a/landingspool/gateway/refusals.py
+++ b/landingspool/gateway/refusals.py
@@ -6,6 +6,7 @@
 import random
 import typing
 
+from landingspool.decisions.gateway import continuations
 from landingspool.decisions.gateway import exclusions
 from landingspool.decisions.gateway import fingerprints
 from landingspool.decisions.gateway import plans
@@ -82,7 +83,7 @@
         ----------
         found : continuations.Found
         """
-        if found.unanswered:
+        if found.unanswered or found.source == continuations.Source.UNPROVED:
             return await self.refuse(found.reason)
         return await self.refuse_for_good(found.reason)
 
