Name four owners of each stream where there are no other domains

What callers saw: two of four boxes are cut off, streams begin at a new version through the others, the cut heals, and 2 of 24 streams stay refused (unknown_software) at the boxes that were cut off, though those who know them are back. (That all were refused in an earlier probe came from its callers: their time for the stream, 2.5 s, had passed.)

Cause: the owners are two boxes of the domain and one of each of two others. With one domain these are two boxes; those told and those asked may only meet in boxes that the datagrams didn't reach.

Change: for each other domain that is missing there is one more owner in the own domain, so that there are four wherever there are as many boxes.

--- a/landingspool/decisions/gateway/stream_owners.py
+++ b/landingspool/decisions/gateway/stream_owners.py
@@ -12,7 +12,9 @@
 
 # Owners in the domain of a box, itself excluded: one may be gone.
 NEAR_OWNERS = 2
-# Other domains with an owner each: the domain itself may be cut off.
+# Other domains with an owner each: the domain itself may be cut off.  For each
+# that is missing there is one more in the domain, where some boxes may have
+# been cut off together.
 FAR_DOMAINS = 2
 
 
@@ -36,12 +38,16 @@
     >>> picked = pick_owners(b"k", "d", peers)
     >>> sorted(peers[name] for name in picked)
     ['d', 'd', 'x', 'z']
+    >>> len(pick_owners(b"k", "d", dict.fromkeys('abcef', 'd')))
+    4
     """
     subject = key.hex()
     near = [name for name, place in peers.items() if place == domain]
-    owners = pick_best(subject, near, NEAR_OWNERS)
     others = set(peers.values()) - {domain}
-    for other in pick_best(subject, others, FAR_DOMAINS):
+    domains = pick_best(subject, others, FAR_DOMAINS)
+    missing = FAR_DOMAINS - len(domains)
+    owners = pick_best(subject, near, NEAR_OWNERS + missing)
+    for other in domains:
         far = [name for name, place in peers.items() if place == other]
         owners += pick_best(subject, far, 1)
     return owners
--- a/tests/gateway/test_software_history.py
+++ b/tests/gateway/test_software_history.py
@@ -205,3 +205,15 @@
     assert known.find(bytes(16), 1.0) is None
     known.drop_expired(stream_bindings.MAX_AGE_S)
     assert not known._known
+
+
+@pytest.mark.parametrize('boxes', [4, 6, 12, 34])
+def test_owners_of_one_domain_meet_though_two_boxes_were_not_told(boxes):
+    # Guards against streams that nobody knows after a cut of two boxes.
+    rng = random.Random(boxes)
+    domains = dict.fromkeys((f'b{n}' for n in range(boxes)), 'd')
+    for number in range(300):
+        key = number.to_bytes(16)
+        teller, *cut = rng.sample(list(domains), 3)
+        told = {teller, *pick(key, teller, domains)} - set(cut)
+        assert told & set(pick(key, cut[0], domains))
