Tell owners what began streams while the list of targets can't be read

What callers saw: since a version is implied only by a list that is read for the take-up, streams of the only version that has served all along were refused at other boxes while the store was away, though nothing had changed: six boxes of three domains, 15 of 48 (unproved_software), and all of them if the box that relayed them is gone.

Cause: a box tells owners of its streams only when they aren't implied by a single version. While the list can't be read, nothing is implied for others.

Change: a box whose reads of the list fail tells owners of the streams that it has begun, as it does when a second version comes, and of each new one, until a read is answered. So boxes know these streams instead of concluding; a cut doesn't make that wrong.

Evidence: store_away_from_all_boxes (test_streams_beside_cuts.py) failed before (33 of 48 went on). Nothing is told while reads are answered.

--- a/landingspool/gateway/continuity.py
+++ b/landingspool/gateway/continuity.py
@@ -63,8 +63,9 @@
     Parameters
     ----------
     hub
-        The box's parts: `deployment`, `view`, `peering`, `current_list`,
-        `client`, `timer`, `recorder`, `metrics`, `supervisor`, `clock`.
+        The box's parts: `deployment`, `view`, `peering`, `sources`,
+        `current_list`, `client`, `timer`, `recorder`, `metrics`,
+        `supervisor`, `clock`.
     """
 
     def __init__(self, hub):
@@ -94,10 +95,10 @@
         binding = stream_bindings.Binding(work.service, work.software)
         until = state.started + state.call.left_s
         self._view.stream_bindings.put(key, binding, now, until)
-        if self._view.software_history.find_only(work.route, now) is None:
-            self._tell([key], now)
-        else:
+        if self._is_implied(work.route, now):
             self._put_untold(work.route, key)
+        else:
+            self._tell([key], now)
 
     def hand_over(self):
         """Tell the owners of all streams, since this box stops."""
@@ -308,12 +309,24 @@
 
     def check(self, now):
         """Tell owners of the streams whose binding is no longer implied."""
-        history = self._view.software_history
         for place, untold in list(self._untold.items()):
-            if history.find_only(untold.route, now) is None:
+            if not self._is_implied(untold.route, now):
                 del self._untold[place]
                 self._tell(untold.keys, now)
 
+    def _is_implied(self, route, now):
+        """Return whether other boxes can tell the binding of new streams.
+
+        They can't while the list of targets can't be read.
+        """
+        history = self._view.software_history
+        failed_at = self._hub.sources.failed_at
+        if failed_at is not None and not history.is_proved_since(failed_at):
+            return False
+        if self._hub.current_list.is_failing:
+            return False
+        return history.find_only(route, now) is not None
+
     def _put_untold(self, route, key):
         place = route.host, route.prefix
         if place not in self._untold:
--- a/landingspool/gateway/current_list.py
+++ b/landingspool/gateway/current_list.py
@@ -35,7 +35,7 @@
     Attributes
     ----------
     is_failing : bool
-        Whether the last read was not answered.
+        Whether the last read was not answered, and none of this box since.
     """
 
     def __init__(self, hub):
@@ -50,6 +50,7 @@
     def record_read(self, end):
         """Record that all records before an offset are applied."""
         self._end = end
+        self.is_failing = False
 
     async def renew(self):
         """Read what was listed until now, for RENEWAL_TIMEOUT_S at most.
--- a/tests/gateway/test_current_list.py
+++ b/tests/gateway/test_current_list.py
@@ -8,6 +8,7 @@
 from landingspool.decisions.gateway import continuations
 from landingspool.decisions.gateway import stream_bindings
 from landingspool.decisions.gateway import stream_records
+from landingspool.gateway import continuity
 from landingspool.platform import names
 from tests.gateway import site
 from tests.gateway import test_stream_software as streams
@@ -74,6 +75,31 @@
     site.run(check)
 
 
+def test_owners_are_told_of_each_stream_only_while_the_list_cannot_be_read():
+    async def check(deployment):
+        hubs = await streams.start(deployment, 2, ('v1',) * 4)
+        streams.watch(hubs)
+        live = hubs[1].view.stream_bindings.list_live
+        deployment.store.mode = 'silent'
+        await hubs[0].current_list.renew()
+        await site.wait_until(lambda: hubs[0].current_list.is_failing)
+        await streams.begin(deployment, hubs[0], 'a')
+        await site.wait_until(lambda: len(live(hubs[1].clock())) == 1)
+        deployment.store.mode = ''
+        # What the store held when it fell silent stays unanswered.
+        await site.wait_until(lambda: not hubs[0].current_list.is_failing)
+        await site.wait_until(
+            lambda: hubs[0].view.software_history.is_proved_since(
+                hubs[0].sources.failed_at or 0.0
+            )
+        )
+        await streams.begin(deployment, hubs[0], 'b')
+        await asyncio.sleep(2 * continuity.CHECK_PERIOD_S)
+        assert len(live(hubs[1].clock())) <= 1
+
+    site.run(check, engines=4)
+
+
 def test_a_log_that_was_cut_proves_nothing():
     async def check(deployment):
         hub = await deployment.start_box()
--- a/tests/gateway/test_streams_beside_cuts.py
+++ b/tests/gateway/test_streams_beside_cuts.py
@@ -26,6 +26,8 @@
 CUT_S = 2.0
 # Seconds after a cut has healed in which all that is known is found again.
 HEALED_S = 1.0
+# Seconds in which boxes notice that nobody listens at the store's address.
+NOTICED_S = 0.5
 # Seconds in which a box without the store learns of targets from others.
 LEARNED_S = 4.0
 # Seconds for which something that answers nobody is waited for.
@@ -177,6 +179,11 @@
         for hub in hubs:
             self._entrances[hub.deployment.box].mode = 'silent'
 
+    async def leave_store(self):
+        """Have the store be away for all."""
+        for entrance in self._entrances.values():
+            await entrance.leave()
+
     def heal(self):
         """End all cuts."""
         self._cuts.heal()
@@ -400,6 +407,17 @@
     await heal_after_release(scene, cut, in_step)
 
 
+@case
+async def store_away_from_all_boxes(scene):
+    await scene.start('d1', 'd1', 'd2', 'd2', 'd3', 'd3')
+    teller, *others = scene.hubs
+    names = await scene.begin(teller)
+    await scene.leave_store()
+    await asyncio.sleep(NOTICED_S)
+    names += await scene.begin(teller)
+    check_served(await scene.take_up(names, *others))
+
+
 async def heal_after_release(scene, cut, in_step):
     """Take streams up that began beside a cut: at its end, and after it."""
     scene.part(*cut)
