Count versions whose targets left before a box could read of them

What callers saw: a box that is without the store for some seconds, while a target of a new version joins, begins streams and goes, lets 9 of 24 of these streams go on at the old version once it reads again and is asked alone (ORDER).

Cause: a box without the store takes the list of targets from another box. As it reads the topic again, it passes over the records before that list, since they would bring back targets that are gone; but the reading counts as complete for the history of versions, which has never seen these records.

Change: records that are passed over count for the history of versions.

Evidence: version_that_has_left_as_a_box_reads_again (tests/gateway/test_streams_beside_cuts.py): 9 of 24 before, none now.

--- a/landingspool/gateway/current_list.py
+++ b/landingspool/gateway/current_list.py
@@ -86,7 +86,7 @@
             if not isinstance(page, store_module.Page):
                 return describe(page)
             for record in page.records:
-                self._note(record)
+                self.note(record)
             offset = page.end
             if page.whole:
                 self._end = offset
@@ -96,8 +96,13 @@
                 return ''
         return f'over {MAX_PAGES} pages'
 
-    def _note(self, record):
-        """Record the software of a target that is or was listed."""
+    def note(self, record):
+        """Record the software of a target that is or was listed.
+
+        Parameters
+        ----------
+        record : tail.Record
+        """
         if not record.value:
             return
         try:
--- a/landingspool/gateway/following.py
+++ b/landingspool/gateway/following.py
@@ -371,6 +371,10 @@
         # targets that are gone.
         known = self._hub.state.targets_end
         newer = tuple(r for r in page.records if r.offset >= known)
+        for record in page.records:
+            if record.offset < known:
+                # Streams may have begun there all the same.
+                self._hub.current_list.note(record)
         super()._apply_page(dataclasses.replace(page, records=newer))
         self._hub.state.targets_end = max(known, page.end)
 
--- a/tests/gateway/test_streams_beside_cuts.py
+++ b/tests/gateway/test_streams_beside_cuts.py
@@ -12,6 +12,7 @@
 
 from landingspool import http
 from landingspool import httpclient
+from landingspool.platform import names
 from standins import platformstore
 from standins import runner as runner_module
 from tests.gateway import site
@@ -206,9 +207,17 @@
                 )
             )
 
+    def remove(self, version):
+        """Have the entries of the targets of a version go."""
+        for runner in self.deployment.engines:
+            if runner.software == version:
+                self.deployment.store.put(
+                    names.TARGETS_TOPIC, runner.name, b''
+                )
+
     async def begin(self, *hubs):
         """Have callers begin streams at some boxes, which break."""
-        names = [f'a{self._count()}' for _ in range(STREAMS)]
+        begun = [f'a{self._count()}' for _ in range(STREAMS)]
         streams.usually(self.deployment, 'broken stream')
         answers = await asyncio.gather(
             *(
@@ -220,15 +229,15 @@
                     name=name,
                     deadline_ms=DEADLINE_MS,
                 )
-                for number, name in enumerate(names)
+                for number, name in enumerate(begun)
             )
         )
         for got in answers:
             assert streams.list_events(got) == [1, 2], (got.status, got.body)
         streams.usually(self.deployment, 'stream')
-        return names
+        return begun
 
-    async def take_up(self, names, *hubs):
+    async def take_up(self, begun, *hubs):
         """Have callers continue streams; return how each went on.
 
         Returns
@@ -240,7 +249,7 @@
         found = await asyncio.gather(
             *(
                 self._take_up(name, hubs[number % len(hubs)])
-                for number, name in enumerate(names)
+                for number, name in enumerate(begun)
             )
         )
         return collections.Counter(found)
@@ -280,10 +289,10 @@
     """Have a version join beside a cut; take streams up on its other side."""
     await asyncio.sleep(JOIN_S)
     await scene.join(*in_step)
-    names = await scene.begin(*in_step)
-    found = await scene.take_up(names, *cut)
+    begun = await scene.begin(*in_step)
+    found = await scene.take_up(begun, *cut)
     assert not find_wrong(found), found
-    return names, found
+    return begun, found
 
 
 @case
@@ -327,8 +336,8 @@
     cut, in_step = scene.hubs[:1], scene.hubs[1:]
     scene.part(*cut)
     await asyncio.sleep(JOIN_S)
-    names = await scene.begin(*in_step)
-    check_served(await scene.take_up(names, *cut))
+    begun = await scene.begin(*in_step)
+    check_served(await scene.take_up(begun, *cut))
 
 
 @case
@@ -336,9 +345,9 @@
     await scene.start('d1', 'd1', 'd1', 'd1')
     cut, in_step = scene.hubs[:1], scene.hubs[1:]
     scene.part_from_store(*cut)
-    names, _ = await release_beside(scene, cut, in_step)
+    begun, _ = await release_beside(scene, cut, in_step)
     await asyncio.sleep(LEARNED_S)
-    check_served(await scene.take_up(names, *cut))
+    check_served(await scene.take_up(begun, *cut))
 
 
 @case
@@ -346,9 +355,9 @@
     await scene.start('d1', 'd1', 'd1', 'd1')
     cut, in_step = scene.hubs[:2], scene.hubs[2:]
     scene.part_from_store(*cut)
-    names, _ = await release_beside(scene, cut, in_step)
+    begun, _ = await release_beside(scene, cut, in_step)
     await asyncio.sleep(LEARNED_S)
-    check_served(await scene.take_up(names, *cut))
+    check_served(await scene.take_up(begun, *cut))
 
 
 @case
@@ -372,11 +381,11 @@
 @case
 async def box_that_knows_no_other_without_a_release(scene):
     await scene.start('d1')
-    names = await scene.begin(*scene.hubs)
+    begun = await scene.begin(*scene.hubs)
     await scene.start_box('d1')
     streams.watch(scene.hubs)
     scene.hubs[1].peering.peers.clear()
-    check_served(await scene.take_up(names, scene.hubs[1]))
+    check_served(await scene.take_up(begun, scene.hubs[1]))
 
 
 @case
@@ -407,15 +416,45 @@
     await heal_after_release(scene, cut, in_step)
 
 
+@case
+async def version_that_has_left_as_a_box_reads_again(scene):
+    await scene.start('d1', 'd1', 'd2', 'd2', 'd3', 'd3')
+    await leave_beside_cut(scene, scene.hubs[0], scene.hubs[1:])
+
+
+async def leave_beside_cut(scene, cut, in_step, lose=lambda: None):
+    """Have a version join and leave while a box can't read the store.
+
+    It is cut off from the others as it can read again.
+    """
+    scene.part_from_store(cut)
+    await asyncio.sleep(JOIN_S)
+    await scene.join(*in_step)
+    begun = await scene.begin(*in_step)
+    scene.remove(NEW)
+    await site.wait_until(
+        lambda: NEW.encode() in streams.find_summary(scene.deployment)
+    )
+    lose()
+    await asyncio.sleep(LEARNED_S)
+    asked_at = cut.clock()
+    scene.heal()
+    history = cut.view.software_history
+    await site.wait_until(lambda: history.is_proved_since(asked_at), 8.0)
+    scene.part(cut)
+    found = await scene.take_up(begun, cut)
+    assert not find_wrong(found), found
+
+
 @case
 async def store_away_from_all_boxes(scene):
     await scene.start('d1', 'd1', 'd2', 'd2', 'd3', 'd3')
     teller, *others = scene.hubs
-    names = await scene.begin(teller)
+    begun = await scene.begin(teller)
     await scene.leave_store()
     await asyncio.sleep(NOTICED_S)
-    names += await scene.begin(teller)
-    check_served(await scene.take_up(names, *others))
+    begun += await scene.begin(teller)
+    check_served(await scene.take_up(begun, *others))
 
 
 async def heal_after_release(scene, cut, in_step):
@@ -424,13 +463,13 @@
     scene.part_from_store(*cut)
     await asyncio.sleep(JOIN_S)
     await scene.join(*in_step)
-    names = await scene.begin(*in_step)
+    begun = await scene.begin(*in_step)
     await asyncio.sleep(CUT_S)
     scene.heal()
-    found = await scene.take_up(names, *cut)
+    found = await scene.take_up(begun, *cut)
     assert not find_wrong(found), found
     await asyncio.sleep(HEALED_S)
-    check_served(await scene.take_up(names, *cut))
+    check_served(await scene.take_up(begun, *cut))
 
 
 def run_case(play, run=site.run):
@@ -462,10 +501,10 @@
         scene.part(*still)
         scene.part_from_store(*still)
         await scene.join(*in_step)
-        names = await scene.begin(*in_step)
+        begun = await scene.begin(*in_step)
         still[0].peering.peers.clear()
         suspend(seconds)
-        found = await scene.take_up(names, *still)
+        found = await scene.take_up(begun, *still)
         assert not find_wrong(found), found
 
     run_case(play, site.run_on_boot_clock)
