Begin the watch of versions anew where records of the list are missing

What callers saw: a box that can't read the store for some seconds, while a target of a new version joins, begins streams and goes and the log is cut, lets 9 of 24 of these streams go on at the old version once it reads again and is asked alone (ORDER).

Cause: where records are gone, the newest record of each target is read, and that read counts as if nothing had been missed. A version that came and left meanwhile is in none of them.

Change: such a read begins the box's watch anew. It adopts the summary of versions in the store, which boxes in step have written, but only once that is read again: the one read before lacks what was missed. That takes 8 s at most, in which owners can tell.

Evidence: version_that_has_left_as_a_log_was_cut (tests/gateway/test_streams_beside_cuts.py): 9 of 24 before, none now.

--- a/landingspool/decisions/gateway/software_history.py
+++ b/landingspool/decisions/gateway/software_history.py
@@ -74,6 +74,18 @@
             self._watched_since = -math.inf if is_first else at
         self._confirmed = max(self._confirmed, at)
 
+    def lose_list(self):
+        """Have the watch begin anew at the next read of the list.
+
+        >>> history = SoftwareHistory()
+        >>> history.confirm_list(0.0)
+        >>> history.lose_list()
+        >>> history.confirm_list(5.0)
+        >>> history.has_watched(62.0), history.has_watched(65.0)
+        (False, True)
+        """
+        self._confirmed = -math.inf
+
     def record(self, service, software, now):
         """Record that a target of a service is listed."""
         seen = self._seen.setdefault(service, {})
--- a/landingspool/gateway/current_list.py
+++ b/landingspool/gateway/current_list.py
@@ -29,8 +29,8 @@
     Parameters
     ----------
     hub
-        The box's parts: `view`, `store`, `deployment`, `recorder`, `metrics`,
-        `supervisor`, `clock`.
+        The box's parts: `view`, `store`, `software_watch`, `deployment`,
+        `recorder`, `metrics`, `supervisor`, `clock`.
 
     Attributes
     ----------
@@ -52,6 +52,19 @@
         self._end = end
         self.is_failing = False
 
+    def record_gap(self):
+        """Record that records are missing between two reads of the topic.
+
+        What was listed meanwhile is only known to other boxes, and to the
+        summary of versions that is in the store by now.
+        """
+        if self._end is None:
+            # The first read of all has no former one.
+            return
+        self._end = None
+        self._history.lose_list()
+        self._hub.software_watch.lose_proof()
+
     async def renew(self):
         """Read what was listed until now, for RENEWAL_TIMEOUT_S at most.
 
--- a/landingspool/gateway/following.py
+++ b/landingspool/gateway/following.py
@@ -360,6 +360,7 @@
 
     def _replace_known(self, newest):
         self._hub.state.targets_end = newest.end
+        self._hub.current_list.record_gap()
         # A target whose record was passed over is listed all the same.
         listed = {record.key for record in newest.records if record.value}
         for target in self._hub.view.fleet.list_targets():
--- a/landingspool/gateway/software_watch.py
+++ b/landingspool/gateway/software_watch.py
@@ -70,6 +70,10 @@
         """Record that a read sent at `sent` has shown the newest summary."""
         self._proved = max(sent, self._proved or sent)
 
+    def lose_proof(self):
+        """Have the summary count only once it is read again."""
+        self._proved = None
+
     def _observe(self, tick):
         entries = self._hub.view.fleet.entries.values()
         self._history.observe(entries, tick.now)
--- a/tests/gateway/test_streams_beside_cuts.py
+++ b/tests/gateway/test_streams_beside_cuts.py
@@ -422,6 +422,16 @@
     await leave_beside_cut(scene, scene.hubs[0], scene.hubs[1:])
 
 
+@case
+async def version_that_has_left_as_a_log_was_cut(scene):
+    await scene.start('d1', 'd1', 'd2', 'd2', 'd3', 'd3')
+    await site.wait_until(
+        lambda: OLD.encode() in streams.find_summary(scene.deployment)
+    )
+    topic = scene.deployment.store.topic(names.TARGETS_TOPIC)
+    await leave_beside_cut(scene, scene.hubs[0], scene.hubs[1:], topic.forget)
+
+
 async def leave_beside_cut(scene, cut, in_step, lose=lambda: None):
     """Have a version join and leave while a box can't read the store.
 
