Begin the watch of versions anew at boxes of the first start, too

What callers could see: at a box that took part in the first start of the whole system, a stream of a version that came and left while the box was cut off may go on at another one (read, not seen in a run of boxes).

Cause: a box of the first start has watched since ever, which is told by a watch since minus infinity. After a cut the same test took any infinite start for the first read, so that the watch never began anew.

Change: only a box that has not begun to watch makes its first read.

Evidence: test_a_box_of_the_first_start_that_was_cut_off_begins_its_watch_anew failed before.

--- a/landingspool/decisions/gateway/software_history.py
+++ b/landingspool/decisions/gateway/software_history.py
@@ -70,7 +70,7 @@
             that no stream began before.
         """
         if at - self._confirmed > LIST_TIMEOUT_S:
-            is_first = math.isinf(self._watched_since) and is_first_start
+            is_first = self._watched_since == math.inf and is_first_start
             self._watched_since = -math.inf if is_first else at
         self._confirmed = max(self._confirmed, at)
 
--- a/tests/gateway/test_software_history.py
+++ b/tests/gateway/test_software_history.py
@@ -76,6 +76,15 @@
         assert made.find_only(ROUTE, 6.0) == expected
 
 
+def test_a_box_of_the_first_start_that_was_cut_off_begins_its_watch_anew():
+    made = software_history.SoftwareHistory()
+    made.confirm_list(5.0, is_first_start=True)
+    made.record('s', 'v1', 5.0)
+    back = 5.0 + software_history.LIST_TIMEOUT_S + 1.0
+    made.confirm_list(back, is_first_start=True)
+    assert made.find_only(ROUTE, back) is None
+
+
 def test_a_route_that_has_moved_implies_nothing(history):
     put_table(history, (routes.Share('other', 1.0),), 1.0)
     put_table(history, SHARES, LONG_S - 1.0)
