Refuse a stream in time if nobody can prove its version

What callers saw: a caller with 250 ms left, whose stream nobody knows while the store answers nobody, is answered after 0.6 s, when it has given up.

Cause: the read of the list and the questions to owners were bounded each, but not by the time that the caller leaves.

--- a/landingspool/gateway/continuity.py
+++ b/landingspool/gateway/continuity.py
@@ -25,6 +25,7 @@
 from landingspool.gateway import boxcalls
 from landingspool.gateway import current_list
 from landingspool.gateway import registry
+from landingspool import timeouts
 
 STREAMS_PATH = '/streams'
 SWEEP_PERIOD_S = 5.0
@@ -137,7 +138,9 @@
         own = self._collect(key, work.route, asked_at)
         found = continuations.decide(own, (), 0)
         if own.known is None:
-            found = await self._inquire(Inquiry(key, work.route, asked_at))
+            inquiry = Inquiry(key, work.route, asked_at)
+            left_s = state.get_time_left(asked_at)
+            found = await self._inquire_in_time(inquiry, left_s)
         found = continuations.check_route(found, work.route)
         self._log(state, found, own)
         return found
@@ -192,6 +195,15 @@
             history.is_proved_since(asked_at),
         )
 
+    async def _inquire_in_time(self, inquiry, left_s):
+        """Inquire for as long as the caller waits."""
+        try:
+            async with timeouts.Timeout(left_s):
+                return await self._inquire(inquiry)
+        except TimeoutError:
+            # Whoever was asked might have known more.
+            return continuations.decide(self._collect(*inquiry), (), 1)
+
     async def _inquire(self, inquiry):
         """Return what follows from this box and the owners of a stream.
 
--- a/tests/gateway/test_current_list.py
+++ b/tests/gateway/test_current_list.py
@@ -17,6 +17,8 @@
 # Callers that need the list at the same time.
 CALLERS = 20
 DELAY_S = 0.05
+# Less than a read that is not answered takes.
+HURRY_MS = 250
 
 
 def count_reads(hub):
@@ -144,6 +146,26 @@
     site.run(check, engines=4)
 
 
+def test_a_caller_in_a_hurry_is_refused_before_its_deadline():
+    async def check(deployment):
+        hubs = await streams.start(deployment, 3, ('v1',) * 4)
+        streams.watch(hubs)
+        deployment.store.mode = 'silent'
+        began = hubs[0].clock()
+        got = await site.ask(
+            hubs[0],
+            '/taken/a',
+            headers=(('last-event-id', '2'), ('resumes', 'nobody')),
+            deadline_ms=HURRY_MS,
+        )
+        assert hubs[0].clock() - began < HURRY_MS / 1000
+        assert got.status == 503
+        assert b'unproved_software' in got.body
+        assert float(got.headers['retry-after']) > 0
+
+    site.run(check, engines=4)
+
+
 def test_an_owner_of_an_earlier_version_proves_nothing():
     reply = msgspec.convert(
         {'record': None, 'only': ONE, 'recent': [ONE]},
