--- a/landingspool/decisions/gateway/software_history.py
+++ b/landingspool/decisions/gateway/software_history.py
@@ -70,10 +70,22 @@
             that no stream began before.
         """
         if at - self._confirmed > LIST_TIMEOUT_S:
-            is_first = math.isinf(self._watched_since) and is_first_start
+            is_first = self._watched_since == math.inf and is_first_start
             self._watched_since = -math.inf if is_first else at
         self._confirmed = max(self._confirmed, at)
 
+    def lose_list(self):
+        """Have the watch begin anew at the next read of the list.
+
+        >>> history = SoftwareHistory()
+        >>> history.confirm_list(0.0)
+        >>> history.lose_list()
+        >>> history.confirm_list(5.0)
+        >>> history.has_watched(62.0), history.has_watched(65.0)
+        (False, True)
+        """
+        self._confirmed = -math.inf
+
     def record(self, service, software, now):
         """Record that a target of a service is listed."""
         seen = self._seen.setdefault(service, {})
@@ -117,6 +129,10 @@
         ages = now - self._watched_since, now - self._confirmed
         return [round(min(age, MAX_LOGGED_S), 1) for age in ages]
 
+    def is_proved_since(self, at):
+        """Return whether the list of targets was read at `at` or later."""
+        return self._confirmed >= at
+
     def is_witness(self, now):
         """Return whether no version can have escaped this box."""
         is_listed = now - self._confirmed < LIST_TIMEOUT_S
--- a/landingspool/gateway/following.py
+++ b/landingspool/gateway/following.py
@@ -132,6 +132,7 @@
     def _replace_known(self, newest):
         self._hub.state.targets_end = newest.end
         self._hub.state.put_targets_proof(newest.sent)
+        self._hub.current_list.record_gap()
         # A target whose record was passed over is listed all the same.
         listed = {record.key for record in newest.records if record.value}
         for target in self._hub.view.fleet.list_targets():
@@ -145,6 +146,10 @@
         # targets that are gone.
         known = self._hub.state.targets_end
         newer = tuple(r for r in page.records if r.offset >= known)
+        for record in page.records:
+            if record.offset < known:
+                # Streams may have begun there all the same.
+                self._hub.current_list.note(record)
         super()._apply_page(dataclasses.replace(page, records=newer))
         self._hub.state.targets_end = max(known, page.end)
         if page.whole:
@@ -154,6 +159,7 @@
         self._hub.view.software_history.confirm_list(
             sent, self._hub.deployment.first_start
         )
+        self._hub.current_list.record_read(self._tail.end)
 
     def _apply(self, record):
         if not record.value:
--- a/tests/gateway/test_software_history.py
+++ b/tests/gateway/test_software_history.py
@@ -76,6 +76,15 @@
         assert made.find_only(ROUTE, 6.0) == expected
 
 
+def test_a_box_of_the_first_start_that_was_cut_off_begins_its_watch_anew():
+    made = software_history.SoftwareHistory()
+    made.confirm_list(5.0, is_first_start=True)
+    made.record('s', 'v1', 5.0)
+    back = 5.0 + software_history.LIST_TIMEOUT_S + 1.0
+    made.confirm_list(back, is_first_start=True)
+    assert made.find_only(ROUTE, back) is None
+
+
 def test_a_route_that_has_moved_implies_nothing(history):
     put_table(history, (routes.Share('other', 1.0),), 1.0)
     put_table(history, SHARES, LONG_S - 1.0)
@@ -205,3 +214,15 @@
     assert known.find(bytes(16), 1.0) is None
     known.drop_expired(stream_bindings.MAX_AGE_S)
     assert not known._known
+
+
+@pytest.mark.parametrize('boxes', [4, 6, 12, 34])
+def test_owners_of_one_domain_meet_though_two_boxes_were_not_told(boxes):
+    # Guards against streams that nobody knows after a cut of two boxes.
+    rng = random.Random(boxes)
+    domains = dict.fromkeys((f'b{n}' for n in range(boxes)), 'd')
+    for number in range(300):
+        key = number.to_bytes(16)
+        teller, *cut = rng.sample(list(domains), 3)
+        told = {teller, *pick(key, teller, domains)} - set(cut)
+        assert told & set(pick(key, cut[0], domains))
