Soak: the store comes back from a copy, and one box at a time gives orders

The soak had neither the return of the platform's store from a copy nor a check of who ordered, so it could not find "two holders, one fence".

The stand-in notes when an order came, since it may be carried out seconds later. The store has an address of its own in the soak, so that nothing takes its port while it is away.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -20,7 +20,9 @@
 from soak import callers
 from soak import faults
 from soak import fleet as fleet_module
+from soak import orders
 from soak import parts
+from soak import returns
 from soak import streams
 from soak import weights
 
@@ -33,7 +35,11 @@
 REGRESSIONS = {}
 # Its lines begin with the name of a test or check; these fail no run.
 KNOWN_RED = pathlib.Path(__file__).parent.parent / 'KNOWN-RED.txt'
-WEIGHTS_CHECK = 'soak/weights.py::check_weights'
+# Checks that may stand there by these names: of the fleet and what was sent.
+CHECKS = {
+    'soak/orders.py::check_orders': orders.check_orders,
+    'soak/weights.py::check_weights': weights.check_weights,
+}
 
 
 class Outcome(typing.NamedTuple):
@@ -49,6 +55,8 @@
         Requests by the status and the reason of their answers.
     taken_up, went_on : int
         Streams that callers took up, and those that went on.
+    orders, returns : int
+        Orders that targets got, and the store's returns from copies.
     known_red : sequence of str
         What broke promises by a check in KNOWN-RED.txt, a line each.
     """
@@ -60,6 +68,8 @@
     taken_up: int = 0
     went_on: int = 0
     known_red: typing.Sequence[str] = ()
+    orders: int = 0
+    returns: int = 0
 
 
 def is_known_red(check):
@@ -76,7 +86,9 @@
     version_s = fleet_module.VERSION_S
     if drawn_weights is not None:
         version_s = weights.VERSION_S
-    fleet = fleet_module.Fleet(folder, subnet, contended, version_s)
+    drawn_returns = returns.draw(seed)
+    domains = returns.DOMAINS if drawn_returns is not None else 0
+    fleet = fleet_module.Fleet(folder, subnet, contended, version_s, domains)
     people = [callers.Caller(i, fleet, rng) for i in range(CALLERS)]
     crowd = callers.make_crowd(seed, fleet) if contended else []
     try:
@@ -91,15 +103,14 @@
         await faults.play(fleet, rng, RUN_S)
         if drawn_weights is not None:
             await weights.play(fleet, drawn_weights)
+        if drawn_returns is not None:
+            await returns.play(fleet, drawn_returns)
         await asyncio.sleep(SETTLE_S)
         for work in works:
             work.cancel()
         await asyncio.gather(*works, return_exceptions=True)
         sent = [row for one in people + crowd for row in one.sent]
-        problems = auditor.audit(fleet, sent)
-        late = weights.check_weights(fleet, sent)
-        is_known = is_known_red(WEIGHTS_CHECK)
-        problems += [] if is_known else late
+        problems, known = run_checks(fleet, sent)
         served = sum(1 for row in sent if row.status == 200 and row.whole)
         if not served:
             problems.append('nothing was served')
@@ -111,12 +122,28 @@
             count_answers(sent),
             len(taken),
             sum(streams.has_events(row) for row in taken),
-            late if is_known else [],
+            known,
+            len(orders.list_given(fleet)),
+            len(fleet.returns),
         )
     finally:
         await fleet.close()
 
 
+def run_checks(fleet, sent):
+    """List the broken promises, and apart those of checks that are known red.
+
+    Returns
+    -------
+    tuple of (list of str, list of str)
+    """
+    problems, known = auditor.audit(fleet, sent), []
+    for name, check in CHECKS.items():
+        found = known if is_known_red(name) else problems
+        found += check(fleet, sent)
+    return problems, known
+
+
 def count_answers(sent):
     """Count the answers by status and reason, the most frequent first."""
     rows = collections.Counter((r.status, r.reason) for r in sent)
@@ -141,7 +168,8 @@
         free.put_nowait(subnet)
         print(
             f'seed {seed}: {found.sent} requests, {found.served} served, '
-            f'{found.went_on} of {found.taken_up} streams went on, ',
+            f'{found.went_on} of {found.taken_up} streams went on, '
+            f'{found.orders} orders, {found.returns} returns, ',
             end='',
         )
         if not found.problems:
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -82,7 +82,11 @@
 @fault
 async def kill(fleet, rng):
     """Kill a box; it starts again."""
-    box = rng.choice(fleet.boxes)
+    await kill_box(rng.choice(fleet.boxes), rng)
+
+
+async def kill_box(box, rng):
+    """Kill this box; it starts again."""
     process = box.process
     box.send(signal.SIGKILL)
     await asyncio.sleep(rng.uniform(0.1, 1.0))
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -169,10 +169,20 @@
         Whether callers compete for room, as the settings say.
     version_s : float
         Seconds within which targets have to have new weights.
+    domains : int
+        Failure domains of the boxes; 0: a number that is drawn.
     """
 
-    def __init__(self, folder, subnet, contended=False, version_s=VERSION_S):
+    def __init__(
+        self,
+        folder,
+        subnet,
+        contended=False,
+        version_s=VERSION_S,
+        domains=0,
+    ):
         self.version_s = version_s
+        self._domains = domains
         # When each version of the weights was named.
         self.named = {}
         self._contracts = (names.COMPETITION,) if contended else ()
@@ -197,6 +207,9 @@
         self.silences = []
         # The paths of requests that end their targets.
         self.ending = []
+        # The returns of the store from copies, one at a time.
+        self.returns = []
+        self.returning = asyncio.Lock()
 
     @contextlib.contextmanager
     def harm(self, boxes=()):
@@ -240,8 +253,9 @@
 
     async def open(self, rng):
         """Start everything, in a shape that is drawn."""
-        large = rng.random() < 0.5
-        await self.store.start()
+        large = rng.random() < 0.5 or self._domains > 0
+        # An address of its own: nothing takes its port while it is away.
+        await self.store.start(f'127.{self.subnet}.1.1')
         self.publish()
         for service in ('plain',) * 3 + ('engine',) * 4:
             await self.add_runner(service)
@@ -254,7 +268,9 @@
             box.link_mbps = rng.choice(LINKS_MBPS)
             box.contracts = self._contracts
             box.version_s = self.version_s
-            if large:
+            if self._domains:
+                box.domain = f'd-{number % self._domains}'
+            elif large:
                 box.domain = 'd-all'
             self.boxes.append(box)
             await box.open(seeds)
--- a/standins/platformstore.py
+++ b/standins/platformstore.py
@@ -92,6 +92,8 @@
         Seconds that a call, and its answer, are on their way.
     turned_away : set of str
         Paths that are answered with 503 whatever the mode.
+    is_open : bool
+        Whether it listens.
     calls : list of tuple
         (method, path) of each call.
     """
@@ -100,13 +102,15 @@
         self.topics = {} if topics is None else topics
         self.mode = ''
         self.delay_s = 0.0
+        self.is_open = False
         self.calls = []
         self.address = None
         self._server = http.Server(self._handle)
 
-    async def start(self):
+    async def start(self, host='127.0.0.1'):
         """Serve on a free port."""
-        self.address = await self._server.start('127.0.0.1', 0)
+        self.address = await self._server.start(host, 0)
+        self.is_open = True
 
     async def close(self):
         """Stop."""
@@ -114,12 +118,14 @@
 
     async def leave(self):
         """Stop listening, and reset all connections."""
+        self.is_open = False
         await self._server.close()
 
     async def come_back(self):
         """Listen again at the same address."""
         self._server = http.Server(self._handle)
         await self._server.start(*self.address)
+        self.is_open = True
 
     def copy(self):
         """Return the Copy of each topic, by its name."""
--- a/standins/runner.py
+++ b/standins/runner.py
@@ -20,12 +20,13 @@
 
 
 class JudgedOrder(typing.NamedTuple):
-    """An order, and the status of its answer."""
+    """An order, when it came and was judged, and the status of its answer."""
 
     at: float
     holder: str
     fence: int
     status: int
+    arrived: float
 
 
 class Said(typing.NamedTuple):
@@ -314,10 +315,11 @@
     def _answer_call(self, writer, head, body):
         path = head['path'].split('?')[0]
         if path == names.ORDER_PATH:
-            self.asked.append(time.monotonic())
+            arrived = time.monotonic()
+            self.asked.append(arrived)
             if self.late_s is not None:
                 loop = asyncio.get_running_loop()
-                loop.call_later(self.late_s, self._order, body)
+                loop.call_later(self.late_s, self._order, body, arrived)
                 return
         status, value = CALLS[path](self, body)
         body = self.odd_bodies.get(path) or json.dumps(value).encode()
@@ -341,12 +343,17 @@
             'active_requests': 0,
         }
 
-    def _order(self, body):
+    def _order(self, body, arrived=None):
         order = json.loads(body)
         status = self._judge(order)
+        now = time.monotonic()
         self.judged.append(
             JudgedOrder(
-                time.monotonic(), order['holder'], order['fence'], status
+                now,
+                order['holder'],
+                order['fence'],
+                status,
+                now if arrived is None else arrived,
             )
         )
         if status == 202:
