Soak: list the checks of keys and of leaving targets by names of their own

Trace: the table without the key was written while the store was away, at the offset of a record that boxes had read and that was lost, so that keyed.op ended where they read on; box3 heard of it only with a later return, 12 s on. It is the fault of tests/gateway/test_regrown_topics.py.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -38,6 +38,8 @@
 KNOWN_RED = pathlib.Path(__file__).parent.parent / 'KNOWN-RED.txt'
 # Checks that may stand there by these names: of the fleet and what was sent.
 CHECKS = {
+    'soak/auditor.py::check_keys': auditor.check_keys,
+    'soak/auditor.py::check_leaving': auditor.check_leaving,
     'soak/orders.py::check_orders': orders.check_orders,
     'soak/weights.py::check_weights': weights.check_weights,
 }
