Ask the other boxes for lost claims in place of waiting after an interruption

A box that holds a claim which the asker has not read knows a higher round, also while its append has no answer yet. So once all have answered, and none told of a higher round, nothing has to be waited for; where one does not answer the wait stays. After a start, a noticed rollback and a refused fence a box waits in any case.

--- a/landingspool/boxes/datagrams.py
+++ b/landingspool/boxes/datagrams.py
@@ -12,6 +12,7 @@
 import msgspec
 
 from landingspool.decisions import decoding
+from landingspool.decisions.gateway import ballots
 from landingspool.decisions.gateway import peer_digests
 from landingspool.decisions.gateway import stream_records
 
@@ -19,6 +20,8 @@
     'digest': peer_digests.Digest,
     'ask': peer_digests.ProofQuery,
     'tell': peer_digests.ProofReply,
+    'round?': ballots.RoundQuery,
+    'round': ballots.RoundReply,
     'streams': stream_records.StreamRecords,
 }
 MESSAGE_NAMES = {kind: name for name, kind in MESSAGE_TYPES.items()}
--- a/landingspool/decisions/gateway/ballots.py
+++ b/landingspool/decisions/gateway/ballots.py
@@ -8,12 +8,15 @@
 as far as their holders have heard of each other.
 """
 
+import contextlib
 import ipaddress
 import math
 import typing
 
 import msgspec
 
+from landingspool.decisions import decoding
+
 # Bits of the number of a box, which is its IPv4 address.
 NUMBER_BITS = 32
 # A fence fits into a signed integer of 64 bits.  Up to round 2**21 it is exact
@@ -25,6 +28,21 @@
 Round = typing.Annotated[int, msgspec.Meta(ge=0, le=MAX_ROUND)]
 
 
+class RoundQuery(typing.NamedTuple):
+    """Asks a box for the highest round that it has used or heard of."""
+
+    box: str
+    number: decoding.Count
+
+
+class RoundReply(typing.NamedTuple):
+    """Answers a RoundQuery, with its number."""
+
+    box: str
+    number: decoding.Count
+    round: Round
+
+
 class Exhausted(Exception):
     """There is no round above the highest one."""
 
@@ -75,6 +93,8 @@
         self.heard_at = -math.inf
         # The highest one known, also if no claim was made with it.
         self._highest = 0
+        # That of a claim of this box that has no answer yet, or 0.
+        self._tried = 0
         self._raised_at = -math.inf
         self._jump = 1
 
@@ -90,6 +110,27 @@
             self.heard_at = now
             self._raise_to(round_, now)
 
+    @contextlib.contextmanager
+    def trying(self, round_):
+        """Count a round as possibly claimed while a claim has no answer."""
+        self._tried = round_
+        try:
+            yield
+        finally:
+            self._tried = 0
+
+    def get_possible(self):
+        """Return the highest round that a claim bears or may bear soon.
+
+        >>> rounds = Rounds()
+        >>> with rounds.trying(rounds.pick()):
+        ...     rounds.get_possible()
+        1
+        >>> rounds.get_possible()
+        0
+        """
+        return max(self.claimed, self._tried)
+
     def record_claimed(self, round_, now):
         """Record that this box has claimed with a round."""
         if round_ > self.claimed:
--- a/landingspool/decisions/gateway/order_claims.py
+++ b/landingspool/decisions/gateway/order_claims.py
@@ -8,7 +8,9 @@
 
 The store may lose a claim whose lease still runs, by a return from a copy.  So
 a box that may have missed a claim, since it has just started or its reads were
-interrupted, waits as long as for a claim that it has seen.
+interrupted, waits as long as for a claim that it has seen.  After an
+interruption it need not wait if all other boxes have told it since then which
+claims they know.
 """
 
 import math
@@ -110,6 +112,8 @@
         How often the log was rolled back.
     is_interrupted : bool
         Whether claims may be missed until the next answered read.
+    resumed_at : float
+        When the last interruption was over.
     """
 
     def __init__(self, lease_s, is_first_start=False):
@@ -119,6 +123,10 @@
         self.rollbacks = 0
         self._since = 0.0
         self.is_interrupted = not is_first_start
+        # Whether the words of the other boxes don't settle the interruption.
+        self._has_to_wait = not is_first_start
+        # When the last interruption was over.
+        self.resumed_at = -math.inf
         # Until when a claim that this box has missed may be valid.
         self._unsettled_until = -math.inf
 
@@ -157,7 +165,10 @@
         """Record that a read of the claims is answered at `now`."""
         if self.is_interrupted:
             self.is_interrupted = False
-            self.unsettle(now)
+            self.resumed_at = now
+            if self._has_to_wait:
+                self._has_to_wait = False
+                self.unsettle(now)
 
     def unsettle(self, at):
         """Record that a claim which is not known may have been made at `at`.
@@ -167,24 +178,40 @@
         >>> watch.confirm(1.0)
         >>> watch.is_settled(rounds, 1.0)
         True
-        >>> watch.interrupt()
-        >>> watch.confirm(2.0)
+        >>> watch.unsettle(2.0)
         >>> [watch.is_settled(rounds, at) for at in (5.3, 5.5)]
         [False, True]
         """
         until = at + self._takeover_s
         self._unsettled_until = max(self._unsettled_until, until)
 
-    def is_settled(self, rounds, now):
+    def needs_inquiry(self, now):
+        """Return whether other boxes may have claimed in an interruption."""
+        return now - self.resumed_at < self._takeover_s
+
+    def is_settled(self, rounds, now, are_all_heard=False):
         """Return whether no claim that this box has not read is valid.
 
         Parameters
         ----------
         rounds : ballots.Rounds
             Those of the claims that other boxes have told of.
+        are_all_heard : bool
+            Whether all other boxes have told of theirs since `resumed_at`.
+
+        >>> from landingspool.decisions.gateway import ballots
+        >>> watch, rounds = ClaimWatch(3.0, True), ballots.Rounds()
+        >>> watch.interrupt()
+        >>> watch.confirm(2.0)
+        >>> [watch.is_settled(rounds, at) for at in (5.3, 5.5)]
+        [False, True]
+        >>> watch.is_settled(rounds, 2.1, are_all_heard=True)
+        True
         """
         if self.is_interrupted or now < self._unsettled_until:
             return False
+        if self.needs_inquiry(now) and not are_all_heard:
+            return False
         known = self.claim.round if self.claim is not None else 0
         return (
             rounds.claimed <= known
@@ -197,6 +224,7 @@
         self.end = None
         self.claim = None
         self.interrupt()
+        self._has_to_wait = True
         self.unsettle(now)
 
     def is_last_holder(self, holder):
--- a/landingspool/gateway/ordering.py
+++ b/landingspool/gateway/ordering.py
@@ -139,7 +139,12 @@
         if self._hub.peering.has_older_orderers():
             # Its fences would be lower than those of this build.
             return False
-        return self.watch.is_settled(self._hub.view.rounds, now)
+        rounds = self._hub.view.rounds
+        if self.watch.is_settled(rounds, now):
+            return True
+        if not self.watch.is_settled(rounds, now, are_all_heard=True):
+            return False
+        return self._hub.peering.round_inquiry.ask(self.watch.resumed_at, now)
 
     async def _is_turn(self, now):
         """Return whether the boxes before this one had time to claim."""
@@ -193,9 +198,10 @@
             self._list_given(),
             round_,
         )
-        reply = await self._hub.store.append(
-            names.CLAIMS_TOPIC, CLAIM_KEY, value, end
-        )
+        with self._hub.view.rounds.trying(round_):
+            reply = await self._hub.store.append(
+                names.CLAIMS_TOPIC, CLAIM_KEY, value, end
+            )
         if self.watch.rollbacks != rollbacks:
             # The answer is that of a log which has lost this claim.
             return False
--- a/landingspool/gateway/peering.py
+++ b/landingspool/gateway/peering.py
@@ -13,6 +13,7 @@
 import random
 
 from landingspool.boxes import datagrams
+from landingspool.decisions.gateway import ballots
 from landingspool.decisions.gateway import peer_digests
 from landingspool.decisions.gateway import readers
 from landingspool.decisions.gateway import routes
@@ -21,6 +22,7 @@
 from landingspool.gateway import boxcalls
 from landingspool.gateway import peer_requests
 from landingspool.gateway import registry
+from landingspool.gateway import round_inquiry
 from landingspool.gateway import state
 from landingspool import http
 
@@ -81,6 +83,7 @@
         self._asked_at = {}
         self._fetching = False
         self.peers = {}
+        self.round_inquiry = round_inquiry.RoundInquiry(hub)
         self._registry = registry.Registry(hub, self.peers)
         deployment = hub.deployment
         bound_s = min(deployment.bounds.table_s, deployment.bounds.key_s)
@@ -125,6 +128,10 @@
             self._registry.read_soon()
         return names
 
+    def is_complete(self):
+        """Return whether this box knows all that the store has listed."""
+        return self._hub.deployment.links is None or self._registry.was_read
+
     def has_older_orderers(self):
         """Return whether a box of an earlier build may give orders.
 
@@ -472,6 +479,9 @@
             return
         self._hub.state.take(snapshot, sent)
 
+    def _receive_round(self, message, address):
+        self.round_inquiry.receive(message, address)
+
     def _receive_streams(self, message, address):
         self._hub.continuity.take(message)
 
@@ -483,5 +493,7 @@
     peer_digests.Digest: Peering._receive_digest,
     peer_digests.ProofQuery: Peering._receive_ask,
     peer_digests.ProofReply: Peering._receive_tell,
+    ballots.RoundQuery: Peering._receive_round,
+    ballots.RoundReply: Peering._receive_round,
     stream_records.StreamRecords: Peering._receive_streams,
 }
--- a/tests/gateway/test_order_leases.py
+++ b/tests/gateway/test_order_leases.py
@@ -60,6 +60,56 @@
     site.run(check, engines=8)
 
 
+async def time_return(deployment, prepare=lambda scene: None):
+    """Return how late the first order is after a return without a loss."""
+    scene = holders.Scene(deployment)
+    for runner in deployment.engines:
+        runner.load_s = holders.LOAD_S
+    for _ in range(3):
+        await scene.start_box()
+    await scene.name_weights()
+    await scene.leave()
+    await asyncio.sleep(holders.LONG_AWAY_S)
+    prepare(scene)
+    await scene.come_back()
+    waited_s = await time_first_order(deployment, time.monotonic())
+    await scene.close()
+    return waited_s
+
+
+def test_orders_go_on_after_a_return_once_all_other_boxes_were_asked():
+    # Guards against a wait for claims that no box can have made.
+    async def check(deployment):
+        assert await time_return(deployment) < SLACK_S
+
+    site.run(check, engines=8)
+
+
+def test_box_that_does_not_answer_may_have_claimed():
+    def silence_one(scene):
+        holder = scene.find_holder()
+        silent = next(h for h in scene.hubs if h.deployment.box != holder)
+        silent.peering._socket.close()
+        silent.timer.close()
+
+    async def check(deployment):
+        assert await time_return(deployment, silence_one) > LEASE_S
+
+    site.run(check, engines=8)
+
+
+def test_claim_that_has_no_answer_yet_is_told_to_boxes_that_ask():
+    async def check(deployment):
+        one, other = await site.start_boxes(deployment, 2, first_start=True)
+        inquiry = one.peering.round_inquiry
+        since = one.clock()
+        with other.view.rounds.trying(5):
+            await site.wait_until(lambda: inquiry.ask(since, one.clock()))
+        assert one.view.rounds.claimed == 5
+
+    site.run(check)
+
+
 def test_answer_of_a_lost_log_gives_no_lease():
     # Guards against orders under a claim that the store has lost meanwhile.
     async def check(deployment):
