--- a/landingspool/boxes/datagrams.py
+++ b/landingspool/boxes/datagrams.py
@@ -20,8 +20,8 @@
     'digest': peer_digests.Digest,
     'ask': peer_digests.ProofQuery,
     'tell': peer_digests.ProofReply,
-    'round?': ballots.RoundQuery,
-    'round': ballots.RoundReply,
+    'round?': ballots.BallotQuery,
+    'round': ballots.BallotReply,
     'streams': stream_records.StreamRecords,
 }
 MESSAGE_NAMES = {kind: name for name, kind in MESSAGE_TYPES.items()}
--- a/landingspool/decisions/gateway/ballots.py
+++ b/landingspool/decisions/gateway/ballots.py
@@ -19,28 +19,32 @@
 
 # Bits of the number of a box, which is its IPv4 address.
 NUMBER_BITS = 32
-# A fence fits into a signed integer of 64 bits.  Up to round 2**21 it is exact
-# as a float, too.
+# A ballot fits into a signed integer of 64 bits.  Up to round 2**21 it is
+# exact as a float, too.
 MAX_ROUND = 2**31 - 1
-# Seconds for which other boxes are told of a round after it was first heard.
+# Rounds that a refusal adds at most: a target that refuses whatever it gets
+# must not use them up.
+MAX_STEP = 1024
+# Seconds for which other boxes are told of a ballot after it was first heard.
 TOLD_S = 30.0
 
-Round = typing.Annotated[int, msgspec.Meta(ge=0, le=MAX_ROUND)]
+# A ballot that was used, or 0.
+Ballot = typing.Annotated[int, msgspec.Meta(ge=0, le=2**63 - 1)]
 
 
-class RoundQuery(typing.NamedTuple):
-    """Asks a box for the highest round that it has used or heard of."""
+class BallotQuery(typing.NamedTuple):
+    """Asks a box for the highest ballot that it has used or heard of."""
 
     box: str
     number: decoding.Count
 
 
-class RoundReply(typing.NamedTuple):
-    """Answers a RoundQuery, with its number."""
+class BallotReply(typing.NamedTuple):
+    """Answers a BallotQuery, with its number."""
 
     box: str
     number: decoding.Count
-    round: Round
+    ballot: Ballot
 
 
 class Exhausted(Exception):
@@ -65,123 +69,147 @@
     return None if address.is_unspecified else int(address)
 
 
-def make_fence(round_, number):
-    """Return the fence of a box in a round.
+def make_ballot(round_, number):
+    """Return the ballot of a box in a round.
 
-    >>> make_fence(1, 7) < make_fence(2, 3) < make_fence(2, 4)
+    >>> make_ballot(1, 7) < make_ballot(2, 3) < make_ballot(2, 4)
     True
-    >>> make_fence(MAX_ROUND, 2**NUMBER_BITS - 1) == 2**63 - 1
+    >>> make_ballot(MAX_ROUND, 2**NUMBER_BITS - 1) == 2**63 - 1
     True
     """
     return round_ << NUMBER_BITS | number
 
 
-class Rounds:
-    """The rounds that this box has heard of.
+def get_round(ballot):
+    """Return the round of a ballot.
+
+    >>> get_round(make_ballot(5, 7))
+    5
+    """
+    return ballot >> NUMBER_BITS
+
+
+class Ballots:
+    """The ballots that this box has used or heard of.
 
     Attributes
     ----------
     claimed : int
         The highest one that a claim is known to bear.
-    heard_at : float
+    told_at : float
         When another box told of it, in seconds of this box's clock; minus
         infinity if it was this box's own.
     """
 
     def __init__(self):
         self.claimed = 0
-        self.heard_at = -math.inf
-        # The highest one known, also if no claim was made with it.
+        self.told_at = -math.inf
+        # The highest round known, also if no claim was made in it.
         self._highest = 0
-        # That of a claim of this box that has no answer yet, or 0.
+        # The ballot of a claim of this box that has no answer yet, or 0.
         self._tried = 0
         self._raised_at = -math.inf
-        self._jump = 1
+        # The last ballot of this box that was refused, and what the next
+        # refusal adds.
+        self._refused = 0
+        self._step = 1
+
+    def hear(self, ballot, now, is_renewed=False):
+        """Record the ballot of a claim that was read, or told by another box.
+
+        Parameters
+        ----------
+        is_renewed : bool
+            Whether its holder may have renewed the claim until now.
+
+        >>> ballots = Ballots()
+        >>> ballots.hear(make_ballot(4, 7), 1.0)
+        >>> [get_round(ballots.pick(9)) for _ in 'ab']
+        [5, 6]
+        """
+        if ballot > self.claimed:
+            self._raise_to(ballot, now)
+            self.told_at = now
+        elif is_renewed and ballot == self.claimed:
+            self.told_at = max(self.told_at, now)
 
-    def hear(self, round_, now):
-        """Record the round of a claim that was read, or told by another box.
+    def pick(self, number):
+        """Return a ballot of this box in a round above all that are known.
 
-        >>> rounds = Rounds()
-        >>> rounds.hear(4, 1.0)
-        >>> rounds.pick(), rounds.pick()
-        (5, 6)
+        Raises
+        ------
+        Exhausted
         """
-        if round_ > self.claimed:
-            self.heard_at = now
-            self._raise_to(round_, now)
+        if self._highest >= MAX_ROUND:
+            raise Exhausted(f'round {MAX_ROUND} has been used')
+        self._highest += 1
+        return make_ballot(self._highest, number)
 
     @contextlib.contextmanager
-    def trying(self, round_):
-        """Count a round as possibly claimed while a claim has no answer."""
-        self._tried = round_
+    def trying(self, ballot):
+        """Count a ballot as possibly claimed while a claim has no answer."""
+        self._tried = ballot
         try:
             yield
         finally:
             self._tried = 0
 
     def get_possible(self):
-        """Return the highest round that a claim bears or may bear soon.
+        """Return the highest ballot that a claim bears or may bear soon.
 
-        >>> rounds = Rounds()
-        >>> with rounds.trying(rounds.pick()):
-        ...     rounds.get_possible()
-        1
-        >>> rounds.get_possible()
+        >>> ballots = Ballots()
+        >>> with ballots.trying(5):
+        ...     ballots.get_possible()
+        5
+        >>> ballots.get_possible()
         0
         """
         return max(self.claimed, self._tried)
 
-    def record_claimed(self, round_, now):
-        """Record that this box has claimed with a round."""
-        if round_ > self.claimed:
-            self._raise_to(round_, now)
-
-    def pick(self):
-        """Return a round above all that are known.
-
-        Raises
-        ------
-        Exhausted
-        """
-        if self._highest >= MAX_ROUND:
-            raise Exhausted(f'round {MAX_ROUND} has been used')
-        self._highest += 1
-        return self._highest
+    def record_claimed(self, ballot, now):
+        """Record that this box has claimed with a ballot."""
+        if ballot > self.claimed:
+            self._raise_to(ballot, now)
+            self.told_at = -math.inf
 
-    def record_refused(self):
-        """Record that a target has seen a higher fence than this box knows.
+    def record_refused(self, ballot):
+        """Record that a target has seen a higher fence than this ballot.
 
         Which one is not told, so the next round is further above with each
-        refusal.
+        ballot that is refused.
 
-        >>> rounds = Rounds()
+        >>> ballots = Ballots()
         >>> for _ in range(3):
-        ...     rounds.record_refused()
-        >>> rounds.pick()
-        8
+        ...     ballots.record_refused(ballots.pick(7))
+        >>> get_round(ballots.pick(7))
+        11
         """
-        self._highest = min(self._highest + self._jump, MAX_ROUND)
-        self._jump *= 2
+        if ballot <= self._refused:
+            # One of the orders under the same ballot.
+            return
+        self._refused = ballot
+        self._highest = min(self._highest + self._step, MAX_ROUND - 1)
+        self._step = min(2 * self._step, MAX_STEP)
 
     def record_taken(self):
         """Record that a target has taken an order of this box."""
-        self._jump = 1
+        self._step = 1
 
     def tell_again(self, now):
-        """Tell the other boxes again of the highest round claimed."""
+        """Tell the other boxes again of the highest ballot claimed."""
         self._raised_at = now
 
     def get_due(self, now):
-        """Return the round to tell other boxes of, or 0.
+        """Return the ballot to tell other boxes of, or 0.
 
-        >>> rounds = Rounds()
-        >>> rounds.hear(4, 1.0)
-        >>> rounds.get_due(2.0), rounds.get_due(40.0)
+        >>> ballots = Ballots()
+        >>> ballots.hear(4, 1.0)
+        >>> ballots.get_due(2.0), ballots.get_due(40.0)
         (4, 0)
         """
         return self.claimed if now - self._raised_at < TOLD_S else 0
 
-    def _raise_to(self, round_, now):
-        self.claimed = round_
+    def _raise_to(self, ballot, now):
+        self.claimed = ballot
         self._raised_at = now
-        self._highest = max(self._highest, round_)
+        self._highest = max(self._highest, get_round(ballot))
--- a/landingspool/decisions/gateway/order_claims.py
+++ b/landingspool/decisions/gateway/order_claims.py
@@ -36,8 +36,8 @@
 class Claim(typing.NamedTuple):
     """A holder's claim as it is in the store.
 
-    `offset` is its place in the log, and `round` that of the ballots which the
-    holder's fences are made of; 0 in the claim of an earlier build.
+    `offset` is its place in the log, and `ballot` the fence of its orders; 0
+    in the claim of an earlier build, or in one that can't be decoded.
     `loading` has the targets that the holder has ordered or will order, and in
     how many seconds: every box reads the claim and sends them only requests
     that end before.  `versions` has a peer_digests.VersionNotice of each
@@ -53,20 +53,24 @@
     versions: tuple = ()
     age_s: float = 0.0
     given: tuple = ()
-    round: int = 0
+    ballot: int = 0
 
     @property
     def rank(self):
         """Return what orders claims, also those of a log that went back."""
-        return self.round, self.offset
+        return self.ballot, self.offset
 
 
 class Lease(typing.NamedTuple):
-    """This box's own claim: sent at `since`, on its own clock."""
+    """This box's own claim, appended at `offset`.
 
-    round: int
+    It was sent at `since`, on this box's clock.
+    """
+
+    ballot: int
     since: float
     seconds: float
+    offset: int = -1
 
 
 def is_held(lease, now):
@@ -123,6 +127,7 @@
         self.rollbacks = 0
         self._since = 0.0
         self.is_interrupted = not is_first_start
+        self._interrupted_at = -math.inf
         # Whether the words of the other boxes don't settle the interruption.
         self._has_to_wait = not is_first_start
         # When the last interruption was over.
@@ -136,10 +141,39 @@
         return self._since - self.claim.age_s
 
     def record(self, claim, now):
-        """Record a claim that was read, if it is the newest."""
-        if self.claim is None or claim.offset > self.claim.offset:
-            self.claim = claim
-            self._since = now
+        """Record a claim that was read, if it is the newest.
+
+        One with a lower ballot was on its way before the newest was made.
+
+        >>> watch = ClaimWatch(3.0)
+        >>> watch.record(Claim('b', 7, ballot=5), 1.0)
+        >>> watch.record(Claim('a', 8, ballot=4), 2.0)
+        >>> watch.claim.holder
+        'b'
+        """
+        known = self.claim
+        if known is not None and claim.offset <= known.offset:
+            return
+        if known is not None and 0 < claim.ballot < known.ballot:
+            return
+        self.claim = claim
+        self._since = now
+
+    def is_overtaken(self, holder, lease):
+        """Return whether another box has claimed since a box has.
+
+        Parameters
+        ----------
+        holder : str
+            Name of the box that has the lease.
+        lease : Lease
+        """
+        if self.claim is None or self.claim.holder == holder:
+            return False
+        return (
+            self.claim.ballot > lease.ballot
+            or self.claim.offset > lease.offset
+        )
 
     def may_claim(self, holder, now):
         """Return whether no other box than `holder` has a valid claim.
@@ -157,29 +191,46 @@
             return True
         return now - self._since >= self._takeover_s
 
-    def interrupt(self):
-        """Record that claims may be missed until the next answered read."""
+    def interrupt(self, now):
+        """Record that claims may be missed from now on.
+
+        >>> watch = ClaimWatch(3.0, True)
+        >>> watch.interrupt(5.0)
+        >>> watch.resume(6.0, 4.9)
+        >>> watch.is_interrupted
+        True
+        >>> watch.resume(6.0, 5.1)
+        >>> watch.is_interrupted
+        False
+        """
         self.is_interrupted = True
+        self._interrupted_at = now
 
-    def confirm(self, now):
-        """Record that a read of the claims is answered at `now`."""
-        if self.is_interrupted:
-            self.is_interrupted = False
-            self.resumed_at = now
-            if self._has_to_wait:
-                self._has_to_wait = False
-                self.unsettle(now)
+    def resume(self, now, proved):
+        """Record that claims are read again.
 
-    def unsettle(self, at):
+        Parameters
+        ----------
+        proved : float
+            When the store was read that the answer at `now` comes from.
+        """
+        if not self.is_interrupted or proved < self._interrupted_at:
+            return
+        self.is_interrupted = False
+        self.resumed_at = now
+        if self._has_to_wait:
+            self._has_to_wait = False
+            self.suspect(now)
+
+    def suspect(self, at):
         """Record that a claim which is not known may have been made at `at`.
 
         >>> from landingspool.decisions.gateway import ballots
-        >>> watch, rounds = ClaimWatch(3.0, True), ballots.Rounds()
-        >>> watch.confirm(1.0)
-        >>> watch.is_settled(rounds, 1.0)
+        >>> watch, told = ClaimWatch(3.0, True), ballots.Ballots()
+        >>> watch.is_settled(told, 1.0)
         True
-        >>> watch.unsettle(2.0)
-        >>> [watch.is_settled(rounds, at) for at in (5.3, 5.5)]
+        >>> watch.suspect(2.0)
+        >>> [watch.is_settled(told, at) for at in (5.3, 5.5)]
         [False, True]
         """
         until = at + self._takeover_s
@@ -189,43 +240,40 @@
         """Return whether other boxes may have claimed in an interruption."""
         return now - self.resumed_at < self._takeover_s
 
-    def is_settled(self, rounds, now, are_all_heard=False):
+    def is_settled(self, told, now, are_all_heard=False):
         """Return whether no claim that this box has not read is valid.
 
         Parameters
         ----------
-        rounds : ballots.Rounds
+        told : ballots.Ballots
             Those of the claims that other boxes have told of.
         are_all_heard : bool
             Whether all other boxes have told of theirs since `resumed_at`.
 
         >>> from landingspool.decisions.gateway import ballots
-        >>> watch, rounds = ClaimWatch(3.0, True), ballots.Rounds()
-        >>> watch.interrupt()
-        >>> watch.confirm(2.0)
-        >>> [watch.is_settled(rounds, at) for at in (5.3, 5.5)]
+        >>> watch, told = ClaimWatch(3.0, True), ballots.Ballots()
+        >>> watch.interrupt(1.9)
+        >>> watch.resume(2.0, 1.9)
+        >>> [watch.is_settled(told, at) for at in (5.3, 5.5)]
         [False, True]
-        >>> watch.is_settled(rounds, 2.1, are_all_heard=True)
+        >>> watch.is_settled(told, 2.1, are_all_heard=True)
         True
         """
         if self.is_interrupted or now < self._unsettled_until:
             return False
         if self.needs_inquiry(now) and not are_all_heard:
             return False
-        known = self.claim.round if self.claim is not None else 0
-        return (
-            rounds.claimed <= known
-            or now - rounds.heard_at >= self._takeover_s
-        )
+        known = self.claim.ballot if self.claim is not None else 0
+        return told.claimed <= known or now - told.told_at >= self._takeover_s
 
     def roll_back(self, now):
         """Record that the log has lost claims, and must be read again."""
         self.rollbacks += 1
         self.end = None
         self.claim = None
-        self.interrupt()
+        self.interrupt(now)
         self._has_to_wait = True
-        self.unsettle(now)
+        self.suspect(now)
 
     def is_last_holder(self, holder):
         """Return whether the newest claim is that of the box `holder`."""
--- a/landingspool/decisions/gateway/peer_digests.py
+++ b/landingspool/decisions/gateway/peer_digests.py
@@ -196,9 +196,9 @@
     versions : tuple of VersionNotice
         Versions of weights that were published a short time ago; empty in
         most digests.
-    round : int
-        Highest round of orders that the box has heard of, shortly after it
-        was raised; 0 in most digests.
+    ballot : int
+        Highest one that the box has heard of, shortly after it was raised; 0
+        in most digests.
     """
 
     box: str
@@ -217,7 +217,7 @@
     groups: tuple[GroupLoad, ...] = ()
     partitioned: bool = False
     versions: tuple[VersionNotice, ...] = ()
-    round: ballots.Round = 0
+    ballot: ballots.Ballot = 0
 
 
 class ProofQuery(typing.NamedTuple):
--- a/landingspool/decisions/gateway/view.py
+++ b/landingspool/decisions/gateway/view.py
@@ -73,7 +73,7 @@
         self.latency = latency.LatencyTracker()
         self.weights = weights_module.Weights(bounds.version_s)
         self.loading = loading_targets.LoadingTargets()
-        self.rounds = ballots.Rounds()
+        self.ballots = ballots.Ballots()
         self.reachability = reachability_module.Reachability()
         self.partition = partition_module.Partition()
         self.watchers = watchers_module.Watchers()
@@ -385,7 +385,7 @@
             self.context_index.record_taken(store, *counted)
         self.store_health.take_reports(digest.box, digest.slow_stores, now)
         self.fair_admission.take(digest, now)
-        self.rounds.hear(digest.round, now)
+        self.ballots.hear(digest.ballot, now)
 
     def _take_unreached(self, digest, now):
         unreached = self.fleet.entries.keys() & digest.unreached
--- a/landingspool/gateway/round_inquiry.py
+++ b/landingspool/gateway/ballot_inquiry.py
@@ -2,8 +2,8 @@
 
 A box that was without the store for a while can't tell by the log alone: the
 store may have lost a claim that was made meanwhile.  Once each box that it
-knows has told, after that, which rounds it has heard of, none of them can have
-such a claim.  Boxes that don't answer may.
+knows has told, after that, which ballots it has heard of, none of them can
+have such a claim.  Boxes that don't answer may.
 """
 
 import math
@@ -14,8 +14,8 @@
 ASK_PERIOD_S = 0.2
 
 
-class RoundInquiry:
-    """Asks the other boxes for the rounds that they know, and answers them.
+class BallotInquiry:
+    """Asks the other boxes for the ballots that they know, and answers them.
 
     Parameters
     ----------
@@ -52,30 +52,31 @@
         missing = peers.keys() - self._answered
         if missing and now - self._sent >= ASK_PERIOD_S:
             self._sent = now
-            query = ballots.RoundQuery(self._hub.deployment.box, self._number)
+            query = ballots.BallotQuery(self._hub.deployment.box, self._number)
             for name in missing:
                 self._hub.peering.send(query, peers[name].address)
         return not missing
 
     def receive(self, message, address):
-        """Take a ballots.RoundQuery or RoundReply of another box."""
+        """Take a ballots.BallotQuery or BallotReply of another box."""
         HANDLERS[type(message)](self, message, address)
 
     def _answer(self, query, address):
-        reply = ballots.RoundReply(
+        reply = ballots.BallotReply(
             self._hub.deployment.box,
             query.number,
-            self._hub.view.rounds.get_possible(),
+            self._hub.view.ballots.get_possible(),
         )
         self._hub.peering.send(reply, address)
 
     def _take(self, reply, address):
-        self._hub.view.rounds.hear(reply.round, self._hub.clock())
+        now = self._hub.clock()
+        self._hub.view.ballots.hear(reply.ballot, now, is_renewed=True)
         if reply.number == self._number:
             self._answered.add(reply.box)
 
 
 HANDLERS = {
-    ballots.RoundQuery: RoundInquiry._answer,
-    ballots.RoundReply: RoundInquiry._take,
+    ballots.BallotQuery: BallotInquiry._answer,
+    ballots.BallotReply: BallotInquiry._take,
 }
--- a/landingspool/gateway/following.py
+++ b/landingspool/gateway/following.py
@@ -13,10 +13,7 @@
 from landingspool.gateway import state
 from landingspool.platform import catalogue
 from landingspool.platform import names
-
-
-# Hold of a read of the claims.
-CLAIMS_HOLD_S = 8.0
+from landingspool.platform import store as store_module
 
 
 class NotApplied(Exception):
@@ -175,32 +172,39 @@
     """Follow who orders rollouts, and which requests crashed targets."""
 
     topic = names.CLAIMS_TOPIC
+    # Nothing depends on noticing quickly that nothing is new here.
+    hold_s = 8.0
 
     def __init__(self, hub, watch):
         super().__init__(hub)
         self._watch = watch
-        hub.sources.subscribe_failure(self.topic, watch.interrupt)
+        hub.sources.subscribe_failure(self.topic, self._interrupt)
 
-    @property
-    def hold_s(self):
-        """Return the hold of a read; none after an interruption.
+    async def confirm(self):
+        """Read the store itself, so that an interruption is over.
 
-        Nothing else depends on noticing quickly that nothing is new here.
+        A box that this one reads from may have read the store before it.
         """
-        return 0.0 if self._watch.is_interrupted else CLAIMS_HOLD_S
+        known, end = self.known, self._watch.end
+        reply = await self._hub.sources.check_store(self.topic, known)
+        if isinstance(reply, store_module.RolledBack):
+            self._hub.rollbacks.report(reply)
+        is_known = isinstance(reply, store_module.Page) and reply.end == end
+        if is_known and self._watch.end == end:
+            self._watch.resume(self._hub.clock(), reply.sent)
 
-    async def _read(self, kind, read):
-        reply = await super()._read(kind, read)
-        if reply is not None:
-            self._watch.confirm(self._hub.clock())
-        return reply
+    def _interrupt(self):
+        self._watch.interrupt(self._hub.clock())
 
     def _replace_known(self, newest):
         self._watch.end = newest.end
+        self._watch.resume(self._hub.clock(), newest.sent)
 
     def _apply_page(self, page):
         super()._apply_page(page)
         self._watch.end = page.end
+        if page.whole:
+            self._watch.resume(self._hub.clock(), page.sent)
 
     def _record_read(self, sent):
         self._hub.software_watch.record_read(sent)
@@ -221,13 +225,14 @@
             )
         except decoding.Malformed as error:
             self._record_malformed(record, error)
+            self._record_unknown(record)
             return
         if self._watch.end is not None:
             # It is read as it comes.  The time of day, which may differ
             # between boxes, would date it worse than its reading.
             claim = claim._replace(age_s=0.0)
         now = self._hub.clock()
-        self._hub.view.rounds.hear(claim.round, now)
+        self._hub.view.ballots.hear(claim.ballot, now)
         self._watch.record(claim, now)
         self._put_loading(claim, now)
         self._hub.state.take_claimed(claim.versions, now)
@@ -235,9 +240,12 @@
     def _pass_over(self, record, error):
         super()._pass_over(record, error)
         if is_claim(record):
-            # Its holder may give orders, whoever it is.
-            unknown = order_claims.Claim('', record.offset)
-            self._watch.record(unknown, self._hub.clock())
+            self._record_unknown(record)
+
+    def _record_unknown(self, record):
+        """Record a claim whose holder, whoever it is, may give orders."""
+        unknown = order_claims.Claim('', record.offset)
+        self._watch.record(unknown, self._hub.clock())
 
     def _put_loading(self, claim, now):
         """Record the loads that a claim announces, from its writing on."""
--- a/landingspool/gateway/hub.py
+++ b/landingspool/gateway/hub.py
@@ -159,7 +159,7 @@
         self.prober = prober.Prober(self)
         self.crash_records = crash_records.CrashRecords(self)
         self.resumption = resumption.Resumption(self)
-        self._claims = None
+        self.claims = None
         self._stop = asyncio.Event()
 
     async def run(self):
@@ -194,11 +194,11 @@
 
     def _keep_parts(self):
         orderer = ordering.Orderer(self)
-        self._claims = following.Claims(self, orderer.watch)
+        self.claims = following.Claims(self, orderer.watch)
         keep = self.supervisor.keep
         keep('tables', following.Published(self).run)
         keep('targets', following.Targets(self).run)
-        keep('claims', self._claims.run)
+        keep('claims', self.claims.run)
         keep('crash_records', self.crash_records.run)
         keep('orders', orderer.run)
         keep('cache_events', self.cache_follower.run)
@@ -383,7 +383,7 @@
         # A box isn't ready before it has tried to read which requests have
         # crashed targets.  Otherwise, when all boxes restart, each of them
         # would count the crashes of such a request from zero.
-        known = self._claims is not None and self._claims.was_tried
+        known = self.claims is not None and self.claims.was_tried
         serves = self.view.table is not None and known
         return serves and not self._stop.is_set()
 
--- a/landingspool/gateway/ordering.py
+++ b/landingspool/gateway/ordering.py
@@ -6,7 +6,9 @@
 """
 
 import asyncio
+import collections
 import itertools
+import math
 
 from landingspool.decisions.gateway import ballots
 from landingspool.decisions.gateway import fleet
@@ -26,6 +28,11 @@
 # Stalls of this process during which the store may have gone, lost a claim
 # and come back, seconds.
 LONG_STALL_S = 1.0
+# Seconds between two reads of the store to end an interruption.
+CONFIRM_PERIOD_S = 0.5
+# Times that one target may refuse higher and higher fences until its word
+# keeps orders from the others no more.
+MAX_REFUSALS = 10
 # Below that of any claim.
 NO_RANK = 0, -1
 
@@ -51,8 +58,11 @@
         )
         self._number = ballots.number_box(hub.deployment.callers.host)
         self._lease = None
-        # The round of the next claim, as long as no other box has claimed.
-        self._round = None
+        # The ballot of the next claim, as long as no other box has claimed.
+        self._ballot = 0
+        self._confirmed_at = -math.inf
+        # Orders that were refused for their fences, by target.
+        self._refusals = collections.Counter()
         self._claimed_loading = ()
         # Rank of the newest claim whose orders this box knows, and whether
         # this process has tried to claim.
@@ -121,30 +131,36 @@
             self._drop_claim('no target can be reached')
             self._unclaimed.restart()
             return False
+        box = self._hub.deployment.box
         if order_claims.is_held(self._lease, now):
-            return True
+            if not self.watch.is_overtaken(box, self._lease):
+                return True
+            self._drop_claim('another box has claimed')
         if self.watch.end is None:
             return False
-        box = self._hub.deployment.box
-        if not self._may_claim(now):
+        if not await self._is_free(now):
             self._unclaimed.restart()
             return False
         return self.watch.is_last_holder(box) or await self._is_turn(now)
 
-    def _may_claim(self, now):
+    async def _is_free(self, now):
         """Return whether no other box can have a valid claim."""
         if not self.watch.may_claim(self._hub.deployment.box, now):
             return False
+        is_due = now - self._confirmed_at >= CONFIRM_PERIOD_S
+        if self.watch.is_interrupted and is_due:
+            self._confirmed_at = now
+            await self._hub.claims.confirm()
         self._hub.peering.read_arrived()
         if self._hub.peering.has_older_orderers():
             # Its fences would be lower than those of this build.
             return False
-        rounds = self._hub.view.rounds
-        if self.watch.is_settled(rounds, now):
+        told = self._hub.view.ballots
+        if self.watch.is_settled(told, now):
             return True
-        if not self.watch.is_settled(rounds, now, are_all_heard=True):
+        if not self.watch.is_settled(told, now, are_all_heard=True):
             return False
-        return self._hub.peering.round_inquiry.ask(self.watch.resumed_at, now)
+        return self._hub.peering.ballot_inquiry.ask(self.watch.resumed_at, now)
 
     async def _is_turn(self, now):
         """Return whether the boxes before this one had time to claim."""
@@ -188,7 +204,7 @@
 
     async def _claim(self, loading):
         self._has_claimed = True
-        round_, end = self._get_round(), self.watch.end
+        ballot, end = self._pick_ballot(), self.watch.end
         rollbacks = self.watch.rollbacks
         value = catalogue.write_claim(
             self._hub.deployment.box,
@@ -196,9 +212,9 @@
             self._hub.view.weights.list_versions(self._hub.clock()),
             self._hub.wall(),
             self._list_given(),
-            round_,
+            ballot,
         )
-        with self._hub.view.rounds.trying(round_):
+        with self._hub.view.ballots.trying(ballot):
             reply = await self._hub.store.append(
                 names.CLAIMS_TOPIC, CLAIM_KEY, value, end
             )
@@ -206,7 +222,7 @@
             # The answer is that of a log which has lost this claim.
             return False
         if isinstance(reply, store_module.Appended):
-            self._record_claimed(round_, reply, loading)
+            self._record_claimed(ballot, reply, loading)
             return True
         if isinstance(reply, store_module.Conflict):
             # Another box has appended, so the claim of this one is void.
@@ -215,35 +231,39 @@
             self._hub.rollbacks.report(reply)
         return False
 
-    def _get_round(self):
-        """Return the round of a claim: the same one while it is renewed."""
-        now, rounds = self._hub.clock(), self._hub.view.rounds
+    def _pick_ballot(self):
+        """Return the ballot of a claim: the same one while it is renewed."""
+        now, told = self._hub.clock(), self._hub.view.ballots
         if order_claims.is_held(self._lease, now):
-            return self._lease.round
+            return self._lease.ballot
+        # It has expired, which is no loss of the claim.
         self._lease = None
-        if self._round is None or self._round <= rounds.claimed:
-            self._round = rounds.pick()
-        return self._round
+        if self._ballot <= told.claimed:
+            self._ballot = told.pick(self._number)
+        return self._ballot
 
-    def _record_claimed(self, round_, reply, loading):
+    def _record_claimed(self, ballot, reply, loading):
         """Record that this box holds the claim that it has appended."""
         now = self._hub.clock()
         if self._lease is None:
             former = self.watch.claim
             self._hub.recorder.record(
                 'holding',
-                fence=ballots.make_fence(round_, self._number),
-                round=round_,
+                fence=ballot,
+                round=ballots.get_round(ballot),
                 at=reply.offset,
                 former=former.holder if former else '',
-                former_round=former.round if former else None,
+                former_fence=former.ballot if former else None,
             )
         self.watch.end = reply.offset + 1
         self._lease = order_claims.Lease(
-            round_, reply.sent, self._hub.deployment.bounds.lease_s
+            ballot,
+            reply.sent,
+            self._hub.deployment.bounds.lease_s,
+            reply.offset,
         )
-        self._hub.view.rounds.record_claimed(round_, now)
-        self._known_rank = round_, reply.offset
+        self._hub.view.ballots.record_claimed(ballot, now)
+        self._known_rank = ballot, reply.offset
         self._claimed_loading = tuple(loading)
         self._hub.view.loading.put(loading, now)
 
@@ -253,12 +273,12 @@
         self._drop_claim('the claims were rolled back')
         self._known_rank = NO_RANK
         self.watch.roll_back(now)
-        self._hub.view.rounds.tell_again(now)
+        self._hub.view.ballots.tell_again(now)
 
     def _interrupt(self, stall):
         """Record a stall in which a claim may have been made and lost."""
         if stall.seconds >= LONG_STALL_S:
-            self.watch.interrupt()
+            self.watch.interrupt(stall.now)
 
     def _drop_claim(self, reason):
         if self._lease is not None:
@@ -378,7 +398,7 @@
         if not self._hub.view.may_call(entry.name, self._hub.clock()):
             # The target may have asked for a back-off since the planning.
             return rollouts.REFUSED
-        fence = ballots.make_fence(self._lease.round, self._number)
+        fence = self._lease.ballot
         reply = await self._try_order(entry, order, report.orders, fence)
         self._hub.metrics.orders.labels(type(reply).__name__).inc()
         self._hub.recorder.record(
@@ -389,22 +409,26 @@
             fence=fence,
             outcome=str(reply),
         )
-        self._judge_fence(reply)
+        self._judge_fence(order.target, fence, reply)
         return STATES[type(reply)]
 
-    def _judge_fence(self, reply):
+    def _judge_fence(self, target, fence, reply):
         """Drop the claim if a target has seen a higher fence.
 
         Another box has a claim that this one has not read, and that may be
         valid.
         """
-        rounds = self._hub.view.rounds
         if isinstance(reply, runners.Taken):
-            rounds.record_taken()
-        if isinstance(reply, runners.Refused) and reply.fenced:
-            rounds.record_refused()
-            self.watch.unsettle(self._hub.clock())
-            self._drop_claim('fenced')
+            self._hub.view.ballots.record_taken()
+            self._refusals.pop(target, None)
+        if not isinstance(reply, runners.Refused) or not reply.fenced:
+            return
+        self._refusals[target] += 1
+        if self._refusals[target] > MAX_REFUSALS:
+            return
+        self._hub.view.ballots.record_refused(fence)
+        self.watch.suspect(self._hub.clock())
+        self._drop_claim('fenced')
 
     async def _try_order(self, entry, order, taken, fence):
         """Give an order; after an error it may have been taken."""
--- a/landingspool/gateway/peering.py
+++ b/landingspool/gateway/peering.py
@@ -19,10 +19,10 @@
 from landingspool.decisions.gateway import routes
 from landingspool.decisions.gateway import stream_records
 from landingspool.decisions import ownership
+from landingspool.gateway import ballot_inquiry
 from landingspool.gateway import boxcalls
 from landingspool.gateway import peer_requests
 from landingspool.gateway import registry
-from landingspool.gateway import round_inquiry
 from landingspool.gateway import state
 from landingspool import http
 
@@ -83,7 +83,7 @@
         self._asked_at = {}
         self._fetching = False
         self.peers = {}
-        self.round_inquiry = round_inquiry.RoundInquiry(hub)
+        self.ballot_inquiry = ballot_inquiry.BallotInquiry(hub)
         self._registry = registry.Registry(hub, self.peers)
         deployment = hub.deployment
         bound_s = min(deployment.bounds.table_s, deployment.bounds.key_s)
@@ -138,10 +138,10 @@
         Its fences are offsets in the store, and so below those of this build.
         """
         now, digests = self._hub.clock(), self._hub.view.peer_digests
-        if any(peer.has_rounds is None for peer in self.peers.values()):
+        if not all(peer.has_ballots for peer in self.peers.values()):
             self._registry.read_soon()
         return any(
-            peer.has_rounds is False
+            peer.has_ballots is False
             and digests.was_heard(name, now, OLDER_BOX_S)
             for name, peer in self.peers.items()
         )
@@ -348,7 +348,7 @@
             answers=view.profiles.take_reports(),
             groups=view.grouping.list_loads(now),
             versions=view.weights.list_due_ages(now),
-            round=view.rounds.get_due(now),
+            ballot=view.ballots.get_due(now),
         )
         self._socket.send_to_all(digest, self._pick_digest_receivers(digest))
 
@@ -479,8 +479,8 @@
             return
         self._hub.state.take(snapshot, sent)
 
-    def _receive_round(self, message, address):
-        self.round_inquiry.receive(message, address)
+    def _receive_ballot(self, message, address):
+        self.ballot_inquiry.receive(message, address)
 
     def _receive_streams(self, message, address):
         self._hub.continuity.take(message)
@@ -493,7 +493,7 @@
     peer_digests.Digest: Peering._receive_digest,
     peer_digests.ProofQuery: Peering._receive_ask,
     peer_digests.ProofReply: Peering._receive_tell,
-    ballots.RoundQuery: Peering._receive_round,
-    ballots.RoundReply: Peering._receive_round,
+    ballots.BallotQuery: Peering._receive_ballot,
+    ballots.BallotReply: Peering._receive_ballot,
     stream_records.StreamRecords: Peering._receive_streams,
 }
--- a/landingspool/gateway/registry.py
+++ b/landingspool/gateway/registry.py
@@ -52,8 +52,8 @@
 
     `forwarding` is its address for forwarded requests; None if it takes none.
     `owns_streams` is whether it can be told what began a stream; None if its
-    record has not been read.  `has_rounds` is the same for whether the fences
-    of its orders are made of rounds.
+    record has not been read.  `has_ballots` is the same for whether the fences
+    of its orders are ballots.
     """
 
     name: str
@@ -62,7 +62,7 @@
     link_mbps: float = 0.0
     forwarding: http.Address | None = None
     owns_streams: bool | None = None
-    has_rounds: bool | None = None
+    has_ballots: bool | None = None
 
 
 class BoxRecord(msgspec.Struct):
@@ -70,7 +70,7 @@
 
     A box of an earlier version names no address for forwarded requests, and
     doesn't say whether it can be told of streams, nor that the fences of its
-    orders are made of rounds.
+    orders are ballots.
     """
 
     address: str
@@ -78,7 +78,7 @@
     link_mbps: decoding.Figure = 0.0
     forwarding: str | None = None
     streams: bool = False
-    rounds: bool = False
+    ballots: bool = False
 
 
 BOX_DECODER = msgspec.json.Decoder(BoxRecord)
@@ -277,7 +277,7 @@
         'domain': domain,
         'link_mbps': link_mbps,
         'streams': True,
-        'rounds': True,
+        'ballots': True,
     }
     if forwarding is not None:
         row['forwarding'] = f'{forwarding[0]}:{forwarding[1]}'
@@ -326,5 +326,5 @@
         row.link_mbps,
         forwarding,
         row.streams,
-        row.rounds,
+        row.ballots,
     )
--- a/landingspool/gateway/sources.py
+++ b/landingspool/gateway/sources.py
@@ -150,6 +150,21 @@
         reply = await self._hub.store.read(topic, known.last.offset, 0.0)
         return check_page(topic, start, known, reply)
 
+    async def check_store(self, topic, known):
+        """Read the store itself from where this box has read to, at once.
+
+        Its last record is compared, if the store still has it.
+
+        Returns
+        -------
+        store.Page, store.Forgotten, store.RolledBack or store.Unavailable
+        """
+        if known.last is not None:
+            reply = await self._hub.store.read(topic, known.last.offset, 0.0)
+            if not isinstance(reply, store_module.Forgotten):
+                return check_page(topic, known.end, known, reply)
+        return await self._hub.store.read(topic, known.end, 0.0)
+
     async def _read_any(self, topic, read_store, read_box):
         """Ask one source after the other, until one answers or none is left.
 
--- a/landingspool/platform/catalogue.py
+++ b/landingspool/platform/catalogue.py
@@ -107,7 +107,7 @@
 class ClaimRecord(msgspec.Struct):
     """Claim of a box to the right to send orders.
 
-    An earlier build names neither versions nor orders nor a round, and
+    An earlier build names neither versions nor orders nor a ballot, and
     doesn't tell when it wrote.
 
     Attributes
@@ -123,7 +123,7 @@
     versions: list[tuple[Text, Number, decoding.Milliseconds, bool]] = []
     at_ms: decoding.TimeMs = 0
     orders: list[tuple[TargetName, Text, Number, decoding.Milliseconds]] = []
-    round: ballots.Round = 0
+    ballot: ballots.Ballot = 0
 
 
 VERSION_DECODER = msgspec.json.Decoder(VersionRecord, strict=False)
@@ -310,7 +310,7 @@
     )
 
 
-def write_claim(holder, loading, versions=(), wall_s=0.0, given=(), round_=0):
+def write_claim(holder, loading, versions=(), wall_s=0.0, given=(), ballot=0):
     """Encode a claim to the right to send orders.
 
     Parameters
@@ -319,8 +319,8 @@
     wall_s : float
         Unix time in seconds, from which readers compute the ages.
     given : iterable of rollouts.Given
-    round_ : int
-        That of the holder's ballot.
+    ballot : int
+        The fence of the holder's orders.
     """
     newest = sorted(given, key=lambda order: order.age_ms)
     row = {
@@ -329,7 +329,7 @@
         'versions': [list(notice) for notice in versions],
         'at_ms': int(wall_s * 1000),
         'orders': [list(order) for order in newest[: rollouts.MAX_GIVEN]],
-        'round': round_,
+        'ballot': ballot,
     }
     return json.dumps(row).encode()
 
@@ -384,7 +384,7 @@
         # An earlier build does not tell when it wrote.
         since_ms / 1000 if row.at_ms else 0.0,
         make_given(row.orders),
-        row.round,
+        row.ballot,
     )
 
 
--- a/tests/gateway/site.py
+++ b/tests/gateway/site.py
@@ -275,7 +275,7 @@
 async def wait_settled(hubs):
     """Wait until boxes need to wait for no claim that they have missed."""
     for hub in hubs:
-        watch, rounds = hub._claims._watch, hub.view.rounds
+        watch, rounds = hub.claims._watch, hub.view.ballots
         await wait_until(
             lambda hub=hub, watch=watch, rounds=rounds: watch.is_settled(
                 rounds, hub.clock()
--- a/tests/gateway/test_announced_loads.py
+++ b/tests/gateway/test_announced_loads.py
@@ -36,7 +36,7 @@
 
 def is_read(hub):
     """Return whether a box has read the newest claim."""
-    return hub._claims._watch.end is not None
+    return hub.claims._watch.end is not None
 
 
 def test_load_announced_long_before_a_start_is_over():
--- a/tests/gateway/test_odd_entries.py
+++ b/tests/gateway/test_odd_entries.py
@@ -209,7 +209,7 @@
 
 def has_read_claim(hub, holder):
     """Return whether a box has read the claim of a holder."""
-    claim = hub._claims._watch.claim
+    claim = hub.claims._watch.claim
     return claim is not None and claim.holder == holder
 
 
--- a/tests/gateway/test_order_leases.py
+++ b/tests/gateway/test_order_leases.py
@@ -1,11 +1,14 @@
 """Leases of orders: at a start, over a return of the store, in an upgrade."""
 
 import asyncio
+import json
 import time
 
 import pytest
 
 from landingspool.decisions.gateway import order_claims
+from landingspool.gateway import ordering
+from landingspool.gateway import registry as registry_module
 from landingspool.platform import names
 from landingspool.platform import store as store_module
 from tests.gateway import site
@@ -101,11 +104,46 @@
 def test_claim_that_has_no_answer_yet_is_told_to_boxes_that_ask():
     async def check(deployment):
         one, other = await site.start_boxes(deployment, 2, first_start=True)
-        inquiry = one.peering.round_inquiry
+        inquiry = one.peering.ballot_inquiry
         since = one.clock()
-        with other.view.rounds.trying(5):
+        with other.view.ballots.trying(5):
             await site.wait_until(lambda: inquiry.ask(since, one.clock()))
-        assert one.view.rounds.claimed == 5
+        assert one.view.ballots.claimed == 5
+
+    site.run(check)
+
+
+def test_target_that_refuses_every_fence_keeps_no_weights_from_others(
+    monkeypatch,
+):
+    monkeypatch.setattr(ordering, 'MAX_REFUSALS', 2)
+
+    async def check(deployment):
+        odd, *sound = deployment.engines
+        odd.fence = 2**63
+        await deployment.start_box('box1', first_start=True, lease_s=1.0)
+        for version in (2, 3):
+            weights = {'model': 'm', 'version': version}
+            deployment.store.put('keyed.op', 'version/m', weights)
+            await site.wait_until(
+                lambda version=version: all(
+                    runner.version == version for runner in sound
+                ),
+                20.0,
+            )
+
+    site.run(check, engines=3)
+
+
+def test_claim_that_cannot_be_decoded_is_waited_for():
+    # Guards against orders beside a holder that can't be read.
+    async def check(deployment):
+        await deployment.start_box('box1', first_start=True)
+        deployment.store.put(names.CLAIMS_TOPIC, 'orders', b'{}')
+        await asyncio.sleep(0.2)
+        deployment.store.put('keyed.op', 'version/m', WEIGHTS)
+        waited_s = await time_first_order(deployment, time.monotonic())
+        assert waited_s > LEASE_S - 0.2
 
     site.run(check)
 
@@ -158,9 +196,11 @@
     async def check(deployment):
         one, other = await site.start_boxes(deployment, 2, first_start=True)
         registry = one.peering._registry
+        links = other.deployment.links
+        row = json.loads(registry_module.write_peer(links, 'd1', 0.0))
+        del row['ballots']
+        deployment.store.put(names.BOXES_TOPIC, 'box1', row)
         await registry._read_list()
-        known = one.peering.peers['box1']
-        one.peering.peers['box1'] = known._replace(has_rounds=False)
         other.store.append = None
         if not is_alive:
             other.timer.close()
--- a/tests/gateway/test_passed_over.py
+++ b/tests/gateway/test_passed_over.py
@@ -100,13 +100,13 @@
 ):
     async def check(deployment):
         hub = await deployment.start_box()
-        await site.wait_until(lambda: hub._claims.was_tried)
+        await site.wait_until(lambda: hub.claims.was_tried)
         monkeypatch.setattr(following.catalogue, 'read_claim', fail)
         deployment.store.put('keyed.claims', 'orders', {})
         await site.wait_until(
             lambda: hub.recorder.counts['record_passed_over']
         )
-        watch = hub._claims._watch
+        watch = hub.claims._watch
         assert not watch.may_claim('box1', hub.clock())
         lease_s = hub.deployment.bounds.lease_s
         assert watch.may_claim('box1', hub.clock() + lease_s + 1.0)
--- a/tests/gateway/test_rolled_back_writes.py
+++ b/tests/gateway/test_rolled_back_writes.py
@@ -45,7 +45,7 @@
     """Start boxes, and wait until they read what the others write."""
     hubs = await site.start_boxes(deployment, count)
     for hub in hubs:
-        await site.wait_until(lambda hub=hub: hub._claims.was_tried)
+        await site.wait_until(lambda hub=hub: hub.claims.was_tried)
     return hubs
 
 
--- a/tests/gateway/test_taken_over_orders.py
+++ b/tests/gateway/test_taken_over_orders.py
@@ -168,7 +168,7 @@
             deployment, lambda: sum(len(e.asked) for e in engines) >= 2
         )
         # The former holder may have sent an order that it had announced.
-        watch = hub._claims._watch
+        watch = hub.claims._watch
         announced = {row.target for row in watch.claim.given}
         rest = [e for e in engines if e.name not in announced]
         assert rest
