Test two returns of the store from a copy in a row

At a box that reads the store, and at boxes that read through another one and have no store themselves.

--- a/tests/gateway/test_rolled_back_readers.py
+++ b/tests/gateway/test_rolled_back_readers.py
@@ -12,6 +12,7 @@
 from landingspool.gateway import sources
 from landingspool.platform import names
 from landingspool.platform import store
+from standins import platformstore
 from tests.gateway import returning
 from tests.gateway import site
 from tests.gateway import test_readers as readers
@@ -100,6 +101,29 @@
     play(check, is_grown)
 
 
+def test_boxes_without_the_store_learn_of_two_returns_in_a_row():
+    async def check(deployment, hubs, lose):
+        _, members = split(hubs)
+        for hub in members:
+            readers.cut_off(hub)
+        await lose()
+        await asyncio.sleep(1.0)
+        copies = deployment.store.copy()
+        copies[returning.TARGETS] = platformstore.EMPTY_COPY
+        await returning.return_from(
+            deployment.store,
+            copies,
+            lambda: topics.add_entry(deployment, 'newest'),
+        )
+        for hub in hubs:
+            await topics.wait_listed(hub, 'newest', True, FOLLOWED_S)
+            await site.wait_until(
+                lambda hub=hub: not topics.is_listed(hub, 'new')
+            )
+
+    play(check, True)
+
+
 def test_only_the_readers_ask_the_store_what_it_has_now():
     async def check(deployment, hubs, lose):
         _, members = split(hubs)
--- a/tests/gateway/test_rolled_back_topics.py
+++ b/tests/gateway/test_rolled_back_topics.py
@@ -280,3 +280,24 @@
         assert returning.list_rollbacks(hub, returning.TARGETS) == ['peer']
 
     site.run(check)
+
+
+def test_two_returns_in_a_row_are_both_noticed():
+    async def check(deployment):
+        hub = await deployment.start_box()
+        copies = deployment.store.copy()
+        add_entry(deployment, 'lost')
+        await wait_listed(hub, 'lost')
+        for name in ('new', 'newer'):
+            await returning.return_from(
+                deployment.store,
+                copies,
+                lambda name=name: add_entry(deployment, name),
+            )
+            await wait_listed(hub, name)
+        assert is_listed(hub, 'newer')
+        assert not is_listed(hub, 'new')
+        found = returning.list_rollbacks(hub, returning.TARGETS)
+        assert found == ['record', 'record']
+
+    site.run(check)
