--- a/standins/runner.py
+++ b/standins/runner.py
@@ -350,7 +350,7 @@
         self.judged.append(
             JudgedOrder(
                 now,
-                order['holder'],
+                order.get('holder', ''),
                 order['fence'],
                 status,
                 now if arrived is None else arrived,
