--- a/tests/gateway/test_odd_answers.py
+++ b/tests/gateway/test_odd_answers.py
@@ -89,6 +89,7 @@
         odd.odd_bodies[names.ORDER_PATH] = ODD[name]
         odd.odd_bodies[names.EVENTS_PATH] = ODD[name]
         odd.odd_bodies[names.LIST_PATH] = ODD[name]
+        await site.wait_settled([hub])
         weights = {'model': 'm', 'version': 2}
         deployment.store.put(names.PUBLISHED_TOPIC, 'version/m', weights)
         await site.wait_until(lambda: sound.version == 2)
