--- a/review/6/case.py
+++ b/review/6/case.py
@@ -1,7 +1,6 @@
-"""A key is taken away; its requests go on running on an open route."""
+"""A tenant becomes isolated; another one then uses what it had made."""
 
 import asyncio
-import collections
 import os
 import pathlib
 import sys
@@ -15,62 +14,114 @@
 
 # Whether the script plays its disruption.
 IS_TROUBLED = os.environ.get('TROUBLE', '1') != '0'
-SERVICE = 'kafi81c'
-KEPT, REVOKED = 'jnbanfqasnmgkcuyj8pj', 'bvk9m68k7b2ex5wa5xwy'
-# Bound of the rules from the acknowledgement of a configuration that removes
-# a key, seconds.
-REVOKE_S = 5.0
-PERIOD_S = 0.2
-# Seconds for which clients send before and after the change.
-BEFORE_S, AFTER_S = 2.0, 9.0
+SERVICE = 'huvo11a'
+MODEL = 'daka510000'
+# Name and key of each tenant.
+TENANTS = {'bozi300': 'jnbanfqasnmgkcuyj8pj', 'veli200': 'bvk9m68k7b2ex5wa5xw'}
+WALLED = 'bozi300'
+# The parts that prompts of both tenants begin with, by subject.
+SUBJECTS = [f'5c1e07a{n}:800,91bd3f0{n}:410' for n in range(6)]
+# Bound of the rules for a configuration, seconds, and a second beyond it.
+CONFIG_S = 2.0
+WAIT_S = CONFIG_S + 1.0
+ROUTES = [
+    {
+        'name': 'r-2xp4zhp',
+        'host': scene_module.HOST,
+        'path_prefix': '/puxa400/',
+        'kind': 'streaming',
+        'timeout_ms': 12000,
+        'target_latency_ms': 400,
+        'priority': 1,
+        'service': SERVICE,
+        'max_attempts': 2,
+        'allow_anonymous': False,
+        'session_affinity': True,
+        'resumable': True,
+        'gap_aim_ms': 300,
+    }
+]
 SERVICES = [
     {
         'name': SERVICE,
         'health_path': '/healthz',
-        'max_connections': 96,
+        'max_connections': 610,
         'protocol': 'h1',
         'tls': False,
+        'engine': {
+            'slots': 128,
+            'kv_capacity': 179305,
+            'token_kv_bytes': 35136,
+            'link_mbps': 1100000.0,
+            'stride': 6,
+            'max_in_flight': 12,
+            'pin_ms': 4000.0,
+            'hold_ms': 2000.0,
+            'handle_s': 5.0,
+            'models': [{'name': MODEL}],
+        },
     }
 ]
 
 
-def make_route(name, is_open):
-    """Return a route; an open one needs no key."""
-    return {
-        'name': f'r-{name}',
-        'host': scene_module.HOST,
-        'path_prefix': f'/{name}/',
-        'kind': 'unsafe',
-        'timeout_ms': 1200,
-        'target_latency_ms': 150,
-        'priority': 2,
-        'service': SERVICE,
-        'max_attempts': 1,
-        'allow_anonymous': is_open,
-        'session_affinity': False,
-        'resumable': False,
-    }
-
-
-ROUTES = [make_route('closed', False), make_route('open', True)]
+def list_tenants(is_walled):
+    """Return the tenants of a configuration."""
+    return [
+        {
+            'name': name,
+            'api_keys': [key],
+            'priority': 1,
+            'isolated': is_walled and name == WALLED,
+        }
+        for name, key in TENANTS.items()
+    ]
 
 
-def list_tenants(keys):
-    """Return the tenants of a configuration."""
-    return [{'name': 'bozi300', 'api_keys': keys, 'priority': 1}]
+async def send_all(scene, tenant, word):
+    """Send one prompt for each subject, as a tenant, to box after box."""
+    for number, parts in enumerate(SUBJECTS):
+        box = scene.boxes[number % len(scene.boxes)]
+        client = client_module.Client(box.front)
+        name = f'{tenant}-{word}-{number}'
+        answer = await client.ask(
+            '/puxa400/2f',
+            name,
+            TENANTS[tenant],
+            b'prompt',
+            12000,
+            (
+                f'X-Landingspool-Model-Name: {MODEL}',
+                'X-Landingspool-Token-Usage: 1460,80',
+                f'X-Landingspool-Prefix-Hash: {parts},{number:08x}{word}:250',
+            ),
+        )
+        client.close()
+        scene.note(f'client: {name} at {box.name}: {answer.status}')
 
 
-async def send_on(scene, box, route, sent):
-    """Send one request after another with the key that is taken away."""
-    client = client_module.Client(box.front)
-    number = 0
-    while True:
-        number += 1
-        name = f'{route}-{box.name}-{number}'
-        sent[name] = route, scene.monotonic()
-        answer = await client.ask(f'/{route}/2f', name, REVOKED, b'x')
-        scene.note(f'client: {name} with the key: {answer.status}')
-        await asyncio.sleep(PERIOD_S)
+def find_broken(scene, since):
+    """Note and count the runs on memory of another tenant, since a time."""
+    tenants = {}
+    for runner in scene.runners:
+        for run in runner.runs:
+            tenants[run.id] = run.head['x-landingspool-tenant-id']
+    broken = 0
+    for runner in scene.runners:
+        for run in runner.runs:
+            own = tenants[run.id]
+            foreign = [
+                (part, tenants[maker])
+                for part, maker in run.made_by
+                if tenants[maker] != own
+            ]
+            salt = run.head.get('cache-salt', '')
+            scene.note(
+                f'{runner.name} ran {run.id} of {own} under salt {salt!r}, '
+                f'with memory made by others: {foreign}'
+            )
+            is_walled = WALLED in (own, *(tenant for _, tenant in foreign))
+            broken += bool(foreign and is_walled and run.at >= since)
+    return broken
 
 
 async def play(scene):
@@ -78,38 +129,25 @@
     await scene.open()
     for number, zone in enumerate(scene.zones):
         runner = runner_module.Runner(
-            scene, SERVICE, zone, f'i-7f3a91c{number}'
+            scene, SERVICE, zone, f'i-7f3a91c{number}', MODEL, 128
         )
         await scene.add_runner(runner)
-    scene.publish(ROUTES, SERVICES, list_tenants([KEPT, REVOKED]))
+    named = {'model': MODEL, 'version': 1}
+    scene.store.put('keyed.op', f'version/{MODEL}', named)
+    # Without the disruption the tenant is isolated from the start.
+    scene.publish(ROUTES, SERVICES, list_tenants(not IS_TROUBLED))
     await scene.start_boxes()
-    sent, removed = {}, None
-    works = [
-        asyncio.ensure_future(send_on(scene, box, route, sent))
-        for box in scene.boxes
-        for route in ('closed', 'open')
-    ]
-    await asyncio.sleep(BEFORE_S)
+    await asyncio.sleep(1.0)
+    await send_all(scene, WALLED, 'first')
     if IS_TROUBLED:
-        scene.publish(ROUTES, SERVICES, list_tenants([KEPT]))
-        removed = scene.monotonic()
-        scene.note('operator: the key is taken away')
-    await asyncio.sleep(AFTER_S)
-    for work in works:
-        work.cancel()
-    await asyncio.gather(*works, return_exceptions=True)
-    late = collections.Counter()
-    for runner in scene.runners:
-        for run in runner.runs:
-            route, at = sent[run.id]
-            if removed is not None and at > removed + REVOKE_S:
-                late[route] += 1
-                scene.note(
-                    f'{runner.name} ran {run.id}, sent '
-                    f'{at - removed:.2f} s after the key was taken away'
-                )
-    scene.note(f'runs of requests sent too late, by route: {dict(late)}')
-    return bool(late)
+        scene.publish(ROUTES, SERVICES, list_tenants(True))
+        scene.note(f'operator: {WALLED} is isolated from now on')
+    await asyncio.sleep(WAIT_S)
+    since = scene.monotonic()
+    await send_all(scene, 'veli200', 'later')
+    broken = find_broken(scene, since)
+    scene.note(f'runs on memory made behind the wall: {broken}')
+    return broken > 0
 
 
 scene_module.run_case(lambda: scene_module.Scene(FOLDER / 'record.txt'), play)
