--- a/review/lib_2/runner.py
+++ b/review/lib_2/runner.py
@@ -104,6 +104,34 @@
             'models': models,
         }
 
+    def make_report(self):
+        """Return the answer to a question for the runner's state."""
+        return {
+            'stage': 'both',
+            'models': [
+                {'name': self.model, 'version': self.version, 'adapters': []}
+            ],
+            'busy': False,
+            'sequence': 0,
+            'queue_depth': 0,
+            'active_requests': 0,
+            'kv_used': 0,
+            'kv_total': 179305,
+            'handles': 0,
+        }
+
+    def take_order(self, order):
+        """Take an order to load weights; returns the status of the answer."""
+        return 400
+
+    def has_version(self, head):
+        """Return whether the weights are those that a request expects."""
+        version = head.get('expect-version', str(self.version))
+        return version == str(self.version)
+
+    async def prepare(self, head, name):
+        """Move memory, as the head of a request says."""
+
     async def _serve(self, reader, writer):
         try:
             while True:
@@ -114,7 +142,7 @@
                         int(head['content-length'])
                     )
                 if head['path'].startswith('/api/'):
-                    self._answer_call(writer, head)
+                    self._answer_call(writer, head, body)
                     continue
                 await self._answer(writer, head, body)
         except (asyncio.IncompleteReadError, ConnectionError):
@@ -122,27 +150,14 @@
         finally:
             writer.close()
 
-    def _answer_call(self, writer, head):
+    def _answer_call(self, writer, head, body):
         path = head['path'].split('?')[0]
         value = {}
+        status = 200
         if path == '/api/report':
-            value = {
-                'stage': 'both',
-                'models': [
-                    {
-                        'name': self.model,
-                        'version': self.version,
-                        'adapters': [],
-                    }
-                ],
-                'busy': False,
-                'sequence': 0,
-                'queue_depth': 0,
-                'active_requests': 0,
-                'kv_used': 0,
-                'kv_total': 179305,
-                'handles': 0,
-            }
+            value = self.make_report()
+        elif path == '/api/order':
+            status = self.take_order(json.loads(body))
         elif path == '/api/kv-events':
             value = {
                 'epoch': 7,
@@ -153,18 +168,17 @@
             }
         elif path == '/api/kv-list':
             value = {'epoch': 7, 'next_token': 0, 'held': []}
-        body = json.dumps(value).encode()
+        data = json.dumps(value).encode()
         writer.write(
-            b'HTTP/1.1 200 OK\r\ncontent-type: application/json\r\n'
-            b'content-length: %d\r\n\r\n' % len(body) + body
+            b'HTTP/1.1 %d X\r\ncontent-type: application/json\r\n'
+            b'content-length: %d\r\n\r\n' % (status, len(data)) + data
         )
 
     async def _answer(self, writer, head, body):
         name = head.get('x-landingspool-request-id', '')
         self.arrived.append((time.monotonic(), name))
         wanted = head.get('x-landingspool-expect-instance', self.name)
-        version = head.get('expect-version', str(self.version))
-        if wanted != self.name or version != str(self.version):
+        if wanted != self.name or not self.has_version(head):
             writer.write(
                 b'HTTP/1.1 421 Misdirected Request\r\ncontent-length: 0\r\n'
                 + f'x-landingspool-request-id: {name}\r\n'
@@ -174,6 +188,7 @@
         made_by = self._read_prompt(head, name)
         self.runs.append(Run(time.monotonic(), name, head, len(body), made_by))
         self.unfinished.append(name)
+        await self.prepare(head, name)
         await asyncio.sleep(self.work_s)
         rows = (
             f'x-landingspool-request-id: {name}\r\n'
--- a/review/lib_2/scene.py
+++ b/review/lib_2/scene.py
@@ -277,6 +277,7 @@
         self.boxes = []
         self.began = time.monotonic()
         self._lines = []
+        self._tasks = set()
         for zone, count in zones.items():
             for number in range(count):
                 ip = self.make_ip(len(self.boxes) + 1)
@@ -295,6 +296,11 @@
         """Return the clock by which runners note times."""
         return time.monotonic()
 
+    def keep(self, task):
+        """Keep a task from being collected until it is done."""
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
     def note(self, text):
         """Write a line of the record."""
         self._lines.append(f'{self.now():8.3f} s  {text}')
