--- a/review/4/case.py
+++ b/review/4/case.py
@@ -146,11 +146,18 @@
         return self.whole.get(key, 0) >= tokens
 
     async def fetch(self, key, tokens, runner, name):
-        """Send a part to a runner; returns whether it was whole all along."""
-        requests = self.fetching.setdefault(key, set())
-        requests.add(name)
-        await self._move(tokens, runner)
-        requests.discard(name)
+        """Send a part to a runner; returns whether it was whole all along.
+
+        One that is gone when its turn on the link comes is a miss, after which
+        the runner reads the part itself.
+        """
+        async with self._link:
+            if not self.find(key, tokens):
+                return True
+            requests = self.fetching.setdefault(key, set())
+            requests.add(name)
+            await asyncio.sleep(compute_move_s(tokens, runner))
+            requests.discard(name)
         self.fetched += 1
         return (key, name) not in self.spoilt
 
@@ -161,20 +168,12 @@
         if key in self.whole or key in self.written or tokens > room:
             return
         self.written[key] = tokens
-        await self._move(tokens, runner)
+        async with self._link:
+            await asyncio.sleep(compute_move_s(tokens, runner))
         if self.written.pop(key, None) is not None:
             self.whole[key] = tokens
             self._tell('+', key, tokens)
 
-    async def _move(self, tokens, runner):
-        """Wait for a move to or from a runner to be over."""
-        far = 1 if runner.zone == STORE_ZONE else 2
-        bits = tokens * TOKEN_BYTES * 8
-        async with self._link:
-            await asyncio.sleep(
-                STORE_FIRST_S + far * bits / (STORE_MBPS * 1e6)
-            )
-
     def free(self, keys):
         """Free parts at once, as the system orders."""
         for key in keys:
@@ -252,6 +251,13 @@
             return
 
 
+def compute_move_s(tokens, runner):
+    """Return the seconds that a move to or from a runner takes."""
+    far = 1 if runner.zone == STORE_ZONE else 2
+    bits = tokens * TOKEN_BYTES * 8
+    return STORE_FIRST_S + far * bits / (STORE_MBPS * 1e6)
+
+
 class ModelRunner(runner_module.Runner):
     """A model runner with two models, which fetches from the store."""
 
