--- a/review/lib_2/client.py
+++ b/review/lib_2/client.py
@@ -13,13 +13,14 @@
     """What a client got for a request.
 
     `status` is 0 where the connection ended without an answer, or the answer
-    is not whole.
+    is not whole; `is_begun` tells whether any of it came.
     """
 
     status: int
     body: bytes
     stamp: str
     seconds: float
+    is_begun: bool = True
 
 
 class Client:
@@ -28,6 +29,7 @@
     def __init__(self, address):
         self.address = address
         self._streams = None
+        self._is_begun = False
 
     async def connect(self):
         """Open the connection, if there is none."""
@@ -53,7 +55,7 @@
         bytes_s : float, optional
             Most bytes of the body that are sent in a second.
         """
-        began = time.monotonic()
+        began, self._is_begun = time.monotonic(), False
         try:
             async with asyncio.timeout(deadline_ms / 1000):
                 await self.connect()
@@ -73,7 +75,7 @@
         except (OSError, EOFError, TimeoutError):
             self.close()
             answer = 0, b'', ''
-        return Answer(*answer, time.monotonic() - began)
+        return Answer(*answer, time.monotonic() - began, self._is_begun)
 
     @property
     def is_open(self):
@@ -87,7 +89,9 @@
             self._streams = None
 
     async def _read(self, reader):
-        data = await reader.readuntil(b'\r\n\r\n')
+        first = await reader.readexactly(1)
+        self._is_begun = True
+        data = first + await reader.readuntil(b'\r\n\r\n')
         lines = data.decode('latin-1').split('\r\n')
         status = int(lines[0].split(' ')[1])
         head = {}
