--- a/Makefile
+++ b/Makefile
@@ -20,8 +20,9 @@
 
 test: lint
 	$(BIN)/python -m pytest -n $(WORKERS) --dist worksteal --maxfail=50 \
-	    --ignore tests/real
+	    --ignore tests/real --ignore tests/crowds
 	$(BIN)/python -m pytest tests/real
+	$(BIN)/python -m pytest tests/crowds
 	$(BIN)/python -m soak --first 1 --seeds 3 --jobs 3
 
 format: $(VENV)/installed
