Bodies take room before they are read, and callers are judged by the head

What callers saw: a crowd with large bodies (whole, stopping short, with a key that nobody has) ended the process, over its memory.

Cause: a body was read whole before anything was asked about its request, held several times (parser, bytearray, bytes, a copy for each send, the transport's buffer), and whatever others held. A stalled one held its memory until the header time-out, and the allocator kept the blocks of megabytes.

Change: one account of bytes (decisions/gateway/byte_budget) derived from the machine's memory. A body takes its announced length before it is read, or a grain at a time in chunks (gateway/intake); before it counts as large, its head is judged: 404, 401 and 413 come at once, 100 Continue after there is room. A body without room waits 0.75 s at most, then gets 503 and Retry-After; one that has stopped for half a second gives way meanwhile, with 408: it is incomplete, so it has not run. A quarter is kept for workspaces that hold less, an eighth for small bodies. A body is held once, in mapped segments that return to the system (bodies), and is sent in pieces with the back-pressure of the target; it is freed as it is sent if it can't be sent again. A box without room tells a box that forwards, which tries another.

--- a/landingspool/connection.py
+++ b/landingspool/connection.py
@@ -17,13 +17,16 @@
 NO_LINGER = struct.pack('ii', 1, 0)
 # Unread bytes in the buffer above which reading from the socket pauses.
 MAX_UNREAD_BYTES = 256 * 1024
+# Bytes that are read from a socket at once.  All connections share the buffer:
+# what was read is copied before another one reads.
+RECEIVE_BUFFER = memoryview(bytearray(64 * 1024))
 
 
 class PeerSilent(ConnectionResetError):
     """The kernel dropped the connection, since its peer stayed silent."""
 
 
-class Connection(asyncio.Protocol):
+class Connection(asyncio.BufferedProtocol):
     """Buffers received bytes and wakes the one task that reads them.
 
     Parameters
@@ -47,6 +50,10 @@
         self._writable = asyncio.Event()
         self._writable.set()
         self._error = None
+        # Raised by the next read.
+        self._interruption = None
+        # What is still to be written.
+        self._outgoing = None
         self.closed = False
         self.on_close = None
 
@@ -56,8 +63,16 @@
         if self._on_connected is not None:
             self._on_connected(self)
 
+    def get_buffer(self, size_hint):
+        """Return where received bytes are written to (asyncio)."""
+        return RECEIVE_BUFFER
+
+    def buffer_updated(self, size):
+        """Take over the received bytes (asyncio)."""
+        self.data_received(RECEIVE_BUFFER[:size])
+
     def data_received(self, data):
-        """Buffer received bytes (asyncio)."""
+        """Buffer received bytes."""
         self._buffer += data
         if len(self._buffer) > MAX_UNREAD_BYTES:
             self._transport.pause_reading()
@@ -71,6 +86,7 @@
 
     def connection_lost(self, error):
         """Record the end of the connection (asyncio)."""
+        self._outgoing = None
         self._mark_closed(error)
         self._writable.set()
 
@@ -81,6 +97,7 @@
     def resume_writing(self):
         """Unblock writers (asyncio)."""
         self._writable.set()
+        self._write_outgoing()
 
     @property
     def is_idle(self):
@@ -89,7 +106,9 @@
 
     @property
     def is_flushed(self):
-        """Whether the kernel has taken all written bytes."""
+        """Whether the kernel has taken all bytes that are to be sent."""
+        if self._outgoing is not None:
+            return False
         return self._transport.get_write_buffer_size() == 0
 
     @property
@@ -113,10 +132,15 @@
         ------
         ConnectionError
             If the connection was reset; PeerSilent if the peer timed out.
+        Exception
+            That of `interrupt`.
         """
-        while not self._buffer and not self.closed:
+        while not (self._buffer or self.closed or self._interruption):
             self._readable.clear()
             await self._readable.wait()
+        if self._interruption is not None:
+            error, self._interruption = self._interruption, None
+            raise error
         if self._buffer:
             return self._take_buffer(max_bytes)
         if isinstance(self._error, TimeoutError):
@@ -125,6 +149,11 @@
             raise ConnectionResetError(str(self._error))
         return b''
 
+    def interrupt(self, error):
+        """Have the task that reads raise an error."""
+        self._interruption = error
+        self._readable.set()
+
     def count_unread(self):
         """Return the number of bytes received and not read.
 
@@ -167,6 +196,18 @@
         if not self._transport.is_closing():
             self._transport.write(data)
 
+    def write_pieces(self, pieces):
+        """Send pieces, no faster than the peer takes them.
+
+        What is not sent by the end of the connection is dropped.
+
+        Parameters
+        ----------
+        pieces : iterator of bytes-like
+        """
+        self._outgoing = pieces
+        self._write_outgoing()
+
     async def drain(self):
         """Wait until the send buffer has space again."""
         if not self._writable.is_set():
@@ -174,6 +215,7 @@
 
     def close(self):
         """Close the connection after the written bytes are sent."""
+        self._outgoing = None
         self._transport.close()
 
     def end_sending(self):
@@ -183,6 +225,7 @@
 
     def abort(self):
         """Close the connection without waiting for the written bytes."""
+        self._outgoing = None
         self._transport.abort()
 
     def reset(self):
@@ -191,7 +234,15 @@
             self.get_socket().setsockopt(
                 socket.SOL_SOCKET, socket.SO_LINGER, NO_LINGER
             )
-        self._transport.abort()
+        self.abort()
+
+    def _write_outgoing(self):
+        while self._outgoing is not None and self._writable.is_set():
+            piece = next(self._outgoing, None)
+            if piece is None:
+                self._outgoing = None
+            else:
+                self.write(piece)
 
     def _take_buffer(self, max_bytes):
         data = bytes(self._buffer[:max_bytes])
--- a/landingspool/decisions/gateway/fingerprints.py
+++ b/landingspool/decisions/gateway/fingerprints.py
@@ -53,10 +53,31 @@
     >>> one == compute_fingerprint('w/a', '', b'b')
     False
     """
+    return fingerprint_pieces(workspace, path, len(body), (body,))
+
+
+def fingerprint_pieces(workspace, path, size, pieces):
+    """Return the fingerprint of a request whose body is in pieces.
+
+    Parameters
+    ----------
+    workspace, path : str
+        As of `compute_fingerprint`.
+    size : int
+        Bytes of the body.
+    pieces : iterable of bytes-like
+
+    Returns
+    -------
+    bytes
+    """
     digest = hashlib.blake2b(digest_size=SIZE, person=PURPOSE)
-    for field in (workspace.encode(), path.encode(), body):
+    for field in (workspace.encode(), path.encode()):
         digest.update(len(field).to_bytes(LENGTH_BYTES))
         digest.update(field)
+    digest.update(size.to_bytes(LENGTH_BYTES))
+    for piece in pieces:
+        digest.update(piece)
     return digest.digest()
 
 
--- a/landingspool/event_kinds.py
+++ b/landingspool/event_kinds.py
@@ -452,6 +452,12 @@
             'ERROR',
             'A record raised an error; what was known before stays in force.',
         ),
+        Kind(
+            808,
+            'out_of_room',
+            'WARNING',
+            'Memory for callers was short; who was refused since, by reason.',
+        ),
     )
 }
 
--- a/landingspool/gateway/answer_reader.py
+++ b/landingspool/gateway/answer_reader.py
@@ -40,9 +40,9 @@
         self._skipped = response_reader.BodyCounter(MAX_SURPLUS_BYTES)
         self.surplus = 0
 
-    def send(self, method, target, headers, body):
+    def send(self, method, target, headers, body, is_last=False):
         """Send a complete request."""
-        self._responses.send(method, target, headers, body)
+        self._responses.send(method, target, headers, body, is_last)
 
     async def read_head(self, is_due):
         """Read the head of the answer that is due.
--- a/landingspool/gateway/attempts.py
+++ b/landingspool/gateway/attempts.py
@@ -219,6 +219,7 @@
             state.call.target,
             self._write_head(),
             state.body,
+            not state.may_need_body(),
         )
 
     def _record_end(self, outcome):
--- a/landingspool/gateway/forwarded_rows.py
+++ b/landingspool/gateway/forwarded_rows.py
@@ -8,6 +8,8 @@
 import typing
 from urllib import parse
 
+from landingspool.platform import ingress
+
 PREFIX = b'x-spool-box-'
 # In requests: the box that forwards it.
 FORWARDED_BY = PREFIX + b'name'
@@ -152,6 +154,20 @@
     return rows
 
 
+def describe_unsent(headers, reason):
+    """Return the headers of an answer to a request that was not sent on.
+
+    Parameters
+    ----------
+    headers : list of tuple of bytes
+        Of the request.
+    reason : str
+    """
+    origin = read_origin(headers)
+    counted = origin is not None and origin.counted
+    return write_report(Report(reason, 0, counted, ingress.read_name(headers)))
+
+
 def strip(headers):
     """Return the headers of a request or answer without those of boxes.
 
--- a/landingspool/gateway/forwarder.py
+++ b/landingspool/gateway/forwarder.py
@@ -9,6 +9,7 @@
 from landingspool.gateway import attempt_log
 from landingspool.gateway import attempts
 from landingspool.gateway import forwarded_rows
+from landingspool.gateway import intake
 from landingspool.gateway import outcomes
 from landingspool.gateway import upstream
 from landingspool.platform import egress
@@ -24,7 +25,7 @@
 STOPPING = 'stopping'
 UNABLE = frozenset((CUT_OFF, UNREACHED, STOPPING))
 # Reasons for which another box may serve a request that one has refused.
-TRY_ELSEWHERE = UNABLE | {'no_table', 'unproved_table'}
+TRY_ELSEWHERE = UNABLE | {'no_table', 'unproved_table', intake.NO_ROOM}
 # Seconds by which the time given to the other box is shorter than that left
 # here: its own answer at the end of it arrives before this box gives up.
 RETURN_MARGIN_S = 0.03
--- a/landingspool/gateway/heads.py
+++ b/landingspool/gateway/heads.py
@@ -12,7 +12,9 @@
 
 import h11
 
+from landingspool import bodies
 from landingspool import framing
+from landingspool.gateway import intake
 from landingspool import http
 from landingspool import timeouts
 
@@ -120,20 +122,54 @@
         raise http.BadRequest(400, 'chunks before HTTP/1.1')
 
 
-async def read_body(connection, codec, max_bytes):
+def find_length(request):
+    """Return the length that a head announces for its body.
+
+    Parameters
+    ----------
+    request : h11.Request
+
+    Returns
+    -------
+    int or None
+        None for a body in chunks.
+    """
+    found = dict(request.headers)
+    if b'transfer-encoding' in found:
+        return None
+    return int(found.get(b'content-length', 0))
+
+
+async def read_body(connection, codec, length, max_bytes, lease, body):
     """Read the body that the head announced.
 
+    Parameters
+    ----------
+    connection : connection.Connection
+    codec : h11.Connection
+    length : int or None
+        Announced length.
+    max_bytes : int
+        Size limit of the body.
+    lease : intake.Lease
+        From which room is taken before the body is read.
+    body : bodies.Body
+        To which it is appended.
+
     Raises
     ------
     http.BadRequest
         With 413 for a body of more than `max_bytes` bytes, 400 for one that
-        can't be read or has too much framing.
+        can't be read or has too much framing, and as by intake.Lease.take.
     """
-    body, meter = bytearray(), framing.Meter()
+    if length is not None and length > max_bytes:
+        raise http.BadRequest(413, f'body over {max_bytes} bytes')
+    await lease.take(intake.GRAIN_BYTES if length is None else length)
     if codec.they_are_waiting_for_100_continue:
         connection.write(
             codec.send(h11.InformationalResponse(status_code=100, headers=[]))
         )
+    meter = framing.Meter()
     while True:
         try:
             event = codec.next_event()
@@ -145,12 +181,17 @@
             meter.count_received(data)
             codec.receive_data(data)
         elif isinstance(event, h11.Data):
-            body += event.data
-            if len(body) > max_bytes:
+            size = len(event.data)
+            if len(body) + size > max_bytes:
                 raise http.BadRequest(413, f'body over {max_bytes} bytes')
+            if len(body) + size > lease.held:
+                await lease.take(max(size, intake.GRAIN_BYTES))
+            body.append(event.data)
+            lease.receive(size)
         elif isinstance(event, h11.EndOfMessage):
             connection.push_back(codec.trailing_data[0])
-            return bytes(body)
+            lease.settle(len(body))
+            return
         else:
             raise http.BadRequest(400, 'the request ended too early')
 
@@ -183,7 +224,7 @@
     return False
 
 
-async def read_request(connection, limits):
+async def read_request(connection, limits, open_lease):
     """Read one complete request within the time limits for callers.
 
     The head and the body are limited by the header time-out, each by itself.
@@ -192,10 +233,12 @@
     ----------
     connection : connection.Connection
     limits : routes.Limits
+    open_lease : callable
+        ``open_lease(request)`` returns the intake.Lease of a request.
 
     Returns
     -------
-    tuple of (h11.Connection, h11.Request, bytes) or None
+    tuple of (h11.Connection, h11.Request, bodies.Body) or None
         None if the connection was closed before a head began.
 
     Raises
@@ -210,8 +253,24 @@
         if data is None:
             return None
         codec, request = parse_head(data)
-        async with timeouts.Timeout(limits.header_s):
-            body = await read_body(connection, codec, limits.body_bytes)
+        lease = open_lease(request)
+        body = bodies.Body(lease.free)
+        try:
+            async with timeouts.Timeout(limits.header_s):
+                await read_body(
+                    connection,
+                    codec,
+                    find_length(request),
+                    limits.body_bytes,
+                    lease,
+                    body,
+                )
+        except BaseException as error:
+            body.close()
+            lease.close()
+            if isinstance(error, http.BadRequest) and error.status == 503:
+                error.headers = lease.describe_refusal(error.text)
+            raise
     except TimeoutError:
         raise http.BadRequest(408, 'the request took too long') from None
     return codec, request, body
--- a/landingspool/gateway/hub.py
+++ b/landingspool/gateway/hub.py
@@ -1,10 +1,12 @@
 """Create, connect, run and stop all parts of one gateway box."""
 
 import asyncio
+import functools
 import time
 import traceback
 
 from landingspool import boot_clock
+from landingspool.decisions.gateway import byte_budget
 from landingspool.decisions.gateway import routes
 from landingspool.decisions.gateway import stalls
 from landingspool.decisions.gateway import view as view_module
@@ -18,6 +20,7 @@
 from landingspool.gateway import following
 from landingspool.gateway import forwarded_rows
 from landingspool.gateway import forwarder
+from landingspool.gateway import intake
 from landingspool.gateway import listener
 from landingspool.gateway import metrics
 from landingspool.gateway import ordering
@@ -112,6 +115,11 @@
             deployment.descriptors - RESERVED_DESCRIPTORS, MIN_CONNECTIONS
         )
         tally = closings.Tally(self.recorder, self.metrics)
+        parts = byte_budget.divide(deployment.memory_bytes)
+        self.intake = intake.Intake(
+            byte_budget.BodyBudget(parts.body_bytes),
+            self.metrics.out_of_room,
+        )
         self.listener = listener.Listener(
             self._handle,
             self._get_limits,
@@ -121,6 +129,7 @@
             lambda: self.forward_listener.count_open(),
             deployment.bounds.table_s,
             self.supervisor.make_reporter('connections'),
+            self._open_lease,
         )
         # For requests of peers that can't reach the targets.
         self.forward_listener = listener.Listener(
@@ -132,6 +141,7 @@
             self.listener.count_open,
             deployment.bounds.table_s,
             self.supervisor.make_reporter('connections'),
+            self._open_forwarded_lease,
         )
         self._takes_forwarded = False
         # Readiness for the balancer and metrics for engineers are at two
@@ -214,13 +224,9 @@
             return
         if self._stop.is_set():
             # It would be lost if it came as the listener closes.
-            report = forwarded_rows.Report(
-                forwarder.STOPPING,
-                0,
-                origin.counted,
-                ingress.read_name(request.headers),
+            rows = forwarded_rows.describe_unsent(
+                request.headers, forwarder.STOPPING
             )
-            rows = forwarded_rows.write_report(report)
             await reply.send_error(503, forwarder.STOPPING, extra=rows)
             return
         await self._relay(request, body, reply, origin)
@@ -234,11 +240,7 @@
             )
             return
         try:
-            call = ingress.read_call(
-                request.method.decode('latin-1'),
-                request.target.decode('latin-1'),
-                forwarded_rows.strip(request.headers),
-            )
+            call = read_call(request)
             await relay.Relay(self, call, body, reply, origin).run()
         except asyncio.CancelledError:
             if asyncio.current_task().cancelling():
@@ -260,6 +262,63 @@
         )
         await reply.fail()
 
+    def _open_lease(self, connection, request):
+        """Return the lease for the body of a request, from its head."""
+        return self.intake.open(
+            connection, functools.partial(self._judge, request)
+        )
+
+    def _judge(self, request):
+        """Return the workspace of a request, by its head.
+
+        A head that can't be judged before its body has come is passed: the
+        relay judges each request once more.
+
+        Raises
+        ------
+        http.BadRequest
+            If the table in force does not allow the request.
+        """
+        table, now = self.view.table, self.clock()
+        if table is None or not self.view.is_proved(now):
+            return ''
+        call = read_call(request)
+        route = routes.match_route(table, call.host, call.target)
+        if route is None:
+            self._refuse_head(call, 404, 'no_route')
+        tenancy, passes = routes.get_tenancy(table, route, call.key)
+        if not passes:
+            self._refuse_head(call, 401, 'unknown_key')
+        return tenancy.name if tenancy else ''
+
+    def _refuse_head(self, call, status, reason):
+        """Refuse a request whose body was not read.
+
+        Raises
+        ------
+        http.BadRequest
+        """
+        self.metrics.answers.labels(str(status), reason).inc()
+        self.recorder.record(
+            'not_served',
+            request=call.name,
+            status=status,
+            reason=reason,
+            may_have_run=False,
+        )
+        raise http.BadRequest(status, reason)
+
+    def _open_forwarded_lease(self, connection, request):
+        """Return the lease of a request that another box forwards.
+
+        A refusal tells that box that nothing was sent.
+        """
+        lease = self._open_lease(connection, request)
+        lease.describe_refusal = functools.partial(
+            forwarded_rows.describe_unsent, request.headers
+        )
+        return lease
+
     def _record_unanswered(self, request, reason):
         self.metrics.unanswered.inc()
         self.recorder.record(
@@ -319,6 +378,12 @@
             exclusions.evacuation.describe(tick.now),
             self.view.engine_split.is_on,
         )
+        self.metrics.record_room(self.intake)
+        refused = self.intake.take_refusals()
+        if refused:
+            self.recorder.record(
+                'out_of_room', held=self.intake.used_bytes, **refused
+            )
         self.metrics.record_workspaces(
             self.view.fair_admission.count_over(tick.now)
         )
@@ -434,3 +499,21 @@
         self.upstream.close()
         self.client.close()
         self.recorder.record('stopped')
+
+
+def read_call(request):
+    """Decode the head of a request.
+
+    Parameters
+    ----------
+    request : h11.Request
+
+    Returns
+    -------
+    ingress.Call
+    """
+    return ingress.read_call(
+        request.method.decode('latin-1'),
+        request.target.decode('latin-1'),
+        forwarded_rows.strip(request.headers),
+    )
--- a/landingspool/gateway/listener.py
+++ b/landingspool/gateway/listener.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import collections
+import functools
 import typing
 
 import h11
@@ -67,6 +68,9 @@
     on_error : callable, optional
         ``on_error(exception)`` if a request can't be read or a connection not
         be served for an unexpected error.
+    open_lease : callable
+        ``open_lease(connection, request)`` returns the intake.Lease of a
+        request whose head has come.
 
     Attributes
     ----------
@@ -86,8 +90,10 @@
         count_others=lambda: 0,
         margin_s=0.0,
         on_error=http.raise_to_loop,
+        open_lease=None,
     ):
         self._handle = handle
+        self._open_lease = open_lease
         self._get_limits = get_limits
         self._max_connections = max_connections
         self._on_unanswered = on_unanswered
@@ -286,7 +292,11 @@
         self._end_wait(task)
         limits = self._get_limits()
         try:
-            read = await heads.read_request(connection, limits)
+            read = await heads.read_request(
+                connection,
+                limits,
+                functools.partial(self._open_lease, connection),
+            )
         except http.BadRequest as error:
             await replies.refuse(connection, error)
             return closings.Reason.UNREADABLE
@@ -299,6 +309,17 @@
         if read is None:
             return closings.Reason.CALLER
         codec, request, body = read
+        try:
+            return await self._serve_request(
+                connection, codec, request, body, use, limits
+            )
+        finally:
+            body.close()
+
+    async def _serve_request(
+        self, connection, codec, request, body, use, limits
+    ):
+        """Answer one request; return as `_serve_one`."""
         reply = replies.Reply(
             codec,
             connection,
--- a/landingspool/gateway/metrics.py
+++ b/landingspool/gateway/metrics.py
@@ -55,6 +55,14 @@
         self.closed_connections = self._make_counter(
             'closed_connections', 'Connections of callers', ('reason',)
         )
+        self.out_of_room = self._make_counter(
+            'out_of_room',
+            'Requests refused, or connections closed, for lack of memory',
+            ('reason',),
+        )
+        self.held_bytes = self._make_gauge(
+            'held_bytes', 'What callers make this box hold', ('kind',)
+        )
         self.log_rollbacks = self._make_counter(
             'log_rollbacks',
             'Times that a topic had lost records that were read',
@@ -193,6 +201,15 @@
         if first_s is not None:
             self.first.observe(first_s)
 
+    def record_room(self, intake):
+        """Record what bodies take.
+
+        Parameters
+        ----------
+        intake : intake.Intake
+        """
+        self.held_bytes.labels('bodies').set(intake.used_bytes)
+
     def record_forward(self, outcome):
         """Count an attempt to have another box serve a request."""
         self.forwards.labels(outcome).inc()
--- a/landingspool/gateway/relay.py
+++ b/landingspool/gateway/relay.py
@@ -46,7 +46,7 @@
         The box's parts: `view`, `recorder`, `metrics`, `clock`, `upstream`,
         `resumption`, `state`, and those that an attempt needs.
     call : ingress.Call
-    body : bytes
+    body : bytes or bodies.Body
     reply : replies.Reply
     origin : forwarded_rows.Origin, optional
         Where the request comes from if another box has forwarded it.
--- a/landingspool/gateway/replies.py
+++ b/landingspool/gateway/replies.py
@@ -165,7 +165,9 @@
     """Answer a request that could not be read; its connection is closed."""
     codec = h11.Connection(h11.SERVER)
     reply = Reply(codec, connection, lambda: True)
-    await reply.send_error(error.status, error.text)
+    await reply.send_error(
+        error.status, error.text, error.retry_after, error.headers
+    )
     await discard_rest(connection)
 
 
--- a/landingspool/gateway/request_state.py
+++ b/landingspool/gateway/request_state.py
@@ -5,6 +5,7 @@
 executed, and which part of a stream the caller already has.
 """
 
+from landingspool import bodies
 from landingspool.decisions.gateway import fingerprints
 from landingspool.decisions.gateway import routes
 
@@ -20,7 +21,7 @@
     Parameters
     ----------
     call : ingress.Call
-    body : bytes
+    body : bytes or bodies.Body
     reply : replies.Reply
     now : float
         Boot-time clock, seconds.
@@ -118,10 +119,11 @@
         self.deadline = self.started + min(
             self.call.left_s, work.route.timeout_s
         )
-        self.fingerprint = fingerprints.compute_fingerprint(
+        self.fingerprint = fingerprints.fingerprint_pieces(
             work.tenancy.name if work.tenancy else '',
             self.call.target,
-            self.body,
+            len(self.body),
+            bodies.list_pieces(self.body),
         )
         self.keys = (
             self.fingerprint,
@@ -170,6 +172,10 @@
             return not self.sends
         return self.sends < self.work.route.max_attempts
 
+    def may_need_body(self):
+        """Return whether it may be sent once more after the last send."""
+        return routes.may_repeat(self.work.route) or self.has_sends_left()
+
     def record_send(self, connection):
         """Record that it is sent on a connection."""
         self.sends += 1
--- a/landingspool/gateway/upstream.py
+++ b/landingspool/gateway/upstream.py
@@ -327,12 +327,12 @@
         self._error = None
         self._answered_early = False
 
-    def send(self, method, target, headers, body):
+    def send(self, method, target, headers, body, is_last=False):
         """Send a complete request.
 
         From here on nobody can prove that the target did not execute it.
         """
-        self._reader.send(method, target, headers, body)
+        self._reader.send(method, target, headers, body, is_last)
 
     async def read_head(self, is_due):
         """Read the head of the answer, past those to other requests.
--- a/landingspool/http.py
+++ b/landingspool/http.py
@@ -124,12 +124,27 @@
 
 
 class BadRequest(Exception):
-    """Raised for a request that can't be served; has the status to send."""
+    """Raised for a request that can't be served; has the status to send.
 
-    def __init__(self, status, text):
+    Parameters
+    ----------
+    status : int
+    text : str
+    retry_after : float, optional
+        Seconds after which the caller may come again.
+
+    Attributes
+    ----------
+    headers : iterable of tuple of bytes
+        Further headers of the answer.
+    """
+
+    def __init__(self, status, text, retry_after=None):
         super().__init__(text)
         self.status = status
         self.text = text
+        self.retry_after = retry_after
+        self.headers = ()
 
 
 class NoAnswer(Exception):
--- a/landingspool/response_reader.py
+++ b/landingspool/response_reader.py
@@ -9,6 +9,7 @@
 
 import h11
 
+from landingspool import bodies
 from landingspool import framing
 
 # Bytes of all heads of a response, interim ones (1xx) included.
@@ -48,14 +49,28 @@
         self._steps = 0
         self._begin_response()
 
-    def send(self, method, target, headers, body):
-        """Send a complete request."""
+    def send(self, method, target, headers, body, is_last=False):
+        """Send a complete request.
+
+        Parameters
+        ----------
+        body : bytes or bodies.Body
+            A long one is sent no faster than the peer takes it.
+        is_last : bool, optional
+            Whether the body isn't needed again.
+        """
         self._request = (
             h11.Request(method=method, target=target, headers=headers),
+            # The encoder needs to know no more of the body than its length.
             h11.Data(data=body),
             h11.EndOfMessage(),
         )
-        self._connection.write(self._encode_request())
+        head = self._encode_request()
+        if len(body) <= bodies.INLINE_BYTES:
+            self._connection.write(head + bodies.join(body))
+            return
+        self._connection.write(head)
+        self._connection.write_pieces(bodies.list_pieces(body, is_last))
 
     async def next_event(self):
         """Return the next event of the response, past interim heads.
@@ -158,7 +173,13 @@
         self._data_bytes = 0
 
     def _encode_request(self):
-        return b''.join(map(self._codec.send, self._request))
+        """Return the head of the request; the body follows as it is."""
+        parts = []
+        for event in self._request:
+            encoded = self._codec.send_with_data_passthrough(event)
+            if not isinstance(event, h11.Data):
+                parts += encoded
+        return b''.join(parts)
 
     async def _give_turn(self):
         self._steps += 1
--- a/tests/test_endless_requests.py
+++ b/tests/test_endless_requests.py
@@ -6,8 +6,11 @@
 import pytest
 
 from landingspool import connection as connection_module
+from landingspool.decisions.gateway import byte_budget
 from landingspool.decisions.gateway import routes
 from landingspool.gateway import heads
+from landingspool.gateway import intake
+from landingspool.gateway import metrics
 from landingspool import http
 from tests import endless
 from tests.gateway import site
@@ -60,8 +63,14 @@
             header_s=TIMEOUT_S,
             idle_s=TIMEOUT_S,
         )
+        budget = byte_budget.BodyBudget(2 * BODY_BYTES)
+        room = intake.Intake(budget, metrics.Metrics().out_of_room)
         try:
-            while await heads.read_request(connection, limits):
+            while await heads.read_request(
+                connection,
+                limits,
+                lambda request: room.open(connection, lambda: ''),
+            ):
                 pass
         finally:
             connection.reset()
