Bound the buffers of connections, in the process and in the kernel

What callers saw: as before, a process over its memory; what had arrived and was not read counts on the platform.

Change: listening sockets ask for 64 KB in each direction, which connections inherit; connections to targets do so as they open.

--- a/landingspool/connection.py
+++ b/landingspool/connection.py
@@ -16,10 +16,12 @@
 # Value of SO_LINGER: on, with no time to send what is left.
 NO_LINGER = struct.pack('ii', 1, 0)
 # Unread bytes in the buffer above which reading from the socket pauses.
-MAX_UNREAD_BYTES = 256 * 1024
+MAX_UNREAD_BYTES = 32 * 1024
 # Bytes that are read from a socket at once.  All connections share the buffer:
 # what was read is copied before another one reads.
-RECEIVE_BUFFER = memoryview(bytearray(64 * 1024))
+RECEIVE_BUFFER = memoryview(bytearray(32 * 1024))
+# Bytes that the kernel is asked to hold in each direction of a connection.
+KERNEL_BYTES = 64 * 1024
 
 
 class PeerSilent(ConnectionResetError):
@@ -260,3 +262,12 @@
         if self.on_close is not None:
             call, self.on_close = self.on_close, None
             call()
+
+
+def limit_buffers(sock):
+    """Bound what the kernel holds for a socket in each direction.
+
+    Without this the kernel lets the buffers grow to some megabytes.
+    """
+    for option in (socket.SO_RCVBUF, socket.SO_SNDBUF):
+        sock.setsockopt(socket.SOL_SOCKET, option, KERNEL_BYTES)
--- a/landingspool/gateway/listener.py
+++ b/landingspool/gateway/listener.py
@@ -3,6 +3,7 @@
 import asyncio
 import collections
 import functools
+import socket
 import typing
 
 import h11
@@ -119,10 +120,10 @@
     async def start(self, address):
         """Begin to accept connections at a http.Address."""
         loop = asyncio.get_running_loop()
+        sock = open_socket(address)
         self._server = await loop.create_server(
             lambda: connection_module.Connection(self._accept),
-            address.host,
-            address.port,
+            sock=sock,
             backlog=BACKLOG,
         )
 
@@ -387,6 +388,31 @@
             connection.on_close = None
 
 
+def open_socket(address):
+    """Return a socket bound to an address.
+
+    Its connections inherit the sizes of the kernel's buffers.
+
+    Parameters
+    ----------
+    address : http.Address
+
+    Raises
+    ------
+    OSError
+    """
+    family = socket.AF_INET6 if ':' in address.host else socket.AF_INET
+    sock = socket.socket(family, socket.SOCK_STREAM)
+    try:
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        connection_module.limit_buffers(sock)
+        sock.bind(address)
+    except OSError:
+        sock.close()
+        raise
+    return sock
+
+
 async def give_turns():
     """Let the event loop take what waits in the kernel."""
     for _ in range(ACCEPT_TURNS):
--- a/landingspool/gateway/upstream.py
+++ b/landingspool/gateway/upstream.py
@@ -243,7 +243,7 @@
             raise ExchangeError(
                 f'connect: {error!r}', False, silent, refused
             ) from error
-        enable_keepalive(connection)
+        set_options(connection)
         self._metrics.connections.inc()
         return connection
 
@@ -289,9 +289,10 @@
     return repeatable or now - row.since <= MAX_UNREPEATABLE_IDLE_S
 
 
-def enable_keepalive(connection):
-    """Have the kernel probe the peer of a connection."""
+def set_options(connection):
+    """Bound a connection's buffers, and have the kernel probe its peer."""
     sock = connection.get_socket()
+    connection_module.limit_buffers(sock)
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
     tcp = socket.IPPROTO_TCP
     sock.setsockopt(tcp, socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_S)
