Count what lies in the buffers of connections, and bound it

What callers saw: a process over its memory while a few connections sent requests ahead, or many left long answers unread.

Cause: each unread answer kept up to 256 KB held for a repeat, the same again in the bytes that were sent, in the transport's buffer and in that of the target's connection, and nothing counted any of it.

Change: one account of the buffers of all connections (buffers), those of the kernel included while reading or writing is paused, and of the answers that are held. Where it is over its part of the memory, connections whose caller has not read for the longest time are closed, then those that have sent ahead for the longest. Over half of it, 32 KB of an answer are held for a repeat in place of 256. A long answer is sent in pieces and freed on the way. Gauges (held), a counter (out_of_room, by reason) and one log line a second at most (LS808) tell what is held and who went.

--- a/landingspool/connection.py
+++ b/landingspool/connection.py
@@ -13,6 +13,8 @@
 import struct
 import termios
 
+from landingspool import buffers as buffers_module
+
 # Value of SO_LINGER: on, with no time to send what is left.
 NO_LINGER = struct.pack('ii', 1, 0)
 # Unread bytes in the buffer above which reading from the socket pauses.
@@ -22,6 +24,8 @@
 RECEIVE_BUFFER = memoryview(bytearray(32 * 1024))
 # Bytes that the kernel is asked to hold in each direction of a connection.
 KERNEL_BYTES = 64 * 1024
+# Bytes that it holds by then: Linux doubles the size that it is asked for.
+FULL_BYTES = 2 * KERNEL_BYTES
 
 
 class PeerSilent(ConnectionResetError):
@@ -35,6 +39,10 @@
     ----------
     on_connected : callable, optional
         Called with this Connection once it is connected.
+    buffers : buffers.Buffers, optional
+        Counts the bytes that the connection holds.
+    is_callers : bool, optional
+        Whether the connection may be closed for what it holds.
 
     Attributes
     ----------
@@ -44,8 +52,12 @@
         Called once, when `closed` becomes true.
     """
 
-    def __init__(self, on_connected=None):
+    def __init__(self, on_connected=None, buffers=None, is_callers=False):
         self._on_connected = on_connected
+        self._buffers = buffers
+        self._is_callers = is_callers
+        self._held = 0
+        self._is_paused = False
         self._transport = None
         self._buffer = bytearray()
         self._readable = asyncio.Event()
@@ -76,8 +88,11 @@
     def data_received(self, data):
         """Buffer received bytes."""
         self._buffer += data
-        if len(self._buffer) > MAX_UNREAD_BYTES:
+        if len(self._buffer) > MAX_UNREAD_BYTES and not self._is_paused:
+            self._is_paused = True
             self._transport.pause_reading()
+            self._set_wait(buffers_module.SENT_AHEAD, True)
+        self.count_held()
         self._readable.set()
 
     def eof_received(self):
@@ -88,17 +103,20 @@
 
     def connection_lost(self, error):
         """Record the end of the connection (asyncio)."""
-        self._outgoing = None
+        self._drop_outgoing()
         self._mark_closed(error)
         self._writable.set()
 
     def pause_writing(self):
         """Block writers in `drain` (asyncio)."""
         self._writable.clear()
+        self._set_wait(buffers_module.UNREAD, True)
 
     def resume_writing(self):
         """Unblock writers (asyncio)."""
         self._writable.set()
+        self._set_wait(buffers_module.UNREAD, False)
+        self.count_held()
         self._write_outgoing()
 
     @property
@@ -192,11 +210,13 @@
     def push_back(self, data):
         """Put bytes back in front of the unread ones."""
         self._buffer[:0] = data
+        self.count_held()
 
     def write(self, data):
         """Send bytes; they are dropped if the connection is closing."""
         if not self._transport.is_closing():
             self._transport.write(data)
+            self.count_held()
 
     def write_pieces(self, pieces):
         """Send pieces, no faster than the peer takes them.
@@ -227,7 +247,7 @@
 
     def abort(self):
         """Close the connection without waiting for the written bytes."""
-        self._outgoing = None
+        self._drop_outgoing()
         self._transport.abort()
 
     def reset(self):
@@ -238,6 +258,39 @@
             )
         self.abort()
 
+    def count_held(self):
+        """Count the bytes that the connection holds by now."""
+        if self._buffers is None or self.closed:
+            return
+        held = len(self._buffer) + self._transport.get_write_buffer_size()
+        # The kernel's buffer is full, too, or about to be.
+        held += FULL_BYTES * self._is_paused
+        held += FULL_BYTES * (not self._writable.is_set())
+        self._set_held(held)
+
+    def _set_held(self, held):
+        if self._buffers is None or held == self._held:
+            return
+        if not (held and self._held):
+            self._buffers.set_holder(self, bool(held))
+        change, self._held = held - self._held, held
+        self._buffers.change(change)
+
+    def _set_wait(self, reason, waits):
+        if self._buffers is None or not self._is_callers:
+            return
+        if waits:
+            self._buffers.begin_wait(reason, self)
+        else:
+            self._buffers.end_wait(reason, self)
+
+    def _drop_outgoing(self):
+        """Hold nothing more that is to be sent."""
+        self._outgoing = None
+        self._set_wait(buffers_module.UNREAD, False)
+        self._set_wait(buffers_module.SENT_AHEAD, False)
+        self._set_held(0)
+
     def _write_outgoing(self):
         while self._outgoing is not None and self._writable.is_set():
             piece = next(self._outgoing, None)
@@ -249,9 +302,12 @@
     def _take_buffer(self, max_bytes):
         data = bytes(self._buffer[:max_bytes])
         del self._buffer[: len(data)]
-        is_full = len(self._buffer) > MAX_UNREAD_BYTES
-        if not is_full and not self._transport.is_closing():
-            self._transport.resume_reading()
+        if self._is_paused and len(self._buffer) <= MAX_UNREAD_BYTES:
+            self._is_paused = False
+            self._set_wait(buffers_module.SENT_AHEAD, False)
+            if not self._transport.is_closing():
+                self._transport.resume_reading()
+        self.count_held()
         return data
 
     def _mark_closed(self, error):
--- a/landingspool/gateway/attempts.py
+++ b/landingspool/gateway/attempts.py
@@ -404,7 +404,9 @@
         self._exchange.abort()
 
     async def _deliver(self, head):
-        answer = delivery.Delivery(self._state, self._exchange, self)
+        answer = delivery.Delivery(
+            self._state, self._exchange, self, self._hub.buffers
+        )
         return await answer.forward(head)
 
     async def _take_failure(self, head):
--- a/landingspool/gateway/delivery.py
+++ b/landingspool/gateway/delivery.py
@@ -6,6 +6,7 @@
 
 import asyncio
 
+from landingspool import bodies
 from landingspool.decisions.gateway import routes
 from landingspool.gateway import outcomes
 from landingspool.gateway import stream as stream_module
@@ -19,6 +20,8 @@
 # the answer breaks off before that, the request can still be sent again or
 # be answered with an error.
 MAX_HELD_BYTES = 256 * 1024
+# The same while the buffers of connections are short of room.
+SHORT_HELD_BYTES = 32 * 1024
 
 
 class Delivery:
@@ -32,9 +35,12 @@
         Where the answer is read from.
     attempt : attempts.Attempt
         Keeps the accounts of the target and gives up the exchange.
+    buffers : buffers.Buffers
+        Counts the bytes that are held.
     """
 
-    def __init__(self, state, exchange, attempt):
+    def __init__(self, state, exchange, attempt, buffers):
+        self._buffers = buffers
         self._state = state
         self._exchange = exchange
         self._attempt = attempt
@@ -55,12 +61,19 @@
         if self._state.work.route.kind == routes.STREAM:
             return await self._forward_stream(head)
         body = bytearray()
-        while len(body) <= MAX_HELD_BYTES:
-            data = await self._exchange.read_data()
-            if not data:
-                return await self._forward_complete(head, bytes(body))
-            body += data
-        return await self._forward_long(head, bytes(body))
+        try:
+            while len(body) <= self._get_held_limit():
+                data = await self._exchange.read_data()
+                if not data:
+                    return await self._forward_complete(head, body)
+                body += data
+                self._buffers.change(len(data))
+            return await self._forward_long(head, body)
+        finally:
+            self._buffers.change(-len(body))
+
+    def _get_held_limit(self):
+        return SHORT_HELD_BYTES if self._buffers.is_short else MAX_HELD_BYTES
 
     async def _forward_complete(self, head, body):
         self._attempt.record_first()
@@ -73,13 +86,23 @@
         """Forward an answer of which `body` is the beginning."""
         self._attempt.record_first()
         reply = self._state.reply
-        await reply.start(head.status, answers.relay_headers(head), body)
+        rows = answers.relay_headers(head)
+        await reply.start(head.status, rows, self._cut_piece(body))
+        while body:
+            await reply.send_data(self._cut_piece(body))
         while data := await self._exchange.read_data():
             await reply.send_data(data)
         self._attempt.release()
         await reply.finish()
         return outcomes.Done(head.status)
 
+    def _cut_piece(self, body):
+        """Return the first bytes of a body, and hold them no longer."""
+        piece = bytes(body[: bodies.PIECE_BYTES])
+        del body[: len(piece)]
+        self._buffers.change(-len(piece))
+        return piece
+
     async def _forward_stream(self, head):
         stream, attempt = self._open_stream(head), self._attempt
         pause = Pause(self._state.may_send_again())
--- a/landingspool/gateway/hub.py
+++ b/landingspool/gateway/hub.py
@@ -6,6 +6,7 @@
 import traceback
 
 from landingspool import boot_clock
+from landingspool import buffers
 from landingspool.decisions.gateway import byte_budget
 from landingspool.decisions.gateway import routes
 from landingspool.decisions.gateway import stalls
@@ -110,16 +111,21 @@
         self.store = store.Store(self.client, deployment.store, self.clock)
         self.target_notices = target_notices.TargetNotices(self)
         self.runners = runners.Runners(self.client, self.target_notices)
-        self.upstream = upstream.Upstream(self.metrics, self.clock)
-        max_connections = max(
-            deployment.descriptors - RESERVED_DESCRIPTORS, MIN_CONNECTIONS
-        )
-        tally = closings.Tally(self.recorder, self.metrics)
         parts = byte_budget.divide(deployment.memory_bytes)
         self.intake = intake.Intake(
             byte_budget.BodyBudget(parts.body_bytes),
             self.metrics.out_of_room,
         )
+        self.buffers = buffers.Buffers(
+            parts.buffer_bytes, self.metrics.out_of_room
+        )
+        self.upstream = upstream.Upstream(
+            self.metrics, self.clock, self.buffers
+        )
+        max_connections = max(
+            deployment.descriptors - RESERVED_DESCRIPTORS, MIN_CONNECTIONS
+        )
+        tally = closings.Tally(self.recorder, self.metrics)
         self.listener = listener.Listener(
             self._handle,
             self._get_limits,
@@ -130,6 +136,7 @@
             deployment.bounds.table_s,
             self.supervisor.make_reporter('connections'),
             self._open_lease,
+            self.buffers,
         )
         # For requests of peers that can't reach the targets.
         self.forward_listener = listener.Listener(
@@ -142,6 +149,7 @@
             deployment.bounds.table_s,
             self.supervisor.make_reporter('connections'),
             self._open_forwarded_lease,
+            self.buffers,
         )
         self._takes_forwarded = False
         # Readiness for the balancer and metrics for engineers are at two
@@ -378,12 +386,7 @@
             exclusions.evacuation.describe(tick.now),
             self.view.engine_split.is_on,
         )
-        self.metrics.record_room(self.intake)
-        refused = self.intake.take_refusals()
-        if refused:
-            self.recorder.record(
-                'out_of_room', held=self.intake.used_bytes, **refused
-            )
+        self._record_room()
         self.metrics.record_workspaces(
             self.view.fair_admission.count_over(tick.now)
         )
@@ -393,6 +396,21 @@
         for change in self.view.profiles.take_changes():
             self.recorder.record('speed_changed', **change._asdict())
 
+    def _record_room(self):
+        """Report what callers make this box hold, and who had no room."""
+        self.buffers.refresh()
+        held = {
+            'bodies': self.intake.used_bytes,
+            'buffers': self.buffers.used_bytes,
+            'connections': self.listener.count_open(),
+        }
+        self.metrics.record_room(held)
+        turned_away = self.intake.take_refusals() + self.buffers.take_closed()
+        if turned_away:
+            self.recorder.record(
+                'out_of_room', held=held, turned_away=dict(turned_away)
+            )
+
     def _log_metrics(self, tick):
         speeds = self.view.profiles.describe()
         self.metrics.record_speeds(speeds)
--- a/landingspool/gateway/listener.py
+++ b/landingspool/gateway/listener.py
@@ -72,6 +72,8 @@
     open_lease : callable
         ``open_lease(connection, request)`` returns the intake.Lease of a
         request whose head has come.
+    buffers : buffers.Buffers
+        Counts the bytes that connections hold.
 
     Attributes
     ----------
@@ -92,9 +94,11 @@
         margin_s=0.0,
         on_error=http.raise_to_loop,
         open_lease=None,
+        buffers=None,
     ):
         self._handle = handle
         self._open_lease = open_lease
+        self._buffers = buffers
         self._get_limits = get_limits
         self._max_connections = max_connections
         self._on_unanswered = on_unanswered
@@ -122,7 +126,9 @@
         loop = asyncio.get_running_loop()
         sock = open_socket(address)
         self._server = await loop.create_server(
-            lambda: connection_module.Connection(self._accept),
+            lambda: connection_module.Connection(
+                self._accept, self._buffers, True
+            ),
             sock=sock,
             backlog=BACKLOG,
         )
--- a/landingspool/gateway/metrics.py
+++ b/landingspool/gateway/metrics.py
@@ -60,8 +60,10 @@
             'Requests refused, or connections closed, for lack of memory',
             ('reason',),
         )
-        self.held_bytes = self._make_gauge(
-            'held_bytes', 'What callers make this box hold', ('kind',)
+        self.held = self._make_gauge(
+            'held',
+            'What callers make this box hold: bytes, or connections',
+            ('kind',),
         )
         self.log_rollbacks = self._make_counter(
             'log_rollbacks',
@@ -201,14 +203,16 @@
         if first_s is not None:
             self.first.observe(first_s)
 
-    def record_room(self, intake):
-        """Record what bodies take.
+    def record_room(self, held):
+        """Record what callers make this box hold.
 
         Parameters
         ----------
-        intake : intake.Intake
+        held : dict of str to int
+            By kind.
         """
-        self.held_bytes.labels('bodies').set(intake.used_bytes)
+        for kind, size in held.items():
+            self.held.labels(kind).set(size)
 
     def record_forward(self, outcome):
         """Count an attempt to have another box serve a request."""
--- a/landingspool/gateway/replies.py
+++ b/landingspool/gateway/replies.py
@@ -5,6 +5,7 @@
 
 import h11
 
+from landingspool import bodies
 from landingspool import timeouts
 
 # Seconds for which the rest of a request that is refused is read and dropped.
@@ -68,9 +69,14 @@
         framed = [*headers, (b'content-length', str(len(body)).encode())]
         data = self._begin(status, framed)
         if self._method != b'HEAD':
-            data += self._codec.send(h11.Data(data=body))
+            # A caller that doesn't read keeps only a piece in the buffers.
+            for piece in bodies.cut(body, len(body)):
+                data += self._codec.send(h11.Data(data=piece))
+                await self._write(data)
+                data = b''
         data += self._codec.send(h11.EndOfMessage())
-        await self._write(data)
+        if data:
+            await self._write(data)
 
     async def send_error(self, status, reason, retry_after=None, extra=()):
         """Send an error of this box as JSON.
--- a/landingspool/gateway/upstream.py
+++ b/landingspool/gateway/upstream.py
@@ -8,6 +8,7 @@
 import asyncio
 import collections
 import enum
+import functools
 import socket
 import typing
 
@@ -101,10 +102,15 @@
         Counts new connections; anything with ``connections.inc()``.
     clock : callable, optional
         Returns the boot-time clock, seconds.
+    buffers : buffers.Buffers, optional
+        Counts the bytes that connections hold.
     """
 
-    def __init__(self, metrics, clock=boot_clock.read):
+    def __init__(self, metrics, clock=boot_clock.read, buffers=None):
         self._metrics = metrics
+        self._make_connection = functools.partial(
+            connection_module.Connection, buffers=buffers
+        )
         self._clock = clock
         self._idle = collections.defaultdict(collections.deque)
 
@@ -235,7 +241,7 @@
         try:
             async with timeouts.Timeout(CONNECT_TIMEOUT_S):
                 _, connection = await loop.create_connection(
-                    connection_module.Connection, *address
+                    self._make_connection, *address
                 )
         except (OSError, TimeoutError) as error:
             silent = isinstance(error, TimeoutError)
