Connections of callers leave descriptors, and those that stop give way

What callers saw: 408 for nearly all ordinary requests while others held heads that stopped short; 517 descriptors of 400 as 500 connections came at once.

Cause: 256 connections were accepted however few descriptors there are; the event loop accepts as many at once as the backlog has, 512, before any is judged; and only connections at rest gave way to new ones.

Change: half of the descriptors are kept for targets, store and boxes where there are fewer than 2,400 (above that 1,200, as before). 16 connections are accepted in a turn, the others wait in the kernel. Where all places are taken, a connection that has stopped within a request, with nothing received for 0.1 s, gives way like one at rest: it gets 408 and has not run.

--- a/landingspool/connection.py
+++ b/landingspool/connection.py
@@ -8,6 +8,7 @@
 import array
 import asyncio
 import fcntl
+import math
 import select
 import socket
 import struct
@@ -58,6 +59,7 @@
         self._is_callers = is_callers
         self._held = 0
         self._is_paused = False
+        self._received_at = -math.inf
         self._transport = None
         self._buffer = bytearray()
         self._readable = asyncio.Event()
@@ -87,6 +89,7 @@
 
     def data_received(self, data):
         """Buffer received bytes."""
+        self._received_at = asyncio.get_running_loop().time()
         self._buffer += data
         if len(self._buffer) > MAX_UNREAD_BYTES and not self._is_paused:
             self._is_paused = True
@@ -207,6 +210,16 @@
             return False
         return not poll.poll(0)
 
+    def has_stopped(self, since):
+        """Return whether it is at rest, and has received nothing since then.
+
+        Parameters
+        ----------
+        since : float
+            Seconds of the event loop's clock.
+        """
+        return self._received_at <= since and self.is_at_rest
+
     def push_back(self, data):
         """Put bytes back in front of the unread ones."""
         self._buffer[:0] = data
--- a/landingspool/gateway/hub.py
+++ b/landingspool/gateway/hub.py
@@ -62,10 +62,10 @@
 STOP_NOTICE_S = 2.6
 # Seconds before the platform kills the process at which it exits by itself.
 EXIT_MARGIN_S = 0.8
-# File descriptors reserved for connections to targets, store and boxes.
+# File descriptors reserved for connections to targets, store and boxes, and
+# the most of all that are reserved.
 RESERVED_DESCRIPTORS = 1200
-# Callers' connections that are accepted even if descriptors are scarce.
-MIN_CONNECTIONS = 256
+MAX_RESERVED_SHARE = 1 / 2
 # Bytes by which the head of a forwarded request may exceed that of a caller's.
 FORWARDED_HEADER_BYTES = 2048
 # Innermost stack frames in the log line of a fault.
@@ -122,9 +122,7 @@
         self.upstream = upstream.Upstream(
             self.metrics, self.clock, self.buffers
         )
-        max_connections = max(
-            deployment.descriptors - RESERVED_DESCRIPTORS, MIN_CONNECTIONS
-        )
+        max_connections = count_places(deployment.descriptors)
         tally = closings.Tally(self.recorder, self.metrics)
         self.listener = listener.Listener(
             self._handle,
@@ -535,3 +533,18 @@
         request.target.decode('latin-1'),
         forwarded_rows.strip(request.headers),
     )
+
+
+def count_places(descriptors):
+    """Return the connections of callers that a box accepts.
+
+    Parameters
+    ----------
+    descriptors : int
+        File descriptors that the process may use.
+
+    >>> [count_places(number) for number in (200, 1024, 3900)]
+    [100, 512, 2700]
+    """
+    reserved = min(RESERVED_DESCRIPTORS, int(descriptors * MAX_RESERVED_SHARE))
+    return descriptors - reserved
--- a/landingspool/gateway/listener.py
+++ b/landingspool/gateway/listener.py
@@ -3,6 +3,7 @@
 import asyncio
 import collections
 import functools
+import itertools
 import socket
 import typing
 
@@ -15,8 +16,13 @@
 from landingspool.gateway import replies
 from landingspool import http
 
+# New connections that wait in the kernel, and those that are accepted in one
+# turn of the event loop, before any of them is judged.
 BACKLOG = 512
-# Seconds after which a connection without a request may be closed for a new
+ACCEPT_BURST = 16
+# Connections that are looked at for one that may give way to a new one.
+MAX_LOOKS = 16
+# Seconds after which a connection that brings nothing may be closed for a new
 # one: a caller's first request arrives a round trip after its connection.
 MIN_SILENCE_S = 0.1
 # Turns of the event loop in which it accepts a waiting connection and reads
@@ -117,6 +123,8 @@
         # first one of their connection, and for a further one.
         self._unused = collections.OrderedDict()
         self._kept = collections.OrderedDict()
+        # Tasks that receive a request, the longest first.
+        self._receiving = collections.OrderedDict()
         self._closing = False
         self.stopping = False
         self.displaced = 0
@@ -130,8 +138,10 @@
                 self._accept, self._buffers, True
             ),
             sock=sock,
-            backlog=BACKLOG,
+            backlog=ACCEPT_BURST,
         )
+        # The event loop accepts as many at once as it has told the kernel.
+        sock.listen(BACKLOG)
 
     def stop(self):
         """Close each connection after its next answer from now on."""
@@ -223,14 +233,15 @@
     def _displace(self):
         """Close the connection that has waited longest; False if none has.
 
-        One that never brought a request goes first.
+        One that never brought a request goes first, and one that has stopped
+        within a request last: it is incomplete and was not handled.
         """
         latest = asyncio.get_running_loop().time() - MIN_SILENCE_S
-        for rows in (self._unused, self._kept):
-            for task, row in rows.items():
+        for rows in (self._unused, self._kept, self._receiving):
+            for task, row in itertools.islice(rows.items(), MAX_LOOKS):
                 if row.since > latest:
                     break
-                if row.connection.is_at_rest:
+                if row.connection.has_stopped(latest):
                     self.displaced += 1
                     self._end(task, row.connection, closings.Reason.DISPLACED)
                     return True
@@ -239,6 +250,7 @@
     def _end_wait(self, task):
         self._unused.pop(task, None)
         self._kept.pop(task, None)
+        self._receiving.pop(task, None)
 
     def _forget(self, task):
         self._busy.discard(task)
@@ -297,6 +309,7 @@
         use.record_request(self._measure_wait(task))
         self._busy.add(task)
         self._end_wait(task)
+        self._receiving[task] = self._begin_wait(connection)
         limits = self._get_limits()
         try:
             read = await heads.read_request(
@@ -315,6 +328,7 @@
             return closings.Reason.UNREADABLE
         if read is None:
             return closings.Reason.CALLER
+        self._end_wait(task)
         codec, request, body = read
         try:
             return await self._serve_request(
