The other servers of a box bound their connections and bodies

What callers saw: the same crowd at the addresses for readiness, control and metrics, or at the own interface, ended the process or took its descriptors.

Cause: http.Server took any number of connections, accepted a backlog of 100 at once, read bodies of 8 MB each whole, and the kernel's buffers grew.

Change: a server has a number of connections (1,024; readiness and metrics 32; control a quarter of the descriptors, 1,024 at most). A further one takes the place of the oldest that has no request in hand, so that the balancer always gets its answer. All bodies together have a bound (64 MB; control 4 MB), over which a request gets 503, not run, with Retry-After; a length over the limit is refused by the head. What a refused peer still sends is dropped for a second. Sockets are opened in one place (listening), which the gateway's listener uses.

--- a/landingspool/gateway/hub.py
+++ b/landingspool/gateway/hub.py
@@ -70,6 +70,10 @@
 FORWARDED_HEADER_BYTES = 2048
 # Innermost stack frames in the log line of a fault.
 TRACE_FRAMES = 6
+# Bytes of a body at the addresses for readiness and metrics, where none is
+# needed, and their connections.
+SIDE_BODY_BYTES = 4096
+SIDE_CONNECTIONS = 32
 # Limits for callers' requests before a table is known.
 DEFAULT_LIMITS = routes.Limits()
 
@@ -154,11 +158,15 @@
         # addresses.
         self._readiness_server = http.Server(
             self._answer_side_request,
-            on_error=self.supervisor.make_reporter('side_requests'),
+            SIDE_BODY_BYTES,
+            self.supervisor.make_reporter('side_requests'),
+            SIDE_CONNECTIONS,
         )
         self._metrics_server = http.Server(
             self._answer_side_request,
-            on_error=self.supervisor.make_reporter('side_requests'),
+            SIDE_BODY_BYTES,
+            self.supervisor.make_reporter('side_requests'),
+            SIDE_CONNECTIONS,
         )
         self.rollbacks = rollbacks.Rollbacks(self)
         self.state = state.State(self)
--- a/landingspool/gateway/listener.py
+++ b/landingspool/gateway/listener.py
@@ -4,7 +4,6 @@
 import collections
 import functools
 import itertools
-import socket
 import typing
 
 import h11
@@ -15,11 +14,8 @@
 from landingspool.gateway import persistence
 from landingspool.gateway import replies
 from landingspool import http
+from landingspool import listening
 
-# New connections that wait in the kernel, and those that are accepted in one
-# turn of the event loop, before any of them is judged.
-BACKLOG = 512
-ACCEPT_BURST = 16
 # Connections that are looked at for one that may give way to a new one.
 MAX_LOOKS = 16
 # Seconds after which a connection that brings nothing may be closed for a new
@@ -132,16 +128,13 @@
     async def start(self, address):
         """Begin to accept connections at a http.Address."""
         loop = asyncio.get_running_loop()
-        sock = open_socket(address)
-        self._server = await loop.create_server(
-            lambda: connection_module.Connection(
-                self._accept, self._buffers, True
-            ),
-            sock=sock,
-            backlog=ACCEPT_BURST,
+        self._server = await listening.listen(
+            listening.open_socket(*address),
+            functools.partial(loop.create_server, self._make_connection),
         )
-        # The event loop accepts as many at once as it has told the kernel.
-        sock.listen(BACKLOG)
+
+    def _make_connection(self):
+        return connection_module.Connection(self._accept, self._buffers, True)
 
     def stop(self):
         """Close each connection after its next answer from now on."""
@@ -408,31 +401,6 @@
             connection.on_close = None
 
 
-def open_socket(address):
-    """Return a socket bound to an address.
-
-    Its connections inherit the sizes of the kernel's buffers.
-
-    Parameters
-    ----------
-    address : http.Address
-
-    Raises
-    ------
-    OSError
-    """
-    family = socket.AF_INET6 if ':' in address.host else socket.AF_INET
-    sock = socket.socket(family, socket.SOCK_STREAM)
-    try:
-        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        connection_module.limit_buffers(sock)
-        sock.bind(address)
-    except OSError:
-        sock.close()
-        raise
-    return sock
-
-
 async def give_turns():
     """Let the event loop take what waits in the kernel."""
     for _ in range(ACCEPT_TURNS):
--- a/landingspool/gateway/peering.py
+++ b/landingspool/gateway/peering.py
@@ -54,6 +54,12 @@
 # Seconds for which a starting box waits for the list of the other boxes.  If
 # the store has not answered by then, the box reads all topics from the store.
 LIST_TIMEOUT_S = 1.2
+# Largest body of a request of a peer, bytes, and of all together.
+MAX_BODY_BYTES = 1024 * 1024
+MAX_HELD_BYTES = 4 * MAX_BODY_BYTES
+# Connections of peers: at most so many, and this share of all descriptors.
+MAX_CONNECTIONS = 1024
+CONNECTION_SHARE = 1 / 4
 # Time-out for a peer's state, seconds.
 FETCH_TIMEOUT_S = 1.0
 
@@ -96,7 +102,12 @@
         )
         self._server = http.Server(
             peer_requests.PeerRequests(hub).answer,
-            on_error=hub.supervisor.make_reporter('peer_requests'),
+            MAX_BODY_BYTES,
+            hub.supervisor.make_reporter('peer_requests'),
+            min(
+                MAX_CONNECTIONS, int(deployment.descriptors * CONNECTION_SHARE)
+            ),
+            MAX_HELD_BYTES,
         )
 
     async def start(self):
--- a/landingspool/http.py
+++ b/landingspool/http.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import contextlib
+import functools
 import ipaddress
 import json
 import re
@@ -18,11 +19,17 @@
 from landingspool import connection
 from landingspool import framing
 from landingspool import keep_alive
+from landingspool import listening
 from landingspool import timeouts
 from landingspool import verdict
 
 MAX_HEADER_BYTES = 16 * 1024
 MAX_BODY_BYTES = 8 * 1024 * 1024
+# Connections of a server, and bytes of bodies that all of them may hold.
+MAX_CONNECTIONS = 1024
+MAX_HELD_BYTES = 64 * 1024 * 1024
+# Seconds after which a request comes again that found no room.
+NO_ROOM_RETRY_AFTER_S = 1.0
 READ_BYTES = 64 * 1024
 # Turns of the event loop in which it reads what has arrived.
 READ_TURNS = 5
@@ -31,6 +38,8 @@
 HEADER_TIMEOUT_S = 10.0
 BODY_TIMEOUT_S = 20.0
 IDLE_TIMEOUT_S = 60.0
+# Seconds for which the rest of a request that is refused is dropped.
+DISCARD_S = 1.0
 # Seconds for which a connection at rest is kept, as each answer announces:
 # less than the time-out, since a request sent at the end has to arrive.
 ANNOUNCED_S = 58
@@ -311,23 +320,44 @@
         ``async handle(request, exchange)``; must send one answer.
     max_body : int, optional
         Size limit of a request's body, in bytes.
+    max_connections : int, optional
+        A further one takes the place of the oldest that has no request in
+        hand, and is closed if there is none.
+    max_held : int, optional
+        Size limit of the bodies of all requests together, in bytes.
     on_error : callable, optional
         ``on_error(exception)`` if the handling of a request fails.  Without
         it the event loop's handler of exceptions gets the error.
     """
 
-    def __init__(self, handle, max_body=MAX_BODY_BYTES, on_error=None):
+    def __init__(
+        self,
+        handle,
+        max_body=MAX_BODY_BYTES,
+        on_error=None,
+        max_connections=MAX_CONNECTIONS,
+        max_held=MAX_HELD_BYTES,
+    ):
         self._handle = handle
         self._max_body = max_body
+        self._max_connections = max_connections
+        self._max_held = max_held
         self._on_error = on_error or raise_to_loop
         self._server = None
-        self._tasks = set()
+        # The tasks of all connections, the oldest first, each with the bytes
+        # of the body that it holds.
+        self._tasks = {}
         self._idle = set()
+        self._handling = set()
+        self._held = 0
 
     async def start(self, host, port):
         """Listen and return the Address in use; port 0 takes a free port."""
-        self._server = await asyncio.start_server(
-            self._serve, host, port, limit=READ_BYTES
+        self._server = await listening.listen(
+            listening.open_socket(host, port),
+            functools.partial(
+                asyncio.start_server, self._serve, limit=READ_BYTES
+            ),
         )
         bound = self._server.sockets[0].getsockname()
         return Address(bound[0], bound[1])
@@ -346,22 +376,59 @@
         for task in list(self._idle):
             task.cancel()
         if self._tasks:
-            await asyncio.wait(self._tasks, timeout=grace_s)
+            await asyncio.wait(list(self._tasks), timeout=grace_s)
         for task in list(self._tasks):
             task.cancel()
 
     async def _serve(self, reader, writer):
         task = asyncio.current_task()
-        self._tasks.add(task)
+        if len(self._tasks) >= self._max_connections and not self._displace():
+            writer.transport.abort()
+            return
+        self._tasks[task] = 0
         try:
             await self._serve_connection(task, reader, writer)
         except (OSError, asyncio.CancelledError, h11.ProtocolError):
             pass
         finally:
-            self._tasks.discard(task)
+            self._free(task)
+            self._tasks.pop(task, None)
             self._idle.discard(task)
             writer.close()
 
+    def _displace(self):
+        """End the oldest connection that has no request in hand, if any.
+
+        One that waits for a request goes before one that receives it.
+        """
+        waiting = [task for task in self._tasks if task not in self._handling]
+        if not waiting:
+            return False
+        task = min(waiting, key=lambda task: task not in self._idle)
+        self._free(task)
+        del self._tasks[task]
+        task.cancel()
+        return True
+
+    def _take(self, task, size):
+        """Count bytes of a body that a task holds.
+
+        Raises
+        ------
+        BadRequest
+            If all bodies together hold too much.
+        """
+        if self._held + size > self._max_held:
+            raise BadRequest(503, 'no memory', NO_ROOM_RETRY_AFTER_S)
+        self._held += size
+        self._tasks[task] += size
+
+    def _free(self, task):
+        """Count the body of a task no longer."""
+        self._held -= self._tasks.get(task, 0)
+        if task in self._tasks:
+            self._tasks[task] = 0
+
     async def _serve_connection(self, task, reader, writer):
         conn = h11.Connection(h11.SERVER, MAX_HEADER_BYTES)
         meter = framing.Meter()
@@ -373,10 +440,13 @@
                 if request is None:
                     return
                 exchange.has_body = request.method != 'HEAD'
+                self._handling.add(task)
                 if not await self._handle_request(request, exchange):
                     return
             except BadRequest as error:
+                self._free(task)
                 await answer_bad_request(exchange, error)
+                await discard_rest(reader, writer, self._max_body)
                 return
             except (OSError, h11.ProtocolError):
                 raise
@@ -386,6 +456,9 @@
                 refusal = BadRequest(500, 'a fault of landingspool itself')
                 await answer_bad_request(exchange, refusal)
                 return
+            finally:
+                self._handling.discard(task)
+                self._free(task)
             if conn.our_state is not h11.DONE:
                 return
             if conn.their_state is not h11.DONE:
@@ -432,6 +505,8 @@
         )
         if not isinstance(head, h11.Request):
             return None
+        if int(dict(head.headers).get(b'content-length', 0)) > self._max_body:
+            raise self._make_too_long()
         body = bytearray()
         deadline = asyncio.get_running_loop().time() + BODY_TIMEOUT_S
         while True:
@@ -441,11 +516,15 @@
                 break
             if not isinstance(event, h11.Data):
                 raise BadRequest(400, 'the request ended too early')
+            if len(body) + len(event.data) > self._max_body:
+                raise self._make_too_long()
+            self._take(task, len(event.data))
             body += event.data
-            if len(body) > self._max_body:
-                raise BadRequest(413, f'body over {self._max_body} bytes')
         return make_request(head, bytes(body))
 
+    def _make_too_long(self):
+        return BadRequest(413, f'body over {self._max_body} bytes')
+
 
 def raise_to_loop(error):
     """Report an error to the event loop's handler of exceptions."""
@@ -501,6 +580,8 @@
         }
     }
     headers = [('connection', 'close'), ('x-verdict', 'not_run')]
+    if error.retry_after is not None:
+        headers.append(('retry-after', f'{error.retry_after:.2f}'))
     if exchange.started:
         exchange.abort()
         return
@@ -510,6 +591,20 @@
         exchange.abort()
 
 
+async def discard_rest(reader, writer, max_bytes):
+    """Drop what a refused peer still sends, up to a limit and for some time.
+
+    A close with unread bytes is a reset, which can take the refusal from it.
+    """
+    if writer.transport.is_closing() or not writer.can_write_eof():
+        return
+    writer.write_eof()
+    with contextlib.suppress(TimeoutError, OSError):
+        async with timeouts.Timeout(DISCARD_S):
+            while max_bytes > 0 and (data := await reader.read(READ_BYTES)):
+                max_bytes -= len(data)
+
+
 async def read_event(conn, reader, meter, timeout, idle=None, task=None):
     """Read the next h11 event.
 
