A status that HTTP doesn't know is no answer

What callers saw, on other systems: an answer whose status was 000. Here 000, 001, 099 and what isn't three digits never reached a caller, on any path. 600 and 999 did: they were passed on as they came.

Cause: the parser takes every number up to 999, while HTTP knows 100 to 599 (RFC 9110, 15).

Change: the reader that all paths share (targets, streams, other boxes, stores, calls) takes a higher status as it takes any bytes that are no answer: a failure of the target, by which the request may have run. A safe request is tried at another target; others get 502. A status of a known class that no registry names is passed on unchanged.

--- a/landingspool/response_reader.py
+++ b/landingspool/response_reader.py
@@ -15,6 +15,8 @@
 # Bytes of all heads of a response, interim ones (1xx) included.
 MAX_HEAD_BYTES = 32 * 1024
 MAX_INTERIM_HEADS = 16
+# The highest status that HTTP knows (RFC 9110, 15); the parser knows more.
+MAX_STATUS = 599
 # Bytes given to the parser at once.
 PIECE_BYTES = 64 * 1024
 # Steps (events parsed, pieces taken) after which other tasks may run.
@@ -218,6 +220,8 @@
 
     def _count(self, event):
         if isinstance(event, h11.Response):
+            if event.status_code > MAX_STATUS:
+                raise ResponseError(f'status {event.status_code}')
             self._has_head = True
         elif isinstance(event, h11.Data):
             self._data_bytes += len(event.data)
