A setting for what callers may make a box hold

What was missing: the room for bodies and buffers follows from the machine's memory alone, with an estimate of what the process has at rest.

Change: limits.caller_mb in the settings overrides it (two thirds for bodies, one for buffers); a value that is no number of 0 or more is a wrong setting. Bodies of less than 16 KB are not followed for their progress: they are too small to give way for anybody, and the books cost time with each request.

Evidence: test_boot has four values.

--- a/landingspool/decisions/gateway/byte_budget.py
+++ b/landingspool/decisions/gateway/byte_budget.py
@@ -30,14 +30,24 @@
     buffer_bytes: int
 
 
-def divide(memory_bytes):
+def divide(memory_bytes, caller_bytes=None):
     """Return the Parts of a process that may use this memory.
 
+    Parameters
+    ----------
+    memory_bytes : int
+    caller_bytes : int, optional
+        What callers can make it hold, if the settings say so.
+
     >>> sizes = (mb * MEGABYTE for mb in (48, 150, 4096))
     >>> [divide(size).body_bytes // MEGABYTE for size in sizes]
     [3, 53, 2026]
+    >>> divide(150 * MEGABYTE, caller_bytes=30 * MEGABYTE)
+    Parts(body_bytes=20971520, buffer_bytes=10485760)
     """
     left = max(memory_bytes - REST_BYTES, int(memory_bytes * MIN_SHARE))
+    if caller_bytes is not None:
+        left = caller_bytes / (BODY_SHARE + BUFFER_SHARE)
     return Parts(int(left * BODY_SHARE), int(left * BUFFER_SHARE))
 
 
--- a/landingspool/gateway/deployment.py
+++ b/landingspool/gateway/deployment.py
@@ -74,6 +74,8 @@
     bounds : Bounds
     memory_bytes : int
         Memory that the process may use.
+    caller_bytes : int or None
+        What callers can make the process hold; None: a part of its memory.
     descriptors : int
         File descriptors that the process may use.
     link_mbps : float
@@ -101,3 +103,4 @@
     first_start: bool = False
     regions: dict = {}
     forwarding: http.Address | None = None
+    caller_bytes: int | None = None
--- a/landingspool/gateway/intake.py
+++ b/landingspool/gateway/intake.py
@@ -17,7 +17,8 @@
 STALLED = 'stalled'
 # Bytes that a body of unknown length takes at once: it is no large one yet.
 GRAIN_BYTES = 32 * 1024
-# A body that brings fewer bytes in this time, seconds, may give way.
+# A body that brings fewer bytes in this time, seconds, may give way; those of
+# fewer bytes are too small for that.
 PROGRESS_BYTES = 16 * 1024
 PROGRESS_S = 0.5
 # Time in which a body that gives way returns its room, seconds.
@@ -106,7 +107,8 @@
         """
         if not self._budget.take(lease.owner, lease.held, size):
             await self._wait_for_room(lease, size)
-        self._record(lease)
+        if lease.held + size >= PROGRESS_BYTES:
+            self._record(lease)
 
     def move(self, lease, owner):
         """Let what a lease holds count for its owner."""
--- a/landingspool/platform/boot.py
+++ b/landingspool/platform/boot.py
@@ -61,6 +61,9 @@
     links = None
     if reader.find('listen.control') is not None:
         links = reader.address('listen.control')
+    caller_bytes = None
+    if reader.find('limits.caller_mb') is not None:
+        caller_bytes = int(reader.number('limits.caller_mb', 0) * MEGABYTE)
     seeds = reader.find('seeds') or ()
     loaded = deployment.Deployment(
         box=reader.text('node'),
@@ -78,6 +81,7 @@
         first_start=reader.flag('bootstrap', False),
         regions=reader.texts('zones'),
         forwarding=find_forwarding_address(reader),
+        caller_bytes=caller_bytes,
     )
     return (None if reader.errors else loaded), reader.errors
 
--- a/tests/gateway/test_boot.py
+++ b/tests/gateway/test_boot.py
@@ -34,6 +34,19 @@
     assert place.bounds.lease_s == 2.0
     assert place.bounds.version_s == 9.0
     assert not place.bounds.contended
+    assert place.caller_bytes is None
+
+
+@pytest.mark.parametrize(
+    ('value', 'size', 'wrong'),
+    [(2, 2 << 20, 0), (0.5, 1 << 19, 0), (-1, 0, 1), ('all', 0, 1)],
+)
+def test_settings_may_say_what_callers_make_a_box_hold(value, size, wrong):
+    table = {**SETTINGS, 'limits': {'caller_mb': value}}
+    place, errors = boot.read(table, 'f')
+    assert len(errors) == wrong
+    if not wrong:
+        assert place.caller_bytes == size
 
 
 def test_callers_compete_for_room_where_the_contracts_say_so():
