Split the HTTP server from its types, and the room of callers from the hub

Change: http.py keeps the types that clients and servers share, http_server.py has the server. caller_room.py judges heads, opens leases and reports what is held; the hub keeps one part in the place of two. New tests: a box without room leaves a forwarded request to another one; the setting for the room of callers is used.

--- a/landingspool/callers/server.py
+++ b/landingspool/callers/server.py
@@ -17,6 +17,7 @@
 from landingspool.decisions import messages
 from landingspool.decisions import retries
 from landingspool import http
+from landingspool import http_server
 from landingspool.ledger import claimer
 from landingspool.targets import client as targets
 from landingspool import verdict
@@ -32,7 +33,7 @@
 
     Parameters
     ----------
-    exchange : http.Exchange
+    exchange : http_server.Exchange
     parsed : parsing.ParsedRequest
     request : str
         Request identity that the caller sees.
@@ -142,7 +143,7 @@
         handler = ROUTES.get((request.method, request.path))
         if handler is None:
             fault = http.BadRequest(404, 'no such route')
-            await http.answer_bad_request(exchange, fault)
+            await http_server.answer_bad_request(exchange, fault)
             return
         await handler(self, request, exchange)
 
--- a/landingspool/daemon.py
+++ b/landingspool/daemon.py
@@ -12,7 +12,7 @@
 from landingspool import box as box_module
 from landingspool.boxes import link
 from landingspool import events
-from landingspool import http
+from landingspool import http_server
 from landingspool import httpclient
 from landingspool import settings as settings_module
 
@@ -37,12 +37,12 @@
         environment = box_module.Environment(self.client)
         self.box = box_module.Box(settings, incarnation, environment)
         self.links = self._make_links()
-        self.caller_server = http.Server(
+        self.caller_server = http_server.Server(
             self.box.serving.handle,
             settings.callers.max_body_bytes,
             self.box.supervisor.make_reporter('caller_requests'),
         )
-        self.operator_server = http.Server(
+        self.operator_server = http_server.Server(
             self.box.operating.handle,
             on_error=self.box.supervisor.make_reporter('operator_requests'),
         )
--- a/landingspool/gateway/attempts.py
+++ b/landingspool/gateway/attempts.py
@@ -405,7 +405,7 @@
 
     async def _deliver(self, head):
         answer = delivery.Delivery(
-            self._state, self._exchange, self, self._hub.buffers
+            self._state, self._exchange, self, self._hub.room.buffers
         )
         return await answer.forward(head)
 
--- a/landingspool/gateway/forwarded_rows.py
+++ b/landingspool/gateway/forwarded_rows.py
@@ -175,3 +175,21 @@
     [(b'host', b'h')]
     """
     return [row for row in headers if not row[0].startswith(PREFIX)]
+
+
+def read_call(request):
+    """Decode the head of a request, without the headers of boxes.
+
+    Parameters
+    ----------
+    request : h11.Request
+
+    Returns
+    -------
+    ingress.Call
+    """
+    return ingress.read_call(
+        request.method.decode('latin-1'),
+        request.target.decode('latin-1'),
+        strip(request.headers),
+    )
--- a/landingspool/gateway/hub.py
+++ b/landingspool/gateway/hub.py
@@ -1,19 +1,17 @@
 """Create, connect, run and stop all parts of one gateway box."""
 
 import asyncio
-import functools
 import time
 import traceback
 
 from landingspool import boot_clock
-from landingspool import buffers
-from landingspool.decisions.gateway import byte_budget
 from landingspool.decisions.gateway import routes
 from landingspool.decisions.gateway import stalls
 from landingspool.decisions.gateway import view as view_module
 from landingspool import events
 from landingspool.gateway import admission_gate
 from landingspool.gateway import cache_follower
+from landingspool.gateway import caller_room
 from landingspool.gateway import closings
 from landingspool.gateway import continuity
 from landingspool.gateway import crash_records
@@ -21,7 +19,6 @@
 from landingspool.gateway import following
 from landingspool.gateway import forwarded_rows
 from landingspool.gateway import forwarder
-from landingspool.gateway import intake
 from landingspool.gateway import listener
 from landingspool.gateway import metrics
 from landingspool.gateway import ordering
@@ -38,7 +35,7 @@
 from landingspool.gateway import sweeper
 from landingspool.gateway import target_notices
 from landingspool.gateway import upstream
-from landingspool import http
+from landingspool import http_server
 from landingspool import httpclient
 from landingspool.platform import ingress
 from landingspool.platform import names
@@ -115,16 +112,9 @@
         self.store = store.Store(self.client, deployment.store, self.clock)
         self.target_notices = target_notices.TargetNotices(self)
         self.runners = runners.Runners(self.client, self.target_notices)
-        parts = byte_budget.divide(deployment.memory_bytes)
-        self.intake = intake.Intake(
-            byte_budget.BodyBudget(parts.body_bytes),
-            self.metrics.out_of_room,
-        )
-        self.buffers = buffers.Buffers(
-            parts.buffer_bytes, self.metrics.out_of_room
-        )
+        self.room = caller_room.CallerRoom(self)
         self.upstream = upstream.Upstream(
-            self.metrics, self.clock, self.buffers
+            self.metrics, self.clock, self.room.buffers
         )
         max_connections = count_places(deployment.descriptors)
         tally = closings.Tally(self.recorder, self.metrics)
@@ -137,8 +127,8 @@
             lambda: self.forward_listener.count_open(),
             deployment.bounds.table_s,
             self.supervisor.make_reporter('connections'),
-            self._open_lease,
-            self.buffers,
+            self.room.open_lease,
+            self.room.buffers,
         )
         # For requests of peers that can't reach the targets.
         self.forward_listener = listener.Listener(
@@ -150,19 +140,19 @@
             self.listener.count_open,
             deployment.bounds.table_s,
             self.supervisor.make_reporter('connections'),
-            self._open_forwarded_lease,
-            self.buffers,
+            self.room.open_forwarded_lease,
+            self.room.buffers,
         )
         self._takes_forwarded = False
         # Readiness for the balancer and metrics for engineers are at two
         # addresses.
-        self._readiness_server = http.Server(
+        self._readiness_server = http_server.Server(
             self._answer_side_request,
             SIDE_BODY_BYTES,
             self.supervisor.make_reporter('side_requests'),
             SIDE_CONNECTIONS,
         )
-        self._metrics_server = http.Server(
+        self._metrics_server = http_server.Server(
             self._answer_side_request,
             SIDE_BODY_BYTES,
             self.supervisor.make_reporter('side_requests'),
@@ -254,7 +244,7 @@
             )
             return
         try:
-            call = read_call(request)
+            call = forwarded_rows.read_call(request)
             await relay.Relay(self, call, body, reply, origin).run()
         except asyncio.CancelledError:
             if asyncio.current_task().cancelling():
@@ -276,63 +266,6 @@
         )
         await reply.fail()
 
-    def _open_lease(self, connection, request):
-        """Return the lease for the body of a request, from its head."""
-        return self.intake.open(
-            connection, functools.partial(self._judge, request)
-        )
-
-    def _judge(self, request):
-        """Return the workspace of a request, by its head.
-
-        A head that can't be judged before its body has come is passed: the
-        relay judges each request once more.
-
-        Raises
-        ------
-        http.BadRequest
-            If the table in force does not allow the request.
-        """
-        table, now = self.view.table, self.clock()
-        if table is None or not self.view.is_proved(now):
-            return ''
-        call = read_call(request)
-        route = routes.match_route(table, call.host, call.target)
-        if route is None:
-            self._refuse_head(call, 404, 'no_route')
-        tenancy, passes = routes.get_tenancy(table, route, call.key)
-        if not passes:
-            self._refuse_head(call, 401, 'unknown_key')
-        return tenancy.name if tenancy else ''
-
-    def _refuse_head(self, call, status, reason):
-        """Refuse a request whose body was not read.
-
-        Raises
-        ------
-        http.BadRequest
-        """
-        self.metrics.answers.labels(str(status), reason).inc()
-        self.recorder.record(
-            'not_served',
-            request=call.name,
-            status=status,
-            reason=reason,
-            may_have_run=False,
-        )
-        raise http.BadRequest(status, reason)
-
-    def _open_forwarded_lease(self, connection, request):
-        """Return the lease of a request that another box forwards.
-
-        A refusal tells that box that nothing was sent.
-        """
-        lease = self._open_lease(connection, request)
-        lease.describe_refusal = functools.partial(
-            forwarded_rows.describe_unsent, request.headers
-        )
-        return lease
-
     def _record_unanswered(self, request, reason):
         self.metrics.unanswered.inc()
         self.recorder.record(
@@ -392,7 +325,7 @@
             exclusions.evacuation.describe(tick.now),
             self.view.engine_split.is_on,
         )
-        self._record_room()
+        self.room.report()
         self.metrics.record_workspaces(
             self.view.fair_admission.count_over(tick.now)
         )
@@ -402,21 +335,6 @@
         for change in self.view.profiles.take_changes():
             self.recorder.record('speed_changed', **change._asdict())
 
-    def _record_room(self):
-        """Report what callers make this box hold, and who had no room."""
-        self.buffers.refresh()
-        held = {
-            'bodies': self.intake.used_bytes,
-            'buffers': self.buffers.used_bytes,
-            'connections': self.listener.count_open(),
-        }
-        self.metrics.record_room(held)
-        turned_away = self.intake.take_refusals() + self.buffers.take_closed()
-        if turned_away:
-            self.recorder.record(
-                'out_of_room', held=held, turned_away=dict(turned_away)
-            )
-
     def _log_metrics(self, tick):
         speeds = self.view.profiles.describe()
         self.metrics.record_speeds(speeds)
@@ -525,24 +443,6 @@
         self.recorder.record('stopped')
 
 
-def read_call(request):
-    """Decode the head of a request.
-
-    Parameters
-    ----------
-    request : h11.Request
-
-    Returns
-    -------
-    ingress.Call
-    """
-    return ingress.read_call(
-        request.method.decode('latin-1'),
-        request.target.decode('latin-1'),
-        forwarded_rows.strip(request.headers),
-    )
-
-
 def count_places(descriptors):
     """Return the connections of callers that a box accepts.
 
--- a/landingspool/gateway/listener.py
+++ b/landingspool/gateway/listener.py
@@ -14,6 +14,7 @@
 from landingspool.gateway import persistence
 from landingspool.gateway import replies
 from landingspool import http
+from landingspool import http_server
 from landingspool import listening
 
 # Connections that are looked at for one that may give way to a new one.
@@ -94,7 +95,7 @@
         on_closed,
         count_others=lambda: 0,
         margin_s=0.0,
-        on_error=http.raise_to_loop,
+        on_error=http_server.raise_to_loop,
         open_lease=None,
         buffers=None,
     ):
--- a/landingspool/gateway/peering.py
+++ b/landingspool/gateway/peering.py
@@ -25,6 +25,7 @@
 from landingspool.gateway import registry
 from landingspool.gateway import state
 from landingspool import http
+from landingspool import http_server
 
 # Period of the digests, seconds: about the prefill of two long prompts (0.1 s
 # each), so that boxes seldom choose the same idle target.
@@ -100,7 +101,7 @@
         self._socket = datagrams.Datagrams(
             hub.timer, self._receive, self._record_bad_message
         )
-        self._server = http.Server(
+        self._server = http_server.Server(
             peer_requests.PeerRequests(hub).answer,
             MAX_BODY_BYTES,
             hub.supervisor.make_reporter('peer_requests'),
--- a/standins/platformstore.py
+++ b/standins/platformstore.py
@@ -11,7 +11,7 @@
 import struct
 import typing
 
-from landingspool import http
+from landingspool import http_server
 from landingspool.platform import names
 from landingspool.platform import store as protocol
 
@@ -105,7 +105,7 @@
         self.is_open = False
         self.calls = []
         self.address = None
-        self._server = http.Server(self._handle)
+        self._server = http_server.Server(self._handle)
 
     async def start(self, host='127.0.0.1'):
         """Serve on a free port."""
@@ -123,7 +123,7 @@
 
     async def come_back(self):
         """Listen again at the same address."""
-        self._server = http.Server(self._handle)
+        self._server = http_server.Server(self._handle)
         await self._server.start(*self.address)
         self.is_open = True
 
--- a/standins/service.py
+++ b/standins/service.py
@@ -9,7 +9,7 @@
 import json
 import signal
 
-from landingspool import http
+from landingspool import http_server
 
 ROUTES = {}
 
@@ -69,7 +69,7 @@
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stop.set)
-    server = http.Server(standin.handle, max_body=64 * 1024 * 1024)
+    server = http_server.Server(standin.handle, max_body=64 * 1024 * 1024)
     address = await server.start(standin.options.host, standin.options.port)
     print(json.dumps({'host': address.host, 'port': address.port}), flush=True)
     work = asyncio.ensure_future(standin.run())
--- a/tests/gateway/test_buffers.py
+++ b/tests/gateway/test_buffers.py
@@ -40,11 +40,11 @@
 
     async def main(deployment):
         hub = await deployment.start_box()
-        hub.buffers._limit = limit
+        hub.room.buffers._limit = limit
         for target in deployment.plain:
             target.usual = usual
         await check(hub)
-        await site.wait_until(lambda: is_empty(hub.buffers))
+        await site.wait_until(lambda: is_empty(hub.room.buffers))
 
     site.run(main)
 
@@ -77,7 +77,7 @@
         async with site.connect(hub) as (reader, writer):
             writer.transport.pause_reading()
             writer.write(write_request())
-            await site.wait_until(lambda: hub.buffers.used_bytes)
+            await site.wait_until(lambda: hub.room.buffers.used_bytes)
             await asyncio.sleep(0.5)
             writer.transport.resume_reading()
             assert await read_long(reader) == LONG
@@ -100,7 +100,7 @@
         async with site.connect(hub) as (reader, writer):
             writer.write(write_request())
             assert await read_long(reader) == LONG
-        assert hub.buffers.used_bytes <= ROOM_BYTES
+        assert hub.room.buffers.used_bytes <= ROOM_BYTES
         for _, writer in opened:
             writer.transport.abort()
 
@@ -109,7 +109,7 @@
 
 def test_callers_that_send_ahead_give_way():
     async def check(hub):
-        hub.buffers._limit = 0
+        hub.room.buffers._limit = 0
         async with site.connect(hub) as (_, writer):
             writer.write(write_request())
             await site.wait_until(lambda: hub.listener.count_busy())
--- a/tests/gateway/test_intake.py
+++ b/tests/gateway/test_intake.py
@@ -1,13 +1,17 @@
 """Bodies take room before they are read, and return it however they end."""
 
 import asyncio
+import types
 
 import pytest
 
 from landingspool.decisions.gateway import byte_budget
+from landingspool.gateway import caller_room
 from landingspool.gateway import intake
+from landingspool.gateway import metrics
 from standins import behaviours
 from tests.gateway import site
+from tests.gateway import test_forwarder
 
 LARGE = 1024 * 1024
 HEADER_MS = 800
@@ -77,12 +81,12 @@
         hub = await deployment.start_box()
         await site.wait_until(lambda: hub.view.table.version == 2)
         if body_bytes is not None:
-            hub.intake._budget = byte_budget.BodyBudget(body_bytes)
+            hub.room.intake._budget = byte_budget.BodyBudget(body_bytes)
         await check(deployment, hub)
-        await site.wait_until(lambda: not hub.intake.used_bytes)
-        assert not hub.intake.count_receptions()
-        assert not hub.intake._waiters
-        assert not hub.intake._budget._by_owner
+        await site.wait_until(lambda: not hub.room.intake.used_bytes)
+        assert not hub.room.intake.count_receptions()
+        assert not hub.room.intake._waiters
+        assert not hub.room.intake._budget._by_owner
 
     site.run(main, **kinds)
 
@@ -102,7 +106,7 @@
             writer.write(data)
             await writer.drain()
             if leaves:
-                await site.wait_until(lambda: hub.intake.used_bytes)
+                await site.wait_until(lambda: hub.room.intake.used_bytes)
                 return
             # The refusal comes, though more was sent than is read.
             assert await read_status(reader) == status
@@ -146,7 +150,7 @@
     async def check(deployment, hub):
         async with site.connect(hub) as (reader, writer):
             writer.write(write_length(LARGE) + bytes(LARGE - 1))
-            await site.wait_until(lambda: hub.intake.used_bytes == LARGE)
+            await site.wait_until(lambda: hub.room.intake.used_bytes == LARGE)
             assert (await site.ask(hub, '/unsafe/a', bytes(LARGE))).status == (
                 200
             )
@@ -159,9 +163,9 @@
 
 def test_what_finds_no_room_is_refused_as_not_run():
     async def check(deployment, hub):
-        lease = hub.intake.open(None, lambda: '')
+        lease = hub.room.intake.open(None, lambda: '')
         await lease.take(LARGE)
-        hub.intake.finish(lease)
+        hub.room.intake.finish(lease)
         got = await site.ask(hub, '/unsafe/a', bytes(LARGE))
         assert got.status == 503
         assert intake.NO_ROOM.encode() in got.body
@@ -176,9 +180,9 @@
 
 def test_no_100_is_sent_before_there_is_room():
     async def check(deployment, hub):
-        lease = hub.intake.open(None, lambda: '')
+        lease = hub.room.intake.open(None, lambda: '')
         await lease.take(LARGE)
-        hub.intake.finish(lease)
+        hub.room.intake.finish(lease)
         async with site.connect(hub) as (reader, writer):
             row = 'expect: 100-continue'
             head = write_head('/unsafe/a', site.KEY, row)
@@ -195,3 +199,32 @@
         assert got.status == 200
 
     run(check, LARGE // 2)
+
+
+def test_a_box_without_room_leaves_a_forwarded_request_to_another():
+    async def check(deployment):
+        hub, others = await test_forwarder.start_cut_box(deployment)
+        full, free = others
+        full.room.intake._budget = byte_budget.BodyBudget(LARGE)
+        lease = full.room.intake.open(None, lambda: '')
+        await lease.take(LARGE)
+        full.room.intake.finish(lease)
+        got = await site.ask(hub, '/unsafe/a', bytes(LARGE))
+        assert got.status == 200
+        assert full.metrics.out_of_room.labels('no_memory')._value.get() == 1
+        assert free.metrics.served_peer_counts['200'] == 1
+        lease.close()
+
+    site.run(check)
+
+
+def test_settings_say_what_callers_may_take():
+    hub = types.SimpleNamespace(
+        deployment=types.SimpleNamespace(
+            memory_bytes=1 << 30, caller_bytes=3 * LARGE
+        ),
+        metrics=metrics.Metrics(),
+    )
+    room = caller_room.CallerRoom(hub)
+    assert room.intake._budget._total == 2 * LARGE
+    assert room.buffers._limit == LARGE
--- a/tests/gateway/test_lost_review.py
+++ b/tests/gateway/test_lost_review.py
@@ -9,7 +9,7 @@
 import pytest
 
 from landingspool.gateway import upstream
-from landingspool import http
+from landingspool import http_server
 from standins import behaviours
 from tests.gateway import site
 from tests.gateway import test_begun_streams
@@ -136,7 +136,7 @@
         async def handle(request, exchange):
             await exchange.send_json(200, {})
 
-        server = http.Server(handle)
+        server = http_server.Server(handle)
         address = await server.start('127.0.0.1', 0)
         reader, writer = await asyncio.open_connection(*address)
         await site.wait_until(lambda: server._idle)
--- a/tests/test_endless_calls.py
+++ b/tests/test_endless_calls.py
@@ -18,6 +18,7 @@
 from landingspool.gateway import continuity
 from landingspool.gateway import state
 from landingspool import http
+from landingspool import http_server
 from landingspool import httpclient
 from landingspool.ledger import live
 from landingspool.ledger import log
@@ -411,7 +412,7 @@
         async def handle(request, exchange):
             await exchange.send_json(200, page)
 
-        server = http.Server(handle)
+        server = http_server.Server(handle)
         address = await server.start('127.0.0.1', 0)
         client = httpclient.Client()
         store = store_module.Store(client, address)
--- a/tests/test_endless_requests.py
+++ b/tests/test_endless_requests.py
@@ -11,7 +11,7 @@
 from landingspool.gateway import heads
 from landingspool.gateway import intake
 from landingspool.gateway import metrics
-from landingspool import http
+from landingspool import http_server
 from tests import endless
 from tests.gateway import site
 
@@ -24,7 +24,7 @@
 
     async def start(self):
         """Listen; return the address."""
-        self._server = http.Server(self._handle, BODY_BYTES)
+        self._server = http_server.Server(self._handle, BODY_BYTES)
         return await self._server.start('127.0.0.1', 0)
 
     async def close(self):
@@ -133,7 +133,7 @@
         async def handle(request, exchange):
             await exchange.wait_gone()
 
-        server = http.Server(handle)
+        server = http_server.Server(handle)
         address = await server.start('127.0.0.1', 0)
         caller = endless.EndlessCaller(address, *endless.REQUESTS['requests'])
         await endless.wait_closed(caller, TIMEOUT_S)
@@ -143,7 +143,7 @@
         return sent
 
     sent = asyncio.run(run())
-    assert sent < http.MAX_EARLY_BYTES + endless.IN_FLIGHT_BYTES
+    assert sent < http_server.MAX_EARLY_BYTES + endless.IN_FLIGHT_BYTES
 
 
 def test_a_caller_that_sends_early_and_is_gone_is_noticed():
@@ -154,7 +154,7 @@
             await exchange.wait_gone()
             gone.set()
 
-        server = http.Server(handle)
+        server = http_server.Server(handle)
         address = await server.start('127.0.0.1', 0)
         _, writer = await asyncio.open_connection(*address)
         writer.write(b'GET / HTTP/1.1\r\nHost: h\r\n\r\n' * 100)
--- a/tests/test_fuzz.py
+++ b/tests/test_fuzz.py
@@ -16,6 +16,7 @@
 from landingspool.decisions import configuration
 from landingspool.decisions import messages
 from landingspool import http
+from landingspool import http_server
 from landingspool import settings
 from landingspool.targets import client as targets
 
@@ -130,7 +131,7 @@
         await exchange.send_json(200, {})
 
     async def send():
-        server = http.Server(handle)
+        server = http_server.Server(handle)
         address = await server.start('127.0.0.1', 0)
         reader, writer = await asyncio.open_connection(*address)
         writer.write(data)
--- a/tests/test_own_interface_parts.py
+++ b/tests/test_own_interface_parts.py
@@ -11,7 +11,7 @@
 from landingspool import core
 from landingspool import daemon as daemon_module
 from landingspool.decisions import configuration
-from landingspool import http
+from landingspool import http_server
 from landingspool import httpclient
 from landingspool.ledger import claimer
 from landingspool.ledger import follower
@@ -272,7 +272,7 @@
             gone = asyncio.ensure_future(exchange.wait_gone())
             await asyncio.wait({gone})
 
-        server = http.Server(handle)
+        server = http_server.Server(handle)
         address = await server.start('127.0.0.1', 0)
         _, writer = await asyncio.open_connection(*address)
         writer.write(b'GET /a HTTP/1.1\r\nhost: h\r\n\r\n')
--- a/tests/test_server.py
+++ b/tests/test_server.py
@@ -5,7 +5,7 @@
 
 import pytest
 
-from landingspool import http
+from landingspool import http_server
 from landingspool import httpclient
 from landingspool import keep_alive
 
@@ -21,11 +21,11 @@
 def test_only_a_request_is_answered(monkeypatch, sent, status):
     # Guards against an answer on an idle connection, which the client would
     # take for the answer to its next request.
-    monkeypatch.setattr(http, 'IDLE_TIMEOUT_S', 0.1)
-    monkeypatch.setattr(http, 'HEADER_TIMEOUT_S', 0.1)
+    monkeypatch.setattr(http_server, 'IDLE_TIMEOUT_S', 0.1)
+    monkeypatch.setattr(http_server, 'HEADER_TIMEOUT_S', 0.1)
 
     async def check():
-        server = http.Server(answer)
+        server = http_server.Server(answer)
         address = await server.start('127.0.0.1', 0)
         reader, writer = await asyncio.open_connection(*address)
         writer.write(sent)
@@ -76,7 +76,7 @@
 
     async def run():
         errors = []
-        server = http.Server(handle, on_error=errors.append)
+        server = http_server.Server(handle, on_error=errors.append)
         address = await server.start('127.0.0.1', 0)
         reader, writer = await asyncio.open_connection(*address)
         writer.write(sent)
@@ -105,7 +105,7 @@
 def test_an_answer_that_failed_is_not_framed_as_whole():
     async def run():
         errors = []
-        server = http.Server(fail_late, on_error=errors.append)
+        server = http_server.Server(fail_late, on_error=errors.append)
         address = await server.start('127.0.0.1', 0)
         reader, writer = await asyncio.open_connection(*address)
         writer.write(b'GET /a HTTP/1.0\r\nhost: h\r\n\r\n')
@@ -134,7 +134,7 @@
 
     async def run():
         errors = []
-        server = http.Server(leave, on_error=errors.append)
+        server = http_server.Server(leave, on_error=errors.append)
         address = await server.start('127.0.0.1', 0)
         _, writer = await asyncio.open_connection(*address)
         writer.write(b'GET /a HTTP/1.1\r\nhost: h\r\n\r\n')
@@ -150,7 +150,7 @@
 @pytest.mark.parametrize('target', ('//[x]/', 'http://[::1/x', '//[::1'))
 def test_a_target_that_is_no_url_is_answered(target):
     async def check():
-        server = http.Server(answer)
+        server = http_server.Server(answer)
         address = await server.start('127.0.0.1', 0)
         reader, writer = await asyncio.open_connection(*address)
         writer.write(f'GET {target} HTTP/1.1\r\nhost: h\r\n\r\n'.encode())
@@ -164,13 +164,13 @@
 
 def test_no_call_is_left_to_guess_when_an_own_server_closes():
     async def check():
-        server = http.Server(answer)
+        server = http_server.Server(answer)
         address = await server.start('127.0.0.1', 0)
         client = httpclient.Client()
         reply = await client.fetch(address, 'GET', '/')
         kept_s = keep_alive.read_seconds(reply.headers.get('keep-alive', ''))
         assert kept_s is not None
-        assert kept_s < http.IDLE_TIMEOUT_S
+        assert kept_s < http_server.IDLE_TIMEOUT_S
         client.close()
         await server.close()
 
@@ -180,7 +180,7 @@
 @pytest.mark.parametrize(('handle', 'status'), [(answer, 200), (fail, 500)])
 def test_a_head_request_is_answered_without_a_body(handle, status):
     async def check():
-        server = http.Server(handle, on_error=lambda error: None)
+        server = http_server.Server(handle, on_error=lambda error: None)
         address = await server.start('127.0.0.1', 0)
         reader, writer = await asyncio.open_connection(*address)
         writer.write(
@@ -197,7 +197,7 @@
 
 def test_an_answer_that_ends_its_connection_announces_no_time():
     async def check():
-        server = http.Server(answer)
+        server = http_server.Server(answer)
         address = await server.start('127.0.0.1', 0)
         reader, writer = await asyncio.open_connection(*address)
         writer.write(b'GET / HTTP/1.1\r\nhost: h\r\nconnection: close\r\n\r\n')
--- a/tests/test_server_room.py
+++ b/tests/test_server_room.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from landingspool import http
+from landingspool import http_server
 
 BODY_BYTES = 100_000
 
@@ -20,7 +20,7 @@
                 await release.wait()
             await exchange.send_json(200, {})
 
-        server = http.Server(handle, **limits)
+        server = http_server.Server(handle, **limits)
         address = await server.start('127.0.0.1', 0)
         try:
             async with asyncio.timeout(5):
--- a/tests/virtual/network.py
+++ b/tests/virtual/network.py
@@ -1,6 +1,6 @@
 """What the processes of a world reach each other through.
 
-It speaks the interfaces of `httpclient.Client`, `http.Exchange` and
+It speaks the interfaces of `httpclient.Client`, `http_server.Exchange` and
 `link.Links`, with latency and faults and without bytes.  A connection that
 is cut waits for its healing, as TCP does; a message of a link is lost.
 """
@@ -132,7 +132,7 @@
 
 
 class Exchange:
-    """Stands in for http.Exchange: the server's side of one call."""
+    """Stands in for http_server.Exchange: the server's side of one call."""
 
     def __init__(self, call, request):
         self.call = call
--- a/tests/virtual/world.py
+++ b/tests/virtual/world.py
@@ -12,6 +12,7 @@
 from landingspool import box as box_module
 from landingspool.decisions import identity
 from landingspool import http
+from landingspool import http_server
 from landingspool import settings as settings_module
 from standins import clock
 from standins import engine
@@ -360,7 +361,7 @@
         try:
             await handler(exchange.request, exchange)
         except http.BadRequest as error:
-            await http.answer_bad_request(exchange, error)
+            await http_server.answer_bad_request(exchange, error)
         except OSError:
             exchange.abort()
         finally:
