Small requests keep their room beside a body that is larger than all of it

What callers would see: where the largest body exceeds the room for bodies (a machine of 48 MB has 3 MB for them), every other request, also one without a body, waited 0.75 s and got 503 while one such body was served.

Cause: the part of small bodies was only kept from large ones that fit, and a request without a body asked for room, too.

Change: small bodies are counted apart, and have their eighth whatever large ones take; no room is asked for no bytes. A wait for room that ends leaves nothing behind.

--- a/landingspool/decisions/gateway/byte_budget.py
+++ b/landingspool/decisions/gateway/byte_budget.py
@@ -65,6 +65,7 @@
 
     def __init__(self, total_bytes):
         self._total = total_bytes
+        # Of large bodies by workspace; None: of all small ones.
         self._by_owner = collections.Counter()
         self.used_bytes = 0
 
@@ -75,8 +76,8 @@
 
         Parameters
         ----------
-        owner : str
-            The workspace.
+        owner : str or None
+            The workspace of a large body; None for a small one.
         held : int
             Bytes that the body has taken before.
         size : int
@@ -89,13 +90,14 @@
         >>> budget = BodyBudget(64 * MEGABYTE)
         >>> [budget.take('a', 0, 20 * MEGABYTE) for _ in range(3)]
         [True, True, False]
-        >>> budget.take('b', 0, 8 * MEGABYTE), budget.take('a', 0, 1000)
+        >>> budget.take('b', 0, 8 * MEGABYTE), budget.take(None, 0, 1000)
         (True, True)
         >>> budget.free('a', 40 * MEGABYTE)
         >>> budget.take('a', 0, 20 * MEGABYTE)
         True
         """
-        if not self._has_room(owner, held, size):
+        has_room = self._has_room if owner is not None else self._fits_small
+        if not has_room(owner, held, size):
             return False
         self.add(owner, size)
         return True
@@ -116,13 +118,16 @@
             del self._by_owner[owner]
 
     def _has_room(self, owner, held, size):
-        used = self.used_bytes + size
-        if held + size < LARGE_BYTES:
-            return used <= self._total
-        if self.used_bytes - held <= self._total * SMALL_SHARE:
+        if self.used_bytes - self._by_owner[None] <= held:
             return True
-        if used > self._total * (1 - SMALL_SHARE):
+        used, most = self.used_bytes + size, self._total * (1 - SMALL_SHARE)
+        if used > most:
             return False
         if self._by_owner[owner] + size <= self._total * OTHERS_SHARE:
             return True
-        return used <= self._total * (1 - SMALL_SHARE - OTHERS_SHARE)
+        return used <= most - self._total * OTHERS_SHARE
+
+    def _fits_small(self, owner, held, size):
+        if self.used_bytes + size <= self._total:
+            return True
+        return self._by_owner[None] + size <= self._total * SMALL_SHARE
--- a/landingspool/gateway/intake.py
+++ b/landingspool/gateway/intake.py
@@ -6,7 +6,6 @@
 
 import asyncio
 import collections
-import contextlib
 import random
 import typing
 
@@ -65,7 +64,8 @@
         self._refusals = collections.Counter()
         # Bodies on their way by lease, the longest without progress first.
         self._receptions = collections.OrderedDict()
-        self._waiters = collections.deque()
+        # In the order in which they have come.
+        self._waiters = {}
 
     @property
     def used_bytes(self):
@@ -133,8 +133,7 @@
     def free(self, owner, size):
         """Return room, and let those that wait try again."""
         self._budget.free(owner, size)
-        while self._waiters:
-            waiter = self._waiters.popleft()
+        for waiter in self._waiters:
             if not waiter.done():
                 waiter.set_result(None)
 
@@ -179,10 +178,15 @@
     async def _wait(self, seconds):
         """Wait until room is returned, for some seconds at most."""
         waiter = asyncio.get_running_loop().create_future()
-        self._waiters.append(waiter)
-        with contextlib.suppress(TimeoutError):
+        self._waiters[waiter] = None
+        try:
             async with asyncio.timeout(seconds):
                 await waiter
+        except TimeoutError:
+            # Its caller looks once more, and at the time.
+            return
+        finally:
+            del self._waiters[waiter]
 
 
 class Lease:
@@ -190,8 +194,8 @@
 
     Attributes
     ----------
-    owner : str
-        The workspace; empty until a large body has been judged.
+    owner : str or None
+        The workspace; None until the body is a large one.
     held : int
         Bytes taken and not returned.
     describe_refusal : callable
@@ -202,7 +206,7 @@
         self._intake = intake
         self._judge = judge
         self.connection = connection
-        self.owner = ''
+        self.owner = None
         self.held = 0
         self.describe_refusal = describe_nothing
 
@@ -214,6 +218,8 @@
         http.BadRequest
             If the request can't be served, or finds no room.
         """
+        if not size:
+            return
         is_large = self.held + size >= byte_budget.LARGE_BYTES
         if is_large and self._judge is not None:
             judge, self._judge = self._judge, None
--- a/tests/gateway/test_intake.py
+++ b/tests/gateway/test_intake.py
@@ -193,6 +193,17 @@
     run(check, LARGE)
 
 
+def test_requests_without_a_large_body_are_served_beside_one_beyond_all_room():
+    async def check(deployment, hub):
+        lease = hub.room.intake.open(None, lambda: 'w1')
+        await lease.take(LARGE)
+        for body in (b'', b'x' * 100):
+            assert (await site.ask(hub, '/unsafe/a', body)).status == 200
+        lease.close()
+
+    run(check, LARGE // 2)
+
+
 def test_a_body_beyond_all_room_is_served_in_calm():
     async def check(deployment, hub):
         got = await site.ask(hub, '/unsafe/a', bytes(LARGE))
