Soak: callers that stop short, beside kills and cuts

Cause: no soak had clients that don't behave, nor looked at memory.

The boxes have 150 MB; two checks: none goes over it, and no target runs any of it.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -20,6 +20,7 @@
 from soak import callers
 from soak import faults
 from soak import fleet as fleet_module
+from soak import misbehaving
 from soak import orders
 from soak import parts
 from soak import returns
@@ -40,6 +41,8 @@
 CHECKS = {
     'soak/auditor.py::check_keys': auditor.check_keys,
     'soak/auditor.py::check_leaving': auditor.check_leaving,
+    'soak/misbehaving.py::check_incomplete': misbehaving.check_incomplete,
+    'soak/misbehaving.py::check_memory': misbehaving.check_memory,
     'soak/orders.py::check_orders': orders.check_orders,
     'soak/weights.py::check_weights': weights.check_weights,
 }
@@ -101,6 +104,9 @@
         await asyncio.sleep(0.5)
         works = [asyncio.ensure_future(one.run()) for one in people]
         works += [asyncio.ensure_future(one.rush()) for one in crowd]
+        works += map(
+            asyncio.ensure_future, misbehaving.make_callers(seed, fleet)
+        )
         if seed % PARTS_EVERY == 0:
             drawn = random.Random(f'parts {seed}')
             works.append(asyncio.ensure_future(parts.send_fatal(fleet, drawn)))
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -50,6 +50,8 @@
 # Widths of links that are drawn, Mbit/s: the narrowest and the widest that
 # deployments have.
 LINKS_MBPS = (5, 5, 10, 100)
+# Memory of the machine of each box, as of the smallest site.
+MEMORY_MB = 150
 PORTS = {'front': 8000, 'ready': 8001, 'control': 8002}
 SETTINGS = """
 node = "{name}"
@@ -67,6 +69,7 @@
 grace_s = {grace_s}
 [limits]
 link_mbps = {link_mbps}
+memory_mb = {memory_mb}
 [platform]
 address = "{store}"
 """
@@ -120,6 +123,7 @@
             name=self.name,
             domain=self.domain,
             link_mbps=self.link_mbps,
+            memory_mb=MEMORY_MB,
             seeds=json.dumps(seeds),
             contracts=json.dumps(self.contracts),
             ip=self.ip,
@@ -210,6 +214,8 @@
         # The returns of the store from copies, one at a time.
         self.returns = []
         self.returning = asyncio.Lock()
+        # The most memory that each box had, bytes, where it was looked at.
+        self.peaks = {}
 
     @contextlib.contextmanager
     def harm(self, boxes=()):
--- a/tests/test_soak_runs.py
+++ b/tests/test_soak_runs.py
@@ -6,6 +6,7 @@
 from soak import auditor
 from soak import callers
 from soak import fleet as fleet_module
+from soak import misbehaving
 from standins import runner as runner_module
 
 GONE = 100.0
@@ -78,3 +79,13 @@
     assert not problems and known
     problems, known = soak_main.run_checks(fleet, [row], 3)
     assert problems and not known
+
+
+def test_what_incomplete_requests_bring_about_is_reported(fleet):
+    fleet.peaks['box0'] = fleet_module.MEMORY_MB << 20
+    run(fleet, LATE)
+    assert not soak_main.run_checks(fleet, [], 1)[0]
+    fleet.peaks['box0'] += 1
+    run(fleet, LATE, **{ID: misbehaving.NAME})
+    assert misbehaving.check_memory(fleet, [])
+    assert misbehaving.check_incomplete(fleet, [])
