A body that gives way as it is refused gets one refusal

What callers would see: a refusal cut off by a reset, and LS800 in the log.

Cause: a body that was told to give way in the turn in which its request was refused for another reason (its time was over, a chunk was malformed) left that error on its connection, and dropping the rest of the request raised it.

Change: the error is taken back as the lease is closed. Evidence: the new test in test_intake fails without the change (one failure of `connections`) and passes with it.

--- a/landingspool/gateway/heads.py
+++ b/landingspool/gateway/heads.py
@@ -268,6 +268,8 @@
         except BaseException as error:
             body.close()
             lease.close()
+            # What the caller still sends can be read and dropped.
+            connection.interrupt(None)
             if isinstance(error, http.BadRequest) and error.status == 503:
                 error.headers = lease.describe_refusal(error.text)
             raise
--- a/tests/gateway/test_intake.py
+++ b/tests/gateway/test_intake.py
@@ -9,6 +9,7 @@
 from landingspool.gateway import caller_room
 from landingspool.gateway import intake
 from landingspool.gateway import metrics
+from landingspool import http
 from standins import behaviours
 from tests.gateway import site
 from tests.gateway import test_forwarder
@@ -161,6 +162,27 @@
     run(check, LARGE)
 
 
+def test_a_body_that_gives_way_as_it_is_refused_gets_one_refusal(monkeypatch):
+    close = intake.Lease.close
+
+    def close_late(lease):
+        close(lease)
+        lease.connection.interrupt(http.BadRequest(408, intake.STALLED))
+
+    async def check(deployment, hub):
+        monkeypatch.setattr(intake.Lease, 'close', close_late)
+        async with site.connect(hub) as (reader, writer):
+            writer.write(CHUNKED + CHUNK + b'zz\r\n')
+            assert await read_status(reader) == 400
+            writer.write_eof()
+            assert not await reader.read(1 << 16) or reader.at_eof()
+        await site.wait_until(lambda: not hub.listener.count_open())
+        failures = hub.metrics.task_failures.labels('connections')
+        assert not failures._value.get()
+
+    run(check)
+
+
 def test_what_finds_no_room_is_refused_as_not_run():
     async def check(deployment, hub):
         lease = hub.room.intake.open(None, lambda: '')
