Small writes of a box no longer wait for acknowledgements

What callers would have seen: parts of an answer up to 40 ms late, wherever a small write follows another one that the peer hasn't acknowledged.

Cause: since a box opens its listening sockets itself, without naming the protocol. The event loop turns Nagle's algorithm off only for sockets that name TCP, and accepted ones take that from the listening one.

Change: the socket names TCP.

--- a/landingspool/listening.py
+++ b/landingspool/listening.py
@@ -27,7 +27,8 @@
     OSError
     """
     family = socket.AF_INET6 if ':' in host else socket.AF_INET
-    sock = socket.socket(family, socket.SOCK_STREAM)
+    # Without the protocol the event loop leaves Nagle's algorithm on.
+    sock = socket.socket(family, socket.SOCK_STREAM, socket.IPPROTO_TCP)
     try:
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         connection.limit_buffers(sock)
