Namespaces of cached context are quoted, written and read in one place

Cause: a namespace was model, version and workspace joined by dots, and is_stale read daka-5.1.1 as weights 1 of daka-5. The same text also stood for workspace 1, isolated, with weights 1 of daka-5.

Change: namespaces.py alone writes and reads the text; names are quoted, and a text is read only if writing gives it again. Earlier builds can't read a namespace of this one as another model's: no dot follows the version.

--- a/landingspool/decisions/gateway/garbage.py
+++ b/landingspool/decisions/gateway/garbage.py
@@ -20,6 +20,7 @@
 import typing
 
 from landingspool.decisions.gateway import context_index as index_module
+from landingspool.decisions.gateway import namespaces
 
 # Seconds by which boxes may date the publication of a version differently.
 DATING_MARGIN_S = 1.0
@@ -54,16 +55,17 @@
 def is_stale(space, model, oldest):
     """Return whether a namespace belongs to weights before a version.
 
-    >>> is_stale('m.1', 'm', 2), is_stale('m.1.wall', 'm', 2)
+    >>> is_stale('m.1', 'm', 2), is_stale('m.1~own~w', 'm', 2)
     (True, True)
     >>> is_stale('m.2', 'm', 2), is_stale('m.10', 'm', 2)
     (False, False)
-    >>> is_stale('mm.1', 'm', 2)
-    False
+    >>> is_stale('mm.1', 'm', 2), is_stale('m%2E1.1', 'm', 2)
+    (False, False)
     """
-    head, _, rest = space.partition(f'{model}.')
-    version = rest.split('.')[0]
-    return not head and version.isdecimal() and int(version) < oldest
+    found = namespaces.parse(space)
+    return (
+        found is not None and found.model == model and found.version < oldest
+    )
 
 
 def may_offer(lag_s, proof_s, bound_s):
--- a/landingspool/decisions/gateway/planner.py
+++ b/landingspool/decisions/gateway/planner.py
@@ -13,6 +13,7 @@
 from landingspool.decisions.gateway import garbage
 from landingspool.decisions.gateway import group_planner
 from landingspool.decisions.gateway import health as health_module
+from landingspool.decisions.gateway import namespaces
 from landingspool.decisions.gateway import plans
 from landingspool.decisions.gateway import prompts
 from landingspool.decisions.gateway import room as room_module
@@ -85,6 +86,13 @@
     return PLAIN_SILENCE_S if work.prompt is None else ENGINE_SILENCE_S
 
 
+def write_namespace(version, work):
+    """Return the namespace of a request at targets with some weights."""
+    return namespaces.write(
+        namespaces.choose(work.prompt.model, version, work.tenancy)
+    )
+
+
 class Planner:
     """Plan requests with the state of one box.
 
@@ -312,9 +320,7 @@
         }
 
     def _make_space(self, version, lag_s, work, now):
-        name = prompts.build_namespace(
-            work.prompt.model, version, work.tenancy
-        )
+        name = write_namespace(version, work)
         transfer = transfers.Transfer()
         view = self._view
         if garbage.may_offer(lag_s, view.proof.age(now), view.weights.bound_s):
@@ -438,9 +444,8 @@
         (any version will do), and the request has a namespace of its own and
         no transfers: it shares no context with other requests.
         """
-        model = work.prompt.model
-        version = self._view.fleet.get_version(name, model)
-        space = prompts.build_namespace(model, version, work.tenancy)
+        version = self._view.fleet.get_version(name, work.prompt.model)
+        space = write_namespace(version, work)
         loading = self._view.loading.excludes(name, work.prompt, now)
         if version is None or loading:
             return None, f'{space}.{work.name}'
--- a/landingspool/decisions/gateway/prompts.py
+++ b/landingspool/decisions/gateway/prompts.py
@@ -1,10 +1,7 @@
-"""Prompts as chains of named parts, and namespaces of their cached context.
+"""Prompts as chains of named parts.
 
 Parts are shared between requests; the last one belongs to the request or its
-session.  A target finds cached context only under the exact namespace that a
-request names.  The namespace contains the version of the weights and, for an
-isolated workspace, its name: context of another version or of an isolated
-workspace can't be found.
+session.
 """
 
 import typing
@@ -38,17 +35,6 @@
     parts: tuple = ()
 
 
-def build_namespace(model, version, tenancy):
-    """Return the namespace of cached context for one request.
-
-    >>> build_namespace('m', 3, None)
-    'm.3'
-    """
-    isolated = tenancy is not None and tenancy.isolated
-    suffix = f'.{tenancy.name}' if isolated else ''
-    return f'{model}.{version}{suffix}'
-
-
 def list_shared(prompt):
     """Return the parts that other requests may read again."""
     return prompt.parts[:-1]
--- a/tests/gateway/test_context.py
+++ b/tests/gateway/test_context.py
@@ -1,6 +1,7 @@
 """Cached context: which parts are offered or saved, and when none may be."""
 
 from landingspool.decisions.gateway import context_index
+from landingspool.decisions.gateway import namespaces
 from landingspool.decisions.gateway import prompts
 from landingspool.decisions.gateway import routes
 from landingspool.decisions.gateway import transfers
@@ -93,15 +94,15 @@
 
 def test_namespaces_keep_versions_and_isolated_workspaces_apart():
     walled = routes.Tenancy('w', isolated=True)
-    names = {
-        prompts.build_namespace('m', 1, None),
-        prompts.build_namespace('m', 2, None),
-        prompts.build_namespace('m', 1, walled),
-        prompts.build_namespace('m', 1, routes.Tenancy('v', isolated=True)),
+    spaces = {
+        namespaces.choose('m', 1, None),
+        namespaces.choose('m', 2, None),
+        namespaces.choose('m', 1, walled),
+        namespaces.choose('m', 1, routes.Tenancy('v', isolated=True)),
     }
-    assert len(names) == 4
+    assert len(set(map(namespaces.write, spaces))) == 4
     shared = routes.Tenancy('w')
-    assert prompts.build_namespace('m', 1, shared) in names
+    assert namespaces.choose('m', 1, shared) in spaces
 
 
 def test_what_another_box_tells_is_as_old_as_its_own_word():
