No request's id names the context of an isolated workspace

While a target loads weights, a request got a namespace of model, version and its id, joined as model, version and workspace are for an isolated workspace: a request with the id bozi300 ran on what the isolated workspace bozi300 had made.

Cause: the id is the caller's choice. Two requests with one id shared a namespace, too.

Change: such a namespace is named by a random text of the process and a number, in a form of its own.

--- a/landingspool/decisions/gateway/garbage.py
+++ b/landingspool/decisions/gateway/garbage.py
@@ -63,9 +63,9 @@
     (False, False)
     """
     found = namespaces.parse(space)
-    return (
-        found is not None and found.model == model and found.version < oldest
-    )
+    if found is None or found.version is None:
+        return False
+    return found.model == model and found.version < oldest
 
 
 def may_offer(lag_s, proof_s, bound_s):
--- a/landingspool/decisions/gateway/namespaces.py
+++ b/landingspool/decisions/gateway/namespaces.py
@@ -8,24 +8,28 @@
 
     MODEL.VERSION               all workspaces
     MODEL.VERSION~own~NAME      one isolated workspace
+    MODEL~once~NAME             one request, whatever the version
 
 Earlier builds joined names by dots without quoting.  A text that only they
 write is not read here as another namespace.
 """
 
 import functools
+import itertools
 import re
 import typing
 from urllib import parse as url_parse
+import uuid
 
 # Who shares the context of a namespace.
 COMMON = ''
 OWN = 'own'
+ONCE = 'once'
 
 # Characters that `urllib` never quotes, although they separate fields here.
 SEPARATORS = {'.': '%2E', '~': '%7E'}
 TEXT = re.compile(
-    r'(?P<model>[^.~]*)\.(?P<version>[0-9]+)'
+    r'(?P<model>[^.~]*)(?:\.(?P<version>[0-9]+))?'
     r'(?:~(?P<audience>[a-z]+)~(?P<name>[^.~]*))?'
 )
 # Namespaces that are kept as text: those of a few versions and workspaces.
@@ -38,16 +42,17 @@
     Attributes
     ----------
     model : str
-    version : int
-        Version of the weights that made the context.
+    version : int or None
+        Version of the weights that made the context; None if it is ONCE.
     audience : str
-        Who shares it: COMMON or OWN.
+        Who shares it: COMMON, OWN or ONCE.
     name : str
-        Of the workspace if it is OWN; otherwise empty.
+        Of the workspace if it is OWN, of the request if it is ONCE; otherwise
+        empty.
     """
 
     model: str
-    version: int
+    version: int | None
     audience: str = COMMON
     name: str = ''
 
@@ -64,6 +69,27 @@
     return Namespace(model, version)
 
 
+class PrivateSpaces:
+    """Makes namespaces that one request has for itself.
+
+    No other request of any box has one, and no caller has a say in it: the id
+    of a request is chosen by its caller, and may be another one's as well.
+
+    >>> spaces = PrivateSpaces()
+    >>> spaces.make('m') == spaces.make('m')
+    False
+    """
+
+    def __init__(self):
+        self._prefix = uuid.uuid4().hex
+        self._numbers = itertools.count(1)
+
+    def make(self, model):
+        """Return a Namespace that was never returned before."""
+        name = f'{self._prefix}-{next(self._numbers)}'
+        return Namespace(model, None, ONCE, name)
+
+
 @functools.lru_cache(maxsize=MAX_CACHED)
 def write(space):
     """Return the text of a namespace, for targets and stores.
@@ -73,7 +99,9 @@
     >>> write(Namespace('m-5.1', 3)), write(Namespace('m', 3, OWN, 'a~b'))
     ('m-5%2E1.3', 'm.3~own~a%7Eb')
     """
-    text = f'{quote(space.model)}.{space.version}'
+    text = quote(space.model)
+    if space.version is not None:
+        text += f'.{space.version}'
     if space.audience == COMMON:
         return text
     return f'{text}~{space.audience}~{quote(space.name)}'
@@ -81,12 +109,12 @@
 
 @functools.lru_cache(maxsize=MAX_CACHED)
 def parse(text):
-    """Return the Namespace of a text, or None if `write` gives no such text.
+    """Return the Namespace of a text, or None if it stands for none.
 
     >>> parse('m-5%2E1.3').model, parse('m.3~own~w').name
     ('m-5.1', 'w')
-    >>> parse('m-5.1.3') is None, parse('m.03') is None
-    (True, True)
+    >>> parse('m-5.1.3') is None, parse('m.03') is None, parse('m') is None
+    (True, True, True)
     """
     found = TEXT.fullmatch(text)
     if found is None:
@@ -94,13 +122,14 @@
     try:
         space = Namespace(
             unquote(found['model']),
-            int(found['version']),
+            None if found['version'] is None else int(found['version']),
             found['audience'] or COMMON,
             unquote(found['name'] or ''),
         )
     except ValueError:
         return None
-    return space if write(space) == text else None
+    is_whole = (space.version is None) == (space.audience == ONCE)
+    return space if is_whole and write(space) == text else None
 
 
 def quote(name):
--- a/landingspool/decisions/gateway/planner.py
+++ b/landingspool/decisions/gateway/planner.py
@@ -320,6 +320,8 @@
         }
 
     def _make_space(self, version, lag_s, work, now):
+        if version is None:
+            return Space(lag_s=lag_s)
         name = write_namespace(version, work)
         transfer = transfers.Transfer()
         view = self._view
@@ -444,12 +446,12 @@
         (any version will do), and the request has a namespace of its own and
         no transfers: it shares no context with other requests.
         """
-        version = self._view.fleet.get_version(name, work.prompt.model)
-        space = write_namespace(version, work)
-        loading = self._view.loading.excludes(name, work.prompt, now)
+        view, model = self._view, work.prompt.model
+        version = view.fleet.get_version(name, model)
+        loading = view.loading.excludes(name, work.prompt, now)
         if version is None or loading:
-            return None, f'{space}.{work.name}'
-        return version, space
+            return None, namespaces.write(view.private_spaces.make(model))
+        return version, write_namespace(version, work)
 
     def _plan_transfer(self, work, version, space, now):
         view = self._view
--- a/landingspool/decisions/gateway/view.py
+++ b/landingspool/decisions/gateway/view.py
@@ -25,6 +25,7 @@
 from landingspool.decisions.gateway import latency
 from landingspool.decisions.gateway import loading_targets
 from landingspool.decisions.gateway import loads as loads_module
+from landingspool.decisions.gateway import namespaces
 from landingspool.decisions.gateway import partition as partition_module
 from landingspool.decisions.gateway import peer_digests
 from landingspool.decisions.gateway import permit_search
@@ -90,6 +91,7 @@
             if bounds.contended
             else None
         )
+        self.private_spaces = namespaces.PrivateSpaces()
         self.context_index = index_module.ContextIndex()
         self.store_health = store_health_module.StoreHealth()
         self.proof = freshness.Proof(bounds.key_s, bounds.keys_fail_closed)
--- a/tests/gateway/test_namespaces.py
+++ b/tests/gateway/test_namespaces.py
@@ -21,7 +21,10 @@
         routes.Tenancy, name=NAMES, isolated=strategies.booleans()
     ),
 )
-SPACES = strategies.builds(namespaces.choose, NAMES, VERSIONS, TENANCIES)
+SPACES = strategies.one_of(
+    strategies.builds(namespaces.choose, NAMES, VERSIONS, TENANCIES),
+    strategies.builds(namespaces.PrivateSpaces().make, NAMES),
+)
 
 
 def write_former(model, version, tenancy):
@@ -99,4 +102,4 @@
     # Guards against MIXED in a release, from the other side.
     if is_former_stale(namespaces.write(space), model, oldest):
         assert namespaces.quote(space.model) == model
-        assert space.version < oldest
+        assert space.version is not None and space.version < oldest
