What a workspace made before it was isolated is read by no other

Cause: the common namespace was the same whoever was isolated, so that it outlived the wall. A single request admitted before the change kept the workspace of that time, too.

The property over histories, in which boxes lag behind, needs the new function.

Change: the namespace of those that are not isolated names the set of the isolated ones (a hash), also of those that have no key, as the table in force has it. So all that is in it was made by workspaces open under just this set; no history or message is needed. With nobody isolated it is what it was. 'dispatched' logs the namespace, 'published' who is isolated.

Weighed: a workspace that is added with its wall, or removed, leaves the common context, though it never shared it. What would avoid that has to be agreed on and to outlive a restart.

--- a/landingspool/decisions/gateway/allowed_regions.py
+++ b/landingspool/decisions/gateway/allowed_regions.py
@@ -23,8 +23,8 @@
     ...                      regions=frozenset('ab'))
     >>> sorted(get_allowed_regions(route, None))
     ['a', 'b']
-    >>> sorted(get_allowed_regions(route, routes.Tenancy('w', None, False,
-    ...                                           frozenset('bc'))))
+    >>> sorted(get_allowed_regions(route, routes.Tenancy('w', None,
+    ...                                                  frozenset('bc'))))
     ['b']
     """
     named = [route.regions] if route.regions else []
--- a/landingspool/decisions/gateway/namespaces.py
+++ b/landingspool/decisions/gateway/namespaces.py
@@ -6,10 +6,16 @@
 namespaces as text.  Models and workspaces may have any names, so these are
 quoted: the text of a namespace stands for no other one, and can be read back.
 
-    MODEL.VERSION               all workspaces
+    MODEL.VERSION               all workspaces, if none is isolated
+    MODEL.VERSION~open~WALLS    those not isolated, beside some that are
     MODEL.VERSION~own~NAME      one isolated workspace
     MODEL~once~NAME             one request, whatever the version
 
+WALLS stands for the set of all isolated workspaces.  So whatever is in such a
+namespace was made while just this set was isolated, by others: none of them is
+isolated now, whatever was in force in between.  Boxes with the same table
+agree on it without a message, also after a restart.
+
 Earlier builds joined names by dots without quoting.  A text that only they
 write is not read here as another namespace.
 """
@@ -21,8 +27,11 @@
 from urllib import parse as url_parse
 import uuid
 
+import xxhash
+
 # Who shares the context of a namespace.
 COMMON = ''
+OPEN = 'open'
 OWN = 'own'
 ONCE = 'once'
 
@@ -34,6 +43,8 @@
 )
 # Namespaces that are kept as text: those of a few versions and workspaces.
 MAX_CACHED = 4096
+# Sets of isolated workspaces whose hash is kept.
+MAX_CACHED_WALLS = 16
 
 
 class Namespace(typing.NamedTuple):
@@ -45,10 +56,10 @@
     version : int or None
         Version of the weights that made the context; None if it is ONCE.
     audience : str
-        Who shares it: COMMON, OWN or ONCE.
+        Who shares it: COMMON, OPEN, OWN or ONCE.
     name : str
-        Of the workspace if it is OWN, of the request if it is ONCE; otherwise
-        empty.
+        Of the set of isolated workspaces if it is OPEN, of the workspace if it
+        is OWN, of the request if it is ONCE; otherwise empty.
     """
 
     model: str
@@ -57,18 +68,37 @@
     name: str = ''
 
 
-def choose(model, version, tenancy):
+def choose(model, version, workspace, isolated):
     """Return the Namespace of a request.
 
     Parameters
     ----------
-    tenancy : routes.Tenancy or None
+    workspace : str or None
+        None if the request has none.
+    isolated : frozenset of str
+        All isolated workspaces.
+
+    >>> choose('m', 3, 'a', frozenset()) == Namespace('m', 3)
+    True
+    >>> choose('m', 3, 'w', frozenset('w')) == Namespace('m', 3, OWN, 'w')
+    True
+    >>> choose('m', 3, 'a', frozenset('w')) == choose('m', 3, 'a', frozenset())
+    False
     """
-    if tenancy is not None and tenancy.isolated:
-        return Namespace(model, version, OWN, tenancy.name)
+    if workspace in isolated:
+        return Namespace(model, version, OWN, workspace)
+    if isolated:
+        return Namespace(model, version, OPEN, hash_names(isolated))
     return Namespace(model, version)
 
 
+@functools.lru_cache(maxsize=MAX_CACHED_WALLS)
+def hash_names(names):
+    """Return the hash of a set of names, the same in every process."""
+    joined = ','.join(sorted(map(quote, names)))
+    return xxhash.xxh3_64_hexdigest(joined.encode())
+
+
 class PrivateSpaces:
     """Makes namespaces that one request has for itself.
 
--- a/landingspool/decisions/gateway/planner.py
+++ b/landingspool/decisions/gateway/planner.py
@@ -86,13 +86,6 @@
     return PLAIN_SILENCE_S if work.prompt is None else ENGINE_SILENCE_S
 
 
-def write_namespace(version, work):
-    """Return the namespace of a request at targets with some weights."""
-    return namespaces.write(
-        namespaces.choose(work.prompt.model, version, work.tenancy)
-    )
-
-
 class Planner:
     """Plan requests with the state of one box.
 
@@ -322,7 +315,7 @@
     def _make_space(self, version, lag_s, work, now):
         if version is None:
             return Space(lag_s=lag_s)
-        name = write_namespace(version, work)
+        name = self._write_namespace(version, work)
         transfer = transfers.Transfer()
         view = self._view
         if garbage.may_offer(lag_s, view.proof.age(now), view.weights.bound_s):
@@ -451,7 +444,19 @@
         loading = view.loading.excludes(name, work.prompt, now)
         if version is None or loading:
             return None, namespaces.write(view.private_spaces.make(model))
-        return version, write_namespace(version, work)
+        return version, self._write_namespace(version, work)
+
+    def _write_namespace(self, version, work):
+        """Return the namespace of a request at targets with some weights.
+
+        The table in force decides who is isolated, not that by which the
+        request was admitted.
+        """
+        workspace = work.tenancy.name if work.tenancy is not None else None
+        isolated = self._view.table.isolated
+        return namespaces.write(
+            namespaces.choose(work.prompt.model, version, workspace, isolated)
+        )
 
     def _plan_transfer(self, work, version, space, now):
         view = self._view
--- a/landingspool/decisions/gateway/plans.py
+++ b/landingspool/decisions/gateway/plans.py
@@ -118,6 +118,8 @@
         'software': plan.entry.software,
         'table': table.version,
     }
+    if plan.space:
+        values['space'] = plan.space
     if plan.transfer.until_ms is not None:
         values['until_ms'] = int(plan.transfer.until_ms)
     if weights_left_s is not None:
--- a/landingspool/decisions/gateway/routes.py
+++ b/landingspool/decisions/gateway/routes.py
@@ -122,7 +122,6 @@
 
     name: str
     priority: int | None = None
-    isolated: bool = False
     regions: frozenset = frozenset()
     weight: float = 1.0
 
@@ -150,6 +149,9 @@
         Whether requests need a key.
     context_stores : dict of str to ContextStore
         The stores of cached context by the address that targets use.
+    isolated : frozenset of str
+        Names of the workspaces, also of those without a key, that share no
+        cached context with others.
     passed_over : tuple of str
         What of it could not be decoded and is left out, for the log.
     """
@@ -161,10 +163,13 @@
     limits: Limits = Limits()
     keyed: bool = False
     context_stores: dict = {}
+    isolated: frozenset = frozenset()
     passed_over: tuple = ()
 
 
-def make_table(version, routes, services, keys, limits, keyed):
+def make_table(
+    version, routes, services, keys, limits, keyed, isolated=frozenset()
+):
     """Return the Table of one published version.
 
     Parameters
@@ -175,6 +180,8 @@
     limits : Limits
     keyed : bool
         Whether requests need a key.
+    isolated : frozenset of str
+        Names of the workspaces that share no cached context with others.
     """
     hosts = {}
     for route in sorted(routes, key=lambda r: -len(r.prefix)):
@@ -185,7 +192,9 @@
         for service in named.values()
         if service.context_store is not None
     }
-    return Table(version, hosts, named, keys, limits, keyed, context_stores)
+    return Table(
+        version, hosts, named, keys, limits, keyed, context_stores, isolated
+    )
 
 
 def match_route(table, host, path):
--- a/landingspool/gateway/state.py
+++ b/landingspool/gateway/state.py
@@ -118,6 +118,7 @@
                 'published',
                 version=table.version,
                 proof_s=self._view.proof.age_to_log(self._hub.clock()),
+                isolated=sorted(table.isolated),
             )
             for reason in table.passed_over:
                 self._hub.recorder.record(
--- a/landingspool/platform/tables.py
+++ b/landingspool/platform/tables.py
@@ -158,6 +158,7 @@
         },
         limits=make_limits(record.limits or LimitsRow()),
         keyed=record.tenants is not msgspec.UNSET,
+        isolated=frozenset(row.name for row in tenants if row.isolated),
     )
     return table._replace(passed_over=list_odd_stores(services))
 
@@ -265,7 +266,6 @@
     return routes.Tenancy(
         name=row.name,
         priority=row.priority,
-        isolated=bool(row.isolated),
         regions=frozenset(row.allowed_regions or ()),
         weight=weight if weight > 0 else 1.0,
     )
--- a/tests/gateway/test_context.py
+++ b/tests/gateway/test_context.py
@@ -93,16 +93,15 @@
 
 
 def test_namespaces_keep_versions_and_isolated_workspaces_apart():
-    walled = routes.Tenancy('w', isolated=True)
+    walls = frozenset(('v', 'w'))
     spaces = {
-        namespaces.choose('m', 1, None),
-        namespaces.choose('m', 2, None),
-        namespaces.choose('m', 1, walled),
-        namespaces.choose('m', 1, routes.Tenancy('v', isolated=True)),
+        namespaces.choose('m', 1, None, frozenset()),
+        namespaces.choose('m', 2, None, frozenset()),
+        namespaces.choose('m', 1, 'w', walls),
+        namespaces.choose('m', 1, 'v', walls),
     }
     assert len(set(map(namespaces.write, spaces))) == 4
-    shared = routes.Tenancy('w')
-    assert namespaces.choose('m', 1, shared) in spaces
+    assert namespaces.choose('m', 1, 'w', frozenset()) in spaces
 
 
 def test_what_another_box_tells_is_as_old_as_its_own_word():
--- a/tests/gateway/test_isolation.py
+++ b/tests/gateway/test_isolation.py
@@ -2,6 +2,11 @@
 
 import json
 
+import hypothesis
+from hypothesis import strategies
+import pytest
+
+from landingspool.decisions.gateway import namespaces
 from landingspool.decisions.gateway import plans
 from landingspool.platform import tables
 from tests.gateway import site
@@ -64,3 +69,101 @@
     box.view.loading.put({'t0': 0.0}, NOW)
     assert box.find_space('v', 'w') != own
     assert box.find_space('v', 'w') != box.find_space('x', 'w')
+
+
+def test_what_a_workspace_made_before_its_wall_is_read_by_no_other():
+    # Guards against WALL: the operator isolates a workspace that was open.
+    box = Box()
+    box.publish()
+    before = box.find_space('w')
+    assert box.find_space('v') == before
+    box.publish('w')
+    assert box.find_space('v') == box.find_space('x') != before
+    assert box.find_space('w') not in (before, box.find_space('v'))
+
+
+@pytest.mark.parametrize(
+    'walls',
+    [
+        [{'w'}, set(), {'w'}],
+        [set(), {'w'}, {'v'}, {'w', 'v'}],
+        [{'w'}, {'v'}, {'w'}],
+        [{'w'}, set(), {'v'}, {'w'}],
+        [{'w'}, {'w', 'v'}, {'v'}, {'w', 'v'}],
+    ],
+    ids=['again', 'two in turn', 'changed places', 'opened', 'second opened'],
+)
+@pytest.mark.parametrize('restarts', [False, True])
+def test_a_wall_that_comes_again_hides_what_was_made_in_between(
+    walls, restarts
+):
+    # Guards against WALL: a namespace that comes back, also after a restart.
+    box, made = Box(), []
+    for isolated in walls:
+        if restarts:
+            box = Box()
+        box.publish(*isolated)
+        spaces = {name: box.find_space(name) for name in NAMES}
+        for maker, space in made:
+            readers = {n for n in NAMES if spaces[n] == space} - {maker}
+            assert not readers & isolated
+            assert not readers or maker not in isolated
+        made += spaces.items()
+
+
+def test_a_change_of_keys_alone_leaves_the_common_context():
+    # Guards against a cold cache, and WALL once the last key has gone.
+    box = Box()
+    box.publish('w')
+    before = box.find_space('v')
+    for keys in ([], ['w', 'w2']):
+        box.publish('w', keys_of=lambda n, k=keys: k if n == 'w' else [n])
+        assert box.find_space('v') == before
+
+
+def test_a_request_admitted_before_the_wall_runs_behind_it():
+    # Guards against WALL: it waited in a queue as its workspace was isolated.
+    box = Box()
+    box.publish()
+    tenancy = box.view.table.keys['w']
+    box.publish('w')
+    assert box.plan(tenancy).space == box.find_space('w')
+    assert box.plan(tenancy).space != box.find_space('v')
+
+
+def test_a_request_without_a_workspace_reads_nothing_behind_a_wall():
+    # Guards against WALL on a route that needs no key.
+    box = Box()
+    box.publish()
+    before = box.find_space('w')
+    box.publish('w')
+    assert box.plan(None).space == box.find_space('v') != before
+
+
+STEPS = strategies.lists(
+    strategies.tuples(
+        strategies.frozensets(strategies.sampled_from(NAMES)),
+        strategies.lists(
+            strategies.tuples(
+                strategies.sampled_from((None, *NAMES)),
+                strategies.integers(0, 3),
+            ),
+            max_size=8,
+        ),
+    ),
+    max_size=8,
+)
+
+
+@hypothesis.given(STEPS)
+def test_no_history_of_walls_lets_a_foreign_part_through(steps):
+    # Guards against WALL: boxes have older tables for a time, and write.
+    made = set()
+    for number, (isolated, requests) in enumerate(steps):
+        for workspace, lag in requests:
+            known = steps[max(number - lag, 0)][0]
+            space = namespaces.choose('m', 1, workspace, known)
+            pairs = [{maker, workspace} for maker, at in made if at == space]
+            if known == isolated:
+                assert not any(len(p) > 1 and p & isolated for p in pairs)
+            made.add((workspace, space))
--- a/tests/gateway/test_namespaces.py
+++ b/tests/gateway/test_namespaces.py
@@ -15,22 +15,31 @@
     strategies.text(max_size=6),
 )
 VERSIONS = strategies.integers(0, 12)
-TENANCIES = strategies.one_of(
-    strategies.none(),
+WORKSPACES = strategies.one_of(strategies.none(), NAMES)
+WALLS = strategies.frozensets(NAMES, max_size=3)
+SPACES = strategies.one_of(
+    strategies.builds(namespaces.choose, NAMES, VERSIONS, WORKSPACES, WALLS),
     strategies.builds(
-        routes.Tenancy, name=NAMES, isolated=strategies.booleans()
+        lambda model, version, name: namespaces.choose(
+            model, version, name, frozenset((name,))
+        ),
+        NAMES,
+        VERSIONS,
+        NAMES,
     ),
-)
-SPACES = strategies.one_of(
-    strategies.builds(namespaces.choose, NAMES, VERSIONS, TENANCIES),
     strategies.builds(namespaces.PrivateSpaces().make, NAMES),
 )
 
 
-def write_former(model, version, tenancy):
-    """Return the text by which earlier builds named a namespace."""
-    isolated = tenancy is not None and tenancy.isolated
-    suffix = f'.{tenancy.name}' if isolated else ''
+def write_former(model, version, workspace):
+    """Return the text by which earlier builds named a namespace.
+
+    Parameters
+    ----------
+    workspace : str or None
+        An isolated one.
+    """
+    suffix = f'.{workspace}' if workspace is not None else ''
     return f'{model}.{version}{suffix}'
 
 
@@ -62,13 +71,23 @@
 
 
 def plan_space(model, workspace=None):
-    """Return the namespace of a request, at a target with weights 1."""
+    """Return the namespace of a request, at a target with weights 1.
+
+    Parameters
+    ----------
+    workspace : str, optional
+        An isolated one.
+    """
     view = test_view.make_view(0)
     view.fleet.put(
         fleet.Entry('t', 's', ('a', 1), 'd', fleet.READY, 4, {model: 1})
     )
+    table = view.table._replace(
+        version=2, isolated=frozenset(() if workspace is None else [workspace])
+    )
+    view.put_table(table)
+    tenancy = None if workspace is None else routes.Tenancy(workspace)
     prompt = test_view.PROMPT._replace(model=model)
-    tenancy = routes.Tenancy(workspace, isolated=True) if workspace else None
     work = test_view.make_work(prompt=prompt)._replace(tenancy=tenancy)
     return view.plan(work, (), 10.0).space
 
@@ -84,12 +103,12 @@
     assert plan_space('m', '1') != plan_space('m.1')
 
 
-@hypothesis.given(NAMES, VERSIONS, TENANCIES, NAMES, VERSIONS)
+@hypothesis.given(NAMES, VERSIONS, WORKSPACES, NAMES, VERSIONS)
 def test_parts_of_an_earlier_build_are_freed_for_no_other_model(
-    model, version, tenancy, other, oldest
+    model, version, workspace, other, oldest
 ):
     # Guards against MIXED in a release: its texts may be read in two ways.
-    text = write_former(model, version, tenancy)
+    text = write_former(model, version, workspace)
     if garbage.is_stale(text, other, oldest):
         assert namespaces.parse(text).version < oldest
         assert other == model or '%' in model
