Parts of namespaces that no request uses are freed from stores

What callers would see: stores free nothing by themselves, so that each change of the isolated workspaces since would leave the former namespaces in them until the next weights; full stores drop writes, and prompts are read again.

Cause: only parts of replaced weights were freed.

Change: a box frees what no table of the last 15.6 s gives to anybody, if no proof in that time was over 2 s late, so that boxes with an older table have stopped to offer it. A namespace that comes back rests for 3.25 s: a box that has not heard of it may still free. What earlier builds use is freed once all listed boxes say that they are of this one.

--- a/landingspool/decisions/gateway/freshness.py
+++ b/landingspool/decisions/gateway/freshness.py
@@ -14,6 +14,9 @@
 # target: many times a turn of the event loop and a trip between failure
 # domains.
 MARGIN_S = 0.25
+# Seconds between two proofs above which a table may have come and gone in
+# between without being known here.
+MAX_GAP_S = 2.0
 # Age in seconds that logs and messages carry if there is no proof: both carry
 # plain numbers, and any such age is far above the bound.
 UNKNOWN_LOGGED_S = 9999.0
@@ -34,11 +37,30 @@
     def __init__(self, bound_s, fails_closed=True):
         self._bound_s = bound_s - MARGIN_S if fails_closed else math.inf
         self._at = None
+        # Since when no proof was older than MAX_GAP_S as the next one came.
+        self._unbroken_since = math.inf
 
     def record(self, sent):
         """Record that a read that was sent at `sent` was answered."""
-        if self._at is None or sent > self._at:
-            self._at = sent
+        if self._at is not None and sent <= self._at:
+            return
+        if self.age(sent) > MAX_GAP_S:
+            self._unbroken_since = sent
+        self._at = sent
+
+    def is_unbroken(self, since, now):
+        """Return whether all tables since a time have been known soon.
+
+        >>> proof = Proof(5.0)
+        >>> proof.record(1.0)
+        >>> proof.is_unbroken(1.0, 2.0), proof.is_unbroken(0.5, 2.0)
+        (True, False)
+        >>> proof.record(2.0 + MAX_GAP_S)
+        >>> proof.is_unbroken(1.0, 2.0 + MAX_GAP_S)
+        False
+        """
+        is_known = self.age(now) <= MAX_GAP_S
+        return is_known and self._unbroken_since <= since
 
     def age(self, now):
         """Return the seconds since the proof; infinite if there is none."""
--- a/landingspool/decisions/gateway/garbage.py
+++ b/landingspool/decisions/gateway/garbage.py
@@ -17,6 +17,7 @@
 only difference from one that is being written is that it doesn't grow.
 """
 
+import itertools
 import typing
 
 from landingspool.decisions.gateway import context_index as index_module
@@ -150,8 +151,22 @@
     >>> list_stale({('m.1', 'a'): 5, ('m.2', 'a'): 5}, 'm', 2)
     [('m.1', 'a')]
     """
-    stale = [key for key in cached if is_stale(key[0], model, oldest)]
-    return stale[:MAX_PARTS]
+    spaces = {space for space, _ in cached}
+    stale = {space for space in spaces if is_stale(space, model, oldest)}
+    return list_parts(cached, stale)
+
+
+def list_parts(cached, spaces):
+    """Return the (namespace, part name) of parts of some namespaces.
+
+    Parameters
+    ----------
+    cached : dict of tuple to int
+        Tokens by (namespace, part name).
+    spaces : collection of str
+    """
+    found = (key for key in cached if key[0] in spaces)
+    return list(itertools.islice(found, MAX_PARTS))
 
 
 class Sighting(typing.NamedTuple):
--- a/landingspool/decisions/gateway/namespaces.py
+++ b/landingspool/decisions/gateway/namespaces.py
@@ -16,8 +16,8 @@
 isolated now, whatever was in force in between.  Boxes with the same table
 agree on it without a message, also after a restart.
 
-Earlier builds joined names by dots without quoting.  A text that only they
-write is not read here as another namespace.
+Earlier builds joined names by dots without quoting, and had no OPEN
+namespaces.  A text that only they write is read here as none.
 """
 
 import functools
@@ -25,7 +25,6 @@
 import re
 import typing
 from urllib import parse as url_parse
-import uuid
 
 import xxhash
 
@@ -34,6 +33,7 @@
 OPEN = 'open'
 OWN = 'own'
 ONCE = 'once'
+AUDIENCES = COMMON, OPEN, OWN, ONCE
 
 # Characters that `urllib` never quotes, although they separate fields here.
 SEPARATORS = {'.': '%2E', '~': '%7E'}
@@ -41,6 +41,7 @@
     r'(?P<model>[^.~]*)(?:\.(?P<version>[0-9]+))?'
     r'(?:~(?P<audience>[a-z]+)~(?P<name>[^.~]*))?'
 )
+FORMER_TEXT = re.compile(r'.*\.[0-9]+(?:\..*)?', re.DOTALL)
 # Namespaces that are kept as text: those of a few versions and workspaces.
 MAX_CACHED = 4096
 # Sets of isolated workspaces whose hash is kept.
@@ -92,6 +93,31 @@
     return Namespace(model, version)
 
 
+def is_used(space, isolated):
+    """Return whether requests have a namespace, if just these are isolated.
+
+    >>> space = choose('m', 3, 'a', frozenset('w'))
+    >>> is_used(space, frozenset('w')), is_used(space, frozenset('v'))
+    (True, False)
+    """
+    if space.audience == OWN:
+        return space.name in isolated
+    if space.audience == OPEN:
+        return bool(isolated) and space.name == hash_names(isolated)
+    return space.audience == ONCE or not isolated
+
+
+def is_former(text):
+    """Return whether only earlier builds write a namespace so.
+
+    A later build may have forms that this one doesn't know: those are not.
+
+    >>> [is_former(text) for text in ('m.1.w', 'm-5.1.3', 'm.1', 'm.1~new~x')]
+    [True, True, False, False]
+    """
+    return parse(text) is None and FORMER_TEXT.fullmatch(text) is not None
+
+
 @functools.lru_cache(maxsize=MAX_CACHED_WALLS)
 def hash_names(names):
     """Return the hash of a set of names, the same in every process."""
@@ -105,18 +131,23 @@
     No other request of any box has one, and no caller has a say in it: the id
     of a request is chosen by its caller, and may be another one's as well.
 
-    >>> spaces = PrivateSpaces()
+    Parameters
+    ----------
+    process : str
+        Random text that no other process has.
+
+    >>> spaces = PrivateSpaces('5c1e')
     >>> spaces.make('m') == spaces.make('m')
     False
     """
 
-    def __init__(self):
-        self._prefix = uuid.uuid4().hex
+    def __init__(self, process):
+        self._process = process
         self._numbers = itertools.count(1)
 
     def make(self, model):
         """Return a Namespace that was never returned before."""
-        name = f'{self._prefix}-{next(self._numbers)}'
+        name = f'{self._process}-{next(self._numbers)}'
         return Namespace(model, None, ONCE, name)
 
 
@@ -158,8 +189,9 @@
         )
     except ValueError:
         return None
+    is_known = space.audience in AUDIENCES
     is_whole = (space.version is None) == (space.audience == ONCE)
-    return space if is_whole and write(space) == text else None
+    return space if is_known and is_whole and write(space) == text else None
 
 
 def quote(name):
--- a/landingspool/decisions/gateway/planner.py
+++ b/landingspool/decisions/gateway/planner.py
@@ -318,7 +318,10 @@
         name = self._write_namespace(version, work)
         transfer = transfers.Transfer()
         view = self._view
-        if garbage.may_offer(lag_s, view.proof.age(now), view.weights.bound_s):
+        proof_s, bound_s = view.proof.age(now), view.weights.bound_s
+        if garbage.may_offer(lag_s, proof_s, bound_s) and view.walls.may_offer(
+            now
+        ):
             transfer = self._plan_transfer(work, version, name, now)
         return Space(name, transfer, lag_s)
 
--- a/landingspool/decisions/gateway/view.py
+++ b/landingspool/decisions/gateway/view.py
@@ -40,6 +40,7 @@
 from landingspool.decisions.gateway import store_health as store_health_module
 from landingspool.decisions.gateway import stream_bindings
 from landingspool.decisions.gateway import transfers
+from landingspool.decisions.gateway import walls as walls_module
 from landingspool.decisions.gateway import watchers as watchers_module
 from landingspool.decisions.gateway import weights as weights_module
 
@@ -60,9 +61,11 @@
         Seed of the random choices.
     regions : dict of str to str, optional
         The region of each failure domain.
+    process : str, optional
+        Random text that no other process has.
     """
 
-    def __init__(self, domain, bounds, seed, regions=None):
+    def __init__(self, domain, bounds, seed, regions=None, process=''):
         self.domain = domain
         self.bounds = bounds
         self.rng = random.Random(seed)
@@ -91,7 +94,8 @@
             if bounds.contended
             else None
         )
-        self.private_spaces = namespaces.PrivateSpaces()
+        self.private_spaces = namespaces.PrivateSpaces(process)
+        self.walls = walls_module.Walls()
         self.context_index = index_module.ContextIndex()
         self.store_health = store_health_module.StoreHealth()
         self.proof = freshness.Proof(bounds.key_s, bounds.keys_fail_closed)
--- a/landingspool/event_kinds.py
+++ b/landingspool/event_kinds.py
@@ -364,6 +364,12 @@
             'WARNING',
             'A block could not be read; it is recomputed, and stays offered.',
         ),
+        Kind(
+            612,
+            'swept_unused',
+            'INFO',
+            'Parts of namespaces that no request uses were freed in a store.',
+        ),
         Kind(700, 'joined', 'INFO', 'A box was seen alive.'),
         Kind(701, 'suspected', 'WARNING', 'A box did not answer its probes.'),
         Kind(702, 'removed', 'WARNING', 'A box was removed from the view.'),
--- a/landingspool/gateway/hub.py
+++ b/landingspool/gateway/hub.py
@@ -3,6 +3,7 @@
 import asyncio
 import time
 import traceback
+import uuid
 
 from landingspool import boot_clock
 from landingspool.decisions.gateway import routes
@@ -105,7 +106,11 @@
         # Every reading of the time notices a stall before it is used.
         self.clock = self.timer.now
         self.view = view_module.View(
-            deployment.domain, deployment.bounds, seed, deployment.regions
+            deployment.domain,
+            deployment.bounds,
+            seed,
+            deployment.regions,
+            uuid.uuid4().hex,
         )
         self.gate = admission_gate.AdmissionGate(self)
         self.client = httpclient.Client()
--- a/landingspool/gateway/peering.py
+++ b/landingspool/gateway/peering.py
@@ -158,6 +158,20 @@
             for name, peer in self.peers.items()
         )
 
+    def has_earlier_namespaces(self):
+        """Return whether a box may name namespaces as earlier builds do.
+
+        One that the store still lists may be cut off from this box alone.
+        """
+        is_known = all(
+            peer.names_walls is not None for peer in self.peers.values()
+        )
+        if not is_known:
+            self._registry.read_soon()
+        return not self.is_complete() or not all(
+            peer.names_walls for peer in self.peers.values()
+        )
+
     def send(self, message, address):
         """Send a message without any guarantee of delivery."""
         self._socket.send(message, address)
--- a/landingspool/gateway/registry.py
+++ b/landingspool/gateway/registry.py
@@ -53,7 +53,8 @@
     `forwarding` is its address for forwarded requests; None if it takes none.
     `owns_streams` is whether it can be told what began a stream; None if its
     record has not been read.  `has_ballots` is the same for whether the fences
-    of its orders are ballots.
+    of its orders are ballots, and `names_walls` for whether its namespaces
+    name the isolated workspaces.
     """
 
     name: str
@@ -63,6 +64,7 @@
     forwarding: http.Address | None = None
     owns_streams: bool | None = None
     has_ballots: bool | None = None
+    names_walls: bool | None = None
 
 
 class BoxRecord(msgspec.Struct):
@@ -70,7 +72,7 @@
 
     A box of an earlier version names no address for forwarded requests, and
     doesn't say whether it can be told of streams, nor that the fences of its
-    orders are ballots.
+    orders are ballots or that its namespaces name the isolated workspaces.
     """
 
     address: str
@@ -79,6 +81,7 @@
     forwarding: str | None = None
     streams: bool = False
     ballots: bool = False
+    walls: bool = False
 
 
 BOX_DECODER = msgspec.json.Decoder(BoxRecord)
@@ -278,6 +281,7 @@
         'link_mbps': link_mbps,
         'streams': True,
         'ballots': True,
+        'walls': True,
     }
     if forwarding is not None:
         row['forwarding'] = f'{forwarding[0]}:{forwarding[1]}'
@@ -327,4 +331,5 @@
         forwarding,
         row.streams,
         row.ballots,
+        row.walls,
     )
--- a/landingspool/gateway/state.py
+++ b/landingspool/gateway/state.py
@@ -113,11 +113,13 @@
         if self._view.put_table(table):
             self._table_value = value
             self._has_table.set()
-            self._view.software_history.put_table(table, self._hub.clock())
+            now = self._hub.clock()
+            self._view.software_history.put_table(table, now)
+            self._view.walls.put(table.isolated, now)
             self._hub.recorder.record(
                 'published',
                 version=table.version,
-                proof_s=self._view.proof.age_to_log(self._hub.clock()),
+                proof_s=self._view.proof.age_to_log(now),
                 isolated=sorted(table.isolated),
             )
             for reason in table.passed_over:
--- a/landingspool/gateway/sweeper.py
+++ b/landingspool/gateway/sweeper.py
@@ -4,6 +4,8 @@
 itself, also by one that is cut off from the others: when they may be freed
 follows from the publication of the newer weights.  If several boxes do so it
 is harmless; they check at different times, so mostly the first one frees all.
+Parts of namespaces that no request uses any more (walls.py) are freed in the
+same way, by boxes with a recent proof of the table.
 
 Abandoned parts, whose write was never completed and no longer advances, are
 freed by one box only: the owner of the store among the boxes that are known.
@@ -48,6 +50,8 @@
         self._versions = garbage.KnownVersions()
         self._abandoned = garbage.IncompleteParts()
         self._listed = {}
+        # When a box of an earlier build may last have run.
+        self._earlier_at = hub.clock()
 
     async def run(self):
         """Check and free until cancelled."""
@@ -61,8 +65,28 @@
         self._drop_unowned_counts(owned)
         for address in self._list_due_stores(owned):
             await self._check_abandoned(address)
+        followed = self._list_followed()
         for model, min_version in self._list_garbage():
-            await self._free_all(model, min_version)
+            for address in followed:
+                await self._free_stale(address, model, min_version)
+        since = self._find_unbroken_since()
+        if since is not None:
+            for address in followed:
+                await self._free_unused(address, since)
+
+    def _list_followed(self):
+        """List the stores that this box follows itself."""
+        table = self._hub.view.table
+        if (
+            table is None
+            or self._hub.peering.pick_store_follower() is not None
+        ):
+            return []
+        return [
+            address
+            for address, store in table.context_stores.items()
+            if store.managed
+        ]
 
     def _list_garbage(self):
         """List models, each with the version before which all is garbage."""
@@ -81,28 +105,66 @@
                 found.append((model, min(replacing, in_use)))
         return found
 
-    async def _free_all(self, model, min_version):
-        """Free the parts of versions before `min_version` in all stores."""
-        view = self._hub.view
-        table = view.table
-        if (
-            table is None
-            or self._hub.peering.pick_store_follower() is not None
-        ):
-            return
-        for address, store in table.context_stores.items():
-            if store.managed:
-                await self._free(address, model, min_version)
+    def _find_unbroken_since(self):
+        """Return the time since which all tables are known here, or None.
 
-    async def _free(self, address, model, min_version):
-        """Free these parts in one store, as many as one call frees."""
+        None if that is not as long ago as parts may be offered by boxes with
+        an older table.
+        """
+        view, now = self._hub.view, self._hub.clock()
+        if self._hub.peering.has_earlier_namespaces():
+            self._earlier_at = now
+        since = now - garbage.compute_wait(view.weights.bound_s)
+        return since if view.proof.is_unbroken(since, now) else None
+
+    async def _free_stale(self, address, model, min_version):
+        """Free parts of versions before `min_version` in one store."""
+        freed = await self._free(
+            address,
+            lambda cached: garbage.list_stale(cached, model, min_version),
+        )
+        if freed is not None:
+            self._hub.recorder.record(
+                'swept',
+                before=min_version,
+                versions=self._count_versions(model),
+                **freed,
+            )
+
+    async def _free_unused(self, address, since):
+        """Free parts in one store that no table since a time gives to use."""
+        walls, is_alone = self._hub.view.walls, self._earlier_at <= since
+        found = []
+
+        def pick(cached):
+            spaces = {space for space, _ in cached}
+            found.extend(walls.list_unused(sorted(spaces), since, is_alone))
+            return garbage.list_parts(cached, set(found))
+
+        freed = await self._free(address, pick)
+        if freed is not None:
+            self._hub.recorder.record('swept_unused', spaces=found, **freed)
+
+    async def _free(self, address, pick):
+        """Free parts in one store, as many as one call frees.
+
+        Parameters
+        ----------
+        pick : callable
+            Returns the parts among those that are cached.
+
+        Returns
+        -------
+        dict or None
+            What was done, for the log; None if there was nothing to free.
+        """
         view, now = self._hub.view, self._hub.clock()
         index = view.context_index.get(address)
         if index is None or not view.context_index.may_fetch(address, now):
-            return
-        parts = garbage.list_stale(index.cached, model, min_version)
+            return None
+        parts = pick(index.cached)
         if not parts or not self._hub.timer.ran_since(index.confirmed):
-            return
+            return None
         age_s = now - index.confirmed
         until_ms = index.clock_ms + (age_s + garbage.CALL_TIMEOUT_S) * 1000
         done = await self._hub.runners.free(
@@ -110,17 +172,14 @@
         )
         if done:
             view.context_index.forget_parts(address, index.epoch, parts)
-        self._hub.recorder.record(
-            'swept',
-            store=address,
-            parts=len(parts),
-            before=min_version,
-            done=done,
-            until_ms=int(until_ms),
-            index_s=round(age_s, 3),
-            proof_s=view.proof.age_to_log(now),
-            versions=self._count_versions(model),
-        )
+        return {
+            'store': address,
+            'parts': len(parts),
+            'done': done,
+            'until_ms': int(until_ms),
+            'index_s': round(age_s, 3),
+            'proof_s': view.proof.age_to_log(now),
+        }
 
     def _count_versions(self, model):
         """Return how many known targets of a model have each version."""
--- a/tests/gateway/test_odd_boxes.py
+++ b/tests/gateway/test_odd_boxes.py
@@ -54,7 +54,7 @@
 def test_a_sound_record_is_decoded():
     peer = registry.read_peer('b', json.dumps(PEER).encode())
     assert peer == registry.Peer(
-        'b', ('127.0.0.1', 7), 'd', 5.0, ('127.0.0.1', 8), True, False
+        'b', ('127.0.0.1', 7), 'd', 5.0, ('127.0.0.1', 8), True, False, False
     )
 
 
--- a/tests/gateway/test_replaced_parts.py
+++ b/tests/gateway/test_replaced_parts.py
@@ -20,10 +20,10 @@
 LENGTH_S = 40.0
 
 
-def list_parts(now):
-    """Return the list of a store with one part of the first weights."""
-    row = context_index.Change('m.1', 'a', 2500)
-    return context_index.CacheUpdate(1, 0, False, (row,), True, now * 1000)
+def list_parts(now, spaces=('m.1',)):
+    """Return the list of a store with one part in each namespace."""
+    rows = tuple(context_index.Change(space, 'a', 2500) for space in spaces)
+    return context_index.CacheUpdate(1, 0, False, rows, True, now * 1000)
 
 
 class Box:
@@ -33,14 +33,19 @@
     ----------
     freed : list of float
         When it freed parts.
+    freed_spaces : list of str
+        The namespace of each part that it freed.
     offers : list of float
         Until when it offered parts to requests, seconds.
     """
 
-    def __init__(self, targets, incomplete=()):
+    def __init__(self, targets, incomplete=(), spaces=('m.1',)):
         self.now = 0.0
+        self.has_earlier = False
         self.incomplete = incomplete
+        self.spaces = spaces
         self.freed = []
+        self.freed_spaces = []
         self.offers = []
         self.view = test_view.make_view(0)
         self.view.proof = freshness.Proof(5.0)
@@ -67,6 +72,7 @@
                 peering=types.SimpleNamespace(
                     peers={},
                     pick_store_follower=lambda: None,
+                    has_earlier_namespaces=lambda: self.has_earlier,
                     ages=readers.plan_ages(2.0),
                 ),
                 timer=types.SimpleNamespace(ran_since=lambda at: True),
@@ -76,18 +82,20 @@
 
     async def read_list(self, address):
         """Answer with the list of the store."""
-        listed = list_parts(self.now)
+        listed = list_parts(self.now, self.spaces)
         return listed._replace(clock_ms=None, incomplete=self.incomplete)
 
     async def free(self, address, epoch, parts, until_ms):
         """Note that parts are freed."""
         self.freed.append(self.now)
+        self.freed_spaces += [space for space, _ in parts]
         return True
 
     def look(self, now):
         """Read the store's contents, offer parts and free what may be."""
         self.now = now
-        self.view.context_index.take(STORE, list_parts(now), now, now)
+        listed = list_parts(now, self.spaces)
+        self.view.context_index.take(STORE, listed, now, now)
         plan = self.view.plan(test_view.make_work(), ('new',), now)
         if plan is not None and any(plan.transfer.fetch):
             self.offers.append(plan.transfer.until_ms / 1000)
