A key that nobody holds is refused on open routes, none needs no proof

On a route with allow_anonymous requests with a key that had been taken away went on running at all boxes, 102 to 106 of them later than revoke_ms; with a key that never was as well. With the store away callers without a key were refused there, 503 unproved_table.

Cause: get_tenancy took any key that is not in the table for no key, and so did read_call other schemes and empty headers; of two rows the last one decided. The proof was asked for before the route was known.

Change: a table of what is presented by what the route asks for says whether a request passes and whether that rests on a key, so on a recent proof. Admission, heads of large bodies, the look before a send or a hop, streams and waits go by it.

--- a/landingspool/decisions/gateway/routes.py
+++ b/landingspool/decisions/gateway/routes.py
@@ -215,25 +215,73 @@
     return None
 
 
-def get_tenancy(table, route, key):
-    """Return the workspace of a key.
+class Standing(typing.NamedTuple):
+    """What a table says of a request with some key on a route.
 
-    Returns
-    -------
-    tuple of (Tenancy or None, bool)
-        The workspace, and whether the request is authorized.
+    Attributes
+    ----------
+    passes : bool
+        Whether it is authorized.
+    needs_proof : bool
+        Whether that rests on a key, of which a newer table may say otherwise.
+    tenancy : Tenancy or None
+        The workspace of the key.
+    """
+
+    passes: bool
+    needs_proof: bool
+    tenancy: Tenancy | None = None
+
+
+# What a caller presents: no credentials, the key of a workspace, or anything
+# else.  Whoever presents credentials expects to be known by them: served as
+# nobody, its prompts would be shared with everybody.
+NO_KEY, KNOWN_KEY, OTHER_KEY = 'no key', 'known key', 'other key'
+# What is asked of callers: nothing, since there are no workspaces; a known key
+# if any; a known key.
+UNKEYED, OPEN, CLOSED = 'unkeyed', 'open', 'closed'
+STANDINGS = {
+    (NO_KEY, UNKEYED): Standing(passes=True, needs_proof=False),
+    (NO_KEY, OPEN): Standing(passes=True, needs_proof=False),
+    (NO_KEY, CLOSED): Standing(passes=False, needs_proof=False),
+    (KNOWN_KEY, OPEN): Standing(passes=True, needs_proof=True),
+    (KNOWN_KEY, CLOSED): Standing(passes=True, needs_proof=True),
+    (OTHER_KEY, UNKEYED): Standing(passes=True, needs_proof=False),
+    (OTHER_KEY, OPEN): Standing(passes=False, needs_proof=True),
+    (OTHER_KEY, CLOSED): Standing(passes=False, needs_proof=True),
+}
+
+
+def judge(table, route, key):
+    """Return the Standing of a request.
+
+    Parameters
+    ----------
+    key : str or None
+        None if the caller presents no credentials; empty if they are no key.
 
     >>> table = make_table(1, [], [], {'k': Tenancy('w')}, Limits(), True)
-    >>> route = Route('r', 'h', '/a/', SAFE, 1, 1, 0, ())
-    >>> get_tenancy(table, route, 'k') == (Tenancy('w'), True)
-    True
-    >>> get_tenancy(table, route, 'x')
-    (None, False)
+    >>> route = Route('r', 'h', '/a/', SAFE, 1, 1, 0, (), anonymous=True)
+    >>> judge(table, route, 'k').tenancy.name
+    'w'
+    >>> judge(table, route, None).passes, judge(table, route, 'x').passes
+    (True, False)
     """
-    tenancy = table.keys.get(key) if key else None
+    tenancy = table.keys.get(key) if table.keyed and key else None
     if tenancy is not None:
-        return tenancy, True
-    return None, route.anonymous or not table.keyed
+        caller = KNOWN_KEY
+    else:
+        caller = NO_KEY if key is None else OTHER_KEY
+    asked = OPEN if route.anonymous else CLOSED
+    found = STANDINGS[caller, asked if table.keyed else UNKEYED]
+    return found._replace(tenancy=tenancy)
+
+
+def is_same_workspace(tenancy, other):
+    """Return whether two requests are of one workspace, or both of none."""
+    if tenancy is None or other is None:
+        return tenancy is other
+    return tenancy.name == other.name
 
 
 def pick_service(route, rng):
--- a/landingspool/decisions/gateway/view.py
+++ b/landingspool/decisions/gateway/view.py
@@ -124,13 +124,13 @@
         self.fair_admission.put_table(table)
         return True
 
-    def is_proved(self, now):
-        """Return whether the table in force may be used for requests.
+    def may_serve(self, work, now):
+        """Return whether a request may be served by the table in force.
 
-        A table without keys holds nothing that may have been revoked, so that
-        it needs no recent confirmation by the platform's store.
+        A request with a key needs a recent confirmation of the table by the
+        platform's store: the key may have been revoked.
         """
-        return not self.table.keyed or self.proof.is_fresh(now)
+        return work.tenancy is None or self.proof.is_fresh(now)
 
     def put_entry(self, entry, now):
         """Store a target's entry; return the state that applies."""
--- a/landingspool/gateway/attempts.py
+++ b/landingspool/gateway/attempts.py
@@ -121,7 +121,7 @@
         now, plan, work = self._hub.clock(), self._plan, self._state.work
         return (
             self._hub.timer.ran_since(self._planned_at)
-            and self._view.is_proved(now)
+            and self._view.may_serve(work, now)
             and self._view.may_send(plan.entry, work, now)
             and self._view.start_limits.may_send(plan, work, now)
         )
--- a/landingspool/gateway/caller_room.py
+++ b/landingspool/gateway/caller_room.py
@@ -94,16 +94,18 @@
         """
         view = self._hub.view
         table = view.table
-        if table is None or not view.is_proved(self._hub.clock()):
+        if table is None:
             return ''
         call = forwarded_rows.read_call(request)
         route = routes.match_route(table, call.host, call.target)
         if route is None:
             self._refuse(call, 404, 'no_route')
-        tenancy, passes = routes.get_tenancy(table, route, call.key)
-        if not passes:
+        standing = routes.judge(table, route, call.key)
+        if standing.needs_proof and not view.proof.is_fresh(self._hub.clock()):
+            return ''
+        if not standing.passes:
             self._refuse(call, 401, 'unknown_key')
-        return tenancy.name if tenancy else ''
+        return standing.tenancy.name if standing.tenancy else ''
 
     def _refuse(self, call, status, reason):
         """Refuse a request whose body was not read.
--- a/landingspool/gateway/forwarder.py
+++ b/landingspool/gateway/forwarder.py
@@ -76,10 +76,10 @@
         return self._peer.name
 
     def is_current(self):
-        now = self._hub.clock()
+        now, work = self._hub.clock(), self._state.work
         return self._hub.timer.ran_since(
             self._planned_at
-        ) and self._view.is_proved(now)
+        ) and self._view.may_serve(work, now)
 
     def _send(self):
         state = self._state
--- a/landingspool/gateway/relay.py
+++ b/landingspool/gateway/relay.py
@@ -86,27 +86,29 @@
             await self._hub.state.wait_for_table(self._get_start_wait())
         if self._view.table is None:
             return await self._refusals.refuse('no_table')
-        proved = self._is_proved() or await self._wait_for_proof()
-        return await self._admit(proved)
+        return await self._admit()
 
     def _get_start_wait(self):
         """Return the seconds for which a request may wait for the table."""
         return min(START_WAIT_S, self._call.left_s * START_WAIT_SHARE)
 
-    async def _admit(self, proved):
-        table = self._view.table
-        route = self._get_route()
+    async def _admit(self):
+        route, standing = self._judge()
+        if self._lacks_proof(standing):
+            if not await self._wait_for_proof():
+                return await self._refusals.refuse('unproved_table')
+            route, standing = self._judge()
         if route is None:
             return await self._refusals.deny(404, 'no_route')
-        tenancy, passes = routes.get_tenancy(table, route, self._call.key)
-        if not passes:
+        if not standing.passes:
             return await self._refusals.deny(401, 'unknown_key')
-        if not proved:
-            return await self._refusals.refuse('unproved_table')
-        service = self._pick_service(route)
         self._state.begin(
             plans.Work(
-                self._call.name, route, service, tenancy, self._call.prompt
+                self._call.name,
+                route,
+                self._pick_service(route),
+                standing.tenancy,
+                self._call.prompt,
             )
         )
         found = await self._find_binding(route)
@@ -308,14 +310,17 @@
 
     async def _handle_stale(self, outcome):
         self._state.unsent_attempts += 1
-        if self._is_proved():
+        if self._view.may_serve(self._state.work, self._hub.clock()):
             return await self._continue_unsent()
         if await self._wait_for_proof() and self._is_still_allowed():
             return await self._continue_unsent()
         return await self._refusals.give_up('unproved_table')
 
-    def _is_proved(self):
-        return self._view.is_proved(self._hub.clock())
+    def _lacks_proof(self, standing):
+        """Return whether a standing rests on a table that may be outdated."""
+        if standing is None or not standing.needs_proof:
+            return False
+        return not self._view.proof.is_fresh(self._hub.clock())
 
     async def _wait_for_proof(self):
         """Wait for the table's proof to be renewed after a stall."""
@@ -328,10 +333,23 @@
 
     def _is_still_allowed(self):
         """Return whether the table read during the wait allows it, too."""
-        route = self._get_route()
-        if route is None:
+        route, standing = self._judge()
+        if route is None or not standing.passes:
             return False
-        return routes.get_tenancy(self._view.table, route, self._call.key)[1]
+        tenancy = self._state.work.tenancy
+        return routes.is_same_workspace(standing.tenancy, tenancy)
+
+    def _judge(self):
+        """Return the route of the request and its standing on it.
+
+        Returns
+        -------
+        tuple of (routes.Route, routes.Standing) or (None, None)
+        """
+        table, route = self._view.table, self._get_route()
+        if route is None:
+            return None, None
+        return route, routes.judge(table, route, self._call.key)
 
     def _get_route(self):
         call = self._call
--- a/landingspool/gateway/resumption.py
+++ b/landingspool/gateway/resumption.py
@@ -109,7 +109,7 @@
 
     def _is_proved(self, now):
         view = self._hub.view
-        return view.table is not None and view.is_proved(now)
+        return view.table is not None and view.proof.is_fresh(now)
 
     def _await_renewal(self, begun, turns):
         """End the renewal that began at `begun` after a number of turns.
--- a/landingspool/gateway/stream_retries.py
+++ b/landingspool/gateway/stream_retries.py
@@ -135,7 +135,7 @@
 
     def _is_possible(self):
         state, now = self._state, self._hub.clock()
-        if not self._view.is_proved(now):
+        if not self._view.may_serve(state.work, now):
             return False
         # An answer of the target may still show that it has not crashed.
         if not self._view.crashes.may_repeat(state.keys):
--- a/landingspool/platform/ingress.py
+++ b/landingspool/platform/ingress.py
@@ -11,7 +11,7 @@
 from landingspool.decisions.gateway import prompts
 from landingspool.platform import names
 
-BEARER = 'bearer '
+BEARER = 'bearer'
 # Seconds that a caller is assumed to wait if its head states no time.
 DEFAULT_TIME_LEFT_S = 30.0
 # Longest time that a caller is taken to wait, seconds.
@@ -31,6 +31,8 @@
         Path and query as sent.
     headers : list of tuple of bytes
         As sent.
+    key : str or None
+        None if the caller presents no credentials; empty if they are no key.
     left_s : float
         Seconds that the caller waits, counted from when it sent the head.
     prompt : prompts.Prompt or None
@@ -46,7 +48,7 @@
     target: str
     host: str
     headers: list
-    key: str
+    key: str | None
     left_s: float
     prompt: prompts.Prompt | None
     after_event: str
@@ -66,17 +68,13 @@
     Call
     """
     found = {k.decode('latin-1'): v.decode('latin-1') for k, v in headers}
-    authorization = found.get(names.AUTHORIZATION, '')
-    key = ''
-    if authorization.lower().startswith(BEARER):
-        key = authorization[len(BEARER) :].strip()
     return Call(
         name=found.get(names.REQUEST_ID, ''),
         method=method,
         target=target,
         host=found.get('host', ''),
         headers=headers,
-        key=key,
+        key=read_key(headers),
         left_s=read_time_left(found.get(names.TIME_LEFT)),
         prompt=read_prompt(found),
         after_event=found.get(names.LAST_EVENT, ''),
@@ -84,6 +82,25 @@
     )
 
 
+def read_key(headers):
+    """Return the key of a request; None if it presents no credentials.
+
+    Credentials that are no key, or come twice, are an empty text.
+
+    >>> read_key([(b'authorization', b'Bearer k1')]), read_key([])
+    ('k1', None)
+    >>> read_key([(b'authorization', b'Basic azE=')])
+    ''
+    """
+    name = names.AUTHORIZATION.encode()
+    rows = [value.decode('latin-1') for n, value in headers if n == name]
+    if not rows:
+        return None
+    scheme, _, text = rows[0].partition(' ')
+    is_key = len(rows) == 1 and scheme.lower() == BEARER
+    return text.strip() if is_key else ''
+
+
 def read_name(headers):
     """Return the caller's id of a request, or an empty text.
 
