Late in a planned stop nothing is passed on that may outlast it

Requests whose body ended 4.2 to 4.8 s after SIGTERM and that took 4 s were passed on, and got 502 as the box exited, though the target had run them.

Cause: nothing asked, when a request was whole, whether it can end before the process does.

Change: a box knows from the signal on when it ends. A send is made if the request's own deadline ends it before; in the notice also if it usually ends in time; otherwise it is refused at once as not run, with Connection: close and a short Retry-After. Heads of large bodies and further attempts are judged likewise. The grace counts from the first signal, also where it comes while the box starts.

--- a/landingspool/gateway/caller_room.py
+++ b/landingspool/gateway/caller_room.py
@@ -4,12 +4,14 @@
 """
 
 import functools
+import random
 
 from landingspool import buffers
 from landingspool.decisions.gateway import byte_budget
 from landingspool.decisions.gateway import routes
 from landingspool.gateway import forwarded_rows
 from landingspool.gateway import intake
+from landingspool.gateway import refusals
 from landingspool import http
 
 
@@ -90,7 +92,8 @@
         Raises
         ------
         http.BadRequest
-            If the table in force does not allow the request.
+            If the table in force does not allow the request, or this box may
+            have stopped before its answer.
         """
         view = self._hub.view
         table = view.table
@@ -105,9 +108,23 @@
             return ''
         if not standing.passes:
             self._refuse(call, 401, 'unknown_key')
+        self._check_lifetime(call, route)
         return standing.tenancy.name if standing.tenancy else ''
 
-    def _refuse(self, call, status, reason):
+    def _check_lifetime(self, call, route):
+        """Refuse a request whose body would be read in vain.
+
+        Raises
+        ------
+        http.BadRequest
+        """
+        now = self._hub.clock()
+        deadline = now + min(call.left_s, route.timeout_s)
+        if not self._hub.lifetime.may_read(deadline, now):
+            after = random.uniform(*refusals.STOPPING_RETRY_AFTER_S)
+            self._refuse(call, 503, refusals.STOPPING, after)
+
+    def _refuse(self, call, status, reason, after=None):
         """Refuse a request whose body was not read.
 
         Raises
@@ -122,4 +139,4 @@
             reason=reason,
             may_have_run=False,
         )
-        raise http.BadRequest(status, reason)
+        raise http.BadRequest(status, reason, after)
--- a/landingspool/gateway/forwarder.py
+++ b/landingspool/gateway/forwarder.py
@@ -11,6 +11,7 @@
 from landingspool.gateway import forwarded_rows
 from landingspool.gateway import intake
 from landingspool.gateway import outcomes
+from landingspool.gateway import refusals
 from landingspool.gateway import upstream
 from landingspool.platform import egress
 
@@ -22,8 +23,7 @@
 # Reasons for which a box can't send to the targets of a service.
 CUT_OFF = 'cut_off'
 UNREACHED = 'unreached'
-STOPPING = 'stopping'
-UNABLE = frozenset((CUT_OFF, UNREACHED, STOPPING))
+UNABLE = frozenset((CUT_OFF, UNREACHED, refusals.STOPPING))
 # Reasons for which another box may serve a request that one has refused.
 TRY_ELSEWHERE = UNABLE | {'no_table', 'unproved_table', intake.NO_ROOM}
 # Seconds by which the time given to the other box is shorter than that left
--- a/landingspool/gateway/hub.py
+++ b/landingspool/gateway/hub.py
@@ -6,6 +6,7 @@
 import uuid
 
 from landingspool import boot_clock
+from landingspool.decisions.gateway import lifetime as lifetime_module
 from landingspool.decisions.gateway import routes
 from landingspool.decisions.gateway import stalls
 from landingspool.decisions.gateway import view as view_module
@@ -19,13 +20,13 @@
 from landingspool.gateway import current_list
 from landingspool.gateway import following
 from landingspool.gateway import forwarded_rows
-from landingspool.gateway import forwarder
 from landingspool.gateway import listener
 from landingspool.gateway import metrics
 from landingspool.gateway import ordering
 from landingspool.gateway import peering
 from landingspool.gateway import prober
 from landingspool.gateway import record_server
+from landingspool.gateway import refusals
 from landingspool.gateway import relay
 from landingspool.gateway import resumption
 from landingspool.gateway import rollbacks
@@ -55,11 +56,8 @@
 # Port and path of the metrics; the deploy file names the same port.
 METRICS_PORT = 9464
 METRICS_PATH = '/metrics'
-# Seconds for which a stopping box accepts new connections.  The balancer
-# checks readiness each second and removes a box after two failed checks.
-STOP_NOTICE_S = 2.6
-# Seconds before the platform kills the process at which it exits by itself.
-EXIT_MARGIN_S = 0.8
+# Seconds in which connections may end at least as the box stops.
+MIN_CLOSE_S = 0.1
 # File descriptors reserved for connections to targets, store and boxes, and
 # the most of all that are reserved.
 RESERVED_DESCRIPTORS = 1200
@@ -112,6 +110,7 @@
             deployment.regions,
             uuid.uuid4().hex,
         )
+        self.lifetime = lifetime_module.Lifetime(deployment.bounds.grace_s)
         self.gate = admission_gate.AdmissionGate(self)
         self.client = httpclient.Client()
         self.store = store.Store(self.client, deployment.store, self.clock)
@@ -208,7 +207,8 @@
         await self._shut_down()
 
     def stop(self):
-        """Begin a planned stop."""
+        """Begin a planned stop; the grace counts from the first call."""
+        self.lifetime.begin_stop(self.clock())
         self._stop.set()
 
     def _keep_parts(self):
@@ -234,9 +234,9 @@
         if self._stop.is_set():
             # It would be lost if it came as the listener closes.
             rows = forwarded_rows.describe_unsent(
-                request.headers, forwarder.STOPPING
+                request.headers, refusals.STOPPING
             )
-            await reply.send_error(503, forwarder.STOPPING, extra=rows)
+            await reply.send_error(503, refusals.STOPPING, extra=rows)
             return
         await self._relay(request, body, reply, origin)
 
@@ -425,18 +425,15 @@
 
     async def _shut_down(self):
         self.recorder.record('draining', open=self.listener.count_busy())
-        began = self.clock()
-        deadline = began + self.deployment.bounds.grace_s - EXIT_MARGIN_S
         self.listener.stop()
         self.forward_listener.stop()
         # An error in one step must not keep open requests from their end.
         self._guard(self.gate.stop)
         self._guard(self.continuity.hand_over)
         self.supervisor.spawn('leave', self.peering.leave())
-        await asyncio.sleep(
-            min(STOP_NOTICE_S, self.deployment.bounds.grace_s / 2)
-        )
-        left_s = max(deadline - self.clock(), 0.1)
+        lifetime = self.lifetime
+        await asyncio.sleep(max(lifetime.notice_ends - self.clock(), 0.0))
+        left_s = max(lifetime.ends - self.clock(), MIN_CLOSE_S)
         await asyncio.gather(
             self.listener.close(left_s), self.forward_listener.close(left_s)
         )
--- a/landingspool/gateway/refusals.py
+++ b/landingspool/gateway/refusals.py
@@ -18,6 +18,10 @@
 # The same when all targets are leaving: a replacement has to start, load its
 # weights and be listed.
 REPLACEMENT_RETRY_AFTER_S = (1.0, 2.0)
+# The same when this box stops: others serve its callers at once.
+STOPPING_RETRY_AFTER_S = (0.02, 0.1)
+# Why a box that stops does not serve a request.
+STOPPING = 'stopping'
 
 
 class Answer(typing.NamedTuple):
@@ -76,6 +80,11 @@
         await self._send_error(503, reason, after)
         return Answer(503, reason, False)
 
+    async def refuse_stopping(self):
+        """Answer a request that might not end before this box has stopped."""
+        after = random.uniform(*STOPPING_RETRY_AFTER_S)
+        return await self.give_up(STOPPING, after=after)
+
     async def refuse_unbound(self, found):
         """Answer a caller whose stream goes on nowhere.
 
--- a/landingspool/gateway/relay.py
+++ b/landingspool/gateway/relay.py
@@ -186,6 +186,8 @@
         found = self._view.crashes.find_quarantine(state.keys, now)
         if found is not None:
             return await self._refusals.refuse_quarantined(found)
+        if not state.may_end(self._hub, now):
+            return await self._refusals.refuse_stopping()
         if self._paths.may_send_directly(now):
             return await self._attempt_directly(now)
         if self._origin is not None:
--- a/landingspool/gateway/request_state.py
+++ b/landingspool/gateway/request_state.py
@@ -151,6 +151,17 @@
         """Return whether its deadline, less ANSWER_MARGIN_S, has passed."""
         return now >= self.deadline - ANSWER_MARGIN_S
 
+    def may_end(self, hub, now):
+        """Return whether a send may be answered before this box has stopped.
+
+        Parameters
+        ----------
+        hub
+            The box's parts: `lifetime`, `view`.
+        """
+        profile = hub.view.profiles.get_service(self.work.service)
+        return hub.lifetime.may_send(self.work, self.deadline, profile, now)
+
     def get_time_left(self, now):
         """Return the seconds in which an attempt has to be answered."""
         return max(self.deadline - ANSWER_MARGIN_S - now, MIN_TIMEOUT_S)
--- a/landingspool/gateway/stream_retries.py
+++ b/landingspool/gateway/stream_retries.py
@@ -114,10 +114,11 @@
         return routes.is_resumable(route) and self._may_continue()
 
     def _may_continue(self):
-        state = self._state
+        state, now = self._state, self._hub.clock()
         return (
             state.origin is None
-            and not state.is_expired(self._hub.clock())
+            and not state.is_expired(now)
+            and state.may_end(self._hub, now)
             and (state.has_sends_left() or bool(state.sound_targets))
         )
 
