Requests to engines that name no model share no cached context

What callers could see: WALL. A request with parts of a prompt and no model was sent without a namespace, and engines keep parts without one under one text common to all, also those of isolated workspaces.

Cause: the namespace was written only for requests with a model.

Not seen at a site.

Change: such a request at an engine gets a namespace of its own. Result: the test passes, with test_relay, test_view and the doctests.

--- a/landingspool/decisions/gateway/planner.py
+++ b/landingspool/decisions/gateway/planner.py
@@ -198,6 +198,9 @@
                 transfer = spaces[version].transfer
             cached = max(chosen.cached, transfer.tokens)
             read = prompts.count_read(work.prompt, cached)
+        elif not self._view.is_plain(work.service):
+            # Without any, engines share it among all requests without one.
+            space = namespaces.write(self._view.private_spaces.make(''))
         return plans.Plan(
             chosen.entry,
             chosen.expected_s,
--- a/landingspool/platform/egress.py
+++ b/landingspool/platform/egress.py
@@ -144,6 +144,8 @@
         rows.append((names.WORKSPACE, instructions.workspace))
     if instructions.after_event:
         rows.append((names.LAST_EVENT, instructions.after_event))
+    if instructions.space:
+        rows.append((names.SPACE, instructions.space))
     if call.prompt is not None:
         rows += write_engine_rows(instructions)
     return encode_rows(rows)
@@ -171,8 +173,6 @@
         rows.append((names.URGENCY, str(urgency)))
     if instructions.version is not None:
         rows.append((names.ONLY_VERSION, str(instructions.version)))
-    if instructions.space:
-        rows.append((names.SPACE, instructions.space))
     if any(instructions.fetch):
         rows.append((names.FETCH_FROM, write_addresses(instructions.fetch)))
         if instructions.until_ms is not None:
--- a/tests/gateway/test_isolation.py
+++ b/tests/gateway/test_isolation.py
@@ -140,6 +140,24 @@
     assert box.plan(None).space == box.find_space('v') != before
 
 
+def test_requests_that_name_no_model_share_no_context():
+    # Guards against WALL: without a namespace engines have one for all.
+    async def check(deployment):
+        hub = await deployment.start_box()
+        for engine in deployment.engines:
+            engine.usual = 'stream'
+        for _ in range(3):
+            row = ('x-landingspool-prefix-hash', 'aa:500,bb:90')
+            assert (await site.ask(hub, '/stream/a', headers=[row])).whole
+        ran = [head for engine in deployment.engines for head in engine.ran]
+        assert len({head['cache-salt'] for head in ran}) == 3
+        assert (await site.ask(hub, '/safe/a')).status == 200
+        (plain,) = [head for target in deployment.plain for head in target.ran]
+        assert 'cache-salt' not in plain
+
+    site.run(check)
+
+
 STEPS = strategies.lists(
     strategies.tuples(
         strategies.frozensets(strategies.sampled_from(NAMES)),
