Soak: requests that become whole late in planned stops, and behind others

Checked at boxes that nothing but a planned stop befell: what is whole gets an answer, 503 has not run, and what is behind an unanswered request has not run.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -20,6 +20,7 @@
 from soak import callers
 from soak import faults
 from soak import fleet as fleet_module
+from soak import late
 from soak import misbehaving
 from soak import orders
 from soak import parts
@@ -41,6 +42,7 @@
 CHECKS = {
     'soak/auditor.py::check_keys': auditor.check_keys,
     'soak/auditor.py::check_leaving': auditor.check_leaving,
+    'soak/late.py::check_late': late.check_late,
     'soak/misbehaving.py::check_incomplete': misbehaving.check_incomplete,
     'soak/misbehaving.py::check_memory': misbehaving.check_memory,
     'soak/orders.py::check_orders': orders.check_orders,
@@ -107,6 +109,7 @@
         works += map(
             asyncio.ensure_future, misbehaving.make_callers(seed, fleet)
         )
+        works += map(asyncio.ensure_future, late.make_callers(seed, fleet))
         if seed % PARTS_EVERY == 0:
             drawn = random.Random(f'parts {seed}')
             works.append(asyncio.ensure_future(parts.send_fatal(fleet, drawn)))
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -106,6 +106,8 @@
         self.process = None
         # When it was started, each time.
         self.starts = []
+        # When it was sent which signal.
+        self.signals = []
         self.wire = proxy.Proxy(store)
         self._folder = pathlib.Path(folder)
         self._path = self._folder / f'{self.name}.toml'
@@ -153,6 +155,7 @@
     def send(self, number):
         """Send a signal to the process, if it runs."""
         if self.process is not None and self.process.poll() is None:
+            self.signals.append((time.monotonic(), number))
             os.kill(self.process.pid, number)
 
     def close(self):
@@ -216,6 +219,7 @@
         self.returning = asyncio.Lock()
         # The most memory that each box had, bytes, where it was looked at.
         self.peaks = {}
+        self.late = []
 
     @contextlib.contextmanager
     def harm(self, boxes=()):
