Split what judges a request from the relay; one name of a workspace

Six places wrote out the workspace of a request or none; Work.workspace does. No change of behaviour: the tests of keys, late requests, isolation, fair admission, standstills, relay and begun streams pass.

--- a/landingspool/decisions/gateway/fair_admission.py
+++ b/landingspool/decisions/gateway/fair_admission.py
@@ -77,7 +77,7 @@
             return refused
         self._refused_at[work.service] = now
         demands = self._find_demands(work.service, peers_by_domain, now)
-        name = workspace_usage.get_name(work)
+        name = work.workspace
         return fair_levels.spread_refused(
             demands, workspace_usage.hash_name(name), refused
         )
@@ -87,7 +87,7 @@
         demands = self._demands.get(work.service)
         if demands is None:
             return 0.0
-        name = workspace_usage.get_name(work)
+        name = work.workspace
         return fair_levels.compute_excess(
             demands, workspace_usage.hash_name(name)
         )
--- a/landingspool/decisions/gateway/plans.py
+++ b/landingspool/decisions/gateway/plans.py
@@ -25,6 +25,11 @@
     prompt: prompts.Prompt | None
     software: str | None = None
 
+    @property
+    def workspace(self):
+        """Name of the workspace; empty if the request has none."""
+        return '' if self.tenancy is None else self.tenancy.name
+
 
 class Plan(typing.NamedTuple):
     """The target of a request, with the values that decided it.
--- a/landingspool/decisions/gateway/workspace_usage.py
+++ b/landingspool/decisions/gateway/workspace_usage.py
@@ -94,11 +94,6 @@
     return fairness.compute_cost(prompt.tokens_in, prompt.tokens_out)
 
 
-def get_name(work):
-    """Return the workspace of a request; empty for anonymous requests."""
-    return '' if work.tenancy is None else work.tenancy.name
-
-
 def compute_fade(age_s):
     """Return the share with which a report of some age counts.
 
@@ -130,7 +125,7 @@
 
     def _add(self, work, asked, served, now):
         rows = self._own.setdefault(work.service, {})
-        key = hash_name(get_name(work))
+        key = hash_name(work.workspace)
         known = rows.get(key)
         if known is None:
             if len(rows) >= MAX_TRACKED:
--- a/landingspool/gateway/attempt_heads.py
+++ b/landingspool/gateway/attempt_heads.py
@@ -18,11 +18,10 @@
     -------
     list of tuple
     """
-    tenancy = state.work.tenancy
     instructions = egress.Instructions(
         target=plan.entry.target,
         left_s=state.deadline - sent_at,
-        workspace=tenancy.name if tenancy else '',
+        workspace=state.work.workspace,
         priority=demand.find_priority(state.work),
         version=plan.version,
         space=plan.space,
--- a/landingspool/gateway/continuity.py
+++ b/landingspool/gateway/continuity.py
@@ -385,5 +385,4 @@
     attempt : str
         The caller's id of the attempt.
     """
-    workspace = work.tenancy.name if work.tenancy else ''
-    return stream_bindings.make_key(workspace, work.route, attempt)
+    return stream_bindings.make_key(work.workspace, work.route, attempt)
--- a/landingspool/gateway/refusals.py
+++ b/landingspool/gateway/refusals.py
@@ -210,7 +210,7 @@
         excess = fair.measure_excess(work)
         self._hub.metrics.record_share_refusal(work.service, excess)
         return {
-            'workspace': work.tenancy.name if work.tenancy else '',
+            'workspace': work.workspace,
             'excess': round(excess, 2),
         }
 
--- a/landingspool/gateway/relay.py
+++ b/landingspool/gateway/relay.py
@@ -15,6 +15,7 @@
 from landingspool.decisions.gateway import stream_bindings
 from landingspool.gateway import admission_gate
 from landingspool.gateway import attempts
+from landingspool.gateway import authorization
 from landingspool.gateway import forwarder
 from landingspool.gateway import outcomes
 from landingspool.gateway import path_choice
@@ -44,7 +45,7 @@
     ----------
     hub
         The box's parts: `view`, `recorder`, `metrics`, `clock`, `upstream`,
-        `resumption`, `state`, and those that an attempt needs.
+        `resumption`, `state`, `lifetime`, and those that an attempt needs.
     call : ingress.Call
     body : bytes or bodies.Body
     reply : replies.Reply
@@ -69,6 +70,7 @@
         self._refusals = refusals.Refusals(
             hub, self._state, origin, self._stream_retries
         )
+        self._authorization = authorization.Authorization(hub, call)
         self._plan = None
 
     async def run(self):
@@ -93,11 +95,11 @@
         return min(START_WAIT_S, self._call.left_s * START_WAIT_SHARE)
 
     async def _admit(self):
-        route, standing = self._judge()
-        if self._lacks_proof(standing):
-            if not await self._wait_for_proof():
+        route, standing = self._authorization.judge()
+        if self._authorization.lacks_proof(standing):
+            if not await self._authorization.wait_for_proof():
                 return await self._refusals.refuse('unproved_table')
-            route, standing = self._judge()
+            route, standing = self._authorization.judge()
         if route is None:
             return await self._refusals.deny(404, 'no_route')
         if not standing.passes:
@@ -312,51 +314,10 @@
 
     async def _handle_stale(self, outcome):
         self._state.unsent_attempts += 1
-        if self._view.may_serve(self._state.work, self._hub.clock()):
-            return await self._continue_unsent()
-        if await self._wait_for_proof() and self._is_still_allowed():
+        if await self._authorization.renew(self._state.work):
             return await self._continue_unsent()
         return await self._refusals.give_up('unproved_table')
 
-    def _lacks_proof(self, standing):
-        """Return whether a standing rests on a table that may be outdated."""
-        if standing is None or not standing.needs_proof:
-            return False
-        return not self._view.proof.is_fresh(self._hub.clock())
-
-    async def _wait_for_proof(self):
-        """Wait for the table's proof to be renewed after a stall."""
-        route = self._get_route()
-        if route is None:
-            return False
-        return await self._hub.resumption.wait_for_proof(
-            route.target_latency_s
-        )
-
-    def _is_still_allowed(self):
-        """Return whether the table read during the wait allows it, too."""
-        route, standing = self._judge()
-        if route is None or not standing.passes:
-            return False
-        tenancy = self._state.work.tenancy
-        return routes.is_same_workspace(standing.tenancy, tenancy)
-
-    def _judge(self):
-        """Return the route of the request and its standing on it.
-
-        Returns
-        -------
-        tuple of (routes.Route, routes.Standing) or (None, None)
-        """
-        table, route = self._view.table, self._get_route()
-        if route is None:
-            return None, None
-        return route, routes.judge(table, route, self._call.key)
-
-    def _get_route(self):
-        call = self._call
-        return routes.match_route(self._view.table, call.host, call.target)
-
     async def _handle_unreached(self, outcome):
         self._state.unsent_attempts += 1
         return await self._continue_unsent()
--- a/landingspool/gateway/request_state.py
+++ b/landingspool/gateway/request_state.py
@@ -120,7 +120,7 @@
             self.call.left_s, work.route.timeout_s
         )
         self.fingerprint = fingerprints.fingerprint_pieces(
-            work.tenancy.name if work.tenancy else '',
+            work.workspace,
             self.call.target,
             len(self.body),
             bodies.list_pieces(self.body),
