--- a/tests/test_own_interface_parts.py
+++ b/tests/test_own_interface_parts.py
@@ -260,6 +260,33 @@
     assert f'task_failures_total{{task="{task}"}} 1.0' in metrics
 
 
+def test_a_body_that_ends_after_a_planned_stop_began_is_not_run():
+    # Guards against LOST: it would be cut as the process ends.
+    head = (
+        b'POST /v1/completions HTTP/1.1\r\nhost: h\r\n'
+        b'authorization: Bearer k\r\ncontent-length: 2\r\n\r\n'
+    )
+
+    async def check():
+        daemon = make_daemon()
+        address = await daemon.caller_server.start('127.0.0.1', 0)
+        reader, writer = await asyncio.open_connection(*address)
+        writer.write(head + b'{')
+        await asyncio.sleep(0.1)
+        daemon.box.serving.stopping = True
+        writer.write(b'}')
+        async with asyncio.timeout(2.0):
+            answer = await reader.readuntil(b'}}')
+        writer.close()
+        await daemon.caller_server.close()
+        daemon.box.timer.close()
+        return answer
+
+    answer = asyncio.run(check())
+    assert answer.startswith(b'HTTP/1.1 503')
+    assert b'not_run' in answer
+
+
 def test_a_caller_that_resets_its_connection_is_no_error_of_the_box():
     async def check():
         errors = []
