Whether parts may be freed asks for no list of boxes

Since every box read the list of boxes once more when it knew another one by its digests alone: one call of each box after each start, which the platform counts. What is left in stores can wait for the next periodic read; until then it isn't freed.

--- a/landingspool/gateway/peering.py
+++ b/landingspool/gateway/peering.py
@@ -161,13 +161,9 @@
     def has_earlier_namespaces(self):
         """Return whether a box may name namespaces as earlier builds do.
 
-        One that the store still lists may be cut off from this box alone.
+        One that the store still lists may be cut off from this box alone, and
+        one that is known by its digests may be of any build.
         """
-        is_known = all(
-            peer.names_walls is not None for peer in self.peers.values()
-        )
-        if not is_known:
-            self._registry.read_soon()
         return not self.is_complete() or not all(
             peer.names_walls for peer in self.peers.values()
         )
